Workspace with the shared types and the seams between crates

Cause: the parts are to be written side by side, so ids, units, records, messages, result codes and the events and actions of control come first. Ruled out: a schema language with generated code (a build step and a second description of each type for no wire that a foreign program reads). Conclusion: the seams stand; each part can be tested against them alone.

--- /dev/null
+++ b/crates/ward-backend/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction.
--- /dev/null
+++ b/crates/ward-protocol/src/id.rs
@@ -0,0 +1,261 @@
+//! Names and numbers that identify things.
+//!
+//! Text ids share one reference-counted buffer, so cloning one copies a
+//! pointer. Number ids print as decimal, 128-bit ids as 32 hex digits.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+quick_error! {
+    /// A text that is not a valid id.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum IdError {
+        /// The text is empty.
+        Empty(kind: &'static str) {
+            display("the {kind} is empty; give at least one character")
+        }
+        /// The text has more bytes than allowed.
+        TooLong(kind: &'static str, limit: usize) {
+            display("the {kind} is longer than {limit} bytes; shorten it")
+        }
+        /// The text holds a character that is not allowed.
+        Character(kind: &'static str, found: char) {
+            display("the {kind} may not contain {found:?}; use letters, digits and . _ - / +")
+        }
+        /// The text is not a number of the expected form.
+        Number(kind: &'static str) {
+            display("the {kind} is not a number of the expected form")
+        }
+    }
+}
+
+fn is_name_character(character: char) -> bool {
+    character.is_alphanumeric() || matches!(character, '.' | '_' | '-' | '/' | '+')
+}
+
+fn is_key_character(character: char) -> bool {
+    !character.is_control()
+}
+
+fn check_text(
+    text: &str,
+    kind: &'static str,
+    limit: usize,
+    allowed: fn(char) -> bool,
+) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty(kind));
+    }
+    if text.len() > limit {
+        return Err(IdError::TooLong(kind, limit));
+    }
+    match text.chars().find(|character| !allowed(*character)) {
+        Some(found) => Err(IdError::Character(kind, found)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $limit:literal, $allowed:path) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Longest accepted text in bytes.
+            pub const MAX_BYTES: usize = $limit;
+
+            /// The id as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_text(text, $kind, $limit, $allowed)?;
+                Ok(Self(Arc::from(text)))
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = IdError;
+
+            fn try_from(text: &str) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+text_id!(
+    /// A daemon, unique in the deployment and stable over restarts.
+    DaemonId, "daemon id", 64, is_name_character
+);
+text_id!(
+    /// A backend server: a model engine or a plain service.
+    BackendId, "backend server id", 64, is_name_character
+);
+text_id!(
+    /// An availability zone.
+    ZoneName, "availability zone", 64, is_name_character
+);
+text_id!(
+    /// A model, without version and adapter.
+    ModelName, "model name", 128, is_name_character
+);
+text_id!(
+    /// An adapter of a model.
+    AdapterName, "adapter name", 128, is_name_character
+);
+text_id!(
+    /// A version of a model or adapter.
+    VersionTag, "version", 64, is_name_character
+);
+text_id!(
+    /// A plain service.
+    ServiceName, "service name", 64, is_name_character
+);
+text_id!(
+    /// An operator, as written into plan records.
+    OperatorName, "operator name", 64, is_name_character
+);
+text_id!(
+    /// The `Idempotency-Key` of a request that may not be repeated.
+    IdempotencyKey, "idempotency key", 255, is_key_character
+);
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(formatter)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                text.parse().map(Self).map_err(|_| IdError::Number($kind))
+            }
+        }
+    };
+}
+
+number_id!(
+    /// Position of a record in a log stream; zero lies before the first record.
+    LogOffset, "log offset"
+);
+number_id!(
+    /// Offset of the plan record that made a plan; zero is the empty plan.
+    PlanRevision, "plan revision"
+);
+number_id!(
+    /// One life of a daemon: its start in milliseconds since 1970.
+    Incarnation, "incarnation"
+);
+number_id!(
+    /// Fencing number of an order: the offset at which ownership last moved.
+    FenceNumber, "fencing number"
+);
+number_id!(
+    /// A reservation, named by the offset of its `Reserve` record.
+    ReservationId, "reservation id"
+);
+
+impl LogOffset {
+    /// The position before the first record.
+    pub const ZERO: Self = Self(0);
+}
+
+macro_rules! wide_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord,
+            SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(pub u128);
+
+        impl $name {
+            /// A fresh random id.
+            #[must_use]
+            pub fn random() -> Self {
+                Self(rand::random())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{:032x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                u128::from_str_radix(text, 16)
+                    .map(Self)
+                    .map_err(|_| IdError::Number($kind))
+            }
+        }
+    };
+}
+
+wide_id!(
+    /// A log record, chosen by its sender; finds a record whose append answer was lost.
+    RecordId, "record id"
+);
+wide_id!(
+    /// A request, passed on to the backend server and back.
+    RequestId, "request id"
+);
+wide_id!(
+    /// Digest of what a request asks for, without its ids and deadlines.
+    RequestFingerprint, "request fingerprint"
+);
+
+impl RequestFingerprint {
+    /// The fingerprint of a request's target and body.
+    #[must_use]
+    pub fn of(target: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&(target.len() as u64).to_le_bytes());
+        hasher.update(target.as_bytes());
+        hasher.update(body);
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(u128::from_le_bytes(bytes))
+    }
+}
--- /dev/null
+++ b/crates/ward-protocol/src/lib.rs
@@ -0,0 +1,45 @@
+//! Types that every other crate shares: ids, units, plan rows, log records,
+//! messages between daemons, orders to backend servers, and result codes.
+//!
+//! This crate depends on no sibling and performs no I/O. Raw input becomes a
+//! checked type through `TryFrom` or `FromStr`; everything past that point may
+//! rely on the check. Records and peer messages travel as `postcard`, whatever
+//! people read travels as JSON; both use the same serde implementations.
+
+pub mod backend;
+pub mod code;
+pub mod codec;
+pub mod id;
+pub mod limits;
+pub mod message;
+pub mod plan;
+pub mod record;
+pub mod time;
+pub mod unit;
+pub mod view;
+
+pub use backend::{
+    BackendInfo, BackendKind, BackendOrder, BackendStatus, CacheTier, CachedCheckpoint, EngineRole,
+    FencingSupport, HostEntry, HostState, OrderKind, OrderRefusal, OrderResult, ResidentPhase,
+    ResidentReplica,
+};
+pub use code::{RequestOutcome, ResultCode};
+pub use codec::CodecError;
+pub use id::{
+    AdapterName, BackendId, DaemonId, FenceNumber, IdempotencyKey, Incarnation, LogOffset,
+    ModelName, OperatorName, PlanRevision, RecordId, RequestFingerprint, RequestId, ReservationId,
+    ServiceName, VersionTag, ZoneName,
+};
+pub use limits::{LeaseTimes, PolicyValues, StoreLimits, TrafficLimits};
+pub use message::{PeerAddress, PeerEnvelope, PeerMessage, WakeHint};
+pub use plan::{ModelReference, PlanRow, ReplicaKey, RowTarget};
+pub use record::{
+    AppendResult, ControlEnvelope, ControlRecord, LogStream, MemberInfo, PlanChange, PlanEnvelope,
+    PlanRecord, RawRecord, ReleaseReason, RequestEnvelope, RequestRecord, SnapshotPart,
+};
+pub use time::{DayTime, MonoTime, TimeSpan, WallTime};
+pub use unit::{MemorySize, PriorityLevel, UnitError};
+pub use view::{
+    BackendRoute, EntryAddress, LoadEstimate, LoadingReplica, ModelEntry, PlanCatalog,
+    ReadyReplica, RoutingView, ServiceEntry, ViewMode,
+};
