Requests that may not be repeated run at most once over the log

Cause: a deposit charge may reach any daemon, twice, while another is frozen. Ruled out: an owner per key with leases (a paused owner could still send); a one-shot channel per Begin (a verdict that arrives between the last poll and the drop of the request was lost, the key then ran for nobody).

--- a/crates/ward-protocol/src/record.rs
+++ b/crates/ward-protocol/src/record.rs
@@ -279,6 +279,8 @@
     pub at: WallTime,
     /// The key that the record is about.
     pub key: IdempotencyKey,
+    /// The `Begin` that the record is about; a `Begin` repeats its own id.
+    pub begin: RecordId,
     /// The proposal.
     pub body: RequestRecord,
 }
