--- a/crates/ward-peer/src/lib.rs
+++ b/crates/ward-peer/src/lib.rs
@@ -11,5 +11,8 @@
 pub mod transfer;
 
 pub use datagram::{DatagramSender, DatagramSocket, PeerCounters};
-pub use seal::{KeyText, PeerKeys, SealError};
-pub use transfer::{StateAnswer, StateRequest, TransferError, fetch_state, serve_state};
+pub use seal::{KeyBytes, PeerKeys, SealError};
+pub use transfer::{
+    LevelReport, PeerAnswer, PeerRequest, StateAnswer, StateRequest, TransferError, fetch_level,
+    fetch_state, serve_peers,
+};
--- a/crates/ward-peer/src/seal.rs
+++ b/crates/ward-peer/src/seal.rs
@@ -1,19 +1,15 @@
 //! Keyed hashes on messages.
 
-use std::fmt;
-use std::str::FromStr;
-
 use quick_error::quick_error;
-use serde_with::{DeserializeFromStr, SerializeDisplay};
 
 /// Bytes that sealing adds to a message.
 pub const SEAL_BYTES: usize = 16;
 
-const KEY_CONTEXT: &str = "persimmonward peer messages v1";
-const SHORTEST_KEY: usize = 16;
+/// A key that daemons share.
+pub type KeyBytes = [u8; blake3::KEY_LEN];
 
 quick_error! {
-    /// A message or key that is not accepted.
+    /// A message that is not accepted.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum SealError {
         /// The message is shorter than a hash.
@@ -24,65 +20,23 @@
         Mismatch {
             display("the message's hash fits no key; give all daemons the same keys")
         }
-        /// A key has too few characters.
-        WeakKey {
-            display("the key is too short; use at least {SHORTEST_KEY} characters")
-        }
-    }
-}
-
-/// A key as text in the settings; never printed.
-#[derive(Clone, PartialEq, Eq, SerializeDisplay, DeserializeFromStr)]
-pub struct KeyText(String);
-
-impl KeyText {
-    fn derive(&self) -> [u8; 32] {
-        blake3::derive_key(KEY_CONTEXT, self.0.as_bytes())
-    }
-}
-
-impl FromStr for KeyText {
-    type Err = SealError;
-
-    fn from_str(text: &str) -> Result<Self, SealError> {
-        if text.len() < SHORTEST_KEY {
-            return Err(SealError::WeakKey);
-        }
-        Ok(Self(text.to_owned()))
-    }
-}
-
-impl fmt::Display for KeyText {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("(secret)")
-    }
-}
-
-impl fmt::Debug for KeyText {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(self, formatter)
     }
 }
 
 /// The keys of a deployment: the current one seals, both open.
 #[derive(Clone, Default)]
 pub struct PeerKeys {
-    accepted: Vec<[u8; 32]>,
+    accepted: Vec<KeyBytes>,
 }
 
 impl PeerKeys {
     /// Keys from the settings; without a current key nothing is sealed or checked.
     #[must_use]
-    pub fn new(current: Option<&KeyText>, previous: Option<&KeyText>) -> Self {
-        let accepted = match current {
-            Some(current) => [Some(current), previous]
-                .into_iter()
-                .flatten()
-                .map(KeyText::derive)
-                .collect(),
-            None => Vec::new(),
-        };
-        Self { accepted }
+    pub fn new(current: Option<KeyBytes>, previous: Option<KeyBytes>) -> Self {
+        let previous = previous.filter(|_| current.is_some());
+        Self {
+            accepted: current.into_iter().chain(previous).collect(),
+        }
     }
 
     /// The message with its hash in front.
@@ -121,7 +75,7 @@
     }
 }
 
-fn hash_message(key: &[u8; 32], message: &[u8]) -> [u8; SEAL_BYTES] {
+fn hash_message(key: &KeyBytes, message: &[u8]) -> [u8; SEAL_BYTES] {
     let full = blake3::keyed_hash(key, message);
     let mut hash = [0; SEAL_BYTES];
     hash.copy_from_slice(&full.as_bytes()[..SEAL_BYTES]);
--- a/crates/ward-peer/src/transfer.rs
+++ b/crates/ward-peer/src/transfer.rs
@@ -1,8 +1,9 @@
 //! State transfer between daemons over TCP.
 //!
-//! A daemon that cannot reach the log asks a peer for what it lacks. One
-//! request and one answer go over a connection, each a length, a keyed hash and
-//! a `postcard` value.
+//! A daemon that cannot reach the log asks a peer for what it lacks, and an
+//! operator's question about all daemons is passed on. One request and one
+//! answer go over a connection, each a length, a keyed hash and a `postcard`
+//! value.
 
 use std::future::Future;
 use std::io;
@@ -19,7 +20,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use ward_protocol::codec::{CodecError, decode, encode};
-use ward_protocol::{LogOffset, LogStream};
+use ward_protocol::{LogOffset, LogStream, PlanRevision};
 
 use crate::seal::{PeerKeys, SealError};
 
@@ -54,6 +55,10 @@
         TooLong(bytes: u32) {
             display("the peer announced a message of {bytes} bytes, more than allowed")
         }
+        /// The peer answered another question.
+        OtherAnswer {
+            display("the peer answered another question")
+        }
         /// The peer took too long.
         Timeout {
             display("the peer did not answer in time")
@@ -61,11 +66,40 @@
     }
 }
 
+/// What one daemon asks another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// For what it lacks.
+    State(StateRequest),
+    /// How far it is.
+    Level,
+}
+
+/// What one daemon answers another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// What the asker lacks.
+    State(StateAnswer),
+    /// How far it is.
+    Level(LevelReport),
+}
+
+/// How far a daemon is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LevelReport {
+    /// Control offset that it has applied.
+    pub applied: LogOffset,
+    /// Plan revision that it has in force.
+    pub adopted: PlanRevision,
+}
+
 /// What a daemon lacks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateRequest {
     /// Control offset up to which the asker has applied.
     pub applied: LogOffset,
+    /// Plan offset up to which the asker has read.
+    pub plan: LogOffset,
 }
 
 /// Records of one stream, in order.
@@ -106,24 +140,52 @@
     keys: &PeerKeys,
     request: StateRequest,
 ) -> Result<StateAnswer, TransferError> {
+    let request = PeerRequest::State(request);
+    match exchange(peer, keys, request, TRANSFER_TIME).await? {
+        PeerAnswer::State(answer) => Ok(answer),
+        PeerAnswer::Level(_) => Err(TransferError::OtherAnswer),
+    }
+}
+
+/// Asks a peer how far it is, within `limit`.
+///
+/// # Errors
+/// When the peer is not reached, takes too long, or answers something invalid.
+pub async fn fetch_level(
+    peer: SocketAddr,
+    keys: &PeerKeys,
+    limit: Duration,
+) -> Result<LevelReport, TransferError> {
+    match exchange(peer, keys, PeerRequest::Level, limit).await? {
+        PeerAnswer::Level(report) => Ok(report),
+        PeerAnswer::State(_) => Err(TransferError::OtherAnswer),
+    }
+}
+
+async fn exchange(
+    peer: SocketAddr,
+    keys: &PeerKeys,
+    request: PeerRequest,
+    limit: Duration,
+) -> Result<PeerAnswer, TransferError> {
     let exchange = async {
         let mut stream = TcpStream::connect(peer).await?;
         write_message(&mut stream, keys, &request).await?;
         read_message(&mut stream, keys, LONGEST_ANSWER).await
     };
-    timeout(TRANSFER_TIME, exchange)
+    timeout(limit, exchange)
         .await
         .unwrap_or(Err(TransferError::Timeout))
 }
 
 /// Answers peers' requests, for ever; at most four at a time.
-pub async fn serve_state<F>(
+pub async fn serve_peers<F>(
     listener: TcpListener,
     keys: PeerKeys,
     logger: Logger,
-    answer: impl Fn(StateRequest) -> F + Send + Sync + 'static,
+    answer: impl Fn(PeerRequest) -> F + Send + Sync + 'static,
 ) where
-    F: Future<Output = StateAnswer> + Send + 'static,
+    F: Future<Output = PeerAnswer> + Send + 'static,
 {
     let answer = Arc::new(answer);
     let permits = Arc::new(Semaphore::new(TRANSFERS_AT_A_TIME));
@@ -159,10 +221,10 @@
 async fn answer_one<F>(
     mut stream: TcpStream,
     keys: &PeerKeys,
-    answer: &(impl Fn(StateRequest) -> F + Sync),
+    answer: &(impl Fn(PeerRequest) -> F + Sync),
 ) -> Result<(), TransferError>
 where
-    F: Future<Output = StateAnswer> + Send,
+    F: Future<Output = PeerAnswer> + Send,
 {
     let request = read_message(&mut stream, keys, LONGEST_REQUEST).await?;
     let answer = answer(request).await;
