--- a/crates/ward-peer/src/datagram.rs
+++ b/crates/ward-peer/src/datagram.rs
@@ -104,19 +104,18 @@
 }
 
 impl DatagramSocket {
-    /// Binds the socket; called within a runtime.
+    /// Takes over a bound socket; called within a runtime.
     ///
     /// # Errors
-    /// When the address is taken or not this host's.
-    pub fn bind(
-        address: SocketAddr,
+    /// When the system refuses to share the socket or to make it non-blocking.
+    pub fn new(
+        socket: SendSocket,
         keys: PeerKeys,
         daemon: DaemonId,
         incarnation: Incarnation,
         counters: PeerCounters,
         logger: Logger,
     ) -> io::Result<Self> {
-        let socket = SendSocket::bind(address)?;
         socket.set_nonblocking(true)?;
         Ok(Self {
             socket: UdpSocket::from_std(socket.try_clone()?)?,
--- a/crates/ward-peer/tests/peer.rs
+++ b/crates/ward-peer/tests/peer.rs
@@ -35,8 +35,8 @@
 
 fn socket(name: &str, keys: PeerKeys) -> (DatagramSocket, PeerCounters) {
     let counters = PeerCounters::register(&prometheus::Registry::new()).unwrap();
-    let socket = DatagramSocket::bind(
-        "127.0.0.1:0".parse().unwrap(),
+    let socket = DatagramSocket::new(
+        std::net::UdpSocket::bind("127.0.0.1:0").unwrap(),
         keys,
         name.parse().unwrap(),
         Incarnation(1),
