ward-state: first cut of the state machine

Plans, membership, engines, reservations and load admission as one pure state machine over the two streams.

--- /dev/null
+++ b/crates/ward-state/src/admission.rs
@@ -0,0 +1,88 @@
+//! Which waiting loads may use the weight store.
+//!
+//! Every daemon applies the same records, so all agree on who may load without
+//! talking to each other. A slot is taken when a load is admitted and given
+//! back when its reservation becomes ready or is released.
+
+use std::collections::{BTreeSet, HashSet};
+
+use ward_protocol::{PriorityLevel, ReservationId, StoreLimits, WallTime};
+
+use crate::cluster::ClusterState;
+use crate::reservation::{ReservationPhase, ReservationState};
+
+type WaitingRank = (PriorityLevel, WallTime, ReservationId);
+
+/// Loads of one kind.
+#[derive(Debug, Clone, Default)]
+struct LoadLane {
+    waiting: BTreeSet<WaitingRank>,
+    admitted: HashSet<ReservationId>,
+}
+
+/// Waiting and admitted loads, derived from the reservations.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LoadGate {
+    models: LoadLane,
+    adapters: LoadLane,
+}
+
+impl LoadGate {
+    fn lane(&mut self, state: &ReservationState) -> &mut LoadLane {
+        if state.key.is_adapter() {
+            &mut self.adapters
+        } else {
+            &mut self.models
+        }
+    }
+
+    pub(crate) fn track(&mut self, id: ReservationId, state: &ReservationState) {
+        let lane = self.lane(state);
+        match state.phase {
+            ReservationPhase::Waiting if !state.draining => {
+                lane.waiting.insert((state.priority, state.deadline, id));
+            }
+            ReservationPhase::Loading => {
+                lane.admitted.insert(id);
+            }
+            ReservationPhase::Waiting | ReservationPhase::Ready | ReservationPhase::Found => {}
+        }
+    }
+
+    pub(crate) fn forget(&mut self, id: ReservationId, state: &ReservationState) {
+        let lane = self.lane(state);
+        lane.waiting.remove(&(state.priority, state.deadline, id));
+        lane.admitted.remove(&id);
+    }
+
+    fn admit(&mut self, limits: StoreLimits) -> Vec<ReservationId> {
+        let mut admitted = self.models.admit(limits.model_loads);
+        admitted.extend(self.adapters.admit(limits.adapter_loads));
+        admitted
+    }
+}
+
+impl LoadLane {
+    fn admit(&mut self, limit: u16) -> Vec<ReservationId> {
+        let mut admitted = Vec::new();
+        while self.admitted.len() < usize::from(limit) {
+            let Some((_, _, id)) = self.waiting.pop_first() else {
+                break;
+            };
+            self.admitted.insert(id);
+            admitted.push(id);
+        }
+        admitted
+    }
+}
+
+impl ClusterState {
+    /// Admits as many waiting loads as the limits allow.
+    pub(crate) fn admit_loads(&mut self) {
+        for id in self.gate.admit(self.limits) {
+            if let Some(state) = self.reservations.get_mut(&id) {
+                state.phase = ReservationPhase::Loading;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-state/src/cluster.rs
@@ -0,0 +1,216 @@
+//! The state itself and what can be asked of it.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use ward_protocol::{
+    BackendId, DaemonId, Incarnation, LogOffset, MemorySize, PlanRevision, PlanRow, ReplicaKey,
+    ReservationId, RowTarget, StoreLimits,
+};
+
+use crate::admission::LoadGate;
+use crate::backend::BackendState;
+use crate::member::MemberState;
+use crate::plans::{PlanContent, PlanHistory};
+use crate::recent::RecentIds;
+use crate::reservation::ReservationState;
+use crate::suspect::SuspectList;
+
+/// The control state of a deployment.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct ClusterState {
+    pub(crate) applied: LogOffset,
+    pub(crate) skipped: u64,
+    pub(crate) plans: PlanHistory,
+    pub(crate) adopted: PlanRevision,
+    pub(crate) limits: StoreLimits,
+    pub(crate) limits_base: LogOffset,
+    pub(crate) members: IndexMap<DaemonId, MemberState>,
+    pub(crate) last_lives: IndexMap<DaemonId, Incarnation>,
+    pub(crate) backends: IndexMap<BackendId, BackendState>,
+    pub(crate) gone: IndexMap<BackendId, LogOffset>,
+    pub(crate) reservations: IndexMap<ReservationId, ReservationState>,
+    pub(crate) suspects: SuspectList,
+    pub(crate) recent: RecentIds,
+    #[serde(skip)]
+    pub(crate) content: Arc<PlanContent>,
+    #[serde(skip)]
+    pub(crate) by_key: IndexMap<ReplicaKey, Vec<ReservationId>>,
+    #[serde(skip)]
+    pub(crate) gate: LoadGate,
+    #[serde(skip)]
+    pub(crate) owner_version: u64,
+    #[serde(skip)]
+    pub(crate) member_version: u64,
+}
+
+impl ClusterState {
+    /// Control offset up to which records were applied.
+    #[must_use]
+    pub const fn applied(&self) -> LogOffset {
+        self.applied
+    }
+
+    /// Control records that could not be decoded.
+    #[must_use]
+    pub const fn skipped(&self) -> u64 {
+        self.skipped
+    }
+
+    /// The plans read so far.
+    #[must_use]
+    pub const fn plans(&self) -> &PlanHistory {
+        &self.plans
+    }
+
+    /// The revision in force.
+    #[must_use]
+    pub const fn adopted(&self) -> PlanRevision {
+        self.adopted
+    }
+
+    /// The rows in force.
+    #[must_use]
+    pub const fn content(&self) -> &Arc<PlanContent> {
+        &self.content
+    }
+
+    /// The row of a replica key in the plan in force.
+    #[must_use]
+    pub fn row(&self, key: &ReplicaKey) -> Option<&Arc<PlanRow>> {
+        self.content.get(&RowTarget::Replica(key.clone()))
+    }
+
+    /// Limits in force and the offset that set them.
+    #[must_use]
+    pub const fn limits(&self) -> (StoreLimits, LogOffset) {
+        (self.limits, self.limits_base)
+    }
+
+    /// Members by id.
+    #[must_use]
+    pub const fn members(&self) -> &IndexMap<DaemonId, MemberState> {
+        &self.members
+    }
+
+    /// Whether a daemon is a member in this life.
+    #[must_use]
+    pub fn is_member(&self, daemon: &DaemonId, incarnation: Incarnation) -> bool {
+        self.members
+            .get(daemon)
+            .is_some_and(|member| member.info.incarnation == incarnation)
+    }
+
+    /// The newest life of a daemon that ever joined.
+    #[must_use]
+    pub fn last_life(&self, daemon: &DaemonId) -> Option<Incarnation> {
+        self.last_lives.get(daemon).copied()
+    }
+
+    /// Backend servers by id.
+    #[must_use]
+    pub const fn backends(&self) -> &IndexMap<BackendId, BackendState> {
+        &self.backends
+    }
+
+    /// Reservations by id.
+    #[must_use]
+    pub const fn reservations(&self) -> &IndexMap<ReservationId, ReservationState> {
+        &self.reservations
+    }
+
+    /// Reservations of a key, oldest first.
+    #[must_use]
+    pub fn held(&self, key: &ReplicaKey) -> &[ReservationId] {
+        self.by_key.get(key).map_or(&[], Vec::as_slice)
+    }
+
+    /// Keys with at least one reservation.
+    pub fn held_keys(&self) -> impl Iterator<Item = &ReplicaKey> {
+        self.by_key.keys()
+    }
+
+    /// The reservation of a key on an engine.
+    #[must_use]
+    pub fn held_on(&self, key: &ReplicaKey, backend: &BackendId) -> Option<ReservationId> {
+        self.held(key)
+            .iter()
+            .copied()
+            .find(|id| self.reservations[id].backend == *backend)
+    }
+
+    /// Requests under suspicion.
+    #[must_use]
+    pub const fn suspects(&self) -> &SuspectList {
+        &self.suspects
+    }
+
+    /// Grows whenever an engine changes its owner.
+    #[must_use]
+    pub const fn owner_version(&self) -> u64 {
+        self.owner_version
+    }
+
+    /// Grows whenever the members change.
+    #[must_use]
+    pub const fn member_version(&self) -> u64 {
+        self.member_version
+    }
+
+    pub(crate) fn insert_reservation(&mut self, id: ReservationId, state: ReservationState) {
+        self.index_reservation(id, &state);
+        self.reservations.insert(id, state);
+    }
+
+    pub(crate) fn remove_reservation(&mut self, id: ReservationId) -> Option<ReservationState> {
+        let state = self.reservations.swap_remove(&id)?;
+        if let Some(ids) = self.by_key.get_mut(&state.key) {
+            ids.retain(|held| *held != id);
+            if ids.is_empty() {
+                self.by_key.swap_remove(&state.key);
+            }
+        }
+        if let Some(backend) = self.backends.get_mut(&state.backend) {
+            backend.held.retain(|held| *held != id);
+            backend.counted = backend.counted.saturating_sub(state.memory);
+        }
+        self.gate.forget(id, &state);
+        Some(state)
+    }
+
+    /// Adds memory to a reservation that takes more than was counted.
+    pub(crate) fn grow_reservation(&mut self, id: ReservationId, memory: MemorySize) {
+        let Some(state) = self.reservations.get_mut(&id) else {
+            return;
+        };
+        let more = memory.saturating_sub(state.memory);
+        state.memory = state.memory.saturating_add(more);
+        if let Some(backend) = self.backends.get_mut(&state.backend) {
+            backend.counted = backend.counted.saturating_add(more);
+        }
+    }
+
+    /// Rebuilds everything that a snapshot leaves out.
+    pub(crate) fn rebuild(&mut self) {
+        self.content = self.plans.content_at(self.adopted).unwrap_or_default();
+        self.by_key.clear();
+        self.gate = LoadGate::default();
+        let mut all: Vec<_> = std::mem::take(&mut self.reservations).into_iter().collect();
+        let mut sorted: Vec<_> = all.iter().map(|(id, state)| (*id, state.clone())).collect();
+        sorted.sort_unstable_by_key(|(id, _)| *id);
+        for (id, state) in &sorted {
+            self.index_reservation(*id, state);
+        }
+        self.reservations = all.drain(..).collect();
+    }
+
+    fn index_reservation(&mut self, id: ReservationId, state: &ReservationState) {
+        self.by_key.entry(state.key.clone()).or_default().push(id);
+        if let Some(backend) = self.backends.get_mut(&state.backend) {
+            backend.held.push(id);
+            backend.counted = backend.counted.saturating_add(state.memory);
+        }
+        self.gate.track(id, state);
+    }
+}
