ward-control: decisions of one daemon, first cut

Start, read loop with lease, proposals, membership, host list, engine and model duties, stop, view and dump.

--- a/crates/ward-control/src/action.rs
+++ b/crates/ward-control/src/action.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use ward_protocol::{
-    BackendId, BackendOrder, ControlEnvelope, DaemonId, LogOffset, LogStream, PeerAddress,
-    PeerMessage, RecordId,
+    BackendId, BackendOrder, ControlEnvelope, DaemonId, LogOffset, LogStream, MonoTime,
+    PeerAddress, PeerMessage, RecordId,
 };
 
 /// Something that a daemon's surroundings are to do.
@@ -50,6 +50,8 @@
         address: SocketAddr,
         /// The order.
         order: BackendOrder,
+        /// Past this point the order must not be sent: the lease has run out.
+        not_after: MonoTime,
     },
     /// Ask a backend server for its status; answered by `Status` or `StatusFailed`.
     FetchStatus {
--- /dev/null
+++ b/crates/ward-control/src/core.rs
@@ -0,0 +1,264 @@
+//! One daemon's decisions, driven by events.
+
+use ward_protocol::{
+    DaemonId, Incarnation, MonoTime, PeerEnvelope, PeerMessage, RoutingView, TimeSpan, ViewMode,
+    WallTime,
+};
+use ward_state::ClusterState;
+
+use crate::action::ControlAction;
+use crate::config::ControlConfig;
+use crate::defect::DefectKind;
+use crate::engines::EngineTable;
+use crate::event::ControlEvent;
+use crate::hosts::HostWatch;
+use crate::ids::IdSource;
+use crate::membership::ProbeTable;
+use crate::models::ModelTable;
+use crate::proposer::Proposer;
+use crate::reader::LogReader;
+use crate::snapshots::SnapshotDuty;
+use crate::start::StartState;
+use crate::stop::StopState;
+use crate::view::ViewCache;
+
+/// Shortest time between two views that differ only in load figures.
+const PUBLISH_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
+
+/// One daemon's decisions.
+#[derive(Debug)]
+pub struct ControlCore {
+    pub(crate) config: ControlConfig,
+    pub(crate) state: ClusterState,
+    pub(crate) now: MonoTime,
+    pub(crate) wall: WallTime,
+    pub(crate) actions: Vec<ControlAction>,
+    pub(crate) ids: IdSource,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) start: StartState,
+    pub(crate) reader: LogReader,
+    pub(crate) proposer: Proposer,
+    pub(crate) probes: ProbeTable,
+    pub(crate) hosts: HostWatch,
+    pub(crate) engines: EngineTable,
+    pub(crate) models: ModelTable,
+    pub(crate) snapshots: SnapshotDuty,
+    pub(crate) stop: StopState,
+    pub(crate) views: ViewCache,
+    /// Whether the view differs from the one published last.
+    pub(crate) changed: bool,
+    published: Option<(MonoTime, ViewMode)>,
+}
+
+impl ControlCore {
+    /// A daemon that starts now.
+    #[must_use]
+    pub fn new(config: ControlConfig, start: MonoTime) -> Self {
+        let ids = IdSource::new(config.seed);
+        let incarnation = config.member.incarnation;
+        Self {
+            config,
+            state: ClusterState::default(),
+            now: start,
+            wall: WallTime::default(),
+            actions: Vec::new(),
+            ids,
+            incarnation,
+            start: StartState::default(),
+            reader: LogReader::default(),
+            proposer: Proposer::default(),
+            probes: ProbeTable::default(),
+            hosts: HostWatch::default(),
+            engines: EngineTable::default(),
+            models: ModelTable::default(),
+            snapshots: SnapshotDuty::default(),
+            stop: StopState::default(),
+            views: ViewCache::default(),
+            changed: true,
+            published: None,
+        }
+    }
+
+    /// Takes one event and says what to do.
+    pub fn step(
+        &mut self,
+        now: MonoTime,
+        wall: WallTime,
+        event: ControlEvent,
+    ) -> Vec<ControlAction> {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        self.take(event);
+        self.run_duties();
+        self.publish();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// What traffic threads may see now.
+    #[must_use]
+    pub fn view(&mut self) -> RoutingView {
+        self.build_view()
+    }
+
+    /// The control state, for tests and checks.
+    #[must_use]
+    pub const fn state(&self) -> &ClusterState {
+        &self.state
+    }
+
+    fn take(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Tick => {}
+            ControlEvent::Read {
+                stream,
+                started,
+                records,
+                end,
+                cut,
+            } => self.take_read(stream, started, records, end, cut),
+            ControlEvent::ReadFailed { stream } => self.take_read_failed(stream),
+            ControlEvent::PeerRecords { stream, records } => {
+                self.take_peer_records(stream, records);
+            }
+            ControlEvent::Snapshot { bytes } => self.take_snapshot(&bytes),
+            ControlEvent::NoSnapshot => self.take_no_snapshot(),
+            ControlEvent::Appended { record, result } => self.take_appended(record, result),
+            ControlEvent::SnapshotWritten { control, stored } => {
+                self.snapshots.written(control, stored);
+            }
+            ControlEvent::OrderEnded {
+                backend,
+                order,
+                result,
+            } => self.take_order_ended(&backend, order, result),
+            ControlEvent::Status { started, status } => self.take_status(started, status),
+            ControlEvent::StatusFailed { backend } => self.take_status_failed(&backend),
+            ControlEvent::Hosts { hosts } => self.take_hosts(hosts),
+            ControlEvent::HostsFailed => self.hosts.failed(),
+            ControlEvent::Peer { envelope } => self.take_peer(envelope),
+            ControlEvent::Wanted { hint } => self.take_wanted(hint),
+            ControlEvent::Used { hint } => self.take_used(&hint),
+            ControlEvent::Crashed {
+                fingerprint,
+                backend,
+                until,
+            } => self.take_crash(fingerprint, backend, until),
+            ControlEvent::Stop => self.stop.begin(self.now),
+        }
+    }
+
+    fn take_peer(&mut self, envelope: PeerEnvelope) {
+        let PeerEnvelope {
+            sender,
+            incarnation,
+            message,
+        } = envelope;
+        self.probes.heard(&sender, self.now);
+        match message {
+            PeerMessage::Probe { sequence, applied } => {
+                self.reader.note_end(applied);
+                self.answer_probe(&sender, sequence);
+            }
+            PeerMessage::ProbeAck { sequence, applied } => {
+                self.reader.note_end(applied);
+                self.take_probe_ack(&sender, sequence);
+            }
+            PeerMessage::ProbeRelay { sequence, target } => {
+                self.relay_probe(sender, sequence, &target);
+            }
+            PeerMessage::RelayAck { target, .. } => self.probes.heard(&target, self.now),
+            PeerMessage::Wake(hint) => self.take_wake(sender, hint),
+            PeerMessage::Fresh { end } => self.reader.note_end(end),
+            PeerMessage::Released { backend, fence } => {
+                self.take_released(&sender, incarnation, &backend, fence);
+            }
+            PeerMessage::Cancel { .. } => {}
+        }
+    }
+
+    fn run_duties(&mut self) {
+        self.run_start();
+        self.run_reads();
+        self.run_membership();
+        self.sync_engines();
+        self.run_hosts();
+        if self.has_authority() {
+            self.propose_limits();
+            self.run_adopt();
+            self.run_models();
+            self.run_snapshots();
+        }
+        self.run_engines();
+        self.run_stop();
+    }
+
+    /// Whether this daemon may decide: a member whose read lease holds.
+    pub(crate) fn has_authority(&self) -> bool {
+        self.is_member() && self.lease_holds()
+    }
+
+    /// Whether this life is a member.
+    pub(crate) fn is_member(&self) -> bool {
+        self.state
+            .is_member(&self.config.member.daemon, self.incarnation)
+    }
+
+    fn lease_holds(&self) -> bool {
+        if self.config.defects.has(DefectKind::SkipLease) {
+            return true;
+        }
+        self.reader
+            .lease_start
+            .is_some_and(|start| self.now.since(start) < self.config.lease.lease)
+    }
+
+    /// This daemon's id.
+    pub(crate) fn me(&self) -> &DaemonId {
+        &self.config.member.daemon
+    }
+
+    /// What this daemon may do now.
+    pub(crate) fn mode(&self) -> ViewMode {
+        if self.stop.is_begun() {
+            return ViewMode::Stopping;
+        }
+        if !self.start.has_state() {
+            return ViewMode::Starting;
+        }
+        if self.has_authority() {
+            return ViewMode::Full;
+        }
+        ViewMode::RoutingOnly
+    }
+
+    /// Sends a message to another member; to none when it is unknown.
+    pub(crate) fn send(&mut self, daemon: &DaemonId, message: PeerMessage) {
+        let Some(member) = self.state.members().get(daemon) else {
+            return;
+        };
+        let action = ControlAction::Send {
+            daemon: daemon.clone(),
+            address: member.info.peers,
+            message,
+        };
+        self.actions.push(action);
+    }
+
+    fn publish(&mut self) {
+        let mode = self.mode();
+        let due = match self.published {
+            None => true,
+            Some((_, last)) if last != mode => true,
+            Some((at, _)) => {
+                let aged = self.now.since(at) >= PUBLISH_INTERVAL;
+                self.changed || (aged && self.views.is_stale())
+            }
+        };
+        if !due {
+            return;
+        }
+        self.changed = false;
+        self.published = Some((self.now, mode));
+        self.actions.push(ControlAction::Publish);
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/engines/orders.rs
@@ -0,0 +1,111 @@
+//! Sending orders, and what becomes of them.
+
+use ward_protocol::{BackendId, BackendOrder, MonoTime, OrderKind, OrderResult, RecordId};
+
+use super::LoadTrial;
+use crate::action::ControlAction;
+use crate::config::ControlConfig;
+use crate::core::ControlCore;
+
+/// An order that may still take effect or was sent lately.
+#[derive(Debug, Clone)]
+pub(super) struct OpenOrder {
+    pub(super) kind: OrderKind,
+    pub(super) sent: MonoTime,
+    pub(super) result: Option<OrderResult>,
+}
+
+impl OpenOrder {
+    /// Whether the order can no longer take effect.
+    pub(super) fn is_over(&self, now: MonoTime, config: &ControlConfig) -> bool {
+        now.since(self.sent) >= config.order_life()
+    }
+
+    /// Whether the engine has yet to say what it does about the order.
+    pub(super) fn is_pending(&self, now: MonoTime, config: &ControlConfig) -> bool {
+        match self.result {
+            None | Some(OrderResult::Unknown) => !self.is_over(now, config),
+            Some(OrderResult::Taken | OrderResult::Refused(_)) => false,
+        }
+    }
+}
+
+impl ControlCore {
+    /// Sends an order, provided that the lease holds at this very moment.
+    pub(super) fn order(&mut self, backend: &BackendId, kind: OrderKind) {
+        if !self.has_authority() || !self.stop.may_order() {
+            return;
+        }
+        let Some(state) = self.state.backends().get(backend) else {
+            return;
+        };
+        let address = state.info.address;
+        let not_after = self.order_limit();
+        let id = self.ids.next();
+        let now = self.now;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        let order = BackendOrder {
+            order: id,
+            fence: duty.fence,
+            kind: kind.clone(),
+        };
+        if let OrderKind::Load { key, .. } = &kind {
+            let count = duty.loads.get(key).map_or(0, |trial| trial.count);
+            let trial = LoadTrial {
+                last: now,
+                count: count + 1,
+            };
+            duty.loads.insert(key.clone(), trial);
+        }
+        let open = OpenOrder {
+            kind,
+            sent: now,
+            result: None,
+        };
+        duty.orders.insert(id, open);
+        self.actions.push(ControlAction::Order {
+            backend: backend.clone(),
+            address,
+            order,
+            not_after,
+        });
+    }
+
+    /// When the lease under which an order is sent runs out.
+    fn order_limit(&self) -> MonoTime {
+        self.reader
+            .lease_start
+            .map_or(self.now, |start| start + self.config.lease.lease)
+    }
+
+    pub(crate) fn take_order_ended(
+        &mut self,
+        backend: &BackendId,
+        order: RecordId,
+        result: OrderResult,
+    ) {
+        let now = self.now;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        // What the order changed shows in the next status: ask for it at once.
+        duty.last_asked = None;
+        if let Some(open) = duty.orders.get_mut(&order) {
+            if open.kind == OrderKind::Touch && result == OrderResult::Taken {
+                duty.touched = Some(now);
+            }
+            open.result = Some(result);
+        }
+    }
+
+    /// Forgets orders that are over.
+    pub(super) fn forget_orders(&mut self, backend: &BackendId) {
+        let now = self.now;
+        let config = &self.config;
+        if let Some(duty) = self.engines.owned.get_mut(backend) {
+            duty.orders.retain(|_, order| !order.is_over(now, config));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/engines/role.rs
@@ -0,0 +1,68 @@
+//! Engines without work go to standby, and come back.
+
+use ward_protocol::{BackendId, BackendStatus, ControlRecord, EngineRole, OrderKind, TimeSpan};
+
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+/// Pause before a role is ordered again.
+const ROLE_PAUSE: TimeSpan = TimeSpan::from_secs(2);
+
+impl ControlCore {
+    pub(super) fn reconcile_role(&mut self, backend: &BackendId, status: &BackendStatus) {
+        let Some(state) = self.state.backends().get(backend) else {
+            return;
+        };
+        let (role, empty, leaving) = (state.role, state.held.is_empty(), state.leaving);
+        if self
+            .proposer
+            .is_open(&ProposalSubject::Role(backend.clone()))
+        {
+            return;
+        }
+        match role {
+            None if status.role != EngineRole::Serving => self.propose_role(backend, status.role),
+            Some(role) if role != status.role => self.order_role(backend, role),
+            None | Some(_) => {
+                let idle = empty && status.resident.is_empty() && !leaving;
+                self.rest_if_idle(backend, idle && status.role != EngineRole::Standby);
+            }
+        }
+    }
+
+    fn order_role(&mut self, backend: &BackendId, role: EngineRole) {
+        let Some(duty) = self.engines.owned.get(backend) else {
+            return;
+        };
+        let recent = duty.orders.values().any(|order| {
+            matches!(order.kind, OrderKind::Role { .. }) && self.now.since(order.sent) < ROLE_PAUSE
+        });
+        if !recent {
+            self.order(backend, OrderKind::Role { role });
+        }
+    }
+
+    fn rest_if_idle(&mut self, backend: &BackendId, idle: bool) {
+        let now = self.now;
+        let limit = self.config.policy.standby_after;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        if !idle {
+            duty.empty = None;
+            return;
+        }
+        let since = *duty.empty.get_or_insert(now);
+        if now.since(since) >= limit {
+            self.propose_role(backend, EngineRole::Standby);
+        }
+    }
+
+    pub(crate) fn propose_role(&mut self, backend: &BackendId, role: EngineRole) {
+        let body = ControlRecord::Role {
+            backend: backend.clone(),
+            role,
+        };
+        self.propose(ProposalSubject::Role(backend.clone()), body);
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/engines/status.rs
@@ -0,0 +1,95 @@
+//! Reading the status of owned engines.
+
+use ward_protocol::{BackendId, BackendStatus, ControlRecord, MonoTime, TimeSpan};
+
+use crate::action::ControlAction;
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+/// Time after which a status read without an answer is repeated.
+const STATUS_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
+/// Silence after which an owner gives an engine up.
+const YIELD_AFTER: TimeSpan = TimeSpan::from_secs(4);
+
+impl ControlCore {
+    pub(super) fn ask_status(&mut self, backend: &BackendId) {
+        let interval = self.config.lease.status_interval;
+        let Some(state) = self.state.backends().get(backend) else {
+            return;
+        };
+        let address = state.info.address;
+        let now = self.now;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        let waiting = duty.asked.is_some_and(|at| now.since(at) < STATUS_TIMEOUT);
+        let recent = duty.last_asked.is_some_and(|at| now.since(at) < interval);
+        if waiting || recent {
+            return;
+        }
+        duty.asked = Some(now);
+        duty.last_asked = Some(now);
+        self.actions.push(ControlAction::FetchStatus {
+            backend: backend.clone(),
+            address,
+        });
+    }
+
+    pub(crate) fn take_status(&mut self, started: MonoTime, status: BackendStatus) {
+        let Some(duty) = self.engines.owned.get_mut(&status.backend) else {
+            return;
+        };
+        duty.asked = None;
+        duty.silent = None;
+        let older = duty
+            .status
+            .as_ref()
+            .is_some_and(|(last, _)| started < *last);
+        if older {
+            return;
+        }
+        if duty.boot.is_some_and(|boot| boot != status.boot) {
+            duty.restarted = Some(started);
+            duty.touched = None;
+        }
+        duty.boot = Some(status.boot);
+        let leaving_before = duty.status.as_ref().is_some_and(|(_, last)| last.leaving);
+        self.changed |= status.leaving != leaving_before;
+        duty.status = Some((started, status));
+        self.views.touch();
+    }
+
+    pub(crate) fn take_status_failed(&mut self, backend: &BackendId) {
+        let now = self.now;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        duty.asked = None;
+        duty.silent.get_or_insert(now);
+    }
+
+    /// Whether this daemon owns the engine and got a status from it lately.
+    pub(crate) fn hears_engine(&self, backend: &BackendId) -> bool {
+        self.engines
+            .owned
+            .get(backend)
+            .is_some_and(|duty| duty.silent.is_none() && duty.status.is_some())
+    }
+
+    /// Gives an engine up that others may be able to reach.
+    pub(super) fn yield_if_silent(&mut self, backend: &BackendId) {
+        let Some(duty) = self.engines.owned.get(backend) else {
+            return;
+        };
+        let silent = duty
+            .silent
+            .is_some_and(|at| self.now.since(at) >= YIELD_AFTER);
+        if !silent || self.state.members().len() < 2 {
+            return;
+        }
+        let body = ControlRecord::Yield {
+            backend: backend.clone(),
+        };
+        self.propose(ProposalSubject::Yield(backend.clone()), body);
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/engines/takeover.rs
@@ -0,0 +1,108 @@
+//! When a new owner may order an engine.
+
+use ward_protocol::{
+    BackendId, BackendStatus, DaemonId, FenceNumber, FencingSupport, Incarnation, OrderKind,
+};
+
+use super::EngineDuty;
+use crate::core::ControlCore;
+use crate::defect::DefectKind;
+
+impl ControlCore {
+    /// Notes once that orders of earlier owners are over.
+    pub(super) fn note_settled(&mut self, backend: &BackendId) {
+        let Some(state) = self.state.backends().get(backend) else {
+            return;
+        };
+        let clean = state.former.as_ref().is_some_and(|former| former.clean);
+        let known = state.settled || clean;
+        let wait = self.config.takeover_wait();
+        let skip = self.config.defects.has(DefectKind::SkipTakeoverWait);
+        let now = self.now;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        let waited = now.since(duty.taken) >= wait;
+        if duty.settled.is_none() && (known || duty.notice || waited || skip) {
+            duty.settled = Some(now);
+        }
+    }
+
+    /// The former owner says that its orders to an engine are over.
+    pub(crate) fn take_released(
+        &mut self,
+        sender: &DaemonId,
+        incarnation: Incarnation,
+        backend: &BackendId,
+        fence: FenceNumber,
+    ) {
+        let any = self.config.defects.has(DefectKind::AnyNotice);
+        let Some(state) = self.state.backends().get(backend) else {
+            return;
+        };
+        let from_former = state
+            .former
+            .as_ref()
+            .is_some_and(|former| former.daemon == *sender && former.incarnation == incarnation);
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        if any || (from_former && duty.fence == fence) {
+            duty.notice = true;
+        }
+    }
+
+    /// A checking engine must see the fencing number before its status counts.
+    pub(super) fn touch_if_unseen(&mut self, backend: &BackendId) {
+        if self.fencing(backend) != Some(FencingSupport::Checks) {
+            return;
+        }
+        let Some(duty) = self.engines.owned.get(backend) else {
+            return;
+        };
+        let seen = duty
+            .status
+            .as_ref()
+            .is_some_and(|(_, status)| status.fence >= duty.fence);
+        let touching = duty
+            .orders
+            .values()
+            .any(|order| order.kind == OrderKind::Touch && !order.is_over(self.now, &self.config));
+        let answered = duty.touched.is_some_and(|at| {
+            let status = duty.status.as_ref();
+            status.is_none_or(|(started, _)| *started <= at)
+        });
+        if !seen && !touching && !answered {
+            self.order(backend, OrderKind::Touch);
+        }
+    }
+
+    fn fencing(&self, backend: &BackendId) -> Option<FencingSupport> {
+        let state = self.state.backends().get(backend)?;
+        Some(state.info.fencing)
+    }
+
+    /// The status that orders may be based on, if there is one.
+    pub(super) fn valid_status(&self, backend: &BackendId) -> Option<BackendStatus> {
+        let duty = self.engines.owned.get(backend)?;
+        let (started, status) = duty.status.as_ref()?;
+        let valid = match self.fencing(backend)? {
+            FencingSupport::Checks => {
+                status.fence == duty.fence || self.config.defects.has(DefectKind::SkipTouch)
+            }
+            FencingSupport::Ignores => duty.settled.is_some_and(|at| *started >= at),
+        };
+        valid.then(|| status.clone())
+    }
+}
+
+impl EngineDuty {
+    /// Whether the last status was asked for after earlier owners' orders were over.
+    pub(super) fn is_settled(&self) -> bool {
+        let started = self.status.as_ref().map(|(started, _)| *started);
+        match (self.settled, started) {
+            (Some(settled), Some(started)) => started >= settled,
+            (None, _) | (_, None) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/hosts.rs
@@ -0,0 +1,183 @@
+//! Carrying the platform's host list into the log.
+//!
+//! The daemons that rank first for the duty read the list. Each further one
+//! holds back a little longer, so that normally only the first one appends.
+
+use indexmap::IndexMap;
+use ward_protocol::{
+    BackendId, BackendKind, ControlRecord, HostEntry, HostState, MonoTime, RequestFingerprint,
+    TimeSpan, WallTime,
+};
+
+use crate::action::ControlAction;
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+/// Daemons that read the host list.
+const WATCHERS: usize = 3;
+/// How much longer each further watcher holds back.
+const RANK_DELAY: TimeSpan = TimeSpan::from_millis(700);
+/// How long a backend server must be off the list before it is gone.
+const GONE_AFTER: TimeSpan = TimeSpan::from_secs(2);
+/// Time after which a read of the list without an answer is repeated.
+const HOSTS_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
+
+/// What the host list said.
+#[derive(Debug, Default)]
+pub(crate) struct HostWatch {
+    asked: Option<MonoTime>,
+    last: Option<MonoTime>,
+    entries: IndexMap<BackendId, HostEntry>,
+    /// Since when a difference between list and state stands.
+    differs: IndexMap<BackendId, MonoTime>,
+    read: bool,
+}
+
+impl HostWatch {
+    pub(crate) fn failed(&mut self) {
+        self.asked = None;
+    }
+
+    /// Whether the list as read last says that a backend server leaves.
+    pub(crate) fn says_leaving(&self, backend: &BackendId) -> bool {
+        self.entries
+            .get(backend)
+            .is_some_and(|entry| entry.state == HostState::Leaving)
+    }
+}
+
+/// What the log lacks of the host list.
+fn missing_record(core: &ControlCore, id: &BackendId) -> Option<ControlRecord> {
+    let listed = core.hosts.entries.get(id);
+    let known = core.state.backends().get(id);
+    match (listed, known) {
+        (Some(entry), None) => Some(ControlRecord::BackendSeen {
+            info: entry.info.clone(),
+        }),
+        (Some(entry), Some(state)) => {
+            if entry.state == HostState::Leaving && !state.leaving {
+                return Some(ControlRecord::BackendLeaving {
+                    backend: id.clone(),
+                });
+            }
+            (entry.info != state.info).then(|| ControlRecord::BackendSeen {
+                info: entry.info.clone(),
+            })
+        }
+        (None, Some(_)) => Some(ControlRecord::BackendGone {
+            backend: id.clone(),
+        }),
+        (None, None) => None,
+    }
+}
+
+impl ControlCore {
+    pub(crate) fn run_hosts(&mut self) {
+        let rank = self.watcher_rank();
+        // Without the log nobody is told that a host leaves, so all look themselves.
+        let cut_off = self.start.has_state() && !self.has_authority();
+        if rank.is_none() && !cut_off {
+            return;
+        }
+        self.ask_hosts();
+        let Some(rank) = rank else {
+            return;
+        };
+        if self.has_authority() && self.hosts.read {
+            self.append_differences(rank);
+        }
+    }
+
+    fn watcher_rank(&self) -> Option<u32> {
+        let holders = self.state.duty_holders("hosts", WATCHERS);
+        let rank = holders.iter().position(|daemon| daemon == self.me())?;
+        u32::try_from(rank).ok()
+    }
+
+    fn ask_hosts(&mut self) {
+        let waiting = self
+            .hosts
+            .asked
+            .is_some_and(|at| self.now.since(at) < HOSTS_TIMEOUT);
+        let recent = self
+            .hosts
+            .last
+            .is_some_and(|at| self.now.since(at) < self.config.lease.hosts_interval);
+        if waiting || recent {
+            return;
+        }
+        self.hosts.asked = Some(self.now);
+        self.hosts.last = Some(self.now);
+        self.actions.push(ControlAction::FetchHosts);
+    }
+
+    pub(crate) fn take_hosts(&mut self, hosts: Vec<HostEntry>) {
+        self.hosts.asked = None;
+        self.hosts.read = true;
+        let left_before = self.leaving_listed();
+        self.hosts.entries = hosts
+            .into_iter()
+            .map(|entry| (entry.info.backend.clone(), entry))
+            .collect();
+        self.changed |= left_before != self.leaving_listed();
+    }
+
+    fn leaving_listed(&self) -> Vec<BackendId> {
+        let entries = self.hosts.entries.values();
+        entries
+            .filter(|entry| entry.state == HostState::Leaving)
+            .map(|entry| entry.info.backend.clone())
+            .collect()
+    }
+
+    fn append_differences(&mut self, rank: u32) {
+        let listed = self.hosts.entries.keys();
+        let known = self.state.backends().keys();
+        let ids: indexmap::IndexSet<_> = listed.chain(known).cloned().collect();
+        self.hosts.differs.retain(|id, _| ids.contains(id));
+        let delay = TimeSpan::from_millis(RANK_DELAY.millis() * u64::from(rank));
+        for id in ids {
+            let Some(body) = missing_record(self, &id) else {
+                self.hosts.differs.swap_remove(&id);
+                continue;
+            };
+            let since = *self.hosts.differs.entry(id.clone()).or_insert(self.now);
+            let patience = match &body {
+                ControlRecord::BackendGone { .. } => GONE_AFTER + delay,
+                _ => delay,
+            };
+            if self.now.since(since) >= patience && self.may_append(&body) {
+                self.propose(ProposalSubject::Backend(id), body);
+            }
+        }
+    }
+
+    /// An engine that still reports to its owner isn't gone.
+    fn may_append(&self, body: &ControlRecord) -> bool {
+        let ControlRecord::BackendGone { backend } = body else {
+            return true;
+        };
+        let Some(state) = self.state.backends().get(backend) else {
+            return false;
+        };
+        state.info.kind == BackendKind::Service || !self.hears_engine(backend)
+    }
+
+    pub(crate) fn take_crash(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        backend: BackendId,
+        until: WallTime,
+    ) {
+        if !self.is_member() {
+            return;
+        }
+        let subject = ProposalSubject::Suspect(fingerprint, backend.clone());
+        let body = ControlRecord::Suspect {
+            fingerprint,
+            backend,
+            until,
+        };
+        self.propose(subject, body);
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/models/demand.rs
@@ -0,0 +1,194 @@
+//! Which replicas are wanted and not yet on their way.
+
+use ward_protocol::{
+    PlanRow, PriorityLevel, ReplicaKey, ReservationId, RowTarget, TimeSpan, WallTime,
+};
+use ward_state::ReservationPhase;
+
+use super::FailedLoads;
+use crate::core::ControlCore;
+
+const MILLIS_PER_MINUTE: u64 = 60_000;
+const MINUTES_PER_DAY: u64 = 1_440;
+/// Deadline given to loads that only the plan wants.
+const PLAN_DEADLINE: TimeSpan = TimeSpan::from_secs(3_600);
+/// First pause after a load that failed.
+const FAILURE_PAUSE: TimeSpan = TimeSpan::from_secs(1);
+/// Doublings of that pause.
+const FAILURE_DOUBLINGS: u32 = 6;
+
+/// A replica that is wanted.
+#[derive(Debug, Clone)]
+pub(super) struct ReplicaWant {
+    pub(super) key: ReplicaKey,
+    pub(super) priority: PriorityLevel,
+    pub(super) deadline: WallTime,
+    /// Whether requests wait, and not only the plan asks.
+    pub(super) waiting: bool,
+}
+
+/// Replicas that a row wants ready at this time of day.
+pub(super) fn ready_wanted(row: &PlanRow, wall: WallTime) -> usize {
+    let minute = wall.0 / MILLIS_PER_MINUTE % MINUTES_PER_DAY;
+    let begun = row
+        .ready_from
+        .is_none_or(|from| minute >= u64::from(from.minutes()));
+    if begun { usize::from(row.ready) } else { 0 }
+}
+
+impl ControlCore {
+    pub(super) fn collect_wants(&self) -> Vec<ReplicaWant> {
+        let mut wants: Vec<_> = self.planned_wants().chain(self.waiting_wants()).collect();
+        let bases: Vec<_> = wants
+            .iter()
+            .filter_map(|want| self.base_want(want))
+            .collect();
+        wants.extend(bases);
+        wants.retain(|want| !self.is_backing_off(&want.key));
+        wants.sort_by(|left, right| {
+            let rank = |want: &ReplicaWant| (want.priority, want.deadline, want.key.clone());
+            rank(left).cmp(&rank(right))
+        });
+        wants.dedup_by(|later, earlier| later.key == earlier.key);
+        wants
+    }
+
+    /// Replicas that the plan wants ready by now.
+    fn planned_wants(&self) -> impl Iterator<Item = ReplicaWant> {
+        self.models.rows.iter().filter_map(|key| {
+            let row = self.state.row(key)?;
+            let wanted = ready_wanted(row, self.wall);
+            (wanted > 0 && self.active(key) < wanted && self.has_room(key, row)).then(|| {
+                ReplicaWant {
+                    key: key.clone(),
+                    priority: row.priority,
+                    deadline: self.wall + PLAN_DEADLINE,
+                    waiting: false,
+                }
+            })
+        })
+    }
+
+    /// Replicas that requests wait for.
+    fn waiting_wants(&self) -> impl Iterator<Item = ReplicaWant> {
+        self.models.hints.iter().filter_map(|(key, hints)| {
+            if !self.owns_model(key) {
+                return None;
+            }
+            let row = self.state.row(key)?;
+            let waiting: u32 = hints.values().map(|hint| hint.waiting).sum();
+            let active = self.active(key);
+            let limit = usize::try_from(self.config.policy.scale_out_waiting).unwrap_or(usize::MAX);
+            let crowded =
+                usize::try_from(waiting).unwrap_or(usize::MAX) > active.saturating_mul(limit);
+            if active > 0 && !(crowded && self.all_ready(key)) || !self.has_room(key, row) {
+                return None;
+            }
+            Some(ReplicaWant {
+                key: key.clone(),
+                priority: hints.values().map(|hint| hint.priority).min()?,
+                deadline: hints.values().map(|hint| hint.deadline).min()?,
+                waiting: true,
+            })
+        })
+    }
+
+    /// The base model that a wanted adapter still needs.
+    fn base_want(&self, want: &ReplicaWant) -> Option<ReplicaWant> {
+        if !want.key.is_adapter() {
+            return None;
+        }
+        let base = want.key.base();
+        let row = self.state.row(&base)?;
+        // A base that carries no replica of the adapter yet can take it.
+        let open = self.active_ids(&base).into_iter().any(|id| {
+            let backend = &self.state.reservations()[&id].backend;
+            self.state.held_on(&want.key, backend).is_none()
+        });
+        (!open && self.has_room(&base, row)).then(|| ReplicaWant {
+            key: base,
+            ..want.clone()
+        })
+    }
+
+    /// Reservations of a key that serve or will serve.
+    pub(super) fn active_ids(&self, key: &ReplicaKey) -> Vec<ReservationId> {
+        let active = |id: &&ReservationId| {
+            self.state
+                .reservations()
+                .get(*id)
+                .is_some_and(|state| !state.draining)
+        };
+        self.state
+            .held(key)
+            .iter()
+            .filter(active)
+            .copied()
+            .collect()
+    }
+
+    pub(super) fn active(&self, key: &ReplicaKey) -> usize {
+        self.active_ids(key).len()
+    }
+
+    fn all_ready(&self, key: &ReplicaKey) -> bool {
+        self.active_ids(key)
+            .iter()
+            .all(|id| self.state.reservations()[id].phase == ReservationPhase::Ready)
+    }
+
+    pub(super) fn has_room(&self, key: &ReplicaKey, row: &PlanRow) -> bool {
+        self.state.held(key).len() < usize::from(row.replicas)
+    }
+
+    /// Notes reservations that ended before they were ready.
+    pub(super) fn note_failures(&mut self) {
+        let now = self.now;
+        let current: indexmap::IndexMap<_, _> = self
+            .state
+            .reservations()
+            .iter()
+            .filter(|(_, state)| {
+                let early = matches!(
+                    state.phase,
+                    ReservationPhase::Waiting | ReservationPhase::Loading
+                );
+                early && !state.draining
+            })
+            .map(|(id, state)| (*id, state.key.clone()))
+            .collect();
+        let before = std::mem::take(&mut self.models.own);
+        for (id, key) in before {
+            if current.contains_key(&id) {
+                continue;
+            }
+            let ready = self
+                .state
+                .reservations()
+                .get(&id)
+                .is_some_and(|state| state.phase == ReservationPhase::Ready || state.draining);
+            let planned = self
+                .state
+                .content()
+                .contains_key(&RowTarget::Replica(key.clone()));
+            if ready || !planned {
+                self.models.failures.swap_remove(&key);
+                continue;
+            }
+            let failed = self.models.failures.entry(key).or_insert(FailedLoads {
+                count: 0,
+                last: now,
+            });
+            failed.count = (failed.count + 1).min(FAILURE_DOUBLINGS);
+            failed.last = now;
+        }
+        self.models.own = current;
+    }
+
+    fn is_backing_off(&self, key: &ReplicaKey) -> bool {
+        self.models.failures.get(key).is_some_and(|failed| {
+            let pause = FAILURE_PAUSE.millis() << failed.count.saturating_sub(1);
+            self.now.since(failed.last) < TimeSpan::from_millis(pause)
+        })
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/models/keep.rs
@@ -0,0 +1,60 @@
+//! Letting idle replicas go.
+
+use ward_protocol::{ControlRecord, ReplicaKey, ReservationId};
+use ward_state::ReservationPhase;
+
+use super::demand::ready_wanted;
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+impl ControlCore {
+    /// Drains replicas beyond what the plan wants ready once they were idle long enough.
+    pub(super) fn drop_idle(&mut self) {
+        let idle: Vec<_> = self
+            .models
+            .rows
+            .iter()
+            .filter_map(|key| self.idle_replica(key))
+            .collect();
+        for reservation in idle {
+            let body = ControlRecord::Drain { reservation };
+            self.propose(ProposalSubject::Drain(reservation), body);
+        }
+    }
+
+    /// The newest ready replica of a key that nobody needs any more.
+    fn idle_replica(&self, key: &ReplicaKey) -> Option<ReservationId> {
+        let row = self.state.row(key)?;
+        let active = self.active_ids(key);
+        if active.len() <= ready_wanted(row, self.wall) || self.models.hints.contains_key(key) {
+            return None;
+        }
+        let last = self.last_use(key)?;
+        let load = self.load_time(key);
+        let values = &self.config.policy;
+        let usage = self.models.usage.get(key);
+        let keep = usage.map_or_else(
+            || load.clamp(values.keep_shortest, values.keep_longest),
+            |usage| usage.gaps.keep_time(values, load),
+        );
+        if self.now.since(last) < keep {
+            return None;
+        }
+        let newest = active.into_iter().max()?;
+        let state = self.state.reservations().get(&newest)?;
+        let carries = !key.is_adapter() && self.carries_adapter(newest);
+        (state.phase == ReservationPhase::Ready && !carries).then_some(newest)
+    }
+
+    fn carries_adapter(&self, id: ReservationId) -> bool {
+        let reservations = self.state.reservations();
+        let base = &reservations[&id];
+        let Some(backend) = self.state.backends().get(&base.backend) else {
+            return false;
+        };
+        backend.held.iter().any(|other| {
+            let state = &reservations[other];
+            state.key.is_adapter() && state.key.base() == base.key && !state.draining
+        })
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/models/leaving.rs
@@ -0,0 +1,81 @@
+//! Moving replicas off engines that leave.
+
+use ward_protocol::{BackendId, ControlRecord, ReplicaKey, ReservationId};
+use ward_state::ReservationPhase;
+
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+impl ControlCore {
+    /// Whether an engine is known to leave, by the log, the host list or itself.
+    pub(crate) fn is_leaving(&self, backend: &BackendId) -> bool {
+        let logged = self
+            .state
+            .backends()
+            .get(backend)
+            .is_none_or(|state| state.leaving);
+        logged || self.hosts.says_leaving(backend) || self.reports_leaving(backend)
+    }
+
+    fn reports_leaving(&self, backend: &BackendId) -> bool {
+        let duty = self.engines.owned.get(backend);
+        let status = duty.and_then(|duty| duty.status.as_ref());
+        status.is_some_and(|(_, status)| status.leaving)
+    }
+
+    /// Drains replicas on leaving engines: those that serve only once another
+    /// one serves, unless the plan's count leaves no room for another.
+    pub(super) fn move_from_leaving(&mut self) {
+        self.report_leaving();
+        let leaving: Vec<_> = self
+            .state
+            .reservations()
+            .iter()
+            .filter(|(_, state)| !state.draining && self.is_leaving(&state.backend))
+            .filter(|(_, state)| self.owns_model(&state.key))
+            .map(|(id, state)| (*id, state.key.clone()))
+            .collect();
+        for (reservation, key) in leaving {
+            if self.may_break(reservation, &key) {
+                let body = ControlRecord::Drain { reservation };
+                self.propose(ProposalSubject::Drain(reservation), body);
+            }
+        }
+    }
+
+    fn may_break(&self, id: ReservationId, key: &ReplicaKey) -> bool {
+        let reservations = self.state.reservations();
+        if reservations[&id].phase != ReservationPhase::Ready {
+            return true;
+        }
+        let Some(row) = self.state.row(key) else {
+            return true;
+        };
+        let others_serve = self.active_ids(key).into_iter().any(|other| {
+            let state = &reservations[&other];
+            state.phase == ReservationPhase::Ready && !self.is_leaving(&state.backend)
+        });
+        others_serve || !self.has_room(key, row)
+    }
+
+    /// An owner that learns from its engine that it leaves says so.
+    fn report_leaving(&mut self) {
+        let told: Vec<_> = self
+            .engines
+            .owned
+            .keys()
+            .filter(|backend| self.reports_leaving(backend))
+            .filter(|backend| {
+                let state = self.state.backends().get(*backend);
+                state.is_some_and(|state| !state.leaving)
+            })
+            .cloned()
+            .collect();
+        for backend in told {
+            let body = ControlRecord::BackendLeaving {
+                backend: backend.clone(),
+            };
+            self.propose(ProposalSubject::Backend(backend), body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/proposer.rs
@@ -0,0 +1,166 @@
+//! Records that this daemon has proposed and not yet seen decided.
+//!
+//! An append whose answer is lost is looked for in the log. Only when a read
+//! that started after the append's longest life lacks it does the duty behind it
+//! look at the state again and propose anew.
+
+use indexmap::IndexMap;
+use ward_protocol::{
+    AppendResult, BackendId, ControlEnvelope, ControlRecord, DaemonId, MonoTime, PlanRevision,
+    RecordId, ReplicaKey, RequestFingerprint, ReservationId, TimeSpan, record::RECORD_FORMAT,
+};
+
+use crate::action::ControlAction;
+use crate::core::ControlCore;
+use crate::defect::DefectKind;
+
+/// Appends on their way at a time.
+const APPEND_LIMIT: usize = 64;
+/// Pause after an append that failed.
+const APPEND_PAUSE: TimeSpan = TimeSpan::from_millis(300);
+/// Time after which an append without an answer counts as unknown.
+const APPEND_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
+
+/// What a proposal is about; one per subject is on its way at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum ProposalSubject {
+    Join,
+    Leave,
+    Limits,
+    Expire(DaemonId),
+    Adopt(PlanRevision),
+    Backend(BackendId),
+    Yield(BackendId),
+    Role(BackendId),
+    Reserve(ReplicaKey),
+    Ready(ReservationId),
+    Drain(ReservationId),
+    Release(ReservationId),
+    Found(BackendId, ReplicaKey),
+    Suspect(RequestFingerprint, BackendId),
+}
+
+/// How much is known of an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AppendPhase {
+    Sent(MonoTime),
+    Stored(MonoTime),
+    Unknown(MonoTime),
+}
+
+#[derive(Debug, Clone)]
+struct OpenProposal {
+    subject: ProposalSubject,
+    body: ControlRecord,
+    phase: AppendPhase,
+}
+
+/// Proposals on their way.
+#[derive(Debug, Default)]
+pub(crate) struct Proposer {
+    open: IndexMap<RecordId, OpenProposal>,
+    subjects: IndexMap<ProposalSubject, RecordId>,
+    paused: Option<MonoTime>,
+}
+
+impl Proposer {
+    pub(crate) fn is_open(&self, subject: &ProposalSubject) -> bool {
+        self.subjects.contains_key(subject)
+    }
+
+    /// Bodies of all proposals on their way.
+    pub(crate) fn bodies(&self) -> impl Iterator<Item = &ControlRecord> {
+        self.open.values().map(|proposal| &proposal.body)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    fn close(&mut self, id: RecordId) -> Option<OpenProposal> {
+        let proposal = self.open.swap_remove(&id)?;
+        self.subjects.swap_remove(&proposal.subject);
+        Some(proposal)
+    }
+}
+
+impl ControlCore {
+    /// Proposes a record unless one on the same subject is on its way.
+    pub(crate) fn propose(&mut self, subject: ProposalSubject, body: ControlRecord) -> bool {
+        let paused = self
+            .proposer
+            .paused
+            .is_some_and(|at| self.now.since(at) < APPEND_PAUSE);
+        if paused || self.proposer.is_open(&subject) || self.proposer.len() >= APPEND_LIMIT {
+            return false;
+        }
+        let id = self.ids.next();
+        let envelope = ControlEnvelope {
+            format: RECORD_FORMAT,
+            id,
+            sender: self.config.member.daemon.clone(),
+            incarnation: self.incarnation,
+            body: body.clone(),
+        };
+        let proposal = OpenProposal {
+            subject: subject.clone(),
+            body,
+            phase: AppendPhase::Sent(self.now),
+        };
+        self.proposer.open.insert(id, proposal);
+        self.proposer.subjects.insert(subject, id);
+        self.actions.push(ControlAction::Append { envelope });
+        true
+    }
+
+    pub(crate) fn take_appended(&mut self, record: RecordId, result: AppendResult) {
+        if result != AppendResult::Stored {
+            self.proposer.paused = Some(self.now);
+        }
+        let guess = self.config.defects.has(DefectKind::GuessStored);
+        if result == AppendResult::Unknown && guess {
+            self.proposer.close(record);
+            return;
+        }
+        let Some(proposal) = self.proposer.open.get_mut(&record) else {
+            return;
+        };
+        match result {
+            AppendResult::Stored => {
+                proposal.phase = AppendPhase::Stored(self.now);
+                self.reader.hurry();
+            }
+            AppendResult::Unknown => proposal.phase = AppendPhase::Unknown(self.now),
+            AppendResult::Refused => {
+                self.proposer.close(record);
+            }
+        }
+    }
+
+    /// A record was applied: nothing is open about it any more.
+    pub(crate) fn note_applied(&mut self, id: RecordId) {
+        if self.proposer.close(id).is_some() {
+            self.announce_fresh();
+        }
+    }
+
+    /// A read that started at `started` was applied to the log's end: what it
+    /// lacks and can no longer arrive is not in the log.
+    pub(crate) fn settle_proposals(&mut self, started: MonoTime) {
+        let life = self.config.order_life();
+        let absent: Vec<_> = self
+            .proposer
+            .open
+            .iter()
+            .filter(|(_, proposal)| match proposal.phase {
+                AppendPhase::Stored(at) => started > at,
+                AppendPhase::Unknown(at) => started > at + life,
+                AppendPhase::Sent(at) => started > at + APPEND_TIMEOUT + life,
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in absent {
+            self.proposer.close(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/snapshots.rs
@@ -0,0 +1,108 @@
+//! Bringing plans into force, and writing snapshots.
+
+use ward_protocol::{ControlRecord, LogOffset, MonoTime, PlanRevision, TimeSpan};
+
+use crate::action::ControlAction;
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+/// Records applied since the last snapshot that call for one.
+const SNAPSHOT_RECORDS: u64 = 2_000;
+/// Age of the last snapshot that calls for one, if anything was applied since.
+const SNAPSHOT_AGE: TimeSpan = TimeSpan::from_secs(600);
+/// Time after which a snapshot without an answer is written again.
+const SNAPSHOT_TIMEOUT: TimeSpan = TimeSpan::from_secs(30);
+/// Daemons that stand in for each other in a duty.
+const DUTY_HOLDERS: usize = 3;
+/// How much longer each further daemon holds back.
+const RANK_DELAY: TimeSpan = TimeSpan::from_millis(500);
+
+/// What is known of snapshots and of plans to adopt.
+#[derive(Debug, Default)]
+pub(crate) struct SnapshotDuty {
+    asked: Option<MonoTime>,
+    stored: Option<(MonoTime, LogOffset)>,
+    seen_head: Option<(PlanRevision, MonoTime)>,
+}
+
+impl SnapshotDuty {
+    pub(crate) fn written(&mut self, control: LogOffset, stored: bool) {
+        let asked = self.asked.take();
+        if let (true, Some(at)) = (stored, asked) {
+            self.stored = Some((at, control));
+        }
+    }
+}
+
+impl ControlCore {
+    /// Proposes to adopt the newest accepted plan, the duty's first daemon at once.
+    pub(crate) fn run_adopt(&mut self) {
+        let head = self.state.plans().head();
+        if head <= self.state.adopted() {
+            self.snapshots.seen_head = None;
+            return;
+        }
+        let since = match self.snapshots.seen_head {
+            Some((seen, since)) if seen == head => since,
+            Some(_) | None => {
+                self.snapshots.seen_head = Some((head, self.now));
+                self.now
+            }
+        };
+        let Some(delay) = self.duty_delay("adopt") else {
+            return;
+        };
+        if self.now.since(since) >= delay {
+            let body = ControlRecord::Adopt { revision: head };
+            self.propose(ProposalSubject::Adopt(head), body);
+        }
+    }
+
+    /// Brings the configured limits into force where none are.
+    pub(crate) fn propose_limits(&mut self) {
+        let (limits, base) = self.state.limits();
+        if base == LogOffset::ZERO && limits != self.config.limits {
+            let body = ControlRecord::Limits {
+                base,
+                limits: self.config.limits,
+            };
+            self.propose(ProposalSubject::Limits, body);
+        }
+    }
+
+    pub(crate) fn run_snapshots(&mut self) {
+        let waiting = self
+            .snapshots
+            .asked
+            .is_some_and(|at| self.now.since(at) < SNAPSHOT_TIMEOUT);
+        let Some(delay) = self.duty_delay("snapshot") else {
+            return;
+        };
+        let (at, offset) = self.snapshots.stored.unwrap_or((self.now, LogOffset::ZERO));
+        let applied = self.state.applied();
+        let many = applied.0.saturating_sub(offset.0) >= SNAPSHOT_RECORDS;
+        let old = applied > offset && self.now.since(at) >= SNAPSHOT_AGE;
+        if waiting || delay > TimeSpan::ZERO || !(many || old) {
+            return;
+        }
+        let Ok(bytes) = self.state.encode() else {
+            return;
+        };
+        self.snapshots.asked = Some(self.now);
+        let snapshot = self.ids.next();
+        self.actions.push(ControlAction::WriteSnapshot {
+            snapshot,
+            control: applied,
+            plan: self.state.plans().read(),
+            bytes,
+        });
+    }
+
+    /// How long this daemon holds back in a duty; nothing if it has no part in it.
+    fn duty_delay(&self, duty: &str) -> Option<TimeSpan> {
+        let holders = self.state.duty_holders(duty, DUTY_HOLDERS);
+        let rank = holders.iter().position(|daemon| daemon == self.me())?;
+        let rank = u64::try_from(rank).ok()?;
+        Some(TimeSpan::from_millis(RANK_DELAY.millis() * rank))
+    }
+}
--- a/crates/ward-protocol/src/codec.rs
+++ b/crates/ward-protocol/src/codec.rs
@@ -40,3 +40,12 @@
     }
     Ok(value)
 }
+
+/// Decodes a value from the start of `bytes`, whatever follows it.
+///
+/// # Errors
+/// When the bytes are truncated or malformed.
+pub fn decode_prefix<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    let (value, _) = postcard::take_from_bytes(bytes)?;
+    Ok(value)
+}
--- a/crates/ward-state/src/apply/replicas.rs
+++ b/crates/ward-state/src/apply/replicas.rs
@@ -94,7 +94,6 @@
         if let Some(state) = self.reservations.get_mut(&id) {
             state.phase = ReservationPhase::Ready;
         }
-        self.settle(&before.backend);
         Ok(())
     }
 
@@ -160,7 +159,7 @@
         Ok(state)
     }
 
-    /// Owners write these records only once orders of earlier owners are over.
+    /// Owners write releases and finds only once orders of earlier owners are over.
     fn settle(&mut self, backend: &BackendId) {
         if let Some(state) = self.backends.get_mut(backend) {
             state.settled = true;
