Sheets, settings and the operators' API, first whole path

Cause: operators drive the system with a CSV sheet and need every mistake at once; daemons need checked settings and an API to take plans.

ward-plan reads a spreadsheet's CSV into a checked PlanSheet or all its mistakes; ward-settings reads DaemonSettings from JSON with every mistake and its path; ward-operator serves the API over closures that the daemon provides.

Tried first: cells trimmed of all white space, which hid an unclosed quote at the sheet's end (test read_unclosed_quote failed); line breaks now stay.

--- /dev/null
+++ b/crates/ward-operator/src/answer/mod.rs
@@ -0,0 +1,17 @@
+//! What the API answers, as JSON; the command line reads the same types.
+
+mod fleet;
+mod plan;
+mod problem;
+mod status;
+
+pub use fleet::{
+    BackendItem, DaemonItem, DumpAnswer, HostsAnswer, ModelItem, ModelsAnswer, ReadyAnswer,
+    RequestItem, RequestPhase, RequestsAnswer,
+};
+pub use plan::{
+    HistoryAnswer, HistoryEntry, HistoryKind, HistoryQuery, HistoryVerdict, PlanAnswer,
+    SubmitAnswer, SubmitOutcome,
+};
+pub use problem::{MistakeItem, ProblemBody};
+pub use status::{RowPhase, RowStatus, ShortReason, StatusAnswer};
--- /dev/null
+++ b/crates/ward-operator/src/metrics.rs
@@ -0,0 +1,35 @@
+//! Counters of the API.
+
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+
+/// Counters of the API.
+#[derive(Debug, Clone)]
+pub struct OperatorMetrics {
+    /// Calls by path and HTTP status.
+    pub calls: IntCounterVec,
+    /// Calls with a missing or wrong token.
+    pub unauthorized: IntCounter,
+}
+
+impl OperatorMetrics {
+    /// Registers the counters.
+    ///
+    /// # Errors
+    /// When the registry has counters of these names already.
+    pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let calls = IntCounterVec::new(
+            Opts::new("ward_operator_calls_total", "Operators' calls."),
+            &["path", "status"],
+        )?;
+        let unauthorized = IntCounter::new(
+            "ward_operator_unauthorized_total",
+            "Operators' calls with a missing or wrong token.",
+        )?;
+        registry.register(Box::new(calls.clone()))?;
+        registry.register(Box::new(unauthorized.clone()))?;
+        Ok(Self {
+            calls,
+            unauthorized,
+        })
+    }
+}
--- /dev/null
+++ b/crates/ward-operator/src/record.rs
@@ -0,0 +1,75 @@
+//! From a submitted plan to the records that carry it.
+
+use ward_protocol::codec::{CodecError, encode};
+use ward_protocol::record::RECORD_FORMAT;
+use ward_protocol::{PlanChange, PlanEnvelope, PlanRecord, PlanRow, RecordId, WallTime};
+
+use crate::calls::SubmitRequest;
+
+/// Most bytes of rows in one record.
+pub const PART_BYTES: usize = 64 << 10;
+
+/// The records that carry a plan, to be appended in this order.
+///
+/// The last one bears the request's own record id and decides; those before it
+/// are parts of a plan too large for one record.
+///
+/// # Errors
+/// When a row cannot be encoded.
+pub fn plan_records(
+    request: &SubmitRequest,
+    at: WallTime,
+) -> Result<Vec<PlanEnvelope>, CodecError> {
+    let envelope = |id, body| PlanEnvelope {
+        format: RECORD_FORMAT,
+        id,
+        author: request.author.clone(),
+        at,
+        body,
+    };
+    let parts = match &request.change {
+        PlanChange::Whole { rows } => split_rows(rows)?,
+        PlanChange::Parts { .. } | PlanChange::Rows { .. } | PlanChange::Retreat { .. } => {
+            Vec::new()
+        }
+    };
+    if parts.len() <= 1 {
+        let body = PlanRecord::Submit {
+            base: request.base,
+            change: request.change.clone(),
+        };
+        return Ok(vec![envelope(request.record, body)]);
+    }
+    let upload = RecordId::random();
+    let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
+    let parts = parts.into_iter().zip(0_u16..).map(|(rows, index)| {
+        let body = PlanRecord::Part {
+            upload,
+            index,
+            rows,
+        };
+        envelope(RecordId::random(), body)
+    });
+    let submit = PlanRecord::Submit {
+        base: request.base,
+        change: PlanChange::Parts { upload, count },
+    };
+    Ok(parts.chain([envelope(request.record, submit)]).collect())
+}
+
+fn split_rows(rows: &[PlanRow]) -> Result<Vec<Vec<PlanRow>>, CodecError> {
+    let mut parts: Vec<Vec<PlanRow>> = Vec::new();
+    let mut room = 0;
+    for row in rows {
+        let bytes = encode(row)?.len();
+        match parts.last_mut() {
+            Some(part) if bytes <= room => part.push(row.clone()),
+            Some(_) | None => {
+                parts.push(vec![row.clone()]);
+                room = PART_BYTES;
+            }
+        }
+        room = room.saturating_sub(bytes);
+    }
+    Ok(parts)
+}
--- /dev/null
+++ b/crates/ward-plan/src/cell.rs
@@ -0,0 +1,118 @@
+//! From one cell to a checked value.
+
+use std::str::FromStr;
+
+use ward_protocol::{
+    DayTime, EngineRole, MemorySize, PriorityLevel, RowTarget, UnitError, ZoneName,
+};
+
+use crate::mistake::SheetProblem;
+
+/// Reads `target`.
+///
+/// # Errors
+/// When the cell is empty or names no model version, adapter or service.
+pub fn read_target(cell: &str) -> Result<RowTarget, SheetProblem> {
+    filled(cell)?.parse().map_err(SheetProblem::Target)
+}
+
+/// Reads `zones`.
+///
+/// # Errors
+/// When a name is not valid or is there twice.
+pub fn read_zones(cell: &str) -> Result<Vec<ZoneName>, SheetProblem> {
+    read_list(cell, |item| {
+        item.parse()
+            .map_err(|_| SheetProblem::Zone(item.to_owned()))
+    })
+}
+
+/// Reads `roles`.
+///
+/// # Errors
+/// When a role is unknown, can hold nothing, or is there twice.
+pub fn read_roles(cell: &str) -> Result<Vec<EngineRole>, SheetProblem> {
+    read_list(cell, |item| match item {
+        "serving" => Ok(EngineRole::Serving),
+        "prefill" => Ok(EngineRole::Prefill),
+        "decode" => Ok(EngineRole::Decode),
+        _ => Err(SheetProblem::Role(item.to_owned())),
+    })
+}
+
+fn read_list<T: PartialEq>(
+    cell: &str,
+    read: impl Fn(&str) -> Result<T, SheetProblem>,
+) -> Result<Vec<T>, SheetProblem> {
+    let mut items = Vec::new();
+    for word in cell.split_whitespace() {
+        let item = read(word)?;
+        if items.contains(&item) {
+            return Err(SheetProblem::DoubledItem(word.to_owned()));
+        }
+        items.push(item);
+    }
+    Ok(items)
+}
+
+/// Reads `replicas` and `ready`.
+///
+/// # Errors
+/// When the cell is not a whole number in range.
+pub fn read_count(cell: &str) -> Result<u16, SheetProblem> {
+    let cell = filled(cell)?;
+    if !cell.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(SheetProblem::Count);
+    }
+    cell.parse().map_err(|_| SheetProblem::Count)
+}
+
+/// Reads `ready_from`.
+///
+/// # Errors
+/// When the cell is neither empty nor a time of day.
+pub fn read_ready_from(cell: &str) -> Result<Option<DayTime>, SheetProblem> {
+    if cell.is_empty() {
+        return Ok(None);
+    }
+    read_unit(cell).map(Some)
+}
+
+/// Reads `priority`.
+///
+/// # Errors
+/// When the cell is not a priority level.
+pub fn read_priority(cell: &str) -> Result<PriorityLevel, SheetProblem> {
+    read_unit(cell)
+}
+
+/// Reads `memory`.
+///
+/// # Errors
+/// When the cell is not a memory size with its unit.
+pub fn read_memory(cell: &str) -> Result<MemorySize, SheetProblem> {
+    read_unit(cell)
+}
+
+fn read_unit<T: FromStr<Err = UnitError>>(cell: &str) -> Result<T, SheetProblem> {
+    Ok(filled(cell)?.parse()?)
+}
+
+/// Reads `repeatable`.
+///
+/// # Errors
+/// When the cell says neither yes nor no.
+pub fn read_repeatable(cell: &str) -> Result<bool, SheetProblem> {
+    match filled(cell)? {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(SheetProblem::YesNo),
+    }
+}
+
+fn filled(cell: &str) -> Result<&str, SheetProblem> {
+    if cell.is_empty() {
+        return Err(SheetProblem::EmptyCell);
+    }
+    Ok(cell)
+}
--- /dev/null
+++ b/crates/ward-plan/src/check.rs
@@ -0,0 +1,116 @@
+//! Checks that need more than one cell.
+
+use indexmap::IndexMap;
+use ward_protocol::{ReplicaKey, RowTarget};
+
+use crate::column::SheetColumn;
+use crate::mistake::{SheetMistake, SheetProblem};
+use crate::read::DraftRow;
+
+/// The mistakes between the cells of one row.
+pub fn check_row(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
+    check_ready(row, mistakes);
+    match &row.target {
+        Some(RowTarget::Service(_)) => check_service(row, mistakes),
+        Some(RowTarget::Replica(_)) => check_replica(row, mistakes),
+        None => {}
+    }
+}
+
+fn check_ready(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
+    let (Some(replicas), Some(ready)) = (row.replicas, row.ready) else {
+        return;
+    };
+    if ready > replicas {
+        let problem = SheetProblem::ReadyOverReplicas(replicas);
+        mistakes.push(row.mistake(SheetColumn::Ready, problem));
+    }
+    if ready == 0 && row.ready_from.flatten().is_some() {
+        mistakes.push(row.mistake(SheetColumn::ReadyFrom, SheetProblem::TimeWithoutReady));
+    }
+}
+
+fn check_service(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
+    let memory = row.memory.is_some_and(|memory| memory.bytes() > 0);
+    let roles = row.roles.as_ref().is_some_and(|roles| !roles.is_empty());
+    let replicas = row.replicas.is_some_and(|replicas| replicas > 0);
+    let meaningless = [
+        (SheetColumn::Replicas, replicas),
+        (SheetColumn::Memory, memory),
+        (SheetColumn::Roles, roles),
+    ];
+    for (column, given) in meaningless {
+        if given {
+            mistakes.push(row.mistake(column, SheetProblem::ServiceCell));
+        }
+    }
+}
+
+fn check_replica(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
+    if row.memory.is_some_and(|memory| memory.bytes() == 0) {
+        mistakes.push(row.mistake(SheetColumn::Memory, SheetProblem::NoMemory));
+    }
+    if row.repeatable == Some(false) {
+        mistakes.push(row.mistake(SheetColumn::Repeatable, SheetProblem::NotRepeatable));
+    }
+}
+
+/// The mistakes between rows.
+pub fn check_rows(rows: &[DraftRow], mistakes: &mut Vec<SheetMistake>) {
+    let mut known: IndexMap<&RowTarget, &DraftRow> = IndexMap::new();
+    for row in rows {
+        let Some(target) = &row.target else {
+            continue;
+        };
+        if let Some(first) = known.get(target) {
+            let problem = SheetProblem::DoubledTarget(first.line);
+            mistakes.push(row.mistake(SheetColumn::Target, problem));
+            continue;
+        }
+        known.insert(target, row);
+    }
+    for (target, row) in &known {
+        match target {
+            RowTarget::Replica(key) if key.is_adapter() => {
+                check_adapter(key, row, &known, mistakes);
+            }
+            RowTarget::Replica(_) | RowTarget::Service(_) => {}
+        }
+    }
+}
+
+fn check_adapter(
+    key: &ReplicaKey,
+    row: &DraftRow,
+    known: &IndexMap<&RowTarget, &DraftRow>,
+    mistakes: &mut Vec<SheetMistake>,
+) {
+    let target = RowTarget::Replica(key.base());
+    let Some(base) = known.get(&target) else {
+        let problem = SheetProblem::NoBase(key.base());
+        mistakes.push(row.mistake(SheetColumn::Target, problem));
+        return;
+    };
+    if let (Some(replicas), Some(limit)) = (row.replicas, base.replicas)
+        && replicas > limit
+    {
+        let problem = SheetProblem::OverBase(target.clone(), limit);
+        mistakes.push(row.mistake(SheetColumn::Replicas, problem));
+    }
+    if apart(row.zones.as_ref(), base.zones.as_ref()) {
+        let problem = SheetProblem::ApartFromBase(target.clone());
+        mistakes.push(row.mistake(SheetColumn::Zones, problem));
+    }
+    if apart(row.roles.as_ref(), base.roles.as_ref()) {
+        let problem = SheetProblem::ApartFromBase(target);
+        mistakes.push(row.mistake(SheetColumn::Roles, problem));
+    }
+}
+
+/// Whether two lists share nothing; an empty list means all.
+fn apart<T: PartialEq>(left: Option<&Vec<T>>, right: Option<&Vec<T>>) -> bool {
+    let (Some(left), Some(right)) = (left, right) else {
+        return false;
+    };
+    !left.is_empty() && !right.is_empty() && !left.iter().any(|item| right.contains(item))
+}
--- a/crates/ward-plan/src/lib.rs
+++ b/crates/ward-plan/src/lib.rs
@@ -1,1 +1,27 @@
-//! Under construction.
+//! From the planners' sheet to a checked plan.
+//!
+//! [`PlanSheet::read`] takes the bytes that a spreadsheet exports and gives
+//! either a whole checked sheet or every mistake in it; nothing in between can
+//! come into force. Reporting only the first mistake would be shorter code, but
+//! a planner corrects the sheet once a morning and should not submit it five
+//! times.
+//!
+//! Rows are checked one by one first and against each other second. A row with
+//! a bad cell still takes part in the second check as far as it can be read, so
+//! that an adapter is not reported as lacking its base model only because the
+//! base model's row has a mistake elsewhere.
+
+pub mod cell;
+pub mod check;
+pub mod column;
+pub mod difference;
+pub mod mistake;
+pub mod read;
+pub mod sheet;
+pub mod text;
+pub mod write;
+
+pub use column::SheetColumn;
+pub use difference::{ChangedRow, SheetDifference};
+pub use mistake::{SheetError, SheetMistake, SheetProblem};
+pub use sheet::PlanSheet;
--- /dev/null
+++ b/crates/ward-plan/src/read.rs
@@ -0,0 +1,230 @@
+//! From lines of cells to rows, each checked by itself.
+
+use ward_protocol::{DayTime, EngineRole, MemorySize, PlanRow, PriorityLevel, RowTarget, ZoneName};
+
+use crate::cell;
+use crate::column::SheetColumn;
+use crate::mistake::{SheetMistake, SheetProblem};
+use crate::text::CellLine;
+
+/// Marks a service also when the rest of its name cannot be read.
+const SERVICE_PREFIX: &str = "services/";
+
+/// Where each column stands in a line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColumnPlaces {
+    places: Vec<(SheetColumn, usize)>,
+    width: usize,
+}
+
+/// A row as far as it can be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DraftRow {
+    /// Line of the file, from 1.
+    pub line: u64,
+    /// The cells by column, as written.
+    pub cells: RowCells,
+    /// What the row is about, if readable.
+    pub target: Option<RowTarget>,
+    /// Availability zones, if readable.
+    pub zones: Option<Vec<ZoneName>>,
+    /// Roles, if readable.
+    pub roles: Option<Vec<EngineRole>>,
+    /// Most replicas, if readable.
+    pub replicas: Option<u16>,
+    /// Replicas kept ready, if readable.
+    pub ready: Option<u16>,
+    /// From when, if readable.
+    pub ready_from: Option<Option<DayTime>>,
+    /// Priority, if readable.
+    pub priority: Option<PriorityLevel>,
+    /// Memory, if readable.
+    pub memory: Option<MemorySize>,
+    /// Whether calls may be repeated, if readable.
+    pub repeatable: Option<bool>,
+}
+
+impl DraftRow {
+    /// The checked row, when every cell could be read.
+    #[must_use]
+    pub fn finish(&self) -> Option<PlanRow> {
+        Some(PlanRow {
+            target: self.target.clone()?,
+            zones: self.zones.clone()?,
+            roles: self.roles.clone()?,
+            replicas: self.replicas?,
+            ready: self.ready?,
+            ready_from: self.ready_from?,
+            priority: self.priority?,
+            memory: self.memory?,
+            repeatable: self.repeatable?,
+        })
+    }
+
+    /// A mistake in one of the row's cells.
+    #[must_use]
+    pub fn mistake(&self, column: SheetColumn, problem: SheetProblem) -> SheetMistake {
+        SheetMistake {
+            line: self.line,
+            column: Some(column.name().to_owned()),
+            cell: self.cells.get(column).to_owned(),
+            problem,
+        }
+    }
+}
+
+/// The cells of a row by column.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RowCells {
+    cells: Vec<(SheetColumn, String)>,
+}
+
+impl RowCells {
+    /// The cell of a column; empty when there is none.
+    #[must_use]
+    pub fn get(&self, column: SheetColumn) -> &str {
+        self.cells
+            .iter()
+            .find(|(place, _)| *place == column)
+            .map_or("", |(_, cell)| cell)
+    }
+}
+
+/// Finds the columns in the header line.
+///
+/// # Errors
+/// When a column is unknown, missing or there twice; gives all such mistakes.
+pub fn read_header(header: &CellLine) -> Result<ColumnPlaces, Vec<SheetMistake>> {
+    let mut places: Vec<(SheetColumn, usize)> = Vec::new();
+    let mut mistakes = Vec::new();
+    for (index, cell) in header.cells.iter().enumerate() {
+        let problem = match SheetColumn::of(cell) {
+            None => SheetProblem::UnknownColumn,
+            Some(column) if places.iter().any(|(known, _)| *known == column) => {
+                SheetProblem::DoubledColumn
+            }
+            Some(column) => {
+                places.push((column, index));
+                continue;
+            }
+        };
+        mistakes.push(header_mistake(header.line, cell, problem));
+    }
+    let missing = SheetColumn::ALL
+        .into_iter()
+        .filter(|column| !places.iter().any(|(known, _)| known == column))
+        .map(|column| header_mistake(header.line, column.name(), SheetProblem::MissingColumn));
+    mistakes.extend(missing);
+    if !mistakes.is_empty() {
+        return Err(mistakes);
+    }
+    Ok(ColumnPlaces {
+        places,
+        width: header.cells.len(),
+    })
+}
+
+fn header_mistake(line: u64, column: &str, problem: SheetProblem) -> SheetMistake {
+    SheetMistake {
+        line,
+        column: Some(column.to_owned()),
+        cell: String::new(),
+        problem,
+    }
+}
+
+/// Reads one line as a row and notes its mistakes.
+pub fn read_row(
+    places: &ColumnPlaces,
+    line: &CellLine,
+    mistakes: &mut Vec<SheetMistake>,
+) -> Option<DraftRow> {
+    if line.cells.len() != places.width {
+        mistakes.push(SheetMistake {
+            line: line.line,
+            column: None,
+            cell: String::new(),
+            problem: SheetProblem::CellCount(places.width, line.cells.len()),
+        });
+        return None;
+    }
+    let cells = RowCells {
+        cells: places
+            .places
+            .iter()
+            .filter_map(|(column, index)| Some((*column, line.cells.get(*index)?.clone())))
+            .collect(),
+    };
+    let mut reader = CellReader {
+        line: line.line,
+        cells: &cells,
+        mistakes,
+    };
+    let target = reader.read(SheetColumn::Target, cell::read_target);
+    let service = cells.get(SheetColumn::Target).starts_with(SERVICE_PREFIX);
+    let zones = reader.read(SheetColumn::Zones, cell::read_zones);
+    let roles = reader.read(SheetColumn::Roles, cell::read_roles);
+    let replicas = reader.read(SheetColumn::Replicas, loaded(service, cell::read_count));
+    let ready = reader.read(SheetColumn::Ready, loaded(service, cell::read_count));
+    let ready_from = reader.read(SheetColumn::ReadyFrom, cell::read_ready_from);
+    let priority = reader.read(SheetColumn::Priority, cell::read_priority);
+    let memory = reader.read(SheetColumn::Memory, loaded(service, cell::read_memory));
+    let repeatable = reader.read(SheetColumn::Repeatable, cell::read_repeatable);
+    Some(DraftRow {
+        line: line.line,
+        cells,
+        target,
+        zones,
+        roles,
+        replicas,
+        ready,
+        ready_from,
+        priority,
+        memory,
+        repeatable,
+    })
+}
+
+/// A reader that lets a service leave the cell empty.
+fn loaded<T: Default>(
+    service: bool,
+    read: impl Fn(&str) -> Result<T, SheetProblem>,
+) -> impl Fn(&str) -> Result<T, SheetProblem> {
+    move |cell| {
+        if service && cell.is_empty() {
+            return Ok(T::default());
+        }
+        read(cell)
+    }
+}
+
+struct CellReader<'a> {
+    line: u64,
+    cells: &'a RowCells,
+    mistakes: &'a mut Vec<SheetMistake>,
+}
+
+impl CellReader<'_> {
+    fn read<T>(
+        &mut self,
+        column: SheetColumn,
+        read: impl Fn(&str) -> Result<T, SheetProblem>,
+    ) -> Option<T> {
+        let cell = self.cells.get(column);
+        let result = if cell.contains(['\n', '\r']) {
+            Err(SheetProblem::LineBreak)
+        } else {
+            read(cell)
+        };
+        result
+            .map_err(|problem| {
+                self.mistakes.push(SheetMistake {
+                    line: self.line,
+                    column: Some(column.name().to_owned()),
+                    cell: cell.to_owned(),
+                    problem,
+                });
+            })
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/ward-plan/src/sheet.rs
@@ -0,0 +1,98 @@
+//! The checked sheet.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use ward_protocol::{PlanRow, RowTarget};
+
+use crate::check::{check_row, check_rows};
+use crate::mistake::{SheetError, SheetMistake, SheetProblem};
+use crate::read::{ColumnPlaces, DraftRow, read_header, read_row};
+use crate::text::{CellLine, cell_lines, sheet_text};
+
+/// Most rows of a sheet, without its header.
+pub const MAX_ROWS: usize = 10_000;
+
+/// A sheet without mistakes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PlanSheet {
+    rows: IndexMap<RowTarget, Arc<PlanRow>>,
+}
+
+impl PlanSheet {
+    /// Reads the CSV file that a spreadsheet exports.
+    ///
+    /// # Errors
+    /// When the sheet has mistakes; gives all of them.
+    pub fn read(bytes: &[u8]) -> Result<Self, SheetError> {
+        let text = sheet_text(bytes).map_err(refused)?;
+        let lines = cell_lines(text);
+        let Some((header, lines)) = lines.split_first() else {
+            return Err(refused(on_line(1, SheetProblem::Empty)));
+        };
+        if let Some(line) = lines.get(MAX_ROWS) {
+            return Err(refused(on_line(
+                line.line,
+                SheetProblem::TooManyRows(MAX_ROWS),
+            )));
+        }
+        let places = read_header(header).map_err(|mistakes| SheetError { mistakes })?;
+        read_lines(&places, lines)
+    }
+
+    /// A sheet of rows that were checked before, such as those of an accepted plan.
+    #[must_use]
+    pub fn of_rows(rows: impl IntoIterator<Item = Arc<PlanRow>>) -> Self {
+        let rows = rows
+            .into_iter()
+            .map(|row| (row.target.clone(), row))
+            .collect();
+        Self { rows }
+    }
+
+    /// The rows in the order of the sheet.
+    #[must_use]
+    pub fn rows(&self) -> impl ExactSizeIterator<Item = &Arc<PlanRow>> {
+        self.rows.values()
+    }
+
+    /// The row of a target.
+    #[must_use]
+    pub fn row(&self, target: &RowTarget) -> Option<&Arc<PlanRow>> {
+        self.rows.get(target)
+    }
+}
+
+fn read_lines(places: &ColumnPlaces, lines: &[CellLine]) -> Result<PlanSheet, SheetError> {
+    let mut mistakes = Vec::new();
+    let mut drafts: Vec<DraftRow> = Vec::new();
+    for line in lines {
+        let Some(draft) = read_row(places, line, &mut mistakes) else {
+            continue;
+        };
+        check_row(&draft, &mut mistakes);
+        drafts.push(draft);
+    }
+    check_rows(&drafts, &mut mistakes);
+    if !mistakes.is_empty() {
+        mistakes.sort_by_key(|mistake| mistake.line);
+        return Err(SheetError { mistakes });
+    }
+    let rows = drafts.iter().filter_map(DraftRow::finish).map(Arc::new);
+    Ok(PlanSheet::of_rows(rows))
+}
+
+fn refused(mistake: SheetMistake) -> SheetError {
+    SheetError {
+        mistakes: vec![mistake],
+    }
+}
+
+const fn on_line(line: u64, problem: SheetProblem) -> SheetMistake {
+    SheetMistake {
+        line,
+        column: None,
+        cell: String::new(),
+        problem,
+    }
+}
--- /dev/null
+++ b/crates/ward-plan/src/text.rs
@@ -0,0 +1,101 @@
+//! From bytes to lines of cells.
+
+use std::str;
+
+use crate::mistake::{SheetMistake, SheetProblem};
+
+/// Most bytes of a sheet.
+pub const MAX_BYTES: usize = 4 << 20;
+
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
+/// One line of cells, trimmed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CellLine {
+    /// Line of the file, from 1.
+    pub line: u64,
+    /// The cells.
+    pub cells: Vec<String>,
+}
+
+impl CellLine {
+    fn is_blank(&self) -> bool {
+        self.cells.iter().all(String::is_empty)
+    }
+}
+
+/// The file as text, without a byte order mark.
+///
+/// # Errors
+/// When the file is too large or not UTF-8; names the first bad line.
+pub fn sheet_text(bytes: &[u8]) -> Result<&str, SheetMistake> {
+    if bytes.len() > MAX_BYTES {
+        return Err(whole_file(1, SheetProblem::TooLarge(MAX_BYTES)));
+    }
+    match str::from_utf8(bytes) {
+        Ok(text) => Ok(text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text)),
+        Err(error) => {
+            let before = &bytes[..error.valid_up_to()];
+            Err(whole_file(line_after(before), SheetProblem::NotUtf8))
+        }
+    }
+}
+
+const fn whole_file(line: u64, problem: SheetProblem) -> SheetMistake {
+    SheetMistake {
+        line,
+        column: None,
+        cell: String::new(),
+        problem,
+    }
+}
+
+fn line_after(bytes: &[u8]) -> u64 {
+    let lines = bytes.split(|byte| *byte == b'\n').count();
+    u64::try_from(lines).unwrap_or(u64::MAX)
+}
+
+/// Splits the text into lines of cells; lines without content are left out.
+#[must_use]
+pub fn cell_lines(text: &str) -> Vec<CellLine> {
+    let mut reader = csv::ReaderBuilder::new()
+        .has_headers(false)
+        .flexible(true)
+        .delimiter(detect_delimiter(text))
+        .from_reader(text.as_bytes());
+    reader
+        .records()
+        .filter_map(Result::ok)
+        .map(|record| CellLine {
+            line: record.position().map_or(0, csv::Position::line),
+            cells: record.iter().map(trim_cell).collect(),
+        })
+        .filter(|line| !line.is_blank())
+        .collect()
+}
+
+/// Trims all but line breaks, which show that a quote was not closed.
+fn trim_cell(cell: &str) -> String {
+    let blank = |character: char| character.is_whitespace() && !matches!(character, '\n' | '\r');
+    cell.trim_matches(blank).to_owned()
+}
+
+/// The delimiter that the first line with content holds more often outside quotes.
+fn detect_delimiter(text: &str) -> u8 {
+    let header = text
+        .lines()
+        .find(|line| !line.trim().is_empty())
+        .unwrap_or_default();
+    let mut quoted = false;
+    let mut semicolons = 0_usize;
+    let mut commas = 0_usize;
+    for character in header.chars() {
+        match character {
+            '"' => quoted = !quoted,
+            ';' if !quoted => semicolons += 1,
+            ',' if !quoted => commas += 1,
+            _ => {}
+        }
+    }
+    if semicolons > commas { b';' } else { b',' }
+}
--- a/crates/ward-protocol/src/view.rs
+++ b/crates/ward-protocol/src/view.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::id::{
     BackendId, DaemonId, LogOffset, ModelName, PlanRevision, RequestFingerprint, ReservationId,
@@ -19,7 +19,7 @@
 use crate::unit::PriorityLevel;
 
 /// How much a daemon may do at the moment.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ViewMode {
     /// No state yet: every request is refused.
--- /dev/null
+++ b/crates/ward-settings/tests/check.rs
@@ -0,0 +1,152 @@
+//! Settings are read whole or refused with every mistake.
+
+#![allow(clippy::unwrap_used)]
+
+use googletest::prelude::*;
+use ward_settings::{DaemonSettings, SettingsError};
+
+const LEAST: &str = r#"{
+    "daemon": "entry-1",
+    "zone": "vic",
+    "addresses": {
+        "callers": {"bind": "127.0.0.1:7001"},
+        "peers": {"bind": "127.0.0.1:7002"},
+        "operators": {"bind": "127.0.0.1:7003"}
+    },
+    "platform": {"log": "127.0.0.1:7010", "hosts": "127.0.0.1:7011"}
+}"#;
+
+fn with(change: &str) -> std::result::Result<DaemonSettings, SettingsError> {
+    let mut tree: serde_json::Value = serde_json::from_str(LEAST).unwrap();
+    let change: serde_json::Value = serde_json::from_str(change).unwrap();
+    for (key, value) in change.as_object().unwrap() {
+        tree[key] = value.clone();
+    }
+    DaemonSettings::check(&tree.to_string())
+}
+
+fn paths(change: &str) -> Vec<String> {
+    let error = with(change).unwrap_err();
+    error
+        .mistakes
+        .into_iter()
+        .map(|mistake| mistake.path)
+        .collect()
+}
+
+#[googletest::test]
+fn check_defaults() {
+    let settings = DaemonSettings::check(LEAST).unwrap();
+    expect_that!(settings.lease.lease.to_string(), eq("3s"));
+    expect_that!(
+        settings.addresses.peers.advertised,
+        eq(settings.addresses.peers.bind)
+    );
+}
+
+#[googletest::test]
+fn check_all_at_once() {
+    let found = paths(
+        r#"{
+            "zone": "no such zone!",
+            "colour": 1,
+            "lease": {"lease": "300ms", "probe_timeout": "500ms", "order_life": "2 apples", "x": 1},
+            "traffic": {"retry_percent": 101, "waiting": 0},
+            "policy": {"cold_weight": 1.5},
+            "seeds": ["127.0.0.1:1", "here", "there", "0.0.0.0:1"]
+        }"#,
+    );
+    expect_that!(
+        found,
+        unordered_elements_are![
+            eq("zone"),
+            eq("colour"),
+            eq("lease.lease"),
+            eq("lease.probe_timeout"),
+            eq("lease.order_life"),
+            eq("lease.x"),
+            eq("traffic.retry_percent"),
+            eq("traffic.waiting"),
+            eq("policy.cold_weight"),
+            eq("seeds[1]"),
+            eq("seeds[2]"),
+            eq("seeds[3]"),
+        ]
+    );
+}
+
+#[googletest::test]
+fn check_missing() {
+    let error = DaemonSettings::check("{}").unwrap_err();
+    let found: Vec<&str> = error
+        .mistakes
+        .iter()
+        .map(|mistake| mistake.path.as_str())
+        .collect();
+    expect_that!(
+        found,
+        elements_are![
+            eq(&"daemon"),
+            eq(&"zone"),
+            eq(&"addresses.callers.bind"),
+            eq(&"addresses.peers.bind"),
+            eq(&"addresses.operators.bind"),
+            eq(&"platform.log"),
+            eq(&"platform.hosts"),
+        ]
+    );
+}
+
+#[googletest::test]
+fn check_not_json() {
+    for text in ["", "{", "[]", "3"] {
+        expect_that!(DaemonSettings::check(text), err(anything()));
+    }
+}
+
+#[googletest::test]
+fn check_addresses() {
+    let found = paths(
+        r#"{"addresses": {
+            "callers": {"bind": "0.0.0.0:7001"},
+            "peers": {"bind": "127.0.0.1:0"},
+            "operators": {"bind": "0.0.0.0:7001", "advertised": "10.0.0.1:7003"}
+        }}"#,
+    );
+    expect_that!(
+        found,
+        elements_are![
+            eq("addresses.callers.advertised"),
+            eq("addresses.peers.bind"),
+            eq("addresses.peers.advertised"),
+            eq("addresses.operators.bind"),
+        ]
+    );
+}
+
+#[googletest::test]
+fn check_secrets_hidden() {
+    let key = "ab".repeat(32);
+    let token = "a-token-of-operators";
+    let change = format!(r#"{{"keys": {{"current": "{key}"}}, "operator_token": "{token}"}}"#);
+    let settings = with(&change).unwrap();
+    let shown = format!("{}{settings:?}", settings.print());
+    expect_that!(shown, not(contains_substring(key.as_str())));
+    expect_that!(shown, not(contains_substring(token)));
+
+    let short = "short-secret";
+    let error = with(&format!(r#"{{"operator_token": "{short}"}}"#)).unwrap_err();
+    expect_that!(error.to_string(), not(contains_substring(short)));
+}
+
+#[googletest::test]
+fn check_key_rotation() {
+    let key = "ab".repeat(32);
+    let old = "cd".repeat(32);
+    let both = format!(r#"{{"keys": {{"current": "{key}", "previous": "{old}"}}}}"#);
+    expect_that!(with(&both), ok(anything()));
+    let same = format!(r#"{{"keys": {{"current": "{key}", "previous": "{key}"}}}}"#);
+    expect_that!(paths(&same), elements_are![eq("keys.previous")]);
+    let only = format!(r#"{{"keys": {{"previous": "{key}"}}}}"#);
+    expect_that!(paths(&only), elements_are![eq("keys.previous")]);
+}
