--- a/crates/ward-policy/src/pick.rs
+++ b/crates/ward-policy/src/pick.rs
@@ -1,7 +1,21 @@
 //! Which ready replica gets a request.
+//!
+//! Equal prompt heads go to the same replica by rendezvous hashing, so that
+//! its prefix cache is used, unless that replica is over its load bound; then
+//! the next in the hash order is asked. With one to three replicas per model
+//! the engines' cache events could add little, so they are not used.
+
+use std::cmp::Reverse;
 
 use ward_protocol::BackendId;
 
+use crate::rendezvous::rendezvous_score;
+
+/// Load bound of a replica in percent of the mean.
+const BOUND_PERCENT: u64 = 125;
+/// Requests that a replica may have above its bound, so that a nearly idle model keeps affinity.
+const BOUND_EXTRA: u64 = 1;
+
 /// A ready replica as seen by one daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PickCandidate {
@@ -15,17 +29,33 @@
     pub same_zone: bool,
 }
 
+impl PickCandidate {
+    fn load(&self) -> u64 {
+        u64::from(self.outstanding.max(self.reported))
+    }
+}
+
 /// Chooses a replica, or nothing when every one is at `limit`.
 ///
 /// `prefix` is a hash of the prompt's head; equal heads go to the same replica
 /// as long as that is not much busier than the others.
 #[must_use]
 pub fn pick_replica(candidates: &[PickCandidate], limit: u32, prefix: u64) -> Option<usize> {
-    let _ = prefix;
+    let bound = load_bound(candidates);
     candidates
         .iter()
         .enumerate()
         .filter(|(_, candidate)| candidate.outstanding < limit)
-        .min_by_key(|(_, candidate)| (candidate.outstanding, candidate.reported))
+        .min_by_key(|(_, candidate)| {
+            let over = candidate.load().saturating_sub(bound);
+            let score = rendezvous_score(candidate.backend.as_str(), prefix);
+            (over, Reverse(score), !candidate.same_zone)
+        })
         .map(|(index, _)| index)
 }
+
+fn load_bound(candidates: &[PickCandidate]) -> u64 {
+    let count = candidates.len().max(1) as u64;
+    let total: u64 = candidates.iter().map(PickCandidate::load).sum();
+    (total * BOUND_PERCENT).div_ceil(count * 100) + BOUND_EXTRA
+}
--- /dev/null
+++ b/crates/ward-policy/src/place/evict.rs
@@ -0,0 +1,131 @@
+//! Which idle replicas of one engine make room for another.
+//!
+//! A base model and its adapters go together, so replicas are weighed in
+//! groups. An engine holds a handful of groups; a single group that is large
+//! enough is preferred, else the largest ones are taken until they suffice and
+//! those that turn out not to be needed are put back.
+
+use ward_protocol::{MemorySize, ReservationId};
+
+use super::view::{EngineView, HeldReplica, PlaceRequest};
+
+/// Replicas of one engine that would make room.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct EvictPlan {
+    /// Replicas that go, adapters before their base model.
+    pub(super) victims: Vec<ReservationId>,
+    /// Sum of what it costs to load them again.
+    pub(super) cost: f64,
+}
+
+struct EvictGroup {
+    victims: Vec<ReservationId>,
+    memory: MemorySize,
+    cost: f64,
+}
+
+/// The cheapest set of victims on an engine, or nothing when room cannot be made.
+pub(super) fn plan_eviction(
+    request: &PlaceRequest,
+    engine: &EngineView,
+    cost: &impl Fn(&EngineView, &HeldReplica) -> f64,
+) -> Option<EvictPlan> {
+    let need = request.memory.saturating_sub(engine.free());
+    let mut groups = evictable_groups(request, engine, cost);
+    if let Some(group) = cheapest_single(&groups, need) {
+        return Some(merge(std::slice::from_ref(group)));
+    }
+    groups.sort_by(|left, right| {
+        let memory = right.memory.cmp(&left.memory);
+        memory.then(left.cost.total_cmp(&right.cost))
+    });
+    let count = enough(&groups, need)?;
+    groups.truncate(count);
+    drop_spare(&mut groups, need);
+    Some(merge(&groups))
+}
+
+fn cheapest_single(groups: &[EvictGroup], need: MemorySize) -> Option<&EvictGroup> {
+    groups
+        .iter()
+        .filter(|group| group.memory >= need)
+        .min_by(|left, right| {
+            let count = left.victims.len().cmp(&right.victims.len());
+            left.cost.total_cmp(&right.cost).then(count)
+        })
+}
+
+fn enough(groups: &[EvictGroup], need: MemorySize) -> Option<usize> {
+    let sums = groups.iter().scan(MemorySize::ZERO, |sum, group| {
+        *sum = sum.saturating_add(group.memory);
+        Some(*sum)
+    });
+    sums.enumerate()
+        .find(|(_, sum)| *sum >= need)
+        .map(|(index, _)| index + 1)
+}
+
+fn drop_spare(groups: &mut Vec<EvictGroup>, need: MemorySize) {
+    groups.sort_by(|left, right| right.cost.total_cmp(&left.cost));
+    let mut sum: MemorySize = groups.iter().map(|group| group.memory).sum();
+    groups.retain(|group| {
+        let rest = sum.saturating_sub(group.memory);
+        let spare = rest >= need;
+        if spare {
+            sum = rest;
+        }
+        !spare
+    });
+}
+
+fn merge(groups: &[EvictGroup]) -> EvictPlan {
+    EvictPlan {
+        victims: groups
+            .iter()
+            .flat_map(|group| group.victims.iter().copied())
+            .collect(),
+        cost: groups.iter().map(|group| group.cost).sum(),
+    }
+}
+
+fn evictable_groups(
+    request: &PlaceRequest,
+    engine: &EngineView,
+    cost: &impl Fn(&EngineView, &HeldReplica) -> f64,
+) -> Vec<EvictGroup> {
+    engine
+        .held
+        .iter()
+        .filter_map(|replica| group_of(request, engine, replica, cost))
+        .collect()
+}
+
+fn group_of(
+    request: &PlaceRequest,
+    engine: &EngineView,
+    replica: &HeldReplica,
+    cost: &impl Fn(&EngineView, &HeldReplica) -> f64,
+) -> Option<EvictGroup> {
+    if request.key.base() == replica.key {
+        return None;
+    }
+    let rides_along = |other: &&HeldReplica| {
+        !replica.key.is_adapter() && other.key.is_adapter() && other.key.base() == replica.key
+    };
+    let adapters = engine.held.iter().filter(rides_along);
+    let members: Vec<&HeldReplica> = adapters.chain(std::iter::once(replica)).collect();
+    if !members.iter().all(|member| may_go(request, member)) {
+        return None;
+    }
+    Some(EvictGroup {
+        victims: members.iter().map(|member| member.reservation).collect(),
+        memory: members.iter().map(|member| member.memory).sum(),
+        cost: members.iter().map(|member| cost(engine, member)).sum(),
+    })
+}
+
+fn may_go(request: &PlaceRequest, replica: &HeldReplica) -> bool {
+    // A lower level is more urgent.
+    let outranks = replica.priority < request.priority;
+    replica.ready && replica.idle.is_some() && !replica.wanted && !outranks
+}
--- a/crates/ward-policy/src/place.rs
+++ b/crates/ward-policy/src/place/view.rs
@@ -1,4 +1,4 @@
-//! Where a replica goes and which idle ones make room for it.
+//! What placement sees of the engines and what it answers.
 
 use ward_protocol::{
     BackendId, CacheTier, EngineRole, MemorySize, PriorityLevel, ReplicaKey, ReservationId,
@@ -45,6 +45,14 @@
     pub load: u32,
 }
 
+impl EngineView {
+    /// Memory not counted.
+    #[must_use]
+    pub const fn free(&self) -> MemorySize {
+        self.memory.saturating_sub(self.counted)
+    }
+}
+
 /// A replica that is wanted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlaceRequest {
@@ -56,7 +64,7 @@
     pub priority: PriorityLevel,
     /// Zones allowed; empty means all.
     pub zones: Vec<ZoneName>,
-    /// Roles allowed; empty means all.
+    /// Roles allowed; empty means all but standby.
     pub roles: Vec<EngineRole>,
     /// Zones that hold a replica of the key already.
     pub taken: Vec<ZoneName>,
@@ -74,41 +82,9 @@
     Evict {
         /// The engine.
         backend: BackendId,
-        /// Replicas that go.
+        /// Replicas that go, adapters before their base model.
         victims: Vec<ReservationId>,
     },
     /// No engine can hold it now.
     Impossible,
 }
-
-/// Chooses the engine for a wanted replica.
-#[must_use]
-pub fn place_replica(request: &PlaceRequest, engines: &[EngineView]) -> PlaceChoice {
-    let free = engines
-        .iter()
-        .filter(|engine| allows(request, engine))
-        .filter(|engine| fits(request, engine))
-        .min_by_key(|engine| (engine.tier, engine.load, engine.backend.clone()));
-    match free {
-        Some(engine) => PlaceChoice::Place {
-            backend: engine.backend.clone(),
-        },
-        None => PlaceChoice::Impossible,
-    }
-}
-
-fn allows(request: &PlaceRequest, engine: &EngineView) -> bool {
-    let zone = request.zones.is_empty() || request.zones.contains(&engine.zone);
-    let role = request.roles.is_empty() || request.roles.contains(&engine.role);
-    let held = engine.held.iter().any(|replica| replica.key == request.key);
-    let base = !request.key.is_adapter()
-        || engine
-            .held
-            .iter()
-            .any(|replica| replica.ready && replica.key == request.key.base());
-    zone && role && base && !held
-}
-
-fn fits(request: &PlaceRequest, engine: &EngineView) -> bool {
-    engine.counted.saturating_add(request.memory) <= engine.memory
-}
--- a/crates/ward-protocol/src/limits.rs
+++ b/crates/ward-protocol/src/limits.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::time::TimeSpan;
+use crate::unit::PriorityLevel;
 
 /// Limits on loads from the weight store, equal on all daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -137,6 +138,22 @@
     pub load_remote: TimeSpan,
     /// Expected load time of an adapter.
     pub load_adapter: TimeSpan,
+    /// Idle accelerator seconds that one second of cold start is worth at a weight of one half.
+    pub cold_exchange: f64,
+    /// Part of a past gap's weight that is left after the next gap, 0 to 1.
+    pub gap_decay: f64,
+    /// Gaps of a model that weigh as much as the fallback rule.
+    pub known_gaps: u32,
+    /// Time before its expected need at which a replica made ready ahead should answer.
+    pub ahead_slack: TimeSpan,
+    /// Time that an engine takes to come back from standby.
+    pub standby_back: TimeSpan,
+    /// First priority level whose requests may wait for a replica that is up anyway.
+    pub slack_from: PriorityLevel,
+    /// Longest such wait.
+    pub slack_longest: TimeSpan,
+    /// Fill of a queue in percent past which the last priority level is refused.
+    pub refuse_from_percent: u32,
 }
 
 impl Default for PolicyValues {
@@ -151,6 +168,14 @@
             load_disk: TimeSpan::from_secs(8),
             load_remote: TimeSpan::from_secs(30),
             load_adapter: TimeSpan::from_millis(10),
+            cold_exchange: 10.0,
+            gap_decay: 0.97,
+            known_gaps: 6,
+            ahead_slack: TimeSpan::from_secs(2),
+            standby_back: TimeSpan::from_secs(20),
+            slack_from: PriorityLevel::LAST,
+            slack_longest: TimeSpan::from_secs(600),
+            refuse_from_percent: 50,
         }
     }
 }
