--- /dev/null
+++ b/crates/ward-policy/src/ahead.rs
@@ -0,0 +1,36 @@
+//! Replicas made ready before they are asked for.
+
+use ward_protocol::{DayTime, PolicyValues, TimeSpan};
+
+const DAY: u64 = 24 * 3_600;
+const MINUTE: u64 = 60;
+
+/// What the sheet says about a row, seen at a time of day.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadyTerms {
+    /// Time of day from which the row's replicas are to be ready; the whole day when absent.
+    pub from: Option<DayTime>,
+    /// Time since midnight UTC.
+    pub day: TimeSpan,
+    /// Time that a replica needs to answer once ordered.
+    pub load: TimeSpan,
+}
+
+/// Time until the row's replicas must be ordered; zero while they are wanted.
+#[must_use]
+pub fn order_in(terms: &ReadyTerms, values: &PolicyValues) -> TimeSpan {
+    let Some(from) = terms.from else {
+        return TimeSpan::ZERO;
+    };
+    let start = TimeSpan::from_secs(u64::from(from.minutes()) * MINUTE);
+    let lead = (terms.load + values.ahead_slack).micros();
+    let order = start.micros().saturating_sub(lead);
+    let midnight = TimeSpan::from_secs(DAY).micros();
+    // A start just after midnight is ordered on the evening before.
+    let overlap = lead.saturating_sub(start.micros());
+    let wanted = terms.day.micros() >= order || terms.day.micros() + overlap >= midnight;
+    if wanted {
+        return TimeSpan::ZERO;
+    }
+    TimeSpan::from_micros(order - terms.day.micros())
+}
--- /dev/null
+++ b/crates/ward-policy/src/standby.rs
@@ -0,0 +1,53 @@
+//! When an engine without replicas rests, and when it comes back.
+
+use ward_protocol::{EngineRole, PolicyValues, TimeSpan};
+
+/// An engine as the standby decision sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StandbyView {
+    /// Its role.
+    pub role: EngineRole,
+    /// Time since its last reservation ended; nothing while it holds one.
+    pub empty: Option<TimeSpan>,
+    /// Time until a replica that the sheet wants on it must answer.
+    pub need: Option<TimeSpan>,
+    /// Load time of that replica.
+    pub load: TimeSpan,
+}
+
+/// What to do about an engine's role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StandbyChoice {
+    /// Leave it as it is.
+    Stay,
+    /// Send it to standby.
+    Rest,
+    /// Bring it back.
+    Wake,
+}
+
+/// Decides whether an engine changes into or out of standby.
+#[must_use]
+pub fn standby_choice(view: &StandbyView, values: &PolicyValues) -> StandbyChoice {
+    let lead = values.standby_back + view.load + values.ahead_slack;
+    let due = view.need.is_some_and(|need| need <= lead);
+    if view.role == EngineRole::Standby {
+        return if due {
+            StandbyChoice::Wake
+        } else {
+            StandbyChoice::Stay
+        };
+    }
+    let rested = view
+        .empty
+        .is_some_and(|empty| empty >= values.standby_after);
+    // A rest shorter than the threshold would not pay for the way back.
+    let soon = view
+        .need
+        .is_some_and(|need| need <= lead + values.standby_after);
+    if rested && !soon {
+        StandbyChoice::Rest
+    } else {
+        StandbyChoice::Stay
+    }
+}
--- /dev/null
+++ b/crates/ward-policy/tests/limits.rs
@@ -0,0 +1,162 @@
+//! Standby, scale-out, overload, slack and readiness by the sheet.
+
+#![allow(clippy::unwrap_used)]
+
+use googletest::prelude::*;
+use ward_policy::{
+    ReadyTerms, ScaleView, SlackView, StandbyChoice, StandbyView, WaitingRequest, admits_priority,
+    order_in, refuse_first, scale_out, slack_left, standby_choice,
+};
+use ward_protocol::{EngineRole, PolicyValues, PriorityLevel, TimeSpan};
+
+const fn secs(seconds: u64) -> TimeSpan {
+    TimeSpan::from_secs(seconds)
+}
+
+fn level(number: u8) -> PriorityLevel {
+    PriorityLevel::try_from(number).unwrap()
+}
+
+#[googletest::test]
+fn standby_rest_and_back() {
+    let values = PolicyValues::default();
+    let view = |role, empty, need| StandbyView {
+        role,
+        empty,
+        need,
+        load: secs(30),
+    };
+    let choice = |view| standby_choice(&view, &values);
+    let serving = EngineRole::Serving;
+    expect_that!(
+        choice(view(serving, Some(secs(300)), None)),
+        eq(StandbyChoice::Rest)
+    );
+    expect_that!(
+        choice(view(serving, Some(secs(299)), None)),
+        eq(StandbyChoice::Stay)
+    );
+    expect_that!(choice(view(serving, None, None)), eq(StandbyChoice::Stay));
+    expect_that!(
+        choice(view(serving, Some(secs(900)), Some(secs(60)))),
+        eq(StandbyChoice::Stay)
+    );
+    let resting = EngineRole::Standby;
+    expect_that!(
+        choice(view(resting, None, Some(secs(53)))),
+        eq(StandbyChoice::Stay)
+    );
+    expect_that!(
+        choice(view(resting, None, Some(secs(52)))),
+        eq(StandbyChoice::Wake)
+    );
+}
+
+#[googletest::test]
+fn scale_out_limits() {
+    let values = PolicyValues::default();
+    let view = ScaleView {
+        ready: 1,
+        coming: 0,
+        limit: 2,
+        waiting: 20,
+        service: secs(3),
+        load: secs(30),
+    };
+    expect_that!(scale_out(&view, &values), eq(true));
+    expect_that!(
+        scale_out(&ScaleView { coming: 1, ..view }, &values),
+        eq(false)
+    );
+    expect_that!(
+        scale_out(&ScaleView { waiting: 8, ..view }, &values),
+        eq(false)
+    );
+    let quick = ScaleView {
+        service: secs(1),
+        ..view
+    };
+    expect_that!(scale_out(&quick, &values), eq(false));
+    let none = ScaleView {
+        ready: 0,
+        waiting: 1,
+        ..view
+    };
+    expect_that!(scale_out(&none, &values), eq(true));
+    expect_that!(
+        scale_out(&ScaleView { limit: 0, ..none }, &values),
+        eq(false)
+    );
+}
+
+#[googletest::test]
+fn overload_last_refused_first() {
+    let values = PolicyValues::default();
+    let admitted = |waiting| {
+        (0..8)
+            .filter(|number| admits_priority(level(*number), waiting, 100, &values))
+            .count()
+    };
+    expect_that!(admitted(49), eq(8));
+    expect_that!(admitted(50), eq(7));
+    expect_that!(admitted(99), eq(1));
+    expect_that!(admitted(100), eq(0));
+}
+
+#[googletest::test]
+fn overload_victim() {
+    let waiting = |priority, left, start| WaitingRequest {
+        priority: level(priority),
+        left: secs(left),
+        start: secs(start),
+    };
+    let queue = [waiting(1, 10, 5), waiting(5, 10, 5), waiting(5, 90, 5)];
+    expect_that!(refuse_first(&queue, level(3)), some(eq(2)));
+    expect_that!(refuse_first(&queue, level(5)), none());
+    let hopeless = [waiting(0, 4, 5), waiting(7, 10, 5)];
+    expect_that!(refuse_first(&hopeless, level(3)), some(eq(0)));
+}
+
+#[googletest::test]
+fn slack_bounds() {
+    let values = PolicyValues::default();
+    let view = SlackView {
+        priority: PriorityLevel::LAST,
+        waited: secs(0),
+        left: secs(3_600),
+        start: secs(30),
+        service: secs(60),
+    };
+    expect_that!(slack_left(&view, &values), some(eq(secs(600))));
+    let short = SlackView {
+        left: secs(140),
+        ..view
+    };
+    expect_that!(slack_left(&short, &values), some(eq(secs(20))));
+    let spent = SlackView {
+        waited: secs(600),
+        ..view
+    };
+    expect_that!(slack_left(&spent, &values), none());
+    let urgent = SlackView {
+        priority: level(3),
+        ..view
+    };
+    expect_that!(slack_left(&urgent, &values), none());
+}
+
+#[googletest::test]
+fn order_in_lead() {
+    let values = PolicyValues::default();
+    let terms = |from: &str, day| ReadyTerms {
+        from: Some(from.parse().unwrap()),
+        day: secs(day),
+        load: secs(58),
+    };
+    expect_that!(
+        order_in(&terms("07:30", 0), &values),
+        eq(secs(7 * 3_600 + 29 * 60))
+    );
+    expect_that!(order_in(&terms("07:30", 27_000), &values), eq(secs(0)));
+    expect_that!(order_in(&terms("00:00", 86_340), &values), eq(secs(0)));
+}
