--- /dev/null
+++ b/crates/ward-backend/src/order/mod.rs
@@ -0,0 +1,6 @@
+//! Orders to engines.
+
+mod send;
+mod wire;
+
+pub use send::send_order;
--- /dev/null
+++ b/crates/ward-backend/src/order/send.rs
@@ -0,0 +1,39 @@
+//! Sends an order once.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use ward_http::{CallBounds, HttpCaller, json_request};
+use ward_protocol::{BackendOrder, OrderResult, TimeSpan};
+
+use super::wire;
+
+const ANSWER_BYTES: usize = 64 << 10;
+
+/// Sends an order to the engine at an address, once.
+///
+/// `Unknown` also covers an order that was certainly not sent: to send the
+/// same order id again is harmless, and its sender does so after a status read.
+pub async fn send_order(
+    caller: &HttpCaller,
+    address: SocketAddr,
+    order: &BackendOrder,
+    timeout: TimeSpan,
+) -> OrderResult {
+    let Ok(body) = serde_json::to_vec(order) else {
+        return OrderResult::Unknown;
+    };
+    let request = json_request(Method::POST, address, wire::ORDER_PATH, Bytes::from(body));
+    let Ok(request) = request else {
+        return OrderResult::Unknown;
+    };
+    let bounds = CallBounds {
+        timeout,
+        answer_bytes: ANSWER_BYTES,
+    };
+    match caller.call(request, bounds).await {
+        Ok(reply) => wire::parse_answer(&reply),
+        Err(_) => OrderResult::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/ward-backend/src/status/mod.rs
@@ -0,0 +1,5 @@
+//! Status reports of engines.
+
+mod fetch;
+
+pub use fetch::{StatusError, fetch_status};
--- /dev/null
+++ b/crates/ward-http/src/call.rs
@@ -0,0 +1,119 @@
+//! Calls with bounds on time and size.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use ward_protocol::TimeSpan;
+
+use crate::error::CallError;
+use crate::reply::HttpReply;
+
+const IDLE_TIME: Duration = Duration::from_secs(5);
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+const IDLE_CONNECTIONS: usize = 8;
+
+/// Bounds of one call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallBounds {
+    /// Time until the whole answer must be there.
+    pub timeout: TimeSpan,
+    /// Longest answer in bytes.
+    pub answer_bytes: usize,
+}
+
+/// Sends calls over pooled connections; clones share the pool.
+#[derive(Debug, Clone)]
+pub struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpCaller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpCaller {
+    /// A caller with an empty pool.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIME));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request once and reads its whole answer.
+    ///
+    /// # Errors
+    /// When no whole answer comes within the bounds; `is_unsent` tells whether
+    /// the call can have had an effect.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        bounds: CallBounds,
+    ) -> Result<HttpReply, CallError> {
+        let whole = self.exchange(request, bounds.answer_bytes);
+        match tokio::time::timeout(bounds.timeout.duration(), whole).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::Timeout(bounds.timeout)),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+    ) -> Result<HttpReply, CallError> {
+        let answer = self.client.request(request).await.map_err(|cause| {
+            if cause.is_connect() {
+                CallError::NotSent(Box::new(cause))
+            } else {
+                CallError::Lost(Box::new(cause))
+            }
+        })?;
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, limit).collect().await.map_err(|cause| {
+            if cause.is::<LengthLimitError>() {
+                CallError::TooLong(limit)
+            } else {
+                CallError::Lost(cause)
+            }
+        })?;
+        Ok(HttpReply {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+/// A request with a JSON body to a path at an address.
+///
+/// # Errors
+/// When the path is not valid in a URI.
+pub fn json_request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, CallError> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body.into()))?;
+    Ok(request)
+}
--- /dev/null
+++ b/crates/ward-platform/src/hosts/client.rs
@@ -0,0 +1,65 @@
+//! Reads the host list.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use quick_error::quick_error;
+use ward_http::{CallBounds, CallError, HttpCaller, ReplyError, json_request};
+use ward_protocol::{HostEntry, TimeSpan};
+
+use super::wire;
+
+const ANSWER_BYTES: usize = 16 << 20;
+
+quick_error! {
+    /// The host list cannot be read.
+    #[derive(Debug)]
+    pub enum HostsError {
+        /// No whole answer came.
+        Call(cause: CallError) {
+            from()
+            display("host list: {cause}")
+            source(cause)
+        }
+        /// The answer is not a host list.
+        Reply(cause: ReplyError) {
+            from()
+            display("host list: {cause}")
+            source(cause)
+        }
+    }
+}
+
+/// Reads the host list; clones share connections.
+#[derive(Debug, Clone)]
+pub struct HostClient {
+    address: SocketAddr,
+    timeout: TimeSpan,
+    caller: HttpCaller,
+}
+
+impl HostClient {
+    /// A client of the host list at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: TimeSpan) -> Self {
+        Self {
+            address,
+            timeout,
+            caller: HttpCaller::new(),
+        }
+    }
+
+    /// The hosts as listed now; the list lags.
+    ///
+    /// # Errors
+    /// When no whole answer comes in time or it is not a host list.
+    pub async fn list(&self) -> Result<Vec<HostEntry>, HostsError> {
+        let request = json_request(Method::GET, self.address, wire::LIST_PATH, "")?;
+        let bounds = CallBounds {
+            timeout: self.timeout,
+            answer_bytes: ANSWER_BYTES,
+        };
+        let reply = self.caller.call(request, bounds).await?;
+        Ok(wire::parse_list(&reply)?)
+    }
+}
--- /dev/null
+++ b/crates/ward-platform/src/hosts/mod.rs
@@ -0,0 +1,6 @@
+//! The platform's list of live and leaving hosts.
+
+mod client;
+mod wire;
+
+pub use client::{HostClient, HostsError};
--- /dev/null
+++ b/crates/ward-platform/src/log/client.rs
@@ -0,0 +1,144 @@
+//! Appends to and reads from the log.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use ward_http::{CallBounds, HttpCaller, json_request};
+use ward_protocol::{LogOffset, LogStream, RawRecord, TimeSpan};
+
+use super::error::{AppendCause, AppendError, ReadError};
+use super::wire;
+
+const APPEND_ANSWER_BYTES: usize = 64 << 10;
+const READ_ANSWER_BYTES: usize = 64 << 20;
+const MOST_APPEND_RECORDS: usize = 4_096;
+const MOST_APPEND_BYTES: usize = 16 << 20;
+
+/// How long a client waits for the log.
+#[derive(Debug, Clone, Copy)]
+pub struct LogTimes {
+    /// Time until an append is confirmed.
+    pub append: TimeSpan,
+    /// Time until a read is answered, beyond the wait for new records.
+    pub read: TimeSpan,
+}
+
+impl Default for LogTimes {
+    fn default() -> Self {
+        Self {
+            append: TimeSpan::from_millis(1_500),
+            read: TimeSpan::from_millis(1_500),
+        }
+    }
+}
+
+/// What a read returned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogRead {
+    /// The records in order.
+    pub records: Vec<RawRecord>,
+    /// The stream's newest offset; zero while it is empty.
+    pub end: LogOffset,
+    /// Offset of the oldest record kept, when later than the first one wanted.
+    pub cut: Option<LogOffset>,
+}
+
+/// Appends to and reads from the log; clones share connections.
+#[derive(Debug, Clone)]
+pub struct LogClient {
+    address: SocketAddr,
+    times: LogTimes,
+    caller: HttpCaller,
+}
+
+impl LogClient {
+    /// A client of the log at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, times: LogTimes) -> Self {
+        Self {
+            address,
+            times,
+            caller: HttpCaller::new(),
+        }
+    }
+
+    /// Appends records together and in order; returns the first one's offset.
+    ///
+    /// # Errors
+    /// `Refused` when nothing is stored, `Unknown` when only a read can tell.
+    pub async fn append(
+        &self,
+        stream: LogStream,
+        records: Vec<Vec<u8>>,
+    ) -> Result<LogOffset, AppendError> {
+        check_size(&records).map_err(AppendError::Refused)?;
+        let body =
+            wire::append_body(&records).map_err(|cause| AppendError::Refused(cause.into()))?;
+        let path = wire::append_path(stream);
+        let request = json_request(Method::POST, self.address, &path, body)
+            .map_err(|cause| AppendError::Refused(cause.into()))?;
+        let bounds = CallBounds {
+            timeout: self.times.append,
+            answer_bytes: APPEND_ANSWER_BYTES,
+        };
+        let reply = self.caller.call(request, bounds).await.map_err(|cause| {
+            if cause.is_unsent() {
+                AppendError::Refused(cause.into())
+            } else {
+                AppendError::Unknown(cause.into())
+            }
+        })?;
+        if wire::is_refusal(reply.status) {
+            return Err(AppendError::Refused(AppendCause::Status(reply.status)));
+        }
+        wire::parse_append(&reply).map_err(|cause| AppendError::Unknown(cause.into()))
+    }
+
+    /// Reads at most `limit` records from an offset on, and waits up to `wait`
+    /// for one when there is none yet.
+    ///
+    /// # Errors
+    /// When no whole answer comes in time or it is not one to a read.
+    pub async fn read(
+        &self,
+        stream: LogStream,
+        from: LogOffset,
+        limit: usize,
+        wait: TimeSpan,
+    ) -> Result<LogRead, ReadError> {
+        let path = wire::read_path(stream, from, limit, wait);
+        let request = json_request(Method::GET, self.address, &path, "")?;
+        let bounds = CallBounds {
+            timeout: self.times.read + wait,
+            answer_bytes: READ_ANSWER_BYTES,
+        };
+        let reply = self.caller.call(request, bounds).await?;
+        let content = wire::parse_read(&reply)?;
+        check_order(from, &content.records)?;
+        let first = from.max(LogOffset(1));
+        Ok(LogRead {
+            records: content.records,
+            end: content.end,
+            cut: (content.oldest > first).then_some(content.oldest),
+        })
+    }
+}
+
+fn check_size(records: &[Vec<u8>]) -> Result<(), AppendCause> {
+    let bytes = records.iter().map(Vec::len).sum();
+    if records.len() > MOST_APPEND_RECORDS || bytes > MOST_APPEND_BYTES {
+        return Err(AppendCause::Size(records.len(), bytes));
+    }
+    Ok(())
+}
+
+fn check_order(from: LogOffset, records: &[RawRecord]) -> Result<(), ReadError> {
+    let mut lowest = from;
+    for record in records {
+        if record.offset < lowest {
+            return Err(ReadError::Disorder(record.offset));
+        }
+        lowest = LogOffset(record.offset.0.saturating_add(1));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ward-platform/src/log/queue.rs
@@ -0,0 +1,211 @@
+//! Merges records that wait for one stream into one append.
+//!
+//! The log takes several hundred appends a second from everybody, so records
+//! that come while an append is under way go together in the next one. One
+//! append is under way at a time, which keeps the records in their order; a
+//! fixed pause to collect more would only add to the time of a lone record.
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, Registry};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use ward_protocol::{AppendResult, LogStream, TimeSpan};
+
+use super::client::LogClient;
+
+const WAIT_BUCKETS: [f64; 9] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
+
+/// Bounds of a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct QueueLimits {
+    /// Most records that wait.
+    pub waiting: usize,
+    /// Most records in one append.
+    pub batch_records: usize,
+    /// Most bytes in one append, if it has more than one record.
+    pub batch_bytes: usize,
+    /// Longest wait, after which a record is given up unsent.
+    pub longest_wait: TimeSpan,
+}
+
+impl Default for QueueLimits {
+    fn default() -> Self {
+        Self {
+            waiting: 4_096,
+            batch_records: 512,
+            batch_bytes: 1 << 20,
+            longest_wait: TimeSpan::from_secs(2),
+        }
+    }
+}
+
+/// A record that waits.
+#[derive(Debug)]
+struct QueuedRecord {
+    bytes: Vec<u8>,
+    since: Instant,
+    result: oneshot::Sender<AppendResult>,
+}
+
+#[derive(Debug, Clone)]
+struct QueueMetrics {
+    wait: Histogram,
+    appends: IntCounter,
+    records: IntCounter,
+    refused: IntCounter,
+}
+
+/// Appends single records to one stream; clones share the queue.
+#[derive(Debug, Clone)]
+pub struct AppendQueue {
+    sender: mpsc::Sender<QueuedRecord>,
+    metrics: QueueMetrics,
+}
+
+impl AppendQueue {
+    /// Starts a queue in the present runtime; it ends with its last clone.
+    ///
+    /// # Errors
+    /// When the registry has a queue of the same stream already.
+    pub fn start(
+        client: LogClient,
+        stream: LogStream,
+        limits: QueueLimits,
+        registry: &Registry,
+    ) -> Result<Self, prometheus::Error> {
+        let metrics = QueueMetrics::new(stream, registry)?;
+        let (sender, receiver) = mpsc::channel(limits.waiting.max(1));
+        let worker = QueueWorker {
+            client,
+            stream,
+            limits,
+            metrics: metrics.clone(),
+            receiver,
+            held: None,
+        };
+        tokio::spawn(worker.run());
+        Ok(Self { sender, metrics })
+    }
+
+    /// Appends one record; `Refused` also when the queue is full.
+    ///
+    /// Once called, the record may be stored even if the caller stops waiting.
+    pub async fn append(&self, bytes: Vec<u8>) -> AppendResult {
+        let (result, answer) = oneshot::channel();
+        let record = QueuedRecord {
+            bytes,
+            since: Instant::now(),
+            result,
+        };
+        if self.sender.try_send(record).is_err() {
+            self.metrics.refused.inc();
+            return AppendResult::Refused;
+        }
+        // The worker went away with the record: it may have sent it.
+        answer.await.unwrap_or(AppendResult::Unknown)
+    }
+}
+
+impl QueueMetrics {
+    fn new(stream: LogStream, registry: &Registry) -> Result<Self, prometheus::Error> {
+        let label = |name: &str, help: &str| {
+            prometheus::Opts::new(name, help).const_label("stream", stream.to_string())
+        };
+        let wait = label(
+            "ward_log_append_wait_seconds",
+            "Time that a record waits to be sent.",
+        );
+        let wait = HistogramOpts::from(wait).buckets(WAIT_BUCKETS.to_vec());
+        let appends = label("ward_log_appends_total", "Appends sent.");
+        let records = label("ward_log_append_records_total", "Records sent.");
+        let refused = label("ward_log_append_refused_total", "Records given up unsent.");
+        let metrics = Self {
+            wait: Histogram::with_opts(wait)?,
+            appends: IntCounter::with_opts(appends)?,
+            records: IntCounter::with_opts(records)?,
+            refused: IntCounter::with_opts(refused)?,
+        };
+        registry.register(Box::new(metrics.wait.clone()))?;
+        registry.register(Box::new(metrics.appends.clone()))?;
+        registry.register(Box::new(metrics.records.clone()))?;
+        registry.register(Box::new(metrics.refused.clone()))?;
+        Ok(metrics)
+    }
+}
+
+/// The task behind a queue.
+struct QueueWorker {
+    client: LogClient,
+    stream: LogStream,
+    limits: QueueLimits,
+    metrics: QueueMetrics,
+    receiver: mpsc::Receiver<QueuedRecord>,
+    /// Did not fit the last append.
+    held: Option<QueuedRecord>,
+}
+
+impl QueueWorker {
+    async fn run(mut self) {
+        while let Some(first) = self.next().await {
+            let batch = self.fill(first);
+            self.send(batch).await;
+        }
+    }
+
+    async fn next(&mut self) -> Option<QueuedRecord> {
+        match self.held.take() {
+            Some(record) => Some(record),
+            None => self.receiver.recv().await,
+        }
+    }
+
+    /// Adds what waits, as far as it fits; gives up what has waited too long.
+    fn fill(&mut self, first: QueuedRecord) -> Vec<QueuedRecord> {
+        let mut batch = Vec::new();
+        let mut bytes = 0;
+        let mut next = Some(first);
+        while let Some(record) = next {
+            if record.since.elapsed() > self.limits.longest_wait.duration() {
+                self.metrics.refused.inc();
+                // The caller may have stopped waiting.
+                let _ = record.result.send(AppendResult::Refused);
+            } else {
+                bytes += record.bytes.len();
+                if bytes > self.limits.batch_bytes && !batch.is_empty() {
+                    self.held = Some(record);
+                    return batch;
+                }
+                batch.push(record);
+            }
+            if batch.len() >= self.limits.batch_records {
+                return batch;
+            }
+            next = self.receiver.try_recv().ok();
+        }
+        batch
+    }
+
+    async fn send(&self, batch: Vec<QueuedRecord>) {
+        if batch.is_empty() {
+            return;
+        }
+        self.metrics.appends.inc();
+        self.metrics.records.inc_by(batch.len() as u64);
+        let mut records = Vec::with_capacity(batch.len());
+        let mut results = Vec::with_capacity(batch.len());
+        for record in batch {
+            self.metrics
+                .wait
+                .observe(record.since.elapsed().as_secs_f64());
+            records.push(record.bytes);
+            results.push(record.result);
+        }
+        let result = match self.client.append(self.stream, records).await {
+            Ok(_) => AppendResult::Stored,
+            Err(error) => error.result(),
+        };
+        for sender in results {
+            // The caller may have stopped waiting.
+            let _ = sender.send(result);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-platform/src/log/snapshot.rs
@@ -0,0 +1,168 @@
+//! Snapshots of the control state, in parts on a stream of their own.
+//!
+//! Several daemons may write snapshots at a time, one may die between two
+//! parts, and retention cuts the stream anywhere. A snapshot therefore counts
+//! only once all its parts are found; what cannot be read is passed over.
+
+use indexmap::IndexMap;
+use ward_protocol::codec::{decode, encode};
+use ward_protocol::record::RECORD_FORMAT;
+use ward_protocol::{LogOffset, LogStream, RawRecord, RecordId, SnapshotPart, TimeSpan};
+
+use super::client::LogClient;
+use super::error::{ReadError, SnapshotError};
+
+/// Most state bytes in one part.
+const PART_BYTES: usize = 256 << 10;
+/// Records read at a time, newest first.
+const WINDOW_RECORDS: u64 = 16;
+
+/// A whole snapshot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SnapshotImage {
+    /// Its id.
+    pub snapshot: RecordId,
+    /// Control offset up to which it holds.
+    pub control: LogOffset,
+    /// Plan offset up to which it holds.
+    pub plan: LogOffset,
+    /// The encoded control state.
+    pub bytes: Vec<u8>,
+}
+
+/// Parts of one snapshot found so far.
+struct PartSet {
+    control: LogOffset,
+    plan: LogOffset,
+    count: u16,
+    parts: IndexMap<u16, Vec<u8>>,
+}
+
+impl LogClient {
+    /// The newest snapshot that is whole, if there is one.
+    ///
+    /// # Errors
+    /// When the stream cannot be read.
+    pub async fn newest_snapshot(&self) -> Result<Option<SnapshotImage>, ReadError> {
+        let past_end = LogOffset(u64::MAX);
+        let probe = self
+            .read(LogStream::Snapshot, past_end, 1, TimeSpan::ZERO)
+            .await?;
+        let mut found = IndexMap::new();
+        let mut below = probe.end.0.saturating_add(1);
+        while below > 1 {
+            let from = below.saturating_sub(WINDOW_RECORDS).max(1);
+            let window = self.read_window(from, below).await?;
+            window
+                .records
+                .iter()
+                .for_each(|record| collect(&mut found, record));
+            if let Some(image) = newest_whole(&mut found) {
+                return Ok(Some(image));
+            }
+            if window.reaches_cut {
+                break;
+            }
+            below = from;
+        }
+        Ok(None)
+    }
+
+    /// Appends a snapshot in parts.
+    ///
+    /// # Errors
+    /// When a part is not confirmed; the parts before it do no harm.
+    pub async fn write_snapshot(&self, image: &SnapshotImage) -> Result<(), SnapshotError> {
+        for part in split(image)? {
+            let record = encode(&part)?;
+            self.append(LogStream::Snapshot, vec![record]).await?;
+        }
+        Ok(())
+    }
+
+    /// Reads the records in `from..below`.
+    async fn read_window(&self, from: u64, below: u64) -> Result<SnapshotWindow, ReadError> {
+        let mut records: Vec<RawRecord> = Vec::new();
+        let mut reaches_cut = false;
+        let mut next = from;
+        while next < below {
+            let limit = usize::try_from(below - next).unwrap_or(usize::MAX);
+            let read = self
+                .read(LogStream::Snapshot, LogOffset(next), limit, TimeSpan::ZERO)
+                .await?;
+            reaches_cut |= read.cut.is_some();
+            let Some(last) = read.records.last() else {
+                break;
+            };
+            next = last.offset.0.saturating_add(1);
+            records.extend(read.records);
+        }
+        Ok(SnapshotWindow {
+            records,
+            reaches_cut,
+        })
+    }
+}
+
+/// Some records of the stream, and whether older ones are gone.
+struct SnapshotWindow {
+    records: Vec<RawRecord>,
+    reaches_cut: bool,
+}
+
+fn collect(found: &mut IndexMap<RecordId, PartSet>, record: &RawRecord) {
+    let Ok(part) = decode::<SnapshotPart>(&record.bytes) else {
+        return;
+    };
+    if part.format > RECORD_FORMAT || part.index >= part.count {
+        return;
+    }
+    let set = found.entry(part.snapshot).or_insert_with(|| PartSet {
+        control: part.control,
+        plan: part.plan,
+        count: part.count,
+        parts: IndexMap::new(),
+    });
+    let fits = set.control == part.control && set.plan == part.plan && set.count == part.count;
+    if fits {
+        set.parts.insert(part.index, part.bytes);
+    }
+}
+
+/// Takes out the whole snapshot that reaches furthest.
+fn newest_whole(found: &mut IndexMap<RecordId, PartSet>) -> Option<SnapshotImage> {
+    let (id, _) = found
+        .iter()
+        .filter(|(_, set)| set.parts.len() == usize::from(set.count))
+        .max_by_key(|(_, set)| (set.control, set.plan))?;
+    let id = *id;
+    let mut set = found.swap_remove(&id)?;
+    set.parts.sort_unstable_keys();
+    Some(SnapshotImage {
+        snapshot: id,
+        control: set.control,
+        plan: set.plan,
+        bytes: set.parts.into_values().flatten().collect(),
+    })
+}
+
+fn split(image: &SnapshotImage) -> Result<Vec<SnapshotPart>, SnapshotError> {
+    let length = image.bytes.len();
+    // An empty state still takes one part.
+    let count = length.div_ceil(PART_BYTES).max(1);
+    let count = u16::try_from(count).map_err(|_| SnapshotError::Size(length))?;
+    let parts = (0..count).map(|index| {
+        let start = usize::from(index) * PART_BYTES;
+        let end = length.min(start + PART_BYTES);
+        SnapshotPart {
+            format: RECORD_FORMAT,
+            snapshot: image.snapshot,
+            control: image.control,
+            plan: image.plan,
+            index,
+            count,
+            bytes: image.bytes[start..end].to_vec(),
+        }
+    });
+    Ok(parts.collect())
+}
--- /dev/null
+++ b/crates/ward-standin/src/command/engine.rs
@@ -0,0 +1,153 @@
+//! `ward-standin engine`.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use ward_protocol::{
+    CacheTier, CachedCheckpoint, FencingSupport, MemorySize, ReplicaKey, TimeSpan,
+};
+use ward_standin::{EngineSettings, EngineStandin, MemoryRule, RunningStandin};
+
+use super::CommandError;
+use super::arguments::{ANY_PORT, count, hosts, identity, listen, span, value};
+
+const SLOTS: u32 = 16;
+const TOKEN_TIME: TimeSpan = TimeSpan::from_millis(20);
+const LOAD_MEMORY: TimeSpan = TimeSpan::from_millis(200);
+const LOAD_DISK: TimeSpan = TimeSpan::from_millis(800);
+const LOAD_REMOTE: TimeSpan = TimeSpan::from_secs(3);
+const STATUS_LAG: TimeSpan = TimeSpan::from_millis(500);
+
+pub(super) fn command() -> Command {
+    Command::new("engine")
+        .about("A model engine")
+        .arg(listen())
+        .args(identity())
+        .arg(hosts())
+        .arg(memory())
+        .arg(fencing())
+        .arg(memory_rule())
+        .arg(store())
+        .arg(cached())
+        .arg(count("slots", SLOTS, "Requests that run at a time"))
+        .arg(span("token-time", TOKEN_TIME, "Time per token"))
+        .arg(span(
+            "load-memory",
+            LOAD_MEMORY,
+            "Load time from the host's memory",
+        ))
+        .arg(span(
+            "load-disk",
+            LOAD_DISK,
+            "Load time from the host's disk",
+        ))
+        .arg(span(
+            "load-remote",
+            LOAD_REMOTE,
+            "Load time without --store",
+        ))
+        .arg(span(
+            "status-lag",
+            STATUS_LAG,
+            "Time by which load figures lag",
+        ))
+}
+
+pub(super) async fn start(matches: &ArgMatches) -> Result<RunningStandin, CommandError> {
+    let required = |name| CommandError::Missing(name);
+    let id = matches.get_one("id").cloned().ok_or(required("id"))?;
+    let zone = matches.get_one("zone").cloned().ok_or(required("zone"))?;
+    let memory = matches
+        .get_one("memory")
+        .copied()
+        .ok_or(required("memory"))?;
+    let cached = matches.get_many("cached").unwrap_or_default();
+    let settings = EngineSettings {
+        listen: value(matches, "listen", ANY_PORT),
+        fencing: value(matches, "fencing", FencingSupport::Checks),
+        memory_rule: value(matches, "memory-rule", MemoryRule::Record),
+        store: matches.get_one("store").copied(),
+        hosts: matches.get_one("hosts").copied(),
+        slots: value(matches, "slots", SLOTS),
+        token_time: value(matches, "token-time", TOKEN_TIME),
+        load_memory: value(matches, "load-memory", LOAD_MEMORY),
+        load_disk: value(matches, "load-disk", LOAD_DISK),
+        load_remote: value(matches, "load-remote", LOAD_REMOTE),
+        status_lag: value(matches, "status-lag", STATUS_LAG),
+        cached: cached.cloned().collect(),
+        ..EngineSettings::new(id, zone, memory)
+    };
+    Ok(EngineStandin::start(settings).await?)
+}
+
+fn memory() -> Arg {
+    Arg::new("memory")
+        .long("memory")
+        .value_name("SIZE")
+        .value_parser(MemorySize::from_str)
+        .required(true)
+        .help("Memory for replicas, such as 80GiB")
+}
+
+fn fencing() -> Arg {
+    Arg::new("fencing")
+        .long("fencing")
+        .value_name("SUPPORT")
+        .value_parser(parse_fencing)
+        .default_value("checks")
+        .help("Whether it refuses old fencing numbers: checks or ignores")
+}
+
+fn memory_rule() -> Arg {
+    Arg::new("memory-rule")
+        .long("memory-rule")
+        .value_name("RULE")
+        .value_parser(parse_rule)
+        .default_value("record")
+        .help("What it does with a load that does not fit: refuse or record")
+}
+
+fn store() -> Arg {
+    Arg::new("store")
+        .long("store")
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(SocketAddr))
+        .help("The weight store; without one a load takes --load-remote")
+}
+
+fn cached() -> Arg {
+    Arg::new("cached")
+        .long("cached")
+        .value_name("KEY=TIER")
+        .value_parser(parse_cached)
+        .action(clap::ArgAction::Append)
+        .help("A cached checkpoint, such as colours@3=disk; may be repeated")
+}
+
+fn parse_fencing(text: &str) -> Result<FencingSupport, &'static str> {
+    match text {
+        "checks" => Ok(FencingSupport::Checks),
+        "ignores" => Ok(FencingSupport::Ignores),
+        _ => Err("write checks or ignores"),
+    }
+}
+
+fn parse_rule(text: &str) -> Result<MemoryRule, &'static str> {
+    match text {
+        "refuse" => Ok(MemoryRule::Refuse),
+        "record" => Ok(MemoryRule::Record),
+        _ => Err("write refuse or record"),
+    }
+}
+
+fn parse_cached(text: &str) -> Result<CachedCheckpoint, &'static str> {
+    let (key, tier) = text.split_once('=').ok_or("write KEY=TIER")?;
+    let key = ReplicaKey::from_str(key).map_err(|_| "write the key as name:adapter@version")?;
+    let tier = match tier {
+        "memory" => CacheTier::Memory,
+        "disk" => CacheTier::Disk,
+        _ => return Err("write the tier as memory or disk"),
+    };
+    Ok(CachedCheckpoint { key, tier })
+}
--- /dev/null
+++ b/crates/ward-standin/src/command/hosts.rs
@@ -0,0 +1,68 @@
+//! `ward-standin hosts`.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use ward_standin::{
+    HostsFaults, HostsSettings, HostsStandin, RunningStandin, StandinError, StoreSettings,
+};
+
+use super::arguments::{ANY_PORT, count, listen, span, value};
+
+pub(super) fn command() -> Command {
+    let defaults = StoreSettings::default();
+    Command::new("hosts")
+        .about("The host list and the weight store")
+        .arg(listen())
+        .arg(span(
+            "model-gib",
+            defaults.model_gib,
+            "Load time per GiB of a model at full speed",
+        ))
+        .arg(count(
+            "model-loads",
+            defaults.model_loads,
+            "Model loads at a time at full speed",
+        ))
+        .arg(span(
+            "start-interval",
+            defaults.start_interval,
+            "Time between starts of model loads",
+        ))
+        .arg(span(
+            "adapter",
+            defaults.adapter,
+            "Load time of an adapter at full speed",
+        ))
+        .arg(count(
+            "adapter-loads",
+            defaults.adapter_loads,
+            "Adapter loads at a time at full speed",
+        ))
+        .arg(
+            Arg::new("lag-ms")
+                .long("lag-ms")
+                .value_name("MILLISECONDS")
+                .value_parser(value_parser!(u64))
+                .default_value("0")
+                .help("Time by which the served list lags"),
+        )
+}
+
+pub(super) async fn start(matches: &ArgMatches) -> Result<RunningStandin, StandinError> {
+    let defaults = StoreSettings::default();
+    let store = StoreSettings {
+        model_gib: value(matches, "model-gib", defaults.model_gib),
+        model_loads: value(matches, "model-loads", defaults.model_loads),
+        start_interval: value(matches, "start-interval", defaults.start_interval),
+        adapter: value(matches, "adapter", defaults.adapter),
+        adapter_loads: value(matches, "adapter-loads", defaults.adapter_loads),
+    };
+    HostsStandin::start(HostsSettings {
+        listen: value(matches, "listen", ANY_PORT),
+        store,
+        faults: HostsFaults {
+            lag_ms: value(matches, "lag-ms", 0),
+            ..HostsFaults::default()
+        },
+    })
+    .await
+}
--- /dev/null
+++ b/crates/ward-standin/src/engine/answer.rs
@@ -0,0 +1,170 @@
+//! Shapes of answers: whole ones and streams of events.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{Stream, stream};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use viz::header::HeaderValue;
+use viz::{Body, Response, StatusCode};
+use ward_protocol::RequestId;
+
+use super::generation::{AnswerForm, Generation, GenerationEnd, GenerationProgress};
+use super::state::EngineState;
+use super::text::{answer_text, answer_token};
+use crate::server::{cut_answer, cut_error, json_answer, truncated_answer};
+
+pub(super) const REQUEST_ID: &str = "x-request-id";
+const OUTCOME: &str = "x-outcome";
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// Says that a request was not run.
+pub(super) fn not_run_answer() -> Response {
+    let body = json!({ "error": { "message": "the replica is not ready" } });
+    let mut answer = json_answer(StatusCode::NOT_FOUND, &body);
+    let outcome = HeaderValue::from_static("not_run");
+    answer.headers_mut().insert(OUTCOME, outcome);
+    answer
+}
+
+/// Waits for the end and answers in one piece.
+pub(super) async fn whole_answer(state: &EngineState, generation: &Generation) -> Response {
+    let mut progress = generation.watch();
+    let ended = progress.wait_for(|progress| progress.end.is_some()).await;
+    let Ok(end) = ended.map(|progress| progress.end) else {
+        return cut_answer();
+    };
+    let id = shown_id(state, generation);
+    if end != Some(GenerationEnd::Finished) {
+        let body = json!({ "id": id, "error": { "message": "the request was cancelled" } });
+        return with_id(json_answer(StatusCode::CONFLICT, &body), id);
+    }
+    if state.take_one(|faults| &mut faults.broken_answers) {
+        return with_id(json_answer(StatusCode::OK, &"no completion"), id);
+    }
+    let answer = with_id(json_answer(StatusCode::OK, &whole_body(generation, id)), id);
+    if state.take_one(|faults| &mut faults.truncate_answers) {
+        return truncated_answer(answer).await;
+    }
+    answer
+}
+
+/// Answers with the tokens from a position on, as they come.
+pub(super) fn stream_answer(
+    state: &EngineState,
+    generation: &Arc<Generation>,
+    from: u64,
+) -> Response {
+    let id = shown_id(state, generation);
+    let cut = state
+        .take_one(|faults| &mut faults.cut_streams)
+        .then(|| state.faults().cut_after);
+    let follow = EventFollow {
+        progress: generation.watch(),
+        generation: generation.clone(),
+        id,
+        next: Some(from),
+        cut: cut.map(|tokens| from + tokens),
+    };
+    let mut answer = Response::new(Body::from_stream(events(follow)));
+    let kind = HeaderValue::from_static("text/event-stream");
+    answer.headers_mut().insert(viz::header::CONTENT_TYPE, kind);
+    with_id(answer, id)
+}
+
+/// The state of a stream of events.
+struct EventFollow {
+    progress: watch::Receiver<GenerationProgress>,
+    generation: Arc<Generation>,
+    id: RequestId,
+    next: Option<u64>,
+    cut: Option<u64>,
+}
+
+fn events(follow: EventFollow) -> impl Stream<Item = io::Result<Bytes>> + Send {
+    stream::try_unfold(follow, |mut follow| async move {
+        let Some(position) = follow.next else {
+            return Ok(None);
+        };
+        if follow.cut.is_some_and(|cut| position >= cut) {
+            return Err(cut_error().await);
+        }
+        if position >= follow.generation.task.total {
+            follow.next = None;
+            return Ok(Some((Bytes::from_static(DONE_EVENT), follow)));
+        }
+        let reached = follow
+            .progress
+            .wait_for(|progress| progress.position > position || progress.end.is_some())
+            .await
+            .map(|progress| progress.position > position);
+        if !matches!(reached, Ok(true)) {
+            return Err(cut_error().await);
+        }
+        let event = chunk_event(&follow.generation, follow.id, position);
+        follow.next = Some(position + 1);
+        Ok(Some((event, follow)))
+    })
+}
+
+fn whole_body(generation: &Generation, id: RequestId) -> Value {
+    let task = &generation.task;
+    let text = answer_text(&task.prompt, task.total);
+    let (object, choice) = match task.form {
+        AnswerForm::Chat => (
+            "chat.completion",
+            json!({ "index": 0, "message": { "role": "assistant", "content": text }, "finish_reason": "stop" }),
+        ),
+        AnswerForm::Text => (
+            "text_completion",
+            json!({ "index": 0, "text": text, "finish_reason": "stop" }),
+        ),
+    };
+    json!({
+        "id": id,
+        "object": object,
+        "model": task.key,
+        "choices": [choice],
+        "usage": { "completion_tokens": task.total },
+    })
+}
+
+fn chunk_event(generation: &Generation, id: RequestId, position: u64) -> Bytes {
+    let task = &generation.task;
+    let token = answer_token(&task.prompt, position);
+    let finish = (position + 1 == task.total).then_some("stop");
+    let (object, choice) = match task.form {
+        AnswerForm::Chat => (
+            "chat.completion.chunk",
+            json!({ "index": 0, "delta": { "content": token }, "finish_reason": finish }),
+        ),
+        AnswerForm::Text => (
+            "text_completion",
+            json!({ "index": 0, "text": token, "finish_reason": finish }),
+        ),
+    };
+    let chunk = json!({
+        "id": id,
+        "object": object,
+        "model": task.key,
+        "position": position,
+        "choices": [choice],
+    });
+    Bytes::from(format!("data: {chunk}\n\n"))
+}
+
+fn shown_id(state: &EngineState, generation: &Generation) -> RequestId {
+    if state.take_one(|faults| &mut faults.wrong_ids) {
+        return RequestId(!generation.request.0);
+    }
+    generation.request
+}
+
+fn with_id(mut answer: Response, id: RequestId) -> Response {
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        answer.headers_mut().insert(REQUEST_ID, value);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/ward-standin/src/engine/batch.rs
@@ -0,0 +1,120 @@
+//! Continuous batching: a fixed number of slots, the rest queued by priority.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::oneshot;
+use ward_protocol::PriorityLevel;
+
+use crate::server::lock;
+
+/// A request in the queue; the first to go is the greatest.
+#[derive(Debug)]
+struct QueuedRequest {
+    order: Reverse<(PriorityLevel, u64)>,
+    turn: oneshot::Sender<BatchSlot>,
+}
+
+impl PartialEq for QueuedRequest {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for QueuedRequest {}
+
+impl PartialOrd for QueuedRequest {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for QueuedRequest {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.order.cmp(&other.order)
+    }
+}
+
+#[derive(Debug, Default)]
+struct BatchCore {
+    running: u32,
+    arrivals: u64,
+    queue: BinaryHeap<QueuedRequest>,
+}
+
+/// The slots of one engine; clones share them.
+#[derive(Debug, Clone)]
+pub(super) struct BatchSlots {
+    slots: u32,
+    core: Arc<Mutex<BatchCore>>,
+}
+
+/// A slot in use until dropped.
+#[derive(Debug)]
+pub(super) struct BatchSlot {
+    batch: Option<BatchSlots>,
+}
+
+impl Drop for BatchSlot {
+    fn drop(&mut self) {
+        if let Some(batch) = self.batch.take() {
+            batch.pass_on();
+        }
+    }
+}
+
+impl BatchSlots {
+    pub(super) fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            core: Arc::default(),
+        }
+    }
+
+    /// Waits for a slot.
+    pub(super) async fn enter(&self, priority: PriorityLevel) -> Option<BatchSlot> {
+        let turn = {
+            let mut core = lock(&self.core);
+            if core.running < self.slots {
+                core.running += 1;
+                return Some(self.slot());
+            }
+            core.arrivals += 1;
+            let (sender, turn) = oneshot::channel();
+            let order = Reverse((priority, core.arrivals));
+            core.queue.push(QueuedRequest {
+                order,
+                turn: sender,
+            });
+            turn
+        };
+        turn.await.ok()
+    }
+
+    /// Requests running and waiting.
+    pub(super) fn load(&self) -> (u32, u32) {
+        let core = lock(&self.core);
+        let waiting = core.queue.iter().filter(|entry| !entry.turn.is_closed());
+        let queued = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
+        (core.running, queued)
+    }
+
+    fn slot(&self) -> BatchSlot {
+        BatchSlot {
+            batch: Some(self.clone()),
+        }
+    }
+
+    /// Gives a free slot to the next request that still waits.
+    fn pass_on(&self) {
+        let mut core = lock(&self.core);
+        while let Some(next) = core.queue.pop() {
+            let Err(mut unused) = next.turn.send(self.slot()) else {
+                return;
+            };
+            unused.batch = None;
+        }
+        core.running = core.running.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/ward-standin/src/engine/holding.rs
@@ -0,0 +1,161 @@
+//! What an engine holds, and what it may do.
+
+use indexmap::IndexMap;
+use tokio::task::AbortHandle;
+use ward_protocol::{
+    CacheTier, CachedCheckpoint, EngineRole, FenceNumber, MemorySize, OrderRefusal, RecordId,
+    ReplicaKey, RequestId, ResidentPhase, ResidentReplica, WallTime,
+};
+
+use super::history::{CrashEntry, EngineHistory, HoldingEntry, RunEntry};
+
+/// Whether an order was taken.
+pub(super) type OrderVerdict = Result<(), OrderRefusal>;
+
+/// A replica with the task that loads it.
+#[derive(Debug)]
+pub(super) struct HeldReplica {
+    pub(super) phase: ResidentPhase,
+    pub(super) memory: MemorySize,
+    pub(super) running: u32,
+    pub(super) load: Option<AbortHandle>,
+}
+
+/// The part of an engine's state that orders and requests change.
+#[derive(Debug)]
+pub(super) struct EngineHolding {
+    pub(super) boot: u64,
+    pub(super) fence: FenceNumber,
+    pub(super) role: EngineRole,
+    pub(super) size: MemorySize,
+    pub(super) replicas: IndexMap<ReplicaKey, HeldReplica>,
+    pub(super) cached: IndexMap<ReplicaKey, CacheTier>,
+    pub(super) orders: IndexMap<RecordId, OrderVerdict>,
+    pub(super) history: EngineHistory,
+}
+
+impl EngineHolding {
+    pub(super) fn new(size: MemorySize, cached: Vec<CachedCheckpoint>) -> Self {
+        let cached = cached
+            .into_iter()
+            .map(|checkpoint| (checkpoint.key, checkpoint.tier))
+            .collect();
+        Self {
+            boot: WallTime::now().0,
+            fence: FenceNumber::default(),
+            role: EngineRole::Serving,
+            size,
+            replicas: IndexMap::new(),
+            cached,
+            orders: IndexMap::new(),
+            history: EngineHistory::default(),
+        }
+    }
+
+    /// Forgets all but its cache and its history, as a restarted process does.
+    pub(super) fn reset(&mut self) {
+        self.history.crashes.push(CrashEntry {
+            at: WallTime::now(),
+            boot: self.boot,
+        });
+        for replica in self.replicas.values() {
+            if let Some(load) = &replica.load {
+                load.abort();
+            }
+        }
+        self.boot = WallTime::now().0.max(self.boot + 1);
+        self.fence = FenceNumber::default();
+        self.role = EngineRole::Serving;
+        self.replicas.clear();
+        self.orders.clear();
+        self.note_change();
+    }
+
+    /// Memory in use.
+    pub(super) fn used(&self) -> MemorySize {
+        self.replicas.values().map(|replica| replica.memory).sum()
+    }
+
+    /// Whether a replica answers requests.
+    pub(super) fn is_ready(&self, key: &ReplicaKey) -> bool {
+        self.replicas
+            .get(key)
+            .is_some_and(|replica| replica.phase == ResidentPhase::Ready)
+    }
+
+    /// Takes a request in, if its replica is ready; returns the engine's life.
+    pub(super) fn admit(&mut self, request: RequestId, key: &ReplicaKey) -> Option<u64> {
+        if !self.is_ready(key) {
+            self.history.not_run += 1;
+            return None;
+        }
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.running += 1;
+        }
+        self.run(request, key).received += 1;
+        Some(self.boot)
+    }
+
+    /// Lets a request go; an unloading replica goes with its last one.
+    pub(super) fn discharge(&mut self, key: &ReplicaKey) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        replica.running = replica.running.saturating_sub(1);
+        self.drop_idle();
+    }
+
+    /// The history of a request id.
+    pub(super) fn run(&mut self, request: RequestId, key: &ReplicaKey) -> &mut RunEntry {
+        self.history
+            .requests
+            .entry(request)
+            .or_insert_with(|| RunEntry {
+                key: key.clone(),
+                received: 0,
+                runs: 0,
+                imports: 0,
+                finished: 0,
+                cancelled: false,
+            })
+    }
+
+    /// Drops unloading replicas that nothing runs on.
+    pub(super) fn drop_idle(&mut self) {
+        let before = self.replicas.len();
+        self.replicas
+            .retain(|_, replica| replica.phase != ResidentPhase::Unloading || replica.running > 0);
+        if self.replicas.len() != before {
+            self.note_change();
+        }
+    }
+
+    /// The replicas as reported.
+    pub(super) fn resident(&self) -> Vec<ResidentReplica> {
+        self.replicas
+            .iter()
+            .map(|(key, replica)| ResidentReplica {
+                key: key.clone(),
+                phase: replica.phase,
+                memory: replica.memory,
+                running: replica.running,
+            })
+            .collect()
+    }
+
+    /// Writes down what is held now.
+    pub(super) fn note_change(&mut self) {
+        let memory = self.used();
+        let overcommitted = memory > self.size;
+        let entry = HoldingEntry {
+            at: WallTime::now(),
+            boot: self.boot,
+            memory,
+            overcommitted,
+            replicas: self.resident(),
+        };
+        self.history.peak_memory = self.history.peak_memory.max(memory);
+        self.history.overcommits += u32::from(overcommitted);
+        self.history.holdings.push(entry);
+    }
+}
--- /dev/null
+++ b/crates/ward-standin/src/engine/mod.rs
@@ -0,0 +1,75 @@
+//! A model engine.
+//!
+//! Memory is counted from what the engine truly holds, never from the orders'
+//! word. Whether an order that does not fit is refused or carried out and
+//! written down as an overcommit is a setting: refusing is what a careful
+//! engine does, recording lets a check see that nobody asks for it.
+
+mod answer;
+mod batch;
+mod completion;
+mod faults;
+mod generation;
+mod history;
+mod holding;
+mod load;
+mod order;
+mod resume;
+mod routes;
+mod settings;
+mod state;
+mod status;
+mod text;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ward_protocol::{BackendInfo, BackendKind};
+
+use crate::error::StandinError;
+use crate::register::register;
+use crate::server::{RunningStandin, bind, crash_switch, serve};
+use state::EngineState;
+
+pub use faults::EngineFaults;
+pub use history::{CrashEntry, EngineHistory, HoldingEntry, OrderCause, OrderEntry, RunEntry};
+pub use settings::{EngineSettings, MemoryRule};
+pub use text::{answer_text, answer_token};
+
+/// Starts model engines.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineStandin;
+
+impl EngineStandin {
+    /// Starts an engine in the present runtime and enters it in the host list.
+    ///
+    /// # Errors
+    /// When the address cannot be used or the host list does not take the entry.
+    pub async fn start(settings: EngineSettings) -> Result<RunningStandin, StandinError> {
+        let listen = settings.listen;
+        let listener = bind(listen).await?;
+        let hosts = settings.hosts;
+        let (switch, signals) = crash_switch();
+        let state = Arc::new(EngineState::new(settings, switch));
+        let router = routes::router(&state);
+        let crashed = state.clone();
+        let standin = serve(listener, router, signals, move || crashed.reset())
+            .map_err(|cause| StandinError::Listen(listen, cause))?;
+        if let Some(hosts) = hosts {
+            register(hosts, engine_info(&state.settings, standin.address)).await?;
+        }
+        Ok(standin)
+    }
+}
+
+fn engine_info(settings: &EngineSettings, address: SocketAddr) -> BackendInfo {
+    BackendInfo {
+        backend: settings.id.clone(),
+        kind: BackendKind::Engine,
+        zone: settings.zone.clone(),
+        address,
+        memory: settings.memory,
+        fencing: settings.fencing,
+        services: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/ward-standin/src/engine/order.rs
@@ -0,0 +1,189 @@
+//! Orders: load, unload, change role.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use viz::{Request, StatusCode};
+use ward_protocol::{
+    BackendOrder, EngineRole, FencingSupport, MemorySize, OrderKind, OrderRefusal, ReplicaKey,
+    ResidentPhase, WallTime,
+};
+
+use super::history::{OrderCause, OrderEntry};
+use super::holding::{EngineHolding, HeldReplica, OrderVerdict};
+use super::load::spawn_load;
+use super::settings::MemoryRule;
+use super::state::EngineState;
+use crate::server::{Answer, cut_answer, json_answer, lock, read_json};
+
+#[derive(Serialize)]
+struct TakenAnswer {
+    taken: bool,
+}
+
+/// Answers `POST /orders`.
+pub(super) async fn order(state: Arc<EngineState>, request: Request) -> Answer {
+    let order: BackendOrder = read_json(request).await?;
+    state.hang().await;
+    let verdict = take(&state, &order);
+    if state.take_one(|faults| &mut faults.lose_order_answers) {
+        return Ok(cut_answer());
+    }
+    Ok(match verdict {
+        Ok(()) => json_answer(StatusCode::OK, &TakenAnswer { taken: true }),
+        Err(refusal) => json_answer(StatusCode::CONFLICT, &refusal),
+    })
+}
+
+/// Takes an order, now or later.
+fn take(state: &Arc<EngineState>, order: &BackendOrder) -> OrderVerdict {
+    if let Some(verdict) = remember(state, order) {
+        note(state, order, OrderCause::Again, &verdict);
+        return verdict;
+    }
+    let faults = state.faults();
+    if let Some(delay) = faults.order_repeat_ms {
+        carry_out_later(state, order, delay, OrderCause::Repeated);
+    }
+    if faults.order_delay_ms > 0 {
+        carry_out_later(state, order, faults.order_delay_ms, OrderCause::Delayed);
+        return Ok(());
+    }
+    let verdict = carry_out(state, order, OrderCause::Received);
+    lock(&state.holding)
+        .orders
+        .insert(order.order, verdict.clone());
+    verdict
+}
+
+/// What was answered to the same order before; from now on it counts as seen.
+fn remember(state: &EngineState, order: &BackendOrder) -> Option<OrderVerdict> {
+    let mut holding = lock(&state.holding);
+    let known = holding.orders.get(&order.order).cloned();
+    if known.is_none() {
+        holding.orders.insert(order.order, Ok(()));
+    }
+    known
+}
+
+fn carry_out_later(
+    state: &Arc<EngineState>,
+    order: &BackendOrder,
+    delay_ms: u64,
+    cause: OrderCause,
+) {
+    let state = state.clone();
+    let order = order.clone();
+    let boot = lock(&state.holding).boot;
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        if lock(&state.holding).boot == boot {
+            // The sender has its answer already.
+            let _ = carry_out(&state, &order, cause);
+        }
+    });
+}
+
+fn carry_out(state: &Arc<EngineState>, order: &BackendOrder, cause: OrderCause) -> OrderVerdict {
+    let verdict = apply(state, order);
+    note(state, order, cause, &verdict);
+    verdict
+}
+
+fn note(state: &EngineState, order: &BackendOrder, cause: OrderCause, verdict: &OrderVerdict) {
+    let mut holding = lock(&state.holding);
+    let entry = OrderEntry {
+        at: WallTime::now(),
+        boot: holding.boot,
+        order: order.clone(),
+        cause,
+        refusal: verdict.clone().err(),
+    };
+    holding.history.orders.push(entry);
+}
+
+fn apply(state: &Arc<EngineState>, order: &BackendOrder) -> OrderVerdict {
+    let leaving = state.faults().leaving;
+    let mut holding = lock(&state.holding);
+    if state.settings.fencing == FencingSupport::Checks && order.fence < holding.fence {
+        return Err(OrderRefusal::Fenced {
+            newest: holding.fence,
+        });
+    }
+    holding.fence = holding.fence.max(order.fence);
+    match &order.kind {
+        OrderKind::Touch => Ok(()),
+        OrderKind::Load { .. } if leaving => Err(OrderRefusal::Leaving),
+        OrderKind::Load { key, memory } => load(state, &mut holding, key, *memory),
+        OrderKind::Unload { key } => {
+            unload(&mut holding, key);
+            Ok(())
+        }
+        OrderKind::Role { role } => {
+            change_role(&mut holding, *role);
+            Ok(())
+        }
+    }
+}
+
+fn load(
+    state: &Arc<EngineState>,
+    holding: &mut EngineHolding,
+    key: &ReplicaKey,
+    memory: MemorySize,
+) -> OrderVerdict {
+    if let Some(held) = holding.replicas.get(key) {
+        match held.phase {
+            ResidentPhase::Loading | ResidentPhase::Ready => return Ok(()),
+            ResidentPhase::Unloading | ResidentPhase::Failed => {}
+        }
+    }
+    if holding.role == EngineRole::Standby {
+        return Err(OrderRefusal::Memory);
+    }
+    if key.is_adapter() && !holding.is_ready(&key.base()) {
+        return Err(OrderRefusal::NoBase);
+    }
+    let held = holding.replicas.get(key).map(|held| held.memory);
+    let others = holding.used().saturating_sub(held.unwrap_or_default());
+    let fits = others.saturating_add(memory) <= holding.size;
+    if !fits && state.settings.memory_rule == MemoryRule::Refuse {
+        return Err(OrderRefusal::Memory);
+    }
+    let running = holding.replicas.get(key).map_or(0, |held| held.running);
+    let task = spawn_load(state, holding.boot, key, memory);
+    let replica = HeldReplica {
+        phase: ResidentPhase::Loading,
+        memory,
+        running,
+        load: Some(task),
+    };
+    holding.replicas.insert(key.clone(), replica);
+    holding.note_change();
+    Ok(())
+}
+
+/// Drains a replica and the adapters on top of it.
+fn unload(holding: &mut EngineHolding, key: &ReplicaKey) {
+    let gone = |held: &ReplicaKey| held == key || held.base() == *key;
+    for (_, replica) in holding.replicas.iter_mut().filter(|(held, _)| gone(held)) {
+        if let Some(load) = replica.load.take() {
+            load.abort();
+        }
+        replica.phase = ResidentPhase::Unloading;
+    }
+    holding.note_change();
+    holding.drop_idle();
+}
+
+fn change_role(holding: &mut EngineHolding, role: EngineRole) {
+    holding.role = role;
+    if role != EngineRole::Standby {
+        return;
+    }
+    let keys: Vec<_> = holding.replicas.keys().cloned().collect();
+    for key in keys {
+        unload(holding, &key);
+    }
+}
--- /dev/null
+++ b/crates/ward-standin/src/hosts/store.rs
@@ -0,0 +1,178 @@
+//! Loads from the weight store and how long they take.
+//!
+//! Loads of one kind share the store's speed: up to the number at full speed
+//! each runs alone, beyond it all slow down alike. Progress is counted in
+//! small steps, so that a load feels the ones that come and go beside it.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use ward_protocol::{BackendId, MemorySize, ReplicaKey, WallTime};
+
+use super::history::{HostsHistory, LoadEntry, LoadLevel};
+use super::{HostsFaults, StoreSettings};
+use crate::server::lock;
+
+const MODEL_STEP: Duration = Duration::from_millis(10);
+const ADAPTER_STEP: Duration = Duration::from_millis(1);
+const GIB_BYTES: f64 = 1_073_741_824.0;
+
+/// The store with its loads.
+#[derive(Debug)]
+pub(super) struct StoreState {
+    settings: StoreSettings,
+    core: Mutex<StoreCore>,
+}
+
+#[derive(Debug)]
+struct StoreCore {
+    models: u32,
+    adapters: u32,
+    next_start: Instant,
+    history: HostsHistory,
+}
+
+/// What an engine asks for.
+#[derive(Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct LoadRequest {
+    key: ReplicaKey,
+    engine: BackendId,
+    memory: MemorySize,
+}
+
+/// A load in flight; counted until dropped.
+struct LoadFlight<'a> {
+    store: &'a StoreState,
+    adapter: bool,
+    index: usize,
+}
+
+impl Drop for LoadFlight<'_> {
+    fn drop(&mut self) {
+        self.store
+            .change_level(self.adapter, |count| count.saturating_sub(1));
+    }
+}
+
+impl StoreState {
+    pub(super) fn new(settings: StoreSettings) -> Self {
+        let core = StoreCore {
+            models: 0,
+            adapters: 0,
+            next_start: Instant::now(),
+            history: HostsHistory::default(),
+        };
+        Self {
+            settings,
+            core: Mutex::new(core),
+        }
+    }
+
+    pub(super) fn history(&self) -> HostsHistory {
+        lock(&self.core).history.clone()
+    }
+
+    /// Ends when the bytes have arrived; false when the store went down before.
+    pub(super) async fn load(
+        &self,
+        request: LoadRequest,
+        faults: impl Fn() -> HostsFaults,
+    ) -> bool {
+        let adapter = request.key.is_adapter();
+        let mut left = self.full_speed_time(&request);
+        let index = self.note_asked(request);
+        if !adapter {
+            tokio::time::sleep_until(self.start_slot()).await;
+        }
+        let flight = self.take_off(adapter, index);
+        let step = if adapter { ADAPTER_STEP } else { MODEL_STEP };
+        while left > Duration::ZERO {
+            let begun = Instant::now();
+            let speed = self.speed(adapter) / faults().store_slow.max(f64::MIN_POSITIVE);
+            let rest = left.div_f64(speed);
+            tokio::time::sleep(rest.min(step)).await;
+            if faults().store_down {
+                return false;
+            }
+            left = left.saturating_sub(begun.elapsed().mul_f64(speed));
+        }
+        self.note_arrived(&flight);
+        true
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "sizes of models fit 52 bits")]
+    fn full_speed_time(&self, request: &LoadRequest) -> Duration {
+        if request.key.is_adapter() {
+            return self.settings.adapter.duration();
+        }
+        let gibibytes = request.memory.bytes() as f64 / GIB_BYTES;
+        self.settings.model_gib.duration().mul_f64(gibibytes)
+    }
+
+    /// When the next model load may start.
+    fn start_slot(&self) -> Instant {
+        let mut core = lock(&self.core);
+        let slot = core.next_start.max(Instant::now());
+        core.next_start = slot + self.settings.start_interval.duration();
+        slot
+    }
+
+    /// Share of the full speed that each load gets.
+    fn speed(&self, adapter: bool) -> f64 {
+        let core = lock(&self.core);
+        let (count, full) = if adapter {
+            (core.adapters, self.settings.adapter_loads)
+        } else {
+            (core.models, self.settings.model_loads)
+        };
+        (f64::from(full) / f64::from(count.max(1))).min(1.0)
+    }
+
+    fn take_off(&self, adapter: bool, index: usize) -> LoadFlight<'_> {
+        self.change_level(adapter, |count| count + 1);
+        LoadFlight {
+            store: self,
+            adapter,
+            index,
+        }
+    }
+
+    fn change_level(&self, adapter: bool, change: impl Fn(u32) -> u32) {
+        let mut core = lock(&self.core);
+        let count = if adapter {
+            &mut core.adapters
+        } else {
+            &mut core.models
+        };
+        *count = change(*count);
+        let level = LoadLevel {
+            at: WallTime::now(),
+            models: core.models,
+            adapters: core.adapters,
+        };
+        let history = &mut core.history;
+        history.levels.push(level);
+        history.peak_models = history.peak_models.max(level.models);
+        history.peak_adapters = history.peak_adapters.max(level.adapters);
+    }
+
+    fn note_asked(&self, request: LoadRequest) -> usize {
+        let loads = &mut lock(&self.core).history.loads;
+        loads.push(LoadEntry {
+            key: request.key,
+            engine: request.engine,
+            memory: request.memory,
+            asked: WallTime::now(),
+            arrived: None,
+        });
+        loads.len() - 1
+    }
+
+    fn note_arrived(&self, flight: &LoadFlight<'_>) {
+        if let Some(entry) = lock(&self.core).history.loads.get_mut(flight.index) {
+            entry.arrived = Some(WallTime::now());
+        }
+    }
+}
--- a/crates/ward-standin/src/lib.rs
+++ b/crates/ward-standin/src/lib.rs
@@ -1,1 +1,23 @@
-//! Under construction.
+//! Small stand-ins for the platform and for backend servers: the log service,
+//! the host list with the weight store, model engines, and plain services.
+//!
+//! Each listens on an address, takes faults over `POST /faults` while it runs,
+//! and answers `GET /history` with what a check needs. All start in the present
+//! runtime, so tests and the `ward-standin` program run the same code. They
+//! state the wire formats on their own and share no parsing with the clients,
+//! so that a slip in one of the two is noticed.
+
+pub mod engine;
+mod error;
+pub mod hosts;
+pub mod log;
+mod register;
+mod server;
+pub mod service;
+
+pub use engine::{EngineFaults, EngineHistory, EngineSettings, EngineStandin, MemoryRule};
+pub use error::StandinError;
+pub use hosts::{HostsFaults, HostsHistory, HostsSettings, HostsStandin, StoreSettings};
+pub use log::{LogFaults, LogHistory, LogSettings, LogStandin};
+pub use server::RunningStandin;
+pub use service::{ServiceFaults, ServiceHistory, ServiceSettings, ServiceStandin};
--- /dev/null
+++ b/crates/ward-standin/src/main.rs
@@ -0,0 +1,10 @@
+//! Runs one stand-in as a process.
+
+use std::process::ExitCode;
+
+mod command;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    command::run().await
+}
--- /dev/null
+++ b/crates/ward-standin/src/server/answer.rs
@@ -0,0 +1,93 @@
+//! Reading bodies and building answers, broken ones included.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, Full, Limited};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use viz::header::CONTENT_LENGTH;
+use viz::{Body, IntoResponse, Request, Response, ResponseExt, StatusCode};
+
+const BODY_BYTES: usize = 32 << 20;
+/// Time for the connection to send what precedes a cut.
+const FLUSH_TIME: Duration = Duration::from_millis(2);
+
+/// An answer that ends a handler early.
+pub(crate) type Refusal = Box<Response>;
+
+/// An answer; the error side is an answer, too.
+pub(crate) type Answer = Result<Response, Refusal>;
+
+/// Marks an answer that is never sent: the connection is cut instead.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CutMark;
+
+/// Reads a JSON body; the error is the answer to send.
+pub(crate) async fn read_json<T: DeserializeOwned>(request: Request) -> Result<T, Refusal> {
+    let bytes = read_bytes(request).await?;
+    serde_json::from_slice(&bytes).map_err(|cause| text_refusal(StatusCode::BAD_REQUEST, &cause))
+}
+
+/// Reads a whole body; the error is the answer to send.
+pub(crate) async fn read_bytes(request: Request) -> Result<Bytes, Refusal> {
+    let body = Limited::new(request.into_body(), BODY_BYTES);
+    let whole = BodyExt::collect(body)
+        .await
+        .map_err(|cause| text_refusal(StatusCode::PAYLOAD_TOO_LARGE, &cause))?;
+    Ok(whole.to_bytes())
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json_answer(status: StatusCode, value: &impl Serialize) -> Response {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => {
+            let mut answer = Response::with(Full::from(bytes), "application/json");
+            *answer.status_mut() = status;
+            answer
+        }
+        Err(cause) => (StatusCode::INTERNAL_SERVER_ERROR, cause.to_string()).into_response(),
+    }
+}
+
+/// An answer without a body.
+pub(crate) fn status_answer(status: StatusCode) -> Response {
+    status.into_response()
+}
+
+/// A refusal without a body.
+pub(crate) fn refusal(status: StatusCode) -> Refusal {
+    Box::new(status_answer(status))
+}
+
+fn text_refusal(status: StatusCode, cause: &impl ToString) -> Refusal {
+    Box::new((status, cause.to_string()).into_response())
+}
+
+/// Cuts the connection in place of an answer.
+pub(crate) fn cut_answer() -> Response {
+    let mut answer = Response::empty();
+    answer.extensions_mut().insert(CutMark);
+    answer
+}
+
+/// Sends the head and the first half of a body, then cuts the connection.
+pub(crate) async fn truncated_answer(answer: Response) -> Response {
+    let (mut head, body) = answer.into_parts();
+    let Ok(whole) = BodyExt::collect(body).await else {
+        return cut_answer();
+    };
+    let bytes = whole.to_bytes();
+    head.headers.insert(CONTENT_LENGTH, bytes.len().into());
+    let half = bytes.slice(..bytes.len() / 2);
+    let parts = stream::iter([Ok(half)]).chain(stream::once(async { Err(cut_error().await) }));
+    Response::from_parts(head, Body::from_stream(parts))
+}
+
+/// An error that cuts the connection, after what precedes it was sent.
+pub(crate) async fn cut_error() -> io::Error {
+    tokio::time::sleep(FLUSH_TIME).await;
+    io::ErrorKind::ConnectionReset.into()
+}
--- /dev/null
+++ b/crates/ward-standin/src/server/listener.rs
@@ -0,0 +1,174 @@
+//! Accepts connections until stopped, and can crash and come back.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use hyper::body::Incoming;
+use hyper::service::{Service, service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use quick_error::quick_error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use viz::{Request, Responder, Response, Router, Tree};
+
+use super::answer::CutMark;
+use crate::error::StandinError;
+
+const HEADER_TIME: Duration = Duration::from_secs(10);
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+const CRASH_QUEUE: usize = 4;
+
+quick_error! {
+    #[derive(Debug)]
+    enum ServeError {
+        Cut {
+            display("the connection is cut on purpose")
+        }
+        Never(cause: Infallible) {
+            from()
+            display("{cause}")
+        }
+    }
+}
+
+/// A stand-in that serves until it is stopped or dropped.
+#[derive(Debug)]
+pub struct RunningStandin {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: oneshot::Sender<()>,
+}
+
+impl RunningStandin {
+    /// Closes the listener and drops every connection.
+    pub fn stop(self) {
+        // The accept loop may have ended by itself.
+        let _ = self.stop.send(());
+    }
+
+    /// Ends when the stand-in does.
+    pub async fn ended(mut self) {
+        self.stop.closed().await;
+    }
+}
+
+/// Crashes a server from inside one of its handlers.
+#[derive(Debug, Clone)]
+pub(crate) struct CrashSwitch {
+    sender: mpsc::Sender<Duration>,
+}
+
+impl CrashSwitch {
+    /// Drops every connection and refuses new ones for a time.
+    pub(crate) fn crash(&self, downtime: Duration) {
+        // A full queue means that a crash is under way.
+        let _ = self.sender.try_send(downtime);
+    }
+}
+
+/// What a server waits for.
+#[derive(Debug)]
+pub(crate) struct ServerSignals {
+    crash: mpsc::Receiver<Duration>,
+}
+
+/// A switch and what it acts on.
+pub(crate) fn crash_switch() -> (CrashSwitch, ServerSignals) {
+    let (sender, crash) = mpsc::channel(CRASH_QUEUE);
+    (CrashSwitch { sender }, ServerSignals { crash })
+}
+
+/// Binds a listener.
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener, StandinError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| StandinError::Listen(address, cause))
+}
+
+/// Serves a router until stopped; `crashed` runs once a crash has dropped all connections.
+pub(crate) fn serve(
+    listener: TcpListener,
+    router: Router,
+    mut signals: ServerSignals,
+    crashed: impl Fn() + Send + 'static,
+) -> io::Result<RunningStandin> {
+    let address = listener.local_addr()?;
+    let (stop, mut stopped) = oneshot::channel();
+    let tree = Arc::new(Tree::from(router));
+    tokio::spawn(async move {
+        let mut listener = listener;
+        loop {
+            let Some(downtime) = accept(listener, &tree, &mut signals, &mut stopped).await else {
+                return;
+            };
+            crashed();
+            tokio::time::sleep(downtime).await;
+            listener = rebind(address).await;
+        }
+    });
+    Ok(RunningStandin { address, stop })
+}
+
+/// Accepts until a crash, whose downtime is returned, or a stop.
+async fn accept(
+    listener: TcpListener,
+    tree: &Arc<Tree>,
+    signals: &mut ServerSignals,
+    stopped: &mut oneshot::Receiver<()>,
+) -> Option<Duration> {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            // A dropped handle stops the server, too.
+            _ = &mut *stopped => return None,
+            Some(downtime) = signals.crash.recv() => {
+                connections.shutdown().await;
+                return Some(downtime);
+            }
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => {
+                    connections.spawn(connection(stream, peer, tree.clone()));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+        }
+    }
+}
+
+async fn rebind(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, peer: SocketAddr, tree: Arc<Tree>) {
+    // Without the option small answers wait for the peer's acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let responder = Responder::new(tree, Some(peer));
+    let service = service_fn(move |request: Request<Incoming>| {
+        responder.call(request).map(|result| refuse_cut(result?))
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIME)
+        .serve_connection(TokioIo::new(stream), service);
+    // A connection that breaks is the peer's business.
+    let _ = served.await;
+}
+
+fn refuse_cut(answer: Response) -> Result<Response, ServeError> {
+    if answer.extensions().get::<CutMark>().is_some() {
+        return Err(ServeError::Cut);
+    }
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/ward-standin/src/service/routes.rs
@@ -0,0 +1,140 @@
+//! HTTP routes of a plain service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde_json::json;
+use viz::header::HeaderValue;
+use viz::{Request, RequestExt, Response, Router, StatusCode};
+use ward_protocol::{RequestId, ServiceName, WallTime};
+
+use super::ServiceState;
+use super::history::CallEntry;
+use crate::server::{
+    Answer, Refusal, control_routes, cut_answer, handler, json_answer, lock, read_bytes, refusal,
+    truncated_answer,
+};
+
+const REQUEST_ID: &str = "x-request-id";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// All routes of a plain service.
+pub(super) fn router(state: &Arc<ServiceState>) -> Router {
+    let router = Router::new()
+        .any("/services/:name", handler(state, call))
+        .any("/services/:name/*", handler(state, call));
+    control_routes(
+        router,
+        state,
+        |state| &state.faults,
+        |state| lock(&state.history).clone(),
+    )
+}
+
+async fn call(state: Arc<ServiceState>, request: Request) -> Answer {
+    let name: ServiceName = request
+        .param("name")
+        .map_err(|_| refusal(StatusCode::NOT_FOUND))?;
+    if !state.settings.services.contains(&name) {
+        return Err(refusal(StatusCode::NOT_FOUND));
+    }
+    let mut entry = entry(&request);
+    let body = read_bytes(request).await?;
+    entry.bytes = body.len() as u64;
+    before_effect(&state).await?;
+    let (index, run) = take_effect(&state, entry.clone());
+    after_effect(&state).await?;
+    let answer = answer(&state, &entry, &body, run);
+    if state.take_one(|faults| &mut faults.truncate_answers) {
+        return Ok(truncated_answer(answer).await);
+    }
+    if let Some(entry) = lock(&state.history).calls.get_mut(index) {
+        entry.answered = true;
+    }
+    Ok(answer)
+}
+
+fn entry(request: &Request) -> CallEntry {
+    CallEntry {
+        at: WallTime::now(),
+        call: format!("{} {}", request.method(), request.uri()),
+        request: request
+            .header::<_, String>(REQUEST_ID)
+            .and_then(|text| text.parse().ok()),
+        key: request.header(IDEMPOTENCY_KEY),
+        bytes: 0,
+        answered: false,
+    }
+}
+
+async fn before_effect(state: &ServiceState) -> Result<(), Refusal> {
+    if state.faults().down {
+        return Err(Box::new(cut_answer()));
+    }
+    if state.take_one(|faults| &mut faults.crash_before_effect) {
+        return crash(state).await;
+    }
+    Ok(())
+}
+
+/// Writes the call down; returns its place and how often it has run.
+fn take_effect(state: &ServiceState, entry: CallEntry) -> (usize, u32) {
+    let mut history = lock(&state.history);
+    let mut run = 1;
+    if let Some(request) = entry.request {
+        let runs = history.runs_by_request.entry(request).or_default();
+        *runs += 1;
+        run = run.max(*runs);
+    }
+    if let Some(key) = &entry.key {
+        let runs = history.runs_by_key.entry(key.clone()).or_default();
+        *runs += 1;
+        run = run.max(*runs);
+    }
+    history.calls.push(entry);
+    (history.calls.len() - 1, run)
+}
+
+async fn after_effect(state: &ServiceState) -> Result<(), Refusal> {
+    if state.take_one(|faults| &mut faults.crash_after_effect) {
+        return crash(state).await;
+    }
+    tokio::time::sleep(Duration::from_millis(state.faults().slow_ms)).await;
+    if state.take_one(|faults| &mut faults.lose_answers) {
+        return Err(Box::new(cut_answer()));
+    }
+    if state.take_one(|faults| &mut faults.fail_answers) {
+        return Err(refusal(StatusCode::INTERNAL_SERVER_ERROR));
+    }
+    Ok(())
+}
+
+/// Crashes, and lets the caller wait for the connection to break.
+async fn crash(state: &ServiceState) -> Result<(), Refusal> {
+    state
+        .switch
+        .crash(Duration::from_millis(state.faults().downtime_ms));
+    std::future::pending().await
+}
+
+fn answer(state: &ServiceState, entry: &CallEntry, body: &Bytes, run: u32) -> Response {
+    let mut request = entry.request;
+    if state.take_one(|faults| &mut faults.wrong_ids) {
+        request = request.map(|id| RequestId(!id.0));
+    }
+    let digest = blake3::hash(body).to_hex();
+    let content = json!({
+        "request": request,
+        "call": entry.call,
+        "key": entry.key,
+        "run": run,
+        "body": digest.as_str(),
+    });
+    let mut answer = json_answer(StatusCode::OK, &content);
+    let echoed = request.and_then(|id| HeaderValue::from_str(&id.to_string()).ok());
+    if let Some(echoed) = echoed {
+        answer.headers_mut().insert(REQUEST_ID, echoed);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/ward-test-support/src/golden.rs
@@ -0,0 +1,85 @@
+//! Golden files.
+
+use std::env;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use quick_error::quick_error;
+
+/// Set to any value, golden files are rewritten instead of compared.
+pub const REWRITE_VARIABLE: &str = "WARD_REWRITE_GOLDEN";
+
+quick_error! {
+    /// A text that is not the golden one.
+    #[derive(Debug)]
+    pub enum GoldenError {
+        /// The file cannot be read or written.
+        File(path: PathBuf, cause: io::Error) {
+            display("{}: {cause}; set {REWRITE_VARIABLE}=1 to write it", path.display())
+            source(cause)
+        }
+        /// A line differs.
+        Line(path: PathBuf, number: usize, wanted: String, found: String) {
+            display(
+                "{}:{number}: expected {wanted:?}, found {found:?}; set {REWRITE_VARIABLE}=1 if the change is meant",
+                path.display()
+            )
+        }
+    }
+}
+
+/// Compares a text with a golden file, or writes it if the variable is set.
+///
+/// # Errors
+/// When the file cannot be used, or at the first line that differs.
+pub fn check_golden(path: impl AsRef<Path>, text: &str) -> Result<(), GoldenError> {
+    let path = path.as_ref();
+    if env::var_os(REWRITE_VARIABLE).is_some() {
+        return write(path, text).map_err(|cause| GoldenError::File(path.to_owned(), cause));
+    }
+    let golden =
+        fs::read_to_string(path).map_err(|cause| GoldenError::File(path.to_owned(), cause))?;
+    compare(path, &golden, text)
+}
+
+/// Ends the test unless a text is the golden one.
+///
+/// # Panics
+/// When [`check_golden`] fails.
+#[track_caller]
+pub fn assert_golden(path: impl AsRef<Path>, text: &str) {
+    if let Err(error) = check_golden(path, text) {
+        panic!("{error}");
+    }
+}
+
+fn write(path: &Path, text: &str) -> io::Result<()> {
+    if let Some(folder) = path.parent() {
+        fs::create_dir_all(folder)?;
+    }
+    fs::write(path, text)
+}
+
+fn compare(path: &Path, golden: &str, text: &str) -> Result<(), GoldenError> {
+    if golden == text {
+        return Ok(());
+    }
+    let mut wanted = golden.split('\n');
+    let mut found = text.split('\n');
+    let mut number = 1;
+    loop {
+        match (wanted.next(), found.next()) {
+            (Some(wanted), Some(found)) if wanted == found => number += 1,
+            (wanted, found) => {
+                let shown = |line: Option<&str>| line.unwrap_or("end of text").to_owned();
+                return Err(GoldenError::Line(
+                    path.to_owned(),
+                    number,
+                    shown(wanted),
+                    shown(found),
+                ));
+            }
+        }
+    }
+}
--- a/crates/ward-test-support/src/lib.rs
+++ b/crates/ward-test-support/src/lib.rs
@@ -1,1 +1,13 @@
-//! Under construction.
+//! Helpers for the tests of several crates: a whole set of stand-ins in the
+//! test's own process, their faults and histories, and golden files.
+//!
+//! Failures here end a test, so the helpers return errors that a test can
+//! unwrap; none of this is linked into the daemons.
+
+mod control;
+mod golden;
+mod set;
+
+pub use control::{ControlError, StandinControl};
+pub use golden::{GoldenError, REWRITE_VARIABLE, assert_golden, check_golden};
+pub use set::{SetSettings, StandinSet, engine_settings, service_settings};
