--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -83,7 +83,7 @@
 #[derive(Debug)]
 pub(crate) enum AttemptEnd {
     /// The answer has begun.
-    Answered(BackendAnswer),
+    Answered(Box<BackendAnswer>),
     /// It did not run: it was not sent, or the backend server said so.
     NotRun,
     /// Its deadline passed before it was sent.
@@ -114,7 +114,7 @@
             core.room.avoid(backend);
             AttemptEnd::NotRun
         }
-        Ok(answer) => AttemptEnd::Answered(answer),
+        Ok(answer) => AttemptEnd::Answered(Box::new(answer)),
         Err(CallError::Expired) => AttemptEnd::Expired,
         Err(error) if error.is_unsent() => {
             info!(core.logger, "traffic: backend server not reached";
@@ -150,9 +150,9 @@
 pub(crate) fn broken_report(error: &CallError) -> ProblemReport {
     let code = match error {
         CallError::Lost(_) => ResultCode::BackendLost,
-        CallError::TimedOut => ResultCode::BackendFailed,
         CallError::WrongId | CallError::Unframed | CallError::TooLarge => ResultCode::AnswerInvalid,
-        CallError::Connect(_)
+        CallError::TimedOut
+        | CallError::Connect(_)
         | CallError::NotSent
         | CallError::Expired
         | CallError::Malformed(_) => ResultCode::BackendFailed,
--- a/crates/ward-traffic/src/forward/whole.rs
+++ b/crates/ward-traffic/src/forward/whole.rs
@@ -109,9 +109,10 @@
         return Err(CallError::Unframed);
     }
     let head = serde_json::from_slice::<AnswerHead<'_>>(body).map_err(|_| CallError::WrongId)?;
-    match head.id.parse() == Ok(request) {
-        true => Ok(()),
-        false => Err(CallError::WrongId),
+    if head.id.parse() == Ok(request) {
+        Ok(())
+    } else {
+        Err(CallError::WrongId)
     }
 }
 
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -125,7 +125,7 @@
                 let relay = StreamRelay::new(Arc::clone(core), call, true, grant, guard, body);
                 return Ok(relay_response(relay));
             }
-            AttemptEnd::Answered(answer) => match finish_whole(&call, answer).await {
+            AttemptEnd::Answered(answer) => match finish_whole(&call, *answer).await {
                 Ok(response) => {
                     guard.disarm();
                     return Ok(response);
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -11,7 +11,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use slog::warn;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use viz::Body;
 use ward_backend::request::{BackendAnswer, CallError};
 use ward_protocol::{IdempotencyKey, RequestFingerprint, RequestId, ResultCode};
@@ -29,6 +29,8 @@
 
 /// How long an answer waits for its record before it goes to the caller.
 const RECORD_WAIT: Duration = Duration::from_millis(500);
+/// How long an answer may go on after its beginning when the time limit is shorter.
+const LONGEST_RUN: Duration = Duration::from_secs(60);
 
 /// A call that may not be repeated.
 #[derive(Debug)]
@@ -75,16 +77,8 @@
         }
     }
 
-    async fn whole(
-        &self,
-        core: &TrafficCore,
-        answer: BackendAnswer,
-    ) -> Result<WholeAnswer, CallError> {
-        let by = self
-            .terms()
-            .deadline
-            .max(tokio::time::Instant::now() + LONGEST_RUN);
-        let _ = core;
+    async fn whole(&self, answer: BackendAnswer) -> Result<WholeAnswer, CallError> {
+        let by = self.terms().deadline.max(Instant::now() + LONGEST_RUN);
         let checked = match self {
             Self::Model(call) if !is_event_stream(&answer.headers) => Some(call.request),
             Self::Model(_) | Self::Service(_) => None,
@@ -93,9 +87,6 @@
     }
 }
 
-/// How long a call may run on after its caller's time limit.
-const LONGEST_RUN: Duration = Duration::from_secs(60);
-
 /// Runs a call at most once under its key, also when the caller leaves.
 ///
 /// # Errors
@@ -153,7 +144,7 @@
         note_start(core, &task.terms(), &grant, cold);
         match task.attempt(core, &grant).await {
             AttemptEnd::Answered(answer) => {
-                return match task.whole(core, answer).await {
+                return match task.whole(*answer).await {
                     Ok(whole) => Ok(record(core, key, whole).await),
                     Err(error) => Err(doubt(core, key, task, &error).await),
                 };
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -125,7 +125,7 @@
         }
         let error = match attempt_service(core, &call, &grant).await {
             AttemptEnd::Answered(answer) => {
-                match read_whole(answer, None, call.terms.deadline).await {
+                match read_whole(*answer, None, call.terms.deadline).await {
                     Ok(whole) => return Ok(whole_response(whole)),
                     Err(error) => error,
                 }
--- a/crates/ward-traffic/src/metrics.rs
+++ b/crates/ward-traffic/src/metrics.rs
@@ -113,9 +113,10 @@
             Some(_) => "model",
             None => "service",
         };
-        let histogram = match start.cold {
-            true => &self.cold_start,
-            false => &self.queue_wait,
+        let histogram = if start.cold {
+            &self.cold_start
+        } else {
+            &self.queue_wait
         };
         histogram
             .with_label_values(&[kind, &start.priority.to_string()])
--- a/crates/ward-traffic/src/room/wait_room.rs
+++ b/crates/ward-traffic/src/room/wait_room.rs
@@ -97,7 +97,7 @@
         if !ahead && let Some(grant) = self.grant(&mut state, &view, &request, now) {
             return Ok(EntryResult::Granted(grant));
         }
-        self.check(&view, &request)?;
+        check(&view, &request)?;
         let order = state.next_order(&request);
         let displaced = self.make_room(&mut state, order)?;
         let (sender, receiver) = oneshot::channel();
@@ -134,7 +134,7 @@
         state.slots.forgive(now);
         let mut deliveries = Vec::new();
         for target in state.targets() {
-            deliveries.extend(self.refuse_hopeless(&mut state, &view, &target));
+            deliveries.extend(refuse_hopeless(&mut state, &view, &target));
         }
         for target in state.targets() {
             deliveries.extend(self.serve(&mut state, &view, &target, now));
@@ -165,9 +165,10 @@
         let view = self.view();
         let mut state = self.lock();
         state.slots.give(target, backend, suspect);
-        let targets = match suspect {
-            true => state.targets(),
-            false => vec![target.clone()],
+        let targets = if suspect {
+            state.targets()
+        } else {
+            vec![target.clone()]
         };
         let mut deliveries = Vec::new();
         for target in targets {
@@ -185,14 +186,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn check(&self, view: &RoutingView, request: &WaitRequest) -> Result<(), ProblemReport> {
-        let deadline = request.terms.wall_deadline;
-        match outlook_for(view, &request.target, deadline, WallTime::now()) {
-            Outlook::Wait => Ok(()),
-            Outlook::Refuse(report) => Err(report),
-        }
-    }
-
     fn make_room(
         &self,
         state: &mut RoomState,
@@ -272,52 +265,6 @@
         deliveries
     }
 
-    /// Refuses what can no longer start in time and moves what lost its version.
-    fn refuse_hopeless(
-        &self,
-        state: &mut RoomState,
-        view: &RoutingView,
-        target: &RowTarget,
-    ) -> Vec<WaitDelivery> {
-        let mut deliveries = Vec::new();
-        let withdrawn = is_withdrawn(view, target);
-        for order in state.orders(target) {
-            let Some(mut request) = state.request(target, order) else {
-                continue;
-            };
-            let result = match withdrawn {
-                true => self.redirect(view, &mut request),
-                false => self.check(view, &request),
-            };
-            let moved = request.target != *target;
-            if result.is_ok() && !moved {
-                continue;
-            }
-            let Some(waiter) = state.remove(target, order) else {
-                continue;
-            };
-            let sender = waiter.sender;
-            match result {
-                Ok(()) => state.insert(order, Waiter { request, sender }),
-                Err(report) => deliveries.push(WaitDelivery {
-                    sender,
-                    result: Err(report),
-                }),
-            }
-        }
-        deliveries
-    }
-
-    fn redirect(&self, view: &RoutingView, request: &mut WaitRequest) -> Result<(), ProblemReport> {
-        let reference = request.reference.as_ref();
-        let Some(reference) = reference.filter(|reference| reference.version.is_none()) else {
-            let detail = format!("{} was taken out of the plan", request.target);
-            return Err(ProblemReport::refused(ResultCode::Withdrawn, detail));
-        };
-        request.target = RowTarget::Replica(resolve_model(view, reference)?);
-        self.check(view, request)
-    }
-
     fn send_wanted(&self, hints: Vec<WakeHint>, only: Option<&RowTarget>) {
         for hint in hints {
             let chosen = only.is_none_or(|target| *target == RowTarget::Replica(hint.key.clone()));
@@ -343,3 +290,57 @@
         RowTarget::Service(_) => !view.catalog.rows.contains_key(target),
     }
 }
+
+fn check(view: &RoutingView, request: &WaitRequest) -> Result<(), ProblemReport> {
+    let deadline = request.terms.wall_deadline;
+    match outlook_for(view, &request.target, deadline, WallTime::now()) {
+        Outlook::Wait => Ok(()),
+        Outlook::Refuse(report) => Err(report),
+    }
+}
+
+fn redirect(view: &RoutingView, request: &mut WaitRequest) -> Result<(), ProblemReport> {
+    let reference = request.reference.as_ref();
+    let Some(reference) = reference.filter(|reference| reference.version.is_none()) else {
+        let detail = format!("{} was taken out of the plan", request.target);
+        return Err(ProblemReport::refused(ResultCode::Withdrawn, detail));
+    };
+    request.target = RowTarget::Replica(resolve_model(view, reference)?);
+    check(view, request)
+}
+
+/// Refuses what can no longer start in time and moves what lost its version.
+fn refuse_hopeless(
+    state: &mut RoomState,
+    view: &RoutingView,
+    target: &RowTarget,
+) -> Vec<WaitDelivery> {
+    let mut deliveries = Vec::new();
+    let withdrawn = is_withdrawn(view, target);
+    for order in state.orders(target) {
+        let Some(mut request) = state.request(target, order) else {
+            continue;
+        };
+        let result = if withdrawn {
+            redirect(view, &mut request)
+        } else {
+            check(view, &request)
+        };
+        let moved = request.target != *target;
+        if result.is_ok() && !moved {
+            continue;
+        }
+        let Some(waiter) = state.remove(target, order) else {
+            continue;
+        };
+        let sender = waiter.sender;
+        match result {
+            Ok(()) => state.insert(order, Waiter { request, sender }),
+            Err(report) => deliveries.push(WaitDelivery {
+                sender,
+                result: Err(report),
+            }),
+        }
+    }
+    deliveries
+}
--- a/crates/ward-traffic/src/server/connection.rs
+++ b/crates/ward-traffic/src/server/connection.rs
@@ -30,12 +30,11 @@
         ended = &mut served => Some(ended),
         _ = phase.wait_for(|phase| *phase == ServerPhase::Closing) => None,
     };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            served.as_mut().graceful_shutdown();
-            served.await
-        }
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        served.as_mut().graceful_shutdown();
+        served.await
     };
     if let Err(error) = ended {
         debug!(core.logger, "traffic: connection ended"; "cause" => %error);
--- a/crates/ward-traffic/src/server/routes.rs
+++ b/crates/ward-traffic/src/server/routes.rs
@@ -132,9 +132,10 @@
         let detail = format!("{path} does not take {method}");
         return ProblemReport::refused(ResultCode::MethodNotAllowed, detail);
     }
-    let detail = match path.starts_with(SERVICES) {
-        true => "the address names no service".to_owned(),
-        false => format!("there is nothing at {path}"),
+    let detail = if path.starts_with(SERVICES) {
+        "the address names no service".to_owned()
+    } else {
+        format!("there is nothing at {path}")
     };
     ProblemReport::refused(ResultCode::UnknownPath, detail)
 }
--- a/crates/ward-traffic/src/target.rs
+++ b/crates/ward-traffic/src/target.rs
@@ -25,9 +25,10 @@
     };
     if let Some(version) = &reference.version {
         let key = key_of(reference, version);
-        return match is_active(&view.catalog, &key) {
-            true => Ok(key),
-            false => Err(withdrawn(reference)),
+        return if is_active(&view.catalog, &key) {
+            Ok(key)
+        } else {
+            Err(withdrawn(reference))
         };
     }
     entry
--- a/crates/ward-traffic/tests/support/caller.rs
+++ b/crates/ward-traffic/tests/support/caller.rs
@@ -150,13 +150,11 @@
     let mut bytes = Vec::new();
     let mut whole = true;
     while let Some(frame) = incoming.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-            Err(_) => {
-                whole = false;
-                break;
-            }
-        }
+        let Ok(frame) = frame else {
+            whole = false;
+            break;
+        };
+        bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
     }
     CallerAnswer {
         status: parts.status,
--- a/crates/ward-traffic/tests/support/mod.rs
+++ b/crates/ward-traffic/tests/support/mod.rs
@@ -1,6 +1,12 @@
 //! Fakes at the edges of traffic: backend servers, views, the log of calls.
 
-#![allow(dead_code, unused_imports, clippy::unwrap_used, clippy::expect_used)]
+#![allow(
+    dead_code,
+    unreachable_pub,
+    unused_imports,
+    clippy::unwrap_used,
+    clippy::expect_used
+)]
 
 mod backend;
 mod caller;
