ward-daemon: the parts wired into one process

Cause: the thin path needs the crates joined: a control thread with its I/O, a runtime for callers and operators, and a planned stop. Ruled out: control I/O on the traffic runtime (a burst of callers would delay the renewal of the lease).

--- a/crates/ward-backend/src/request/mod.rs
+++ b/crates/ward-backend/src/request/mod.rs
@@ -4,7 +4,7 @@
 //! known. A ready-made pooled client repeats a request that it finds cancelled
 //! on a reused connection and tells nobody; setting that off would still not
 //! tell whether a failed request had left the process. Here every connection
-//! carries a [`gate`] that sees each write: a request whose gate was shut before
+//! carries a `gate` that sees each write: a request whose gate was shut before
 //! its first byte was certainly not sent, whatever the error was. The gate also
 //! looks at the deadline right before that first byte.
 
--- /dev/null
+++ b/crates/ward-daemon/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! The control thread: the core, its clock, and the I/O that it asks for.
+
+pub mod act;
+pub mod handle;
+pub mod metrics;
+pub mod ring;
+pub mod thread;
+
+pub use handle::{ControlHandle, ControlInput};
+pub use metrics::ControlMetrics;
+pub use thread::{ControlParts, run_control};
--- /dev/null
+++ b/crates/ward-daemon/src/control/thread.rs
@@ -0,0 +1,229 @@
+//! The control thread's loop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval};
+use ward_control::{ControlAction, ControlCore, ControlEvent};
+use ward_peer::{
+    DatagramSocket, LevelReport, PeerAnswer, PeerRequest, StateAnswer, StateRequest, serve_peers,
+};
+use ward_protocol::{LogOffset, PlanRevision, ViewMode, WallTime};
+
+use super::act::{ActionPorts, ActionRunner, ProcessClock};
+use super::handle::{ControlEnds, ControlHandle, ControlInput, MemberLife, MemberLives};
+use super::metrics::ControlMetrics;
+use super::ring::SharedRings;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the control thread is made of.
+pub struct ControlParts {
+    /// Makes the decisions.
+    pub core: ControlCore,
+    /// The clock with which the core was made.
+    pub clock: ProcessClock,
+    /// Carries out actions.
+    pub ports: ActionPorts,
+    /// Receives other daemons' datagrams.
+    pub socket: DatagramSocket,
+    /// Accepts other daemons' requests for state.
+    pub listener: TcpListener,
+    /// Reaches this thread.
+    pub handle: ControlHandle,
+    /// The thread's ends of the channels.
+    pub ends: ControlEnds,
+    /// What it costs.
+    pub metrics: ControlMetrics,
+    /// The newest records read.
+    pub rings: SharedRings,
+    /// Where lines go.
+    pub logger: Logger,
+}
+
+/// Runs the control loop until it is told to quit; called on a thread of its
+/// own, within a current-thread runtime.
+///
+/// It goes on after the daemon has left, since requests that still run need
+/// fresh views.
+pub async fn run_control(parts: ControlParts) {
+    LocalSet::new().run_until(Box::pin(run_local(parts))).await;
+}
+
+async fn run_local(parts: ControlParts) {
+    let rings = parts.rings;
+    let hints = parts.handle.clone();
+    spawn_local(
+        parts
+            .socket
+            .run(move |envelope| hints.hint(ControlEvent::Peer { envelope })),
+    );
+    let peers = parts.handle.clone();
+    let keys = parts.ports.keys.clone();
+    let answer = answer_with(peers, rings.clone());
+    spawn_local(serve_peers(
+        parts.listener,
+        keys,
+        parts.logger.clone(),
+        answer,
+    ));
+    let runner = ActionRunner {
+        ports: parts.ports,
+        handle: parts.handle,
+        clock: parts.clock,
+        rings,
+        metrics: parts.metrics,
+        logger: parts.logger,
+    };
+    let control = ControlLoop {
+        core: parts.core,
+        ends: parts.ends,
+        runner,
+        member_version: None,
+    };
+    control.run().await;
+}
+
+/// Answers peers: with the records that they lack, the whole state, or the level.
+fn answer_with(
+    handle: ControlHandle,
+    rings: SharedRings,
+) -> impl Fn(PeerRequest) -> BoxFuture<'static, PeerAnswer> + Send + Sync + 'static {
+    move |request| {
+        let handle = handle.clone();
+        match request {
+            PeerRequest::Level => async move { PeerAnswer::Level(level(&handle).await) }.boxed(),
+            PeerRequest::State(request) => {
+                let records = rings.after(request);
+                async move {
+                    match records {
+                        Some(records) => PeerAnswer::State(StateAnswer::Records(records)),
+                        None => PeerAnswer::State(whole_state(&handle, request).await),
+                    }
+                }
+                .boxed()
+            }
+        }
+    }
+}
+
+async fn level(handle: &ControlHandle) -> LevelReport {
+    let look = |core: &mut ControlCore| LevelReport {
+        applied: core.state().applied(),
+        adopted: core.state().adopted(),
+    };
+    let none = LevelReport {
+        applied: LogOffset::ZERO,
+        adopted: PlanRevision::default(),
+    };
+    handle.ask(look).await.unwrap_or(none)
+}
+
+async fn whole_state(handle: &ControlHandle, request: StateRequest) -> StateAnswer {
+    let encode = move |core: &mut ControlCore| {
+        let state = core.state();
+        let newer = state.applied() > request.applied;
+        newer.then(|| state.encode().ok()).flatten()
+    };
+    match handle.ask(encode).await.flatten() {
+        Some(bytes) => StateAnswer::Snapshot(bytes),
+        None => StateAnswer::Nothing,
+    }
+}
+
+struct ControlLoop {
+    core: ControlCore,
+    ends: ControlEnds,
+    runner: ActionRunner,
+    member_version: Option<u64>,
+}
+
+impl ControlLoop {
+    async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => self.step(ControlEvent::Tick),
+                input = self.ends.inputs.recv() => match input {
+                    Some(ControlInput::Event(event)) => self.step(event),
+                    Some(ControlInput::Query(query)) => query(&mut self.core),
+                    Some(ControlInput::Quit) | None => return,
+                },
+            }
+        }
+    }
+
+    fn step(&mut self, event: ControlEvent) {
+        let timer = self.runner.metrics.step_seconds.start_timer();
+        let now = self.runner.clock.now();
+        let actions = self.core.step(now, WallTime::now(), event);
+        for action in actions {
+            self.act(action);
+        }
+        timer.observe_duration();
+    }
+
+    fn act(&mut self, action: ControlAction) {
+        match action {
+            ControlAction::Publish => self.publish(),
+            ControlAction::Stopped => {
+                info!(self.runner.logger, "control: left");
+                self.ends.stopped.send_replace(true);
+            }
+            action => self.runner.run(action),
+        }
+    }
+
+    fn publish(&mut self) {
+        let view = Arc::new(self.core.view());
+        let metrics = &self.runner.metrics;
+        metrics.mode.set(mode_number(view.mode));
+        metrics.applied_offset.set(gauge(view.applied.0));
+        metrics.plan_revision.set(gauge(view.catalog.revision.0));
+        metrics
+            .members
+            .set(gauge(self.core.state().members().len() as u64));
+        if self.ends.view.borrow().mode != view.mode {
+            info!(self.runner.logger, "control: mode changed"; "mode" => ?view.mode);
+        }
+        self.publish_lives();
+        self.ends.view.send_replace(view);
+    }
+
+    fn publish_lives(&mut self) {
+        let version = self.core.state().member_version();
+        if self.member_version == Some(version) {
+            return;
+        }
+        self.member_version = Some(version);
+        let members = self.core.state().members().values();
+        let lives = members.map(|member| MemberLife {
+            daemon: member.info.daemon.clone(),
+            incarnation: member.info.incarnation,
+        });
+        let lives = MemberLives {
+            lives: lives.collect(),
+        };
+        self.ends.lives.send_replace(Arc::new(lives));
+    }
+}
+
+const fn mode_number(mode: ViewMode) -> i64 {
+    match mode {
+        ViewMode::Starting => 0,
+        ViewMode::RoutingOnly => 1,
+        ViewMode::Full => 2,
+        ViewMode::Stopping => 3,
+    }
+}
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/ward-daemon/src/logging.rs
@@ -0,0 +1,36 @@
+//! Where log lines go.
+
+use std::io;
+use std::sync::Mutex;
+
+use slog::{Drain, Level, Logger, o};
+use ward_settings::{LogFormat, LogSettings};
+
+/// Lines held while the terminal is slow; more are counted and dropped.
+const QUEUED_LINES: usize = 4_096;
+
+/// A logger that writes to standard error without holding up its callers.
+pub fn root_logger(settings: LogSettings) -> Logger {
+    let level = Level::from(settings.level);
+    match settings.format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let drain = slog_term::FullFormat::new(decorator)
+                .use_utc_timestamp()
+                .build();
+            queue(drain.fuse(), level)
+        }
+        LogFormat::Json => {
+            let drain = Mutex::new(slog_json::Json::default(io::stderr()));
+            queue(drain.fuse(), level)
+        }
+    }
+}
+
+fn queue(drain: impl Drain<Ok = (), Err = slog::Never> + Send + 'static, level: Level) -> Logger {
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUED_LINES)
+        .build();
+    let drain = drain.filter_level(level).fuse();
+    Logger::root(drain, o!())
+}
--- /dev/null
+++ b/crates/ward-daemon/src/once.rs
@@ -0,0 +1,89 @@
+//! Joins the request path to the log of requests that may not be repeated.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use ward_once::{BeginOutcome, OnceStore, ShardPorts, ShardRead, ShardReadError};
+use ward_platform::{AppendQueue, LogClient};
+use ward_protocol::{LogStream, RequestRecord, TimeSpan};
+use ward_traffic::{BeginAnswer, KeptAnswer, OnceCalls};
+
+const READ_LIMIT: usize = 1_000;
+
+/// Ports of one shard over the platform's log.
+#[must_use]
+pub fn shard_ports(
+    client: LogClient,
+    queue: AppendQueue,
+    shard: u16,
+    wait: TimeSpan,
+) -> ShardPorts {
+    let stream = LogStream::Requests(shard);
+    ShardPorts {
+        append: Box::new(move |bytes| {
+            let queue = queue.clone();
+            async move { queue.append(bytes).await }.boxed()
+        }),
+        read: Box::new(move |from| {
+            let client = client.clone();
+            async move {
+                let read = client.read(stream, from, READ_LIMIT, wait).await;
+                match read {
+                    Ok(read) => Ok(ShardRead {
+                        records: read.records,
+                        end: read.end,
+                    }),
+                    Err(cause) => Err(ShardReadError::Log(cause.to_string())),
+                }
+            }
+            .boxed()
+        }),
+    }
+}
+
+/// The calls that the request path makes, answered by a store.
+#[must_use]
+pub fn once_calls(store: &Arc<OnceStore>) -> OnceCalls {
+    let (begin, done) = (Arc::clone(store), Arc::clone(store));
+    let (abort, doubt) = (Arc::clone(store), Arc::clone(store));
+    OnceCalls {
+        begin: Arc::new(move |key, fingerprint, deadline| {
+            let store = Arc::clone(&begin);
+            async move { answer_of(store.begin(&key, fingerprint, deadline).await) }.boxed()
+        }),
+        done: Arc::new(move |key, answer| {
+            let record = RequestRecord::Done {
+                status: answer.status,
+                content_type: answer.content_type,
+                body: answer.body,
+            };
+            finished(done.finish(&key, record))
+        }),
+        abort: Arc::new(move |key| finished(abort.finish(&key, RequestRecord::Abort))),
+        doubt: Arc::new(move |key| finished(doubt.finish(&key, RequestRecord::Doubt))),
+    }
+}
+
+fn finished(task: tokio::task::JoinHandle<()>) -> futures::future::BoxFuture<'static, ()> {
+    task.map(|_| ()).boxed()
+}
+
+fn answer_of(outcome: BeginOutcome) -> BeginAnswer {
+    match outcome {
+        BeginOutcome::Send => BeginAnswer::Send,
+        BeginOutcome::Kept(answer) => match answer.body {
+            Some(body) => BeginAnswer::Kept(KeptAnswer {
+                status: answer.status,
+                content_type: answer.content_type,
+                body,
+            }),
+            None => BeginAnswer::KeptWithoutBody,
+        },
+        BeginOutcome::AnswerLost => BeginAnswer::KeptWithoutBody,
+        BeginOutcome::InDoubt => BeginAnswer::InDoubt,
+        BeginOutcome::Running => BeginAnswer::Running,
+        BeginOutcome::KeyReused => BeginAnswer::KeyReused,
+        BeginOutcome::KeyExpired => BeginAnswer::KeyExpired,
+        BeginOutcome::LogDown => BeginAnswer::LogDown,
+    }
+}
--- /dev/null
+++ b/crates/ward-daemon/src/operator/submit.rs
@@ -0,0 +1,98 @@
+//! Appends a plan and reads back what became of it.
+
+use std::time::Duration;
+
+use slog::warn;
+use tokio::time::{Instant, sleep};
+use ward_operator::{OperatorError, SubmitRequest, SubmitResult, plan_records};
+use ward_protocol::codec::encode;
+use ward_protocol::{
+    AppendResult, LogOffset, LogStream, PlanRevision, RecordId, ResultCode, TimeSpan, WallTime,
+};
+
+use super::calls::OperatorParts;
+
+/// Longest wait for a plan record to be read back.
+const READ_BACK_TIME: Duration = Duration::from_secs(5);
+const READ_BACK_PAUSE: Duration = Duration::from_millis(20);
+const RETRY_AFTER: TimeSpan = TimeSpan::from_secs(5);
+
+pub(super) async fn submit(
+    parts: OperatorParts,
+    request: SubmitRequest,
+) -> Result<SubmitResult, OperatorError> {
+    let record = request.record;
+    let envelopes = plan_records(&request, WallTime::now()).map_err(|cause| {
+        OperatorError::refused(
+            ResultCode::SheetInvalid,
+            format!("a row is too large: {cause}"),
+        )
+    })?;
+    let encoded: Result<Vec<_>, _> = envelopes.iter().map(encode).collect();
+    let mut encoded = encoded
+        .map_err(|cause| OperatorError::refused(ResultCode::SheetInvalid, cause.to_string()))?;
+    // Parts decide nothing: only the last record's fate matters to the author.
+    let Some(last) = encoded.pop() else {
+        return Ok(SubmitResult::Unknown);
+    };
+    for part in encoded {
+        let stored = parts.log.append(LogStream::Plan, vec![part]).await;
+        stored.map_err(|_| log_unavailable())?;
+    }
+    match parts.log.append(LogStream::Plan, vec![last]).await {
+        Ok(offset) => Ok(read_back(&parts, record, Some(offset)).await),
+        Err(cause) if cause.result() == AppendResult::Refused => Err(log_unavailable()),
+        Err(cause) => {
+            warn!(parts.logger, "operators: answer to append lost"; "cause" => %cause);
+            Ok(read_back(&parts, record, None).await)
+        }
+    }
+}
+
+fn log_unavailable() -> OperatorError {
+    let detail = "the plan was not stored; the plan in force stays";
+    OperatorError::Later(ResultCode::LogUnavailable, detail.to_owned(), RETRY_AFTER)
+}
+
+enum ReadBack {
+    Accepted(PlanRevision),
+    Stale(PlanRevision),
+    NotYet,
+}
+
+async fn read_back(
+    parts: &OperatorParts,
+    record: RecordId,
+    offset: Option<LogOffset>,
+) -> SubmitResult {
+    let limit = Instant::now() + READ_BACK_TIME;
+    while Instant::now() < limit {
+        match look_up(parts, record, offset).await {
+            Some(ReadBack::Accepted(revision)) => return SubmitResult::Accepted { revision },
+            Some(ReadBack::Stale(current)) => return SubmitResult::Stale { current },
+            Some(ReadBack::NotYet) => sleep(READ_BACK_PAUSE).await,
+            None => return SubmitResult::Unknown,
+        }
+    }
+    SubmitResult::Unknown
+}
+
+async fn look_up(
+    parts: &OperatorParts,
+    record: RecordId,
+    offset: Option<LogOffset>,
+) -> Option<ReadBack> {
+    let look = move |core: &mut ward_control::ControlCore| {
+        let plans = core.state().plans();
+        let accepted = plans.revisions().rev().find(|info| info.record == record);
+        if let Some(info) = accepted {
+            return ReadBack::Accepted(info.revision);
+        }
+        // Without an offset only the record itself can tell; it may still arrive.
+        match offset {
+            Some(offset) if plans.read() >= offset => ReadBack::Stale(plans.head()),
+            Some(_) | None => ReadBack::NotYet,
+        }
+    };
+    parts.look(look).await.ok()
+}
--- /dev/null
+++ b/crates/ward-daemon/src/process.rs
@@ -0,0 +1,275 @@
+//! A whole daemon: its parts in the order of their start and stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use prometheus::Registry;
+use quick_error::quick_error;
+use slog::{Logger, info, o, warn};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use ward_control::ControlEvent;
+use ward_once::{OnceSettings, OnceStore};
+use ward_operator::{
+    OperatorServer, RequestsAnswer, TokenDigest, operator_router, serve_operators,
+};
+use ward_peer::{PeerCounters, PeerKeys};
+use ward_platform::{AppendQueue, LogClient, LogTimes, QueueLimits};
+use ward_protocol::{DaemonId, LogStream, MemberInfo, TimeSpan};
+use ward_settings::DaemonSettings;
+use ward_traffic::{CallerServer, NoticeSink, ServerHandle, ServerParts, TrafficNotice};
+
+use crate::control::ring::SharedRings;
+use crate::control::{ControlHandle, ControlMetrics};
+use crate::once::{once_calls, shard_ports};
+use crate::operator::{OperatorParts, operator_calls};
+use crate::socket::BoundSockets;
+use crate::spawn::ThreadSeed;
+
+const SHARD_WAIT: TimeSpan = TimeSpan::from_millis(500);
+const READ_BACK_TIME: TimeSpan = TimeSpan::from_secs(2);
+const KEPT_ANSWERS_BYTES: usize = 4 << 20;
+const LEAVE_TIME: Duration = Duration::from_secs(10);
+const THREAD_PAUSE: Duration = Duration::from_millis(10);
+
+quick_error! {
+    /// A daemon that cannot start.
+    #[derive(Debug)]
+    pub enum DaemonError {
+        /// An address cannot be used.
+        Address(what: &'static str, address: SocketAddr, cause: io::Error) {
+            display("the address for {what}, {address}, cannot be used: {cause}; free it or choose another")
+            source(cause)
+        }
+        /// A thread cannot be started.
+        Thread(cause: io::Error) {
+            display("the control thread cannot be started: {cause}")
+            source(cause)
+        }
+        /// A part cannot be set up.
+        Part(detail: String) {
+            display("the daemon cannot be set up: {detail}")
+        }
+    }
+}
+
+/// Where a running daemon listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+}
+
+/// A daemon that runs.
+pub struct RunningDaemon {
+    /// Where it listens.
+    pub addresses: DaemonAddresses,
+    /// Its control thread.
+    pub control: ControlHandle,
+    server: Arc<ServerHandle>,
+    once: Arc<OnceStore>,
+    operators: OperatorTask,
+    thread: thread::JoinHandle<()>,
+    logger: Logger,
+}
+
+struct OperatorTask {
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl RunningDaemon {
+    /// Stops as planned: leaves, finishes every request, then ends.
+    pub async fn stop(self) {
+        let mut control = self.control.clone();
+        control.tell(ControlEvent::Stop).await;
+        let left = tokio::time::timeout(LEAVE_TIME, control.stopped());
+        let (left, ()) = tokio::join!(left, self.server.drain());
+        if left.is_err() {
+            warn!(
+                self.logger,
+                "daemon: left without a record; others will expire it"
+            );
+        }
+        // Answers of keys are worth a short wait, an outage of the log is not.
+        let _ = tokio::time::timeout(LEAVE_TIME, self.once.flush()).await;
+        let _ = self.operators.stop.send(());
+        let _ = self.operators.task.await;
+        end_control(&self.control, &self.thread).await;
+        info!(self.logger, "daemon: stopped");
+    }
+}
+
+async fn end_control(control: &ControlHandle, thread: &thread::JoinHandle<()>) {
+    control.quit().await;
+    while !thread.is_finished() {
+        tokio::time::sleep(THREAD_PAUSE).await;
+    }
+}
+
+/// Starts a daemon on the present runtime, which serves callers and operators;
+/// control gets a thread of its own.
+///
+/// # Errors
+/// When an address is taken, or a part cannot be set up.
+pub async fn start_daemon(
+    settings: DaemonSettings,
+    logger: Logger,
+) -> Result<RunningDaemon, DaemonError> {
+    let logger = logger.new(o!("daemon" => settings.daemon.to_string()));
+    let sockets = BoundSockets::bind(&settings).await?;
+    let member = sockets.member(&settings);
+    let addresses = DaemonAddresses {
+        callers: sockets.callers_address,
+        operators: sockets.operators_address,
+        peers: sockets.peers_address,
+    };
+    let registry = Registry::new();
+    let rings = SharedRings::default();
+    let (control, ends) = ControlHandle::new();
+    let seed = ThreadSeed {
+        settings: settings.clone(),
+        member: member.clone(),
+        handle: control.clone(),
+        ends,
+        rings: rings.clone(),
+        keys: peer_keys(&settings),
+        metrics: ControlMetrics::register(&registry).map_err(part)?,
+        counters: PeerCounters::register(&registry).map_err(part)?,
+        logger: logger.clone(),
+    };
+    let thread = seed.start(sockets.peers).await?;
+    let log = LogClient::new(settings.platform.log, LogTimes::default());
+    let once = start_once(&settings, &member, &control, &log, &registry, &logger)?;
+    let server = CallerServer::start(
+        sockets.callers,
+        ServerParts {
+            daemon: settings.daemon.clone(),
+            zone: settings.zone.clone(),
+            limits: settings.traffic,
+            view: control.views(),
+            notice: notice_sink(&control),
+            once: once_calls(&once),
+            registry: registry.clone(),
+            logger: logger.clone(),
+        },
+    );
+    let server = Arc::new(server.map_err(part)?);
+    let parts = OperatorParts {
+        daemon: settings.daemon.clone(),
+        control: control.clone(),
+        log,
+        rings,
+        keys: peer_keys(&settings),
+        requests: request_lister(&server),
+        logger: logger.clone(),
+    };
+    let operators = serve_api(sockets.operators, &settings, &parts, registry)?;
+    info!(
+        logger, "daemon: started";
+        "callers" => %addresses.callers, "operators" => %addresses.operators,
+        "peers" => %addresses.peers,
+    );
+    Ok(RunningDaemon {
+        addresses,
+        control,
+        server,
+        once,
+        operators,
+        thread,
+        logger,
+    })
+}
+
+fn part(cause: impl std::fmt::Display) -> DaemonError {
+    DaemonError::Part(cause.to_string())
+}
+
+fn peer_keys(settings: &DaemonSettings) -> PeerKeys {
+    let current = settings.keys.current.as_ref().map(|key| *key.bytes());
+    let previous = settings.keys.previous.as_ref().map(|key| *key.bytes());
+    PeerKeys::new(current, previous)
+}
+
+fn request_lister(server: &Arc<ServerHandle>) -> Arc<dyn Fn() -> RequestsAnswer + Send + Sync> {
+    let server = Arc::clone(server);
+    Arc::new(move || RequestsAnswer {
+        total: u32::try_from(server.waiting()).unwrap_or(u32::MAX),
+        requests: Vec::new(),
+    })
+}
+
+fn notice_sink(control: &ControlHandle) -> NoticeSink {
+    let control = control.clone();
+    Arc::new(move |notice| {
+        control.hint(match notice {
+            TrafficNotice::Wanted { hint } => ControlEvent::Wanted { hint },
+            TrafficNotice::Used { hint } => ControlEvent::Used { hint },
+            TrafficNotice::Crashed {
+                fingerprint,
+                backend,
+                until,
+            } => ControlEvent::Crashed {
+                fingerprint,
+                backend,
+                until,
+            },
+        });
+    })
+}
+
+fn start_once(
+    settings: &DaemonSettings,
+    member: &MemberInfo,
+    control: &ControlHandle,
+    log: &LogClient,
+    registry: &Registry,
+    logger: &Logger,
+) -> Result<Arc<OnceStore>, DaemonError> {
+    let mut ports = Vec::new();
+    for shard in 0..settings.request_shards {
+        let stream = LogStream::Requests(shard);
+        let queue = AppendQueue::start(log.clone(), stream, QueueLimits::default(), registry);
+        let queue = queue.map_err(part)?;
+        ports.push(shard_ports(log.clone(), queue, shard, SHARD_WAIT));
+    }
+    let once = OnceSettings {
+        daemon: member.daemon.clone(),
+        incarnation: member.incarnation,
+        key_memory: settings.traffic.key_memory,
+        kept_answer_bytes: settings.traffic.kept_answer_bytes as usize,
+        read_back: READ_BACK_TIME,
+        cache_bytes: KEPT_ANSWERS_BYTES / usize::from(settings.request_shards).max(1),
+    };
+    let control = control.clone();
+    let alive = Box::new(move |daemon: &DaemonId, life| control.is_alive(daemon, life));
+    OnceStore::start(once, ports, alive, logger.clone()).map_err(part)
+}
+
+fn serve_api(
+    listener: TcpListener,
+    settings: &DaemonSettings,
+    parts: &OperatorParts,
+    registry: Registry,
+) -> Result<OperatorTask, DaemonError> {
+    let token = settings.operator_token.as_ref();
+    let token = token.map(|token| TokenDigest::of(token.expose()));
+    let logger = parts.logger.clone();
+    let server = OperatorServer::new(operator_calls(parts), token, registry, logger.clone());
+    let router = operator_router(Arc::new(server.map_err(part)?));
+    let (stop, stopped) = oneshot::channel::<()>();
+    let stopped = async {
+        // Also ends when the daemon is dropped.
+        let _ = stopped.await;
+    };
+    let task = tokio::spawn(serve_operators(listener, router, stopped, logger));
+    Ok(OperatorTask { stop, task })
+}
--- /dev/null
+++ b/crates/ward-daemon/src/program/mod.rs
@@ -0,0 +1,42 @@
+//! The command line of `persimmonward`.
+
+mod arguments;
+mod exit;
+mod serve;
+mod settings;
+
+pub use arguments::{DemoOptions, command};
+pub use exit::ProgramExit;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use arguments::{ProgramTask, parse};
+
+/// Runs the program with the given arguments, the program's name first.
+#[must_use]
+pub fn run_program(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let exit = match parse(arguments) {
+        Ok(task) => run_task(task),
+        Err(error) => {
+            // A help text is not a mistake.
+            let exit = if error.use_stderr() {
+                ProgramExit::Usage
+            } else {
+                ProgramExit::Done
+            };
+            let _ = error.print();
+            exit
+        }
+    };
+    exit.into()
+}
+
+fn run_task(task: ProgramTask) -> ProgramExit {
+    match task {
+        ProgramTask::Serve(path) => serve::serve(&path),
+        ProgramTask::CheckSettings(path) => settings::check(&path),
+        ProgramTask::PrintSettings(path) => settings::print(&path),
+        ProgramTask::Demo(options) => crate::demo::run_demo(options),
+    }
+}
--- /dev/null
+++ b/crates/ward-daemon/src/program/settings.rs
@@ -0,0 +1,35 @@
+//! Settings checked or printed, without a start.
+
+use std::path::Path;
+
+use ward_settings::DaemonSettings;
+
+use super::exit::ProgramExit;
+
+/// Reads the settings; tells every mistake when there are any.
+pub(super) fn load(path: &Path) -> Result<DaemonSettings, ProgramExit> {
+    DaemonSettings::load(path).map_err(|error| {
+        eprintln!("{}: {error}", path.display());
+        ProgramExit::Settings
+    })
+}
+
+pub(super) fn check(path: &Path) -> ProgramExit {
+    match load(path) {
+        Ok(_) => {
+            println!("{}: no mistakes", path.display());
+            ProgramExit::Done
+        }
+        Err(exit) => exit,
+    }
+}
+
+pub(super) fn print(path: &Path) -> ProgramExit {
+    match load(path) {
+        Ok(settings) => {
+            println!("{}", settings.print());
+            ProgramExit::Done
+        }
+        Err(exit) => exit,
+    }
+}
