The persimmon command line, example settings and sheets

Cause: operators need one tool that checks, submits and follows plans, and must never submit a plan twice when an answer is lost.

Each command is one file that describes itself; parser, help and the tests of the examples come from the same entries. A plan goes to a second daemon only when the first certainly did not log it; else its record id is looked up in the history. Ruled out: resubmitting with the same record id, since a second record could undo what another operator did in between.

--- /dev/null
+++ b/crates/ward-cli/src/app.rs
@@ -0,0 +1,88 @@
+//! From the command line to the command that runs.
+
+use std::ffi::OsString;
+
+use clap::{ArgMatches, Command, command};
+use tokio::runtime;
+
+use crate::argument::global_arguments;
+use crate::command::{ALL_COMMANDS, CommandEntry, exit_help};
+use crate::context::CommandContext;
+use crate::error::CliError;
+use crate::exit::ExitStatus;
+use crate::output::{print_error, print_text};
+
+/// Name of the program.
+pub const PROGRAM: &str = "persimmon";
+
+/// The whole command line for the parser.
+#[must_use]
+pub fn command_line() -> Command {
+    let mut root = command!()
+        .name(PROGRAM)
+        .about("Drives a deployment of persimmonward")
+        .args(global_arguments())
+        .after_help(exit_help())
+        .subcommand_required(true)
+        .arg_required_else_help(true);
+    let mut plan = Command::new("plan")
+        .about("Checks, submits and follows plans")
+        .subcommand_required(true)
+        .arg_required_else_help(true);
+    for entry in ALL_COMMANDS {
+        if entry.words.len() > 1 {
+            plan = plan.subcommand(entry.command());
+        } else {
+            root = root.subcommand(entry.command());
+        }
+    }
+    root.subcommand(plan)
+}
+
+/// Runs a command line and prints what comes of it.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitStatus {
+    let result = command_line()
+        .try_get_matches_from(arguments)
+        .map_err(CliError::Usage)
+        .and_then(run_matches);
+    match result {
+        Ok(()) => ExitStatus::Done,
+        Err(error) => {
+            report(&error);
+            error.status()
+        }
+    }
+}
+
+fn report(error: &CliError) {
+    match error {
+        CliError::Usage(cause) if !cause.use_stderr() => print_text(&cause.to_string()),
+        CliError::Usage(cause) => print_error(&cause.to_string()),
+        _ => print_error(&format!("error: {error}\n")),
+    }
+}
+
+fn run_matches(matches: ArgMatches) -> Result<(), CliError> {
+    let (entry, mut matches) = find_entry(matches)?;
+    let context = CommandContext::take(&mut matches)?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(CliError::Runtime)?;
+    runtime.block_on((entry.run)(context, matches))
+}
+
+fn find_entry(mut matches: ArgMatches) -> Result<(&'static CommandEntry, ArgMatches), CliError> {
+    let mut words = Vec::new();
+    while let Some((word, inner)) = matches.remove_subcommand() {
+        words.push(word);
+        matches = inner;
+    }
+    let entry = ALL_COMMANDS.iter().find(|entry| entry.words == words);
+    match entry {
+        Some(entry) => Ok((entry, matches)),
+        None => Err(CliError::Usage(clap::Error::new(
+            clap::error::ErrorKind::InvalidSubcommand,
+        ))),
+    }
+}
--- /dev/null
+++ b/crates/ward-cli/src/client/mod.rs
@@ -0,0 +1,9 @@
+//! Asking daemons.
+
+mod daemon;
+mod exchange;
+mod submit;
+
+pub use daemon::DaemonClient;
+pub use exchange::{ApiExchange, ApiMethod, ApiReply, ExchangeError};
+pub use submit::{SubmitCall, SubmitEnd};
--- /dev/null
+++ b/crates/ward-cli/src/context.rs
@@ -0,0 +1,58 @@
+//! What every command is given.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use clap::ArgMatches;
+use ward_protocol::TimeSpan;
+
+use crate::client::DaemonClient;
+use crate::error::CliError;
+use crate::output::OutputForm;
+
+/// What every command is given.
+#[derive(Debug, Clone)]
+pub struct CommandContext {
+    /// Asks the daemons named on the line.
+    pub client: DaemonClient,
+    /// How answers are printed.
+    pub form: OutputForm,
+}
+
+impl CommandContext {
+    /// Takes the context from the parsed line.
+    ///
+    /// # Errors
+    /// When the token file cannot be read or holds no token.
+    pub fn take(matches: &mut ArgMatches) -> Result<Self, CliError> {
+        let daemons = matches
+            .remove_many::<SocketAddr>("daemon")
+            .map(Iterator::collect)
+            .unwrap_or_default();
+        let token = matches
+            .remove_one::<PathBuf>("token-file")
+            .map(|path| read_token(&path))
+            .transpose()?;
+        let timeout: TimeSpan = matches.remove_one("timeout").unwrap_or_default();
+        let form = if matches.get_flag("json") {
+            OutputForm::Json
+        } else {
+            OutputForm::Table
+        };
+        Ok(Self {
+            client: DaemonClient::new(daemons, token, timeout.duration()),
+            form,
+        })
+    }
+}
+
+fn read_token(path: &Path) -> Result<String, CliError> {
+    let text =
+        fs::read_to_string(path).map_err(|cause| CliError::File(path.to_path_buf(), cause))?;
+    let token = text.trim();
+    if token.is_empty() || !token.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(CliError::Token(path.to_path_buf()));
+    }
+    Ok(token.to_owned())
+}
--- a/crates/ward-cli/src/lib.rs
+++ b/crates/ward-cli/src/lib.rs
@@ -1,1 +1,32 @@
-//! Under construction.
+//! The operators' command line, `persimmon`.
+//!
+//! Each command is one file that describes itself in a [`CommandEntry`]: its
+//! words, one line about it, its arguments, examples and what it runs. The
+//! parser, the help texts and the tests of the examples are all made from those
+//! entries, so a command cannot be left out of one of them.
+//!
+//! Reading commands ask one daemon after another until one answers. A plan is
+//! sent to a second daemon only if the first certainly did not put it on the
+//! log; in every other case its record id is looked up in the history. Asking
+//! again would be simpler, but a plan that is accepted twice could undo what
+//! another operator did in between.
+
+pub mod app;
+pub mod argument;
+pub mod client;
+pub mod command;
+pub mod completions;
+pub mod context;
+pub mod dump;
+pub mod error;
+pub mod exit;
+pub mod hosts;
+pub mod models;
+pub mod output;
+pub mod plan;
+pub mod requests;
+
+pub use app::{command_line, run};
+pub use command::{ALL_COMMANDS, CommandEntry, CommandExample};
+pub use error::CliError;
+pub use exit::ExitStatus;
--- /dev/null
+++ b/crates/ward-cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ward_cli::run(std::env::args_os()).into()
+}
--- /dev/null
+++ b/crates/ward-cli/src/plan/retreat.rs
@@ -0,0 +1,52 @@
+//! `plan retreat`: brings back an earlier plan.
+
+use clap::{Arg, ArgMatches};
+use futures::FutureExt;
+use ward_operator::RetreatQuery;
+use ward_protocol::PlanRevision;
+
+use super::submit::submit_plan;
+use crate::argument::{SubmitOptions, parse, required, submit_arguments};
+use crate::client::ApiExchange;
+use crate::command::{CommandEntry, CommandExample};
+use crate::context::CommandContext;
+use crate::error::CliError;
+
+/// The command.
+pub const ENTRY: CommandEntry = CommandEntry {
+    words: &["plan", "retreat"],
+    about: "Brings back the content of an earlier revision as a new one",
+    arguments,
+    examples: &[CommandExample {
+        line: "persimmon plan retreat 1 --base current --author ana --daemon 127.0.0.1:7003",
+        about: "Goes back to what revision 1 said",
+    }],
+    run: |context, matches| run(context, matches).boxed(),
+};
+
+fn arguments() -> Vec<Arg> {
+    let to = Arg::new("to")
+        .value_name("REVISION")
+        .help("Revision to go back to, as plan history shows it")
+        .value_parser(parse::<PlanRevision>)
+        .required(true);
+    let mut arguments = vec![to];
+    arguments.extend(submit_arguments());
+    arguments
+}
+
+async fn run(context: CommandContext, mut matches: ArgMatches) -> Result<(), CliError> {
+    let to: PlanRevision = required(&mut matches, "to")?;
+    let options = SubmitOptions::take(&mut matches)?;
+    submit_plan(&context, &options, |order| {
+        let query = RetreatQuery {
+            base: order.base,
+            to,
+            author: order.author,
+            record: order.record,
+            dry_run: order.dry_run,
+        };
+        ApiExchange::post("/plan/retreat", &query, Vec::new())
+    })
+    .await
+}
--- /dev/null
+++ b/crates/ward-cli/src/plan/show.rs
@@ -0,0 +1,69 @@
+//! Texts about plans that several commands print.
+
+use std::path::Path;
+use std::{fs, io};
+
+use ward_plan::{PlanSheet, SheetColumn, SheetDifference};
+use ward_protocol::{PlanRow, RowTarget};
+
+use crate::error::CliError;
+use crate::output::TableText;
+
+/// A sheet as its bytes and as what they mean.
+#[derive(Debug, Clone)]
+pub struct SheetFile {
+    /// The file as it is.
+    pub bytes: Vec<u8>,
+    /// The checked sheet.
+    pub sheet: PlanSheet,
+}
+
+impl SheetFile {
+    /// Reads and checks a sheet.
+    ///
+    /// # Errors
+    /// When the file cannot be read or the sheet has mistakes.
+    pub fn read(path: &Path) -> Result<Self, CliError> {
+        let fail = |cause: io::Error| CliError::File(path.to_path_buf(), cause);
+        let bytes = fs::read(path).map_err(fail)?;
+        let sheet = PlanSheet::read(&bytes)?;
+        Ok(Self { bytes, sheet })
+    }
+}
+
+/// What changes, one line for each row.
+#[must_use]
+pub fn difference_text(difference: &SheetDifference) -> String {
+    if difference.is_empty() {
+        return "nothing changes\n".to_owned();
+    }
+    let mut table = TableText::new(&["change", "target", "cells"]);
+    for row in &difference.added {
+        table.add(["added".to_owned(), row.target.to_string(), added_cells(row)]);
+    }
+    for change in &difference.changed {
+        let cells: Vec<String> = change
+            .columns
+            .iter()
+            .map(|column| changed_cell(*column, &change.from, &change.to))
+            .collect();
+        let target = change.to.target.to_string();
+        table.add(["changed".to_owned(), target, cells.join(" ")]);
+    }
+    for target in &difference.removed {
+        table.add(["removed".to_owned(), target.to_string()]);
+    }
+    table.render()
+}
+
+fn added_cells(row: &PlanRow) -> String {
+    match row.target {
+        RowTarget::Service(_) => String::new(),
+        RowTarget::Replica(_) => format!("replicas={} ready={}", row.replicas, row.ready),
+    }
+}
+
+fn changed_cell(column: SheetColumn, from: &PlanRow, to: &PlanRow) -> String {
+    let (from, to) = (column.render(from), column.render(to));
+    format!("{column}={from:?}->{to:?}")
+}
--- /dev/null
+++ b/crates/ward-cli/src/plan/status.rs
@@ -0,0 +1,93 @@
+//! `plan status`: how far the plan has come.
+
+use clap::{Arg, ArgAction, ArgMatches};
+use futures::FutureExt;
+use ward_operator::{RowPhase, StatusAnswer};
+
+use crate::client::ApiExchange;
+use crate::command::{CommandEntry, CommandExample};
+use crate::context::CommandContext;
+use crate::error::CliError;
+use crate::output::TableText;
+
+/// The command.
+pub const ENTRY: CommandEntry = CommandEntry {
+    words: &["plan", "status"],
+    about: "Shows which revision each daemon has in force and which rows are short",
+    arguments,
+    examples: &[
+        CommandExample {
+            line: "persimmon plan status --daemon 127.0.0.1:7003",
+            about: "Shows the daemons and the rows that are not ready",
+        },
+        CommandExample {
+            line: "persimmon plan status --all --json --daemon 127.0.0.1:7003",
+            about: "Gives everything to a program",
+        },
+    ],
+    run: |context, matches| run(context, matches).boxed(),
+};
+
+fn arguments() -> Vec<Arg> {
+    vec![
+        Arg::new("all")
+            .long("all")
+            .help("Show rows that are ready as well")
+            .action(ArgAction::SetTrue),
+    ]
+}
+
+async fn run(context: CommandContext, matches: ArgMatches) -> Result<(), CliError> {
+    let all = matches.get_flag("all");
+    let exchange = ApiExchange::get("/plan/status");
+    let status: StatusAnswer = context.client.read(&exchange).await?;
+    context.form.print(&status, || status_text(&status, all));
+    Ok(())
+}
+
+fn status_text(status: &StatusAnswer, all: bool) -> String {
+    let mut daemons = TableText::new(&["daemon", "zone", "in force", "silent"]);
+    for daemon in &status.daemons {
+        let adopted = daemon
+            .adopted
+            .map_or("unknown".to_owned(), |revision| revision.to_string());
+        daemons.add([
+            daemon.daemon.to_string(),
+            daemon.zone.to_string(),
+            adopted,
+            daemon.silent.to_string(),
+        ]);
+    }
+    let mut rows = TableText::new(&["row", "state", "ready", "loading", "wanted", "most", "why"]);
+    let shown = status
+        .rows
+        .iter()
+        .filter(|row| all || row.phase != RowPhase::Ready);
+    for row in shown {
+        let why = row
+            .reason
+            .map_or(String::new(), |reason| reason.to_string());
+        rows.add([
+            row.target.to_string(),
+            row.phase.to_string(),
+            row.ready.to_string(),
+            row.loading.to_string(),
+            row.wanted.to_string(),
+            row.replicas.to_string(),
+            why,
+        ]);
+    }
+    let ready = status
+        .rows
+        .iter()
+        .filter(|row| row.phase == RowPhase::Ready)
+        .count();
+    format!(
+        "accepted revision {}, in force here {}; {ready} of {} rows ready\n\n{}\n{}",
+        status.accepted,
+        status.adopted,
+        status.rows.len(),
+        daemons.render(),
+        rows.render()
+    )
+}
--- /dev/null
+++ b/crates/ward-cli/src/plan/submit.rs
@@ -0,0 +1,159 @@
+//! `plan submit`: puts a sheet into force.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches};
+use futures::FutureExt;
+use ward_operator::{StatusAnswer, SubmitAnswer, SubmitOutcome, SubmitQuery};
+use ward_protocol::{OperatorName, PlanRevision, RecordId};
+
+use super::show::{SheetFile, difference_text};
+use super::wait::wait_in_force;
+use crate::argument::{BaseChoice, SubmitOptions, required, sheet_argument, submit_arguments};
+use crate::client::{ApiExchange, SubmitCall, SubmitEnd};
+use crate::command::{CommandEntry, CommandExample};
+use crate::context::CommandContext;
+use crate::error::CliError;
+
+/// The command.
+pub const ENTRY: CommandEntry = CommandEntry {
+    words: &["plan", "submit"],
+    about: "Puts a sheet into force",
+    arguments,
+    examples: &[
+        CommandExample {
+            line: "persimmon plan submit examples/ljubljana.csv --base current --author ana \
+                   --dry-run --daemon 127.0.0.1:7003",
+            about: "Shows what would change",
+        },
+        CommandExample {
+            line: "persimmon plan submit examples/ljubljana.csv --base current --author ana \
+                   --wait --daemon 127.0.0.1:7003",
+            about: "Submits the sheet and waits until it is in force",
+        },
+    ],
+    run: |context, matches| run(context, matches).boxed(),
+};
+
+fn arguments() -> Vec<Arg> {
+    let mut arguments = vec![sheet_argument()];
+    arguments.extend(submit_arguments());
+    arguments
+}
+
+async fn run(context: CommandContext, mut matches: ArgMatches) -> Result<(), CliError> {
+    let path: PathBuf = required(&mut matches, "sheet")?;
+    let options = SubmitOptions::take(&mut matches)?;
+    let file = SheetFile::read(&path)?;
+    submit_plan(&context, &options, |order| {
+        let query = SubmitQuery {
+            base: order.base,
+            author: order.author,
+            record: order.record,
+            dry_run: order.dry_run,
+        };
+        ApiExchange::post("/plan/submit", &query, file.bytes)
+    })
+    .await
+}
+
+/// What every way to submit a plan has in its query.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlanOrder {
+    /// The revision that the plan is put on top of.
+    pub base: PlanRevision,
+    /// Who submits it.
+    pub author: OperatorName,
+    /// Names its record; absent when nothing is to be submitted.
+    pub record: Option<RecordId>,
+    /// Whether nothing is to be submitted.
+    pub dry_run: bool,
+}
+
+/// Submits a plan and follows it as far as the options say.
+///
+/// # Errors
+/// When the plan is refused, no daemon was reached, or time is up.
+pub async fn submit_plan(
+    context: &CommandContext,
+    options: &SubmitOptions,
+    exchange: impl FnOnce(PlanOrder) -> Result<ApiExchange, CliError>,
+) -> Result<(), CliError> {
+    let order = PlanOrder {
+        base: find_base(context, options.base).await?,
+        author: options.author.clone(),
+        record: (!options.dry_run).then(RecordId::random),
+        dry_run: options.dry_run,
+    };
+    let record = order.record;
+    let exchange = exchange(order)?;
+    let Some(record) = record else {
+        let answer: SubmitAnswer = context.client.read(&exchange).await?;
+        print_answer(context, &answer);
+        return Ok(());
+    };
+    let end = context
+        .client
+        .submit(&SubmitCall { record, exchange })
+        .await?;
+    let revision = print_end(context, record, &end);
+    match (options.wait, revision) {
+        (Some(limit), Some(revision)) => wait_in_force(&context.client, revision, limit).await,
+        _ => Ok(()),
+    }
+}
+
+async fn find_base(context: &CommandContext, base: BaseChoice) -> Result<PlanRevision, CliError> {
+    match base {
+        BaseChoice::Revision(revision) => Ok(revision),
+        BaseChoice::Current => {
+            let exchange = ApiExchange::get("/plan/status");
+            let status: StatusAnswer = context.client.read(&exchange).await?;
+            Ok(status.accepted)
+        }
+    }
+}
+
+fn print_end(context: &CommandContext, record: RecordId, end: &SubmitEnd) -> Option<PlanRevision> {
+    match end {
+        SubmitEnd::Answered(answer) => {
+            print_answer(context, answer);
+            match answer.outcome {
+                SubmitOutcome::Accepted { revision } => Some(revision),
+                SubmitOutcome::Checked { .. } | SubmitOutcome::Unknown => None,
+            }
+        }
+        SubmitEnd::Found(revision) => {
+            let answer = FoundRecord {
+                record,
+                revision: *revision,
+            };
+            context.form.print(&answer, || {
+                format!("accepted as revision {revision}, as the history shows\n")
+            });
+            Some(*revision)
+        }
+    }
+}
+
+/// A plan whose answer was lost and that the history shows as accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+struct FoundRecord {
+    record: RecordId,
+    revision: PlanRevision,
+}
+
+fn print_answer(context: &CommandContext, answer: &SubmitAnswer) {
+    context.form.print(answer, || {
+        let changes = difference_text(&answer.difference);
+        match answer.outcome {
+            SubmitOutcome::Checked { base } => {
+                format!("{changes}nothing submitted; in force is revision {base}\n")
+            }
+            SubmitOutcome::Accepted { revision } => {
+                format!("{changes}accepted as revision {revision}\n")
+            }
+            SubmitOutcome::Unknown => changes,
+        }
+    });
+}
--- /dev/null
+++ b/crates/ward-cli/src/plan/wait.rs
@@ -0,0 +1,111 @@
+//! Following a plan until it is in force.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::time::{Instant, sleep};
+use ward_operator::{DaemonItem, RowPhase, RowStatus, StatusAnswer};
+use ward_protocol::PlanRevision;
+
+use crate::client::{ApiExchange, DaemonClient};
+use crate::error::CliError;
+use crate::output::print_error;
+
+const POLL_PAUSE: Duration = Duration::from_millis(500);
+
+/// Waits until a revision is in force on all daemons and its rows are ready;
+/// prints what changes meanwhile.
+///
+/// # Errors
+/// When that takes longer than the limit, or a daemon refuses to tell.
+pub async fn wait_in_force(
+    client: &DaemonClient,
+    revision: PlanRevision,
+    limit: Duration,
+) -> Result<(), CliError> {
+    let end = Instant::now() + limit;
+    let exchange = ApiExchange::get("/plan/status");
+    let mut progress = ProgressLines::default();
+    let mut missing = vec!["no daemon has told how far it is".to_owned()];
+    loop {
+        match client.read::<StatusAnswer>(&exchange).await {
+            Ok(status) => {
+                progress.print(&status, revision);
+                missing = missing_parts(&status, revision);
+                if missing.is_empty() {
+                    return Ok(());
+                }
+            }
+            Err(CliError::NotReached(_)) => {}
+            Err(error) => return Err(error),
+        }
+        if Instant::now() + POLL_PAUSE >= end {
+            return Err(CliError::NotInForce(revision, missing));
+        }
+        sleep(POLL_PAUSE).await;
+    }
+}
+
+fn missing_parts(status: &StatusAnswer, revision: PlanRevision) -> Vec<String> {
+    let daemons = status
+        .daemons
+        .iter()
+        .filter(|daemon| daemon.adopted.is_none_or(|adopted| adopted < revision))
+        .map(|daemon| daemon_line(daemon, revision));
+    let rows = status
+        .rows
+        .iter()
+        .filter(|row| row.phase != RowPhase::Ready)
+        .map(row_line);
+    let mut missing: Vec<String> = daemons.chain(rows).collect();
+    if status.adopted < revision {
+        missing.push(format!("revision {} is in force", status.adopted));
+    }
+    missing
+}
+
+/// Lines printed so far, so that only changes are printed.
+#[derive(Debug, Default)]
+struct ProgressLines {
+    printed: IndexMap<String, String>,
+}
+
+impl ProgressLines {
+    fn print(&mut self, status: &StatusAnswer, revision: PlanRevision) {
+        for daemon in &status.daemons {
+            let line = daemon_line(daemon, revision);
+            self.print_changed(format!("daemon {}", daemon.daemon), line);
+        }
+        if status.adopted < revision {
+            return;
+        }
+        for row in &status.rows {
+            self.print_changed(format!("row {}", row.target), row_line(row));
+        }
+    }
+
+    fn print_changed(&mut self, key: String, line: String) {
+        if self.printed.get(&key) == Some(&line) {
+            return;
+        }
+        print_error(&format!("{line}\n"));
+        self.printed.insert(key, line);
+    }
+}
+
+fn daemon_line(daemon: &DaemonItem, revision: PlanRevision) -> String {
+    let name = &daemon.daemon;
+    match daemon.adopted {
+        Some(adopted) if adopted >= revision => format!("daemon {name}: in force"),
+        Some(adopted) => format!("daemon {name}: still revision {adopted}"),
+        None => format!("daemon {name}: not heard of"),
+    }
+}
+
+fn row_line(row: &RowStatus) -> String {
+    let counts = format!("{} of {} ready", row.ready, row.wanted);
+    let reason = row
+        .reason
+        .map_or(String::new(), |reason| format!(", {reason}"));
+    format!("row {}: {}, {counts}{reason}", row.target, row.phase)
+}
--- /dev/null
+++ b/crates/ward-cli/tests/program.rs
@@ -0,0 +1,206 @@
+//! The program against fake daemons that fail in all ways.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use support::{DaemonFault, FakeLog, ProgramEnd, dead_address, run_program, start_daemon};
+use ward_cli::ALL_COMMANDS;
+use ward_operator::{HistoryVerdict, StatusAnswer};
+
+const SHEET: &str = "examples/ljubljana.csv";
+const EXAMPLE_ADDRESS: &str = "127.0.0.1:7003";
+
+/// Submits the sheet to daemons, tried in turn, with a short time limit.
+async fn submit(daemons: &[SocketAddr], more: &[&str]) -> ProgramEnd {
+    let named: Vec<String> = daemons.iter().map(ToString::to_string).collect();
+    let mut line = vec![
+        "plan",
+        "submit",
+        SHEET,
+        "--author",
+        "ana+č",
+        "--timeout",
+        "1s",
+    ];
+    line.extend(["--base", "current"]);
+    line.extend(more);
+    for daemon in &named {
+        line.extend(["--daemon", daemon]);
+    }
+    run_program(&line).await
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn examples_all_run() {
+    let log = FakeLog::default();
+    let daemon = start_daemon(&log, DaemonFault::None, None)
+        .await
+        .to_string();
+    for example in ALL_COMMANDS.iter().flat_map(|entry| entry.examples) {
+        let line = example.line.replace(EXAMPLE_ADDRESS, &daemon);
+        let words: Vec<&str> = line.split_whitespace().skip(1).collect();
+        let end = run_program(&words).await;
+        expect_that!(end.code, eq(0), "{line}: {end:?}");
+        expect_that!(end.output.is_empty(), eq(false), "{line}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn help_has_examples_and_codes() {
+    for entry in ALL_COMMANDS {
+        let mut line = entry.words.to_vec();
+        line.push("--help");
+        let end = run_program(&line).await;
+        expect_that!(end.code, eq(0));
+        expect_that!(end.output, contains_substring("Exit codes:"));
+        expect_that!(entry.examples, not(is_empty()));
+        for example in entry.examples {
+            expect_that!(end.output, contains_substring(example.line));
+        }
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn usage_mistakes() {
+    for line in [
+        &["plan", "submit", SHEET][..],
+        &["plan", "fly"],
+        &["hosts"],
+        &["hosts", "--daemon", "here"],
+        &["plan", "check", "no/such/file.csv"],
+        &[
+            "hosts",
+            "--token-file",
+            "no/such/file",
+            "--daemon",
+            EXAMPLE_ADDRESS,
+        ],
+        &[],
+    ] {
+        let end = run_program(line).await;
+        expect_that!(end.code, eq(2), "{line:?}: {end:?}");
+        expect_that!(end.errors.is_empty(), eq(false), "{line:?}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_next_daemon() {
+    let log = FakeLog::default();
+    let dead = dead_address().await;
+    let down = start_daemon(&log, DaemonFault::LogDown, None).await;
+    let good = start_daemon(&log, DaemonFault::None, None).await;
+    let end = submit(&[dead, down, good], &[]).await;
+    expect_that!(end.code, eq(0), "{end:?}");
+    expect_that!(end.output, contains_substring("accepted as revision 1"));
+    expect_that!(log.entries(), len(eq(1)));
+    expect_that!(log.entries()[0].author.as_str(), eq("ana+č"));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_answer_lost() {
+    let log = FakeLog::default();
+    let losing = start_daemon(&log, DaemonFault::AnswerLost, None).await;
+    let good = start_daemon(&log, DaemonFault::None, None).await;
+    let end = submit(&[losing, good], &["--wait"]).await;
+    expect_that!(end.code, eq(0), "{end:?}");
+    expect_that!(end.output, contains_substring("as the history shows"));
+    expect_that!(log.entries(), len(eq(1)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_refusal_lost() {
+    let log = FakeLog::default();
+    let losing = start_daemon(&log, DaemonFault::StaleLost, None).await;
+    let good = start_daemon(&log, DaemonFault::None, None).await;
+    let end = submit(&[losing, good], &[]).await;
+    expect_that!(end.code, eq(1), "{end:?}");
+    expect_that!(log.entries(), len(eq(1)));
+    expect_that!(log.entries()[0].verdict, eq(HistoryVerdict::Stale));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_plan_lost() {
+    let log = FakeLog::default();
+    let losing = start_daemon(&log, DaemonFault::PlanLost, None).await;
+    let good = start_daemon(&log, DaemonFault::None, None).await;
+    let end = submit(&[losing, good], &[]).await;
+    expect_that!(end.code, eq(3), "{end:?}");
+    expect_that!(end.errors, contains_substring("plan history --record"));
+    expect_that!(log.entries(), is_empty());
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_not_reached() {
+    let log = FakeLog::default();
+    let dead = dead_address().await;
+    let down = start_daemon(&log, DaemonFault::LogDown, None).await;
+    for daemons in [&[dead][..], &[dead, down]] {
+        let end = submit(daemons, &[]).await;
+        expect_that!(end.code, eq(3), "{end:?}");
+        expect_that!(end.errors, contains_substring(dead.to_string()));
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_stale_base() {
+    let log = FakeLog::default();
+    let good = start_daemon(&log, DaemonFault::None, None).await;
+    expect_that!(submit(&[good], &[]).await.code, eq(0));
+    let line = [
+        "plan", "submit", SHEET, "--author", "ana", "--base", "0", "--daemon",
+    ];
+    let address = good.to_string();
+    let end = run_program(&[&line[..], &[&address]].concat()).await;
+    expect_that!(end.code, eq(1), "{end:?}");
+    expect_that!(end.errors, contains_substring("602"));
+    expect_that!(log.entries(), len(eq(1)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_not_in_force() {
+    let log = FakeLog::default();
+    let behind = start_daemon(&log, DaemonFault::NotAdopted, None).await;
+    let end = submit(&[behind], &["--wait", "--wait-time", "1s"]).await;
+    expect_that!(end.code, eq(4), "{end:?}");
+    expect_that!(
+        end.errors,
+        contains_substring("daemon entry-2: still revision 0")
+    );
+    expect_that!(log.entries(), len(eq(1)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_wrong_token() {
+    let log = FakeLog::default();
+    let daemon = start_daemon(&log, DaemonFault::None, Some("the-right-token-of-all")).await;
+    let end = submit(&[daemon], &[]).await;
+    expect_that!(end.code, eq(1), "{end:?}");
+    expect_that!(end.errors, contains_substring("113"));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn status_json() {
+    let log = FakeLog::default();
+    let daemon = start_daemon(&log, DaemonFault::None, None)
+        .await
+        .to_string();
+    let end = run_program(&["plan", "status", "--json", "--daemon", &daemon]).await;
+    let status: StatusAnswer = serde_json::from_str(&end.output).unwrap();
+    expect_that!(status.daemons, len(eq(2)));
+}
--- a/crates/ward-operator/src/answer/mod.rs
+++ b/crates/ward-operator/src/answer/mod.rs
@@ -10,8 +10,8 @@
     RequestItem, RequestPhase, RequestsAnswer,
 };
 pub use plan::{
-    HistoryAnswer, HistoryEntry, HistoryKind, HistoryQuery, HistoryVerdict, PlanAnswer,
-    SubmitAnswer, SubmitOutcome,
+    HistoryAnswer, HistoryEntry, HistoryKind, HistoryVerdict, PlanAnswer, SubmitAnswer,
+    SubmitOutcome,
 };
 pub use problem::{MistakeItem, ProblemBody};
 pub use status::{RowPhase, RowStatus, ShortReason, StatusAnswer};
--- a/crates/ward-operator/src/answer/plan.rs
+++ b/crates/ward-operator/src/answer/plan.rs
@@ -104,16 +104,6 @@
     pub rows: u32,
 }
 
-/// Which part of the history is wanted.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct HistoryQuery {
-    /// Most entries wanted.
-    pub limit: Option<u32>,
-    /// Only the entry of this record.
-    pub record: Option<RecordId>,
-}
-
 /// Plan records, newest first.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HistoryAnswer {
--- a/crates/ward-operator/src/calls.rs
+++ b/crates/ward-operator/src/calls.rs
@@ -6,10 +6,10 @@
 use ward_protocol::{OperatorName, PlanChange, PlanRevision, RecordId, ViewMode};
 
 use crate::answer::{
-    DumpAnswer, HistoryAnswer, HistoryQuery, HostsAnswer, ModelsAnswer, PlanAnswer, RequestsAnswer,
-    StatusAnswer,
+    DumpAnswer, HistoryAnswer, HostsAnswer, ModelsAnswer, PlanAnswer, RequestsAnswer, StatusAnswer,
 };
 use crate::error::OperatorError;
+use crate::query::HistoryQuery;
 
 /// The future of a call's answer.
 pub type CallFuture<T> = BoxFuture<'static, Result<T, OperatorError>>;
--- a/crates/ward-operator/src/lib.rs
+++ b/crates/ward-operator/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod calls;
 pub mod error;
 pub mod metrics;
+pub mod query;
 pub mod record;
 pub mod route;
 pub mod serve;
@@ -25,13 +26,14 @@
 pub mod token;
 
 pub use answer::{
-    BackendItem, DaemonItem, DumpAnswer, HistoryAnswer, HistoryEntry, HistoryKind, HistoryQuery,
-    HistoryVerdict, HostsAnswer, MistakeItem, ModelItem, ModelsAnswer, PlanAnswer, ProblemBody,
-    ReadyAnswer, RequestItem, RequestPhase, RequestsAnswer, RowPhase, RowStatus, ShortReason,
-    StatusAnswer, SubmitAnswer, SubmitOutcome,
+    BackendItem, DaemonItem, DumpAnswer, HistoryAnswer, HistoryEntry, HistoryKind, HistoryVerdict,
+    HostsAnswer, MistakeItem, ModelItem, ModelsAnswer, PlanAnswer, ProblemBody, ReadyAnswer,
+    RequestItem, RequestPhase, RequestsAnswer, RowPhase, RowStatus, ShortReason, StatusAnswer,
+    SubmitAnswer, SubmitOutcome,
 };
 pub use calls::{CallFuture, OperatorCalls, SubmitRequest, SubmitResult};
 pub use error::OperatorError;
+pub use query::{DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, SubmitQuery};
 pub use record::plan_records;
 pub use route::operator_router;
 pub use serve::serve_operators;
--- a/crates/ward-operator/src/route/plan.rs
+++ b/crates/ward-operator/src/route/plan.rs
@@ -9,13 +9,12 @@
 use ward_protocol::{OperatorName, PlanChange, PlanRevision, RecordId, ResultCode};
 
 use super::RouteResult;
-use super::query::{
-    DiffQuery, PlanFormat, PlanQuery, RetreatQuery, SubmitQuery, read_body, read_query,
-};
+use super::query::{read_body, read_query};
 use super::reply::{json_reply, typed_reply};
-use crate::answer::{HistoryQuery, PlanAnswer, SubmitAnswer, SubmitOutcome};
+use crate::answer::{PlanAnswer, SubmitAnswer, SubmitOutcome};
 use crate::calls::{SubmitRequest, SubmitResult};
 use crate::error::OperatorError;
+use crate::query::{DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, SubmitQuery};
 use crate::server::OperatorServer;
 
 const CSV: HeaderValue = HeaderValue::from_static("text/csv; charset=utf-8");
--- a/crates/ward-operator/src/route/query.rs
+++ b/crates/ward-operator/src/route/query.rs
@@ -4,66 +4,16 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 use viz::{Request, RequestExt};
 use ward_plan::text::MAX_BYTES;
-use ward_protocol::{OperatorName, PlanRevision, RecordId, ResultCode};
+use ward_protocol::ResultCode;
 
 use crate::error::OperatorError;
 
 const BODY_TIME: Duration = Duration::from_secs(30);
 
-/// Query of a submitted sheet.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct SubmitQuery {
-    pub(super) base: PlanRevision,
-    pub(super) author: OperatorName,
-    pub(super) record: Option<RecordId>,
-    #[serde(default)]
-    pub(super) dry_run: bool,
-}
-
-/// Query of a retreat.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct RetreatQuery {
-    pub(super) base: PlanRevision,
-    pub(super) to: PlanRevision,
-    pub(super) author: OperatorName,
-    pub(super) record: Option<RecordId>,
-    #[serde(default)]
-    pub(super) dry_run: bool,
-}
-
-/// Query of a plan.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct PlanQuery {
-    pub(super) revision: Option<PlanRevision>,
-    #[serde(default)]
-    pub(super) format: PlanFormat,
-}
-
-/// Form of a plan.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub(super) enum PlanFormat {
-    #[default]
-    Json,
-    Csv,
-}
-
-/// Query of a difference.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct DiffQuery {
-    pub(super) from: PlanRevision,
-    pub(super) to: Option<PlanRevision>,
-}
-
 /// Reads the query of a request.
 pub(super) fn read_query<T: DeserializeOwned>(request: &Request) -> Result<T, OperatorError> {
     request.query().map_err(|error| {
--- /dev/null
+++ b/crates/ward-settings/tests/examples.rs
@@ -0,0 +1,58 @@
+//! The example settings and sheets are valid and of the sizes that they show.
+
+#![allow(clippy::unwrap_used)]
+
+use std::fs;
+use std::path::PathBuf;
+
+use googletest::prelude::*;
+use ward_plan::PlanSheet;
+use ward_protocol::RowTarget;
+use ward_settings::DaemonSettings;
+
+fn example(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
+
+fn settings(name: &str) -> DaemonSettings {
+    DaemonSettings::load(&example(name)).unwrap()
+}
+
+/// Models, adapters and services of a sheet.
+fn counts(name: &str) -> (usize, usize, usize) {
+    let sheet = PlanSheet::read(&fs::read(example(name)).unwrap()).unwrap();
+    let count =
+        |wanted: fn(&RowTarget) -> bool| sheet.rows().filter(|row| wanted(&row.target)).count();
+    (
+        count(|target| matches!(target, RowTarget::Replica(key) if !key.is_adapter())),
+        count(|target| matches!(target, RowTarget::Replica(key) if key.is_adapter())),
+        count(|target| matches!(target, RowTarget::Service(_))),
+    )
+}
+
+#[googletest::test]
+fn settings_of_deployments() {
+    let ljubljana = settings("ljubljana.json");
+    let riga = settings("riga.json");
+    expect_that!(ljubljana.policy.cold_weight, gt(riga.policy.cold_weight));
+    expect_that!(ljubljana.policy.keep_longest, gt(riga.policy.keep_longest));
+    expect_that!(ljubljana.store.model_loads, eq(4));
+    expect_that!(riga.store.adapter_loads, eq(30));
+}
+
+#[googletest::test]
+fn settings_printed_again() {
+    for name in ["ljubljana.json", "riga.json"] {
+        let settings = settings(name);
+        let again = DaemonSettings::check(&settings.print()).unwrap();
+        expect_that!(again, eq(&settings));
+    }
+}
+
+#[googletest::test]
+fn sheets_of_deployments() {
+    expect_that!(counts("ljubljana.csv"), eq((50, 55, 1)));
+    expect_that!(counts("riga.csv"), eq((100, 95, 2)));
+}
