Tests of requests at the engine; a queued request shows in the load figures

The load figures were sampled before a request took its place in the queue, so a waiting request never showed in GET /status until something else changed (status_load_lags failed with queued 0 in place of 1).

--- a/crates/ward-standin/src/engine/batch.rs
+++ b/crates/ward-standin/src/engine/batch.rs
@@ -72,24 +72,21 @@
         }
     }
 
-    /// Waits for a slot.
-    pub(super) async fn enter(&self, priority: PriorityLevel) -> Option<BatchSlot> {
-        let turn = {
-            let mut core = lock(&self.core);
-            if core.running < self.slots {
-                core.running += 1;
-                return Some(self.slot());
-            }
-            core.arrivals += 1;
-            let (sender, turn) = oneshot::channel();
-            let order = Reverse((priority, core.arrivals));
-            core.queue.push(QueuedRequest {
-                order,
-                turn: sender,
-            });
-            turn
-        };
-        turn.await.ok()
+    /// Takes a slot, or a place in the queue, at once; the slot comes in its turn.
+    pub(super) fn enter(&self, priority: PriorityLevel) -> oneshot::Receiver<BatchSlot> {
+        let (turn, slot) = oneshot::channel();
+        let mut core = lock(&self.core);
+        if core.running < self.slots {
+            core.running += 1;
+            drop(core);
+            // Cannot fail: the receiver is still here.
+            let _ = turn.send(self.slot());
+            return slot;
+        }
+        core.arrivals += 1;
+        let order = Reverse((priority, core.arrivals));
+        core.queue.push(QueuedRequest { order, turn });
+        slot
     }
 
     /// Requests running and waiting.
--- a/crates/ward-standin/src/engine/generation.rs
+++ b/crates/ward-standin/src/engine/generation.rs
@@ -152,6 +152,8 @@
         if holding.boot == self.boot {
             holding.discharge(&self.key);
         }
+        drop(holding);
+        self.state.sample();
     }
 }
 
@@ -170,8 +172,9 @@
     start: GenerationStart,
     _hold: ReplicaHold,
 ) {
+    let turn = state.batch.enter(generation.task.priority);
     state.sample();
-    let Some(slot) = state.batch.enter(generation.task.priority).await else {
+    let Ok(slot) = turn.await else {
         return;
     };
     state.sample();
@@ -182,7 +185,6 @@
     }
     produce(&state, &generation).await;
     drop(slot);
-    state.sample();
     let key = &generation.task.key;
     lock(&state.holding).run(generation.request, key).finished += 1;
     generation.progress.send_modify(|progress| {
--- a/crates/ward-standin/src/engine/resume.rs
+++ b/crates/ward-standin/src/engine/resume.rs
@@ -37,7 +37,6 @@
     if generation.cancel() {
         let key = &generation.task.key;
         lock(&state.holding).run(generation.request, key).cancelled = true;
-        state.sample();
     }
     Ok(status_answer(StatusCode::NO_CONTENT))
 }
--- /dev/null
+++ b/crates/ward-standin/tests/requests.rs
@@ -0,0 +1,298 @@
+//! Requests at an engine: batching, streams, moves, and broken answers.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, dead_code)]
+
+mod support;
+
+use googletest::prelude::*;
+use serde_json::json;
+use support::{EngineBench, KEY, body, events, exchange, is_whole, pause, text};
+use ward_protocol::{RequestId, TimeSpan};
+use ward_standin::EngineFaults;
+use ward_standin::engine::answer_text;
+
+#[googletest::test]
+#[tokio::test]
+async fn completion_whole() {
+    let bench = EngineBench::start(|_| {}).await;
+    let id = RequestId::random();
+    let answer = bench.ask(id, "red or blue", 5, false).await;
+    expect_that!(answer, contains_substring(format!("x-request-id: {id}")));
+    let body = body(&answer);
+    expect_that!(body["id"], eq(&json!(id.to_string())));
+    let wanted = answer_text("red or blue", 5);
+    expect_that!(body["choices"][0]["text"], eq(&json!(wanted)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn completion_chat() {
+    let bench = EngineBench::start(|_| {}).await;
+    let messages = json!([{ "role": "user", "content": "a" }, { "role": "user", "content": "b" }]);
+    let request = json!({ "model": KEY, "messages": messages, "max_tokens": 3 });
+    let address = bench.standin.address;
+    let answer = exchange(
+        address,
+        "POST /v1/chat/completions",
+        "",
+        &request.to_string(),
+    )
+    .await
+    .unwrap();
+    let content = &body(&answer)["choices"][0]["message"]["content"];
+    expect_that!(*content, eq(&json!(answer_text("a\nb", 3))));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn completion_not_ready() {
+    let bench = EngineBench::start(|_| {}).await;
+    let request = json!({ "model": "other@1", "prompt": "a" });
+    let address = bench.standin.address;
+    let answer = exchange(address, "POST /v1/completions", "", &request.to_string())
+        .await
+        .unwrap();
+    expect_that!(answer, starts_with("HTTP/1.1 404"));
+    expect_that!(answer, contains_substring("x-outcome: not_run"));
+    let history = bench.history_until(|history| history.not_run == 1).await;
+    expect_that!(history.requests.len(), eq(0));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn stream_whole() {
+    let bench = EngineBench::start(|_| {}).await;
+    let answer = bench.ask(RequestId::random(), "p", 8, true).await;
+    expect_that!(is_whole(&answer), eq(true));
+    expect_that!(text(&answer), eq(&answer_text("p", 8)));
+    let positions: Vec<_> = events(&answer)
+        .iter()
+        .map(|event| event["position"].as_u64().unwrap())
+        .collect();
+    expect_that!(positions, eq(&(0..8).collect::<Vec<_>>()));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn stream_cut_and_resumed() {
+    let bench = EngineBench::start(|settings| {
+        settings.faults.cut_streams = 1;
+        settings.faults.cut_after = 3;
+    })
+    .await;
+    let id = RequestId::random();
+    let cut = bench.ask(id, "p", 8, true).await;
+    expect_that!(is_whole(&cut), eq(false));
+    expect_that!(events(&cut).len(), eq(3));
+    let rest = bench.resume(id, 3).await;
+    expect_that!(is_whole(&rest), eq(true));
+    expect_that!(text(&cut) + &text(&rest), eq(&answer_text("p", 8)));
+    let history = bench.history_until(|_| true).await;
+    expect_that!(history.requests[&id].runs, eq(1));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn stream_moved() {
+    let slow = |settings: &mut ward_standin::EngineSettings| {
+        settings.token_time = TimeSpan::from_millis(20);
+    };
+    let from = EngineBench::start(slow).await;
+    let to = EngineBench::start(slow).await;
+    let id = RequestId::random();
+    let (whole, cache) = tokio::join!(from.ask(id, "p", 10, true), async {
+        pause(70).await;
+        let head = format!("GET /v1/requests/{id}/kv");
+        exchange(from.standin.address, &head, "", "").await.unwrap()
+    });
+    let cache = body(&cache);
+    let position = cache["position"].as_u64().unwrap();
+    expect_that!(position, all!(gt(0), lt(10)));
+    let path = format!("/v1/requests/{id}/kv");
+    to.control
+        .send(http::Method::PUT, &path, &cache)
+        .await
+        .unwrap();
+    let rest = to.resume(id, position).await;
+    expect_that!(text(&rest).as_str(), not(eq("")));
+    let tail = &answer_text("p", 10)[text(&whole).len() - text(&rest).len()..];
+    expect_that!(text(&rest), eq(tail));
+    let history = to.history_until(|_| true).await;
+    expect_that!(history.requests[&id].runs, eq(0));
+    expect_that!(history.requests[&id].imports, eq(1));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn request_cancelled() {
+    let bench = EngineBench::start(|settings| {
+        settings.token_time = TimeSpan::from_millis(20);
+    })
+    .await;
+    let id = RequestId::random();
+    let (answer, ()) = tokio::join!(bench.ask(id, "p", 1_000, true), async {
+        pause(50).await;
+        let path = format!("/v1/requests/{id}");
+        bench
+            .control
+            .send(http::Method::DELETE, &path, &())
+            .await
+            .unwrap();
+    });
+    expect_that!(is_whole(&answer), eq(false));
+    let history = bench.history_until(|_| true).await;
+    expect_that!(history.requests[&id].cancelled, eq(true));
+    expect_that!(history.requests[&id].finished, eq(0));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn queue_by_priority() {
+    let bench = EngineBench::start(|settings| {
+        settings.slots = 1;
+        settings.token_time = TimeSpan::from_millis(10);
+    })
+    .await;
+    let address = bench.standin.address;
+    let ask = async |priority: u8, after: u64| {
+        pause(after).await;
+        let request = json!({ "model": KEY, "prompt": "p", "max_tokens": 10 });
+        let headers = format!("priority: u={priority}\r\n");
+        exchange(
+            address,
+            "POST /v1/completions",
+            &headers,
+            &request.to_string(),
+        )
+        .await
+        .unwrap();
+        tokio::time::Instant::now()
+    };
+    let (first, low, high) = tokio::join!(ask(3, 0), ask(7, 20), ask(0, 40));
+    expect_that!(first, lt(high));
+    expect_that!(high, lt(low));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn status_load_lags() {
+    let bench = EngineBench::start(|settings| {
+        settings.slots = 1;
+        settings.token_time = TimeSpan::from_millis(10);
+        settings.status_lag = TimeSpan::from_millis(150);
+    })
+    .await;
+    let status = async || {
+        let answer = exchange(bench.standin.address, "GET /status", "", "").await;
+        let status = body(&answer.unwrap());
+        let figure = |name: &str| status[name].as_u64().unwrap();
+        (
+            figure("running"),
+            figure("queued"),
+            status["resident"][0]["running"].as_u64().unwrap(),
+        )
+    };
+    let requests = async {
+        tokio::join!(
+            bench.ask(RequestId::random(), "a", 30, false),
+            bench.ask(RequestId::random(), "b", 30, false),
+        )
+    };
+    let looks = async {
+        pause(50).await;
+        let early = status().await;
+        pause(170).await;
+        (early, status().await)
+    };
+    let (_, (early, late)) = tokio::join!(requests, looks);
+    expect_that!(early, eq((0, 0, 2)));
+    expect_that!(late, eq((1, 1, 2)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn answer_broken() {
+    let bench = EngineBench::start(|_| {}).await;
+    let id = RequestId::random();
+    let set = async |faults: EngineFaults| bench.control.set_faults(&faults).await.unwrap();
+    set(EngineFaults {
+        wrong_ids: 1,
+        ..EngineFaults::default()
+    })
+    .await;
+    let answer = bench.ask(id, "p", 2, false).await;
+    expect_that!(body(&answer)["id"], not(eq(&json!(id.to_string()))));
+    set(EngineFaults {
+        broken_answers: 1,
+        ..EngineFaults::default()
+    })
+    .await;
+    let answer = bench.ask(id, "p", 2, false).await;
+    expect_that!(body(&answer), eq(&json!("no completion")));
+    set(EngineFaults {
+        truncate_answers: 1,
+        ..EngineFaults::default()
+    })
+    .await;
+    let answer = bench.ask(id, "p", 2, false).await;
+    let (_, half) = answer.split_once("\r\n\r\n").unwrap();
+    expect_that!(half.len(), gt(0));
+    expect_that!(
+        serde_json::from_str::<serde_json::Value>(half),
+        err(anything())
+    );
+    let whole = bench.ask(id, "p", 2, false).await;
+    expect_that!(body(&whole)["id"], eq(&json!(id.to_string())));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn crash_on_marker() {
+    let bench = EngineBench::start(|settings| {
+        settings.token_time = TimeSpan::from_millis(20);
+        settings.faults.crash_marker = Some("poison".to_owned());
+    })
+    .await;
+    let (innocent, poison) = (RequestId::random(), RequestId::random());
+    let (cut, crashed) = tokio::join!(bench.ask(innocent, "p", 1_000, true), async {
+        pause(100).await;
+        bench.ask(poison, "poison", 5, false).await
+    });
+    expect_that!(crashed.as_str(), eq(""));
+    expect_that!(is_whole(&cut), eq(false));
+    let refused = tokio::net::TcpStream::connect(bench.standin.address).await;
+    expect_that!(refused, err(anything()));
+    let history = bench.history_until(|_| true).await;
+    expect_that!(history.crashes.len(), eq(1));
+    expect_that!(history.holdings.last().unwrap().replicas.len(), eq(0));
+    expect_that!(history.requests[&innocent].finished, eq(0));
+    bench.load().await;
+    let again = bench.ask(innocent, "p", 2, false).await;
+    expect_that!(body(&again)["id"], eq(&json!(innocent.to_string())));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn unload_drains() {
+    let bench = EngineBench::start(|settings| {
+        settings.token_time = TimeSpan::from_millis(10);
+    })
+    .await;
+    let unload = json!({
+        "order": ward_protocol::RecordId::random(),
+        "fence": 1,
+        "kind": { "unload": { "key": KEY } },
+    });
+    let (answer, late) = tokio::join!(bench.ask(RequestId::random(), "p", 20, true), async {
+        pause(50).await;
+        let orders = bench.control.send(http::Method::POST, "/orders", &unload);
+        orders.await.unwrap();
+        bench.ask(RequestId::random(), "late", 2, false).await
+    });
+    expect_that!(is_whole(&answer), eq(true));
+    expect_that!(late, contains_substring("x-outcome: not_run"));
+    let gone = |history: &ward_standin::EngineHistory| {
+        history.holdings.last().unwrap().replicas.is_empty()
+    };
+    bench.history_until(gone).await;
+}
--- /dev/null
+++ b/crates/ward-standin/tests/support/mod.rs
@@ -0,0 +1,140 @@
+//! What the tests of the stand-ins share: an engine with a loaded replica, and
+//! plain HTTP over a socket, which shows what arrived before a cut.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use ward_protocol::{MemorySize, RecordId, RequestId, ResidentPhase, TimeSpan};
+use ward_standin::{EngineHistory, EngineSettings, EngineStandin, RunningStandin};
+use ward_test_support::{StandinControl, engine_settings};
+
+pub(crate) const KEY: &str = "m@1";
+pub(crate) const SETTLE: TimeSpan = TimeSpan::from_secs(5);
+
+/// Sends one request and reads until the connection ends.
+pub(crate) async fn exchange(
+    address: SocketAddr,
+    head: &str,
+    headers: &str,
+    body: &str,
+) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let length = body.len();
+    let request = format!(
+        "{head} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n{headers}content-length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let mut received = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(count) => received.extend_from_slice(&buffer[..count]),
+        }
+    }
+    Ok(String::from_utf8_lossy(&received).into_owned())
+}
+
+/// An engine that holds one replica.
+pub(crate) struct EngineBench {
+    pub(crate) standin: RunningStandin,
+    pub(crate) control: StandinControl,
+}
+
+impl EngineBench {
+    pub(crate) async fn start(change: impl FnOnce(&mut EngineSettings)) -> Self {
+        let mut settings = engine_settings("engine-1", "vic", MemorySize::from_gib(24)).unwrap();
+        change(&mut settings);
+        let standin = EngineStandin::start(settings).await.unwrap();
+        let control = StandinControl::new(standin.address);
+        let bench = Self { standin, control };
+        bench.load().await;
+        bench
+    }
+
+    pub(crate) async fn load(&self) {
+        let order = json!({
+            "order": RecordId::random(),
+            "fence": 1,
+            "kind": { "load": { "key": KEY, "memory": "10GiB" } },
+        });
+        self.control
+            .send(http::Method::POST, "/orders", &order)
+            .await
+            .unwrap();
+        self.history_until(|history| {
+            history.holdings.last().is_some_and(|holding| {
+                let ready = |phase| phase == ResidentPhase::Ready;
+                holding.replicas.iter().any(|held| ready(held.phase))
+            })
+        })
+        .await;
+    }
+
+    pub(crate) async fn history_until(
+        &self,
+        check: impl Fn(&EngineHistory) -> bool,
+    ) -> EngineHistory {
+        self.control.history_until(SETTLE, check).await.unwrap()
+    }
+
+    /// Asks for a completion; the answer with its head.
+    pub(crate) async fn ask(
+        &self,
+        id: RequestId,
+        prompt: &str,
+        tokens: u64,
+        stream: bool,
+    ) -> String {
+        let body = json!({
+            "model": KEY, "prompt": prompt, "max_tokens": tokens, "stream": stream,
+        });
+        let headers = format!("x-request-id: {id}\r\n");
+        let address = self.standin.address;
+        exchange(address, "POST /v1/completions", &headers, &body.to_string())
+            .await
+            .unwrap()
+    }
+
+    /// Goes on with a stream.
+    pub(crate) async fn resume(&self, id: RequestId, from: u64) -> String {
+        let head = format!("POST /v1/requests/{id}/resume?from={from}");
+        exchange(self.standin.address, &head, "", "").await.unwrap()
+    }
+}
+
+/// The JSON body of a whole answer.
+pub(crate) fn body(answer: &str) -> Value {
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    serde_json::from_str(body).unwrap()
+}
+
+/// The events of a stream that arrived, without the final mark.
+pub(crate) fn events(answer: &str) -> Vec<Value> {
+    answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str(data).ok())
+        .collect()
+}
+
+/// The text of the events that arrived.
+pub(crate) fn text(answer: &str) -> String {
+    let tokens = events(answer);
+    let tokens = tokens
+        .iter()
+        .map(|event| event["choices"][0]["text"].as_str().unwrap());
+    tokens.collect()
+}
+
+/// Whether a stream came to its end.
+pub(crate) fn is_whole(answer: &str) -> bool {
+    answer.contains("data: [DONE]")
+}
+
+pub(crate) async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
