Happy path of the control state, driven in virtual time

Sessions of three daemons, a fourth that joins, one that leaves and a retreat run against fakes of log, engines and host list.

--- a/crates/ward-control/src/config.rs
+++ b/crates/ward-control/src/config.rs
@@ -4,6 +4,9 @@
 
 use crate::defect::DefectSet;
 
+/// Records after which a snapshot is written, unless set otherwise.
+const SNAPSHOT_RECORDS: u64 = 2_000;
+
 /// Settings of one daemon's decisions.
 #[derive(Debug, Clone)]
 pub struct ControlConfig {
@@ -17,6 +20,8 @@
     pub limits: StoreLimits,
     /// Daemons to ask for state while the log is down.
     pub peers: Vec<PeerAddress>,
+    /// Records applied since the last snapshot that call for one.
+    pub snapshot_records: u64,
     /// Seed of record and order ids; differs between daemons and lives.
     pub seed: u64,
     pub(crate) defects: DefectSet,
@@ -32,6 +37,7 @@
             policy: PolicyValues::default(),
             limits: StoreLimits::default(),
             peers: Vec::new(),
+            snapshot_records: SNAPSHOT_RECORDS,
             seed,
             defects: DefectSet::default(),
         }
--- a/crates/ward-control/src/core.rs
+++ b/crates/ward-control/src/core.rs
@@ -100,6 +100,12 @@
         self.build_view()
     }
 
+    /// The life in which this daemon takes part.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// The control state, for tests and checks.
     #[must_use]
     pub const fn state(&self) -> &ClusterState {
--- a/crates/ward-control/src/engines/ending.rs
+++ b/crates/ward-control/src/engines/ending.rs
@@ -8,7 +8,7 @@
 /// Time between notices to the new owner.
 const NOTICE_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
 /// Notices sent, since each may be lost.
-const NOTICE_COUNT: u32 = 10;
+const NOTICE_COUNT: u32 = 5;
 
 /// What is left to do for an engine that moved.
 #[derive(Debug)]
--- a/crates/ward-control/src/engines/mod.rs
+++ b/crates/ward-control/src/engines/mod.rs
@@ -49,6 +49,8 @@
 /// Orders to load one replica.
 #[derive(Debug, Clone, Copy)]
 struct LoadTrial {
+    /// For which reservation; a later one begins to count anew.
+    reservation: ReservationId,
     last: MonoTime,
     count: u32,
 }
--- a/crates/ward-control/src/engines/orders.rs
+++ b/crates/ward-control/src/engines/orders.rs
@@ -1,6 +1,8 @@
 //! Sending orders, and what becomes of them.
 
-use ward_protocol::{BackendId, BackendOrder, MonoTime, OrderKind, OrderResult, RecordId};
+use ward_protocol::{
+    BackendId, BackendOrder, MonoTime, OrderKind, OrderResult, RecordId, ReservationId,
+};
 
 use super::LoadTrial;
 use crate::action::ControlAction;
@@ -52,8 +54,17 @@
             kind: kind.clone(),
         };
         if let OrderKind::Load { key, .. } = &kind {
-            let count = duty.loads.get(key).map_or(0, |trial| trial.count);
+            let reservation = self
+                .state
+                .held_on(key, backend)
+                .unwrap_or(ReservationId(duty.fence.0));
+            let count = duty
+                .loads
+                .get(key)
+                .filter(|trial| trial.reservation == reservation)
+                .map_or(0, |trial| trial.count);
             let trial = LoadTrial {
+                reservation,
                 last: now,
                 count: count + 1,
             };
--- a/crates/ward-control/src/engines/reconcile.rs
+++ b/crates/ward-control/src/engines/reconcile.rs
@@ -95,7 +95,11 @@
         let Some(duty) = self.engines.owned.get(backend) else {
             return;
         };
-        let trial = duty.loads.get(&reservation.key).copied();
+        let trial = duty
+            .loads
+            .get(&reservation.key)
+            .filter(|trial| trial.reservation == id)
+            .copied();
         if let Some(trial) = trial {
             // The status must be younger than the last order to tell its effect.
             let told = duty
--- a/crates/ward-control/src/models/place.rs
+++ b/crates/ward-control/src/models/place.rs
@@ -153,7 +153,7 @@
         }
         let row = self.state.row(&state.key);
         let wanted = row.is_some_and(|row| self.active(&state.key) <= ready_wanted(row, self.wall));
-        let busy = self.models.hints.contains_key(&state.key);
+        let busy = self.is_waited_for(&state.key);
         let idle = match (self.last_use(&state.key), busy) {
             (Some(last), false) => Some(self.now.since(last)),
             (None, _) | (_, true) => None,
--- a/crates/ward-control/src/snapshots.rs
+++ b/crates/ward-control/src/snapshots.rs
@@ -6,8 +6,6 @@
 use crate::core::ControlCore;
 use crate::proposer::ProposalSubject;
 
-/// Records applied since the last snapshot that call for one.
-const SNAPSHOT_RECORDS: u64 = 2_000;
 /// Age of the last snapshot that calls for one, if anything was applied since.
 const SNAPSHOT_AGE: TimeSpan = TimeSpan::from_secs(600);
 /// Time after which a snapshot without an answer is written again.
@@ -80,7 +78,7 @@
         };
         let (at, offset) = self.snapshots.stored.unwrap_or((self.now, LogOffset::ZERO));
         let applied = self.state.applied();
-        let many = applied.0.saturating_sub(offset.0) >= SNAPSHOT_RECORDS;
+        let many = applied.0.saturating_sub(offset.0) >= self.config.snapshot_records;
         let old = applied > offset && self.now.since(at) >= SNAPSHOT_AGE;
         if waiting || delay > TimeSpan::ZERO || !(many || old) {
             return;
--- /dev/null
+++ b/crates/ward-matrix/src/daemon.rs
@@ -0,0 +1,98 @@
+//! A daemon's place in the world.
+
+use ward_control::{ControlAction, ControlCore, ControlEvent};
+use ward_protocol::{LogOffset, MemberInfo, MonoTime, PlanRevision, ReplicaKey, WallTime};
+
+/// Wall time at which every session begins: 2026-03-02 07:00 UTC.
+const SESSION_START: u64 = 1_772_434_800_000;
+const MILLION: u64 = 1_000_000;
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// A daemon's clock as a function of true time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DaemonClock {
+    offset: u64,
+    /// Parts per million of true speed.
+    rate: u64,
+    since: u64,
+}
+
+impl DaemonClock {
+    pub(crate) const fn new(offset: u64) -> Self {
+        Self {
+            offset,
+            rate: MILLION,
+            since: 0,
+        }
+    }
+
+    /// The monotonic clock at a true time.
+    pub(crate) const fn mono(&self, now: u64) -> MonoTime {
+        MonoTime(self.offset + (now - self.since) * self.rate / MILLION)
+    }
+
+    /// The wall clock at a true time.
+    pub(crate) const fn wall(&self, now: u64) -> WallTime {
+        WallTime(SESSION_START + now * self.rate / MILLION / MICROS_PER_MILLI)
+    }
+
+    /// Changes the speed from now on.
+    pub(crate) fn set_rate(&mut self, now: u64, rate: u64) {
+        self.offset = self.mono(now).0;
+        self.since = now;
+        self.rate = rate;
+    }
+}
+
+/// A daemon, dead or alive.
+#[derive(Debug)]
+pub(crate) struct DaemonSlot {
+    pub(crate) member: MemberInfo,
+    pub(crate) core: Option<ControlCore>,
+    pub(crate) life: u64,
+    pub(crate) clock: DaemonClock,
+    pub(crate) frozen: bool,
+    pub(crate) stopping: bool,
+    pub(crate) held: Vec<ControlEvent>,
+    /// What was decided and not yet carried out when the daemon froze.
+    pub(crate) unsent: Vec<ControlAction>,
+    pub(crate) adopted: PlanRevision,
+    pub(crate) checked: LogOffset,
+}
+
+impl DaemonSlot {
+    pub(crate) fn new(member: MemberInfo, offset: u64) -> Self {
+        Self {
+            member,
+            core: None,
+            life: 0,
+            clock: DaemonClock::new(offset),
+            frozen: false,
+            stopping: false,
+            held: Vec::new(),
+            unsent: Vec::new(),
+            adopted: PlanRevision::default(),
+            checked: LogOffset::ZERO,
+        }
+    }
+
+    /// Keeps an event for when the daemon goes on; of ticks one is enough.
+    pub(crate) fn hold(&mut self, event: ControlEvent) {
+        if event == ControlEvent::Tick && self.held.contains(&event) {
+            return;
+        }
+        self.held.push(event);
+    }
+
+    /// Whether the daemon, if it lives, knows a ready replica of a key.
+    pub(crate) fn routes(&self, key: &ReplicaKey) -> bool {
+        let Some(core) = &self.core else {
+            return true;
+        };
+        let state = core.state();
+        state
+            .held(key)
+            .iter()
+            .any(|id| state.reservations()[id].is_serving())
+    }
+}
--- /dev/null
+++ b/crates/ward-matrix/src/engine.rs
@@ -0,0 +1,166 @@
+//! An engine in memory that takes every load.
+
+use indexmap::{IndexMap, IndexSet};
+use ward_protocol::{
+    BackendInfo, BackendOrder, BackendStatus, EngineRole, FenceNumber, FencingSupport, MemorySize,
+    OrderKind, OrderRefusal, OrderResult, RecordId, ReplicaKey, ResidentPhase, ResidentReplica,
+};
+
+/// A fake engine.
+#[derive(Debug)]
+pub struct FakeEngine {
+    /// What the platform says of it.
+    pub info: BackendInfo,
+    /// Number of its life.
+    pub boot: u64,
+    /// Whether its host exists.
+    pub alive: bool,
+    /// Since when it leaves, in microseconds of true time.
+    pub leaving: Option<u64>,
+    /// Its present role.
+    pub role: EngineRole,
+    /// Replicas that it holds.
+    pub resident: IndexMap<ReplicaKey, ResidentReplica>,
+    fence: FenceNumber,
+    seen: IndexSet<RecordId>,
+}
+
+/// What an order began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderEffect {
+    /// Nothing.
+    None,
+    /// A load of this key.
+    Load(ReplicaKey),
+    /// An unload of this key.
+    Unload(ReplicaKey),
+}
+
+impl FakeEngine {
+    /// An empty engine.
+    #[must_use]
+    pub fn new(info: BackendInfo) -> Self {
+        Self {
+            info,
+            boot: 1,
+            alive: true,
+            leaving: None,
+            role: EngineRole::Serving,
+            resident: IndexMap::new(),
+            fence: FenceNumber::default(),
+            seen: IndexSet::new(),
+        }
+    }
+
+    /// Starts again with nothing.
+    pub fn crash(&mut self) {
+        self.boot += 1;
+        self.resident.clear();
+        self.fence = FenceNumber::default();
+        self.seen.clear();
+    }
+
+    /// Memory that replicas take.
+    #[must_use]
+    pub fn used(&self) -> MemorySize {
+        self.resident.values().map(|replica| replica.memory).sum()
+    }
+
+    /// Takes an order.
+    pub fn take(&mut self, order: &BackendOrder) -> (OrderResult, OrderEffect) {
+        if self.info.fencing == FencingSupport::Checks && order.fence < self.fence {
+            let refusal = OrderRefusal::Fenced { newest: self.fence };
+            return (OrderResult::Refused(refusal), OrderEffect::None);
+        }
+        self.fence = self.fence.max(order.fence);
+        if !self.seen.insert(order.order) {
+            return (OrderResult::Taken, OrderEffect::None);
+        }
+        match &order.kind {
+            OrderKind::Touch => (OrderResult::Taken, OrderEffect::None),
+            OrderKind::Role { role } => {
+                self.role = *role;
+                (OrderResult::Taken, OrderEffect::None)
+            }
+            OrderKind::Load { key, memory } => self.load(key, *memory),
+            OrderKind::Unload { key } => self.unload(key),
+        }
+    }
+
+    fn load(&mut self, key: &ReplicaKey, memory: MemorySize) -> (OrderResult, OrderEffect) {
+        let known = self.resident.get(key);
+        if known.is_some_and(|replica| replica.phase != ResidentPhase::Failed) {
+            return (OrderResult::Taken, OrderEffect::None);
+        }
+        if key.is_adapter() && !self.is_ready(&key.base()) {
+            return (
+                OrderResult::Refused(OrderRefusal::NoBase),
+                OrderEffect::None,
+            );
+        }
+        let replica = ResidentReplica {
+            key: key.clone(),
+            phase: ResidentPhase::Loading,
+            memory,
+            running: 0,
+        };
+        self.resident.insert(key.clone(), replica);
+        (OrderResult::Taken, OrderEffect::Load(key.clone()))
+    }
+
+    fn unload(&mut self, key: &ReplicaKey) -> (OrderResult, OrderEffect) {
+        let Some(replica) = self.resident.get_mut(key) else {
+            return (OrderResult::Taken, OrderEffect::None);
+        };
+        replica.phase = ResidentPhase::Unloading;
+        (OrderResult::Taken, OrderEffect::Unload(key.clone()))
+    }
+
+    /// Whether a replica answers requests.
+    #[must_use]
+    pub fn is_ready(&self, key: &ReplicaKey) -> bool {
+        self.resident
+            .get(key)
+            .is_some_and(|replica| replica.phase == ResidentPhase::Ready)
+    }
+
+    /// A load came to its end.
+    pub fn finish_load(&mut self, key: &ReplicaKey, boot: u64) {
+        if boot != self.boot {
+            return;
+        }
+        if let Some(replica) = self.resident.get_mut(key)
+            && replica.phase == ResidentPhase::Loading
+        {
+            replica.phase = ResidentPhase::Ready;
+        }
+    }
+
+    /// An unload came to its end.
+    pub fn finish_unload(&mut self, key: &ReplicaKey, boot: u64) {
+        let unloading = self
+            .resident
+            .get(key)
+            .is_some_and(|replica| replica.phase == ResidentPhase::Unloading);
+        if boot == self.boot && unloading {
+            self.resident.shift_remove(key);
+        }
+    }
+
+    /// What it reports.
+    #[must_use]
+    pub fn status(&self) -> BackendStatus {
+        BackendStatus {
+            backend: self.info.backend.clone(),
+            boot: self.boot,
+            fence: self.fence,
+            role: self.role,
+            memory: self.info.memory,
+            resident: self.resident.values().cloned().collect(),
+            cached: Vec::new(),
+            running: 0,
+            queued: 0,
+            leaving: self.leaving.is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-matrix/src/promise.rs
@@ -0,0 +1,144 @@
+//! What must hold after every event.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use ward_protocol::{
+    LogOffset, MemorySize, PlanRevision, ReplicaKey, ReservationId, ResidentPhase,
+};
+use ward_state::ReservationPhase;
+
+use crate::engine::FakeEngine;
+use crate::log::FakeLog;
+
+/// A promise to the users.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum PromiseKind {
+    /// No more replicas of a key than the plan decided.
+    Replicas,
+    /// No engine's memory is overcommitted.
+    Memory,
+    /// Whatever is loaded is counted.
+    Counted,
+    /// The adopted revision never goes back on a daemon.
+    Revision,
+    /// A leaving engine gets no load after a few seconds.
+    Leaving,
+    /// Daemons at equal offsets have equal states.
+    Agreement,
+    /// What is wanted is ready once faults have healed.
+    Liveness,
+}
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromiseBreach {
+    /// Which one.
+    pub kind: PromiseKind,
+    /// True time in microseconds.
+    pub at: u64,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for PromiseBreach {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let millis = self.at / 1_000;
+        write!(formatter, "{:?} at {millis} ms: {}", self.kind, self.detail)
+    }
+}
+
+/// The offset of the `Adopt` in force, as the checks follow it.
+#[derive(Debug, Default)]
+pub struct AdoptionWatch {
+    revision: PlanRevision,
+    at: LogOffset,
+}
+
+impl AdoptionWatch {
+    /// Notes the plan in force after an append.
+    pub fn follow(&mut self, log: &FakeLog) {
+        if log.truth.adopted() != self.revision {
+            self.revision = log.truth.adopted();
+            self.at = log.truth.applied();
+        }
+    }
+}
+
+/// Checks replicas, memory and counting against the engines.
+///
+/// # Errors
+/// The promise that is broken, and what was seen.
+pub fn check_engines(
+    log: &FakeLog,
+    adoption: &AdoptionWatch,
+    engines: &IndexMap<ward_protocol::BackendId, FakeEngine>,
+) -> Result<(), (PromiseKind, String)> {
+    let mut resident: IndexMap<&ReplicaKey, usize> = IndexMap::new();
+    for engine in engines.values().filter(|engine| engine.alive) {
+        check_memory(engine)?;
+        for replica in engine.resident.values() {
+            if replica.phase == ResidentPhase::Failed {
+                continue;
+            }
+            *resident.entry(&replica.key).or_default() += 1;
+            let id = &engine.info.backend;
+            if log.truth.held_on(&replica.key, id).is_none() {
+                let detail = format!("{} on {id} has no reservation", replica.key);
+                return Err((PromiseKind::Counted, detail));
+            }
+        }
+    }
+    for (key, count) in resident {
+        check_count(log, adoption, key, count)?;
+    }
+    for key in log.truth.held_keys() {
+        let reserved = held_ids(log, key).len();
+        check_count(log, adoption, key, reserved)?;
+    }
+    Ok(())
+}
+
+fn check_memory(engine: &FakeEngine) -> Result<(), (PromiseKind, String)> {
+    let used = engine.used();
+    if used > engine.info.memory {
+        let detail = format!(
+            "{} of {} on {}",
+            used, engine.info.memory, engine.info.backend
+        );
+        return Err((PromiseKind::Memory, detail));
+    }
+    Ok(())
+}
+
+fn held_ids(log: &FakeLog, key: &ReplicaKey) -> Vec<ReservationId> {
+    let held = log.truth.held(key).iter().copied();
+    held.filter(|id| log.truth.reservations()[id].phase != ReservationPhase::Found)
+        .collect()
+}
+
+/// A lowered plan allows what was reserved before it, nothing else.
+fn check_count(
+    log: &FakeLog,
+    adoption: &AdoptionWatch,
+    key: &ReplicaKey,
+    count: usize,
+) -> Result<(), (PromiseKind, String)> {
+    let row = log.truth.row(key);
+    let planned = row.map_or(0, |row| usize::from(row.replicas));
+    let earlier = held_ids(log, key)
+        .into_iter()
+        .filter(|id| id.0 < adoption.at.0)
+        .count();
+    if count > planned.max(earlier) {
+        let detail = format!("{count} of {key}, the plan has {planned}, {earlier} from before");
+        return Err((PromiseKind::Replicas, detail));
+    }
+    Ok(())
+}
+
+/// Memory of a plain size, for scripts.
+#[must_use]
+pub const fn gib(count: u64) -> MemorySize {
+    MemorySize::from_gib(count)
+}
--- /dev/null
+++ b/crates/ward-matrix/src/strike.rs
@@ -0,0 +1,402 @@
+//! Faults beginning and ending, and the script's steps.
+
+use ward_control::{ControlConfig, ControlCore, ControlEvent};
+use ward_protocol::{
+    BackendId, BackendInfo, BackendKind, DaemonId, FencingSupport, HostEntry, HostState,
+    Incarnation, LeaseTimes, MemberInfo, PlanChange, PlanEnvelope, PlanRecord, PlanRevision,
+    RecordId, ReplicaKey, TimeSpan, WakeHint, record::RECORD_FORMAT,
+};
+
+use crate::daemon::DaemonSlot;
+use crate::engine::FakeEngine;
+use crate::fault::FaultKind;
+use crate::promise::gib;
+use crate::script::{HEALED, SCRIPT, ScriptStep, TRAFFIC, first_plan, rival_plan, second_plan};
+use crate::step::MatrixStep;
+use crate::world::{DaemonLife, MILLI, SECOND, World, WorldEvent};
+
+/// Daemons at the start; the script adds one.
+const DAEMONS: u64 = 3;
+/// How long most faults last: past the lease, and past expiry.
+const FAULT_TIME: u64 = 7 * SECOND;
+/// How long a reclaimed host stays before it goes.
+const RECLAIM_TIME: u64 = 6 * SECOND;
+/// How long a killed daemon is away.
+const RESTART_TIME: u64 = 4 * SECOND;
+/// Time between hints of a daemon's waiting requests.
+const TRAFFIC_INTERVAL: u64 = 300 * MILLI;
+
+fn daemon_id(number: u64) -> Option<DaemonId> {
+    format!("entry-{number}").parse().ok()
+}
+
+fn member(number: u64) -> Option<MemberInfo> {
+    let zone = if number % 2 == 1 { "vic" } else { "moste" };
+    let address = |port: u64| format!("127.0.0.1:{}", port + number).parse().ok();
+    Some(MemberInfo {
+        daemon: daemon_id(number)?,
+        incarnation: Incarnation::default(),
+        zone: zone.parse().ok()?,
+        callers: address(8_000)?,
+        peers: address(9_000)?,
+        operators: address(10_000)?,
+    })
+}
+
+fn engine_info(number: u64) -> Option<BackendInfo> {
+    let zone = if number % 2 == 1 { "vic" } else { "moste" };
+    let fencing = if number.is_multiple_of(2) {
+        FencingSupport::Ignores
+    } else {
+        FencingSupport::Checks
+    };
+    Some(BackendInfo {
+        backend: format!("engine-{number}").parse().ok()?,
+        kind: BackendKind::Engine,
+        zone: zone.parse().ok()?,
+        address: format!("127.0.0.1:{}", 7_000 + number).parse().ok()?,
+        memory: gib(24),
+        fencing,
+        services: Vec::new(),
+    })
+}
+
+impl World {
+    pub(crate) fn build(&mut self) {
+        for info in (1..=4).filter_map(engine_info) {
+            self.engines
+                .insert(info.backend.clone(), FakeEngine::new(info));
+        }
+        self.publish_hosts();
+        for number in 1..=DAEMONS {
+            if let Some(member) = member(number) {
+                let slot = DaemonSlot::new(member.clone(), number * 1_000 * SECOND);
+                self.daemons.insert(member.daemon.clone(), slot);
+                self.start_daemon(&member.daemon);
+            }
+        }
+        for (at, step) in SCRIPT {
+            self.schedule(at * SECOND, WorldEvent::Script(*step));
+        }
+    }
+
+    pub(crate) fn publish_hosts(&mut self) {
+        let alive = self.engines.values().filter(|engine| engine.alive);
+        let entries = alive.map(|engine| HostEntry {
+            info: engine.info.clone(),
+            state: if engine.leaving.is_some() {
+                HostState::Leaving
+            } else {
+                HostState::Live
+            },
+        });
+        let entries = entries.collect();
+        self.hosts.publish(self.now, entries);
+    }
+
+    fn start_daemon(&mut self, daemon: &DaemonId) {
+        let now = self.now;
+        let seed = self.below(u64::MAX);
+        let peers = self
+            .daemons
+            .values()
+            .map(|slot| slot.member.peers)
+            .collect();
+        let Some(slot) = self.daemons.get_mut(daemon) else {
+            return;
+        };
+        slot.life += 1;
+        slot.frozen = false;
+        slot.held.clear();
+        slot.unsent.clear();
+        slot.adopted = PlanRevision::default();
+        slot.checked = ward_protocol::LogOffset::ZERO;
+        let member = MemberInfo {
+            incarnation: Incarnation(slot.clock.wall(now).0),
+            ..slot.member.clone()
+        };
+        let mut config = ControlConfig::new(member, seed);
+        config.peers = peers;
+        config.snapshot_records = 25;
+        config.lease = LeaseTimes::default();
+        config.policy.keep_shortest = TimeSpan::from_secs(2);
+        config.policy.keep_longest = TimeSpan::from_secs(3);
+        #[cfg(feature = "test-defects")]
+        if let Some(defect) = self.options.defect {
+            config = config.with_defects(ward_control::DefectSet::only(defect));
+        }
+        slot.core = Some(ControlCore::new(config, slot.clock.mono(now)));
+        let life = (daemon.clone(), slot.life);
+        let first = self.below(20 * MILLI);
+        self.schedule(first, WorldEvent::Tick(life.clone()));
+        self.schedule(first + 10 * MILLI, WorldEvent::Traffic(life));
+    }
+
+    /// Requests of a daemon that wait, or run if there is a replica.
+    pub(crate) fn offer_traffic(&mut self, life: &DaemonLife) {
+        if !self.is_live(life) {
+            return;
+        }
+        self.schedule(TRAFFIC_INTERVAL, WorldEvent::Traffic(life.clone()));
+        let second = self.now / SECOND;
+        let slot = &self.daemons[&life.0];
+        let wall = slot.clock.wall(self.now);
+        let wanted = TRAFFIC
+            .iter()
+            .filter(|(from, to, _)| (*from..*to).contains(&second));
+        let mut events = Vec::new();
+        for key in wanted.filter_map(|(_, _, text)| text.parse::<ReplicaKey>().ok()) {
+            let ready = slot.routes(&key);
+            let hint = WakeHint {
+                key,
+                waiting: 2,
+                priority: ward_protocol::PriorityLevel::default(),
+                deadline: wall + TimeSpan::from_secs(20),
+            };
+            events.push(if ready {
+                ControlEvent::Used { hint }
+            } else {
+                ControlEvent::Wanted { hint }
+            });
+        }
+        for event in events {
+            self.give(life, event);
+        }
+    }
+
+    /// Begins the faults that wait for a step.
+    pub(crate) fn strike_at(
+        &mut self,
+        matches: impl Fn(MatrixStep) -> bool,
+        actor: Option<&DaemonId>,
+    ) {
+        let due: Vec<_> = self
+            .unsent
+            .iter()
+            .copied()
+            .filter(|(_, step)| matches(*step))
+            .collect();
+        if due.is_empty() || self.now >= HEALED * SECOND {
+            return;
+        }
+        self.unsent.retain(|(_, step)| !matches(*step));
+        for (fault, step) in due {
+            self.struck.insert(step);
+            let daemon = actor
+                .cloned()
+                .or_else(|| daemon_id(1 + self.below(DAEMONS)));
+            if let Some(daemon) = daemon {
+                self.note(|| format!("! {fault} at {step} on {daemon}"));
+                self.strike(fault, daemon);
+            }
+        }
+    }
+
+    fn strike(&mut self, fault: FaultKind, daemon: DaemonId) {
+        self.active.insert(fault);
+        let mut lasts = FAULT_TIME;
+        match fault {
+            FaultKind::DaemonKilled => {
+                if let Some(slot) = self.daemons.get_mut(&daemon) {
+                    slot.core = None;
+                }
+                lasts = RESTART_TIME;
+            }
+            FaultKind::DaemonFrozen => {
+                if let Some(slot) = self.daemons.get_mut(&daemon) {
+                    slot.frozen = true;
+                }
+            }
+            FaultKind::ListBehind => self.hosts.lag = 5 * SECOND,
+            FaultKind::HostReclaimed => {
+                if let Some(backend) = self.busiest_engine() {
+                    self.reclaim(&backend);
+                }
+            }
+            FaultKind::EngineCrash => {
+                if let Some(backend) = self.busiest_engine()
+                    && let Some(engine) = self.engines.get_mut(&backend)
+                {
+                    engine.crash();
+                }
+            }
+            FaultKind::ClockFast => self.set_rate(&daemon, 1_050_000),
+            FaultKind::ClockSlow => self.set_rate(&daemon, 950_000),
+            FaultKind::OperatorRace => {
+                let base = self.log.truth.plans().head();
+                self.submit(base, second_plan());
+                self.submit(base, rival_plan());
+            }
+            FaultKind::CutFromPeers
+            | FaultKind::CutFromLog
+            | FaultKind::CutFromEngines
+            | FaultKind::LogDown
+            | FaultKind::LogSlow
+            | FaultKind::AnswerLost
+            | FaultKind::LogStale
+            | FaultKind::StoreSlow
+            | FaultKind::OrderDelayed
+            | FaultKind::OrderDoubled => {}
+        }
+        self.targets.insert(fault, daemon.clone());
+        self.schedule(lasts, WorldEvent::Heal(fault, daemon));
+    }
+
+    pub(crate) fn heal(&mut self, fault: FaultKind, daemon: &DaemonId) {
+        self.note(|| format!("! {fault} on {daemon} ends"));
+        self.active.shift_remove(&fault);
+        match fault {
+            FaultKind::DaemonKilled => {
+                let stopping = self.daemons[daemon].stopping;
+                if !stopping {
+                    self.start_daemon(daemon);
+                }
+            }
+            FaultKind::DaemonFrozen => self.thaw(daemon),
+            FaultKind::ListBehind => self.hosts.lag = 0,
+            FaultKind::ClockFast | FaultKind::ClockSlow => self.set_rate(daemon, 1_000_000),
+            FaultKind::HostReclaimed
+            | FaultKind::EngineCrash
+            | FaultKind::OperatorRace
+            | FaultKind::CutFromPeers
+            | FaultKind::CutFromLog
+            | FaultKind::CutFromEngines
+            | FaultKind::LogDown
+            | FaultKind::LogSlow
+            | FaultKind::AnswerLost
+            | FaultKind::LogStale
+            | FaultKind::StoreSlow
+            | FaultKind::OrderDelayed
+            | FaultKind::OrderDoubled => {}
+        }
+    }
+
+    fn thaw(&mut self, daemon: &DaemonId) {
+        let Some(slot) = self.daemons.get_mut(daemon) else {
+            return;
+        };
+        slot.frozen = false;
+        let life = (daemon.clone(), slot.life);
+        let unsent = std::mem::take(&mut slot.unsent);
+        let held = std::mem::take(&mut slot.held);
+        for action in unsent {
+            self.carry_out(&life, action);
+        }
+        for event in held {
+            self.give(&life, event);
+        }
+    }
+
+    fn set_rate(&mut self, daemon: &DaemonId, rate: u64) {
+        let now = self.now;
+        if let Some(slot) = self.daemons.get_mut(daemon) {
+            slot.clock.set_rate(now, rate);
+        }
+    }
+
+    fn busiest_engine(&self) -> Option<BackendId> {
+        let alive = self.engines.values().filter(|engine| engine.alive);
+        let busiest = alive.max_by_key(|engine| (engine.used(), engine.info.backend.clone()))?;
+        Some(busiest.info.backend.clone())
+    }
+
+    fn reclaim(&mut self, backend: &BackendId) {
+        let now = self.now;
+        if let Some(engine) = self.engines.get_mut(backend) {
+            engine.leaving = Some(now);
+        }
+        self.publish_hosts();
+        self.schedule(RECLAIM_TIME, WorldEvent::HostGone(backend.clone()));
+    }
+
+    pub(crate) fn remove_host(&mut self, backend: &BackendId) {
+        if let Some(engine) = self.engines.get_mut(backend) {
+            engine.alive = false;
+            engine.resident.clear();
+        }
+        self.publish_hosts();
+    }
+
+    fn submit(&mut self, base: PlanRevision, change: PlanChange) {
+        let Ok(author) = "planner".parse() else {
+            return;
+        };
+        let id = RecordId(u128::from(self.below(u64::MAX)));
+        let envelope = PlanEnvelope {
+            format: RECORD_FORMAT,
+            id,
+            author,
+            at: ward_protocol::WallTime::default(),
+            body: PlanRecord::Submit { base, change },
+        };
+        self.log.append_plan(&envelope);
+    }
+
+    pub(crate) fn play(&mut self, step: ScriptStep) {
+        self.note(|| format!("* {step:?}"));
+        match step {
+            ScriptStep::FirstPlan => self.submit(PlanRevision::default(), first_plan()),
+            ScriptStep::SecondPlan => {
+                let base = self.log.truth.plans().head();
+                self.submit(base, second_plan());
+            }
+            ScriptStep::Retreat => self.retreat(),
+            ScriptStep::Join => {
+                if let Some(member) = member(DAEMONS + 1) {
+                    let slot = DaemonSlot::new(member.clone(), 9_000 * SECOND);
+                    self.daemons.insert(member.daemon.clone(), slot);
+                    self.start_daemon(&member.daemon);
+                }
+            }
+            ScriptStep::Stop => self.stop_daemon(),
+        }
+        self.strike_at(|wanted| wanted.matches_script(step), None);
+    }
+
+    fn retreat(&mut self) {
+        let base = self.log.truth.plans().head();
+        let first = self.log.truth.plans().revisions().next();
+        let Some(to) = first.map(|info| info.revision) else {
+            return;
+        };
+        self.submit(base, PlanChange::Retreat { to });
+    }
+
+    fn stop_daemon(&mut self) {
+        let Some(daemon) = daemon_id(2) else {
+            return;
+        };
+        let Some(slot) = self.daemons.get_mut(&daemon) else {
+            return;
+        };
+        slot.stopping = true;
+        let life = (daemon, slot.life);
+        self.give(&life, ControlEvent::Stop);
+    }
+
+    /// Whether a fault on one daemon strikes this one.
+    pub(crate) fn is_struck(&self, fault: FaultKind, daemon: &DaemonId) -> bool {
+        self.active.contains(&fault) && self.targets.get(&fault) == Some(daemon)
+    }
+
+    pub(crate) fn is_cut_from_log(&self, daemon: &DaemonId) -> bool {
+        let down = self.active.contains(&FaultKind::LogDown);
+        down || self.is_struck(FaultKind::CutFromLog, daemon)
+    }
+
+    pub(crate) fn is_cut_from_peers(&self, daemon: &DaemonId) -> bool {
+        self.is_struck(FaultKind::CutFromPeers, daemon)
+    }
+
+    pub(crate) fn is_cut_from_engines(&self, daemon: &DaemonId) -> bool {
+        self.is_struck(FaultKind::CutFromEngines, daemon)
+    }
+
+    /// Records that a daemon's stale reads leave out: one more than it has seen.
+    pub(crate) fn stale_lag(&self, daemon: &DaemonId) -> usize {
+        let core = self.daemons[daemon].core.as_ref();
+        let applied = core.map(|core| core.state().applied()).unwrap_or_default();
+        let newer = self.log.control_after(applied);
+        newer + 1
+    }
+}
--- /dev/null
+++ b/crates/ward-matrix/src/world.rs
@@ -0,0 +1,346 @@
+//! Daemons, fakes and virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use indexmap::{IndexMap, IndexSet};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ward_control::{ControlAction, ControlEvent};
+use ward_protocol::{
+    BackendId, BackendOrder, ControlEnvelope, DaemonId, LogOffset, LogStream, MonoTime,
+    PlanRevision, RecordId, ReplicaKey,
+};
+
+use crate::daemon::DaemonSlot;
+use crate::engine::FakeEngine;
+use crate::fault::FaultKind;
+use crate::hosts::FakeHosts;
+use crate::log::FakeLog;
+use crate::promise::{AdoptionWatch, PromiseBreach, PromiseKind, check_engines};
+use crate::render::{render_action, render_event};
+use crate::script::ScriptStep;
+use crate::step::MatrixStep;
+
+/// Microseconds in a millisecond.
+pub(crate) const MILLI: u64 = 1_000;
+/// Microseconds in a second.
+pub(crate) const SECOND: u64 = 1_000_000;
+
+/// Time between ticks of a daemon.
+const TICK: u64 = 50 * MILLI;
+
+/// How a session runs.
+#[derive(Debug, Clone, Default)]
+pub struct WorldOptions {
+    /// Seed of delays and ids.
+    pub seed: u64,
+    /// Faults, each at the first occurrence of a step.
+    pub faults: Vec<(FaultKind, MatrixStep)>,
+    /// Keep a rendering of all events and actions.
+    pub traced: bool,
+    /// A rule that every daemon lacks.
+    #[cfg(feature = "test-defects")]
+    pub defect: Option<ward_control::DefectKind>,
+}
+
+/// Whose event it is: a daemon in one life.
+pub(crate) type DaemonLife = (DaemonId, u64);
+
+/// Something that will happen.
+#[derive(Debug, Clone)]
+pub(crate) enum WorldEvent {
+    Tick(DaemonLife),
+    Traffic(DaemonLife),
+    Deliver(DaemonLife, Box<ControlEvent>),
+    SampleRead(DaemonLife, LogStream, LogOffset, MonoTime),
+    Append(DaemonLife, Box<ControlEnvelope>),
+    SendOrder(DaemonLife, BackendId, Box<BackendOrder>, MonoTime),
+    LandOrder(DaemonLife, BackendId, Box<BackendOrder>, bool),
+    SampleStatus(DaemonLife, BackendId, MonoTime),
+    SampleHosts(DaemonLife),
+    LoadEnd(BackendId, u64, ReplicaKey),
+    UnloadEnd(BackendId, u64, ReplicaKey),
+    Script(ScriptStep),
+    Heal(FaultKind, DaemonId),
+    HostGone(BackendId),
+}
+
+#[derive(Debug)]
+struct QueuedEvent {
+    at: u64,
+    order: u64,
+    event: WorldEvent,
+}
+
+impl PartialEq for QueuedEvent {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for QueuedEvent {}
+
+impl PartialOrd for QueuedEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for QueuedEvent {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// A deployment in virtual time.
+#[derive(Debug)]
+pub struct World {
+    pub(crate) now: u64,
+    pub(crate) options: WorldOptions,
+    pub(crate) log: FakeLog,
+    pub(crate) engines: IndexMap<BackendId, FakeEngine>,
+    pub(crate) hosts: FakeHosts,
+    pub(crate) daemons: IndexMap<DaemonId, DaemonSlot>,
+    pub(crate) active: IndexSet<FaultKind>,
+    pub(crate) targets: IndexMap<FaultKind, DaemonId>,
+    pub(crate) struck: IndexSet<MatrixStep>,
+    pub(crate) unsent: Vec<(FaultKind, MatrixStep)>,
+    pub(crate) adoption: AdoptionWatch,
+    pub(crate) lost_answers: IndexSet<RecordId>,
+    queue: BinaryHeap<Reverse<QueuedEvent>>,
+    sequence: u64,
+    random: ChaCha8Rng,
+    breach: Option<PromiseBreach>,
+    trace: Vec<String>,
+}
+
+impl World {
+    /// A deployment before its first event.
+    #[must_use]
+    pub fn new(options: WorldOptions) -> Self {
+        let mut world = Self {
+            now: 0,
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+            unsent: options.faults.clone(),
+            options,
+            log: FakeLog::default(),
+            engines: IndexMap::new(),
+            hosts: FakeHosts::default(),
+            daemons: IndexMap::new(),
+            active: IndexSet::new(),
+            targets: IndexMap::new(),
+            struck: IndexSet::new(),
+            adoption: AdoptionWatch::default(),
+            lost_answers: IndexSet::new(),
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            breach: None,
+            trace: Vec::new(),
+        };
+        world.build();
+        world
+    }
+
+    /// The rendering kept so far.
+    #[must_use]
+    pub fn trace(&self) -> &[String] {
+        &self.trace
+    }
+
+    /// Whether the session reached a step at which a fault was to strike.
+    #[must_use]
+    pub fn has_struck(&self, step: MatrixStep) -> bool {
+        self.struck.contains(&step)
+    }
+
+    /// The fakes' log.
+    #[must_use]
+    pub const fn log(&self) -> &FakeLog {
+        &self.log
+    }
+
+    /// A random number below `bound`.
+    pub(crate) fn below(&mut self, bound: u64) -> u64 {
+        self.random.next_u64() % bound.max(1)
+    }
+
+    /// Has something happen after a delay in microseconds.
+    pub(crate) fn schedule(&mut self, delay: u64, event: WorldEvent) {
+        self.sequence += 1;
+        self.queue.push(Reverse(QueuedEvent {
+            at: self.now + delay,
+            order: self.sequence,
+            event,
+        }));
+    }
+
+    pub(crate) fn note(&mut self, line: impl FnOnce() -> String) {
+        if self.options.traced {
+            let millis = self.now / MILLI;
+            self.trace.push(format!(
+                "{:>6}.{:03} {}",
+                millis / 1_000,
+                millis % 1_000,
+                line()
+            ));
+        }
+    }
+
+    /// Runs until a true time in seconds.
+    ///
+    /// # Errors
+    /// The first promise that was broken.
+    pub fn run_until(&mut self, seconds: u64) -> Result<(), PromiseBreach> {
+        while let Some(Reverse(queued)) = self.queue.pop() {
+            if queued.at > seconds * SECOND {
+                self.queue.push(Reverse(queued));
+                break;
+            }
+            self.now = queued.at;
+            self.happen(queued.event);
+            self.check();
+            if let Some(breach) = self.breach.clone() {
+                return Err(breach);
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn fail(&mut self, kind: PromiseKind, detail: String) {
+        let at = self.now;
+        self.breach
+            .get_or_insert(PromiseBreach { kind, at, detail });
+    }
+
+    fn check(&mut self) {
+        self.adoption.follow(&self.log);
+        if let Err((kind, detail)) = check_engines(&self.log, &self.adoption, &self.engines) {
+            self.fail(kind, detail);
+        }
+    }
+
+    fn happen(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Tick(life) => {
+                if self.is_live(&life) {
+                    self.schedule(TICK, WorldEvent::Tick(life.clone()));
+                    self.give(&life, ControlEvent::Tick);
+                }
+            }
+            WorldEvent::Traffic(life) => self.offer_traffic(&life),
+            WorldEvent::Deliver(life, event) => self.give(&life, *event),
+            WorldEvent::SampleRead(life, stream, from, started) => {
+                self.sample_read(&life, stream, from, started);
+            }
+            WorldEvent::Append(life, envelope) => self.append(&life, &envelope),
+            WorldEvent::SendOrder(life, backend, order, not_after) => {
+                self.send_order(life, backend, order, not_after);
+            }
+            WorldEvent::LandOrder(life, backend, order, answered) => {
+                self.land_order(&life, &backend, &order, answered);
+            }
+            WorldEvent::SampleStatus(life, backend, started) => {
+                self.sample_status(&life, &backend, started);
+            }
+            WorldEvent::SampleHosts(life) => self.sample_hosts(&life),
+            WorldEvent::LoadEnd(backend, boot, key) => {
+                if let Some(engine) = self.engines.get_mut(&backend) {
+                    engine.finish_load(&key, boot);
+                }
+            }
+            WorldEvent::UnloadEnd(backend, boot, key) => {
+                if let Some(engine) = self.engines.get_mut(&backend) {
+                    engine.finish_unload(&key, boot);
+                }
+            }
+            WorldEvent::Script(step) => self.play(step),
+            WorldEvent::Heal(fault, daemon) => self.heal(fault, &daemon),
+            WorldEvent::HostGone(backend) => self.remove_host(&backend),
+        }
+    }
+
+    /// Whether a daemon still lives the life that an event is for.
+    pub(crate) fn is_live(&self, life: &DaemonLife) -> bool {
+        let slot = self.daemons.get(&life.0);
+        slot.is_some_and(|slot| slot.life == life.1 && slot.core.is_some())
+    }
+
+    /// Gives an event to a daemon and carries out what it decides.
+    pub(crate) fn give(&mut self, life: &DaemonLife, event: ControlEvent) {
+        if !self.is_live(life) {
+            return;
+        }
+        let now = self.now;
+        let Some(slot) = self.daemons.get_mut(&life.0) else {
+            return;
+        };
+        if slot.frozen {
+            slot.hold(event);
+            return;
+        }
+        let rendered = render_event(&event);
+        let mono = slot.clock.mono(now);
+        let wall = slot.clock.wall(now);
+        let Some(core) = slot.core.as_mut() else {
+            return;
+        };
+        let actions = core.step(mono, wall, event);
+        if let Some(line) = rendered {
+            self.note(|| format!("{} < {line}", life.0));
+        }
+        for action in actions {
+            if let Some(line) = render_action(&action) {
+                self.note(|| format!("{} > {line}", life.0));
+            }
+            self.strike_at(|step| step.matches(&action), Some(&life.0));
+            self.carry_out(life, action);
+        }
+        self.check_daemon(&life.0);
+    }
+
+    fn check_daemon(&mut self, daemon: &DaemonId) {
+        let Some(slot) = self.daemons.get_mut(daemon) else {
+            return;
+        };
+        let Some(core) = slot.core.as_ref() else {
+            return;
+        };
+        let state = core.state();
+        let (applied, adopted) = (state.applied(), state.adopted());
+        let before = slot.adopted;
+        slot.adopted = before.max(adopted);
+        let fresh = slot.checked < applied;
+        slot.checked = applied;
+        let digest = if fresh { state.digest().ok() } else { None };
+        if adopted < before {
+            let detail = format!("{daemon} went from revision {before} to {adopted}");
+            self.fail(PromiseKind::Revision, detail);
+        }
+        if fresh && digest.as_ref() != self.log.digests.get(&applied) {
+            let detail = format!("{daemon} differs at offset {applied}");
+            self.fail(PromiseKind::Agreement, detail);
+        }
+    }
+
+    /// The newest revision in force.
+    #[must_use]
+    pub fn adopted(&self) -> PlanRevision {
+        self.log.truth.adopted()
+    }
+
+    /// Whether a replica of a key is ready on some engine and every daemon routes to it.
+    #[must_use]
+    pub fn is_served(&self, key: &ReplicaKey) -> bool {
+        let loaded = self
+            .engines
+            .values()
+            .any(|engine| engine.alive && engine.is_ready(key));
+        let routed = self.daemons.values().all(|slot| slot.routes(key));
+        loaded && routed
+    }
+
+    pub(crate) fn carry_out(&mut self, life: &DaemonLife, action: ControlAction) {
+        self.carry(life, action);
+    }
+}
