The whole path as separate processes, in a test

Cause: everything later is built on it: an operator's client submits a sheet, a caller asks a daemon for addresses, a cold model streams its whole answer, five charges under one key run once. Found on the way: a default time limit of 30 s equals the default estimate of a remote load, so every cold request without a limit of its own was refused with 202 (seen: 'should be ready in 30s, after the time limit'). The default limit is now 60 s.

--- a/crates/ward-protocol/src/limits.rs
+++ b/crates/ward-protocol/src/limits.rs
@@ -104,7 +104,7 @@
             connections: 4_096,
             waiting: 1_024,
             per_replica: 32,
-            default_deadline: TimeSpan::from_secs(30),
+            default_deadline: TimeSpan::from_secs(60),
             longest_deadline: TimeSpan::from_secs(3_600),
             entry_ttl: TimeSpan::from_secs(10),
             retry_percent: 10,
--- /dev/null
+++ b/crates/ward-test-support/src/caller.rs
@@ -0,0 +1,114 @@
+//! Requests as a caller sends them.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::{Value, json};
+use ward_http::{CallBounds, CallError, HttpCaller, HttpReply, json_request};
+use ward_protocol::TimeSpan;
+
+const BOUNDS: CallBounds = CallBounds {
+    timeout: TimeSpan::from_secs(60),
+    answer_bytes: 64 << 20,
+};
+const EVENT_PREFIX: &str = "data: ";
+const LAST_EVENT: &str = "[DONE]";
+
+/// A streamed answer, put together.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StreamText {
+    /// The text of all events.
+    pub text: String,
+    /// Whether the last event came.
+    pub whole: bool,
+}
+
+impl StreamText {
+    /// Puts the events of an answer's body together.
+    #[must_use]
+    pub fn of_body(body: &[u8]) -> Self {
+        let mut stream = Self::default();
+        let body = String::from_utf8_lossy(body);
+        let events = body
+            .lines()
+            .filter_map(|line| line.strip_prefix(EVENT_PREFIX));
+        for event in events {
+            if event == LAST_EVENT {
+                stream.whole = true;
+                continue;
+            }
+            let event: Value = serde_json::from_str(event).unwrap_or_default();
+            let piece = &event["choices"][0]["delta"]["content"];
+            stream.text.push_str(piece.as_str().unwrap_or_default());
+        }
+        stream
+    }
+}
+
+/// Sends requests to one address.
+#[derive(Debug, Clone)]
+pub struct CallerClient {
+    address: SocketAddr,
+    caller: HttpCaller,
+}
+
+impl CallerClient {
+    /// Sends requests to `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            caller: HttpCaller::new(),
+        }
+    }
+
+    /// Sends a chat completion.
+    ///
+    /// # Errors
+    /// When no whole answer comes.
+    pub async fn chat(
+        &self,
+        model: &str,
+        prompt: &str,
+        stream: bool,
+    ) -> Result<HttpReply, CallError> {
+        let body = json!({
+            "model": model,
+            "stream": stream,
+            "max_tokens": 16,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        let body = Bytes::from(body.to_string());
+        let request = json_request(Method::POST, self.address, "/v1/chat/completions", body)?;
+        self.caller.call(request, BOUNDS).await
+    }
+
+    /// Calls a plain service, under a key if its calls may not be repeated.
+    ///
+    /// # Errors
+    /// When no whole answer comes.
+    pub async fn service(
+        &self,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<HttpReply, CallError> {
+        let path = format!("/services/{path}");
+        let mut request = json_request(Method::POST, self.address, &path, body.to_owned())?;
+        let value = key.and_then(|key| key.parse().ok());
+        if let Some(value) = value {
+            request.headers_mut().insert("idempotency-key", value);
+        }
+        self.caller.call(request, BOUNDS).await
+    }
+
+    /// Reads a path.
+    ///
+    /// # Errors
+    /// When no whole answer comes.
+    pub async fn get(&self, path: &str) -> Result<HttpReply, CallError> {
+        let request = json_request(Method::GET, self.address, path, "")?;
+        self.caller.call(request, BOUNDS).await
+    }
+}
