Sheets go onto the log as changed rows where that keeps their order

Cause: tens of thousands of rows change a few at a time, so a whole sheet for each change would fill the log; and a sheet whose versions only change places changes what an unpinned name means, which the difference did not show.

The shortest change that gives back the sheet exactly is sent; a reordered sheet goes whole. Limits follow the state machine's (100,000 rows). Settings check the newer policy values.

--- a/crates/ward-cli/src/client/daemon.rs
+++ b/crates/ward-cli/src/client/daemon.rs
@@ -9,6 +9,7 @@
 
 use super::exchange::{ApiExchange, ApiReply, ExchangeError};
 use crate::error::{CliError, FailedAttempt};
+use crate::output::print_error;
 
 /// Asks the daemons that an operator named.
 #[derive(Debug, Clone)]
@@ -61,7 +62,10 @@
         for daemon in &self.daemons {
             let cause = match self.ask(*daemon, exchange).await {
                 Ok(DaemonReply::Done(reply)) => match serde_json::from_slice(&reply.body) {
-                    Ok(answer) => return Ok(answer),
+                    Ok(answer) => {
+                        report_skipped(*daemon, &attempts);
+                        return Ok(answer);
+                    }
                     Err(error) => ExchangeError::Format(error),
                 },
                 Ok(DaemonReply::Refused(problem)) => {
@@ -98,6 +102,16 @@
     }
 }
 
+/// Tells whose answer this is when it is not that of the first daemon named.
+fn report_skipped(daemon: SocketAddr, attempts: &[FailedAttempt]) {
+    for attempt in attempts {
+        print_error(&format!("{}: {}\n", attempt.daemon, attempt.cause));
+    }
+    if !attempts.is_empty() {
+        print_error(&format!("{daemon} answered\n"));
+    }
+}
+
 fn is_unready(code: u16) -> bool {
     [
         ResultCode::Stopping,
--- a/crates/ward-cli/src/plan/show.rs
+++ b/crates/ward-cli/src/plan/show.rs
@@ -53,6 +53,10 @@
     for target in &difference.removed {
         table.add(["removed".to_owned(), target.to_string()]);
     }
+    for model in &difference.reordered {
+        let what = "versions in another order".to_owned();
+        table.add(["changed".to_owned(), model.to_string(), what]);
+    }
     table.render()
 }
 
--- a/crates/ward-operator/src/answer/status.rs
+++ b/crates/ward-operator/src/answer/status.rs
@@ -97,21 +97,3 @@
     /// The rows of the adopted plan.
     pub rows: Vec<RowStatus>,
 }
-
-impl StatusAnswer {
-    /// Whether every daemon has a revision or a later one in force.
-    #[must_use]
-    pub fn in_force(&self, revision: PlanRevision) -> bool {
-        self.adopted >= revision
-            && self
-                .daemons
-                .iter()
-                .all(|daemon| daemon.adopted.is_some_and(|adopted| adopted >= revision))
-    }
-
-    /// Whether every row has what it wants ready.
-    #[must_use]
-    pub fn all_ready(&self) -> bool {
-        self.rows.iter().all(|row| row.phase == RowPhase::Ready)
-    }
-}
--- a/crates/ward-operator/src/route/plan.rs
+++ b/crates/ward-operator/src/route/plan.rs
@@ -35,11 +35,10 @@
     if query.dry_run {
         return checked(&current, &sheet);
     }
-    let rows = sheet.rows().map(|row| row.as_ref().clone()).collect();
     let order = SubmitOrder {
         record: query.record,
         author: query.author,
-        change: PlanChange::Whole { rows },
+        change: sheet.change_from(&current.sheet()),
     };
     append(&server, order, &current, &sheet).await
 }
--- /dev/null
+++ b/crates/ward-plan/src/change.rs
@@ -0,0 +1,42 @@
+//! From two sheets to the change that goes onto the log.
+
+use ward_protocol::{PlanChange, PlanRow, RowTarget};
+
+use crate::difference::SheetDifference;
+use crate::sheet::PlanSheet;
+
+impl PlanSheet {
+    /// The shortest change that makes this sheet out of a base.
+    ///
+    /// Changed rows keep their places and added ones go to the end; a sheet in
+    /// another order is sent whole.
+    #[must_use]
+    pub fn change_from(&self, base: &Self) -> PlanChange {
+        let difference = SheetDifference::between(base, self);
+        let edits = difference.added.len() + difference.changed.len() + difference.removed.len();
+        if edits >= self.rows().len() || !self.keeps_order(base, &difference) {
+            return PlanChange::Whole {
+                rows: self.rows().map(|row| row.as_ref().clone()).collect(),
+            };
+        }
+        let changed = difference.changed.iter().map(|change| &change.to);
+        let upserts: Vec<PlanRow> = changed
+            .chain(&difference.added)
+            .map(|row| row.as_ref().clone())
+            .collect();
+        PlanChange::Rows {
+            upserts,
+            removals: difference.removed,
+        }
+    }
+
+    fn keeps_order(&self, base: &Self, difference: &SheetDifference) -> bool {
+        let kept = base
+            .rows()
+            .map(|row| &row.target)
+            .filter(|target| self.row(target).is_some());
+        let added = difference.added.iter().map(|row| &row.target);
+        let edited: Vec<&RowTarget> = kept.chain(added).collect();
+        self.rows().map(|row| &row.target).eq(edited)
+    }
+}
--- a/crates/ward-plan/src/difference.rs
+++ b/crates/ward-plan/src/difference.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use ward_protocol::{PlanRow, RowTarget};
+use ward_protocol::{ModelName, PlanRow, RowTarget, VersionTag};
 
 use crate::column::SheetColumn;
 use crate::sheet::PlanSheet;
@@ -28,6 +29,9 @@
     pub removed: Vec<RowTarget>,
     /// Rows that both have, with other cells.
     pub changed: Vec<ChangedRow>,
+    /// Models whose versions stand in another order, so that an unpinned name
+    /// may mean another one.
+    pub reordered: Vec<ModelName>,
 }
 
 impl SheetDifference {
@@ -52,16 +56,47 @@
             added,
             removed,
             changed,
+            reordered: reordered_models(from, to),
         }
     }
 
     /// Whether nothing changes.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.added.is_empty() && self.removed.is_empty() && self.changed.is_empty()
+        self.added.is_empty()
+            && self.removed.is_empty()
+            && self.changed.is_empty()
+            && self.reordered.is_empty()
     }
 }
 
+fn reordered_models(from: &PlanSheet, to: &PlanSheet) -> Vec<ModelName> {
+    let before = common_versions(from, to);
+    let after = common_versions(to, from);
+    before
+        .into_iter()
+        .filter(|(model, versions)| after.get(model) != Some(versions))
+        .map(|(model, _)| model.clone())
+        .collect()
+}
+
+/// The versions of each model that the other sheet has as well, in order.
+fn common_versions<'a>(
+    sheet: &'a PlanSheet,
+    other: &PlanSheet,
+) -> IndexMap<&'a ModelName, Vec<&'a VersionTag>> {
+    let mut models: IndexMap<&ModelName, Vec<&VersionTag>> = IndexMap::new();
+    for row in sheet.rows() {
+        match &row.target {
+            RowTarget::Replica(key) if !key.is_adapter() && other.row(&row.target).is_some() => {
+                models.entry(&key.model).or_default().push(&key.version);
+            }
+            RowTarget::Replica(_) | RowTarget::Service(_) => {}
+        }
+    }
+    models
+}
+
 fn changed_row(from: &Arc<PlanRow>, to: &Arc<PlanRow>) -> Option<ChangedRow> {
     let columns: Vec<SheetColumn> = SheetColumn::ALL
         .into_iter()
--- a/crates/ward-plan/src/lib.rs
+++ b/crates/ward-plan/src/lib.rs
@@ -10,8 +10,14 @@
 //! a bad cell still takes part in the second check as far as it can be read, so
 //! that an adapter is not reported as lacking its base model only because the
 //! base model's row has a mistake elsewhere.
+//!
+//! The order of a model's versions carries meaning, since an unpinned name
+//! means the first of them; so a difference lists models whose versions changed
+//! places, and a sheet goes onto the log as changed rows only when those rows
+//! give back its order.
 
 pub mod cell;
+pub mod change;
 pub mod check;
 pub mod column;
 pub mod difference;
--- a/crates/ward-plan/src/sheet.rs
+++ b/crates/ward-plan/src/sheet.rs
@@ -11,7 +11,7 @@
 use crate::text::{CellLine, cell_lines, sheet_text};
 
 /// Most rows of a sheet, without its header.
-pub const MAX_ROWS: usize = 10_000;
+pub const MAX_ROWS: usize = 100_000;
 
 /// A sheet without mistakes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/ward-settings/src/check.rs
+++ b/crates/ward-settings/src/check.rs
@@ -13,6 +13,7 @@
 
 const MOST_THREADS: u16 = 256;
 const MOST_SHARDS: u16 = 64;
+const MOST_EXCHANGE: f64 = 1e6;
 const MOST_PERCENT: u32 = 100;
 const LEAST_HEADER_BYTES: u32 = 1 << 10;
 const NEEDED: &str = "since it is needed";
@@ -297,6 +298,22 @@
     let weight = "since it is a share";
     list.at_least("policy.cold_weight", policy.cold_weight, 0.0, weight);
     list.at_most("policy.cold_weight", policy.cold_weight, 1.0, weight);
+    list.at_least("policy.gap_decay", policy.gap_decay, 0.0, weight);
+    list.at_most("policy.gap_decay", policy.gap_decay, 1.0, weight);
+    let rate = "since it is a rate of exchange";
+    list.at_least("policy.cold_exchange", policy.cold_exchange, 0.0, rate);
+    list.at_most(
+        "policy.cold_exchange",
+        policy.cold_exchange,
+        MOST_EXCHANGE,
+        rate,
+    );
+    list.at_most(
+        "policy.refuse_from_percent",
+        policy.refuse_from_percent,
+        MOST_PERCENT,
+        "since a queue is full at 100",
+    );
     list.spans("policy", &[("standby_after", policy.standby_after)]);
     list.counts("policy", &[("scale_out_waiting", policy.scale_out_waiting)]);
     list.at_least(
--- a/crates/ward-settings/tests/check.rs
+++ b/crates/ward-settings/tests/check.rs
@@ -46,33 +46,34 @@
 
 #[googletest::test]
 fn check_all_at_once() {
-    let found = paths(
+    let mut found = paths(
         r#"{
             "zone": "no such zone!",
             "colour": 1,
             "lease": {"lease": "300ms", "probe_timeout": "500ms", "order_life": "2 apples", "x": 1},
             "traffic": {"retry_percent": 101, "waiting": 0},
-            "policy": {"cold_weight": 1.5},
+            "policy": {"cold_weight": 1.5, "gap_decay": -0.1, "refuse_from_percent": 200},
             "seeds": ["127.0.0.1:1", "here", "there", "0.0.0.0:1"]
         }"#,
     );
-    expect_that!(
-        found,
-        unordered_elements_are![
-            eq("zone"),
-            eq("colour"),
-            eq("lease.lease"),
-            eq("lease.probe_timeout"),
-            eq("lease.order_life"),
-            eq("lease.x"),
-            eq("traffic.retry_percent"),
-            eq("traffic.waiting"),
-            eq("policy.cold_weight"),
-            eq("seeds[1]"),
-            eq("seeds[2]"),
-            eq("seeds[3]"),
-        ]
-    );
+    let expected = [
+        "colour",
+        "lease.lease",
+        "lease.order_life",
+        "lease.probe_timeout",
+        "lease.x",
+        "policy.cold_weight",
+        "policy.gap_decay",
+        "policy.refuse_from_percent",
+        "seeds[1]",
+        "seeds[2]",
+        "seeds[3]",
+        "traffic.retry_percent",
+        "traffic.waiting",
+        "zone",
+    ];
+    found.sort();
+    expect_that!(found, container_eq(expected.map(str::to_owned)));
 }
 
 #[googletest::test]
