--- a/crates/ward-operator/tests/record.rs
+++ b/crates/ward-operator/tests/record.rs
@@ -15,7 +15,8 @@
     let mut text =
         "target;zones;roles;replicas;ready;ready_from;priority;memory;repeatable\n".to_owned();
     for index in 0..rows {
-        text += &format!("model-{index}@1;vic;serving;2;1;07:30;3;8GiB;yes\n");
+        let row = format!("model-{index}@1;vic;serving;2;1;07:30;3;8GiB;yes\n");
+        text.push_str(&row);
     }
     let sheet = PlanSheet::read(text.as_bytes()).unwrap();
     SubmitRequest {
