--- /dev/null
+++ b/crates/ward-standin/tests/service.rs
@@ -0,0 +1,153 @@
+//! Calls to a plain service and how its faults count.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, dead_code)]
+
+mod support;
+
+use googletest::prelude::*;
+use serde_json::json;
+use support::{SETTLE, body, exchange};
+use ward_protocol::RequestId;
+use ward_standin::{RunningStandin, ServiceFaults, ServiceHistory, ServiceStandin};
+use ward_test_support::{StandinControl, service_settings};
+
+const KEY: &str = "charge-17";
+
+struct Bench {
+    standin: RunningStandin,
+    control: StandinControl,
+}
+
+impl Bench {
+    async fn start(faults: ServiceFaults) -> Self {
+        let mut settings = service_settings("booking-1", "vic", &["booking"]).unwrap();
+        settings.faults = faults;
+        let standin = ServiceStandin::start(settings).await.unwrap();
+        let control = StandinControl::new(standin.address);
+        Self { standin, control }
+    }
+
+    async fn charge(&self, id: RequestId) -> String {
+        let headers = format!("x-request-id: {id}\r\nidempotency-key: {KEY}\r\n");
+        let head = "POST /services/booking/deposits/9?currency=EUR";
+        exchange(self.standin.address, head, &headers, "30 EUR")
+            .await
+            .unwrap_or_default()
+    }
+
+    async fn history(&self) -> ServiceHistory {
+        self.control.history_until(SETTLE, |_| true).await.unwrap()
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn call_echoes() {
+    let bench = Bench::start(ServiceFaults::default()).await;
+    let id = RequestId::random();
+    let answer = bench.charge(id).await;
+    expect_that!(answer, contains_substring(format!("x-request-id: {id}")));
+    let body = body(&answer);
+    expect_that!(body["run"], eq(&json!(1)));
+    expect_that!(
+        body["call"],
+        eq(&json!("POST /services/booking/deposits/9?currency=EUR"))
+    );
+    let history = bench.history().await;
+    expect_that!(history.calls[0].answered, eq(true));
+    expect_that!(history.runs_by_key[KEY], eq(1));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn call_other_service() {
+    let bench = Bench::start(ServiceFaults::default()).await;
+    let answer = exchange(bench.standin.address, "GET /services/orders", "", "").await;
+    expect_that!(answer.unwrap(), starts_with("HTTP/1.1 404"));
+    expect_that!(bench.history().await.calls.len(), eq(0));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn call_repeated_is_counted() {
+    let bench = Bench::start(ServiceFaults::default()).await;
+    bench.charge(RequestId::random()).await;
+    let second = bench.charge(RequestId::random()).await;
+    expect_that!(body(&second)["run"], eq(&json!(2)));
+    let history = bench.history().await;
+    expect_that!(history.runs_by_key[KEY], eq(2));
+    expect_that!(history.runs_by_request.len(), eq(2));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn call_fails_after_effect() {
+    let one = ServiceFaults::default;
+    let cases = [
+        ServiceFaults {
+            truncate_answers: 1,
+            ..one()
+        },
+        ServiceFaults {
+            lose_answers: 1,
+            ..one()
+        },
+        ServiceFaults {
+            crash_after_effect: 1,
+            ..one()
+        },
+        ServiceFaults {
+            fail_answers: 1,
+            ..one()
+        },
+    ];
+    for faults in cases {
+        let shown = format!("{faults:?}");
+        let bench = Bench::start(faults).await;
+        let answer = bench.charge(RequestId::random()).await;
+        let whole = answer.starts_with("HTTP/1.1 200") && answer.ends_with('}');
+        expect_that!(whole, eq(false), "{shown}");
+        let history = bench.history().await;
+        expect_that!(history.runs_by_key[KEY], eq(1), "{shown}");
+        expect_that!(history.calls[0].answered, eq(false), "{shown}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn call_fails_before_effect() {
+    let one = ServiceFaults::default;
+    let cases = [
+        ServiceFaults {
+            down: true,
+            ..one()
+        },
+        ServiceFaults {
+            crash_before_effect: 1,
+            ..one()
+        },
+    ];
+    for faults in cases {
+        let shown = format!("{faults:?}");
+        let bench = Bench::start(faults).await;
+        expect_that!(
+            bench.charge(RequestId::random()).await.as_str(),
+            eq(""),
+            "{shown}"
+        );
+        expect_that!(bench.history().await.calls.len(), eq(0), "{shown}");
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn call_wrong_id() {
+    let faults = ServiceFaults {
+        wrong_ids: 1,
+        ..ServiceFaults::default()
+    };
+    let bench = Bench::start(faults).await;
+    let id = RequestId::random();
+    let answer = bench.charge(id).await;
+    expect_that!(answer, not(contains_substring(id.to_string())));
+}
--- /dev/null
+++ b/crates/ward-standin/tests/store.rs
@@ -0,0 +1,167 @@
+//! The pace of the weight store.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use http::Method;
+use serde_json::json;
+use tokio::time::Instant;
+use ward_protocol::{MemorySize, RecordId, TimeSpan};
+use ward_standin::{
+    HostsFaults, HostsHistory, HostsSettings, HostsStandin, RunningStandin, StoreSettings,
+};
+use ward_test_support::{SetSettings, StandinControl, StandinSet, engine_settings};
+
+const MODEL_TIME: Duration = Duration::from_millis(100);
+
+const QUICK: StoreSettings = StoreSettings {
+    model_gib: TimeSpan::from_millis(100),
+    model_loads: 4,
+    start_interval: TimeSpan::ZERO,
+    adapter: TimeSpan::from_millis(8),
+    adapter_loads: 30,
+};
+
+/// A store that runs until dropped.
+struct Bench {
+    _standin: RunningStandin,
+    control: StandinControl,
+}
+
+impl Bench {
+    async fn start(store: StoreSettings, faults: HostsFaults) -> Self {
+        let settings = HostsSettings {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            store,
+            faults,
+        };
+        let standin = HostsStandin::start(settings).await.unwrap();
+        Self {
+            control: StandinControl::new(standin.address),
+            _standin: standin,
+        }
+    }
+
+    /// Loads a key; how long it took, or nothing when it broke off.
+    async fn load(&self, key: &str) -> Option<Duration> {
+        let begun = Instant::now();
+        let request = json!({ "key": key, "engine": "engine-1", "memory": "1GiB" });
+        let answer = self.control.send(Method::POST, "/loads", &request).await;
+        answer.ok().map(|_| begun.elapsed())
+    }
+
+    async fn load_all(&self, keys: impl Iterator<Item = String>) -> Vec<Duration> {
+        let keys: Vec<_> = keys.collect();
+        let times = join_all(keys.iter().map(|key| self.load(key))).await;
+        times.into_iter().map(Option::unwrap).collect()
+    }
+
+    async fn history(&self) -> HostsHistory {
+        self.control.history().await.unwrap()
+    }
+}
+
+fn models(count: u32) -> impl Iterator<Item = String> {
+    (0..count).map(|number| format!("m{number}@1"))
+}
+
+fn adapters(count: u32) -> impl Iterator<Item = String> {
+    (0..count).map(|number| format!("m:a{number}@1"))
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn model_full_speed_and_beyond() {
+    let bench = Bench::start(QUICK, HostsFaults::default()).await;
+    let few = bench.load_all(models(4)).await.into_iter().max().unwrap();
+    let many = bench.load_all(models(8)).await.into_iter().min().unwrap();
+    expect_that!(few, ge(MODEL_TIME));
+    expect_that!(many, all!(ge(MODEL_TIME * 3 / 2), gt(few)));
+    expect_that!(bench.history().await.peak_models, eq(8));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn model_start_rate() {
+    let store = StoreSettings {
+        start_interval: TimeSpan::from_millis(50),
+        ..QUICK
+    };
+    let bench = Bench::start(store, HostsFaults::default()).await;
+    let times = bench.load_all(models(4)).await;
+    let slowest = times.into_iter().max().unwrap();
+    expect_that!(slowest, ge(MODEL_TIME + Duration::from_millis(150)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn adapter_crowded() {
+    let bench = Bench::start(QUICK, HostsFaults::default()).await;
+    let alone = bench.load("m:a@1").await.unwrap();
+    expect_that!(alone, ge(Duration::from_millis(8)));
+    let times = bench.load_all(adapters(120)).await;
+    let slowest = times.into_iter().max().unwrap();
+    expect_that!(slowest, ge(Duration::from_millis(24)));
+    expect_that!(bench.history().await.peak_adapters, gt(30));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn store_slow() {
+    let faults = HostsFaults {
+        store_slow: 3.0,
+        ..HostsFaults::default()
+    };
+    let bench = Bench::start(QUICK, faults).await;
+    expect_that!(bench.load("m@1").await, some(ge(MODEL_TIME * 3)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn store_down_in_the_middle() {
+    let bench = Bench::start(QUICK, HostsFaults::default()).await;
+    let faults = HostsFaults {
+        store_down: true,
+        ..HostsFaults::default()
+    };
+    let (load, ()) = tokio::join!(bench.load("m@1"), async {
+        tokio::time::sleep(MODEL_TIME / 2).await;
+        bench.control.set_faults(&faults).await.unwrap();
+    });
+    expect_that!(load, none());
+    let history = bench.history().await;
+    expect_that!(history.loads[0].arrived, none());
+    expect_that!(history.levels.last().unwrap().models, eq(0));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn engine_load_goes_through_store() {
+    let engine = engine_settings("engine-1", "vic", MemorySize::from_gib(24)).unwrap();
+    let settings = SetSettings {
+        store: QUICK,
+        engines: vec![engine],
+        ..SetSettings::default()
+    };
+    let set = StandinSet::start(settings).await.unwrap();
+    let engine = StandinControl::new(set.engines[0].address);
+    let order = json!({
+        "order": RecordId::random(),
+        "fence": 1,
+        "kind": { "load": { "key": "m@1", "memory": "1GiB" } },
+    });
+    engine.send(Method::POST, "/orders", &order).await.unwrap();
+    let hosts = StandinControl::new(set.hosts.address);
+    let arrived = |history: &HostsHistory| {
+        history
+            .loads
+            .first()
+            .is_some_and(|load| load.arrived.is_some())
+    };
+    let limit = TimeSpan::from_secs(5);
+    let history = hosts.history_until(limit, arrived).await.unwrap();
+    expect_that!(history.loads[0].engine.as_str(), eq("engine-1"));
+}
