Engine stand-in: prefix cache and its events; raw exchanges for tests

Prompts cost time per block of 64 bytes that is not cached, which makes prefix affinity measurable; cache events come late and with gaps as the faults say.

--- a/crates/ward-platform/tests/snapshot.rs
+++ b/crates/ward-platform/tests/snapshot.rs
@@ -23,7 +23,7 @@
 }
 
 fn image(control: u64, length: usize) -> SnapshotImage {
-    let bytes = (0..length).map(|index| (index % 251) as u8);
+    let bytes = (0..=250).cycle().take(length);
     SnapshotImage {
         snapshot: RecordId::random(),
         control: LogOffset(control),
--- a/crates/ward-standin/src/command/engine.rs
+++ b/crates/ward-standin/src/command/engine.rs
@@ -14,6 +14,7 @@
 
 const SLOTS: u32 = 16;
 const TOKEN_TIME: TimeSpan = TimeSpan::from_millis(20);
+const PREFILL_TIME: TimeSpan = TimeSpan::from_millis(5);
 const LOAD_MEMORY: TimeSpan = TimeSpan::from_millis(200);
 const LOAD_DISK: TimeSpan = TimeSpan::from_millis(800);
 const LOAD_REMOTE: TimeSpan = TimeSpan::from_secs(3);
@@ -32,6 +33,11 @@
         .arg(cached())
         .arg(count("slots", SLOTS, "Requests that run at a time"))
         .arg(span("token-time", TOKEN_TIME, "Time per token"))
+        .arg(span(
+            "prefill-time",
+            PREFILL_TIME,
+            "Time per block of 64 prompt bytes that is not cached",
+        ))
         .arg(span(
             "load-memory",
             LOAD_MEMORY,
@@ -71,6 +77,7 @@
         hosts: matches.get_one("hosts").copied(),
         slots: value(matches, "slots", SLOTS),
         token_time: value(matches, "token-time", TOKEN_TIME),
+        prefill_time: value(matches, "prefill-time", PREFILL_TIME),
         load_memory: value(matches, "load-memory", LOAD_MEMORY),
         load_disk: value(matches, "load-disk", LOAD_DISK),
         load_remote: value(matches, "load-remote", LOAD_REMOTE),
--- a/crates/ward-standin/src/engine/faults.rs
+++ b/crates/ward-standin/src/engine/faults.rs
@@ -45,6 +45,10 @@
     pub wrong_status: u32,
     /// Milliseconds by which load figures lag; the settings' lag when absent.
     pub status_lag_ms: Option<u64>,
+    /// Milliseconds by which cache events come late.
+    pub cache_lag_ms: u64,
+    /// One in this many cache events is left out; none when zero.
+    pub cache_gap: u64,
     /// The engine's host is being reclaimed; loads are refused.
     pub leaving: bool,
 }
@@ -69,6 +73,8 @@
             broken_status: 0,
             wrong_status: 0,
             status_lag_ms: None,
+            cache_lag_ms: 0,
+            cache_gap: 0,
             leaving: false,
         }
     }
--- a/crates/ward-standin/src/engine/generation.rs
+++ b/crates/ward-standin/src/engine/generation.rs
@@ -183,6 +183,9 @@
         state.crash();
         return future::pending().await;
     }
+    if start == GenerationStart::Run {
+        prefill(&state, &generation.task).await;
+    }
     produce(&state, &generation).await;
     drop(slot);
     let key = &generation.task.key;
@@ -201,6 +204,13 @@
     }
 }
 
+/// Takes the time of the prompt's blocks that are not cached.
+async fn prefill(state: &EngineState, task: &GenerationTask) {
+    let computed = lock(&state.holding).prefixes.admit(&task.key, &task.prompt);
+    let span = state.settings.prefill_time.duration() * computed;
+    tokio::time::sleep(span).await;
+}
+
 async fn produce(state: &EngineState, generation: &Generation) {
     let pace = state.settings.token_time.duration();
     let mut due = Instant::now();
--- a/crates/ward-standin/src/engine/holding.rs
+++ b/crates/ward-standin/src/engine/holding.rs
@@ -3,11 +3,13 @@
 use indexmap::IndexMap;
 use tokio::task::AbortHandle;
 use ward_protocol::{
-    CacheTier, CachedCheckpoint, EngineRole, FenceNumber, MemorySize, OrderRefusal, RecordId,
-    ReplicaKey, RequestId, ResidentPhase, ResidentReplica, WallTime,
+    CacheTier, EngineRole, FenceNumber, MemorySize, OrderRefusal, RecordId, ReplicaKey, RequestId,
+    ResidentPhase, ResidentReplica, WallTime,
 };
 
 use super::history::{CrashEntry, EngineHistory, HoldingEntry, RunEntry};
+use super::prefix::PrefixCache;
+use super::settings::EngineSettings;
 
 /// Whether an order was taken.
 pub(super) type OrderVerdict = Result<(), OrderRefusal>;
@@ -31,23 +33,26 @@
     pub(super) replicas: IndexMap<ReplicaKey, HeldReplica>,
     pub(super) cached: IndexMap<ReplicaKey, CacheTier>,
     pub(super) orders: IndexMap<RecordId, OrderVerdict>,
+    pub(super) prefixes: PrefixCache,
     pub(super) history: EngineHistory,
 }
 
 impl EngineHolding {
-    pub(super) fn new(size: MemorySize, cached: Vec<CachedCheckpoint>) -> Self {
-        let cached = cached
-            .into_iter()
-            .map(|checkpoint| (checkpoint.key, checkpoint.tier))
+    pub(super) fn new(settings: &EngineSettings) -> Self {
+        let cached = settings
+            .cached
+            .iter()
+            .map(|checkpoint| (checkpoint.key.clone(), checkpoint.tier))
             .collect();
         Self {
             boot: WallTime::now().0,
             fence: FenceNumber::default(),
             role: EngineRole::Serving,
-            size,
+            size: settings.memory,
             replicas: IndexMap::new(),
             cached,
             orders: IndexMap::new(),
+            prefixes: PrefixCache::new(settings.cache_blocks),
             history: EngineHistory::default(),
         }
     }
@@ -68,6 +73,7 @@
         self.role = EngineRole::Serving;
         self.replicas.clear();
         self.orders.clear();
+        self.prefixes.keep_only(|_| false);
         self.note_change();
     }
 
@@ -126,6 +132,8 @@
         self.replicas
             .retain(|_, replica| replica.phase != ResidentPhase::Unloading || replica.running > 0);
         if self.replicas.len() != before {
+            self.prefixes
+                .keep_only(|key| self.replicas.contains_key(key));
             self.note_change();
         }
     }
--- a/crates/ward-standin/src/engine/mod.rs
+++ b/crates/ward-standin/src/engine/mod.rs
@@ -14,6 +14,7 @@
 mod holding;
 mod load;
 mod order;
+mod prefix;
 mod resume;
 mod routes;
 mod settings;
--- /dev/null
+++ b/crates/ward-standin/src/engine/prefix.rs
@@ -0,0 +1,153 @@
+//! Cached prompt prefixes, and the events that tell of them.
+//!
+//! A prompt is cut into blocks; a block is known by the digest of all of the
+//! prompt up to its end, so equal heads share blocks. Events come late and
+//! with gaps as the faults say; a gap shows in the sequence numbers.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use viz::{Request, RequestExt, StatusCode};
+use ward_protocol::ReplicaKey;
+
+use super::faults::EngineFaults;
+use super::state::EngineState;
+use crate::server::{Answer, json_answer, lock, refusal};
+
+const BLOCK_BYTES: usize = 64;
+const BLOCK_HEX_DIGITS: usize = 16;
+const MOST_EVENTS: usize = 100_000;
+
+/// A change of the cache.
+#[derive(Debug, Clone, Serialize)]
+struct CacheEvent {
+    sequence: u64,
+    block: String,
+    stored: bool,
+    #[serde(skip)]
+    at: Instant,
+}
+
+/// The blocks in the cache, least recently used first.
+#[derive(Debug)]
+pub(super) struct PrefixCache {
+    capacity: usize,
+    blocks: IndexMap<String, ReplicaKey>,
+    events: VecDeque<CacheEvent>,
+    sequence: u64,
+}
+
+#[derive(Deserialize)]
+struct EventQuery {
+    from: u64,
+}
+
+#[derive(Serialize)]
+struct EventAnswer {
+    events: Vec<CacheEvent>,
+}
+
+impl PrefixCache {
+    pub(super) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            blocks: IndexMap::new(),
+            events: VecDeque::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Takes in a prompt; returns how many of its blocks had to be computed.
+    pub(super) fn admit(&mut self, key: &ReplicaKey, prompt: &str) -> u32 {
+        let blocks = block_names(key, prompt);
+        let mut hit = true;
+        let mut computed = 0;
+        for block in blocks {
+            let known = self.blocks.shift_remove(&block).is_some();
+            hit &= known;
+            if !hit {
+                computed += 1;
+            }
+            if !known {
+                self.note(block.clone(), true);
+            }
+            self.blocks.insert(block, key.clone());
+        }
+        while self.blocks.len() > self.capacity {
+            let Some((block, _)) = self.blocks.shift_remove_index(0) else {
+                break;
+            };
+            self.note(block, false);
+        }
+        computed
+    }
+
+    /// Drops the blocks of replicas that are gone.
+    pub(super) fn keep_only(&mut self, held: impl Fn(&ReplicaKey) -> bool) {
+        let gone: Vec<_> = self
+            .blocks
+            .extract_if(.., |_, key| !held(key))
+            .map(|(block, _)| block)
+            .collect();
+        for block in gone {
+            self.note(block, false);
+        }
+    }
+
+    fn note(&mut self, block: String, stored: bool) {
+        if self.events.len() == MOST_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(CacheEvent {
+            sequence: self.sequence,
+            block,
+            stored,
+            at: Instant::now(),
+        });
+        self.sequence += 1;
+    }
+
+    /// The events from a sequence number on, as the faults let them be seen.
+    fn seen(&self, from: u64, faults: &EngineFaults) -> Vec<CacheEvent> {
+        let lag = Duration::from_millis(faults.cache_lag_ms);
+        let now = Instant::now();
+        self.events
+            .iter()
+            .filter(|event| event.sequence >= from && now - event.at >= lag)
+            .filter(|event| !is_gap(event.sequence, faults.cache_gap))
+            .cloned()
+            .collect()
+    }
+}
+
+/// Answers `GET /cache-events`.
+pub(super) async fn cache_events(state: Arc<EngineState>, request: Request) -> Answer {
+    state.hang().await;
+    let query: EventQuery = request
+        .query()
+        .map_err(|_| refusal(StatusCode::BAD_REQUEST))?;
+    let faults = state.faults();
+    let events = lock(&state.holding).prefixes.seen(query.from, &faults);
+    Ok(json_answer(StatusCode::OK, &EventAnswer { events }))
+}
+
+fn is_gap(sequence: u64, gap: u64) -> bool {
+    gap > 0 && sequence % gap == gap - 1
+}
+
+fn block_names(key: &ReplicaKey, prompt: &str) -> Vec<String> {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.to_string().as_bytes());
+    prompt
+        .as_bytes()
+        .chunks(BLOCK_BYTES)
+        .map(|block| {
+            hasher.update(block);
+            hasher.finalize().to_hex()[..BLOCK_HEX_DIGITS].to_owned()
+        })
+        .collect()
+}
--- a/crates/ward-standin/src/engine/routes.rs
+++ b/crates/ward-standin/src/engine/routes.rs
@@ -6,6 +6,7 @@
 
 use super::completion::{chat, text};
 use super::order::order;
+use super::prefix::cache_events;
 use super::resume::{cancel, export, import, resume};
 use super::state::EngineState;
 use super::status::status;
@@ -16,6 +17,7 @@
     let router = Router::new()
         .post("/orders", handler(state, order))
         .get("/status", handler(state, status))
+        .get("/cache-events", handler(state, cache_events))
         .post("/v1/chat/completions", handler(state, chat))
         .post("/v1/completions", handler(state, text))
         .delete("/v1/requests/:id", handler(state, cancel))
--- a/crates/ward-standin/src/engine/settings.rs
+++ b/crates/ward-standin/src/engine/settings.rs
@@ -38,6 +38,10 @@
     pub slots: u32,
     /// Time per token.
     pub token_time: TimeSpan,
+    /// Time per block of 64 prompt bytes that is not cached.
+    pub prefill_time: TimeSpan,
+    /// Blocks that the prefix cache holds.
+    pub cache_blocks: usize,
     /// Load time from the host's memory.
     pub load_memory: TimeSpan,
     /// Load time from the host's disk.
@@ -68,6 +72,8 @@
             hosts: None,
             slots: 16,
             token_time: TimeSpan::from_millis(1),
+            prefill_time: TimeSpan::ZERO,
+            cache_blocks: 1_024,
             load_memory: TimeSpan::from_millis(10),
             load_disk: TimeSpan::from_millis(40),
             load_remote: TimeSpan::from_millis(80),
--- a/crates/ward-standin/src/engine/state.rs
+++ b/crates/ward-standin/src/engine/state.rs
@@ -30,7 +30,7 @@
 
 impl EngineState {
     pub(super) fn new(settings: EngineSettings, switch: CrashSwitch) -> Self {
-        let holding = EngineHolding::new(settings.memory, settings.cached.clone());
+        let holding = EngineHolding::new(&settings);
         Self {
             faults: Mutex::new(settings.faults.clone()),
             holding: Mutex::new(holding),
--- a/crates/ward-standin/tests/requests.rs
+++ b/crates/ward-standin/tests/requests.rs
@@ -1,15 +1,16 @@
 //! Requests at an engine: batching, streams, moves, and broken answers.
 
-#![allow(clippy::unwrap_used, clippy::expect_used, dead_code)]
+#![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod support;
 
 use googletest::prelude::*;
 use serde_json::json;
-use support::{EngineBench, KEY, body, events, exchange, is_whole, pause, text};
+use support::{EngineBench, KEY, events, is_whole, pause, text};
 use ward_protocol::{RequestId, TimeSpan};
 use ward_standin::EngineFaults;
 use ward_standin::engine::answer_text;
+use ward_test_support::raw_exchange;
 
 #[googletest::test]
 #[tokio::test]
@@ -17,8 +18,11 @@
     let bench = EngineBench::start(|_| {}).await;
     let id = RequestId::random();
     let answer = bench.ask(id, "red or blue", 5, false).await;
-    expect_that!(answer, contains_substring(format!("x-request-id: {id}")));
-    let body = body(&answer);
+    expect_that!(
+        answer.text,
+        contains_substring(format!("x-request-id: {id}"))
+    );
+    let body = answer.json();
     expect_that!(body["id"], eq(&json!(id.to_string())));
     let wanted = answer_text("red or blue", 5);
     expect_that!(body["choices"][0]["text"], eq(&json!(wanted)));
@@ -31,7 +35,7 @@
     let messages = json!([{ "role": "user", "content": "a" }, { "role": "user", "content": "b" }]);
     let request = json!({ "model": KEY, "messages": messages, "max_tokens": 3 });
     let address = bench.standin.address;
-    let answer = exchange(
+    let answer = raw_exchange(
         address,
         "POST /v1/chat/completions",
         "",
@@ -39,7 +43,7 @@
     )
     .await
     .unwrap();
-    let content = &body(&answer)["choices"][0]["message"]["content"];
+    let content = &answer.json()["choices"][0]["message"]["content"];
     expect_that!(*content, eq(&json!(answer_text("a\nb", 3))));
 }
 
@@ -49,11 +53,11 @@
     let bench = EngineBench::start(|_| {}).await;
     let request = json!({ "model": "other@1", "prompt": "a" });
     let address = bench.standin.address;
-    let answer = exchange(address, "POST /v1/completions", "", &request.to_string())
+    let answer = raw_exchange(address, "POST /v1/completions", "", &request.to_string())
         .await
         .unwrap();
-    expect_that!(answer, starts_with("HTTP/1.1 404"));
-    expect_that!(answer, contains_substring("x-outcome: not_run"));
+    expect_that!(answer.text, starts_with("HTTP/1.1 404"));
+    expect_that!(answer.text, contains_substring("x-outcome: not_run"));
     let history = bench.history_until(|history| history.not_run == 1).await;
     expect_that!(history.requests.len(), eq(0));
 }
@@ -103,9 +107,11 @@
     let (whole, cache) = tokio::join!(from.ask(id, "p", 10, true), async {
         pause(70).await;
         let head = format!("GET /v1/requests/{id}/kv");
-        exchange(from.standin.address, &head, "", "").await.unwrap()
+        raw_exchange(from.standin.address, &head, "", "")
+            .await
+            .unwrap()
     });
-    let cache = body(&cache);
+    let cache = cache.json();
     let position = cache["position"].as_u64().unwrap();
     expect_that!(position, all!(gt(0), lt(10)));
     let path = format!("/v1/requests/{id}/kv");
@@ -158,7 +164,7 @@
         pause(after).await;
         let request = json!({ "model": KEY, "prompt": "p", "max_tokens": 10 });
         let headers = format!("priority: u={priority}\r\n");
-        exchange(
+        raw_exchange(
             address,
             "POST /v1/completions",
             &headers,
@@ -183,8 +189,8 @@
     })
     .await;
     let status = async || {
-        let answer = exchange(bench.standin.address, "GET /status", "", "").await;
-        let status = body(&answer.unwrap());
+        let answer = raw_exchange(bench.standin.address, "GET /status", "", "").await;
+        let status = answer.unwrap().json();
         let figure = |name: &str| status[name].as_u64().unwrap();
         (
             figure("running"),
@@ -221,28 +227,24 @@
     })
     .await;
     let answer = bench.ask(id, "p", 2, false).await;
-    expect_that!(body(&answer)["id"], not(eq(&json!(id.to_string()))));
+    expect_that!(answer.json()["id"], not(eq(&json!(id.to_string()))));
     set(EngineFaults {
         broken_answers: 1,
         ..EngineFaults::default()
     })
     .await;
     let answer = bench.ask(id, "p", 2, false).await;
-    expect_that!(body(&answer), eq(&json!("no completion")));
+    expect_that!(answer.json(), eq(&json!("no completion")));
     set(EngineFaults {
         truncate_answers: 1,
         ..EngineFaults::default()
     })
     .await;
     let answer = bench.ask(id, "p", 2, false).await;
-    let (_, half) = answer.split_once("\r\n\r\n").unwrap();
-    expect_that!(half.len(), gt(0));
-    expect_that!(
-        serde_json::from_str::<serde_json::Value>(half),
-        err(anything())
-    );
+    expect_that!(answer.body().len(), gt(0));
+    expect_that!(answer.json(), eq(&json!(null)));
     let whole = bench.ask(id, "p", 2, false).await;
-    expect_that!(body(&whole)["id"], eq(&json!(id.to_string())));
+    expect_that!(whole.json()["id"], eq(&json!(id.to_string())));
 }
 
 #[googletest::test]
@@ -258,7 +260,7 @@
         pause(100).await;
         bench.ask(poison, "poison", 5, false).await
     });
-    expect_that!(crashed.as_str(), eq(""));
+    expect_that!(crashed.text.as_str(), eq(""));
     expect_that!(is_whole(&cut), eq(false));
     let refused = tokio::net::TcpStream::connect(bench.standin.address).await;
     expect_that!(refused, err(anything()));
@@ -268,7 +270,7 @@
     expect_that!(history.requests[&innocent].finished, eq(0));
     bench.load().await;
     let again = bench.ask(innocent, "p", 2, false).await;
-    expect_that!(body(&again)["id"], eq(&json!(innocent.to_string())));
+    expect_that!(again.json()["id"], eq(&json!(innocent.to_string())));
 }
 
 #[googletest::test]
@@ -290,9 +292,60 @@
         bench.ask(RequestId::random(), "late", 2, false).await
     });
     expect_that!(is_whole(&answer), eq(true));
-    expect_that!(late, contains_substring("x-outcome: not_run"));
+    expect_that!(late.text, contains_substring("x-outcome: not_run"));
     let gone = |history: &ward_standin::EngineHistory| {
         history.holdings.last().unwrap().replicas.is_empty()
     };
     bench.history_until(gone).await;
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn prefix_cached() {
+    let bench = EngineBench::start(|settings| {
+        settings.prefill_time = TimeSpan::from_millis(40);
+    })
+    .await;
+    let ask = async |prompt: &str| {
+        let begun = tokio::time::Instant::now();
+        bench.ask(RequestId::random(), prompt, 1, false).await;
+        begun.elapsed()
+    };
+    let head = "c".repeat(640);
+    let cold = ask(&format!("{head}first")).await;
+    expect_that!(cold, ge(std::time::Duration::from_millis(11 * 40)));
+    let warm = ask(&format!("{head}second")).await;
+    expect_that!(warm, lt(cold / 2));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn cache_events_late_with_gaps() {
+    let bench = EngineBench::start(|settings| settings.cache_blocks = 2).await;
+    let events = async || {
+        let answer = raw_exchange(bench.standin.address, "GET /cache-events?from=1", "", "").await;
+        let events = answer.unwrap().json()["events"].clone();
+        let pairs = events.as_array().unwrap().iter().map(|event| {
+            let sequence = event["sequence"].as_u64().unwrap();
+            (sequence, event["stored"].as_bool().unwrap())
+        });
+        pairs.collect::<Vec<_>>()
+    };
+    bench
+        .ask(RequestId::random(), &"c".repeat(192), 1, false)
+        .await;
+    let all = vec![(1, true), (2, true), (3, false)];
+    expect_that!(events().await, eq(&all));
+    let faults = EngineFaults {
+        cache_gap: 3,
+        ..EngineFaults::default()
+    };
+    bench.control.set_faults(&faults).await.unwrap();
+    expect_that!(events().await, eq(&vec![(1, true), (3, false)]));
+    let faults = EngineFaults {
+        cache_lag_ms: 60_000,
+        ..EngineFaults::default()
+    };
+    bench.control.set_faults(&faults).await.unwrap();
+    expect_that!(events().await, eq(&vec![]));
+}
--- a/crates/ward-standin/tests/service.rs
+++ b/crates/ward-standin/tests/service.rs
@@ -1,17 +1,15 @@
 //! Calls to a plain service and how its faults count.
 
-#![allow(clippy::unwrap_used, clippy::expect_used, dead_code)]
-
-mod support;
+#![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use googletest::prelude::*;
 use serde_json::json;
-use support::{SETTLE, body, exchange};
-use ward_protocol::RequestId;
+use ward_protocol::{RequestId, TimeSpan};
 use ward_standin::{RunningStandin, ServiceFaults, ServiceHistory, ServiceStandin};
-use ward_test_support::{StandinControl, service_settings};
+use ward_test_support::{RawAnswer, StandinControl, raw_exchange, service_settings};
 
 const KEY: &str = "charge-17";
+const SETTLE: TimeSpan = TimeSpan::from_secs(5);
 
 struct Bench {
     standin: RunningStandin,
@@ -27,12 +25,12 @@
         Self { standin, control }
     }
 
-    async fn charge(&self, id: RequestId) -> String {
+    async fn charge(&self, id: RequestId) -> RawAnswer {
         let headers = format!("x-request-id: {id}\r\nidempotency-key: {KEY}\r\n");
         let head = "POST /services/booking/deposits/9?currency=EUR";
-        exchange(self.standin.address, head, &headers, "30 EUR")
+        raw_exchange(self.standin.address, head, &headers, "30 EUR")
             .await
-            .unwrap_or_default()
+            .unwrap()
     }
 
     async fn history(&self) -> ServiceHistory {
@@ -46,8 +44,11 @@
     let bench = Bench::start(ServiceFaults::default()).await;
     let id = RequestId::random();
     let answer = bench.charge(id).await;
-    expect_that!(answer, contains_substring(format!("x-request-id: {id}")));
-    let body = body(&answer);
+    expect_that!(
+        answer.text,
+        contains_substring(format!("x-request-id: {id}"))
+    );
+    let body = answer.json();
     expect_that!(body["run"], eq(&json!(1)));
     expect_that!(
         body["call"],
@@ -62,8 +63,8 @@
 #[tokio::test]
 async fn call_other_service() {
     let bench = Bench::start(ServiceFaults::default()).await;
-    let answer = exchange(bench.standin.address, "GET /services/orders", "", "").await;
-    expect_that!(answer.unwrap(), starts_with("HTTP/1.1 404"));
+    let answer = raw_exchange(bench.standin.address, "GET /services/orders", "", "").await;
+    expect_that!(answer.unwrap().text, starts_with("HTTP/1.1 404"));
     expect_that!(bench.history().await.calls.len(), eq(0));
 }
 
@@ -73,7 +74,7 @@
     let bench = Bench::start(ServiceFaults::default()).await;
     bench.charge(RequestId::random()).await;
     let second = bench.charge(RequestId::random()).await;
-    expect_that!(body(&second)["run"], eq(&json!(2)));
+    expect_that!(second.json()["run"], eq(&json!(2)));
     let history = bench.history().await;
     expect_that!(history.runs_by_key[KEY], eq(2));
     expect_that!(history.runs_by_request.len(), eq(2));
@@ -105,7 +106,7 @@
         let shown = format!("{faults:?}");
         let bench = Bench::start(faults).await;
         let answer = bench.charge(RequestId::random()).await;
-        let whole = answer.starts_with("HTTP/1.1 200") && answer.ends_with('}');
+        let whole = answer.text.starts_with("HTTP/1.1 200") && answer.text.ends_with('}');
         expect_that!(whole, eq(false), "{shown}");
         let history = bench.history().await;
         expect_that!(history.runs_by_key[KEY], eq(1), "{shown}");
@@ -131,7 +132,7 @@
         let shown = format!("{faults:?}");
         let bench = Bench::start(faults).await;
         expect_that!(
-            bench.charge(RequestId::random()).await.as_str(),
+            bench.charge(RequestId::random()).await.text.as_str(),
             eq(""),
             "{shown}"
         );
@@ -149,5 +150,5 @@
     let bench = Bench::start(faults).await;
     let id = RequestId::random();
     let answer = bench.charge(id).await;
-    expect_that!(answer, not(contains_substring(id.to_string())));
+    expect_that!(answer.text, not(contains_substring(id.to_string())));
 }
--- a/crates/ward-standin/tests/support/mod.rs
+++ b/crates/ward-standin/tests/support/mod.rs
@@ -1,42 +1,14 @@
-//! What the tests of the stand-ins share: an engine with a loaded replica, and
-//! plain HTTP over a socket, which shows what arrived before a cut.
+//! An engine with a loaded replica, and the streams that it answers with.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use ward_protocol::{MemorySize, RecordId, RequestId, ResidentPhase, TimeSpan};
 use ward_standin::{EngineHistory, EngineSettings, EngineStandin, RunningStandin};
-use ward_test_support::{StandinControl, engine_settings};
+use ward_test_support::{RawAnswer, StandinControl, engine_settings, raw_exchange};
 
 pub(crate) const KEY: &str = "m@1";
-pub(crate) const SETTLE: TimeSpan = TimeSpan::from_secs(5);
-
-/// Sends one request and reads until the connection ends.
-pub(crate) async fn exchange(
-    address: SocketAddr,
-    head: &str,
-    headers: &str,
-    body: &str,
-) -> std::io::Result<String> {
-    let mut stream = TcpStream::connect(address).await?;
-    let length = body.len();
-    let request = format!(
-        "{head} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n{headers}content-length: {length}\r\n\r\n{body}"
-    );
-    stream.write_all(request.as_bytes()).await?;
-    let mut received = Vec::new();
-    let mut buffer = [0; 4_096];
-    loop {
-        match stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => break,
-            Ok(count) => received.extend_from_slice(&buffer[..count]),
-        }
-    }
-    Ok(String::from_utf8_lossy(&received).into_owned())
-}
+const SETTLE: TimeSpan = TimeSpan::from_secs(5);
 
 /// An engine that holds one replica.
 pub(crate) struct EngineBench {
@@ -88,33 +60,30 @@
         prompt: &str,
         tokens: u64,
         stream: bool,
-    ) -> String {
+    ) -> RawAnswer {
         let body = json!({
             "model": KEY, "prompt": prompt, "max_tokens": tokens, "stream": stream,
         });
         let headers = format!("x-request-id: {id}\r\n");
         let address = self.standin.address;
-        exchange(address, "POST /v1/completions", &headers, &body.to_string())
+        raw_exchange(address, "POST /v1/completions", &headers, &body.to_string())
             .await
             .unwrap()
     }
 
     /// Goes on with a stream.
-    pub(crate) async fn resume(&self, id: RequestId, from: u64) -> String {
+    pub(crate) async fn resume(&self, id: RequestId, from: u64) -> RawAnswer {
         let head = format!("POST /v1/requests/{id}/resume?from={from}");
-        exchange(self.standin.address, &head, "", "").await.unwrap()
+        raw_exchange(self.standin.address, &head, "", "")
+            .await
+            .unwrap()
     }
 }
 
-/// The JSON body of a whole answer.
-pub(crate) fn body(answer: &str) -> Value {
-    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
-    serde_json::from_str(body).unwrap()
-}
-
 /// The events of a stream that arrived, without the final mark.
-pub(crate) fn events(answer: &str) -> Vec<Value> {
+pub(crate) fn events(answer: &RawAnswer) -> Vec<Value> {
     answer
+        .text
         .lines()
         .filter_map(|line| line.strip_prefix("data: "))
         .filter_map(|data| serde_json::from_str(data).ok())
@@ -122,7 +91,7 @@
 }
 
 /// The text of the events that arrived.
-pub(crate) fn text(answer: &str) -> String {
+pub(crate) fn text(answer: &RawAnswer) -> String {
     let tokens = events(answer);
     let tokens = tokens
         .iter()
@@ -131,8 +100,8 @@
 }
 
 /// Whether a stream came to its end.
-pub(crate) fn is_whole(answer: &str) -> bool {
-    answer.contains("data: [DONE]")
+pub(crate) fn is_whole(answer: &RawAnswer) -> bool {
+    answer.text.contains("data: [DONE]")
 }
 
 pub(crate) async fn pause(millis: u64) {
--- a/crates/ward-test-support/src/lib.rs
+++ b/crates/ward-test-support/src/lib.rs
@@ -5,9 +5,11 @@
 //! unwrap; none of this is linked into the daemons.
 
 mod control;
+mod exchange;
 mod golden;
 mod set;
 
 pub use control::{ControlError, StandinControl};
+pub use exchange::{RawAnswer, raw_exchange};
 pub use golden::{GoldenError, REWRITE_VARIABLE, assert_golden, check_golden};
 pub use set::{SetSettings, StandinSet, engine_settings, service_settings};
