--- /dev/null
+++ b/crates/ward-standin/tests/page.rs
@@ -0,0 +1,40 @@
+//! The page on stand-ins names every fault.
+
+#![allow(clippy::unwrap_used)]
+
+use googletest::prelude::*;
+use serde::Serialize;
+use ward_standin::{EngineFaults, HostsFaults, LogFaults, ServiceFaults};
+
+const PAGE: &str = include_str!("../../../docs/STANDINS.md");
+
+fn missing(standin: &str, faults: &impl Serialize) -> Vec<String> {
+    let start = format!("| {standin} |");
+    let rows: Vec<_> = PAGE.lines().filter(|row| row.starts_with(&start)).collect();
+    let set = serde_json::to_value(faults).unwrap();
+    let names = set.as_object().unwrap().keys();
+    names
+        .map(|name| format!("`{name}`"))
+        .filter(|name| !rows.iter().any(|row| row.contains(name)))
+        .collect()
+}
+
+#[googletest::test]
+fn page_names_faults() {
+    expect_that!(
+        missing("log", &LogFaults::default()),
+        eq(&Vec::<String>::new())
+    );
+    expect_that!(
+        missing("hosts", &HostsFaults::default()),
+        eq(&Vec::<String>::new())
+    );
+    expect_that!(
+        missing("engine", &EngineFaults::default()),
+        eq(&Vec::<String>::new())
+    );
+    expect_that!(
+        missing("service", &ServiceFaults::default()),
+        eq(&Vec::<String>::new())
+    );
+}
