--- a/crates/ward-test-support/src/lib.rs
+++ b/crates/ward-test-support/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod caller;
 mod control;
+mod exchange;
 mod golden;
 pub mod process;
 mod set;
 
 pub use caller::{CallerClient, StreamText};
 pub use control::{ControlError, StandinControl};
+pub use exchange::{RawAnswer, raw_exchange};
 pub use golden::{GoldenError, REWRITE_VARIABLE, assert_golden, check_golden};
 pub use set::{SetSettings, StandinSet, engine_settings, service_settings};
