Traffic: tests of cut, resumed and moved streams

The event that says where to resume was lost: the error after it closed the connection before it was written. It now waits a moment for the flush.

--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -10,7 +10,7 @@
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderValue, Response, StatusCode};
 use serde::Serialize;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use viz::Body;
 use ward_backend::request::{AnswerBody, BackendAnswer, CallError};
 use ward_protocol::{BackendId, RequestId, ResultCode};
@@ -34,6 +34,8 @@
 const LARGEST_CACHE: usize = 64 << 20;
 /// Time for the connection's end after the last event.
 const TAIL_TIME: Duration = Duration::from_millis(200);
+/// Time for the last event to reach the caller before the connection is cut.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 const STREAM_TYPE: HeaderValue = HeaderValue::from_static("text/event-stream");
 const NO_CACHE: HeaderValue = HeaderValue::from_static("no-cache");
 
@@ -109,7 +111,11 @@
         match self.state {
             RelayState::Running => {}
             RelayState::Ended => return None,
-            RelayState::Cut => return Some(Err(io::ErrorKind::ConnectionAborted.into())),
+            RelayState::Cut => {
+                // An error right away would drop what is not written yet.
+                sleep(FLUSH_TIME).await;
+                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
         }
         loop {
             let cause = match self.advance().await {
--- /dev/null
+++ b/crates/ward-traffic/tests/streams.rs
@@ -0,0 +1,236 @@
+//! Streams that are cut, resumed, moved or run again.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use support::{
+    CallerAnswer, FakeBackend, FakeRequest, Step, TestServer, ViewMaker, stream_steps, whole_steps,
+};
+use ward_traffic::{EventBuffer, StreamProgress, StreamStep, TrafficNotice};
+
+const KEY: &str = "quotes@v1";
+
+fn not_found(request: &FakeRequest) -> Vec<Step> {
+    let id = request.id();
+    let text = format!("HTTP/1.1 404 Not Found\r\nx-request-id: {id}\r\ncontent-length: 0\r\n\r\n");
+    vec![Step::Send(text)]
+}
+
+fn is_resume(request: &FakeRequest) -> bool {
+    request.path.contains("/resume")
+}
+
+/// An engine that cuts each stream after token 2 and cannot resume.
+async fn cutting_engine() -> FakeBackend {
+    FakeBackend::start(|request| match request.method.as_str() {
+        "POST" if !is_resume(request) => stream_steps(&request.id(), 0..3, false),
+        _ => not_found(request),
+    })
+    .await
+}
+
+async fn ask(engines: &[&FakeBackend]) -> (CallerAnswer, TestServer) {
+    let view = ViewMaker::new().row(KEY, 2, true);
+    let view = engines
+        .iter()
+        .enumerate()
+        .fold(view, |view, (index, engine)| {
+            let name = format!("e{index}");
+            view.backend(&name, engine.address).ready(KEY, &name)
+        });
+    let server = TestServer::with(view.build()).await;
+    let answer = server.chat_stream("quotes").await;
+    (answer, server)
+}
+
+fn expect_whole(answer: &CallerAnswer, tokens: usize) {
+    expect_that!(answer.whole, eq(true));
+    expect_that!(answer.body.matches("position").count(), eq(tokens));
+    for position in 0..tokens {
+        expect_that!(
+            answer.body.matches(&format!("\"t{position}\"")).count(),
+            eq(1)
+        );
+    }
+    expect_that!(answer.body, ends_with("data: [DONE]\n\n"));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn cut_stream_resumed_at_its_engine() {
+    let engine = FakeBackend::start(|request| {
+        if is_resume(request) {
+            return stream_steps(&request.id(), 3..6, true);
+        }
+        stream_steps(&request.id(), 0..3, false)
+    })
+    .await;
+    let (answer, server) = ask(&[&engine]).await;
+    expect_whole(&answer, 6);
+    expect_that!(engine.requests()[1].path, ends_with("/resume?from=3"));
+    let crashed = |notice: &TrafficNotice| matches!(notice, TrafficNotice::Crashed { .. });
+    expect_that!(server.notices().iter().any(crashed), eq(false));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn cut_stream_run_again_elsewhere() {
+    let (cutting, good) = (cutting_engine().await, FakeBackend::engine().await);
+    let (answer, server) = ask(&[&cutting, &good]).await;
+    expect_whole(&answer, 5);
+    let crashed = |notice: &&TrafficNotice| matches!(notice, TrafficNotice::Crashed { .. });
+    expect_that!(
+        server.notices().iter().filter(crashed).count(),
+        eq(cutting.count().min(1))
+    );
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn cut_stream_ends_visibly_cut() {
+    let engine = cutting_engine().await;
+    let (answer, _server) = ask(&[&engine]).await;
+    expect_that!(answer.whole, eq(false));
+    expect_that!(answer.body.matches("position").count(), eq(3));
+    expect_that!(answer.body, not(contains_substring("[DONE]")));
+    let last = answer.body.trim_end().rsplit("data: ").next().unwrap();
+    let event: serde_json::Value = serde_json::from_str(last).unwrap();
+    expect_that!(event["error"]["code"], eq("406"));
+    expect_that!(event["resume"]["from"], eq(3));
+    expect_that!(event["resume"]["backend"], eq("e0"));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn foreign_or_missing_token_never_delivered() {
+    let engine = FakeBackend::start(|request| {
+        let id = request.id();
+        if is_resume(request) {
+            return stream_steps(&id, 2..4, true);
+        }
+        let foreign = stream_steps(&"1".repeat(32), 2..3, false);
+        let mut steps = stream_steps(&id, 0..2, false);
+        steps.pop();
+        steps.push(foreign[1].clone());
+        steps
+    })
+    .await;
+    let (answer, _server) = ask(&[&engine]).await;
+    expect_whole(&answer, 4);
+    expect_that!(answer.body, not(contains_substring("1".repeat(32))));
+    let gap = FakeBackend::start(|request| {
+        if is_resume(request) {
+            return stream_steps(&request.id(), 1..3, true);
+        }
+        let mut steps = stream_steps(&request.id(), 0..3, true);
+        steps.remove(2);
+        steps
+    })
+    .await;
+    let (answer, _server) = ask(&[&gap]).await;
+    expect_whole(&answer, 3);
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn stream_moved_off_leaving_engine() {
+    let old = FakeBackend::start(|request| match request.method.as_str() {
+        "GET" => whole_steps(&request.id(), "cache"),
+        "POST" if !is_resume(request) => {
+            let mut steps = stream_steps(&request.id(), 0..2, false);
+            steps.insert(steps.len() - 1, Step::Pause(300));
+            steps
+        }
+        _ => not_found(request),
+    })
+    .await;
+    let new = FakeBackend::start(|request| match request.method.as_str() {
+        "PUT" => whole_steps(&request.id(), "{}"),
+        _ => stream_steps(&request.id(), 2..5, true),
+    })
+    .await;
+    let view = ViewMaker::new()
+        .row(KEY, 2, true)
+        .backend("e0", old.address)
+        .ready(KEY, "e0");
+    let server = TestServer::with(view.build()).await;
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let view = view.clone().leaving("e0").backend("e1", new.address);
+        server.publish(view.ready(KEY, "e1").build());
+    };
+    let (answer, ()) = tokio::join!(server.chat_stream("quotes"), leave);
+    expect_whole(&answer, 5);
+    let seen = new.requests();
+    expect_that!(seen[0].body, eq("cache"));
+    expect_that!(seen[1].path, ends_with("/resume?from=2"));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn caller_leaves_stream_cancelled() {
+    let engine = FakeBackend::start(|request| match request.method.as_str() {
+        "POST" => {
+            let mut steps = stream_steps(&request.id(), 0..2, false);
+            steps.insert(2, Step::Pause(5_000));
+            steps
+        }
+        _ => whole_steps(&request.id(), "{}"),
+    })
+    .await;
+    let view = ViewMaker::new()
+        .row(KEY, 1, true)
+        .backend("e0", engine.address)
+        .ready(KEY, "e0");
+    let server = TestServer::with(view.build()).await;
+    let call = server.chat_stream("quotes");
+    let left = tokio::time::timeout(Duration::from_millis(200), call).await;
+    expect_that!(left.is_err(), eq(true));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    expect_that!(engine.requests().last().unwrap().method, eq("DELETE"));
+}
+
+#[googletest::test]
+fn progress_replay_with_loose_events() {
+    let request = ward_protocol::RequestId(7);
+    let event = |position: Option<u64>| match position {
+        Some(position) => format!("data: {{\"id\":\"{request}\",\"position\":{position}}}\n\n"),
+        None => format!("data: {{\"id\":\"{request}\",\"finish\":true}}\n\n"),
+    };
+    let mut progress = StreamProgress::new(request);
+    let mut step = |position| progress.judge(event(position).as_bytes());
+    expect_that!(step(None), eq(StreamStep::Deliver));
+    expect_that!(step(Some(0)), eq(StreamStep::Deliver));
+    expect_that!(step(None), eq(StreamStep::Deliver));
+    expect_that!(step(Some(2)), eq(StreamStep::Broken));
+    progress.restarted();
+    let mut step = |position| progress.judge(event(position).as_bytes());
+    expect_that!(step(None), eq(StreamStep::Skip));
+    expect_that!(step(Some(0)), eq(StreamStep::Skip));
+    expect_that!(step(None), eq(StreamStep::Skip));
+    expect_that!(step(None), eq(StreamStep::Deliver));
+    expect_that!(progress.judge(b"data: [DONE]\n\n"), eq(StreamStep::End));
+    progress.restarted();
+    expect_that!(progress.judge(b"data: [DONE]\n\n"), eq(StreamStep::Broken));
+}
+
+#[googletest::test]
+fn events_in_any_pieces() {
+    let stream = "data: a\n\ndata: b\r\n\r\n: note\n\ndata: c\n\n";
+    for size in 1..stream.len() {
+        let mut buffer = EventBuffer::default();
+        let mut events = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            buffer.push(piece);
+            while let Some(event) = buffer.next_event() {
+                events.push(event);
+            }
+        }
+        expect_that!(events.len(), eq(4));
+        expect_that!(events.concat(), eq(stream.as_bytes()));
+    }
+}
