--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! One try of a model request on one replica.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::{ACCEPT, CONTENT_TYPE};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
@@ -20,6 +21,8 @@
 const PRIORITY: HeaderName = HeaderName::from_static("priority");
 const OUTCOME: &str = "x-outcome";
 const NOT_RUN: &str = "not_run";
+/// How long a call that may not be repeated runs on after its time limit.
+pub(crate) const LONGEST_RUN: Duration = Duration::from_secs(60);
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// A model request, ready to be sent as often as allowed.
@@ -75,7 +78,7 @@
             body,
             request: self.request,
             send_by,
-            answer_by: send_by,
+            answer_by: answer_by(self.connection, send_by),
             connection: self.connection,
         }
     }
@@ -164,6 +167,15 @@
     ProblemReport::failed(code, error.to_string())
 }
 
+/// Until when an answer's header may come. A call that may not be repeated runs on
+/// after its caller's time limit, because only its answer ends the doubt.
+pub(crate) fn answer_by(connection: ConnectionUse, deadline: Instant) -> Instant {
+    match connection {
+        ConnectionUse::Pooled => deadline,
+        ConnectionUse::Fresh => deadline + LONGEST_RUN,
+    }
+}
+
 /// Whether a backend server says that it did not run a request which it could run later.
 fn says_not_run(answer: &BackendAnswer) -> bool {
     let later = matches!(
--- a/crates/ward-traffic/src/forward/mod.rs
+++ b/crates/ward-traffic/src/forward/mod.rs
@@ -9,7 +9,8 @@
 mod whole;
 
 pub(crate) use attempt::{
-    AttemptEnd, ModelCall, attempt_end, attempt_model, broken_report, note_broken,
+    AttemptEnd, LONGEST_RUN, ModelCall, answer_by, attempt_end, attempt_model, broken_report,
+    note_broken,
 };
 pub use budget::RetryBudget;
 pub(crate) use cancel::CancelGuard;
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -11,7 +11,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use slog::warn;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{timeout, timeout_at};
 use viz::Body;
 use ward_backend::request::{BackendAnswer, CallError};
 use ward_protocol::{IdempotencyKey, RequestFingerprint, RequestId, ResultCode};
@@ -20,7 +20,8 @@
 use super::service::{ServiceCall, attempt_service, check_unsent};
 use crate::core::TrafficCore;
 use crate::forward::{
-    AttemptEnd, ModelCall, WholeAnswer, attempt_model, is_event_stream, read_whole, whole_response,
+    AttemptEnd, LONGEST_RUN, ModelCall, WholeAnswer, attempt_model, is_event_stream, read_whole,
+    whole_response,
 };
 use crate::input::RequestTerms;
 use crate::once::{BeginAnswer, DoneAnswer, KeptAnswer};
@@ -29,8 +30,6 @@
 
 /// How long an answer waits for its record before it goes to the caller.
 const RECORD_WAIT: Duration = Duration::from_millis(500);
-/// How long an answer may go on after its beginning when the time limit is shorter.
-const LONGEST_RUN: Duration = Duration::from_secs(60);
 
 /// A call that may not be repeated.
 #[derive(Debug)]
@@ -86,7 +85,7 @@
     }
 
     async fn whole(&self, answer: BackendAnswer) -> Result<WholeAnswer, CallError> {
-        let by = self.terms().deadline.max(Instant::now() + LONGEST_RUN);
+        let by = self.terms().deadline + LONGEST_RUN;
         let checked = match self {
             Self::Model(call) if !is_event_stream(&answer.headers) => Some(call.request),
             Self::Model(_) | Self::Service(_) => None,
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -18,7 +18,7 @@
 use crate::REQUEST_ID;
 use crate::core::TrafficCore;
 use crate::forward::{
-    AttemptEnd, LARGEST_WHOLE, WholeAnswer, attempt_end, broken_report, end_to_end,
+    AttemptEnd, LARGEST_WHOLE, WholeAnswer, answer_by, attempt_end, broken_report, end_to_end,
     is_event_stream, whole_response,
 };
 use crate::input::{RequestTerms, read_body, read_key, read_terms};
@@ -114,7 +114,7 @@
         body: call.body.clone().into(),
         request: call.request,
         send_by: call.terms.deadline,
-        answer_by: call.terms.deadline,
+        answer_by: answer_by(call.connection, call.terms.deadline),
         connection: call.connection,
     });
     attempt_end(core, &grant.backend, result.await)
--- /dev/null
+++ b/crates/ward-traffic/tests/queue.rs
@@ -0,0 +1,245 @@
+//! Who waits, who goes first and who is refused.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod support;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use support::{FakeBackend, TestServer, ViewMaker, engine_reply};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use ward_protocol::{ResultCode, RoutingView, RowTarget, TimeSpan, TrafficLimits};
+use ward_traffic::input::RequestTerms;
+use ward_traffic::room::{RoomSettings, SlotGrant, WaitRequest, WaitRoom};
+use ward_traffic::{ProblemReport, TrafficNotice};
+
+const KEY: &str = "quotes@v1";
+
+type Notices = Arc<Mutex<Vec<TrafficNotice>>>;
+
+fn room_of(
+    view: RoutingView,
+    waiting: usize,
+    per_replica: u32,
+) -> (Arc<WaitRoom>, watch::Sender<Arc<RoutingView>>, Notices) {
+    let (sender, receiver) = watch::channel(Arc::new(view));
+    let notices = Notices::default();
+    let log = Arc::clone(&notices);
+    let settings = RoomSettings {
+        waiting,
+        per_replica,
+        avoid_time: TimeSpan::from_millis(250),
+        zone: "a".parse().unwrap(),
+        notice: Arc::new(move |notice| log.lock().unwrap().push(notice)),
+    };
+    (WaitRoom::new(settings, receiver), sender, notices)
+}
+
+fn request(reference: &str, priority: u8, limit: TimeSpan) -> WaitRequest {
+    let priority = priority.try_into().unwrap();
+    WaitRequest {
+        target: RowTarget::Replica(KEY.parse().unwrap()),
+        reference: Some(reference.parse().unwrap()),
+        terms: RequestTerms::starting_now(limit, Some(priority)),
+        priority,
+        prefix: 0,
+        suspect: false,
+        shunned: None,
+    }
+}
+
+fn ready_view() -> ViewMaker {
+    ViewMaker::new()
+        .row(KEY, 1, true)
+        .backend("e1", "127.0.0.1:1".parse().unwrap())
+        .ready(KEY, "e1")
+}
+
+fn cold_view() -> ViewMaker {
+    ViewMaker::new()
+        .row(KEY, 1, true)
+        .backend("e1", "127.0.0.1:1".parse().unwrap())
+}
+
+fn code(result: Result<SlotGrant, ProblemReport>) -> Option<ResultCode> {
+    result.err().map(|report| report.code)
+}
+
+fn secs(seconds: u64) -> TimeSpan {
+    TimeSpan::from_secs(seconds)
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn slot_goes_to_most_urgent() {
+    let (room, _view, _) = room_of(ready_view().build(), 100, 1);
+    let first = room.acquire(request("quotes", 7, secs(60))).await.unwrap();
+    let order: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let waits = [(5, 10), (1, 50), (1, 20), (0, 90)];
+    let tasks = waits.iter().enumerate().map(|(index, (priority, limit))| {
+        let (room, order) = (Arc::clone(&room), Arc::clone(&order));
+        let wait = request("quotes", *priority, secs(*limit));
+        tokio::spawn(async move {
+            let _grant = room.acquire(wait).await.unwrap();
+            order.lock().unwrap().push(index);
+        })
+    });
+    let tasks: Vec<_> = tasks.collect();
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    drop(first);
+    for task in tasks {
+        task.await.unwrap();
+    }
+    expect_that!(*order.lock().unwrap(), eq(&vec![3, 2, 1, 0]));
+    expect_that!(room.waiting(), eq(0));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn overflow_refuses_least_urgent() {
+    let (room, _view, _) = room_of(cold_view().build(), 2, 1);
+    let wait = |priority, limit| {
+        let room = Arc::clone(&room);
+        let wait = request("quotes", priority, secs(limit));
+        tokio::spawn(async move { code(room.acquire(wait).await) })
+    };
+    let late = wait(5, 90);
+    let soon = wait(5, 20);
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    expect_that!(wait(5, 95).await.unwrap(), some(eq(ResultCode::QueueFull)));
+    expect_that!(wait(6, 5).await.unwrap(), some(eq(ResultCode::QueueFull)));
+    let urgent = wait(1, 95);
+    expect_that!(late.await.unwrap(), some(eq(ResultCode::Overloaded)));
+    let begin = Instant::now();
+    expect_that!(soon.await.unwrap(), some(eq(ResultCode::TooLate)));
+    expect_that!(begin.elapsed(), le(Duration::from_secs(21)));
+    urgent.abort();
+    let _ = urgent.await;
+    expect_that!(room.waiting(), eq(0));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn late_start_refused_when_known() {
+    let (room, view, _) = room_of(cold_view().build(), 10, 1);
+    let waiter = Arc::clone(&room);
+    let task = tokio::spawn(async move {
+        let result = waiter.acquire(request("quotes", 3, secs(10))).await;
+        (result.unwrap_err(), Instant::now())
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let loading = cold_view().loading(KEY, "e1", secs(5));
+    view.send_replace(Arc::new(loading.build()));
+    room.sweep();
+    expect_that!(room.waiting(), eq(1));
+    let slower = cold_view().loading(KEY, "e1", secs(40));
+    view.send_replace(Arc::new(slower.build()));
+    room.sweep();
+    let known = Instant::now();
+    let (report, at) = task.await.unwrap();
+    expect_that!(report.code, eq(ResultCode::TooLate));
+    expect_that!(report.retry_after.unwrap(), ge(secs(39)));
+    expect_that!(at.duration_since(known), lt(Duration::from_millis(50)));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn withdrawn_version_moves_only_unpinned() {
+    let (room, view, _) = room_of(cold_view().build(), 10, 1);
+    let wait = |reference: &str| {
+        let (room, wait) = (Arc::clone(&room), request(reference, 3, secs(60)));
+        tokio::spawn(async move { room.acquire(wait).await })
+    };
+    let (unpinned, pinned) = (wait("quotes"), wait(KEY));
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    let next = cold_view()
+        .row("quotes@v2", 1, true)
+        .without(KEY)
+        .ready("quotes@v2", "e1");
+    view.send_replace(Arc::new(next.build()));
+    room.sweep();
+    expect_that!(code(pinned.await.unwrap()), some(eq(ResultCode::Withdrawn)));
+    let grant = unpinned.await.unwrap().unwrap();
+    expect_that!(grant.target.to_string(), eq("quotes@v2"));
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn hints_repeat_until_loading() {
+    let (room, view, notices) = room_of(cold_view().build(), 10, 1);
+    let tasks: Vec<_> = (0..3)
+        .map(|priority| {
+            let (room, wait) = (Arc::clone(&room), request("quotes", priority, secs(60)));
+            tokio::spawn(async move { room.acquire(wait).await.map(drop) })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    expect_that!(notices.lock().unwrap().len(), eq(1));
+    room.report();
+    let last = notices.lock().unwrap().last().unwrap().clone();
+    let TrafficNotice::Wanted { hint } = last else {
+        panic!("not a hint");
+    };
+    expect_that!((hint.waiting, hint.priority.level()), eq((3, 0)));
+    let loading = cold_view().loading(KEY, "e1", secs(5));
+    view.send_replace(Arc::new(loading.build()));
+    room.report();
+    expect_that!(notices.lock().unwrap().len(), eq(2));
+    view.send_replace(Arc::new(ready_view().build()));
+    room.sweep();
+    for task in tasks {
+        task.await.unwrap().unwrap();
+    }
+    room.report();
+    let last = notices.lock().unwrap().last().unwrap().clone();
+    expect_that!(
+        matches!(last, TrafficNotice::Used { hint } if hint.waiting == 3),
+        eq(true)
+    );
+}
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn leaving_backend_gets_nothing_new() {
+    let (room, view, _) = room_of(ready_view().build(), 10, 1);
+    let held = room.acquire(request("quotes", 3, secs(60))).await.unwrap();
+    let waiter = Arc::clone(&room);
+    let task = tokio::spawn(async move { waiter.acquire(request("quotes", 3, secs(5))).await });
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    view.send_replace(Arc::new(ready_view().leaving("e1").build()));
+    room.sweep();
+    drop(held);
+    expect_that!(code(task.await.unwrap()), some(eq(ResultCode::TooLate)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn deadline_passes_in_queue() {
+    let engine = FakeBackend::start(|request| {
+        [vec![support::Step::Pause(400)], engine_reply(request)].concat()
+    })
+    .await;
+    let limits = TrafficLimits {
+        per_replica: 1,
+        ..TrafficLimits::default()
+    };
+    let view = ViewMaker::new()
+        .row(KEY, 1, true)
+        .backend("e1", engine.address)
+        .ready(KEY, "e1");
+    let server = TestServer::start(view.build(), limits).await;
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        server.chat("quotes", &[("request-timeout", "100")]).await
+    };
+    let (first, late) = tokio::join!(server.chat("quotes", &[]), late);
+    expect_that!(first.status, eq(200));
+    expect_that!(
+        (late.code(), late.outcome()),
+        eq(&(202, "not_run".to_owned()))
+    );
+    expect_that!(engine.count(), eq(1));
+}
