--- a/crates/ward-traffic/tests/once.rs
+++ b/crates/ward-traffic/tests/once.rs
@@ -190,6 +190,6 @@
     let answer = call(server.address(), Method::POST, PATH, &headers, "{}").await;
     expect_that!(answer.outcome(), eq("in_doubt"));
     expect_that!(service.count(), eq(1));
-    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     expect_that!(server.once.history().last().unwrap(), eq("done k-1"));
 }
