Operators' API waits for a base it has not read; status of open rows only

Status can leave out ready rows, since a follower asks twice a second and a plan may have tens of thousands of rows.

--- a/crates/ward-cli/src/plan/status.rs
+++ b/crates/ward-cli/src/plan/status.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches};
 use futures::FutureExt;
-use ward_operator::{RowPhase, StatusAnswer};
+use ward_operator::{RowFilter, RowPhase, StatusAnswer, StatusQuery};
 
 use crate::client::ApiExchange;
 use crate::command::{CommandEntry, CommandExample};
@@ -38,14 +38,18 @@
 }
 
 async fn run(context: CommandContext, matches: ArgMatches) -> Result<(), CliError> {
-    let all = matches.get_flag("all");
-    let exchange = ApiExchange::get("/plan/status");
+    let rows = if matches.get_flag("all") {
+        RowFilter::All
+    } else {
+        RowFilter::Open
+    };
+    let exchange = ApiExchange::get_with("/plan/status", &StatusQuery { rows })?;
     let status: StatusAnswer = context.client.read(&exchange).await?;
-    context.form.print(&status, || status_text(&status, all));
+    context.form.print(&status, || status_text(&status));
     Ok(())
 }
 
-fn status_text(status: &StatusAnswer, all: bool) -> String {
+fn status_text(status: &StatusAnswer) -> String {
     let mut daemons = TableText::new(&["daemon", "zone", "in force", "silent"]);
     for daemon in &status.daemons {
         let adopted = daemon
@@ -59,11 +63,7 @@
         ]);
     }
     let mut rows = TableText::new(&["row", "state", "ready", "loading", "wanted", "most", "why"]);
-    let shown = status
-        .rows
-        .iter()
-        .filter(|row| all || row.phase != RowPhase::Ready);
-    for row in shown {
+    for row in &status.rows {
         let why = row
             .reason
             .map_or(String::new(), |reason| reason.to_string());
@@ -77,16 +77,15 @@
             why,
         ]);
     }
-    let ready = status
+    let open = status
         .rows
         .iter()
-        .filter(|row| row.phase == RowPhase::Ready)
+        .filter(|row| row.phase != RowPhase::Ready)
         .count();
     format!(
-        "accepted revision {}, in force here {}; {ready} of {} rows ready\n\n{}\n{}",
+        "accepted revision {}, in force here {}; {open} rows not ready\n\n{}\n{}",
         status.accepted,
         status.adopted,
-        status.rows.len(),
         daemons.render(),
         rows.render()
     )
--- a/crates/ward-cli/src/plan/submit.rs
+++ b/crates/ward-cli/src/plan/submit.rs
@@ -4,7 +4,9 @@
 
 use clap::{Arg, ArgMatches};
 use futures::FutureExt;
-use ward_operator::{StatusAnswer, SubmitAnswer, SubmitOutcome, SubmitQuery};
+use ward_operator::{
+    RowFilter, StatusAnswer, StatusQuery, SubmitAnswer, SubmitOutcome, SubmitQuery,
+};
 use ward_protocol::{OperatorName, PlanRevision, RecordId};
 
 use super::show::{SheetFile, difference_text};
@@ -103,11 +105,20 @@
     }
 }
 
+/// Asks for the revisions and for the rows that are not ready.
+///
+/// # Errors
+/// When the query cannot be written.
+pub fn open_rows() -> Result<ApiExchange, CliError> {
+    let rows = RowFilter::Open;
+    ApiExchange::get_with("/plan/status", &StatusQuery { rows })
+}
+
 async fn find_base(context: &CommandContext, base: BaseChoice) -> Result<PlanRevision, CliError> {
     match base {
         BaseChoice::Revision(revision) => Ok(revision),
         BaseChoice::Current => {
-            let exchange = ApiExchange::get("/plan/status");
+            let exchange = open_rows()?;
             let status: StatusAnswer = context.client.read(&exchange).await?;
             Ok(status.accepted)
         }
--- a/crates/ward-cli/src/plan/wait.rs
+++ b/crates/ward-cli/src/plan/wait.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::time::{Instant, sleep};
-use ward_operator::{DaemonItem, RowPhase, RowStatus, StatusAnswer};
+use ward_operator::{DaemonItem, RowStatus, StatusAnswer};
 use ward_protocol::PlanRevision;
 
-use crate::client::{ApiExchange, DaemonClient};
+use super::submit::open_rows;
+use crate::client::DaemonClient;
 use crate::error::CliError;
 use crate::output::print_error;
 
+const ROW_KEY: &str = "row ";
 const POLL_PAUSE: Duration = Duration::from_millis(500);
 
 /// Waits until a revision is in force on all daemons and its rows are ready;
@@ -24,7 +26,7 @@
     limit: Duration,
 ) -> Result<(), CliError> {
     let end = Instant::now() + limit;
-    let exchange = ApiExchange::get("/plan/status");
+    let exchange = open_rows()?;
     let mut progress = ProgressLines::default();
     let mut missing = vec!["no daemon has told how far it is".to_owned()];
     loop {
@@ -52,11 +54,7 @@
         .iter()
         .filter(|daemon| daemon.adopted.is_none_or(|adopted| adopted < revision))
         .map(|daemon| daemon_line(daemon, revision));
-    let rows = status
-        .rows
-        .iter()
-        .filter(|row| row.phase != RowPhase::Ready)
-        .map(row_line);
+    let rows = status.rows.iter().map(row_line);
     let mut missing: Vec<String> = daemons.chain(rows).collect();
     if status.adopted < revision {
         missing.push(format!("revision {} is in force", status.adopted));
@@ -80,7 +78,19 @@
             return;
         }
         for row in &status.rows {
-            self.print_changed(format!("row {}", row.target), row_line(row));
+            self.print_changed(row_key(row), row_line(row));
+        }
+        self.print_gone(status);
+    }
+
+    /// Rows that are ready are not in the answer any more.
+    fn print_gone(&mut self, status: &StatusAnswer) {
+        let open: IndexSet<String> = status.rows.iter().map(row_key).collect();
+        let gone = self
+            .printed
+            .extract_if(.., |key, _| key.starts_with(ROW_KEY) && !open.contains(key));
+        for (key, _) in gone {
+            print_error(&format!("{key}: ready\n"));
         }
     }
 
@@ -93,6 +103,10 @@
     }
 }
 
+fn row_key(row: &RowStatus) -> String {
+    format!("{ROW_KEY}{}", row.target)
+}
+
 fn daemon_line(daemon: &DaemonItem, revision: PlanRevision) -> String {
     let name = &daemon.daemon;
     match daemon.adopted {
--- a/crates/ward-cli/tests/program.rs
+++ b/crates/ward-cli/tests/program.rs
@@ -14,18 +14,13 @@
 const SHEET: &str = "examples/ljubljana.csv";
 const EXAMPLE_ADDRESS: &str = "127.0.0.1:7003";
 
-/// Submits the sheet to daemons, tried in turn, with a short time limit.
+/// A time limit for tests in which an answer never comes.
+const SHORT: [&str; 2] = ["--timeout", "2s"];
+
+/// Submits the sheet to daemons, tried in turn.
 async fn submit(daemons: &[SocketAddr], more: &[&str]) -> ProgramEnd {
     let named: Vec<String> = daemons.iter().map(ToString::to_string).collect();
-    let mut line = vec![
-        "plan",
-        "submit",
-        SHEET,
-        "--author",
-        "ana+č",
-        "--timeout",
-        "1s",
-    ];
+    let mut line = vec!["plan", "submit", SHEET, "--author", "ana+č"];
     line.extend(["--base", "current"]);
     line.extend(more);
     for daemon in &named {
@@ -110,7 +105,7 @@
     let log = FakeLog::default();
     let losing = start_daemon(&log, DaemonFault::AnswerLost, None).await;
     let good = start_daemon(&log, DaemonFault::None, None).await;
-    let end = submit(&[losing, good], &["--wait"]).await;
+    let end = submit(&[losing, good], &["--wait", "--timeout", "2s"]).await;
     expect_that!(end.code, eq(0), "{end:?}");
     expect_that!(end.output, contains_substring("as the history shows"));
     expect_that!(log.entries(), len(eq(1)));
@@ -122,7 +117,7 @@
     let log = FakeLog::default();
     let losing = start_daemon(&log, DaemonFault::StaleLost, None).await;
     let good = start_daemon(&log, DaemonFault::None, None).await;
-    let end = submit(&[losing, good], &[]).await;
+    let end = submit(&[losing, good], &SHORT).await;
     expect_that!(end.code, eq(1), "{end:?}");
     expect_that!(log.entries(), len(eq(1)));
     expect_that!(log.entries()[0].verdict, eq(HistoryVerdict::Stale));
@@ -134,7 +129,7 @@
     let log = FakeLog::default();
     let losing = start_daemon(&log, DaemonFault::PlanLost, None).await;
     let good = start_daemon(&log, DaemonFault::None, None).await;
-    let end = submit(&[losing, good], &[]).await;
+    let end = submit(&[losing, good], &SHORT).await;
     expect_that!(end.code, eq(3), "{end:?}");
     expect_that!(end.errors, contains_substring("plan history --record"));
     expect_that!(log.entries(), is_empty());
@@ -204,3 +199,34 @@
     let status: StatusAnswer = serde_json::from_str(&end.output).unwrap();
     expect_that!(status.daemons, len(eq(2)));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_wait_shows_progress() {
+    let log = FakeLog::default();
+    let slow = start_daemon(&log, DaemonFault::SlowAdoption, None).await;
+    let end = submit(&[slow], &["--wait"]).await;
+    expect_that!(end.code, eq(0), "{end:?}");
+    for line in [
+        "daemon entry-1: in force",
+        "daemon entry-2: not heard of",
+        "daemon entry-2: in force",
+        "row colour-match@4: short, 0 of 2 ready, the weight store is busy",
+        "row colour-match@4: ready",
+    ] {
+        expect_that!(end.errors, contains_substring(line));
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn read_next_daemon() {
+    let log = FakeLog::default();
+    let dead = dead_address().await.to_string();
+    let good = start_daemon(&log, DaemonFault::None, None)
+        .await
+        .to_string();
+    let end = run_program(&["hosts", "--daemon", &dead, "--daemon", &good]).await;
+    expect_that!(end.code, eq(0), "{end:?}");
+    expect_that!(end.errors, contains_substring(format!("{good} answered")));
+}
--- a/crates/ward-cli/tests/support/mod.rs
+++ b/crates/ward-cli/tests/support/mod.rs
@@ -14,13 +14,16 @@
 use ward_operator::{
     CallFuture, DaemonItem, DumpAnswer, HistoryAnswer, HistoryEntry, HistoryKind, HistoryQuery,
     HistoryVerdict, HostsAnswer, ModelsAnswer, OperatorCalls, OperatorError, OperatorServer,
-    PlanAnswer, RequestsAnswer, RowPhase, RowStatus, StatusAnswer, SubmitRequest, SubmitResult,
-    TokenDigest, operator_router, serve_operators,
+    PlanAnswer, RequestsAnswer, RowPhase, RowStatus, ShortReason, StatusAnswer, SubmitRequest,
+    SubmitResult, TokenDigest, operator_router, serve_operators,
 };
 use ward_protocol::{
     LogOffset, PlanChange, PlanRevision, PlanRow, ResultCode, TimeSpan, ViewMode, WallTime,
 };
 
+/// Questions for the status that a slow adoption outlasts.
+const SLOW_QUESTIONS: u32 = 2;
+
 /// What goes wrong at the fake daemon.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum DaemonFault {
@@ -37,6 +40,8 @@
     LogDown,
     /// Accepted plans never come into force at the second daemon.
     NotAdopted,
+    /// Accepted plans come into force, and their rows become ready, after a while.
+    SlowAdoption,
 }
 
 /// A plan record and the rows of its plan.
@@ -46,6 +51,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct FakeLog {
     entries: Arc<Mutex<Vec<LogEntry>>>,
+    questions: Arc<Mutex<u32>>,
 }
 
 impl FakeLog {
@@ -55,6 +61,13 @@
         entries.iter().map(|(entry, _)| entry.clone()).collect()
     }
 
+    /// Questions for the status since the newest record, this one included.
+    fn count_question(&self) -> u32 {
+        let mut questions = self.questions.lock().unwrap();
+        *questions += 1;
+        *questions
+    }
+
     fn current(&self) -> PlanRevision {
         self.entries()
             .iter()
@@ -103,6 +116,7 @@
             rows: 0,
         };
         entries.push((entry, rows));
+        *self.questions.lock().unwrap() = 0;
         revision
     }
 }
@@ -160,7 +174,7 @@
 
 fn submit(log: &FakeLog, fault: DaemonFault, request: SubmitRequest) -> CallFuture<SubmitResult> {
     match fault {
-        DaemonFault::None | DaemonFault::NotAdopted => {
+        DaemonFault::None | DaemonFault::NotAdopted | DaemonFault::SlowAdoption => {
             let revision = log.append(request, HistoryVerdict::Accepted);
             ready(Ok(SubmitResult::Accepted { revision }))
         }
@@ -198,10 +212,13 @@
 
 fn status(log: &FakeLog, fault: DaemonFault, address: SocketAddr) -> StatusAnswer {
     let accepted = log.current();
+    let early = log.count_question() <= SLOW_QUESTIONS;
     let behind = match fault {
         DaemonFault::NotAdopted => Some(PlanRevision(0)),
+        DaemonFault::SlowAdoption if early => None,
         _ => Some(accepted),
     };
+    let loading = fault == DaemonFault::SlowAdoption && early;
     let daemon = |name: &str, adopted| DaemonItem {
         daemon: name.parse().unwrap(),
         zone: "vic".parse().unwrap(),
@@ -222,10 +239,14 @@
                 target: row.target.clone(),
                 replicas: row.replicas,
                 wanted: row.ready,
-                ready: row.ready,
+                ready: if loading { 0 } else { row.ready },
                 loading: 0,
-                phase: RowPhase::Ready,
-                reason: None,
+                phase: if loading && row.ready > 0 {
+                    RowPhase::Short
+                } else {
+                    RowPhase::Ready
+                },
+                reason: loading.then_some(ShortReason::StoreBusy),
             })
             .collect(),
     }
--- a/crates/ward-operator/src/lib.rs
+++ b/crates/ward-operator/src/lib.rs
@@ -33,7 +33,10 @@
 };
 pub use calls::{CallFuture, OperatorCalls, SubmitRequest, SubmitResult};
 pub use error::OperatorError;
-pub use query::{DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, SubmitQuery};
+pub use query::{
+    DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, RowFilter, StatusQuery,
+    SubmitQuery,
+};
 pub use record::plan_records;
 pub use route::operator_router;
 pub use serve::serve_operators;
--- a/crates/ward-operator/src/query.rs
+++ b/crates/ward-operator/src/query.rs
@@ -76,3 +76,22 @@
     /// Only the entry of this record.
     pub record: Option<RecordId>,
 }
+
+/// Query of how far the plan has come.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StatusQuery {
+    /// Which rows are wanted.
+    pub rows: RowFilter,
+}
+
+/// Which rows are wanted; most are ready, and there may be tens of thousands.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RowFilter {
+    /// All rows.
+    #[default]
+    All,
+    /// Rows that are not ready.
+    Open,
+}
--- a/crates/ward-operator/src/route/plan.rs
+++ b/crates/ward-operator/src/route/plan.rs
@@ -1,22 +1,31 @@
 //! Routes of plans.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
 use slog::info;
+use tokio::time::{Instant, sleep};
 use viz::Request;
 use ward_plan::{PlanSheet, SheetDifference};
-use ward_protocol::{OperatorName, PlanChange, PlanRevision, RecordId, ResultCode};
+use ward_protocol::{OperatorName, PlanChange, PlanRevision, RecordId, ResultCode, TimeSpan};
 
 use super::RouteResult;
 use super::query::{read_body, read_query};
 use super::reply::{json_reply, typed_reply};
-use crate::answer::{PlanAnswer, SubmitAnswer, SubmitOutcome};
+use crate::answer::{PlanAnswer, RowPhase, SubmitAnswer, SubmitOutcome};
 use crate::calls::{SubmitRequest, SubmitResult};
 use crate::error::OperatorError;
-use crate::query::{DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, SubmitQuery};
+use crate::query::{
+    DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, RowFilter, StatusQuery,
+    SubmitQuery,
+};
 use crate::server::OperatorServer;
 
+const BASE_TIME: Duration = Duration::from_secs(2);
+const BASE_PAUSE: Duration = Duration::from_millis(50);
+const BASE_RETRY: TimeSpan = TimeSpan::from_secs(1);
 const CSV: HeaderValue = HeaderValue::from_static("text/csv; charset=utf-8");
 
 /// Checks a sheet against the newest accepted plan.
@@ -30,8 +39,7 @@
 pub(super) async fn submit(server: Arc<OperatorServer>, request: Request) -> RouteResult {
     let query: SubmitQuery = read_query(&request)?;
     let sheet = PlanSheet::read(&read_body(request).await?)?;
-    let current = (server.calls.plan)(None).await?;
-    require_base(query.base, current.revision)?;
+    let current = current_plan(&server, query.base).await?;
     if query.dry_run {
         return checked(&current, &sheet);
     }
@@ -46,10 +54,8 @@
 /// Brings back the content of an earlier revision.
 pub(super) async fn retreat(server: Arc<OperatorServer>, request: Request) -> RouteResult {
     let query: RetreatQuery = read_query(&request)?;
-    let earlier = (server.calls.plan)(Some(query.to)).await?;
-    let current = (server.calls.plan)(None).await?;
-    require_base(query.base, current.revision)?;
-    let sheet = earlier.sheet();
+    let current = current_plan(&server, query.base).await?;
+    let sheet = (server.calls.plan)(Some(query.to)).await?.sheet();
     if query.dry_run {
         return checked(&current, &sheet);
     }
@@ -111,11 +117,29 @@
     json_reply(StatusCode::OK, &answer)
 }
 
-fn require_base(base: PlanRevision, current: PlanRevision) -> Result<(), OperatorError> {
-    if base == current {
-        return Ok(());
+/// The newest accepted plan, if its revision is the base.
+///
+/// A base that this daemon has not read yet is waited for, since another daemon
+/// may have accepted it a moment ago; that is no reason to call it stale.
+async fn current_plan(
+    server: &OperatorServer,
+    base: PlanRevision,
+) -> Result<PlanAnswer, OperatorError> {
+    let end = Instant::now() + BASE_TIME;
+    loop {
+        let current = (server.calls.plan)(None).await?;
+        match current.revision.cmp(&base) {
+            Ordering::Equal => return Ok(current),
+            Ordering::Greater => return Err(stale(base, current.revision)),
+            Ordering::Less if Instant::now() >= end => return Err(behind(base, current.revision)),
+            Ordering::Less => sleep(BASE_PAUSE).await,
+        }
     }
-    Err(stale(base, current))
+}
+
+fn behind(base: PlanRevision, current: PlanRevision) -> OperatorError {
+    let detail = format!("the base is revision {base}, this daemon has read up to {current}");
+    OperatorError::Later(ResultCode::StateMissing, detail, BASE_RETRY)
 }
 
 fn stale(base: PlanRevision, current: PlanRevision) -> OperatorError {
@@ -140,8 +164,14 @@
 }
 
 /// Tells how far the plan has come.
-pub(super) async fn status(server: Arc<OperatorServer>, _request: Request) -> RouteResult {
-    json_reply(StatusCode::OK, &(server.calls.status)().await?)
+pub(super) async fn status(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let query: StatusQuery = read_query(&request)?;
+    let mut status = (server.calls.status)().await?;
+    match query.rows {
+        RowFilter::All => {}
+        RowFilter::Open => status.rows.retain(|row| row.phase != RowPhase::Ready),
+    }
+    json_reply(StatusCode::OK, &status)
 }
 
 /// Compares two revisions.
--- a/crates/ward-operator/tests/api.rs
+++ b/crates/ward-operator/tests/api.rs
@@ -233,3 +233,19 @@
         .await;
     expect_that!(sheet.text(), starts_with("target;zones;"));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_daemon_behind() {
+    let daemon = FakeDaemon::default();
+    let client = daemon.start().await;
+    daemon.set_lag(3);
+    let answer = client.call("POST", SUBMIT, Some(TOKEN), SHEET).await;
+    expect_that!(answer.status, eq(200));
+
+    daemon.set_lag(u32::MAX);
+    let found = problem(&client, "POST", SUBMIT, SHEET).await;
+    expect_that!(found.code, eq(ResultCode::StateMissing.number()));
+    expect_that!(found.retry_after, some(eq(1)));
+    expect_that!(daemon.submitted(), len(eq(1)));
+}
--- a/crates/ward-operator/tests/support/mod.rs
+++ b/crates/ward-operator/tests/support/mod.rs
@@ -37,6 +37,8 @@
     mode: ViewMode,
     result: SubmitResult,
     submitted: Vec<SubmitRequest>,
+    /// Calls for the newest plan that are still answered with an older one.
+    lag: u32,
 }
 
 impl Default for FakeDaemon {
@@ -47,6 +49,7 @@
                 revision: PlanRevision(4),
             },
             submitted: Vec::new(),
+            lag: 0,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -84,6 +87,11 @@
         self.state.lock().unwrap().result = result;
     }
 
+    /// Sets how many calls for the newest plan are answered with an older one.
+    pub(crate) fn set_lag(&self, calls: u32) {
+        self.state.lock().unwrap().lag = calls;
+    }
+
     /// Sets the mode.
     pub(crate) fn set_mode(&self, mode: ViewMode) {
         self.state.lock().unwrap().mode = mode;
@@ -97,13 +105,23 @@
     fn calls(&self) -> OperatorCalls {
         let submit_state = Arc::clone(&self.state);
         let mode_state = Arc::clone(&self.state);
+        let plan_state = Arc::clone(&self.state);
         OperatorCalls {
             submit: Arc::new(move |request| {
                 let mut state = submit_state.lock().unwrap();
                 state.submitted.push(request);
                 ready(Ok(state.result))
             }),
-            plan: Arc::new(|revision| ready(plan(revision))),
+            plan: Arc::new(move |revision| {
+                let mut state = plan_state.lock().unwrap();
+                let older = revision.is_none() && state.lag > 0;
+                state.lag = state.lag.saturating_sub(u32::from(older));
+                ready(plan(if older {
+                    Some(PlanRevision(2))
+                } else {
+                    revision
+                }))
+            }),
             history: Arc::new(|_| ready(Ok(HistoryAnswer::default()))),
             status: Arc::new(|| ready(Ok(StatusAnswer::default()))),
             hosts: Arc::new(|| ready(Ok(HostsAnswer::default()))),
