Warnings about what today's engines cannot give; doubled keys in settings

Cause: a misspelt zone is a valid sheet and was only seen later as a short row; a settings section pasted twice silently undid the first; a service row with ready was told to raise its replicas, which a service does not have.

Submitting and checking now warn of zones without backend servers, replicas larger than any engine, and ready replicas that do not fit. Doubled keys are mistakes with their path. check_doubled_keys and read_service_with_cells_of_a_model failed before.

--- a/crates/ward-cli/src/plan/check.rs
+++ b/crates/ward-cli/src/plan/check.rs
@@ -6,7 +6,7 @@
 use futures::FutureExt;
 use ward_operator::SubmitAnswer;
 
-use super::show::{SheetFile, difference_text};
+use super::show::{SheetFile, answer_text};
 use crate::argument::{required, sheet_argument};
 use crate::client::ApiExchange;
 use crate::command::{CommandEntry, CommandExample};
@@ -45,9 +45,7 @@
     }
     let exchange = ApiExchange::post("/plan/check", &(), file.bytes)?;
     let answer: SubmitAnswer = context.client.read(&exchange).await?;
-    context
-        .form
-        .print(&answer, || difference_text(&answer.difference));
+    context.form.print(&answer, || answer_text(&answer));
     Ok(())
 }
 
--- a/crates/ward-cli/src/plan/show.rs
+++ b/crates/ward-cli/src/plan/show.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::{fs, io};
 
+use ward_operator::SubmitAnswer;
 use ward_plan::{PlanSheet, SheetColumn, SheetDifference};
 use ward_protocol::{PlanRow, RowTarget};
 
@@ -60,6 +61,18 @@
     table.render()
 }
 
+/// What a submitted or checked sheet changes, and what cannot be had today.
+#[must_use]
+pub fn answer_text(answer: &SubmitAnswer) -> String {
+    let mut text = difference_text(&answer.difference);
+    for warning in &answer.warnings {
+        text.push_str("warning: ");
+        text.push_str(&warning.to_string());
+        text.push('\n');
+    }
+    text
+}
+
 fn added_cells(row: &PlanRow) -> String {
     match row.target {
         RowTarget::Service(_) => String::new(),
--- a/crates/ward-cli/src/plan/submit.rs
+++ b/crates/ward-cli/src/plan/submit.rs
@@ -9,7 +9,7 @@
 };
 use ward_protocol::{OperatorName, PlanRevision, RecordId};
 
-use super::show::{SheetFile, difference_text};
+use super::show::{SheetFile, answer_text};
 use super::wait::wait_in_force;
 use crate::argument::{BaseChoice, SubmitOptions, required, sheet_argument, submit_arguments};
 use crate::client::{ApiExchange, SubmitCall, SubmitEnd};
@@ -156,7 +156,7 @@
 
 fn print_answer(context: &CommandContext, answer: &SubmitAnswer) {
     context.form.print(answer, || {
-        let changes = difference_text(&answer.difference);
+        let changes = answer_text(answer);
         match answer.outcome {
             SubmitOutcome::Checked { base } => {
                 format!("{changes}nothing submitted; in force is revision {base}\n")
--- a/crates/ward-operator/src/answer/plan.rs
+++ b/crates/ward-operator/src/answer/plan.rs
@@ -6,6 +6,8 @@
 use ward_plan::{PlanSheet, SheetDifference};
 use ward_protocol::{OperatorName, PlanRevision, PlanRow, RecordId, WallTime};
 
+use crate::warning::SheetWarning;
+
 /// A plan and where it came from.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlanAnswer {
@@ -54,6 +56,8 @@
     pub outcome: SubmitOutcome,
     /// What it changes against its base.
     pub difference: SheetDifference,
+    /// What it asks for and the engines of today cannot give.
+    pub warnings: Vec<SheetWarning>,
 }
 
 /// What a plan record asked for.
--- a/crates/ward-operator/src/lib.rs
+++ b/crates/ward-operator/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod serve;
 pub mod server;
 pub mod token;
+pub mod warning;
 
 pub use answer::{
     BackendItem, DaemonItem, DumpAnswer, HistoryAnswer, HistoryEntry, HistoryKind, HistoryVerdict,
@@ -42,3 +43,4 @@
 pub use serve::serve_operators;
 pub use server::OperatorServer;
 pub use token::TokenDigest;
+pub use warning::{SheetWarning, sheet_warnings};
--- a/crates/ward-operator/src/route/plan.rs
+++ b/crates/ward-operator/src/route/plan.rs
@@ -22,6 +22,7 @@
     SubmitQuery,
 };
 use crate::server::OperatorServer;
+use crate::warning::{SheetWarning, sheet_warnings};
 
 const BASE_TIME: Duration = Duration::from_secs(2);
 const BASE_PAUSE: Duration = Duration::from_millis(50);
@@ -32,7 +33,7 @@
 pub(super) async fn check(server: Arc<OperatorServer>, request: Request) -> RouteResult {
     let sheet = PlanSheet::read(&read_body(request).await?)?;
     let current = (server.calls.plan)(None).await?;
-    checked(&current, &sheet)
+    checked(&server, &current, &sheet).await
 }
 
 /// Submits a sheet.
@@ -41,7 +42,7 @@
     let sheet = PlanSheet::read(&read_body(request).await?)?;
     let current = current_plan(&server, query.base).await?;
     if query.dry_run {
-        return checked(&current, &sheet);
+        return checked(&server, &current, &sheet).await;
     }
     let order = SubmitOrder {
         record: query.record,
@@ -57,7 +58,7 @@
     let current = current_plan(&server, query.base).await?;
     let sheet = (server.calls.plan)(Some(query.to)).await?.sheet();
     if query.dry_run {
-        return checked(&current, &sheet);
+        return checked(&server, &current, &sheet).await;
     }
     let order = SubmitOrder {
         record: query.record,
@@ -102,21 +103,31 @@
         record: Some(record),
         outcome,
         difference: SheetDifference::between(&current.sheet(), sheet),
+        warnings: warnings(server, sheet).await,
     };
     json_reply(status, &answer)
 }
 
-fn checked(current: &PlanAnswer, sheet: &PlanSheet) -> RouteResult {
+async fn checked(server: &OperatorServer, current: &PlanAnswer, sheet: &PlanSheet) -> RouteResult {
     let answer = SubmitAnswer {
         record: None,
         outcome: SubmitOutcome::Checked {
             base: current.revision,
         },
         difference: SheetDifference::between(&current.sheet(), sheet),
+        warnings: warnings(server, sheet).await,
     };
     json_reply(StatusCode::OK, &answer)
 }
 
+/// Warnings need what is known of the hosts; without it there are none.
+async fn warnings(server: &OperatorServer, sheet: &PlanSheet) -> Vec<SheetWarning> {
+    match (server.calls.hosts)().await {
+        Ok(hosts) => sheet_warnings(sheet, &hosts),
+        Err(_) => Vec::new(),
+    }
+}
+
 /// The newest accepted plan, if its revision is the base.
 ///
 /// A base that this daemon has not read yet is waited for, since another daemon
--- a/crates/ward-plan/src/check.rs
+++ b/crates/ward-plan/src/check.rs
@@ -9,7 +9,6 @@
 
 /// The mistakes between the cells of one row.
 pub fn check_row(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
-    check_ready(row, mistakes);
     match &row.target {
         Some(RowTarget::Service(_)) => check_service(row, mistakes),
         Some(RowTarget::Replica(_)) => check_replica(row, mistakes),
@@ -31,13 +30,17 @@
 }
 
 fn check_service(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
-    let memory = row.memory.is_some_and(|memory| memory.bytes() > 0);
     let roles = row.roles.as_ref().is_some_and(|roles| !roles.is_empty());
-    let replicas = row.replicas.is_some_and(|replicas| replicas > 0);
+    let memory = row.memory.is_some_and(|memory| memory.bytes() > 0);
     let meaningless = [
-        (SheetColumn::Replicas, replicas),
-        (SheetColumn::Memory, memory),
         (SheetColumn::Roles, roles),
+        (
+            SheetColumn::Replicas,
+            row.replicas.is_some_and(|count| count > 0),
+        ),
+        (SheetColumn::Ready, row.ready.is_some_and(|count| count > 0)),
+        (SheetColumn::ReadyFrom, row.ready_from.flatten().is_some()),
+        (SheetColumn::Memory, memory),
     ];
     for (column, given) in meaningless {
         if given {
@@ -47,6 +50,7 @@
 }
 
 fn check_replica(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
+    check_ready(row, mistakes);
     if row.memory.is_some_and(|memory| memory.bytes() == 0) {
         mistakes.push(row.mistake(SheetColumn::Memory, SheetProblem::NoMemory));
     }
--- a/crates/ward-plan/tests/sheet.rs
+++ b/crates/ward-plan/tests/sheet.rs
@@ -187,3 +187,25 @@
         )
     );
 }
+
+#[googletest::test]
+fn read_service_with_cells_of_a_model() {
+    let text = sheet(&["services/booking;;serving;1;2;07:00;1;1GiB;no"]);
+    let columns: Vec<String> = places(text.as_bytes())
+        .into_iter()
+        .map(|(_, column, _)| column)
+        .collect();
+    expect_that!(
+        columns,
+        elements_are![
+            eq("roles"),
+            eq("replicas"),
+            eq("ready"),
+            eq("ready_from"),
+            eq("memory"),
+        ]
+    );
+    for problem in problems(&["services/booking;;serving;1;2;07:00;1;1GiB;no"]) {
+        expect_that!(problem, eq(&SheetProblem::ServiceCell));
+    }
+}
--- a/crates/ward-settings/src/lib.rs
+++ b/crates/ward-settings/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod address;
 pub mod check;
+pub mod doubled;
 pub mod input;
 pub mod logging;
 pub mod mistake;
--- a/crates/ward-settings/src/mistake.rs
+++ b/crates/ward-settings/src/mistake.rs
@@ -27,6 +27,10 @@
             display("{cause}")
             source(cause)
         }
+        /// The key is there twice.
+        DoubledKey {
+            display("the key is there twice; leave one of the two")
+        }
         /// A value is needed.
         Missing {
             display("the value is missing; there is no default for it")
--- a/crates/ward-settings/src/settings.rs
+++ b/crates/ward-settings/src/settings.rs
@@ -12,6 +12,7 @@
 
 use crate::address::{AddressSet, PlatformAddresses};
 use crate::check::check_input;
+use crate::doubled::doubled_keys;
 use crate::input::read_input;
 use crate::logging::LogSettings;
 use crate::mistake::{SettingsError, SettingsProblem};
@@ -68,7 +69,7 @@
     /// # Errors
     /// When the text has mistakes; gives all of them.
     pub fn check(text: &str) -> Result<Self, SettingsError> {
-        let mut mistakes = Vec::new();
+        let mut mistakes = doubled_keys(text);
         let input = read_input(text, &mut mistakes)?;
         let settings = check_input(input, &mut mistakes);
         match settings {
--- a/crates/ward-settings/tests/check.rs
+++ b/crates/ward-settings/tests/check.rs
@@ -151,3 +151,21 @@
     let only = format!(r#"{{"keys": {{"previous": "{key}"}}}}"#);
     expect_that!(paths(&only), elements_are![eq("keys.previous")]);
 }
+
+#[googletest::test]
+fn check_doubled_keys() {
+    let text = LEAST.replace(
+        "\"zone\": \"vic\",",
+        r#""zone": "vic", "lease": {"lease": "5s", "lease": "6s"}, "zone": "moste", "lease": {},"#,
+    );
+    let error = DaemonSettings::check(&text).unwrap_err();
+    let found: Vec<&str> = error
+        .mistakes
+        .iter()
+        .map(|mistake| mistake.path.as_str())
+        .collect();
+    expect_that!(
+        found,
+        elements_are![eq(&"lease.lease"), eq(&"zone"), eq(&"lease")]
+    );
+}
