--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! One try of a model request on one replica.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::{ACCEPT, CONTENT_TYPE};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, Uri};
@@ -20,6 +21,8 @@
 const PRIORITY: HeaderName = HeaderName::from_static("priority");
 const OUTCOME: &str = "x-outcome";
 const NOT_RUN: &str = "not_run";
+/// How long a call that may not be repeated runs on after its time limit.
+pub(crate) const LONGEST_RUN: Duration = Duration::from_secs(60);
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// A model request, ready to be sent as often as allowed.
@@ -33,6 +36,7 @@
     pub(crate) priority: PriorityLevel,
     pub(crate) target: RowTarget,
     pub(crate) suspect: bool,
+    pub(crate) shunned: Option<BackendId>,
     pub(crate) connection: ConnectionUse,
 }
 
@@ -46,6 +50,7 @@
             priority: self.priority,
             prefix: self.body.prefix,
             suspect: self.suspect,
+            shunned: self.shunned.clone(),
         }
     }
 
@@ -73,7 +78,7 @@
             body,
             request: self.request,
             send_by,
-            answer_by: send_by,
+            answer_by: answer_by(self.connection, send_by),
             connection: self.connection,
         }
     }
@@ -136,7 +141,6 @@
     info!(core.logger, "traffic: request broken";
         "request" => %call.request, "backend" => %backend, "cause" => %error);
     if matches!(error, CallError::Lost(_)) {
-        core.room.avoid(backend);
         (core.notice.0)(TrafficNotice::Crashed {
             fingerprint: call.fingerprint(),
             backend: backend.clone(),
@@ -150,8 +154,11 @@
 pub(crate) fn broken_report(error: &CallError) -> ProblemReport {
     let code = match error {
         CallError::Lost(_) => ResultCode::BackendLost,
-        CallError::WrongId | CallError::Unframed | CallError::TooLarge => ResultCode::AnswerInvalid,
+        CallError::WrongId | CallError::Unframed | CallError::Unreadable | CallError::TooLarge => {
+            ResultCode::AnswerInvalid
+        }
         CallError::TimedOut
+        | CallError::Failed(_)
         | CallError::Connect(_)
         | CallError::NotSent
         | CallError::Expired
@@ -160,11 +167,23 @@
     ProblemReport::failed(code, error.to_string())
 }
 
+/// Until when an answer's header may come. A call that may not be repeated runs on
+/// after its caller's time limit, because only its answer ends the doubt.
+pub(crate) fn answer_by(connection: ConnectionUse, deadline: Instant) -> Instant {
+    match connection {
+        ConnectionUse::Pooled => deadline,
+        ConnectionUse::Fresh => deadline + LONGEST_RUN,
+    }
+}
+
+/// Whether a backend server says that it did not run a request which it could run later.
 fn says_not_run(answer: &BackendAnswer) -> bool {
-    let refused = answer.status.is_client_error() || answer.status.is_server_error();
+    let later = matches!(
+        answer.status,
+        StatusCode::NOT_FOUND | StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS
+    );
     let outcome = answer.headers.get(OUTCOME);
-    refused
-        && answer.status != StatusCode::BAD_REQUEST
+    (later || answer.status.is_server_error())
         && outcome.is_some_and(|value| value.as_bytes() == NOT_RUN.as_bytes())
 }
 
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -11,16 +11,17 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use slog::warn;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{timeout, timeout_at};
 use viz::Body;
 use ward_backend::request::{BackendAnswer, CallError};
 use ward_protocol::{IdempotencyKey, RequestFingerprint, RequestId, ResultCode};
 
 use super::model::{expired, is_cold, note_start};
-use super::service::{ServiceCall, attempt_service};
+use super::service::{ServiceCall, attempt_service, check_unsent};
 use crate::core::TrafficCore;
 use crate::forward::{
-    AttemptEnd, ModelCall, WholeAnswer, attempt_model, is_event_stream, read_whole, whole_response,
+    AttemptEnd, LONGEST_RUN, ModelCall, WholeAnswer, attempt_model, is_event_stream, read_whole,
+    whole_response,
 };
 use crate::input::RequestTerms;
 use crate::once::{BeginAnswer, DoneAnswer, KeptAnswer};
@@ -29,8 +30,6 @@
 
 /// How long an answer waits for its record before it goes to the caller.
 const RECORD_WAIT: Duration = Duration::from_millis(500);
-/// How long an answer may go on after its beginning when the time limit is shorter.
-const LONGEST_RUN: Duration = Duration::from_secs(60);
 
 /// A call that may not be repeated.
 #[derive(Debug)]
@@ -77,8 +76,16 @@
         }
     }
 
+    /// A model may still be loaded elsewhere; a service has only its backend servers.
+    fn check_unsent(&self, core: &TrafficCore, unsent: usize) -> Result<(), ProblemReport> {
+        match self {
+            Self::Model(_) => Ok(()),
+            Self::Service(call) => check_unsent(core, call, unsent),
+        }
+    }
+
     async fn whole(&self, answer: BackendAnswer) -> Result<WholeAnswer, CallError> {
-        let by = self.terms().deadline.max(Instant::now() + LONGEST_RUN);
+        let by = self.terms().deadline + LONGEST_RUN;
         let checked = match self {
             Self::Model(call) if !is_event_stream(&answer.headers) => Some(call.request),
             Self::Model(_) | Self::Service(_) => None,
@@ -136,6 +143,7 @@
     task: &OnceTask,
 ) -> Result<Response<Body>, ProblemReport> {
     let cold = is_cold(&core.view(), &task.wait_request().target);
+    let mut unsent = 0;
     loop {
         let grant = match core.room.acquire(task.wait_request()).await {
             Ok(grant) => grant,
@@ -149,7 +157,12 @@
                     Err(error) => Err(doubt(core, key, task, &error).await),
                 };
             }
-            AttemptEnd::NotRun => {}
+            AttemptEnd::NotRun => {
+                unsent += 1;
+                if let Err(report) = task.check_unsent(core, unsent) {
+                    return Err(abort(core, key, report).await);
+                }
+            }
             AttemptEnd::Expired => return Err(abort(core, key, expired()).await),
             AttemptEnd::Broken(error) => return Err(doubt(core, key, task, &error).await),
         }
