--- a/crates/ward-operator/src/lib.rs
+++ b/crates/ward-operator/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod serve;
 pub mod server;
 pub mod token;
+pub mod warning;
 
 pub use answer::{
     BackendItem, DaemonItem, DumpAnswer, HistoryAnswer, HistoryEntry, HistoryKind, HistoryVerdict,
@@ -33,9 +34,13 @@
 };
 pub use calls::{CallFuture, OperatorCalls, SubmitRequest, SubmitResult};
 pub use error::OperatorError;
-pub use query::{DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, SubmitQuery};
+pub use query::{
+    DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, RowFilter, StatusQuery,
+    SubmitQuery,
+};
 pub use record::plan_records;
 pub use route::operator_router;
 pub use serve::serve_operators;
 pub use server::OperatorServer;
 pub use token::TokenDigest;
+pub use warning::{SheetWarning, sheet_warnings};
