--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -26,7 +26,7 @@
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// A model request, ready to be sent as often as allowed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ModelCall {
     pub(crate) request: RequestId,
     pub(crate) path: Uri,
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -44,7 +44,6 @@
 pub(crate) struct StreamRelay {
     core: Arc<TrafficCore>,
     call: ModelCall,
-    repeatable: bool,
     grant: SlotGrant,
     guard: CancelGuard,
     body: AnswerBody,
@@ -86,7 +85,6 @@
     pub(crate) fn new(
         core: Arc<TrafficCore>,
         call: ModelCall,
-        repeatable: bool,
         grant: SlotGrant,
         guard: CancelGuard,
         body: AnswerBody,
@@ -95,7 +93,6 @@
         Self {
             core,
             call,
-            repeatable,
             grant,
             guard,
             body,
@@ -203,9 +200,6 @@
         if let StreamBreak::Lost(error) = &cause {
             note_broken(&self.core, &self.call, &self.grant.backend, error);
         }
-        if !self.repeatable {
-            return Err(cut());
-        }
         if !self.core.budget.take() {
             self.core.metrics.retries_denied.inc();
             return Err(cut());
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -31,6 +31,10 @@
 /// How long an answer waits for its record before it goes to the caller.
 const RECORD_WAIT: Duration = Duration::from_millis(500);
 
+/// Time for a refusal at the time limit to be recorded before the caller is told
+/// only that the call still runs.
+const REFUSAL_GRACE: Duration = Duration::from_millis(50);
+
 /// A call that may not be repeated.
 #[derive(Debug)]
 pub(super) enum OnceTask {
@@ -116,7 +120,7 @@
         drop(work);
         result
     });
-    match timeout_at(deadline + RECORD_WAIT, run).await {
+    match timeout_at(deadline + REFUSAL_GRACE, run).await {
         Ok(Ok(result)) => result,
         Ok(Err(_)) => Err(ProblemReport::in_doubt("the call ended without a result")),
         Err(_) => Err(still_running("the call still runs after its time limit")),
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -27,7 +27,6 @@
 use crate::target::resolve_service;
 
 const PREFIX: &str = "/services/";
-const MOST_RETRIES: usize = 1;
 
 /// A call to a plain service.
 #[derive(Debug)]
@@ -125,11 +124,15 @@
     mut call: ServiceCall,
 ) -> Result<Response<Body>, ProblemReport> {
     core.budget.earn();
-    let mut retries = 0;
     let mut unsent = 0;
+    // Once a try may have run, no later refusal may say that nothing did.
+    let mut broken: Option<ProblemReport> = None;
     loop {
-        let grant = core.room.acquire(call.wait_request()).await?;
-        if retries + unsent == 0 {
+        let grant = match core.room.acquire(call.wait_request()).await {
+            Ok(grant) => grant,
+            Err(report) => return Err(broken.unwrap_or(report)),
+        };
+        if broken.is_none() && unsent == 0 {
             note_start(core, &call.terms, &grant, false);
         }
         let backend = grant.backend.clone();
@@ -140,19 +143,21 @@
             },
             AttemptEnd::NotRun => {
                 unsent += 1;
-                check_unsent(core, &call, unsent)?;
-                continue;
+                match check_unsent(core, &call, unsent) {
+                    Ok(()) => continue,
+                    Err(report) => return Err(broken.unwrap_or(report)),
+                }
             }
-            AttemptEnd::Expired => return Err(expired()),
+            AttemptEnd::Expired => return Err(broken.unwrap_or_else(expired)),
             AttemptEnd::Broken(error) => error,
         };
-        call.shunned = Some(backend);
-        let left = !call.terms.left().is_zero();
-        if retries >= MOST_RETRIES || !left || !core.budget.take() {
-            return Err(broken_report(&error));
+        let report = broken_report(&error);
+        if broken.is_some() || call.terms.left().is_zero() || !core.budget.take() {
+            return Err(report);
         }
         core.metrics.retries.inc();
-        retries += 1;
+        broken = Some(report);
+        call.shunned = Some(backend);
     }
 }
 
