--- a/crates/ward-backend/src/lib.rs
+++ b/crates/ward-backend/src/lib.rs
@@ -7,4 +7,5 @@
 
 pub mod order;
 
+pub mod request;
 pub mod status;
--- /dev/null
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -0,0 +1,230 @@
+//! Calls to plain services.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use http::{HeaderMap, HeaderName, Method, Response, Uri};
+use viz::{Body, Request};
+use ward_backend::request::{AnswerHead, BackendAnswer, BackendCall, CallError, ConnectionUse};
+use ward_protocol::{
+    BackendId, PriorityLevel, RequestFingerprint, RequestId, ResultCode, RowTarget,
+};
+
+use super::model::{expired, note_start};
+use super::once::{OnceTask, serve_once};
+use crate::REQUEST_ID;
+use crate::core::TrafficCore;
+use crate::forward::{
+    AttemptEnd, LARGEST_WHOLE, WholeAnswer, answer_by, attempt_end, broken_report, end_to_end,
+    is_event_stream, whole_response,
+};
+use crate::input::{RequestTerms, read_body, read_key, read_terms};
+use crate::problem::ProblemReport;
+use crate::room::{SlotGrant, WaitRequest};
+use crate::target::resolve_service;
+
+const PREFIX: &str = "/services/";
+const MOST_RETRIES: usize = 1;
+
+/// A call to a plain service.
+#[derive(Debug)]
+pub(crate) struct ServiceCall {
+    pub(crate) request: RequestId,
+    pub(crate) method: Method,
+    pub(crate) path: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) terms: RequestTerms,
+    pub(crate) priority: PriorityLevel,
+    pub(crate) target: RowTarget,
+    pub(crate) shunned: Option<BackendId>,
+    pub(crate) connection: ConnectionUse,
+}
+
+impl ServiceCall {
+    pub(super) fn wait_request(&self) -> WaitRequest {
+        WaitRequest {
+            target: self.target.clone(),
+            reference: None,
+            terms: self.terms,
+            priority: self.priority,
+            prefix: 0,
+            suspect: false,
+            shunned: self.shunned.clone(),
+        }
+    }
+
+    pub(super) fn fingerprint(&self) -> RequestFingerprint {
+        let target = format!("{} {}", self.method, self.path);
+        RequestFingerprint::of(&target, &self.body)
+    }
+}
+
+/// Serves a call to a plain service.
+///
+/// # Errors
+///
+/// The call is refused, failed or in doubt.
+pub(crate) async fn serve_service(
+    core: &Arc<TrafficCore>,
+    id: RequestId,
+    request: Request,
+) -> Result<Response<Body>, ProblemReport> {
+    let terms = read_terms(request.headers(), &core.limits)?;
+    let key = read_key(request.headers())?;
+    let view = core.view();
+    let name = service_name(request.uri().path());
+    let target = RowTarget::Service(resolve_service(&view, name)?);
+    let repeatable = view.row(&target).is_some_and(|row| row.repeatable);
+    let (parts, body) = request.into_parts();
+    let body = read_body(body, &core.limits).await?;
+    let mut call = ServiceCall {
+        request: id,
+        method: parts.method,
+        path: parts.uri,
+        headers: forwarded(parts.headers),
+        body,
+        priority: terms.priority.unwrap_or_else(|| view.priority(&target)),
+        terms,
+        target,
+        shunned: None,
+        connection: ConnectionUse::Pooled,
+    };
+    if repeatable {
+        return run_repeatable(core, call).await;
+    }
+    call.connection = ConnectionUse::Fresh;
+    serve_once(core, key, OnceTask::Service(call)).await
+}
+
+/// Sends a call to the backend server of a grant.
+pub(super) async fn attempt_service(
+    core: &TrafficCore,
+    call: &ServiceCall,
+    grant: &SlotGrant,
+) -> AttemptEnd {
+    let result = core.client.send(BackendCall {
+        address: grant.address,
+        method: call.method.clone(),
+        target: call.path.clone(),
+        headers: call.headers.clone(),
+        body: call.body.clone().into(),
+        request: call.request,
+        send_by: call.terms.deadline,
+        answer_by: answer_by(call.connection, call.terms.deadline),
+        connection: call.connection,
+    });
+    attempt_end(core, &grant.backend, result.await)
+}
+
+async fn run_repeatable(
+    core: &Arc<TrafficCore>,
+    mut call: ServiceCall,
+) -> Result<Response<Body>, ProblemReport> {
+    core.budget.earn();
+    let mut retries = 0;
+    let mut unsent = 0;
+    loop {
+        let grant = core.room.acquire(call.wait_request()).await?;
+        if retries + unsent == 0 {
+            note_start(core, &call.terms, &grant, false);
+        }
+        let backend = grant.backend.clone();
+        let error = match attempt_service(core, &call, &grant).await {
+            AttemptEnd::Answered(answer) => match pass_on(&call, *answer, grant).await {
+                Ok(response) => return Ok(response),
+                Err(error) => error,
+            },
+            AttemptEnd::NotRun => {
+                unsent += 1;
+                check_unsent(core, &call, unsent)?;
+                continue;
+            }
+            AttemptEnd::Expired => return Err(expired()),
+            AttemptEnd::Broken(error) => error,
+        };
+        call.shunned = Some(backend);
+        let left = !call.terms.left().is_zero();
+        if retries >= MOST_RETRIES || !left || !core.budget.take() {
+            return Err(broken_report(&error));
+        }
+        core.metrics.retries.inc();
+        retries += 1;
+    }
+}
+
+/// Refuses a call once every backend server of its service was tried in vain.
+pub(super) fn check_unsent(
+    core: &TrafficCore,
+    call: &ServiceCall,
+    unsent: usize,
+) -> Result<(), ProblemReport> {
+    let RowTarget::Service(name) = &call.target else {
+        return Ok(());
+    };
+    let view = core.view();
+    let backends = view
+        .services
+        .get(name)
+        .map_or(0, |entry| entry.backends.len());
+    if unsent < backends.max(1) {
+        return Ok(());
+    }
+    let detail = format!("no backend server of {name} took the call");
+    Err(ProblemReport::refused(ResultCode::NoBackend, detail))
+}
+
+/// Passes an answer on, whole where it is short enough to be held back.
+async fn pass_on(
+    call: &ServiceCall,
+    mut answer: BackendAnswer,
+    grant: SlotGrant,
+) -> Result<Response<Body>, CallError> {
+    if is_event_stream(&answer.headers) {
+        return Ok(long_response(answer, Bytes::new(), grant));
+    }
+    let head = answer.body.head(LARGEST_WHOLE, call.terms.deadline).await?;
+    Ok(match head {
+        AnswerHead::Longer(first) => long_response(answer, first, grant),
+        AnswerHead::Whole(body) => whole_response(WholeAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body,
+        }),
+    })
+}
+
+/// An answer passed on as it comes; it ends visibly cut if its backend server is lost.
+fn long_response(answer: BackendAnswer, first: Bytes, grant: SlotGrant) -> Response<Body> {
+    let length = answer.headers.get(CONTENT_LENGTH).cloned();
+    let rest = stream::try_unfold((answer.body, grant), |(mut body, grant)| async {
+        let chunk = body.chunk().await.map_err(io::Error::other)?;
+        Ok::<_, io::Error>(chunk.map(|bytes| (bytes, (body, grant))))
+    });
+    let first = stream::iter((!first.is_empty()).then_some(Ok(first)));
+    let mut response = Response::new(Body::from_stream(first.chain(rest)));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = end_to_end(answer.headers);
+    if let Some(length) = length {
+        response.headers_mut().insert(CONTENT_LENGTH, length);
+    }
+    response
+}
+
+fn service_name(path: &str) -> &str {
+    let rest = path.strip_prefix(PREFIX).unwrap_or_default();
+    rest.split('/').next().unwrap_or_default()
+}
+
+/// The caller's header less what concerns only its connection to us.
+fn forwarded(headers: HeaderMap) -> HeaderMap {
+    const DROPPED: [HeaderName; 4] = [HOST, EXPECT, REQUEST_ID, CONTENT_LENGTH];
+    let mut headers = end_to_end(headers);
+    for name in &DROPPED {
+        headers.remove(name);
+    }
+    headers
+}
