--- a/crates/ward-daemon/src/demo/mod.rs
+++ b/crates/ward-daemon/src/demo/mod.rs
@@ -1,9 +1,47 @@
 //! Daemons and stand-ins in one process, to see the main job done.
+//!
+//! Nothing outside the process is needed: the platform, the engines and the
+//! service are the stand-ins that the tests use, on free ports of 127.0.0.1.
 
-use crate::program::{DemoOptions, ProgramExit};
+mod fleet;
+mod report;
+mod session;
+
+use slog::{Discard, Logger, o};
+use ward_settings::{LogFormat, LogLevel, LogSettings};
+
+use crate::logging::root_logger;
+use crate::program::{DemoOptions, ProgramExit, traffic_runtime};
+use session::run_session;
+
+const TRAFFIC_THREADS: u16 = 4;
 
 /// Runs the demonstration and ends.
 #[must_use]
-pub fn run_demo(_options: DemoOptions) -> ProgramExit {
-    ProgramExit::Done
+pub fn run_demo(options: DemoOptions) -> ProgramExit {
+    let logger = demo_logger(options.verbose);
+    let runtime = match traffic_runtime(TRAFFIC_THREADS) {
+        Ok(runtime) => runtime,
+        Err(cause) => {
+            eprintln!("the demonstration cannot start: {cause}");
+            return ProgramExit::Failed;
+        }
+    };
+    match runtime.block_on(run_session(options, &logger)) {
+        Ok(()) => ProgramExit::Done,
+        Err(cause) => {
+            eprintln!("the demonstration failed: {cause}");
+            ProgramExit::Failed
+        }
+    }
+}
+
+fn demo_logger(verbose: bool) -> Logger {
+    if !verbose {
+        return Logger::root(Discard, o!());
+    }
+    root_logger(LogSettings {
+        format: LogFormat::Text,
+        level: LogLevel::Info,
+    })
 }
--- a/crates/ward-daemon/src/program/mod.rs
+++ b/crates/ward-daemon/src/program/mod.rs
@@ -7,6 +7,7 @@
 
 pub use arguments::{DemoOptions, command};
 pub use exit::ProgramExit;
+pub(crate) use serve::traffic_runtime;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
