--- /dev/null
+++ b/crates/ward-daemon/tests/process_faults.rs
@@ -0,0 +1,369 @@
+//! Faults against real processes; the checks read the stand-ins' histories.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use ward_http::HttpReply;
+use ward_protocol::ReplicaKey;
+use ward_standin::service::ServiceHistory;
+use ward_test_support::process::{FleetSettings, FleetTruth, ProcessFleet, until};
+
+const SHEET: &str = "\
+target;zones;roles;replicas;ready;ready_from;priority;memory;repeatable
+colours@1;;;1;1;;1;20GiB;yes
+contracts@1;;;1;0;;5;40GiB;yes
+quotes@1;;;1;0;;0;60GiB;yes
+services/booking;;;;;;0;;no
+";
+/// Longest time in which an outage refuses what cannot be served.
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
+/// Longest time until a leaving backend server gets nothing new.
+const LEAVING_TIME: Duration = Duration::from_secs(3);
+
+async fn fleet() -> ProcessFleet {
+    let fleet = ProcessFleet::start(&FleetSettings::small()).unwrap();
+    fleet.until_full().await;
+    let output = fleet.submit(0, SHEET, 0).unwrap();
+    assert!(output.status.success(), "{output:?}");
+    fleet
+}
+
+fn key(text: &str) -> ReplicaKey {
+    text.parse().unwrap()
+}
+
+fn problem(reply: &HttpReply) -> Value {
+    serde_json::from_slice(&reply.body).unwrap()
+}
+
+async fn check_promises(fleet: &ProcessFleet) {
+    let truth = FleetTruth::read(fleet).await.unwrap();
+    expect_that!(truth.overcommits(), eq(0));
+    for model in ["colours@1", "contracts@1", "quotes@1"] {
+        expect_that!(truth.most_replicas(&key(model)), le(1), "{model}");
+    }
+}
+
+async fn charges(fleet: &ProcessFleet, key: &str) -> u32 {
+    let history: ServiceHistory = fleet.services[0].control().history().await.unwrap();
+    history.runs_by_key.get(key).copied().unwrap_or(0)
+}
+
+async fn charge(fleet: &ProcessFleet, daemon: usize, key: &str) -> HttpReply {
+    let caller = fleet.caller(daemon);
+    let reply = caller.service("booking/deposits", Some(key), "{}").await;
+    reply.unwrap()
+}
+
+/// The owner of the engine that holds or loads a key.
+async fn engine_owner(fleet: &ProcessFleet, daemon: usize, model: &str) -> Option<usize> {
+    let dump = fleet.dump(daemon).await;
+    let reservations = dump["control"]["reservations"].as_array()?;
+    let held = reservations.iter().find(|item| item["key"] == model)?;
+    let backends = dump["control"]["backends"].as_array()?;
+    let engine = backends
+        .iter()
+        .find(|item| item["info"]["backend"] == held["backend"])?;
+    let number = engine["owner"].as_str()?.strip_prefix("entry-")?;
+    number.parse::<usize>().ok()?.checked_sub(1)
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_mid_load() {
+    let mut fleet = fleet().await;
+    let slow = json!({ "store_slow": 3.0 });
+    fleet.hosts.control().set_faults(&slow).await.unwrap();
+    let caller = fleet.caller(0);
+    let waiting = tokio::spawn(async move { caller.chat("contracts", "whole file", true).await });
+    let mut owner = None;
+    until("the load's owner", async || {
+        owner = engine_owner(&fleet, 0, "contracts@1").await;
+        owner.is_some()
+    })
+    .await;
+    // The caller's own daemon must live; its load is anyone's.
+    let owner = owner.unwrap();
+    if owner == 0 {
+        let reply = waiting.await.unwrap().unwrap();
+        expect_that!(reply.status.as_u16(), eq(200));
+    } else {
+        fleet.daemons[owner].program.kill().unwrap();
+        let reply = waiting.await.unwrap().unwrap();
+        expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
+    }
+    check_promises(&fleet).await;
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_frozen_past_lease() {
+    let fleet = fleet().await;
+    let owner = engine_owner(&fleet, 0, "colours@1").await.unwrap();
+    let other = (owner + 1) % fleet.daemons.len();
+    fleet.daemons[owner].program.freeze().unwrap();
+    let two_members = |dump: &Value| dump["control"]["members"].as_array().map_or(0, Vec::len) == 2;
+    fleet
+        .until_dump(other, "the frozen daemon's expiry", two_members)
+        .await;
+    let caller = fleet.caller(other);
+    for model in ["contracts", "quotes"] {
+        let reply = caller.chat(model, "while one sleeps", false).await.unwrap();
+        expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
+    }
+    fleet.daemons[owner].program.thaw().unwrap();
+    fleet.until_full().await;
+    let reply = fleet
+        .caller(owner)
+        .chat("colours", "awake", false)
+        .await
+        .unwrap();
+    expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
+    check_promises(&fleet).await;
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn log_down() {
+    let fleet = fleet().await;
+    fleet
+        .log
+        .control()
+        .set_faults(&json!({ "down": true }))
+        .await
+        .unwrap();
+    let routing = |dump: &Value| dump["view"]["mode"] == "routing_only";
+    for daemon in 0..fleet.daemons.len() {
+        fleet.until_dump(daemon, "routing only", routing).await;
+    }
+    let caller = fleet.caller(1);
+    let warm = caller.chat("colours", "still here", true).await.unwrap();
+    expect_that!(warm.status.as_u16(), eq(200));
+    let started = Instant::now();
+    let cold = caller.chat("quotes", "not now", false).await.unwrap();
+    expect_that!(started.elapsed(), lt(REFUSAL_TIME));
+    expect_that!(cold.status.as_u16(), eq(503));
+    expect_that!(problem(&cold)["outcome"], eq("not_run"));
+    expect_that!(cold.headers.contains_key("retry-after"), eq(true));
+    let refused = charge(&fleet, 0, "deposit-1").await;
+    expect_that!(refused.status.as_u16(), eq(503));
+    expect_that!(problem(&refused)["outcome"], eq("not_run"));
+    expect_that!(charges(&fleet, "deposit-1").await, eq(0));
+
+    fleet.log.control().set_faults(&json!({})).await.unwrap();
+    fleet.until_full().await;
+    let cold = caller.chat("quotes", "now", false).await.unwrap();
+    expect_that!(cold.status.as_u16(), eq(200), "{:?}", cold.body);
+    let charged = charge(&fleet, 0, "deposit-1").await;
+    expect_that!(charged.status.as_u16(), eq(200));
+    expect_that!(charges(&fleet, "deposit-1").await, eq(1));
+    check_promises(&fleet).await;
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn log_answers_lost() {
+    let fleet = fleet().await;
+    for round in 0..4 {
+        let faults = json!({ "lose_answers": 3, "slow_ms": 20 });
+        fleet.log.control().set_faults(&faults).await.unwrap();
+        let key = format!("deposit-{round}");
+        let replies = [0, 1, 2].map(|daemon| charge(&fleet, daemon, &key));
+        for reply in futures::future::join_all(replies).await {
+            // Refused or answered, but never run twice.
+            expect_that!(reply.status.as_u16(), any![eq(200), eq(409), eq(503)]);
+        }
+        expect_that!(charges(&fleet, &key).await, le(1));
+    }
+    fleet.log.control().set_faults(&json!({})).await.unwrap();
+    let reply = charge(&fleet, 0, "deposit-last").await;
+    expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
+    check_promises(&fleet).await;
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn charge_answer_lost() {
+    let fleet = fleet().await;
+    let service = fleet.services[0].control();
+    service
+        .set_faults(&json!({ "lose_answers": 1 }))
+        .await
+        .unwrap();
+    let first = charge(&fleet, 0, "deposit-1").await;
+    expect_that!(problem(&first)["outcome"], eq("in_doubt"));
+    for daemon in 0..3 {
+        let again = charge(&fleet, daemon, "deposit-1").await;
+        expect_that!(problem(&again)["outcome"], eq("in_doubt"));
+    }
+    expect_that!(charges(&fleet, "deposit-1").await, eq(1));
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn charge_daemon_killed() {
+    let mut fleet = fleet().await;
+    let service = fleet.services[0].control();
+    service
+        .set_faults(&json!({ "slow_ms": 3_000 }))
+        .await
+        .unwrap();
+    let caller = fleet.caller(0);
+    let lost = tokio::spawn(async move {
+        caller
+            .service("booking/deposits", Some("deposit-1"), "{}")
+            .await
+    });
+    until("the charge", async || {
+        charges(&fleet, "deposit-1").await == 1
+    })
+    .await;
+    fleet.daemons[0].program.kill().unwrap();
+    expect_that!(lost.await.unwrap().is_err(), eq(true));
+    service.set_faults(&json!({})).await.unwrap();
+    for daemon in [1, 2] {
+        let again = charge(&fleet, daemon, "deposit-1").await;
+        expect_that!(problem(&again)["outcome"], eq("in_doubt"));
+    }
+    expect_that!(charges(&fleet, "deposit-1").await, eq(1));
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_refused() {
+    let fleet = fleet().await;
+    for engine in &fleet.engines {
+        let faults = json!({ "crash_marker": "poison", "downtime_ms": 300 });
+        engine.control().set_faults(&faults).await.unwrap();
+    }
+    let mut statuses = Vec::new();
+    for _ in 0..8 {
+        let reply = fleet
+            .caller(1)
+            .chat("colours", "poison", false)
+            .await
+            .unwrap();
+        statuses.push(reply.status.as_u16());
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let truth = FleetTruth::read(&fleet).await.unwrap();
+    let crashes: usize = truth
+        .engines
+        .iter()
+        .map(|engine| engine.crashes.len())
+        .sum();
+    expect_that!(crashes, le(2));
+    expect_that!(statuses.last().unwrap(), eq(&422), "{statuses:?}");
+    let fine = fleet
+        .caller(2)
+        .chat("colours", "harmless", false)
+        .await
+        .unwrap();
+    expect_that!(fine.status.as_u16(), eq(200), "{:?}", fine.body);
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_engine_gets_nothing_new() {
+    let fleet = fleet().await;
+    let holder = {
+        let truth = FleetTruth::read(&fleet).await.unwrap();
+        let held = |engine: &ward_standin::EngineHistory| {
+            !engine.requests.is_empty() || engine.peak_memory.bytes() > 0
+        };
+        truth.engines.iter().position(held).unwrap()
+    };
+    let path = format!("/hosts/engine-{}/leave", holder + 1);
+    let control = fleet.hosts.control();
+    control
+        .send(http::Method::POST, &path, &json!({}))
+        .await
+        .unwrap();
+    tokio::time::sleep(LEAVING_TIME).await;
+    let before = requests_at(&fleet, holder).await;
+    for daemon in 0..3 {
+        let reply = fleet
+            .caller(daemon)
+            .chat("colours", "elsewhere", false)
+            .await
+            .unwrap();
+        expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
+    }
+    expect_that!(requests_at(&fleet, holder).await, eq(before));
+    check_promises(&fleet).await;
+}
+
+async fn requests_at(fleet: &ProcessFleet, engine: usize) -> usize {
+    let truth = FleetTruth::read(fleet).await.unwrap();
+    truth.engines[engine].requests.len()
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_race() {
+    let fleet = fleet().await;
+    let row = "colours@1;;;2;1;;1;20GiB;yes\n";
+    let header = SHEET.lines().next().unwrap();
+    let sheet = format!("{header}\n{row}");
+    let base = fleet.dump(0).await["control"]["newest_plan"]
+        .as_u64()
+        .unwrap();
+    let accepted = std::thread::scope(|scope| {
+        let submits = [0, 1, 2].map(|daemon| {
+            let (fleet, sheet) = (&fleet, &sheet);
+            scope.spawn(move || fleet.submit(daemon, sheet, base).unwrap())
+        });
+        let outputs = submits.map(|submit| submit.join().unwrap());
+        outputs
+            .iter()
+            .filter(|output| output.status.success())
+            .count()
+    });
+    expect_that!(accepted, eq(1));
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn retreat_during_load() {
+    let fleet = fleet().await;
+    let first = fleet.dump(0).await["control"]["newest_plan"]
+        .as_u64()
+        .unwrap();
+    fleet
+        .hosts
+        .control()
+        .set_faults(&json!({ "store_slow": 5.0 }))
+        .await
+        .unwrap();
+    let newer = SHEET.replace("quotes@1;;;1;0;", "quotes@2;;;1;1;");
+    let output = fleet.submit_only(1, &newer, first).unwrap();
+    assert!(output.status.success(), "{output:?}");
+    let loading = |dump: &Value| {
+        let reservations = dump["control"]["reservations"].as_array();
+        reservations.is_some_and(|items| items.iter().any(|item| item["key"] == "quotes@2"))
+    };
+    fleet
+        .until_dump(0, "the newer version's load", loading)
+        .await;
+    let newest = fleet.dump(0).await["control"]["newest_plan"].to_string();
+    let first = first.to_string();
+    let arguments = [
+        "plan", "retreat", &first, "--base", &newest, "--author", "planner", "--wait",
+    ];
+    let output = fleet.operator(2, &arguments).unwrap();
+    assert!(output.status.success(), "{output:?}");
+    let gone = |dump: &Value| !loading(dump);
+    fleet
+        .until_dump(0, "the end of the newer version", gone)
+        .await;
+    let reply = fleet
+        .caller(0)
+        .chat("quotes", "the old one", false)
+        .await
+        .unwrap();
+    expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
+    check_promises(&fleet).await;
+}
--- a/crates/ward-test-support/src/process/fleet.rs
+++ b/crates/ward-test-support/src/process/fleet.rs
@@ -39,6 +39,26 @@
     pub times: DaemonTimes,
 }
 
+impl FleetSettings {
+    /// Three daemons and three engines in as many zones, the second engine
+    /// without a check of fencing numbers, and a booking service.
+    #[must_use]
+    pub fn small() -> Self {
+        let zones = ["bezigrad", "vic", "moste"];
+        let engine = |zone: &&str| EngineChoice {
+            zone: (*zone).to_owned(),
+            checks_fencing: *zone != "vic",
+            arguments: Vec::new(),
+        };
+        Self {
+            daemons: zones.map(str::to_owned).to_vec(),
+            engines: zones.iter().map(engine).collect(),
+            services: vec!["booking".to_owned()],
+            times: DaemonTimes::default(),
+        }
+    }
+}
+
 /// A process with the address that it listens on.
 #[derive(Debug)]
 pub struct ListeningProcess {
--- a/crates/ward-test-support/src/process/mod.rs
+++ b/crates/ward-test-support/src/process/mod.rs
@@ -3,7 +3,11 @@
 mod daemon;
 mod fleet;
 mod program;
+mod session;
+mod truth;
 
 pub use daemon::{DaemonProcess, DaemonTimes};
-pub use fleet::{EngineChoice, FleetSettings, ProcessFleet};
+pub use fleet::{EngineChoice, FleetSettings, ListeningProcess, ProcessFleet};
 pub use program::{ProcessError, RunningProgram, program_path};
+pub use session::{PATIENCE, until};
+pub use truth::FleetTruth;
--- /dev/null
+++ b/crates/ward-test-support/src/process/session.rs
@@ -0,0 +1,118 @@
+//! What operators and callers do with a fleet.
+
+use std::fs;
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::fleet::ProcessFleet;
+use super::program::{ProcessError, program_path};
+use crate::caller::CallerClient;
+
+const CLIENT: &str = "persimmon";
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest wait for something that is bound to come.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+impl ProcessFleet {
+    /// Runs the operators' client against the daemon with this index.
+    ///
+    /// # Errors
+    /// When the client cannot be run.
+    pub fn operator(&self, daemon: usize, arguments: &[&str]) -> Result<Output, ProcessError> {
+        let address = self.daemons[daemon].operators.to_string();
+        let output = Command::new(program_path(CLIENT)?)
+            .args(arguments)
+            .args(["--daemon", &address])
+            .output()?;
+        Ok(output)
+    }
+
+    /// Submits a sheet on top of a revision and waits until it is in force and loaded.
+    ///
+    /// # Errors
+    /// When the sheet cannot be written or the client cannot be run.
+    pub fn submit(&self, daemon: usize, sheet: &str, base: u64) -> Result<Output, ProcessError> {
+        self.submit_with(daemon, sheet, base, &["--wait"])
+    }
+
+    /// Submits a sheet on top of a revision and does not wait for what it loads.
+    ///
+    /// # Errors
+    /// When the sheet cannot be written or the client cannot be run.
+    pub fn submit_only(
+        &self,
+        daemon: usize,
+        sheet: &str,
+        base: u64,
+    ) -> Result<Output, ProcessError> {
+        self.submit_with(daemon, sheet, base, &[])
+    }
+
+    fn submit_with(
+        &self,
+        daemon: usize,
+        sheet: &str,
+        base: u64,
+        options: &[&str],
+    ) -> Result<Output, ProcessError> {
+        let path = self.folder().join(format!("sheet-{daemon}-{base}.csv"));
+        fs::write(&path, sheet)?;
+        let (file, base) = (path.display().to_string(), base.to_string());
+        let submit = [
+            "plan", "submit", &file, "--base", &base, "--author", "planner",
+        ];
+        self.operator(daemon, &[&submit, options].concat())
+    }
+
+    /// A caller of the daemon with this index.
+    #[must_use]
+    pub fn caller(&self, daemon: usize) -> CallerClient {
+        CallerClient::new(self.daemons[daemon].callers)
+    }
+
+    /// The state dump of the daemon with this index; null while it does not answer.
+    pub async fn dump(&self, daemon: usize) -> Value {
+        let client = CallerClient::new(self.daemons[daemon].operators);
+        let reply = client.get("/dump").await;
+        let dump = reply.ok().and_then(|reply| reply.json().ok());
+        dump.unwrap_or_default()
+    }
+
+    /// Waits until every daemon has all its duties and knows all the others.
+    ///
+    /// # Panics
+    /// When that takes too long.
+    pub async fn until_full(&self) {
+        for daemon in 0..self.daemons.len() {
+            let full = async || {
+                let dump = self.dump(daemon).await;
+                let members = dump["control"]["members"].as_array().map_or(0, Vec::len);
+                dump["view"]["mode"] == "full" && members == self.daemons.len()
+            };
+            until("a daemon with all its duties", full).await;
+        }
+    }
+
+    /// Waits until the dump of a daemon shows what is looked for.
+    ///
+    /// # Panics
+    /// When that takes too long.
+    pub async fn until_dump(&self, daemon: usize, what: &str, look: impl Fn(&Value) -> bool) {
+        until(what, async || look(&self.dump(daemon).await)).await;
+    }
+}
+
+/// Waits until a check holds.
+///
+/// # Panics
+/// When that takes longer than [`PATIENCE`].
+pub async fn until(what: &str, mut check: impl AsyncFnMut() -> bool) {
+    let limit = Instant::now() + PATIENCE;
+    while !check().await {
+        assert!(Instant::now() < limit, "{what} not seen in time");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
