--- a/crates/ward-traffic/src/forward/mod.rs
+++ b/crates/ward-traffic/src/forward/mod.rs
@@ -16,7 +16,7 @@
 pub(crate) use cancel::CancelGuard;
 pub use event::EventBuffer;
 pub use progress::{StreamProgress, StreamStep};
-pub(crate) use relay::{StreamRelay, relay_response};
+pub(crate) use relay::{StreamRelay, cut_off, event_response, relay_response};
 pub(crate) use whole::{
     LARGEST_WHOLE, WholeAnswer, end_to_end, is_event_stream, read_whole, whole_response,
 };
--- a/crates/ward-traffic/src/forward/progress.rs
+++ b/crates/ward-traffic/src/forward/progress.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// All tokens of the stream of `request` before `from`.
+    #[must_use]
+    pub fn from_token(request: RequestId, from: u64) -> Self {
+        Self {
+            next: from,
+            ..Self::new(request)
+        }
+    }
+
     /// The first token that the caller does not have.
     #[must_use]
     pub const fn next(&self) -> u64 {
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -108,11 +108,7 @@
         match self.state {
             RelayState::Running => {}
             RelayState::Ended => return None,
-            RelayState::Cut => {
-                // An error right away would drop what is not written yet.
-                sleep(FLUSH_TIME).await;
-                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
+            RelayState::Cut => return Some(Err(cut_off().await)),
         }
         loop {
             let cause = match self.advance().await {
@@ -328,17 +324,28 @@
 
 /// The answer that carries a stream to the caller.
 pub(crate) fn relay_response(relay: StreamRelay) -> Response<Body> {
-    let id = id_value(relay.call.request);
+    let request = relay.call.request;
     let events = stream::unfold(relay, |mut relay| async {
         let event = relay.next().await?;
         Some((event, relay))
     });
-    let mut response = Response::new(Body::from_stream(events));
+    event_response(Body::from_stream(events), request)
+}
+
+/// An answer whose body is a stream of events.
+pub(crate) fn event_response(body: Body, request: RequestId) -> Response<Body> {
+    let mut response = Response::new(body);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, STREAM_TYPE);
     headers.insert(CACHE_CONTROL, NO_CACHE);
-    if let Some(id) = id {
+    if let Some(id) = id_value(request) {
         headers.insert(REQUEST_ID, id);
     }
     response
 }
+
+/// Ends an answer visibly cut, once what was written before has left.
+pub(crate) async fn cut_off() -> io::Error {
+    sleep(FLUSH_TIME).await;
+    io::ErrorKind::ConnectionAborted.into()
+}
--- a/crates/ward-traffic/src/room/mod.rs
+++ b/crates/ward-traffic/src/room/mod.rs
@@ -6,6 +6,7 @@
 //! waiting requests and the refusal of the least urgent one need a common view
 //! anyway, and no measurement showed the single lock as a limit.
 
+mod hold;
 mod outlook;
 mod slots;
 mod state;
--- a/crates/ward-traffic/src/room/state.rs
+++ b/crates/ward-traffic/src/room/state.rs
@@ -1,10 +1,12 @@
 //! Queues and slots under one lock.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use ward_protocol::{PriorityLevel, ReplicaKey, ResultCode, RoutingView, RowTarget, WakeHint};
 
+use super::hold::HoldTime;
 use super::slots::ReplicaSlots;
 use super::waiter::{WaitDelivery, WaitOrder, WaitRequest, Waiter};
 use crate::problem::ProblemReport;
@@ -18,6 +20,7 @@
     pub(super) queues: IndexMap<RowTarget, WaitQueue>,
     pub(super) slots: ReplicaSlots,
     pub(super) used: IndexMap<ReplicaKey, WakeHint>,
+    holds: IndexMap<RowTarget, HoldTime>,
     count: usize,
     sequence: u64,
 }
@@ -57,6 +60,29 @@
         queue.get(&order).map(|waiter| waiter.request.clone())
     }
 
+    pub(super) fn note_hold(&mut self, target: &RowTarget, time: Duration) {
+        if let Some(hold) = self.holds.get_mut(target) {
+            hold.add(time);
+            return;
+        }
+        let mut hold = HoldTime::default();
+        hold.add(time);
+        self.holds.insert(target.clone(), hold);
+    }
+
+    /// Expected wait of a request at `order` when all `slots` are taken.
+    pub(super) fn expected_wait(
+        &self,
+        target: &RowTarget,
+        order: WaitOrder,
+        slots: u32,
+    ) -> Option<Duration> {
+        let hold = self.holds.get(target)?;
+        let queue = self.queues.get(target);
+        let ahead = queue.map_or(0, |queue| queue.range(..order).count());
+        hold.expected_wait(ahead, slots)
+    }
+
     /// Removes a waiter wherever it waits now.
     pub(super) fn leave(&mut self, order: WaitOrder) {
         let target = self
--- a/crates/ward-traffic/src/room/wait_room.rs
+++ b/crates/ward-traffic/src/room/wait_room.rs
@@ -9,7 +9,7 @@
 };
 
 use super::outlook::{Outlook, outlook_for};
-use super::slots::SlotChoice;
+use super::slots::{SlotChoice, ready_backends};
 use super::state::RoomState;
 use super::ticket::WaitTicket;
 use super::waiter::{SlotGrant, SlotPermit, WaitDelivery, WaitOrder, WaitRequest, Waiter};
@@ -17,6 +17,10 @@
 use crate::problem::ProblemReport;
 use crate::target::{is_active, resolve_model};
 
+/// The expected wait must exceed the time left this many times before a request is
+/// refused for it, since the time that requests take varies.
+const WAIT_MARGIN: u32 = 2;
+
 /// What the queue is given.
 #[derive(Clone)]
 pub struct RoomSettings {
@@ -99,6 +103,7 @@
         }
         check(&view, &request)?;
         let order = state.next_order(&request);
+        self.check_wait(&state, &view, &request, order)?;
         let displaced = self.make_room(&mut state, order)?;
         let (sender, receiver) = oneshot::channel();
         let target = request.target.clone();
@@ -156,16 +161,13 @@
         }
     }
 
-    pub(super) fn give_back(
-        self: &Arc<Self>,
-        target: &RowTarget,
-        backend: &BackendId,
-        suspect: bool,
-    ) {
+    pub(super) fn give_back(self: &Arc<Self>, permit: &SlotPermit) {
         let view = self.view();
         let mut state = self.lock();
-        state.slots.give(target, backend, suspect);
-        let targets = if suspect {
+        let target = &permit.target;
+        state.note_hold(target, permit.since.elapsed());
+        state.slots.give(target, &permit.backend, permit.suspect);
+        let targets = if permit.suspect {
             state.targets()
         } else {
             vec![target.clone()]
@@ -186,6 +188,26 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Refuses a request at once when the slots will hardly free in time.
+    fn check_wait(
+        &self,
+        state: &RoomState,
+        view: &RoutingView,
+        request: &WaitRequest,
+        order: WaitOrder,
+    ) -> Result<(), ProblemReport> {
+        let replicas = ready_backends(view, &request.target).count();
+        let replicas = u32::try_from(replicas).unwrap_or(u32::MAX);
+        let slots = replicas.saturating_mul(self.settings.per_replica);
+        let expected = state.expected_wait(&request.target, order, slots);
+        let Some(wait) = expected.filter(|wait| *wait > request.terms.left() * WAIT_MARGIN) else {
+            return Ok(());
+        };
+        let wait = TimeSpan::from_millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+        let detail = format!("the requests ahead should take {wait}, more than the time limit");
+        Err(ProblemReport::refused(ResultCode::TooLate, detail).after(wait))
+    }
+
     fn make_room(
         &self,
         state: &mut RoomState,
@@ -230,6 +252,7 @@
                 target: request.target.clone(),
                 backend: backend.clone(),
                 suspect: request.suspect,
+                since: now,
             }),
             backend,
         })
--- a/crates/ward-traffic/src/room/waiter.rs
+++ b/crates/ward-traffic/src/room/waiter.rs
@@ -4,6 +4,7 @@
 use std::sync::Weak;
 
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use ward_protocol::{BackendId, ModelReference, PriorityLevel, RowTarget};
 
 use super::wait_room::WaitRoom;
@@ -33,7 +34,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct WaitOrder {
     pub(super) priority: PriorityLevel,
-    pub(super) deadline: tokio::time::Instant,
+    pub(super) deadline: Instant,
     pub(super) sequence: u64,
 }
 
@@ -88,12 +89,13 @@
     pub(super) target: RowTarget,
     pub(super) backend: BackendId,
     pub(super) suspect: bool,
+    pub(super) since: Instant,
 }
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
         if let Some(room) = self.room.upgrade() {
-            room.give_back(&self.target, &self.backend, self.suspect);
+            room.give_back(self);
         }
     }
 }
--- a/crates/ward-traffic/src/server/routes.rs
+++ b/crates/ward-traffic/src/server/routes.rs
@@ -10,7 +10,7 @@
 use crate::REQUEST_ID;
 use crate::core::TrafficCore;
 use crate::handle::{
-    ModelPath, list_entries, list_models, report_health, serve_model, serve_service,
+    ModelPath, list_entries, list_models, report_health, resume_stream, serve_model, serve_service,
 };
 use crate::metrics::RequestKind;
 use crate::problem::{ProblemReport, id_value};
@@ -18,6 +18,7 @@
 const MODELS: &str = "/v1/models";
 const ENTRIES: &str = "/v1/entries";
 const HEALTH: &str = "/healthz";
+const RESUME: &str = "/v1/requests/:id/resume";
 const SERVICES: &str = "/services/";
 
 /// What an address does.
@@ -25,6 +26,7 @@
 enum Action {
     Model(ModelPath),
     Service,
+    Resume,
     Models,
     Entries,
     Health,
@@ -43,6 +45,7 @@
             ModelPath::Prompt.path(),
             route(Action::Model(ModelPath::Prompt)),
         )
+        .post(RESUME, route(Action::Resume))
         .get(MODELS, route(Action::Models))
         .get(ENTRIES, route(Action::Entries))
         .get(HEALTH, route(Action::Health))
@@ -69,7 +72,8 @@
     let response = match result {
         Ok(mut response) => {
             if let Some(value) = id_value(id) {
-                response.headers_mut().insert(REQUEST_ID, value);
+                // A resumed stream keeps the id that it began with.
+                response.headers_mut().entry(REQUEST_ID).or_insert(value);
             }
             response
         }
@@ -98,7 +102,7 @@
         Action::Entries => return Ok(list_entries(core)),
         Action::Health => return Ok(report_health(core)),
         Action::Missing => return Err(missing(request.method(), request.uri().path())),
-        Action::Model(_) | Action::Service => {}
+        Action::Model(_) | Action::Service | Action::Resume => {}
     }
     if core.is_refusing() {
         let detail = "this daemon takes no new requests";
@@ -106,6 +110,7 @@
     }
     match action {
         Action::Model(path) => serve_model(core, path, id, request).await,
+        Action::Resume => resume_stream(core, request).await,
         _ => serve_service(core, id, request).await,
     }
 }
@@ -113,7 +118,7 @@
 impl Action {
     const fn kind(self) -> RequestKind {
         match self {
-            Self::Model(_) => RequestKind::Model,
+            Self::Model(_) | Self::Resume => RequestKind::Model,
             Self::Service => RequestKind::Service,
             Self::Models | Self::Entries | Self::Health | Self::Missing => RequestKind::Own,
         }
--- a/crates/ward-traffic/tests/queue.rs
+++ b/crates/ward-traffic/tests/queue.rs
@@ -243,3 +243,24 @@
     );
     expect_that!(engine.count(), eq(1));
 }
+
+#[googletest::test]
+#[tokio::test(start_paused = true)]
+async fn hopeless_wait_refused_at_once() {
+    let (room, _view, _) = room_of(ready_view().build(), 100, 1);
+    for _ in 0..8 {
+        let grant = room.acquire(request("quotes", 3, secs(60))).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        drop(grant);
+    }
+    let _held = room.acquire(request("quotes", 3, secs(60))).await.unwrap();
+    let begin = Instant::now();
+    expect_that!(
+        code(room.acquire(request("quotes", 3, secs(1))).await),
+        some(eq(ResultCode::TooLate))
+    );
+    expect_that!(begin.elapsed(), eq(Duration::ZERO));
+    let waits = room.acquire(request("quotes", 3, secs(3)));
+    expect_that!(code(waits.await), some(eq(ResultCode::TooLate)));
+    expect_that!(begin.elapsed(), ge(Duration::from_secs(3)));
+}
--- a/crates/ward-traffic/tests/streams.rs
+++ b/crates/ward-traffic/tests/streams.rs
@@ -8,7 +8,8 @@
 
 use googletest::prelude::*;
 use support::{
-    CallerAnswer, FakeBackend, FakeRequest, Step, TestServer, ViewMaker, stream_steps, whole_steps,
+    CallerAnswer, FakeBackend, FakeRequest, Step, TestServer, ViewMaker, post, stream_steps,
+    whole_steps,
 };
 use ward_traffic::{EventBuffer, StreamProgress, StreamStep, TrafficNotice};
 
@@ -104,6 +105,26 @@
     expect_that!(event["resume"]["backend"], eq("e0"));
 }
 
+#[googletest::test]
+#[tokio::test]
+async fn cut_stream_resumed_by_caller() {
+    let engine = FakeBackend::start(|request| stream_steps(&request.id(), 3..5, true)).await;
+    let view = ViewMaker::new().backend("e0", engine.address);
+    let server = TestServer::with(view.build()).await;
+    let id = "0123456789abcdef0123456789abcdef";
+    let path = format!("/v1/requests/{id}/resume?backend=e0&from=3");
+    let answer = post(server.address(), &path, &[], "").await;
+    expect_that!(answer.whole, eq(true));
+    expect_that!(answer.body.matches("position").count(), eq(2));
+    expect_that!(answer.headers["x-request-id"], eq(id));
+    let foreign = path.replace("from=3", "from=2");
+    let answer = post(server.address(), &foreign, &[], "").await;
+    expect_that!(answer.whole, eq(false));
+    let gone = path.replace("e0", "e9");
+    let answer = post(server.address(), &gone, &[], "").await;
+    expect_that!(answer.code(), eq(402));
+}
+
 #[googletest::test]
 #[tokio::test]
 async fn foreign_or_missing_token_never_delivered() {
