A request that crashed engines twice is not sent a third time

Ruled out: counting every report (two daemons that run the same request on one engine would make one crash two). Change: crashes are counted by engine and time, reports less than 500 ms apart are one; the count is checked right before each try, own tries included.

--- a/crates/ward-control/src/view.rs
+++ b/crates/ward-control/src/view.rs
@@ -167,7 +167,7 @@
         suspects
             .filter(|(_, entry)| entry.until > self.wall)
             .map(|(fingerprint, entry)| {
-                let crashes = u32::try_from(entry.backends.len()).unwrap_or(u32::MAX);
+                let crashes = u32::try_from(entry.crashes.len()).unwrap_or(u32::MAX);
                 (*fingerprint, crashes)
             })
             .collect()
--- a/crates/ward-state/src/suspect.rs
+++ b/crates/ward-state/src/suspect.rs
@@ -2,18 +2,38 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use ward_protocol::{BackendId, RequestFingerprint, WallTime};
+use ward_protocol::{BackendId, RequestFingerprint, TimeSpan, WallTime};
 
 /// Most fingerprints kept; the one that ends first makes room.
 pub const SUSPECT_LIMIT: usize = 4_096;
 
+/// Reports of one backend server that lie closer together are of one crash:
+/// several daemons may have sent it the same request.
+const SAME_CRASH: TimeSpan = TimeSpan::from_millis(500);
+
+/// One crash of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashMark {
+    /// The backend server.
+    pub backend: BackendId,
+    /// Until when the crash counts; stands for when it was seen.
+    pub until: WallTime,
+}
+
+impl CrashMark {
+    fn is_same(&self, other: &Self) -> bool {
+        let apart = self.until.since(other.until) + other.until.since(self.until);
+        self.backend == other.backend && apart < SAME_CRASH
+    }
+}
+
 /// Crashes that one request was part of.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEntry {
     /// Until when the entry counts.
     pub until: WallTime,
-    /// Distinct backend servers that crashed.
-    pub backends: Vec<BackendId>,
+    /// The crashes; one backend server may have crashed twice.
+    pub crashes: Vec<CrashMark>,
 }
 
 /// Fingerprints under suspicion.
@@ -34,21 +54,21 @@
         backend: BackendId,
         until: WallTime,
     ) -> bool {
+        let crash = CrashMark { backend, until };
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
-            let known = entry.backends.contains(&backend);
-            let later = until > entry.until;
-            if !known {
-                entry.backends.push(backend);
+            if entry.crashes.iter().any(|known| known.is_same(&crash)) {
+                return false;
             }
             entry.until = entry.until.max(until);
-            return !known || later;
+            entry.crashes.push(crash);
+            return true;
         }
         if self.entries.len() >= SUSPECT_LIMIT {
             self.drop_first_ending();
         }
         let entry = SuspectEntry {
             until,
-            backends: vec![backend],
+            crashes: vec![crash],
         };
         self.entries.insert(fingerprint, entry);
         true
--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -12,6 +12,7 @@
     BackendId, PriorityLevel, RequestFingerprint, RequestId, ResultCode, RowTarget, WallTime,
 };
 
+use super::suspect::check_crashes;
 use crate::core::TrafficCore;
 use crate::input::{ModelBody, RequestTerms};
 use crate::notice::TrafficNotice;
@@ -35,7 +36,7 @@
     pub(crate) terms: RequestTerms,
     pub(crate) priority: PriorityLevel,
     pub(crate) target: RowTarget,
-    pub(crate) suspect: bool,
+    pub(crate) crashes: u32,
     pub(crate) shunned: Option<BackendId>,
     pub(crate) connection: ConnectionUse,
 }
@@ -49,7 +50,7 @@
             terms: self.terms,
             priority: self.priority,
             prefix: self.body.prefix,
-            suspect: self.suspect,
+            suspect: self.crashes > 0,
             shunned: self.shunned.clone(),
         }
     }
@@ -93,6 +94,8 @@
     NotRun,
     /// Its deadline passed before it was sent.
     Expired,
+    /// It did not run, and will not: it crashes backend servers.
+    Suspect(Box<ProblemReport>),
     /// It may have run and there is no whole answer.
     Broken(CallError),
 }
@@ -104,6 +107,9 @@
     grant: &SlotGrant,
     send_by: Instant,
 ) -> AttemptEnd {
+    if let Err(report) = check_crashes(core, call) {
+        return AttemptEnd::Suspect(Box::new(report));
+    }
     let result = core.client.send(call.backend_call(grant, send_by)).await;
     attempt_end(core, &grant.backend, result)
 }
--- a/crates/ward-traffic/src/forward/mod.rs
+++ b/crates/ward-traffic/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod progress;
 mod relay;
+mod suspect;
 mod whole;
 
 pub(crate) use attempt::{
@@ -17,6 +18,7 @@
 pub use event::EventBuffer;
 pub use progress::{StreamProgress, StreamStep};
 pub(crate) use relay::{StreamRelay, cut_off, event_response, relay_response};
+pub(crate) use suspect::check_crashes;
 pub(crate) use whole::{
     LARGEST_WHOLE, WholeAnswer, end_to_end, is_event_stream, read_whole, whole_response,
 };
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -265,7 +265,7 @@
 
     /// Runs the request again on any replica of the same version.
     async fn restart(&mut self, lost: bool) -> Result<(), ProblemReport> {
-        self.call.suspect |= lost;
+        self.call.crashes += u32::from(lost);
         self.call.shunned = Some(self.grant.backend.clone());
         // Its own old slot may be the one that it waits for.
         self.grant.release();
@@ -277,6 +277,10 @@
                 AttemptEnd::Answered(answer) if is_stream(&answer) => answer,
                 AttemptEnd::NotRun => continue,
                 AttemptEnd::Answered(_) | AttemptEnd::Expired => return Err(not_restarted()),
+                AttemptEnd::Suspect(report) => {
+                    // It ran before, so it may not be called unrun.
+                    return Err(ProblemReport::failed(report.code, report.detail));
+                }
                 AttemptEnd::Broken(error) => {
                     let backend = &grant.backend;
                     return Err(note_broken(&self.core, &self.call, backend, &error));
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -11,8 +11,8 @@
 use super::once::{OnceTask, serve_once};
 use crate::core::TrafficCore;
 use crate::forward::{
-    AttemptEnd, CancelGuard, ModelCall, StreamRelay, attempt_model, is_event_stream, note_broken,
-    read_whole, relay_response, whole_response,
+    AttemptEnd, CancelGuard, ModelCall, StreamRelay, attempt_model, check_crashes, is_event_stream,
+    note_broken, read_whole, relay_response, whole_response,
 };
 use crate::input::{ModelBody, RequestTerms, read_body, read_key, read_terms};
 use crate::metrics::StartSample;
@@ -20,9 +20,6 @@
 use crate::room::SlotGrant;
 use crate::target::resolve_model;
 
-/// Crashes after which a request is refused.
-const MOST_CRASHES: u32 = 2;
-
 /// The address of a model request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ModelPath {
@@ -72,11 +69,11 @@
         body,
         terms,
         target,
-        suspect: false,
+        crashes: 0,
         shunned: None,
         connection: ConnectionUse::Pooled,
     };
-    call.suspect = check_suspect(core, &view, &call)?;
+    call.crashes = check_crashes(core, &call)?;
     if repeatable {
         return run_repeatable(core, call).await;
     }
@@ -84,27 +81,6 @@
     serve_once(core, key, OnceTask::Model(call)).await
 }
 
-/// Whether the request crashed a backend server before.
-fn check_suspect(
-    core: &TrafficCore,
-    view: &RoutingView,
-    call: &ModelCall,
-) -> Result<bool, ProblemReport> {
-    if view.suspects.is_empty() {
-        return Ok(false);
-    }
-    let crashes = view.suspects.get(&call.fingerprint()).copied();
-    match crashes {
-        Some(crashes) if crashes >= MOST_CRASHES => {
-            let detail = format!("this request crashed {crashes} backend servers");
-            let report = ProblemReport::refused(ResultCode::SuspectRefused, detail);
-            Err(report.after(core.limits.suspect_time))
-        }
-        Some(crashes) => Ok(crashes > 0),
-        None => Ok(false),
-    }
-}
-
 /// How one try ended.
 enum TryEnd {
     /// The caller has its answer, or the beginning of its stream.
@@ -113,6 +89,8 @@
     NotRun,
     /// It did not run and its time is over.
     Expired,
+    /// It did not run, and will not: it crashes backend servers.
+    Suspect(Box<ProblemReport>),
     /// It may have run and has no whole answer.
     Broken(CallError),
 }
@@ -138,6 +116,7 @@
             TryEnd::Answer(response) => return Ok(response),
             TryEnd::NotRun => continue,
             TryEnd::Expired => return Err(broken.unwrap_or_else(expired)),
+            TryEnd::Suspect(report) => return Err(broken.unwrap_or(*report)),
             TryEnd::Broken(error) => error,
         };
         let report = note_broken(core, &call, &backend, &error);
@@ -150,7 +129,7 @@
         }
         core.metrics.retries.inc();
         broken = Some(report);
-        call.suspect |= matches!(error, CallError::Lost(_));
+        call.crashes += u32::from(matches!(error, CallError::Lost(_)));
         call.shunned = Some(backend);
     }
 }
@@ -167,6 +146,10 @@
             guard.disarm();
             return TryEnd::Expired;
         }
+        AttemptEnd::Suspect(report) => {
+            guard.disarm();
+            return TryEnd::Suspect(report);
+        }
         AttemptEnd::Broken(error) => return TryEnd::Broken(error),
     };
     if is_event_stream(&answer.headers) {
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -168,6 +168,7 @@
                 }
             }
             AttemptEnd::Expired => return Err(abort(core, key, expired()).await),
+            AttemptEnd::Suspect(report) => return Err(abort(core, key, *report).await),
             AttemptEnd::Broken(error) => return Err(doubt(core, key, task, &error).await),
         }
     }
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -149,6 +149,7 @@
                 }
             }
             AttemptEnd::Expired => return Err(broken.unwrap_or_else(expired)),
+            AttemptEnd::Suspect(report) => return Err(broken.unwrap_or(*report)),
             AttemptEnd::Broken(error) => error,
         };
         let report = broken_report(&error);
