--- a/crates/ward-control/src/defect.rs
+++ b/crates/ward-control/src/defect.rs
@@ -40,6 +40,24 @@
     dropped: Option<DefectKind>,
 }
 
+impl DefectKind {
+    /// All rules that can be dropped.
+    pub const ALL: &[Self] = &[
+        Self::SkipLease,
+        Self::StaleRenewal,
+        Self::LeaseFromEnd,
+        Self::SkipTakeoverWait,
+        Self::SkipTouch,
+        Self::AnyNotice,
+        Self::OrderUnadmitted,
+        Self::EarlyRelease,
+        Self::IgnoreFound,
+        Self::GuessStored,
+        Self::LoadLeaving,
+        Self::SkipNewerFormat,
+    ];
+}
+
 impl DefectSet {
     /// Drops one rule.
     #[cfg(feature = "test-defects")]
--- a/crates/ward-matrix/src/cell.rs
+++ b/crates/ward-matrix/src/cell.rs
@@ -4,12 +4,18 @@
 
 use ward_protocol::ReplicaKey;
 
+use crate::chaos::CHAOS_END;
 use crate::fault::FaultKind;
 use crate::promise::{PromiseBreach, PromiseKind};
-use crate::script::{END, TRAFFIC};
+use crate::script::{HEALED, TRAFFIC};
 use crate::step::MatrixStep;
 use crate::world::{World, WorldOptions};
 
+/// When the last fault of a random session has ended, in seconds.
+const CHAOS_HEALED: u64 = CHAOS_END + 10;
+/// How long what is wanted may take to be ready, in seconds.
+const PATIENCE: u64 = 60;
+
 /// Faults at steps, under one seed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MatrixCell {
@@ -50,24 +56,53 @@
     run_world(&mut World::new(options))
 }
 
+/// Runs a random session to its end.
+#[must_use]
+pub fn run_chaos(seed: u64) -> CellOutcome {
+    let options = WorldOptions {
+        seed,
+        chaos: true,
+        ..WorldOptions::default()
+    };
+    run_world(&mut World::new(options))
+}
+
 /// Runs a session to its end and checks what must be ready then.
 pub fn run_world(world: &mut World) -> CellOutcome {
-    if let Err(breach) = world.run_until(END) {
-        return CellOutcome::Broken(breach);
+    let last_fault = if world.options.chaos {
+        CHAOS_HEALED
+    } else {
+        HEALED
+    };
+    for second in (last_fault..=last_fault + PATIENCE).step_by(5) {
+        if let Err(breach) = world.run_until(second) {
+            return CellOutcome::Broken(breach);
+        }
+        if missing_key(world).is_none() {
+            break;
+        }
     }
-    let steps: Vec<_> = world.options.faults.iter().map(|(_, step)| *step).collect();
+    let steps = world.options.faults.iter().map(|(_, step)| *step);
     if let Some(step) = steps.into_iter().find(|step| !world.has_struck(*step)) {
         return CellOutcome::NotReached(step);
     }
-    let last = TRAFFIC.iter().filter(|(_, to, _)| *to == u64::MAX);
-    for key in last.filter_map(|(_, _, text)| text.parse::<ReplicaKey>().ok()) {
-        if !world.is_served(&key) {
-            return CellOutcome::Broken(PromiseBreach {
-                kind: PromiseKind::Liveness,
-                at: world.now,
-                detail: format!("{key} is not ready everywhere"),
-            });
-        }
+    match missing_key(world) {
+        None => CellOutcome::Held,
+        Some(key) => CellOutcome::Broken(PromiseBreach {
+            kind: PromiseKind::Liveness,
+            at: world.now,
+            detail: format!("{key} is not ready everywhere"),
+        }),
     }
-    CellOutcome::Held
+}
+
+/// A key that is planned and wanted but not ready everywhere.
+fn missing_key(world: &World) -> Option<ReplicaKey> {
+    let scripted = TRAFFIC
+        .iter()
+        .filter(|(_, to, _)| !world.options.chaos && *to == u64::MAX)
+        .filter_map(|(_, _, text)| text.parse::<ReplicaKey>().ok());
+    let mut wanted = scripted.chain(world.wanted.iter().cloned());
+    // Operators who raced may have taken the row out.
+    wanted.find(|key| world.log().truth.row(key).is_some() && !world.is_served(key))
 }
--- /dev/null
+++ b/crates/ward-matrix/src/chaos.rs
@@ -0,0 +1,122 @@
+//! Sessions of random plans, requests and faults.
+//!
+//! The matrix strikes at chosen steps of one script. Here plans and requests
+//! change all the time and faults overlap, so that reservations begin and end
+//! while orders are on their way.
+
+use ward_protocol::{PlanChange, PlanRow, ReplicaKey, RowTarget};
+
+use crate::fault::FaultKind;
+use crate::script::row;
+use crate::world::{MILLI, SECOND, World, WorldEvent};
+
+/// Models of the random plans, with their memory in GiB.
+const MODELS: &[(&str, u64)] = &[
+    ("quotes@1", 10),
+    ("contracts@1", 12),
+    ("colours@1", 14),
+    ("fitters@1", 9),
+    ("quotes:riga@1", 1),
+];
+/// When random changes end, in seconds.
+pub const CHAOS_END: u64 = 60;
+/// Longest time between two changes.
+const PAUSE: u64 = 900 * MILLI;
+/// Longest time that a fault lasts.
+const LONGEST_FAULT: u64 = 9 * SECOND;
+
+impl World {
+    /// One random change, and the next one later.
+    pub(crate) fn stir(&mut self) {
+        if self.now >= CHAOS_END * SECOND {
+            self.calm();
+            return;
+        }
+        match self.below(10) {
+            0..4 => self.change_plan(),
+            4..7 => self.strike_random(),
+            _ => self.change_traffic(),
+        }
+        let pause = 50 * MILLI + self.below(PAUSE);
+        self.schedule(pause, WorldEvent::Stir);
+    }
+
+    /// All models are planned and wanted from now on.
+    fn calm(&mut self) {
+        let rows = MODELS
+            .iter()
+            .filter_map(|(name, memory)| row(name, 1, 0, *memory));
+        let base = self.log.truth.plans().head();
+        let rows = rows.collect();
+        self.submit(base, PlanChange::Whole { rows });
+        self.wanted = ["quotes@1", "quotes:riga@1", "contracts@1"]
+            .iter()
+            .filter_map(|name| name.parse().ok())
+            .collect();
+    }
+
+    fn change_plan(&mut self) {
+        let (name, memory) = MODELS[self.pick(MODELS.len())];
+        let replicas = u16::try_from(self.below(3)).unwrap_or_default();
+        let ready = u16::try_from(self.below(2))
+            .unwrap_or_default()
+            .min(replicas);
+        let Some(row) = row(name, replicas, ready, memory) else {
+            return;
+        };
+        let base = self.log.truth.plans().head();
+        let target = row.target.clone();
+        let known = self.log.truth.plans().head_content().contains_key(&target);
+        let change = if replicas == 0 && known && self.below(2) == 0 {
+            removal(target)
+        } else {
+            upsert(row)
+        };
+        self.note(|| format!("* plan {name}: {replicas} replicas, {ready} ready"));
+        self.submit(base, change);
+    }
+
+    fn change_traffic(&mut self) {
+        let (name, _) = MODELS[self.pick(MODELS.len())];
+        let Ok(key) = name.parse::<ReplicaKey>() else {
+            return;
+        };
+        self.note(|| format!("* requests for {name} change"));
+        if !self.wanted.shift_remove(&key) {
+            self.wanted.insert(key);
+        }
+    }
+
+    fn strike_random(&mut self) {
+        let fault = FaultKind::ALL[self.pick(FaultKind::ALL.len())];
+        let daemon = self.pick(self.daemons.len());
+        let Some(daemon) = self.daemons.keys().nth(daemon).cloned() else {
+            return;
+        };
+        if self.active.contains(&fault) {
+            return;
+        }
+        let lasts = 200 * MILLI + self.below(LONGEST_FAULT);
+        self.note(|| format!("! {fault} on {daemon}"));
+        self.strike(fault, daemon, lasts);
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        let bound = u64::try_from(count).unwrap_or(u64::MAX);
+        usize::try_from(self.below(bound)).unwrap_or_default()
+    }
+}
+
+fn upsert(row: PlanRow) -> PlanChange {
+    PlanChange::Rows {
+        upserts: vec![row],
+        removals: Vec::new(),
+    }
+}
+
+fn removal(target: RowTarget) -> PlanChange {
+    PlanChange::Rows {
+        upserts: Vec::new(),
+        removals: vec![target],
+    }
+}
--- a/crates/ward-matrix/src/lib.rs
+++ b/crates/ward-matrix/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod carry;
 pub mod cell;
+pub mod chaos;
 mod daemon;
 pub mod engine;
 pub mod fault;
@@ -26,9 +27,9 @@
 pub mod table;
 pub mod world;
 
-pub use cell::{CellOutcome, MatrixCell, run_cell};
+pub use cell::{CellOutcome, MatrixCell, run_cell, run_chaos};
 pub use fault::FaultKind;
 pub use promise::{PromiseBreach, PromiseKind};
 pub use step::MatrixStep;
-pub use table::{MatrixTable, run_table};
+pub use table::{MatrixTable, pair_cells, run_cells, single_cells};
 pub use world::{World, WorldOptions};
--- a/crates/ward-matrix/src/script.rs
+++ b/crates/ward-matrix/src/script.rs
@@ -45,8 +45,6 @@
 
 /// When all faults have healed, in seconds.
 pub const HEALED: u64 = 45;
-/// When the session ends, in seconds.
-pub const END: u64 = 110;
 
 /// A row of the script's plans.
 #[must_use]
--- a/crates/ward-matrix/src/strike.rs
+++ b/crates/ward-matrix/src/strike.rs
@@ -61,6 +61,14 @@
     })
 }
 
+/// How long a fault lasts in a cell of the matrix.
+const fn usual_time(fault: FaultKind) -> u64 {
+    match fault {
+        FaultKind::DaemonKilled => RESTART_TIME,
+        _ => FAULT_TIME,
+    }
+}
+
 impl World {
     pub(crate) fn build(&mut self) {
         for info in (1..=4).filter_map(engine_info) {
@@ -75,6 +83,10 @@
                 self.start_daemon(&member.daemon);
             }
         }
+        if self.options.chaos {
+            self.schedule(SECOND, WorldEvent::Stir);
+            return;
+        }
         for (at, step) in SCRIPT {
             self.schedule(at * SECOND, WorldEvent::Script(*step));
         }
@@ -141,11 +153,12 @@
         let second = self.now / SECOND;
         let slot = &self.daemons[&life.0];
         let wall = slot.clock.wall(self.now);
-        let wanted = TRAFFIC
+        let scripted = TRAFFIC
             .iter()
-            .filter(|(from, to, _)| (*from..*to).contains(&second));
+            .filter(|(from, to, _)| !self.options.chaos && (*from..*to).contains(&second))
+            .filter_map(|(_, _, text)| text.parse::<ReplicaKey>().ok());
         let mut events = Vec::new();
-        for key in wanted.filter_map(|(_, _, text)| text.parse::<ReplicaKey>().ok()) {
+        for key in scripted.chain(self.wanted.iter().cloned()) {
             let ready = slot.routes(&key);
             let hint = WakeHint {
                 key,
@@ -187,20 +200,19 @@
                 .or_else(|| daemon_id(1 + self.below(DAEMONS)));
             if let Some(daemon) = daemon {
                 self.note(|| format!("! {fault} at {step} on {daemon}"));
-                self.strike(fault, daemon);
+                let lasts = usual_time(fault);
+                self.strike(fault, daemon, lasts);
             }
         }
     }
 
-    fn strike(&mut self, fault: FaultKind, daemon: DaemonId) {
+    pub(crate) fn strike(&mut self, fault: FaultKind, daemon: DaemonId, lasts: u64) {
         self.active.insert(fault);
-        let mut lasts = FAULT_TIME;
         match fault {
             FaultKind::DaemonKilled => {
                 if let Some(slot) = self.daemons.get_mut(&daemon) {
                     slot.core = None;
                 }
-                lasts = RESTART_TIME;
             }
             FaultKind::DaemonFrozen => {
                 if let Some(slot) = self.daemons.get_mut(&daemon) {
@@ -315,9 +327,22 @@
             engine.resident.clear();
         }
         self.publish_hosts();
+        if self.options.chaos {
+            self.schedule(RECLAIM_TIME, WorldEvent::HostBack(backend.clone()));
+        }
+    }
+
+    /// The platform gives the host back under its old name.
+    pub(crate) fn restore_host(&mut self, backend: &BackendId) {
+        if let Some(engine) = self.engines.get_mut(backend) {
+            engine.crash();
+            engine.alive = true;
+            engine.leaving = None;
+        }
+        self.publish_hosts();
     }
 
-    fn submit(&mut self, base: PlanRevision, change: PlanChange) {
+    pub(crate) fn submit(&mut self, base: PlanRevision, change: PlanChange) {
         let Ok(author) = "planner".parse() else {
             return;
         };
--- a/crates/ward-matrix/src/table.rs
+++ b/crates/ward-matrix/src/table.rs
@@ -1,6 +1,7 @@
 //! The whole matrix and its summary.
 
 use std::fmt;
+use std::thread;
 
 use indexmap::IndexMap;
 
@@ -20,9 +21,7 @@
 }
 
 impl MatrixTable {
-    /// Runs one cell and notes what became of it.
-    pub fn run(&mut self, cell: MatrixCell) {
-        let outcome = run_cell(&cell);
+    fn note(&mut self, cell: MatrixCell, outcome: CellOutcome) {
         match &outcome {
             CellOutcome::Held => self.held += 1,
             CellOutcome::NotReached(step) => *self.unreached.entry(*step).or_default() += 1,
@@ -50,19 +49,73 @@
     }
 }
 
-/// Runs every fault at every step, under each seed.
+/// Every fault at every step, under each seed.
+pub fn single_cells(seeds: impl Iterator<Item = u64>) -> Vec<MatrixCell> {
+    let strikes = all_strikes();
+    let cells = seeds.flat_map(|seed| {
+        strikes.iter().map(move |strike| MatrixCell {
+            faults: vec![*strike],
+            seed,
+        })
+    });
+    cells.collect()
+}
+
+/// Every `stride`-th pair of faults at steps, under one seed, beginning with `first`.
+#[must_use]
+pub fn pair_cells(seed: u64, first: usize, stride: usize) -> Vec<MatrixCell> {
+    let strikes = all_strikes();
+    let pairs = strikes.iter().enumerate().flat_map(|(index, one)| {
+        let others = strikes[index + 1..].iter().filter(|two| two.0 != one.0);
+        others.map(|two| vec![*one, *two])
+    });
+    let chosen = pairs.skip(first).step_by(stride);
+    chosen.map(|faults| MatrixCell { faults, seed }).collect()
+}
+
+fn all_strikes() -> Vec<(FaultKind, MatrixStep)> {
+    let faults = FaultKind::ALL.iter();
+    faults
+        .flat_map(|fault| MatrixStep::ALL.iter().map(move |step| (*fault, *step)))
+        .collect()
+}
+
+/// Runs cells in order until one breaks a promise.
+#[cfg(feature = "test-defects")]
 #[must_use]
-pub fn run_table(seeds: impl Iterator<Item = u64>) -> MatrixTable {
+pub fn first_broken(
+    cells: &[MatrixCell],
+    defect: ward_control::DefectKind,
+) -> Option<(MatrixCell, crate::promise::PromiseBreach)> {
+    cells.iter().find_map(|cell| {
+        let options = crate::world::WorldOptions {
+            seed: cell.seed,
+            faults: cell.faults.clone(),
+            defect: Some(defect),
+            ..crate::world::WorldOptions::default()
+        };
+        let outcome = crate::cell::run_world(&mut crate::world::World::new(options));
+        match outcome {
+            CellOutcome::Broken(breach) => Some((cell.clone(), breach)),
+            CellOutcome::Held | CellOutcome::NotReached(_) => None,
+        }
+    })
+}
+
+/// Runs cells on a few threads; the result doesn't depend on their number.
+#[must_use]
+pub fn run_cells(cells: &[MatrixCell], threads: usize) -> MatrixTable {
+    let share = cells.len().div_ceil(threads.max(1)).max(1);
     let mut table = MatrixTable::default();
-    for seed in seeds {
-        for fault in FaultKind::ALL {
-            for step in MatrixStep::ALL {
-                table.run(MatrixCell {
-                    faults: vec![(*fault, *step)],
-                    seed,
-                });
-            }
+    thread::scope(|scope| {
+        let runs: Vec<_> = cells
+            .chunks(share)
+            .map(|chunk| scope.spawn(move || chunk.iter().map(run_cell).collect::<Vec<_>>()))
+            .collect();
+        let outcomes = runs.into_iter().filter_map(|run| run.join().ok()).flatten();
+        for (cell, outcome) in cells.iter().zip(outcomes) {
+            table.note(cell.clone(), outcome);
         }
-    }
+    });
     table
 }
--- a/crates/ward-matrix/src/world.rs
+++ b/crates/ward-matrix/src/world.rs
@@ -37,6 +37,8 @@
     pub seed: u64,
     /// Faults, each at the first occurrence of a step.
     pub faults: Vec<(FaultKind, MatrixStep)>,
+    /// Random changes in place of the script.
+    pub chaos: bool,
     /// Keep a rendering of all events and actions.
     pub traced: bool,
     /// A rule that every daemon lacks.
@@ -64,6 +66,8 @@
     Script(ScriptStep),
     Heal(FaultKind, DaemonId),
     HostGone(BackendId),
+    HostBack(BackendId),
+    Stir,
 }
 
 #[derive(Debug)]
@@ -108,6 +112,8 @@
     pub(crate) unsent: Vec<(FaultKind, MatrixStep)>,
     pub(crate) adoption: AdoptionWatch,
     pub(crate) lost_answers: IndexSet<RecordId>,
+    /// Keys that requests wait for in a random session.
+    pub(crate) wanted: IndexSet<ReplicaKey>,
     queue: BinaryHeap<Reverse<QueuedEvent>>,
     sequence: u64,
     random: ChaCha8Rng,
@@ -133,6 +139,7 @@
             struck: IndexSet::new(),
             adoption: AdoptionWatch::default(),
             lost_answers: IndexSet::new(),
+            wanted: IndexSet::new(),
             queue: BinaryHeap::new(),
             sequence: 0,
             breach: None,
@@ -257,6 +264,8 @@
             WorldEvent::Script(step) => self.play(step),
             WorldEvent::Heal(fault, daemon) => self.heal(fault, &daemon),
             WorldEvent::HostGone(backend) => self.remove_host(&backend),
+            WorldEvent::HostBack(backend) => self.restore_host(&backend),
+            WorldEvent::Stir => self.stir(),
         }
     }
 
--- /dev/null
+++ b/crates/ward-matrix/tests/single.rs
@@ -0,0 +1,19 @@
+//! Every fault at every step, one at a time.
+
+use googletest::prelude::*;
+use ward_matrix::{run_cells, single_cells};
+
+/// Threads for sessions.
+const THREADS: usize = 4;
+
+#[googletest::test]
+fn matrix_single_faults() {
+    let cells = single_cells(0..1);
+    let table = run_cells(&cells, THREADS);
+    println!("{} cells: {table}", cells.len());
+    expect_that!(table.broken, is_empty());
+    expect_that!(
+        table.held + table.unreached.values().sum::<usize>(),
+        eq(cells.len())
+    );
+}
