Gone engines are found by their owners, stale reads by what is applied

A host list that lags dropped a host that had just come back, and a watcher declared the engine gone while it was loading; now only the owner may, once the engine is silent as well, and one that was never said to leave must be off the list for ten seconds. And a daemon that had records from a peer took an older read for a full one and renewed its lease by it; a read must now reach what is applied.

--- a/crates/ward-control/src/engines/status.rs
+++ b/crates/ward-control/src/engines/status.rs
@@ -68,12 +68,19 @@
         duty.silent.get_or_insert(now);
     }
 
-    /// Whether this daemon owns the engine and got a status from it lately.
-    pub(crate) fn hears_engine(&self, backend: &BackendId) -> bool {
+    /// Whether this daemon owns an engine and has got no status for a time.
+    pub(crate) fn is_silent_for(&self, backend: &BackendId, span: TimeSpan) -> bool {
+        let duty = self.engines.owned.get(backend);
+        let silent = duty.and_then(|duty| duty.silent);
+        silent.is_some_and(|at| self.now.since(at) >= span)
+    }
+
+    /// Whether some engine of this daemon does not report.
+    pub(crate) fn has_silent_engine(&self) -> bool {
         self.engines
             .owned
-            .get(backend)
-            .is_some_and(|duty| duty.silent.is_none() && duty.status.is_some())
+            .values()
+            .any(|duty| duty.silent.is_some())
     }
 
     /// Gives an engine up that others may be able to reach.
@@ -84,7 +91,8 @@
         let silent = duty
             .silent
             .is_some_and(|at| self.now.since(at) >= YIELD_AFTER);
-        if !silent || self.state.members().len() < 2 {
+        // An engine off the host list is not given up but found to be gone.
+        if !silent || self.state.members().len() < 2 || self.hosts.lacks(backend) {
             return;
         }
         let body = ControlRecord::Yield {
--- a/crates/ward-control/src/hosts.rs
+++ b/crates/ward-control/src/hosts.rs
@@ -19,6 +19,9 @@
 const RANK_DELAY: TimeSpan = TimeSpan::from_millis(700);
 /// How long a backend server must be off the list before it is gone.
 const GONE_AFTER: TimeSpan = TimeSpan::from_secs(2);
+/// How long an engine must be off the list that was never said to leave: longer
+/// than the list lags.
+const VANISHED_AFTER: TimeSpan = TimeSpan::from_secs(10);
 /// Time after which a read of the list without an answer is repeated.
 const HOSTS_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
 
@@ -38,6 +41,11 @@
         self.asked = None;
     }
 
+    /// Whether the list as read last doesn't name a backend server.
+    pub(crate) fn lacks(&self, backend: &BackendId) -> bool {
+        self.read && !self.entries.contains_key(backend)
+    }
+
     /// Whether the list as read last says that a backend server leaves.
     pub(crate) fn says_leaving(&self, backend: &BackendId) -> bool {
         self.entries
@@ -74,15 +82,13 @@
 impl ControlCore {
     pub(crate) fn run_hosts(&mut self) {
         let rank = self.watcher_rank();
-        // Without the log nobody is told that a host leaves, so all look themselves.
+        // Without the log nobody is told that a host leaves, so all look themselves;
+        // the owner of a silent engine looks whether its host is gone.
         let cut_off = self.start.has_state() && !self.has_authority();
-        if rank.is_none() && !cut_off {
+        if rank.is_none() && !cut_off && !self.has_silent_engine() {
             return;
         }
         self.ask_hosts();
-        let Some(rank) = rank else {
-            return;
-        };
         if self.has_authority() && self.hosts.read {
             self.append_differences(rank);
         }
@@ -130,37 +136,44 @@
             .collect()
     }
 
-    fn append_differences(&mut self, rank: u32) {
+    fn append_differences(&mut self, rank: Option<u32>) {
         let listed = self.hosts.entries.keys();
         let known = self.state.backends().keys();
         let ids: indexmap::IndexSet<_> = listed.chain(known).cloned().collect();
         self.hosts.differs.retain(|id, _| ids.contains(id));
-        let delay = TimeSpan::from_millis(RANK_DELAY.millis() * u64::from(rank));
         for id in ids {
             let Some(body) = missing_record(self, &id) else {
                 self.hosts.differs.swap_remove(&id);
                 continue;
             };
             let since = *self.hosts.differs.entry(id.clone()).or_insert(self.now);
-            let patience = match &body {
-                ControlRecord::BackendGone { .. } => GONE_AFTER + delay,
-                _ => delay,
-            };
-            if self.now.since(since) >= patience && self.may_append(&body) {
+            if self.is_due(&body, since, rank) {
                 self.propose(ProposalSubject::Backend(id), body);
             }
         }
     }
 
-    /// An engine that still reports to its owner isn't gone.
-    fn may_append(&self, body: &ControlRecord) -> bool {
+    /// Whether this daemon has to append a difference that stands since `since`.
+    fn is_due(&self, body: &ControlRecord, since: MonoTime, rank: Option<u32>) -> bool {
+        let stood = self.now.since(since);
+        let delay = rank.map(|rank| TimeSpan::from_millis(RANK_DELAY.millis() * u64::from(rank)));
         let ControlRecord::BackendGone { backend } = body else {
-            return true;
+            return delay.is_some_and(|delay| stood >= delay);
         };
         let Some(state) = self.state.backends().get(backend) else {
             return false;
         };
-        state.info.kind == BackendKind::Service || !self.hears_engine(backend)
+        if state.info.kind == BackendKind::Service {
+            return delay.is_some_and(|delay| stood >= GONE_AFTER + delay);
+        }
+        // A host that was announced to leave may go; one that just vanishes
+        // from the list may only be too new for a list that lags.
+        let patience = if state.leaving {
+            GONE_AFTER
+        } else {
+            VANISHED_AFTER
+        };
+        stood >= patience && self.is_silent_for(backend, GONE_AFTER)
     }
 
     pub(crate) fn take_crash(
--- a/crates/ward-control/src/reader.rs
+++ b/crates/ward-control/src/reader.rs
@@ -177,7 +177,8 @@
             self.start.restart();
             return;
         }
-        let stale = end < self.reader.control.seen;
+        // What a peer passed on counts as seen, too.
+        let stale = end < self.reader.control.seen.max(self.state.applied());
         self.reader.control.seen = self.reader.control.seen.max(end);
         self.apply_controls(records);
         if stale && !self.config.defects.has(DefectKind::StaleRenewal) {
--- a/crates/ward-matrix/src/table.rs
+++ b/crates/ward-matrix/src/table.rs
@@ -80,23 +80,23 @@
         .collect()
 }
 
-/// Runs cells in order until one breaks a promise.
+/// Runs random sessions in order until one breaks a promise.
 #[cfg(feature = "test-defects")]
 #[must_use]
 pub fn first_broken(
-    cells: &[MatrixCell],
+    seeds: impl IntoIterator<Item = u64>,
     defect: ward_control::DefectKind,
-) -> Option<(MatrixCell, crate::promise::PromiseBreach)> {
-    cells.iter().find_map(|cell| {
+) -> Option<(u64, crate::promise::PromiseBreach)> {
+    seeds.into_iter().find_map(|seed| {
         let options = crate::world::WorldOptions {
-            seed: cell.seed,
-            faults: cell.faults.clone(),
+            seed,
+            chaos: true,
             defect: Some(defect),
             ..crate::world::WorldOptions::default()
         };
         let outcome = crate::cell::run_world(&mut crate::world::World::new(options));
         match outcome {
-            CellOutcome::Broken(breach) => Some((cell.clone(), breach)),
+            CellOutcome::Broken(breach) => Some((seed, breach)),
             CellOutcome::Held | CellOutcome::NotReached(_) => None,
         }
     })
--- a/crates/ward-state/src/apply/backends.rs
+++ b/crates/ward-state/src/apply/backends.rs
@@ -56,6 +56,10 @@
     }
 
     pub(super) fn backend_gone(&mut self, origin: &ProposalOrigin, backend: &BackendId) -> Verdict {
+        // A list that lags must not make others forget an engine that its owner hears.
+        if self.known_backend(backend)?.owner.is_some() {
+            self.check_owner(origin, backend)?;
+        }
         let held = self.known_backend(backend)?.held.clone();
         for id in held {
             self.remove_reservation(id);
