--- /dev/null
+++ b/crates/ward-settings/src/check/list.rs
@@ -0,0 +1,80 @@
+//! Mistakes collected under their paths.
+
+use std::fmt::Display;
+
+use ward_protocol::TimeSpan;
+
+use crate::mistake::{SettingsMistake, SettingsProblem};
+
+/// Why a value may not be zero.
+pub(super) const NEEDED: &str = "since it is needed";
+
+/// Collects mistakes under their paths.
+pub(super) struct MistakeList<'a> {
+    pub(super) mistakes: &'a mut Vec<SettingsMistake>,
+}
+
+impl MistakeList<'_> {
+    /// Notes a mistake, unless its path has one already.
+    pub(super) fn push(&mut self, path: &str, problem: SettingsProblem) {
+        let known = self.mistakes.iter().any(|mistake| mistake.path == path);
+        if known {
+            return;
+        }
+        self.mistakes.push(SettingsMistake {
+            path: path.to_owned(),
+            problem,
+        });
+    }
+
+    /// Notes when a value is missing.
+    pub(super) fn required<T>(&mut self, path: &str, value: Option<T>) -> Option<T> {
+        if value.is_none() {
+            self.push(path, SettingsProblem::Missing);
+        }
+        value
+    }
+
+    /// Notes when a value is below its least.
+    pub(super) fn at_least<T: PartialOrd + Display + Copy>(
+        &mut self,
+        path: &str,
+        value: T,
+        least: T,
+        why: &'static str,
+    ) {
+        if value >= least {
+            return;
+        }
+        self.push(path, SettingsProblem::TooSmall(least.to_string(), why));
+    }
+
+    /// Notes when a value is above its most.
+    pub(super) fn at_most<T: PartialOrd + Display + Copy>(
+        &mut self,
+        path: &str,
+        value: T,
+        most: T,
+        why: &'static str,
+    ) {
+        if value <= most {
+            return;
+        }
+        self.push(path, SettingsProblem::TooLarge(most.to_string(), why));
+    }
+
+    /// Notes spans of a section that are zero.
+    pub(super) fn spans(&mut self, section: &str, spans: &[(&str, TimeSpan)]) {
+        let least = TimeSpan::from_millis(1);
+        for (key, span) in spans {
+            self.at_least(&format!("{section}.{key}"), *span, least, NEEDED);
+        }
+    }
+
+    /// Notes counts of a section that are zero.
+    pub(super) fn counts(&mut self, section: &str, counts: &[(&str, u32)]) {
+        for (key, count) in counts {
+            self.at_least(&format!("{section}.{key}"), *count, 1, NEEDED);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-settings/src/check/mod.rs
@@ -0,0 +1,89 @@
+//! Checks between values.
+
+mod address;
+mod limits;
+mod list;
+
+use address::{check_addresses, check_platform, check_seeds};
+use limits::{check_lease, check_policy, check_store, check_traffic};
+use list::{MistakeList, NEEDED};
+
+use crate::input::SettingsInput;
+use crate::mistake::{SettingsMistake, SettingsProblem};
+use crate::secret::PeerKeys;
+use crate::settings::DaemonSettings;
+
+const MOST_THREADS: u16 = 256;
+const MOST_SHARDS: u16 = 64;
+
+/// Checks all values against each other; nothing when a value without default is missing.
+pub fn check_input(
+    input: SettingsInput,
+    mistakes: &mut Vec<SettingsMistake>,
+) -> Option<DaemonSettings> {
+    let mut list = MistakeList { mistakes };
+    let daemon = list.required("daemon", input.daemon);
+    let zone = list.required("zone", input.zone);
+    let addresses = check_addresses(&mut list, &input.addresses);
+    let platform = check_platform(&mut list, &input.platform);
+    let seeds = check_seeds(&mut list, &input.seeds);
+    check_lease(&mut list, &input.lease);
+    check_store(&mut list, input.store);
+    check_traffic(&mut list, &input.traffic);
+    check_policy(&mut list, &input.policy);
+    check_keys(&mut list, &input.keys);
+    check_numbers(&mut list, input.traffic_threads, input.request_shards);
+    list.at_least(
+        "snapshot_interval",
+        input.snapshot_interval,
+        input.lease.read_interval,
+        "the time between reads of the log",
+    );
+    Some(DaemonSettings {
+        daemon: daemon?,
+        zone: zone?,
+        addresses: addresses?,
+        platform: platform?,
+        seeds,
+        lease: input.lease,
+        store: input.store,
+        traffic: input.traffic,
+        policy: input.policy,
+        keys: input.keys,
+        operator_token: input.operator_token,
+        logging: input.logging,
+        traffic_threads: input.traffic_threads,
+        request_shards: input.request_shards,
+        snapshot_interval: input.snapshot_interval,
+    })
+}
+
+fn check_keys(list: &mut MistakeList<'_>, keys: &PeerKeys) {
+    let Some(previous) = &keys.previous else {
+        return;
+    };
+    match &keys.current {
+        None => list.push("keys.previous", SettingsProblem::PreviousOnly),
+        Some(current) if current == previous => {
+            list.push("keys.previous", SettingsProblem::SameKey);
+        }
+        Some(_) => {}
+    }
+}
+
+fn check_numbers(list: &mut MistakeList<'_>, threads: u16, shards: u16) {
+    list.at_least("traffic_threads", threads, 1, NEEDED);
+    list.at_most(
+        "traffic_threads",
+        threads,
+        MOST_THREADS,
+        "since a host has few cores",
+    );
+    list.at_least("request_shards", shards, 1, NEEDED);
+    list.at_most(
+        "request_shards",
+        shards,
+        MOST_SHARDS,
+        "since each is a stream of its own",
+    );
+}
