--- a/crates/ward-operator/src/route/health.rs
+++ b/crates/ward-operator/src/route/health.rs
@@ -1,10 +1,7 @@
 //! Routes for supervision; they need no token.
 
-use std::sync::Arc;
-
 use http::{HeaderValue, StatusCode};
 use prometheus::TextEncoder;
-use viz::Request;
 use ward_protocol::{ResultCode, TimeSpan, ViewMode};
 
 use super::RouteResult;
@@ -17,13 +14,13 @@
 const START_RETRY: TimeSpan = TimeSpan::from_secs(1);
 
 /// Tells that the process answers.
-pub(super) async fn healthz(server: Arc<OperatorServer>, _request: Request) -> RouteResult {
+pub(super) fn healthz(server: &OperatorServer) -> RouteResult {
     let mode = (server.calls.mode)();
     json_reply(StatusCode::OK, &ReadyAnswer { mode })
 }
 
 /// Tells whether the daemon takes callers' requests.
-pub(super) async fn readyz(server: Arc<OperatorServer>, _request: Request) -> RouteResult {
+pub(super) fn readyz(server: &OperatorServer) -> RouteResult {
     let mode = (server.calls.mode)();
     match mode {
         ViewMode::Full | ViewMode::RoutingOnly => json_reply(StatusCode::OK, &ReadyAnswer { mode }),
@@ -40,7 +37,7 @@
 }
 
 /// Shows all counters.
-pub(super) async fn metrics(server: Arc<OperatorServer>, _request: Request) -> RouteResult {
+pub(super) fn metrics(server: &OperatorServer) -> RouteResult {
     let families = server.registry.gather();
     let text = TextEncoder::new()
         .encode_to_string(&families)
--- a/crates/ward-operator/src/route/mod.rs
+++ b/crates/ward-operator/src/route/mod.rs
@@ -5,11 +5,10 @@
 mod plan;
 mod query;
 mod reply;
+mod table;
 
-use std::future::Future;
 use std::sync::Arc;
 
-use http::Method;
 use viz::{Request, RequestExt, Response, Route, Router};
 use ward_protocol::ResultCode;
 
@@ -17,116 +16,38 @@
 use crate::server::OperatorServer;
 use reply::error_reply;
 
-/// Whether a route asks for the token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RouteAccess {
-    Open,
-    Token,
-}
+pub use table::{OPERATOR_ROUTES, OperatorRoute, RouteAccess, RouteMethod};
+
+/// What a route answers.
+pub type RouteResult = Result<Response, OperatorError>;
 
-type RouteResult = Result<Response, OperatorError>;
+/// Label of calls to addresses that are not in the table.
+const OTHER_PATH: &str = "other";
 
 /// The router of the API.
 #[must_use]
 pub fn operator_router(server: Arc<OperatorServer>) -> Router {
-    let routes = RouteList {
-        router: Router::new(),
-        paths: Vec::new(),
-        server,
-    };
-    routes
-        .add(Method::POST, "/plan/check", RouteAccess::Token, plan::check)
-        .add(
-            Method::POST,
-            "/plan/submit",
-            RouteAccess::Token,
-            plan::submit,
-        )
-        .add(
-            Method::POST,
-            "/plan/retreat",
-            RouteAccess::Token,
-            plan::retreat,
-        )
-        .add(Method::GET, "/plan", RouteAccess::Token, plan::show)
-        .add(
-            Method::GET,
-            "/plan/history",
-            RouteAccess::Token,
-            plan::history,
-        )
-        .add(
-            Method::GET,
-            "/plan/status",
-            RouteAccess::Token,
-            plan::status,
-        )
-        .add(Method::GET, "/plan/diff", RouteAccess::Token, plan::diff)
-        .add(Method::GET, "/hosts", RouteAccess::Token, fleet::hosts)
-        .add(Method::GET, "/models", RouteAccess::Token, fleet::models)
-        .add(
-            Method::GET,
-            "/requests",
-            RouteAccess::Token,
-            fleet::requests,
-        )
-        .add(Method::GET, "/dump", RouteAccess::Token, fleet::dump)
-        .add(Method::GET, "/healthz", RouteAccess::Open, health::healthz)
-        .add(Method::GET, "/readyz", RouteAccess::Open, health::readyz)
-        .add(Method::GET, "/metrics", RouteAccess::Open, health::metrics)
-        .finish()
-}
-
-/// Routes added so far.
-struct RouteList {
-    router: Router,
-    paths: Vec<(Method, &'static str)>,
-    server: Arc<OperatorServer>,
+    let router = OPERATOR_ROUTES.iter().fold(Router::new(), |router, route| {
+        add_route(router, route, Arc::clone(&server))
+    });
+    router.any("/*", move |request: Request| {
+        let response = finish(&server, OTHER_PATH, Err(unknown(&request)));
+        async move { Ok::<Response, viz::Error>(response) }
+    })
 }
 
-impl RouteList {
-    fn add<H, F>(
-        mut self,
-        method: Method,
-        path: &'static str,
-        access: RouteAccess,
-        handler: H,
-    ) -> Self
-    where
-        H: Fn(Arc<OperatorServer>, Request) -> F + Copy + Send + Sync + 'static,
-        F: Future<Output = RouteResult> + Send + 'static,
-    {
-        let server = Arc::clone(&self.server);
-        let handle = move |request: Request| {
-            let server = Arc::clone(&server);
-            async move {
-                let result = match admit(&server, access, &request) {
-                    Ok(()) => handler(Arc::clone(&server), request).await,
-                    Err(error) => Err(error),
-                };
-                Ok::<Response, viz::Error>(finish(&server, path, result))
-            }
-        };
-        let route = Route::new().on(method.clone(), handle);
-        self.router = self.router.route(path, route);
-        self.paths.push((method, path));
-        self
-    }
-
-    /// Adds what answers everything else.
-    fn finish(self) -> Router {
-        let server = self.server;
-        let paths = Arc::new(self.paths);
-        let fallback = move |request: Request| {
-            let server = Arc::clone(&server);
-            let paths = Arc::clone(&paths);
-            async move {
-                let error = unknown(&paths, &request);
-                Ok::<Response, viz::Error>(finish(&server, "other", Err(error)))
-            }
-        };
-        self.router.any("/*", fallback)
-    }
+fn add_route(router: Router, route: &'static OperatorRoute, server: Arc<OperatorServer>) -> Router {
+    let handle = move |request: Request| {
+        let server = Arc::clone(&server);
+        async move {
+            let result = match admit(&server, route.access, &request) {
+                Ok(()) => (route.handle)(Arc::clone(&server), request).await,
+                Err(error) => Err(error),
+            };
+            Ok::<Response, viz::Error>(finish(&server, route.path, result))
+        }
+    };
+    router.route(route.path, Route::new().on(route.method.http(), handle))
 }
 
 fn admit(
@@ -140,17 +61,18 @@
     }
 }
 
-fn unknown(paths: &[(Method, &'static str)], request: &Request) -> OperatorError {
-    let methods: Vec<&str> = paths
+fn unknown(request: &Request) -> OperatorError {
+    let path = request.path();
+    let methods: Vec<&str> = OPERATOR_ROUTES
         .iter()
-        .filter(|(_, path)| *path == request.path())
-        .map(|(method, _)| method.as_str())
+        .filter(|route| route.path == path)
+        .map(|route| route.method.name())
         .collect();
     if methods.is_empty() {
-        let detail = format!("{} is not an address of the operators' API", request.path());
+        let detail = format!("{path} is not an address of the operators' API");
         return OperatorError::refused(ResultCode::UnknownPath, detail);
     }
-    let detail = format!("{} takes {}", request.path(), methods.join(", "));
+    let detail = format!("{path} takes {}", methods.join(", "));
     OperatorError::refused(ResultCode::MethodNotAllowed, detail)
 }
 
--- a/crates/ward-operator/tests/api.rs
+++ b/crates/ward-operator/tests/api.rs
@@ -7,6 +7,7 @@
 use googletest::prelude::*;
 use serde_json::Value;
 use support::{ApiClient, FakeDaemon, SHEET, TOKEN};
+use ward_operator::route::OPERATOR_ROUTES;
 use ward_operator::{ProblemBody, SubmitAnswer, SubmitOutcome, SubmitResult};
 use ward_protocol::{PlanRevision, ResultCode, ViewMode};
 
@@ -139,21 +140,13 @@
 async fn token_required() {
     let daemon = FakeDaemon::default();
     let client = daemon.start().await;
-    let guarded = [
-        ("POST", "/plan/check"),
-        ("POST", SUBMIT),
-        ("POST", "/plan/retreat?base=3&to=1&author=ana"),
-        ("GET", "/plan"),
-        ("GET", "/plan/history"),
-        ("GET", "/plan/status"),
-        ("GET", "/plan/diff?from=1"),
-        ("GET", "/hosts"),
-        ("GET", "/models"),
-        ("GET", "/requests"),
-        ("GET", "/dump"),
-    ];
+    let guarded: Vec<_> = OPERATOR_ROUTES
+        .iter()
+        .filter(|route| !["/healthz", "/readyz", "/metrics"].contains(&route.path))
+        .map(|route| (route.method.name(), route.path))
+        .collect();
     let wrong = [None, Some("wrong"), Some(""), Some(&TOKEN[1..])];
-    for (method, path) in guarded {
+    for (method, path) in &guarded {
         for token in wrong {
             let answer = client.call(method, path, token, SHEET).await;
             let problem: ProblemBody = answer.json();
