--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -44,7 +44,6 @@
 pub(crate) struct StreamRelay {
     core: Arc<TrafficCore>,
     call: ModelCall,
-    repeatable: bool,
     grant: SlotGrant,
     guard: CancelGuard,
     body: AnswerBody,
@@ -86,7 +85,6 @@
     pub(crate) fn new(
         core: Arc<TrafficCore>,
         call: ModelCall,
-        repeatable: bool,
         grant: SlotGrant,
         guard: CancelGuard,
         body: AnswerBody,
@@ -95,7 +93,6 @@
         Self {
             core,
             call,
-            repeatable,
             grant,
             guard,
             body,
@@ -111,11 +108,7 @@
         match self.state {
             RelayState::Running => {}
             RelayState::Ended => return None,
-            RelayState::Cut => {
-                // An error right away would drop what is not written yet.
-                sleep(FLUSH_TIME).await;
-                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
+            RelayState::Cut => return Some(Err(cut_off().await)),
         }
         loop {
             let cause = match self.advance().await {
@@ -203,9 +196,6 @@
         if let StreamBreak::Lost(error) = &cause {
             note_broken(&self.core, &self.call, &self.grant.backend, error);
         }
-        if !self.repeatable {
-            return Err(cut());
-        }
         if !self.core.budget.take() {
             self.core.metrics.retries_denied.inc();
             return Err(cut());
@@ -334,17 +324,28 @@
 
 /// The answer that carries a stream to the caller.
 pub(crate) fn relay_response(relay: StreamRelay) -> Response<Body> {
-    let id = id_value(relay.call.request);
+    let request = relay.call.request;
     let events = stream::unfold(relay, |mut relay| async {
         let event = relay.next().await?;
         Some((event, relay))
     });
-    let mut response = Response::new(Body::from_stream(events));
+    event_response(Body::from_stream(events), request)
+}
+
+/// An answer whose body is a stream of events.
+pub(crate) fn event_response(body: Body, request: RequestId) -> Response<Body> {
+    let mut response = Response::new(body);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, STREAM_TYPE);
     headers.insert(CACHE_CONTROL, NO_CACHE);
-    if let Some(id) = id {
+    if let Some(id) = id_value(request) {
         headers.insert(REQUEST_ID, id);
     }
     response
 }
+
+/// Ends an answer visibly cut, once what was written before has left.
+pub(crate) async fn cut_off() -> io::Error {
+    sleep(FLUSH_TIME).await;
+    io::ErrorKind::ConnectionAborted.into()
+}
