--- a/crates/ward-cli/src/plan/show.rs
+++ b/crates/ward-cli/src/plan/show.rs
@@ -49,7 +49,7 @@
             .map(|column| changed_cell(*column, &change.from, &change.to))
             .collect();
         let target = change.to.target.to_string();
-        table.add(["changed".to_owned(), target, cells.join(" ")]);
+        table.add(["changed".to_owned(), target, cells.join(", ")]);
     }
     for target in &difference.removed {
         table.add(["removed".to_owned(), target.to_string()]);
@@ -76,11 +76,15 @@
 fn added_cells(row: &PlanRow) -> String {
     match row.target {
         RowTarget::Service(_) => String::new(),
-        RowTarget::Replica(_) => format!("replicas={} ready={}", row.replicas, row.ready),
+        RowTarget::Replica(_) => format!("replicas: {}, ready: {}", row.replicas, row.ready),
     }
 }
 
 fn changed_cell(column: SheetColumn, from: &PlanRow, to: &PlanRow) -> String {
     let (from, to) = (column.render(from), column.render(to));
-    format!("{column}={from:?}->{to:?}")
+    format!("{column}: {} -> {}", shown(&from), shown(&to))
+}
+
+fn shown(cell: &str) -> &str {
+    if cell.is_empty() { "-" } else { cell }
 }
--- a/crates/ward-cli/tests/program.rs
+++ b/crates/ward-cli/tests/program/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod session;
 mod support;
 
 use std::net::SocketAddr;
--- a/crates/ward-plan/src/mistake.rs
+++ b/crates/ward-plan/src/mistake.rs
@@ -55,7 +55,7 @@
         }
         /// The target cannot be read.
         Target(cause: ReferenceError) {
-            display("{cause}")
+            display("{}", first_clause(cause))
             source(cause)
         }
         /// One of the availability zones cannot be read.
@@ -77,7 +77,7 @@
         /// A quantity cannot be read.
         Unit(cause: UnitError) {
             from()
-            display("{cause}")
+            display("{}", first_clause(cause))
             source(cause)
         }
         /// Neither yes nor no.
@@ -145,7 +145,12 @@
             Self::Role(_) => "write serving, prefill or decode, or nothing for all".into(),
             Self::DoubledItem(_) => "name it once".into(),
             Self::Count => "write a whole number from 0 to 65535".into(),
-            Self::Unit(_) => "write the unit as in the text before".into(),
+            Self::Unit(UnitError::Memory(_)) => "write a number with a unit, such as 24GiB".into(),
+            Self::Unit(UnitError::Priority(_)) => {
+                "write a whole number from 0 (first) to 7 (last)".into()
+            }
+            Self::Unit(UnitError::Day(_)) => "write hours and minutes, such as 07:30".into(),
+            Self::Unit(UnitError::Span(_)) => "write a number with a unit, such as 250ms".into(),
             Self::YesNo => "write yes or no".into(),
             Self::DoubledTarget(_) => "leave one row for each target".into(),
             Self::ReadyOverReplicas(replicas) => {
@@ -168,6 +173,13 @@
     }
 }
 
+/// What is wrong, without the advice that shared errors add after a semicolon.
+fn first_clause(cause: &impl fmt::Display) -> String {
+    let text = cause.to_string();
+    let end = text.rfind("; ").unwrap_or(text.len());
+    text[..end].to_owned()
+}
+
 fn column_names() -> String {
     SheetColumn::ALL.map(SheetColumn::name).join(", ")
 }
