A crash in the middle of a load comes before its bytes

die_in_load crashed the engine when the load was done, so the weight store had delivered everything. It now crashes a set time after the load began; the test sees that the replica was never ready. Also tests of the service's slow answer and of the lag that a fault sets.

--- a/crates/ward-backend/tests/orders.rs
+++ b/crates/ward-backend/tests/orders.rs
@@ -195,6 +195,11 @@
         .history_until(|history| !history.crashes.is_empty())
         .await;
     expect_that!(history.crashes[0].boot, eq(before));
+    let was_ready = history.holdings.iter().any(|holding| {
+        let mut held = holding.replicas.iter();
+        held.any(|replica| replica.phase == ResidentPhase::Ready)
+    });
+    expect_that!(was_ready, eq(false));
     let status = bench.status().await.unwrap();
     expect_that!(status.boot, gt(before));
     expect_that!(status.resident.len(), eq(0));
--- a/crates/ward-standin/src/engine/faults.rs
+++ b/crates/ward-standin/src/engine/faults.rs
@@ -4,6 +4,7 @@
 use ward_protocol::ReplicaKey;
 
 const DOWNTIME_MS: u64 = 200;
+const DIE_AFTER_MS: u64 = 5;
 
 /// Faults of an engine; a posted set replaces the one before.
 ///
@@ -25,6 +26,8 @@
     pub failing_loads: Vec<ReplicaKey>,
     /// Replica in the middle of whose load the engine crashes, once.
     pub die_in_load: Option<ReplicaKey>,
+    /// Milliseconds from the start of that load to the crash.
+    pub die_after_ms: u64,
     /// Requests, orders and status reads get no answer and have no effect.
     pub hang: bool,
     /// Answers to requests that are cut in half.
@@ -63,6 +66,7 @@
             lose_order_answers: 0,
             failing_loads: Vec::new(),
             die_in_load: None,
+            die_after_ms: DIE_AFTER_MS,
             hang: false,
             truncate_answers: 0,
             wrong_ids: 0,
--- a/crates/ward-standin/src/engine/load.rs
+++ b/crates/ward-standin/src/engine/load.rs
@@ -1,6 +1,8 @@
 //! Loads under way.
 
+use std::future;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
@@ -35,10 +37,11 @@
     let key = key.clone();
     let task = tokio::spawn(async move {
         let tier = lock(&state.holding).cached.get(&key).copied();
-        let arrived = fetch(&state, &key, memory, tier.unwrap_or(CacheTier::Remote)).await;
-        if die_in_load(&state, &key) {
-            return;
-        }
+        let tier = tier.unwrap_or(CacheTier::Remote);
+        let arrived = tokio::select! {
+            arrived = fetch(&state, &key, memory, tier) => arrived,
+            () = death_in_load(&state, &key) => return state.crash(),
+        };
         let failing = state.faults().failing_loads.contains(&key);
         finish(&state, boot, &key, arrived && !failing);
     });
@@ -78,16 +81,17 @@
     }
 }
 
-/// Crashes before the load is done, if the faults say so.
-fn die_in_load(state: &EngineState, key: &ReplicaKey) -> bool {
-    let mut faults = lock(&state.faults);
-    let dies = faults.die_in_load.as_ref() == Some(key);
-    if dies {
-        faults.die_in_load = None;
-        drop(faults);
-        state.crash();
+/// Ends when the engine is to crash during this load; never otherwise.
+async fn death_in_load(state: &EngineState, key: &ReplicaKey) {
+    let delay = {
+        let mut faults = lock(&state.faults);
+        let dies = faults.die_in_load.take_if(|dying| dying == key).is_some();
+        dies.then(|| Duration::from_millis(faults.die_after_ms))
+    };
+    match delay {
+        Some(delay) => tokio::time::sleep(delay).await,
+        None => future::pending().await,
     }
-    dies
 }
 
 fn finish(state: &EngineState, boot: u64, key: &ReplicaKey, loaded: bool) {
--- a/crates/ward-standin/tests/requests.rs
+++ b/crates/ward-standin/tests/requests.rs
@@ -208,11 +208,18 @@
         pause(50).await;
         let early = status().await;
         pause(170).await;
-        (early, status().await)
+        let late = status().await;
+        let faults = EngineFaults {
+            status_lag_ms: Some(60_000),
+            ..EngineFaults::default()
+        };
+        bench.control.set_faults(&faults).await.unwrap();
+        (early, late, status().await)
     };
-    let (_, (early, late)) = tokio::join!(requests, looks);
+    let (_, (early, late, fault)) = tokio::join!(requests, looks);
     expect_that!(early, eq((0, 0, 2)));
     expect_that!(late, eq((1, 1, 2)));
+    expect_that!(fault, eq((0, 0, 2)));
 }
 
 #[googletest::test]
--- a/crates/ward-standin/tests/service.rs
+++ b/crates/ward-standin/tests/service.rs
@@ -152,3 +152,21 @@
     let answer = bench.charge(id).await;
     expect_that!(answer.text, not(contains_substring(id.to_string())));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn call_slow() {
+    let faults = ServiceFaults {
+        slow_ms: 150,
+        ..ServiceFaults::default()
+    };
+    let bench = Bench::start(faults).await;
+    let (answer, early) = tokio::join!(bench.charge(RequestId::random()), async {
+        tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+        bench.history().await
+    });
+    // The effect comes before the wait.
+    expect_that!(early.runs_by_key[KEY], eq(1));
+    expect_that!(early.calls[0].answered, eq(false));
+    expect_that!(answer.json()["run"], eq(&json!(1)));
+}
