Links between one client and one server

The stand-ins fail for everybody, while a daemon that is cut off alone is the harder case. A link carries TCP to one server and cuts, holds or delays it for those who connect through it; held requests arrive when their sender has long given up. For that, log and plain service now finish a request whose client has closed the connection (link_holds_requests failed before, with nothing stored), which replaces the task that the log spawned for it.

--- a/crates/ward-standin/src/command/mod.rs
+++ b/crates/ward-standin/src/command/mod.rs
@@ -3,15 +3,17 @@
 mod arguments;
 mod engine;
 mod hosts;
+mod link;
 mod log;
 mod service;
 
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use clap::Command;
+use clap::{ArgMatches, Command};
 use quick_error::quick_error;
-use ward_standin::{RunningStandin, StandinError};
+use ward_standin::StandinError;
 
 quick_error! {
     /// A subcommand that cannot run.
@@ -19,7 +21,7 @@
     enum CommandError {
         /// No subcommand was named.
         Subcommand {
-            display("name a subcommand: log, hosts, engine or service")
+            display("name a subcommand: log, hosts, engine, service or link")
         }
         /// A required argument is missing.
         Missing(name: &'static str) {
@@ -54,17 +56,26 @@
 async fn serve() -> Result<(), CommandError> {
     let matches = program().get_matches();
     let standin = match matches.subcommand() {
+        Some(("link", matches)) => return serve_link(matches).await,
         Some(("log", matches)) => log::start(matches).await?,
         Some(("hosts", matches)) => hosts::start(matches).await?,
         Some(("engine", matches)) => engine::start(matches).await?,
         Some(("service", matches)) => service::start(matches).await?,
         Some(_) | None => return Err(CommandError::Subcommand),
     };
-    announce(&standin)?;
+    announce("listening", standin.address)?;
     standin.ended().await;
     Ok(())
 }
 
+async fn serve_link(matches: &ArgMatches) -> Result<(), CommandError> {
+    let link = link::start(matches).await?;
+    announce("listening", link.address)?;
+    announce("control", link.control.address)?;
+    link.ended().await;
+    Ok(())
+}
+
 fn program() -> Command {
     Command::new("ward-standin")
         .version(clap::crate_version!())
@@ -73,12 +84,13 @@
         .arg_required_else_help(true)
         .subcommand(log::command())
         .subcommand(hosts::command())
+        .subcommand(link::command())
         .subcommand(engine::command())
         .subcommand(service::command())
 }
 
-fn announce(standin: &RunningStandin) -> io::Result<()> {
+fn announce(what: &str, address: SocketAddr) -> io::Result<()> {
     let mut output = io::stdout().lock();
-    writeln!(output, "listening on {}", standin.address)?;
+    writeln!(output, "{what} on {address}")?;
     output.flush()
 }
--- a/crates/ward-standin/src/engine/mod.rs
+++ b/crates/ward-standin/src/engine/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::error::StandinError;
 use crate::register::register;
-use crate::server::{RunningStandin, bind, crash_switch, serve};
+use crate::server::{CloseRule, RunningStandin, bind, crash_switch, serve};
 use state::EngineState;
 
 pub use faults::EngineFaults;
@@ -54,8 +54,10 @@
         let state = Arc::new(EngineState::new(settings, switch));
         let router = routes::router(&state);
         let crashed = state.clone();
-        let standin = serve(listener, router, signals, move || crashed.reset())
-            .map_err(|cause| StandinError::Listen(listen, cause))?;
+        let standin = serve(listener, router, CloseRule::Drop, signals, move || {
+            crashed.reset();
+        })
+        .map_err(|cause| StandinError::Listen(listen, cause))?;
         if let Some(hosts) = hosts {
             register(hosts, engine_info(&state.settings, standin.address)).await?;
         }
--- a/crates/ward-standin/src/hosts/mod.rs
+++ b/crates/ward-standin/src/hosts/mod.rs
@@ -12,7 +12,7 @@
 use ward_protocol::TimeSpan;
 
 use crate::error::StandinError;
-use crate::server::{RunningStandin, bind, crash_switch, lock, serve};
+use crate::server::{CloseRule, RunningStandin, bind, crash_switch, lock, serve};
 use list::HostList;
 use store::StoreState;
 
@@ -74,8 +74,14 @@
             store: StoreState::new(settings.store),
         });
         let (_, signals) = crash_switch();
-        serve(listener, routes::router(&state), signals, || {})
-            .map_err(|cause| StandinError::Listen(settings.listen, cause))
+        serve(
+            listener,
+            routes::router(&state),
+            CloseRule::Drop,
+            signals,
+            || {},
+        )
+        .map_err(|cause| StandinError::Listen(settings.listen, cause))
     }
 }
 
--- a/crates/ward-standin/src/lib.rs
+++ b/crates/ward-standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the platform and for backend servers: the log service,
-//! the host list with the weight store, model engines, and plain services.
+//! the host list with the weight store, model engines, plain services, and
+//! network links to one of these.
 //!
 //! Each listens on an address, takes faults over `POST /faults` while it runs,
 //! and answers `GET /history` with what a check needs. All start in the present
@@ -10,6 +11,7 @@
 pub mod engine;
 mod error;
 pub mod hosts;
+pub mod link;
 pub mod log;
 mod register;
 mod server;
@@ -18,6 +20,7 @@
 pub use engine::{EngineFaults, EngineHistory, EngineSettings, EngineStandin, MemoryRule};
 pub use error::StandinError;
 pub use hosts::{HostsFaults, HostsHistory, HostsSettings, HostsStandin, StoreSettings};
+pub use link::{LinkFaults, LinkHistory, LinkSettings, LinkStandin, RunningLink};
 pub use log::{LogFaults, LogHistory, LogSettings, LogStandin};
 pub use server::RunningStandin;
 pub use service::{ServiceFaults, ServiceHistory, ServiceSettings, ServiceStandin};
--- /dev/null
+++ b/crates/ward-standin/src/link/pump.rs
@@ -0,0 +1,105 @@
+//! Carries bytes both ways as the faults let it.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use super::LinkState;
+use super::faults::LinkFaults;
+use super::history::LinkHistory;
+use crate::server::lock;
+
+const CHUNK_BYTES: usize = 16 << 10;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+
+/// One direction of a connection.
+struct LinkDirection {
+    held: fn(&LinkFaults) -> bool,
+    passed: fn(&mut LinkHistory) -> &mut u64,
+}
+
+const REQUESTS: LinkDirection = LinkDirection {
+    held: |faults| faults.hold_requests,
+    passed: |history| &mut history.request_bytes,
+};
+const ANSWERS: LinkDirection = LinkDirection {
+    held: |faults| faults.hold_answers,
+    passed: |history| &mut history.answer_bytes,
+};
+
+/// Accepts connections until the link is stopped.
+pub(super) async fn accept(
+    state: Arc<LinkState>,
+    listener: TcpListener,
+    mut stopped: oneshot::Receiver<()>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            _ = &mut stopped => return,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((client, _)) => {
+                    connections.spawn(carry(state.clone(), client));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+        }
+    }
+}
+
+/// Carries one connection until an end closes it or the link goes down.
+async fn carry(state: Arc<LinkState>, client: TcpStream) {
+    lock(&state.history).connections += 1;
+    let mut faults = state.faults.subscribe();
+    tokio::select! {
+        biased;
+        // The sender lives as long as the state that is held here.
+        _ = faults.wait_for(|faults| faults.down) => lock(&state.history).cut += 1,
+        // An end that fails closes the connection, as one that ends does.
+        _ = join(&state, client) => {}
+    }
+}
+
+async fn join(state: &LinkState, client: TcpStream) -> io::Result<()> {
+    let server = TcpStream::connect(state.target).await?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    tokio::try_join!(
+        pass(state, &REQUESTS, client_read, server_write),
+        pass(state, &ANSWERS, server_read, client_write),
+    )?;
+    Ok(())
+}
+
+async fn pass(
+    state: &LinkState,
+    direction: &LinkDirection,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+) -> io::Result<()> {
+    let mut faults = state.faults.subscribe();
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        let delay = faults.borrow().delay_ms;
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        // The sender lives as long as the state that is borrowed here.
+        let _ = faults.wait_for(|faults| !(direction.held)(faults)).await;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&buffer[..count]).await?;
+        *(direction.passed)(&mut lock(&state.history)) += count as u64;
+    }
+}
--- a/crates/ward-standin/src/log/mod.rs
+++ b/crates/ward-standin/src/log/mod.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::error::StandinError;
-use crate::server::{RunningStandin, bind, crash_switch, lock, serve};
+use crate::server::{CloseRule, RunningStandin, bind, crash_switch, lock, serve};
 use streams::StreamSet;
 
 pub use faults::LogFaults;
@@ -43,7 +43,9 @@
             appended: Notify::new(),
         });
         let (_, signals) = crash_switch();
-        serve(listener, routes::router(&state), signals, || {})
+        // An append takes effect even when its client has given up.
+        let rule = CloseRule::Finish;
+        serve(listener, routes::router(&state), rule, signals, || {})
             .map_err(|cause| StandinError::Listen(settings.listen, cause))
     }
 }
--- a/crates/ward-standin/src/log/routes.rs
+++ b/crates/ward-standin/src/log/routes.rs
@@ -71,12 +71,6 @@
 async fn append(state: Arc<LogState>, request: Request) -> Answer {
     let name = stream_name(&request)?;
     let body: AppendBody = read_json(request).await?;
-    // A log goes on with an append whose client has given up.
-    let stored = tokio::spawn(store(state, name, body));
-    stored.await.unwrap_or_else(|_| Err(Box::new(cut_answer())))
-}
-
-async fn store(state: Arc<LogState>, name: String, body: AppendBody) -> Answer {
     let faults = delay(&state).await?;
     if body.records.is_empty() {
         return Err(refusal(StatusCode::BAD_REQUEST));
--- a/crates/ward-standin/src/server/listener.rs
+++ b/crates/ward-standin/src/server/listener.rs
@@ -78,6 +78,15 @@
     crash: mpsc::Receiver<Duration>,
 }
 
+/// What becomes of a request whose client closes the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CloseRule {
+    /// It is dropped wherever it stands.
+    Drop,
+    /// It runs to its end.
+    Finish,
+}
+
 /// A switch and what it acts on.
 pub(crate) fn crash_switch() -> (CrashSwitch, ServerSignals) {
     let (sender, crash) = mpsc::channel(CRASH_QUEUE);
@@ -95,6 +104,7 @@
 pub(crate) fn serve(
     listener: TcpListener,
     router: Router,
+    rule: CloseRule,
     mut signals: ServerSignals,
     crashed: impl Fn() + Send + 'static,
 ) -> io::Result<RunningStandin> {
@@ -104,7 +114,8 @@
     tokio::spawn(async move {
         let mut listener = listener;
         loop {
-            let Some(downtime) = accept(listener, &tree, &mut signals, &mut stopped).await else {
+            let accepted = accept(listener, &tree, rule, &mut signals, &mut stopped);
+            let Some(downtime) = accepted.await else {
                 return;
             };
             crashed();
@@ -119,6 +130,7 @@
 async fn accept(
     listener: TcpListener,
     tree: &Arc<Tree>,
+    rule: CloseRule,
     signals: &mut ServerSignals,
     stopped: &mut oneshot::Receiver<()>,
 ) -> Option<Duration> {
@@ -134,7 +146,7 @@
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
-                    connections.spawn(connection(stream, peer, tree.clone()));
+                    connections.spawn(connection(stream, peer, tree.clone(), rule));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
@@ -151,7 +163,7 @@
     }
 }
 
-async fn connection(stream: TcpStream, peer: SocketAddr, tree: Arc<Tree>) {
+async fn connection(stream: TcpStream, peer: SocketAddr, tree: Arc<Tree>, rule: CloseRule) {
     // Without the option small answers wait for the peer's acknowledgement.
     let _ = stream.set_nodelay(true);
     let responder = Responder::new(tree, Some(peer));
@@ -161,6 +173,7 @@
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIME)
+        .half_close(rule == CloseRule::Finish)
         .serve_connection(TokioIo::new(stream), service);
     // A connection that breaks is the peer's business.
     let _ = served.await;
--- a/crates/ward-standin/src/server/mod.rs
+++ b/crates/ward-standin/src/server/mod.rs
@@ -13,5 +13,5 @@
     status_answer, truncated_answer,
 };
 pub use listener::RunningStandin;
-pub(crate) use listener::{CrashSwitch, bind, crash_switch, serve};
+pub(crate) use listener::{CloseRule, CrashSwitch, bind, crash_switch, serve};
 pub(crate) use routes::{control_routes, handler, lock};
--- a/crates/ward-standin/src/service/mod.rs
+++ b/crates/ward-standin/src/service/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::error::StandinError;
 use crate::register::register;
-use crate::server::{CrashSwitch, RunningStandin, bind, crash_switch, lock, serve};
+use crate::server::{CloseRule, CrashSwitch, RunningStandin, bind, crash_switch, lock, serve};
 
 pub use faults::ServiceFaults;
 pub use history::{CallEntry, ServiceHistory};
@@ -54,8 +54,14 @@
             settings,
             switch,
         });
-        let standin = serve(listener, routes::router(&state), signals, || {})
-            .map_err(|cause| StandinError::Listen(listen, cause))?;
+        let standin = serve(
+            listener,
+            routes::router(&state),
+            CloseRule::Finish,
+            signals,
+            || {},
+        )
+        .map_err(|cause| StandinError::Listen(listen, cause))?;
         if let Some(hosts) = state.settings.hosts {
             register(hosts, service_info(&state.settings, standin.address)).await?;
         }
--- /dev/null
+++ b/crates/ward-standin/tests/link.rs
@@ -0,0 +1,150 @@
+//! A link that fails for one client alone.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use googletest::prelude::*;
+use ward_platform::{AppendError, LogClient, LogTimes};
+use ward_protocol::{AppendResult, LogOffset, LogStream, TimeSpan};
+use ward_standin::{
+    LinkFaults, LinkHistory, LinkSettings, LinkStandin, LogFaults, LogSettings, LogStandin,
+    RunningLink, RunningStandin,
+};
+use ward_test_support::StandinControl;
+
+const TIMES: LogTimes = LogTimes {
+    append: TimeSpan::from_millis(200),
+    read: TimeSpan::from_millis(200),
+};
+
+/// A log with one client beside the link and one behind it.
+struct Bench {
+    _log: RunningStandin,
+    link: RunningLink,
+    control: StandinControl,
+    near: LogClient,
+    far: LogClient,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let listen = "127.0.0.1:0".parse().unwrap();
+        let faults = LogFaults::default();
+        let log = LogStandin::start(LogSettings { listen, faults })
+            .await
+            .unwrap();
+        let settings = LinkSettings {
+            listen,
+            control: listen,
+            target: log.address,
+            faults: LinkFaults::default(),
+        };
+        let link = LinkStandin::start(settings).await.unwrap();
+        Self {
+            control: StandinControl::new(link.control.address),
+            near: LogClient::new(log.address, TIMES),
+            far: LogClient::new(link.address, TIMES),
+            link,
+            _log: log,
+        }
+    }
+
+    async fn set(&self, faults: LinkFaults) {
+        self.control.set_faults(&faults).await.unwrap();
+    }
+
+    async fn stored(&self) -> LogOffset {
+        let read = self
+            .near
+            .read(LogStream::Control, LogOffset::ZERO, 1, TimeSpan::ZERO);
+        read.await.unwrap().end
+    }
+}
+
+async fn append(client: &LogClient) -> std::result::Result<LogOffset, AppendError> {
+    client.append(LogStream::Control, vec![vec![1]]).await
+}
+
+fn outcome(result: &std::result::Result<LogOffset, AppendError>) -> AppendResult {
+    match result {
+        Ok(_) => AppendResult::Stored,
+        Err(error) => error.result(),
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn link_carries() {
+    let bench = Bench::start().await;
+    expect_that!(append(&bench.far).await, ok(eq(&LogOffset(1))));
+    let history: LinkHistory = bench.control.history().await.unwrap();
+    expect_that!(history.connections, eq(1));
+    expect_that!(history.request_bytes, gt(0));
+    expect_that!(history.answer_bytes, gt(0));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn link_down_for_one() {
+    let bench = Bench::start().await;
+    append(&bench.far).await.unwrap();
+    let faults = LinkFaults {
+        down: true,
+        ..LinkFaults::default()
+    };
+    bench.set(faults).await;
+    expect_that!(
+        outcome(&append(&bench.far).await),
+        eq(AppendResult::Unknown)
+    );
+    expect_that!(append(&bench.near).await, ok(eq(&LogOffset(2))));
+    bench.set(LinkFaults::default()).await;
+    expect_that!(append(&bench.far).await, ok(eq(&LogOffset(3))));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn link_holds_answers() {
+    let bench = Bench::start().await;
+    let faults = LinkFaults {
+        hold_answers: true,
+        ..LinkFaults::default()
+    };
+    bench.set(faults).await;
+    expect_that!(
+        outcome(&append(&bench.far).await),
+        eq(AppendResult::Unknown)
+    );
+    expect_that!(bench.stored().await, eq(LogOffset(1)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn link_holds_requests() {
+    let bench = Bench::start().await;
+    let faults = LinkFaults {
+        hold_requests: true,
+        ..LinkFaults::default()
+    };
+    bench.set(faults).await;
+    expect_that!(
+        outcome(&append(&bench.far).await),
+        eq(AppendResult::Unknown)
+    );
+    expect_that!(bench.stored().await, eq(LogOffset::ZERO));
+    // What was held arrives although its sender has given up.
+    bench.set(LinkFaults::default()).await;
+    let late = bench
+        .near
+        .read(LogStream::Control, LogOffset(1), 1, TimeSpan::from_secs(5));
+    expect_that!(late.await.unwrap().end, eq(LogOffset(1)));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn link_stopped() {
+    let bench = Bench::start().await;
+    let far = bench.far.clone();
+    drop(bench.link);
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    expect_that!(outcome(&append(&far).await), eq(AppendResult::Refused));
+}
--- a/crates/ward-standin/tests/page.rs
+++ b/crates/ward-standin/tests/page.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use serde::Serialize;
-use ward_standin::{EngineFaults, HostsFaults, LogFaults, ServiceFaults};
+use ward_standin::{EngineFaults, HostsFaults, LinkFaults, LogFaults, ServiceFaults};
 
 const PAGE: &str = include_str!("../../../docs/STANDINS.md");
 
@@ -37,4 +37,8 @@
         missing("service", &ServiceFaults::default()),
         eq(&Vec::<String>::new())
     );
+    expect_that!(
+        missing("link", &LinkFaults::default()),
+        eq(&Vec::<String>::new())
+    );
 }
