--- a/crates/ward-traffic/src/core.rs
+++ b/crates/ward-traffic/src/core.rs
@@ -8,6 +8,7 @@
 use ward_protocol::{DaemonId, RoutingView, TrafficLimits};
 
 use crate::forward::RetryBudget;
+use crate::input::BodyMemory;
 use crate::metrics::TrafficMetrics;
 use crate::notice::NoticeSink;
 use crate::once::OnceCalls;
@@ -35,6 +36,7 @@
     pub(crate) views: watch::Receiver<Arc<RoutingView>>,
     pub(crate) client: BackendClient,
     pub(crate) budget: RetryBudget,
+    pub(crate) bodies: BodyMemory,
     pub(crate) once: OnceCalls,
     pub(crate) notice: NoticeHolder,
     pub(crate) metrics: TrafficMetrics,
--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -105,26 +105,26 @@
     send_by: Instant,
 ) -> AttemptEnd {
     let result = core.client.send(call.backend_call(grant, send_by)).await;
-    attempt_end(core, &grant.backend, result)
+    attempt_end(core, grant, result)
 }
 
 /// Sorts the result of a call by whether it may have run.
 pub(crate) fn attempt_end(
     core: &TrafficCore,
-    backend: &BackendId,
+    grant: &SlotGrant,
     result: Result<BackendAnswer, CallError>,
 ) -> AttemptEnd {
     match result {
         Ok(answer) if says_not_run(&answer) => {
-            core.room.avoid(backend);
+            core.room.avoid_replica(&grant.target, &grant.backend);
             AttemptEnd::NotRun
         }
         Ok(answer) => AttemptEnd::Answered(Box::new(answer)),
         Err(CallError::Expired) => AttemptEnd::Expired,
         Err(error) if error.is_unsent() => {
             info!(core.logger, "traffic: backend server not reached";
-                "backend" => %backend, "cause" => %error);
-            core.room.avoid(backend);
+                "backend" => %grant.backend, "cause" => %error);
+            core.room.avoid(&grant.backend);
             AttemptEnd::NotRun
         }
         Err(error) => AttemptEnd::Broken(error),
--- a/crates/ward-traffic/src/forward/mod.rs
+++ b/crates/ward-traffic/src/forward/mod.rs
@@ -15,6 +15,7 @@
 pub use budget::RetryBudget;
 pub(crate) use cancel::CancelGuard;
 pub use event::EventBuffer;
+pub(crate) use progress::ends_whole;
 pub use progress::{StreamProgress, StreamStep};
 pub(crate) use relay::{StreamRelay, cut_off, event_response, relay_response};
 pub(crate) use whole::{
--- a/crates/ward-traffic/src/forward/progress.rs
+++ b/crates/ward-traffic/src/forward/progress.rs
@@ -9,6 +9,11 @@
 
 const END_MARK: &[u8] = b"[DONE]";
 
+/// Whether a stream read as a whole has its end mark.
+pub(crate) fn ends_whole(stream: &[u8]) -> bool {
+    stream.trim_ascii_end().ends_with(END_MARK)
+}
+
 #[derive(Deserialize)]
 struct ChunkHead<'a> {
     #[serde(borrow)]
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -55,7 +55,7 @@
     let terms = read_terms(request.headers(), &core.limits)?;
     let key = read_key(request.headers())?;
     let accept = request.headers().get(ACCEPT).cloned();
-    let bytes = read_body(request.into_body(), &core.limits).await?;
+    let bytes = read_body(request.into_body(), &terms, &core.limits, &core.bodies).await?;
     let body = ModelBody::try_from(bytes)?;
     let view = core.view();
     if view.catalog.models.is_empty() && view.mode == ward_protocol::ViewMode::Starting {
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -20,8 +20,8 @@
 use super::service::{ServiceCall, attempt_service, check_unsent};
 use crate::core::TrafficCore;
 use crate::forward::{
-    AttemptEnd, LONGEST_RUN, ModelCall, WholeAnswer, attempt_model, is_event_stream, read_whole,
-    whole_response,
+    AttemptEnd, LONGEST_RUN, ModelCall, WholeAnswer, attempt_model, ends_whole, is_event_stream,
+    read_whole, whole_response,
 };
 use crate::input::RequestTerms;
 use crate::once::{BeginAnswer, DoneAnswer, KeptAnswer};
@@ -94,7 +94,12 @@
             Self::Model(call) if !is_event_stream(&answer.headers) => Some(call.request),
             Self::Model(_) | Self::Service(_) => None,
         };
-        read_whole(answer, checked, by).await
+        let events = is_event_stream(&answer.headers);
+        let whole = read_whole(answer, checked, by).await?;
+        if events && !ends_whole(&whole.body) {
+            return Err(CallError::Unreadable);
+        }
+        Ok(whole)
     }
 }
 
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -79,7 +79,7 @@
     let target = RowTarget::Service(resolve_service(&view, name)?);
     let repeatable = view.row(&target).is_some_and(|row| row.repeatable);
     let (parts, body) = request.into_parts();
-    let body = read_body(body, &core.limits).await?;
+    let body = read_body(body, &terms, &core.limits, &core.bodies).await?;
     let mut call = ServiceCall {
         request: id,
         method: parts.method,
@@ -116,7 +116,7 @@
         answer_by: answer_by(call.connection, call.terms.deadline),
         connection: call.connection,
     });
-    attempt_end(core, &grant.backend, result.await)
+    attempt_end(core, grant, result.await)
 }
 
 async fn run_repeatable(
--- a/crates/ward-traffic/src/room/slots.rs
+++ b/crates/ward-traffic/src/room/slots.rs
@@ -10,7 +10,10 @@
 pub struct ReplicaSlots {
     outstanding: IndexMap<RowTarget, IndexMap<BackendId, u32>>,
     suspects: IndexMap<BackendId, u32>,
+    /// Backend servers that were not reached.
     avoided: IndexMap<BackendId, Instant>,
+    /// Replicas that were not ready.
+    unready: IndexMap<RowTarget, IndexMap<BackendId, Instant>>,
 }
 
 /// What a choice depends on beside the load.
@@ -68,9 +71,19 @@
         self.avoided.insert(backend.clone(), until);
     }
 
+    /// Gives one replica nothing new until `until`.
+    pub fn avoid_replica(&mut self, target: &RowTarget, backend: &BackendId, until: Instant) {
+        let replicas = self.unready.entry(target.clone()).or_default();
+        replicas.insert(backend.clone(), until);
+    }
+
     /// Forgets backend servers that need no longer be avoided.
     pub fn forgive(&mut self, now: Instant) {
         self.avoided.retain(|_, until| *until > now);
+        self.unready.retain(|_, replicas| {
+            replicas.retain(|_, until| *until > now);
+            !replicas.is_empty()
+        });
     }
 
     fn add(&mut self, choice: &SlotChoice<'_>, backend: &BackendId) {
@@ -87,10 +100,10 @@
     }
 
     fn is_allowed(&self, backend: &BackendId, choice: &SlotChoice<'_>) -> bool {
-        let avoided = self
-            .avoided
-            .get(backend)
-            .is_some_and(|until| *until > choice.now);
+        let waits = |until: &Instant| *until > choice.now;
+        let unready = self.unready.get(choice.target);
+        let unready = unready.and_then(|replicas| replicas.get(backend));
+        let avoided = self.avoided.get(backend).is_some_and(waits) || unready.is_some_and(waits);
         let paired = choice.suspect && self.suspects.contains_key(backend);
         !avoided && !paired
     }
--- a/crates/ward-traffic/src/room/wait_room.rs
+++ b/crates/ward-traffic/src/room/wait_room.rs
@@ -131,6 +131,12 @@
         self.lock().slots.avoid(backend, until);
     }
 
+    /// Gives a replica that was not ready nothing new for a short time.
+    pub fn avoid_replica(&self, target: &RowTarget, backend: &BackendId) {
+        let until = Instant::now() + self.settings.avoid_time.duration();
+        self.lock().slots.avoid_replica(target, backend, until);
+    }
+
     /// Looks at every waiting request again, after a new view or some time.
     pub fn sweep(self: &Arc<Self>) {
         let view = self.view();
--- a/crates/ward-traffic/src/server/routes.rs
+++ b/crates/ward-traffic/src/server/routes.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use http::{Method, Response};
-use slog::info;
+use slog::{debug, info};
 use viz::{Body, Request, Router, Tree};
-use ward_protocol::{RequestId, ResultCode};
+use ward_protocol::{RequestId, RequestOutcome, ResultCode};
 
 use crate::REQUEST_ID;
 use crate::core::TrafficCore;
@@ -85,9 +85,15 @@
 
 fn refusal(core: &TrafficCore, report: &ProblemReport, id: RequestId) -> Response<Body> {
     core.metrics.problem(report);
-    info!(core.logger, "traffic: request refused";
-        "request" => %id, "code" => report.code.number(), "outcome" => %report.outcome,
-        "detail" => &report.detail);
+    // A refusal under load must not cost a log line each; the metrics count them.
+    if report.outcome == RequestOutcome::NotRun {
+        debug!(core.logger, "traffic: request refused";
+            "request" => %id, "code" => report.code.number(), "detail" => &report.detail);
+    } else {
+        info!(core.logger, "traffic: request failed";
+            "request" => %id, "code" => report.code.number(), "outcome" => %report.outcome,
+            "detail" => &report.detail);
+    }
     report.response(Some(id))
 }
 
--- a/crates/ward-traffic/src/server/start.rs
+++ b/crates/ward-traffic/src/server/start.rs
@@ -18,6 +18,7 @@
 use super::upkeep::keep_up;
 use crate::core::{NoticeHolder, ServerPhase, TrafficCore, WorkCount};
 use crate::forward::RetryBudget;
+use crate::input::BodyMemory;
 use crate::metrics::TrafficMetrics;
 use crate::notice::NoticeSink;
 use crate::once::OnceCalls;
@@ -108,6 +109,7 @@
         views: parts.view,
         client: BackendClient::new(ClientLimits::default()),
         budget: RetryBudget::new(parts.limits.retry_percent),
+        bodies: BodyMemory::default(),
         once: parts.once,
         notice: NoticeHolder(parts.notice),
         metrics,
