--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -50,7 +50,8 @@
             reference: None,
             terms: self.terms,
             priority: self.priority,
-            prefix: 0,
+            // Calls to a service have no prompt; the id spreads them.
+            prefix: spread_of(self.request),
             suspect: false,
             shunned: self.shunned.clone(),
         }
@@ -219,6 +220,14 @@
     response
 }
 
+/// The low half of a request's id.
+fn spread_of(request: RequestId) -> u64 {
+    let bytes = request.0.to_le_bytes();
+    u64::from_le_bytes([
+        bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5], bytes[6], bytes[7],
+    ])
+}
+
 fn service_name(path: &str) -> &str {
     let rest = path.strip_prefix(PREFIX).unwrap_or_default();
     rest.split('/').next().unwrap_or_default()
--- a/crates/ward-traffic/src/input/body.rs
+++ b/crates/ward-traffic/src/input/body.rs
@@ -21,9 +21,17 @@
 #[derive(Debug, Clone)]
 pub struct BodyMemory(Arc<Semaphore>);
 
+impl BodyMemory {
+    /// Memory of `kibibytes` for all bodies together.
+    #[must_use]
+    pub fn of_kib(kibibytes: usize) -> Self {
+        Self(Arc::new(Semaphore::new(kibibytes)))
+    }
+}
+
 impl Default for BodyMemory {
     fn default() -> Self {
-        Self(Arc::new(Semaphore::new(BODY_MEMORY)))
+        Self::of_kib(BODY_MEMORY)
     }
 }
 
--- a/crates/ward-traffic/tests/queue.rs
+++ b/crates/ward-traffic/tests/queue.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use ward_protocol::{ResultCode, RoutingView, RowTarget, TimeSpan, TrafficLimits};
-use ward_traffic::input::RequestTerms;
+use ward_traffic::input::{BodyMemory, RequestTerms, read_body};
 use ward_traffic::room::{RoomSettings, SlotGrant, WaitRequest, WaitRoom};
 use ward_traffic::{ProblemReport, TrafficNotice};
 
@@ -264,3 +264,21 @@
     expect_that!(code(waits.await), some(eq(ResultCode::TooLate)));
     expect_that!(begin.elapsed(), ge(Duration::from_secs(3)));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn bodies_bounded_together() {
+    let memory = BodyMemory::of_kib(12);
+    let terms = RequestTerms::starting_now(secs(5), None);
+    let limits = TrafficLimits::default();
+    let read = || {
+        let body = viz::Body::Full(vec![0; 8 << 10].into());
+        read_body(body, &terms, &limits, &memory)
+    };
+    let first = read().await.unwrap();
+    let share = first.slice(0..10);
+    drop(first);
+    expect_that!(read().await.unwrap_err().code, eq(ResultCode::QueueFull));
+    drop(share);
+    expect_that!(read().await.unwrap().len(), eq(8 << 10));
+}
