--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -50,7 +50,8 @@
             reference: None,
             terms: self.terms,
             priority: self.priority,
-            prefix: 0,
+            // Calls to a service have no prompt; the id spreads them.
+            prefix: spread_of(self.request),
             suspect: false,
             shunned: self.shunned.clone(),
         }
@@ -79,7 +80,7 @@
     let target = RowTarget::Service(resolve_service(&view, name)?);
     let repeatable = view.row(&target).is_some_and(|row| row.repeatable);
     let (parts, body) = request.into_parts();
-    let body = read_body(body, &core.limits).await?;
+    let body = read_body(body, &terms, &core.limits, &core.bodies).await?;
     let mut call = ServiceCall {
         request: id,
         method: parts.method,
@@ -116,7 +117,7 @@
         answer_by: answer_by(call.connection, call.terms.deadline),
         connection: call.connection,
     });
-    attempt_end(core, &grant.backend, result.await)
+    attempt_end(core, grant, result.await)
 }
 
 async fn run_repeatable(
@@ -220,6 +221,14 @@
     response
 }
 
+/// The low half of a request's id.
+fn spread_of(request: RequestId) -> u64 {
+    let bytes = request.0.to_le_bytes();
+    u64::from_le_bytes([
+        bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5], bytes[6], bytes[7],
+    ])
+}
+
 fn service_name(path: &str) -> &str {
     let rest = path.strip_prefix(PREFIX).unwrap_or_default();
     rest.split('/').next().unwrap_or_default()
