--- /dev/null
+++ b/crates/ward-bench/src/command/mod.rs
@@ -0,0 +1,62 @@
+//! The program's commands.
+
+mod replay;
+
+use clap::{ArgMatches, Command};
+use quick_error::quick_error;
+
+quick_error! {
+    /// A command that failed.
+    #[derive(Debug)]
+    pub enum CommandError {
+        /// A workload file is unusable.
+        Workload(cause: crate::replay::WorkloadError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
+        /// A replay failed.
+        Replay(cause: crate::replay::ReplayError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
+        /// A file cannot be read or written.
+        File(path: std::path::PathBuf, cause: std::io::Error) {
+            display("cannot use {}: {cause}; check the path", path.display())
+            source(cause)
+        }
+        /// A file of results cannot be read or written.
+        Format(cause: serde_json::Error) {
+            from()
+            display("the results cannot be read or written: {cause}")
+            source(cause)
+        }
+        /// An unknown command.
+        Unknown {
+            display("no command given; see --help")
+        }
+    }
+}
+
+/// The command line.
+#[must_use]
+pub fn command_line() -> Command {
+    Command::new("ward-bench")
+        .version(clap::crate_version!())
+        .about("Measures the serving system's decisions and processes")
+        .subcommand_required(true)
+        .subcommand(replay::replay_command())
+}
+
+/// Runs the command that was given.
+///
+/// # Errors
+///
+/// When the command fails.
+pub fn run_command(matches: &ArgMatches) -> Result<(), CommandError> {
+    match matches.subcommand() {
+        Some((replay::NAME, matches)) => replay::run_replay(matches),
+        _ => Err(CommandError::Unknown),
+    }
+}
--- a/crates/ward-bench/src/lib.rs
+++ b/crates/ward-bench/src/lib.rs
@@ -1,1 +1,5 @@
-//! Under construction.
+//! Measurements of the serving system's decisions and of its processes.
+
+pub mod command;
+pub mod replay;
+pub mod report;
--- /dev/null
+++ b/crates/ward-bench/src/replay/arrival.rs
@@ -0,0 +1,134 @@
+//! Arrival times drawn from the laws of a workload.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use ward_protocol::{MonoTime, TimeSpan};
+
+use super::draw::{exponential, pareto};
+use super::trace::WEEK;
+use super::workload::{ArrivalLaw, OpenHours};
+
+const DAY_SECONDS: f64 = 24.0 * 3_600.0;
+const DAYS: u64 = 7;
+const MINUTE_SECONDS: f64 = 60.0;
+
+/// Arrival times of one law over a week, in no order.
+pub(super) fn arrival_times(law: &ArrivalLaw, generator: &mut ChaCha8Rng) -> Vec<MonoTime> {
+    let seconds = match law {
+        ArrivalLaw::Steady { per_day, hours } => steady(*per_day, hours, generator),
+        ArrivalLaw::Burst {
+            per_day,
+            size,
+            spread,
+            hours,
+        } => burst(*per_day, *size, *spread, hours, generator),
+        ArrivalLaw::Heavy {
+            shortest,
+            spread,
+            alpha,
+            longest,
+        } => {
+            let factor = spread.powf(generator.random());
+            heavy(shortest.seconds() * factor, *alpha, *longest, generator)
+        }
+        ArrivalLaw::Regular {
+            every,
+            jitter,
+            hours,
+        } => regular(*every, *jitter, hours, generator),
+        ArrivalLaw::Cooling { per_day, half_life } => cooling(*per_day, *half_life, generator),
+    };
+    let in_week = |at: &f64| (0.0..WEEK.seconds()).contains(at);
+    seconds.into_iter().filter(in_week).map(point).collect()
+}
+
+fn point(seconds: f64) -> MonoTime {
+    MonoTime::default() + ward_policy::keep::span_of(seconds)
+}
+
+/// Start and length of the open hours of each day, in seconds.
+fn windows(hours: &OpenHours) -> impl Iterator<Item = (f64, f64)> + use<> {
+    let from = f64::from(hours.from.minutes()) * MINUTE_SECONDS;
+    let until = f64::from(hours.until.minutes()) * MINUTE_SECONDS;
+    let days = hours.first_day..=hours.last_day.min(DAYS - 1);
+    days.map(move |day| {
+        let midnight = day_start(day);
+        (midnight + from, (until - from).max(0.0))
+    })
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn day_start(day: u64) -> f64 {
+    day as f64 * DAY_SECONDS
+}
+
+fn poisson(start: f64, length: f64, count: f64, generator: &mut ChaCha8Rng) -> Vec<f64> {
+    let mean = length / count;
+    let mut times = Vec::new();
+    let mut at = exponential(generator, mean);
+    while at < length {
+        times.push(start + at);
+        at += exponential(generator, mean);
+    }
+    times
+}
+
+fn steady(per_day: f64, hours: &OpenHours, generator: &mut ChaCha8Rng) -> Vec<f64> {
+    windows(hours)
+        .flat_map(|(start, length)| poisson(start, length, per_day, generator))
+        .collect()
+}
+
+fn burst(
+    per_day: f64,
+    size: f64,
+    spread: TimeSpan,
+    hours: &OpenHours,
+    generator: &mut ChaCha8Rng,
+) -> Vec<f64> {
+    let starts = steady(per_day, hours, generator);
+    starts
+        .into_iter()
+        .flat_map(|start| poisson(start, spread.seconds(), size, generator))
+        .collect()
+}
+
+fn heavy(shortest: f64, alpha: f64, longest: TimeSpan, generator: &mut ChaCha8Rng) -> Vec<f64> {
+    let mut draw = || pareto(generator, shortest, alpha, longest.seconds());
+    let mut times = Vec::new();
+    let mut at = draw();
+    while at < WEEK.seconds() {
+        times.push(at);
+        at += draw();
+    }
+    times
+}
+
+fn regular(
+    every: TimeSpan,
+    jitter: TimeSpan,
+    hours: &OpenHours,
+    generator: &mut ChaCha8Rng,
+) -> Vec<f64> {
+    let mut times = Vec::new();
+    for (start, length) in windows(hours) {
+        let phase: f64 = generator.random();
+        let mut at = phase * every.seconds();
+        while at < length {
+            let shift = (generator.random::<f64>() - 0.5) * 2.0 * jitter.seconds();
+            times.push(start + at + shift);
+            at += every.seconds();
+        }
+    }
+    times
+}
+
+fn cooling(per_day: f64, half_life: TimeSpan, generator: &mut ChaCha8Rng) -> Vec<f64> {
+    let first = per_day / DAY_SECONDS;
+    // Thinning: candidates at the highest rate, kept by the present one.
+    let candidates = poisson(0.0, WEEK.seconds(), first * WEEK.seconds(), generator);
+    candidates
+        .into_iter()
+        .filter(|at| generator.random::<f64>() < (-at / half_life.seconds()).exp2())
+        .collect()
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/compare.rs
@@ -0,0 +1,108 @@
+//! Runs every policy of a comparison over the same traces.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+use ward_protocol::TimeSpan;
+
+use super::row::ReplayRow;
+use super::rule::{KeepRule, ReplayPolicy, StoreOrder};
+use super::run::{ReplayError, replay_trace};
+use super::trace::draw_trace;
+use super::trouble::ReplayTrouble;
+use super::workload::WorkloadFile;
+
+/// Weights of the project's policy, from idle time first to cold starts first.
+pub const WEIGHTS: [f64; 8] = [0.02, 0.1, 0.25, 0.5, 0.75, 0.9, 0.97, 0.99];
+/// Times of the fixed baselines in seconds.
+pub const FIXED_SECONDS: [u64; 10] = [15, 60, 180, 600, 1_200, 1_800, 3_600, 7_200, 14_400, 43_200];
+/// Time of the first-come baseline.
+const FIRST_COME: TimeSpan = TimeSpan::from_secs(600);
+
+/// What to compare.
+#[derive(Debug, Clone)]
+pub struct ReplayTask {
+    /// Workloads.
+    pub files: Vec<WorkloadFile>,
+    /// Kinds of trouble.
+    pub troubles: Vec<ReplayTrouble>,
+    /// Seeds.
+    pub seeds: Vec<u64>,
+    /// Threads to use.
+    pub threads: usize,
+}
+
+/// The policies of a comparison.
+#[must_use]
+pub fn compared_policies() -> Vec<ReplayPolicy> {
+    let fixed = FIXED_SECONDS.map(|seconds| KeepRule::Fixed(TimeSpan::from_secs(seconds)));
+    let simple = [KeepRule::Never, KeepRule::AtOnce, KeepRule::KnowsAhead];
+    let first_come = ReplayPolicy {
+        order: StoreOrder::FirstCome,
+        ..ReplayPolicy::baseline(KeepRule::Fixed(FIRST_COME))
+    };
+    let ours = WEIGHTS.map(ReplayPolicy::ours);
+    let clairvoyant = WEIGHTS.map(|weight| ReplayPolicy {
+        keep: KeepRule::KnowsNext,
+        urgency: false,
+        ..ReplayPolicy::ours(weight)
+    });
+    ours.into_iter()
+        .chain(fixed.map(ReplayPolicy::baseline))
+        .chain(simple.map(ReplayPolicy::baseline))
+        .chain([first_come])
+        .chain(clairvoyant)
+        .collect()
+}
+
+/// Runs a comparison; rows come in the order of the task.
+///
+/// # Errors
+///
+/// When a trace or a replay cannot be made.
+pub fn compare_policies(task: &ReplayTask) -> Result<Vec<ReplayRow>, ReplayError> {
+    let jobs: Vec<(&WorkloadFile, u64)> = task
+        .files
+        .iter()
+        .flat_map(|file| task.seeds.iter().map(move |seed| (file, *seed)))
+        .collect();
+    let next = AtomicUsize::new(0);
+    let done = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..task.threads.max(1) {
+            scope.spawn(|| {
+                while let Some((file, seed)) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let rows = compare_once(file, &task.troubles, *seed);
+                    if let Ok(mut done) = done.lock() {
+                        done.push(rows);
+                    }
+                }
+            });
+        }
+    });
+    let parts = done.into_inner().unwrap_or_default();
+    let parts: Result<Vec<Vec<ReplayRow>>, ReplayError> = parts.into_iter().collect();
+    let mut rows: Vec<ReplayRow> = parts?.into_iter().flatten().collect();
+    let place = |name: &str| task.files.iter().position(|file| file.name == name);
+    rows.sort_by_key(|row| (place(&row.workload), row.seed));
+    Ok(rows)
+}
+
+fn compare_once(
+    file: &WorkloadFile,
+    troubles: &[ReplayTrouble],
+    seed: u64,
+) -> Result<Vec<ReplayRow>, ReplayError> {
+    let trace = draw_trace(file, seed)?;
+    let mut rows = Vec::new();
+    for trouble in troubles {
+        for policy in compared_policies() {
+            let outcome = replay_trace(&trace, &file.fleet, &policy, *trouble)?;
+            rows.push(ReplayRow::new(
+                &file.name, *trouble, &policy, seed, &outcome,
+            ));
+        }
+    }
+    Ok(rows)
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/hold.rs
@@ -0,0 +1,274 @@
+//! Idle replicas of a replay: how long they stay, and when they come back.
+
+use ward_policy::{ReadyTerms, StandbyChoice, StandbyView, WarmSchedule, order_in, standby_choice};
+use ward_protocol::{CacheTier, EngineRole, MonoTime, TimeSpan};
+
+use super::event::ReplayEvent;
+use super::outcome::ReplayOutcome;
+use super::rule::KeepContext;
+use super::run::ReplayRun;
+use super::state::ReplicaPhase;
+use super::trace::WEEK;
+
+const DAY: TimeSpan = TimeSpan::from_secs(24 * 3_600);
+const MINUTE: u64 = 60;
+
+impl ReplayRun<'_> {
+    /// Decides about a replica that has just gone idle.
+    pub(super) fn schedule_keep(&mut self, replica: usize) {
+        let state = &self.state.replicas[replica];
+        let unfit = state.phase != ReplicaPhase::Ready || state.running > 0;
+        // Requests may still wait for one of its adapters.
+        let waited_for = self.family_waiting(self.base_of(state.model)) > 0;
+        if unfit || waited_for || self.is_wanted(replica) {
+            return;
+        }
+        let (schedule, age) = self.schedule_of(replica);
+        let reload = self.best_load(self.state.replicas[replica].model);
+        let Some(until) = schedule.kept_until(age, reload) else {
+            self.drop_idle(replica, &schedule, age);
+            return;
+        };
+        let state = &mut self.state.replicas[replica];
+        state.stamp += 1;
+        let event = ReplayEvent::KeepCheck {
+            replica,
+            stamp: state.stamp,
+        };
+        // Rounded up, so that the check never comes before the end of the span.
+        let rest = until.micros().saturating_sub(age.micros()) + 1;
+        let at = self.state.now + TimeSpan::from_micros(rest);
+        self.events.push(at, event);
+    }
+
+    /// A keep time has passed.
+    pub(super) fn keep_check(&mut self, replica: usize, stamp: u32) {
+        if self.state.replicas[replica].stamp == stamp {
+            self.schedule_keep(replica);
+        }
+    }
+
+    fn schedule_of(&self, replica: usize) -> (WarmSchedule, TimeSpan) {
+        let now = self.state.now;
+        let state = &self.state.replicas[replica];
+        let model = &self.state.models[state.model];
+        let last = model.history.last().unwrap_or(state.idle_since);
+        let age = now.since(last);
+        let next = model.future.partition_point(|at| *at <= now);
+        let context = KeepContext {
+            history: &model.history,
+            terms: self.keep_terms(replica),
+            age,
+            idle: now.since(state.idle_since),
+            next: model.future.get(next).map(|at| at.since(now)),
+        };
+        (self.policy.schedule(&context), age)
+    }
+
+    fn drop_idle(&mut self, replica: usize, schedule: &WarmSchedule, age: TimeSpan) {
+        let model = self.state.replicas[replica].model;
+        self.unload(replica);
+        let Some(from) = schedule.next_from(age) else {
+            return;
+        };
+        let lead = self.best_load(model) + self.policy.values.ahead_slack;
+        let rest = from.micros().saturating_sub(age.micros() + lead.micros());
+        let at = self.state.now + TimeSpan::from_micros(rest);
+        let arrivals = self.state.models[model].arrivals;
+        self.events.push(at, ReplayEvent::Ahead { model, arrivals });
+    }
+
+    /// Makes a model ready whose next request is expected soon.
+    pub(super) fn make_ahead(&mut self, model: usize, arrivals: u32) {
+        let target = &self.state.models[model];
+        let outdated = target.arrivals != arrivals || !target.replicas.is_empty();
+        if outdated || self.trouble.log_down(self.state.now) {
+            return;
+        }
+        if self.place(model, true) {
+            self.outcome.ahead += 1;
+        }
+    }
+
+    /// Unloads a replica and the adapters on it.
+    pub(super) fn unload(&mut self, replica: usize) {
+        let (model, engine) = {
+            let state = &self.state.replicas[replica];
+            (state.model, state.engine)
+        };
+        for adapter in self.adapters_on(replica) {
+            self.unload(adapter);
+        }
+        self.count_idle(replica);
+        let state = &mut self.state.replicas[replica];
+        state.phase = ReplicaPhase::Gone;
+        state.stamp += 1;
+        let keeps = |other: &usize| *other != replica;
+        self.state.models[model].replicas.retain(keeps);
+        let host = &mut self.state.engines[engine];
+        host.replicas.retain(keeps);
+        if host.replicas.is_empty() {
+            host.stamp += 1;
+            let event = ReplayEvent::RestCheck {
+                engine,
+                stamp: host.stamp,
+            };
+            let at = self.state.now + self.policy.values.standby_after;
+            self.events.push(at, event);
+        }
+    }
+
+    fn adapters_on(&self, replica: usize) -> Vec<usize> {
+        let state = &self.state.replicas[replica];
+        let rides = |other: &usize| {
+            let adapter = &self.state.replicas[*other];
+            self.trace.models[adapter.model].base == Some(state.model)
+        };
+        let replicas = self.state.engines[state.engine].replicas.iter();
+        replicas.copied().filter(rides).collect()
+    }
+
+    /// An engine has been empty for a while.
+    pub(super) fn rest_check(&mut self, engine: usize, stamp: u32) {
+        if self.state.engines[engine].stamp != stamp {
+            return;
+        }
+        let view = StandbyView {
+            role: self.state.engines[engine].role,
+            empty: Some(self.policy.values.standby_after),
+            need: None,
+            load: TimeSpan::ZERO,
+        };
+        if standby_choice(&view, &self.policy.values) == StandbyChoice::Rest {
+            self.count_awake(engine);
+            self.state.engines[engine].role = EngineRole::Standby;
+        }
+    }
+
+    /// Puts a checkpoint on the disk of an engine's host.
+    pub(super) fn cache_checkpoint(&mut self, engine: usize, model: usize) {
+        let host = &mut self.state.engines[engine];
+        host.disk.retain(|other| *other != model);
+        host.disk.push_back(model);
+        host.tiers[model] = CacheTier::Disk.min(host.tiers[model]);
+        if host.disk.len() > host.disk_limit
+            && let Some(oldest) = host.disk.pop_front()
+        {
+            host.tiers[oldest] = CacheTier::Remote;
+        }
+    }
+
+    /// Whether the sheet wants a replica ready now.
+    pub(super) fn is_wanted(&self, replica: usize) -> bool {
+        let index = self.state.replicas[replica].model;
+        let model = &self.trace.models[index];
+        if model.ready == 0 || !self.in_sheet_hours(index) {
+            return false;
+        }
+        let rank = self.state.models[index].replicas.iter();
+        let mut rank = rank.take(usize::from(model.ready));
+        rank.any(|other| *other == replica)
+    }
+
+    fn in_sheet_hours(&self, model: usize) -> bool {
+        order_in(&self.ready_terms(model), &self.policy.values) == TimeSpan::ZERO
+    }
+
+    fn ready_terms(&self, model: usize) -> ReadyTerms {
+        ReadyTerms {
+            from: self.trace.models[model].ready_from,
+            day: TimeSpan::from_micros(self.state.now.0 % DAY.micros()),
+            load: self.policy.values.load_remote + self.policy.values.standby_back,
+        }
+    }
+
+    /// Schedules the sheet's hours for the whole week.
+    pub(super) fn schedule_sheet(&mut self) {
+        for model in 0..self.trace.models.len() {
+            if self.trace.models[model].ready == 0 {
+                continue;
+            }
+            let begin = order_in(&self.ready_terms(model), &self.policy.values);
+            let mut day = MonoTime::default();
+            while day < MonoTime::default() + WEEK {
+                let event = ReplayEvent::SheetBegin { model };
+                self.events.push(day + begin, event);
+                day = day + DAY;
+                self.events.push(day, ReplayEvent::SheetEnd { model });
+            }
+        }
+    }
+
+    /// Loads what the sheet wants.
+    pub(super) fn sheet_begin(&mut self, model: usize) {
+        if self.trouble.log_down(self.state.now) {
+            let back = self.trouble.log_back();
+            self.events.push(back, ReplayEvent::SheetBegin { model });
+            return;
+        }
+        let wanted = usize::from(self.trace.models[model].ready);
+        while self.state.models[model].replicas.len() < wanted {
+            if !self.place(model, false) {
+                // Room may come when another model goes idle.
+                let later = self.state.now + TimeSpan::from_secs(MINUTE);
+                self.events.push(later, ReplayEvent::SheetBegin { model });
+                return;
+            }
+        }
+    }
+
+    /// Looks at replicas that the sheet no longer wants.
+    pub(super) fn sheet_end(&mut self, model: usize) {
+        for replica in self.state.models[model].replicas.clone() {
+            self.schedule_keep(replica);
+        }
+    }
+
+    /// Part of its engine's memory that a replica takes.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn share(&self, replica: usize) -> f64 {
+        let state = &self.state.replicas[replica];
+        let memory = self.trace.models[state.model].memory.bytes() as f64;
+        memory / self.state.engines[state.engine].memory.bytes() as f64
+    }
+
+    /// Adds up the idle time of a base model's replica.
+    pub(super) fn count_idle(&mut self, replica: usize) {
+        let state = &self.state.replicas[replica];
+        let adapter = self.trace.models[state.model].base.is_some();
+        if state.running > 0 || adapter {
+            return;
+        }
+        let idle = self.state.now.since(state.idle_since).seconds();
+        self.outcome.held += idle * self.share(replica);
+        self.state.replicas[replica].idle_since = self.state.now;
+    }
+
+    /// Adds up the time of an engine that is awake and runs nothing.
+    pub(super) fn count_awake(&mut self, engine: usize) {
+        let now = self.state.now;
+        let host = &mut self.state.engines[engine];
+        if host.running > 0 || host.role == EngineRole::Standby {
+            return;
+        }
+        self.outcome.idle += now.since(host.idle_since).seconds();
+        host.idle_since = now;
+    }
+
+    /// Closes the books at the end of the week.
+    pub(super) fn finish(mut self) -> ReplayOutcome {
+        let held: Vec<usize> = self
+            .state
+            .models
+            .iter()
+            .flat_map(|model| model.replicas.iter().copied())
+            .collect();
+        for replica in held {
+            self.count_idle(replica);
+        }
+        for engine in 0..self.state.engines.len() {
+            self.count_awake(engine);
+        }
+        self.outcome
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/load.rs
@@ -0,0 +1,346 @@
+//! Loads of a replay: demand, placement and the weight store.
+
+use ward_policy::{
+    KeepTerms, PlaceChoice, PlaceRequest, ScaleView, SlackView, place_replica, scale_out,
+    slack_left, wake_engine,
+};
+use ward_protocol::{
+    BackendId, CacheTier, EngineRole, MonoTime, PriorityLevel, ReservationId, TimeSpan,
+};
+
+use super::event::ReplayEvent;
+use super::outcome::WaitCause;
+use super::run::ReplayRun;
+use super::state::{HeldUse, ReplicaPhase, ReplicaState};
+use super::store::LoadUrgency;
+
+/// Adapters in flight up to which each loads at full speed.
+const ADAPTERS_FULL_SPEED: u32 = 30;
+/// Later than any deadline.
+const NO_DEADLINE: MonoTime = MonoTime(u64::MAX);
+
+impl ReplayRun<'_> {
+    /// Orders what a model's waiting requests need, if anything.
+    pub(super) fn demand(&mut self, model: usize) {
+        let base = self.base_of(model);
+        let waiting = self.family_waiting(base);
+        if waiting == 0 {
+            self.starved.swap_remove(&model);
+            return;
+        }
+        if self.trouble.log_down(self.state.now) {
+            let back = self.trouble.log_back();
+            self.events.push(back, ReplayEvent::Retry { model });
+            return;
+        }
+        if let Some(delay) = self.family_slack(base) {
+            let later = self.state.now + delay;
+            self.events.push(later, ReplayEvent::Retry { model });
+            return;
+        }
+        if self.wants_more(base, waiting) {
+            self.place(base, false);
+        }
+        let queued = u32::try_from(self.state.models[model].queue.len()).unwrap_or(u32::MAX);
+        let base_ready = self.state.in_phase(base, ReplicaPhase::Ready).count() > 0;
+        if model != base && base_ready && queued > 0 && self.wants_more(model, queued) {
+            self.place(model, false);
+        }
+    }
+
+    pub(super) fn family_waiting(&self, base: usize) -> u32 {
+        let family = self.family(base);
+        let waiting: usize = family
+            .iter()
+            .map(|model| self.state.models[*model].queue.len())
+            .sum();
+        u32::try_from(waiting).unwrap_or(u32::MAX)
+    }
+
+    fn wants_more(&self, model: usize, waiting: u32) -> bool {
+        let count = |phase| {
+            let count = self.state.in_phase(model, phase).count();
+            u32::try_from(count).unwrap_or(u32::MAX)
+        };
+        let view = ScaleView {
+            ready: count(ReplicaPhase::Ready),
+            coming: count(ReplicaPhase::Loading),
+            limit: u32::from(self.trace.models[model].replicas),
+            waiting,
+            service: self.trace.models[model].service,
+            load: self.best_load(model),
+        };
+        scale_out(&view, &self.policy.values)
+    }
+
+    /// How long the load of a model without replicas may be put off.
+    fn family_slack(&self, base: usize) -> Option<TimeSpan> {
+        if !self.policy.urgency || !self.state.models[base].replicas.is_empty() {
+            return None;
+        }
+        let start = self.best_load(base);
+        let family = self.family(base);
+        let requests = family
+            .iter()
+            .flat_map(|model| self.state.models[*model].queue.iter());
+        let delays: Option<Vec<TimeSpan>> = requests
+            .map(|queued| self.request_slack(queued.request, start))
+            .collect();
+        delays?.into_iter().min()
+    }
+
+    fn request_slack(&self, request: usize, start: TimeSpan) -> Option<TimeSpan> {
+        let arrival = self.trace.requests[request];
+        let waited = self.state.now.since(arrival.at);
+        let view = SlackView {
+            priority: arrival.priority,
+            waited,
+            left: (arrival.at + arrival.deadline).since(self.state.now),
+            start,
+            service: arrival.service,
+        };
+        slack_left(&view, &self.policy.values)
+    }
+
+    /// Load time from a tier with a quiet store.
+    fn tier_load(&self, tier: CacheTier) -> TimeSpan {
+        let values = &self.policy.values;
+        match tier {
+            CacheTier::Memory => values.load_memory,
+            CacheTier::Disk => values.load_disk,
+            CacheTier::Remote => values.load_remote,
+        }
+    }
+
+    /// Load time of a model from its cheapest tier.
+    pub(super) fn best_load(&self, model: usize) -> TimeSpan {
+        if self.trace.models[model].base.is_some() {
+            return self.policy.values.load_adapter;
+        }
+        let tiers = self.state.engines.iter().map(|engine| engine.tiers[model]);
+        self.tier_load(tiers.min().unwrap_or(CacheTier::Remote))
+    }
+
+    /// What a replica costs to keep and to load again.
+    pub(super) fn keep_terms(&self, replica: usize) -> KeepTerms {
+        let state = &self.state.replicas[replica];
+        KeepTerms {
+            load: self.best_load(state.model),
+            share: self.share(replica),
+        }
+    }
+
+    /// Loads a replica where there is room; ahead of requests nothing is evicted for it.
+    pub(super) fn place(&mut self, model: usize, ahead: bool) -> bool {
+        let request = self.place_request(model, ahead);
+        let views = self
+            .state
+            .engine_views(self.trace, model, |replica| self.held_use(replica));
+        let choice = place_replica(&request, &views);
+        if let PlaceChoice::Place { backend } = choice {
+            return self.reserve(model, &backend, TimeSpan::ZERO);
+        }
+        if !request.key.is_adapter()
+            && let Some(backend) = wake_engine(&request, &views)
+        {
+            return self.reserve(model, &backend, self.policy.values.standby_back);
+        }
+        let PlaceChoice::Evict { backend, victims } = choice else {
+            self.starved.insert(model);
+            return false;
+        };
+        if ahead {
+            return false;
+        }
+        self.evict(&victims);
+        self.reserve(model, &backend, TimeSpan::ZERO)
+    }
+
+    fn held_use(&self, replica: usize) -> HeldUse {
+        let state = &self.state.replicas[replica];
+        let base = self.base_of(state.model);
+        HeldUse {
+            busy: state.running > 0 || self.family_waiting(base) > 0,
+            wanted: self.is_wanted(replica),
+        }
+    }
+
+    fn place_request(&self, model: usize, ahead: bool) -> PlaceRequest {
+        let target = &self.trace.models[model];
+        let held = self.state.models[model].replicas.iter();
+        let zone = |replica: &usize| {
+            let engine = self.state.replicas[*replica].engine;
+            self.state.engines[engine].zone.clone()
+        };
+        PlaceRequest {
+            key: target.key.clone(),
+            memory: target.memory,
+            priority: if ahead {
+                PriorityLevel::LAST
+            } else {
+                target.priority
+            },
+            zones: Vec::new(),
+            roles: Vec::new(),
+            taken: held.map(zone).collect(),
+        }
+    }
+
+    fn evict(&mut self, victims: &[ReservationId]) {
+        for victim in victims {
+            let replica = usize::try_from(victim.0).unwrap_or(usize::MAX);
+            if self.state.replicas[replica].phase != ReplicaPhase::Gone {
+                self.outcome.evictions += 1;
+                self.unload(replica);
+            }
+        }
+    }
+
+    fn reserve(&mut self, model: usize, backend: &BackendId, wake: TimeSpan) -> bool {
+        let engines = &self.state.engines;
+        let found = engines.iter().position(|engine| engine.backend == *backend);
+        let Some(engine) = found else {
+            return false;
+        };
+        self.starved.swap_remove(&model);
+        self.wake(engine);
+        let replica = self.state.replicas.len();
+        let tier = self.state.engines[engine].tiers[model];
+        let adapter = self.trace.models[model].base.is_some();
+        let cause = if adapter {
+            WaitCause::Adapter
+        } else {
+            WaitCause::from(tier)
+        };
+        self.state.replicas.push(ReplicaState {
+            model,
+            engine,
+            phase: ReplicaPhase::Loading,
+            cause,
+            running: 0,
+            idle_since: self.state.now,
+            stamp: 0,
+            wake,
+        });
+        self.state.models[model].replicas.push(replica);
+        self.state.engines[engine].replicas.push(replica);
+        self.begin_load(replica);
+        true
+    }
+
+    fn wake(&mut self, engine: usize) {
+        let host = &mut self.state.engines[engine];
+        host.stamp += 1;
+        if host.role == EngineRole::Standby {
+            host.role = EngineRole::Serving;
+            host.idle_since = self.state.now;
+        }
+    }
+
+    fn begin_load(&mut self, replica: usize) {
+        let state = &self.state.replicas[replica];
+        let (cause, wake) = (state.cause, state.wake);
+        let ready = match cause {
+            WaitCause::Warm | WaitCause::Remote => {
+                self.outcome.loads += 1;
+                self.store.push(replica);
+                self.run_store();
+                return;
+            }
+            WaitCause::Memory => self.host_load(CacheTier::Memory) + wake,
+            WaitCause::Disk => self.host_load(CacheTier::Disk) + wake,
+            WaitCause::Adapter => self.adapter_load(),
+        };
+        let at = self.state.now + ready;
+        self.events.push(at, ReplayEvent::Loaded { replica });
+    }
+
+    fn host_load(&mut self, tier: CacheTier) -> TimeSpan {
+        self.outcome.loads += 1;
+        self.tier_load(tier)
+    }
+
+    fn adapter_load(&mut self) -> TimeSpan {
+        self.adapters_flying += 1;
+        self.outcome.adapter_loads += 1;
+        let factor = self.adapters_flying.div_ceil(ADAPTERS_FULL_SPEED);
+        let load = self.policy.values.load_adapter.duration() * factor;
+        TimeSpan::from(load)
+    }
+
+    /// Starts waiting loads while the weight store has room.
+    pub(super) fn run_store(&mut self) {
+        loop {
+            let urgency = |replica| self.load_urgency(replica);
+            let Some(replica) = self.store.next(urgency) else {
+                return;
+            };
+            self.store.begin(replica);
+            let factor = self.trouble.store_factor(self.state.now);
+            let load = TimeSpan::from(self.policy.values.load_remote.duration() * factor);
+            let ready = self.state.now + load + self.state.replicas[replica].wake;
+            self.events.push(ready, ReplayEvent::Loaded { replica });
+        }
+    }
+
+    fn load_urgency(&self, replica: usize) -> LoadUrgency {
+        let family = self.family(self.state.replicas[replica].model);
+        let fronts = family
+            .iter()
+            .filter_map(|model| self.state.models[*model].queue.front());
+        fronts
+            .map(|queued| self.trace.requests[queued.request])
+            .map(|arrival| (arrival.priority, arrival.at + arrival.deadline))
+            .min()
+            .unwrap_or((PriorityLevel::LAST, NO_DEADLINE))
+    }
+
+    /// A load has ended.
+    pub(super) fn loaded(&mut self, replica: usize) {
+        self.count_idle(replica);
+        let now = self.state.now;
+        let state = &mut self.state.replicas[replica];
+        state.phase = ReplicaPhase::Ready;
+        state.idle_since = now;
+        let (model, engine, cause) = (state.model, state.engine, state.cause);
+        match cause {
+            WaitCause::Adapter => self.adapters_flying -= 1,
+            WaitCause::Remote => self.store.end(),
+            WaitCause::Warm | WaitCause::Memory | WaitCause::Disk => {}
+        }
+        self.mark_waiting(model, cause);
+        if cause == WaitCause::Adapter {
+            self.serve_family(self.base_of(model));
+            return;
+        }
+        self.cache_checkpoint(engine, model);
+        self.run_store();
+        self.serve_family(model);
+        for adapter in self.children[model].clone() {
+            if !self.state.models[adapter].queue.is_empty() {
+                self.demand(adapter);
+            }
+        }
+        if self.state.replicas[replica].running == 0 {
+            self.retry_starved();
+            self.schedule_keep(replica);
+        }
+    }
+
+    fn mark_waiting(&mut self, model: usize, cause: WaitCause) {
+        for member in self.family(model) {
+            for queued in &mut self.state.models[member].queue {
+                queued.cause.get_or_insert(cause);
+            }
+        }
+    }
+
+    /// Tries models that found no room, most urgent first.
+    pub(super) fn retry_starved(&mut self) {
+        let mut models: Vec<usize> = self.starved.iter().copied().collect();
+        models.sort_by_key(|model| self.trace.models[*model].priority);
+        for model in models {
+            self.demand(model);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/row.rs
@@ -0,0 +1,112 @@
+//! One line of a replay's results.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::outcome::{PriorityCounts, ReplayOutcome, WaitCause, WaitQuantiles};
+use super::rule::{KeepRule, ReplayPolicy, StoreOrder};
+use super::trouble::ReplayTrouble;
+
+const HOUR: f64 = 3_600.0;
+
+/// Kind of a policy; those of a kind differ in one setting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PolicyFamily {
+    /// The project's own.
+    Ours,
+    /// A fixed keep time.
+    Fixed,
+    /// A fixed keep time and a store without priorities.
+    FirstCome,
+    /// Never unload.
+    Never,
+    /// Unload at once.
+    AtOnce,
+    /// Knows the next request, decides whether to keep.
+    Clairvoyant,
+    /// Knows the next request, loads in time for it.
+    Ahead,
+}
+
+/// What one policy did with one trace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReplayRow {
+    /// The workload's name.
+    pub workload: String,
+    /// What went wrong.
+    pub trouble: ReplayTrouble,
+    /// The policy's name.
+    pub policy: String,
+    /// Its kind.
+    pub family: PolicyFamily,
+    /// Seed of the trace.
+    pub seed: u64,
+    /// Waits of requests that may not be put off; a refusal counts the whole time limit.
+    pub waits: WaitQuantiles,
+    /// Waits of requests that may be put off.
+    pub slack: WaitQuantiles,
+    /// Waits by cause.
+    pub causes: IndexMap<WaitCause, WaitQuantiles>,
+    /// Accelerator hours held by replicas that run nothing.
+    pub held_hours: f64,
+    /// Idle accelerator hours: engines that are not on standby and run nothing.
+    pub idle_hours: f64,
+    /// Loads of base models.
+    pub loads: u64,
+    /// Loads of adapters.
+    pub adapter_loads: u64,
+    /// Replicas evicted for others.
+    pub evictions: u64,
+    /// Loads ahead of a request.
+    pub ahead: u64,
+    /// Counts by priority.
+    pub counts: IndexMap<u8, PriorityCounts>,
+}
+
+impl ReplayRow {
+    /// The line of an outcome.
+    #[must_use]
+    pub fn new(
+        workload: &str,
+        trouble: ReplayTrouble,
+        policy: &ReplayPolicy,
+        seed: u64,
+        outcome: &ReplayOutcome,
+    ) -> Self {
+        let causes = outcome.causes.iter();
+        let mut counts = outcome.counts.clone();
+        counts.sort_keys();
+        Self {
+            workload: workload.to_owned(),
+            trouble,
+            policy: policy.to_string(),
+            family: family_of(policy),
+            seed,
+            waits: outcome.waits.quantiles(),
+            slack: outcome.slack.quantiles(),
+            causes: causes
+                .map(|(cause, waits)| (*cause, waits.quantiles()))
+                .collect(),
+            held_hours: outcome.held / HOUR,
+            idle_hours: outcome.idle / HOUR,
+            loads: outcome.loads,
+            adapter_loads: outcome.adapter_loads,
+            evictions: outcome.evictions,
+            ahead: outcome.ahead,
+            counts,
+        }
+    }
+}
+
+fn family_of(policy: &ReplayPolicy) -> PolicyFamily {
+    match policy.keep {
+        KeepRule::Gaps => PolicyFamily::Ours,
+        KeepRule::Fixed(_) if policy.order == StoreOrder::FirstCome => PolicyFamily::FirstCome,
+        KeepRule::Fixed(_) => PolicyFamily::Fixed,
+        KeepRule::Never => PolicyFamily::Never,
+        KeepRule::AtOnce => PolicyFamily::AtOnce,
+        KeepRule::KnowsNext => PolicyFamily::Clairvoyant,
+        KeepRule::KnowsAhead => PolicyFamily::Ahead,
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/rule.rs
@@ -0,0 +1,155 @@
+//! The policies that a replay compares.
+
+use std::fmt;
+
+use ward_policy::{GapHistory, KeepTerms, WarmSchedule, WarmSpan};
+use ward_protocol::{PolicyValues, TimeSpan};
+
+/// How long idle replicas are kept.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum KeepRule {
+    /// By each model's own gaps.
+    Gaps,
+    /// For a fixed time.
+    Fixed(TimeSpan),
+    /// For ever.
+    Never,
+    /// Unload at once.
+    AtOnce,
+    /// Knows the next request and keeps the replica when that is cheaper than a cold start.
+    KnowsNext,
+    /// Knows the next request and loads the replica in time for it.
+    KnowsAhead,
+}
+
+/// Order of waiting loads at the weight store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreOrder {
+    /// Priority, then deadline.
+    Urgency,
+    /// First come, first served.
+    FirstCome,
+}
+
+/// A policy with its settings.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReplayPolicy {
+    /// Keep rule.
+    pub keep: KeepRule,
+    /// Order at the weight store.
+    pub order: StoreOrder,
+    /// Whether slack and priority limits are used.
+    pub urgency: bool,
+    /// Settings.
+    pub values: PolicyValues,
+}
+
+/// What a keep rule may look at.
+#[derive(Debug)]
+pub struct KeepContext<'a> {
+    /// The model's gaps.
+    pub history: &'a GapHistory,
+    /// The replica's load time and size.
+    pub terms: KeepTerms,
+    /// Age of the model's last request.
+    pub age: TimeSpan,
+    /// Time since the replica went idle.
+    pub idle: TimeSpan,
+    /// Time until the model's next request; for rules that know it.
+    pub next: Option<TimeSpan>,
+}
+
+/// Time that an empty engine waits before it rests, under every policy.
+const STANDBY_AFTER: TimeSpan = TimeSpan::from_secs(30);
+/// Longer than any trace.
+const FOREVER: TimeSpan = TimeSpan::from_secs(365 * 24 * 3_600);
+/// Time for which a replica that was loaded just in time stays.
+const JUST_IN_TIME: TimeSpan = TimeSpan::from_secs(5);
+
+impl ReplayPolicy {
+    /// The project's policy with a weight between cold starts and idle time.
+    #[must_use]
+    pub fn ours(cold_weight: f64) -> Self {
+        Self {
+            keep: KeepRule::Gaps,
+            order: StoreOrder::Urgency,
+            urgency: true,
+            values: PolicyValues {
+                cold_weight,
+                keep_longest: TimeSpan::from_secs(7 * 24 * 3_600),
+                standby_after: STANDBY_AFTER,
+                ..PolicyValues::default()
+            },
+        }
+    }
+
+    /// A baseline with a keep rule and nothing else of the project's policy.
+    #[must_use]
+    pub fn baseline(keep: KeepRule) -> Self {
+        Self {
+            keep,
+            order: StoreOrder::Urgency,
+            urgency: false,
+            values: PolicyValues {
+                standby_after: STANDBY_AFTER,
+                ..PolicyValues::default()
+            },
+        }
+    }
+
+    /// The ages at which a replica should be loaded.
+    #[must_use]
+    pub fn schedule(&self, context: &KeepContext<'_>) -> WarmSchedule {
+        match self.keep {
+            KeepRule::Gaps => context.history.schedule(&self.values, &context.terms),
+            // The spans of a fixed rule start when the replica goes idle.
+            KeepRule::Fixed(keep) => {
+                let lag = context.age.micros().saturating_sub(context.idle.micros());
+                WarmSchedule::keep(keep + TimeSpan::from_micros(lag))
+            }
+            KeepRule::Never => WarmSchedule::keep(FOREVER),
+            KeepRule::AtOnce => WarmSchedule::default(),
+            KeepRule::KnowsNext => self.knows_next(context),
+            KeepRule::KnowsAhead => knows_ahead(context),
+        }
+    }
+
+    fn knows_next(&self, context: &KeepContext<'_>) -> WarmSchedule {
+        let worth = context.terms.break_even(&self.values);
+        let kept = context.next.is_some_and(|next| next.seconds() <= worth);
+        if kept {
+            WarmSchedule::keep(FOREVER)
+        } else {
+            WarmSchedule::default()
+        }
+    }
+}
+
+fn knows_ahead(context: &KeepContext<'_>) -> WarmSchedule {
+    let Some(next) = context.next else {
+        return WarmSchedule::default();
+    };
+    let reload = context.terms.load + JUST_IN_TIME;
+    if next <= reload + reload {
+        return WarmSchedule::keep(FOREVER);
+    }
+    let from = context.age + next;
+    let until = from + JUST_IN_TIME;
+    WarmSchedule::new(vec![WarmSpan { from, until }])
+}
+
+impl fmt::Display for ReplayPolicy {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.keep {
+            KeepRule::Gaps => write!(formatter, "ours {}", self.values.cold_weight),
+            KeepRule::Fixed(keep) if self.order == StoreOrder::FirstCome => {
+                write!(formatter, "first-come {keep}")
+            }
+            KeepRule::Fixed(keep) => write!(formatter, "fixed {keep}"),
+            KeepRule::Never => formatter.write_str("never unload"),
+            KeepRule::AtOnce => formatter.write_str("unload at once"),
+            KeepRule::KnowsNext => write!(formatter, "clairvoyant {}", self.values.cold_weight),
+            KeepRule::KnowsAhead => formatter.write_str("clairvoyant ahead"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/run.rs
@@ -0,0 +1,320 @@
+//! One replay of a trace under one policy.
+//!
+//! Engines are memory and places for requests, loads are durations through a
+//! weight store that carries a few at a time; nothing else is imitated. All
+//! policies share placement, the plan's limits and the standby rule.
+
+use hdrhistogram::CreationError;
+use indexmap::IndexSet;
+use quick_error::quick_error;
+use ward_policy::{PickCandidate, admits_priority, pick_replica};
+use ward_protocol::id::IdError;
+use ward_protocol::{MonoTime, TimeSpan};
+
+use super::event::{EventQueue, ReplayEvent};
+use super::outcome::{ReplayOutcome, WaitCause};
+use super::rule::ReplayPolicy;
+use super::state::{ModelState, QueuedRequest, ReplayState, ReplicaPhase, fleet_engines};
+use super::store::StoreQueue;
+use super::trace::{RequestTrace, WEEK};
+use super::trouble::ReplayTrouble;
+use super::workload::FleetShape;
+
+/// Requests at a time on one replica.
+const REPLICA_PLACES: u32 = 16;
+/// Requests that may wait in the whole system.
+pub(super) const WAITING_LIMIT: u32 = 1_024;
+
+quick_error! {
+    /// A replay that cannot run.
+    #[derive(Debug)]
+    pub enum ReplayError {
+        /// A histogram cannot be made.
+        Histogram(cause: CreationError) {
+            from()
+            display("cannot make a histogram: {cause}")
+            source(cause)
+        }
+        /// A name is too long.
+        Name(cause: IdError) {
+            from()
+            display("a name of the workload is not valid: {cause}")
+            source(cause)
+        }
+    }
+}
+
+/// A replay under way.
+#[derive(Debug)]
+pub(super) struct ReplayRun<'a> {
+    pub(super) trace: &'a RequestTrace,
+    pub(super) policy: &'a ReplayPolicy,
+    pub(super) trouble: ReplayTrouble,
+    pub(super) state: ReplayState,
+    pub(super) events: EventQueue,
+    pub(super) store: StoreQueue,
+    pub(super) outcome: ReplayOutcome,
+    /// Models that wait for room.
+    pub(super) starved: IndexSet<usize>,
+    /// Adapters of each model.
+    pub(super) children: Vec<Vec<usize>>,
+    pub(super) adapters_flying: u32,
+    waiting: u32,
+}
+
+/// Replays a trace.
+///
+/// # Errors
+///
+/// When a histogram or an engine's name cannot be made.
+pub fn replay_trace(
+    trace: &RequestTrace,
+    shape: &FleetShape,
+    policy: &ReplayPolicy,
+    trouble: ReplayTrouble,
+) -> Result<ReplayOutcome, ReplayError> {
+    let mut run = ReplayRun::new(trace, shape, policy, trouble)?;
+    run.schedule_sheet();
+    for request in 0..trace.requests.len() {
+        let at = trace.requests[request].at;
+        run.events.push(at, ReplayEvent::Arrive { request });
+    }
+    let end = MonoTime::default() + WEEK;
+    while let Some((at, event)) = run.events.pop() {
+        if at > end {
+            break;
+        }
+        run.state.now = at;
+        run.handle(event);
+    }
+    run.state.now = end;
+    Ok(run.finish())
+}
+
+impl<'a> ReplayRun<'a> {
+    fn new(
+        trace: &'a RequestTrace,
+        shape: &FleetShape,
+        policy: &'a ReplayPolicy,
+        trouble: ReplayTrouble,
+    ) -> Result<Self, ReplayError> {
+        let mut models = vec![ModelState::default(); trace.models.len()];
+        let mut children = vec![Vec::new(); trace.models.len()];
+        for request in &trace.requests {
+            let base = trace.models[request.model].base.unwrap_or(request.model);
+            models[base].future.push(request.at);
+        }
+        for (index, model) in trace.models.iter().enumerate() {
+            if let Some(base) = model.base {
+                children[base].push(index);
+            }
+        }
+        let loads = usize::from(ward_protocol::StoreLimits::default().model_loads);
+        Ok(Self {
+            trace,
+            policy,
+            trouble,
+            state: ReplayState {
+                now: MonoTime::default(),
+                models,
+                replicas: Vec::new(),
+                engines: fleet_engines(shape, trace)?,
+            },
+            events: EventQueue::default(),
+            store: StoreQueue::new(policy.order, loads),
+            outcome: ReplayOutcome::new()?,
+            starved: IndexSet::new(),
+            children,
+            adapters_flying: 0,
+            waiting: 0,
+        })
+    }
+
+    fn handle(&mut self, event: ReplayEvent) {
+        match event {
+            ReplayEvent::Arrive { request } => self.arrive(request),
+            ReplayEvent::Loaded { replica } => self.loaded(replica),
+            ReplayEvent::Ended { replica } => self.ended(replica),
+            ReplayEvent::KeepCheck { replica, stamp } => self.keep_check(replica, stamp),
+            ReplayEvent::Ahead { model, arrivals } => self.make_ahead(model, arrivals),
+            ReplayEvent::Expire { request } => self.expire(request),
+            ReplayEvent::Retry { model } => self.demand(model),
+            ReplayEvent::SheetBegin { model } => self.sheet_begin(model),
+            ReplayEvent::SheetEnd { model } => self.sheet_end(model),
+            ReplayEvent::RestCheck { engine, stamp } => self.rest_check(engine, stamp),
+        }
+    }
+
+    /// The base model of a model or adapter.
+    pub(super) fn base_of(&self, model: usize) -> usize {
+        self.trace.models[model].base.unwrap_or(model)
+    }
+
+    /// A model and its adapters.
+    pub(super) fn family(&self, base: usize) -> Vec<usize> {
+        let adapters = self.children[base].iter().copied();
+        std::iter::once(base).chain(adapters).collect()
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let arrival = self.trace.requests[request];
+        let base = self.base_of(arrival.model);
+        self.state.models[base].history.observe(self.state.now);
+        self.state.models[base].arrivals += 1;
+        if let Some(replica) = self.pick(arrival.model, arrival.prefix) {
+            self.start(replica, request, None);
+            return;
+        }
+        if !self.admits(request) || !self.may_start(arrival.model) {
+            self.outcome.count(arrival.priority).refused += 1;
+            self.record_wait(request, arrival.deadline);
+            return;
+        }
+        let queued = QueuedRequest {
+            request,
+            cause: None,
+        };
+        self.state.models[arrival.model].queue.push_back(queued);
+        self.waiting += 1;
+        let deadline = arrival.at + arrival.deadline;
+        self.events.push(deadline, ReplayEvent::Expire { request });
+        self.demand(arrival.model);
+    }
+
+    fn admits(&self, request: usize) -> bool {
+        if !self.policy.urgency {
+            return self.waiting < WAITING_LIMIT;
+        }
+        let priority = self.trace.requests[request].priority;
+        admits_priority(priority, self.waiting, WAITING_LIMIT, &self.policy.values)
+    }
+
+    /// Whether a model has a replica, or may get one now.
+    fn may_start(&self, model: usize) -> bool {
+        let base = self.base_of(model);
+        let held = !self.state.models[base].replicas.is_empty();
+        held || !self.trouble.log_down(self.state.now)
+    }
+
+    fn pick(&self, model: usize, prefix: u64) -> Option<usize> {
+        let ready: Vec<usize> = self.state.in_phase(model, ReplicaPhase::Ready).collect();
+        let candidates: Vec<PickCandidate> = ready
+            .iter()
+            .map(|replica| self.candidate(*replica))
+            .collect();
+        let index = pick_replica(&candidates, REPLICA_PLACES, prefix)?;
+        Some(ready[index])
+    }
+
+    fn candidate(&self, replica: usize) -> PickCandidate {
+        let carrier = self.carrier(replica);
+        let running = self.state.replicas[carrier].running;
+        let engine = &self.state.engines[self.state.replicas[replica].engine];
+        PickCandidate {
+            backend: engine.backend.clone(),
+            outstanding: running,
+            reported: running,
+            same_zone: false,
+        }
+    }
+
+    /// The base replica under an adapter, or the replica itself.
+    fn carrier(&self, replica: usize) -> usize {
+        let state = &self.state.replicas[replica];
+        let base = self.base_of(state.model);
+        let on_engine = |other: &usize| self.state.replicas[*other].engine == state.engine;
+        let replicas = self.state.models[base].replicas.iter().copied();
+        replicas.into_iter().find(on_engine).unwrap_or(replica)
+    }
+
+    fn start(&mut self, replica: usize, request: usize, cause: Option<WaitCause>) {
+        let arrival = self.trace.requests[request];
+        let wait = self.state.now.since(arrival.at);
+        self.record_wait(request, wait);
+        self.outcome.count(arrival.priority).served += 1;
+        let cause = cause.unwrap_or(WaitCause::Warm);
+        if let Some(recorder) = self.outcome.causes.get_mut(&cause) {
+            recorder.record(wait);
+        }
+        self.occupy(replica);
+        let end = self.state.now + arrival.service;
+        self.events.push(end, ReplayEvent::Ended { replica });
+    }
+
+    fn record_wait(&mut self, request: usize, wait: TimeSpan) {
+        let priority = self.trace.requests[request].priority;
+        if priority < self.policy.values.slack_from {
+            self.outcome.waits.record(wait);
+        } else {
+            self.outcome.slack.record(wait);
+        }
+    }
+
+    fn occupy(&mut self, replica: usize) {
+        let carrier = self.carrier(replica);
+        if carrier != replica {
+            self.state.replicas[replica].running += 1;
+        }
+        self.count_idle(carrier);
+        let engine = self.state.replicas[replica].engine;
+        self.count_awake(engine);
+        let state = &mut self.state.replicas[carrier];
+        state.running += 1;
+        state.stamp += 1;
+        self.state.engines[engine].running += 1;
+    }
+
+    fn ended(&mut self, replica: usize) {
+        let now = self.state.now;
+        let carrier = self.carrier(replica);
+        if carrier != replica {
+            self.state.replicas[replica].running -= 1;
+            self.state.replicas[replica].idle_since = now;
+        }
+        let engine = self.state.replicas[replica].engine;
+        let state = &mut self.state.replicas[carrier];
+        state.running -= 1;
+        let idle = state.running == 0;
+        let base = state.model;
+        state.idle_since = now;
+        let host = &mut self.state.engines[engine];
+        host.running -= 1;
+        host.idle_since = now;
+        self.serve_family(base);
+        if idle {
+            self.retry_starved();
+            self.schedule_keep(carrier);
+        }
+    }
+
+    /// Starts waiting requests of a model and its adapters.
+    pub(super) fn serve_family(&mut self, base: usize) {
+        for model in self.family(base) {
+            self.serve(model);
+        }
+    }
+
+    fn serve(&mut self, model: usize) {
+        while let Some(queued) = self.state.models[model].queue.front().copied() {
+            let prefix = self.trace.requests[queued.request].prefix;
+            let Some(replica) = self.pick(model, prefix) else {
+                return;
+            };
+            self.state.models[model].queue.pop_front();
+            self.waiting -= 1;
+            self.start(replica, queued.request, queued.cause);
+        }
+    }
+
+    fn expire(&mut self, request: usize) {
+        let arrival = self.trace.requests[request];
+        let queue = &mut self.state.models[arrival.model].queue;
+        let Some(index) = queue.iter().position(|queued| queued.request == request) else {
+            return;
+        };
+        queue.remove(index);
+        self.waiting -= 1;
+        self.outcome.count(arrival.priority).late += 1;
+        self.record_wait(request, arrival.deadline);
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/state.rs
@@ -0,0 +1,180 @@
+//! Engines, replicas and queues of a replay.
+
+use std::collections::VecDeque;
+
+use ward_policy::{EngineView, GapHistory, HeldReplica};
+use ward_protocol::{
+    BackendId, CacheTier, EngineRole, MemorySize, MonoTime, ReservationId, TimeSpan, ZoneName,
+};
+
+use super::outcome::WaitCause;
+use super::trace::RequestTrace;
+use super::workload::FleetShape;
+
+/// Phase of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReplicaPhase {
+    Loading,
+    Ready,
+    Gone,
+}
+
+/// A replica on an engine.
+#[derive(Debug, Clone)]
+pub(super) struct ReplicaState {
+    pub(super) model: usize,
+    pub(super) engine: usize,
+    pub(super) phase: ReplicaPhase,
+    pub(super) cause: WaitCause,
+    /// Requests on it, those of its adapters included.
+    pub(super) running: u32,
+    /// Since when it has run nothing.
+    pub(super) idle_since: MonoTime,
+    /// Changes whenever a scheduled check becomes stale.
+    pub(super) stamp: u32,
+    /// Time that its engine needs to come back first.
+    pub(super) wake: TimeSpan,
+}
+
+/// A waiting request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct QueuedRequest {
+    pub(super) request: usize,
+    pub(super) cause: Option<WaitCause>,
+}
+
+/// A model or adapter.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ModelState {
+    pub(super) history: GapHistory,
+    pub(super) queue: VecDeque<QueuedRequest>,
+    /// Replicas that are loading or ready.
+    pub(super) replicas: Vec<usize>,
+    /// Number of requests so far.
+    pub(super) arrivals: u32,
+    /// Arrival times, adapters' included; for rules that know the future.
+    pub(super) future: Vec<MonoTime>,
+}
+
+/// Whether a replica may be evicted.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HeldUse {
+    /// Whether requests run on it or wait for it or its adapters.
+    pub(super) busy: bool,
+    /// Whether the sheet wants it ready.
+    pub(super) wanted: bool,
+}
+
+/// An engine.
+#[derive(Debug, Clone)]
+pub(super) struct EngineState {
+    pub(super) backend: BackendId,
+    pub(super) zone: ZoneName,
+    pub(super) role: EngineRole,
+    pub(super) memory: MemorySize,
+    pub(super) replicas: Vec<usize>,
+    pub(super) running: u32,
+    /// Since when it has been awake and run nothing.
+    pub(super) idle_since: MonoTime,
+    /// Changes whenever a scheduled rest becomes stale.
+    pub(super) stamp: u32,
+    /// Where each model's checkpoint is cached.
+    pub(super) tiers: Vec<CacheTier>,
+    /// Models loaded from the disk cache, oldest first.
+    pub(super) disk: VecDeque<usize>,
+    /// Most models there.
+    pub(super) disk_limit: usize,
+}
+
+/// Engines of a fleet before the first request.
+pub(super) fn fleet_engines(
+    shape: &FleetShape,
+    trace: &RequestTrace,
+) -> Result<Vec<EngineState>, ward_protocol::id::IdError> {
+    let zones = shape.zones.iter().cycle().take(shape.engines);
+    zones
+        .enumerate()
+        .map(|(index, zone)| {
+            let model_tier = |model: &super::trace::TraceModel| model.tiers[index];
+            Ok(EngineState {
+                backend: format!("engine-{index:03}").parse()?,
+                zone: zone.clone(),
+                role: EngineRole::Standby,
+                memory: shape.memory,
+                replicas: Vec::new(),
+                running: 0,
+                idle_since: MonoTime::default(),
+                stamp: 0,
+                tiers: trace.models.iter().map(model_tier).collect(),
+                disk: VecDeque::new(),
+                disk_limit: shape.disk_checkpoints,
+            })
+        })
+        .collect()
+}
+
+/// Everything that a replay changes.
+#[derive(Debug)]
+pub(super) struct ReplayState {
+    pub(super) now: MonoTime,
+    pub(super) models: Vec<ModelState>,
+    pub(super) replicas: Vec<ReplicaState>,
+    pub(super) engines: Vec<EngineState>,
+}
+
+impl ReplayState {
+    /// Replicas of a model in a phase.
+    pub(super) fn in_phase(
+        &self,
+        model: usize,
+        phase: ReplicaPhase,
+    ) -> impl Iterator<Item = usize> + '_ {
+        let replicas = self.models[model].replicas.iter().copied();
+        replicas.filter(move |replica| self.replicas[*replica].phase == phase)
+    }
+
+    /// Engines as placement sees them for a model.
+    pub(super) fn engine_views(
+        &self,
+        trace: &RequestTrace,
+        model: usize,
+        held_use: impl Fn(usize) -> HeldUse,
+    ) -> Vec<EngineView> {
+        self.engines
+            .iter()
+            .map(|engine| EngineView {
+                backend: engine.backend.clone(),
+                zone: engine.zone.clone(),
+                role: engine.role,
+                memory: engine.memory,
+                counted: self.counted(trace, engine),
+                held: engine
+                    .replicas
+                    .iter()
+                    .map(|replica| self.held_replica(trace, *replica, held_use(*replica)))
+                    .collect(),
+                tier: engine.tiers[model],
+                load: engine.running,
+            })
+            .collect()
+    }
+
+    fn counted(&self, trace: &RequestTrace, engine: &EngineState) -> MemorySize {
+        let memory = |replica: &usize| trace.models[self.replicas[*replica].model].memory;
+        engine.replicas.iter().map(memory).sum()
+    }
+
+    fn held_replica(&self, trace: &RequestTrace, replica: usize, held_use: HeldUse) -> HeldReplica {
+        let state = &self.replicas[replica];
+        let model = &trace.models[state.model];
+        HeldReplica {
+            reservation: ReservationId(replica as u64),
+            key: model.key.clone(),
+            memory: model.memory,
+            priority: model.priority,
+            idle: (!held_use.busy).then(|| self.now.since(state.idle_since)),
+            wanted: held_use.wanted,
+            ready: state.phase == ReplicaPhase::Ready,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/replay/trouble.rs
@@ -0,0 +1,62 @@
+//! Trouble on the Saturday of a replayed week.
+
+use serde::{Deserialize, Serialize};
+use ward_protocol::{MonoTime, TimeSpan};
+
+const HOUR: u64 = 3_600;
+const SATURDAY: u64 = 5 * 24 * HOUR;
+const SLOW_FROM: MonoTime = MonoTime((SATURDAY + 6 * HOUR) * 1_000_000);
+const SLOW_TIME: TimeSpan = TimeSpan::from_secs(12 * HOUR);
+const SLOW_FACTOR: u32 = 4;
+const DOWN_FROM: MonoTime = MonoTime((SATURDAY + 9 * HOUR) * 1_000_000);
+const DOWN_TIME: TimeSpan = TimeSpan::from_secs(600);
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplayTrouble {
+    /// Nothing.
+    None,
+    /// The weight store takes four times as long from 06:00 to 18:00.
+    StoreSlow,
+    /// The log is down from 09:00 to 09:10: no reservation can be made.
+    LogDown,
+}
+
+impl ReplayTrouble {
+    /// All kinds.
+    pub const ALL: [Self; 3] = [Self::None, Self::StoreSlow, Self::LogDown];
+
+    /// Whether no reservation can be made.
+    #[must_use]
+    pub fn log_down(self, now: MonoTime) -> bool {
+        self == Self::LogDown && (DOWN_FROM..DOWN_FROM + DOWN_TIME).contains(&now)
+    }
+
+    /// When reservations can be made again.
+    #[must_use]
+    pub fn log_back(self) -> MonoTime {
+        DOWN_FROM + DOWN_TIME
+    }
+
+    /// Factor on load times from the weight store.
+    #[must_use]
+    pub fn store_factor(self, now: MonoTime) -> u32 {
+        let slow = (SLOW_FROM..SLOW_FROM + SLOW_TIME).contains(&now);
+        if self == Self::StoreSlow && slow {
+            SLOW_FACTOR
+        } else {
+            1
+        }
+    }
+
+    /// Its name in tables.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::StoreSlow => "store slow",
+            Self::LogDown => "log down",
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/report/target.rs
@@ -0,0 +1,137 @@
+//! How the project's policy stands against the baselines.
+
+use indexmap::IndexSet;
+use serde::Serialize;
+
+use super::curve::{CurvePoint, family_curve, idle_at_wait, wait_at_idle};
+use crate::replay::{PolicyFamily, ReplayRow, ReplayTrouble};
+
+/// Median, least and greatest of a figure over seeds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct SeedSpread {
+    /// Median.
+    pub median: f64,
+    /// Least.
+    pub least: f64,
+    /// Greatest.
+    pub greatest: f64,
+    /// Seeds that have the figure.
+    pub seeds: usize,
+}
+
+impl SeedSpread {
+    /// The spread of some figures.
+    #[must_use]
+    pub fn of(figures: impl IntoIterator<Item = f64>) -> Option<Self> {
+        let mut figures: Vec<f64> = figures.into_iter().collect();
+        figures.sort_by(f64::total_cmp);
+        Some(Self {
+            median: *figures.get(figures.len() / 2)?,
+            least: *figures.first()?,
+            greatest: *figures.last()?,
+            seeds: figures.len(),
+        })
+    }
+}
+
+/// One setting of the project's policy against the curves of the others.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct TargetRow {
+    /// The workload's name.
+    pub workload: String,
+    /// What went wrong.
+    pub trouble: ReplayTrouble,
+    /// The policy's name.
+    pub policy: String,
+    /// Its idle accelerator hours.
+    pub idle: SeedSpread,
+    /// Its 99th percentile of the wait in seconds.
+    pub p99: SeedSpread,
+    /// That against the best fixed time with as many idle hours.
+    pub p99_to_fixed: Option<SeedSpread>,
+    /// That against the clairvoyant keep rule with as many idle hours.
+    pub p99_to_clairvoyant: Option<SeedSpread>,
+    /// Idle hours against the best fixed time with the same p99.
+    pub idle_to_fixed: Option<SeedSpread>,
+    /// Its mean wait in seconds.
+    pub mean: SeedSpread,
+    /// That against the best fixed time with as many idle hours.
+    pub mean_to_fixed: Option<SeedSpread>,
+    /// Idle hours against the best fixed time with the same mean wait.
+    pub idle_to_fixed_by_mean: Option<SeedSpread>,
+}
+
+/// Waits below this many seconds are not told apart: no load is that short.
+const NEGLIGIBLE_SECONDS: f64 = 0.05;
+
+/// Compares every setting of the project's policy, workload by workload.
+#[must_use]
+pub fn compare_targets(rows: &[ReplayRow]) -> Vec<TargetRow> {
+    let ours = rows.iter().filter(|row| row.family == PolicyFamily::Ours);
+    let groups: IndexSet<(&str, &str, &str)> = ours
+        .map(|row| {
+            (
+                row.workload.as_str(),
+                row.trouble.name(),
+                row.policy.as_str(),
+            )
+        })
+        .collect();
+    groups
+        .into_iter()
+        .filter_map(|(workload, trouble, policy)| {
+            let chosen: Vec<&ReplayRow> = rows
+                .iter()
+                .filter(|row| row.workload == workload && row.trouble.name() == trouble)
+                .collect();
+            compare_policy(&chosen, policy)
+        })
+        .collect()
+}
+
+fn compare_policy(rows: &[&ReplayRow], policy: &str) -> Option<TargetRow> {
+    let ours: Vec<&ReplayRow> = rows
+        .iter()
+        .copied()
+        .filter(|row| row.policy == policy)
+        .collect();
+    let first = ours.first()?;
+    let against = |family, wait: fn(&ReplayRow) -> f64, ratio: RatioRule| {
+        let ratios = ours.iter().filter_map(|row| {
+            let same_seed = rows.iter().copied().filter(|other| other.seed == row.seed);
+            let curve = family_curve(same_seed, family, wait);
+            ratio(row.idle_hours, wait(row), &curve)
+        });
+        SeedSpread::of(ratios)
+    };
+    let p99 = |row: &ReplayRow| row.waits.p99;
+    let mean = |row: &ReplayRow| row.waits.mean;
+    Some(TargetRow {
+        workload: first.workload.clone(),
+        trouble: first.trouble,
+        policy: policy.to_owned(),
+        idle: SeedSpread::of(ours.iter().map(|row| row.idle_hours))?,
+        p99: SeedSpread::of(ours.iter().map(|row| row.waits.p99))?,
+        p99_to_fixed: against(PolicyFamily::Fixed, p99, wait_ratio),
+        p99_to_clairvoyant: against(PolicyFamily::Clairvoyant, p99, wait_ratio),
+        mean: SeedSpread::of(ours.iter().map(|row| row.waits.mean))?,
+        mean_to_fixed: against(PolicyFamily::Fixed, mean, wait_ratio),
+        idle_to_fixed_by_mean: against(PolicyFamily::Fixed, mean, idle_ratio),
+        idle_to_fixed: against(PolicyFamily::Fixed, p99, idle_ratio),
+    })
+}
+
+type RatioRule = fn(f64, f64, &[CurvePoint]) -> Option<f64>;
+
+/// Ratio of waits at equal idle hours; nothing where both are negligible or the curve starts later.
+fn wait_ratio(idle: f64, wait: f64, curve: &[CurvePoint]) -> Option<f64> {
+    let other = wait_at_idle(curve, idle)?;
+    let both = wait < NEGLIGIBLE_SECONDS && other < NEGLIGIBLE_SECONDS;
+    (!both).then(|| wait.max(NEGLIGIBLE_SECONDS) / other.max(NEGLIGIBLE_SECONDS))
+}
+
+/// Ratio of idle hours at equal waits; nothing where the curve never reaches it.
+fn idle_ratio(idle: f64, wait: f64, curve: &[CurvePoint]) -> Option<f64> {
+    let other = idle_at_wait(curve, wait)?;
+    (other > 0.0).then(|| idle / other)
+}
--- a/crates/ward-policy/src/keep.rs
+++ b/crates/ward-policy/src/keep.rs
@@ -10,6 +10,7 @@
 use ward_protocol::{MonoTime, PolicyValues, TimeSpan};
 
 use crate::gaps::{GAP_BUCKETS, GapBuckets, bucket_start};
+use crate::schedule::WarmSchedule;
 
 /// Weights beyond this are cut, so that a price stays finite.
 const LARGEST_WEIGHT: f64 = 0.999;
@@ -63,6 +64,12 @@
         self.keep_time_of(values, &KeepTerms { load, share: 1.0 })
     }
 
+    /// When a replica should be loaded after its last request.
+    #[must_use]
+    pub fn schedule(&self, values: &PolicyValues, terms: &KeepTerms) -> WarmSchedule {
+        WarmSchedule::keep(self.keep_time_of(values, terms))
+    }
+
     /// How long to keep a replica after its last request.
     #[must_use]
     pub fn keep_time_of(&self, values: &PolicyValues, terms: &KeepTerms) -> TimeSpan {
--- a/crates/ward-policy/src/lib.rs
+++ b/crates/ward-policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod place;
 pub mod rendezvous;
 pub mod scale;
+pub mod schedule;
 pub mod slack;
 pub mod standby;
 
@@ -24,5 +25,6 @@
 };
 pub use rendezvous::rendezvous_score;
 pub use scale::{ScaleView, scale_out};
+pub use schedule::{WarmSchedule, WarmSpan};
 pub use slack::{SlackView, slack_left};
 pub use standby::{StandbyChoice, StandbyView, standby_choice};
