--- a/crates/ward-control/src/engines/status.rs
+++ b/crates/ward-control/src/engines/status.rs
@@ -75,12 +75,18 @@
         silent.is_some_and(|at| self.now.since(at) >= span)
     }
 
-    /// Whether some engine of this daemon does not report.
-    pub(crate) fn has_silent_engine(&self) -> bool {
-        self.engines
-            .owned
-            .values()
-            .any(|duty| duty.silent.is_some())
+    /// Whether this daemon owns an engine and got its last status.
+    pub(crate) fn hears_engine(&self, backend: &BackendId) -> bool {
+        let duty = self.engines.owned.get(backend);
+        duty.is_some_and(|duty| duty.silent.is_none() && duty.status.is_some())
+    }
+
+    /// Whether some engine of this daemon doesn't report, or is said to leave.
+    pub(crate) fn has_doubtful_engine(&self) -> bool {
+        self.engines.owned.iter().any(|(backend, duty)| {
+            let state = self.state.backends().get(backend);
+            duty.silent.is_some() || state.is_some_and(|state| state.leaving)
+        })
     }
 
     /// Gives an engine up that others may be able to reach.
--- a/crates/ward-control/src/hosts.rs
+++ b/crates/ward-control/src/hosts.rs
@@ -63,12 +63,13 @@
             info: entry.info.clone(),
         }),
         (Some(entry), Some(state)) => {
-            if entry.state == HostState::Leaving && !state.leaving {
-                return Some(ControlRecord::BackendLeaving {
+            if entry.state == HostState::Leaving {
+                return (!state.leaving).then(|| ControlRecord::BackendLeaving {
                     backend: id.clone(),
                 });
             }
-            (entry.info != state.info).then(|| ControlRecord::BackendSeen {
+            let stays = state.leaving && !core.reports_leaving(id);
+            (stays || entry.info != state.info).then(|| ControlRecord::BackendSeen {
                 info: entry.info.clone(),
             })
         }
@@ -83,9 +84,9 @@
     pub(crate) fn run_hosts(&mut self) {
         let rank = self.watcher_rank();
         // Without the log nobody is told that a host leaves, so all look themselves;
-        // the owner of a silent engine looks whether its host is gone.
+        // the owner of a silent or leaving engine looks what has become of its host.
         let cut_off = self.start.has_state() && !self.has_authority();
-        if rank.is_none() && !cut_off && !self.has_silent_engine() {
+        if rank.is_none() && !cut_off && !self.has_doubtful_engine() {
             return;
         }
         self.ask_hosts();
@@ -153,12 +154,23 @@
         }
     }
 
+    fn is_logged_leaving(&self, backend: &BackendId) -> bool {
+        let state = self.state.backends().get(backend);
+        state.is_some_and(|state| state.leaving)
+    }
+
     /// Whether this daemon has to append a difference that stands since `since`.
     fn is_due(&self, body: &ControlRecord, since: MonoTime, rank: Option<u32>) -> bool {
         let stood = self.now.since(since);
         let delay = rank.map(|rank| TimeSpan::from_millis(RANK_DELAY.millis() * u64::from(rank)));
-        let ControlRecord::BackendGone { backend } = body else {
-            return delay.is_some_and(|delay| stood >= delay);
+        let backend = match body {
+            ControlRecord::BackendGone { backend } => backend,
+            ControlRecord::BackendSeen { info } if self.is_logged_leaving(&info.backend) => {
+                let heard = self.hears_engine(&info.backend);
+                let service = info.kind == BackendKind::Service && rank.is_some();
+                return (heard || service) && stood >= VANISHED_AFTER;
+            }
+            _ => return delay.is_some_and(|delay| stood >= delay),
         };
         let Some(state) = self.state.backends().get(backend) else {
             return false;
--- a/crates/ward-control/src/models/leaving.rs
+++ b/crates/ward-control/src/models/leaving.rs
@@ -17,7 +17,8 @@
         logged || self.hosts.says_leaving(backend) || self.reports_leaving(backend)
     }
 
-    fn reports_leaving(&self, backend: &BackendId) -> bool {
+    /// Whether an engine of this daemon says that it leaves.
+    pub(crate) fn reports_leaving(&self, backend: &BackendId) -> bool {
         let duty = self.engines.owned.get(backend);
         let status = duty.and_then(|duty| duty.status.as_ref());
         status.is_some_and(|(_, status)| status.leaving)
--- a/crates/ward-matrix/examples/chaos.rs
+++ b/crates/ward-matrix/examples/chaos.rs
@@ -24,6 +24,12 @@
         }
         if let CellOutcome::Broken(breach) = outcome {
             println!("seed {seed}: {breach}");
+            if numbers.len() == 1 {
+                let state = &world.log().truth;
+                println!("{:#?}", state.reservations());
+                println!("{:#?}", state.backends());
+                println!("{:#?}", state.members().keys());
+            }
         }
     }
     println!("{} sessions", to - from);
--- a/crates/ward-state/src/apply/backends.rs
+++ b/crates/ward-state/src/apply/backends.rs
@@ -17,11 +17,18 @@
     pub(super) fn backend_seen(&mut self, origin: &ProposalOrigin, info: BackendInfo) -> Verdict {
         let id = info.backend.clone();
         if let Some(state) = self.backends.get_mut(&id) {
-            if state.info == info {
+            // A copy of the list that lags must not take back that an engine
+            // leaves; its owner may, who hears it from the engine itself.
+            let trusted = match state.info.kind {
+                BackendKind::Engine => state.owner.as_ref() == Some(&origin.sender),
+                BackendKind::Service => true,
+            };
+            let stays = state.leaving && trusted;
+            if state.info == info && !stays {
                 return Err(RejectReason::NoChange);
             }
-            // A copy of the list that lags must not take back that it leaves.
             state.info = info;
+            state.leaving &= !stays;
             return Ok(());
         }
         let former = self
