Load times are learned; a load's expected end no longer moves away

Cause: every view said 'ready in load_remote from now', also for a load that was nearly done, and the setting alone decided on early refusals: with 5 s set and 0.4 s true, a request with 4 s was refused (202). Ruled out: load times in the engines' status (another field for each engine to get right); messages between daemons (every daemon sees Reserve and Ready). Change: the time from a reservation's record to its Ready is learned per key, and per GiB for unknown keys; a load's expected end counts from when its reservation was seen. The pace is learned only from the live log, since a start reads years in a millisecond. Seen besides: a refused request may still begin its model's load; that is wanted, since the caller is told when to come back.

--- a/crates/ward-control/src/models/mod.rs
+++ b/crates/ward-control/src/models/mod.rs
@@ -5,6 +5,7 @@
 mod hints;
 mod keep;
 mod leaving;
+pub(crate) mod pace;
 mod place;
 mod wake;
 
@@ -15,6 +16,7 @@
 };
 
 use crate::core::ControlCore;
+use pace::LoadPace;
 
 /// Requests of one daemon that wait for a key.
 #[derive(Debug, Clone)]
@@ -61,6 +63,8 @@
     version: Option<(u64, u64)>,
     /// When this daemon last began to decide.
     since: Option<MonoTime>,
+    /// How long loads take.
+    pub(crate) pace: LoadPace,
     /// Why keys have no replica on their way.
     pub(crate) estimates: IndexMap<ReplicaKey, LoadEstimate>,
 }
--- a/crates/ward-control/src/models/pace.rs
+++ b/crates/ward-control/src/models/pace.rs
@@ -17,7 +17,13 @@
 const KEY_LIMIT: usize = 4_096;
 /// Loads of any model after which their average stands for unknown ones.
 const KNOWN_LOADS: u32 = 3;
-const BYTES_PER_GIB: f64 = (1_u64 << 30) as f64;
+const BYTES_PER_GIB: f64 = 1_073_741_824.0;
+
+/// A load that has ended well.
+pub(crate) struct EndedLoad {
+    pub(crate) key: ReplicaKey,
+    pub(crate) memory: MemorySize,
+}
 
 /// What is known of the time of loads.
 #[derive(Debug, Default)]
@@ -36,27 +42,25 @@
         body: &ControlRecord,
         now: MonoTime,
         live: bool,
-        held: impl Fn(ReservationId) -> Option<(ReplicaKey, MemorySize)>,
+        held: impl Fn(ReservationId) -> Option<EndedLoad>,
     ) {
-        match body {
-            ControlRecord::Reserve { .. } => {
-                self.begun.insert(ReservationId(offset.0), now);
-            }
-            ControlRecord::Ready { reservation } => {
-                let begun = self.begun.swap_remove(reservation);
-                if let (Some(begun), Some((key, memory)), true) = (begun, held(*reservation), live)
-                {
-                    self.learn(key, memory, now.since(begun));
-                }
-            }
-            ControlRecord::Release { reservation, .. } => {
-                self.begun.swap_remove(reservation);
-            }
-            _ => {}
+        if matches!(body, ControlRecord::Reserve { .. }) {
+            self.begun.insert(ReservationId(offset.0), now);
+        }
+        if let ControlRecord::Release { reservation, .. } = body {
+            self.begun.swap_remove(reservation);
+        }
+        let ControlRecord::Ready { reservation } = body else {
+            return;
+        };
+        let begun = self.begun.swap_remove(reservation);
+        if let (Some(begun), Some(load), true) = (begun, held(*reservation), live) {
+            self.learn(load, now.since(begun));
         }
     }
 
-    fn learn(&mut self, key: ReplicaKey, memory: MemorySize, took: TimeSpan) {
+    fn learn(&mut self, load: EndedLoad, took: TimeSpan) {
+        let EndedLoad { key, memory } = load;
         if !key.is_adapter() && memory > MemorySize::ZERO {
             let pace = took.seconds() / gibibytes(memory);
             self.seconds_per_gib = if self.loads == 0 {
--- a/crates/ward-control/src/models/place.rs
+++ b/crates/ward-control/src/models/place.rs
@@ -208,12 +208,19 @@
         self.models.estimates.insert(want.key.clone(), estimate);
     }
 
-    /// Expected time of a load.
+    /// Expected time of a load that is reserved now.
     pub(crate) fn load_time(&self, key: &ReplicaKey) -> TimeSpan {
-        if key.is_adapter() {
-            self.config.policy.load_adapter
-        } else {
-            self.config.policy.load_remote
-        }
+        let memory = self.state.row(key).map(|row| row.memory);
+        let policy = &self.config.policy;
+        self.models
+            .pace
+            .load_time(key, memory.unwrap_or_default(), policy)
+    }
+
+    /// Expected time until a reserved replica answers.
+    pub(crate) fn load_left(&self, id: ReservationId, key: &ReplicaKey) -> TimeSpan {
+        let whole = self.load_time(key);
+        let age = self.models.pace.age(id, self.now);
+        TimeSpan::from_micros(whole.micros().saturating_sub(age.micros()))
     }
 }
--- a/crates/ward-control/src/reader.rs
+++ b/crates/ward-control/src/reader.rs
@@ -3,14 +3,15 @@
 use std::collections::VecDeque;
 
 use ward_protocol::{
-    CodecError, ControlEnvelope, LogOffset, LogStream, MonoTime, PlanEnvelope, RawRecord, TimeSpan,
-    codec, record::RECORD_FORMAT,
+    CodecError, ControlEnvelope, ControlRecord, LogOffset, LogStream, MonoTime, PlanEnvelope,
+    RawRecord, TimeSpan, codec, record::RECORD_FORMAT,
 };
 use ward_state::{ApplyOutcome, PlanOutcome};
 
 use crate::action::ControlAction;
 use crate::core::ControlCore;
 use crate::defect::DefectKind;
+use crate::models::pace::EndedLoad;
 
 /// Time after which a read without an answer is repeated.
 const READ_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
@@ -276,18 +277,34 @@
             }
         };
         let id = envelope.id;
+        let body = envelope.body.clone();
         match self.state.apply_control(record.offset, envelope) {
             ApplyOutcome::NeedsPlan(_) => {
                 self.reader.plan.urgent = true;
                 return false;
             }
-            ApplyOutcome::Applied => self.changed = true,
+            ApplyOutcome::Applied => {
+                self.changed = true;
+                self.note_pace(record.offset, &body);
+            }
             ApplyOutcome::Rejected(_) => {}
         }
         self.note_applied(id);
         true
     }
 
+    fn note_pace(&mut self, offset: LogOffset, body: &ControlRecord) {
+        let live = self.has_authority();
+        let reservations = self.state.reservations();
+        let held = |id| {
+            reservations.get(&id).map(|state| EndedLoad {
+                key: state.key.clone(),
+                memory: state.memory,
+            })
+        };
+        self.models.pace.note(offset, body, self.now, live, held);
+    }
+
     fn passes_newer(&self) -> bool {
         self.config.defects.has(DefectKind::SkipNewerFormat)
     }
--- a/crates/ward-control/src/view.rs
+++ b/crates/ward-control/src/view.rs
@@ -109,7 +109,7 @@
             let replica = LoadingReplica {
                 reservation: *id,
                 backend: state.backend.clone(),
-                expected: self.wall + self.load_time(&state.key),
+                expected: self.wall + self.load_left(*id, &state.key),
             };
             loading.entry(state.key.clone()).or_default().push(replica);
         }
--- a/crates/ward-test-support/src/caller.rs
+++ b/crates/ward-test-support/src/caller.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::Method;
+use http::{HeaderValue, Method, Request};
+use http_body_util::Full;
 use serde_json::{Value, json};
 use ward_http::{CallBounds, CallError, HttpCaller, HttpReply, json_request};
 use ward_protocol::TimeSpan;
@@ -63,7 +64,7 @@
         }
     }
 
-    /// Sends a chat completion.
+    /// Sends a chat completion without a time limit of its own.
     ///
     /// # Errors
     /// When no whole answer comes.
@@ -73,6 +74,32 @@
         prompt: &str,
         stream: bool,
     ) -> Result<HttpReply, CallError> {
+        let request = self.chat_request(model, prompt, stream)?;
+        self.caller.call(request, BOUNDS).await
+    }
+
+    /// Sends a chat completion that is worth something for `limit` only.
+    ///
+    /// # Errors
+    /// When no whole answer comes.
+    pub async fn chat_within(
+        &self,
+        model: &str,
+        prompt: &str,
+        limit: TimeSpan,
+    ) -> Result<HttpReply, CallError> {
+        let mut request = self.chat_request(model, prompt, false)?;
+        let millis = HeaderValue::from(limit.millis());
+        request.headers_mut().insert("request-timeout", millis);
+        self.caller.call(request, BOUNDS).await
+    }
+
+    fn chat_request(
+        &self,
+        model: &str,
+        prompt: &str,
+        stream: bool,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
         let body = json!({
             "model": model,
             "stream": stream,
@@ -80,8 +107,7 @@
             "messages": [{ "role": "user", "content": prompt }],
         });
         let body = Bytes::from(body.to_string());
-        let request = json_request(Method::POST, self.address, "/v1/chat/completions", body)?;
-        self.caller.call(request, BOUNDS).await
+        json_request(Method::POST, self.address, "/v1/chat/completions", body)
     }
 
     /// Calls a plain service, under a key if its calls may not be repeated.
