At most two sheets are read at a time; plan commands come first in the help

A sheet takes many times its size while it is read, and daemons have 32 MB for control, so uploads wait for a place and a sheet has at most 8 MiB.

--- a/crates/ward-cli/src/app.rs
+++ b/crates/ward-cli/src/app.rs
@@ -18,25 +18,22 @@
 /// The whole command line for the parser.
 #[must_use]
 pub fn command_line() -> Command {
-    let mut root = command!()
+    let (plan_entries, others): (Vec<_>, Vec<_>) =
+        ALL_COMMANDS.iter().partition(|entry| entry.words.len() > 1);
+    let plan = Command::new("plan")
+        .about("Checks, submits and follows plans")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(plan_entries.iter().map(CommandEntry::command));
+    command!()
         .name(PROGRAM)
         .about("Drives a deployment of persimmonward")
         .args(global_arguments())
         .after_help(exit_help())
         .subcommand_required(true)
-        .arg_required_else_help(true);
-    let mut plan = Command::new("plan")
-        .about("Checks, submits and follows plans")
-        .subcommand_required(true)
-        .arg_required_else_help(true);
-    for entry in ALL_COMMANDS {
-        if entry.words.len() > 1 {
-            plan = plan.subcommand(entry.command());
-        } else {
-            root = root.subcommand(entry.command());
-        }
-    }
-    root.subcommand(plan)
+        .arg_required_else_help(true)
+        .subcommand(plan)
+        .subcommands(others.iter().map(CommandEntry::command))
 }
 
 /// Runs a command line and prints what comes of it.
--- a/crates/ward-operator/src/route/plan.rs
+++ b/crates/ward-operator/src/route/plan.rs
@@ -31,6 +31,7 @@
 
 /// Checks a sheet against the newest accepted plan.
 pub(super) async fn check(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let _place = server.upload_place().await?;
     let sheet = PlanSheet::read(&read_body(request).await?)?;
     let current = (server.calls.plan)(None).await?;
     checked(&server, &current, &sheet).await
@@ -39,6 +40,7 @@
 /// Submits a sheet.
 pub(super) async fn submit(server: Arc<OperatorServer>, request: Request) -> RouteResult {
     let query: SubmitQuery = read_query(&request)?;
+    let _place = server.upload_place().await?;
     let sheet = PlanSheet::read(&read_body(request).await?)?;
     let current = current_plan(&server, query.base).await?;
     if query.dry_run {
--- a/crates/ward-operator/src/route/query.rs
+++ b/crates/ward-operator/src/route/query.rs
@@ -12,7 +12,7 @@
 
 use crate::error::OperatorError;
 
-const BODY_TIME: Duration = Duration::from_secs(30);
+const BODY_TIME: Duration = Duration::from_secs(10);
 
 /// Reads the query of a request.
 pub(super) fn read_query<T: DeserializeOwned>(request: &Request) -> Result<T, OperatorError> {
--- a/crates/ward-operator/src/server.rs
+++ b/crates/ward-operator/src/server.rs
@@ -1,10 +1,12 @@
 //! What all routes share.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use http::header::AUTHORIZATION;
 use prometheus::Registry;
 use slog::{Logger, warn};
+use tokio::sync::{Semaphore, SemaphorePermit};
 use viz::{Request, RequestExt};
 use ward_protocol::ResultCode;
 
@@ -13,6 +15,9 @@
 use crate::metrics::OperatorMetrics;
 use crate::token::TokenDigest;
 
+/// Sheets that are read at a time; each may take many times its size in memory.
+pub const MAX_UPLOADS: usize = 2;
+
 /// What all routes share.
 #[derive(Clone)]
 pub struct OperatorServer {
@@ -26,6 +31,8 @@
     pub metrics: OperatorMetrics,
     /// Where log lines go.
     pub log: Logger,
+    /// Places for sheets that are read at a time.
+    uploads: Arc<Semaphore>,
 }
 
 impl OperatorServer {
@@ -46,9 +53,19 @@
             registry,
             metrics,
             log,
+            uploads: Arc::new(Semaphore::new(MAX_UPLOADS)),
         })
     }
 
+    /// Waits for a place to read a sheet.
+    ///
+    /// # Errors
+    /// When the daemon is stopping.
+    pub async fn upload_place(&self) -> Result<SemaphorePermit<'_>, OperatorError> {
+        let place = self.uploads.acquire().await;
+        place.map_err(|_| OperatorError::refused(ResultCode::Stopping, "no sheets are read now"))
+    }
+
     /// Refuses a call without the token.
     ///
     /// # Errors
--- a/crates/ward-operator/tests/api.rs
+++ b/crates/ward-operator/tests/api.rs
@@ -242,3 +242,14 @@
     expect_that!(found.retry_after, some(eq(1)));
     expect_that!(daemon.submitted(), len(eq(1)));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn submit_many_at_once() {
+    let daemon = FakeDaemon::default();
+    let client = daemon.start().await;
+    let path = format!("{SUBMIT}&dry_run=true");
+    let calls = (0..32).map(|_| client.call("POST", &path, Some(TOKEN), SHEET));
+    let answers = futures::future::join_all(calls).await;
+    expect_that!(answers.iter().all(|answer| answer.status == 200), eq(true));
+}
--- a/crates/ward-plan/src/text.rs
+++ b/crates/ward-plan/src/text.rs
@@ -5,7 +5,7 @@
 use crate::mistake::{SheetMistake, SheetProblem};
 
 /// Most bytes of a sheet.
-pub const MAX_BYTES: usize = 16 << 20;
+pub const MAX_BYTES: usize = 8 << 20;
 
 const BYTE_ORDER_MARK: char = '\u{feff}';
 
--- a/crates/ward-plan/tests/page.rs
+++ b/crates/ward-plan/tests/page.rs
@@ -53,6 +53,6 @@
         expect_that!(page, contains_substring(format!("\n| `{column}` | ")));
     }
     expect_that!(MAX_ROWS, eq(100_000));
-    expect_that!(MAX_BYTES, eq(16 << 20));
-    expect_that!(page, contains_substring("At most 100,000 rows and 16 MiB"));
+    expect_that!(MAX_BYTES, eq(8 << 20));
+    expect_that!(page, contains_substring("At most 100,000 rows and 8 MiB"));
 }
