--- a/crates/ward-operator/src/route/query.rs
+++ b/crates/ward-operator/src/route/query.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 use viz::{Request, RequestExt};
-use ward_plan::text::MAX_BYTES;
+use ward_plan::MAX_BYTES;
 use ward_protocol::ResultCode;
 
 use crate::error::OperatorError;
--- a/crates/ward-operator/tests/api.rs
+++ b/crates/ward-operator/tests/api.rs
@@ -97,7 +97,7 @@
 async fn submit_too_large() {
     let daemon = FakeDaemon::default();
     let client = daemon.start().await;
-    let sheet = "x".repeat(ward_plan::text::MAX_BYTES + 1);
+    let sheet = "x".repeat(ward_plan::MAX_BYTES + 1);
     let found = problem(&client, "POST", SUBMIT, &sheet).await;
     expect_that!(found.code, eq(ResultCode::BodyTooLarge.number()));
 }
--- a/crates/ward-plan/src/cell.rs
+++ b/crates/ward-plan/src/cell.rs
@@ -12,7 +12,7 @@
 ///
 /// # Errors
 /// When the cell is empty or names no model version, adapter or service.
-pub fn read_target(cell: &str) -> Result<RowTarget, SheetProblem> {
+pub(crate) fn read_target(cell: &str) -> Result<RowTarget, SheetProblem> {
     filled(cell)?.parse().map_err(SheetProblem::Target)
 }
 
@@ -20,7 +20,7 @@
 ///
 /// # Errors
 /// When a name is not valid or is there twice.
-pub fn read_zones(cell: &str) -> Result<Vec<ZoneName>, SheetProblem> {
+pub(crate) fn read_zones(cell: &str) -> Result<Vec<ZoneName>, SheetProblem> {
     read_list(cell, |item| {
         item.parse()
             .map_err(|_| SheetProblem::Zone(item.to_owned()))
@@ -31,7 +31,7 @@
 ///
 /// # Errors
 /// When a role is unknown, can hold nothing, or is there twice.
-pub fn read_roles(cell: &str) -> Result<Vec<EngineRole>, SheetProblem> {
+pub(crate) fn read_roles(cell: &str) -> Result<Vec<EngineRole>, SheetProblem> {
     read_list(cell, |item| match item {
         "serving" => Ok(EngineRole::Serving),
         "prefill" => Ok(EngineRole::Prefill),
@@ -59,7 +59,7 @@
 ///
 /// # Errors
 /// When the cell is not a whole number in range.
-pub fn read_count(cell: &str) -> Result<u16, SheetProblem> {
+pub(crate) fn read_count(cell: &str) -> Result<u16, SheetProblem> {
     let cell = filled(cell)?;
     if !cell.bytes().all(|byte| byte.is_ascii_digit()) {
         return Err(SheetProblem::Count);
@@ -71,7 +71,7 @@
 ///
 /// # Errors
 /// When the cell is neither empty nor a time of day.
-pub fn read_ready_from(cell: &str) -> Result<Option<DayTime>, SheetProblem> {
+pub(crate) fn read_ready_from(cell: &str) -> Result<Option<DayTime>, SheetProblem> {
     if cell.is_empty() {
         return Ok(None);
     }
@@ -82,7 +82,7 @@
 ///
 /// # Errors
 /// When the cell is not a priority level.
-pub fn read_priority(cell: &str) -> Result<PriorityLevel, SheetProblem> {
+pub(crate) fn read_priority(cell: &str) -> Result<PriorityLevel, SheetProblem> {
     read_unit(cell)
 }
 
@@ -90,7 +90,7 @@
 ///
 /// # Errors
 /// When the cell is not a memory size with its unit.
-pub fn read_memory(cell: &str) -> Result<MemorySize, SheetProblem> {
+pub(crate) fn read_memory(cell: &str) -> Result<MemorySize, SheetProblem> {
     read_unit(cell)
 }
 
@@ -102,7 +102,7 @@
 ///
 /// # Errors
 /// When the cell says neither yes nor no.
-pub fn read_repeatable(cell: &str) -> Result<bool, SheetProblem> {
+pub(crate) fn read_repeatable(cell: &str) -> Result<bool, SheetProblem> {
     match filled(cell)? {
         "yes" => Ok(true),
         "no" => Ok(false),
--- a/crates/ward-plan/src/check.rs
+++ b/crates/ward-plan/src/check.rs
@@ -8,7 +8,7 @@
 use crate::read::DraftRow;
 
 /// The mistakes between the cells of one row.
-pub fn check_row(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
+pub(crate) fn check_row(row: &DraftRow, mistakes: &mut Vec<SheetMistake>) {
     match &row.target {
         Some(RowTarget::Service(_)) => check_service(row, mistakes),
         Some(RowTarget::Replica(_)) => check_replica(row, mistakes),
@@ -24,7 +24,7 @@
         let problem = SheetProblem::ReadyOverReplicas(replicas);
         mistakes.push(row.mistake(SheetColumn::Ready, problem));
     }
-    if ready == 0 && row.ready_from.flatten().is_some() {
+    if ready == 0 && row.ready_from.is_some() {
         mistakes.push(row.mistake(SheetColumn::ReadyFrom, SheetProblem::TimeWithoutReady));
     }
 }
@@ -39,7 +39,7 @@
             row.replicas.is_some_and(|count| count > 0),
         ),
         (SheetColumn::Ready, row.ready.is_some_and(|count| count > 0)),
-        (SheetColumn::ReadyFrom, row.ready_from.flatten().is_some()),
+        (SheetColumn::ReadyFrom, row.ready_from.is_some()),
         (SheetColumn::Memory, memory),
     ];
     for (column, given) in meaningless {
@@ -60,7 +60,7 @@
 }
 
 /// The mistakes between rows.
-pub fn check_rows(rows: &[DraftRow], mistakes: &mut Vec<SheetMistake>) {
+pub(crate) fn check_rows(rows: &[DraftRow], mistakes: &mut Vec<SheetMistake>) {
     let mut known: IndexMap<&RowTarget, &DraftRow> = IndexMap::new();
     for row in rows {
         let Some(target) = &row.target else {
--- a/crates/ward-plan/src/lib.rs
+++ b/crates/ward-plan/src/lib.rs
@@ -16,18 +16,19 @@
 //! places, and a sheet goes onto the log as changed rows only when those rows
 //! give back its order.
 
-pub mod cell;
-pub mod change;
-pub mod check;
-pub mod column;
-pub mod difference;
-pub mod mistake;
-pub mod read;
-pub mod sheet;
-pub mod text;
-pub mod write;
+mod cell;
+mod change;
+mod check;
+mod column;
+mod difference;
+mod mistake;
+mod read;
+mod sheet;
+mod text;
+mod write;
 
 pub use column::SheetColumn;
 pub use difference::{ChangedRow, SheetDifference};
 pub use mistake::{SheetError, SheetMistake, SheetProblem};
-pub use sheet::PlanSheet;
+pub use sheet::{MAX_ROWS, PlanSheet};
+pub use text::MAX_BYTES;
--- a/crates/ward-plan/src/read.rs
+++ b/crates/ward-plan/src/read.rs
@@ -12,49 +12,49 @@
 
 /// Where each column stands in a line.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ColumnPlaces {
+pub(crate) struct ColumnPlaces {
     places: Vec<(SheetColumn, usize)>,
     width: usize,
 }
 
 /// A row as far as it can be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DraftRow {
+pub(crate) struct DraftRow {
     /// Line of the file, from 1.
-    pub line: u64,
+    pub(crate) line: u64,
     /// The cells by column, as written.
-    pub cells: RowCells,
+    pub(crate) cells: RowCells,
     /// What the row is about, if readable.
-    pub target: Option<RowTarget>,
+    pub(crate) target: Option<RowTarget>,
     /// Availability zones, if readable.
-    pub zones: Option<Vec<ZoneName>>,
+    pub(crate) zones: Option<Vec<ZoneName>>,
     /// Roles, if readable.
-    pub roles: Option<Vec<EngineRole>>,
+    pub(crate) roles: Option<Vec<EngineRole>>,
     /// Most replicas, if readable.
-    pub replicas: Option<u16>,
+    pub(crate) replicas: Option<u16>,
     /// Replicas kept ready, if readable.
-    pub ready: Option<u16>,
-    /// From when, if readable.
-    pub ready_from: Option<Option<DayTime>>,
+    pub(crate) ready: Option<u16>,
+    /// From when, if given and readable.
+    pub(crate) ready_from: Option<DayTime>,
     /// Priority, if readable.
-    pub priority: Option<PriorityLevel>,
+    pub(crate) priority: Option<PriorityLevel>,
     /// Memory, if readable.
-    pub memory: Option<MemorySize>,
+    pub(crate) memory: Option<MemorySize>,
     /// Whether calls may be repeated, if readable.
-    pub repeatable: Option<bool>,
+    pub(crate) repeatable: Option<bool>,
 }
 
 impl DraftRow {
-    /// The checked row, when every cell could be read.
+    /// The checked row; only for rows without mistakes.
     #[must_use]
-    pub fn finish(&self) -> Option<PlanRow> {
+    pub(crate) fn finish(&self) -> Option<PlanRow> {
         Some(PlanRow {
             target: self.target.clone()?,
             zones: self.zones.clone()?,
             roles: self.roles.clone()?,
             replicas: self.replicas?,
             ready: self.ready?,
-            ready_from: self.ready_from?,
+            ready_from: self.ready_from,
             priority: self.priority?,
             memory: self.memory?,
             repeatable: self.repeatable?,
@@ -63,7 +63,7 @@
 
     /// A mistake in one of the row's cells.
     #[must_use]
-    pub fn mistake(&self, column: SheetColumn, problem: SheetProblem) -> SheetMistake {
+    pub(crate) fn mistake(&self, column: SheetColumn, problem: SheetProblem) -> SheetMistake {
         SheetMistake {
             line: self.line,
             column: Some(column.name().to_owned()),
@@ -75,14 +75,14 @@
 
 /// The cells of a row by column.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct RowCells {
+pub(crate) struct RowCells {
     cells: Vec<(SheetColumn, String)>,
 }
 
 impl RowCells {
     /// The cell of a column; empty when there is none.
     #[must_use]
-    pub fn get(&self, column: SheetColumn) -> &str {
+    pub(crate) fn get(&self, column: SheetColumn) -> &str {
         self.cells
             .iter()
             .find(|(place, _)| *place == column)
@@ -94,7 +94,7 @@
 ///
 /// # Errors
 /// When a column is unknown, missing or there twice; gives all such mistakes.
-pub fn read_header(header: &CellLine) -> Result<ColumnPlaces, Vec<SheetMistake>> {
+pub(crate) fn read_header(header: &CellLine) -> Result<ColumnPlaces, Vec<SheetMistake>> {
     let mut places: Vec<(SheetColumn, usize)> = Vec::new();
     let mut mistakes = Vec::new();
     for (index, cell) in header.cells.iter().enumerate() {
@@ -134,7 +134,7 @@
 }
 
 /// Reads one line as a row and notes its mistakes.
-pub fn read_row(
+pub(crate) fn read_row(
     places: &ColumnPlaces,
     line: &CellLine,
     mistakes: &mut Vec<SheetMistake>,
@@ -166,7 +166,9 @@
     let roles = reader.read(SheetColumn::Roles, cell::read_roles);
     let replicas = reader.read(SheetColumn::Replicas, loaded(service, cell::read_count));
     let ready = reader.read(SheetColumn::Ready, loaded(service, cell::read_count));
-    let ready_from = reader.read(SheetColumn::ReadyFrom, cell::read_ready_from);
+    let ready_from = reader
+        .read(SheetColumn::ReadyFrom, cell::read_ready_from)
+        .flatten();
     let priority = reader.read(SheetColumn::Priority, cell::read_priority);
     let memory = reader.read(SheetColumn::Memory, loaded(service, cell::read_memory));
     let repeatable = reader.read(SheetColumn::Repeatable, cell::read_repeatable);
--- a/crates/ward-plan/src/text.rs
+++ b/crates/ward-plan/src/text.rs
@@ -11,11 +11,11 @@
 
 /// One line of cells, trimmed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CellLine {
+pub(crate) struct CellLine {
     /// Line of the file, from 1.
-    pub line: u64,
+    pub(crate) line: u64,
     /// The cells.
-    pub cells: Vec<String>,
+    pub(crate) cells: Vec<String>,
 }
 
 impl CellLine {
@@ -28,7 +28,7 @@
 ///
 /// # Errors
 /// When the file is too large or not UTF-8; names the first bad line.
-pub fn sheet_text(bytes: &[u8]) -> Result<&str, SheetMistake> {
+pub(crate) fn sheet_text(bytes: &[u8]) -> Result<&str, SheetMistake> {
     if bytes.len() > MAX_BYTES {
         return Err(whole_file(1, SheetProblem::TooLarge(MAX_BYTES)));
     }
@@ -57,7 +57,7 @@
 
 /// Splits the text into lines of cells; lines without content are left out.
 #[must_use]
-pub fn cell_lines(text: &str) -> Vec<CellLine> {
+pub(crate) fn cell_lines(text: &str) -> Vec<CellLine> {
     let mut reader = csv::ReaderBuilder::new()
         .has_headers(false)
         .flexible(true)
--- a/crates/ward-plan/tests/page.rs
+++ b/crates/ward-plan/tests/page.rs
@@ -6,8 +6,8 @@
 use std::path::PathBuf;
 
 use googletest::prelude::*;
-use ward_plan::sheet::MAX_ROWS;
-use ward_plan::text::MAX_BYTES;
+use ward_plan::MAX_BYTES;
+use ward_plan::MAX_ROWS;
 use ward_plan::{PlanSheet, SheetColumn};
 
 fn page() -> String {
--- a/crates/ward-plan/tests/sheet.rs
+++ b/crates/ward-plan/tests/sheet.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 use googletest::prelude::*;
-use ward_plan::sheet::MAX_ROWS;
-use ward_plan::text::MAX_BYTES;
+use ward_plan::MAX_BYTES;
+use ward_plan::MAX_ROWS;
 use ward_plan::{PlanSheet, SheetProblem};
 
 const HEADER: &str = "target;zones;roles;replicas;ready;ready_from;priority;memory;repeatable";
--- a/crates/ward-settings/src/check/mod.rs
+++ b/crates/ward-settings/src/check/mod.rs
@@ -17,7 +17,7 @@
 const MOST_SHARDS: u16 = 64;
 
 /// Checks all values against each other; nothing when a value without default is missing.
-pub fn check_input(
+pub(crate) fn check_input(
     input: SettingsInput,
     mistakes: &mut Vec<SettingsMistake>,
 ) -> Option<DaemonSettings> {
--- a/crates/ward-settings/src/doubled.rs
+++ b/crates/ward-settings/src/doubled.rs
@@ -13,7 +13,7 @@
 
 /// The keys that stand twice in the text; none when it is not JSON.
 #[must_use]
-pub fn doubled_keys(text: &str) -> Vec<SettingsMistake> {
+pub(crate) fn doubled_keys(text: &str) -> Vec<SettingsMistake> {
     let mut mistakes = Vec::new();
     let walk = KeyWalk {
         path: String::new(),
--- a/crates/ward-settings/src/input.rs
+++ b/crates/ward-settings/src/input.rs
@@ -21,69 +21,69 @@
 /// A listen address as written.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct ListenInput {
+pub(crate) struct ListenInput {
     /// Where to listen.
-    pub bind: Option<SocketAddr>,
+    pub(crate) bind: Option<SocketAddr>,
     /// What others are told.
-    pub advertised: Option<SocketAddr>,
+    pub(crate) advertised: Option<SocketAddr>,
 }
 
 /// The listen addresses as written.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct AddressInput {
+pub(crate) struct AddressInput {
     /// For callers.
-    pub callers: ListenInput,
+    pub(crate) callers: ListenInput,
     /// For other daemons.
-    pub peers: ListenInput,
+    pub(crate) peers: ListenInput,
     /// For operators.
-    pub operators: ListenInput,
+    pub(crate) operators: ListenInput,
 }
 
 /// The platform's addresses as written.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct PlatformInput {
+pub(crate) struct PlatformInput {
     /// The log service.
-    pub log: Option<SocketAddr>,
+    pub(crate) log: Option<SocketAddr>,
     /// The host list.
-    pub hosts: Option<SocketAddr>,
+    pub(crate) hosts: Option<SocketAddr>,
 }
 
 /// The whole file as written, with defaults filled in.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct SettingsInput {
+pub(crate) struct SettingsInput {
     /// The daemon's id.
-    pub daemon: Option<DaemonId>,
+    pub(crate) daemon: Option<DaemonId>,
     /// Its availability zone.
-    pub zone: Option<ZoneName>,
+    pub(crate) zone: Option<ZoneName>,
     /// Its listen addresses.
-    pub addresses: AddressInput,
+    pub(crate) addresses: AddressInput,
     /// The platform's addresses.
-    pub platform: PlatformInput,
+    pub(crate) platform: PlatformInput,
     /// Addresses of other daemons, for a start while the log is down; nothing where unreadable.
-    pub seeds: Vec<Option<SocketAddr>>,
+    pub(crate) seeds: Vec<Option<SocketAddr>>,
     /// Times of leases.
-    pub lease: LeaseTimes,
+    pub(crate) lease: LeaseTimes,
     /// Limits of the weight store.
-    pub store: StoreLimits,
+    pub(crate) store: StoreLimits,
     /// Limits of callers' requests.
-    pub traffic: TrafficLimits,
+    pub(crate) traffic: TrafficLimits,
     /// Values of the policy.
-    pub policy: PolicyValues,
+    pub(crate) policy: PolicyValues,
     /// Keys between daemons.
-    pub keys: PeerKeys,
+    pub(crate) keys: PeerKeys,
     /// Operators' token.
-    pub operator_token: Option<OperatorToken>,
+    pub(crate) operator_token: Option<OperatorToken>,
     /// How log lines are written.
-    pub logging: LogSettings,
+    pub(crate) logging: LogSettings,
     /// Threads for callers' requests.
-    pub traffic_threads: u16,
+    pub(crate) traffic_threads: u16,
     /// Shards of the request log.
-    pub request_shards: u16,
+    pub(crate) request_shards: u16,
     /// Time between snapshots.
-    pub snapshot_interval: TimeSpan,
+    pub(crate) snapshot_interval: TimeSpan,
 }
 
 impl Default for SettingsInput {
@@ -112,7 +112,7 @@
 ///
 /// # Errors
 /// When the text is not a JSON object, or a mistake cannot be taken out of it.
-pub fn read_input(
+pub(crate) fn read_input(
     text: &str,
     mistakes: &mut Vec<SettingsMistake>,
 ) -> Result<SettingsInput, SettingsError> {
--- a/crates/ward-settings/src/lib.rs
+++ b/crates/ward-settings/src/lib.rs
@@ -10,17 +10,17 @@
 //! Secrets never appear in `Debug` output, in error texts or in
 //! [`DaemonSettings::print`].
 
-pub mod address;
-pub mod check;
-pub mod doubled;
-pub mod input;
-pub mod logging;
-pub mod mistake;
-pub mod secret;
-pub mod settings;
+mod address;
+mod check;
+mod doubled;
+mod input;
+mod logging;
+mod mistake;
+mod secret;
+mod settings;
 
 pub use address::{AddressSet, ListenAddress, PlatformAddresses};
 pub use logging::{LogFormat, LogLevel, LogSettings};
 pub use mistake::{SettingsError, SettingsMistake, SettingsProblem};
-pub use secret::{OperatorToken, PeerKey, PeerKeys};
+pub use secret::{OperatorToken, PeerKey, PeerKeys, SecretError, TOKEN_MIN_BYTES};
 pub use settings::DaemonSettings;
