--- a/crates/ward-cli/src/plan/status.rs
+++ b/crates/ward-cli/src/plan/status.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches};
 use futures::FutureExt;
-use ward_operator::{RowFilter, RowPhase, StatusAnswer, StatusQuery};
+use ward_operator::{DaemonItem, RowFilter, RowPhase, RowStatus, StatusAnswer, StatusQuery};
 
 use crate::client::ApiExchange;
 use crate::command::{CommandEntry, CommandExample};
@@ -50,24 +50,47 @@
 }
 
 fn status_text(status: &StatusAnswer) -> String {
-    let mut daemons = TableText::new(&["daemon", "zone", "in force", "silent"]);
-    for daemon in &status.daemons {
+    let open = status
+        .rows
+        .iter()
+        .filter(|row| row.phase != RowPhase::Ready)
+        .count();
+    let mut text = format!(
+        "accepted revision {}, in force here {}; {open} rows not ready\n\n{}",
+        status.accepted,
+        status.adopted,
+        daemon_table(&status.daemons).render(),
+    );
+    if !status.rows.is_empty() {
+        text.push('\n');
+        text.push_str(&row_table(&status.rows).render());
+    }
+    text
+}
+
+fn daemon_table(daemons: &[DaemonItem]) -> TableText {
+    let mut table = TableText::new(&["daemon", "zone", "in force", "silent"]);
+    for daemon in daemons {
         let adopted = daemon
             .adopted
             .map_or("unknown".to_owned(), |revision| revision.to_string());
-        daemons.add([
+        table.add([
             daemon.daemon.to_string(),
             daemon.zone.to_string(),
             adopted,
             daemon.silent.to_string(),
         ]);
     }
-    let mut rows = TableText::new(&["row", "state", "ready", "loading", "wanted", "most", "why"]);
-    for row in &status.rows {
+    table
+}
+
+fn row_table(rows: &[RowStatus]) -> TableText {
+    let mut table = TableText::new(&["row", "state", "ready", "loading", "wanted", "most", "why"]);
+    for row in rows {
         let why = row
             .reason
             .map_or(String::new(), |reason| reason.to_string());
-        rows.add([
+        table.add([
             row.target.to_string(),
             row.phase.to_string(),
             row.ready.to_string(),
@@ -77,16 +100,5 @@
             why,
         ]);
     }
-    let open = status
-        .rows
-        .iter()
-        .filter(|row| row.phase != RowPhase::Ready)
-        .count();
-    format!(
-        "accepted revision {}, in force here {}; {open} rows not ready\n\n{}\n{}",
-        status.accepted,
-        status.adopted,
-        daemons.render(),
-        rows.render()
-    )
+    table
 }
