--- a/crates/ward-cli/tests/whole_plan.rs
+++ b/crates/ward-cli/tests/whole_plan.rs
@@ -4,6 +4,7 @@
 
 use std::fmt::Write;
 use std::fs;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use serde_json::json;
@@ -44,7 +45,7 @@
         if reply.is_ok_and(|reply| reply.status.is_success()) {
             return;
         }
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
     }
     panic!("the daemon is not ready");
 }
@@ -155,6 +156,81 @@
     assert_that!(history(&fleet, 2).await, len(eq(1)));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn plan_other_faults_of_log() {
+    let fleet = start_fleet().await;
+    let cases = [
+        (json!({"truncate_answers": 1}), 0),
+        (json!({"slow_ms": 300}), 0),
+        (json!({"refuse": true}), 3),
+    ];
+    let mut accepted = 0;
+    for (place, (faults, code)) in cases.into_iter().enumerate() {
+        let sheet = write_sheet(&fleet, "a.csv", &row(&format!("colours@{place}")));
+        let base = accepted_base(&history(&fleet, 1).await);
+        fleet.log.control().set_faults(&faults).await.unwrap();
+        let end = submit(&fleet, 0, &sheet, &base).await;
+        fleet.log.control().set_faults(&json!({})).await.unwrap();
+        assert_that!(end.code, eq(code), "{faults}: {end:?}");
+        accepted += usize::from(code == 0);
+        until_level(&fleet).await;
+        assert_that!(history(&fleet, 1).await, len(eq(accepted)), "{faults}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plan_daemon_killed_before_its_answer() {
+    let mut fleet = start_fleet().await;
+    let sheet = write_sheet(&fleet, "a.csv", &row("colours@1"));
+    let slow = json!({"slow_ms": 500});
+    fleet.log.control().set_faults(&slow).await.unwrap();
+    let daemons: Vec<String> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| daemon.operators.to_string())
+        .collect();
+    let submitted = tokio::spawn(async move {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_persimmon"));
+        command.args(["plan", "submit", &sheet, "--base", "0", "--author", "ana"]);
+        for daemon in &daemons {
+            command.args(["--daemon", daemon]);
+        }
+        command.kill_on_drop(true).output().await.unwrap()
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.daemons[0].program.kill().unwrap();
+    let output = submitted.await.unwrap();
+    fleet.log.control().set_faults(&json!({})).await.unwrap();
+    let entries = history(&fleet, 1).await;
+    // Killed before or after its append: the program knows which, or says that it does not.
+    match output.status.code().unwrap() {
+        0 => assert_that!(entries, len(eq(1))),
+        3 => assert_that!(entries, len(le(1))),
+        code => panic!("{code}: {output:?}"),
+    }
+}
+
+/// The revision that a next plan is based on.
+fn accepted_base(entries: &[HistoryEntry]) -> String {
+    entries
+        .first()
+        .map_or("0".to_owned(), |entry| entry.revision.to_string())
+}
+
+/// Waits until all daemons are ready and have read the log to its end.
+async fn until_level(fleet: &ProcessFleet) {
+    for daemon in &fleet.daemons {
+        let client = CallerClient::new(daemon.operators);
+        until_ready(&client).await;
+        for _ in 0..100 {
+            let reply = client.get("/plan/history").await.unwrap();
+            if reply.json::<HistoryAnswer>().unwrap().complete {
+                break;
+            }
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn plan_race_has_one_winner() {
     let fleet = start_fleet().await;
