--- a/crates/ward-matrix/src/lib.rs
+++ b/crates/ward-matrix/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cell;
 pub mod chaos;
 mod daemon;
+pub mod direction;
 pub mod engine;
 pub mod fault;
 pub mod hosts;
@@ -28,6 +29,7 @@
 pub mod world;
 
 pub use cell::{CellOutcome, MatrixCell, run_cell, run_chaos};
+pub use direction::Direction;
 pub use fault::FaultKind;
 pub use promise::{PromiseBreach, PromiseKind};
 pub use step::MatrixStep;
--- a/crates/ward-matrix/src/promise.rs
+++ b/crates/ward-matrix/src/promise.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use ward_protocol::{
-    LogOffset, MemorySize, PlanRevision, ReplicaKey, ReservationId, ResidentPhase,
+    BackendId, LogOffset, MemorySize, PlanRevision, ReplicaKey, ReservationId, ResidentPhase,
 };
 use ward_state::ReservationPhase;
 
@@ -20,6 +20,8 @@
     Memory,
     /// Whatever is loaded is counted.
     Counted,
+    /// The weight store gets no load that was not admitted.
+    Admitted,
     /// The adopted revision never goes back on a daemon.
     Revision,
     /// A leaving engine gets no load after a few seconds.
@@ -72,7 +74,7 @@
 pub fn check_engines(
     log: &FakeLog,
     adoption: &AdoptionWatch,
-    engines: &IndexMap<ward_protocol::BackendId, FakeEngine>,
+    engines: &IndexMap<BackendId, FakeEngine>,
 ) -> Result<(), (PromiseKind, String)> {
     let mut resident: IndexMap<&ReplicaKey, usize> = IndexMap::new();
     for engine in engines.values().filter(|engine| engine.alive) {
@@ -83,10 +85,7 @@
             }
             *resident.entry(&replica.key).or_default() += 1;
             let id = &engine.info.backend;
-            if log.truth.held_on(&replica.key, id).is_none() {
-                let detail = format!("{} on {id} has no reservation", replica.key);
-                return Err((PromiseKind::Counted, detail));
-            }
+            check_counted(log, id, &replica.key)?;
         }
     }
     for (key, count) in resident {
@@ -99,6 +98,23 @@
     Ok(())
 }
 
+/// Whatever an engine holds is reserved on it, and was admitted before its load.
+fn check_counted(
+    log: &FakeLog,
+    backend: &BackendId,
+    key: &ReplicaKey,
+) -> Result<(), (PromiseKind, String)> {
+    let Some(id) = log.truth.held_on(key, backend) else {
+        let detail = format!("{key} on {backend} has no reservation");
+        return Err((PromiseKind::Counted, detail));
+    };
+    if log.truth.reservations()[&id].phase == ReservationPhase::Waiting {
+        let detail = format!("{key} on {backend} was not admitted");
+        return Err((PromiseKind::Admitted, detail));
+    }
+    Ok(())
+}
+
 fn check_memory(engine: &FakeEngine) -> Result<(), (PromiseKind, String)> {
     let used = engine.used();
     if used > engine.info.memory {
--- a/crates/ward-matrix/src/strike.rs
+++ b/crates/ward-matrix/src/strike.rs
@@ -26,7 +26,8 @@
 /// Time between hints of a daemon's waiting requests.
 const TRAFFIC_INTERVAL: u64 = 300 * MILLI;
 
-fn daemon_id(number: u64) -> Option<DaemonId> {
+/// The id of a daemon by its number, from 1.
+pub(crate) fn daemon_id(number: u64) -> Option<DaemonId> {
     format!("entry-{number}").parse().ok()
 }
 
@@ -77,16 +78,18 @@
         }
         self.publish_hosts();
         for number in 1..=DAEMONS {
-            if let Some(member) = member(number) {
-                let slot = DaemonSlot::new(member.clone(), number * 1_000 * SECOND);
-                self.daemons.insert(member.daemon.clone(), slot);
-                self.start_daemon(&member.daemon);
-            }
+            self.add_daemon(number);
         }
         if self.options.chaos {
             self.schedule(SECOND, WorldEvent::Stir);
             return;
         }
+        if !self.options.directed.is_empty() {
+            for (at, direction) in self.options.directed.clone() {
+                self.schedule(at * MILLI, WorldEvent::Direct(direction));
+            }
+            return;
+        }
         for (at, step) in SCRIPT {
             self.schedule(at * SECOND, WorldEvent::Script(*step));
         }
@@ -106,6 +109,18 @@
         self.hosts.publish(self.now, entries);
     }
 
+    /// Starts a daemon, in a new life if it had one.
+    pub(crate) fn add_daemon(&mut self, number: u64) {
+        let Some(member) = member(number) else {
+            return;
+        };
+        let daemon = member.daemon.clone();
+        self.daemons
+            .entry(daemon.clone())
+            .or_insert_with(|| DaemonSlot::new(member, number * 1_000 * SECOND));
+        self.start_daemon(&daemon);
+    }
+
     fn start_daemon(&mut self, daemon: &DaemonId) {
         let now = self.now;
         let seed = self.below(u64::MAX);
@@ -130,6 +145,7 @@
         let mut config = ControlConfig::new(member, seed);
         config.peers = peers;
         config.snapshot_records = 25;
+        config.limits.model_loads = 2;
         config.lease = LeaseTimes::default();
         config.policy.keep_shortest = TimeSpan::from_secs(2);
         config.policy.keep_longest = TimeSpan::from_secs(3);
@@ -153,9 +169,10 @@
         let second = self.now / SECOND;
         let slot = &self.daemons[&life.0];
         let wall = slot.clock.wall(self.now);
+        let scripted_traffic = !self.options.chaos && self.options.directed.is_empty();
         let scripted = TRAFFIC
             .iter()
-            .filter(|(from, to, _)| !self.options.chaos && (*from..*to).contains(&second))
+            .filter(|(from, to, _)| scripted_traffic && (*from..*to).contains(&second))
             .filter_map(|(_, _, text)| text.parse::<ReplicaKey>().ok());
         let mut events = Vec::new();
         for key in scripted.chain(self.wanted.iter().cloned()) {
@@ -312,7 +329,7 @@
         Some(busiest.info.backend.clone())
     }
 
-    fn reclaim(&mut self, backend: &BackendId) {
+    pub(crate) fn reclaim(&mut self, backend: &BackendId) {
         let now = self.now;
         if let Some(engine) = self.engines.get_mut(backend) {
             engine.leaving = Some(now);
@@ -367,18 +384,14 @@
             }
             ScriptStep::Retreat => self.retreat(),
             ScriptStep::Join => {
-                if let Some(member) = member(DAEMONS + 1) {
-                    let slot = DaemonSlot::new(member.clone(), 9_000 * SECOND);
-                    self.daemons.insert(member.daemon.clone(), slot);
-                    self.start_daemon(&member.daemon);
-                }
+                self.add_daemon(DAEMONS + 1);
             }
             ScriptStep::Stop => self.stop_daemon(),
         }
         self.strike_at(|wanted| wanted.matches_script(step), None);
     }
 
-    fn retreat(&mut self) {
+    pub(crate) fn retreat(&mut self) {
         let base = self.log.truth.plans().head();
         let first = self.log.truth.plans().revisions().next();
         let Some(to) = first.map(|info| info.revision) else {
--- a/crates/ward-matrix/src/table.rs
+++ b/crates/ward-matrix/src/table.rs
@@ -21,6 +21,13 @@
 }
 
 impl MatrixTable {
+    /// Cells that were run.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        let unreached: usize = self.unreached.values().sum();
+        self.held + unreached + self.broken.len()
+    }
+
     fn note(&mut self, cell: MatrixCell, outcome: CellOutcome) {
         match &outcome {
             CellOutcome::Held => self.held += 1,
--- a/crates/ward-matrix/src/world.rs
+++ b/crates/ward-matrix/src/world.rs
@@ -1,7 +1,7 @@
 //! Daemons, fakes and virtual time.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 
 use indexmap::{IndexMap, IndexSet};
 use rand::{Rng, SeedableRng};
@@ -13,6 +13,7 @@
 };
 
 use crate::daemon::DaemonSlot;
+use crate::direction::Direction;
 use crate::engine::FakeEngine;
 use crate::fault::FaultKind;
 use crate::hosts::FakeHosts;
@@ -37,6 +38,8 @@
     pub seed: u64,
     /// Faults, each at the first occurrence of a step.
     pub faults: Vec<(FaultKind, MatrixStep)>,
+    /// Steps in place of the script, with their times in milliseconds.
+    pub directed: Vec<(u64, Direction)>,
     /// Random changes in place of the script.
     pub chaos: bool,
     /// Keep a rendering of all events and actions.
@@ -68,6 +71,7 @@
     HostGone(BackendId),
     HostBack(BackendId),
     Stir,
+    Direct(Direction),
 }
 
 #[derive(Debug)]
@@ -119,6 +123,8 @@
     random: ChaCha8Rng,
     breach: Option<PromiseBreach>,
     trace: Vec<String>,
+    /// Last lines of each daemon, to leave out what only repeats.
+    recent: IndexMap<DaemonId, VecDeque<String>>,
 }
 
 impl World {
@@ -144,6 +150,7 @@
             sequence: 0,
             breach: None,
             trace: Vec::new(),
+            recent: IndexMap::new(),
         };
         world.build();
         world
@@ -194,6 +201,24 @@
         }
     }
 
+    /// Notes a daemon's line unless it says what one of its last lines said.
+    fn note_of(&mut self, daemon: &DaemonId, line: &str) {
+        /// Lines that a daemon's line is compared with.
+        const RECENT_LINES: usize = 8;
+        if !self.options.traced {
+            return;
+        }
+        let recent = self.recent.entry(daemon.clone()).or_default();
+        if recent.iter().any(|known| known == line) {
+            return;
+        }
+        recent.push_back(line.to_owned());
+        if recent.len() > RECENT_LINES {
+            recent.pop_front();
+        }
+        self.note(|| format!("{daemon} {line}"));
+    }
+
     /// Runs until a true time in seconds.
     ///
     /// # Errors
@@ -266,6 +291,7 @@
             WorldEvent::HostGone(backend) => self.remove_host(&backend),
             WorldEvent::HostBack(backend) => self.restore_host(&backend),
             WorldEvent::Stir => self.stir(),
+            WorldEvent::Direct(direction) => self.direct(direction),
         }
     }
 
@@ -296,11 +322,11 @@
         };
         let actions = core.step(mono, wall, event);
         if let Some(line) = rendered {
-            self.note(|| format!("{} < {line}", life.0));
+            self.note_of(&life.0, &format!("< {line}"));
         }
         for action in actions {
             if let Some(line) = render_action(&action) {
-                self.note(|| format!("{} > {line}", life.0));
+                self.note_of(&life.0, &format!("> {line}"));
             }
             self.strike_at(|step| step.matches(&action), Some(&life.0));
             self.carry_out(life, action);
--- /dev/null
+++ b/crates/ward-matrix/tests/golden.rs
@@ -0,0 +1,154 @@
+//! Whole sessions against files: set `UPDATE_GOLDEN=1` to write them anew.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::PathBuf;
+
+use googletest::prelude::*;
+use ward_matrix::script::row;
+use ward_matrix::{Direction, FaultKind, World, WorldOptions};
+use ward_protocol::{DayTime, PlanChange, ReplicaKey};
+
+fn key(text: &str) -> ReplicaKey {
+    text.parse().unwrap()
+}
+
+fn whole(rows: &[(&str, u16, u16, u64)]) -> Direction {
+    let rows = rows
+        .iter()
+        .map(|(name, replicas, ready, memory)| row(name, *replicas, *ready, *memory).unwrap());
+    Direction::Plan(PlanChange::Whole {
+        rows: rows.collect(),
+    })
+}
+
+/// Runs a session, compares its lines with the file, and says what must be ready.
+fn golden(name: &str, directed: Vec<(u64, Direction)>, seconds: u64, ready: &[&str]) {
+    let options = WorldOptions {
+        seed: 1,
+        traced: true,
+        directed,
+        ..WorldOptions::default()
+    };
+    let mut world = World::new(options);
+    expect_that!(world.run_until(seconds), ok(anything()));
+    for text in ready {
+        expect_that!(world.is_served(&key(text)), eq(true), "{text} is not ready");
+    }
+    let lines = world.trace().join("\n") + "\n";
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/golden");
+    let path = path.join(format!("{name}.txt"));
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+        std::fs::write(&path, &lines).unwrap();
+    }
+    let expected = std::fs::read_to_string(&path).unwrap_or_default();
+    let first = lines
+        .lines()
+        .zip(expected.lines())
+        .find(|(now, then)| now != then);
+    expect_that!(first, none(), "first difference in {name}");
+    expect_that!(lines.lines().count(), eq(expected.lines().count()));
+}
+
+#[googletest::test]
+fn golden_morning_sheet() {
+    // The session begins at 07:00; one row is to be ready only from 07:01.
+    let mut later = row("contracts@1", 1, 1, 12).unwrap();
+    later.ready_from = "07:01".parse::<DayTime>().ok();
+    let sheet = PlanChange::Whole {
+        rows: vec![
+            row("colours@1", 2, 2, 10).unwrap(),
+            row("quotes@1", 1, 0, 10).unwrap(),
+            later,
+        ],
+    };
+    let session = vec![(1_000, Direction::Plan(sheet))];
+    golden("morning_sheet", session, 70, &["colours@1", "contracts@1"]);
+}
+
+#[googletest::test]
+fn golden_burst_at_many_daemons() {
+    let session = vec![
+        (
+            1_000,
+            whole(&[("quotes@1", 1, 0, 10), ("quotes:riga@1", 1, 0, 1)]),
+        ),
+        (3_000, Direction::Want(key("quotes@1"))),
+        (3_000, Direction::Want(key("quotes:riga@1"))),
+    ];
+    golden(
+        "burst_at_many_daemons",
+        session,
+        12,
+        &["quotes@1", "quotes:riga@1"],
+    );
+}
+
+#[googletest::test]
+fn golden_retreat_during_loads() {
+    let session = vec![
+        (
+            1_000,
+            whole(&[("quotes@1", 1, 1, 10), ("colours@1", 1, 1, 10)]),
+        ),
+        (
+            5_000,
+            whole(&[("quotes@2", 2, 2, 14), ("colours@1", 1, 1, 10)]),
+        ),
+        (5_500, Direction::Retreat),
+    ];
+    golden(
+        "retreat_during_loads",
+        session,
+        20,
+        &["quotes@1", "colours@1"],
+    );
+}
+
+#[googletest::test]
+fn golden_log_outage_for_an_hour() {
+    const HOUR: u64 = 3_600_000;
+    let session = vec![
+        (
+            1_000,
+            whole(&[("colours@1", 1, 1, 10), ("quotes@1", 1, 0, 10)]),
+        ),
+        (6_000, Direction::Strike(FaultKind::LogDown, 1, HOUR)),
+        (20_000, Direction::Want(key("quotes@1"))),
+        (30_000, Direction::Strike(FaultKind::DaemonKilled, 2, 4_000)),
+    ];
+    golden(
+        "log_outage_for_an_hour",
+        session,
+        3_640,
+        &["colours@1", "quotes@1"],
+    );
+}
+
+#[googletest::test]
+fn golden_reclaimed_host() {
+    let session = vec![
+        (
+            1_000,
+            whole(&[("colours@1", 2, 1, 10), ("quotes@1", 1, 1, 10)]),
+        ),
+        (8_000, Direction::Reclaim("engine-1".parse().unwrap())),
+        (20_000, Direction::Reclaim("engine-2".parse().unwrap())),
+    ];
+    golden("reclaimed_host", session, 45, &["colours@1", "quotes@1"]);
+}
+
+#[googletest::test]
+fn golden_rolling_restart() {
+    let mut session = vec![(
+        1_000,
+        whole(&[("colours@1", 1, 1, 10), ("quotes@1", 1, 0, 10)]),
+    )];
+    session.push((3_000, Direction::Want(key("quotes@1"))));
+    for (number, at) in [(1, 8_000), (2, 16_000), (3, 24_000)] {
+        session.push((at, Direction::Stop(number)));
+        session.push((at + 4_000, Direction::Start(number)));
+    }
+    golden("rolling_restart", session, 40, &["colours@1", "quotes@1"]);
+}
--- /dev/null
+++ b/crates/ward-matrix/tests/pairs.rs
@@ -0,0 +1,18 @@
+//! Faults in pairs: a part of all pairs at each run, chosen by a fixed stride.
+
+use googletest::prelude::*;
+use ward_matrix::{pair_cells, run_cells};
+
+/// Threads for sessions.
+const THREADS: usize = 4;
+/// One pair in this many runs; prime, so that all faults and steps occur.
+const STRIDE: usize = 61;
+
+#[googletest::test]
+fn matrix_fault_pairs() {
+    let cells = pair_cells(7, 0, STRIDE);
+    let table = run_cells(&cells, THREADS);
+    println!("{} cells: {table}", cells.len());
+    expect_that!(table.broken, is_empty());
+    expect_that!(table.total(), eq(cells.len()));
+}
