--- a/crates/ward-control/src/engines/status.rs
+++ b/crates/ward-control/src/engines/status.rs
@@ -2,18 +2,25 @@
 
 use ward_protocol::{BackendId, BackendStatus, ControlRecord, MonoTime, TimeSpan};
 
+use ward_state::ReservationPhase;
+
 use crate::action::ControlAction;
 use crate::core::ControlCore;
 use crate::proposer::ProposalSubject;
 
 /// Time after which a status read without an answer is repeated.
 const STATUS_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
+/// How much more often an engine is asked while it loads or unloads.
+const CHANGE_SPEEDUP: u64 = 10;
 /// Silence after which an owner gives an engine up.
 const YIELD_AFTER: TimeSpan = TimeSpan::from_secs(4);
 
 impl ControlCore {
     pub(super) fn ask_status(&mut self, backend: &BackendId) {
-        let interval = self.config.lease.status_interval;
+        let mut interval = self.config.lease.status_interval;
+        if self.awaits_change(backend) {
+            interval = TimeSpan::from_micros(interval.micros() / CHANGE_SPEEDUP);
+        }
         let Some(state) = self.state.backends().get(backend) else {
             return;
         };
@@ -35,6 +42,19 @@
         });
     }
 
+    /// Whether a replica of an engine is being loaded or unloaded.
+    fn awaits_change(&self, backend: &BackendId) -> bool {
+        let Some(state) = self.state.backends().get(backend) else {
+            return false;
+        };
+        state.held.iter().any(|id| {
+            let reservation = self.state.reservations().get(id);
+            reservation.is_some_and(|reservation| {
+                reservation.draining || reservation.phase == ReservationPhase::Loading
+            })
+        })
+    }
+
     pub(crate) fn take_status(&mut self, started: MonoTime, status: BackendStatus) {
         let Some(duty) = self.engines.owned.get_mut(&status.backend) else {
             return;
--- a/crates/ward-control/src/models/leaving.rs
+++ b/crates/ward-control/src/models/leaving.rs
@@ -52,11 +52,17 @@
         let Some(row) = self.state.row(key) else {
             return true;
         };
-        let others_serve = self.active_ids(key).into_iter().any(|other| {
-            let state = &reservations[&other];
-            state.phase == ReservationPhase::Ready && !self.is_leaving(&state.backend)
-        });
-        others_serve || !self.has_room(key, row)
+        let others = self.active_ids(key).into_iter();
+        let staying: Vec<_> = others
+            .map(|other| &reservations[&other])
+            .filter(|state| !self.is_leaving(&state.backend))
+            .collect();
+        if staying.is_empty() {
+            return !self.has_room(key, row);
+        }
+        staying
+            .iter()
+            .any(|state| state.phase == ReservationPhase::Ready)
     }
 
     /// An owner that learns from its engine that it leaves says so.
--- a/crates/ward-control/src/snapshots.rs
+++ b/crates/ward-control/src/snapshots.rs
@@ -59,7 +59,8 @@
     /// Brings the configured limits into force where none are.
     pub(crate) fn propose_limits(&mut self) {
         let (limits, base) = self.state.limits();
-        if base == LogOffset::ZERO && limits != self.config.limits {
+        let mine = self.duty_delay("limits") == Some(TimeSpan::ZERO);
+        if mine && base == LogOffset::ZERO && limits != self.config.limits {
             let body = ControlRecord::Limits {
                 base,
                 limits: self.config.limits,
--- a/crates/ward-control/src/start.rs
+++ b/crates/ward-control/src/start.rs
@@ -10,8 +10,10 @@
 const SNAPSHOT_RETRY: TimeSpan = TimeSpan::from_millis(500);
 /// Time after which a read of a snapshot without an answer is repeated.
 const SNAPSHOT_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
-/// Time between attempts to fetch state from a peer.
+/// Time between attempts to fetch state from a peer, with no state at all.
 const PEER_RETRY: TimeSpan = TimeSpan::from_secs(1);
+/// Time between looks for newer state at peers while the log is down.
+const PEER_REFRESH: TimeSpan = TimeSpan::from_secs(5);
 
 /// How far the start has come.
 #[derive(Debug, Default)]
@@ -73,10 +75,15 @@
 
     /// Asks the next peer for state; what it answers serves for routing only.
     pub(crate) fn fetch_from_peer(&mut self) {
+        let pause = if self.start.usable {
+            PEER_REFRESH
+        } else {
+            PEER_RETRY
+        };
         let recent = self
             .start
             .fetched
-            .is_some_and(|at| self.now.since(at) < PEER_RETRY);
+            .is_some_and(|at| self.now.since(at) < pause);
         let peers = self.peer_addresses();
         if recent || peers.is_empty() {
             return;
--- a/crates/ward-state/src/admission.rs
+++ b/crates/ward-state/src/admission.rs
@@ -2,7 +2,9 @@
 //!
 //! Every daemon applies the same records, so all agree on who may load without
 //! talking to each other. A slot is taken when a load is admitted and given
-//! back when its reservation becomes ready or is released.
+//! back when its reservation becomes ready, is drained or is released. A drained
+//! load gives its slot back at once, although its bytes may still flow for a
+//! moment: else a retreat would wait for the loads that it ends.
 
 use std::collections::{BTreeSet, HashSet};
 
@@ -42,10 +44,13 @@
             ReservationPhase::Waiting if !state.draining => {
                 lane.waiting.insert((state.priority, state.deadline, id));
             }
-            ReservationPhase::Loading => {
+            ReservationPhase::Loading if !state.draining => {
                 lane.admitted.insert(id);
             }
-            ReservationPhase::Waiting | ReservationPhase::Ready | ReservationPhase::Found => {}
+            ReservationPhase::Waiting
+            | ReservationPhase::Loading
+            | ReservationPhase::Ready
+            | ReservationPhase::Found => {}
         }
     }
 
--- a/crates/ward-state/src/apply/plan.rs
+++ b/crates/ward-state/src/apply/plan.rs
@@ -73,9 +73,7 @@
         }
         let before = state.clone();
         state.draining = true;
-        if before.phase == ReservationPhase::Waiting {
-            self.gate.forget(id, &before);
-        }
+        self.gate.forget(id, &before);
         if !before.key.is_adapter() {
             for adapter in self.adapters_on(&before.key, &before.backend) {
                 self.start_drain(adapter);
