Traffic: callers that do not read lose their connection

Such a caller held its replica's slot for as long as it kept the connection: with the bound a hundred times longer, the next request waited 30 s for it. Also: the hint at arrival looks at its own queue only, a granted ticket no longer searches all queues, hold times of withdrawn rows are forgotten.

--- a/crates/ward-traffic/src/room/state.rs
+++ b/crates/ward-traffic/src/room/state.rs
@@ -126,6 +126,17 @@
         queue.map_or_else(Vec::new, |queue| queue.keys().copied().collect())
     }
 
+    /// The hint for one target, if its requests wait while no replica is on its way.
+    pub(super) fn hint(&self, view: &RoutingView, target: &RowTarget) -> Option<WakeHint> {
+        queue_hint(view, target, self.queues.get(target)?)
+    }
+
+    /// Forgets what is known of targets that left the plan.
+    pub(super) fn forget_withdrawn(&mut self, view: &RoutingView) {
+        self.holds
+            .retain(|target, _| view.catalog.rows.contains_key(target));
+    }
+
     /// One hint per key whose requests wait while no replica is on its way.
     pub(super) fn hints(&self, view: &RoutingView) -> Vec<WakeHint> {
         self.queues
--- a/crates/ward-traffic/src/room/ticket.rs
+++ b/crates/ward-traffic/src/room/ticket.rs
@@ -16,6 +16,8 @@
     pub(super) room: Arc<WaitRoom>,
     pub(super) order: WaitOrder,
     pub(super) receiver: oneshot::Receiver<WaitResult>,
+    /// Whether it is still in the queue.
+    pub(super) waits: bool,
 }
 
 impl WaitTicket {
@@ -26,7 +28,10 @@
     /// The request is refused, at the latest at its deadline.
     pub async fn wait(mut self) -> Result<SlotGrant, ProblemReport> {
         match timeout_at(self.order.deadline, &mut self.receiver).await {
-            Ok(Ok(result)) => result,
+            Ok(Ok(result)) => {
+                self.waits = false;
+                result
+            }
             Ok(Err(_)) | Err(_) => Err(ProblemReport::refused(
                 ResultCode::TooLate,
                 "no replica took the request within its time limit",
@@ -37,6 +42,8 @@
 
 impl Drop for WaitTicket {
     fn drop(&mut self) {
-        self.room.leave(self.order);
+        if self.waits {
+            self.room.leave(self.order);
+        }
     }
 }
--- a/crates/ward-traffic/src/room/wait_room.rs
+++ b/crates/ward-traffic/src/room/wait_room.rs
@@ -108,20 +108,17 @@
         let (sender, receiver) = oneshot::channel();
         let target = request.target.clone();
         state.insert(order, Waiter { request, sender });
-        let hints = if ahead {
-            Vec::new()
-        } else {
-            state.hints(&view)
-        };
+        let hint = state.hint(&view, &target).filter(|_| !ahead);
         let mut deliveries = self.serve(&mut state, &view, &target, now);
         drop(state);
         deliveries.extend(displaced);
         deliveries.into_iter().for_each(WaitDelivery::deliver);
-        self.send_wanted(hints, Some(&target));
+        self.send_wanted(hint);
         Ok(EntryResult::Waiting(WaitTicket {
             room: Arc::clone(self),
             order,
             receiver,
+            waits: true,
         }))
     }
 
@@ -160,8 +157,9 @@
         let mut state = self.lock();
         let hints = state.hints(&view);
         let used = std::mem::take(&mut state.used);
+        state.forget_withdrawn(&view);
         drop(state);
-        self.send_wanted(hints, None);
+        self.send_wanted(hints);
         for hint in used.into_values() {
             (self.settings.notice)(TrafficNotice::Used { hint });
         }
@@ -295,12 +293,9 @@
         deliveries
     }
 
-    fn send_wanted(&self, hints: Vec<WakeHint>, only: Option<&RowTarget>) {
+    fn send_wanted(&self, hints: impl IntoIterator<Item = WakeHint>) {
         for hint in hints {
-            let chosen = only.is_none_or(|target| *target == RowTarget::Replica(hint.key.clone()));
-            if chosen {
-                (self.settings.notice)(TrafficNotice::Wanted { hint });
-            }
+            (self.settings.notice)(TrafficNotice::Wanted { hint });
         }
     }
 }
--- a/crates/ward-traffic/src/server/connection.rs
+++ b/crates/ward-traffic/src/server/connection.rs
@@ -15,6 +15,7 @@
 use viz::{Body, Responder, Tree};
 use ward_protocol::ResultCode;
 
+use super::stall::CallerStream;
 use crate::core::{ServerPhase, TrafficCore};
 use crate::problem::ProblemReport;
 
@@ -23,6 +24,7 @@
     let work = core.work.enter();
     core.metrics.connections.inc();
     let responder = Responder::<()>::new(tree, None);
+    let stream = CallerStream::new(stream, core.limits.body_time.duration());
     let served = connection_builder(core).serve_connection(TokioIo::new(stream), responder);
     let mut served = pin!(served);
     let mut phase = core.phase.subscribe();
--- a/crates/ward-traffic/src/server/mod.rs
+++ b/crates/ward-traffic/src/server/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod connection;
 mod routes;
+mod stall;
 mod start;
 mod upkeep;
 
--- a/crates/ward-traffic/tests/faults.rs
+++ b/crates/ward-traffic/tests/faults.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use http::Method;
 use support::{
-    FakeBackend, FakeRequest, Step, TestServer, ViewMaker, engine_reply, post, whole_steps,
+    FakeBackend, FakeRequest, Step, TestServer, ViewMaker, call, engine_reply, post, whole_steps,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -318,3 +319,36 @@
         eq(&(106, "not_run".to_owned()))
     );
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn caller_that_does_not_read_is_dropped() {
+    let body = "x".repeat(17 << 20);
+    let service = FakeBackend::start(move |request| whole_steps(&request.id(), &body)).await;
+    let view = ViewMaker::new()
+        .row("services/stock", 1, true)
+        .backend("s1", service.address)
+        .service("stock", &["s1"]);
+    let limits = TrafficLimits {
+        body_time: TimeSpan::from_millis(300),
+        per_replica: 1,
+        ..TrafficLimits::default()
+    };
+    let server = TestServer::start(view.build(), limits).await;
+    let begin = Instant::now();
+    let mut lazy = TcpStream::connect(server.address()).await.unwrap();
+    let head = b"GET /services/stock/all HTTP/1.1\r\nhost: x\r\n\r\n";
+    lazy.write_all(head).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let next = call(
+        server.address(),
+        Method::GET,
+        "/services/stock/all",
+        &[],
+        "",
+    )
+    .await;
+    expect_that!((next.status.as_u16(), next.body.len()), eq((200, 17 << 20)));
+    expect_that!(next.whole, eq(true));
+    expect_that!(begin.elapsed(), lt(Duration::from_secs(10)));
+}
--- a/crates/ward-traffic/tests/once.rs
+++ b/crates/ward-traffic/tests/once.rs
@@ -193,3 +193,32 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     expect_that!(server.once.history().last().unwrap(), eq("done k-1"));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn model_call_waits_cold_and_runs_once() {
+    let engine = FakeBackend::engine().await;
+    let key = "quotes@v1";
+    let cold = ViewMaker::new()
+        .row(key, 1, false)
+        .backend("e1", engine.address);
+    let server = TestServer::with(cold.build()).await;
+    let ready = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        server.publish(cold.clone().ready(key, "e1").build());
+    };
+    let (answer, ()) = tokio::join!(server.chat("quotes", &KEY), ready);
+    expect_that!(answer.status, eq(200));
+    expect_that!(engine.count(), eq(1));
+    expect_that!(server.once.history(), eq(&["begin k-1", "done k-1"]));
+    server.publish(
+        cold.estimate(key, ward_protocol::TimeSpan::ZERO, true)
+            .build(),
+    );
+    let refused = server.chat("quotes", &[("idempotency-key", "k-2")]).await;
+    expect_that!(
+        (refused.code(), refused.outcome()),
+        eq(&(204, "not_run".to_owned()))
+    );
+    expect_that!(server.once.history().last().unwrap(), eq("abort k-2"));
+}
--- a/crates/ward-traffic/tests/session.rs
+++ b/crates/ward-traffic/tests/session.rs
@@ -158,6 +158,17 @@
         eq(202)
     );
     assert_that!(code("a b", &[]).await, eq(101));
+    let families = server.registry.gather();
+    let counted = |name: &str| {
+        let family = families.iter().find(|family| family.name() == name);
+        let metrics = family.map(|family| family.get_metric().to_vec());
+        let values = metrics.into_iter().flatten();
+        values
+            .map(|metric| metric.get_counter().get_value())
+            .sum::<f64>()
+    };
+    assert_that!(counted("ward_problems_total"), eq(5.0));
+    assert_that!(counted("ward_requests_total"), eq(5.0));
     let missing = call(server.address(), Method::GET, "/v2", &[], "").await;
     assert_that!(missing.code(), eq(104));
     let method = call(server.address(), Method::GET, "/v1/completions", &[], "").await;
