Engines are held or cleared as a whole

Cause: an accelerator costs the same with one idle replica or five, so a keep time per replica drops replicas from engines that stay awake anyway. Change: the sum of hazard times priced cold start decides for the engine; evictions cost what the victims are worth, and idle replicas worth less than an accelerator are evicted before another engine wakes.

--- a/crates/ward-bench/src/replay/event.rs
+++ b/crates/ward-bench/src/replay/event.rs
@@ -26,6 +26,8 @@
     SheetBegin { model: usize },
     /// The sheet's hours for a model end.
     SheetEnd { model: usize },
+    /// An idle engine may be cleared.
+    HoldCheck { engine: usize, stamp: u32 },
     /// An empty engine may rest.
     RestCheck { engine: usize, stamp: u32 },
 }
--- a/crates/ward-bench/src/replay/hold.rs
+++ b/crates/ward-bench/src/replay/hold.rs
@@ -20,7 +20,8 @@
         let unfit = state.phase != ReplicaPhase::Ready || state.running > 0;
         // Requests may still wait for one of its adapters.
         let waited_for = self.family_waiting(self.base_of(state.model)) > 0;
-        if unfit || waited_for || self.is_wanted(replica) {
+        let held = self.policy.holds_engines();
+        if held || unfit || waited_for || self.is_wanted(replica) {
             return;
         }
         let (schedule, age) = self.schedule_of(replica);
@@ -56,8 +57,7 @@
         let age = now.since(last);
         let next = model.future.partition_point(|at| *at <= now);
         let context = KeepContext {
-            history: &model.history,
-            terms: self.keep_terms(replica),
+            load: self.best_load(state.model),
             age,
             idle: now.since(state.idle_since),
             next: model.future.get(next).map(|at| at.since(now)),
--- a/crates/ward-bench/src/replay/load.rs
+++ b/crates/ward-bench/src/replay/load.rs
@@ -1,7 +1,7 @@
 //! Loads of a replay: demand, placement and the weight store.
 
 use ward_policy::{
-    KeepTerms, PlaceChoice, PlaceRequest, ScaleView, SlackView, place_replica, scale_out,
+    HeldReplica, PlaceChoice, PlaceRequest, ScaleView, SlackView, place_replica_by, scale_out,
     slack_left, wake_engine,
 };
 use ward_protocol::{
@@ -121,39 +121,50 @@
         self.tier_load(tiers.min().unwrap_or(CacheTier::Remote))
     }
 
-    /// What a replica costs to keep and to load again.
-    pub(super) fn keep_terms(&self, replica: usize) -> KeepTerms {
-        let state = &self.state.replicas[replica];
-        KeepTerms {
-            load: self.best_load(state.model),
-            share: self.share(replica),
-        }
-    }
-
     /// Loads a replica where there is room; ahead of requests nothing is evicted for it.
     pub(super) fn place(&mut self, model: usize, ahead: bool) -> bool {
         let request = self.place_request(model, ahead);
         let views = self
             .state
             .engine_views(self.trace, model, |replica| self.held_use(replica));
-        let choice = place_replica(&request, &views);
-        if let PlaceChoice::Place { backend } = choice {
-            return self.reserve(model, &backend, TimeSpan::ZERO);
-        }
-        if !request.key.is_adapter()
-            && let Some(backend) = wake_engine(&request, &views)
-        {
-            return self.reserve(model, &backend, self.policy.values.standby_back);
+        let choice = place_replica_by(&request, &views, |_, held| self.evict_cost(held));
+        let wakes = !request.key.is_adapter() && !self.evicts_first(&choice);
+        match (choice, wake_engine(&request, &views)) {
+            (PlaceChoice::Place { backend }, _) => self.reserve(model, &backend, TimeSpan::ZERO),
+            (_, Some(backend)) if wakes => {
+                self.reserve(model, &backend, self.policy.values.standby_back)
+            }
+            (PlaceChoice::Evict { backend, victims }, _) if !ahead => {
+                self.evict(&victims);
+                self.reserve(model, &backend, TimeSpan::ZERO)
+            }
+            (PlaceChoice::Evict { .. } | PlaceChoice::Impossible, _) => {
+                if !ahead {
+                    self.starved.insert(model);
+                }
+                false
+            }
         }
-        let PlaceChoice::Evict { backend, victims } = choice else {
-            self.starved.insert(model);
+    }
+
+    /// Whether victims are worth less than the accelerator that would have to wake.
+    fn evicts_first(&self, choice: &PlaceChoice) -> bool {
+        let PlaceChoice::Evict { victims, .. } = choice else {
             return false;
         };
-        if ahead {
+        if !self.policy.holds_engines() {
             return false;
         }
-        self.evict(&victims);
-        self.reserve(model, &backend, TimeSpan::ZERO)
+        let worths = victims.iter().map(|victim| self.replica_worth(*victim));
+        worths.sum::<f64>() < 1.0
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn evict_cost(&self, held: &HeldReplica) -> f64 {
+        if self.policy.holds_engines() {
+            return self.replica_worth(held.reservation);
+        }
+        held.memory.bytes() as f64
     }
 
     fn held_use(&self, replica: usize) -> HeldUse {
@@ -325,6 +336,7 @@
             self.retry_starved();
             self.schedule_keep(replica);
         }
+        self.schedule_hold(engine);
     }
 
     fn mark_waiting(&mut self, model: usize, cause: WaitCause) {
--- a/crates/ward-bench/src/replay/mod.rs
+++ b/crates/ward-bench/src/replay/mod.rs
@@ -4,6 +4,7 @@
 mod compare;
 mod draw;
 mod event;
+mod group;
 mod hold;
 mod load;
 mod outcome;
--- a/crates/ward-bench/src/replay/rule.rs
+++ b/crates/ward-bench/src/replay/rule.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use ward_policy::{GapHistory, KeepTerms, WarmSchedule, WarmSpan};
+use ward_policy::{WarmSchedule, WarmSpan};
 use ward_protocol::{PolicyValues, TimeSpan};
 
 /// How long idle replicas are kept.
@@ -46,11 +46,9 @@
 
 /// What a keep rule may look at.
 #[derive(Debug)]
-pub struct KeepContext<'a> {
-    /// The model's gaps.
-    pub history: &'a GapHistory,
-    /// The replica's load time and size.
-    pub terms: KeepTerms,
+pub struct KeepContext {
+    /// Time of a cold load.
+    pub load: TimeSpan,
     /// Age of the model's last request.
     pub age: TimeSpan,
     /// Time since the replica went idle.
@@ -76,8 +74,8 @@
             urgency: true,
             values: PolicyValues {
                 cold_weight,
-                keep_longest: TimeSpan::from_secs(7 * 24 * 3_600),
-                standby_after: STANDBY_AFTER,
+                // Its engines are emptied only when they may rest.
+                standby_after: TimeSpan::ZERO,
                 ..PolicyValues::default()
             },
         }
@@ -97,39 +95,34 @@
         }
     }
 
+    /// Whether replicas stay until their whole engine rests.
+    #[must_use]
+    pub const fn holds_engines(&self) -> bool {
+        matches!(self.keep, KeepRule::Gaps | KeepRule::KnowsNext)
+    }
+
     /// The ages at which a replica should be loaded.
     #[must_use]
-    pub fn schedule(&self, context: &KeepContext<'_>) -> WarmSchedule {
+    pub fn schedule(&self, context: &KeepContext) -> WarmSchedule {
         match self.keep {
-            KeepRule::Gaps => context.history.schedule(&self.values, &context.terms),
             // The spans of a fixed rule start when the replica goes idle.
             KeepRule::Fixed(keep) => {
                 let lag = context.age.micros().saturating_sub(context.idle.micros());
                 WarmSchedule::keep(keep + TimeSpan::from_micros(lag))
             }
-            KeepRule::Never => WarmSchedule::keep(FOREVER),
+            // Held engines are cleared as a whole, elsewhere.
+            KeepRule::Never | KeepRule::Gaps | KeepRule::KnowsNext => WarmSchedule::keep(FOREVER),
             KeepRule::AtOnce => WarmSchedule::default(),
-            KeepRule::KnowsNext => self.knows_next(context),
             KeepRule::KnowsAhead => knows_ahead(context),
         }
     }
-
-    fn knows_next(&self, context: &KeepContext<'_>) -> WarmSchedule {
-        let worth = context.terms.break_even(&self.values);
-        let kept = context.next.is_some_and(|next| next.seconds() <= worth);
-        if kept {
-            WarmSchedule::keep(FOREVER)
-        } else {
-            WarmSchedule::default()
-        }
-    }
 }
 
-fn knows_ahead(context: &KeepContext<'_>) -> WarmSchedule {
+fn knows_ahead(context: &KeepContext) -> WarmSchedule {
     let Some(next) = context.next else {
         return WarmSchedule::default();
     };
-    let reload = context.terms.load + JUST_IN_TIME;
+    let reload = context.load + JUST_IN_TIME;
     if next <= reload + reload {
         return WarmSchedule::keep(FOREVER);
     }
--- a/crates/ward-bench/src/replay/run.rs
+++ b/crates/ward-bench/src/replay/run.rs
@@ -141,6 +141,7 @@
             ReplayEvent::Retry { model } => self.demand(model),
             ReplayEvent::SheetBegin { model } => self.sheet_begin(model),
             ReplayEvent::SheetEnd { model } => self.sheet_end(model),
+            ReplayEvent::HoldCheck { engine, stamp } => self.hold_check(engine, stamp),
             ReplayEvent::RestCheck { engine, stamp } => self.rest_check(engine, stamp),
         }
     }
@@ -261,7 +262,9 @@
         let state = &mut self.state.replicas[carrier];
         state.running += 1;
         state.stamp += 1;
-        self.state.engines[engine].running += 1;
+        let host = &mut self.state.engines[engine];
+        host.running += 1;
+        host.hold_stamp += 1;
     }
 
     fn ended(&mut self, replica: usize) {
@@ -285,6 +288,7 @@
             self.retry_starved();
             self.schedule_keep(carrier);
         }
+        self.schedule_hold(engine);
     }
 
     /// Starts waiting requests of a model and its adapters.
--- a/crates/ward-bench/src/replay/state.rs
+++ b/crates/ward-bench/src/replay/state.rs
@@ -78,6 +78,8 @@
     pub(super) idle_since: MonoTime,
     /// Changes whenever a scheduled rest becomes stale.
     pub(super) stamp: u32,
+    /// Changes whenever a scheduled look at its replicas becomes stale.
+    pub(super) hold_stamp: u32,
     /// Where each model's checkpoint is cached.
     pub(super) tiers: Vec<CacheTier>,
     /// Models loaded from the disk cache, oldest first.
@@ -105,6 +107,7 @@
                 running: 0,
                 idle_since: MonoTime::default(),
                 stamp: 0,
+                hold_stamp: 0,
                 tiers: trace.models.iter().map(model_tier).collect(),
                 disk: VecDeque::new(),
                 disk_limit: shape.disk_checkpoints,
--- a/crates/ward-policy/src/gaps.rs
+++ b/crates/ward-policy/src/gaps.rs
@@ -41,6 +41,22 @@
         f64::from(self.weights[bucket]) / f64::from(UNIT)
     }
 
+    /// Expected ends per second of a gap that has lasted `age`.
+    ///
+    /// `prior` gaps spread evenly over the buckets are added, so that an empty
+    /// history expects a request about as far ahead as the last lies back.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn hazard(&self, age: TimeSpan, prior: f64) -> f64 {
+        let bucket = bucket_of(age.seconds());
+        let weight = |index: usize| self.weight(index) + prior / GAP_BUCKETS as f64;
+        let ends = weight(bucket);
+        let longer: f64 = (bucket + 1..GAP_BUCKETS).map(weight).sum();
+        let width = bucket_start(bucket + 1) - bucket_start(bucket);
+        // Gaps that end in the bucket last through half of it on average.
+        ends / (width * (longer + ends / 2.0)).max(f64::EPSILON)
+    }
+
     /// Weight of all buckets in gaps.
     #[must_use]
     pub fn total(&self) -> f64 {
--- /dev/null
+++ b/crates/ward-policy/src/hold.rs
@@ -0,0 +1,50 @@
+//! How long a whole engine is kept from standby.
+//!
+//! An accelerator costs the same with one idle replica or with five, so the
+//! decision is the engine's: it is held while the cold starts that its
+//! replicas are expected to save, second by second, are worth more than the
+//! accelerator's time. Dropping one replica of a held engine would save
+//! nothing; its memory is taken by eviction when it is needed.
+
+use ward_protocol::{PolicyValues, TimeSpan};
+
+use crate::keep::{GapHistory, KeepTerms};
+
+/// An idle replica on an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct HoldView<'a> {
+    /// Its model's gaps.
+    pub history: &'a GapHistory,
+    /// Time since its model's last request.
+    pub age: TimeSpan,
+    /// Time of a cold load.
+    pub load: TimeSpan,
+}
+
+/// Idle accelerator seconds that a loaded replica is expected to be worth per second.
+#[must_use]
+pub fn hold_worth(view: &HoldView<'_>, values: &PolicyValues) -> f64 {
+    let terms = KeepTerms {
+        load: view.load,
+        share: 1.0,
+    };
+    terms.break_even(values) * view.history.hazard(values, view.age)
+}
+
+/// Whether an engine with these idle replicas is kept from standby.
+#[must_use]
+pub fn holds_engine<'a>(
+    replicas: impl IntoIterator<Item = HoldView<'a>>,
+    values: &PolicyValues,
+) -> bool {
+    let worth: f64 = replicas
+        .into_iter()
+        .map(|view| HoldView {
+            // A resting engine has to come back before it can load.
+            load: view.load + values.standby_back,
+            ..view
+        })
+        .map(|view| hold_worth(&view, values))
+        .sum();
+    worth >= 1.0
+}
--- a/crates/ward-policy/src/keep.rs
+++ b/crates/ward-policy/src/keep.rs
@@ -64,6 +64,12 @@
         self.keep_time_of(values, &KeepTerms { load, share: 1.0 })
     }
 
+    /// Expected requests per second at an age since the last request.
+    #[must_use]
+    pub fn hazard(&self, values: &PolicyValues, age: TimeSpan) -> f64 {
+        self.gaps.hazard(age, f64::from(values.known_gaps))
+    }
+
     /// When a replica should be loaded after its last request.
     #[must_use]
     pub fn schedule(&self, values: &PolicyValues, terms: &KeepTerms) -> WarmSchedule {
--- a/crates/ward-policy/src/lib.rs
+++ b/crates/ward-policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod ahead;
 pub mod gaps;
+pub mod hold;
 pub mod keep;
 pub mod overload;
 pub mod pick;
@@ -16,6 +17,7 @@
 pub mod standby;
 
 pub use ahead::{ReadyTerms, order_in};
+pub use hold::{HoldView, hold_worth, holds_engine};
 pub use keep::{GapHistory, KeepTerms};
 pub use overload::{WaitingRequest, admits_priority, refuse_first};
 pub use pick::{PickCandidate, pick_replica};
