Placement looks at the checkpoint's tier before free memory

Cause: p99 was a load from the weight store under every policy, since a free engine without the checkpoint was taken before a full one with it on disk. Change: the tier goes first, free memory before eviction only within a tier; an infinite cost forbids an eviction, so replicas worth an accelerator stay.

--- a/crates/ward-policy/src/place/evict.rs
+++ b/crates/ward-policy/src/place/evict.rs
@@ -10,7 +10,7 @@
 use super::view::{EngineView, HeldReplica, PlaceRequest};
 
 /// Replicas of one engine that would make room.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct EvictPlan {
     /// Replicas that go, adapters before their base model.
     pub(super) victims: Vec<ReservationId>,
@@ -117,10 +117,11 @@
     if !members.iter().all(|member| may_go(request, member)) {
         return None;
     }
-    Some(EvictGroup {
+    let cost: f64 = members.iter().map(|member| cost(engine, member)).sum();
+    cost.is_finite().then(|| EvictGroup {
         victims: members.iter().map(|member| member.reservation).collect(),
         memory: members.iter().map(|member| member.memory).sum(),
-        cost: members.iter().map(|member| cost(engine, member)).sum(),
+        cost,
     })
 }
 
--- a/crates/ward-policy/src/place/mod.rs
+++ b/crates/ward-policy/src/place/mod.rs
@@ -1,20 +1,20 @@
 //! Where a replica goes and which idle ones make room for it.
 //!
-//! Free memory goes before eviction even where the checkpoint is cached on a
-//! full engine: an eviction moves the cold start to another model, while a
-//! slower tier is paid once. Zones that hold no replica of the key yet go
-//! before cheaper tiers, because a second replica exists for availability.
+//! The tier comes first, because it decides how long the caller waits; on
+//! engines of one tier free memory goes before eviction. Zones that hold no
+//! replica of the key yet go before cheaper tiers, because a second replica
+//! exists for availability. An infinite cost forbids an eviction.
 
 mod evict;
 mod view;
 
 use std::cmp::Reverse;
 
-use ward_protocol::{BackendId, EngineRole};
+use ward_protocol::{BackendId, CacheTier, EngineRole};
 
 pub use self::view::{EngineView, HeldReplica, PlaceChoice, PlaceRequest};
 
-use self::evict::plan_eviction;
+use self::evict::{EvictPlan, plan_eviction};
 
 /// Chooses the engine for a wanted replica, taking larger replicas as dearer to load again.
 #[must_use]
@@ -29,31 +29,51 @@
     engines: &[EngineView],
     cost: impl Fn(&EngineView, &HeldReplica) -> f64,
 ) -> PlaceChoice {
-    if let Some(engine) = free_engine(request, engines) {
-        return PlaceChoice::Place {
-            backend: engine.backend.clone(),
-        };
-    }
     engines
         .iter()
-        .filter(|engine| allows(request, engine) && engine.memory >= request.memory)
-        .filter_map(|engine| Some((engine, plan_eviction(request, engine, &cost)?)))
+        .filter(|engine| allows(request, engine))
+        .filter_map(|engine| Some((engine, plan_room(request, engine, &cost)?)))
         .min_by(|(left, left_plan), (right, right_plan)| {
-            left_plan
-                .victims
-                .len()
-                .cmp(&right_plan.victims.len())
+            tier_rank(request, left)
+                .cmp(&tier_rank(request, right))
+                .then(left_plan.victims.len().cmp(&right_plan.victims.len()))
                 .then(left_plan.cost.total_cmp(&right_plan.cost))
                 .then(rank(request, left).cmp(&rank(request, right)))
         })
         .map_or(PlaceChoice::Impossible, |(engine, plan)| {
-            PlaceChoice::Evict {
-                backend: engine.backend.clone(),
-                victims: plan.victims,
-            }
+            choice_of(engine, plan)
         })
 }
 
+fn choice_of(engine: &EngineView, plan: EvictPlan) -> PlaceChoice {
+    let backend = engine.backend.clone();
+    if plan.victims.is_empty() {
+        return PlaceChoice::Place { backend };
+    }
+    PlaceChoice::Evict {
+        backend,
+        victims: plan.victims,
+    }
+}
+
+fn plan_room(
+    request: &PlaceRequest,
+    engine: &EngineView,
+    cost: &impl Fn(&EngineView, &HeldReplica) -> f64,
+) -> Option<EvictPlan> {
+    if engine.memory < request.memory {
+        return None;
+    }
+    if engine.free() >= request.memory {
+        return Some(EvictPlan::default());
+    }
+    plan_eviction(request, engine, cost).filter(|plan| plan.cost.is_finite())
+}
+
+fn tier_rank(request: &PlaceRequest, engine: &EngineView) -> (bool, CacheTier) {
+    (request.taken.contains(&engine.zone), engine.tier)
+}
+
 /// Chooses a standby engine to bring back for a replica that found no room.
 #[must_use]
 pub fn wake_engine(request: &PlaceRequest, engines: &[EngineView]) -> Option<BackendId> {
@@ -65,13 +85,6 @@
         .map(|engine| engine.backend.clone())
 }
 
-fn free_engine<'a>(request: &PlaceRequest, engines: &'a [EngineView]) -> Option<&'a EngineView> {
-    engines
-        .iter()
-        .filter(|engine| allows(request, engine) && engine.free() >= request.memory)
-        .min_by_key(|engine| rank(request, engine))
-}
-
 /// Order of engines that are otherwise equal; fuller engines first, so that empty ones may rest.
 fn rank<'a>(request: &PlaceRequest, engine: &'a EngineView) -> impl Ord + use<'a> {
     let taken = request.taken.contains(&engine.zone);
