Models are made ready ahead in free memory

Cause: memory of engines that are awake anyway stood empty while models with a request due soon were cold. Change: cold models are ranked by what they are worth when their load would end; they are loaded, last in the store's order and only while it is quiet, where that evicts nothing, and an engine wakes when one model alone is worth it.

--- a/crates/ward-bench/src/replay/event.rs
+++ b/crates/ward-bench/src/replay/event.rs
@@ -28,6 +28,8 @@
     SheetEnd { model: usize },
     /// An idle engine may be cleared.
     HoldCheck { engine: usize, stamp: u32 },
+    /// Free memory may be filled.
+    FillCheck,
     /// An empty engine may rest.
     RestCheck { engine: usize, stamp: u32 },
 }
--- a/crates/ward-bench/src/replay/group.rs
+++ b/crates/ward-bench/src/replay/group.rs
@@ -1,6 +1,6 @@
 //! Idle engines of a replay: held as a whole, or cleared.
 
-use ward_policy::{HoldView, KeepTerms, hold_worth, holds_engine};
+use ward_policy::{HoldView, KeepTerms, hold_worth, holds_engine, rank_ahead};
 use ward_protocol::{EngineRole, ReservationId, TimeSpan};
 
 use super::event::ReplayEvent;
@@ -10,6 +10,10 @@
 
 /// Time between looks at an idle engine.
 const HOLD_STEP: TimeSpan = TimeSpan::from_secs(10);
+/// Time between looks at free memory.
+const FILL_STEP: TimeSpan = TimeSpan::from_secs(15);
+/// Models tried at each look.
+const FILL_TRIES: usize = 3;
 
 impl ReplayRun<'_> {
     /// Looks at an engine that runs nothing, now and from time to time.
@@ -111,6 +115,37 @@
         worths.into_iter().any(|(next, worth)| next <= worth)
     }
 
+    /// Looks at free memory from time to time.
+    pub(super) fn schedule_fill(&mut self) {
+        if self.policy.keep == KeepRule::Gaps {
+            let at = self.state.now + FILL_STEP;
+            self.events.push(at, ReplayEvent::FillCheck);
+        }
+    }
+
+    /// Makes the most wanted models ready where that costs no eviction.
+    pub(super) fn fill_check(&mut self) {
+        self.schedule_fill();
+        if self.trouble.log_down(self.state.now) {
+            return;
+        }
+        let cold: Vec<usize> = (0..self.trace.models.len())
+            .filter(|model| self.trace.models[*model].base.is_none())
+            .filter(|model| self.state.models[*model].history.last().is_some())
+            .filter(|model| self.state.models[*model].replicas.is_empty())
+            .collect();
+        let views: Vec<HoldView<'_>> = cold.iter().map(|model| self.hold_view(*model)).collect();
+        let picks = rank_ahead(&views, &self.policy.values);
+        for pick in picks.into_iter().take(FILL_TRIES) {
+            if !self.store.is_quiet() {
+                return;
+            }
+            if self.place_with(cold[pick.index], true, pick.wakes) {
+                self.outcome.ahead += 1;
+            }
+        }
+    }
+
     /// Time until a model's next request.
     pub(super) fn time_to_next(&self, model: usize) -> Option<TimeSpan> {
         let future = &self.state.models[model].future;
--- a/crates/ward-bench/src/replay/load.rs
+++ b/crates/ward-bench/src/replay/load.rs
@@ -123,17 +123,28 @@
 
     /// Loads a replica where there is room; ahead of requests nothing is evicted for it.
     pub(super) fn place(&mut self, model: usize, ahead: bool) -> bool {
+        let wakes = !self.trace.models[model].key.is_adapter();
+        self.place_with(model, ahead, wakes)
+    }
+
+    /// Like `place`; brings an engine back from standby only when told so.
+    pub(super) fn place_with(&mut self, model: usize, ahead: bool, wakes: bool) -> bool {
         let request = self.place_request(model, ahead);
         let views = self
             .state
             .engine_views(self.trace, model, |replica| self.held_use(replica));
-        let cautious = place_replica_by(&request, &views, |_, held| self.cautious_cost(held));
+        let cautious = place_replica_by(&request, &views, |_, held| {
+            let fills = ahead && self.policy.holds_engines();
+            if fills {
+                f64::INFINITY
+            } else {
+                self.cautious_cost(held)
+            }
+        });
         if cautious != PlaceChoice::Impossible {
             return self.carry_out(model, cautious);
         }
-        if !request.key.is_adapter()
-            && let Some(backend) = wake_engine(&request, &views)
-        {
+        if wakes && let Some(backend) = wake_engine(&request, &views) {
             return self.reserve(model, &backend, self.policy.values.standby_back);
         }
         if ahead {
@@ -151,7 +162,9 @@
                 self.reserve(model, &backend, TimeSpan::ZERO)
             }
             PlaceChoice::Impossible => {
-                self.starved.insert(model);
+                if self.family_waiting(self.base_of(model)) > 0 {
+                    self.starved.insert(model);
+                }
                 false
             }
         }
--- a/crates/ward-bench/src/replay/run.rs
+++ b/crates/ward-bench/src/replay/run.rs
@@ -75,6 +75,7 @@
 ) -> Result<ReplayOutcome, ReplayError> {
     let mut run = ReplayRun::new(trace, shape, policy, trouble)?;
     run.schedule_sheet();
+    run.schedule_fill();
     for request in 0..trace.requests.len() {
         let at = trace.requests[request].at;
         run.events.push(at, ReplayEvent::Arrive { request });
@@ -142,6 +143,7 @@
             ReplayEvent::SheetBegin { model } => self.sheet_begin(model),
             ReplayEvent::SheetEnd { model } => self.sheet_end(model),
             ReplayEvent::HoldCheck { engine, stamp } => self.hold_check(engine, stamp),
+            ReplayEvent::FillCheck => self.fill_check(),
             ReplayEvent::RestCheck { engine, stamp } => self.rest_check(engine, stamp),
         }
     }
--- a/crates/ward-bench/src/replay/store.rs
+++ b/crates/ward-bench/src/replay/store.rs
@@ -30,6 +30,11 @@
         self.waiting.push(replica);
     }
 
+    /// Whether a load ahead would leave room for a request's.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.waiting.is_empty() && self.flying * 2 < self.limit
+    }
+
     pub(super) fn end(&mut self) {
         self.flying = self.flying.saturating_sub(1);
     }
--- a/crates/ward-policy/src/hold.rs
+++ b/crates/ward-policy/src/hold.rs
@@ -10,6 +10,9 @@
 
 use crate::keep::{GapHistory, KeepTerms};
 
+/// Least worth, in accelerators, for which a load ahead takes free memory.
+const AHEAD_LEAST: f64 = 0.01;
+
 /// An idle replica on an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct HoldView<'a> {
@@ -48,3 +51,32 @@
         .sum();
     worth >= 1.0
 }
+
+/// A model to make ready ahead of its next request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AheadPick {
+    /// Its place in the list.
+    pub index: usize,
+    /// Whether it is worth an engine's way back from standby.
+    pub wakes: bool,
+}
+
+/// Models worth making ready, most wanted first.
+///
+/// Free memory of an engine that is awake costs nothing, so even a small worth
+/// is taken there; the worth is taken at the time when the load would end.
+#[must_use]
+pub fn rank_ahead(models: &[HoldView<'_>], values: &PolicyValues) -> Vec<AheadPick> {
+    let worth = |view: &HoldView<'_>| {
+        let age = view.age + view.load + values.ahead_slack;
+        hold_worth(&HoldView { age, ..*view }, values)
+    };
+    let mut ranked: Vec<(usize, f64)> = models.iter().map(worth).enumerate().collect();
+    ranked.retain(|(_, worth)| *worth >= AHEAD_LEAST);
+    ranked.sort_by(|(_, left), (_, right)| right.total_cmp(left));
+    let pick = |(index, worth)| AheadPick {
+        index,
+        wakes: worth >= 1.0,
+    };
+    ranked.into_iter().map(pick).collect()
+}
--- a/crates/ward-policy/src/lib.rs
+++ b/crates/ward-policy/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod standby;
 
 pub use ahead::{ReadyTerms, order_in};
-pub use hold::{HoldView, hold_worth, holds_engine};
+pub use hold::{AheadPick, HoldView, hold_worth, holds_engine, rank_ahead};
 pub use keep::{GapHistory, KeepTerms};
 pub use overload::{WaitingRequest, admits_priority, refuse_first};
 pub use pick::{PickCandidate, pick_replica};
