--- a/crates/ward-bench/src/replay/event.rs
+++ b/crates/ward-bench/src/replay/event.rs
@@ -26,6 +26,10 @@
     SheetBegin { model: usize },
     /// The sheet's hours for a model end.
     SheetEnd { model: usize },
+    /// An idle engine may be cleared.
+    HoldCheck { engine: usize, stamp: u32 },
+    /// Free memory may be filled.
+    FillCheck,
     /// An empty engine may rest.
     RestCheck { engine: usize, stamp: u32 },
 }
