--- a/crates/ward-once/src/shard.rs
+++ b/crates/ward-once/src/shard.rs
@@ -249,6 +249,15 @@
         }
     }
 
+    // One line per outage, however often the read is tried again.
+    fn note_failure(&self, cause: &ShardReadError) {
+        let before = self.progress.borrow().level;
+        if before {
+            warn!(self.logger, "once: log cannot be read"; "cause" => %cause);
+        }
+        self.progress.send_modify(|progress| progress.level = false);
+    }
+
     fn apply(&self, read: &ShardRead) {
         let mut inner = self.lock();
         for record in &read.records {
