--- a/crates/ward-once/src/shard.rs
+++ b/crates/ward-once/src/shard.rs
@@ -231,12 +231,7 @@
             let failed = read.is_err();
             match read {
                 Ok(read) => shard.apply(&read),
-                Err(cause) => {
-                    warn!(shard.logger, "once: read failed"; "cause" => %cause);
-                    shard
-                        .progress
-                        .send_modify(|progress| progress.level = false);
-                }
+                Err(cause) => shard.note_failure(&cause),
             }
             let orphans = std::mem::take(&mut shard.lock().orphans);
             for begin in orphans {
