Ports that stay with their owner: crashed stand-ins and daemons in tests

crashing_request_refused of ward-daemon failed in 2 of 6 whole-file runs with a daemon never in full duty; its log said that its peers' address was in use. The fleet took a free port from the system, gave it back and let the daemon bind it; in between an outgoing connection of another fleet took it.

The same hole was in a crashed stand-in, whose port was free for its downtime. It now stays bound without listening, so connections are refused and nobody else gets it; crash_keeps_port failed 3 of 3 before and passes since.

--- a/crates/ward-backend/tests/orders.rs
+++ b/crates/ward-backend/tests/orders.rs
@@ -336,3 +336,35 @@
         pat!(StatusError::Reply(pat!(ReplyError::Json(anything()))))
     );
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn crash_keeps_port() {
+    let key: ReplicaKey = "m@1".parse().unwrap();
+    let bench = Bench::start(|settings| {
+        settings.faults.die_in_load = Some(key);
+        settings.faults.die_after_ms = 50;
+        settings.faults.downtime_ms = 300;
+    })
+    .await;
+    bench.order(1, load("m@1")).await;
+    let Bench {
+        _standin,
+        address,
+        caller,
+        control,
+        ..
+    } = bench;
+    // Without connections nothing else keeps the port from others.
+    drop((caller, control));
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    let refused = tokio::net::TcpStream::connect(address).await;
+    expect_that!(refused, err(anything()));
+    // What the system hands out to others binds without reuse.
+    let other = tokio::net::TcpSocket::new_v4().unwrap();
+    expect_that!(other.bind(address), err(anything()));
+    drop(other);
+    let control = StandinControl::new(address);
+    let back = control.history_until(SETTLE, |history: &EngineHistory| history.crashes.len() == 1);
+    expect_that!(back.await, ok(anything()));
+}
--- a/crates/ward-standin/src/server/listener.rs
+++ b/crates/ward-standin/src/server/listener.rs
@@ -11,7 +11,7 @@
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use quick_error::quick_error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use viz::{Request, Responder, Response, Router, Tree};
@@ -23,6 +23,7 @@
 const REBIND_PAUSE: Duration = Duration::from_millis(5);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 const CRASH_QUEUE: usize = 4;
+const BACKLOG: u32 = 1_024;
 
 quick_error! {
     #[derive(Debug)]
@@ -118,9 +119,10 @@
             let Some(downtime) = accepted.await else {
                 return;
             };
+            let held = hold(address).await;
             crashed();
             tokio::time::sleep(downtime).await;
-            listener = rebind(address).await;
+            listener = listen_again(held, address).await;
         }
     });
     Ok(RunningStandin { address, stop })
@@ -154,15 +156,38 @@
     }
 }
 
-async fn rebind(address: SocketAddr) -> TcpListener {
+/// Binds without listening, so that connections are refused and nobody else gets the port.
+async fn hold(address: SocketAddr) -> TcpSocket {
     loop {
-        match TcpListener::bind(address).await {
+        match bound_socket(address) {
+            Ok(socket) => return socket,
+            Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+        }
+    }
+}
+
+async fn listen_again(held: TcpSocket, address: SocketAddr) -> TcpListener {
+    let mut held = held;
+    loop {
+        match held.listen(BACKLOG) {
             Ok(listener) => return listener,
             Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
         }
+        held = hold(address).await;
     }
 }
 
+fn bound_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Connections that have just ended may still be counted on the port.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 async fn connection(stream: TcpStream, peer: SocketAddr, tree: Arc<Tree>, rule: CloseRule) {
     // Without the option small answers wait for the peer's acknowledgement.
     let _ = stream.set_nodelay(true);
--- a/crates/ward-test-support/src/process/daemon.rs
+++ b/crates/ward-test-support/src/process/daemon.rs
@@ -1,11 +1,12 @@
 //! A daemon as a process.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use serde_json::{Value, json};
 
+use super::port::free_address;
 use super::program::{ProcessError, RunningProgram};
 
 const DAEMON: &str = "persimmonward";
@@ -116,14 +117,3 @@
 fn millis(count: u64) -> String {
     format!("{count}ms")
 }
-
-/// An address of this machine that is free for TCP and UDP at the moment.
-fn free_address() -> Result<SocketAddr, ProcessError> {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-}
--- a/crates/ward-test-support/src/process/mod.rs
+++ b/crates/ward-test-support/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod daemon;
 mod fleet;
+mod port;
 mod program;
 mod session;
 mod truth;
