--- a/crates/ward-bench/src/replay/run.rs
+++ b/crates/ward-bench/src/replay/run.rs
@@ -75,6 +75,7 @@
 ) -> Result<ReplayOutcome, ReplayError> {
     let mut run = ReplayRun::new(trace, shape, policy, trouble)?;
     run.schedule_sheet();
+    run.schedule_fill();
     for request in 0..trace.requests.len() {
         let at = trace.requests[request].at;
         run.events.push(at, ReplayEvent::Arrive { request });
@@ -141,6 +142,8 @@
             ReplayEvent::Retry { model } => self.demand(model),
             ReplayEvent::SheetBegin { model } => self.sheet_begin(model),
             ReplayEvent::SheetEnd { model } => self.sheet_end(model),
+            ReplayEvent::HoldCheck { engine, stamp } => self.hold_check(engine, stamp),
+            ReplayEvent::FillCheck => self.fill_check(),
             ReplayEvent::RestCheck { engine, stamp } => self.rest_check(engine, stamp),
         }
     }
@@ -261,7 +264,9 @@
         let state = &mut self.state.replicas[carrier];
         state.running += 1;
         state.stamp += 1;
-        self.state.engines[engine].running += 1;
+        let host = &mut self.state.engines[engine];
+        host.running += 1;
+        host.hold_stamp += 1;
     }
 
     fn ended(&mut self, replica: usize) {
@@ -285,6 +290,7 @@
             self.retry_starved();
             self.schedule_keep(carrier);
         }
+        self.schedule_hold(engine);
     }
 
     /// Starts waiting requests of a model and its adapters.
