Traffic: the list of waiting and running requests, for operators

The daemon's request list was always empty, since traffic kept none. Small addition in ward-daemon: requests.rs joins the two. Admission moved out of the queue's file.

--- a/crates/ward-daemon/src/lib.rs
+++ b/crates/ward-daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod operator;
 pub mod process;
 pub mod program;
+mod requests;
 mod socket;
 mod spawn;
 
--- a/crates/ward-daemon/src/operator/mod.rs
+++ b/crates/ward-daemon/src/operator/mod.rs
@@ -6,4 +6,5 @@
 mod status;
 mod submit;
 
+pub(crate) use calls::RequestLister;
 pub use calls::{OperatorParts, operator_calls};
--- a/crates/ward-daemon/src/process.rs
+++ b/crates/ward-daemon/src/process.rs
@@ -14,9 +14,7 @@
 use tokio::task::JoinHandle;
 use ward_control::ControlEvent;
 use ward_once::{OnceSettings, OnceStore};
-use ward_operator::{
-    OperatorServer, RequestsAnswer, TokenDigest, operator_router, serve_operators,
-};
+use ward_operator::{OperatorServer, TokenDigest, operator_router, serve_operators};
 use ward_peer::{PeerCounters, PeerKeys};
 use ward_platform::{AppendQueue, LogClient, LogTimes, QueueLimits};
 use ward_protocol::{DaemonId, LogStream, MemberInfo, TimeSpan};
@@ -27,6 +25,7 @@
 use crate::control::{ControlHandle, ControlMetrics};
 use crate::once::{once_calls, shard_ports};
 use crate::operator::{OperatorParts, operator_calls};
+use crate::requests::request_lister;
 use crate::socket::BoundSockets;
 use crate::spawn::ThreadSeed;
 
@@ -199,14 +198,6 @@
     PeerKeys::new(current, previous)
 }
 
-fn request_lister(server: &Arc<ServerHandle>) -> Arc<dyn Fn() -> RequestsAnswer + Send + Sync> {
-    let server = Arc::clone(server);
-    Arc::new(move || RequestsAnswer {
-        total: u32::try_from(server.waiting()).unwrap_or(u32::MAX),
-        requests: Vec::new(),
-    })
-}
-
 fn notice_sink(control: &ControlHandle) -> NoticeSink {
     let control = control.clone();
     Arc::new(move |notice| {
--- /dev/null
+++ b/crates/ward-daemon/src/requests.rs
@@ -0,0 +1,42 @@
+//! Requests of this daemon, for operators to look at.
+
+use std::sync::Arc;
+
+use ward_operator::{RequestItem, RequestPhase, RequestsAnswer};
+use ward_traffic::ServerHandle;
+use ward_traffic::room::{EntryPhase, RequestEntry};
+
+use crate::operator::RequestLister;
+
+/// Most requests listed at a time.
+const LISTED: usize = 1_000;
+
+/// Lists the requests of a server.
+pub(crate) fn request_lister(server: &Arc<ServerHandle>) -> RequestLister {
+    let server = Arc::clone(server);
+    Arc::new(move || {
+        let entries = server.requests();
+        RequestsAnswer {
+            total: u32::try_from(entries.len()).unwrap_or(u32::MAX),
+            requests: entries.into_iter().take(LISTED).map(item_of).collect(),
+        }
+    })
+}
+
+fn item_of(entry: RequestEntry) -> RequestItem {
+    let phase = match entry.phase {
+        EntryPhase::Waiting => RequestPhase::Waiting,
+        EntryPhase::Running => RequestPhase::Running,
+        EntryPhase::Answering => RequestPhase::Answering,
+    };
+    RequestItem {
+        request: entry.request,
+        target: entry.target,
+        phase,
+        priority: entry.priority,
+        age: entry.age,
+        left: entry.left,
+        backend: entry.backend,
+        once: entry.once,
+    }
+}
--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -45,6 +45,8 @@
     /// What the call asks of the queue.
     pub(crate) fn wait_request(&self) -> WaitRequest {
         WaitRequest {
+            request: self.request,
+            once: self.connection == ConnectionUse::Fresh,
             target: self.target.clone(),
             reference: Some(self.body.reference.clone()),
             terms: self.terms,
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -90,6 +90,7 @@
         body: AnswerBody,
     ) -> Self {
         let progress = StreamProgress::new(call.request);
+        grant.mark_answering();
         Self {
             core,
             call,
@@ -260,6 +261,7 @@
     fn move_to(&mut self, grant: SlotGrant) {
         self.guard.disarm();
         self.guard = CancelGuard::new(&self.core, grant.address, self.call.request);
+        grant.mark_answering();
         self.grant = grant;
     }
 
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -46,6 +46,8 @@
 impl ServiceCall {
     pub(super) fn wait_request(&self) -> WaitRequest {
         WaitRequest {
+            request: self.request,
+            once: self.connection == ConnectionUse::Fresh,
             target: self.target.clone(),
             reference: None,
             terms: self.terms,
@@ -206,6 +208,7 @@
 
 /// An answer passed on as it comes; it ends visibly cut if its backend server is lost.
 fn long_response(answer: BackendAnswer, first: Bytes, grant: SlotGrant) -> Response<Body> {
+    grant.mark_answering();
     let length = answer.headers.get(CONTENT_LENGTH).cloned();
     let rest = stream::try_unfold((answer.body, grant), |(mut body, grant)| async {
         let chunk = body.chunk().await.map_err(io::Error::other)?;
--- /dev/null
+++ b/crates/ward-traffic/src/room/admission.rs
@@ -0,0 +1,60 @@
+//! Whether a request may wait at all.
+
+use ward_protocol::{ResultCode, RoutingView, TimeSpan, WallTime};
+
+use super::outlook::{Outlook, outlook_for};
+use super::slots::ready_backends;
+use super::state::RoomState;
+use super::waiter::{WaitDelivery, WaitOrder, WaitRequest};
+use crate::problem::ProblemReport;
+
+/// The expected wait must exceed the time left this many times before a request is
+/// refused for it, since the time that requests take varies.
+const WAIT_MARGIN: u32 = 2;
+
+/// Refuses a request that cannot start in time, as far as the view knows.
+pub(super) fn check(view: &RoutingView, request: &WaitRequest) -> Result<(), ProblemReport> {
+    let deadline = request.terms.wall_deadline;
+    match outlook_for(view, &request.target, deadline, WallTime::now()) {
+        Outlook::Wait => Ok(()),
+        Outlook::Refuse(report) => Err(report),
+    }
+}
+
+/// Refuses a request at once when the slots will hardly free in time.
+pub(super) fn check_wait(
+    state: &RoomState,
+    view: &RoutingView,
+    request: &WaitRequest,
+    order: WaitOrder,
+    per_replica: u32,
+) -> Result<(), ProblemReport> {
+    let replicas = ready_backends(view, &request.target).count();
+    let replicas = u32::try_from(replicas).unwrap_or(u32::MAX);
+    let slots = replicas.saturating_mul(per_replica);
+    let expected = state.expected_wait(&request.target, order, slots);
+    let Some(wait) = expected.filter(|wait| *wait > request.terms.left() * WAIT_MARGIN) else {
+        return Ok(());
+    };
+    let wait = TimeSpan::from_millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    let detail = format!("the requests ahead should take {wait}, more than the time limit");
+    Err(ProblemReport::refused(ResultCode::TooLate, detail).after(wait))
+}
+
+/// Makes room for one more of at most `most` waiting requests.
+pub(super) fn make_room(
+    state: &mut RoomState,
+    order: WaitOrder,
+    most: usize,
+) -> Result<Option<WaitDelivery>, ProblemReport> {
+    if state.count() < most {
+        return Ok(None);
+    }
+    match state.displace(order) {
+        Some(delivery) => Ok(Some(delivery)),
+        None => Err(ProblemReport::refused(
+            ResultCode::QueueFull,
+            format!("{} requests wait already", state.count()),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/ward-traffic/src/room/listing.rs
@@ -0,0 +1,112 @@
+//! Requests that wait or run, for people to look at.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+use ward_protocol::{BackendId, PriorityLevel, RequestId, RowTarget, TimeSpan};
+
+use super::wait_room::WaitRoom;
+use super::waiter::{SlotPermit, WaitRequest};
+
+/// Where a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryPhase {
+    /// Waits for a slot.
+    Waiting,
+    /// Has a slot, and no answer yet.
+    Running,
+    /// Its answer is on its way to the caller.
+    Answering,
+}
+
+/// A request that waits or runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestEntry {
+    /// Which request.
+    pub request: RequestId,
+    /// What it asks for.
+    pub target: RowTarget,
+    /// Where it stands.
+    pub phase: EntryPhase,
+    /// Its priority.
+    pub priority: PriorityLevel,
+    /// Time since it came.
+    pub age: TimeSpan,
+    /// Time left until its deadline.
+    pub left: TimeSpan,
+    /// Where it runs.
+    pub backend: Option<BackendId>,
+    /// Whether it may not be repeated.
+    pub once: bool,
+}
+
+/// A request with a slot.
+#[derive(Debug)]
+pub(super) struct RunningRequest {
+    pub(super) request: WaitRequest,
+    pub(super) backend: BackendId,
+    pub(super) answering: bool,
+}
+
+impl RequestEntry {
+    pub(super) fn waiting(request: &WaitRequest, now: Instant) -> Self {
+        Self {
+            request: request.request,
+            target: request.target.clone(),
+            phase: EntryPhase::Waiting,
+            priority: request.priority,
+            age: now.duration_since(request.terms.arrived).into(),
+            left: request.terms.deadline.duration_since(now).into(),
+            backend: None,
+            once: request.once,
+        }
+    }
+
+    pub(super) fn running(running: &RunningRequest, now: Instant) -> Self {
+        let phase = if running.answering {
+            EntryPhase::Answering
+        } else {
+            EntryPhase::Running
+        };
+        Self {
+            phase,
+            backend: Some(running.backend.clone()),
+            ..Self::waiting(&running.request, now)
+        }
+    }
+}
+
+impl WaitRoom {
+    /// All requests that wait or run, oldest first.
+    #[must_use]
+    pub fn requests(&self) -> Vec<RequestEntry> {
+        let now = Instant::now();
+        let state = self.lock();
+        let running = state.running.values();
+        let running = running.map(|running| RequestEntry::running(running, now));
+        let waiting = state.queues.values().flat_map(|queue| queue.values());
+        let waiting = waiting.map(|waiter| RequestEntry::waiting(&waiter.request, now));
+        let mut entries: Vec<_> = running.chain(waiting).collect();
+        drop(state);
+        entries.sort_by_key(|entry| std::cmp::Reverse(entry.age));
+        entries
+    }
+}
+
+impl SlotPermit {
+    /// Notes that the answer is on its way to the caller.
+    pub fn mark_answering(&self) {
+        let Some(room) = self.room.upgrade() else {
+            return;
+        };
+        room.mark_answering(self.slot);
+    }
+}
+
+impl WaitRoom {
+    fn mark_answering(self: &Arc<Self>, slot: u64) {
+        if let Some(running) = self.lock().running.get_mut(&slot) {
+            running.answering = true;
+        }
+    }
+}
--- a/crates/ward-traffic/src/room/mod.rs
+++ b/crates/ward-traffic/src/room/mod.rs
@@ -6,7 +6,9 @@
 //! waiting requests and the refusal of the least urgent one need a common view
 //! anyway, and no measurement showed the single lock as a limit.
 
+mod admission;
 mod hold;
+mod listing;
 mod outlook;
 mod slots;
 mod state;
@@ -14,6 +16,7 @@
 mod wait_room;
 mod waiter;
 
+pub use listing::{EntryPhase, RequestEntry};
 pub use outlook::{Outlook, outlook_for};
 pub use slots::{ReplicaSlots, SlotChoice};
 pub use ticket::WaitTicket;
--- a/crates/ward-traffic/src/room/state.rs
+++ b/crates/ward-traffic/src/room/state.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use ward_protocol::{PriorityLevel, ReplicaKey, ResultCode, RoutingView, RowTarget, WakeHint};
+use ward_protocol::{
+    BackendId, PriorityLevel, ReplicaKey, ResultCode, RoutingView, RowTarget, WakeHint,
+};
 
 use super::hold::HoldTime;
+use super::listing::RunningRequest;
 use super::slots::ReplicaSlots;
 use super::waiter::{WaitDelivery, WaitOrder, WaitRequest, Waiter};
 use crate::problem::ProblemReport;
@@ -19,6 +22,8 @@
 pub(super) struct RoomState {
     pub(super) queues: IndexMap<RowTarget, WaitQueue>,
     pub(super) slots: ReplicaSlots,
+    /// Requests with a slot, by the slot's number.
+    pub(super) running: IndexMap<u64, RunningRequest>,
     pub(super) used: IndexMap<ReplicaKey, WakeHint>,
     holds: IndexMap<RowTarget, HoldTime>,
     count: usize,
@@ -145,8 +150,21 @@
             .collect()
     }
 
-    pub(super) fn note_use(&mut self, request: &WaitRequest, target: &RowTarget) {
-        let RowTarget::Replica(key) = target else {
+    /// Notes that a request got a slot, and gives the slot's number.
+    pub(super) fn note_start(&mut self, request: &WaitRequest, backend: &BackendId) -> u64 {
+        self.note_use(request);
+        self.sequence += 1;
+        let running = RunningRequest {
+            request: request.clone(),
+            backend: backend.clone(),
+            answering: false,
+        };
+        self.running.insert(self.sequence, running);
+        self.sequence
+    }
+
+    fn note_use(&mut self, request: &WaitRequest) {
+        let RowTarget::Replica(key) = &request.target else {
             return;
         };
         let deadline = request.terms.wall_deadline;
--- a/crates/ward-traffic/src/room/wait_room.rs
+++ b/crates/ward-traffic/src/room/wait_room.rs
@@ -4,12 +4,10 @@
 
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
-use ward_protocol::{
-    BackendId, ResultCode, RoutingView, RowTarget, TimeSpan, WakeHint, WallTime, ZoneName,
-};
+use ward_protocol::{BackendId, ResultCode, RoutingView, RowTarget, TimeSpan, WakeHint, ZoneName};
 
-use super::outlook::{Outlook, outlook_for};
-use super::slots::{SlotChoice, ready_backends};
+use super::admission::{check, check_wait, make_room};
+use super::slots::SlotChoice;
 use super::state::RoomState;
 use super::ticket::WaitTicket;
 use super::waiter::{SlotGrant, SlotPermit, WaitDelivery, WaitOrder, WaitRequest, Waiter};
@@ -17,10 +15,6 @@
 use crate::problem::ProblemReport;
 use crate::target::{is_active, resolve_model};
 
-/// The expected wait must exceed the time left this many times before a request is
-/// refused for it, since the time that requests take varies.
-const WAIT_MARGIN: u32 = 2;
-
 /// What the queue is given.
 #[derive(Clone)]
 pub struct RoomSettings {
@@ -103,8 +97,8 @@
         }
         check(&view, &request)?;
         let order = state.next_order(&request);
-        self.check_wait(&state, &view, &request, order)?;
-        let displaced = self.make_room(&mut state, order)?;
+        check_wait(&state, &view, &request, order, self.settings.per_replica)?;
+        let displaced = make_room(&mut state, order, self.settings.waiting)?;
         let (sender, receiver) = oneshot::channel();
         let target = request.target.clone();
         state.insert(order, Waiter { request, sender });
@@ -170,6 +164,7 @@
         let mut state = self.lock();
         let target = &permit.target;
         state.note_hold(target, permit.since.elapsed());
+        state.running.swap_remove(&permit.slot);
         state.slots.give(target, &permit.backend, permit.suspect);
         let targets = if permit.suspect {
             state.targets()
@@ -188,47 +183,10 @@
         self.lock().leave(order);
     }
 
-    fn lock(&self) -> MutexGuard<'_, RoomState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, RoomState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Refuses a request at once when the slots will hardly free in time.
-    fn check_wait(
-        &self,
-        state: &RoomState,
-        view: &RoutingView,
-        request: &WaitRequest,
-        order: WaitOrder,
-    ) -> Result<(), ProblemReport> {
-        let replicas = ready_backends(view, &request.target).count();
-        let replicas = u32::try_from(replicas).unwrap_or(u32::MAX);
-        let slots = replicas.saturating_mul(self.settings.per_replica);
-        let expected = state.expected_wait(&request.target, order, slots);
-        let Some(wait) = expected.filter(|wait| *wait > request.terms.left() * WAIT_MARGIN) else {
-            return Ok(());
-        };
-        let wait = TimeSpan::from_millis(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
-        let detail = format!("the requests ahead should take {wait}, more than the time limit");
-        Err(ProblemReport::refused(ResultCode::TooLate, detail).after(wait))
-    }
-
-    fn make_room(
-        &self,
-        state: &mut RoomState,
-        order: WaitOrder,
-    ) -> Result<Option<WaitDelivery>, ProblemReport> {
-        if state.count() < self.settings.waiting {
-            return Ok(None);
-        }
-        match state.displace(order) {
-            Some(delivery) => Ok(Some(delivery)),
-            None => Err(ProblemReport::refused(
-                ResultCode::QueueFull,
-                format!("{} requests wait already", state.count()),
-            )),
-        }
-    }
-
     fn grant(
         self: &Arc<Self>,
         state: &mut RoomState,
@@ -247,7 +205,7 @@
         };
         let backend = state.slots.take(view, &choice)?;
         let address = view.backends.get(&backend)?.address;
-        state.note_use(request, &request.target);
+        let slot = state.note_start(request, &backend);
         Some(SlotGrant {
             target: request.target.clone(),
             address,
@@ -256,6 +214,7 @@
                 target: request.target.clone(),
                 backend: backend.clone(),
                 suspect: request.suspect,
+                slot,
                 since: now,
             }),
             backend,
@@ -316,14 +275,6 @@
     }
 }
 
-fn check(view: &RoutingView, request: &WaitRequest) -> Result<(), ProblemReport> {
-    let deadline = request.terms.wall_deadline;
-    match outlook_for(view, &request.target, deadline, WallTime::now()) {
-        Outlook::Wait => Ok(()),
-        Outlook::Refuse(report) => Err(report),
-    }
-}
-
 fn redirect(view: &RoutingView, request: &mut WaitRequest) -> Result<(), ProblemReport> {
     let reference = request.reference.as_ref();
     let Some(reference) = reference.filter(|reference| reference.version.is_none()) else {
--- a/crates/ward-traffic/src/room/waiter.rs
+++ b/crates/ward-traffic/src/room/waiter.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use ward_protocol::{BackendId, ModelReference, PriorityLevel, RowTarget};
+use ward_protocol::{BackendId, ModelReference, PriorityLevel, RequestId, RowTarget};
 
 use super::wait_room::WaitRoom;
 use crate::input::RequestTerms;
@@ -14,6 +14,10 @@
 /// A request that needs a slot.
 #[derive(Debug, Clone)]
 pub struct WaitRequest {
+    /// Which request.
+    pub request: RequestId,
+    /// Whether it may not be repeated.
+    pub once: bool,
     /// The row that it means.
     pub target: RowTarget,
     /// What the caller wrote, unless it is a service.
@@ -76,6 +80,13 @@
 }
 
 impl SlotGrant {
+    /// Notes that the answer is on its way to the caller.
+    pub fn mark_answering(&self) {
+        if let Some(permit) = &self.permit {
+            permit.mark_answering();
+        }
+    }
+
     /// Gives the slot back early.
     pub fn release(&mut self) {
         self.permit = None;
@@ -89,6 +100,8 @@
     pub(super) target: RowTarget,
     pub(super) backend: BackendId,
     pub(super) suspect: bool,
+    /// Number of the slot.
+    pub(super) slot: u64,
     pub(super) since: Instant,
 }
 
--- a/crates/ward-traffic/src/server/start.rs
+++ b/crates/ward-traffic/src/server/start.rs
@@ -22,7 +22,7 @@
 use crate::metrics::TrafficMetrics;
 use crate::notice::NoticeSink;
 use crate::once::OnceCalls;
-use crate::room::{RoomSettings, WaitRoom};
+use crate::room::{RequestEntry, RoomSettings, WaitRoom};
 
 /// How long a backend server that did not answer gets nothing.
 const AVOID_TIME: TimeSpan = TimeSpan::from_millis(250);
@@ -133,6 +133,12 @@
         self.address
     }
 
+    /// All requests that wait or run, oldest first.
+    #[must_use]
+    pub fn requests(&self) -> Vec<RequestEntry> {
+        self.core.room.requests()
+    }
+
     /// Requests that wait for a slot.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/ward-traffic/tests/queue.rs
+++ b/crates/ward-traffic/tests/queue.rs
@@ -11,9 +11,9 @@
 use support::{FakeBackend, TestServer, ViewMaker, engine_reply};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use ward_protocol::{ResultCode, RoutingView, RowTarget, TimeSpan, TrafficLimits};
+use ward_protocol::{RequestId, ResultCode, RoutingView, RowTarget, TimeSpan, TrafficLimits};
 use ward_traffic::input::{BodyMemory, RequestTerms, read_body};
-use ward_traffic::room::{RoomSettings, SlotGrant, WaitRequest, WaitRoom};
+use ward_traffic::room::{EntryPhase, RoomSettings, SlotGrant, WaitRequest, WaitRoom};
 use ward_traffic::{ProblemReport, TrafficNotice};
 
 const KEY: &str = "quotes@v1";
@@ -41,6 +41,8 @@
 fn request(reference: &str, priority: u8, limit: TimeSpan) -> WaitRequest {
     let priority = priority.try_into().unwrap();
     WaitRequest {
+        request: RequestId::random(),
+        once: false,
         target: RowTarget::Replica(KEY.parse().unwrap()),
         reference: Some(reference.parse().unwrap()),
         terms: RequestTerms::starting_now(limit, Some(priority)),
@@ -89,11 +91,18 @@
     });
     let tasks: Vec<_> = tasks.collect();
     tokio::time::sleep(Duration::from_millis(1)).await;
+    let entries = room.requests();
+    expect_that!(entries.len(), eq(5));
+    let phases = entries
+        .iter()
+        .filter(|entry| entry.phase == EntryPhase::Running);
+    expect_that!(phases.count(), eq(1));
     drop(first);
     for task in tasks {
         task.await.unwrap();
     }
     expect_that!(*order.lock().unwrap(), eq(&vec![3, 2, 1, 0]));
+    expect_that!(room.requests(), is_empty());
     expect_that!(room.waiting(), eq(0));
 }
 
