Traffic: a broken try is cancelled before the next one under its id

With one replica the cancel of the first try could arrive after the second had begun and end that (test: the order was POST, POST, DELETE). The cancel is now waited for, at most 250 ms and never past the time limit. A daemon without state says so for services too, in place of 'no such service'.

--- a/crates/ward-traffic/src/forward/cancel.rs
+++ b/crates/ward-traffic/src/forward/cancel.rs
@@ -2,12 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::runtime::Handle;
+use tokio::time::timeout;
 use ward_protocol::RequestId;
 
 use crate::core::TrafficCore;
 
+/// Longest wait for an engine to confirm a cancel.
+const CANCEL_TIME: Duration = Duration::from_millis(250);
+
 /// Cancels its request at the engine unless it is disarmed first.
 #[derive(Debug)]
 pub(crate) struct CancelGuard {
@@ -27,6 +32,21 @@
         }
     }
 
+    /// Cancels the request and waits for that, not beyond `longest`.
+    ///
+    /// Before the request is sent again under the same id this must be over, or
+    /// the second try would be cancelled in place of the first.
+    pub(crate) async fn cancel(&mut self, longest: Duration) {
+        if longest.is_zero() {
+            return;
+        }
+        self.core.metrics.cancelled.inc();
+        let cancelled = self.core.client.cancel(self.address, self.request);
+        // An engine that cannot be reached has lost the request anyway.
+        let _ = timeout(longest.min(CANCEL_TIME), cancelled).await;
+        self.disarm();
+    }
+
     /// The request ended; there is nothing to cancel.
     pub(crate) fn disarm(&mut self) {
         self.armed = false;
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -30,6 +30,8 @@
 const LONGEST_SILENCE: Duration = Duration::from_secs(60);
 /// Times that a stream is continued without a new token in between.
 const MOST_RECOVERIES: u32 = 3;
+/// Longest wait for an engine to drop a stream before that is run again.
+const LONGEST_CANCEL: Duration = Duration::from_millis(250);
 /// Largest KV cache in bytes that is moved.
 const LARGEST_CACHE: usize = 64 << 20;
 /// Time for the connection's end after the last event.
@@ -243,7 +245,8 @@
         if !taken.unwrap_or(false) || !self.resume(grant.address).await {
             return false;
         }
-        self.move_to(grant);
+        let guard = CancelGuard::new(&self.core, grant.address, request);
+        self.move_to(grant, guard);
         true
     }
 
@@ -258,9 +261,9 @@
         wait
     }
 
-    fn move_to(&mut self, grant: SlotGrant) {
+    fn move_to(&mut self, grant: SlotGrant, guard: CancelGuard) {
         self.guard.disarm();
-        self.guard = CancelGuard::new(&self.core, grant.address, self.call.request);
+        self.guard = guard;
         grant.mark_answering();
         self.grant = grant;
     }
@@ -271,15 +274,21 @@
         self.call.shunned = Some(self.grant.backend.clone());
         // Its own old slot may be the one that it waits for.
         self.grant.release();
+        self.guard.cancel(LONGEST_CANCEL).await;
         let wait = self.next_place();
         let deadline = wait.terms.deadline;
         loop {
             let grant = self.core.room.acquire(wait.clone()).await?;
+            let mut guard = CancelGuard::new(&self.core, grant.address, self.call.request);
             let answer = match attempt_model(&self.core, &self.call, &grant, deadline).await {
                 AttemptEnd::Answered(answer) if is_stream(&answer) => answer,
-                AttemptEnd::NotRun => continue,
+                AttemptEnd::NotRun => {
+                    guard.disarm();
+                    continue;
+                }
                 AttemptEnd::Answered(_) | AttemptEnd::Expired => return Err(not_restarted()),
                 AttemptEnd::Suspect(report) => {
+                    guard.disarm();
                     // It ran before, so it may not be called unrun.
                     return Err(ProblemReport::failed(report.code, report.detail));
                 }
@@ -288,7 +297,7 @@
                     return Err(note_broken(&self.core, &self.call, backend, &error));
                 }
             };
-            self.move_to(grant);
+            self.move_to(grant, guard);
             self.progress.restarted();
             self.body = answer.body;
             return Ok(());
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -55,10 +55,6 @@
     let bytes = read_body(request.into_body(), &terms, &core.limits, &core.bodies).await?;
     let body = ModelBody::try_from(bytes)?;
     let view = core.view();
-    if view.catalog.models.is_empty() && view.mode == ward_protocol::ViewMode::Starting {
-        let detail = "this daemon has not read the log yet";
-        return Err(ProblemReport::refused(ResultCode::StateMissing, detail));
-    }
     let target = RowTarget::Replica(resolve_model(&view, &body.reference)?);
     let repeatable = view.row(&target).is_none_or(|row| row.repeatable);
     let mut call = ModelCall {
@@ -150,7 +146,10 @@
             guard.disarm();
             return TryEnd::Suspect(report);
         }
-        AttemptEnd::Broken(error) => return TryEnd::Broken(error),
+        AttemptEnd::Broken(error) => {
+            guard.cancel(call.terms.left()).await;
+            return TryEnd::Broken(error);
+        }
     };
     if is_event_stream(&answer.headers) {
         let core = Arc::clone(core);
@@ -162,7 +161,10 @@
             guard.disarm();
             TryEnd::Answer(response)
         }
-        Err(error) => TryEnd::Broken(error),
+        Err(error) => {
+            guard.cancel(call.terms.left()).await;
+            TryEnd::Broken(error)
+        }
     }
 }
 
--- a/crates/ward-traffic/src/server/routes.rs
+++ b/crates/ward-traffic/src/server/routes.rs
@@ -5,7 +5,7 @@
 use http::{Method, Response};
 use slog::{debug, info};
 use viz::{Body, Request, Router, Tree};
-use ward_protocol::{RequestId, RequestOutcome, ResultCode};
+use ward_protocol::{RequestId, RequestOutcome, ResultCode, ViewMode};
 
 use crate::REQUEST_ID;
 use crate::core::TrafficCore;
@@ -114,6 +114,10 @@
         let detail = "this daemon takes no new requests";
         return Err(ProblemReport::refused(ResultCode::Stopping, detail));
     }
+    if core.view().mode == ViewMode::Starting {
+        let detail = "this daemon has not read the log yet";
+        return Err(ProblemReport::refused(ResultCode::StateMissing, detail));
+    }
     match action {
         Action::Model(path) => serve_model(core, path, id, request).await,
         Action::Resume => resume_stream(core, request).await,
--- a/crates/ward-traffic/tests/faults.rs
+++ b/crates/ward-traffic/tests/faults.rs
@@ -352,3 +352,43 @@
     expect_that!(next.whole, eq(true));
     expect_that!(begin.elapsed(), lt(Duration::from_secs(10)));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn broken_try_cancelled_before_the_next() {
+    let tries = std::sync::atomic::AtomicU32::new(0);
+    let engine = FakeBackend::start(move |request| {
+        if request.method == "DELETE" {
+            return [vec![Step::Pause(100)], whole_steps(&request.id(), "{}")].concat();
+        }
+        if tries.fetch_add(1, std::sync::atomic::Ordering::Relaxed) > 0 {
+            return [vec![Step::Pause(300)], engine_reply(request)].concat();
+        }
+        whole_steps(&request.id(), "no json")
+    })
+    .await;
+    let server = TestServer::with(view_of(&[&engine]).build()).await;
+    expect_that!(server.chat("quotes", &[]).await.status, eq(200));
+    let seen = engine.requests();
+    let methods: Vec<_> = seen.iter().map(|request| request.method.as_str()).collect();
+    expect_that!(methods, eq(&vec!["POST", "DELETE", "POST"]));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn no_state_yet_refuses_all() {
+    let view = ViewMaker::new().mode(ViewMode::Starting);
+    let server = TestServer::with(view.build()).await;
+    let model = server.chat("quotes", &[]).await;
+    expect_that!(
+        (model.code(), model.outcome()),
+        eq(&(302, "not_run".to_owned()))
+    );
+    let service = call(server.address(), Method::GET, "/services/stock/a", &[], "").await;
+    expect_that!(
+        (service.code(), service.outcome()),
+        eq(&(302, "not_run".to_owned()))
+    );
+    let health = call(server.address(), Method::GET, "/healthz", &[], "").await;
+    expect_that!(health.status, eq(503));
+}
