--- a/crates/ward-traffic/tests/support/caller.rs
+++ b/crates/ward-traffic/tests/support/caller.rs
@@ -104,6 +104,11 @@
         serde_json::from_str(&self.body).unwrap_or_default()
     }
 
+    /// Code and outcome, such as `403 failed`.
+    pub fn refusal(&self) -> String {
+        format!("{} {}", self.code(), self.outcome())
+    }
+
     pub fn code(&self) -> u64 {
         self.json()["code"].as_u64().unwrap_or(0)
     }
--- a/crates/ward-traffic/tests/support/view.rs
+++ b/crates/ward-traffic/tests/support/view.rs
@@ -1,5 +1,6 @@
 //! Hand-made routing views.
 
+use super::backend::FakeBackend;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -29,6 +30,19 @@
         Self { view }
     }
 
+    /// A repeatable row `quotes@v1` with a ready replica on each engine, `e0` and on.
+    pub fn quotes_on(engines: &[&FakeBackend]) -> Self {
+        let view = Self::new().row("quotes@v1", 3, true);
+        engines
+            .iter()
+            .enumerate()
+            .fold(view, |view, (index, engine)| {
+                let name = format!("e{index}");
+                view.backend(&name, engine.address)
+                    .ready("quotes@v1", &name)
+            })
+    }
+
     pub fn row(mut self, target: &str, replicas: u16, repeatable: bool) -> Self {
         let target: RowTarget = target.parse().unwrap();
         let mut catalog = PlanCatalog::clone(&self.view.catalog);
