Traffic: a reclaimed engine makes no request suspect

Requests running on an engine when its host was reclaimed were noted as having crashed it (test shown failing first); the second host would have had them refused for ten minutes. A lost call that may not be repeated is now noted too. Idle connections are kept 4 s, below the 5 s after which common servers close theirs.

--- a/crates/ward-backend/src/request/client.rs
+++ b/crates/ward-backend/src/request/client.rs
@@ -34,7 +34,8 @@
     fn default() -> Self {
         Self {
             connect_time: TimeSpan::from_millis(1_000),
-            idle_time: TimeSpan::from_secs(30),
+            // Common servers close an idle connection after 5 s; a request must not meet that.
+            idle_time: TimeSpan::from_secs(4),
             header_bytes: 32 << 10,
         }
     }
--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -12,7 +12,7 @@
     BackendId, PriorityLevel, RequestFingerprint, RequestId, ResultCode, RowTarget, WallTime,
 };
 
-use super::suspect::check_crashes;
+use super::suspect::{check_crashes, is_crash};
 use crate::core::TrafficCore;
 use crate::input::{ModelBody, RequestTerms};
 use crate::notice::TrafficNotice;
@@ -148,7 +148,7 @@
 ) -> ProblemReport {
     info!(core.logger, "traffic: request broken";
         "request" => %call.request, "backend" => %backend, "cause" => %error);
-    if matches!(error, CallError::Lost(_)) {
+    if is_crash(core, backend, error) {
         (core.notice.0)(TrafficNotice::Crashed {
             fingerprint: call.fingerprint(),
             backend: backend.clone(),
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -19,6 +19,7 @@
 use super::cancel::CancelGuard;
 use super::event::EventBuffer;
 use super::progress::{StreamProgress, StreamStep};
+use super::suspect::is_crash;
 use super::whole::is_event_stream;
 use crate::REQUEST_ID;
 use crate::core::TrafficCore;
@@ -195,8 +196,9 @@
         if self.resume(self.grant.address).await || self.migrate().await {
             return Ok(());
         }
-        let lost = matches!(cause, StreamBreak::Lost(CallError::Lost(_)));
+        let mut crashed = false;
         if let StreamBreak::Lost(error) = &cause {
+            crashed = is_crash(&self.core, &self.grant.backend, error);
             note_broken(&self.core, &self.call, &self.grant.backend, error);
         }
         if !self.core.budget.take() {
@@ -204,7 +206,7 @@
             return Err(cut());
         }
         self.core.metrics.retries.inc();
-        self.restart(lost).await.map_err(|report| {
+        self.restart(crashed).await.map_err(|report| {
             let detail = format!("{detail}; running it again failed: {}", report.detail);
             ProblemReport::failed(ResultCode::StreamCut, detail)
         })
@@ -269,8 +271,8 @@
     }
 
     /// Runs the request again on any replica of the same version.
-    async fn restart(&mut self, lost: bool) -> Result<(), ProblemReport> {
-        self.call.crashes += u32::from(lost);
+    async fn restart(&mut self, crashed: bool) -> Result<(), ProblemReport> {
+        self.call.crashes += u32::from(crashed);
         self.call.shunned = Some(self.grant.backend.clone());
         // Its own old slot may be the one that it waits for.
         self.grant.release();
--- a/crates/ward-traffic/src/forward/suspect.rs
+++ b/crates/ward-traffic/src/forward/suspect.rs
@@ -4,7 +4,8 @@
 //! another daemon may have met the second crash, and a try of its own may have
 //! been the second.
 
-use ward_protocol::ResultCode;
+use ward_backend::request::CallError;
+use ward_protocol::{BackendId, ResultCode};
 
 use super::attempt::ModelCall;
 use crate::core::TrafficCore;
@@ -13,6 +14,19 @@
 /// Crashes after which a request is not sent again for a time.
 const MOST_CRASHES: u32 = 2;
 
+/// Whether a failed try counts as a crash of its backend server.
+///
+/// A connection lost to one that is being reclaimed, or that is gone from the view,
+/// says nothing about the request.
+pub(crate) fn is_crash(core: &TrafficCore, backend: &BackendId, error: &CallError) -> bool {
+    let view = core.view();
+    let staying = view
+        .backends
+        .get(backend)
+        .is_some_and(|route| !route.leaving);
+    staying && matches!(error, CallError::Lost(_))
+}
+
 /// The crashes that a request was part of, as far as known here.
 ///
 /// # Errors
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -11,8 +11,8 @@
 use super::once::{OnceTask, serve_once};
 use crate::core::TrafficCore;
 use crate::forward::{
-    AttemptEnd, CancelGuard, ModelCall, StreamRelay, attempt_model, check_crashes, is_event_stream,
-    note_broken, read_whole, relay_response, whole_response,
+    AttemptEnd, CancelGuard, ModelCall, StreamRelay, attempt_model, check_crashes, is_crash,
+    is_event_stream, note_broken, read_whole, relay_response, whole_response,
 };
 use crate::input::{ModelBody, RequestTerms, read_body, read_key, read_terms};
 use crate::metrics::StartSample;
@@ -125,7 +125,7 @@
         }
         core.metrics.retries.inc();
         broken = Some(report);
-        call.crashes += u32::from(matches!(error, CallError::Lost(_)));
+        call.crashes += u32::from(is_crash(core, &backend, &error));
         call.shunned = Some(backend);
     }
 }
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -14,14 +14,14 @@
 use tokio::time::{timeout, timeout_at};
 use viz::Body;
 use ward_backend::request::{BackendAnswer, CallError};
-use ward_protocol::{IdempotencyKey, RequestFingerprint, RequestId, ResultCode};
+use ward_protocol::{BackendId, IdempotencyKey, RequestFingerprint, RequestId, ResultCode};
 
 use super::model::{expired, is_cold, note_start};
 use super::service::{ServiceCall, attempt_service, check_unsent};
 use crate::core::TrafficCore;
 use crate::forward::{
     AttemptEnd, LONGEST_RUN, ModelCall, WholeAnswer, attempt_model, ends_whole, is_event_stream,
-    read_whole, whole_response,
+    note_broken, read_whole, whole_response,
 };
 use crate::input::RequestTerms;
 use crate::once::{BeginAnswer, DoneAnswer, KeptAnswer};
@@ -163,7 +163,7 @@
             AttemptEnd::Answered(answer) => {
                 return match task.whole(*answer).await {
                     Ok(whole) => Ok(record(core, key, whole).await),
-                    Err(error) => Err(doubt(core, key, task, &error).await),
+                    Err(error) => Err(doubt(core, key, task, &grant.backend, &error).await),
                 };
             }
             AttemptEnd::NotRun => {
@@ -174,7 +174,9 @@
             }
             AttemptEnd::Expired => return Err(abort(core, key, expired()).await),
             AttemptEnd::Suspect(report) => return Err(abort(core, key, *report).await),
-            AttemptEnd::Broken(error) => return Err(doubt(core, key, task, &error).await),
+            AttemptEnd::Broken(error) => {
+                return Err(doubt(core, key, task, &grant.backend, &error).await);
+            }
         }
     }
 }
@@ -196,11 +198,15 @@
 }
 
 async fn doubt(
-    core: &TrafficCore,
+    core: &Arc<TrafficCore>,
     key: &IdempotencyKey,
     task: &OnceTask,
+    backend: &BackendId,
     error: &CallError,
 ) -> ProblemReport {
+    if let OnceTask::Model(call) = task {
+        note_broken(core, call, backend, error);
+    }
     warn!(core.logger, "traffic: call in doubt"; "request" => %task.request(), "cause" => %error);
     settle(core, (core.once.doubt)(key.clone())).await;
     ProblemReport::in_doubt(format!(
--- a/crates/ward-traffic/tests/faults.rs
+++ b/crates/ward-traffic/tests/faults.rs
@@ -356,3 +356,20 @@
     let health = call(server.address(), Method::GET, "/healthz", &[], "").await;
     expect_that!(health.status, eq(503));
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn reclaimed_engine_makes_no_suspect() {
+    let engine = FakeBackend::start(|_| vec![Step::Pause(200), Step::Close]).await;
+    let view = ViewMaker::quotes_on(&[&engine]);
+    let server = TestServer::with(view.build()).await;
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        server.publish(view.clone().leaving("e0").build());
+    };
+    let short = [("request-timeout", "600")];
+    let (answer, ()) = tokio::join!(server.chat("quotes", &short), leave);
+    expect_that!(answer.refusal(), eq("402 failed"));
+    let crashed = |notice: &TrafficNotice| matches!(notice, TrafficNotice::Crashed { .. });
+    expect_that!(server.notices().iter().any(crashed), eq(false));
+}
