--- a/crates/ward-bench/src/replay/load.rs
+++ b/crates/ward-bench/src/replay/load.rs
@@ -1,7 +1,7 @@
 //! Loads of a replay: demand, placement and the weight store.
 
 use ward_policy::{
-    KeepTerms, PlaceChoice, PlaceRequest, ScaleView, SlackView, place_replica, scale_out,
+    HeldReplica, PlaceChoice, PlaceRequest, ScaleView, SlackView, place_replica_by, scale_out,
     slack_left, wake_engine,
 };
 use ward_protocol::{
@@ -121,39 +121,71 @@
         self.tier_load(tiers.min().unwrap_or(CacheTier::Remote))
     }
 
-    /// What a replica costs to keep and to load again.
-    pub(super) fn keep_terms(&self, replica: usize) -> KeepTerms {
-        let state = &self.state.replicas[replica];
-        KeepTerms {
-            load: self.best_load(state.model),
-            share: self.share(replica),
-        }
-    }
-
     /// Loads a replica where there is room; ahead of requests nothing is evicted for it.
     pub(super) fn place(&mut self, model: usize, ahead: bool) -> bool {
+        let wakes = !self.trace.models[model].key.is_adapter();
+        self.place_with(model, ahead, wakes)
+    }
+
+    /// Like `place`; brings an engine back from standby only when told so.
+    pub(super) fn place_with(&mut self, model: usize, ahead: bool, wakes: bool) -> bool {
         let request = self.place_request(model, ahead);
         let views = self
             .state
             .engine_views(self.trace, model, |replica| self.held_use(replica));
-        let choice = place_replica(&request, &views);
-        if let PlaceChoice::Place { backend } = choice {
-            return self.reserve(model, &backend, TimeSpan::ZERO);
+        let cautious = place_replica_by(&request, &views, |_, held| {
+            let fills = ahead && self.policy.holds_engines();
+            if fills {
+                f64::INFINITY
+            } else {
+                self.cautious_cost(held)
+            }
+        });
+        if cautious != PlaceChoice::Impossible {
+            return self.carry_out(model, cautious);
         }
-        if !request.key.is_adapter()
-            && let Some(backend) = wake_engine(&request, &views)
-        {
+        if wakes && let Some(backend) = wake_engine(&request, &views) {
             return self.reserve(model, &backend, self.policy.values.standby_back);
         }
-        let PlaceChoice::Evict { backend, victims } = choice else {
-            self.starved.insert(model);
-            return false;
-        };
         if ahead {
             return false;
         }
-        self.evict(&victims);
-        self.reserve(model, &backend, TimeSpan::ZERO)
+        let choice = place_replica_by(&request, &views, |_, held| self.evict_cost(held));
+        self.carry_out(model, choice)
+    }
+
+    fn carry_out(&mut self, model: usize, choice: PlaceChoice) -> bool {
+        match choice {
+            PlaceChoice::Place { backend } => self.reserve(model, &backend, TimeSpan::ZERO),
+            PlaceChoice::Evict { backend, victims } => {
+                self.evict(&victims);
+                self.reserve(model, &backend, TimeSpan::ZERO)
+            }
+            PlaceChoice::Impossible => {
+                if self.family_waiting(self.base_of(model)) > 0 {
+                    self.starved.insert(model);
+                }
+                false
+            }
+        }
+    }
+
+    /// Cost of an eviction while an engine might wake instead: only replicas go that are worth
+    /// less than an accelerator, and none under policies that do not know.
+    fn cautious_cost(&self, held: &HeldReplica) -> f64 {
+        if !self.policy.holds_engines() {
+            return f64::INFINITY;
+        }
+        let worth = self.replica_worth(held.reservation);
+        if worth < 1.0 { worth } else { f64::INFINITY }
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn evict_cost(&self, held: &HeldReplica) -> f64 {
+        if self.policy.holds_engines() {
+            return self.replica_worth(held.reservation);
+        }
+        held.memory.bytes() as f64
     }
 
     fn held_use(&self, replica: usize) -> HeldUse {
@@ -325,6 +357,7 @@
             self.retry_starved();
             self.schedule_keep(replica);
         }
+        self.schedule_hold(engine);
     }
 
     fn mark_waiting(&mut self, model: usize, cause: WaitCause) {
--- a/crates/ward-operator/src/route/query.rs
+++ b/crates/ward-operator/src/route/query.rs
@@ -7,12 +7,12 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 use viz::{Request, RequestExt};
-use ward_plan::text::MAX_BYTES;
+use ward_plan::MAX_BYTES;
 use ward_protocol::ResultCode;
 
 use crate::error::OperatorError;
 
-const BODY_TIME: Duration = Duration::from_secs(30);
+const BODY_TIME: Duration = Duration::from_secs(10);
 
 /// Reads the query of a request.
 pub(super) fn read_query<T: DeserializeOwned>(request: &Request) -> Result<T, OperatorError> {
