--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -19,6 +19,7 @@
 use super::cancel::CancelGuard;
 use super::event::EventBuffer;
 use super::progress::{StreamProgress, StreamStep};
+use super::suspect::is_crash;
 use super::whole::is_event_stream;
 use crate::REQUEST_ID;
 use crate::core::TrafficCore;
@@ -30,6 +31,8 @@
 const LONGEST_SILENCE: Duration = Duration::from_secs(60);
 /// Times that a stream is continued without a new token in between.
 const MOST_RECOVERIES: u32 = 3;
+/// Longest wait for an engine to drop a stream before that is run again.
+const LONGEST_CANCEL: Duration = Duration::from_millis(250);
 /// Largest KV cache in bytes that is moved.
 const LARGEST_CACHE: usize = 64 << 20;
 /// Time for the connection's end after the last event.
@@ -90,6 +93,7 @@
         body: AnswerBody,
     ) -> Self {
         let progress = StreamProgress::new(call.request);
+        grant.mark_answering();
         Self {
             core,
             call,
@@ -192,8 +196,9 @@
         if self.resume(self.grant.address).await || self.migrate().await {
             return Ok(());
         }
-        let lost = matches!(cause, StreamBreak::Lost(CallError::Lost(_)));
+        let mut crashed = false;
         if let StreamBreak::Lost(error) = &cause {
+            crashed = is_crash(&self.core, &self.grant.backend, error);
             note_broken(&self.core, &self.call, &self.grant.backend, error);
         }
         if !self.core.budget.take() {
@@ -201,7 +206,7 @@
             return Err(cut());
         }
         self.core.metrics.retries.inc();
-        self.restart(lost).await.map_err(|report| {
+        self.restart(crashed).await.map_err(|report| {
             let detail = format!("{detail}; running it again failed: {}", report.detail);
             ProblemReport::failed(ResultCode::StreamCut, detail)
         })
@@ -242,7 +247,8 @@
         if !taken.unwrap_or(false) || !self.resume(grant.address).await {
             return false;
         }
-        self.move_to(grant);
+        let guard = CancelGuard::new(&self.core, grant.address, request);
+        self.move_to(grant, guard);
         true
     }
 
@@ -257,27 +263,34 @@
         wait
     }
 
-    fn move_to(&mut self, grant: SlotGrant) {
+    fn move_to(&mut self, grant: SlotGrant, guard: CancelGuard) {
         self.guard.disarm();
-        self.guard = CancelGuard::new(&self.core, grant.address, self.call.request);
+        self.guard = guard;
+        grant.mark_answering();
         self.grant = grant;
     }
 
     /// Runs the request again on any replica of the same version.
-    async fn restart(&mut self, lost: bool) -> Result<(), ProblemReport> {
-        self.call.crashes += u32::from(lost);
+    async fn restart(&mut self, crashed: bool) -> Result<(), ProblemReport> {
+        self.call.crashes += u32::from(crashed);
         self.call.shunned = Some(self.grant.backend.clone());
         // Its own old slot may be the one that it waits for.
         self.grant.release();
+        self.guard.cancel(LONGEST_CANCEL).await;
         let wait = self.next_place();
         let deadline = wait.terms.deadline;
         loop {
             let grant = self.core.room.acquire(wait.clone()).await?;
+            let mut guard = CancelGuard::new(&self.core, grant.address, self.call.request);
             let answer = match attempt_model(&self.core, &self.call, &grant, deadline).await {
                 AttemptEnd::Answered(answer) if is_stream(&answer) => answer,
-                AttemptEnd::NotRun => continue,
+                AttemptEnd::NotRun => {
+                    guard.disarm();
+                    continue;
+                }
                 AttemptEnd::Answered(_) | AttemptEnd::Expired => return Err(not_restarted()),
                 AttemptEnd::Suspect(report) => {
+                    guard.disarm();
                     // It ran before, so it may not be called unrun.
                     return Err(ProblemReport::failed(report.code, report.detail));
                 }
@@ -286,7 +299,7 @@
                     return Err(note_broken(&self.core, &self.call, backend, &error));
                 }
             };
-            self.move_to(grant);
+            self.move_to(grant, guard);
             self.progress.restarted();
             self.body = answer.body;
             return Ok(());
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -11,8 +11,8 @@
 use super::once::{OnceTask, serve_once};
 use crate::core::TrafficCore;
 use crate::forward::{
-    AttemptEnd, CancelGuard, ModelCall, StreamRelay, attempt_model, check_crashes, is_event_stream,
-    note_broken, read_whole, relay_response, whole_response,
+    AttemptEnd, CancelGuard, ModelCall, StreamRelay, attempt_model, check_crashes, is_crash,
+    is_event_stream, note_broken, read_whole, relay_response, whole_response,
 };
 use crate::input::{ModelBody, RequestTerms, read_body, read_key, read_terms};
 use crate::metrics::StartSample;
@@ -55,10 +55,6 @@
     let bytes = read_body(request.into_body(), &terms, &core.limits, &core.bodies).await?;
     let body = ModelBody::try_from(bytes)?;
     let view = core.view();
-    if view.catalog.models.is_empty() && view.mode == ward_protocol::ViewMode::Starting {
-        let detail = "this daemon has not read the log yet";
-        return Err(ProblemReport::refused(ResultCode::StateMissing, detail));
-    }
     let target = RowTarget::Replica(resolve_model(&view, &body.reference)?);
     let repeatable = view.row(&target).is_none_or(|row| row.repeatable);
     let mut call = ModelCall {
@@ -129,7 +125,7 @@
         }
         core.metrics.retries.inc();
         broken = Some(report);
-        call.crashes += u32::from(matches!(error, CallError::Lost(_)));
+        call.crashes += u32::from(is_crash(core, &backend, &error));
         call.shunned = Some(backend);
     }
 }
@@ -150,7 +146,10 @@
             guard.disarm();
             return TryEnd::Suspect(report);
         }
-        AttemptEnd::Broken(error) => return TryEnd::Broken(error),
+        AttemptEnd::Broken(error) => {
+            guard.cancel(call.terms.left()).await;
+            return TryEnd::Broken(error);
+        }
     };
     if is_event_stream(&answer.headers) {
         let core = Arc::clone(core);
@@ -162,7 +161,10 @@
             guard.disarm();
             TryEnd::Answer(response)
         }
-        Err(error) => TryEnd::Broken(error),
+        Err(error) => {
+            guard.cancel(call.terms.left()).await;
+            TryEnd::Broken(error)
+        }
     }
 }
 
