--- a/crates/ward-bench/src/replay/state.rs
+++ b/crates/ward-bench/src/replay/state.rs
@@ -162,7 +162,8 @@
             .collect()
     }
 
-    fn counted(&self, trace: &RequestTrace, engine: &EngineState) -> MemorySize {
+    /// Memory counted on an engine.
+    pub(super) fn counted(&self, trace: &RequestTrace, engine: &EngineState) -> MemorySize {
         let memory = |replica: &usize| trace.models[self.replicas[*replica].model].memory;
         engine.replicas.iter().map(memory).sum()
     }
--- /dev/null
+++ b/crates/ward-policy/src/day.rs
@@ -0,0 +1,49 @@
+//! How a model's requests spread over the hours of the day.
+//!
+//! Hours are counted on the process's own clock: only their phase matters, and
+//! that stays the same for as long as the history lives.
+
+use ward_protocol::MonoTime;
+
+const HOURS: usize = 24;
+const HOUR_MICROS: u64 = 3_600_000_000;
+/// Weight of one request.
+const UNIT: u32 = 1 << 10;
+/// Requests per hour of the day that the even spread counts for.
+const EVEN_WEIGHT: f64 = 4.0;
+/// Requests after which all weights are halved.
+const HALVE_AT: u32 = UNIT * 1_024;
+
+/// Requests by hour of the day.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DayProfile {
+    hours: [u32; HOURS],
+}
+
+impl DayProfile {
+    /// Counts a request.
+    pub fn add(&mut self, now: MonoTime) {
+        let hour = &mut self.hours[hour_of(now)];
+        *hour += UNIT;
+        if *hour >= HALVE_AT {
+            for weight in &mut self.hours {
+                *weight /= 2;
+            }
+        }
+    }
+
+    /// Rate at a time against the mean of the day.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)]
+    pub fn factor(&self, now: MonoTime) -> f64 {
+        let count = |weight: u32| f64::from(weight) / f64::from(UNIT);
+        let total: f64 = self.hours.iter().copied().map(count).sum();
+        let mean = total / HOURS as f64;
+        (count(self.hours[hour_of(now)]) + EVEN_WEIGHT) / (mean + EVEN_WEIGHT)
+    }
+}
+
+#[allow(clippy::cast_possible_truncation)]
+fn hour_of(now: MonoTime) -> usize {
+    (now.0 / HOUR_MICROS) as usize % HOURS
+}
--- a/crates/ward-policy/src/keep.rs
+++ b/crates/ward-policy/src/keep.rs
@@ -9,6 +9,7 @@
 
 use ward_protocol::{MonoTime, PolicyValues, TimeSpan};
 
+use crate::day::DayProfile;
 use crate::gaps::{GAP_BUCKETS, GapBuckets, bucket_start};
 use crate::schedule::WarmSchedule;
 
@@ -41,6 +42,7 @@
 pub struct GapHistory {
     last: Option<MonoTime>,
     gaps: GapBuckets,
+    day: DayProfile,
 }
 
 impl GapHistory {
@@ -50,6 +52,7 @@
             self.gaps.add(now.since(last), GAP_DECAY);
         }
         self.last = Some(now);
+        self.day.add(now);
     }
 
     /// When the last request came.
@@ -67,7 +70,9 @@
     /// Expected requests per second at an age since the last request.
     #[must_use]
     pub fn hazard(&self, values: &PolicyValues, age: TimeSpan) -> f64 {
-        self.gaps.hazard(age, f64::from(values.known_gaps))
+        let hazard = self.gaps.hazard(age, f64::from(values.known_gaps));
+        self.last
+            .map_or(hazard, |last| hazard * self.day.factor(last + age))
     }
 
     /// When a replica should be loaded after its last request.
--- a/crates/ward-policy/src/lib.rs
+++ b/crates/ward-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! time, the load and the settings come in as values.
 
 pub mod ahead;
+pub mod day;
 pub mod gaps;
 pub mod hold;
 pub mod keep;
