The way back from standby counts as part of a cold start

Cause: a model whose checkpoint lies on a resting host's disk looked cheap to load (8 s) but started in 28 s or, elsewhere, from the weight store. Change: the load time that prices a cold start is the soonest over engines, with the way back for those on standby.

--- a/crates/ward-bench/src/replay/load.rs
+++ b/crates/ward-bench/src/replay/load.rs
@@ -112,13 +112,19 @@
         }
     }
 
-    /// Load time of a model from its cheapest tier.
+    /// Time until a model would answer on the engine where that is soonest.
     pub(super) fn best_load(&self, model: usize) -> TimeSpan {
         if self.trace.models[model].base.is_some() {
             return self.policy.values.load_adapter;
         }
-        let tiers = self.state.engines.iter().map(|engine| engine.tiers[model]);
-        self.tier_load(tiers.min().unwrap_or(CacheTier::Remote))
+        let starts = self.state.engines.iter().map(|engine| {
+            let load = self.tier_load(engine.tiers[model]);
+            match engine.role {
+                EngineRole::Standby => load + self.policy.values.standby_back,
+                EngineRole::Serving | EngineRole::Prefill | EngineRole::Decode => load,
+            }
+        });
+        starts.min().unwrap_or(self.policy.values.load_remote)
     }
 
     /// Loads a replica where there is room; ahead of requests nothing is evicted for it.
--- a/crates/ward-policy/src/hold.rs
+++ b/crates/ward-policy/src/hold.rs
@@ -20,7 +20,8 @@
     pub history: &'a GapHistory,
     /// Time since its model's last request.
     pub age: TimeSpan,
-    /// Time of a cold load.
+    /// Time until it would answer if it were ordered now; where the quickest engine rests, with
+    /// the way back.
     pub load: TimeSpan,
 }
 
