--- a/crates/ward-bench/src/command/mod.rs
+++ b/crates/ward-bench/src/command/mod.rs
@@ -1,6 +1,8 @@
 //! The program's commands.
 
+mod owners;
 mod replay;
+mod report;
 
 use clap::{ArgMatches, Command};
 use quick_error::quick_error;
@@ -47,6 +49,8 @@
         .about("Measures the serving system's decisions and processes")
         .subcommand_required(true)
         .subcommand(replay::replay_command())
+        .subcommand(report::report_command())
+        .subcommand(owners::owners_command())
 }
 
 /// Runs the command that was given.
@@ -57,6 +61,11 @@
 pub fn run_command(matches: &ArgMatches) -> Result<(), CommandError> {
     match matches.subcommand() {
         Some((replay::NAME, matches)) => replay::run_replay(matches),
+        Some((report::NAME, matches)) => report::run_report(matches),
+        Some((owners::NAME, matches)) => {
+            owners::run_owners(matches);
+            Ok(())
+        }
         _ => Err(CommandError::Unknown),
     }
 }
--- /dev/null
+++ b/crates/ward-bench/src/command/report.rs
@@ -0,0 +1,83 @@
+//! `ward-bench report`: curves and tables from a replay's rows.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use indexmap::IndexSet;
+
+use super::CommandError;
+use crate::replay::{ReplayRow, ReplayTrouble};
+use crate::report::{compare_targets, policy_table, target_table, tradeoff_svg};
+
+/// The command's name.
+pub(super) const NAME: &str = "report";
+
+const ROWS: &str = "rows";
+const OUT: &str = "out";
+const MADE_BY: &str = "made-by";
+
+/// The command's arguments.
+pub(super) fn report_command() -> Command {
+    let path = |name| Arg::new(name).long(name).required(true);
+    Command::new(NAME)
+        .about("Writes curves and tables from a replay's rows")
+        .arg(
+            path(ROWS)
+                .help("Rows that the replay wrote")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            path(OUT)
+                .help("Folder for the files")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new(MADE_BY)
+                .long(MADE_BY)
+                .help("Command, date and machine that made the rows")
+                .required(true),
+        )
+}
+
+/// Runs the command.
+pub(super) fn run_report(matches: &ArgMatches) -> Result<(), CommandError> {
+    let (Some(path), Some(folder), Some(made_by)) = (
+        matches.get_one::<PathBuf>(ROWS),
+        matches.get_one::<PathBuf>(OUT),
+        matches.get_one::<String>(MADE_BY),
+    ) else {
+        return Err(CommandError::Unknown);
+    };
+    let text = fs::read_to_string(path).map_err(|cause| file_error(path, cause))?;
+    let rows: Vec<ReplayRow> = serde_json::from_str(&text)?;
+    fs::create_dir_all(folder).map_err(|cause| file_error(folder, cause))?;
+    let table = format!(
+        "# Replay of a week under several policies\n\nMade by: {made_by}\n\nFigures are medians \
+         over seeds, (least–greatest) in brackets.\n\n## Against the baselines\n\n{}\n\
+         ## Every policy\n\n{}",
+        target_table(&rows),
+        policy_table(&rows)
+    );
+    write(&folder.join("replay.md"), &table)?;
+    let targets = serde_json::to_string_pretty(&compare_targets(&rows))?;
+    write(&folder.join("replay.json"), &targets)?;
+    let workloads: IndexSet<&str> = rows.iter().map(|row| row.workload.as_str()).collect();
+    for workload in workloads {
+        let chosen: Vec<&ReplayRow> = rows
+            .iter()
+            .filter(|row| row.workload == workload && row.trouble == ReplayTrouble::None)
+            .collect();
+        let svg = tradeoff_svg(&chosen, workload);
+        write(&folder.join(format!("tradeoff-{workload}.svg")), &svg)?;
+    }
+    Ok(())
+}
+
+fn write(path: &Path, text: &str) -> Result<(), CommandError> {
+    fs::write(path, text).map_err(|cause| file_error(path, cause))
+}
+
+fn file_error(path: &Path, cause: std::io::Error) -> CommandError {
+    CommandError::File(path.to_owned(), cause)
+}
--- a/crates/ward-bench/src/lib.rs
+++ b/crates/ward-bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurements of the serving system's decisions and of its processes.
 
 pub mod command;
+pub mod owners;
 pub mod replay;
 pub mod report;
--- /dev/null
+++ b/crates/ward-bench/src/owners/mod.rs
@@ -0,0 +1,8 @@
+//! Ownership rules compared: jump hash over the sorted members, as the given
+//! document on memory space partitioning proposes, against rendezvous hashing.
+
+mod measure;
+mod rule;
+
+pub use measure::{OwnerRow, OwnerTask, measure_owners};
+pub use rule::{OwnerKey, OwnerMember, OwnerRule, jump_hash, numbered_key};
--- a/crates/ward-policy/src/rendezvous.rs
+++ b/crates/ward-policy/src/rendezvous.rs
@@ -17,8 +17,9 @@
     })
 }
 
-/// Finaliser of `SplitMix64`.
-const fn mix(value: u64) -> u64 {
+/// Spreads the bits of a number over all others: the finaliser of `SplitMix64`.
+#[must_use]
+pub const fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
