--- /dev/null
+++ b/crates/ward-control/src/engines/status.rs
@@ -0,0 +1,129 @@
+//! Reading the status of owned engines.
+
+use ward_protocol::{BackendId, BackendStatus, ControlRecord, MonoTime, TimeSpan};
+
+use ward_state::ReservationPhase;
+
+use crate::action::ControlAction;
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+/// Time after which a status read without an answer is repeated.
+const STATUS_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
+/// How much more often an engine is asked while it loads or unloads.
+const CHANGE_SPEEDUP: u64 = 10;
+/// Silence after which an owner gives an engine up.
+const YIELD_AFTER: TimeSpan = TimeSpan::from_secs(4);
+
+impl ControlCore {
+    pub(super) fn ask_status(&mut self, backend: &BackendId) {
+        let mut interval = self.config.lease.status_interval;
+        if self.awaits_change(backend) {
+            interval = TimeSpan::from_micros(interval.micros() / CHANGE_SPEEDUP);
+        }
+        let Some(state) = self.state.backends().get(backend) else {
+            return;
+        };
+        let address = state.info.address;
+        let now = self.now;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        let waiting = duty.asked.is_some_and(|at| now.since(at) < STATUS_TIMEOUT);
+        let recent = duty.last_asked.is_some_and(|at| now.since(at) < interval);
+        if waiting || recent {
+            return;
+        }
+        duty.asked = Some(now);
+        duty.last_asked = Some(now);
+        self.actions.push(ControlAction::FetchStatus {
+            backend: backend.clone(),
+            address,
+        });
+    }
+
+    /// Whether a replica of an engine is being loaded or unloaded.
+    fn awaits_change(&self, backend: &BackendId) -> bool {
+        let Some(state) = self.state.backends().get(backend) else {
+            return false;
+        };
+        state.held.iter().any(|id| {
+            let reservation = self.state.reservations().get(id);
+            reservation.is_some_and(|reservation| {
+                reservation.draining || reservation.phase == ReservationPhase::Loading
+            })
+        })
+    }
+
+    pub(crate) fn take_status(&mut self, started: MonoTime, status: BackendStatus) {
+        let Some(duty) = self.engines.owned.get_mut(&status.backend) else {
+            return;
+        };
+        duty.asked = None;
+        duty.silent = None;
+        let older = duty
+            .status
+            .as_ref()
+            .is_some_and(|(last, _)| started < *last);
+        if older {
+            return;
+        }
+        if duty.boot.is_some_and(|boot| boot != status.boot) {
+            duty.restarted = Some(started);
+            duty.touched = None;
+        }
+        duty.boot = Some(status.boot);
+        let leaving_before = duty.status.as_ref().is_some_and(|(_, last)| last.leaving);
+        self.changed |= status.leaving != leaving_before;
+        duty.status = Some((started, status));
+        self.views.touch();
+    }
+
+    pub(crate) fn take_status_failed(&mut self, backend: &BackendId) {
+        let now = self.now;
+        let Some(duty) = self.engines.owned.get_mut(backend) else {
+            return;
+        };
+        duty.asked = None;
+        duty.silent.get_or_insert(now);
+    }
+
+    /// Whether this daemon owns an engine and has got no status for a time.
+    pub(crate) fn is_silent_for(&self, backend: &BackendId, span: TimeSpan) -> bool {
+        let duty = self.engines.owned.get(backend);
+        let silent = duty.and_then(|duty| duty.silent);
+        silent.is_some_and(|at| self.now.since(at) >= span)
+    }
+
+    /// Whether this daemon owns an engine and got its last status.
+    pub(crate) fn hears_engine(&self, backend: &BackendId) -> bool {
+        let duty = self.engines.owned.get(backend);
+        duty.is_some_and(|duty| duty.silent.is_none() && duty.status.is_some())
+    }
+
+    /// Whether some engine of this daemon doesn't report, or is said to leave.
+    pub(crate) fn has_doubtful_engine(&self) -> bool {
+        self.engines.owned.iter().any(|(backend, duty)| {
+            let state = self.state.backends().get(backend);
+            duty.silent.is_some() || state.is_some_and(|state| state.leaving)
+        })
+    }
+
+    /// Gives an engine up that others may be able to reach.
+    pub(super) fn yield_if_silent(&mut self, backend: &BackendId) {
+        let Some(duty) = self.engines.owned.get(backend) else {
+            return;
+        };
+        let silent = duty
+            .silent
+            .is_some_and(|at| self.now.since(at) >= YIELD_AFTER);
+        // An engine off the host list is not given up but found to be gone.
+        if !silent || self.state.members().len() < 2 || self.hosts.lacks(backend) {
+            return;
+        }
+        let body = ControlRecord::Yield {
+            backend: backend.clone(),
+        };
+        self.propose(ProposalSubject::Yield(backend.clone()), body);
+    }
+}
--- /dev/null
+++ b/crates/ward-control/src/hosts.rs
@@ -0,0 +1,208 @@
+//! Carrying the platform's host list into the log.
+//!
+//! The daemons that rank first for the duty read the list. Each further one
+//! holds back a little longer, so that normally only the first one appends.
+
+use indexmap::IndexMap;
+use ward_protocol::{
+    BackendId, BackendKind, ControlRecord, HostEntry, HostState, MonoTime, RequestFingerprint,
+    TimeSpan, WallTime,
+};
+
+use crate::action::ControlAction;
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+/// Daemons that read the host list.
+const WATCHERS: usize = 3;
+/// How much longer each further watcher holds back.
+const RANK_DELAY: TimeSpan = TimeSpan::from_millis(700);
+/// How long a backend server must be off the list before it is gone.
+const GONE_AFTER: TimeSpan = TimeSpan::from_secs(2);
+/// How long an engine must be off the list that was never said to leave: longer
+/// than the list lags.
+const VANISHED_AFTER: TimeSpan = TimeSpan::from_secs(10);
+/// Time after which a read of the list without an answer is repeated.
+const HOSTS_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
+
+/// What the host list said.
+#[derive(Debug, Default)]
+pub(crate) struct HostWatch {
+    asked: Option<MonoTime>,
+    last: Option<MonoTime>,
+    entries: IndexMap<BackendId, HostEntry>,
+    /// Since when a difference between list and state stands.
+    differs: IndexMap<BackendId, MonoTime>,
+    read: bool,
+}
+
+impl HostWatch {
+    pub(crate) fn failed(&mut self) {
+        self.asked = None;
+    }
+
+    /// Whether the list as read last doesn't name a backend server.
+    pub(crate) fn lacks(&self, backend: &BackendId) -> bool {
+        self.read && !self.entries.contains_key(backend)
+    }
+
+    /// Whether the list as read last says that a backend server leaves.
+    pub(crate) fn says_leaving(&self, backend: &BackendId) -> bool {
+        self.entries
+            .get(backend)
+            .is_some_and(|entry| entry.state == HostState::Leaving)
+    }
+}
+
+/// What the log lacks of the host list.
+fn missing_record(core: &ControlCore, id: &BackendId) -> Option<ControlRecord> {
+    let listed = core.hosts.entries.get(id);
+    let known = core.state.backends().get(id);
+    match (listed, known) {
+        (Some(entry), None) => Some(ControlRecord::BackendSeen {
+            info: entry.info.clone(),
+        }),
+        (Some(entry), Some(state)) => {
+            if entry.state == HostState::Leaving {
+                return (!state.leaving).then(|| ControlRecord::BackendLeaving {
+                    backend: id.clone(),
+                });
+            }
+            let stays = state.leaving && !core.reports_leaving(id);
+            (stays || entry.info != state.info).then(|| ControlRecord::BackendSeen {
+                info: entry.info.clone(),
+            })
+        }
+        (None, Some(_)) => Some(ControlRecord::BackendGone {
+            backend: id.clone(),
+        }),
+        (None, None) => None,
+    }
+}
+
+impl ControlCore {
+    pub(crate) fn run_hosts(&mut self) {
+        let rank = self.watcher_rank();
+        // Without the log nobody is told that a host leaves, so all look themselves;
+        // the owner of a silent or leaving engine looks what has become of its host.
+        let cut_off = self.start.has_state() && !self.has_authority();
+        if rank.is_none() && !cut_off && !self.has_doubtful_engine() {
+            return;
+        }
+        self.ask_hosts();
+        if self.has_authority() && self.hosts.read {
+            self.append_differences(rank);
+        }
+    }
+
+    fn watcher_rank(&self) -> Option<u32> {
+        let holders = self.state.duty_holders("hosts", WATCHERS);
+        let rank = holders.iter().position(|daemon| daemon == self.me())?;
+        u32::try_from(rank).ok()
+    }
+
+    fn ask_hosts(&mut self) {
+        let waiting = self
+            .hosts
+            .asked
+            .is_some_and(|at| self.now.since(at) < HOSTS_TIMEOUT);
+        let recent = self
+            .hosts
+            .last
+            .is_some_and(|at| self.now.since(at) < self.config.lease.hosts_interval);
+        if waiting || recent {
+            return;
+        }
+        self.hosts.asked = Some(self.now);
+        self.hosts.last = Some(self.now);
+        self.actions.push(ControlAction::FetchHosts);
+    }
+
+    pub(crate) fn take_hosts(&mut self, hosts: Vec<HostEntry>) {
+        self.hosts.asked = None;
+        self.hosts.read = true;
+        let left_before = self.leaving_listed();
+        self.hosts.entries = hosts
+            .into_iter()
+            .map(|entry| (entry.info.backend.clone(), entry))
+            .collect();
+        self.changed |= left_before != self.leaving_listed();
+    }
+
+    fn leaving_listed(&self) -> Vec<BackendId> {
+        let entries = self.hosts.entries.values();
+        entries
+            .filter(|entry| entry.state == HostState::Leaving)
+            .map(|entry| entry.info.backend.clone())
+            .collect()
+    }
+
+    fn append_differences(&mut self, rank: Option<u32>) {
+        let listed = self.hosts.entries.keys();
+        let known = self.state.backends().keys();
+        let ids: indexmap::IndexSet<_> = listed.chain(known).cloned().collect();
+        self.hosts.differs.retain(|id, _| ids.contains(id));
+        for id in ids {
+            let Some(body) = missing_record(self, &id) else {
+                self.hosts.differs.swap_remove(&id);
+                continue;
+            };
+            let since = *self.hosts.differs.entry(id.clone()).or_insert(self.now);
+            if self.is_due(&body, since, rank) {
+                self.propose(ProposalSubject::Backend(id), body);
+            }
+        }
+    }
+
+    fn is_logged_leaving(&self, backend: &BackendId) -> bool {
+        let state = self.state.backends().get(backend);
+        state.is_some_and(|state| state.leaving)
+    }
+
+    /// Whether this daemon has to append a difference that stands since `since`.
+    fn is_due(&self, body: &ControlRecord, since: MonoTime, rank: Option<u32>) -> bool {
+        let stood = self.now.since(since);
+        let delay = rank.map(|rank| TimeSpan::from_millis(RANK_DELAY.millis() * u64::from(rank)));
+        let backend = match body {
+            ControlRecord::BackendGone { backend } => backend,
+            ControlRecord::BackendSeen { info } if self.is_logged_leaving(&info.backend) => {
+                let heard = self.hears_engine(&info.backend);
+                let service = info.kind == BackendKind::Service && rank.is_some();
+                return (heard || service) && stood >= VANISHED_AFTER;
+            }
+            _ => return delay.is_some_and(|delay| stood >= delay),
+        };
+        let Some(state) = self.state.backends().get(backend) else {
+            return false;
+        };
+        if state.info.kind == BackendKind::Service {
+            return delay.is_some_and(|delay| stood >= GONE_AFTER + delay);
+        }
+        // A host that was announced to leave may go; one that just vanishes
+        // from the list may only be too new for a list that lags.
+        let patience = if state.leaving {
+            GONE_AFTER
+        } else {
+            VANISHED_AFTER
+        };
+        stood >= patience && self.is_silent_for(backend, GONE_AFTER)
+    }
+
+    pub(crate) fn take_crash(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        backend: BackendId,
+        until: WallTime,
+    ) {
+        if !self.is_member() {
+            return;
+        }
+        let subject = ProposalSubject::Suspect(fingerprint, backend.clone());
+        let body = ControlRecord::Suspect {
+            fingerprint,
+            backend,
+            until,
+        };
+        self.propose(subject, body);
+    }
+}
--- /dev/null
+++ b/crates/ward-operator/src/route/mod.rs
@@ -0,0 +1,87 @@
+//! The routes of the API.
+
+mod fleet;
+mod health;
+mod plan;
+mod query;
+mod reply;
+mod table;
+
+use std::sync::Arc;
+
+use viz::{Request, RequestExt, Response, Route, Router};
+use ward_protocol::ResultCode;
+
+use crate::error::OperatorError;
+use crate::server::OperatorServer;
+use reply::error_reply;
+
+pub use table::{OPERATOR_ROUTES, OperatorRoute, RouteAccess, RouteMethod};
+
+/// What a route answers.
+pub type RouteResult = Result<Response, OperatorError>;
+
+/// Label of calls to addresses that are not in the table.
+const OTHER_PATH: &str = "other";
+
+/// The router of the API.
+#[must_use]
+pub fn operator_router(server: Arc<OperatorServer>) -> Router {
+    let router = OPERATOR_ROUTES.iter().fold(Router::new(), |router, route| {
+        add_route(router, route, Arc::clone(&server))
+    });
+    router.any("/*", move |request: Request| {
+        let response = finish(&server, OTHER_PATH, Err(unknown(&request)));
+        async move { Ok::<Response, viz::Error>(response) }
+    })
+}
+
+fn add_route(router: Router, route: &'static OperatorRoute, server: Arc<OperatorServer>) -> Router {
+    let handle = move |request: Request| {
+        let server = Arc::clone(&server);
+        async move {
+            let result = match admit(&server, route.access, &request) {
+                Ok(()) => (route.handle)(Arc::clone(&server), request).await,
+                Err(error) => Err(error),
+            };
+            Ok::<Response, viz::Error>(finish(&server, route.path, result))
+        }
+    };
+    router.route(route.path, Route::new().on(route.method.http(), handle))
+}
+
+fn admit(
+    server: &OperatorServer,
+    access: RouteAccess,
+    request: &Request,
+) -> Result<(), OperatorError> {
+    match access {
+        RouteAccess::Open => Ok(()),
+        RouteAccess::Token => server.authorize(request),
+    }
+}
+
+fn unknown(request: &Request) -> OperatorError {
+    let path = request.path();
+    let methods: Vec<&str> = OPERATOR_ROUTES
+        .iter()
+        .filter(|route| route.path == path)
+        .map(|route| route.method.name())
+        .collect();
+    if methods.is_empty() {
+        let detail = format!("{path} is not an address of the operators' API");
+        return OperatorError::refused(ResultCode::UnknownPath, detail);
+    }
+    let detail = format!("{path} takes {}", methods.join(", "));
+    OperatorError::refused(ResultCode::MethodNotAllowed, detail)
+}
+
+fn finish(server: &OperatorServer, path: &str, result: RouteResult) -> Response {
+    let response = result.unwrap_or_else(|error| error_reply(&error));
+    server
+        .metrics
+        .calls
+        .with_label_values(&[path, response.status().as_str()])
+        .inc();
+    response
+}
