--- a/crates/ward-daemon/src/control/metrics.rs
+++ b/crates/ward-daemon/src/control/metrics.rs
@@ -13,7 +13,7 @@
     pub log_appended_bytes: IntCounter,
     /// Reads of the log that failed.
     pub log_read_failures: IntCounter,
-    /// Bytes of status reports read from backend servers.
+    /// Orders sent to engines.
     pub orders: IntCounter,
     /// Newest control offset applied.
     pub applied_offset: IntGauge,
--- a/crates/ward-daemon/src/control/thread.rs
+++ b/crates/ward-daemon/src/control/thread.rs
@@ -13,7 +13,7 @@
 use ward_peer::{
     DatagramSocket, LevelReport, PeerAnswer, PeerRequest, StateAnswer, StateRequest, serve_peers,
 };
-use ward_protocol::{LogOffset, PlanRevision, ViewMode, WallTime};
+use ward_protocol::{BackendKind, DaemonId, LogOffset, PlanRevision, ViewMode, WallTime};
 
 use super::act::{ActionPorts, ActionRunner, ProcessClock};
 use super::handle::{ControlEnds, ControlHandle, ControlInput, MemberLife, MemberLives};
@@ -24,6 +24,8 @@
 
 /// What the control thread is made of.
 pub struct ControlParts {
+    /// This daemon.
+    pub daemon: DaemonId,
     /// Makes the decisions.
     pub core: ControlCore,
     /// The clock with which the core was made.
@@ -84,6 +86,7 @@
         core: parts.core,
         ends: parts.ends,
         runner,
+        daemon: parts.daemon,
         member_version: None,
     };
     control.run().await;
@@ -140,6 +143,7 @@
     core: ControlCore,
     ends: ControlEnds,
     runner: ActionRunner,
+    daemon: DaemonId,
     member_version: Option<u64>,
 }
 
@@ -187,9 +191,12 @@
         metrics.mode.set(mode_number(view.mode));
         metrics.applied_offset.set(gauge(view.applied.0));
         metrics.plan_revision.set(gauge(view.catalog.revision.0));
-        metrics
-            .members
-            .set(gauge(self.core.state().members().len() as u64));
+        let state = self.core.state();
+        metrics.members.set(gauge(state.members().len() as u64));
+        let owned = state.backends().values().filter(|backend| {
+            backend.info.kind == BackendKind::Engine && backend.owner.as_ref() == Some(&self.daemon)
+        });
+        metrics.owned_engines.set(gauge(owned.count() as u64));
         if self.ends.view.borrow().mode != view.mode {
             info!(self.runner.logger, "control: mode changed"; "mode" => ?view.mode);
         }
--- a/crates/ward-daemon/src/operator/calls.rs
+++ b/crates/ward-daemon/src/operator/calls.rs
@@ -1,7 +1,6 @@
 //! The calls of the operators' API, as this daemon answers them.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures::future::join_all;
 use futures::{Future, FutureExt};
@@ -10,14 +9,14 @@
 use ward_operator::{CallFuture, OperatorCalls, OperatorError, PlanAnswer, RequestsAnswer};
 use ward_peer::{LevelReport, PeerKeys, fetch_level};
 use ward_platform::LogClient;
-use ward_protocol::{DaemonId, MemberInfo, PlanRevision, ResultCode};
+use ward_protocol::{DaemonId, MemberInfo, PlanRevision, ResultCode, TimeSpan};
 
 use super::{fleet, history, status, submit};
 use crate::control::ControlHandle;
 use crate::control::ring::SharedRings;
 
 /// Longest wait for another daemon's level.
-const LEVEL_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const LEVEL_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 
 /// Lists the requests of this daemon.
 pub(crate) type RequestLister = Arc<dyn Fn() -> RequestsAnswer + Send + Sync>;
@@ -109,7 +108,7 @@
     }
 
     async fn level(&self, member: MemberInfo) -> MemberLevel {
-        let report = fetch_level(member.peers, &self.keys, LEVEL_TIMEOUT).await;
+        let report = fetch_level(member.peers, &self.keys, LEVEL_TIMEOUT.duration()).await;
         MemberLevel {
             member,
             report: report.ok(),
--- a/crates/ward-daemon/src/operator/fleet.rs
+++ b/crates/ward-daemon/src/operator/fleet.rs
@@ -10,7 +10,7 @@
 };
 use ward_state::BackendState;
 
-use super::calls::{MemberLevel, OperatorParts};
+use super::calls::{LEVEL_TIMEOUT, MemberLevel, OperatorParts};
 
 pub(super) async fn hosts(parts: OperatorParts) -> Result<HostsAnswer, OperatorError> {
     let levels = parts.levels().await?;
@@ -29,7 +29,7 @@
         operators: level.member.operators,
         applied: level.report.map(|report| report.applied),
         adopted: level.report.map(|report| report.adopted),
-        silent: TimeSpan::ZERO,
+        silent: level.report.map_or(LEVEL_TIMEOUT, |_| TimeSpan::ZERO),
     });
     items.collect()
 }
--- a/crates/ward-daemon/src/spawn.rs
+++ b/crates/ward-daemon/src/spawn.rs
@@ -92,12 +92,14 @@
             peers: socket.sender(),
             keys: self.keys,
         };
+        let daemon = self.member.daemon.clone();
         let mut config = ControlConfig::new(self.member, rand::random());
         config.lease = self.settings.lease;
         config.policy = self.settings.policy;
         config.limits = self.settings.store;
         config.peers = self.settings.seeds;
         Ok(ControlParts {
+            daemon,
             core: ControlCore::new(config, clock.now()),
             clock,
             ports,
