Traffic: comments in a stream are no progress; names with letters beyond ASCII

An engine that sent a comment after each resume and then cut again kept the relay resuming for ever (with the old rule the new test did not end within 40 s). Service names are percent-decoded: the plan allows such letters, the address carries them encoded.

--- a/crates/ward-traffic/src/forward/mod.rs
+++ b/crates/ward-traffic/src/forward/mod.rs
@@ -21,5 +21,5 @@
 pub(crate) use relay::{StreamRelay, cut_off, event_response, relay_response};
 pub(crate) use suspect::{check_crashes, is_crash};
 pub(crate) use whole::{
-    LARGEST_WHOLE, WholeAnswer, end_to_end, is_event_stream, read_whole, whole_response,
+    LARGEST_WHOLE, WholeAnswer, end_to_end, is_event_stream, is_stream, read_whole, whole_response,
 };
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use futures::stream;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response};
 use serde::Serialize;
 use tokio::time::{sleep, timeout};
 use viz::Body;
-use ward_backend::request::{AnswerBody, BackendAnswer, CallError};
+use ward_backend::request::{AnswerBody, CallError};
 use ward_protocol::{BackendId, RequestId, ResultCode};
 
 use super::attempt::{AttemptEnd, ModelCall, attempt_model, note_broken};
@@ -20,7 +20,7 @@
 use super::event::EventBuffer;
 use super::progress::{StreamProgress, StreamStep};
 use super::suspect::is_crash;
-use super::whole::is_event_stream;
+use super::whole::is_stream;
 use crate::REQUEST_ID;
 use crate::core::TrafficCore;
 use crate::input::RequestTerms;
@@ -53,6 +53,8 @@
     events: EventBuffer,
     progress: StreamProgress,
     recoveries: u32,
+    /// The first missing token at the last recovery.
+    recovered_at: u64,
     state: RelayState,
 }
 
@@ -103,6 +105,7 @@
             events: EventBuffer::default(),
             progress,
             recoveries: 0,
+            recovered_at: 0,
             state: RelayState::Running,
         }
     }
@@ -131,7 +134,7 @@
         while let Some(event) = self.events.next_event() {
             match self.progress.judge(&event) {
                 StreamStep::Deliver => {
-                    self.recoveries = 0;
+                    self.note_progress();
                     return Ok(Some(event));
                 }
                 StreamStep::Skip => {}
@@ -155,6 +158,13 @@
         Ok(None)
     }
 
+    /// A new token, unlike a comment, is progress.
+    fn note_progress(&mut self) {
+        if self.progress.next() > self.recovered_at {
+            self.recoveries = 0;
+        }
+    }
+
     async fn finish(&mut self) {
         self.state = RelayState::Ended;
         self.guard.disarm();
@@ -188,6 +198,7 @@
     async fn recover(&mut self, cause: StreamBreak) -> Result<(), ProblemReport> {
         self.events.clear();
         self.recoveries += 1;
+        self.recovered_at = self.progress.next();
         let detail = cause.to_string();
         let cut = || ProblemReport::failed(ResultCode::StreamCut, detail.clone());
         if self.recoveries > MOST_RECOVERIES {
@@ -328,10 +339,6 @@
     }
 }
 
-fn is_stream(answer: &BackendAnswer) -> bool {
-    answer.status == StatusCode::OK && is_event_stream(&answer.headers)
-}
-
 fn not_restarted() -> ProblemReport {
     ProblemReport::failed(
         ResultCode::BackendFailed,
--- a/crates/ward-traffic/src/forward/whole.rs
+++ b/crates/ward-traffic/src/forward/whole.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TE, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
@@ -17,10 +17,11 @@
 const EVENT_STREAM: &str = "text/event-stream";
 const JSON: &str = "application/json";
 
-const HOP_BY_HOP: [HeaderName; 6] = [
+const HOP_BY_HOP: [HeaderName; 7] = [
     CONNECTION,
     TRANSFER_ENCODING,
     CONTENT_LENGTH,
+    TE,
     HeaderName::from_static("keep-alive"),
     HeaderName::from_static("upgrade"),
     HeaderName::from_static("trailer"),
@@ -40,6 +41,11 @@
     id: Cow<'a, str>,
 }
 
+/// Whether an answer is a stream that has begun.
+pub(crate) fn is_stream(answer: &BackendAnswer) -> bool {
+    answer.status == StatusCode::OK && is_event_stream(&answer.headers)
+}
+
 /// Whether an answer is a stream of events.
 pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
     has_type(headers, EVENT_STREAM)
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -12,7 +12,7 @@
 use crate::core::TrafficCore;
 use crate::forward::{
     AttemptEnd, CancelGuard, ModelCall, StreamRelay, attempt_model, check_crashes, is_crash,
-    is_event_stream, note_broken, read_whole, relay_response, whole_response,
+    is_stream, note_broken, read_whole, relay_response, whole_response,
 };
 use crate::input::{ModelBody, RequestTerms, read_body, read_key, read_terms};
 use crate::metrics::StartSample;
@@ -151,7 +151,7 @@
             return TryEnd::Broken(error);
         }
     };
-    if is_event_stream(&answer.headers) {
+    if is_stream(&answer) {
         let core = Arc::clone(core);
         let relay = StreamRelay::new(core, call.clone(), grant, guard, answer.body);
         return TryEnd::Answer(relay_response(relay));
--- a/crates/ward-traffic/src/handle/resume.rs
+++ b/crates/ward-traffic/src/handle/resume.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::{Response, StatusCode};
+use http::Response;
 use serde::Deserialize;
 use viz::types::Params;
 use viz::{Body, Request, RequestExt};
@@ -15,7 +15,7 @@
 
 use crate::core::TrafficCore;
 use crate::forward::{CancelGuard, EventBuffer, StreamProgress, StreamStep, event_response};
-use crate::forward::{cut_off, is_event_stream};
+use crate::forward::{cut_off, is_stream};
 use crate::problem::ProblemReport;
 
 #[derive(Deserialize)]
@@ -55,7 +55,7 @@
     };
     let resumed = core.client.resume(address, id, query.from).await;
     let answer = resumed.map_err(|_| lost())?;
-    if answer.status != StatusCode::OK || !is_event_stream(&answer.headers) {
+    if !is_stream(&answer) {
         return Err(lost());
     }
     core.metrics.resumed.inc();
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -1,5 +1,6 @@
 //! Calls to plain services.
 
+use std::borrow::Cow;
 use std::io;
 use std::sync::Arc;
 
@@ -7,6 +8,7 @@
 use futures::{StreamExt, stream};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderMap, HeaderName, Method, Response, Uri};
+use percent_encoding::percent_decode_str;
 use viz::{Body, Request};
 use ward_backend::request::{AnswerHead, BackendAnswer, BackendCall, CallError, ConnectionUse};
 use ward_protocol::{
@@ -79,7 +81,7 @@
     let key = read_key(request.headers())?;
     let view = core.view();
     let name = service_name(request.uri().path());
-    let target = RowTarget::Service(resolve_service(&view, name)?);
+    let target = RowTarget::Service(resolve_service(&view, &name)?);
     let repeatable = view.row(&target).is_some_and(|row| row.repeatable);
     let (parts, body) = request.into_parts();
     let body = read_body(body, &terms, &core.limits, &core.bodies).await?;
@@ -232,9 +234,10 @@
     ])
 }
 
-fn service_name(path: &str) -> &str {
+fn service_name(path: &str) -> Cow<'_, str> {
     let rest = path.strip_prefix(PREFIX).unwrap_or_default();
-    rest.split('/').next().unwrap_or_default()
+    let name = rest.split('/').next().unwrap_or_default();
+    percent_decode_str(name).decode_utf8_lossy()
 }
 
 /// The caller's header less what concerns only its connection to us.
--- a/crates/ward-traffic/tests/session.rs
+++ b/crates/ward-traffic/tests/session.rs
@@ -74,6 +74,8 @@
     let view = ViewMaker::new()
         .row("services/stock", 1, true)
         .row("services/orders", 1, false)
+        .row("services/kēde", 1, true)
+        .service("kēde", &["s1"])
         .backend("s1", service.address)
         .service("stock", &["s1"])
         .service("orders", &["s1"]);
@@ -87,6 +89,15 @@
     )
     .await;
     assert_that!(stock.body, eq("PUT x"));
+    let named = call(
+        server.address(),
+        Method::GET,
+        "/services/k%C4%93de/a",
+        &[],
+        "",
+    )
+    .await;
+    assert_that!(named.body, eq("GET "));
     let bare = call(server.address(), Method::POST, "/services/orders", &[], "y").await;
     assert_that!(bare.refusal(), eq("109 not_run"));
     let key = [("idempotency-key", "k-1")];
@@ -102,7 +113,7 @@
     assert_that!(server.once.history(), eq(&["begin k-1", "done k-1"]));
     assert_that!(service.requests()[0].path, eq("/services/stock/foam?q=1"));
     assert_that!(
-        service.requests()[1].header("idempotency-key"),
+        service.requests()[2].header("idempotency-key"),
         some(eq("k-1"))
     );
 }
--- a/crates/ward-traffic/tests/streams.rs
+++ b/crates/ward-traffic/tests/streams.rs
@@ -241,3 +241,21 @@
         expect_that!(events.concat(), eq(stream.as_bytes()));
     }
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn comments_are_no_progress() {
+    let engine = FakeBackend::start(|request| {
+        if request.method == "DELETE" {
+            return whole_steps(&request.id(), "{}");
+        }
+        let mut steps = stream_steps(&request.id(), 0..0, false);
+        steps.insert(1, Step::Send("8\r\n: ping\n\n\r\n".to_owned()));
+        steps
+    })
+    .await;
+    let (answer, _server) = ask(&[&engine]).await;
+    expect_that!(answer.whole, eq(false));
+    expect_that!(answer.body.matches("ping").count(), le(4));
+    expect_that!(answer.body, contains_substring("StreamCut"));
+}
