--- a/crates/ward-bench/src/command/mod.rs
+++ b/crates/ward-bench/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod owners;
 mod replay;
 mod report;
+mod slopes;
 
 use clap::{ArgMatches, Command};
 use quick_error::quick_error;
@@ -34,6 +35,12 @@
             display("the results cannot be read or written: {cause}")
             source(cause)
         }
+        /// A measurement of slopes failed.
+        Slopes(cause: crate::slopes::SlopeError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
         /// An unknown command.
         Unknown {
             display("no command given; see --help")
@@ -51,6 +58,7 @@
         .subcommand(replay::replay_command())
         .subcommand(report::report_command())
         .subcommand(owners::owners_command())
+        .subcommand(slopes::slopes_command())
 }
 
 /// Runs the command that was given.
@@ -62,6 +70,7 @@
     match matches.subcommand() {
         Some((replay::NAME, matches)) => replay::run_replay(matches),
         Some((report::NAME, matches)) => report::run_report(matches),
+        Some((slopes::NAME, matches)) => slopes::run_slopes(matches),
         Some((owners::NAME, matches)) => {
             owners::run_owners(matches);
             Ok(())
--- a/crates/ward-bench/src/lib.rs
+++ b/crates/ward-bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod owners;
 pub mod replay;
 pub mod report;
+pub mod slopes;
--- a/crates/ward-policy/src/place/mod.rs
+++ b/crates/ward-policy/src/place/mod.rs
@@ -10,16 +10,32 @@
 
 use std::cmp::Reverse;
 
-use ward_protocol::{BackendId, CacheTier, EngineRole};
+use ward_protocol::{BackendId, CacheTier, EngineRole, TimeSpan};
 
 pub use self::view::{EngineView, HeldReplica, PlaceChoice, PlaceRequest};
 
 use self::evict::{EvictPlan, plan_eviction};
 
+/// Idle time after which a replica may be evicted although there is room elsewhere.
+const SETTLED_IDLE: TimeSpan = TimeSpan::from_secs(300);
+
 /// Chooses the engine for a wanted replica, taking larger replicas as dearer to load again.
+///
+/// Only replicas that have been idle for long go for the sake of a cheaper tier.
 #[must_use]
 pub fn place_replica(request: &PlaceRequest, engines: &[EngineView]) -> PlaceChoice {
-    place_replica_by(request, engines, memory_cost)
+    let cautious = place_replica_by(request, engines, |engine, replica| {
+        let settled = replica.idle.is_some_and(|idle| idle >= SETTLED_IDLE);
+        if settled {
+            memory_cost(engine, replica)
+        } else {
+            f64::INFINITY
+        }
+    });
+    match cautious {
+        PlaceChoice::Impossible => place_replica_by(request, engines, memory_cost),
+        PlaceChoice::Place { .. } | PlaceChoice::Evict { .. } => cautious,
+    }
 }
 
 /// Chooses the engine for a wanted replica with a given cost of loading one again.
--- a/crates/ward-policy/tests/place.rs
+++ b/crates/ward-policy/tests/place.rs
@@ -79,9 +79,14 @@
     full.tier = CacheTier::Disk;
     let engines = [full, engine("e2", "a", vec![])];
     let request = wants("m@1", 10);
-    expect_that!(place_replica(&request, &engines), eq(&evict("e1", &[1])));
+    expect_that!(place_replica(&request, &engines), eq(&place("e2")));
+    let free = place_replica_by(&request, &engines, |_, _| 1.0);
+    expect_that!(free, eq(&evict("e1", &[1])));
     let forbidden = place_replica_by(&request, &engines, |_, _| f64::INFINITY);
     expect_that!(forbidden, eq(&place("e2")));
+    let mut engines = engines;
+    engines[0].held[0].idle = Some(TimeSpan::from_secs(300));
+    expect_that!(place_replica(&request, &engines), eq(&evict("e1", &[1])));
 }
 
 #[googletest::test]
