--- a/crates/ward-bench/src/command/mod.rs
+++ b/crates/ward-bench/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The program's commands.
 
+mod load;
 mod owners;
 mod replay;
 mod report;
@@ -41,6 +42,12 @@
             display("{cause}")
             source(cause)
         }
+        /// A load failed or was refused.
+        Load(cause: crate::load::LoadError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
         /// An unknown command.
         Unknown {
             display("no command given; see --help")
@@ -58,6 +65,8 @@
         .subcommand(replay::replay_command())
         .subcommand(report::report_command())
         .subcommand(owners::owners_command())
+        .subcommand(load::load_command())
+        .subcommand(load::overhead_command())
         .subcommand(slopes::slopes_command())
 }
 
@@ -71,6 +80,8 @@
         Some((replay::NAME, matches)) => replay::run_replay(matches),
         Some((report::NAME, matches)) => report::run_report(matches),
         Some((slopes::NAME, matches)) => slopes::run_slopes(matches),
+        Some((load::LOAD, matches)) => load::run_load_command(matches),
+        Some((load::OVERHEAD, matches)) => load::run_overhead(matches),
         Some((owners::NAME, matches)) => {
             owners::run_owners(matches);
             Ok(())
--- /dev/null
+++ b/crates/ward-bench/src/load/task.rs
@@ -0,0 +1,136 @@
+//! What a load generator sends, within fixed bounds.
+
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+use ward_protocol::{RequestId, TimeSpan};
+
+quick_error! {
+    /// A load that is refused or cannot be run.
+    #[derive(Debug)]
+    pub enum LoadError {
+        /// The address is not on this machine.
+        Remote(address: SocketAddr) {
+            display("{address} is not a loopback address; loads go to this machine only")
+        }
+        /// The load is too large.
+        Bounds(name: &'static str, most: u64) {
+            display("the {name} must lie between 1 and {most}")
+        }
+        /// The runtime or a histogram cannot be made.
+        Setup(cause: std::io::Error) {
+            from()
+            display("the load cannot be set up: {cause}")
+            source(cause)
+        }
+        /// A histogram cannot be made.
+        Histogram(cause: hdrhistogram::CreationError) {
+            from()
+            display("cannot make a histogram: {cause}")
+            source(cause)
+        }
+        /// No request was answered.
+        NoAnswer(address: SocketAddr) {
+            display("no request was answered at {address}; check that it listens and knows the model")
+        }
+    }
+}
+
+/// Most requests per second.
+pub const MOST_RATE: u64 = 20_000;
+/// Longest load in seconds.
+pub const MOST_SECONDS: u64 = 120;
+/// Most connections.
+pub const MOST_CONNECTIONS: u64 = 1_024;
+
+/// A load on one address.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadTask {
+    address: SocketAddr,
+    model: String,
+    stream: bool,
+    rate: u64,
+    seconds: u64,
+    connections: u64,
+}
+
+impl LoadTask {
+    /// A load that has been checked.
+    ///
+    /// # Errors
+    ///
+    /// When the address is not a loopback address or a number is out of bounds.
+    pub fn new(
+        address: SocketAddr,
+        model: String,
+        rate: u64,
+        seconds: u64,
+        connections: u64,
+        stream: bool,
+    ) -> Result<Self, LoadError> {
+        if !address.ip().is_loopback() {
+            return Err(LoadError::Remote(address));
+        }
+        check("rate", rate, MOST_RATE)?;
+        check("seconds", seconds, MOST_SECONDS)?;
+        check("connections", connections, MOST_CONNECTIONS)?;
+        Ok(Self {
+            address,
+            model,
+            stream,
+            rate,
+            seconds,
+            connections,
+        })
+    }
+
+    /// Where it goes.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections held open.
+    #[must_use]
+    pub const fn connections(&self) -> u64 {
+        self.connections
+    }
+
+    /// Requests in all.
+    #[must_use]
+    pub const fn requests(&self) -> u64 {
+        self.rate * self.seconds
+    }
+
+    /// When a request is to start, from the load's start on.
+    #[must_use]
+    pub const fn intended(&self, request: u64) -> TimeSpan {
+        TimeSpan::from_micros(request * 1_000_000 / self.rate)
+    }
+
+    /// Body of a request.
+    #[must_use]
+    pub fn body(&self) -> String {
+        let message = serde_json::json!({"role": "user", "content": "white covers for 120 chairs"});
+        let body = serde_json::json!({
+            "model": self.model,
+            "stream": self.stream,
+            "max_tokens": 8,
+            "messages": [message],
+        });
+        body.to_string()
+    }
+
+    /// A fresh request id.
+    #[must_use]
+    pub fn request_id() -> String {
+        RequestId::random().to_string()
+    }
+}
+
+const fn check(name: &'static str, value: u64, most: u64) -> Result<(), LoadError> {
+    if value == 0 || value > most {
+        return Err(LoadError::Bounds(name, most));
+    }
+    Ok(())
+}
