--- a/crates/ward-control/src/models/demand.rs
+++ b/crates/ward-control/src/models/demand.rs
@@ -132,12 +132,17 @@
     }
 
     /// Active replicas on engines that don't leave.
-    fn staying(&self, key: &ReplicaKey) -> usize {
-        let stays = |id: &&ReservationId| {
-            let state = &self.state.reservations()[*id];
+    pub(super) fn staying_ids(&self, key: &ReplicaKey) -> Vec<ReservationId> {
+        let mut ids = self.active_ids(key);
+        ids.retain(|id| {
+            let state = &self.state.reservations()[id];
             !self.is_leaving(&state.backend)
-        };
-        self.active_ids(key).iter().filter(stays).count()
+        });
+        ids
+    }
+
+    fn staying(&self, key: &ReplicaKey) -> usize {
+        self.staying_ids(key).len()
     }
 
     fn all_ready(&self, key: &ReplicaKey) -> bool {
--- a/crates/ward-control/src/models/keep.rs
+++ b/crates/ward-control/src/models/keep.rs
@@ -25,7 +25,7 @@
     /// The newest ready replica of a key that nobody needs any more.
     fn idle_replica(&self, key: &ReplicaKey) -> Option<ReservationId> {
         let row = self.state.row(key)?;
-        let active = self.active_ids(key);
+        let active = self.staying_ids(key);
         if active.len() <= ready_wanted(row, self.wall) || self.is_waited_for(key) {
             return None;
         }
--- a/crates/ward-control/src/reader.rs
+++ b/crates/ward-control/src/reader.rs
@@ -14,6 +14,9 @@
 
 /// Time after which a read without an answer is repeated.
 const READ_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
+/// Shortest time between reads, however urgent: a log whose reads end early
+/// must not be asked without end.
+const URGENT_PAUSE: TimeSpan = TimeSpan::from_millis(5);
 /// Time between reads while the log is down.
 const FAILED_PAUSE: TimeSpan = TimeSpan::from_millis(500);
 
@@ -62,7 +65,8 @@
         if let Some(failed) = self.failed {
             return now.since(failed) >= FAILED_PAUSE;
         }
-        self.urgent || self.last.is_none_or(|last| now.since(last) >= interval)
+        let pause = if self.urgent { URGENT_PAUSE } else { interval };
+        self.last.is_none_or(|last| now.since(last) >= pause)
     }
 
     fn ask(&mut self, now: MonoTime) {
