--- a/crates/ward-control/tests/rig/mod.rs
+++ b/crates/ward-control/tests/rig/mod.rs
@@ -219,7 +219,7 @@
                 Some(ControlEvent::ReadFailed { stream })
             }
             ControlAction::Read { stream, from } => Some(self.read(stream, from)),
-            ControlAction::Append { envelope } => Some(self.append(envelope)),
+            ControlAction::Append { envelope } => Some(self.append(&envelope)),
             ControlAction::FetchStatus { backend, .. } => Some(match self.status.clone() {
                 Some(status) => ControlEvent::Status {
                     started: now,
@@ -271,7 +271,7 @@
         }
     }
 
-    fn append(&mut self, envelope: ControlEnvelope) -> ControlEvent {
+    fn append(&mut self, envelope: &ControlEnvelope) -> ControlEvent {
         let record = envelope.id;
         self.appends.push((self.now, envelope.body.clone()));
         let result = match self.log {
@@ -279,7 +279,7 @@
             LogMode::Deaf => AppendResult::Unknown,
             LogMode::Up | LogMode::Stale | LogMode::Slow(_) => {
                 self.next += 1;
-                self.store(&codec::encode(&envelope).unwrap());
+                self.store(&codec::encode(envelope).unwrap());
                 AppendResult::Stored
             }
         };
--- a/crates/ward-matrix/src/direction.rs
+++ b/crates/ward-matrix/src/direction.rs
@@ -4,7 +4,7 @@
 use ward_protocol::{BackendId, PlanChange, ReplicaKey};
 
 use crate::fault::FaultKind;
-use crate::strike::daemon_id;
+use crate::setup::daemon_id;
 use crate::world::{MILLI, World};
 
 /// Something that happens at a given time.
--- a/crates/ward-matrix/src/lib.rs
+++ b/crates/ward-matrix/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod promise;
 pub mod render;
 pub mod script;
+mod setup;
 pub mod step;
 mod strike;
 pub mod table;
--- a/crates/ward-matrix/src/strike.rs
+++ b/crates/ward-matrix/src/strike.rs
@@ -1,22 +1,17 @@
 //! Faults beginning and ending, and the script's steps.
 
-use ward_control::{ControlConfig, ControlCore, ControlEvent};
+use ward_control::ControlEvent;
 use ward_protocol::{
-    BackendId, BackendInfo, BackendKind, DaemonId, FencingSupport, HostEntry, HostState,
-    Incarnation, LeaseTimes, MemberInfo, PlanChange, PlanEnvelope, PlanRecord, PlanRevision,
+    BackendId, DaemonId, HostEntry, HostState, PlanChange, PlanEnvelope, PlanRecord, PlanRevision,
     RecordId, ReplicaKey, TimeSpan, WakeHint, record::RECORD_FORMAT,
 };
 
-use crate::daemon::DaemonSlot;
-use crate::engine::FakeEngine;
 use crate::fault::FaultKind;
-use crate::promise::gib;
-use crate::script::{HEALED, SCRIPT, ScriptStep, TRAFFIC, first_plan, rival_plan, second_plan};
+use crate::script::{HEALED, ScriptStep, TRAFFIC, first_plan, rival_plan, second_plan};
+use crate::setup::{DAEMONS, daemon_id};
 use crate::step::MatrixStep;
 use crate::world::{DaemonLife, MILLI, SECOND, World, WorldEvent};
 
-/// Daemons at the start; the script adds one.
-const DAEMONS: u64 = 3;
 /// How long most faults last: past the lease, and past expiry.
 const FAULT_TIME: u64 = 7 * SECOND;
 /// How long a reclaimed host stays before it goes.
@@ -26,42 +21,6 @@
 /// Time between hints of a daemon's waiting requests.
 const TRAFFIC_INTERVAL: u64 = 300 * MILLI;
 
-/// The id of a daemon by its number, from 1.
-pub(crate) fn daemon_id(number: u64) -> Option<DaemonId> {
-    format!("entry-{number}").parse().ok()
-}
-
-fn member(number: u64) -> Option<MemberInfo> {
-    let zone = if number % 2 == 1 { "vic" } else { "moste" };
-    let address = |port: u64| format!("127.0.0.1:{}", port + number).parse().ok();
-    Some(MemberInfo {
-        daemon: daemon_id(number)?,
-        incarnation: Incarnation::default(),
-        zone: zone.parse().ok()?,
-        callers: address(8_000)?,
-        peers: address(9_000)?,
-        operators: address(10_000)?,
-    })
-}
-
-fn engine_info(number: u64) -> Option<BackendInfo> {
-    let zone = if number % 2 == 1 { "vic" } else { "moste" };
-    let fencing = if number.is_multiple_of(2) {
-        FencingSupport::Ignores
-    } else {
-        FencingSupport::Checks
-    };
-    Some(BackendInfo {
-        backend: format!("engine-{number}").parse().ok()?,
-        kind: BackendKind::Engine,
-        zone: zone.parse().ok()?,
-        address: format!("127.0.0.1:{}", 7_000 + number).parse().ok()?,
-        memory: gib(24),
-        fencing,
-        services: Vec::new(),
-    })
-}
-
 /// How long a fault lasts in a cell of the matrix.
 const fn usual_time(fault: FaultKind) -> u64 {
     match fault {
@@ -71,30 +30,6 @@
 }
 
 impl World {
-    pub(crate) fn build(&mut self) {
-        for info in (1..=4).filter_map(engine_info) {
-            self.engines
-                .insert(info.backend.clone(), FakeEngine::new(info));
-        }
-        self.publish_hosts();
-        for number in 1..=DAEMONS {
-            self.add_daemon(number);
-        }
-        if self.options.chaos {
-            self.schedule(SECOND, WorldEvent::Stir);
-            return;
-        }
-        if !self.options.directed.is_empty() {
-            for (at, direction) in self.options.directed.clone() {
-                self.schedule(at * MILLI, WorldEvent::Direct(direction));
-            }
-            return;
-        }
-        for (at, step) in SCRIPT {
-            self.schedule(at * SECOND, WorldEvent::Script(*step));
-        }
-    }
-
     pub(crate) fn publish_hosts(&mut self) {
         let alive = self.engines.values().filter(|engine| engine.alive);
         let entries = alive.map(|engine| HostEntry {
@@ -109,57 +44,6 @@
         self.hosts.publish(self.now, entries);
     }
 
-    /// Starts a daemon, in a new life if it had one.
-    pub(crate) fn add_daemon(&mut self, number: u64) {
-        let Some(member) = member(number) else {
-            return;
-        };
-        let daemon = member.daemon.clone();
-        self.daemons
-            .entry(daemon.clone())
-            .or_insert_with(|| DaemonSlot::new(member, number * 1_000 * SECOND));
-        self.start_daemon(&daemon);
-    }
-
-    fn start_daemon(&mut self, daemon: &DaemonId) {
-        let now = self.now;
-        let seed = self.below(u64::MAX);
-        let peers = self
-            .daemons
-            .values()
-            .map(|slot| slot.member.peers)
-            .collect();
-        let Some(slot) = self.daemons.get_mut(daemon) else {
-            return;
-        };
-        slot.life += 1;
-        slot.frozen = false;
-        slot.held.clear();
-        slot.unsent.clear();
-        slot.adopted = PlanRevision::default();
-        slot.checked = ward_protocol::LogOffset::ZERO;
-        let member = MemberInfo {
-            incarnation: Incarnation(slot.clock.wall(now).0),
-            ..slot.member.clone()
-        };
-        let mut config = ControlConfig::new(member, seed);
-        config.peers = peers;
-        config.snapshot_records = 25;
-        config.limits.model_loads = 2;
-        config.lease = LeaseTimes::default();
-        config.policy.keep_shortest = TimeSpan::from_secs(2);
-        config.policy.keep_longest = TimeSpan::from_secs(3);
-        #[cfg(feature = "test-defects")]
-        if let Some(defect) = self.options.defect {
-            config = config.with_defects(ward_control::DefectSet::only(defect));
-        }
-        slot.core = Some(ControlCore::new(config, slot.clock.mono(now)));
-        let life = (daemon.clone(), slot.life);
-        let first = self.below(20 * MILLI);
-        self.schedule(first, WorldEvent::Tick(life.clone()));
-        self.schedule(first + 10 * MILLI, WorldEvent::Traffic(life));
-    }
-
     /// Requests of a daemon that wait, or run if there is a replica.
     pub(crate) fn offer_traffic(&mut self, life: &DaemonLife) {
         if !self.is_live(life) {
