--- a/crates/ward-control/src/core.rs
+++ b/crates/ward-control/src/core.rs
@@ -9,6 +9,7 @@
 use crate::action::ControlAction;
 use crate::config::ControlConfig;
 use crate::defect::DefectKind;
+use crate::duty::DutyRanks;
 use crate::engines::EngineTable;
 use crate::event::ControlEvent;
 use crate::hosts::HostWatch;
@@ -45,6 +46,7 @@
     pub(crate) snapshots: SnapshotDuty,
     pub(crate) stop: StopState,
     pub(crate) views: ViewCache,
+    pub(crate) duties: DutyRanks,
     /// Whether the view differs from the one published last.
     pub(crate) changed: bool,
     published: Option<(MonoTime, ViewMode)>,
@@ -74,6 +76,7 @@
             snapshots: SnapshotDuty::default(),
             stop: StopState::default(),
             views: ViewCache::default(),
+            duties: DutyRanks::default(),
             changed: true,
             published: None,
         }
@@ -183,6 +186,7 @@
     }
 
     fn run_duties(&mut self) {
+        self.sync_duties();
         self.run_start();
         self.run_reads();
         self.run_membership();
--- a/crates/ward-control/src/hosts.rs
+++ b/crates/ward-control/src/hosts.rs
@@ -11,10 +11,11 @@
 
 use crate::action::ControlAction;
 use crate::core::ControlCore;
+use crate::duty::SharedDuty;
 use crate::proposer::ProposalSubject;
 
-/// Daemons that read the host list.
-const WATCHERS: usize = 3;
+/// Time between comparisons of the list with the state.
+const COMPARE_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
 /// How much longer each further watcher holds back.
 const RANK_DELAY: TimeSpan = TimeSpan::from_millis(700);
 /// How long a backend server must be off the list before it is gone.
@@ -34,6 +35,7 @@
     /// Since when a difference between list and state stands.
     differs: IndexMap<BackendId, MonoTime>,
     read: bool,
+    compared: Option<MonoTime>,
 }
 
 impl HostWatch {
@@ -82,7 +84,7 @@
 
 impl ControlCore {
     pub(crate) fn run_hosts(&mut self) {
-        let rank = self.watcher_rank();
+        let rank = self.duty_rank(SharedDuty::Hosts);
         // Without the log nobody is told that a host leaves, so all look themselves;
         // the owner of a silent or leaving engine looks what has become of its host.
         let cut_off = self.start.has_state() && !self.has_authority();
@@ -90,17 +92,16 @@
             return;
         }
         self.ask_hosts();
-        if self.has_authority() && self.hosts.read {
+        let compared = self
+            .hosts
+            .compared
+            .is_some_and(|at| self.now.since(at) < COMPARE_INTERVAL);
+        if self.has_authority() && self.hosts.read && !compared {
+            self.hosts.compared = Some(self.now);
             self.append_differences(rank);
         }
     }
 
-    fn watcher_rank(&self) -> Option<u32> {
-        let holders = self.state.duty_holders("hosts", WATCHERS);
-        let rank = holders.iter().position(|daemon| daemon == self.me())?;
-        u32::try_from(rank).ok()
-    }
-
     fn ask_hosts(&mut self) {
         let waiting = self
             .hosts
--- a/crates/ward-control/src/lib.rs
+++ b/crates/ward-control/src/lib.rs
@@ -23,6 +23,7 @@
 mod core;
 pub mod defect;
 pub mod dump;
+mod duty;
 mod engines;
 pub mod event;
 mod hosts;
--- a/crates/ward-control/src/membership.rs
+++ b/crates/ward-control/src/membership.rs
@@ -40,6 +40,11 @@
 }
 
 impl ProbeTable {
+    /// Forces a new choice of targets.
+    pub(crate) fn reset(&mut self) {
+        self.version = None;
+    }
+
     /// A sign of life came.
     pub(crate) fn heard(&mut self, daemon: &DaemonId, now: MonoTime) {
         if let Some(at) = self.heard.get_mut(daemon) {
--- a/crates/ward-control/src/snapshots.rs
+++ b/crates/ward-control/src/snapshots.rs
@@ -4,14 +4,13 @@
 
 use crate::action::ControlAction;
 use crate::core::ControlCore;
+use crate::duty::SharedDuty;
 use crate::proposer::ProposalSubject;
 
 /// Age of the last snapshot that calls for one, if anything was applied since.
 const SNAPSHOT_AGE: TimeSpan = TimeSpan::from_secs(600);
 /// Time after which a snapshot without an answer is written again.
 const SNAPSHOT_TIMEOUT: TimeSpan = TimeSpan::from_secs(30);
-/// Daemons that stand in for each other in a duty.
-const DUTY_HOLDERS: usize = 3;
 /// How much longer each further daemon holds back.
 const RANK_DELAY: TimeSpan = TimeSpan::from_millis(500);
 
@@ -47,7 +46,7 @@
                 self.now
             }
         };
-        let Some(delay) = self.duty_delay("adopt") else {
+        let Some(delay) = self.duty_delay(SharedDuty::Adopt) else {
             return;
         };
         if self.now.since(since) >= delay {
@@ -59,7 +58,7 @@
     /// Brings the configured limits into force where none are.
     pub(crate) fn propose_limits(&mut self) {
         let (limits, base) = self.state.limits();
-        let mine = self.duty_delay("limits") == Some(TimeSpan::ZERO);
+        let mine = self.duty_delay(SharedDuty::Limits) == Some(TimeSpan::ZERO);
         if mine && base == LogOffset::ZERO && limits != self.config.limits {
             let body = ControlRecord::Limits {
                 base,
@@ -74,7 +73,7 @@
             .snapshots
             .asked
             .is_some_and(|at| self.now.since(at) < SNAPSHOT_TIMEOUT);
-        let Some(delay) = self.duty_delay("snapshot") else {
+        let Some(delay) = self.duty_delay(SharedDuty::Snapshot) else {
             return;
         };
         let (at, offset) = self.snapshots.stored.unwrap_or((self.now, LogOffset::ZERO));
@@ -98,10 +97,8 @@
     }
 
     /// How long this daemon holds back in a duty; nothing if it has no part in it.
-    fn duty_delay(&self, duty: &str) -> Option<TimeSpan> {
-        let holders = self.state.duty_holders(duty, DUTY_HOLDERS);
-        let rank = holders.iter().position(|daemon| daemon == self.me())?;
-        let rank = u64::try_from(rank).ok()?;
+    fn duty_delay(&self, duty: SharedDuty) -> Option<TimeSpan> {
+        let rank = u64::from(self.duty_rank(duty)?);
         Some(TimeSpan::from_millis(RANK_DELAY.millis() * rank))
     }
 }
--- a/crates/ward-control/src/start.rs
+++ b/crates/ward-control/src/start.rs
@@ -140,6 +140,8 @@
         self.views.reset();
         self.engines.reset();
         self.models.reset();
+        self.duties.reset();
+        self.probes.reset();
         self.changed = true;
     }
 
