--- a/crates/ward-control/src/reader.rs
+++ b/crates/ward-control/src/reader.rs
@@ -15,6 +15,9 @@
 
 /// Time after which a read without an answer is repeated.
 const READ_TIMEOUT: TimeSpan = TimeSpan::from_secs(10);
+/// Shortest time between reads, however urgent: a log whose reads end early
+/// must not be asked without end.
+const URGENT_PAUSE: TimeSpan = TimeSpan::from_millis(5);
 /// Time between reads while the log is down.
 const FAILED_PAUSE: TimeSpan = TimeSpan::from_millis(500);
 
@@ -63,7 +66,8 @@
         if let Some(failed) = self.failed {
             return now.since(failed) >= FAILED_PAUSE;
         }
-        self.urgent || self.last.is_none_or(|last| now.since(last) >= interval)
+        let pause = if self.urgent { URGENT_PAUSE } else { interval };
+        self.last.is_none_or(|last| now.since(last) >= pause)
     }
 
     fn ask(&mut self, now: MonoTime) {
