--- a/crates/ward-bench/src/command/mod.rs
+++ b/crates/ward-bench/src/command/mod.rs
@@ -1,6 +1,10 @@
 //! The program's commands.
 
+mod load;
+mod owners;
 mod replay;
+mod report;
+mod slopes;
 
 use clap::{ArgMatches, Command};
 use quick_error::quick_error;
@@ -32,6 +36,18 @@
             display("the results cannot be read or written: {cause}")
             source(cause)
         }
+        /// A measurement of slopes failed.
+        Slopes(cause: crate::slopes::SlopeError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
+        /// A load failed or was refused.
+        Load(cause: crate::load::LoadError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
         /// An unknown command.
         Unknown {
             display("no command given; see --help")
@@ -47,6 +63,11 @@
         .about("Measures the serving system's decisions and processes")
         .subcommand_required(true)
         .subcommand(replay::replay_command())
+        .subcommand(report::report_command())
+        .subcommand(owners::owners_command())
+        .subcommand(load::load_command())
+        .subcommand(load::overhead_command())
+        .subcommand(slopes::slopes_command())
 }
 
 /// Runs the command that was given.
@@ -57,6 +78,14 @@
 pub fn run_command(matches: &ArgMatches) -> Result<(), CommandError> {
     match matches.subcommand() {
         Some((replay::NAME, matches)) => replay::run_replay(matches),
+        Some((report::NAME, matches)) => report::run_report(matches),
+        Some((slopes::NAME, matches)) => slopes::run_slopes(matches),
+        Some((load::LOAD, matches)) => load::run_load_command(matches),
+        Some((load::OVERHEAD, matches)) => load::run_overhead(matches),
+        Some((owners::NAME, matches)) => {
+            owners::run_owners(matches);
+            Ok(())
+        }
         _ => Err(CommandError::Unknown),
     }
 }
