--- a/crates/ward-bench/src/command/slopes.rs
+++ b/crates/ward-bench/src/command/slopes.rs
@@ -7,7 +7,9 @@
 use serde::Serialize;
 
 use super::CommandError;
-use crate::slopes::{SlopeSeries, WireSize, measure_state, measure_status, measure_wire};
+use crate::slopes::{
+    SlopeSeries, WireSize, measure_state, measure_status, measure_steps, measure_wire,
+};
 
 /// The command's name.
 pub(super) const NAME: &str = "slopes";
@@ -51,6 +53,7 @@
         return Err(CommandError::Unknown);
     };
     let mut series = measure_state()?;
+    series.extend(measure_steps()?);
     series.push(measure_status()?);
     let wire = measure_wire()?;
     for one in &series {
--- /dev/null
+++ b/crates/ward-bench/src/slopes/step.rs
@@ -0,0 +1,136 @@
+//! What one event costs a daemon's control thread while nothing changes.
+
+use std::time::Instant;
+
+use ward_control::{ControlConfig, ControlCore, ControlEvent};
+use ward_protocol::{LogStream, MonoTime, WallTime};
+
+use super::fit::{SlopePoint, SlopeSeries};
+use super::measure::SlopeError;
+use super::sample::{REPLICAS_PER_ENGINE, SampleState, member, rows};
+
+const ROWS: [usize; 4] = [3_500, 7_000, 14_000, 28_000];
+const ENGINES: [usize; 4] = [1_500, 3_000, 6_000, 12_000];
+const OWNED: [usize; 5] = [8, 16, 32, 64, 128];
+const MEMBERS: [usize; 5] = [9, 40, 100, 200, 370];
+const RESERVATIONS: [usize; 4] = [1_500, 3_000, 6_000, 12_000];
+/// Members while engines are counted, so that one owns as many as it would.
+const ENGINE_MEMBERS: usize = 370;
+const EVENTS: u32 = 200;
+const ATTEMPTS: usize = 5;
+const MICROS: f64 = 1e6;
+const STEP: u64 = 10;
+
+/// A daemon that is member 0 of a sample's deployment and has its lease.
+fn daemon(sample: &SampleState) -> Result<ControlCore, SlopeError> {
+    let start = MonoTime(1);
+    let wall = WallTime(1);
+    let mut core = ControlCore::new(ControlConfig::new(member(0)?, 1), start);
+    let bytes = sample.state.encode()?;
+    core.step(start, wall, ControlEvent::Snapshot { bytes });
+    let ends = [
+        (LogStream::Plan, sample.state.plans().read()),
+        (LogStream::Control, sample.state.applied()),
+    ];
+    for (stream, end) in ends {
+        let read = ControlEvent::Read {
+            stream,
+            started: start,
+            records: Vec::new(),
+            end,
+            cut: None,
+        };
+        core.step(start, wall, read);
+    }
+    Ok(core)
+}
+
+/// Microseconds per event, the quickest of several attempts.
+fn event_micros(core: &mut ControlCore) -> f64 {
+    let mut now = MonoTime(1);
+    let attempts = (0..ATTEMPTS).map(|_| {
+        let started = Instant::now();
+        for _ in 0..EVENTS {
+            now = MonoTime(now.0 + STEP);
+            core.step(now, WallTime(2), ControlEvent::Tick);
+        }
+        started.elapsed().as_secs_f64() * MICROS / f64::from(EVENTS)
+    });
+    attempts.fold(f64::INFINITY, f64::min)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn series(
+    name: &'static str,
+    per: &'static str,
+    sizes: &[usize],
+    prepare: impl Fn(&mut SampleState, usize) -> Result<(), SlopeError>,
+) -> Result<SlopeSeries, SlopeError> {
+    let mut points = Vec::new();
+    for size in sizes {
+        let mut sample = SampleState::default();
+        prepare(&mut sample, *size)?;
+        let value = event_micros(&mut daemon(&sample)?);
+        points.push(SlopePoint {
+            size: *size as f64,
+            value,
+        });
+    }
+    Ok(SlopeSeries::new(name, "microseconds", per, points))
+}
+
+fn join_all(sample: &mut SampleState, members: usize) -> Result<(), SlopeError> {
+    for number in 0..members {
+        sample.join(number)?;
+    }
+    Ok(())
+}
+
+fn see_all(sample: &mut SampleState, engines: usize) -> Result<(), SlopeError> {
+    for number in 0..engines {
+        sample.see(number)?;
+    }
+    Ok(())
+}
+
+/// Measures an event of the control thread against each thing that may grow.
+///
+/// # Errors
+///
+/// When a sample is rejected or cannot be encoded.
+pub fn measure_steps() -> Result<Vec<SlopeSeries>, SlopeError> {
+    Ok(vec![
+        series("control event", "row", &ROWS, |sample, size| {
+            join_all(sample, 1)?;
+            Ok(sample.submit(rows(size)?)?)
+        })?,
+        series("control event", "engine owned", &OWNED, |sample, size| {
+            join_all(sample, 1)?;
+            see_all(sample, size)
+        })?,
+        series(
+            "control event, 370 members",
+            "engine",
+            &ENGINES,
+            |sample, size| {
+                join_all(sample, ENGINE_MEMBERS)?;
+                see_all(sample, size)
+            },
+        )?,
+        series("control event", "member", &MEMBERS, join_all)?,
+        series(
+            "control event, 370 members",
+            "reservation",
+            &RESERVATIONS,
+            |sample, size| {
+                join_all(sample, ENGINE_MEMBERS)?;
+                see_all(sample, size / REPLICAS_PER_ENGINE)?;
+                sample.submit(rows(size)?)?;
+                for number in 0..size {
+                    sample.reserve(number)?;
+                }
+                Ok(())
+            },
+        )?,
+    ])
+}
