A daemon cut off from the log alone is taken over

Cause: it still answered probes, so the models and engines that it owned stood still for as long as the cut lasted (test cutoff_from_log_alone, shown failing: of four models wanted, those of the cut daemon were never loaded). Now who lacks authority neither probes nor answers and is expired like a dead one.

--- a/crates/ward-control/src/core.rs
+++ b/crates/ward-control/src/core.rs
@@ -8,6 +8,7 @@
 
 use crate::action::ControlAction;
 use crate::config::ControlConfig;
+use crate::crashes::CrashReports;
 use crate::defect::DefectKind;
 use crate::duty::DutyRanks;
 use crate::engines::EngineTable;
@@ -41,6 +42,7 @@
     pub(crate) proposer: Proposer,
     pub(crate) probes: ProbeTable,
     pub(crate) hosts: HostWatch,
+    pub(crate) crashes: CrashReports,
     pub(crate) engines: EngineTable,
     pub(crate) models: ModelTable,
     pub(crate) snapshots: SnapshotDuty,
@@ -71,6 +73,7 @@
             proposer: Proposer::default(),
             probes: ProbeTable::default(),
             hosts: HostWatch::default(),
+            crashes: CrashReports::default(),
             engines: EngineTable::default(),
             models: ModelTable::default(),
             snapshots: SnapshotDuty::default(),
@@ -151,7 +154,7 @@
                 fingerprint,
                 backend,
                 until,
-            } => self.take_crash(fingerprint, backend, until),
+            } => self.crashes.note(fingerprint, backend, until),
             ControlEvent::Stop => self.stop.begin(self.now),
         }
     }
@@ -162,13 +165,14 @@
             incarnation,
             message,
         } = envelope;
-        self.probes.heard(&sender, self.now);
         match message {
             PeerMessage::Probe { sequence, applied } => {
+                self.probes.heard(&sender, self.now);
                 self.reader.note_end(applied);
                 self.answer_probe(&sender, sequence);
             }
             PeerMessage::ProbeAck { sequence, applied } => {
+                self.probes.heard(&sender, self.now);
                 self.reader.note_end(applied);
                 self.take_probe_ack(&sender, sequence);
             }
@@ -194,6 +198,7 @@
         self.run_hosts();
         if self.has_authority() {
             self.propose_limits();
+            self.run_crashes();
             self.run_adopt();
             self.run_models();
             self.run_snapshots();
--- /dev/null
+++ b/crates/ward-control/src/crashes.rs
@@ -0,0 +1,66 @@
+//! Crashes that this daemon saw and the log has yet to learn.
+
+use ward_protocol::{BackendId, ControlRecord, RequestFingerprint, WallTime};
+
+use crate::core::ControlCore;
+use crate::proposer::ProposalSubject;
+
+/// Crashes kept until the log takes them.
+const REPORT_LIMIT: usize = 256;
+
+/// A request that ran on a backend server when it crashed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct CrashReport {
+    fingerprint: RequestFingerprint,
+    backend: BackendId,
+    until: WallTime,
+}
+
+/// Crashes to be reported.
+#[derive(Debug, Default)]
+pub(crate) struct CrashReports {
+    reports: Vec<CrashReport>,
+}
+
+impl CrashReports {
+    pub(crate) fn note(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        backend: BackendId,
+        until: WallTime,
+    ) {
+        let report = CrashReport {
+            fingerprint,
+            backend,
+            until,
+        };
+        if self.reports.len() < REPORT_LIMIT && !self.reports.contains(&report) {
+            self.reports.push(report);
+        }
+    }
+}
+
+impl ControlCore {
+    /// Proposes what the state doesn't show yet.
+    pub(crate) fn run_crashes(&mut self) {
+        let mut reports = std::mem::take(&mut self.crashes.reports);
+        reports.retain(|report| report.until > self.wall && !self.knows_crash(report));
+        for report in &reports {
+            let subject = ProposalSubject::Suspect(report.fingerprint, report.backend.clone());
+            let body = ControlRecord::Suspect {
+                fingerprint: report.fingerprint,
+                backend: report.backend.clone(),
+                until: report.until,
+            };
+            self.propose(subject, body);
+        }
+        self.crashes.reports = reports;
+    }
+
+    fn knows_crash(&self, report: &CrashReport) -> bool {
+        let entry = self.state.suspects().get(report.fingerprint);
+        entry.is_some_and(|entry| {
+            entry.backends.contains(&report.backend) && entry.until >= report.until
+        })
+    }
+}
--- a/crates/ward-control/src/hosts.rs
+++ b/crates/ward-control/src/hosts.rs
@@ -5,8 +5,7 @@
 
 use indexmap::IndexMap;
 use ward_protocol::{
-    BackendId, BackendKind, ControlRecord, HostEntry, HostState, MonoTime, RequestFingerprint,
-    TimeSpan, WallTime,
+    BackendId, BackendKind, ControlRecord, HostEntry, HostState, MonoTime, TimeSpan,
 };
 
 use crate::action::ControlAction;
@@ -188,22 +187,4 @@
         };
         stood >= patience && self.is_silent_for(backend, GONE_AFTER)
     }
-
-    pub(crate) fn take_crash(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        backend: BackendId,
-        until: WallTime,
-    ) {
-        if !self.is_member() {
-            return;
-        }
-        let subject = ProposalSubject::Suspect(fingerprint, backend.clone());
-        let body = ControlRecord::Suspect {
-            fingerprint,
-            backend,
-            until,
-        };
-        self.propose(subject, body);
-    }
 }
--- a/crates/ward-control/src/lib.rs
+++ b/crates/ward-control/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod action;
 pub mod config;
 mod core;
+mod crashes;
 pub mod defect;
 pub mod dump;
 mod duty;
--- a/crates/ward-control/src/membership.rs
+++ b/crates/ward-control/src/membership.rs
@@ -2,7 +2,10 @@
 //!
 //! Every daemon probes its few successors in id order, so each is probed by a
 //! few whatever the fleet's size. A silent peer is probed through others before
-//! it is expired; a daemon that hears nobody blames itself.
+//! it is expired; a daemon that hears nobody blames itself. A daemon without
+//! authority neither probes nor answers, so that others take over from one that is
+//! cut off from the log alone. Telling it in the answer was weighed: it needs a
+//! further message and leads to the same `Expire`.
 
 use indexmap::IndexMap;
 use ward_protocol::{
@@ -37,6 +40,8 @@
     lost: Option<MonoTime>,
     losses: u32,
     announced: LogOffset,
+    /// Whether this daemon lacked authority at its last step.
+    powerless: bool,
 }
 
 impl ProbeTable {
@@ -73,13 +78,20 @@
             .probes
             .last
             .is_none_or(|last| self.now.since(last) >= interval);
+        // Who lacks authority is to look dead to the others, so that they take
+        // its duties over: it may be cut off from the log alone.
+        if !self.has_authority() {
+            self.probes.powerless = true;
+            return;
+        }
+        if std::mem::take(&mut self.probes.powerless) {
+            self.forgive_silence();
+        }
         if due {
             self.probes.last = Some(self.now);
             self.probe_targets();
         }
-        if self.has_authority() {
-            self.expire_silent();
-        }
+        self.expire_silent();
     }
 
     /// After a pause of this process nobody's silence means anything.
@@ -87,11 +99,16 @@
         let pause = self.now.since(self.probes.stepped);
         self.probes.stepped = self.now;
         if pause >= self.config.lease.probe_interval {
-            let now = self.now;
-            self.probes.heard.values_mut().for_each(|at| *at = now);
+            self.forgive_silence();
         }
     }
 
+    /// Begins anew to count how long peers are silent.
+    fn forgive_silence(&mut self) {
+        let now = self.now;
+        self.probes.heard.values_mut().for_each(|at| *at = now);
+    }
+
     fn run_join(&mut self) {
         if !self.start.has_state() || self.stop.is_begun() || !self.reads_are_fresh() {
             return;
@@ -214,6 +231,9 @@
     }
 
     pub(crate) fn answer_probe(&mut self, sender: &DaemonId, sequence: u64) {
+        if !self.has_authority() {
+            return;
+        }
         let applied = self.state.applied();
         self.send(sender, PeerMessage::ProbeAck { sequence, applied });
     }
--- a/crates/ward-control/src/view.rs
+++ b/crates/ward-control/src/view.rs
@@ -5,7 +5,8 @@
 use indexmap::IndexMap;
 use ward_protocol::{
     BackendRoute, EntryAddress, LoadingReplica, ModelEntry, ModelName, PlanCatalog, PlanRevision,
-    ReadyReplica, ReplicaKey, RoutingView, RowTarget, ServiceEntry, ServiceName,
+    ReadyReplica, ReplicaKey, ReservationId, RoutingView, RowTarget, ServiceEntry, ServiceName,
+    WallTime,
 };
 use ward_state::{PlanContent, ReservationPhase};
 
@@ -15,6 +16,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ViewCache {
     catalog: Option<Arc<PlanCatalog>>,
+    /// When this daemon first saw each load admitted.
+    begun: IndexMap<ReservationId, WallTime>,
     /// Whether load figures came since the last view.
     stale: bool,
 }
@@ -96,7 +99,8 @@
         ready
     }
 
-    fn loading_replicas(&self) -> IndexMap<ReplicaKey, Vec<LoadingReplica>> {
+    fn loading_replicas(&mut self) -> IndexMap<ReplicaKey, Vec<LoadingReplica>> {
+        self.note_begun();
         let mut loading: IndexMap<_, Vec<_>> = IndexMap::new();
         for (id, state) in self.state.reservations() {
             let early = matches!(
@@ -109,13 +113,33 @@
             let replica = LoadingReplica {
                 reservation: *id,
                 backend: state.backend.clone(),
-                expected: self.wall + self.load_time(&state.key),
+                expected: self.expected(*id, &state.key),
             };
             loading.entry(state.key.clone()).or_default().push(replica);
         }
         loading
     }
 
+    fn note_begun(&mut self) {
+        let wall = self.wall;
+        let reservations = self.state.reservations();
+        let loads = |id: &ReservationId| {
+            let state = reservations.get(id);
+            state.is_some_and(|state| state.phase == ReservationPhase::Loading)
+        };
+        self.views.begun.retain(|id, _| loads(id));
+        for id in reservations.keys().filter(|id| loads(id)) {
+            self.views.begun.entry(*id).or_insert(wall);
+        }
+    }
+
+    /// When a replica should answer: a load's time after its admission, or after
+    /// now while it waits to be admitted; never in the past.
+    fn expected(&self, id: ReservationId, key: &ReplicaKey) -> WallTime {
+        let begun = self.views.begun.get(&id).copied().unwrap_or(self.wall);
+        (begun + self.load_time(key)).max(self.wall)
+    }
+
     fn backend_routes(&self) -> IndexMap<ward_protocol::BackendId, BackendRoute> {
         let route = |(backend, state): (&ward_protocol::BackendId, &ward_state::BackendState)| {
             let duty = self.engines.owned.get(backend);
--- a/crates/ward-state/src/suspect.rs
+++ b/crates/ward-state/src/suspect.rs
@@ -28,6 +28,12 @@
         self.entries.iter()
     }
 
+    /// The entry of a fingerprint.
+    #[must_use]
+    pub fn get(&self, fingerprint: RequestFingerprint) -> Option<&SuspectEntry> {
+        self.entries.get(&fingerprint)
+    }
+
     pub(crate) fn add(
         &mut self,
         fingerprint: RequestFingerprint,
