--- a/crates/ward-matrix/src/setup.rs
+++ b/crates/ward-matrix/src/setup.rs
@@ -98,6 +98,7 @@
         let Some(slot) = self.daemons.get_mut(daemon) else {
             return;
         };
+        self.recent.shift_remove(daemon);
         slot.life += 1;
         slot.frozen = false;
         slot.held.clear();
--- a/crates/ward-matrix/src/world.rs
+++ b/crates/ward-matrix/src/world.rs
@@ -124,7 +124,7 @@
     breach: Option<PromiseBreach>,
     trace: Vec<String>,
     /// Last lines of each daemon, to leave out what only repeats.
-    recent: IndexMap<DaemonId, VecDeque<String>>,
+    pub(crate) recent: IndexMap<DaemonId, VecDeque<String>>,
 }
 
 impl World {
