--- a/crates/ward-control/src/crashes.rs
+++ b/crates/ward-control/src/crashes.rs
@@ -1,6 +1,7 @@
 //! Crashes that this daemon saw and the log has yet to learn.
 
 use ward_protocol::{BackendId, ControlRecord, RequestFingerprint, WallTime};
+use ward_state::CrashMark;
 
 use crate::core::ControlCore;
 use crate::proposer::ProposalSubject;
@@ -59,8 +60,10 @@
 
     fn knows_crash(&self, report: &CrashReport) -> bool {
         let entry = self.state.suspects().get(report.fingerprint);
-        entry.is_some_and(|entry| {
-            entry.backends.contains(&report.backend) && entry.until >= report.until
-        })
+        let crash = CrashMark {
+            backend: report.backend.clone(),
+            until: report.until,
+        };
+        entry.is_some_and(|entry| entry.knows(&crash))
     }
 }
--- /dev/null
+++ b/crates/ward-operator/src/route/plan.rs
@@ -0,0 +1,197 @@
+//! Routes of plans.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, StatusCode};
+use slog::info;
+use tokio::time::{Instant, sleep};
+use viz::Request;
+use ward_plan::{PlanSheet, SheetDifference};
+use ward_protocol::{OperatorName, PlanChange, PlanRevision, RecordId, ResultCode, TimeSpan};
+
+use super::RouteResult;
+use super::query::{read_body, read_query};
+use super::reply::{json_reply, typed_reply};
+use crate::answer::{PlanAnswer, RowPhase, SubmitAnswer, SubmitOutcome};
+use crate::calls::{SubmitRequest, SubmitResult};
+use crate::error::OperatorError;
+use crate::query::{
+    DiffQuery, HistoryQuery, PlanFormat, PlanQuery, RetreatQuery, RowFilter, StatusQuery,
+    SubmitQuery,
+};
+use crate::server::OperatorServer;
+use crate::warning::{SheetWarning, sheet_warnings};
+
+const BASE_TIME: Duration = Duration::from_secs(2);
+const BASE_PAUSE: Duration = Duration::from_millis(50);
+const BASE_RETRY: TimeSpan = TimeSpan::from_secs(1);
+const CSV: HeaderValue = HeaderValue::from_static("text/csv; charset=utf-8");
+
+/// Checks a sheet against the newest accepted plan.
+pub(super) async fn check(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let _place = server.upload_place().await?;
+    let sheet = PlanSheet::read(&read_body(request).await?)?;
+    let current = (server.calls.plan)(None).await?;
+    checked(&server, &current, &sheet).await
+}
+
+/// Submits a sheet.
+pub(super) async fn submit(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let query: SubmitQuery = read_query(&request)?;
+    let _place = server.upload_place().await?;
+    let sheet = PlanSheet::read(&read_body(request).await?)?;
+    let current = current_plan(&server, query.base).await?;
+    if query.dry_run {
+        return checked(&server, &current, &sheet).await;
+    }
+    let order = SubmitOrder {
+        record: query.record,
+        author: query.author,
+        change: sheet.change_from(&current.sheet()),
+    };
+    append(&server, order, &current, &sheet).await
+}
+
+/// Brings back the content of an earlier revision.
+pub(super) async fn retreat(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let query: RetreatQuery = read_query(&request)?;
+    let current = current_plan(&server, query.base).await?;
+    let sheet = (server.calls.plan)(Some(query.to)).await?.sheet();
+    if query.dry_run {
+        return checked(&server, &current, &sheet).await;
+    }
+    let order = SubmitOrder {
+        record: query.record,
+        author: query.author,
+        change: PlanChange::Retreat { to: query.to },
+    };
+    append(&server, order, &current, &sheet).await
+}
+
+/// What to append on top of the current plan.
+struct SubmitOrder {
+    record: Option<RecordId>,
+    author: OperatorName,
+    change: PlanChange,
+}
+
+async fn append(
+    server: &OperatorServer,
+    order: SubmitOrder,
+    current: &PlanAnswer,
+    sheet: &PlanSheet,
+) -> RouteResult {
+    let record = order.record.unwrap_or_else(RecordId::random);
+    info!(
+        server.log, "operators: plan submitted";
+        "record" => %record, "author" => %order.author, "base" => %current.revision,
+    );
+    let request = SubmitRequest {
+        record,
+        author: order.author,
+        base: current.revision,
+        change: order.change,
+    };
+    let (status, outcome) = match (server.calls.submit)(request).await? {
+        SubmitResult::Accepted { revision } => {
+            (StatusCode::OK, SubmitOutcome::Accepted { revision })
+        }
+        SubmitResult::Stale { current: newer } => return Err(stale(current.revision, newer)),
+        SubmitResult::Unknown => (StatusCode::ACCEPTED, SubmitOutcome::Unknown),
+    };
+    let answer = SubmitAnswer {
+        record: Some(record),
+        outcome,
+        difference: SheetDifference::between(&current.sheet(), sheet),
+        warnings: warnings(server, sheet).await,
+    };
+    json_reply(status, &answer)
+}
+
+async fn checked(server: &OperatorServer, current: &PlanAnswer, sheet: &PlanSheet) -> RouteResult {
+    let answer = SubmitAnswer {
+        record: None,
+        outcome: SubmitOutcome::Checked {
+            base: current.revision,
+        },
+        difference: SheetDifference::between(&current.sheet(), sheet),
+        warnings: warnings(server, sheet).await,
+    };
+    json_reply(StatusCode::OK, &answer)
+}
+
+/// Warnings need what is known of the hosts; without it there are none.
+async fn warnings(server: &OperatorServer, sheet: &PlanSheet) -> Vec<SheetWarning> {
+    match (server.calls.hosts)().await {
+        Ok(hosts) => sheet_warnings(sheet, &hosts),
+        Err(_) => Vec::new(),
+    }
+}
+
+/// The newest accepted plan, if its revision is the base.
+///
+/// A base that this daemon has not read yet is waited for, since another daemon
+/// may have accepted it a moment ago; that is no reason to call it stale.
+async fn current_plan(
+    server: &OperatorServer,
+    base: PlanRevision,
+) -> Result<PlanAnswer, OperatorError> {
+    let end = Instant::now() + BASE_TIME;
+    loop {
+        let current = (server.calls.plan)(None).await?;
+        match current.revision.cmp(&base) {
+            Ordering::Equal => return Ok(current),
+            Ordering::Greater => return Err(stale(base, current.revision)),
+            Ordering::Less if Instant::now() >= end => return Err(behind(base, current.revision)),
+            Ordering::Less => sleep(BASE_PAUSE).await,
+        }
+    }
+}
+
+fn behind(base: PlanRevision, current: PlanRevision) -> OperatorError {
+    let detail = format!("the base is revision {base}, this daemon has read up to {current}");
+    OperatorError::Later(ResultCode::StateMissing, detail, BASE_RETRY)
+}
+
+fn stale(base: PlanRevision, current: PlanRevision) -> OperatorError {
+    let detail = format!("the base is revision {base}, in force is revision {current}");
+    OperatorError::refused(ResultCode::StaleBase, detail)
+}
+
+/// Shows a plan.
+pub(super) async fn show(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let query: PlanQuery = read_query(&request)?;
+    let plan = (server.calls.plan)(query.revision).await?;
+    match query.format {
+        PlanFormat::Json => json_reply(StatusCode::OK, &plan),
+        PlanFormat::Csv => Ok(typed_reply(StatusCode::OK, CSV, plan.sheet().to_csv())),
+    }
+}
+
+/// Lists plan records.
+pub(super) async fn history(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let query: HistoryQuery = read_query(&request)?;
+    json_reply(StatusCode::OK, &(server.calls.history)(query).await?)
+}
+
+/// Tells how far the plan has come.
+pub(super) async fn status(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let query: StatusQuery = read_query(&request)?;
+    let mut status = (server.calls.status)().await?;
+    match query.rows {
+        RowFilter::All => {}
+        RowFilter::Open => status.rows.retain(|row| row.phase != RowPhase::Ready),
+    }
+    json_reply(StatusCode::OK, &status)
+}
+
+/// Compares two revisions.
+pub(super) async fn diff(server: Arc<OperatorServer>, request: Request) -> RouteResult {
+    let query: DiffQuery = read_query(&request)?;
+    let from = (server.calls.plan)(Some(query.from)).await?;
+    let to = (server.calls.plan)(query.to).await?;
+    let difference = SheetDifference::between(&from.sheet(), &to.sheet());
+    json_reply(StatusCode::OK, &difference)
+}
--- /dev/null
+++ b/crates/ward-traffic/src/room/state.rs
@@ -0,0 +1,211 @@
+//! Queues and slots under one lock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use ward_protocol::{
+    BackendId, PriorityLevel, ReplicaKey, ResultCode, RoutingView, RowTarget, WakeHint,
+};
+
+use super::hold::HoldTime;
+use super::listing::RunningRequest;
+use super::slots::ReplicaSlots;
+use super::waiter::{WaitDelivery, WaitOrder, WaitRequest, Waiter};
+use crate::problem::ProblemReport;
+
+/// Waiting requests of one target, most urgent first.
+pub(super) type WaitQueue = BTreeMap<WaitOrder, Waiter>;
+
+/// Queues and slots.
+#[derive(Debug, Default)]
+pub(super) struct RoomState {
+    pub(super) queues: IndexMap<RowTarget, WaitQueue>,
+    pub(super) slots: ReplicaSlots,
+    /// Requests with a slot, by the slot's number.
+    pub(super) running: IndexMap<u64, RunningRequest>,
+    pub(super) used: IndexMap<ReplicaKey, WakeHint>,
+    holds: IndexMap<RowTarget, HoldTime>,
+    count: usize,
+    sequence: u64,
+}
+
+impl RoomState {
+    pub(super) const fn count(&self) -> usize {
+        self.count
+    }
+
+    pub(super) fn next_order(&mut self, request: &WaitRequest) -> WaitOrder {
+        self.sequence += 1;
+        WaitOrder {
+            priority: request.priority,
+            deadline: request.terms.deadline,
+            sequence: self.sequence,
+        }
+    }
+
+    pub(super) fn insert(&mut self, order: WaitOrder, waiter: Waiter) {
+        let target = waiter.request.target.clone();
+        self.queues.entry(target).or_default().insert(order, waiter);
+        self.count += 1;
+    }
+
+    pub(super) fn remove(&mut self, target: &RowTarget, order: WaitOrder) -> Option<Waiter> {
+        let queue = self.queues.get_mut(target)?;
+        let waiter = queue.remove(&order)?;
+        if queue.is_empty() {
+            self.queues.swap_remove(target);
+        }
+        self.count -= 1;
+        Some(waiter)
+    }
+
+    pub(super) fn request(&self, target: &RowTarget, order: WaitOrder) -> Option<WaitRequest> {
+        let queue = self.queues.get(target)?;
+        queue.get(&order).map(|waiter| waiter.request.clone())
+    }
+
+    pub(super) fn note_hold(&mut self, target: &RowTarget, time: Duration) {
+        if let Some(hold) = self.holds.get_mut(target) {
+            hold.add(time);
+            return;
+        }
+        let mut hold = HoldTime::default();
+        hold.add(time);
+        self.holds.insert(target.clone(), hold);
+    }
+
+    /// Expected wait of a request at `order` when all `slots` are taken.
+    pub(super) fn expected_wait(
+        &self,
+        target: &RowTarget,
+        order: WaitOrder,
+        slots: u32,
+    ) -> Option<Duration> {
+        let hold = self.holds.get(target)?;
+        let queue = self.queues.get(target);
+        let ahead = queue.map_or(0, |queue| queue.range(..order).count());
+        hold.expected_wait(ahead, slots)
+    }
+
+    /// Removes a waiter wherever it waits now.
+    pub(super) fn leave(&mut self, order: WaitOrder) {
+        let target = self
+            .queues
+            .iter()
+            .find(|(_, queue)| queue.contains_key(&order))
+            .map(|(target, _)| target.clone());
+        if let Some(target) = target {
+            self.remove(&target, order);
+        }
+    }
+
+    /// Takes out the least urgent waiter if it is less urgent than `order`.
+    pub(super) fn displace(&mut self, order: WaitOrder) -> Option<WaitDelivery> {
+        let (target, last) = self
+            .queues
+            .iter()
+            .filter_map(|(target, queue)| Some((target, *queue.last_key_value()?.0)))
+            .max_by_key(|(_, last)| *last)?;
+        if last <= order {
+            return None;
+        }
+        let target = target.clone();
+        let waiter = self.remove(&target, last)?;
+        let report = ProblemReport::refused(
+            ResultCode::Overloaded,
+            "the queue is full of more urgent requests",
+        );
+        Some(WaitDelivery {
+            sender: waiter.sender,
+            result: Err(report),
+        })
+    }
+
+    pub(super) fn targets(&self) -> Vec<RowTarget> {
+        self.queues.keys().cloned().collect()
+    }
+
+    pub(super) fn orders(&self, target: &RowTarget) -> Vec<WaitOrder> {
+        let queue = self.queues.get(target);
+        queue.map_or_else(Vec::new, |queue| queue.keys().copied().collect())
+    }
+
+    /// The hint for one target, if its requests wait while no replica is on its way.
+    pub(super) fn hint(&self, view: &RoutingView, target: &RowTarget) -> Option<WakeHint> {
+        queue_hint(view, target, self.queues.get(target)?)
+    }
+
+    /// Forgets what is known of targets that left the plan.
+    pub(super) fn forget_withdrawn(&mut self, view: &RoutingView) {
+        self.holds
+            .retain(|target, _| view.catalog.rows.contains_key(target));
+    }
+
+    /// One hint per key whose requests wait while no replica is on its way.
+    pub(super) fn hints(&self, view: &RoutingView) -> Vec<WakeHint> {
+        self.queues
+            .iter()
+            .filter_map(|(target, queue)| queue_hint(view, target, queue))
+            .collect()
+    }
+
+    /// Notes that a request got a slot, and gives the slot's number.
+    pub(super) fn note_start(&mut self, request: &WaitRequest, backend: &BackendId) -> u64 {
+        self.note_use(request);
+        self.sequence += 1;
+        let running = RunningRequest {
+            request: request.clone(),
+            backend: backend.clone(),
+            answering: false,
+        };
+        self.running.insert(self.sequence, running);
+        self.sequence
+    }
+
+    fn note_use(&mut self, request: &WaitRequest) {
+        let RowTarget::Replica(key) = &request.target else {
+            return;
+        };
+        let deadline = request.terms.wall_deadline;
+        if let Some(hint) = self.used.get_mut(key) {
+            hint.waiting = hint.waiting.saturating_add(1);
+            hint.priority = hint.priority.min(request.priority);
+            hint.deadline = hint.deadline.min(deadline);
+            return;
+        }
+        let hint = WakeHint {
+            key: key.clone(),
+            waiting: 1,
+            priority: request.priority,
+            deadline,
+        };
+        self.used.insert(key.clone(), hint);
+    }
+}
+
+fn queue_hint(view: &RoutingView, target: &RowTarget, queue: &WaitQueue) -> Option<WakeHint> {
+    let RowTarget::Replica(key) = target else {
+        return None;
+    };
+    if view
+        .loading
+        .get(key)
+        .is_some_and(|loading| !loading.is_empty())
+    {
+        return None;
+    }
+    let priority = queue
+        .first_key_value()
+        .map_or(PriorityLevel::LAST, |(order, _)| order.priority);
+    let deadline = queue
+        .values()
+        .map(|waiter| waiter.request.terms.wall_deadline)
+        .min()?;
+    Some(WakeHint {
+        key: key.clone(),
+        waiting: u32::try_from(queue.len()).unwrap_or(u32::MAX),
+        priority,
+        deadline,
+    })
+}
