--- a/crates/ward-state/src/suspect.rs
+++ b/crates/ward-state/src/suspect.rs
@@ -36,6 +36,14 @@
     pub crashes: Vec<CrashMark>,
 }
 
+impl SuspectEntry {
+    /// Whether a crash is among those counted.
+    #[must_use]
+    pub fn knows(&self, crash: &CrashMark) -> bool {
+        self.crashes.iter().any(|known| known.is_same(crash))
+    }
+}
+
 /// Fingerprints under suspicion.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectList {
@@ -48,6 +56,12 @@
         self.entries.iter()
     }
 
+    /// The entry of a fingerprint.
+    #[must_use]
+    pub fn get(&self, fingerprint: RequestFingerprint) -> Option<&SuspectEntry> {
+        self.entries.get(&fingerprint)
+    }
+
     pub(crate) fn add(
         &mut self,
         fingerprint: RequestFingerprint,
