--- a/crates/ward-bench/src/command/report.rs
+++ b/crates/ward-bench/src/command/report.rs
@@ -24,7 +24,8 @@
         .about("Writes curves and tables from a replay's rows")
         .arg(
             path(ROWS)
-                .help("Rows that the replay wrote")
+                .help("Files of rows that replays wrote")
+                .num_args(1..)
                 .value_parser(value_parser!(PathBuf)),
         )
         .arg(
@@ -42,15 +43,18 @@
 
 /// Runs the command.
 pub(super) fn run_report(matches: &ArgMatches) -> Result<(), CommandError> {
-    let (Some(path), Some(folder), Some(made_by)) = (
-        matches.get_one::<PathBuf>(ROWS),
+    let (Some(paths), Some(folder), Some(made_by)) = (
+        matches.get_many::<PathBuf>(ROWS),
         matches.get_one::<PathBuf>(OUT),
         matches.get_one::<String>(MADE_BY),
     ) else {
         return Err(CommandError::Unknown);
     };
-    let text = fs::read_to_string(path).map_err(|cause| file_error(path, cause))?;
-    let rows: Vec<ReplayRow> = serde_json::from_str(&text)?;
+    let mut rows: Vec<ReplayRow> = Vec::new();
+    for path in paths {
+        let text = fs::read_to_string(path).map_err(|cause| file_error(path, cause))?;
+        rows.extend(serde_json::from_str::<Vec<ReplayRow>>(&text)?);
+    }
     fs::create_dir_all(folder).map_err(|cause| file_error(folder, cause))?;
     let table = format!(
         "# Replay of a week under several policies\n\nMade by: {made_by}\n\nFigures are medians \
--- a/crates/ward-bench/src/load/generator.rs
+++ b/crates/ward-bench/src/load/generator.rs
@@ -22,6 +22,9 @@
 
 const PATH: &str = "/v1/chat/completions";
 const REQUEST_ID: &str = "x-request-id";
+const PRIORITY: &str = "priority";
+/// Priority of every request: an engine that honours it would else prefer those of a daemon.
+const URGENCY: &str = "u=3";
 /// Time after which an unanswered request counts as failed.
 const ANSWER_LIMIT: Duration = Duration::from_secs(30);
 const LONGEST_MICROS: u64 = 120_000_000;
@@ -136,6 +139,7 @@
         .header(HOST, task.address().to_string())
         .header(CONTENT_TYPE, "application/json")
         .header(REQUEST_ID, LoadTask::request_id())
+        .header(PRIORITY, URGENCY)
         .body(Full::new(Bytes::from(task.body())))
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
