Replicas loaded on a guess don't outrank waiting requests

Change: a replica that was made ready ahead and not used yet counts with the last priority when victims are chosen.

--- a/crates/ward-bench/src/replay/group.rs
+++ b/crates/ward-bench/src/replay/group.rs
@@ -143,7 +143,7 @@
                 continue;
             }
             if self.place_with(model, true, pick.wakes) {
-                self.outcome.ahead += 1;
+                self.note_ahead();
             }
         }
     }
--- a/crates/ward-bench/src/replay/hold.rs
+++ b/crates/ward-bench/src/replay/hold.rs
@@ -86,7 +86,15 @@
             return;
         }
         if self.place(model, true) {
-            self.outcome.ahead += 1;
+            self.note_ahead();
+        }
+    }
+
+    /// Notes that the newest replica was made ready ahead.
+    pub(super) fn note_ahead(&mut self) {
+        self.outcome.ahead += 1;
+        if let Some(replica) = self.state.replicas.last_mut() {
+            replica.unused = true;
         }
     }
 
--- a/crates/ward-bench/src/replay/load.rs
+++ b/crates/ward-bench/src/replay/load.rs
@@ -258,6 +258,7 @@
             running: 0,
             idle_since: self.state.now,
             stamp: 0,
+            unused: false,
             wake,
         });
         self.state.models[model].replicas.push(replica);
--- a/crates/ward-bench/src/replay/run.rs
+++ b/crates/ward-bench/src/replay/run.rs
@@ -263,6 +263,7 @@
         self.count_awake(engine);
         let state = &mut self.state.replicas[carrier];
         state.running += 1;
+        state.unused = false;
         state.stamp += 1;
         let host = &mut self.state.engines[engine];
         host.running += 1;
--- a/crates/ward-bench/src/replay/state.rs
+++ b/crates/ward-bench/src/replay/state.rs
@@ -4,7 +4,8 @@
 
 use ward_policy::{EngineView, GapHistory, HeldReplica};
 use ward_protocol::{
-    BackendId, CacheTier, EngineRole, MemorySize, MonoTime, ReservationId, TimeSpan, ZoneName,
+    BackendId, CacheTier, EngineRole, MemorySize, MonoTime, PriorityLevel, ReservationId, TimeSpan,
+    ZoneName,
 };
 
 use super::outcome::WaitCause;
@@ -32,6 +33,8 @@
     pub(super) idle_since: MonoTime,
     /// Changes whenever a scheduled check becomes stale.
     pub(super) stamp: u32,
+    /// Whether it was made ready ahead and no request has used it yet.
+    pub(super) unused: bool,
     /// Time that its engine needs to come back first.
     pub(super) wake: TimeSpan,
 }
@@ -175,7 +178,12 @@
             reservation: ReservationId(replica as u64),
             key: model.key.clone(),
             memory: model.memory,
-            priority: model.priority,
+            // What was loaded on a guess never stands in the way of a request.
+            priority: if state.unused {
+                PriorityLevel::LAST
+            } else {
+                model.priority
+            },
             idle: (!held_use.busy).then(|| self.now.since(state.idle_since)),
             wanted: held_use.wanted,
             ready: state.phase == ReplicaPhase::Ready,
