A host that said it leaves and then went is not taken for one in use

Ruled out: a shorter time for unannounced engines (a lagging list once made live ones gone). Change: who left the list after saying that it leaves stays marked until it is listed again, and its leaving is logged late rather than never.

--- a/crates/ward-bench/src/command/mod.rs
+++ b/crates/ward-bench/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod owners;
 mod replay;
 mod report;
+mod serving;
 mod slopes;
 
 use clap::{ArgMatches, Command};
@@ -68,6 +69,7 @@
         .subcommand(load::load_command())
         .subcommand(load::overhead_command())
         .subcommand(slopes::slopes_command())
+        .subcommand(serving::serving_command())
 }
 
 /// Runs the command that was given.
@@ -80,6 +82,7 @@
         Some((replay::NAME, matches)) => replay::run_replay(matches),
         Some((report::NAME, matches)) => report::run_report(matches),
         Some((slopes::NAME, matches)) => slopes::run_slopes(matches),
+        Some((serving::NAME, matches)) => serving::run_serving(matches),
         Some((load::LOAD, matches)) => load::run_load_command(matches),
         Some((load::OVERHEAD, matches)) => load::run_overhead(matches),
         Some((owners::NAME, matches)) => {
--- a/crates/ward-control/src/hosts.rs
+++ b/crates/ward-control/src/hosts.rs
@@ -3,7 +3,7 @@
 //! The daemons that rank first for the duty read the list. Each further one
 //! holds back a little longer, so that normally only the first one appends.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use ward_protocol::{
     BackendId, BackendKind, ControlRecord, HostEntry, HostState, MonoTime, TimeSpan,
 };
@@ -31,6 +31,8 @@
     asked: Option<MonoTime>,
     last: Option<MonoTime>,
     entries: IndexMap<BackendId, HostEntry>,
+    /// Backend servers that left the list after it had said that they leave.
+    departed: IndexSet<BackendId>,
     /// Since when a difference between list and state stands.
     differs: IndexMap<BackendId, MonoTime>,
     read: bool,
@@ -47,11 +49,29 @@
         self.read && !self.entries.contains_key(backend)
     }
 
-    /// Whether the list as read last says that a backend server leaves.
+    /// Whether the list says that a backend server leaves, or said so before it
+    /// went: one that is listed no more is not back in use.
     pub(crate) fn says_leaving(&self, backend: &BackendId) -> bool {
-        self.entries
-            .get(backend)
-            .is_some_and(|entry| entry.state == HostState::Leaving)
+        match self.entries.get(backend) {
+            Some(entry) => entry.state == HostState::Leaving,
+            None => self.departed.contains(backend),
+        }
+    }
+
+    /// Takes a new list.
+    fn replace(&mut self, hosts: Vec<HostEntry>) {
+        let hosts = hosts.into_iter();
+        let entries: IndexMap<_, _> = hosts
+            .map(|entry| (entry.info.backend.clone(), entry))
+            .collect();
+        let before = std::mem::replace(&mut self.entries, entries);
+        let left = before
+            .into_values()
+            .filter(|entry| entry.state == HostState::Leaving);
+        self.departed.extend(left.map(|entry| entry.info.backend));
+        let entries = &self.entries;
+        self.departed
+            .retain(|backend| !entries.contains_key(backend));
     }
 }
 
@@ -74,6 +94,12 @@
                 info: entry.info.clone(),
             })
         }
+        // Its leaving was not logged, say because the log was down at the time.
+        (None, Some(state)) if core.hosts.says_leaving(id) && !state.leaving => {
+            Some(ControlRecord::BackendLeaving {
+                backend: id.clone(),
+            })
+        }
         (None, Some(_)) => Some(ControlRecord::BackendGone {
             backend: id.clone(),
         }),
@@ -122,19 +148,18 @@
         self.hosts.asked = None;
         self.hosts.read = true;
         let left_before = self.leaving_listed();
-        self.hosts.entries = hosts
-            .into_iter()
-            .map(|entry| (entry.info.backend.clone(), entry))
-            .collect();
+        self.hosts.replace(hosts);
+        let state = &self.state;
+        let departed = &mut self.hosts.departed;
+        departed.retain(|backend| state.backends().contains_key(backend));
         self.changed |= left_before != self.leaving_listed();
     }
 
     fn leaving_listed(&self) -> Vec<BackendId> {
         let entries = self.hosts.entries.values();
-        entries
-            .filter(|entry| entry.state == HostState::Leaving)
-            .map(|entry| entry.info.backend.clone())
-            .collect()
+        let leaving = entries.filter(|entry| entry.state == HostState::Leaving);
+        let listed = leaving.map(|entry| entry.info.backend.clone());
+        listed.chain(self.hosts.departed.iter().cloned()).collect()
     }
 
     fn append_differences(&mut self, rank: Option<u32>) {
