--- a/crates/ward-operator/src/server.rs
+++ b/crates/ward-operator/src/server.rs
@@ -47,6 +47,9 @@
         log: Logger,
     ) -> Result<Self, prometheus::Error> {
         let metrics = OperatorMetrics::register(&registry)?;
+        if token.is_none() {
+            warn!(log, "operators: no token is set, anybody may submit plans");
+        }
         Ok(Self {
             calls,
             token,
--- a/crates/ward-operator/src/token.rs
+++ b/crates/ward-operator/src/token.rs
@@ -2,7 +2,8 @@
 
 use blake3::Hash;
 
-const SCHEME: &str = "Bearer ";
+/// Compared without regard to letter case, as RFC 9110 asks.
+const SCHEME: &str = "Bearer";
 
 /// Digest of the operators' token.
 ///
@@ -22,9 +23,9 @@
     /// Whether an `Authorization` header carries the token.
     #[must_use]
     pub fn allows(&self, header: Option<&str>) -> bool {
-        let Some(token) = header.and_then(|header| header.strip_prefix(SCHEME)) else {
+        let Some((scheme, token)) = header.and_then(|header| header.split_once(' ')) else {
             return false;
         };
-        blake3::hash(token.as_bytes()) == self.0
+        scheme.eq_ignore_ascii_case(SCHEME) && blake3::hash(token.as_bytes()) == self.0
     }
 }
--- /dev/null
+++ b/crates/ward-operator/tests/token.rs
@@ -0,0 +1,30 @@
+//! Which headers carry the token.
+
+use googletest::prelude::*;
+use ward_operator::TokenDigest;
+
+#[googletest::test]
+fn token_allows_any_case_of_scheme() {
+    let token = TokenDigest::of("a-token-of-operators");
+    for header in ["Bearer a-token-of-operators", "bearer a-token-of-operators"] {
+        expect_that!(token.allows(Some(header)), eq(true), "{header}");
+    }
+}
+
+#[googletest::test]
+fn token_refuses_others() {
+    let token = TokenDigest::of("a-token-of-operators");
+    for header in [
+        "",
+        "Bearer",
+        "Bearer ",
+        "a-token-of-operators",
+        "Basic a-token-of-operators",
+        "Bearer  a-token-of-operators",
+        "Bearer a-token-of-operators ",
+        "Bearer A-token-of-operators",
+    ] {
+        expect_that!(token.allows(Some(header)), eq(false), "{header:?}");
+    }
+    expect_that!(token.allows(None), eq(false));
+}
