--- a/crates/ward-once/src/lib.rs
+++ b/crates/ward-once/src/lib.rs
@@ -12,10 +12,12 @@
 //! that two daemons must agree on (see [`ledger`]), so that one fast clock
 //! forgets nothing.
 
+pub mod answer;
 pub mod ledger;
 pub mod shard;
 pub mod store;
 
+pub use answer::{BeginOutcome, KeptAnswer};
 pub use ledger::{EntryPhase, KeyEntry, KeyLedger, LedgerVerdict};
 pub use shard::{ShardPorts, ShardRead, ShardReadError};
-pub use store::{BeginOutcome, KeptAnswer, OnceSettings, OnceStore};
+pub use store::{OnceSettings, OnceStore};
--- a/crates/ward-once/src/shard.rs
+++ b/crates/ward-once/src/shard.rs
@@ -14,8 +14,8 @@
     AppendResult, LogOffset, RawRecord, RecordId, RequestEnvelope, RequestRecord, TimeSpan,
 };
 
+use crate::answer::KeptAnswer;
 use crate::ledger::{KeyLedger, LedgerVerdict};
-use crate::store::KeptAnswer;
 
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(100);
 
