--- a/crates/ward-daemon/tests/process_faults.rs
+++ b/crates/ward-daemon/tests/process_faults.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use ward_http::HttpReply;
-use ward_protocol::ReplicaKey;
+use ward_protocol::{ReplicaKey, TimeSpan};
 use ward_standin::service::ServiceHistory;
 use ward_test_support::process::{FleetSettings, FleetTruth, ProcessFleet, until};
 
@@ -372,3 +372,65 @@
     expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
     check_promises(&fleet).await;
 }
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_daemon_sends_nothing_expired() {
+    let fleet = fleet().await;
+    let slow = json!({ "store_slow": 3.0 });
+    fleet.hosts.control().set_faults(&slow).await.unwrap();
+    let caller = fleet.caller(0);
+    let limit = TimeSpan::from_secs(6);
+    let waiting = tokio::spawn(async move { caller.chat_within("contracts", "late", limit).await });
+    let loading = |dump: &Value| {
+        let reservations = dump["control"]["reservations"].as_array();
+        reservations.is_some_and(|items| items.iter().any(|item| item["key"] == "contracts@1"))
+    };
+    fleet.until_dump(1, "the load", loading).await;
+    fleet.daemons[0].program.freeze().unwrap();
+    tokio::time::sleep(limit.duration()).await;
+    fleet.daemons[0].program.thaw().unwrap();
+    let reply = waiting.await.unwrap().unwrap();
+    expect_that!(reply.status.is_success(), eq(false), "{:?}", reply.body);
+    expect_that!(problem(&reply)["outcome"], eq("not_run"));
+    let truth = FleetTruth::read(&fleet).await.unwrap();
+    let runs = truth
+        .engines
+        .iter()
+        .flat_map(|engine| engine.requests.values());
+    let runs = runs.filter(|run| run.key == key("contracts@1"));
+    expect_that!(runs.count(), eq(0));
+    fleet.until_full().await;
+    check_promises(&fleet).await;
+}
+
+#[googletest::test]
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_engine_with_host_list_down() {
+    let fleet = fleet().await;
+    fleet
+        .hosts
+        .control()
+        .set_faults(&json!({ "down": true }))
+        .await
+        .unwrap();
+    let truth = FleetTruth::read(&fleet).await.unwrap();
+    let held = |engine: &ward_standin::EngineHistory| engine.peak_memory.bytes() > 0;
+    let holder = truth.engines.iter().position(held).unwrap();
+    // Its own word is all that is left.
+    let leaving = json!({ "leaving": true });
+    fleet.engines[holder]
+        .control()
+        .set_faults(&leaving)
+        .await
+        .unwrap();
+    tokio::time::sleep(LEAVING_TIME).await;
+    let before = requests_at(&fleet, holder).await;
+    for daemon in 0..3 {
+        let caller = fleet.caller(daemon);
+        let reply = caller.chat("colours", "elsewhere", false).await.unwrap();
+        expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
+    }
+    expect_that!(requests_at(&fleet, holder).await, eq(before));
+    check_promises(&fleet).await;
+}
