A release notice speaks for one ownership, not for a daemon

A daemon owned an engine that ignores fencing numbers, lost it, owned it again for a moment without knowing that the orders of the owner in between were over, and lost it again. The notice of its first, settled ownership named the newest fencing number, and the new owner believed it: the last sender was its former owner. A load of the owner in between landed after the replica had been released. Ruled out: fewer repeats of the notice (each may be lost, and one is enough); the move's offset kept with the ended duty (two moves in one read look like one). Change: the former owner is recorded with the fencing number of its ownership, and a notice goes out only for exactly that ownership.

--- a/crates/ward-control/src/engines/ending.rs
+++ b/crates/ward-control/src/engines/ending.rs
@@ -1,6 +1,7 @@
 //! Engines that moved to another owner while orders may be on their way.
 
 use ward_protocol::{BackendId, FenceNumber, MonoTime, PeerMessage, TimeSpan};
+use ward_state::FormerOwner;
 
 use super::EngineDuty;
 use crate::core::ControlCore;
@@ -71,9 +72,11 @@
         let Some(state) = self.state.backends().get(&backend) else {
             return;
         };
-        // Only the owner right after this daemon may rely on it; a later one
-        // has another former owner and takes no notice.
-        if state.fence <= own {
+        // Only the owner right after this very ownership may rely on it. This
+        // daemon may have owned the engine again since, without knowing that
+        // the orders of the owner in between were over.
+        let ended = |former: &FormerOwner| former.daemon == *self.me() && former.fence == own;
+        if !state.former.as_ref().is_some_and(ended) {
             return;
         }
         let fence = state.fence;
--- a/crates/ward-matrix/tests/chaos.rs
+++ b/crates/ward-matrix/tests/chaos.rs
@@ -10,7 +10,9 @@
 /// Sessions of each thread.
 const SESSIONS: u64 = 50;
 /// Sessions that broke a promise before the fault they showed was mended.
-const REGRESSIONS: &[u64] = &[157, 277, 319, 345, 602, 692, 806, 810, 981, 120_607];
+const REGRESSIONS: &[u64] = &[
+    157, 277, 319, 345, 602, 692, 806, 810, 981, 120_607, 221_709,
+];
 
 fn broken(seeds: impl Iterator<Item = u64>) -> Vec<String> {
     let outcomes = seeds.map(|seed| (seed, run_chaos(seed)));
--- a/crates/ward-state/src/apply/backends.rs
+++ b/crates/ward-state/src/apply/backends.rs
@@ -136,6 +136,7 @@
     FormerOwner {
         daemon: daemon.clone(),
         incarnation: Incarnation::default(),
+        fence: FenceNumber::default(),
         clean: false,
     }
 }
--- a/crates/ward-state/src/backend.rs
+++ b/crates/ward-state/src/backend.rs
@@ -13,6 +13,8 @@
     pub daemon: DaemonId,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Fencing number of its ownership; one daemon may own an engine twice.
+    pub fence: FenceNumber,
     /// Whether it ended its orders and left, with no order of an older owner outstanding.
     pub clean: bool,
 }
--- a/crates/ward-state/src/ownership.rs
+++ b/crates/ward-state/src/ownership.rs
@@ -160,6 +160,7 @@
             state.former = Some(FormerOwner {
                 daemon,
                 incarnation,
+                fence: state.fence,
                 clean: cause == MoveCause::Left && state.settled,
             });
         }
