ward-traffic: the waiting requests lose their metaphor

Cause: read as a newcomer, 'room' and 'WaitRoom' need explaining. They are now the module 'waiting' and the type WaitList; locals repeat the last word.

--- a/crates/ward-daemon/src/requests.rs
+++ b/crates/ward-daemon/src/requests.rs
@@ -4,7 +4,7 @@
 
 use ward_operator::{RequestItem, RequestPhase, RequestsAnswer};
 use ward_traffic::ServerHandle;
-use ward_traffic::room::{EntryPhase, RequestEntry};
+use ward_traffic::waiting::{EntryPhase, RequestEntry};
 
 use crate::operator::RequestLister;
 
--- a/crates/ward-traffic/src/core.rs
+++ b/crates/ward-traffic/src/core.rs
@@ -12,7 +12,7 @@
 use crate::metrics::TrafficMetrics;
 use crate::notice::NoticeSink;
 use crate::once::OnceCalls;
-use crate::room::WaitRoom;
+use crate::waiting::WaitList;
 
 /// Whether the server takes requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,7 +32,7 @@
 pub(crate) struct TrafficCore {
     pub(crate) daemon: DaemonId,
     pub(crate) limits: TrafficLimits,
-    pub(crate) room: Arc<WaitRoom>,
+    pub(crate) waiting: Arc<WaitList>,
     pub(crate) views: watch::Receiver<Arc<RoutingView>>,
     pub(crate) client: BackendClient,
     pub(crate) budget: RetryBudget,
@@ -48,7 +48,7 @@
 impl TrafficCore {
     /// The newest view.
     pub(crate) fn view(&self) -> Arc<RoutingView> {
-        self.room.view()
+        self.waiting.view()
     }
 
     /// Tells of new views.
--- a/crates/ward-traffic/src/forward/attempt.rs
+++ b/crates/ward-traffic/src/forward/attempt.rs
@@ -17,7 +17,7 @@
 use crate::input::{ModelBody, RequestTerms};
 use crate::notice::TrafficNotice;
 use crate::problem::ProblemReport;
-use crate::room::{SlotGrant, WaitRequest};
+use crate::waiting::{SlotGrant, WaitRequest};
 
 const PRIORITY: HeaderName = HeaderName::from_static("priority");
 const OUTCOME: &str = "x-outcome";
@@ -124,7 +124,7 @@
 ) -> AttemptEnd {
     match result {
         Ok(answer) if says_not_run(&answer) => {
-            core.room.avoid_replica(&grant.target, &grant.backend);
+            core.waiting.avoid_replica(&grant.target, &grant.backend);
             AttemptEnd::NotRun
         }
         Ok(answer) => AttemptEnd::Answered(Box::new(answer)),
@@ -132,7 +132,7 @@
         Err(error) if error.is_unsent() => {
             info!(core.logger, "traffic: backend server not reached";
                 "backend" => %grant.backend, "cause" => %error);
-            core.room.avoid(&grant.backend);
+            core.waiting.avoid(&grant.backend);
             AttemptEnd::NotRun
         }
         Err(error) => AttemptEnd::Broken(error),
--- a/crates/ward-traffic/src/forward/relay.rs
+++ b/crates/ward-traffic/src/forward/relay.rs
@@ -25,7 +25,7 @@
 use crate::core::TrafficCore;
 use crate::input::RequestTerms;
 use crate::problem::{ProblemReport, id_value};
-use crate::room::{SlotGrant, WaitRequest};
+use crate::waiting::{SlotGrant, WaitRequest};
 
 /// Longest silence within a stream.
 const LONGEST_SILENCE: Duration = Duration::from_secs(60);
@@ -251,7 +251,7 @@
         let Ok(Some(cache)) = client.export_kv(address, request, LARGEST_CACHE).await else {
             return false;
         };
-        let Ok(grant) = self.core.room.acquire(self.next_place()).await else {
+        let Ok(grant) = self.core.waiting.acquire(self.next_place()).await else {
             return false;
         };
         let taken = client.import_kv(grant.address, request, cache).await;
@@ -291,7 +291,7 @@
         let wait = self.next_place();
         let deadline = wait.terms.deadline;
         loop {
-            let grant = self.core.room.acquire(wait.clone()).await?;
+            let grant = self.core.waiting.acquire(wait.clone()).await?;
             let mut guard = CancelGuard::new(&self.core, grant.address, self.call.request);
             let answer = match attempt_model(&self.core, &self.call, &grant, deadline).await {
                 AttemptEnd::Answered(answer) if is_stream(&answer) => answer,
--- a/crates/ward-traffic/src/handle/model.rs
+++ b/crates/ward-traffic/src/handle/model.rs
@@ -17,8 +17,8 @@
 use crate::input::{ModelBody, RequestTerms, read_body, read_key, read_terms};
 use crate::metrics::StartSample;
 use crate::problem::ProblemReport;
-use crate::room::SlotGrant;
 use crate::target::resolve_model;
+use crate::waiting::SlotGrant;
 
 /// The address of a model request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -100,7 +100,7 @@
     // Once a try may have run, no later refusal may say that nothing did.
     let mut broken: Option<ProblemReport> = None;
     loop {
-        let grant = match core.room.acquire(call.wait_request()).await {
+        let grant = match core.waiting.acquire(call.wait_request()).await {
             Ok(grant) => grant,
             Err(report) => return Err(broken.unwrap_or(report)),
         };
--- a/crates/ward-traffic/src/handle/once.rs
+++ b/crates/ward-traffic/src/handle/once.rs
@@ -26,7 +26,7 @@
 use crate::input::RequestTerms;
 use crate::once::{BeginAnswer, DoneAnswer, KeptAnswer};
 use crate::problem::ProblemReport;
-use crate::room::{SlotGrant, WaitRequest};
+use crate::waiting::{SlotGrant, WaitRequest};
 
 /// How long an answer waits for its record before it goes to the caller.
 const RECORD_WAIT: Duration = Duration::from_millis(500);
@@ -154,7 +154,7 @@
     let cold = is_cold(&core.view(), &task.wait_request().target);
     let mut unsent = 0;
     loop {
-        let grant = match core.room.acquire(task.wait_request()).await {
+        let grant = match core.waiting.acquire(task.wait_request()).await {
             Ok(grant) => grant,
             Err(report) => return Err(abort(core, key, report).await),
         };
--- a/crates/ward-traffic/src/handle/service.rs
+++ b/crates/ward-traffic/src/handle/service.rs
@@ -25,8 +25,8 @@
 };
 use crate::input::{RequestTerms, read_body, read_key, read_terms};
 use crate::problem::ProblemReport;
-use crate::room::{SlotGrant, WaitRequest};
 use crate::target::resolve_service;
+use crate::waiting::{SlotGrant, WaitRequest};
 
 const PREFIX: &str = "/services/";
 
@@ -133,7 +133,7 @@
     // Once a try may have run, no later refusal may say that nothing did.
     let mut broken: Option<ProblemReport> = None;
     loop {
-        let grant = match core.room.acquire(call.wait_request()).await {
+        let grant = match core.waiting.acquire(call.wait_request()).await {
             Ok(grant) => grant,
             Err(report) => return Err(broken.unwrap_or(report)),
         };
--- a/crates/ward-traffic/src/lib.rs
+++ b/crates/ward-traffic/src/lib.rs
@@ -26,9 +26,9 @@
 mod notice;
 mod once;
 mod problem;
-pub mod room;
 mod server;
 mod target;
+pub mod waiting;
 
 pub use forward::{EventBuffer, RetryBudget, StreamProgress, StreamStep};
 pub use notice::{NoticeSink, TrafficNotice};
--- a/crates/ward-traffic/src/server/start.rs
+++ b/crates/ward-traffic/src/server/start.rs
@@ -22,7 +22,7 @@
 use crate::metrics::TrafficMetrics;
 use crate::notice::NoticeSink;
 use crate::once::OnceCalls;
-use crate::room::{RequestEntry, RoomSettings, WaitRoom};
+use crate::waiting::{RequestEntry, WaitList, WaitSettings};
 
 /// How long a backend server that did not answer gets nothing.
 const AVOID_TIME: TimeSpan = TimeSpan::from_millis(250);
@@ -83,7 +83,7 @@
         let tree = Arc::new(route_tree(&core));
         tokio::spawn(accept_callers(listener, tree, Arc::clone(&core)));
         tokio::spawn(keep_up(
-            Arc::downgrade(&core.room),
+            Arc::downgrade(&core.waiting),
             core.view_receiver(),
             core.client.clone(),
             core.metrics.waiting.clone(),
@@ -95,7 +95,7 @@
 
 fn build_core(parts: ServerParts) -> Result<TrafficCore, StartError> {
     let metrics = TrafficMetrics::register(&parts.registry)?;
-    let settings = RoomSettings {
+    let settings = WaitSettings {
         waiting: parts.limits.waiting as usize,
         per_replica: parts.limits.per_replica,
         avoid_time: AVOID_TIME,
@@ -105,7 +105,7 @@
     Ok(TrafficCore {
         daemon: parts.daemon,
         limits: parts.limits,
-        room: WaitRoom::new(settings, parts.view.clone()),
+        waiting: WaitList::new(settings, parts.view.clone()),
         views: parts.view,
         client: BackendClient::new(ClientLimits::default()),
         budget: RetryBudget::new(parts.limits.retry_percent),
@@ -136,13 +136,13 @@
     /// All requests that wait or run, oldest first.
     #[must_use]
     pub fn requests(&self) -> Vec<RequestEntry> {
-        self.core.room.requests()
+        self.core.waiting.requests()
     }
 
     /// Requests that wait for a slot.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.core.room.waiting()
+        self.core.waiting.waiting()
     }
 
     /// Stops the server; ends when every request that it took is finished.
--- a/crates/ward-traffic/src/server/upkeep.rs
+++ b/crates/ward-traffic/src/server/upkeep.rs
@@ -9,14 +9,14 @@
 use ward_backend::request::BackendClient;
 use ward_protocol::RoutingView;
 
-use crate::room::WaitRoom;
+use crate::waiting::WaitList;
 
 /// Time between two hints for the same waiting requests.
 const HINT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Looks at waiting requests at each view and repeats their hints.
 pub(super) async fn keep_up(
-    room: Weak<WaitRoom>,
+    list: Weak<WaitList>,
     mut view: watch::Receiver<Arc<RoutingView>>,
     client: BackendClient,
     waiting: IntGauge,
@@ -32,13 +32,13 @@
                 false
             }
         };
-        let Some(room) = room.upgrade() else {
+        let Some(list) = list.upgrade() else {
             return;
         };
-        room.sweep();
-        waiting.set(i64::try_from(room.waiting()).unwrap_or(i64::MAX));
+        list.sweep();
+        waiting.set(i64::try_from(list.waiting()).unwrap_or(i64::MAX));
         if ticked {
-            room.report();
+            list.report();
             client.prune();
         }
     }
--- a/crates/ward-traffic/src/room/admission.rs
+++ b/crates/ward-traffic/src/waiting/admission.rs
@@ -4,7 +4,7 @@
 
 use super::outlook::{Outlook, outlook_for};
 use super::slots::ready_backends;
-use super::state::RoomState;
+use super::state::WaitState;
 use super::waiter::{WaitDelivery, WaitOrder, WaitRequest};
 use crate::problem::ProblemReport;
 
@@ -23,7 +23,7 @@
 
 /// Refuses a request at once when the slots will hardly free in time.
 pub(super) fn check_wait(
-    state: &RoomState,
+    state: &WaitState,
     view: &RoutingView,
     request: &WaitRequest,
     order: WaitOrder,
@@ -43,7 +43,7 @@
 
 /// Makes room for one more of at most `most` waiting requests.
 pub(super) fn make_room(
-    state: &mut RoomState,
+    state: &mut WaitState,
     order: WaitOrder,
     most: usize,
 ) -> Result<Option<WaitDelivery>, ProblemReport> {
--- a/crates/ward-traffic/src/room/listing.rs
+++ b/crates/ward-traffic/src/waiting/listing.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 use ward_protocol::{BackendId, PriorityLevel, RequestId, RowTarget, TimeSpan};
 
-use super::wait_room::WaitRoom;
+use super::wait_list::WaitList;
 use super::waiter::{SlotPermit, WaitRequest};
 
 /// Where a request stands.
@@ -76,7 +76,7 @@
     }
 }
 
-impl WaitRoom {
+impl WaitList {
     /// All requests that wait or run, oldest first.
     #[must_use]
     pub fn requests(&self) -> Vec<RequestEntry> {
@@ -96,14 +96,14 @@
 impl SlotPermit {
     /// Notes that the answer is on its way to the caller.
     pub fn mark_answering(&self) {
-        let Some(room) = self.room.upgrade() else {
+        let Some(list) = self.list.upgrade() else {
             return;
         };
-        room.mark_answering(self.slot);
+        list.mark_answering(self.slot);
     }
 }
 
-impl WaitRoom {
+impl WaitList {
     fn mark_answering(self: &Arc<Self>, slot: u64) {
         if let Some(running) = self.lock().running.get_mut(&slot) {
             running.answering = true;
--- a/crates/ward-traffic/src/room/mod.rs
+++ b/crates/ward-traffic/src/waiting/mod.rs
@@ -13,12 +13,12 @@
 mod slots;
 mod state;
 mod ticket;
-mod wait_room;
+mod wait_list;
 mod waiter;
 
 pub use listing::{EntryPhase, RequestEntry};
 pub use outlook::{Outlook, outlook_for};
 pub use slots::{ReplicaSlots, SlotChoice};
 pub use ticket::WaitTicket;
-pub use wait_room::{EntryResult, RoomSettings, WaitRoom};
+pub use wait_list::{EntryResult, WaitList, WaitSettings};
 pub use waiter::{SlotGrant, SlotPermit, WaitRequest};
--- a/crates/ward-traffic/src/room/state.rs
+++ b/crates/ward-traffic/src/waiting/state.rs
@@ -19,7 +19,7 @@
 
 /// Queues and slots.
 #[derive(Debug, Default)]
-pub(super) struct RoomState {
+pub(super) struct WaitState {
     pub(super) queues: IndexMap<RowTarget, WaitQueue>,
     pub(super) slots: ReplicaSlots,
     /// Requests with a slot, by the slot's number.
@@ -30,7 +30,7 @@
     sequence: u64,
 }
 
-impl RoomState {
+impl WaitState {
     pub(super) const fn count(&self) -> usize {
         self.count
     }
--- a/crates/ward-traffic/src/room/ticket.rs
+++ b/crates/ward-traffic/src/waiting/ticket.rs
@@ -6,14 +6,14 @@
 use tokio::time::timeout_at;
 use ward_protocol::ResultCode;
 
-use super::wait_room::WaitRoom;
+use super::wait_list::WaitList;
 use super::waiter::{SlotGrant, WaitOrder, WaitResult};
 use crate::problem::ProblemReport;
 
 /// A place in the queue; dropping it leaves the queue.
 #[derive(Debug)]
 pub struct WaitTicket {
-    pub(super) room: Arc<WaitRoom>,
+    pub(super) list: Arc<WaitList>,
     pub(super) order: WaitOrder,
     pub(super) receiver: oneshot::Receiver<WaitResult>,
     /// Whether it is still in the queue.
@@ -43,7 +43,7 @@
 impl Drop for WaitTicket {
     fn drop(&mut self) {
         if self.waits {
-            self.room.leave(self.order);
+            self.list.leave(self.order);
         }
     }
 }
--- a/crates/ward-traffic/src/room/wait_room.rs
+++ b/crates/ward-traffic/src/waiting/wait_list.rs
@@ -8,7 +8,7 @@
 
 use super::admission::{check, check_wait, make_room};
 use super::slots::SlotChoice;
-use super::state::RoomState;
+use super::state::WaitState;
 use super::ticket::WaitTicket;
 use super::waiter::{SlotGrant, SlotPermit, WaitDelivery, WaitOrder, WaitRequest, Waiter};
 use crate::notice::{NoticeSink, TrafficNotice};
@@ -17,7 +17,7 @@
 
 /// What the queue is given.
 #[derive(Clone)]
-pub struct RoomSettings {
+pub struct WaitSettings {
     /// Most requests that wait.
     pub waiting: usize,
     /// Most requests at a time on one replica.
@@ -31,22 +31,22 @@
 }
 
 /// Requests that wait for a slot.
-pub struct WaitRoom {
-    settings: RoomSettings,
+pub struct WaitList {
+    settings: WaitSettings,
     view: watch::Receiver<Arc<RoutingView>>,
-    state: Mutex<RoomState>,
+    state: Mutex<WaitState>,
 }
 
-impl std::fmt::Debug for WaitRoom {
+impl std::fmt::Debug for WaitList {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("WaitRoom")
+        formatter.write_str("WaitList")
     }
 }
 
-impl WaitRoom {
+impl WaitList {
     /// An empty queue.
     #[must_use]
-    pub fn new(settings: RoomSettings, view: watch::Receiver<Arc<RoutingView>>) -> Arc<Self> {
+    pub fn new(settings: WaitSettings, view: watch::Receiver<Arc<RoutingView>>) -> Arc<Self> {
         Arc::new(Self {
             settings,
             view,
@@ -109,7 +109,7 @@
         deliveries.into_iter().for_each(WaitDelivery::deliver);
         self.send_wanted(hint);
         Ok(EntryResult::Waiting(WaitTicket {
-            room: Arc::clone(self),
+            list: Arc::clone(self),
             order,
             receiver,
             waits: true,
@@ -183,13 +183,13 @@
         self.lock().leave(order);
     }
 
-    pub(super) fn lock(&self) -> MutexGuard<'_, RoomState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, WaitState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn grant(
         self: &Arc<Self>,
-        state: &mut RoomState,
+        state: &mut WaitState,
         view: &RoutingView,
         request: &WaitRequest,
         now: Instant,
@@ -210,7 +210,7 @@
             target: request.target.clone(),
             address,
             permit: Some(SlotPermit {
-                room: Arc::downgrade(self),
+                list: Arc::downgrade(self),
                 target: request.target.clone(),
                 backend: backend.clone(),
                 suspect: request.suspect,
@@ -224,7 +224,7 @@
     /// Hands free slots to the waiting requests of a target, most urgent first.
     fn serve(
         self: &Arc<Self>,
-        state: &mut RoomState,
+        state: &mut WaitState,
         view: &RoutingView,
         target: &RowTarget,
         now: Instant,
@@ -287,7 +287,7 @@
 
 /// Refuses what can no longer start in time and moves what lost its version.
 fn refuse_hopeless(
-    state: &mut RoomState,
+    state: &mut WaitState,
     view: &RoutingView,
     target: &RowTarget,
 ) -> Vec<WaitDelivery> {
--- a/crates/ward-traffic/src/room/waiter.rs
+++ b/crates/ward-traffic/src/waiting/waiter.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use ward_protocol::{BackendId, ModelReference, PriorityLevel, RequestId, RowTarget};
 
-use super::wait_room::WaitRoom;
+use super::wait_list::WaitList;
 use crate::input::RequestTerms;
 use crate::problem::ProblemReport;
 
@@ -96,7 +96,7 @@
 /// Gives its slot back when dropped.
 #[derive(Debug)]
 pub struct SlotPermit {
-    pub(super) room: Weak<WaitRoom>,
+    pub(super) list: Weak<WaitList>,
     pub(super) target: RowTarget,
     pub(super) backend: BackendId,
     pub(super) suspect: bool,
@@ -107,8 +107,8 @@
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        if let Some(room) = self.room.upgrade() {
-            room.give_back(self);
+        if let Some(list) = self.list.upgrade() {
+            list.give_back(self);
         }
     }
 }
--- a/crates/ward-traffic/tests/queue.rs
+++ b/crates/ward-traffic/tests/queue.rs
@@ -13,29 +13,29 @@
 use tokio::time::Instant;
 use ward_protocol::{RequestId, ResultCode, RoutingView, RowTarget, TimeSpan, TrafficLimits};
 use ward_traffic::input::{BodyMemory, RequestTerms, read_body};
-use ward_traffic::room::{EntryPhase, RoomSettings, SlotGrant, WaitRequest, WaitRoom};
+use ward_traffic::waiting::{EntryPhase, SlotGrant, WaitList, WaitRequest, WaitSettings};
 use ward_traffic::{ProblemReport, TrafficNotice};
 
 const KEY: &str = "quotes@v1";
 
 type Notices = Arc<Mutex<Vec<TrafficNotice>>>;
 
-fn room_of(
+fn list_of(
     view: RoutingView,
     waiting: usize,
     per_replica: u32,
-) -> (Arc<WaitRoom>, watch::Sender<Arc<RoutingView>>, Notices) {
+) -> (Arc<WaitList>, watch::Sender<Arc<RoutingView>>, Notices) {
     let (sender, receiver) = watch::channel(Arc::new(view));
     let notices = Notices::default();
     let log = Arc::clone(&notices);
-    let settings = RoomSettings {
+    let settings = WaitSettings {
         waiting,
         per_replica,
         avoid_time: TimeSpan::from_millis(250),
         zone: "a".parse().unwrap(),
         notice: Arc::new(move |notice| log.lock().unwrap().push(notice)),
     };
-    (WaitRoom::new(settings, receiver), sender, notices)
+    (WaitList::new(settings, receiver), sender, notices)
 }
 
 fn request(reference: &str, priority: u8, limit: TimeSpan) -> WaitRequest {
@@ -77,21 +77,21 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn slot_goes_to_most_urgent() {
-    let (room, _view, _) = room_of(ready_view().build(), 100, 1);
-    let first = room.acquire(request("quotes", 7, secs(60))).await.unwrap();
+    let (list, _view, _) = list_of(ready_view().build(), 100, 1);
+    let first = list.acquire(request("quotes", 7, secs(60))).await.unwrap();
     let order: Arc<Mutex<Vec<usize>>> = Arc::default();
     let waits = [(5, 10), (1, 50), (1, 20), (0, 90)];
     let tasks = waits.iter().enumerate().map(|(index, (priority, limit))| {
-        let (room, order) = (Arc::clone(&room), Arc::clone(&order));
+        let (list, order) = (Arc::clone(&list), Arc::clone(&order));
         let wait = request("quotes", *priority, secs(*limit));
         tokio::spawn(async move {
-            let _grant = room.acquire(wait).await.unwrap();
+            let _grant = list.acquire(wait).await.unwrap();
             order.lock().unwrap().push(index);
         })
     });
     let tasks: Vec<_> = tasks.collect();
     tokio::time::sleep(Duration::from_millis(1)).await;
-    let entries = room.requests();
+    let entries = list.requests();
     expect_that!(entries.len(), eq(5));
     let phases = entries
         .iter()
@@ -102,18 +102,18 @@
         task.await.unwrap();
     }
     expect_that!(*order.lock().unwrap(), eq(&vec![3, 2, 1, 0]));
-    expect_that!(room.requests(), is_empty());
-    expect_that!(room.waiting(), eq(0));
+    expect_that!(list.requests(), is_empty());
+    expect_that!(list.waiting(), eq(0));
 }
 
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn overflow_refuses_least_urgent() {
-    let (room, _view, _) = room_of(cold_view().build(), 2, 1);
+    let (list, _view, _) = list_of(cold_view().build(), 2, 1);
     let wait = |priority, limit| {
-        let room = Arc::clone(&room);
+        let list = Arc::clone(&list);
         let wait = request("quotes", priority, secs(limit));
-        tokio::spawn(async move { code(room.acquire(wait).await) })
+        tokio::spawn(async move { code(list.acquire(wait).await) })
     };
     let late = wait(5, 90);
     let soon = wait(5, 20);
@@ -127,14 +127,14 @@
     expect_that!(begin.elapsed(), le(Duration::from_secs(21)));
     urgent.abort();
     let _ = urgent.await;
-    expect_that!(room.waiting(), eq(0));
+    expect_that!(list.waiting(), eq(0));
 }
 
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn late_start_refused_when_known() {
-    let (room, view, _) = room_of(cold_view().build(), 10, 1);
-    let waiter = Arc::clone(&room);
+    let (list, view, _) = list_of(cold_view().build(), 10, 1);
+    let waiter = Arc::clone(&list);
     let task = tokio::spawn(async move {
         let result = waiter.acquire(request("quotes", 3, secs(10))).await;
         (result.unwrap_err(), Instant::now())
@@ -142,11 +142,11 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let loading = cold_view().loading(KEY, "e1", secs(5));
     view.send_replace(Arc::new(loading.build()));
-    room.sweep();
-    expect_that!(room.waiting(), eq(1));
+    list.sweep();
+    expect_that!(list.waiting(), eq(1));
     let slower = cold_view().loading(KEY, "e1", secs(40));
     view.send_replace(Arc::new(slower.build()));
-    room.sweep();
+    list.sweep();
     let known = Instant::now();
     let (report, at) = task.await.unwrap();
     expect_that!(report.code, eq(ResultCode::TooLate));
@@ -157,10 +157,10 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn withdrawn_version_moves_only_unpinned() {
-    let (room, view, _) = room_of(cold_view().build(), 10, 1);
+    let (list, view, _) = list_of(cold_view().build(), 10, 1);
     let wait = |reference: &str| {
-        let (room, wait) = (Arc::clone(&room), request(reference, 3, secs(60)));
-        tokio::spawn(async move { room.acquire(wait).await })
+        let (list, wait) = (Arc::clone(&list), request(reference, 3, secs(60)));
+        tokio::spawn(async move { list.acquire(wait).await })
     };
     let (unpinned, pinned) = (wait("quotes"), wait(KEY));
     tokio::time::sleep(Duration::from_millis(1)).await;
@@ -169,7 +169,7 @@
         .without(KEY)
         .ready("quotes@v2", "e1");
     view.send_replace(Arc::new(next.build()));
-    room.sweep();
+    list.sweep();
     expect_that!(code(pinned.await.unwrap()), some(eq(ResultCode::Withdrawn)));
     let grant = unpinned.await.unwrap().unwrap();
     expect_that!(grant.target.to_string(), eq("quotes@v2"));
@@ -178,16 +178,16 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn hints_repeat_until_loading() {
-    let (room, view, notices) = room_of(cold_view().build(), 10, 1);
+    let (list, view, notices) = list_of(cold_view().build(), 10, 1);
     let tasks: Vec<_> = (0..3)
         .map(|priority| {
-            let (room, wait) = (Arc::clone(&room), request("quotes", priority, secs(60)));
-            tokio::spawn(async move { room.acquire(wait).await.map(drop) })
+            let (list, wait) = (Arc::clone(&list), request("quotes", priority, secs(60)));
+            tokio::spawn(async move { list.acquire(wait).await.map(drop) })
         })
         .collect();
     tokio::time::sleep(Duration::from_millis(1)).await;
     expect_that!(notices.lock().unwrap().len(), eq(1));
-    room.report();
+    list.report();
     let last = notices.lock().unwrap().last().unwrap().clone();
     let TrafficNotice::Wanted { hint } = last else {
         panic!("not a hint");
@@ -195,14 +195,14 @@
     expect_that!((hint.waiting, hint.priority.level()), eq((3, 0)));
     let loading = cold_view().loading(KEY, "e1", secs(5));
     view.send_replace(Arc::new(loading.build()));
-    room.report();
+    list.report();
     expect_that!(notices.lock().unwrap().len(), eq(2));
     view.send_replace(Arc::new(ready_view().build()));
-    room.sweep();
+    list.sweep();
     for task in tasks {
         task.await.unwrap().unwrap();
     }
-    room.report();
+    list.report();
     let last = notices.lock().unwrap().last().unwrap().clone();
     expect_that!(
         matches!(last, TrafficNotice::Used { hint } if hint.waiting == 3),
@@ -213,13 +213,13 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn leaving_backend_gets_nothing_new() {
-    let (room, view, _) = room_of(ready_view().build(), 10, 1);
-    let held = room.acquire(request("quotes", 3, secs(60))).await.unwrap();
-    let waiter = Arc::clone(&room);
+    let (list, view, _) = list_of(ready_view().build(), 10, 1);
+    let held = list.acquire(request("quotes", 3, secs(60))).await.unwrap();
+    let waiter = Arc::clone(&list);
     let task = tokio::spawn(async move { waiter.acquire(request("quotes", 3, secs(5))).await });
     tokio::time::sleep(Duration::from_millis(1)).await;
     view.send_replace(Arc::new(ready_view().leaving("e1").build()));
-    room.sweep();
+    list.sweep();
     drop(held);
     expect_that!(code(task.await.unwrap()), some(eq(ResultCode::TooLate)));
 }
@@ -253,20 +253,20 @@
 #[googletest::test]
 #[tokio::test(start_paused = true)]
 async fn hopeless_wait_refused_at_once() {
-    let (room, _view, _) = room_of(ready_view().build(), 100, 1);
+    let (list, _view, _) = list_of(ready_view().build(), 100, 1);
     for _ in 0..8 {
-        let grant = room.acquire(request("quotes", 3, secs(60))).await.unwrap();
+        let grant = list.acquire(request("quotes", 3, secs(60))).await.unwrap();
         tokio::time::sleep(Duration::from_secs(4)).await;
         drop(grant);
     }
-    let _held = room.acquire(request("quotes", 3, secs(60))).await.unwrap();
+    let _held = list.acquire(request("quotes", 3, secs(60))).await.unwrap();
     let begin = Instant::now();
     expect_that!(
-        code(room.acquire(request("quotes", 3, secs(1))).await),
+        code(list.acquire(request("quotes", 3, secs(1))).await),
         some(eq(ResultCode::TooLate))
     );
     expect_that!(begin.elapsed(), eq(Duration::ZERO));
-    let waits = room.acquire(request("quotes", 3, secs(3)));
+    let waits = list.acquire(request("quotes", 3, secs(3)));
     expect_that!(code(waits.await), some(eq(ResultCode::TooLate)));
     expect_that!(begin.elapsed(), ge(Duration::from_secs(3)));
 }
