--- a/crates/ward-bench/src/replay/run.rs
+++ b/crates/ward-bench/src/replay/run.rs
@@ -162,7 +162,10 @@
     fn arrive(&mut self, request: usize) {
         let arrival = self.trace.requests[request];
         let base = self.base_of(arrival.model);
-        self.state.models[base].history.observe(self.state.now);
+        let decay = self.policy.values.gap_decay;
+        self.state.models[base]
+            .history
+            .observe(self.state.now, decay);
         self.state.models[base].arrivals += 1;
         if let Some(replica) = self.pick(arrival.model, arrival.prefix) {
             self.start(replica, request, None);
--- a/crates/ward-control/src/models/hints.rs
+++ b/crates/ward-control/src/models/hints.rs
@@ -92,8 +92,9 @@
     /// An adapter's use is also use of its base.
     fn note_use(&mut self, key: &ReplicaKey) {
         let now = self.now;
+        let decay = self.config.policy.gap_decay;
         let usage = self.models.usage.entry(key.clone()).or_default();
-        usage.gaps.observe(now);
+        usage.gaps.observe(now, decay);
         usage.last = Some(now);
         if key.is_adapter() {
             let base = self.models.usage.entry(key.base()).or_default();
--- a/crates/ward-policy/src/keep.rs
+++ b/crates/ward-policy/src/keep.rs
@@ -15,8 +15,6 @@
 
 /// Weights beyond this are cut, so that a price stays finite.
 const LARGEST_WEIGHT: f64 = 0.999;
-/// Decay used by [`GapHistory::observe`].
-const GAP_DECAY: f64 = 0.97;
 
 /// A replica whose keep time is asked for.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -46,10 +44,10 @@
 }
 
 impl GapHistory {
-    /// Notes that a request came.
-    pub fn observe(&mut self, now: MonoTime) {
+    /// Notes that a request came; past gaps keep `decay` of their weight, 0 to 1.
+    pub fn observe(&mut self, now: MonoTime, decay: f64) {
         if let Some(last) = self.last {
-            self.gaps.add(now.since(last), GAP_DECAY);
+            self.gaps.add(now.since(last), decay);
         }
         self.last = Some(now);
         self.day.add(now);
--- a/crates/ward-policy/tests/hold.rs
+++ b/crates/ward-policy/tests/hold.rs
@@ -14,7 +14,10 @@
 fn regular(gap: u64, count: u64) -> GapHistory {
     let mut history = GapHistory::default();
     for number in 0..count {
-        history.observe(MonoTime::default() + secs(gap * number));
+        history.observe(
+            MonoTime::default() + secs(gap * number),
+            PolicyValues::default().gap_decay,
+        );
     }
     history
 }
--- a/crates/ward-policy/tests/keep.rs
+++ b/crates/ward-policy/tests/keep.rs
@@ -17,7 +17,10 @@
 fn regular(gap: u64, count: u64) -> GapHistory {
     let mut history = GapHistory::default();
     for number in 0..count {
-        history.observe(MonoTime::default() + TimeSpan::from_secs(gap * number));
+        history.observe(
+            MonoTime::default() + TimeSpan::from_secs(gap * number),
+            PolicyValues::default().gap_decay,
+        );
     }
     history
 }
