--- a/crates/ward-control/src/core.rs
+++ b/crates/ward-control/src/core.rs
@@ -118,6 +118,13 @@
         &self.state
     }
 
+    /// Control records that are known to exist and not applied yet.
+    #[must_use]
+    pub fn log_lag(&self) -> u64 {
+        let seen = self.reader.control.seen;
+        seen.0.saturating_sub(self.state.applied().0)
+    }
+
     fn take(&mut self, event: ControlEvent) {
         match event {
             ControlEvent::Tick => {}
--- a/crates/ward-daemon/src/control/metrics.rs
+++ b/crates/ward-daemon/src/control/metrics.rs
@@ -17,6 +17,8 @@
     pub orders: IntCounter,
     /// Newest control offset applied.
     pub applied_offset: IntGauge,
+    /// Control records known to exist and not applied yet.
+    pub log_lag: IntGauge,
     /// Plan revision in force here.
     pub plan_revision: IntGauge,
     /// Members of the deployment.
@@ -68,6 +70,7 @@
                 "ward_control_applied_offset",
                 "Newest control offset applied",
             )?,
+            log_lag: gauge("ward_control_log_lag", "Control records not applied yet")?,
             plan_revision: gauge("ward_control_plan_revision", "Plan revision in force here")?,
             members: gauge("ward_control_members", "Members of the deployment")?,
             owned_engines: gauge("ward_control_owned_engines", "Engines owned by this daemon")?,
--- a/crates/ward-daemon/src/control/thread.rs
+++ b/crates/ward-daemon/src/control/thread.rs
@@ -172,6 +172,8 @@
             self.act(action);
         }
         timer.observe_duration();
+        let lag = self.core.log_lag();
+        self.runner.metrics.log_lag.set(gauge(lag));
     }
 
     fn act(&mut self, action: ControlAction) {
