--- a/crates/ward-control/src/core.rs
+++ b/crates/ward-control/src/core.rs
@@ -121,7 +121,7 @@
     /// Control records that are known to exist and not applied yet.
     #[must_use]
     pub fn log_lag(&self) -> u64 {
-        let seen = self.reader.control.seen;
+        let seen = self.reader.control_seen();
         seen.0.saturating_sub(self.state.applied().0)
     }
 
--- a/crates/ward-control/src/reader.rs
+++ b/crates/ward-control/src/reader.rs
@@ -88,6 +88,11 @@
 }
 
 impl LogReader {
+    /// Newest control offset that was heard of.
+    pub(crate) const fn control_seen(&self) -> LogOffset {
+        self.control.seen
+    }
+
     /// Someone says that the control stream reaches this far.
     pub(crate) fn note_end(&mut self, end: LogOffset) {
         if end > self.control.seen {
