--- a/crates/ward-daemon/tests/process_faults.rs
+++ b/crates/ward-daemon/tests/process_faults.rs
@@ -9,7 +9,9 @@
 use ward_http::HttpReply;
 use ward_protocol::{ReplicaKey, TimeSpan};
 use ward_standin::service::ServiceHistory;
-use ward_test_support::process::{FleetSettings, FleetTruth, ProcessFleet, until};
+use ward_test_support::process::{
+    FleetSettings, FleetTruth, ListeningProcess, ProcessFleet, until,
+};
 
 const SHEET: &str = "\
 target;zones;roles;replicas;ready;ready_from;priority;memory;repeatable
@@ -35,6 +37,11 @@
     text.parse().unwrap()
 }
 
+/// Replaces the faults of a stand-in.
+async fn set_faults(standin: &ListeningProcess, faults: &Value) {
+    standin.control().set_faults(faults).await.unwrap();
+}
+
 fn problem(reply: &HttpReply) -> Value {
     serde_json::from_slice(&reply.body).unwrap()
 }
@@ -58,30 +65,17 @@
     reply.unwrap()
 }
 
-/// The owner of the engine that holds or loads a key.
-async fn engine_owner(fleet: &ProcessFleet, daemon: usize, model: &str) -> Option<usize> {
-    let dump = fleet.dump(daemon).await;
-    let reservations = dump["control"]["reservations"].as_array()?;
-    let held = reservations.iter().find(|item| item["key"] == model)?;
-    let backends = dump["control"]["backends"].as_array()?;
-    let engine = backends
-        .iter()
-        .find(|item| item["info"]["backend"] == held["backend"])?;
-    let number = engine["owner"].as_str()?.strip_prefix("entry-")?;
-    number.parse::<usize>().ok()?.checked_sub(1)
-}
-
 #[googletest::test]
 #[tokio::test(flavor = "multi_thread")]
 async fn owner_killed_mid_load() {
     let mut fleet = fleet().await;
     let slow = json!({ "store_slow": 3.0 });
-    fleet.hosts.control().set_faults(&slow).await.unwrap();
+    set_faults(&fleet.hosts, &slow).await;
     let caller = fleet.caller(0);
     let waiting = tokio::spawn(async move { caller.chat("contracts", "whole file", true).await });
     let mut owner = None;
     until("the load's owner", async || {
-        owner = engine_owner(&fleet, 0, "contracts@1").await;
+        owner = fleet.engine_owner(0, "contracts@1").await;
         owner.is_some()
     })
     .await;
@@ -102,7 +96,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn owner_frozen_past_lease() {
     let fleet = fleet().await;
-    let owner = engine_owner(&fleet, 0, "colours@1").await.unwrap();
+    let owner = fleet.engine_owner(0, "colours@1").await.unwrap();
     let other = (owner + 1) % fleet.daemons.len();
     fleet.daemons[owner].program.freeze().unwrap();
     let two_members = |dump: &Value| dump["control"]["members"].as_array().map_or(0, Vec::len) == 2;
@@ -129,12 +123,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn log_down() {
     let fleet = fleet().await;
-    fleet
-        .log
-        .control()
-        .set_faults(&json!({ "down": true }))
-        .await
-        .unwrap();
+    set_faults(&fleet.log, &json!({ "down": true })).await;
     let routing = |dump: &Value| dump["view"]["mode"] == "routing_only";
     for daemon in 0..fleet.daemons.len() {
         fleet.until_dump(daemon, "routing only", routing).await;
@@ -153,7 +142,7 @@
     expect_that!(problem(&refused)["outcome"], eq("not_run"));
     expect_that!(charges(&fleet, "deposit-1").await, eq(0));
 
-    fleet.log.control().set_faults(&json!({})).await.unwrap();
+    set_faults(&fleet.log, &json!({})).await;
     fleet.until_full().await;
     let cold = caller.chat("quotes", "now", false).await.unwrap();
     expect_that!(cold.status.as_u16(), eq(200), "{:?}", cold.body);
@@ -169,7 +158,7 @@
     let fleet = fleet().await;
     for round in 0..4 {
         let faults = json!({ "lose_answers": 3, "slow_ms": 20 });
-        fleet.log.control().set_faults(&faults).await.unwrap();
+        set_faults(&fleet.log, &faults).await;
         let key = format!("deposit-{round}");
         let replies = [0, 1, 2].map(|daemon| charge(&fleet, daemon, &key));
         for reply in futures::future::join_all(replies).await {
@@ -178,7 +167,7 @@
         }
         expect_that!(charges(&fleet, &key).await, le(1));
     }
-    fleet.log.control().set_faults(&json!({})).await.unwrap();
+    set_faults(&fleet.log, &json!({})).await;
     let reply = charge(&fleet, 0, "deposit-last").await;
     expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
     check_promises(&fleet).await;
@@ -188,11 +177,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn charge_answer_lost() {
     let fleet = fleet().await;
-    let service = fleet.services[0].control();
-    service
-        .set_faults(&json!({ "lose_answers": 1 }))
-        .await
-        .unwrap();
+    let service = &fleet.services[0];
+    set_faults(service, &json!({ "lose_answers": 1 })).await;
     let first = charge(&fleet, 0, "deposit-1").await;
     expect_that!(problem(&first)["outcome"], eq("in_doubt"));
     for daemon in 0..3 {
@@ -206,11 +192,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn charge_daemon_killed() {
     let mut fleet = fleet().await;
-    let service = fleet.services[0].control();
-    service
-        .set_faults(&json!({ "slow_ms": 3_000 }))
-        .await
-        .unwrap();
+    let service = &fleet.services[0];
+    set_faults(service, &json!({ "slow_ms": 3_000 })).await;
     let caller = fleet.caller(0);
     let lost = tokio::spawn(async move {
         caller
@@ -223,7 +206,7 @@
     .await;
     fleet.daemons[0].program.kill().unwrap();
     expect_that!(lost.await.unwrap().is_err(), eq(true));
-    service.set_faults(&json!({})).await.unwrap();
+    set_faults(service, &json!({})).await;
     for daemon in [1, 2] {
         let again = charge(&fleet, daemon, "deposit-1").await;
         expect_that!(problem(&again)["outcome"], eq("in_doubt"));
@@ -237,7 +220,7 @@
     let fleet = fleet().await;
     for engine in &fleet.engines {
         let faults = json!({ "crash_marker": "poison", "downtime_ms": 300 });
-        engine.control().set_faults(&faults).await.unwrap();
+        set_faults(engine, &faults).await;
     }
     let mut statuses = Vec::new();
     for _ in 0..8 {
@@ -274,31 +257,34 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_engine_gets_nothing_new() {
     let fleet = fleet().await;
-    let holder = {
-        let truth = FleetTruth::read(&fleet).await.unwrap();
-        let held = |engine: &ward_standin::EngineHistory| {
-            !engine.requests.is_empty() || engine.peak_memory.bytes() > 0
-        };
-        truth.engines.iter().position(held).unwrap()
-    };
+    let holder = holder(&fleet).await;
     let path = format!("/hosts/engine-{}/leave", holder + 1);
     let control = fleet.hosts.control();
     control
         .send(http::Method::POST, &path, &json!({}))
         .await
         .unwrap();
+    check_nothing_new(&fleet, holder).await;
+}
+
+/// The engine that has held a replica; an engine without memory in use ran nothing.
+async fn holder(fleet: &ProcessFleet) -> usize {
+    let truth = FleetTruth::read(fleet).await.unwrap();
+    let held = |engine: &ward_standin::EngineHistory| engine.peak_memory.bytes() > 0;
+    truth.engines.iter().position(held).unwrap()
+}
+
+/// An engine that leaves gets nothing new, and its replica is served elsewhere.
+async fn check_nothing_new(fleet: &ProcessFleet, holder: usize) {
     tokio::time::sleep(LEAVING_TIME).await;
-    let before = requests_at(&fleet, holder).await;
+    let before = requests_at(fleet, holder).await;
     for daemon in 0..3 {
-        let reply = fleet
-            .caller(daemon)
-            .chat("colours", "elsewhere", false)
-            .await
-            .unwrap();
+        let caller = fleet.caller(daemon);
+        let reply = caller.chat("colours", "elsewhere", false).await.unwrap();
         expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
     }
-    expect_that!(requests_at(&fleet, holder).await, eq(before));
-    check_promises(&fleet).await;
+    expect_that!(requests_at(fleet, holder).await, eq(before));
+    check_promises(fleet).await;
 }
 
 async fn requests_at(fleet: &ProcessFleet, engine: usize) -> usize {
@@ -337,12 +323,7 @@
     let first = fleet.dump(0).await["control"]["newest_plan"]
         .as_u64()
         .unwrap();
-    fleet
-        .hosts
-        .control()
-        .set_faults(&json!({ "store_slow": 5.0 }))
-        .await
-        .unwrap();
+    set_faults(&fleet.hosts, &json!({ "store_slow": 5.0 })).await;
     let newer = SHEET.replace("quotes@1;;;1;0;", "quotes@2;;;1;1;");
     let output = fleet.submit_only(1, &newer, first).unwrap();
     assert!(output.status.success(), "{output:?}");
@@ -378,7 +359,7 @@
 async fn frozen_daemon_sends_nothing_expired() {
     let fleet = fleet().await;
     let slow = json!({ "store_slow": 3.0 });
-    fleet.hosts.control().set_faults(&slow).await.unwrap();
+    set_faults(&fleet.hosts, &slow).await;
     let caller = fleet.caller(0);
     let limit = TimeSpan::from_secs(6);
     let waiting = tokio::spawn(async move { caller.chat_within("contracts", "late", limit).await });
@@ -408,29 +389,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_engine_with_host_list_down() {
     let fleet = fleet().await;
-    fleet
-        .hosts
-        .control()
-        .set_faults(&json!({ "down": true }))
-        .await
-        .unwrap();
-    let truth = FleetTruth::read(&fleet).await.unwrap();
-    let held = |engine: &ward_standin::EngineHistory| engine.peak_memory.bytes() > 0;
-    let holder = truth.engines.iter().position(held).unwrap();
+    set_faults(&fleet.hosts, &json!({ "down": true })).await;
+    let holder = holder(&fleet).await;
     // Its own word is all that is left.
     let leaving = json!({ "leaving": true });
-    fleet.engines[holder]
-        .control()
-        .set_faults(&leaving)
-        .await
-        .unwrap();
-    tokio::time::sleep(LEAVING_TIME).await;
-    let before = requests_at(&fleet, holder).await;
-    for daemon in 0..3 {
-        let caller = fleet.caller(daemon);
-        let reply = caller.chat("colours", "elsewhere", false).await.unwrap();
-        expect_that!(reply.status.as_u16(), eq(200), "{:?}", reply.body);
-    }
-    expect_that!(requests_at(&fleet, holder).await, eq(before));
-    check_promises(&fleet).await;
+    set_faults(&fleet.engines[holder], &leaving).await;
+    check_nothing_new(&fleet, holder).await;
 }
--- a/crates/ward-test-support/src/process/session.rs
+++ b/crates/ward-test-support/src/process/session.rs
@@ -81,6 +81,20 @@
         dump.unwrap_or_default()
     }
 
+    /// The daemon that owns the engine which holds or loads a key, as the
+    /// daemon with the index `daemon` sees it.
+    pub async fn engine_owner(&self, daemon: usize, key: &str) -> Option<usize> {
+        let dump = self.dump(daemon).await;
+        let reservations = dump["control"]["reservations"].as_array()?;
+        let held = reservations.iter().find(|item| item["key"] == key)?;
+        let backends = dump["control"]["backends"].as_array()?;
+        let engine = backends
+            .iter()
+            .find(|item| item["info"]["backend"] == held["backend"])?;
+        let number = engine["owner"].as_str()?.strip_prefix("entry-")?;
+        number.parse::<usize>().ok()?.checked_sub(1)
+    }
+
     /// Waits until every daemon has all its duties and knows all the others.
     ///
     /// # Panics
