--- a/crates/ward-daemon/src/logging.rs
+++ b/crates/ward-daemon/src/logging.rs
@@ -27,6 +27,13 @@
     }
 }
 
+/// A logger of JSON lines on standard output that never holds up its callers:
+/// lines that a slow reader leaves no room for are counted and dropped.
+pub fn stdout_logger() -> Logger {
+    let drain = Mutex::new(slog_json::Json::default(io::stdout()));
+    queue(drain.fuse(), Level::Info)
+}
+
 fn queue(drain: impl Drain<Ok = (), Err = slog::Never> + Send + 'static, level: Level) -> Logger {
     let drain = slog_async::Async::new(drain)
         .chan_size(QUEUED_LINES)
--- a/crates/ward-daemon/src/program/arguments.rs
+++ b/crates/ward-daemon/src/program/arguments.rs
@@ -10,6 +10,7 @@
   persimmonward --settings examples/ljubljana.json
   persimmonward --settings examples/ljubljana.json --check-settings
   persimmonward demo
+  persimmonward gateway --settings /etc/persimmonward/settings.yaml --check-settings
 
 Exit codes: 0 ended as asked, 1 failed while running, 2 wrong arguments,
 3 mistakes in the settings.";
@@ -23,10 +24,21 @@
     CheckSettings(PathBuf),
     /// Print the settings in this file with all defaults and end.
     PrintSettings(PathBuf),
+    /// Serve callers on the users' platform.
+    Gateway(GatewayOptions),
     /// Run several daemons and stand-ins in this process, and end.
     Demo(DemoOptions),
 }
 
+/// How the daemon on the users' platform is to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct GatewayOptions {
+    /// The settings file; the platform names it where none is given.
+    pub(super) settings: Option<PathBuf>,
+    /// Whether to check the settings and end.
+    pub(super) check: bool,
+}
+
 /// What the demonstration is to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DemoOptions {
@@ -47,20 +59,8 @@
         .after_help(EXAMPLES)
         .args_conflicts_with_subcommands(true)
         .arg_required_else_help(true)
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .help("Settings in JSON")
-                .value_parser(value_parser!(PathBuf)),
-        )
-        .arg(
-            Arg::new("check-settings")
-                .long("check-settings")
-                .help("Check the settings and end")
-                .requires("settings")
-                .action(ArgAction::SetTrue),
-        )
+        .arg(settings_argument().help("Settings in JSON"))
+        .arg(check_argument().requires("settings"))
         .arg(
             Arg::new("print-settings")
                 .long("print-settings")
@@ -70,6 +70,28 @@
         )
         .group(ArgGroup::new("only").args(["check-settings", "print-settings"]))
         .subcommand(demo_command())
+        .subcommand(gateway_command())
+}
+
+fn gateway_command() -> Command {
+    Command::new("gateway")
+        .about("Serve callers on the users' platform, with settings as it renders them")
+        .arg(settings_argument().help("Settings; the platform names the file where none is given"))
+        .arg(check_argument())
+}
+
+fn settings_argument() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn check_argument() -> Arg {
+    Arg::new("check-settings")
+        .long("check-settings")
+        .help("Check the settings and end")
+        .action(ArgAction::SetTrue)
 }
 
 fn demo_command() -> Command {
@@ -109,6 +131,9 @@
     if let Some(("demo", matches)) = matches.subcommand() {
         return Ok(ProgramTask::Demo(demo_options(matches)));
     }
+    if let Some(("gateway", matches)) = matches.subcommand() {
+        return Ok(ProgramTask::Gateway(gateway_options(matches)));
+    }
     let path = matches.get_one::<PathBuf>("settings").cloned();
     let Some(path) = path else {
         return Err(command().error(
@@ -125,6 +150,13 @@
     Ok(ProgramTask::Serve(path))
 }
 
+fn gateway_options(matches: &ArgMatches) -> GatewayOptions {
+    GatewayOptions {
+        settings: matches.get_one::<PathBuf>("settings").cloned(),
+        check: matches.get_flag("check-settings"),
+    }
+}
+
 fn demo_options(matches: &ArgMatches) -> DemoOptions {
     let count = |name: &str| matches.get_one::<u8>(name).copied().unwrap_or(1);
     DemoOptions {
--- a/crates/ward-daemon/src/program/mod.rs
+++ b/crates/ward-daemon/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod exit;
+mod gateway;
 mod serve;
 mod settings;
 
@@ -38,6 +39,7 @@
         ProgramTask::Serve(path) => serve::serve(&path),
         ProgramTask::CheckSettings(path) => settings::check(&path),
         ProgramTask::PrintSettings(path) => settings::print(&path),
+        ProgramTask::Gateway(options) => gateway::run(&options),
         ProgramTask::Demo(options) => crate::demo::run_demo(options),
     }
 }
--- /dev/null
+++ b/crates/ward-fleet/src/budget.rs
@@ -0,0 +1,52 @@
+//! How often requests may be sent to a second engine.
+//!
+//! Load pattern: engines that fail or refuse while traffic is high, when
+//! repeats by every daemon would double the load. All daemons share one budget
+//! per service: a ratio of the requests in a window plus a fixed slack. A
+//! daemon uses part of what its own requests earn and an equal part of the
+//! slack, so that the sum holds even when daemons cannot hear each other.
+
+use std::collections::VecDeque;
+
+use ward_protocol::{MonoTime, TimeSpan};
+
+use crate::settings::ServingBounds;
+
+/// Part of the budget that is used; the rest covers daemons that restarted and
+/// forgot what they spent.
+const USED_PART: f64 = 0.6;
+
+/// One daemon's budget of repeats for one service.
+#[derive(Debug, Clone, Default)]
+pub struct RepeatBudget {
+    requests: VecDeque<MonoTime>,
+    repeats: VecDeque<MonoTime>,
+}
+
+impl RepeatBudget {
+    /// Counts a caller's request.
+    pub fn note_request(&mut self, now: MonoTime, bounds: &ServingBounds) {
+        forget(&mut self.requests, now, bounds.repeat_window);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat out of the budget, if there is one left.
+    pub fn take_repeat(&mut self, now: MonoTime, bounds: &ServingBounds, daemons: usize) -> bool {
+        forget(&mut self.requests, now, bounds.repeat_window);
+        forget(&mut self.repeats, now, bounds.repeat_window);
+        let slack = bounds.repeat_slack / daemons.max(1) as f64;
+        let earned = bounds.repeat_ratio * self.requests.len() as f64;
+        let allowed = USED_PART * (slack + earned);
+        if self.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+}
+
+fn forget(times: &mut VecDeque<MonoTime>, now: MonoTime, window: TimeSpan) {
+    while times.front().is_some_and(|time| now.since(*time) > window) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/ward-fleet/src/lease.rs
@@ -0,0 +1,142 @@
+//! Who gives orders to engines: at most one daemon at a time.
+//!
+//! The coordinator keeps a term record in the store and renews it by appends
+//! that succeed only at the offset that it expects, so two daemons cannot both
+//! extend the same history. It may give orders only for a short window after
+//! the *start* of its last renewal, on a clock that counts suspension. A
+//! successor waits, from when it first saw the last record, until that window
+//! must be over and a further lease has passed. The offset of the record that
+//! began a term, plus one, is its fencing number.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use ward_protocol::{DaemonId, FenceNumber, Incarnation, MonoTime, TimeSpan};
+
+/// Part of the lease for which orders follow a renewal, in percent.
+const ORDER_WINDOW_PERCENT: u64 = 45;
+/// Allowance for clocks of different speed, in percent of the lease.
+const CLOCK_ALLOWANCE_PERCENT: u64 = 5;
+/// Renewals per order window.
+const RENEWALS_PER_WINDOW: u64 = 2;
+
+/// The record of a term in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// Who holds the term.
+    pub daemon: DaemonId,
+    /// Which life of that daemon.
+    pub incarnation: Incarnation,
+    /// Where it listens for other daemons.
+    pub peers: SocketAddr,
+    /// The term's fencing number; zero in the record that begins the term.
+    pub fence: FenceNumber,
+    /// Whether the holder gives up the term.
+    pub released: bool,
+}
+
+/// Spans that follow from the lease of the deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseWindow {
+    /// How long orders may follow the start of a renewal.
+    pub orders: TimeSpan,
+    /// Time between renewals.
+    pub renewal: TimeSpan,
+    /// How long a successor waits after the last record of a holder.
+    pub takeover: TimeSpan,
+    /// How long a successor waits after a release.
+    pub release: TimeSpan,
+}
+
+impl LeaseWindow {
+    /// The spans for a lease.
+    #[must_use]
+    pub fn new(lease: TimeSpan) -> Self {
+        let part = |percent: u64| TimeSpan::from_millis(lease.millis() * percent / 100);
+        let orders = part(ORDER_WINDOW_PERCENT);
+        let release = lease + part(CLOCK_ALLOWANCE_PERCENT);
+        Self {
+            orders,
+            renewal: TimeSpan::from_millis(orders.millis() / RENEWALS_PER_WINDOW),
+            takeover: orders + release,
+            release,
+        }
+    }
+}
+
+/// A term that this daemon holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CoordinatorLease {
+    /// Fencing number of the term.
+    pub fence: FenceNumber,
+    /// Offset at which the next renewal must land.
+    pub next: u64,
+    /// Start of the last renewal that succeeded.
+    pub renewed: MonoTime,
+}
+
+impl CoordinatorLease {
+    /// The lease after the append that began a term landed at an offset.
+    #[must_use]
+    pub fn begin(offset: u64, started: MonoTime) -> Self {
+        Self {
+            fence: FenceNumber(offset + 1),
+            next: offset + 1,
+            renewed: started,
+        }
+    }
+
+    /// Notes a renewal that landed at an offset.
+    pub fn renew(&mut self, offset: u64, started: MonoTime) {
+        self.next = offset + 1;
+        self.renewed = started;
+    }
+
+    /// Whether orders may be given now.
+    #[must_use]
+    pub fn may_order(&self, window: &LeaseWindow, now: MonoTime) -> bool {
+        now < self.renewed + window.orders
+    }
+}
+
+/// What a daemon that is not the coordinator has seen of terms.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TermWatch {
+    seen: Option<SeenTerm>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct SeenTerm {
+    offset: u64,
+    first_seen: MonoTime,
+    released: bool,
+}
+
+impl TermWatch {
+    /// Notes the newest record of a term.
+    pub fn note(&mut self, offset: u64, released: bool, now: MonoTime) {
+        if self.seen.is_some_and(|seen| seen.offset == offset) {
+            return;
+        }
+        self.seen = Some(SeenTerm {
+            offset,
+            first_seen: now,
+            released,
+        });
+    }
+
+    /// Whether the last holder can no longer give orders, for a lease's length.
+    /// Without any record there never was one.
+    #[must_use]
+    pub fn may_take_over(&self, window: &LeaseWindow, now: MonoTime) -> bool {
+        let Some(seen) = self.seen else {
+            return true;
+        };
+        let wait = if seen.released {
+            window.release
+        } else {
+            window.takeover
+        };
+        now.since(seen.first_seen) >= wait
+    }
+}
--- /dev/null
+++ b/crates/ward-fleet/src/lib.rs
@@ -0,0 +1,42 @@
+//! Decisions about serving from a fleet of engines, without input and output.
+//!
+//! Time, load and settings come in as values, so that each decision can be
+//! tested by replaying the load that it answers. Daemons that forward requests
+//! keep an [`EngineTable`] and choose engines from it; the one daemon that
+//! gives orders to engines, the coordinator, also keeps a
+//! [`placement::PlacementState`] and plans which model lies where.
+
+pub mod budget;
+pub mod choice;
+pub mod directory;
+pub mod entry;
+pub mod fault;
+pub mod health;
+pub mod lease;
+pub mod manifest;
+pub mod message;
+pub mod order;
+pub mod placement;
+pub mod queue;
+pub mod settings;
+pub mod table;
+
+pub use budget::RepeatBudget;
+pub use choice::{EngineWish, choose_engine};
+pub use directory::choose_hosts;
+pub use entry::{EngineBirth, EngineEntry, HeldModel, OrderSequence};
+pub use fault::CrashLedger;
+pub use health::EngineHealth;
+pub use lease::{CoordinatorLease, LeaseWindow, TermRecord, TermWatch};
+pub use manifest::{
+    CallerLimits, EngineClass, ManifestVersion, ModelClass, RouteKind, RouteTarget, ServiceClass,
+    ServingManifest, ServingRoute,
+};
+pub use message::{
+    CoordinatorMessage, EngineInfo, EngineLoad, FleetView, HostMember, LoadReport, MemberMessage,
+    RunningCount, WaitingCount,
+};
+pub use order::EngineOrder;
+pub use queue::QueueRank;
+pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
+pub use table::{EngineRecord, EngineTable};
--- /dev/null
+++ b/crates/ward-fleet/src/message.rs
@@ -0,0 +1,172 @@
+//! What daemons tell each other.
+//!
+//! Every daemon holds one connection to the coordinator. It reports its own
+//! requests; the coordinator answers with the state of the fleet. Both send
+//! only what changed or is not zero. Messages may be lost with a connection
+//! without harm: the first message on a new one is complete.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use ward_protocol::{
+    AdapterName, BackendId, DaemonId, FenceNumber, ModelName, RequestFingerprint, ServiceName,
+    TimeSpan, ZoneName,
+};
+
+use crate::entry::{EngineBirth, EngineEntry, HeldModel};
+use crate::manifest::ManifestVersion;
+use crate::settings::HostCapacity;
+
+/// A daemon that takes requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostMember {
+    /// Its name.
+    pub daemon: DaemonId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it takes requests.
+    pub callers: SocketAddr,
+    /// Size of its host.
+    pub capacity: HostCapacity,
+}
+
+/// From a daemon to the coordinator.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum MemberMessage {
+    /// The first message on a connection.
+    Hello(HostMember),
+    /// The daemon's requests as of now.
+    Report(LoadReport),
+    /// The daemon stops and takes no new callers.
+    Leaving,
+}
+
+/// A daemon's own requests.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests at engines.
+    pub running: Vec<RunningCount>,
+    /// Requests that wait for an engine.
+    pub waiting: Vec<WaitingCount>,
+    /// Models and adapters asked for since the last report.
+    pub arrivals: Vec<WaitingCount>,
+    /// Requests whose engine broke off without an answer since the last report.
+    pub crashes: Vec<RequestFingerprint>,
+    /// Engines that said they lack what they were thought to hold.
+    pub misplaced: Vec<RunningCount>,
+}
+
+/// Requests of one daemon at one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningCount {
+    /// The engine.
+    pub engine: BackendId,
+    /// The model that they use.
+    pub model: Option<ModelName>,
+    /// The adapter that they use.
+    pub adapter: Option<AdapterName>,
+    /// How many.
+    pub count: u32,
+}
+
+/// Requests of one daemon for one model or adapter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingCount {
+    /// The service.
+    pub service: ServiceName,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter.
+    pub adapter: Option<AdapterName>,
+    /// How many.
+    pub count: u32,
+}
+
+/// From the coordinator to a daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CoordinatorMessage {
+    /// The state of the fleet.
+    View(FleetView),
+}
+
+/// The state of the fleet, or what changed of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetView {
+    /// Fencing number of the coordinator's term.
+    pub term: FenceNumber,
+    /// Whether engines that are not listed are gone.
+    pub complete: bool,
+    /// Engines that changed.
+    pub engines: Vec<EngineInfo>,
+    /// Engines that left.
+    pub gone: Vec<BackendId>,
+    /// Requests at each engine over all daemons, where there are any; nothing
+    /// when they were not counted anew.
+    pub loads: Option<Vec<EngineLoad>>,
+    /// All daemons that take requests, when that changed.
+    pub members: Option<Vec<HostMember>>,
+    /// Newest manifest that the coordinator knows.
+    pub manifest: ManifestVersion,
+    /// Time since the coordinator last heard from the store.
+    pub store_age: TimeSpan,
+    /// Requests that must not be sent to engines any more.
+    pub poisoned: Vec<RequestFingerprint>,
+}
+
+/// What daemons need to know of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineInfo {
+    /// Its id.
+    pub id: BackendId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new requests.
+    pub draining: bool,
+    /// Start of its life.
+    pub birth: Option<EngineBirth>,
+    /// Models that requests may be sent to.
+    pub holding: Vec<HeldModel>,
+}
+
+impl From<&EngineEntry> for EngineInfo {
+    fn from(entry: &EngineEntry) -> Self {
+        Self {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address,
+            zone: entry.zone.clone(),
+            slots: entry.slots,
+            draining: entry.draining || entry.leaves_in.is_some(),
+            birth: entry.birth,
+            holding: entry.models.clone(),
+        }
+    }
+}
+
+impl EngineInfo {
+    /// Whether it holds a model, and the adapter if one is named.
+    #[must_use]
+    pub fn holds(&self, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
+        let held = self.holding.iter().find(|held| held.model == *model);
+        match (held, adapter) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(held), Some(adapter)) => held.adapters.contains(adapter),
+        }
+    }
+}
+
+/// Requests at one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// The engine.
+    pub engine: BackendId,
+    /// How many requests of all daemons.
+    pub count: u32,
+}
--- /dev/null
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -0,0 +1,235 @@
+//! One engine as the coordinator sees it.
+
+use indexmap::IndexMap;
+use ward_protocol::{AdapterName, MemorySize, ModelName, MonoTime, TimeSpan};
+
+use crate::entry::{EngineEntry, HeldModel, OrderSequence};
+use crate::manifest::{EngineClass, ModelClass};
+use crate::message::EngineInfo;
+
+/// Time after the last order in which a heartbeat may still be older than it.
+const REPORT_LAG: TimeSpan = TimeSpan::from_millis(2_500);
+
+/// Where a model's weights come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LoadSource {
+    /// The engine's host memory.
+    Memory,
+    /// The engine's disk.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+impl LoadSource {
+    /// Load time of a model from here.
+    #[must_use]
+    pub const fn load_time(self, class: &ModelClass) -> TimeSpan {
+        match self {
+            Self::Memory => class.memory_load,
+            Self::Disk => class.disk_load,
+            Self::Store => class.store_load,
+        }
+    }
+}
+
+/// A model on an engine.
+#[derive(Debug, Clone, Default)]
+pub struct PlacedModel {
+    /// Its adapters; those still on their way are counted but not ready.
+    pub adapters: IndexMap<AdapterName, PlacedAdapter>,
+    /// Requests that use it.
+    pub running: u32,
+    /// When it last had a request.
+    pub last_used: MonoTime,
+    /// Whether it is to be unloaded and gets no more requests.
+    pub leaving: bool,
+}
+
+/// An adapter on an engine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PlacedAdapter {
+    /// Whether requests may be sent for it.
+    pub ready: bool,
+    /// Whether it is to be unloaded.
+    pub leaving: bool,
+    /// Requests that use it.
+    pub running: u32,
+    /// When it last had a request.
+    pub last_used: MonoTime,
+}
+
+/// Work that an engine has.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineTask {
+    /// The model to be loaded.
+    pub model: ModelName,
+    /// Where from.
+    pub source: LoadSource,
+}
+
+/// One engine.
+#[derive(Debug, Clone)]
+pub struct PlacedEngine {
+    /// What daemons are told of it; `holding` is filled in on demand.
+    pub info: EngineInfo,
+    /// Orders that it has accepted, as far as known.
+    pub sequence: OrderSequence,
+    /// Models in its memory, also those that leave.
+    pub held: IndexMap<ModelName, PlacedModel>,
+    /// Models with a copy in host memory.
+    pub in_memory: Vec<ModelName>,
+    /// Models with a copy on disk.
+    pub on_disk: Vec<ModelName>,
+    /// Its present work on models.
+    pub task: Option<EngineTask>,
+    /// Whether adapters are being changed.
+    pub adapter_busy: bool,
+    /// No work before this time, after work that failed.
+    pub rests_until: MonoTime,
+    /// Time of the last order.
+    pub ordered: MonoTime,
+}
+
+impl PlacedEngine {
+    /// An engine as its first heartbeat describes it.
+    #[must_use]
+    pub fn new(entry: &EngineEntry, now: MonoTime) -> Self {
+        let mut engine = Self {
+            info: EngineInfo::from(entry),
+            sequence: entry.sequence,
+            held: IndexMap::new(),
+            in_memory: entry.in_memory.clone(),
+            on_disk: entry.on_disk.clone(),
+            task: None,
+            adapter_busy: false,
+            rests_until: MonoTime::default(),
+            ordered: MonoTime::default(),
+        };
+        engine.take_held(&entry.models, now);
+        engine
+    }
+
+    /// Takes over a later heartbeat of the same life. Its models count only
+    /// when no order can have changed them since it was written.
+    pub fn refresh(&mut self, entry: &EngineEntry, now: MonoTime) {
+        let holding = std::mem::take(&mut self.info.holding);
+        let draining = self.info.draining;
+        self.info = EngineInfo::from(entry);
+        self.info.holding = holding;
+        self.info.draining |= draining;
+        self.in_memory.clone_from(&entry.in_memory);
+        self.on_disk.clone_from(&entry.on_disk);
+        self.sequence = self.sequence.max(entry.sequence);
+        if self.is_settled(now) {
+            self.take_held(&entry.models, now);
+        }
+    }
+
+    /// Takes over what the engine says that it holds. Adapters known before are
+    /// kept with their model: heartbeats may not list them yet.
+    pub fn take_held(&mut self, models: &[HeldModel], now: MonoTime) {
+        let mut held = IndexMap::new();
+        for model in models {
+            let mut placed = self.held.shift_remove(&model.model).unwrap_or_default();
+            placed.leaving = false;
+            for adapter in &model.adapters {
+                placed.adapters.entry(adapter.clone()).or_default().ready = true;
+            }
+            placed.last_used = placed.last_used.max(MonoTime(now.0 / 2));
+            held.insert(model.model.clone(), placed);
+        }
+        self.held = held;
+    }
+
+    /// Whether heartbeats tell the whole truth about it.
+    #[must_use]
+    pub fn is_settled(&self, now: MonoTime) -> bool {
+        self.task.is_none() && !self.adapter_busy && now.since(self.ordered) > REPORT_LAG
+    }
+
+    /// Whether it can be given work on models now.
+    #[must_use]
+    pub fn is_free(&self, now: MonoTime) -> bool {
+        self.task.is_none() && !self.info.draining && now >= self.rests_until
+    }
+
+    /// Whether it holds a model that does not leave, or is about to.
+    #[must_use]
+    pub fn has_or_expects(&self, model: &ModelName) -> bool {
+        let holds = self.held.get(model).is_some_and(|held| !held.leaving);
+        holds || self.task.as_ref().is_some_and(|task| task.model == *model)
+    }
+
+    /// The fastest place that a model can come from.
+    #[must_use]
+    pub fn source(&self, model: &ModelName) -> LoadSource {
+        if self.in_memory.contains(model) {
+            LoadSource::Memory
+        } else if self.on_disk.contains(model) {
+            LoadSource::Disk
+        } else {
+            LoadSource::Store
+        }
+    }
+
+    /// Memory of all that it holds or is loading.
+    #[must_use]
+    pub fn used(&self, class: &EngineClass) -> MemorySize {
+        let held = self.held.iter().map(|(name, model)| {
+            let Some(size) = class.models.get(name) else {
+                return class.weight_memory;
+            };
+            let adapters = size.adapter_weights.bytes() * model.adapters.len() as u64;
+            size.weights
+                .saturating_add(MemorySize::from_bytes(adapters))
+        });
+        let loading = self
+            .task
+            .iter()
+            .filter(|task| !self.held.contains_key(&task.model))
+            .filter_map(|task| class.models.get(&task.model))
+            .map(|size| size.weights);
+        held.chain(loading).sum()
+    }
+
+    /// Memory that nothing holds.
+    #[must_use]
+    pub fn free(&self, class: &EngineClass) -> MemorySize {
+        class.weight_memory.saturating_sub(self.used(class))
+    }
+
+    /// Adapters that it holds or is loading.
+    #[must_use]
+    pub fn adapter_count(&self) -> usize {
+        self.held.values().map(|model| model.adapters.len()).sum()
+    }
+
+    /// Requests at it.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.held.values().map(|model| model.running).sum()
+    }
+
+    /// What daemons are told of it.
+    #[must_use]
+    pub fn public_info(&self) -> EngineInfo {
+        let present = self.held.iter().filter(|(_, model)| !model.leaving);
+        let holding = present.map(|(name, model)| HeldModel {
+            model: name.clone(),
+            adapters: ready_adapters(model),
+        });
+        EngineInfo {
+            holding: holding.collect(),
+            ..self.info.clone()
+        }
+    }
+}
+
+fn ready_adapters(model: &PlacedModel) -> Vec<AdapterName> {
+    let ready = model
+        .adapters
+        .iter()
+        .filter(|(_, adapter)| adapter.ready && !adapter.leaving);
+    ready.map(|(name, _)| name.clone()).collect()
+}
--- /dev/null
+++ b/crates/ward-fleet/src/placement/mod.rs
@@ -0,0 +1,19 @@
+//! Which model and adapter lies on which engine.
+//!
+//! Only the coordinator decides this. [`PlacementState`] holds what it knows of
+//! engines and demand; [`plan_work`] turns that into work for engines that have
+//! none; the caller carries the work out and reports each step back.
+
+mod adapter;
+mod ceiling;
+mod demand;
+mod engine;
+mod plan;
+mod spread;
+mod state;
+mod victim;
+
+pub use demand::{DemandTable, ModelKey};
+pub use engine::{LoadSource, PlacedEngine, PlacedModel};
+pub use plan::{AdapterWork, ModelWork, PlannedWork, WorkReason, plan_work};
+pub use state::{MemberKey, PlacementState};
--- /dev/null
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -0,0 +1,358 @@
+//! The next work for engines.
+//!
+//! In order of need: models that requests wait for and no engine holds; busy
+//! models that need one more engine; idle memory that could hold a model which
+//! lies on the engine's disk and on no engine's memory.
+
+use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, TimeSpan};
+
+use super::adapter::plan_adapters;
+use super::demand::ModelKey;
+use super::engine::{EngineTask, LoadSource, PlacedEngine};
+use super::spread::{ReplicaCounts, wanted_replicas};
+use super::state::PlacementState;
+use super::victim::{VictimChoice, choose_victims};
+use crate::entry::EngineBirth;
+use crate::manifest::{EngineClass, ServingManifest};
+
+/// Cost of giving a busy engine one more model, in milliseconds per request.
+const RUNNING_COST_MILLIS: f64 = 4.0;
+/// Loads of the same model that may run at once to spread it.
+const MOST_SPREADS: usize = 2;
+/// Longest load that spreading a model is worth without an idle store.
+const STORE_SPREAD_CONCURRENCY: f64 = 1.6;
+
+/// Work for an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannedWork {
+    /// Load a model.
+    Model(ModelWork),
+    /// Load an adapter.
+    Adapter(AdapterWork),
+}
+
+/// Load a model, after others have made way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelWork {
+    /// The engine.
+    pub engine: BackendId,
+    /// The engine's life for which this was planned.
+    pub birth: Option<EngineBirth>,
+    /// Models to unload first.
+    pub unload: Vec<ModelName>,
+    /// The model to load.
+    pub model: ModelName,
+    /// Where its weights come from.
+    pub source: LoadSource,
+    /// How long loading should take.
+    pub load_time: TimeSpan,
+    /// Why.
+    pub reason: WorkReason,
+}
+
+/// Why a model is loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkReason {
+    /// Requests wait for it and no engine holds it.
+    Missing,
+    /// Its engines have too many requests.
+    Busy,
+    /// The engine has room for it.
+    Room,
+}
+
+/// Load an adapter, after another has made way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdapterWork {
+    /// The engine.
+    pub engine: BackendId,
+    /// The engine's life for which this was planned.
+    pub birth: Option<EngineBirth>,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter to load.
+    pub adapter: AdapterName,
+    /// An adapter to unload first.
+    pub unload: Option<(ModelName, AdapterName)>,
+}
+
+/// Plans work for engines that have none, and marks them as having it.
+pub fn plan_work(
+    state: &mut PlacementState,
+    manifest: &ServingManifest,
+    window: TimeSpan,
+    now: MonoTime,
+) -> Vec<PlannedWork> {
+    let mut works = Vec::new();
+    let adapters = plan_adapters(state, manifest, now);
+    works.extend(adapters.into_iter().map(PlannedWork::Adapter));
+    let counts = ReplicaCounts::of(state);
+    let mut planner = Planner {
+        state,
+        counts,
+        manifest,
+        window,
+        now,
+        works: Vec::new(),
+    };
+    planner.plan_missing();
+    planner.plan_busy();
+    planner.plan_room();
+    works.extend(planner.works.into_iter().map(PlannedWork::Model));
+    works
+}
+
+struct Planner<'a> {
+    state: &'a mut PlacementState,
+    counts: ReplicaCounts,
+    manifest: &'a ServingManifest,
+    window: TimeSpan,
+    now: MonoTime,
+    works: Vec<ModelWork>,
+}
+
+struct Candidate {
+    engine: BackendId,
+    source: LoadSource,
+    victims: VictimChoice,
+    cost: f64,
+}
+
+impl Planner<'_> {
+    fn plan_missing(&mut self) {
+        let mut missing: Vec<_> = self
+            .state
+            .demand
+            .iter()
+            .filter(|(key, demand)| demand.waiting > 0 && self.counts.get(key) == 0)
+            .filter_map(|(key, demand)| Some((demand.waiting_since?, key.clone())))
+            .collect();
+        missing.sort_by_key(|(since, _)| *since);
+        for (_, key) in missing {
+            self.load_somewhere(&key, WorkReason::Missing, true);
+        }
+    }
+
+    fn plan_busy(&mut self) {
+        let demands: Vec<_> = self
+            .state
+            .demand
+            .iter()
+            .filter(|(_, demand)| demand.concurrency >= 1.0)
+            .map(|(key, demand)| (key.clone(), demand.clone()))
+            .collect();
+        for (key, demand) in demands {
+            let Some(slots) = self.slots(&key) else {
+                continue;
+            };
+            let wanted = wanted_replicas(&demand, slots);
+            let present = self.counts.get(&key);
+            let missing = wanted.saturating_sub(present);
+            let coming = self.loading(&key);
+            let full = f64::from(slots) * present as f64;
+            let pressed = demand.concurrency * STORE_SPREAD_CONCURRENCY > full;
+            for _ in 0..missing.min(MOST_SPREADS.saturating_sub(coming)) {
+                if !self.load_somewhere(&key, WorkReason::Busy, pressed) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn plan_room(&mut self) {
+        let free: Vec<_> = self
+            .state
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.is_free(self.now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in free {
+            if let Some((key, candidate)) = self.room_candidate(&id) {
+                self.add(&key, candidate, WorkReason::Room);
+            }
+        }
+    }
+
+    /// The model for an engine's idle memory: on its disk, in no engine's
+    /// memory, with the fewest copies on other disks.
+    fn room_candidate(&self, id: &BackendId) -> Option<(ModelKey, Candidate)> {
+        let engine = self.state.engines.get(id)?;
+        let class = self.manifest.engine_class(&engine.info.service)?;
+        let free = engine.free(class);
+        let smallest = class.models.values().map(|model| model.weights).min()?;
+        if free < smallest {
+            return None;
+        }
+        let copies = engine.in_memory.iter().chain(&engine.on_disk);
+        let fitting = copies
+            .filter(|model| {
+                class
+                    .models
+                    .get(*model)
+                    .is_some_and(|size| size.weights <= free)
+            })
+            .map(|model| ModelKey {
+                service: engine.info.service.clone(),
+                model: model.clone(),
+            })
+            .filter(|key| self.counts.get(key) == 0);
+        let key = fitting.min_by_key(|key| self.copies(key))?;
+        let candidate = Candidate {
+            engine: id.clone(),
+            source: engine.source(&key.model),
+            victims: VictimChoice::default(),
+            cost: 0.0,
+        };
+        Some((key, candidate))
+    }
+
+    fn copies(&self, key: &ModelKey) -> usize {
+        let engines = self.state.engines.values().filter(|engine| {
+            engine.info.service == key.service && engine.source(&key.model) != LoadSource::Store
+        });
+        engines.count()
+    }
+
+    /// Plans a load on the cheapest engine; returns whether there is one.
+    fn load_somewhere(&mut self, key: &ModelKey, reason: WorkReason, from_store: bool) -> bool {
+        let candidates = self.state.engines.iter().filter_map(|(id, engine)| {
+            let candidate = self.candidate(key, id, engine)?;
+            let allowed =
+                candidate.source != LoadSource::Store || (from_store && self.store_allows(key));
+            allowed.then_some(candidate)
+        });
+        let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
+        let Some(candidate) = best else {
+            return false;
+        };
+        if reason == WorkReason::Missing
+            && candidate.source == LoadSource::Store
+            && self.comes_soon(key)
+        {
+            return false;
+        }
+        self.add(key, candidate, reason);
+        true
+    }
+
+    /// Whether an engine that has a copy at hand will be free for it soon.
+    fn comes_soon(&self, key: &ModelKey) -> bool {
+        self.state.engines.values().any(|engine| {
+            engine.info.service == key.service
+                && !engine.info.draining
+                && engine.source(&key.model) != LoadSource::Store
+        })
+    }
+
+    fn candidate(
+        &self,
+        key: &ModelKey,
+        id: &BackendId,
+        engine: &PlacedEngine,
+    ) -> Option<Candidate> {
+        let usable = engine.info.service == key.service
+            && engine.is_free(self.now)
+            && !engine.adapter_busy
+            && !engine.held.contains_key(&key.model);
+        if !usable {
+            return None;
+        }
+        let class = self.manifest.engine_class(&key.service)?;
+        let model = class.models.get(&key.model)?;
+        let victims = choose_victims(
+            &self.state.demand,
+            &self.counts,
+            engine,
+            class,
+            model.weights,
+            self.now,
+        )?;
+        let source = engine.source(&key.model);
+        let load = source.load_time(model).seconds() * 1_000.0;
+        let running = RUNNING_COST_MILLIS * f64::from(engine.running());
+        Some(Candidate {
+            engine: id.clone(),
+            source,
+            cost: load + victims.cost + running,
+            victims,
+        })
+    }
+
+    fn store_allows(&self, key: &ModelKey) -> bool {
+        let class = self.manifest.engine_class(&key.service);
+        let rate = class.map_or(0.0, |class| class.loads_per_second);
+        let tasks = self
+            .state
+            .engines
+            .values()
+            .filter_map(|engine| engine.task.as_ref());
+        let running = tasks
+            .filter(|task| task.source == LoadSource::Store)
+            .count();
+        self.state
+            .ceiling
+            .allows(running, rate, self.window, self.now)
+    }
+
+    fn loading(&self, key: &ModelKey) -> usize {
+        let engines = self.state.engines.values().filter(|engine| {
+            let task = engine.task.as_ref();
+            engine.info.service == key.service && task.is_some_and(|task| task.model == key.model)
+        });
+        engines.count()
+    }
+
+    fn slots(&self, key: &ModelKey) -> Option<u32> {
+        let mut engines = self.state.engines.values();
+        let engine = engines.find(|engine| engine.info.service == key.service)?;
+        Some(engine.info.slots)
+    }
+
+    fn add(&mut self, key: &ModelKey, candidate: Candidate, reason: WorkReason) {
+        let Some(class) = self.class(key) else {
+            return;
+        };
+        let Some(load_time) = class
+            .models
+            .get(&key.model)
+            .map(|model| candidate.source.load_time(model))
+        else {
+            return;
+        };
+        let Some(engine) = self.state.engines.get_mut(&candidate.engine) else {
+            return;
+        };
+        self.counts.add(key.clone());
+        for victim in &candidate.victims.models {
+            self.counts.remove(&ModelKey {
+                service: key.service.clone(),
+                model: victim.clone(),
+            });
+            if let Some(held) = engine.held.get_mut(victim) {
+                held.leaving = true;
+            }
+        }
+        engine.task = Some(EngineTask {
+            model: key.model.clone(),
+            source: candidate.source,
+        });
+        let birth = engine.info.birth;
+        if candidate.source == LoadSource::Store {
+            self.state.ceiling.note(self.now, self.window);
+        }
+        self.works.push(ModelWork {
+            engine: candidate.engine,
+            birth,
+            unload: candidate.victims.models,
+            model: key.model.clone(),
+            source: candidate.source,
+            load_time,
+            reason,
+        });
+    }
+
+    fn class(&self, key: &ModelKey) -> Option<&EngineClass> {
+        self.manifest.engine_class(&key.service)
+    }
+}
--- /dev/null
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -0,0 +1,233 @@
+//! What the coordinator knows.
+
+use indexmap::IndexMap;
+use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime};
+
+use super::ceiling::StoreCeiling;
+use super::demand::{DemandTable, ModelKey};
+use super::engine::{PlacedAdapter, PlacedEngine};
+use crate::entry::{EngineBirth, EngineEntry, OrderSequence};
+use crate::message::{EngineInfo, EngineLoad, LoadReport};
+
+/// A daemon's connection to the coordinator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct MemberKey(pub u64);
+
+/// Engines, demand and the weight store.
+#[derive(Debug, Clone, Default)]
+pub struct PlacementState {
+    /// Engines by id.
+    pub engines: IndexMap<BackendId, PlacedEngine>,
+    /// Demand by model.
+    pub demand: DemandTable,
+    /// Loads from the weight store.
+    pub ceiling: StoreCeiling,
+    reports: IndexMap<MemberKey, LoadReport>,
+}
+
+impl PlacementState {
+    /// Takes over a heartbeat; returns whether the engine is new or has
+    /// restarted.
+    pub fn note_entry(&mut self, entry: &EngineEntry, now: MonoTime) -> bool {
+        match self.engines.get_mut(&entry.id) {
+            Some(engine) if engine.info.birth == entry.birth => {
+                engine.refresh(entry, now);
+                false
+            }
+            Some(engine) if entry.birth < engine.info.birth => false,
+            _ => {
+                let engine = PlacedEngine::new(entry, now);
+                self.engines.insert(entry.id.clone(), engine);
+                true
+            }
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn remove_engine(&mut self, id: &BackendId) {
+        self.engines.shift_remove(id);
+    }
+
+    /// Takes over a daemon's report.
+    pub fn note_report(&mut self, member: MemberKey, report: LoadReport, now: MonoTime) {
+        for arrival in &report.arrivals {
+            let key = ModelKey {
+                service: arrival.service.clone(),
+                model: arrival.model.clone(),
+            };
+            self.demand.note_arrivals(key, arrival.count);
+        }
+        for misplaced in &report.misplaced {
+            self.note_misplaced(
+                &misplaced.engine,
+                misplaced.model.as_ref(),
+                misplaced.adapter.as_ref(),
+                now,
+            );
+        }
+        self.reports.insert(member, report);
+    }
+
+    /// Forgets a daemon that is gone, with its requests.
+    pub fn remove_member(&mut self, member: MemberKey) {
+        self.reports.shift_remove(&member);
+    }
+
+    /// Recomputes what depends on the daemons' reports.
+    pub fn settle(&mut self, now: MonoTime) {
+        let running = self.count_running(now);
+        self.demand.update(self.reports.values(), &running, now);
+    }
+
+    fn count_running(&mut self, now: MonoTime) -> IndexMap<ModelKey, u32> {
+        for engine in self.engines.values_mut() {
+            for model in engine.held.values_mut() {
+                model.running = 0;
+                for adapter in model.adapters.values_mut() {
+                    adapter.running = 0;
+                }
+            }
+        }
+        let mut totals = IndexMap::new();
+        for count in self.reports.values().flat_map(|report| &report.running) {
+            let Some(engine) = self.engines.get_mut(&count.engine) else {
+                continue;
+            };
+            let Some(name) = &count.model else {
+                continue;
+            };
+            let key = ModelKey {
+                service: engine.info.service.clone(),
+                model: name.clone(),
+            };
+            *totals.entry(key).or_default() += count.count;
+            let Some(model) = engine.held.get_mut(name) else {
+                continue;
+            };
+            model.running += count.count;
+            model.last_used = now;
+            let adapter = count
+                .adapter
+                .as_ref()
+                .and_then(|name| model.adapters.get_mut(name));
+            if let Some(adapter) = adapter {
+                adapter.running += count.count;
+                adapter.last_used = now;
+            }
+        }
+        totals
+    }
+
+    /// Requests at each engine over all daemons, where there are any.
+    #[must_use]
+    pub fn loads(&self) -> Vec<EngineLoad> {
+        let mut loads: IndexMap<&BackendId, u32> = IndexMap::new();
+        for count in self.reports.values().flat_map(|report| &report.running) {
+            *loads.entry(&count.engine).or_default() += count.count;
+        }
+        let loads = loads.into_iter().map(|(engine, count)| EngineLoad {
+            engine: engine.clone(),
+            count,
+        });
+        loads.collect()
+    }
+
+    /// What daemons are told of the engines.
+    #[must_use]
+    pub fn engine_infos(&self) -> IndexMap<BackendId, EngineInfo> {
+        let infos = self
+            .engines
+            .iter()
+            .map(|(id, engine)| (id.clone(), engine.public_info()));
+        infos.collect()
+    }
+
+    /// The engine with an id, if it is still in the same life.
+    pub fn engine_mut(
+        &mut self,
+        id: &BackendId,
+        birth: Option<EngineBirth>,
+    ) -> Option<&mut PlacedEngine> {
+        let engine = self.engines.get_mut(id)?;
+        (engine.info.birth == birth).then_some(engine)
+    }
+
+    /// A request found that an engine lacks what it should hold.
+    fn note_misplaced(
+        &mut self,
+        id: &BackendId,
+        model: Option<&ModelName>,
+        adapter: Option<&AdapterName>,
+        now: MonoTime,
+    ) {
+        let (Some(engine), Some(model)) = (self.engines.get_mut(id), model) else {
+            return;
+        };
+        if engine.task.is_some() || engine.adapter_busy {
+            return;
+        }
+        match adapter {
+            // The model's memory stays counted until a heartbeat shows it gone.
+            None => {
+                if let Some(held) = engine.held.get_mut(model) {
+                    held.leaving = true;
+                    engine.ordered = now;
+                }
+            }
+            Some(adapter) => {
+                if let Some(held) = engine.held.get_mut(model) {
+                    held.adapters.shift_remove(adapter);
+                }
+            }
+        }
+    }
+}
+
+impl PlacedEngine {
+    /// Notes that an order was accepted.
+    pub fn note_accepted(&mut self, now: MonoTime) {
+        self.sequence = self.sequence.next();
+        self.ordered = now;
+    }
+
+    /// Takes over the sequence number that the engine reports.
+    pub fn note_sequence(&mut self, sequence: OrderSequence) {
+        self.sequence = sequence;
+    }
+
+    /// Notes that a model is ready.
+    pub fn note_loaded(&mut self, model: &ModelName, now: MonoTime) {
+        let placed = self.held.entry(model.clone()).or_default();
+        placed.leaving = false;
+        placed.last_used = now;
+        self.in_memory.retain(|name| name != model);
+        self.in_memory.push(model.clone());
+        if !self.on_disk.contains(model) {
+            self.on_disk.push(model.clone());
+        }
+    }
+
+    /// Notes that a model is gone.
+    pub fn note_unloaded(&mut self, model: &ModelName) {
+        self.held.shift_remove(model);
+    }
+
+    /// Notes that an adapter is ready.
+    pub fn note_adapter(&mut self, model: &ModelName, adapter: &AdapterName, now: MonoTime) {
+        if let Some(placed) = self.held.get_mut(model) {
+            let ready = PlacedAdapter {
+                ready: true,
+                last_used: now,
+                ..PlacedAdapter::default()
+            };
+            placed.adapters.insert(adapter.clone(), ready);
+        }
+    }
+
+    /// Notes that an adapter is gone or never came.
+    pub fn note_adapter_gone(&mut self, model: &ModelName, adapter: &AdapterName) {
+        if let Some(placed) = self.held.get_mut(model) {
+            placed.adapters.shift_remove(adapter);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-fleet/src/queue.rs
@@ -0,0 +1,30 @@
+//! In which order waiting requests get an engine.
+//!
+//! Load pattern: more requests than places, some of which are late already.
+//! Urgent routes go first; within a route's urgency the request that is about
+//! to miss its target goes first, and those that have missed it come after all
+//! that can still meet theirs.
+
+use ward_protocol::MonoTime;
+
+/// Place of a waiting request; the smallest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueRank {
+    priority: u32,
+    late: bool,
+    due: MonoTime,
+}
+
+impl QueueRank {
+    /// The rank of a request that is on time until `target` and must be
+    /// answered by `deadline`.
+    #[must_use]
+    pub fn new(priority: u32, target: MonoTime, deadline: MonoTime, now: MonoTime) -> Self {
+        let late = now >= target;
+        Self {
+            priority,
+            late,
+            due: if late { deadline } else { target },
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -0,0 +1,175 @@
+//! What the coordinator holds during its term.
+
+use std::cell::{Cell, RefCell};
+
+use indexmap::IndexMap;
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, mpsc};
+use ward_fleet::placement::{MemberKey, PlacementState};
+use ward_fleet::{CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport};
+use ward_protocol::{BackendId, FenceNumber, MonoTime};
+
+use super::publish::{Publisher, ViewFrame};
+use crate::clock;
+
+/// Views that may wait for a daemon that does not read.
+const QUEUED_VIEWS: usize = 64;
+
+/// The coordinator of one term.
+pub(crate) struct ActiveCoordinator {
+    pub(super) state: RefCell<PlacementState>,
+    pub(super) lease: RefCell<CoordinatorLease>,
+    pub(super) window: LeaseWindow,
+    pub(super) links: RefCell<IndexMap<MemberKey, MemberLink>>,
+    pub(super) publisher: RefCell<Publisher>,
+    pub(super) crashes: RefCell<CrashLedger>,
+    pub(super) store_heard: Cell<MonoTime>,
+    /// Wakes planning before its time.
+    pub(super) wake: Notify,
+    logger: Logger,
+    next_key: Cell<u64>,
+    ended: Cell<bool>,
+    end: Notify,
+}
+
+/// A daemon's connection.
+pub(super) struct MemberLink {
+    pub(super) frames: mpsc::Sender<ViewFrame>,
+    pub(super) member: Option<HostMember>,
+    pub(super) leaving: bool,
+    /// Whether it has got a complete view.
+    pub(super) complete: bool,
+}
+
+impl ActiveCoordinator {
+    pub(super) fn new(
+        lease: CoordinatorLease,
+        window: LeaseWindow,
+        publisher: Publisher,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            state: RefCell::default(),
+            lease: RefCell::new(lease),
+            window,
+            links: RefCell::default(),
+            publisher: RefCell::new(publisher),
+            crashes: RefCell::default(),
+            store_heard: Cell::new(clock::now()),
+            wake: Notify::new(),
+            logger,
+            next_key: Cell::default(),
+            ended: Cell::default(),
+            end: Notify::new(),
+        }
+    }
+
+    /// Fencing number of the term.
+    pub(super) fn fence(&self) -> FenceNumber {
+        self.lease.borrow().fence
+    }
+
+    /// Whether orders may be given now.
+    pub(super) fn may_order(&self) -> bool {
+        !self.ended.get() && self.lease.borrow().may_order(&self.window, clock::now())
+    }
+
+    /// Whether the term is over.
+    pub(super) fn is_ended(&self) -> bool {
+        self.ended.get()
+    }
+
+    /// Ends the term.
+    pub(super) fn end(&self, why: &str) {
+        if !self.ended.replace(true) {
+            warn!(self.logger, "coordinator: term ends"; "fence" => self.fence().0, "why" => why);
+            self.end.notify_waiters();
+        }
+    }
+
+    /// Waits for the end of the term.
+    pub(crate) async fn ended(&self) {
+        loop {
+            let end = self.end.notified();
+            if self.ended.get() {
+                return;
+            }
+            end.await;
+        }
+    }
+
+    /// Adds a daemon's connection.
+    pub(crate) fn add_link(&self) -> (MemberKey, mpsc::Receiver<ViewFrame>) {
+        let key = MemberKey(self.next_key.get());
+        self.next_key.set(key.0 + 1);
+        let (sender, receiver) = mpsc::channel(QUEUED_VIEWS);
+        let link = MemberLink {
+            frames: sender,
+            member: None,
+            leaving: false,
+            complete: false,
+        };
+        self.links.borrow_mut().insert(key, link);
+        (key, receiver)
+    }
+
+    /// Forgets a daemon's connection with its requests.
+    pub(crate) fn remove_link(&self, key: MemberKey) -> Option<HostMember> {
+        self.state.borrow_mut().remove_member(key);
+        let link = self.links.borrow_mut().shift_remove(&key)?;
+        link.member
+    }
+
+    /// Notes who is at the other end of a connection.
+    pub(crate) fn note_member(&self, key: MemberKey, member: HostMember) {
+        info!(
+            self.logger, "coordinator: daemon joined";
+            "daemon" => %member.daemon, "zone" => %member.zone,
+        );
+        if let Some(link) = self.links.borrow_mut().get_mut(&key) {
+            link.member = Some(member);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Notes that a daemon stops.
+    pub(crate) fn note_leaving(&self, key: MemberKey) {
+        if let Some(link) = self.links.borrow_mut().get_mut(&key) {
+            link.leaving = true;
+        }
+        self.wake.notify_one();
+    }
+
+    /// Notes a daemon's requests.
+    pub(crate) fn note_report(&self, key: MemberKey, report: LoadReport, now: MonoTime) {
+        let urgent = !report.waiting.is_empty();
+        for fingerprint in &report.crashes {
+            if self.crashes.borrow_mut().note(*fingerprint, now) {
+                warn!(self.logger, "coordinator: request blocked"; "fingerprint" => %fingerprint);
+                self.publisher.borrow_mut().block(*fingerprint);
+            }
+        }
+        self.state.borrow_mut().note_report(key, report, now);
+        if urgent {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Notes that the store has told all it knows of engines.
+    pub(super) fn note_store(&self, now: MonoTime) {
+        self.store_heard.set(now);
+    }
+
+    /// Notes an engine's heartbeat.
+    pub(super) fn note_entry(&self, entry: &EngineEntry, now: MonoTime) {
+        if self.state.borrow_mut().note_entry(entry, now) {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Notes that an engine is gone.
+    pub(super) fn remove_engine(&self, id: &BackendId) {
+        self.state.borrow_mut().remove_engine(id);
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -0,0 +1,12 @@
+//! The coordinator: the one daemon that gives orders to engines.
+
+mod active;
+mod publish;
+mod slot;
+mod term;
+mod work;
+
+pub(crate) use active::ActiveCoordinator;
+pub(crate) use publish::ViewFrame;
+pub(crate) use slot::CoordinatorSlot;
+pub(crate) use term::{release, take_over};
--- /dev/null
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -0,0 +1,177 @@
+//! The state of the fleet, told to all daemons as it changes.
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use slog::{Logger, warn};
+use tokio::sync::mpsc::error::TrySendError;
+use ward_fleet::{CoordinatorMessage, EngineInfo, FleetView, HostMember, ManifestVersion};
+use ward_protocol::{BackendId, MonoTime, RequestFingerprint, TimeSpan};
+
+use super::active::ActiveCoordinator;
+use crate::clock;
+use crate::hub::encode_frame;
+
+/// An encoded view.
+pub(crate) type ViewFrame = Rc<Vec<u8>>;
+
+/// Time between views that count requests.
+const LOADS_PAUSE: TimeSpan = TimeSpan::from_millis(200);
+/// Time at the begin of a term in which daemons that are not connected yet are
+/// still listed.
+const JOIN_TIME: TimeSpan = TimeSpan::from_millis(2_500);
+
+/// What daemons have been told.
+pub(super) struct Publisher {
+    engines: IndexMap<BackendId, EngineInfo>,
+    members: Vec<HostMember>,
+    inherited: Vec<HostMember>,
+    blocked: Vec<RequestFingerprint>,
+    loads_sent: MonoTime,
+    begun: MonoTime,
+}
+
+impl Publisher {
+    /// A publisher that knows these daemons from before its term.
+    pub(super) fn new(inherited: Vec<HostMember>) -> Self {
+        Self {
+            engines: IndexMap::new(),
+            members: Vec::new(),
+            inherited,
+            blocked: Vec::new(),
+            loads_sent: MonoTime::default(),
+            begun: clock::now(),
+        }
+    }
+
+    /// Tells daemons not to send a request to engines any more.
+    pub(super) fn block(&mut self, fingerprint: RequestFingerprint) {
+        self.blocked.push(fingerprint);
+    }
+}
+
+/// Sends each daemon what changed, and a complete view to those that are new.
+pub(super) fn publish(coordinator: &ActiveCoordinator, manifest: ManifestVersion, logger: &Logger) {
+    let now = clock::now();
+    let engines = coordinator.state.borrow().engine_infos();
+    let members = current_members(coordinator, now);
+    let mut publisher = coordinator.publisher.borrow_mut();
+    let loads_due = now.since(publisher.loads_sent) >= LOADS_PAUSE;
+    let changed: Vec<_> = engines
+        .values()
+        .filter(|info| publisher.engines.get(&info.id) != Some(*info))
+        .cloned()
+        .collect();
+    let gone: Vec<_> = publisher
+        .engines
+        .keys()
+        .filter(|id| !engines.contains_key(*id))
+        .cloned()
+        .collect();
+    let members_changed = publisher.members != members;
+    let blocked = std::mem::take(&mut publisher.blocked);
+    let loads = loads_due.then(|| coordinator.state.borrow().loads());
+    let part = FleetView {
+        term: coordinator.fence(),
+        complete: false,
+        engines: changed,
+        gone,
+        loads,
+        members: members_changed.then(|| members.clone()),
+        manifest,
+        store_age: now.since(coordinator.store_heard.get()),
+        poisoned: blocked,
+    };
+    let worth_sending = loads_due
+        || members_changed
+        || !part.engines.is_empty()
+        || !part.gone.is_empty()
+        || !part.poisoned.is_empty();
+    if loads_due {
+        publisher.loads_sent = now;
+    }
+    publisher.engines = engines;
+    publisher.members = members;
+    let whole = FleetView {
+        complete: true,
+        engines: publisher.engines.values().cloned().collect(),
+        gone: Vec::new(),
+        loads: Some(coordinator.state.borrow().loads()),
+        members: Some(publisher.members.clone()),
+        poisoned: coordinator.crashes.borrow().blocked(),
+        ..part.clone()
+    };
+    drop(publisher);
+    send(coordinator, worth_sending.then_some(part), whole, logger);
+}
+
+/// Daemons that take requests: those connected, and at the begin of a term also
+/// those known from before.
+fn current_members(coordinator: &ActiveCoordinator, now: MonoTime) -> Vec<HostMember> {
+    let links = coordinator.links.borrow();
+    let mut members: Vec<HostMember> = links
+        .values()
+        .filter(|link| !link.leaving)
+        .filter_map(|link| link.member.clone())
+        .collect();
+    let leaves = |member: &HostMember| {
+        let mut left = links.values().filter(|link| link.leaving);
+        left.any(|link| {
+            link.member
+                .as_ref()
+                .is_some_and(|other| other.daemon == member.daemon)
+        })
+    };
+    let publisher = coordinator.publisher.borrow();
+    if now.since(publisher.begun) < JOIN_TIME {
+        for member in &publisher.inherited {
+            let known = members.iter().any(|other| other.daemon == member.daemon);
+            if !known && !leaves(member) {
+                members.push(member.clone());
+            }
+        }
+    }
+    members.sort_by(|left, right| left.daemon.cmp(&right.daemon));
+    members.dedup_by(|left, right| left.daemon == right.daemon);
+    members
+}
+
+fn send(
+    coordinator: &ActiveCoordinator,
+    part: Option<FleetView>,
+    whole: FleetView,
+    logger: &Logger,
+) {
+    let part = part.and_then(|view| encode(view, logger));
+    let mut links = coordinator.links.borrow_mut();
+    let needs_whole = links.values().any(|link| !link.complete);
+    let whole = if needs_whole {
+        encode(whole, logger)
+    } else {
+        None
+    };
+    links.retain(|_, link| {
+        let frame = if link.complete { &part } else { &whole };
+        let Some(frame) = frame else {
+            return true;
+        };
+        match link.frames.try_send(Rc::clone(frame)) {
+            Ok(()) => {
+                link.complete = true;
+                true
+            }
+            // A daemon that does not read is let go; it comes back by itself.
+            Err(TrySendError::Full(_) | TrySendError::Closed(_)) => false,
+        }
+    });
+}
+
+fn encode(view: FleetView, logger: &Logger) -> Option<ViewFrame> {
+    match encode_frame(&CoordinatorMessage::View(view)) {
+        Ok(frame) => Some(Rc::new(frame)),
+        Err(cause) => {
+            warn!(logger, "coordinator: view cannot be encoded"; "cause" => %cause);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -0,0 +1,202 @@
+//! Terms: taking over, renewing, planning, ending.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use ward_adapter::{StoreClient, StoreError, StoreTopic, decode_entry};
+use ward_fleet::placement::plan_work;
+use ward_fleet::{CoordinatorLease, LeaseWindow, TermRecord};
+use ward_protocol::FenceNumber;
+use ward_protocol::codec::{decode, encode};
+
+use super::active::ActiveCoordinator;
+use super::publish::{Publisher, publish};
+use super::work::start_work;
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// Time between plans while nothing urgent happens.
+const PLAN_PAUSE: Duration = Duration::from_millis(50);
+/// Least time between two plans.
+const LEAST_PLAN_PAUSE: Duration = Duration::from_millis(3);
+/// Pause after a renewal that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Begins a term if no other daemon has since the store was read; returns where
+/// the coordinator is then.
+pub(crate) async fn take_over(gateway: &Rc<Gateway>, end: u64) -> Option<SocketAddr> {
+    let started = clock::now();
+    let offset = match append(gateway, FenceNumber(0), false, end).await {
+        Ok(offset) => offset,
+        Err(cause) => {
+            info!(gateway.logger, "coordinator: not taken over"; "cause" => %cause);
+            return None;
+        }
+    };
+    let settings = gateway.settings();
+    let window = LeaseWindow::new(settings.bounds.lease);
+    let lease = CoordinatorLease::begin(offset, started);
+    let publisher = Publisher::new(gateway.members.borrow().clone());
+    let logger = gateway.logger.clone();
+    let coordinator = Rc::new(ActiveCoordinator::new(lease, window, publisher, logger));
+    info!(gateway.logger, "coordinator: term begins"; "fence" => lease.fence.0);
+    gateway.metrics.coordinates.set(1);
+    learn_engines(gateway, &coordinator).await;
+    gateway.coordinator.set(Some(Rc::clone(&coordinator)));
+    tokio::task::spawn_local(run_term(Rc::clone(gateway), coordinator));
+    Some(settings.peers)
+}
+
+/// Reads all engines, and takes over which adapters were known before.
+async fn learn_engines(gateway: &Gateway, coordinator: &ActiveCoordinator) {
+    let tail = match gateway.store.newest(StoreTopic::Engines).await {
+        Ok(tail) => tail,
+        Err(cause) => {
+            warn!(gateway.logger, "coordinator: engines not read"; "cause" => %cause);
+            return;
+        }
+    };
+    let now = clock::now();
+    for record in tail
+        .records
+        .iter()
+        .filter(|record| !record.value.is_empty())
+    {
+        let Ok(mut entry) = decode_entry(&record.key, &record.value) else {
+            // The reader of engines logs entries that cannot be used.
+            continue;
+        };
+        let table = gateway.table.borrow();
+        let known = table
+            .get(&entry.id)
+            .filter(|engine| engine.info.birth == entry.birth);
+        for held in known.iter().flat_map(|engine| &engine.info.holding) {
+            let model = entry
+                .models
+                .iter_mut()
+                .find(|model| model.model == held.model);
+            if let Some(model) = model {
+                model.adapters.extend(held.adapters.iter().cloned());
+            }
+        }
+        coordinator.state.borrow_mut().note_entry(&entry, now);
+    }
+}
+
+async fn run_term(gateway: Rc<Gateway>, coordinator: Rc<ActiveCoordinator>) {
+    tokio::select! {
+        () = renew(&gateway, &coordinator) => {}
+        () = plan(&gateway, &coordinator) => {}
+        () = coordinator.ended() => {}
+    }
+    coordinator.end("renewal or planning stopped");
+    gateway.coordinator.set(None);
+    gateway.metrics.coordinates.set(0);
+}
+
+async fn append(
+    gateway: &Gateway,
+    fence: FenceNumber,
+    released: bool,
+    at: u64,
+) -> Result<u64, StoreError> {
+    let settings = gateway.settings();
+    let record = TermRecord {
+        daemon: settings.daemon.clone(),
+        incarnation: gateway.incarnation,
+        peers: settings.peers,
+        fence,
+        released,
+    };
+    let value = encode(&record).map_err(|_| StoreError::Format("a term cannot be encoded"))?;
+    let key = StoreClient::coordinator_key();
+    gateway
+        .store
+        .append_at(StoreTopic::Coordinator, key, &value, at)
+        .await
+}
+
+async fn renew(gateway: &Gateway, coordinator: &ActiveCoordinator) {
+    loop {
+        tokio::time::sleep(coordinator.window.renewal.duration()).await;
+        let lease = *coordinator.lease.borrow();
+        let started = clock::now();
+        match append(gateway, lease.fence, false, lease.next).await {
+            Ok(offset) => coordinator.lease.borrow_mut().renew(offset, started),
+            Err(cause) => {
+                warn!(
+                    gateway.logger, "coordinator: renewal failed";
+                    "fence" => lease.fence.0, "cause" => %cause,
+                );
+                if !check_term(gateway, coordinator, &lease).await {
+                    return;
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// After a renewal without a clear result: whether the term is still ours. A
+/// renewal that landed unseen counts from the last one that was seen.
+async fn check_term(
+    gateway: &Gateway,
+    coordinator: &ActiveCoordinator,
+    lease: &CoordinatorLease,
+) -> bool {
+    let Ok(tail) = gateway.store.newest(StoreTopic::Coordinator).await else {
+        // Without the store nobody can take over, and no orders are given.
+        return true;
+    };
+    let newest = tail.records.last();
+    let term = newest.and_then(|record| decode::<TermRecord>(&record.value).ok());
+    let ours = term.is_some_and(|term| {
+        term.incarnation == gateway.incarnation && term.daemon == gateway.settings().daemon
+    });
+    if ours || newest.is_some_and(|record| record.offset < lease.next) {
+        coordinator.lease.borrow_mut().next = tail.end;
+        return true;
+    }
+    coordinator.end("another daemon took over");
+    false
+}
+
+async fn plan(gateway: &Rc<Gateway>, coordinator: &Rc<ActiveCoordinator>) {
+    loop {
+        // Either the pause or a wish for a plan ends the wait.
+        drop(tokio::time::timeout(PLAN_PAUSE, coordinator.wake.notified()).await);
+        tokio::time::sleep(LEAST_PLAN_PAUSE).await;
+        if coordinator.is_ended() {
+            return;
+        }
+        let now = clock::now();
+        let manifest = gateway.manifest();
+        coordinator.state.borrow_mut().settle(now);
+        if let (Some(manifest), true) = (&manifest, coordinator.may_order()) {
+            let window = gateway.settings().bounds.load_window;
+            let works = plan_work(&mut coordinator.state.borrow_mut(), manifest, window, now);
+            for work in works {
+                start_work(gateway, coordinator, work);
+            }
+        }
+        let version = manifest
+            .map(|manifest| manifest.version)
+            .unwrap_or_default();
+        publish(coordinator, version, &gateway.logger);
+    }
+}
+
+/// Gives up the term, if this daemon holds it, so that another can take over
+/// without waiting for the whole lease.
+pub(crate) async fn release(gateway: &Gateway) {
+    let Some(coordinator) = gateway.coordinator.active() else {
+        return;
+    };
+    let lease = *coordinator.lease.borrow();
+    coordinator.end("the process stops");
+    if let Err(cause) = append(gateway, lease.fence, true, lease.next).await {
+        warn!(gateway.logger, "coordinator: release failed"; "cause" => %cause);
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -0,0 +1,275 @@
+//! Work on an engine: orders, one after another, with their outcomes.
+//!
+//! Each order names the sequence number at which it may be carried out, so an
+//! order whose answer was lost can be sent again: at most one of the two takes
+//! effect, however late the first one is.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use ward_adapter::{OrderAnswer, OrderCall, OrderFailure, fetch_report, send_order};
+use ward_fleet::placement::{AdapterWork, ModelWork, PlannedWork};
+use ward_fleet::{EngineBirth, EngineOrder};
+use ward_http::HttpCaller;
+use ward_protocol::{BackendId, TimeSpan};
+
+use super::active::ActiveCoordinator;
+use crate::clock;
+use crate::gateway::Gateway;
+
+const ORDER_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
+const REPORT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
+/// Pause before an order is tried again; grows with each try.
+const BUSY_PAUSE: Duration = Duration::from_millis(12);
+const MOST_TRIES: u32 = 14;
+/// Tries after which the engine is asked for its sequence number.
+const TRIES_TO_ASK: u32 = 4;
+/// Time that an adapter takes to load once its order was accepted.
+const ADAPTER_TIME: Duration = Duration::from_millis(8);
+/// Pause for an engine after work that failed; its heartbeats tell the truth
+/// again by then.
+const REST: TimeSpan = TimeSpan::from_millis(2_600);
+
+/// Why an order was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderStop {
+    /// The term is over or not certain.
+    NoLease,
+    /// The engine is gone or has restarted.
+    EngineGone,
+    /// The engine keeps refusing.
+    Refused,
+    /// The engine does not answer.
+    Unreachable,
+}
+
+/// An engine in one of its lives.
+struct Target {
+    engine: BackendId,
+    birth: Option<EngineBirth>,
+}
+
+struct Worker {
+    gateway: Rc<Gateway>,
+    coordinator: Rc<ActiveCoordinator>,
+    caller: HttpCaller,
+    target: Target,
+}
+
+/// Starts work; its outcome shows in the coordinator's state.
+pub(super) fn start_work(
+    gateway: &Rc<Gateway>,
+    coordinator: &Rc<ActiveCoordinator>,
+    work: PlannedWork,
+) {
+    let target = match &work {
+        PlannedWork::Model(work) => Target {
+            engine: work.engine.clone(),
+            birth: work.birth,
+        },
+        PlannedWork::Adapter(work) => Target {
+            engine: work.engine.clone(),
+            birth: work.birth,
+        },
+    };
+    let worker = Worker {
+        gateway: Rc::clone(gateway),
+        coordinator: Rc::clone(coordinator),
+        caller: HttpCaller::new(),
+        target,
+    };
+    tokio::task::spawn_local(async move {
+        match work {
+            PlannedWork::Model(work) => worker.model(work).await,
+            PlannedWork::Adapter(work) => worker.adapter(work).await,
+        }
+        worker.coordinator.wake.notify_one();
+    });
+}
+
+impl Worker {
+    async fn model(&self, work: ModelWork) {
+        let started = clock::now();
+        let result = self.swap(&work).await;
+        info!(
+            self.gateway.logger, "placement: model"; "engine" => %self.target.engine,
+            "model" => %work.model, "unloaded" => work.unload.len(),
+            "source" => ?work.source, "reason" => ?work.reason,
+            "millis" => clock::now().since(started).millis(),
+            "failed" => result.err().map(|stop| format!("{stop:?}")),
+        );
+        let mut state = self.coordinator.state.borrow_mut();
+        let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) else {
+            return;
+        };
+        engine.task = None;
+        match result {
+            Ok(()) => engine.note_loaded(&work.model, clock::now()),
+            Err(_) => {
+                engine.rests_until = clock::now() + REST;
+                engine.ordered = clock::now();
+            }
+        }
+    }
+
+    async fn swap(&self, work: &ModelWork) -> Result<(), OrderStop> {
+        for victim in &work.unload {
+            self.order(EngineOrder::UnloadModel(victim.clone())).await?;
+            let mut state = self.coordinator.state.borrow_mut();
+            if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
+                engine.note_unloaded(victim);
+            }
+        }
+        let answer = self
+            .order(EngineOrder::LoadModel(work.model.clone()))
+            .await?;
+        if answer == OrderAnswer::Accepted {
+            tokio::time::sleep(work.load_time.duration()).await;
+        }
+        Ok(())
+    }
+
+    async fn adapter(&self, work: AdapterWork) {
+        let result = self.swap_adapter(&work).await;
+        info!(
+            self.gateway.logger, "placement: adapter"; "engine" => %self.target.engine,
+            "model" => %work.model, "adapter" => %work.adapter,
+            "failed" => result.err().map(|stop| format!("{stop:?}")),
+        );
+        let mut state = self.coordinator.state.borrow_mut();
+        let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) else {
+            return;
+        };
+        engine.adapter_busy = false;
+        match result {
+            Ok(()) => engine.note_adapter(&work.model, &work.adapter, clock::now()),
+            Err(_) => {
+                engine.note_adapter_gone(&work.model, &work.adapter);
+                engine.rests_until = clock::now() + REST;
+                engine.ordered = clock::now();
+            }
+        }
+    }
+
+    async fn swap_adapter(&self, work: &AdapterWork) -> Result<(), OrderStop> {
+        if let Some((model, adapter)) = &work.unload {
+            let order = EngineOrder::UnloadAdapter(model.clone(), adapter.clone());
+            self.order(order).await?;
+            let mut state = self.coordinator.state.borrow_mut();
+            if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
+                engine.note_adapter_gone(model, adapter);
+            }
+        }
+        let order = EngineOrder::LoadAdapter(work.model.clone(), work.adapter.clone());
+        if self.order(order).await? == OrderAnswer::Accepted {
+            tokio::time::sleep(ADAPTER_TIME).await;
+        }
+        Ok(())
+    }
+
+    /// Gives an order until the engine accepts it or says that it holds.
+    async fn order(&self, order: EngineOrder) -> Result<OrderAnswer, OrderStop> {
+        for tries in 1..=MOST_TRIES {
+            let answer = self.order_once(&order).await?;
+            match answer {
+                Some(OrderAnswer::Accepted | OrderAnswer::Holds) => {
+                    return Ok(answer.unwrap_or(OrderAnswer::Holds));
+                }
+                Some(OrderAnswer::Fenced) => {
+                    self.coordinator
+                        .end("an engine knows a higher fencing number");
+                    return Err(OrderStop::NoLease);
+                }
+                Some(OrderAnswer::OtherEngine) => return Err(OrderStop::EngineGone),
+                Some(OrderAnswer::Invalid) => return Err(OrderStop::Refused),
+                Some(OrderAnswer::Busy) | None => {}
+            }
+            tokio::time::sleep(BUSY_PAUSE * tries).await;
+            if tries % TRIES_TO_ASK == 0 {
+                self.ask_sequence().await;
+            }
+        }
+        Err(OrderStop::Unreachable)
+    }
+
+    /// Sends an order once; nothing when its outcome is not known.
+    async fn order_once(&self, order: &EngineOrder) -> Result<Option<OrderAnswer>, OrderStop> {
+        if !self.coordinator.may_order() {
+            return Err(OrderStop::NoLease);
+        }
+        let (address, expect) = {
+            let mut state = self.coordinator.state.borrow_mut();
+            let engine = state.engine_mut(&self.target.engine, self.target.birth);
+            let engine = engine.ok_or(OrderStop::EngineGone)?;
+            (engine.info.address, engine.sequence)
+        };
+        let holder = self.gateway.settings().daemon.clone();
+        let call = OrderCall {
+            address,
+            engine: &self.target.engine,
+            order,
+            expect,
+            holder: &holder,
+            fence: self.coordinator.fence(),
+        };
+        let answer = send_order(&self.caller, &call, ORDER_TIMEOUT).await;
+        self.note_answer(order, &answer);
+        Ok(answer.ok())
+    }
+
+    fn note_answer(&self, order: &EngineOrder, answer: &Result<OrderAnswer, OrderFailure>) {
+        let word = match answer {
+            Ok(OrderAnswer::Accepted) => "accepted",
+            Ok(OrderAnswer::Holds) => "holds",
+            Ok(OrderAnswer::Busy) => "busy",
+            Ok(OrderAnswer::Fenced) => "fenced",
+            Ok(OrderAnswer::Invalid) => "invalid",
+            Ok(OrderAnswer::OtherEngine) => "other_engine",
+            Err(_) => "unknown",
+        };
+        self.gateway.metrics.orders.with_label_values(&[word]).inc();
+        if word == "accepted" {
+            let mut state = self.coordinator.state.borrow_mut();
+            if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
+                engine.note_accepted(clock::now());
+            }
+            return;
+        }
+        warn!(
+            self.gateway.logger, "order: not accepted"; "engine" => %self.target.engine,
+            "order" => %order, "answer" => word,
+            "cause" => answer.as_ref().err().map(ToString::to_string),
+        );
+    }
+
+    /// Learns the engine's sequence number from the engine itself.
+    async fn ask_sequence(&self) {
+        let address = {
+            let mut state = self.coordinator.state.borrow_mut();
+            let engine = state.engine_mut(&self.target.engine, self.target.birth);
+            let Some(engine) = engine else {
+                return;
+            };
+            engine.info.address
+        };
+        match fetch_report(&self.caller, address, REPORT_TIMEOUT).await {
+            Ok(report) => {
+                info!(
+                    self.gateway.logger, "order: engine asked"; "engine" => %self.target.engine,
+                    "sequence" => report.sequence.0, "busy" => report.busy,
+                );
+                let mut state = self.coordinator.state.borrow_mut();
+                if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
+                    engine.note_sequence(report.sequence);
+                }
+            }
+            Err(cause) => {
+                warn!(
+                    self.gateway.logger, "order: engine does not report";
+                    "engine" => %self.target.engine, "cause" => %cause,
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/forward/mod.rs
@@ -0,0 +1,10 @@
+//! Requests to engines.
+
+mod attempt;
+mod events;
+mod pool;
+mod relay;
+
+pub(crate) use attempt::{Attempt, AttemptEnd, AttemptRequest, send_attempt};
+pub(crate) use pool::{ConnectionNeed, EnginePool};
+pub(crate) use relay::{RelayStart, StreamRelay};
--- /dev/null
+++ b/crates/ward-gateway/src/front/answer.rs
@@ -0,0 +1,128 @@
+//! Answers to callers.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::Stream;
+use http::header::{CONNECTION, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use ward_adapter::header::{answer_headers, mark_own_answer};
+use ward_protocol::TimeSpan;
+
+use crate::forward::StreamRelay;
+
+/// An error that ends an answer before its end.
+pub(crate) type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The body of an answer.
+pub(crate) type AnswerBody = Pin<Box<dyn http_body::Body<Data = Bytes, Error = BodyError>>>;
+
+/// One of the daemon's own answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OwnAnswer {
+    /// No route leads there.
+    NoRoute,
+    /// The body is longer than allowed.
+    TooLong,
+    /// The body did not come in time or broke off.
+    NoBody,
+    /// The request did not run; the caller may come back.
+    NotRun(TimeSpan),
+    /// The engine failed in a way that leaves open whether the request ran.
+    BadEngine,
+    /// Time ran out after the request was sent.
+    Timeout,
+}
+
+impl OwnAnswer {
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoBody => StatusCode::REQUEST_TIMEOUT,
+            Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BadEngine => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The word for logs and metrics.
+    pub(crate) const fn word(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no_route",
+            Self::TooLong => "too_long",
+            Self::NoBody => "no_body",
+            Self::NotRun(_) => "not_run",
+            Self::BadEngine => "bad_engine",
+            Self::Timeout => "timeout",
+        }
+    }
+
+    /// The answer to the request with this id.
+    pub(crate) fn response(self, id: Option<&HeaderValue>) -> Response<AnswerBody> {
+        let text = format!("{{\"error\":\"{}\"}}", self.word());
+        let mut response = Response::new(whole_body(Bytes::from(text)));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let retry_after = match self {
+            Self::NotRun(span) => Some(span),
+            _ => None,
+        };
+        mark_own_answer(headers, id, retry_after);
+        response
+    }
+}
+
+/// An engine's whole answer.
+pub(crate) fn whole_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Response<AnswerBody> {
+    engine_answer(status, headers, whole_body(body))
+}
+
+/// An engine's answer that is still coming.
+pub(crate) fn streamed_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    relay: StreamRelay,
+) -> Response<AnswerBody> {
+    let stream: Pin<Box<dyn Stream<Item = _>>> = Box::pin(relay.into_stream());
+    let frames = stream.map(|item| match item {
+        Ok(bytes) => Ok(Frame::data(bytes)),
+        Err(error) => Err(BodyError::from(error.to_string())),
+    });
+    engine_answer(status, headers, Box::pin(StreamBody::new(frames)))
+}
+
+fn engine_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = answer_headers(headers);
+    response
+}
+
+/// A body that is there.
+pub(crate) fn whole_body(bytes: Bytes) -> AnswerBody {
+    let body: UnsyncBoxBody<Bytes, BodyError> = Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    Box::pin(body)
+}
+
+/// Asks the caller to open a new connection for its next request.
+pub(crate) fn ask_to_close(response: &mut Response<AnswerBody>) {
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/crates/ward-gateway/src/front/directory.rs
@@ -0,0 +1,97 @@
+//! The daemon's own small interfaces: where to connect, readiness, metrics.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use slog::warn;
+use ward_adapter::ingress::{
+    DIRECTORY_PATH, DirectoryQuery, MOST_ADDRESSES, READINESS_PATH, directory_body,
+};
+use ward_fleet::choose_hosts;
+use ward_protocol::TimeSpan;
+
+use super::answer::{AnswerBody, whole_body};
+use crate::gateway::Gateway;
+
+/// How long callers keep an answer: short, so that they soon leave a host that
+/// stops.
+const DIRECTORY_TTL: TimeSpan = TimeSpan::from_secs(1);
+
+/// Answers a caller that asks where to connect.
+pub(crate) async fn serve_directory(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if request.uri().path() != DIRECTORY_PATH {
+        return plain(StatusCode::NOT_FOUND, "");
+    }
+    let query = DirectoryQuery::parse(request.uri().query().unwrap_or_default());
+    let query = query.unwrap_or_else(|cause| {
+        warn!(gateway.logger, "directory: bad query, all zones are meant"; "cause" => %cause);
+        DirectoryQuery::default()
+    });
+    let settings = gateway.settings();
+    let members = gateway.members.borrow();
+    let mut addresses = choose_hosts(&members, query.zone().as_ref(), MOST_ADDRESSES);
+    if addresses.is_empty() && !gateway.stopping.get() {
+        addresses.push(settings.callers);
+    }
+    if addresses.is_empty() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
+    let ttl = DIRECTORY_TTL.min(settings.bounds.longest_ttl);
+    match directory_body(&addresses, ttl) {
+        Ok(body) => json(body),
+        Err(cause) => {
+            warn!(gateway.logger, "directory: answer cannot be encoded"; "cause" => %cause);
+            plain(StatusCode::INTERNAL_SERVER_ERROR, "")
+        }
+    }
+}
+
+/// Answers the platform's readiness check.
+pub(crate) async fn serve_readiness(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if request.uri().path() != READINESS_PATH {
+        return plain(StatusCode::NOT_FOUND, "");
+    }
+    let ready = gateway.is_ready();
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    plain(status, "")
+}
+
+/// Answers with the daemon's metrics as text.
+pub(crate) async fn serve_metrics(
+    gateway: Rc<Gateway>,
+    _request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match gateway.metrics.render() {
+        Ok(text) => plain(StatusCode::OK, &text),
+        Err(cause) => {
+            warn!(gateway.logger, "metrics: cannot be rendered"; "cause" => %cause);
+            plain(StatusCode::INTERNAL_SERVER_ERROR, "")
+        }
+    }
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(whole_body(Bytes::copy_from_slice(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+fn json(body: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(whole_body(Bytes::from(body)));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/ward-gateway/src/front/listen.rs
@@ -0,0 +1,163 @@
+//! Connections of callers.
+//!
+//! A stopping daemon keeps accepting and answering: callers may still have its
+//! address. Each answer then asks for the connection to be closed, so that no
+//! kept connection is closed while a request is on its way.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use ward_fleet::CallerLimits;
+use ward_protocol::TimeSpan;
+
+use super::answer::{AnswerBody, ask_to_close};
+use super::handle::handle_request;
+use crate::gateway::Gateway;
+
+/// Limits until a manifest is known.
+const FIRST_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    header_timeout: TimeSpan::from_secs(10),
+    idle_timeout: TimeSpan::from_secs(15),
+};
+/// Smallest buffer that the server library accepts.
+const LEAST_BUFFER: usize = 8 << 10;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Connections of callers that are open.
+#[derive(Default)]
+pub(crate) struct Listening {
+    open: Cell<usize>,
+    closing: Cell<bool>,
+    changed: Notify,
+}
+
+impl Listening {
+    /// Number of open connections.
+    pub(crate) fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes connections after the answers that are under way.
+    pub(crate) fn close_all(&self) {
+        self.closing.set(true);
+        self.changed.notify_waiters();
+    }
+}
+
+struct OpenGuard(Rc<Listening>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Accepts callers until the process ends.
+pub(crate) async fn accept_callers(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    listening: Rc<Listening>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                listening.open.set(listening.open.get() + 1);
+                let guard = OpenGuard(Rc::clone(&listening));
+                tokio::task::spawn_local(serve_caller(Rc::clone(&gateway), stream, guard));
+            }
+            Err(cause) => {
+                warn!(gateway.logger, "callers: accept failed"; "cause" => %cause);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, guard: OpenGuard) {
+    if let Err(cause) = stream.set_nodelay(true) {
+        debug!(gateway.logger, "callers: no immediate sends"; "cause" => %cause);
+    }
+    let limits = gateway
+        .manifest()
+        .map_or(FIRST_LIMITS, |manifest| manifest.limits);
+    let service = service_fn(|request| {
+        let gateway = Rc::clone(&gateway);
+        async move {
+            let mut response = handle_request(Rc::clone(&gateway), request).await;
+            if gateway.stopping.get() {
+                ask_to_close(&mut response);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let idle = limits.idle_timeout.max(limits.header_timeout);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle.duration())
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let listening = Rc::clone(&guard.0);
+    loop {
+        let changed = listening.changed.notified();
+        if listening.closing.get() {
+            connection.as_mut().graceful_shutdown();
+        }
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(cause) = result {
+                    debug!(gateway.logger, "callers: connection ended"; "cause" => %cause);
+                }
+                return;
+            }
+            () = changed => {}
+        }
+    }
+}
+
+/// Serves one of the daemon's small own interfaces.
+pub(crate) async fn serve_simple<F>(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    answer: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + Copy + 'static,
+) where
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(cause) => {
+                warn!(gateway.logger, "own interface: accept failed"; "cause" => %cause);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let gateway = Rc::clone(&gateway);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(Rc::clone(&gateway), request);
+                async move { Ok::<_, Infallible>(response.await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(FIRST_LIMITS.idle_timeout.duration())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(cause) = connection.await {
+                debug!(gateway.logger, "own interface: connection ended"; "cause" => %cause);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -0,0 +1,10 @@
+//! Servers for callers and for the platform's checks.
+
+mod answer;
+mod directory;
+mod handle;
+mod listen;
+mod route;
+
+pub(crate) use directory::{serve_directory, serve_metrics, serve_readiness};
+pub(crate) use listen::{Listening, accept_callers, serve_simple};
--- /dev/null
+++ b/crates/ward-gateway/src/front/route.rs
@@ -0,0 +1,53 @@
+//! From a caller's request to what it needs.
+
+use http::{HeaderMap, Request, Uri};
+use ward_adapter::RequestMarks;
+use ward_fleet::{ServingManifest, ServingRoute};
+use ward_protocol::{ServiceName, TimeSpan};
+
+/// A request with its route.
+pub(super) struct RoutedRequest {
+    pub(super) route: ServingRoute,
+    pub(super) service: ServiceName,
+    pub(super) marks: RequestMarks,
+    /// Time until the caller or the route gives up.
+    pub(super) patience: TimeSpan,
+}
+
+/// Finds the route of a request.
+pub(super) fn route_request(
+    manifest: &ServingManifest,
+    marks: RequestMarks,
+    host: &str,
+    path: &str,
+) -> Option<RoutedRequest> {
+    let route = manifest.find_route(host, path)?.clone();
+    let service = route.pick_service(rand::random::<f64>()).clone();
+    let patience = marks
+        .deadline
+        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    Some(RoutedRequest {
+        route,
+        service,
+        marks,
+        patience,
+    })
+}
+
+/// The host that a request names, without a port.
+pub(super) fn named_host<B>(request: &Request<B>) -> String {
+    let header = host_header(request.headers());
+    let host = header.or_else(|| request.uri().host()).unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+fn host_header(headers: &HeaderMap) -> Option<&str> {
+    headers.get(http::header::HOST)?.to_str().ok()
+}
+
+/// The target as it is sent on: path and query exactly as they came.
+pub(super) fn origin_target(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), Uri::from)
+}
--- /dev/null
+++ b/crates/ward-gateway/src/gateway.rs
@@ -0,0 +1,164 @@
+//! What the parts of a daemon share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use slog::{Logger, info};
+use tokio::sync::Notify;
+use ward_adapter::StoreClient;
+use ward_fleet::{
+    CrashLedger, EngineTable, HostMember, HostSettings, ManifestVersion, RepeatBudget,
+    RunningCount, ServingManifest, WaitingCount,
+};
+use ward_protocol::{Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime};
+
+use crate::clock;
+use crate::coordinator::CoordinatorSlot;
+use crate::forward::EnginePool;
+use crate::metrics::GatewayMetrics;
+use crate::queue::WaitQueue;
+
+const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Daemons assumed when none has been heard of, so that shares stay small.
+const UNKNOWN_DAEMONS: usize = 16;
+
+/// One daemon.
+pub(crate) struct Gateway {
+    pub(crate) settings: RefCell<Rc<HostSettings>>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) logger: Logger,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) store: StoreClient,
+    pub(crate) pool: EnginePool,
+    pub(crate) table: RefCell<EngineTable>,
+    pub(crate) queue: WaitQueue,
+    pub(crate) crashes: RefCell<CrashLedger>,
+    pub(crate) notes: RefCell<ReportNotes>,
+    pub(crate) members: RefCell<Vec<HostMember>>,
+    pub(crate) coordinator: CoordinatorSlot,
+    /// Newest manifest that any daemon is known to have.
+    pub(crate) manifest_heard: Cell<ManifestVersion>,
+    /// Wakes the reader of manifests.
+    pub(crate) manifest_wanted: Notify,
+    /// When a view that the store vouches for last came.
+    pub(crate) view_fresh: Cell<Option<MonoTime>>,
+    /// Whether the engines in the store have ever been read or heard of.
+    pub(crate) engines_known: Cell<bool>,
+    /// Wakes the sender of reports before its time.
+    pub(crate) report_wanted: Notify,
+    /// Whether the process is to end.
+    pub(crate) stopping: Cell<bool>,
+    manifest: RefCell<Option<Rc<ServingManifest>>>,
+    budgets: RefCell<IndexMap<ServiceName, RepeatBudget>>,
+}
+
+/// What the next report to the coordinator will say beside counts.
+#[derive(Debug, Default)]
+pub(crate) struct ReportNotes {
+    pub(crate) arrivals: Vec<WaitingCount>,
+    pub(crate) crashes: Vec<RequestFingerprint>,
+    pub(crate) misplaced: Vec<RunningCount>,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: HostSettings, metrics: GatewayMetrics, logger: Logger) -> Self {
+        Self {
+            store: StoreClient::new(settings.store, STORE_TIMEOUT),
+            settings: RefCell::new(Rc::new(settings)),
+            incarnation: Incarnation(WallTime::now().0),
+            logger,
+            pool: EnginePool::new(metrics.connections.clone()),
+            metrics,
+            table: RefCell::default(),
+            queue: WaitQueue::default(),
+            crashes: RefCell::default(),
+            notes: RefCell::default(),
+            members: RefCell::default(),
+            coordinator: CoordinatorSlot::default(),
+            manifest_heard: Cell::default(),
+            manifest_wanted: Notify::new(),
+            view_fresh: Cell::default(),
+            engines_known: Cell::default(),
+            report_wanted: Notify::new(),
+            stopping: Cell::default(),
+            manifest: RefCell::default(),
+            budgets: RefCell::default(),
+        }
+    }
+
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Rc<HostSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// The manifest in force, if one is known.
+    pub(crate) fn manifest(&self) -> Option<Rc<ServingManifest>> {
+        self.manifest.borrow().clone()
+    }
+
+    /// Puts a manifest in force unless a newer one is.
+    pub(crate) fn adopt_manifest(&self, manifest: ServingManifest) {
+        let version = manifest.version;
+        let current = self.manifest().map(|current| current.version);
+        if current.is_some_and(|current| current >= version) {
+            return;
+        }
+        info!(
+            self.logger, "manifest: in force";
+            "version" => version.0, "former" => current.map(|current| current.0),
+            "routes" => manifest.routes.len(), "services" => manifest.services.len(),
+        );
+        self.metrics
+            .manifest
+            .set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        self.manifest_heard
+            .set(self.manifest_heard.get().max(version));
+        *self.manifest.borrow_mut() = Some(Rc::new(manifest));
+        self.queue.changed();
+    }
+
+    /// Notes that some daemon has a manifest.
+    pub(crate) fn hear_manifest(&self, version: ManifestVersion) {
+        if version <= self.manifest_heard.get() {
+            return;
+        }
+        self.manifest_heard.set(version);
+        self.manifest_wanted.notify_one();
+    }
+
+    /// Whether requests can be routed.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.manifest.borrow().is_some() && self.engines_known.get()
+    }
+
+    /// Daemons that share the budget of repeats.
+    pub(crate) fn daemon_count(&self) -> usize {
+        match self.members.borrow().len() {
+            0 => UNKNOWN_DAEMONS,
+            count => count,
+        }
+    }
+
+    /// Counts a caller's request toward the budget of repeats.
+    pub(crate) fn note_request(&self, service: &ServiceName) {
+        let settings = self.settings();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.note_request(clock::now(), &settings.bounds);
+    }
+
+    /// Takes one repeat out of a service's budget, if there is one left.
+    pub(crate) fn take_repeat(&self, service: &ServiceName) -> bool {
+        let settings = self.settings();
+        let daemons = self.daemon_count();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.take_repeat(clock::now(), &settings.bounds, daemons)
+    }
+
+    /// Takes what the next report says beside counts.
+    pub(crate) fn take_notes(&self) -> ReportNotes {
+        self.notes.take()
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -0,0 +1,9 @@
+//! Messages between daemons: every daemon's link to the coordinator.
+
+mod frame;
+mod member;
+mod server;
+
+pub(crate) use frame::encode_frame;
+pub(crate) use member::follow_coordinator;
+pub(crate) use server::accept_members;
--- /dev/null
+++ b/crates/ward-gateway/src/metrics.rs
@@ -0,0 +1,82 @@
+//! Counters and histograms of one daemon.
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.5, 5.0, 10.0, 20.0,
+];
+
+/// Metrics of one daemon.
+#[derive(Debug, Clone)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    /// Answers by outcome.
+    pub(crate) answers: IntCounterVec,
+    /// Sends to engines by result.
+    pub(crate) sends: IntCounterVec,
+    /// Seconds until an engine's answer began.
+    pub(crate) first_byte: Histogram,
+    /// Seconds that requests waited for an engine.
+    pub(crate) waited: Histogram,
+    /// Requests that wait now.
+    pub(crate) waiting: IntGauge,
+    /// Orders by answer.
+    pub(crate) orders: IntCounterVec,
+    /// Connections opened to engines.
+    pub(crate) connections: IntCounter,
+    /// Calls to the store by result.
+    pub(crate) store_calls: IntCounterVec,
+    /// Version of the manifest in force.
+    pub(crate) manifest: IntGauge,
+    /// Whether this daemon is the coordinator.
+    pub(crate) coordinates: IntGauge,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn register() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let metrics = Self {
+            answers: counters("ward_answers_total", "answers by outcome", "outcome")?,
+            sends: counters("ward_sends_total", "sends to engines by result", "result")?,
+            first_byte: latency("ward_first_byte_seconds", "until an engine's answer began")?,
+            waited: latency("ward_waited_seconds", "wait for an engine")?,
+            waiting: IntGauge::new("ward_waiting", "requests that wait now")?,
+            orders: counters("ward_orders_total", "orders by answer", "answer")?,
+            connections: IntCounter::new("ward_connections_total", "connections to engines")?,
+            store_calls: counters("ward_store_calls_total", "calls to the store", "result")?,
+            manifest: IntGauge::new("ward_manifest_version", "manifest in force")?,
+            coordinates: IntGauge::new("ward_coordinates", "1 on the coordinator")?,
+            registry,
+        };
+        metrics.register_all()?;
+        Ok(metrics)
+    }
+
+    fn register_all(&self) -> Result<(), prometheus::Error> {
+        let registry = &self.registry;
+        registry.register(Box::new(self.answers.clone()))?;
+        registry.register(Box::new(self.sends.clone()))?;
+        registry.register(Box::new(self.first_byte.clone()))?;
+        registry.register(Box::new(self.waited.clone()))?;
+        registry.register(Box::new(self.waiting.clone()))?;
+        registry.register(Box::new(self.orders.clone()))?;
+        registry.register(Box::new(self.connections.clone()))?;
+        registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.manifest.clone()))?;
+        registry.register(Box::new(self.coordinates.clone()))
+    }
+
+    /// All metrics as text.
+    pub(crate) fn render(&self) -> Result<String, prometheus::Error> {
+        prometheus::TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
+
+fn counters(name: &str, help: &str, label: &str) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), &[label])
+}
+
+fn latency(name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    Histogram::with_opts(options)
+}
--- /dev/null
+++ b/crates/ward-gateway/src/queue.rs
@@ -0,0 +1,281 @@
+//! Requests that wait for an engine.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::{Notify, oneshot};
+use ward_fleet::choice::EngineChoice;
+use ward_fleet::{EngineInfo, EngineWish, QueueRank, WaitingCount, choose_engine};
+use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName};
+
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// What a request needs of an engine, and how urgently.
+#[derive(Debug, Clone)]
+pub(crate) struct WaitTicket {
+    pub(crate) service: ServiceName,
+    pub(crate) model: Option<ModelName>,
+    pub(crate) adapter: Option<AdapterName>,
+    pub(crate) shared_tokens: u64,
+    pub(crate) shared_part: Option<String>,
+    pub(crate) priority: u32,
+    /// Until when an answer is on time.
+    pub(crate) target: MonoTime,
+    /// Until when an answer is of use.
+    pub(crate) deadline: MonoTime,
+    /// Engines that should not get it again.
+    pub(crate) avoided: IndexSet<BackendId>,
+}
+
+impl WaitTicket {
+    fn wish(&self) -> EngineWish<'_> {
+        EngineWish {
+            service: &self.service,
+            model: self.model.as_ref(),
+            adapter: self.adapter.as_ref(),
+            shared_tokens: self.shared_tokens,
+            shared_part: self.shared_part.as_deref(),
+        }
+    }
+
+    fn rank(&self, now: MonoTime) -> QueueRank {
+        QueueRank::new(self.priority, self.target, self.deadline, now)
+    }
+
+    fn key(&self) -> WaitKey {
+        WaitKey {
+            service: self.service.clone(),
+            model: self.model.clone(),
+            adapter: self.adapter.clone(),
+        }
+    }
+}
+
+/// Requests that the same engines can serve.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct WaitKey {
+    service: ServiceName,
+    model: Option<ModelName>,
+    adapter: Option<AdapterName>,
+}
+
+struct Waiter {
+    number: u64,
+    ticket: WaitTicket,
+    grant: Option<oneshot::Sender<EngineLease>>,
+}
+
+/// The requests that wait.
+#[derive(Default)]
+pub(crate) struct WaitQueue {
+    waiters: RefCell<IndexMap<u64, Waiter>>,
+    next: Cell<u64>,
+    changed: Notify,
+}
+
+/// Why a request got no engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WaitFailure {
+    /// The service has no engine that takes requests.
+    NoEngine,
+    /// Its time ran out.
+    Timeout,
+}
+
+/// A place at an engine; given back when dropped.
+pub(crate) struct EngineLease {
+    gateway: Rc<Gateway>,
+    pub(crate) engine: EngineInfo,
+    model: Option<ModelName>,
+    adapter: Option<AdapterName>,
+}
+
+impl Drop for EngineLease {
+    fn drop(&mut self) {
+        let mut table = self.gateway.table.borrow_mut();
+        table.end(&self.engine.id, self.model.as_ref(), self.adapter.as_ref());
+        self.gateway.queue.changed();
+    }
+}
+
+/// Takes a waiter out of the queue when its request is dropped.
+struct WaiterGuard {
+    gateway: Rc<Gateway>,
+    number: u64,
+}
+
+impl Drop for WaiterGuard {
+    fn drop(&mut self) {
+        let mut waiters = self.gateway.queue.waiters.borrow_mut();
+        waiters.shift_remove(&self.number);
+        self.gateway.metrics.waiting.set(gauge(waiters.len()));
+    }
+}
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+impl WaitQueue {
+    /// Engines, their load or what they hold has changed.
+    pub(crate) fn changed(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Waiting requests by model and adapter.
+    pub(crate) fn waiting_counts(&self) -> Vec<WaitingCount> {
+        let mut counts: IndexMap<WaitKey, u32> = IndexMap::new();
+        for waiter in self.waiters.borrow().values() {
+            *counts.entry(waiter.ticket.key()).or_default() += 1;
+        }
+        let counts = counts.into_iter().filter_map(|(key, count)| {
+            Some(WaitingCount {
+                service: key.service,
+                model: key.model?,
+                adapter: key.adapter,
+                count,
+            })
+        });
+        counts.collect()
+    }
+
+    /// Number of requests that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.waiters.borrow().len()
+    }
+}
+
+/// A place at an engine for a request, now or when there is one.
+pub(crate) async fn acquire(
+    gateway: &Rc<Gateway>,
+    ticket: WaitTicket,
+) -> Result<EngineLease, WaitFailure> {
+    match choose(gateway, &ticket) {
+        EngineChoice::Engine(id) => {
+            if let Some(lease) = begin(gateway, &id, &ticket) {
+                return Ok(lease);
+            }
+        }
+        EngineChoice::NoEngine => return Err(WaitFailure::NoEngine),
+        EngineChoice::Missing => gateway.report_wanted.notify_one(),
+        EngineChoice::Full => {}
+    }
+    wait(gateway, ticket).await
+}
+
+async fn wait(gateway: &Rc<Gateway>, ticket: WaitTicket) -> Result<EngineLease, WaitFailure> {
+    let queue = &gateway.queue;
+    let number = queue.next.get();
+    queue.next.set(number + 1);
+    let (grant, granted) = oneshot::channel();
+    let left = ticket.deadline.since(clock::now());
+    let waiter = Waiter {
+        number,
+        ticket,
+        grant: Some(grant),
+    };
+    queue.waiters.borrow_mut().insert(number, waiter);
+    gateway.metrics.waiting.set(gauge(queue.len()));
+    let _guard = WaiterGuard {
+        gateway: Rc::clone(gateway),
+        number,
+    };
+    match tokio::time::timeout(left.duration(), granted).await {
+        Ok(Ok(lease)) => Ok(lease),
+        Ok(Err(_)) => Err(WaitFailure::NoEngine),
+        Err(_) => Err(WaitFailure::Timeout),
+    }
+}
+
+fn choose(gateway: &Gateway, ticket: &WaitTicket) -> EngineChoice {
+    let settings = gateway.settings();
+    choose_engine(
+        &gateway.table.borrow(),
+        &ticket.wish(),
+        &settings.zone,
+        &ticket.avoided,
+        clock::now(),
+        |below| rand::random_range(0..below),
+    )
+}
+
+fn begin(gateway: &Rc<Gateway>, id: &BackendId, ticket: &WaitTicket) -> Option<EngineLease> {
+    let mut table = gateway.table.borrow_mut();
+    let engine = table.get(id)?.info.clone();
+    table.begin(id, ticket.model.as_ref(), ticket.adapter.as_ref());
+    Some(EngineLease {
+        gateway: Rc::clone(gateway),
+        engine,
+        model: ticket.model.clone(),
+        adapter: ticket.adapter.clone(),
+    })
+}
+
+/// Gives engines to waiting requests whenever something changed.
+pub(crate) async fn serve_queue(gateway: Rc<Gateway>) {
+    loop {
+        gateway.queue.changed.notified().await;
+        serve_once(&gateway);
+    }
+}
+
+fn serve_once(gateway: &Rc<Gateway>) {
+    let mut unserved = IndexSet::new();
+    for number in numbers_by_rank(gateway) {
+        let Some(ticket) = ticket(gateway, number) else {
+            continue;
+        };
+        let key = ticket.key();
+        if ticket.avoided.is_empty() && unserved.contains(&key) {
+            continue;
+        }
+        match choose(gateway, &ticket) {
+            EngineChoice::Engine(id) => grant(gateway, number, &id, &ticket),
+            EngineChoice::NoEngine => withdraw(gateway, number),
+            EngineChoice::Full | EngineChoice::Missing => {
+                unserved.insert(key);
+            }
+        }
+    }
+}
+
+fn numbers_by_rank(gateway: &Gateway) -> Vec<u64> {
+    let now = clock::now();
+    let waiters = gateway.queue.waiters.borrow();
+    let mut ranked: Vec<_> = waiters
+        .values()
+        .filter(|waiter| waiter.grant.is_some())
+        .map(|waiter| (waiter.ticket.rank(now), waiter.number))
+        .collect();
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, number)| number).collect()
+}
+
+fn ticket(gateway: &Gateway, number: u64) -> Option<WaitTicket> {
+    let waiters = gateway.queue.waiters.borrow();
+    Some(waiters.get(&number)?.ticket.clone())
+}
+
+fn take_grant(gateway: &Gateway, number: u64) -> Option<oneshot::Sender<EngineLease>> {
+    let mut waiters = gateway.queue.waiters.borrow_mut();
+    waiters.get_mut(&number)?.grant.take()
+}
+
+fn grant(gateway: &Rc<Gateway>, number: u64, id: &BackendId, ticket: &WaitTicket) {
+    let Some(lease) = begin(gateway, id, ticket) else {
+        return;
+    };
+    // A lease that its request no longer takes is given back when dropped.
+    if let Some(grant) = take_grant(gateway, number)
+        && let Err(lease) = grant.send(lease)
+    {
+        drop(lease);
+    }
+}
+
+/// Ends the wait of a request whose service has lost its last engine.
+fn withdraw(gateway: &Gateway, number: u64) {
+    drop(take_grant(gateway, number));
+}
--- /dev/null
+++ b/crates/ward-gateway/src/start.rs
@@ -0,0 +1,119 @@
+//! A whole daemon: its parts, started in order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use slog::{Logger, info, o};
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+use ward_fleet::HostSettings;
+
+use crate::front::{
+    Listening, accept_callers, serve_directory, serve_metrics, serve_readiness, serve_simple,
+};
+use crate::gateway::Gateway;
+use crate::hub::{accept_members, follow_coordinator};
+use crate::metrics::GatewayMetrics;
+use crate::queue::serve_queue;
+use crate::stop::{reload_on_signal, stop_on_signal};
+use crate::sync::{sync_engines, sync_manifest};
+
+/// Time between sweeps of idle connections and of the queue.
+const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+
+quick_error! {
+    /// A daemon that cannot start or go on.
+    #[derive(Debug)]
+    pub enum GatewayError {
+        /// An address cannot be used.
+        Address(what: &'static str, address: SocketAddr, cause: io::Error) {
+            display("the address for {what}, {address}, cannot be used: {cause}; free it or change the settings")
+            source(cause)
+        }
+        /// Signals or the runtime cannot be set up.
+        Runtime(cause: io::Error) {
+            from()
+            display("the runtime cannot be set up: {cause}")
+            source(cause)
+        }
+        /// Metrics cannot be set up.
+        Metrics(cause: prometheus::Error) {
+            from()
+            display("metrics cannot be set up: {cause}")
+            source(cause)
+        }
+    }
+}
+
+/// Runs a daemon on this thread until a signal ends it.
+///
+/// # Errors
+/// When an address is taken or the runtime cannot be set up.
+pub fn run_gateway(settings: HostSettings, logger: &Logger) -> Result<(), GatewayError> {
+    let logger = logger.new(o!("daemon" => settings.daemon.to_string()));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, logger))
+}
+
+async fn serve(settings: HostSettings, logger: Logger) -> Result<(), GatewayError> {
+    let callers = bind("callers", settings.callers).await?;
+    let readiness = bind("readiness checks", settings.readiness).await?;
+    let directory = bind("the directory", settings.directory).await?;
+    let peers = bind("other daemons", settings.peers).await?;
+    let metrics = bind("metrics", settings.metrics).await?;
+    info!(
+        logger, "daemon: starts"; "zone" => %settings.zone, "callers" => %settings.callers,
+        "peers" => %settings.peers, "metrics" => %settings.metrics,
+        "cores" => %settings.capacity.cores, "store" => %settings.store,
+    );
+    let gateway = Rc::new(Gateway::new(settings, GatewayMetrics::register()?, logger));
+    let listening = Rc::new(Listening::default());
+    spawn_local(accept_callers(
+        Rc::clone(&gateway),
+        callers,
+        Rc::clone(&listening),
+    ));
+    spawn_local(serve_simple(
+        Rc::clone(&gateway),
+        readiness,
+        serve_readiness,
+    ));
+    spawn_local(serve_simple(
+        Rc::clone(&gateway),
+        directory,
+        serve_directory,
+    ));
+    spawn_local(serve_simple(Rc::clone(&gateway), metrics, serve_metrics));
+    spawn_local(accept_members(Rc::clone(&gateway), peers));
+    spawn_local(sync_manifest(Rc::clone(&gateway)));
+    spawn_local(sync_engines(Rc::clone(&gateway)));
+    spawn_local(follow_coordinator(Rc::clone(&gateway)));
+    spawn_local(serve_queue(Rc::clone(&gateway)));
+    spawn_local(sweep(Rc::clone(&gateway)));
+    spawn_local(reload_on_signal(Rc::clone(&gateway)));
+    stop_on_signal(gateway, listening).await?;
+    Ok(())
+}
+
+async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| GatewayError::Address(what, address, cause))
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(SWEEP_PAUSE).await;
+        let table = gateway.table.borrow();
+        gateway.pool.sweep(|engine| table.get(engine).is_some());
+        drop(table);
+        // An engine that was ejected may be due again.
+        gateway.queue.changed();
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/stop.rs
@@ -0,0 +1,87 @@
+//! Signals: a planned stop, and settings that changed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
+use ward_adapter::{parse_settings, settings_path};
+use ward_protocol::TimeSpan;
+
+use crate::coordinator::release;
+use crate::front::Listening;
+use crate::gateway::Gateway;
+
+/// Least time that a stopping daemon stays: callers may keep its address so long.
+const LEAST_STAY: Duration = Duration::from_secs(2);
+/// Time before the end of the grace period at which the process ends.
+const END_MARGIN: TimeSpan = TimeSpan::from_millis(600);
+/// Time for the last answers after connections are told to close.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+const CHECK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Waits for SIGTERM or SIGINT, then serves what is left; returns when the
+/// process is to end.
+pub(crate) async fn stop_on_signal(
+    gateway: Rc<Gateway>,
+    listening: Rc<Listening>,
+) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let begun = Instant::now();
+    let grace = gateway.settings().bounds.stop_grace;
+    info!(gateway.logger, "stop: begins"; "grace" => %grace, "connections" => listening.open());
+    gateway.stopping.set(true);
+    gateway.report_wanted.notify_one();
+    release(&gateway).await;
+    let end = begun + grace.duration().saturating_sub(END_MARGIN.duration());
+    while Instant::now() < end {
+        let idle = listening.open() == 0 && begun.elapsed() >= LEAST_STAY;
+        if idle {
+            break;
+        }
+        tokio::time::sleep(CHECK_PAUSE).await;
+    }
+    listening.close_all();
+    tokio::time::sleep(CLOSE_TIME).await;
+    info!(gateway.logger, "stop: ends"; "connections" => listening.open());
+    Ok(())
+}
+
+/// Reads the settings again on SIGHUP; bad ones change nothing.
+pub(crate) async fn reload_on_signal(gateway: Rc<Gateway>) -> std::io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    while hangup.recv().await.is_some() {
+        reload(&gateway);
+    }
+    Ok(())
+}
+
+fn reload(gateway: &Gateway) {
+    let Some(path) = settings_path() else {
+        warn!(gateway.logger, "settings: no file to read again");
+        return;
+    };
+    let text = match std::fs::read(&path) {
+        Ok(text) => text,
+        Err(cause) => {
+            warn!(gateway.logger, "settings: kept, the file cannot be read"; "cause" => %cause);
+            return;
+        }
+    };
+    match parse_settings(&text) {
+        Ok(settings) => {
+            let changed = **gateway.settings.borrow() != settings;
+            info!(gateway.logger, "settings: read again"; "changed" => changed);
+            *gateway.settings.borrow_mut() = Rc::new(settings);
+        }
+        Err(cause) => {
+            warn!(gateway.logger, "settings: kept, the new ones are bad"; "cause" => %cause)
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -0,0 +1,208 @@
+//! The engines, read from the store.
+//!
+//! The coordinator reads often and tells the others; they read only while they
+//! do not hear from it. An entry that lapses while the store is away, or just
+//! after, stays in use until the engine had time to register again.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use slog::{debug, info, warn};
+use ward_adapter::{StoreError, StoreRecord, StoreTail, StoreTopic, decode_entry};
+use ward_fleet::{EngineEntry, EngineInfo};
+use ward_protocol::{BackendId, MonoTime, TimeSpan};
+
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// Time between reads of the coordinator.
+const COORDINATOR_PAUSE: Duration = Duration::from_millis(250);
+/// Time between reads of a daemon that does not hear from the coordinator.
+const LONE_PAUSE: Duration = Duration::from_millis(500);
+/// Age of the coordinator's view from which on a daemon reads itself.
+const VIEW_AGE: TimeSpan = TimeSpan::from_millis(900);
+/// Time after the store's return in which engines register again.
+const RETURN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
+
+struct EngineReader {
+    next: Option<u64>,
+    /// When the store last failed to answer.
+    failed: Option<MonoTime>,
+    lapsed: IndexMap<BackendId, MonoTime>,
+}
+
+/// Keeps the table of engines up to date.
+pub(crate) async fn sync_engines(gateway: Rc<Gateway>) {
+    let mut reader = EngineReader {
+        next: None,
+        failed: None,
+        lapsed: IndexMap::new(),
+    };
+    loop {
+        if gateway.coordinator.is_active() || !hears_view(&gateway) {
+            reader.read_once(&gateway).await;
+        }
+        reader.drop_lapsed(&gateway);
+        let pause = if gateway.coordinator.is_active() {
+            COORDINATOR_PAUSE
+        } else {
+            LONE_PAUSE
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn hears_view(gateway: &Gateway) -> bool {
+    let fresh = gateway.view_fresh.get();
+    fresh.is_some_and(|fresh| clock::now().since(fresh) < VIEW_AGE)
+}
+
+impl EngineReader {
+    async fn read_once(&mut self, gateway: &Gateway) {
+        let complete = self.next.is_none();
+        let result = match self.next {
+            Some(from) => {
+                let read = gateway
+                    .store
+                    .read(StoreTopic::Engines, from, TimeSpan::ZERO);
+                read.await
+            }
+            None => gateway.store.newest(StoreTopic::Engines).await,
+        };
+        match result {
+            Ok(tail) => {
+                gateway
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["answered"])
+                    .inc();
+                self.next = Some(tail.end);
+                self.apply(gateway, &tail, complete);
+                gateway.coordinator.note_store(clock::now());
+                if !gateway.engines_known.replace(true) {
+                    info!(gateway.logger, "engines: known"; "count" => tail.records.len());
+                }
+            }
+            Err(cause) => {
+                gateway
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["failed"])
+                    .inc();
+                if self.failed.replace(clock::now()).is_none() {
+                    warn!(gateway.logger, "engines: store lost"; "cause" => %cause);
+                }
+                if matches!(cause, StoreError::Deleted(_)) {
+                    self.next = None;
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, gateway: &Gateway, tail: &StoreTail, complete: bool) {
+        let mut listed = Vec::new();
+        for record in &tail.records {
+            listed.push(record.key.as_str());
+            if record.value.is_empty() {
+                self.lapse(gateway, &record.key);
+            } else {
+                self.insert(gateway, record);
+            }
+        }
+        if complete {
+            let missing: Vec<_> = gateway
+                .table
+                .borrow()
+                .iter()
+                .map(|engine| engine.info.id.clone())
+                .filter(|id| !listed.contains(&id.as_str()))
+                .collect();
+            for id in missing {
+                self.lapse(gateway, id.as_str());
+            }
+        }
+    }
+
+    fn insert(&mut self, gateway: &Gateway, record: &StoreRecord) {
+        let entry = match decode_entry(&record.key, &record.value) {
+            Ok(entry) => entry,
+            Err(cause) => {
+                debug!(
+                    gateway.logger, "engines: entry ignored";
+                    "key" => &record.key, "cause" => %cause,
+                );
+                return;
+            }
+        };
+        self.lapsed.shift_remove(&entry.id);
+        note_entry(gateway, &entry);
+    }
+
+    /// The store no longer lists an engine.
+    fn lapse(&mut self, gateway: &Gateway, key: &str) {
+        let Ok(id) = BackendId::try_from(key) else {
+            return;
+        };
+        let now = clock::now();
+        let outage = self
+            .failed
+            .is_some_and(|failed| now.since(failed) < RETURN_TIME);
+        if outage {
+            info!(gateway.logger, "engines: lapsed in an outage"; "engine" => %id);
+            self.lapsed.entry(id).or_insert(now);
+        } else {
+            remove(gateway, &id, "its entry was removed");
+        }
+    }
+
+    fn drop_lapsed(&mut self, gateway: &Gateway) {
+        let now = clock::now();
+        if self
+            .failed
+            .is_some_and(|failed| now.since(failed) >= RETURN_TIME)
+        {
+            info!(gateway.logger, "engines: store regained");
+            self.failed = None;
+            for (id, _) in self.lapsed.drain(..) {
+                remove(gateway, &id, "it did not register again");
+            }
+        }
+    }
+}
+
+fn note_entry(gateway: &Gateway, entry: &EngineEntry) {
+    let info = EngineInfo::from(entry);
+    let mut table = gateway.table.borrow_mut();
+    let known = table.get(&entry.id).map(|engine| engine.info.clone());
+    let coordinates = gateway.coordinator.is_active();
+    let alone = !coordinates && !hears_view(gateway);
+    table.insert_entry(info.clone(), alone);
+    drop(table);
+    gateway.coordinator.note_entry(entry, clock::now());
+    let changed = known.as_ref().is_none_or(|known| {
+        known.draining != info.draining
+            || known.birth != info.birth
+            || known.address != info.address
+    });
+    if changed {
+        info!(
+            gateway.logger, "engines: entry changed"; "engine" => %entry.id,
+            "service" => %entry.service, "draining" => info.draining,
+            "models" => entry.models.len(), "on_disk" => entry.on_disk.len(),
+            "sequence" => entry.sequence.0,
+        );
+    }
+    if changed || alone {
+        gateway.queue.changed();
+    }
+}
+
+fn remove(gateway: &Gateway, id: &BackendId, why: &str) {
+    let known = gateway.table.borrow_mut().remove(id);
+    gateway.coordinator.remove_engine(id);
+    if known {
+        info!(gateway.logger, "engines: gone"; "engine" => %id, "why" => why);
+        gateway.queue.changed();
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -0,0 +1,95 @@
+//! The manifest, read as soon as it changes.
+//!
+//! A read waits at the store for the next record. It is given up early when
+//! another daemon is heard to have a newer manifest, since the connection may
+//! have gone silent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic, decode_manifest};
+use ward_protocol::TimeSpan;
+
+use crate::gateway::Gateway;
+
+/// Wait at the store for a new manifest; bounds how long a silent connection
+/// goes unnoticed.
+const READ_WAIT: TimeSpan = TimeSpan::from_millis(4_000);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// Keeps the manifest in force up to date.
+pub(crate) async fn sync_manifest(gateway: Rc<Gateway>) {
+    let mut next = None;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let result = tokio::select! {
+            result = read(&gateway, next) => result,
+            () = gateway.manifest_wanted.notified() => {
+                info!(gateway.logger, "manifest: another daemon has a newer one");
+                next = None;
+                continue;
+            }
+        };
+        match result {
+            Ok(tail) => {
+                gateway
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["answered"])
+                    .inc();
+                pause = FIRST_PAUSE;
+                next = Some(tail.end);
+                adopt(&gateway, &tail);
+            }
+            Err(cause) => {
+                gateway
+                    .metrics
+                    .store_calls
+                    .with_label_values(&["failed"])
+                    .inc();
+                warn!(gateway.logger, "manifest: read failed"; "cause" => %cause);
+                if matches!(cause, StoreError::Deleted(_)) {
+                    next = None;
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+        if next == Some(0) {
+            tokio::time::sleep(FIRST_PAUSE).await;
+        }
+    }
+}
+
+async fn read(gateway: &Gateway, next: Option<u64>) -> Result<StoreTail, StoreError> {
+    match next {
+        Some(from) => {
+            gateway
+                .store
+                .read(StoreTopic::Manifest, from, READ_WAIT)
+                .await
+        }
+        None => gateway.store.newest(StoreTopic::Manifest).await,
+    }
+}
+
+fn adopt(gateway: &Gateway, tail: &StoreTail) {
+    let newest = tail
+        .records
+        .iter()
+        .rfind(|record| StoreClient::is_manifest(record) && !record.value.is_empty());
+    let Some(record) = newest else {
+        return;
+    };
+    match decode_manifest(&record.value) {
+        Ok(manifest) => gateway.adopt_manifest(manifest),
+        Err(cause) => {
+            warn!(
+                gateway.logger, "manifest: ignored";
+                "cause" => %cause, "offset" => record.offset,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-gateway/src/sync/mod.rs
@@ -0,0 +1,7 @@
+//! What daemons learn from the platform's store.
+
+mod engines;
+mod manifest;
+
+pub(crate) use engines::sync_engines;
+pub(crate) use manifest::sync_manifest;
--- a/crates/ward-protocol/src/lib.rs
+++ b/crates/ward-protocol/src/lib.rs
@@ -26,7 +26,7 @@
 pub use code::{RequestOutcome, ResultCode};
 pub use codec::CodecError;
 pub use id::{
-    AdapterName, BackendId, DaemonId, FenceNumber, IdempotencyKey, Incarnation, LogOffset,
+    AdapterName, BackendId, DaemonId, FenceNumber, IdError, IdempotencyKey, Incarnation, LogOffset,
     ModelName, OperatorName, PlanRevision, RecordId, RequestFingerprint, RequestId, ReservationId,
     ServiceName, VersionTag, ZoneName,
 };
