Order numbers come from reports, engines are asked before work, old heartbeats dropped

Cause: the field that counts heartbeats in an entry was taken for the number of accepted orders, so most orders were refused until the engine was asked; models in old heartbeats replaced what orders had changed (LIMIT); the directory named hosts that were off, since a takeover took over 6 s (DRAIN); one long read of the manifest missed a version (CONFIG).

--- a/crates/ward-fleet/src/entry.rs
+++ b/crates/ward-fleet/src/entry.rs
@@ -23,6 +23,10 @@
     }
 }
 
+/// Number of a heartbeat in an engine's life; tells old news from new.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HeartbeatCount(pub u64);
+
 /// A model in an engine's memory.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
@@ -51,8 +55,8 @@
     pub leaves_in: Option<TimeSpan>,
     /// Start of its life, when it said so.
     pub birth: Option<EngineBirth>,
-    /// Orders accepted.
-    pub sequence: OrderSequence,
+    /// Number of this heartbeat.
+    pub heartbeat: HeartbeatCount,
     /// Models in its memory.
     pub models: Vec<HeldModel>,
     /// Models with a copy in host memory.
--- a/crates/ward-fleet/src/lease.rs
+++ b/crates/ward-fleet/src/lease.rs
@@ -14,7 +14,7 @@
 use ward_protocol::{DaemonId, FenceNumber, Incarnation, MonoTime, TimeSpan};
 
 /// Part of the lease for which orders follow a renewal, in percent.
-const ORDER_WINDOW_PERCENT: u64 = 45;
+const ORDER_WINDOW_PERCENT: u64 = 35;
 /// Allowance for clocks of different speed, in percent of the lease.
 const CLOCK_ALLOWANCE_PERCENT: u64 = 5;
 /// Renewals per order window.
@@ -92,6 +92,12 @@
         self.renewed = started;
     }
 
+    /// Offset of the newest record of the term.
+    #[must_use]
+    pub const fn newest(&self) -> u64 {
+        self.next.saturating_sub(1)
+    }
+
     /// Whether orders may be given now.
     #[must_use]
     pub fn may_order(&self, window: &LeaseWindow, now: MonoTime) -> bool {
@@ -125,6 +131,12 @@
         });
     }
 
+    /// Offset of the newest record noted.
+    #[must_use]
+    pub fn offset(&self) -> Option<u64> {
+        self.seen.map(|seen| seen.offset)
+    }
+
     /// Whether the last holder can no longer give orders, for a lease's length.
     /// Without any record there never was one.
     #[must_use]
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -24,7 +24,7 @@
 pub use budget::RepeatBudget;
 pub use choice::{EngineWish, choose_engine};
 pub use directory::choose_hosts;
-pub use entry::{EngineBirth, EngineEntry, HeldModel, OrderSequence};
+pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
 pub use fault::CrashLedger;
 pub use health::EngineHealth;
 pub use lease::{CoordinatorLease, LeaseWindow, TermRecord, TermWatch};
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -26,6 +26,8 @@
     pub zone: ZoneName,
     /// Where it takes requests.
     pub callers: SocketAddr,
+    /// Where it listens for other daemons.
+    pub peers: SocketAddr,
     /// Size of its host.
     pub capacity: HostCapacity,
 }
@@ -44,6 +46,8 @@
 /// A daemon's own requests.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
+    /// The manifest in force.
+    pub manifest: ManifestVersion,
     /// Requests at engines.
     pub running: Vec<RunningCount>,
     /// Requests that wait for an engine.
@@ -94,6 +98,8 @@
 pub struct FleetView {
     /// Fencing number of the coordinator's term.
     pub term: FenceNumber,
+    /// Offset of the newest record of the term.
+    pub renewal: u64,
     /// Whether engines that are not listed are gone.
     pub complete: bool,
     /// Engines that changed.
--- a/crates/ward-fleet/src/placement/engine.rs
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -7,8 +7,10 @@
 use crate::manifest::{EngineClass, ModelClass};
 use crate::message::EngineInfo;
 
-/// Time after the last order in which a heartbeat may still be older than it.
-const REPORT_LAG: TimeSpan = TimeSpan::from_millis(2_500);
+/// Time after the last order in which a heartbeat or report may be older than it.
+const REPORT_LAG: TimeSpan = TimeSpan::from_millis(1_500);
+/// Least time between two questions to the same engine.
+const AUDIT_PAUSE: TimeSpan = TimeSpan::from_millis(1_000);
 
 /// Where a model's weights come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -68,13 +70,28 @@
     pub source: LoadSource,
 }
 
+/// Whether the engine itself was asked what it holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AuditState {
+    /// It must be asked before it gets work.
+    Needed,
+    /// It is being asked.
+    Running,
+    /// What is known of it is what it said, changed by the orders since.
+    Done,
+}
+
 /// One engine.
+///
+/// What it holds is taken from its own reports and changed only by orders that
+/// it accepted: heartbeats in the store may be seconds old, so one that differs
+/// only leads to a new question.
 #[derive(Debug, Clone)]
 pub struct PlacedEngine {
     /// What daemons are told of it; `holding` is filled in on demand.
     pub info: EngineInfo,
-    /// Orders that it has accepted, as far as known.
-    pub sequence: OrderSequence,
+    /// Orders that it has accepted; nothing until it was asked.
+    pub sequence: Option<OrderSequence>,
     /// Models in its memory, also those that leave.
     pub held: IndexMap<ModelName, PlacedModel>,
     /// Models with a copy in host memory.
@@ -89,15 +106,19 @@
     pub rests_until: MonoTime,
     /// Time of the last order.
     pub ordered: MonoTime,
+    /// Whether it was asked what it holds.
+    pub audit: AuditState,
+    /// When it was last asked.
+    pub audited: MonoTime,
 }
 
 impl PlacedEngine {
     /// An engine as its first heartbeat describes it.
     #[must_use]
-    pub fn new(entry: &EngineEntry, now: MonoTime) -> Self {
+    pub fn new(entry: &EngineEntry) -> Self {
         let mut engine = Self {
             info: EngineInfo::from(entry),
-            sequence: entry.sequence,
+            sequence: None,
             held: IndexMap::new(),
             in_memory: entry.in_memory.clone(),
             on_disk: entry.on_disk.clone(),
@@ -105,13 +126,14 @@
             adapter_busy: false,
             rests_until: MonoTime::default(),
             ordered: MonoTime::default(),
+            audit: AuditState::Needed,
+            audited: MonoTime::default(),
         };
-        engine.take_held(&entry.models, now);
+        engine.take_held(&entry.models);
         engine
     }
 
-    /// Takes over a later heartbeat of the same life. Its models count only
-    /// when no order can have changed them since it was written.
+    /// Takes over a later heartbeat of the same life.
     pub fn refresh(&mut self, entry: &EngineEntry, now: MonoTime) {
         let holding = std::mem::take(&mut self.info.holding);
         let draining = self.info.draining;
@@ -120,38 +142,62 @@
         self.info.draining |= draining;
         self.in_memory.clone_from(&entry.in_memory);
         self.on_disk.clone_from(&entry.on_disk);
-        self.sequence = self.sequence.max(entry.sequence);
-        if self.is_settled(now) {
-            self.take_held(&entry.models, now);
+        if self.is_settled(now) && self.differs(&entry.models) {
+            self.audit = AuditState::Needed;
         }
     }
 
-    /// Takes over what the engine says that it holds. Adapters known before are
-    /// kept with their model: heartbeats may not list them yet.
-    pub fn take_held(&mut self, models: &[HeldModel], now: MonoTime) {
+    fn differs(&self, models: &[HeldModel]) -> bool {
+        models.len() != self.held.len()
+            || models
+                .iter()
+                .any(|model| !self.held.contains_key(&model.model))
+    }
+
+    /// Takes over what the engine says that it holds.
+    pub fn take_held(&mut self, models: &[HeldModel]) {
         let mut held = IndexMap::new();
         for model in models {
-            let mut placed = self.held.shift_remove(&model.model).unwrap_or_default();
-            placed.leaving = false;
+            let known = self.held.shift_remove(&model.model).unwrap_or_default();
+            let mut placed = PlacedModel {
+                running: known.running,
+                last_used: known.last_used,
+                ..PlacedModel::default()
+            };
             for adapter in &model.adapters {
-                placed.adapters.entry(adapter.clone()).or_default().ready = true;
+                let mut present = known.adapters.get(adapter).copied().unwrap_or_default();
+                present.ready = true;
+                present.leaving = false;
+                placed.adapters.insert(adapter.clone(), present);
             }
-            placed.last_used = placed.last_used.max(MonoTime(now.0 / 2));
             held.insert(model.model.clone(), placed);
         }
         self.held = held;
     }
 
-    /// Whether heartbeats tell the whole truth about it.
+    /// Whether no order can have changed it since its last report.
     #[must_use]
     pub fn is_settled(&self, now: MonoTime) -> bool {
         self.task.is_none() && !self.adapter_busy && now.since(self.ordered) > REPORT_LAG
     }
 
+    /// Whether it should be asked now what it holds.
+    #[must_use]
+    pub fn is_audit_due(&self, now: MonoTime) -> bool {
+        self.audit == AuditState::Needed
+            && !self.info.draining
+            && self.is_settled(now)
+            && now >= self.rests_until
+            && now.since(self.audited) >= AUDIT_PAUSE
+    }
+
     /// Whether it can be given work on models now.
     #[must_use]
     pub fn is_free(&self, now: MonoTime) -> bool {
-        self.task.is_none() && !self.info.draining && now >= self.rests_until
+        self.task.is_none()
+            && self.audit == AuditState::Done
+            && !self.info.draining
+            && now >= self.rests_until
     }
 
     /// Whether it holds a model that does not leave, or is about to.
--- a/crates/ward-fleet/src/placement/mod.rs
+++ b/crates/ward-fleet/src/placement/mod.rs
@@ -14,6 +14,6 @@
 mod victim;
 
 pub use demand::{DemandTable, ModelKey};
-pub use engine::{LoadSource, PlacedEngine, PlacedModel};
-pub use plan::{AdapterWork, ModelWork, PlannedWork, WorkReason, plan_work};
+pub use engine::{AuditState, LoadSource, PlacedEngine, PlacedModel};
+pub use plan::{AdapterWork, AuditWork, ModelWork, PlannedWork, WorkReason, plan_work};
 pub use state::{MemberKey, PlacementState};
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -8,7 +8,7 @@
 
 use super::adapter::plan_adapters;
 use super::demand::ModelKey;
-use super::engine::{EngineTask, LoadSource, PlacedEngine};
+use super::engine::{AuditState, EngineTask, LoadSource, PlacedEngine};
 use super::spread::{ReplicaCounts, wanted_replicas};
 use super::state::PlacementState;
 use super::victim::{VictimChoice, choose_victims};
@@ -29,6 +29,17 @@
     Model(ModelWork),
     /// Load an adapter.
     Adapter(AdapterWork),
+    /// Ask what the engine holds.
+    Audit(AuditWork),
+}
+
+/// Ask an engine what it holds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AuditWork {
+    /// The engine.
+    pub engine: BackendId,
+    /// The engine's life for which this was planned.
+    pub birth: Option<EngineBirth>,
 }
 
 /// Load a model, after others have made way.
@@ -83,7 +94,7 @@
     window: TimeSpan,
     now: MonoTime,
 ) -> Vec<PlannedWork> {
-    let mut works = Vec::new();
+    let mut works = plan_audits(state, manifest, now);
     let adapters = plan_adapters(state, manifest, now);
     works.extend(adapters.into_iter().map(PlannedWork::Adapter));
     let counts = ReplicaCounts::of(state);
@@ -102,6 +113,25 @@
     works
 }
 
+fn plan_audits(
+    state: &mut PlacementState,
+    manifest: &ServingManifest,
+    now: MonoTime,
+) -> Vec<PlannedWork> {
+    let engines = state.engines.values_mut().filter(|engine| {
+        manifest.engine_class(&engine.info.service).is_some() && engine.is_audit_due(now)
+    });
+    let works = engines.map(|engine| {
+        engine.audit = AuditState::Running;
+        engine.audited = now;
+        PlannedWork::Audit(AuditWork {
+            engine: engine.info.id.clone(),
+            birth: engine.info.birth,
+        })
+    });
+    works.collect()
+}
+
 struct Planner<'a> {
     state: &'a mut PlacementState,
     counts: ReplicaCounts,
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -1,12 +1,12 @@
 //! What the coordinator knows.
 
 use indexmap::IndexMap;
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime};
+use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, TimeSpan};
 
 use super::ceiling::StoreCeiling;
 use super::demand::{DemandTable, ModelKey};
-use super::engine::{PlacedAdapter, PlacedEngine};
-use crate::entry::{EngineBirth, EngineEntry, OrderSequence};
+use super::engine::{AuditState, PlacedAdapter, PlacedEngine};
+use crate::entry::{EngineBirth, EngineEntry, HeldModel, OrderSequence};
 use crate::message::{EngineInfo, EngineLoad, LoadReport};
 
 /// A daemon's connection to the coordinator.
@@ -36,7 +36,7 @@
             }
             Some(engine) if entry.birth < engine.info.birth => false,
             _ => {
-                let engine = PlacedEngine::new(entry, now);
+                let engine = PlacedEngine::new(entry);
                 self.engines.insert(entry.id.clone(), engine);
                 true
             }
@@ -49,7 +49,7 @@
     }
 
     /// Takes over a daemon's report.
-    pub fn note_report(&mut self, member: MemberKey, report: LoadReport, now: MonoTime) {
+    pub fn note_report(&mut self, member: MemberKey, report: LoadReport) {
         for arrival in &report.arrivals {
             let key = ModelKey {
                 service: arrival.service.clone(),
@@ -62,7 +62,6 @@
                 &misplaced.engine,
                 misplaced.model.as_ref(),
                 misplaced.adapter.as_ref(),
-                now,
             );
         }
         self.reports.insert(member, report);
@@ -158,7 +157,6 @@
         id: &BackendId,
         model: Option<&ModelName>,
         adapter: Option<&AdapterName>,
-        now: MonoTime,
     ) {
         let (Some(engine), Some(model)) = (self.engines.get_mut(id), model) else {
             return;
@@ -166,12 +164,12 @@
         if engine.task.is_some() || engine.adapter_busy {
             return;
         }
+        engine.audit = AuditState::Needed;
         match adapter {
-            // The model's memory stays counted until a heartbeat shows it gone.
+            // The model's memory stays counted until the engine says it is gone.
             None => {
                 if let Some(held) = engine.held.get_mut(model) {
                     held.leaving = true;
-                    engine.ordered = now;
                 }
             }
             Some(adapter) => {
@@ -186,13 +184,22 @@
 impl PlacedEngine {
     /// Notes that an order was accepted.
     pub fn note_accepted(&mut self, now: MonoTime) {
-        self.sequence = self.sequence.next();
+        self.sequence = self.sequence.map(OrderSequence::next);
         self.ordered = now;
     }
 
-    /// Takes over the sequence number that the engine reports.
-    pub fn note_sequence(&mut self, sequence: OrderSequence) {
-        self.sequence = sequence;
+    /// Takes over what the engine said when it was asked.
+    pub fn note_report(&mut self, sequence: OrderSequence, models: &[HeldModel]) {
+        self.sequence = Some(sequence);
+        self.take_held(models);
+        self.audit = AuditState::Done;
+    }
+
+    /// Notes that work on it failed: what it holds is not certain any more.
+    pub fn note_failed(&mut self, now: MonoTime, rest: TimeSpan) {
+        self.audit = AuditState::Needed;
+        self.ordered = now;
+        self.rests_until = now + rest;
     }
 
     /// Notes that a model is ready.
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -149,7 +149,7 @@
                 self.publisher.borrow_mut().block(*fingerprint);
             }
         }
-        self.state.borrow_mut().note_report(key, report, now);
+        self.state.borrow_mut().note_report(key, report);
         if urgent {
             self.wake.notify_one();
         }
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -73,6 +73,7 @@
     let loads = loads_due.then(|| coordinator.state.borrow().loads());
     let part = FleetView {
         term: coordinator.fence(),
+        renewal: coordinator.lease.borrow().newest(),
         complete: false,
         engines: changed,
         gone,
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -181,10 +181,7 @@
                 start_work(gateway, coordinator, work);
             }
         }
-        let version = manifest
-            .map(|manifest| manifest.version)
-            .unwrap_or_default();
-        publish(coordinator, version, &gateway.logger);
+        publish(coordinator, gateway.manifest_heard.get(), &gateway.logger);
     }
 }
 
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use ward_adapter::{OrderAnswer, OrderCall, OrderFailure, fetch_report, send_order};
+use ward_adapter::{EngineReport, OrderAnswer, OrderCall, OrderFailure, fetch_report, send_order};
 use ward_fleet::placement::{AdapterWork, ModelWork, PlannedWork};
 use ward_fleet::{EngineBirth, EngineOrder};
 use ward_http::HttpCaller;
@@ -27,9 +27,12 @@
 const TRIES_TO_ASK: u32 = 4;
 /// Time that an adapter takes to load once its order was accepted.
 const ADAPTER_TIME: Duration = Duration::from_millis(8);
-/// Pause for an engine after work that failed; its heartbeats tell the truth
-/// again by then.
-const REST: TimeSpan = TimeSpan::from_millis(2_600);
+/// Pause for an engine after work that failed.
+const REST: TimeSpan = TimeSpan::from_millis(300);
+/// Pause for an engine that did not report.
+const LONG_REST: TimeSpan = TimeSpan::from_millis(1_500);
+/// Time that an unload of an idle model takes.
+const UNLOAD_TIME: Duration = Duration::from_millis(55);
 
 /// Why an order was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +45,8 @@
     Refused,
     /// The engine does not answer.
     Unreachable,
+    /// The engine has accepted an order whose answer was lost.
+    Changed,
 }
 
 /// An engine in one of its lives.
@@ -72,6 +77,10 @@
             engine: work.engine.clone(),
             birth: work.birth,
         },
+        PlannedWork::Audit(work) => Target {
+            engine: work.engine.clone(),
+            birth: work.birth,
+        },
     };
     let worker = Worker {
         gateway: Rc::clone(gateway),
@@ -83,6 +92,7 @@
         match work {
             PlannedWork::Model(work) => worker.model(work).await,
             PlannedWork::Adapter(work) => worker.adapter(work).await,
+            PlannedWork::Audit(_) => worker.audit().await,
         }
         worker.coordinator.wake.notify_one();
     });
@@ -106,16 +116,16 @@
         engine.task = None;
         match result {
             Ok(()) => engine.note_loaded(&work.model, clock::now()),
-            Err(_) => {
-                engine.rests_until = clock::now() + REST;
-                engine.ordered = clock::now();
-            }
+            Err(_) => engine.note_failed(clock::now(), REST),
         }
     }
 
     async fn swap(&self, work: &ModelWork) -> Result<(), OrderStop> {
         for victim in &work.unload {
-            self.order(EngineOrder::UnloadModel(victim.clone())).await?;
+            let answer = self.order(EngineOrder::UnloadModel(victim.clone())).await?;
+            if answer == OrderAnswer::Accepted {
+                tokio::time::sleep(UNLOAD_TIME).await;
+            }
             let mut state = self.coordinator.state.borrow_mut();
             if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
                 engine.note_unloaded(victim);
@@ -146,8 +156,7 @@
             Ok(()) => engine.note_adapter(&work.model, &work.adapter, clock::now()),
             Err(_) => {
                 engine.note_adapter_gone(&work.model, &work.adapter);
-                engine.rests_until = clock::now() + REST;
-                engine.ordered = clock::now();
+                engine.note_failed(clock::now(), REST);
             }
         }
     }
@@ -187,7 +196,7 @@
             }
             tokio::time::sleep(BUSY_PAUSE * tries).await;
             if tries % TRIES_TO_ASK == 0 {
-                self.ask_sequence().await;
+                self.check_sequence().await?;
             }
         }
         Err(OrderStop::Unreachable)
@@ -204,6 +213,7 @@
             let engine = engine.ok_or(OrderStop::EngineGone)?;
             (engine.info.address, engine.sequence)
         };
+        let expect = expect.ok_or(OrderStop::Changed)?;
         let holder = self.gateway.settings().daemon.clone();
         let call = OrderCall {
             address,
@@ -243,14 +253,40 @@
         );
     }
 
-    /// Learns the engine's sequence number from the engine itself.
-    async fn ask_sequence(&self) {
+    /// Whether the engine has accepted an order that we do not know of. A report
+    /// may be older than our newest orders, so a lower number says nothing.
+    async fn check_sequence(&self) -> Result<(), OrderStop> {
+        let Some(report) = self.ask().await else {
+            return Ok(());
+        };
+        let mut state = self.coordinator.state.borrow_mut();
+        let engine = state.engine_mut(&self.target.engine, self.target.birth);
+        let engine = engine.ok_or(OrderStop::EngineGone)?;
+        if Some(report.sequence) > engine.sequence {
+            return Err(OrderStop::Changed);
+        }
+        Ok(())
+    }
+
+    /// Takes over what the engine says that it holds.
+    async fn audit(&self) {
+        let report = self.ask().await;
+        let mut state = self.coordinator.state.borrow_mut();
+        let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) else {
+            return;
+        };
+        match report {
+            Some(report) if !report.busy => engine.note_report(report.sequence, &report.models),
+            Some(_) => engine.note_failed(clock::now(), REST),
+            None => engine.note_failed(clock::now(), LONG_REST),
+        }
+    }
+
+    /// What the engine says of itself, if it answers.
+    async fn ask(&self) -> Option<EngineReport> {
         let address = {
             let mut state = self.coordinator.state.borrow_mut();
-            let engine = state.engine_mut(&self.target.engine, self.target.birth);
-            let Some(engine) = engine else {
-                return;
-            };
+            let engine = state.engine_mut(&self.target.engine, self.target.birth)?;
             engine.info.address
         };
         match fetch_report(&self.caller, address, REPORT_TIMEOUT).await {
@@ -258,17 +294,16 @@
                 info!(
                     self.gateway.logger, "order: engine asked"; "engine" => %self.target.engine,
                     "sequence" => report.sequence.0, "busy" => report.busy,
+                    "models" => report.models.len(),
                 );
-                let mut state = self.coordinator.state.borrow_mut();
-                if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
-                    engine.note_sequence(report.sequence);
-                }
+                Some(report)
             }
             Err(cause) => {
                 warn!(
                     self.gateway.logger, "order: engine does not report";
                     "engine" => %self.target.engine, "cause" => %cause,
                 );
+                None
             }
         }
     }
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -20,6 +20,8 @@
 use crate::queue::WaitQueue;
 
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Age of the coordinator's view from which on a daemon reads the store itself.
+const VIEW_AGE: TimeSpan = TimeSpan::from_millis(900);
 /// Daemons assumed when none has been heard of, so that shares stay small.
 const UNKNOWN_DAEMONS: usize = 16;
 
@@ -43,6 +45,8 @@
     pub(crate) manifest_wanted: Notify,
     /// When a view that the store vouches for last came.
     pub(crate) view_fresh: Cell<Option<MonoTime>>,
+    /// Own reads of engines from the store that succeeded in a row.
+    pub(crate) store_streak: Cell<u32>,
     /// Whether the engines in the store have ever been read or heard of.
     pub(crate) engines_known: Cell<bool>,
     /// Wakes the sender of reports before its time.
@@ -79,6 +83,7 @@
             manifest_heard: Cell::default(),
             manifest_wanted: Notify::new(),
             view_fresh: Cell::default(),
+            store_streak: Cell::default(),
             engines_known: Cell::default(),
             report_wanted: Notify::new(),
             stopping: Cell::default(),
@@ -127,6 +132,12 @@
         self.manifest_wanted.notify_one();
     }
 
+    /// Whether the coordinator tells what the store says, as of a moment ago.
+    pub(crate) fn hears_view(&self) -> bool {
+        let fresh = self.view_fresh.get();
+        fresh.is_some_and(|fresh| clock::now().since(fresh) < VIEW_AGE)
+    }
+
     /// Whether requests can be routed.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.manifest.borrow().is_some() && self.engines_known.get()
--- a/crates/ward-gateway/src/hub/frame.rs
+++ b/crates/ward-gateway/src/hub/frame.rs
@@ -29,6 +29,10 @@
         TooLong(bytes: usize) {
             display("a message of {bytes} bytes")
         }
+        /// The coordinator has lost the store.
+        CutOff {
+            display("the coordinator is cut off from the store")
+        }
         /// Nothing came for too long.
         Silent {
             display("nothing came for too long")
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -17,6 +17,7 @@
 use ward_protocol::TimeSpan;
 use ward_protocol::codec::decode;
 
+use super::check::check_members;
 use super::frame::{FrameError, encode_frame, read_frame};
 use crate::clock;
 use crate::coordinator::take_over;
@@ -33,6 +34,11 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(700);
 /// Age of the store's news up to which a view stands for the store's.
 const FRESH_STORE: TimeSpan = TimeSpan::from_millis(900);
+/// Age of the coordinator's news from the store from which on it is taken to be
+/// cut off, if others do hear the store.
+const CUT_OFF_AGE: TimeSpan = TimeSpan::from_millis(2_000);
+/// Own reads in a row that show that the store can be reached.
+const READS_TO_JUDGE: u32 = 3;
 /// Longest extra wait of the smallest host before it takes over.
 const SIZE_DELAY_MILLIS: u64 = 400;
 /// Cores, in thousandths, from which on a host waits least.
@@ -45,13 +51,15 @@
     tokio::time::sleep(candidate_delay(&gateway.settings())).await;
     loop {
         if let Some(address) = find_coordinator(&gateway, &mut watch).await {
-            let ended = follow(&gateway, address).await;
+            let ended = follow(&gateway, address, &mut watch).await;
             gateway.view_fresh.set(None);
+            gateway.manifest_wanted.notify_one();
             warn!(
                 gateway.logger, "coordinator: link lost";
                 "address" => %address, "why" => ended.err().map(|cause| cause.to_string()),
             );
         }
+        check_members(&gateway).await;
         tokio::time::sleep(LOOK_PAUSE).await;
     }
 }
@@ -94,7 +102,11 @@
         .map(|(term, _)| term.peers)
 }
 
-async fn follow(gateway: &Rc<Gateway>, address: SocketAddr) -> Result<(), FrameError> {
+async fn follow(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    watch: &mut TermWatch,
+) -> Result<(), FrameError> {
     let connect = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address));
     let stream = connect.await.map_err(|_| FrameError::Silent)??;
     stream.set_nodelay(true)?;
@@ -113,7 +125,13 @@
             let next = read_frame::<CoordinatorMessage>(&mut reader);
             let message = tokio::time::timeout(SILENCE, next).await;
             match message.map_err(|_| FrameError::Silent)?? {
-                Some(CoordinatorMessage::View(view)) => apply_view(gateway, &view),
+                Some(CoordinatorMessage::View(view)) => {
+                    watch.note(view.renewal, false, clock::now());
+                    apply_view(gateway, &view);
+                    if is_cut_off(gateway, &view) {
+                        return Err(FrameError::CutOff);
+                    }
+                }
                 None => return Err(FrameError::Refused),
             }
         }
@@ -148,12 +166,18 @@
     }
 }
 
+/// Whether the coordinator cannot reach the store while this daemon can.
+fn is_cut_off(gateway: &Gateway, view: &FleetView) -> bool {
+    view.store_age > CUT_OFF_AGE && gateway.store_streak.get() >= READS_TO_JUDGE
+}
+
 /// This daemon as others see it.
 pub(super) fn own_member(settings: &HostSettings) -> HostMember {
     HostMember {
         daemon: settings.daemon.clone(),
         zone: settings.zone.clone(),
         callers: settings.callers,
+        peers: settings.peers,
         capacity: settings.capacity,
     }
 }
@@ -162,6 +186,10 @@
     let notes = gateway.take_notes();
     LoadReport {
         running: gateway.table.borrow().running_counts(),
+        manifest: gateway
+            .manifest()
+            .map(|manifest| manifest.version)
+            .unwrap_or_default(),
         waiting: gateway.queue.waiting_counts(),
         arrivals: notes.arrivals,
         crashes: notes.crashes,
--- a/crates/ward-gateway/src/hub/mod.rs
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between daemons: every daemon's link to the coordinator.
 
+mod check;
 mod frame;
 mod member;
 mod server;
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -47,7 +47,7 @@
     let (reader, writer) = stream.into_split();
     let (key, frames) = coordinator.add_link();
     let ended = tokio::select! {
-        result = read_reports(&coordinator, key, reader) => result,
+        result = read_reports(&gateway, &coordinator, key, reader) => result,
         result = write_views(frames, writer) => result,
         () = coordinator.ended() => Ok(()),
     };
@@ -60,6 +60,7 @@
 }
 
 async fn read_reports(
+    gateway: &Gateway,
     coordinator: &ActiveCoordinator,
     key: ward_fleet::placement::MemberKey,
     reader: OwnedReadHalf,
@@ -71,7 +72,8 @@
         match message.map_err(|_| FrameError::Silent)?? {
             Some(MemberMessage::Hello(member)) => coordinator.note_member(key, member),
             Some(MemberMessage::Report(report)) => {
-                coordinator.note_report(key, report, clock::now())
+                gateway.hear_manifest(report.manifest);
+                coordinator.note_report(key, report, clock::now());
             }
             Some(MemberMessage::Leaving) => coordinator.note_leaving(key),
             None => return Ok(()),
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use slog::{debug, info, warn};
 use ward_adapter::{StoreError, StoreRecord, StoreTail, StoreTopic, decode_entry};
-use ward_fleet::{EngineEntry, EngineInfo};
+use ward_fleet::{EngineBirth, EngineEntry, EngineInfo, HeartbeatCount};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use crate::clock;
@@ -20,8 +20,6 @@
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(250);
 /// Time between reads of a daemon that does not hear from the coordinator.
 const LONE_PAUSE: Duration = Duration::from_millis(500);
-/// Age of the coordinator's view from which on a daemon reads itself.
-const VIEW_AGE: TimeSpan = TimeSpan::from_millis(900);
 /// Time after the store's return in which engines register again.
 const RETURN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
 
@@ -30,6 +28,15 @@
     /// When the store last failed to answer.
     failed: Option<MonoTime>,
     lapsed: IndexMap<BackendId, MonoTime>,
+    /// The newest heartbeat seen of each engine, also of those that left.
+    newest: IndexMap<BackendId, SeenHeartbeat>,
+}
+
+/// Place of a heartbeat among all of its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct SeenHeartbeat {
+    birth: Option<EngineBirth>,
+    heartbeat: HeartbeatCount,
 }
 
 /// Keeps the table of engines up to date.
@@ -38,10 +45,13 @@
         next: None,
         failed: None,
         lapsed: IndexMap::new(),
+        newest: IndexMap::new(),
     };
     loop {
-        if gateway.coordinator.is_active() || !hears_view(&gateway) {
+        if gateway.coordinator.is_active() || !gateway.hears_view() {
             reader.read_once(&gateway).await;
+        } else {
+            gateway.store_streak.set(0);
         }
         reader.drop_lapsed(&gateway);
         let pause = if gateway.coordinator.is_active() {
@@ -53,11 +63,6 @@
     }
 }
 
-fn hears_view(gateway: &Gateway) -> bool {
-    let fresh = gateway.view_fresh.get();
-    fresh.is_some_and(|fresh| clock::now().since(fresh) < VIEW_AGE)
-}
-
 impl EngineReader {
     async fn read_once(&mut self, gateway: &Gateway) {
         let complete = self.next.is_none();
@@ -79,6 +84,9 @@
                     .inc();
                 self.next = Some(tail.end);
                 self.apply(gateway, &tail, complete);
+                gateway
+                    .store_streak
+                    .set(gateway.store_streak.get().saturating_add(1));
                 gateway.coordinator.note_store(clock::now());
                 if !gateway.engines_known.replace(true) {
                     info!(gateway.logger, "engines: known"; "count" => tail.records.len());
@@ -90,6 +98,7 @@
                     .store_calls
                     .with_label_values(&["failed"])
                     .inc();
+                gateway.store_streak.set(0);
                 if self.failed.replace(clock::now()).is_none() {
                     warn!(gateway.logger, "engines: store lost"; "cause" => %cause);
                 }
@@ -135,6 +144,24 @@
                 return;
             }
         };
+        let seen = SeenHeartbeat {
+            birth: entry.birth,
+            heartbeat: entry.heartbeat,
+        };
+        // The store may list an old heartbeat again after a newer one, or after
+        // the engine has left.
+        if self
+            .newest
+            .get(&entry.id)
+            .is_some_and(|newest| *newest >= seen)
+        {
+            debug!(
+                gateway.logger, "engines: old heartbeat ignored";
+                "engine" => %entry.id, "heartbeat" => entry.heartbeat.0,
+            );
+            return;
+        }
+        self.newest.insert(entry.id.clone(), seen);
         self.lapsed.shift_remove(&entry.id);
         note_entry(gateway, &entry);
     }
@@ -176,7 +203,7 @@
     let mut table = gateway.table.borrow_mut();
     let known = table.get(&entry.id).map(|engine| engine.info.clone());
     let coordinates = gateway.coordinator.is_active();
-    let alone = !coordinates && !hears_view(gateway);
+    let alone = !coordinates && !gateway.hears_view();
     table.insert_entry(info.clone(), alone);
     drop(table);
     gateway.coordinator.note_entry(entry, clock::now());
@@ -190,7 +217,6 @@
             gateway.logger, "engines: entry changed"; "engine" => %entry.id,
             "service" => %entry.service, "draining" => info.draining,
             "models" => entry.models.len(), "on_disk" => entry.on_disk.len(),
-            "sequence" => entry.sequence.0,
         );
     }
     if changed || alone {
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -13,9 +13,11 @@
 
 use crate::gateway::Gateway;
 
-/// Wait at the store for a new manifest; bounds how long a silent connection
-/// goes unnoticed.
-const READ_WAIT: TimeSpan = TimeSpan::from_millis(4_000);
+/// Wait at the store for a new manifest while the coordinator would tell of one.
+const LONG_WAIT: TimeSpan = TimeSpan::from_millis(10_000);
+/// Wait at the store otherwise; bounds how long a silent connection goes
+/// unnoticed.
+const SHORT_WAIT: TimeSpan = TimeSpan::from_millis(800);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
@@ -27,7 +29,10 @@
         let result = tokio::select! {
             result = read(&gateway, next) => result,
             () = gateway.manifest_wanted.notified() => {
-                info!(gateway.logger, "manifest: another daemon has a newer one");
+                info!(
+                    gateway.logger, "manifest: read anew";
+                    "heard_of" => gateway.manifest_heard.get().0,
+                );
                 next = None;
                 continue;
             }
@@ -66,10 +71,9 @@
 async fn read(gateway: &Gateway, next: Option<u64>) -> Result<StoreTail, StoreError> {
     match next {
         Some(from) => {
-            gateway
-                .store
-                .read(StoreTopic::Manifest, from, READ_WAIT)
-                .await
+            let told = gateway.hears_view() && !gateway.coordinator.is_active();
+            let wait = if told { LONG_WAIT } else { SHORT_WAIT };
+            gateway.store.read(StoreTopic::Manifest, from, wait).await
         }
         None => gateway.store.newest(StoreTopic::Manifest).await,
     }
