--- /dev/null
+++ b/crates/ward-fleet/tests/budget.rs
@@ -0,0 +1,41 @@
+//! The budget of repeats.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{at, bounds};
+use ward_fleet::RepeatBudget;
+
+fn spend(budget: &mut RepeatBudget, daemons: usize) -> usize {
+    (0..1_000)
+        .take_while(|_| budget.take_repeat(at(1_000), &bounds(), daemons))
+        .count()
+}
+
+#[gtest]
+fn take_repeat_all_daemons_together_stay_within_the_slack() {
+    for daemons in [1, 9, 77, 300] {
+        let spent = spend(&mut RepeatBudget::default(), daemons) * daemons;
+        expect_that!(spent as f64, le(bounds().repeat_slack));
+    }
+}
+
+#[gtest]
+fn take_repeat_requests_earn_more() {
+    let mut budget = RepeatBudget::default();
+    for _ in 0..500 {
+        budget.note_request(at(0), &bounds());
+    }
+    let spent = spend(&mut budget, 9) as f64;
+    let allowed = bounds().repeat_ratio * 500.0 + bounds().repeat_slack / 9.0;
+    expect_that!(spent, all!(ge(50.0), le(allowed)));
+}
+
+#[gtest]
+fn take_repeat_window_slides() {
+    let mut budget = RepeatBudget::default();
+    let first = spend(&mut budget, 1);
+    expect_that!(first, gt(0));
+    expect_false!(budget.take_repeat(at(2_000), &bounds(), 1));
+    expect_true!(budget.take_repeat(at(11_500), &bounds(), 1));
+}
--- /dev/null
+++ b/crates/ward-fleet/tests/choice.rs
@@ -0,0 +1,144 @@
+//! Which engine a request goes to.
+
+mod support;
+
+use googletest::prelude::*;
+use indexmap::IndexSet;
+use support::{at, id, info, name, service};
+use ward_fleet::choice::EngineChoice;
+use ward_fleet::health::EngineSign;
+use ward_fleet::{EngineLoad, EngineTable, EngineWish, FleetView, HeldModel, choose_engine};
+use ward_protocol::{BackendId, FenceNumber, ModelName, TimeSpan};
+
+fn table(engines: &[(&str, &[&str])]) -> EngineTable {
+    let mut table = EngineTable::default();
+    for (engine, models) in engines {
+        table.insert(info(engine, models));
+    }
+    table
+}
+
+fn choose(table: &EngineTable, model: &str, avoided: &[&str]) -> EngineChoice {
+    let (service, model): (_, ModelName) = (service(), name(model));
+    let wish = EngineWish {
+        service: &service,
+        model: Some(&model),
+        adapter: None,
+        shared_tokens: 0,
+        shared_part: None,
+    };
+    let avoided: IndexSet<BackendId> = avoided.iter().map(|text| id(text)).collect();
+    choose_engine(table, &wish, &name("north"), &avoided, at(0), |_| 0)
+}
+
+fn loads(counts: &[(&str, u32)]) -> FleetView {
+    let loads = counts.iter().map(|(engine, count)| EngineLoad {
+        engine: id(engine),
+        count: *count,
+    });
+    FleetView {
+        term: FenceNumber(1),
+        renewal: 0,
+        complete: false,
+        engines: Vec::new(),
+        gone: Vec::new(),
+        loads: Some(loads.collect()),
+        members: None,
+        manifest: ward_fleet::ManifestVersion(1),
+        store_age: TimeSpan::ZERO,
+        poisoned: Vec::new(),
+    }
+}
+
+#[gtest]
+fn choose_engine_takes_the_least_loaded_holder() {
+    let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"]), ("e3", &["m2"])]);
+    table.apply(&loads(&[("e1", 5), ("e2", 1)]));
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e2"))));
+}
+
+#[gtest]
+fn choose_engine_own_requests_count_at_once() {
+    let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"])]);
+    let model: ModelName = name("m1");
+    for _ in 0..10 {
+        let EngineChoice::Engine(engine) = choose(&table, "m1", &[]) else {
+            panic!("no engine");
+        };
+        table.begin(&engine, Some(&model), None);
+    }
+    for engine in table.iter() {
+        expect_that!(engine.running(), eq(5));
+    }
+}
+
+#[gtest]
+fn choose_engine_full_and_missing_differ() {
+    let mut table = table(&[("e1", &["m1"])]);
+    expect_that!(choose(&table, "m9", &[]), eq(&EngineChoice::Missing));
+    table.apply(&loads(&[("e1", 12)]));
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Full));
+}
+
+#[gtest]
+fn choose_engine_draining_engine_gets_nothing() {
+    let mut table = EngineTable::default();
+    table.insert(ward_fleet::EngineInfo { draining: true, ..info("e1", &["m1"]) });
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::NoEngine));
+}
+
+#[gtest]
+fn choose_engine_ejected_engine_is_the_last_resort() {
+    let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"])]);
+    table.note(&id("e1"), EngineSign::Unreachable, at(0));
+    table.apply(&loads(&[("e2", 6)]));
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e2"))));
+    table.remove(&id("e2"));
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e1"))));
+}
+
+#[gtest]
+fn choose_engine_avoided_engine_is_used_only_alone() {
+    let table = table(&[("e1", &["m1"]), ("e2", &["m1"])]);
+    expect_that!(choose(&table, "m1", &["e1"]), eq(&EngineChoice::Engine(id("e2"))));
+    expect_that!(choose(&table, "m1", &["e1", "e2"]), matches_pattern!(EngineChoice::Engine(_)));
+}
+
+#[gtest]
+fn insert_old_news_does_not_end_draining() {
+    let mut table = EngineTable::default();
+    table.insert(ward_fleet::EngineInfo { draining: true, ..info("e1", &["m1"]) });
+    table.insert(info("e1", &["m1"]));
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::NoEngine));
+}
+
+#[gtest]
+fn insert_new_life_forgets_what_was_held() {
+    let mut table = table(&[("e1", &["m1"])]);
+    let birth = Some(ward_fleet::EngineBirth(2));
+    table.insert(ward_fleet::EngineInfo { birth, ..info("e1", &[]) });
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Missing));
+    table.insert(info("e1", &["m1"]));
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Missing));
+}
+
+#[gtest]
+fn choose_engine_adapter_must_be_there() {
+    let mut table = EngineTable::default();
+    let holding = vec![HeldModel { model: name("m1"), adapters: vec![name("a2")] }];
+    table.insert(ward_fleet::EngineInfo { holding, ..info("e1", &[]) });
+    let (service, model): (_, ModelName) = (service(), name("m1"));
+    let choice = |adapter: &str| {
+        let adapter = name(adapter);
+        let wish = EngineWish {
+            service: &service,
+            model: Some(&model),
+            adapter: Some(&adapter),
+            shared_tokens: 0,
+            shared_part: None,
+        };
+        choose_engine(&table, &wish, &name("north"), &IndexSet::new(), at(0), |_| 0)
+    };
+    expect_that!(choice("a1"), eq(&EngineChoice::Missing));
+    expect_that!(choice("a2"), eq(&EngineChoice::Engine(id("e1"))));
+}
--- /dev/null
+++ b/crates/ward-fleet/tests/lease.rs
@@ -0,0 +1,72 @@
+//! Who may give orders, and from when on.
+
+mod support;
+
+use googletest::prelude::*;
+use support::at;
+use ward_fleet::{CoordinatorLease, LeaseWindow, TermWatch};
+use ward_protocol::{FenceNumber, MonoTime, TimeSpan};
+
+const LEASE: TimeSpan = TimeSpan::from_secs(3);
+
+fn window() -> LeaseWindow {
+    LeaseWindow::new(LEASE)
+}
+
+#[gtest]
+fn lease_orders_only_within_the_window() {
+    let lease = CoordinatorLease::begin(4, at(1_000));
+    expect_that!(lease.fence, eq(FenceNumber(5)));
+    expect_true!(lease.may_order(&window(), at(1_100)));
+    expect_false!(lease.may_order(&window(), at(1_000) + window().orders));
+}
+
+#[gtest]
+fn lease_renewal_counts_from_its_start() {
+    let mut lease = CoordinatorLease::begin(0, at(0));
+    lease.renew(1, at(400));
+    expect_that!(lease.next, eq(2));
+    expect_that!(lease.fence, eq(FenceNumber(1)));
+    expect_true!(lease.may_order(&window(), at(1_400)));
+    expect_false!(lease.may_order(&window(), at(400) + window().orders));
+}
+
+#[gtest]
+fn lease_suspended_holder_may_not_order() {
+    let lease = CoordinatorLease::begin(0, at(0));
+    expect_false!(lease.may_order(&window(), at(20_000)));
+}
+
+#[gtest]
+fn watch_without_any_record_takes_over_at_once() {
+    expect_true!(TermWatch::default().may_take_over(&window(), at(0)));
+}
+
+#[gtest]
+fn watch_waits_for_the_last_order_and_a_lease() {
+    let mut watch = TermWatch::default();
+    watch.note(7, false, at(100));
+    expect_false!(watch.may_take_over(&window(), at(100) + LEASE));
+    let last_order = at(100) + window().orders;
+    expect_false!(watch.may_take_over(&window(), last_order + LEASE));
+    expect_true!(watch.may_take_over(&window(), at(100) + window().takeover));
+    expect_that!(window().takeover, gt(window().orders + LEASE));
+}
+
+#[gtest]
+fn watch_renewal_begins_the_wait_anew() {
+    let mut watch = TermWatch::default();
+    watch.note(7, false, at(0));
+    watch.note(7, false, at(2_000));
+    watch.note(8, false, at(4_000));
+    expect_false!(watch.may_take_over(&window(), at(0) + window().takeover));
+    expect_true!(watch.may_take_over(&window(), at(4_000) + window().takeover));
+}
+
+#[gtest]
+fn watch_release_still_waits_a_lease() {
+    let mut watch = TermWatch::default();
+    watch.note(7, true, at(0));
+    expect_false!(watch.may_take_over(&window(), MonoTime(LEASE.micros())));
+    expect_true!(watch.may_take_over(&window(), at(0) + window().release));
+}
--- /dev/null
+++ b/crates/ward-fleet/tests/placement.rs
@@ -0,0 +1,221 @@
+//! Which model lies where, under the loads that the plans answer.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{at, entry, held, id, manifest, name, report, running, service, waiting};
+use ward_fleet::placement::{
+    AuditState, LoadSource, MemberKey, ModelKey, ModelWork, PlacementState, PlannedWork,
+    WorkReason, plan_work,
+};
+use ward_fleet::{EngineEntry, LoadReport, OrderSequence, ServingManifest};
+use ward_protocol::{MonoTime, TimeSpan};
+
+const WINDOW: TimeSpan = TimeSpan::from_secs(5);
+
+fn state(entries: &[EngineEntry]) -> PlacementState {
+    let mut state = PlacementState::default();
+    for entry in entries {
+        state.note_entry(entry, at(0));
+        let engine = state.engine_mut(&entry.id, entry.birth).unwrap();
+        engine.note_report(OrderSequence(0), &entry.models);
+    }
+    state
+}
+
+fn plan(
+    state: &mut PlacementState,
+    manifest: &ServingManifest,
+    load: LoadReport,
+    now: MonoTime,
+) -> Vec<PlannedWork> {
+    state.note_report(MemberKey(1), load);
+    state.settle(now);
+    plan_work(state, manifest, WINDOW, now)
+}
+
+fn models(works: &[PlannedWork]) -> Vec<&ModelWork> {
+    let works = works.iter().filter_map(|work| match work {
+        PlannedWork::Model(work) => Some(work),
+        _ => None,
+    });
+    works.collect()
+}
+
+#[gtest]
+fn plan_work_new_engine_is_asked_before_it_gets_orders() {
+    let mut state = PlacementState::default();
+    state.note_entry(&entry("e1", &[], &["m1"]), at(0));
+    let manifest = manifest(&["m1"]);
+    let load = report(vec![], vec![waiting("m1", None, 1)]);
+    let works = plan(&mut state, &manifest, load.clone(), at(2_000));
+    expect_that!(works, elements_are![matches_pattern!(PlannedWork::Audit(_))]);
+    expect_that!(plan(&mut state, &manifest, load, at(2_010)), is_empty());
+}
+
+#[gtest]
+fn plan_work_missing_model_comes_from_the_engine_that_has_a_copy() {
+    let entries = [entry("e1", &[], &[]), entry("e2", &["m2", "m3", "m4"], &["m1"])];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1", "m2", "m3", "m4"]);
+    let load = report(vec![], vec![waiting("m1", None, 1)]);
+    let works = plan(&mut state, &manifest, load, at(2_000));
+    let works = models(&works);
+    expect_that!(works.len(), eq(1));
+    expect_that!(works[0].engine, eq(&id("e2")));
+    expect_that!(works[0].source, eq(LoadSource::Disk));
+    expect_that!(works[0].unload.len(), eq(1));
+}
+
+#[gtest]
+fn plan_work_models_in_use_do_not_make_way() {
+    let mut state = state(&[entry("e1", &["m2", "m3", "m4"], &["m1"])]);
+    let manifest = manifest(&["m1", "m2", "m3", "m4"]);
+    let busy = vec![running("e1", "m2", 1), running("e1", "m3", 1), running("e1", "m4", 1)];
+    let load = report(busy, vec![waiting("m1", None, 1)]);
+    expect_that!(models(&plan(&mut state, &manifest, load, at(2_000))), is_empty());
+}
+
+#[gtest]
+fn plan_work_one_load_for_many_that_wait() {
+    let entries = [entry("e1", &[], &["m1"]), entry("e2", &[], &["m1"])];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1"]);
+    let load = report(vec![], vec![waiting("m1", None, 1)]);
+    expect_that!(models(&plan(&mut state, &manifest, load.clone(), at(2_000))).len(), eq(1));
+    expect_that!(models(&plan(&mut state, &manifest, load, at(2_050))), is_empty());
+}
+
+#[gtest]
+fn plan_work_memory_is_never_exceeded() {
+    let names = ["m1", "m2", "m3", "m4", "m5", "m6"];
+    let mut state = state(&[entry("e1", &[], &names)]);
+    let manifest = manifest(&names);
+    for step in 0..60 {
+        let now = at(2_000 + step * 1_000);
+        let wanted = names[(step % 6) as usize];
+        let load = report(vec![], vec![waiting(wanted, None, 1)]);
+        for work in plan(&mut state, &manifest, load, now) {
+            let PlannedWork::Model(work) = work else {
+                continue;
+            };
+            let engine = state.engine_mut(&work.engine, work.birth).unwrap();
+            for victim in &work.unload {
+                engine.note_unloaded(victim);
+            }
+            let class = manifest.engine_class(&service()).unwrap();
+            expect_that!(engine.used(class), le(class.weight_memory));
+            engine.task = None;
+            engine.note_loaded(&work.model, now);
+        }
+    }
+}
+
+#[gtest]
+fn plan_work_busy_model_spreads_before_its_engine_is_full() {
+    let entries = [entry("e1", &["m1"], &["m1"]), entry("e2", &["m2"], &["m1", "m2"])];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1", "m2"]);
+    let mut spread = Vec::new();
+    for step in 0..20 {
+        let load = report(vec![running("e1", "m1", 8)], vec![]);
+        let works = plan(&mut state, &manifest, load, at(2_000 + step * 100));
+        spread.extend(models(&works).into_iter().cloned());
+    }
+    expect_that!(spread.len(), eq(1));
+    expect_that!(spread[0].reason, eq(WorkReason::Busy));
+    expect_that!(spread[0].engine, eq(&id("e2")));
+}
+
+#[gtest]
+fn plan_work_room_is_filled_with_models_that_lie_nowhere() {
+    let entries = [entry("e1", &["m1"], &["m1", "m2"]), entry("e2", &["m2"], &["m1", "m3"])];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1", "m2", "m3"]);
+    let works = plan(&mut state, &manifest, LoadReport::default(), at(2_000));
+    let works = models(&works);
+    expect_that!(works.len(), eq(1));
+    expect_that!(works[0].model, eq(&name("m3")));
+    expect_that!(works[0].reason, eq(WorkReason::Room));
+}
+
+#[gtest]
+fn plan_work_loads_from_the_store_keep_the_ceiling() {
+    let entries: Vec<_> = (0..20).map(|number| entry(&format!("e{number}"), &[], &[])).collect();
+    let mut state = state(&entries);
+    let names: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let manifest = manifest(&names);
+    let mut begun = 0;
+    for step in 0..50 {
+        let waiting = names.iter().map(|model| waiting(model, None, 1)).collect();
+        let now = at(2_000 + step * 100);
+        let works = plan(&mut state, &manifest, report(vec![], waiting), now);
+        for work in models(&works) {
+            expect_that!(work.source, eq(LoadSource::Store));
+            begun += 1;
+            state.engine_mut(&work.engine, work.birth).unwrap().task = None;
+        }
+    }
+    expect_that!(begun, all!(gt(0), le(17)));
+}
+
+#[gtest]
+fn plan_work_adapter_takes_the_slot_of_the_one_unused_longest() {
+    let mut entry = entry("e1", &[], &["m1"]);
+    entry.models = vec![held("m1", &["a1", "a2"])];
+    let mut state = state(&[entry]);
+    let manifest = manifest(&["m1"]);
+    let mut used = running("e1", "m1", 1);
+    used.adapter = Some(name("a1"));
+    let works = plan(&mut state, &manifest, report(vec![used], vec![]), at(2_000));
+    expect_that!(works, is_empty());
+    let load = report(vec![], vec![waiting("m1", Some("a3"), 1)]);
+    let works = plan(&mut state, &manifest, load, at(3_000));
+    let PlannedWork::Adapter(work) = &works[0] else {
+        panic!("no adapter is planned");
+    };
+    expect_that!(work.adapter, eq(&name("a3")));
+    expect_that!(work.unload, some(eq(&(name("m1"), name("a2")))));
+}
+
+#[gtest]
+fn note_entry_old_heartbeat_changes_nothing_but_asks() {
+    let mut state = state(&[entry("e1", &["m1"], &["m1"])]);
+    state.note_entry(&entry("e1", &["m2", "m3"], &["m1"]), at(5_000));
+    let engine = &state.engines[&id("e1")];
+    expect_true!(engine.held.contains_key(&name::<ward_protocol::ModelName>("m1")));
+    expect_that!(engine.held.len(), eq(1));
+    expect_that!(engine.audit, eq(AuditState::Needed));
+}
+
+#[gtest]
+fn note_failed_engine_is_asked_again_before_more_work() {
+    let mut state = state(&[entry("e1", &[], &["m1"])]);
+    let manifest = manifest(&["m1"]);
+    let load = report(vec![], vec![waiting("m1", None, 1)]);
+    let works = plan(&mut state, &manifest, load.clone(), at(2_000));
+    expect_that!(models(&works).len(), eq(1));
+    let engine = &mut state.engines[&id("e1")];
+    engine.task = None;
+    engine.note_failed(at(2_500), TimeSpan::from_millis(300));
+    expect_that!(plan(&mut state, &manifest, load.clone(), at(2_900)), is_empty());
+    let works = plan(&mut state, &manifest, load, at(6_000));
+    expect_that!(works, elements_are![matches_pattern!(PlannedWork::Audit(_))]);
+}
+
+#[gtest]
+fn demand_falls_slowly_and_rises_fast() {
+    let mut state = state(&[entry("e1", &["m1"], &["m1"])]);
+    let key = ModelKey { service: service(), model: name("m1") };
+    let load = report(vec![running("e1", "m1", 10)], vec![]);
+    state.note_report(MemberKey(1), load);
+    state.settle(at(1_000));
+    state.settle(at(3_000));
+    let high = state.demand.get(&key).unwrap().concurrency;
+    state.note_report(MemberKey(1), LoadReport::default());
+    state.settle(at(5_000));
+    let low = state.demand.get(&key).unwrap().concurrency;
+    expect_that!(high, gt(9.0));
+    expect_that!(low, gt(0.5 * high));
+}
--- /dev/null
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -0,0 +1,153 @@
+//! Engines, models and requests for tests.
+
+#![allow(dead_code, reason = "each test file uses some of it")]
+
+use indexmap::IndexMap;
+use ward_fleet::{
+    CallerLimits, EngineBirth, EngineClass, EngineEntry, EngineInfo, HeartbeatCount, HeldModel,
+    LoadReport, ManifestVersion, ModelClass, RouteKind, RouteTarget, RunningCount, ServiceClass,
+    ServingBounds, ServingManifest, ServingRoute, WaitingCount,
+};
+use ward_protocol::{BackendId, MemorySize, ModelName, MonoTime, ServiceName, TimeSpan};
+
+pub(crate) fn name<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+pub(crate) fn service() -> ServiceName {
+    name("assistant")
+}
+
+pub(crate) fn at(millis: u64) -> MonoTime {
+    MonoTime(millis * 1_000)
+}
+
+pub(crate) fn held(model: &str, adapters: &[&str]) -> HeldModel {
+    HeldModel {
+        model: name(model),
+        adapters: adapters.iter().map(|adapter| name(adapter)).collect(),
+    }
+}
+
+pub(crate) fn entry(id: &str, models: &[&str], on_disk: &[&str]) -> EngineEntry {
+    EngineEntry {
+        id: name(id),
+        service: service(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: name("north"),
+        slots: 12,
+        draining: false,
+        leaves_in: None,
+        birth: Some(EngineBirth(1)),
+        heartbeat: HeartbeatCount(1),
+        models: models.iter().map(|model| held(model, &[])).collect(),
+        in_memory: Vec::new(),
+        on_disk: on_disk.iter().map(|model| name(model)).collect(),
+    }
+}
+
+pub(crate) fn info(id: &str, models: &[&str]) -> EngineInfo {
+    EngineInfo::from(&entry(id, models, &[]))
+}
+
+pub(crate) fn model_class(gigabytes: u64) -> ModelClass {
+    ModelClass {
+        weights: MemorySize::from_gib(gigabytes),
+        adapter_weights: MemorySize::from_mib(64),
+        store_load: TimeSpan::from_secs(6),
+        disk_load: TimeSpan::from_millis(800),
+        memory_load: TimeSpan::from_millis(400),
+    }
+}
+
+/// A manifest with one route, and models of 60 GiB for engines of 200 GiB.
+pub(crate) fn manifest(models: &[&str]) -> ServingManifest {
+    let models: IndexMap<ModelName, ModelClass> = models
+        .iter()
+        .map(|model| (name(model), model_class(60)))
+        .collect();
+    let engine = EngineClass {
+        weight_memory: MemorySize::from_gib(200),
+        adapter_slots: 2,
+        loads_per_second: 3.5,
+        models,
+    };
+    let class = ServiceClass {
+        connection_cap: 100,
+        engine: Some(engine),
+    };
+    ServingManifest {
+        version: ManifestVersion(1),
+        routes: vec![route("/a/")],
+        services: [(service(), class)].into_iter().collect(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            header_timeout: TimeSpan::from_secs(3),
+            idle_timeout: TimeSpan::from_secs(15),
+        },
+    }
+}
+
+pub(crate) fn route(prefix: &str) -> ServingRoute {
+    ServingRoute {
+        name: prefix.to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![RouteTarget {
+            service: service(),
+            weight: 1.0,
+        }],
+        kind: RouteKind::Safe,
+        timeout: TimeSpan::from_secs(5),
+        target_latency: TimeSpan::from_millis(500),
+        attempts: 2,
+        priority: 0,
+    }
+}
+
+pub(crate) fn bounds() -> ServingBounds {
+    ServingBounds {
+        stop_grace: TimeSpan::from_secs(8),
+        lease: TimeSpan::from_secs(3),
+        repeat_ratio: 0.2,
+        repeat_slack: 50.0,
+        repeat_window: TimeSpan::from_secs(10),
+        load_window: TimeSpan::from_secs(5),
+        longest_ttl: TimeSpan::from_secs(5),
+    }
+}
+
+pub(crate) fn waiting(model: &str, adapter: Option<&str>, count: u32) -> WaitingCount {
+    WaitingCount {
+        service: service(),
+        model: name(model),
+        adapter: adapter.map(name),
+        count,
+    }
+}
+
+pub(crate) fn running(engine: &str, model: &str, count: u32) -> RunningCount {
+    RunningCount {
+        engine: name(engine),
+        model: Some(name(model)),
+        adapter: None,
+        count,
+    }
+}
+
+pub(crate) fn report(running: Vec<RunningCount>, waiting: Vec<WaitingCount>) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        ..LoadReport::default()
+    }
+}
+
+pub(crate) fn id(text: &str) -> BackendId {
+    name(text)
+}
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -386,6 +386,7 @@
         Err(not_run(match failure {
             WaitFailure::NoEngine => "the service has no engine",
             WaitFailure::Timeout => "no engine had room in time",
+            WaitFailure::Closed => "the daemon stops",
         }))
     }
 
--- a/crates/ward-gateway/src/front/listen.rs
+++ b/crates/ward-gateway/src/front/listen.rs
@@ -65,14 +65,18 @@
     }
 }
 
-/// Accepts callers until the process ends.
+/// Accepts callers until connections are to be closed.
 pub(crate) async fn accept_callers(
     gateway: Rc<Gateway>,
     listener: TcpListener,
     listening: Rc<Listening>,
 ) {
-    loop {
-        match listener.accept().await {
+    while !listening.closing.get() {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = listening.changed.notified() => continue,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 listening.open.set(listening.open.get() + 1);
                 let guard = OpenGuard(Rc::clone(&listening));
--- a/crates/ward-gateway/src/queue.rs
+++ b/crates/ward-gateway/src/queue.rs
@@ -73,6 +73,8 @@
     waiters: RefCell<IndexMap<u64, Waiter>>,
     next: Cell<u64>,
     changed: Notify,
+    /// Whether no request may wait any more.
+    closed: Cell<bool>,
 }
 
 /// Why a request got no engine.
@@ -82,6 +84,8 @@
     NoEngine,
     /// Its time ran out.
     Timeout,
+    /// The daemon stops, so another one must serve it.
+    Closed,
 }
 
 /// A place at an engine; given back when dropped.
@@ -124,6 +128,14 @@
         self.changed.notify_one();
     }
 
+    /// Ends all waits, now and later.
+    pub(crate) fn close(&self) {
+        self.closed.set(true);
+        for waiter in self.waiters.borrow_mut().values_mut() {
+            drop(waiter.grant.take());
+        }
+    }
+
     /// Waiting requests by model and adapter.
     pub(crate) fn waiting_counts(&self) -> Vec<WaitingCount> {
         let mut counts: IndexMap<WaitKey, u32> = IndexMap::new();
@@ -162,6 +174,9 @@
         EngineChoice::Missing => gateway.report_wanted.notify_one(),
         EngineChoice::Full => {}
     }
+    if gateway.queue.closed.get() {
+        return Err(WaitFailure::Closed);
+    }
     wait(gateway, ticket).await
 }
 
@@ -184,6 +199,7 @@
     };
     match tokio::time::timeout(left.duration(), granted).await {
         Ok(Ok(lease)) => Ok(lease),
+        Ok(Err(_)) if queue.closed.get() => Err(WaitFailure::Closed),
         Ok(Err(_)) => Err(WaitFailure::NoEngine),
         Err(_) => Err(WaitFailure::Timeout),
     }
--- a/crates/ward-gateway/src/stop.rs
+++ b/crates/ward-gateway/src/stop.rs
@@ -13,12 +13,14 @@
 use crate::front::Listening;
 use crate::gateway::Gateway;
 
-/// Least time that a stopping daemon stays: callers may keep its address so long.
-const LEAST_STAY: Duration = Duration::from_secs(2);
+/// Part of the grace period in which requests are still taken, in percent:
+/// callers may keep the address for a while, and what is taken last must have
+/// time to end.
+const TAKING_PERCENT: u32 = 45;
 /// Time before the end of the grace period at which the process ends.
-const END_MARGIN: TimeSpan = TimeSpan::from_millis(600);
-/// Time for the last answers after connections are told to close.
-const CLOSE_TIME: Duration = Duration::from_millis(200);
+const END_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+/// Time for the last bytes of answers to leave.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
 const CHECK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Waits for SIGTERM or SIGINT, then serves what is left; returns when the
@@ -39,15 +41,14 @@
     gateway.stopping.set(true);
     gateway.report_wanted.notify_one();
     release(&gateway).await;
+    tokio::time::sleep_until(begun + grace.duration() * TAKING_PERCENT / 100).await;
+    info!(gateway.logger, "stop: takes no more"; "connections" => listening.open());
+    listening.close_all();
+    gateway.queue.close();
     let end = begun + grace.duration().saturating_sub(END_MARGIN.duration());
-    while Instant::now() < end {
-        let idle = listening.open() == 0 && begun.elapsed() >= LEAST_STAY;
-        if idle {
-            break;
-        }
+    while Instant::now() < end && listening.open() > 0 {
         tokio::time::sleep(CHECK_PAUSE).await;
     }
-    listening.close_all();
     tokio::time::sleep(CLOSE_TIME).await;
     info!(gateway.logger, "stop: ends"; "connections" => listening.open());
     Ok(())
