--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -4,7 +4,8 @@
 //! and every daemon sees only its own requests plus totals that are some tenths
 //! of a second old. Taking the least loaded of a few engines drawn at random
 //! spreads load well and keeps daemons with the same old totals from all
-//! choosing the same engine. Long shared prompts go where they were read last,
+//! choosing the same engine. Each takes no more than its share of an engine's free
+//! places between two counts, or all would take the last place at once. Long shared prompts go where they were read last,
 //! as long as that engine is not much busier than the others.
 
 use indexmap::IndexSet;
@@ -23,6 +24,36 @@
 /// Load, in requests, that a kept prompt is worth per thousand shared tokens.
 const STICKY_BONUS: f64 = 1.0;
 
+/// Part of an engine's free places that one daemon may take between two counts
+/// of all daemons' requests, times the number of daemons. Above one, since some
+/// daemons get more requests than others.
+const PLACE_SHARE: f64 = 2.0;
+
+/// What a daemon knows when it chooses.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceContext<'a> {
+    /// Its availability zone.
+    pub zone: &'a ZoneName,
+    /// Daemons that send requests to the same engines.
+    pub daemons: usize,
+    /// The present time.
+    pub now: MonoTime,
+}
+
+impl ChoiceContext<'_> {
+    /// Whether an engine has a place that this daemon may take.
+    fn is_open(&self, engine: &EngineRecord) -> bool {
+        if engine.health.is_full(self.now) || engine.running() >= engine.info.slots {
+            return false;
+        }
+        let others = engine.total.saturating_sub(engine.own_in_total);
+        let free = engine.info.slots.saturating_sub(others);
+        let share = (PLACE_SHARE * f64::from(free) / self.daemons.max(1) as f64).ceil();
+        let added = engine.own_count().saturating_sub(engine.own_in_total);
+        f64::from(added) < share
+    }
+}
+
 /// What a request needs of an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineWish<'a> {
@@ -65,9 +96,8 @@
 pub fn choose_engine(
     table: &EngineTable,
     wish: &EngineWish<'_>,
-    zone: &ZoneName,
+    context: &ChoiceContext<'_>,
     avoided: &IndexSet<BackendId>,
-    now: MonoTime,
     mut draw: impl FnMut(usize) -> usize,
 ) -> EngineChoice {
     let engines: Vec<_> = table.of_service(wish.service).collect();
@@ -81,17 +111,17 @@
     if fitting.is_empty() {
         return EngineChoice::Missing;
     }
-    prefer(&mut fitting, |engine| !engine.health.is_ejected(now));
+    prefer(&mut fitting, |engine| !engine.health.is_ejected(context.now));
     prefer(&mut fitting, |engine| !avoided.contains(&engine.info.id));
     let open: Vec<_> = fitting
         .into_iter()
-        .filter(|engine| engine.running() < engine.info.slots)
+        .filter(|engine| context.is_open(engine))
         .collect();
     let sticky = sticky_engine(&open, wish);
     let best_latency = best_latency(&open);
     let cost = |engine: &EngineRecord| {
         let mut cost = f64::from(engine.running());
-        if engine.info.zone == *zone {
+        if engine.info.zone == *context.zone {
             cost -= ZONE_BONUS;
         }
         if sticky == Some(&engine.info.id) {
--- a/crates/ward-fleet/src/directory.rs
+++ b/crates/ward-fleet/src/directory.rs
@@ -31,23 +31,16 @@
     if chosen.len() < FEWEST_HOSTS {
         chosen = large_hosts(&members.iter().collect::<Vec<_>>());
     }
-    chosen.sort_by_key(|member| std::cmp::Reverse(size(member)));
+    chosen.sort_by_key(|member| std::cmp::Reverse(member.capacity.size()));
     chosen.truncate(limit);
     chosen.into_iter().map(|member| member.callers).collect()
 }
 
 fn large_hosts<'a>(members: &[&'a HostMember]) -> Vec<&'a HostMember> {
-    let largest = members.iter().map(|member| size(member)).max().unwrap_or(0);
+    let largest = members.iter().map(|member| member.capacity.size()).max().unwrap_or(0);
     members
         .iter()
         .copied()
-        .filter(|member| size(member) * SMALLEST_PART >= largest)
+        .filter(|member| member.capacity.size() * SMALLEST_PART >= largest)
         .collect()
 }
-
-/// What limits a host: its processor or its link, in comparable units.
-fn size(member: &HostMember) -> u64 {
-    const LINK_PER_CORE_UNIT: u64 = 200;
-    let cores = u64::from(member.capacity.cores.0);
-    cores.min(member.capacity.link.0 / LINK_PER_CORE_UNIT)
-}
--- a/crates/ward-fleet/src/health.rs
+++ b/crates/ward-fleet/src/health.rs
@@ -13,6 +13,10 @@
 /// Failures in a row that eject an engine that can still be connected to.
 const FAILURES_TO_EJECT: u32 = 2;
 const MOST_DOUBLINGS: u32 = 4;
+/// Time for which an engine that refused for lack of room gets nothing; doubles
+/// with each refusal in a row.
+const FIRST_FULL: TimeSpan = TimeSpan::from_millis(100);
+const MOST_FULL_DOUBLINGS: u32 = 3;
 /// Weight of the newest first-byte time in the average.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -23,6 +27,8 @@
     Answered,
     /// It refused for lack of room.
     Full,
+    /// It lacks the model that was asked for.
+    Misplaced,
     /// It answered wrongly, or broke off.
     Failed,
     /// No connection came about.
@@ -34,6 +40,8 @@
 pub struct EngineHealth {
     failures: u32,
     ejected_until: MonoTime,
+    refusals: u32,
+    full_until: MonoTime,
     first_byte_millis: Option<f64>,
 }
 
@@ -44,8 +52,14 @@
             EngineSign::Answered => {
                 self.failures = 0;
                 self.ejected_until = MonoTime::default();
+                self.refusals = 0;
             }
-            EngineSign::Full => {}
+            EngineSign::Full => {
+                let doublings = self.refusals.min(MOST_FULL_DOUBLINGS);
+                self.refusals += 1;
+                self.full_until = now + TimeSpan::from_millis(FIRST_FULL.millis() << doublings);
+            }
+            EngineSign::Misplaced => {}
             EngineSign::Failed => {
                 self.failures += 1;
                 if self.failures >= FAILURES_TO_EJECT {
@@ -78,6 +92,12 @@
         now < self.ejected_until
     }
 
+    /// Whether it said a moment ago that it has no room.
+    #[must_use]
+    pub fn is_full(&self, now: MonoTime) -> bool {
+        now < self.full_until
+    }
+
     fn eject(&mut self, now: MonoTime) {
         let doublings = (self.failures - FAILURES_TO_EJECT).min(MOST_DOUBLINGS);
         let millis = FIRST_EJECTION.millis() << doublings;
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod table;
 
 pub use budget::RepeatBudget;
-pub use choice::{EngineWish, choose_engine};
+pub use choice::{ChoiceContext, EngineWish, choose_engine};
 pub use directory::choose_hosts;
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
 pub use fault::CrashLedger;
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -79,6 +79,16 @@
     pub descriptors: u32,
 }
 
+impl HostCapacity {
+    /// What limits a host, its processor or its link, as a size to compare
+    /// hosts by.
+    #[must_use]
+    pub fn size(&self) -> u64 {
+        const LINK_PER_CORE_UNIT: u64 = 200;
+        u64::from(self.cores.0).min(self.link.0 / LINK_PER_CORE_UNIT)
+    }
+}
+
 /// Bounds that the deployment promises.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServingBounds {
--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -123,8 +123,24 @@
         self.engines.retain(|_, engine| keep(engine));
     }
 
-    /// Takes over the coordinator's view.
-    pub fn apply(&mut self, view: &FleetView) {
+    /// Takes over the coordinator's view. One that is older than what this
+    /// daemon read from the store itself changes only engines that are known.
+    pub fn apply(&mut self, view: &FleetView, outdated: bool) {
+        if outdated {
+            for info in &view.engines {
+                if self.engines.contains_key(&info.id) {
+                    self.insert(info.clone());
+                }
+            }
+        } else {
+            self.apply_engines(view);
+        }
+        if let Some(loads) = &view.loads {
+            self.apply_loads(loads);
+        }
+    }
+
+    fn apply_engines(&mut self, view: &FleetView) {
         if view.complete {
             let listed = |id: &BackendId| view.engines.iter().any(|info| info.id == *id);
             self.engines.retain(|id, _| listed(id));
@@ -135,9 +151,6 @@
         for id in &view.gone {
             self.remove(id);
         }
-        if let Some(loads) = &view.loads {
-            self.apply_loads(loads);
-        }
     }
 
     fn apply_loads(&mut self, loads: &[EngineLoad]) {
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -7,7 +7,7 @@
 use support::{at, id, info, name, service};
 use ward_fleet::choice::EngineChoice;
 use ward_fleet::health::EngineSign;
-use ward_fleet::{EngineLoad, EngineTable, EngineWish, FleetView, HeldModel, choose_engine};
+use ward_fleet::{ChoiceContext, EngineLoad, EngineTable, EngineWish, FleetView, HeldModel, choose_engine};
 use ward_protocol::{BackendId, FenceNumber, ModelName, TimeSpan};
 
 fn table(engines: &[(&str, &[&str])]) -> EngineTable {
@@ -28,7 +28,17 @@
         shared_part: None,
     };
     let avoided: IndexSet<BackendId> = avoided.iter().map(|text| id(text)).collect();
-    choose_engine(table, &wish, &name("north"), &avoided, at(0), |_| 0)
+    choose_engine(table, &wish, &context(1), &avoided, |_| 0)
+}
+
+fn context(daemons: usize) -> ChoiceContext<'static> {
+    static ZONE: std::sync::LazyLock<ward_protocol::ZoneName> =
+        std::sync::LazyLock::new(|| name("north"));
+    ChoiceContext {
+        zone: &ZONE,
+        daemons,
+        now: at(0),
+    }
 }
 
 fn loads(counts: &[(&str, u32)]) -> FleetView {
@@ -53,7 +63,7 @@
 #[gtest]
 fn choose_engine_takes_the_least_loaded_holder() {
     let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"]), ("e3", &["m2"])]);
-    table.apply(&loads(&[("e1", 5), ("e2", 1)]));
+    table.apply(&loads(&[("e1", 5), ("e2", 1)]), false);
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e2"))));
 }
 
@@ -76,7 +86,7 @@
 fn choose_engine_full_and_missing_differ() {
     let mut table = table(&[("e1", &["m1"])]);
     expect_that!(choose(&table, "m9", &[]), eq(&EngineChoice::Missing));
-    table.apply(&loads(&[("e1", 12)]));
+    table.apply(&loads(&[("e1", 12)]), false);
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Full));
 }
 
@@ -91,7 +101,7 @@
 fn choose_engine_ejected_engine_is_the_last_resort() {
     let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"])]);
     table.note(&id("e1"), EngineSign::Unreachable, at(0));
-    table.apply(&loads(&[("e2", 6)]));
+    table.apply(&loads(&[("e2", 6)]), false);
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e2"))));
     table.remove(&id("e2"));
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e1"))));
@@ -137,8 +147,50 @@
             shared_tokens: 0,
             shared_part: None,
         };
-        choose_engine(&table, &wish, &name("north"), &IndexSet::new(), at(0), |_| 0)
+        choose_engine(&table, &wish, &context(9), &IndexSet::new(), |_| 0)
     };
     expect_that!(choice("a1"), eq(&EngineChoice::Missing));
     expect_that!(choice("a2"), eq(&EngineChoice::Engine(id("e1"))));
 }
+
+#[gtest]
+fn choose_engine_many_daemons_share_the_last_places() {
+    let mut table = table(&[("e1", &["m1"])]);
+    table.apply(&loads(&[("e1", 4)]), false);
+    let model: ModelName = name("m1");
+    let (service, avoided) = (service(), IndexSet::new());
+    let wish = EngineWish {
+        service: &service,
+        model: Some(&model),
+        adapter: None,
+        shared_tokens: 0,
+        shared_part: None,
+    };
+    let mut taken = 0;
+    while let EngineChoice::Engine(engine) =
+        choose_engine(&table, &wish, &context(77), &avoided, |_| 0)
+    {
+        table.begin(&engine, Some(&model), None);
+        taken += 1;
+    }
+    expect_that!(taken, eq(1));
+}
+
+#[gtest]
+fn choose_engine_full_engine_rests() {
+    let mut table = table(&[("e1", &["m1"])]);
+    table.note(&id("e1"), EngineSign::Full, at(0));
+    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Full));
+}
+
+#[gtest]
+fn apply_outdated_view_brings_no_engine_back() {
+    let mut table = EngineTable::default();
+    let mut view = loads(&[]);
+    view.complete = true;
+    view.engines = vec![info("e1", &["m1"])];
+    table.apply(&view, true);
+    expect_true!(table.is_empty());
+    table.apply(&view, false);
+    expect_false!(table.is_empty());
+}
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -17,6 +17,9 @@
 
 /// Time between views that count requests.
 const LOADS_PAUSE: TimeSpan = TimeSpan::from_millis(200);
+/// The same with many daemons, so that the coordinator's link carries it.
+const MANY_LOADS_PAUSE: TimeSpan = TimeSpan::from_millis(300);
+const MANY_DAEMONS: usize = 30;
 /// Time at the begin of a term in which daemons that are not connected yet are
 /// still listed.
 const JOIN_TIME: TimeSpan = TimeSpan::from_millis(2_500);
@@ -55,8 +58,13 @@
     let now = clock::now();
     let engines = coordinator.state.borrow().engine_infos();
     let members = current_members(coordinator, now);
+    let loads_pause = if members.len() > MANY_DAEMONS {
+        MANY_LOADS_PAUSE
+    } else {
+        LOADS_PAUSE
+    };
     let mut publisher = coordinator.publisher.borrow_mut();
-    let loads_due = now.since(publisher.loads_sent) >= LOADS_PAUSE;
+    let loads_due = now.since(publisher.loads_sent) >= loads_pause;
     let changed: Vec<_> = engines
         .values()
         .filter(|info| publisher.engines.get(&info.id) != Some(*info))
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use slog::{debug, warn};
+use slog::{info, warn};
 use ward_adapter::header::{closes, keep_alive};
 use ward_adapter::{AnswerMarks, CallMarks};
 use ward_fleet::health::EngineSign;
@@ -196,12 +196,12 @@
             AttemptEnd::Full
         };
         let (sign, why) = if misdirected {
-            (EngineSign::Full, "the engine lacks what it needs")
+            (EngineSign::Misplaced, "the engine lacks what it needs")
         } else {
             (EngineSign::Full, "the engine refused")
         };
         note(gateway, &attempt.lease, sign);
-        debug!(
+        info!(
             gateway.logger, "send: not run"; "request" => &request.id_text,
             "engine" => %attempt.lease.engine.id, "status" => status.as_u16(), "why" => why,
         );
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -20,8 +20,9 @@
 use crate::queue::WaitQueue;
 
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
-/// Age of the coordinator's view from which on a daemon reads the store itself.
-const VIEW_AGE: TimeSpan = TimeSpan::from_millis(900);
+/// Age of the coordinator's news from the store from which on a daemon reads the
+/// store itself; well below the time in which a draining engine must be known.
+const VIEW_AGE: TimeSpan = TimeSpan::from_millis(1_000);
 /// Daemons assumed when none has been heard of, so that shares stay small.
 const UNKNOWN_DAEMONS: usize = 16;
 
@@ -43,8 +44,10 @@
     pub(crate) manifest_heard: Cell<ManifestVersion>,
     /// Wakes the reader of manifests.
     pub(crate) manifest_wanted: Notify,
-    /// When a view that the store vouches for last came.
-    pub(crate) view_fresh: Cell<Option<MonoTime>>,
+    /// When the coordinator had last heard from the store, as its views tell.
+    pub(crate) view_time: Cell<Option<MonoTime>>,
+    /// When this daemon last read the engines from the store itself.
+    pub(crate) read_time: Cell<Option<MonoTime>>,
     /// Own reads of engines from the store that succeeded in a row.
     pub(crate) store_streak: Cell<u32>,
     /// Whether the engines in the store have ever been read or heard of.
@@ -82,7 +85,8 @@
             coordinator: CoordinatorSlot::default(),
             manifest_heard: Cell::default(),
             manifest_wanted: Notify::new(),
-            view_fresh: Cell::default(),
+            view_time: Cell::default(),
+            read_time: Cell::default(),
             store_streak: Cell::default(),
             engines_known: Cell::default(),
             report_wanted: Notify::new(),
@@ -134,8 +138,8 @@
 
     /// Whether the coordinator tells what the store says, as of a moment ago.
     pub(crate) fn hears_view(&self) -> bool {
-        let fresh = self.view_fresh.get();
-        fresh.is_some_and(|fresh| clock::now().since(fresh) < VIEW_AGE)
+        let time = self.view_time.get();
+        time.is_some_and(|time| clock::now().since(time) < VIEW_AGE)
     }
 
     /// Whether requests can be routed.
--- a/crates/ward-gateway/src/hub/frame.rs
+++ b/crates/ward-gateway/src/hub/frame.rs
@@ -33,6 +33,10 @@
         CutOff {
             display("the coordinator is cut off from the store")
         }
+        /// Views were left out, so a complete one is needed.
+        Resync {
+            display("a complete view is needed")
+        }
         /// Nothing came for too long.
         Silent {
             display("nothing came for too long")
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -30,45 +30,81 @@
 /// Silence after which the coordinator is taken for lost.
 const SILENCE: Duration = Duration::from_millis(1_200);
 const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Time between looks for a coordinator of a host that is not among the largest;
+/// each look is a call to the store.
+const SMALL_LOOK_PAUSE: Duration = Duration::from_millis(1_600);
 /// Time between looks for a coordinator.
 const LOOK_PAUSE: Duration = Duration::from_millis(700);
-/// Age of the store's news up to which a view stands for the store's.
-const FRESH_STORE: TimeSpan = TimeSpan::from_millis(900);
 /// Age of the coordinator's news from the store from which on it is taken to be
 /// cut off, if others do hear the store.
 const CUT_OFF_AGE: TimeSpan = TimeSpan::from_millis(2_000);
 /// Own reads in a row that show that the store can be reached.
 const READS_TO_JUDGE: u32 = 3;
-/// Longest extra wait of the smallest host before it takes over.
-const SIZE_DELAY_MILLIS: u64 = 400;
-/// Cores, in thousandths, from which on a host waits least.
-const LARGE_CORES: u64 = 500;
+/// Extra wait of a host that is not among the largest before it takes over.
+const SMALL_DELAY: TimeSpan = TimeSpan::from_millis(2_000);
+/// A host is among the largest from this part of the largest one's size on.
+const LARGE_NUMERATOR: u64 = 3;
+const LARGE_DENOMINATOR: u64 = 4;
+/// Size of a large host while no other is known.
+const LARGE_SIZE: u64 = 250;
 const RANDOM_DELAY_MILLIS: u64 = 150;
+/// Extra wait of a daemon that has not had its turn in a rolling restart.
+const TURN_DELAY: TimeSpan = TimeSpan::from_millis(800);
+/// Difference up to which two daemons count as started together.
+const SAME_START_MILLIS: u64 = 1_000;
 
 /// Follows the coordinator, or becomes it, until the process ends.
 pub(crate) async fn follow_coordinator(gateway: Rc<Gateway>) {
     let mut watch = TermWatch::default();
-    tokio::time::sleep(candidate_delay(&gateway.settings())).await;
+    let delay = candidate_delay(&gateway);
+    tokio::time::sleep(delay.duration()).await;
     loop {
         if let Some(address) = find_coordinator(&gateway, &mut watch).await {
             let ended = follow(&gateway, address, &mut watch).await;
-            gateway.view_fresh.set(None);
+            gateway.view_time.set(None);
             gateway.manifest_wanted.notify_one();
+            if let Err(FrameError::Resync) = ended {
+                continue;
+            }
             warn!(
                 gateway.logger, "coordinator: link lost";
                 "address" => %address, "why" => ended.err().map(|cause| cause.to_string()),
             );
         }
         check_members(&gateway).await;
-        tokio::time::sleep(LOOK_PAUSE).await;
+        let pause = if is_large(&gateway) { LOOK_PAUSE } else { SMALL_LOOK_PAUSE };
+        tokio::time::sleep(pause).await;
     }
 }
 
+/// Whether this host is among the largest of those known; the coordinator's link
+/// carries the views of all daemons.
+fn is_large(gateway: &Gateway) -> bool {
+    let members = gateway.members.borrow();
+    let largest = members.iter().map(|member| member.capacity.size()).max();
+    let own = gateway.settings().capacity.size();
+    own * LARGE_DENOMINATOR >= largest.unwrap_or(LARGE_SIZE) * LARGE_NUMERATOR
+}
+
 /// Larger hosts take over first, and not all of a size at once.
-fn candidate_delay(settings: &HostSettings) -> Duration {
-    let cores = u64::from(settings.capacity.cores.0).min(LARGE_CORES);
-    let size = SIZE_DELAY_MILLIS - SIZE_DELAY_MILLIS * cores / LARGE_CORES;
-    Duration::from_millis(size + rand::random_range(0..RANDOM_DELAY_MILLIS))
+fn candidate_delay(gateway: &Gateway) -> TimeSpan {
+    let size = if is_large(gateway) {
+        TimeSpan::ZERO
+    } else {
+        SMALL_DELAY
+    };
+    size + TimeSpan::from_millis(rand::random_range(0..RANDOM_DELAY_MILLIS))
+}
+
+/// When hosts are restarted one after another, those that have had their turn
+/// take over first: they are likely to stay.
+fn turn_delay(gateway: &Gateway, term: &TermRecord) -> TimeSpan {
+    let had_turn = gateway.incarnation.0 > term.incarnation.0 + SAME_START_MILLIS;
+    if term.released && !had_turn {
+        TURN_DELAY
+    } else {
+        TimeSpan::ZERO
+    }
 }
 
 /// Where the coordinator is, after taking over if there is none.
@@ -95,7 +131,9 @@
     }
     let window = LeaseWindow::new(gateway.settings().bounds.lease);
     let candidate = !gateway.stopping.get() && !gateway.coordinator.is_active();
-    if candidate && watch.may_take_over(&window, now) {
+    let turn = term.as_ref().map_or(TimeSpan::ZERO, |(term, _)| turn_delay(gateway, term));
+    let delay = candidate_delay(gateway) + turn;
+    if candidate && watch.may_take_over(&window, now - delay) {
         return take_over(gateway, tail.end).await;
     }
     term.filter(|(term, _)| !term.released)
@@ -121,13 +159,19 @@
     info!(gateway.logger, "coordinator: connected"; "address" => %address);
     let reports = send_reports(gateway, writer);
     let views = async {
+        // A view that was not taken over whole must come again.
+        let mut was_outdated = false;
         loop {
             let next = read_frame::<CoordinatorMessage>(&mut reader);
             let message = tokio::time::timeout(SILENCE, next).await;
             match message.map_err(|_| FrameError::Silent)?? {
                 Some(CoordinatorMessage::View(view)) => {
                     watch.note(view.renewal, false, clock::now());
-                    apply_view(gateway, &view);
+                    let outdated = apply_view(gateway, &view);
+                    if was_outdated && !outdated {
+                        return Err(FrameError::Resync);
+                    }
+                    was_outdated |= outdated;
                     if is_cut_off(gateway, &view) {
                         return Err(FrameError::CutOff);
                     }
@@ -197,12 +241,14 @@
     }
 }
 
-fn apply_view(gateway: &Gateway, view: &FleetView) {
+/// Takes over a view; returns whether the store itself has told more since.
+fn apply_view(gateway: &Gateway, view: &FleetView) -> bool {
     let now = clock::now();
-    if view.store_age < FRESH_STORE {
-        gateway.view_fresh.set(Some(now));
-    }
-    gateway.table.borrow_mut().apply(view);
+    let view_time = now - view.store_age;
+    let read_later = gateway.read_time.get().is_some_and(|time| time > view_time);
+    let outdated = read_later && !gateway.coordinator.is_active();
+    gateway.view_time.set(Some(view_time));
+    gateway.table.borrow_mut().apply(view, outdated);
     if let Some(members) = &view.members {
         gateway.members.borrow_mut().clone_from(members);
     }
@@ -214,4 +260,5 @@
         info!(gateway.logger, "engines: known from the coordinator"; "count" => view.engines.len());
     }
     gateway.queue.changed();
+    outdated
 }
--- a/crates/ward-gateway/src/queue.rs
+++ b/crates/ward-gateway/src/queue.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Notify, oneshot};
 use ward_fleet::choice::EngineChoice;
-use ward_fleet::{EngineInfo, EngineWish, QueueRank, WaitingCount, choose_engine};
+use ward_fleet::{ChoiceContext, EngineInfo, EngineWish, QueueRank, WaitingCount, choose_engine};
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName};
 
 use crate::clock;
@@ -207,12 +207,16 @@
 
 fn choose(gateway: &Gateway, ticket: &WaitTicket) -> EngineChoice {
     let settings = gateway.settings();
+    let context = ChoiceContext {
+        zone: &settings.zone,
+        daemons: gateway.daemon_count(),
+        now: clock::now(),
+    };
     choose_engine(
         &gateway.table.borrow(),
         &ticket.wish(),
-        &settings.zone,
+        &context,
         &ticket.avoided,
-        clock::now(),
         |below| rand::random_range(0..below),
     )
 }
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -19,7 +19,11 @@
 /// Time between reads of the coordinator.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(250);
 /// Time between reads of a daemon that does not hear from the coordinator.
-const LONE_PAUSE: Duration = Duration::from_millis(500);
+const LONE_PAUSE: Duration = Duration::from_millis(800);
+/// Time between looks at whether the coordinator is heard.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between reads after which the newest records are read, not the history.
+const HISTORY_TIME: TimeSpan = TimeSpan::from_secs(3);
 /// Time after the store's return in which engines register again.
 const RETURN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
 
@@ -56,6 +60,8 @@
         reader.drop_lapsed(&gateway);
         let pause = if gateway.coordinator.is_active() {
             COORDINATOR_PAUSE
+        } else if gateway.hears_view() {
+            LOOK_PAUSE
         } else {
             LONE_PAUSE
         };
@@ -65,6 +71,10 @@
 
 impl EngineReader {
     async fn read_once(&mut self, gateway: &Gateway) {
+        let now = clock::now();
+        if gateway.read_time.get().is_some_and(|time| now.since(time) > HISTORY_TIME) {
+            self.next = None;
+        }
         let complete = self.next.is_none();
         let result = match self.next {
             Some(from) => {
@@ -84,9 +94,9 @@
                     .inc();
                 self.next = Some(tail.end);
                 self.apply(gateway, &tail, complete);
-                gateway
-                    .store_streak
-                    .set(gateway.store_streak.get().saturating_add(1));
+                gateway.read_time.set(Some(now));
+                let streak = gateway.store_streak.get().saturating_add(1);
+                gateway.store_streak.set(streak);
                 gateway.coordinator.note_store(clock::now());
                 if !gateway.engines_known.replace(true) {
                     info!(gateway.logger, "engines: known"; "count" => tail.records.len());
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -17,7 +17,9 @@
 const LONG_WAIT: TimeSpan = TimeSpan::from_millis(10_000);
 /// Wait at the store otherwise; bounds how long a silent connection goes
 /// unnoticed.
-const SHORT_WAIT: TimeSpan = TimeSpan::from_millis(800);
+const SHORT_WAIT: TimeSpan = TimeSpan::from_millis(1_200);
+/// Time between looks at whether the coordinator is heard.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
@@ -26,8 +28,11 @@
     let mut next = None;
     let mut pause = FIRST_PAUSE;
     loop {
+        let told = gateway.hears_view() && !gateway.coordinator.is_active();
+        let wait = if told { LONG_WAIT } else { SHORT_WAIT };
         let result = tokio::select! {
-            result = read(&gateway, next) => result,
+            result = read(&gateway, next, wait) => result,
+            () = wait_until_lone(&gateway, told) => continue,
             () = gateway.manifest_wanted.notified() => {
                 info!(
                     gateway.logger, "manifest: read anew";
@@ -68,11 +73,21 @@
     }
 }
 
-async fn read(gateway: &Gateway, next: Option<u64>) -> Result<StoreTail, StoreError> {
+/// Waits until the coordinator, which was to tell of new manifests, is no longer
+/// heard; for ever when it was not to.
+async fn wait_until_lone(gateway: &Gateway, told: bool) {
+    while !told || gateway.hears_view() {
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+async fn read(
+    gateway: &Gateway,
+    next: Option<u64>,
+    wait: TimeSpan,
+) -> Result<StoreTail, StoreError> {
     match next {
         Some(from) => {
-            let told = gateway.hears_view() && !gateway.coordinator.is_active();
-            let wait = if told { LONG_WAIT } else { SHORT_WAIT };
             gateway.store.read(StoreTopic::Manifest, from, wait).await
         }
         None => gateway.store.newest(StoreTopic::Manifest).await,
