Late requests leave an overloaded model; store loads are confirmed and paced by what they take

A request that missed its target now leaves when places come free more slowly than requests arrive. Loads from the weight store that ran side by side took longer than stated and were announced too early.

--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -111,7 +111,9 @@
     if fitting.is_empty() {
         return EngineChoice::Missing;
     }
-    prefer(&mut fitting, |engine| !engine.health.is_ejected(context.now));
+    prefer(&mut fitting, |engine| {
+        !engine.health.is_ejected(context.now)
+    });
     prefer(&mut fitting, |engine| !avoided.contains(&engine.info.id));
     let open: Vec<_> = fitting
         .into_iter()
--- a/crates/ward-fleet/src/directory.rs
+++ b/crates/ward-fleet/src/directory.rs
@@ -37,7 +37,11 @@
 }
 
 fn large_hosts<'a>(members: &[&'a HostMember]) -> Vec<&'a HostMember> {
-    let largest = members.iter().map(|member| member.capacity.size()).max().unwrap_or(0);
+    let largest = members
+        .iter()
+        .map(|member| member.capacity.size())
+        .max()
+        .unwrap_or(0);
     members
         .iter()
         .copied()
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod entry;
 pub mod fault;
+pub mod flow;
 pub mod health;
 pub mod lease;
 pub mod manifest;
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -16,7 +16,7 @@
 use crate::manifest::{EngineClass, ServingManifest};
 
 /// Cost of giving a busy engine one more model, in milliseconds per request.
-const RUNNING_COST_MILLIS: f64 = 4.0;
+const RUNNING_COST_MILLIS: f64 = 40.0;
 /// Loads of the same model that may run at once to spread it.
 const MOST_SPREADS: usize = 2;
 /// Longest load that spreading a model is worth without an idle store.
@@ -164,14 +164,18 @@
     }
 
     fn plan_busy(&mut self) {
-        let demands: Vec<_> = self
+        let mut demands: Vec<_> = self
             .state
             .demand
             .iter()
             .filter(|(_, demand)| demand.concurrency >= 1.0)
-            .map(|(key, demand)| (key.clone(), demand.clone()))
+            .map(|(key, demand)| {
+                let replicas = self.counts.get(key).max(1) as f64;
+                (key.clone(), demand.clone(), demand.concurrency / replicas)
+            })
             .collect();
-        for (key, demand) in demands {
+        demands.sort_by(|left, right| right.2.total_cmp(&left.2));
+        for (key, demand, _) in demands {
             let Some(slots) = self.slots(&key) else {
                 continue;
             };
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -5,7 +5,7 @@
 
 use super::ceiling::StoreCeiling;
 use super::demand::{DemandTable, ModelKey};
-use super::engine::{AuditState, PlacedAdapter, PlacedEngine};
+use super::engine::{AuditState, LoadSource, PlacedAdapter, PlacedEngine};
 use crate::entry::{EngineBirth, EngineEntry, HeldModel, OrderSequence};
 use crate::message::{EngineInfo, EngineLoad, LoadReport};
 
@@ -131,6 +131,18 @@
         loads.collect()
     }
 
+    /// Learns how long a load from the weight store took.
+    pub fn note_store_load(&mut self, stated: TimeSpan, taken: TimeSpan) {
+        let tasks = self
+            .engines
+            .values()
+            .filter_map(|engine| engine.task.as_ref());
+        let running = tasks
+            .filter(|task| task.source == LoadSource::Store)
+            .count();
+        self.ceiling.note_done(stated, taken, running);
+    }
+
     /// What daemons are told of the engines.
     #[must_use]
     pub fn engine_infos(&self) -> IndexMap<BackendId, EngineInfo> {
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -7,7 +7,9 @@
 use support::{at, id, info, name, service};
 use ward_fleet::choice::EngineChoice;
 use ward_fleet::health::EngineSign;
-use ward_fleet::{ChoiceContext, EngineLoad, EngineTable, EngineWish, FleetView, HeldModel, choose_engine};
+use ward_fleet::{
+    ChoiceContext, EngineLoad, EngineTable, EngineWish, FleetView, HeldModel, choose_engine,
+};
 use ward_protocol::{BackendId, FenceNumber, ModelName, TimeSpan};
 
 fn table(engines: &[(&str, &[&str])]) -> EngineTable {
@@ -64,7 +66,10 @@
 fn choose_engine_takes_the_least_loaded_holder() {
     let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"]), ("e3", &["m2"])]);
     table.apply(&loads(&[("e1", 5), ("e2", 1)]), false);
-    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e2"))));
+    expect_that!(
+        choose(&table, "m1", &[]),
+        eq(&EngineChoice::Engine(id("e2")))
+    );
 }
 
 #[gtest]
@@ -93,7 +98,10 @@
 #[gtest]
 fn choose_engine_draining_engine_gets_nothing() {
     let mut table = EngineTable::default();
-    table.insert(ward_fleet::EngineInfo { draining: true, ..info("e1", &["m1"]) });
+    table.insert(ward_fleet::EngineInfo {
+        draining: true,
+        ..info("e1", &["m1"])
+    });
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::NoEngine));
 }
 
@@ -102,22 +110,37 @@
     let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"])]);
     table.note(&id("e1"), EngineSign::Unreachable, at(0));
     table.apply(&loads(&[("e2", 6)]), false);
-    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e2"))));
+    expect_that!(
+        choose(&table, "m1", &[]),
+        eq(&EngineChoice::Engine(id("e2")))
+    );
     table.remove(&id("e2"));
-    expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Engine(id("e1"))));
+    expect_that!(
+        choose(&table, "m1", &[]),
+        eq(&EngineChoice::Engine(id("e1")))
+    );
 }
 
 #[gtest]
 fn choose_engine_avoided_engine_is_used_only_alone() {
     let table = table(&[("e1", &["m1"]), ("e2", &["m1"])]);
-    expect_that!(choose(&table, "m1", &["e1"]), eq(&EngineChoice::Engine(id("e2"))));
-    expect_that!(choose(&table, "m1", &["e1", "e2"]), matches_pattern!(EngineChoice::Engine(_)));
+    expect_that!(
+        choose(&table, "m1", &["e1"]),
+        eq(&EngineChoice::Engine(id("e2")))
+    );
+    expect_that!(
+        choose(&table, "m1", &["e1", "e2"]),
+        matches_pattern!(EngineChoice::Engine(_))
+    );
 }
 
 #[gtest]
 fn insert_old_news_does_not_end_draining() {
     let mut table = EngineTable::default();
-    table.insert(ward_fleet::EngineInfo { draining: true, ..info("e1", &["m1"]) });
+    table.insert(ward_fleet::EngineInfo {
+        draining: true,
+        ..info("e1", &["m1"])
+    });
     table.insert(info("e1", &["m1"]));
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::NoEngine));
 }
@@ -126,7 +149,10 @@
 fn insert_new_life_forgets_what_was_held() {
     let mut table = table(&[("e1", &["m1"])]);
     let birth = Some(ward_fleet::EngineBirth(2));
-    table.insert(ward_fleet::EngineInfo { birth, ..info("e1", &[]) });
+    table.insert(ward_fleet::EngineInfo {
+        birth,
+        ..info("e1", &[])
+    });
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Missing));
     table.insert(info("e1", &["m1"]));
     expect_that!(choose(&table, "m1", &[]), eq(&EngineChoice::Missing));
@@ -135,8 +161,14 @@
 #[gtest]
 fn choose_engine_adapter_must_be_there() {
     let mut table = EngineTable::default();
-    let holding = vec![HeldModel { model: name("m1"), adapters: vec![name("a2")] }];
-    table.insert(ward_fleet::EngineInfo { holding, ..info("e1", &[]) });
+    let holding = vec![HeldModel {
+        model: name("m1"),
+        adapters: vec![name("a2")],
+    }];
+    table.insert(ward_fleet::EngineInfo {
+        holding,
+        ..info("e1", &[])
+    });
     let (service, model): (_, ModelName) = (service(), name("m1"));
     let choice = |adapter: &str| {
         let adapter = name(adapter);
--- a/crates/ward-fleet/tests/directory.rs
+++ b/crates/ward-fleet/tests/directory.rs
@@ -29,19 +29,34 @@
 
 #[gtest]
 fn choose_hosts_own_zone_first() {
-    let members = [member(1, "north", 250), member(2, "north", 250), member(3, "south", 250)];
-    expect_that!(chosen(&members, "north"), unordered_elements_are![eq("10.0.0.1"), eq("10.0.0.2")]);
+    let members = [
+        member(1, "north", 250),
+        member(2, "north", 250),
+        member(3, "south", 250),
+    ];
+    expect_that!(
+        chosen(&members, "north"),
+        unordered_elements_are![eq("10.0.0.1"), eq("10.0.0.2")]
+    );
 }
 
 #[gtest]
 fn choose_hosts_lone_host_of_a_zone_gets_company() {
-    let members = [member(1, "north", 250), member(2, "south", 250), member(3, "south", 250)];
+    let members = [
+        member(1, "north", 250),
+        member(2, "south", 250),
+        member(3, "south", 250),
+    ];
     expect_that!(chosen(&members, "north"), len(eq(3)));
 }
 
 #[gtest]
 fn choose_hosts_small_ones_are_spared() {
-    let members = [member(1, "north", 500), member(2, "north", 500), member(3, "north", 120)];
+    let members = [
+        member(1, "north", 500),
+        member(2, "north", 500),
+        member(3, "north", 120),
+    ];
     expect_that!(chosen(&members, "north"), not(contains(eq("10.0.0.3"))));
 }
 
--- a/crates/ward-fleet/tests/placement.rs
+++ b/crates/ward-fleet/tests/placement.rs
@@ -49,13 +49,19 @@
     let manifest = manifest(&["m1"]);
     let load = report(vec![], vec![waiting("m1", None, 1)]);
     let works = plan(&mut state, &manifest, load.clone(), at(2_000));
-    expect_that!(works, elements_are![matches_pattern!(PlannedWork::Audit(_))]);
+    expect_that!(
+        works,
+        elements_are![matches_pattern!(PlannedWork::Audit(_))]
+    );
     expect_that!(plan(&mut state, &manifest, load, at(2_010)), is_empty());
 }
 
 #[gtest]
 fn plan_work_missing_model_comes_from_the_engine_that_has_a_copy() {
-    let entries = [entry("e1", &[], &[]), entry("e2", &["m2", "m3", "m4"], &["m1"])];
+    let entries = [
+        entry("e1", &[], &[]),
+        entry("e2", &["m2", "m3", "m4"], &["m1"]),
+    ];
     let mut state = state(&entries);
     let manifest = manifest(&["m1", "m2", "m3", "m4"]);
     let load = report(vec![], vec![waiting("m1", None, 1)]);
@@ -71,9 +77,16 @@
 fn plan_work_models_in_use_do_not_make_way() {
     let mut state = state(&[entry("e1", &["m2", "m3", "m4"], &["m1"])]);
     let manifest = manifest(&["m1", "m2", "m3", "m4"]);
-    let busy = vec![running("e1", "m2", 1), running("e1", "m3", 1), running("e1", "m4", 1)];
+    let busy = vec![
+        running("e1", "m2", 1),
+        running("e1", "m3", 1),
+        running("e1", "m4", 1),
+    ];
     let load = report(busy, vec![waiting("m1", None, 1)]);
-    expect_that!(models(&plan(&mut state, &manifest, load, at(2_000))), is_empty());
+    expect_that!(
+        models(&plan(&mut state, &manifest, load, at(2_000))),
+        is_empty()
+    );
 }
 
 #[gtest]
@@ -82,8 +95,14 @@
     let mut state = state(&entries);
     let manifest = manifest(&["m1"]);
     let load = report(vec![], vec![waiting("m1", None, 1)]);
-    expect_that!(models(&plan(&mut state, &manifest, load.clone(), at(2_000))).len(), eq(1));
-    expect_that!(models(&plan(&mut state, &manifest, load, at(2_050))), is_empty());
+    expect_that!(
+        models(&plan(&mut state, &manifest, load.clone(), at(2_000))).len(),
+        eq(1)
+    );
+    expect_that!(
+        models(&plan(&mut state, &manifest, load, at(2_050))),
+        is_empty()
+    );
 }
 
 #[gtest]
@@ -113,7 +132,10 @@
 
 #[gtest]
 fn plan_work_busy_model_spreads_before_its_engine_is_full() {
-    let entries = [entry("e1", &["m1"], &["m1"]), entry("e2", &["m2"], &["m1", "m2"])];
+    let entries = [
+        entry("e1", &["m1"], &["m1"]),
+        entry("e2", &["m2"], &["m1", "m2"]),
+    ];
     let mut state = state(&entries);
     let manifest = manifest(&["m1", "m2"]);
     let mut spread = Vec::new();
@@ -129,7 +151,10 @@
 
 #[gtest]
 fn plan_work_room_is_filled_with_models_that_lie_nowhere() {
-    let entries = [entry("e1", &["m1"], &["m1", "m2"]), entry("e2", &["m2"], &["m1", "m3"])];
+    let entries = [
+        entry("e1", &["m1"], &["m1", "m2"]),
+        entry("e2", &["m2"], &["m1", "m3"]),
+    ];
     let mut state = state(&entries);
     let manifest = manifest(&["m1", "m2", "m3"]);
     let works = plan(&mut state, &manifest, LoadReport::default(), at(2_000));
@@ -141,7 +166,9 @@
 
 #[gtest]
 fn plan_work_loads_from_the_store_keep_the_ceiling() {
-    let entries: Vec<_> = (0..20).map(|number| entry(&format!("e{number}"), &[], &[])).collect();
+    let entries: Vec<_> = (0..20)
+        .map(|number| entry(&format!("e{number}"), &[], &[]))
+        .collect();
     let mut state = state(&entries);
     let names: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
@@ -184,7 +211,11 @@
     let mut state = state(&[entry("e1", &["m1"], &["m1"])]);
     state.note_entry(&entry("e1", &["m2", "m3"], &["m1"]), at(5_000));
     let engine = &state.engines[&id("e1")];
-    expect_true!(engine.held.contains_key(&name::<ward_protocol::ModelName>("m1")));
+    expect_true!(
+        engine
+            .held
+            .contains_key(&name::<ward_protocol::ModelName>("m1"))
+    );
     expect_that!(engine.held.len(), eq(1));
     expect_that!(engine.audit, eq(AuditState::Needed));
 }
@@ -199,15 +230,24 @@
     let engine = &mut state.engines[&id("e1")];
     engine.task = None;
     engine.note_failed(at(2_500), TimeSpan::from_millis(300));
-    expect_that!(plan(&mut state, &manifest, load.clone(), at(2_900)), is_empty());
+    expect_that!(
+        plan(&mut state, &manifest, load.clone(), at(2_900)),
+        is_empty()
+    );
     let works = plan(&mut state, &manifest, load, at(6_000));
-    expect_that!(works, elements_are![matches_pattern!(PlannedWork::Audit(_))]);
+    expect_that!(
+        works,
+        elements_are![matches_pattern!(PlannedWork::Audit(_))]
+    );
 }
 
 #[gtest]
 fn demand_falls_slowly_and_rises_fast() {
     let mut state = state(&[entry("e1", &["m1"], &["m1"])]);
-    let key = ModelKey { service: service(), model: name("m1") };
+    let key = ModelKey {
+        service: service(),
+        model: name("m1"),
+    };
     let load = report(vec![running("e1", "m1", 10)], vec![]);
     state.note_report(MemberKey(1), load);
     state.settle(at(1_000));
--- a/crates/ward-fleet/tests/route.rs
+++ b/crates/ward-fleet/tests/route.rs
@@ -36,8 +36,14 @@
 fn pick_service_follows_weights() {
     let mut route = route("/a/");
     route.targets = vec![
-        RouteTarget { service: name("old"), weight: 90.0 },
-        RouteTarget { service: name("new"), weight: 10.0 },
+        RouteTarget {
+            service: name("old"),
+            weight: 90.0,
+        },
+        RouteTarget {
+            service: name("new"),
+            weight: 10.0,
+        },
     ];
     expect_that!(route.pick_service(0.0).as_str(), eq("old"));
     expect_that!(route.pick_service(0.89).as_str(), eq("old"));
@@ -49,8 +55,14 @@
 fn pick_service_weight_zero_gets_nothing() {
     let mut route = route("/a/");
     route.targets = vec![
-        RouteTarget { service: name("old"), weight: 0.0 },
-        RouteTarget { service: name("new"), weight: 1.0 },
+        RouteTarget {
+            service: name("old"),
+            weight: 0.0,
+        },
+        RouteTarget {
+            service: name("new"),
+            weight: 1.0,
+        },
     ];
     expect_that!(route.pick_service(0.0).as_str(), eq("new"));
 }
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -9,7 +9,7 @@
 
 use slog::{info, warn};
 use ward_adapter::{EngineReport, OrderAnswer, OrderCall, OrderFailure, fetch_report, send_order};
-use ward_fleet::placement::{AdapterWork, ModelWork, PlannedWork};
+use ward_fleet::placement::{AdapterWork, LoadSource, ModelWork, PlannedWork};
 use ward_fleet::{EngineBirth, EngineOrder};
 use ward_http::HttpCaller;
 use ward_protocol::{BackendId, TimeSpan};
@@ -49,6 +49,11 @@
     Changed,
 }
 
+/// Pause between questions whether a load is done.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(500);
+/// Questions after which a load is given up.
+const MOST_CONFIRMS: u32 = 120;
+
 /// An engine in one of its lives.
 struct Target {
     engine: BackendId,
@@ -135,11 +140,31 @@
             .order(EngineOrder::LoadModel(work.model.clone()))
             .await?;
         if answer == OrderAnswer::Accepted {
+            let begun = clock::now();
             tokio::time::sleep(work.load_time.duration()).await;
+            if work.source == LoadSource::Store {
+                self.confirm_load(work).await?;
+                let taken = clock::now().since(begun);
+                let mut state = self.coordinator.state.borrow_mut();
+                state.note_store_load(work.load_time, taken);
+            }
         }
         Ok(())
     }
 
+    /// Waits until a load from the weight store, which slows down under load, is
+    /// done: the same order then says that it holds.
+    async fn confirm_load(&self, work: &ModelWork) -> Result<(), OrderStop> {
+        let order = EngineOrder::LoadModel(work.model.clone());
+        for _ in 0..MOST_CONFIRMS {
+            if self.order_once(&order).await? == Some(OrderAnswer::Holds) {
+                return Ok(());
+            }
+            tokio::time::sleep(CONFIRM_PAUSE).await;
+        }
+        Err(OrderStop::Unreachable)
+    }
+
     async fn adapter(&self, work: AdapterWork) {
         let result = self.swap_adapter(&work).await;
         info!(
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -50,6 +50,7 @@
     let marks = RequestMarks::read(request.headers());
     let id = marks.id.clone();
     let id_text = marks.id_text().to_owned();
+    let wanted = wanted_text(&marks);
     let host = named_host(&request);
     let path = request.uri().path().to_owned();
     let served = serve(&gateway, request, marks, &host, begun).await;
@@ -71,7 +72,7 @@
                 .inc();
             warn!(
                 gateway.logger, "request: own answer"; "request" => id_text, "path" => path,
-                "outcome" => refusal.answer.word(), "why" => refusal.why, "millis" => millis,
+                "wanted" => wanted, "outcome" => refusal.answer.word(), "why" => refusal.why, "millis" => millis,
                 "manifest" => gateway.manifest().map(|manifest| manifest.version.0),
                 "waiting" => gateway.queue.len(),
             );
@@ -80,6 +81,15 @@
     }
 }
 
+/// The model and adapter that a request names, for logs.
+fn wanted_text(marks: &RequestMarks) -> Option<String> {
+    let model = marks.model.as_ref()?;
+    Some(match &marks.adapter {
+        Some(adapter) => format!("{model}/{adapter}"),
+        None => model.to_string(),
+    })
+}
+
 /// An own answer and why it is given.
 struct Refusal {
     answer: OwnAnswer,
@@ -383,9 +393,13 @@
         if progress.failure.is_some() || progress.runs > 0 {
             return self.conclude(&mut progress, AttemptEnd::Unknown);
         }
+        if let WaitFailure::Overload(retry_after) = failure {
+            let answer = OwnAnswer::NotRun(retry_after);
+            return Err(refuse(answer, "its engines are overloaded and it is late"));
+        }
         Err(not_run(match failure {
             WaitFailure::NoEngine => "the service has no engine",
-            WaitFailure::Timeout => "no engine had room in time",
+            WaitFailure::Timeout | WaitFailure::Overload(_) => "no engine had room in time",
             WaitFailure::Closed => "the daemon stops",
         }))
     }
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -72,7 +72,11 @@
             );
         }
         check_members(&gateway).await;
-        let pause = if is_large(&gateway) { LOOK_PAUSE } else { SMALL_LOOK_PAUSE };
+        let pause = if is_large(&gateway) {
+            LOOK_PAUSE
+        } else {
+            SMALL_LOOK_PAUSE
+        };
         tokio::time::sleep(pause).await;
     }
 }
@@ -131,7 +135,9 @@
     }
     let window = LeaseWindow::new(gateway.settings().bounds.lease);
     let candidate = !gateway.stopping.get() && !gateway.coordinator.is_active();
-    let turn = term.as_ref().map_or(TimeSpan::ZERO, |(term, _)| turn_delay(gateway, term));
+    let turn = term
+        .as_ref()
+        .map_or(TimeSpan::ZERO, |(term, _)| turn_delay(gateway, term));
     let delay = candidate_delay(gateway) + turn;
     if candidate && watch.may_take_over(&window, now - delay) {
         return take_over(gateway, tail.end).await;
--- a/crates/ward-gateway/src/queue.rs
+++ b/crates/ward-gateway/src/queue.rs
@@ -6,8 +6,9 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Notify, oneshot};
 use ward_fleet::choice::EngineChoice;
+use ward_fleet::flow::{LateVerdict, RequestFlow};
 use ward_fleet::{ChoiceContext, EngineInfo, EngineWish, QueueRank, WaitingCount, choose_engine};
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName};
+use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, TimeSpan};
 
 use crate::clock;
 use crate::gateway::Gateway;
@@ -64,7 +65,7 @@
 struct Waiter {
     number: u64,
     ticket: WaitTicket,
-    grant: Option<oneshot::Sender<EngineLease>>,
+    grant: Option<oneshot::Sender<Result<EngineLease, WaitFailure>>>,
 }
 
 /// The requests that wait.
@@ -75,6 +76,7 @@
     changed: Notify,
     /// Whether no request may wait any more.
     closed: Cell<bool>,
+    flows: RefCell<IndexMap<WaitKey, RequestFlow>>,
 }
 
 /// Why a request got no engine.
@@ -84,6 +86,9 @@
     NoEngine,
     /// Its time ran out.
     Timeout,
+    /// Its engines are overloaded and it is late; it may come back after this
+    /// time.
+    Overload(TimeSpan),
     /// The daemon stops, so another one must serve it.
     Closed,
 }
@@ -153,6 +158,28 @@
         counts.collect()
     }
 
+    fn note_arrival(&self, ticket: &WaitTicket) {
+        let mut flows = self.flows.borrow_mut();
+        flows
+            .entry(ticket.key())
+            .or_default()
+            .note_arrival(clock::now());
+    }
+
+    fn note_grant(&self, ticket: &WaitTicket) {
+        let mut flows = self.flows.borrow_mut();
+        flows
+            .entry(ticket.key())
+            .or_default()
+            .note_grant(clock::now());
+    }
+
+    /// Forgets flows that have dried up.
+    pub(crate) fn sweep(&self) {
+        let now = clock::now();
+        self.flows.borrow_mut().retain(|_, flow| !flow.is_idle(now));
+    }
+
     /// Number of requests that wait.
     pub(crate) fn len(&self) -> usize {
         self.waiters.borrow().len()
@@ -164,9 +191,11 @@
     gateway: &Rc<Gateway>,
     ticket: WaitTicket,
 ) -> Result<EngineLease, WaitFailure> {
+    gateway.queue.note_arrival(&ticket);
     match choose(gateway, &ticket) {
         EngineChoice::Engine(id) => {
             if let Some(lease) = begin(gateway, &id, &ticket) {
+                gateway.queue.note_grant(&ticket);
                 return Ok(lease);
             }
         }
@@ -198,7 +227,7 @@
         number,
     };
     match tokio::time::timeout(left.duration(), granted).await {
-        Ok(Ok(lease)) => Ok(lease),
+        Ok(Ok(result)) => result,
         Ok(Err(_)) if queue.closed.get() => Err(WaitFailure::Closed),
         Ok(Err(_)) => Err(WaitFailure::NoEngine),
         Err(_) => Err(WaitFailure::Timeout),
@@ -242,25 +271,57 @@
 }
 
 fn serve_once(gateway: &Rc<Gateway>) {
-    let mut unserved = IndexSet::new();
+    let mut unserved: IndexMap<WaitKey, usize> = IndexMap::new();
+    let mut missing = IndexSet::new();
     for number in numbers_by_rank(gateway) {
         let Some(ticket) = ticket(gateway, number) else {
             continue;
         };
         let key = ticket.key();
-        if ticket.avoided.is_empty() && unserved.contains(&key) {
+        if ticket.avoided.is_empty() && missing.contains(&key) {
+            continue;
+        }
+        if let Some(ahead) = unserved.get_mut(&key).filter(|_| ticket.avoided.is_empty()) {
+            *ahead += 1;
+            let ahead = *ahead;
+            review_late(gateway, number, &ticket, ahead);
             continue;
         }
         match choose(gateway, &ticket) {
             EngineChoice::Engine(id) => grant(gateway, number, &id, &ticket),
             EngineChoice::NoEngine => withdraw(gateway, number),
-            EngineChoice::Full | EngineChoice::Missing => {
-                unserved.insert(key);
+            EngineChoice::Full => {
+                unserved.insert(key, 0);
+                review_late(gateway, number, &ticket, 0);
+            }
+            EngineChoice::Missing => {
+                missing.insert(key);
             }
         }
     }
 }
 
+/// Ends the wait of a late request whose turn is not likely to come.
+fn review_late(gateway: &Gateway, number: u64, ticket: &WaitTicket, ahead: usize) {
+    let now = clock::now();
+    if !ticket.rank(now).is_late() {
+        return;
+    }
+    let flows = gateway.queue.flows.borrow();
+    let Some(flow) = flows.get(&ticket.key()) else {
+        return;
+    };
+    let left = ticket.deadline.since(now);
+    let LateVerdict::Leave(retry_after) = flow.judge_late(ahead, left, now) else {
+        return;
+    };
+    drop(flows);
+    if let Some(grant) = take_grant(gateway, number) {
+        // A request that is gone needs no answer.
+        drop(grant.send(Err(WaitFailure::Overload(retry_after))));
+    }
+}
+
 fn numbers_by_rank(gateway: &Gateway) -> Vec<u64> {
     let now = clock::now();
     let waiters = gateway.queue.waiters.borrow();
@@ -278,7 +339,9 @@
     Some(waiters.get(&number)?.ticket.clone())
 }
 
-fn take_grant(gateway: &Gateway, number: u64) -> Option<oneshot::Sender<EngineLease>> {
+type GrantSender = oneshot::Sender<Result<EngineLease, WaitFailure>>;
+
+fn take_grant(gateway: &Gateway, number: u64) -> Option<GrantSender> {
     let mut waiters = gateway.queue.waiters.borrow_mut();
     waiters.get_mut(&number)?.grant.take()
 }
@@ -288,8 +351,9 @@
         return;
     };
     // A lease that its request no longer takes is given back when dropped.
+    gateway.queue.note_grant(ticket);
     if let Some(grant) = take_grant(gateway, number)
-        && let Err(lease) = grant.send(lease)
+        && let Err(lease) = grant.send(Ok(lease))
     {
         drop(lease);
     }
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -113,6 +113,7 @@
         let table = gateway.table.borrow();
         gateway.pool.sweep(|engine| table.get(engine).is_some());
         drop(table);
+        gateway.queue.sweep();
         // An engine that was ejected may be due again.
         gateway.queue.changed();
     }
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -72,7 +72,11 @@
 impl EngineReader {
     async fn read_once(&mut self, gateway: &Gateway) {
         let now = clock::now();
-        if gateway.read_time.get().is_some_and(|time| now.since(time) > HISTORY_TIME) {
+        if gateway
+            .read_time
+            .get()
+            .is_some_and(|time| now.since(time) > HISTORY_TIME)
+        {
             self.next = None;
         }
         let complete = self.next.is_none();
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -87,9 +87,7 @@
     wait: TimeSpan,
 ) -> Result<StoreTail, StoreError> {
     match next {
-        Some(from) => {
-            gateway.store.read(StoreTopic::Manifest, from, wait).await
-        }
+        Some(from) => gateway.store.read(StoreTopic::Manifest, from, wait).await,
         None => gateway.store.newest(StoreTopic::Manifest).await,
     }
 }
