Stand-ins of the platform, whole-path and fault tests with real processes, a fault soak

They found: requests alike were taken for one that crashes engines when answers were merely lost; now an engine must also be out of reach a moment later.

--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -0,0 +1,260 @@
+//! Engines, the store and daemons that fail.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::StatusCode;
+use ward_stage::{
+    CallerError, CallerRequest, EngineFault, LinkFault, Stage, StagePlan, StoreFault,
+};
+
+use crate::support::{WHOLE_STREAM, expect_sound_orders, send, stage, wait_until};
+
+fn set_all(stage: &Stage, fault: EngineFault) {
+    for engine in &stage.engines {
+        engine.set_fault(fault);
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unsafe_request_whose_answer_is_lost_runs_once_and_is_not_refused() {
+    let stage = stage("lost", &StagePlan::default()).await;
+    set_all(&stage, EngineFault::LoseAnswers);
+    for number in 0..6 {
+        let id = format!("r{number}");
+        let answer = send(
+            &stage,
+            number % 3,
+            &CallerRequest::new(&id, "/book/a", None),
+        )
+        .await;
+        expect_that!(answer.unwrap().status, eq(StatusCode::BAD_GATEWAY));
+        expect_that!(stage.ledger.runs_of(&id).len(), eq(1));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn safe_request_is_sent_elsewhere() {
+    let stage = stage("elsewhere", &StagePlan::default()).await;
+    let servers = 3..stage.engines.len();
+    stage.engines[servers.start].set_fault(EngineFault::Fail);
+    for number in 0..8 {
+        let id = format!("r{number}");
+        let answer = send(
+            &stage,
+            number % 3,
+            &CallerRequest::new(&id, "/stock/a", None),
+        )
+        .await;
+        expect_that!(answer.unwrap().status, eq(StatusCode::OK));
+        expect_that!(stage.ledger.runs_of(&id).len(), le(2));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn failure_of_an_engine_keeps_its_status_and_signature() {
+    let stage = stage("failure", &StagePlan::default()).await;
+    set_all(&stage, EngineFault::Fail);
+    let answer = send(&stage, 0, &CallerRequest::new("r1", "/book/a", None))
+        .await
+        .unwrap();
+    expect_that!(answer.status, eq(StatusCode::INTERNAL_SERVER_ERROR));
+    expect_that!(answer.text(), eq("failed"));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_another_request_never_reaches_a_caller() {
+    let stage = stage("mixed", &StagePlan::default()).await;
+    set_all(&stage, EngineFault::WrongId);
+    for path in ["/book/a", "/stock/a"] {
+        let answer = send(&stage, 0, &CallerRequest::new(path, path, None))
+            .await
+            .unwrap();
+        expect_that!(answer.status, eq(StatusCode::BAD_GATEWAY), "{path}");
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_breaks_off_never_looks_whole() {
+    let stage = stage("truncated", &StagePlan::default()).await;
+    set_all(&stage, EngineFault::BreakOff);
+    let plain = send(&stage, 0, &CallerRequest::new("r1", "/book/a", None))
+        .await
+        .unwrap();
+    expect_that!(plain.status, eq(StatusCode::BAD_GATEWAY));
+    let stream = send(
+        &stage,
+        0,
+        &CallerRequest::new("r2", "/quick/a", Some("model0")),
+    )
+    .await;
+    expect_that!(
+        stream,
+        err(matches_pattern!(CallerError::Broken(
+            eq(&StatusCode::OK),
+            _
+        )))
+    );
+    expect_that!(stage.ledger.runs_of("r2").len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn resumable_stream_goes_on_at_another_engine_without_a_gap() {
+    let stage = stage("resume", &StagePlan::default()).await;
+    let request = CallerRequest::new("r0", "/quote/a", Some("model0"));
+    send(&stage, 0, &request).await.unwrap();
+    set_all(&stage, EngineFault::BreakOff);
+    let answer = send(
+        &stage,
+        0,
+        &CallerRequest::new("r1", "/quote/a", Some("model0")),
+    )
+    .await;
+    expect_that!(answer.unwrap().text(), eq(WHOLE_STREAM));
+    let runs = stage.ledger.runs_of("r1");
+    expect_that!(runs.len(), eq(3));
+    expect_true!(runs[1].resumed && runs[2].resumed);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_all_engines_is_true_and_says_when_to_come_back() {
+    let stage = stage("full", &StagePlan::default()).await;
+    set_all(&stage, EngineFault::Full);
+    let answer = send(&stage, 0, &CallerRequest::new("r1", "/book/a", None))
+        .await
+        .unwrap();
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(answer.headers.get("retry-after"), some(anything()));
+    expect_that!(stage.ledger.runs_of("r1").len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_engine_gets_its_final_answer_at_the_routes_timeout() {
+    let stage = stage("mute", &StagePlan::default()).await;
+    set_all(&stage, EngineFault::Mute);
+    let begun = std::time::Instant::now();
+    let mut request = CallerRequest::new("r1", "/book/a", None);
+    request.patience = Duration::from_secs(6);
+    let answer = send(&stage, 0, &request).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::GATEWAY_TIMEOUT));
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(3_000)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_engine_gets_no_new_requests() {
+    let stage = stage("drain", &StagePlan::default()).await;
+    let leaving = &stage.engines[3];
+    leaving.drain(&stage.store);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for number in 0..9 {
+        let id = format!("r{number}");
+        let request = CallerRequest::new(&id, "/stock/a", None);
+        let answer = send(&stage, number % 3, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK));
+        expect_that!(stage.ledger.runs_of(&id)[0].engine, not(eq(&leaving.id())));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_stops_no_request() {
+    let stage = stage("outage", &StagePlan::default()).await;
+    for fault in [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent] {
+        stage.store.set_fault(fault);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        for daemon in 0..3 {
+            let request = CallerRequest::new(format!("{fault:?}{daemon}"), "/stock/a", None);
+            let answer = send(&stage, daemon, &request).await.unwrap();
+            expect_that!(answer.status, eq(StatusCode::OK), "{fault:?}");
+        }
+        stage.store.set_fault(StoreFault::None);
+    }
+    expect_sound_orders(&stage);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_coordinator_is_replaced_and_models_are_swapped_again() {
+    let mut stage = stage(
+        "takeover",
+        &StagePlan {
+            models: 20,
+            ..StagePlan::default()
+        },
+    )
+    .await;
+    let coordinates = |stage: &Stage, daemon: usize| {
+        let log = stage.daemons[daemon].log().unwrap();
+        log.contains("coordinator: term begins")
+    };
+    wait_until("a coordinator", || {
+        (0..3).any(|daemon| coordinates(&stage, daemon))
+    })
+    .await;
+    let first = (0..3).find(|daemon| coordinates(&stage, *daemon)).unwrap();
+    stage.daemons[first].kill();
+    let others: Vec<_> = (0..3).filter(|daemon| *daemon != first).collect();
+    wait_until("another coordinator", || {
+        others.iter().any(|daemon| coordinates(&stage, *daemon))
+    })
+    .await;
+    stage.daemons[first].restart().unwrap();
+    stage.wait_ready().await.unwrap();
+    for number in 0..20 {
+        let model = Stage::model(number);
+        let request = CallerRequest::new(format!("r{number}"), "/quote/a", Some(&model));
+        let answer = send(&stage, others[number % 2], &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK), "{model}");
+    }
+    expect_sound_orders(&stage);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_whose_answers_are_lost_exceed_no_memory() {
+    let stage = stage(
+        "lost-orders",
+        &StagePlan {
+            models: 20,
+            ..StagePlan::default()
+        },
+    )
+    .await;
+    set_all(&stage, EngineFault::LoseOrders);
+    for number in 0..10 {
+        let model = Stage::model(number);
+        let request = CallerRequest::new(format!("r{number}"), "/quote/a", Some(&model));
+        // Whether it is served in time is not the point here.
+        drop(send(&stage, number % 3, &request).await);
+    }
+    expect_sound_orders(&stage);
+    set_all(&stage, EngineFault::None);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let request = CallerRequest::new("last", "/quote/a", Some("model19"));
+    expect_that!(
+        send(&stage, 0, &request).await.unwrap().status,
+        eq(StatusCode::OK)
+    );
+    expect_sound_orders(&stage);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_behind_a_silent_link_does_not_hold_up_idempotent_requests() {
+    let stage = stage("silent-link", &StagePlan::default()).await;
+    stage.engine_links[3].set_fault(LinkFault::Silence);
+    for number in 0..6 {
+        let request = CallerRequest::new(format!("r{number}"), "/stock/a", None);
+        let answer = send(&stage, number % 3, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK));
+    }
+}
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/logging.rs
@@ -0,0 +1,49 @@
+//! Log lines: bounded, never blocking, and enough to explain a failure.
+
+use googletest::prelude::*;
+use http::StatusCode;
+use ward_stage::{CallerRequest, EngineFault, StageCaller, StagePlan};
+
+use crate::support::{send, stage, wait_until};
+
+/// Some hundred bytes a request fill a pipe many times over.
+const REQUESTS: usize = 2_000;
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn logging_reader_that_stops_reading_holds_up_no_request() {
+    let mut stage = stage("unread", &StagePlan::default()).await;
+    stage.daemons[0].restart_unread().unwrap();
+    stage.wait_ready().await.unwrap();
+    let mut caller = StageCaller::connect(stage.daemons[0].callers())
+        .await
+        .unwrap();
+    for number in 0..REQUESTS {
+        let request = CallerRequest::new(format!("r{number}"), "/stock/a", None);
+        let answer = caller.send(&request).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn logging_failed_request_leads_from_its_id_to_the_cause() {
+    let stage = stage("explain", &StagePlan::default()).await;
+    for engine in &stage.engines {
+        engine.set_fault(EngineFault::LoseAnswers);
+    }
+    send(&stage, 0, &CallerRequest::new("lost-1", "/book/a", None))
+        .await
+        .unwrap();
+    let lines = || {
+        let log = stage.daemons[0].log().unwrap();
+        let lines = log.lines().filter(|line| line.contains("lost-1"));
+        lines.map(str::to_owned).collect::<Vec<_>>()
+    };
+    wait_until("the request's lines", || lines().len() >= 3).await;
+    let lines = lines().join("\n");
+    expect_that!(lines, contains_substring("request: sent"));
+    expect_that!(lines, contains_substring("send: failed"));
+    expect_that!(lines, contains_substring("request: own answer"));
+    expect_that!(lines, contains_substring("bad_engine"));
+}
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -0,0 +1,7 @@
+//! Daemons on the users' platform, as processes, before stand-ins.
+
+mod faults;
+mod logging;
+mod path;
+mod soak;
+mod support;
--- a/crates/ward-fleet/tests/flow.rs
+++ b/crates/ward-fleet/tests/flow.rs
@@ -26,7 +26,7 @@
     let verdict = flow(20, 10).judge_late(0, LEFT, at(2_000));
     expect_that!(
         verdict,
-        matches_pattern!(&LateVerdict::Leave(gt(&TimeSpan::ZERO)))
+        eq(LateVerdict::Leave(TimeSpan::from_millis(2_500)))
     );
 }
 
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, from its head to its answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use hyper::body::Incoming;
 use indexmap::IndexSet;
 use slog::{info, warn};
+use tokio::net::TcpStream;
 use ward_adapter::RequestMarks;
 use ward_adapter::header::closes;
 use ward_fleet::health::EngineSign;
@@ -34,6 +36,9 @@
 const LEAST_SERVICE: TimeSpan = TimeSpan::from_millis(60);
 /// When a caller may come back after a refusal that says nothing better.
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
+/// Pause after which an engine that did not crash can be connected to.
+const CRASH_PAUSE: Duration = Duration::from_millis(100);
+const CRASH_CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Part of the target after which an idempotent request is sent elsewhere, in
 /// percent.
 const SILENT_PERCENT: u64 = 70;
@@ -234,6 +239,7 @@
             let waited = clock::now().since(self.begun);
             gateway.metrics.waited.observe(waited.seconds());
             let engine = lease.engine.id.clone();
+            let address = lease.engine.address;
             let patience = self.patience(&progress);
             info!(
                 gateway.logger, "request: sent"; "request" => &self.request.id_text,
@@ -249,7 +255,10 @@
                 },
                 Err(end) => end,
             };
-            if let Some(result) = self.after(gateway, &engine, end, &mut progress).await {
+            if let Some(result) = self
+                .after(gateway, &engine, address, end, &mut progress)
+                .await
+            {
                 return result;
             }
         }
@@ -336,6 +345,7 @@
         &mut self,
         gateway: &Rc<Gateway>,
         engine: &BackendId,
+        address: SocketAddr,
         end: AttemptEnd,
         progress: &mut Progress,
     ) -> Option<Result<Response<AnswerBody>, Refusal>> {
@@ -357,7 +367,7 @@
                 self.ticket.avoided.insert(engine.clone());
                 progress.runs += 1;
                 if end == AttemptEnd::Unknown && progress.failure.is_none() {
-                    self.note_crash(gateway);
+                    note_crash(gateway, self.fingerprint, address);
                 }
                 self.may_run_again(progress.runs) && gateway.take_repeat(&self.routed.service)
             }
@@ -421,12 +431,24 @@
         });
         gateway.report_wanted.notify_one();
     }
+}
 
-    fn note_crash(&self, gateway: &Gateway) {
-        gateway
-            .crashes
-            .borrow_mut()
-            .note(self.fingerprint, clock::now());
-        gateway.notes.borrow_mut().crashes.push(self.fingerprint);
-    }
+/// Notes that a request may have crashed its engine: it broke off without an
+/// answer, and the engine cannot be reached a moment later.
+fn note_crash(gateway: &Rc<Gateway>, fingerprint: RequestFingerprint, address: SocketAddr) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(CRASH_PAUSE).await;
+        let connect = TcpStream::connect(address);
+        let reached = tokio::time::timeout(CRASH_CONNECT_TIME, connect).await;
+        if matches!(reached, Ok(Ok(_))) {
+            return;
+        }
+        warn!(
+            gateway.logger, "crash: engine is gone after a request";
+            "fingerprint" => %fingerprint, "address" => %address,
+        );
+        gateway.crashes.borrow_mut().note(fingerprint, clock::now());
+        gateway.notes.borrow_mut().crashes.push(fingerprint);
+    });
 }
--- /dev/null
+++ b/crates/ward-stage/src/engine.rs
@@ -0,0 +1,423 @@
+//! An engine, or a plain service's backend server, in memory.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::task::JoinHandle;
+use ward_adapter::served::{
+    AskedOrder, EnginePath, OrderReading, ReportedState, answer_marks, engine_path, entry_json,
+    parse_order, read_request, refusal_marks, report_json,
+};
+use ward_fleet::{EngineClass, EngineEntry, EngineOrder, HeartbeatCount, HeldModel, OrderSequence};
+use ward_protocol::{FenceNumber, ModelName};
+
+use crate::ledger::{OrderNote, RunLedger, RunNote};
+use crate::reply::{BreakOff, StageBody, streamed, whole};
+use crate::serve::{StageServer, serve};
+use crate::store::StageStore;
+
+const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
+/// Events of a stream and the pause between them.
+const EVENTS: u64 = 5;
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+const WORK_TIME: Duration = Duration::from_millis(10);
+
+/// How an engine misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineFault {
+    /// It does not.
+    None,
+    /// It breaks off each stream after two events and each other answer midway.
+    BreakOff,
+    /// It runs requests and closes the connection without an answer.
+    LoseAnswers,
+    /// It refuses all requests as if it were full.
+    Full,
+    /// It answers with the id of another request.
+    WrongId,
+    /// It answers all requests with a failure of its own.
+    Fail,
+    /// It runs requests and never answers.
+    Mute,
+    /// Orders are carried out and not answered.
+    LoseOrders,
+}
+
+struct EngineState {
+    entry: EngineEntry,
+    class: Option<EngineClass>,
+    sequence: OrderSequence,
+    fence: FenceNumber,
+    busy_until: Instant,
+    coming: Option<ModelName>,
+    fault: EngineFault,
+}
+
+struct Shared {
+    state: Mutex<EngineState>,
+    ledger: RunLedger,
+}
+
+/// An engine.
+pub struct StageEngine {
+    shared: Arc<Shared>,
+    server: StageServer,
+    heartbeat: Option<JoinHandle<()>>,
+}
+
+impl Drop for StageEngine {
+    fn drop(&mut self) {
+        if let Some(heartbeat) = &self.heartbeat {
+            heartbeat.abort();
+        }
+    }
+}
+
+impl StageEngine {
+    /// Starts an engine; `entry` says what it begins with, `class` what its
+    /// models are like.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn start(
+        ip: IpAddr,
+        entry: EngineEntry,
+        class: Option<EngineClass>,
+        ledger: RunLedger,
+    ) -> std::io::Result<Self> {
+        let shared = Arc::new(Shared {
+            state: Mutex::new(EngineState {
+                entry,
+                class,
+                sequence: OrderSequence(0),
+                fence: FenceNumber(0),
+                busy_until: Instant::now(),
+                coming: None,
+                fault: EngineFault::None,
+            }),
+            ledger,
+        });
+        let served = Arc::clone(&shared);
+        let server = serve(ip, move |request| answer(Arc::clone(&served), request)).await?;
+        shared.lock().entry.address = server.address;
+        Ok(Self {
+            shared,
+            server,
+            heartbeat: None,
+        })
+    }
+
+    /// Begins to write heartbeats into the store, through `address` as callers
+    /// should see it.
+    pub fn register(&mut self, store: &Arc<StageStore>, address: SocketAddr) {
+        self.shared.lock().entry.address = address;
+        let (shared, store) = (Arc::clone(&self.shared), Arc::clone(store));
+        self.heartbeat = Some(tokio::spawn(async move {
+            loop {
+                shared.write_heartbeat(&store);
+                tokio::time::sleep(HEARTBEAT_PAUSE).await;
+            }
+        }));
+    }
+
+    /// Where it listens itself.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> String {
+        self.shared.lock().entry.id.to_string()
+    }
+
+    /// Makes it misbehave, or behave again.
+    pub fn set_fault(&self, fault: EngineFault) {
+        self.shared.lock().fault = fault;
+    }
+
+    /// Begins to drain, and says so.
+    pub fn drain(&self, store: &StageStore) {
+        self.shared.lock().entry.draining = true;
+        self.shared.write_heartbeat(store);
+    }
+
+    /// Models in its memory.
+    #[must_use]
+    pub fn held(&self) -> Vec<ModelName> {
+        let mut state = self.shared.lock();
+        state.settle();
+        state
+            .entry
+            .models
+            .iter()
+            .map(|held| held.model.clone())
+            .collect()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write_heartbeat(&self, store: &StageStore) {
+        let mut state = self.lock();
+        state.settle();
+        let next = HeartbeatCount(state.entry.heartbeat.0 + 1);
+        state.entry.heartbeat = next;
+        let (id, value) = (state.entry.id.to_string(), entry_json(&state.entry));
+        drop(state);
+        store.put_entry(&id, Some(value));
+    }
+}
+
+impl EngineState {
+    /// Completes a load whose time is over.
+    fn settle(&mut self) {
+        if self.is_busy() {
+            return;
+        }
+        if let Some(model) = self.coming.take() {
+            let adapters = Vec::new();
+            self.entry.models.push(HeldModel { model, adapters });
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        Instant::now() < self.busy_until
+    }
+
+    fn holds(&self, wanted: &str) -> bool {
+        let (model, adapter) = wanted.split_once('/').unwrap_or((wanted, ""));
+        let mut held = self.entry.models.iter();
+        held.any(|held| {
+            held.model.as_str() == model
+                && (adapter.is_empty() || held.adapters.iter().any(|name| name.as_str() == adapter))
+        })
+    }
+
+    fn take_order(&mut self, asked: &AskedOrder) -> (StatusCode, bool) {
+        self.settle();
+        if asked.fence < self.fence {
+            return (StatusCode::PRECONDITION_FAILED, false);
+        }
+        self.fence = asked.fence;
+        if self.is_busy() || asked.expect.is_some_and(|expect| expect != self.sequence) {
+            return (StatusCode::CONFLICT, false);
+        }
+        self.carry_out(&asked.order)
+    }
+
+    fn carry_out(&mut self, order: &EngineOrder) -> (StatusCode, bool) {
+        let (status, exceeded) = match order {
+            EngineOrder::LoadModel(model) if self.holds(model.as_str()) => (StatusCode::OK, false),
+            EngineOrder::LoadModel(model) => self.begin_load(model),
+            EngineOrder::UnloadModel(model) => {
+                self.entry.models.retain(|held| held.model != *model);
+                (StatusCode::ACCEPTED, false)
+            }
+            EngineOrder::LoadAdapter(model, adapter) => {
+                let held = self
+                    .entry
+                    .models
+                    .iter_mut()
+                    .find(|held| held.model == *model);
+                match held {
+                    Some(held) => {
+                        held.adapters.push(adapter.clone());
+                        (StatusCode::ACCEPTED, false)
+                    }
+                    None => (StatusCode::BAD_REQUEST, false),
+                }
+            }
+            EngineOrder::UnloadAdapter(model, adapter) => {
+                for held in self
+                    .entry
+                    .models
+                    .iter_mut()
+                    .filter(|held| held.model == *model)
+                {
+                    held.adapters.retain(|name| name != adapter);
+                }
+                (StatusCode::OK, false)
+            }
+        };
+        if status == StatusCode::ACCEPTED {
+            self.sequence = self.sequence.next();
+        }
+        (status, exceeded)
+    }
+
+    fn begin_load(&mut self, model: &ModelName) -> (StatusCode, bool) {
+        let Some((class, size)) = self
+            .class
+            .as_ref()
+            .and_then(|class| Some((class, class.models.get(model)?)))
+        else {
+            return (StatusCode::BAD_REQUEST, false);
+        };
+        let held = self
+            .entry
+            .models
+            .iter()
+            .filter_map(|held| class.models.get(&held.model));
+        let used: u64 = held.map(|model| model.weights.bytes()).sum();
+        let exceeded = used + size.weights.bytes() > class.weight_memory.bytes();
+        let at_hand = self.entry.on_disk.contains(model);
+        let time = if at_hand {
+            size.disk_load
+        } else {
+            size.store_load
+        };
+        self.busy_until = Instant::now() + time.duration();
+        self.coming = Some(model.clone());
+        if !at_hand {
+            self.entry.on_disk.push(model.clone());
+        }
+        (StatusCode::ACCEPTED, exceeded)
+    }
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<StageBody>, BreakOff> {
+    let (head, body) = request.into_parts();
+    let reading = read_request(&head.headers);
+    let path = head.uri.path().to_owned();
+    let body = body.collect().await.map_err(|_| BreakOff)?.to_bytes();
+    let id = shared.lock().entry.id.to_string();
+    if reading.engine.as_ref().is_some_and(|engine| *engine != id) {
+        return Ok(whole(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
+    }
+    match engine_path(&path) {
+        EnginePath::Order => answer_order(&shared, &body),
+        EnginePath::Report => Ok(answer_report(&shared)),
+        EnginePath::Request => answer_request(&shared, &reading, &path).await,
+    }
+}
+
+fn answer_report(shared: &Shared) -> Response<StageBody> {
+    let mut state = shared.lock();
+    state.settle();
+    let body = report_json(&ReportedState {
+        models: &state.entry.models,
+        busy: state.is_busy(),
+        sequence: state.sequence,
+    });
+    whole(StatusCode::OK, body)
+}
+
+fn answer_order(shared: &Shared, body: &[u8]) -> Result<Response<StageBody>, BreakOff> {
+    let Some(asked) = parse_order(body) else {
+        return Ok(whole(StatusCode::BAD_REQUEST, Bytes::new()));
+    };
+    let mut state = shared.lock();
+    let (status, exceeded) = state.take_order(&asked);
+    let fault = state.fault;
+    let engine = state.entry.id.to_string();
+    drop(state);
+    shared.ledger.note_order(OrderNote {
+        engine,
+        order: asked.order,
+        fence: asked.fence,
+        accepted: status == StatusCode::ACCEPTED,
+        exceeded,
+    });
+    if fault == EngineFault::LoseOrders {
+        return Err(BreakOff);
+    }
+    Ok(whole(status, Bytes::new()))
+}
+
+async fn answer_request(
+    shared: &Shared,
+    reading: &OrderReading,
+    path: &str,
+) -> Result<Response<StageBody>, BreakOff> {
+    let (fault, missing, engine) = {
+        let mut state = shared.lock();
+        state.settle();
+        let missing = reading
+            .model
+            .as_ref()
+            .is_some_and(|model| !state.holds(model));
+        (state.fault, missing, state.entry.id.to_string())
+    };
+    if missing {
+        return Ok(whole(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
+    }
+    if fault == EngineFault::Full {
+        let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        response.headers_mut().extend(refusal_marks());
+        return Ok(response);
+    }
+    let id = reading
+        .id
+        .as_ref()
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or("-");
+    shared.ledger.note_run(RunNote {
+        request: id.to_owned(),
+        engine: engine.clone(),
+        path: path.to_owned(),
+        at: Instant::now(),
+        resumed: reading.last_event.is_some(),
+    });
+    tokio::time::sleep(WORK_TIME).await;
+    match fault {
+        EngineFault::LoseAnswers => Err(BreakOff),
+        EngineFault::Mute => std::future::pending().await,
+        _ => Ok(run_answer(fault, reading, &engine, path)),
+    }
+}
+
+fn run_answer(
+    fault: EngineFault,
+    reading: &OrderReading,
+    engine: &str,
+    path: &str,
+) -> Response<StageBody> {
+    let other = HeaderValue::from_static("another");
+    let id = if fault == EngineFault::WrongId {
+        Some(&other)
+    } else {
+        reading.id.as_ref()
+    };
+    let marks = answer_marks(id, engine);
+    if fault == EngineFault::Fail {
+        let mut response = whole(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+        response.headers_mut().extend(marks);
+        return response;
+    }
+    if reading.model.is_none() {
+        let mut response = whole(StatusCode::OK, format!("served {path}"));
+        response.headers_mut().extend(marks);
+        if fault == EngineFault::BreakOff {
+            // More is announced than follows.
+            let headers = response.headers_mut();
+            headers.insert(http::header::CONTENT_LENGTH, 10_000.into());
+        }
+        return response;
+    }
+    let breaks = fault == EngineFault::BreakOff;
+    let first = reading.last_event.map_or(1, |event| event + 1);
+    let events = stream::iter(first..=EVENTS).then(move |number| async move {
+        tokio::time::sleep(EVENT_PAUSE).await;
+        if breaks && number >= first + 2 {
+            return Err(BreakOff);
+        }
+        let text = format!("id: {number}\ndata: part {number}\n\n");
+        Ok(Frame::data(Bytes::from(text)))
+    });
+    streamed(StatusCode::OK, marks, events.boxed())
+}
--- /dev/null
+++ b/crates/ward-stage/src/ledger.rs
@@ -0,0 +1,82 @@
+//! What engines have seen, for checks.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use ward_fleet::EngineOrder;
+use ward_protocol::FenceNumber;
+
+/// A request that an engine began to run.
+#[derive(Debug, Clone)]
+pub struct RunNote {
+    /// The request's id.
+    pub request: String,
+    /// The engine.
+    pub engine: String,
+    /// Its path.
+    pub path: String,
+    /// When it began.
+    pub at: Instant,
+    /// Whether it went on with a stream that another engine began.
+    pub resumed: bool,
+}
+
+/// An order that an engine accepted or refused.
+#[derive(Debug, Clone)]
+pub struct OrderNote {
+    /// The engine.
+    pub engine: String,
+    /// What it was told to do.
+    pub order: EngineOrder,
+    /// The sender's fencing number.
+    pub fence: FenceNumber,
+    /// Whether it was accepted.
+    pub accepted: bool,
+    /// Whether it would have exceeded the engine's memory.
+    pub exceeded: bool,
+}
+
+/// Notes of all engines.
+#[derive(Debug, Clone, Default)]
+pub struct RunLedger {
+    notes: Arc<Mutex<Notes>>,
+}
+
+#[derive(Debug, Default)]
+struct Notes {
+    runs: Vec<RunNote>,
+    orders: Vec<OrderNote>,
+}
+
+impl RunLedger {
+    fn notes(&self) -> MutexGuard<'_, Notes> {
+        self.notes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn note_run(&self, run: RunNote) {
+        self.notes().runs.push(run);
+    }
+
+    pub(crate) fn note_order(&self, order: OrderNote) {
+        self.notes().orders.push(order);
+    }
+
+    /// All runs so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<RunNote> {
+        self.notes().runs.clone()
+    }
+
+    /// Runs of one request.
+    #[must_use]
+    pub fn runs_of(&self, request: &str) -> Vec<RunNote> {
+        let runs = self.runs().into_iter();
+        runs.filter(|run| run.request == request).collect()
+    }
+
+    /// All orders so far.
+    #[must_use]
+    pub fn orders(&self) -> Vec<OrderNote> {
+        self.notes().orders.clone()
+    }
+}
--- /dev/null
+++ b/crates/ward-stage/src/lib.rs
@@ -0,0 +1,25 @@
+//! Stand-ins of the users' platform for tests of whole daemons: the store,
+//! engines, a loopback proxy that harms connections, callers, and the daemons
+//! themselves as processes.
+//!
+//! They speak the platform's formats through `ward-adapter` and keep what the
+//! tests check: which requests ran where and how often, which orders came from
+//! whom, and what callers got.
+
+mod caller;
+mod daemon;
+mod engine;
+mod ledger;
+mod proxy;
+mod reply;
+mod serve;
+mod stage;
+mod store;
+
+pub use caller::{CallerAnswer, CallerError, CallerRequest, StageCaller};
+pub use daemon::{DaemonProcess, StageError};
+pub use engine::{EngineFault, StageEngine};
+pub use ledger::{OrderNote, RunLedger, RunNote};
+pub use proxy::{LinkFault, StageProxy};
+pub use stage::{Stage, StagePlan, stage_folder};
+pub use store::{StageStore, StoreFault};
--- /dev/null
+++ b/crates/ward-stage/src/reply.rs
@@ -0,0 +1,47 @@
+//! Answers of stand-ins.
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::{BoxStream, once};
+use http::{HeaderMap, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::StreamBody;
+
+/// How a stand-in breaks off an answer.
+#[derive(Debug)]
+pub(crate) struct BreakOff;
+
+impl std::fmt::Display for BreakOff {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("the stand-in breaks off")
+    }
+}
+
+impl std::error::Error for BreakOff {}
+
+/// The body of an answer; an error in it closes the connection.
+pub(crate) type StageBody = StreamBody<BoxStream<'static, Result<Frame<Bytes>, BreakOff>>>;
+
+/// An answer with a whole body.
+pub(crate) fn whole(status: StatusCode, body: impl Into<Bytes>) -> Response<StageBody> {
+    let body = body.into();
+    let length = body.len();
+    let frames = once(async move { Ok(Frame::data(body)) }).boxed();
+    let mut response = streamed(status, HeaderMap::new(), frames);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_LENGTH, length.into());
+    response
+}
+
+/// An answer that comes in pieces.
+pub(crate) fn streamed(
+    status: StatusCode,
+    headers: HeaderMap,
+    frames: BoxStream<'static, Result<Frame<Bytes>, BreakOff>>,
+) -> Response<StageBody> {
+    let mut response = Response::new(StreamBody::new(frames));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/ward-stage/src/stage.rs
@@ -0,0 +1,348 @@
+//! A whole deployment on one machine.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use indexmap::IndexMap;
+use ward_adapter::ingress::READINESS_PATH;
+use ward_adapter::served::CALLER_HOST;
+use ward_fleet::{
+    CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, HeartbeatCount, HeldModel,
+    HostCapacity, HostSettings, LinkRate, ManifestVersion, ModelClass, RouteKind, RouteTarget,
+    ServiceClass, ServingBounds, ServingManifest, ServingRoute,
+};
+use ward_http::{CallBounds, HttpCaller, json_request};
+use ward_protocol::{MemorySize, ModelName, TimeSpan};
+
+use crate::daemon::{DaemonProcess, StageError};
+use crate::engine::StageEngine;
+use crate::ledger::RunLedger;
+use crate::proxy::StageProxy;
+use crate::store::StageStore;
+
+/// Ports of each daemon, which has an address of its own.
+const CALLERS_PORT: u16 = 8101;
+const READINESS_PORT: u16 = 8102;
+const DIRECTORY_PORT: u16 = 8103;
+const PEERS_PORT: u16 = 8104;
+/// The adapter takes the port after the one for other daemons.
+const METRICS_PORT: u16 = PEERS_PORT + 1;
+/// Last part of the address of stand-ins; daemons begin at 1.
+const STAND_IN_HOST: u8 = 250;
+const READY_TIME: Duration = Duration::from_secs(10);
+const READY_PAUSE: Duration = Duration::from_millis(50);
+const MODEL_GIB: u64 = 60;
+const ENGINE_GIB: u64 = 200;
+
+/// Sizes of a stage.
+#[derive(Debug, Clone)]
+pub struct StagePlan {
+    /// Daemons.
+    pub daemons: usize,
+    /// Model engines; each begins with one model.
+    pub engines: usize,
+    /// Models; each engine has all on disk.
+    pub models: usize,
+    /// Backend servers of the plain service.
+    pub servers: usize,
+    /// The deployment's lease.
+    pub lease: TimeSpan,
+}
+
+impl Default for StagePlan {
+    fn default() -> Self {
+        Self {
+            daemons: 3,
+            engines: 3,
+            models: 8,
+            servers: 2,
+            lease: TimeSpan::from_millis(1_000),
+        }
+    }
+}
+
+/// A deployment that runs.
+pub struct Stage {
+    network: StageNetwork,
+    /// The store.
+    pub store: Arc<StageStore>,
+    /// The proxy through which daemons reach the store.
+    pub store_link: StageProxy,
+    /// Model engines, then backend servers of the plain service.
+    pub engines: Vec<StageEngine>,
+    /// The proxies through which daemons reach engines.
+    pub engine_links: Vec<StageProxy>,
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// What engines have seen.
+    pub ledger: RunLedger,
+    /// The manifest in force.
+    pub manifest: ServingManifest,
+}
+
+impl Stage {
+    /// Starts a deployment with the daemon's program, and waits until all
+    /// daemons are ready. Settings and logs go into `folder`.
+    ///
+    /// # Errors
+    /// When something cannot be started, or is not ready in time.
+    pub async fn start(
+        program: &Path,
+        folder: &Path,
+        plan: &StagePlan,
+    ) -> Result<Self, StageError> {
+        std::fs::create_dir_all(folder)?;
+        let network = StageNetwork::next();
+        let stand_ins = network.address(STAND_IN_HOST);
+        let store = Arc::new(StageStore::start(stand_ins).await?);
+        let store_link = StageProxy::start(stand_ins, store.address()).await?;
+        let manifest = manifest(plan)?;
+        store.put_manifest(&manifest);
+        let mut stage = Self {
+            network,
+            store,
+            store_link,
+            engines: Vec::new(),
+            engine_links: Vec::new(),
+            daemons: Vec::new(),
+            ledger: RunLedger::default(),
+            manifest,
+        };
+        for number in 0..plan.engines + plan.servers {
+            stage.add_engine(plan, number).await?;
+        }
+        for number in 0..plan.daemons {
+            let ip = network.daemon(number);
+            let settings = settings(plan, number, ip, stage.store_link.address())?;
+            stage
+                .daemons
+                .push(DaemonProcess::start(program, folder, settings)?);
+        }
+        stage.wait_ready().await?;
+        Ok(stage)
+    }
+
+    async fn add_engine(&mut self, plan: &StagePlan, number: usize) -> Result<(), StageError> {
+        let model = number < plan.engines;
+        let service = if model { "assistant" } else { "orders" };
+        let ip = self.network.address(STAND_IN_HOST);
+        let entry = engine_entry(plan, number, service)?;
+        let class = self.manifest.engine_class(&service.parse()?).cloned();
+        let mut engine = StageEngine::start(ip, entry, class, self.ledger.clone()).await?;
+        let link = StageProxy::start(ip, engine.address()).await?;
+        engine.register(&self.store, link.address());
+        self.engines.push(engine);
+        self.engine_links.push(link);
+        Ok(())
+    }
+
+    /// Waits until all daemons say that they are ready.
+    ///
+    /// # Errors
+    /// When one does not in time.
+    pub async fn wait_ready(&self) -> Result<(), StageError> {
+        let begun = Instant::now();
+        while begun.elapsed() < READY_TIME {
+            let mut ready = 0;
+            for daemon in &self.daemons {
+                ready += usize::from(is_ready(daemon.settings().readiness).await);
+            }
+            if ready == self.daemons.len() {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+        Err(StageError::NotReady)
+    }
+
+    /// Name of a model by number.
+    #[must_use]
+    pub fn model(number: usize) -> String {
+        format!("model{number}")
+    }
+}
+
+/// Loopback addresses of one stage, so that stages side by side share no port.
+#[derive(Debug, Clone, Copy)]
+struct StageNetwork {
+    process: u8,
+    stage: u8,
+}
+
+impl StageNetwork {
+    fn next() -> Self {
+        static STAGES: AtomicU8 = AtomicU8::new(0);
+        // The first part stays clear of what else uses loopback.
+        let process = 16 + u8::try_from(std::process::id() % 200).unwrap_or(0);
+        Self {
+            process,
+            stage: STAGES.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    fn address(self, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.process, self.stage, host))
+    }
+
+    fn daemon(self, number: usize) -> IpAddr {
+        self.address(u8::try_from(number + 1).unwrap_or(u8::MAX))
+    }
+}
+
+/// Whether a daemon says that it is ready.
+async fn is_ready(address: SocketAddr) -> bool {
+    let Ok(request) = json_request(Method::GET, address, READINESS_PATH, "") else {
+        return false;
+    };
+    let bounds = CallBounds {
+        timeout: TimeSpan::from_millis(500),
+        answer_bytes: 1 << 10,
+    };
+    let reply = HttpCaller::new().call(request, bounds).await;
+    reply.is_ok_and(|reply| reply.status.is_success())
+}
+
+fn engine_entry(plan: &StagePlan, number: usize, service: &str) -> Result<EngineEntry, StageError> {
+    let models: Result<Vec<ModelName>, _> = (0..plan.models)
+        .map(|model| Stage::model(model).parse())
+        .collect();
+    let models = models?;
+    let first = models.get(number % plan.models.max(1)).cloned();
+    let held = first
+        .filter(|_| number < plan.engines)
+        .map(|model| HeldModel {
+            model,
+            adapters: Vec::new(),
+        });
+    Ok(EngineEntry {
+        id: format!("i-{number}").parse()?,
+        service: service.parse()?,
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
+        zone: "north".parse()?,
+        slots: 12,
+        draining: false,
+        leaves_in: None,
+        birth: Some(EngineBirth(1)),
+        heartbeat: HeartbeatCount(0),
+        models: held.into_iter().collect(),
+        in_memory: Vec::new(),
+        on_disk: models,
+    })
+}
+
+fn manifest(plan: &StagePlan) -> Result<ServingManifest, StageError> {
+    let mut models = IndexMap::new();
+    for number in 0..plan.models {
+        let class = ModelClass {
+            weights: MemorySize::from_gib(MODEL_GIB),
+            adapter_weights: MemorySize::from_mib(64),
+            store_load: TimeSpan::from_millis(900),
+            disk_load: TimeSpan::from_millis(100),
+            memory_load: TimeSpan::from_millis(50),
+        };
+        models.insert(Stage::model(number).parse()?, class);
+    }
+    let engine = EngineClass {
+        weight_memory: MemorySize::from_gib(ENGINE_GIB),
+        adapter_slots: 4,
+        loads_per_second: 3.5,
+        models,
+    };
+    let mut services = IndexMap::new();
+    services.insert(
+        "assistant".parse()?,
+        ServiceClass {
+            connection_cap: 300,
+            engine: Some(engine),
+        },
+    );
+    services.insert(
+        "orders".parse()?,
+        ServiceClass {
+            connection_cap: 300,
+            engine: None,
+        },
+    );
+    Ok(ServingManifest {
+        version: ManifestVersion(1),
+        routes: vec![
+            route("/quick/", "assistant", RouteKind::Stream, 1)?,
+            route("/quote/", "assistant", RouteKind::ResumableStream, 3)?,
+            route("/book/", "orders", RouteKind::Unsafe, 1)?,
+            route("/stock/", "orders", RouteKind::Safe, 2)?,
+        ],
+        services,
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 64 << 10,
+            header_timeout: TimeSpan::from_secs(3),
+            idle_timeout: TimeSpan::from_secs(10),
+        },
+    })
+}
+
+fn route(
+    prefix: &str,
+    service: &str,
+    kind: RouteKind,
+    attempts: u32,
+) -> Result<ServingRoute, StageError> {
+    Ok(ServingRoute {
+        name: prefix.trim_matches('/').to_owned(),
+        host: CALLER_HOST.to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![RouteTarget {
+            service: service.parse()?,
+            weight: 1.0,
+        }],
+        kind,
+        timeout: TimeSpan::from_millis(2_500),
+        target_latency: TimeSpan::from_millis(500),
+        attempts,
+        priority: 0,
+    })
+}
+
+fn settings(
+    plan: &StagePlan,
+    number: usize,
+    ip: IpAddr,
+    store: SocketAddr,
+) -> Result<HostSettings, StageError> {
+    let at = |port| SocketAddr::new(ip, port);
+    Ok(HostSettings {
+        daemon: format!("host-{number}").parse()?,
+        zone: "north".parse()?,
+        callers: at(CALLERS_PORT),
+        readiness: at(READINESS_PORT),
+        directory: at(DIRECTORY_PORT),
+        peers: at(PEERS_PORT),
+        metrics: at(METRICS_PORT),
+        store,
+        capacity: HostCapacity {
+            cores: CoreShare(500),
+            link: LinkRate(1_000_000),
+            memory: MemorySize::from_mib(260),
+            descriptors: 1_000,
+        },
+        bounds: ServingBounds {
+            stop_grace: TimeSpan::from_secs(4),
+            lease: plan.lease,
+            repeat_ratio: 0.2,
+            repeat_slack: 160.0,
+            repeat_window: TimeSpan::from_secs(10),
+            load_window: TimeSpan::from_secs(5),
+            longest_ttl: TimeSpan::from_secs(5),
+        },
+    })
+}
+
+/// A folder of its own for a test's settings and logs.
+#[must_use]
+pub fn stage_folder(base: &Path, test: &str) -> PathBuf {
+    base.join(format!("stage-{test}-{}", std::process::id()))
+}
