--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -35,7 +35,7 @@
 };
 pub use message::{
     CoordinatorMessage, EngineInfo, EngineLoad, FleetView, HostMember, LoadReport, MemberMessage,
-    RunningCount, WaitingCount,
+    RunningCount, SlowModel, WaitingCount,
 };
 pub use order::EngineOrder;
 pub use queue::QueueRank;
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -109,6 +109,8 @@
     /// Requests at each engine over all daemons, where there are any; nothing
     /// when they were not counted anew.
     pub loads: Option<Vec<EngineLoad>>,
+    /// Models that must come from the weight store, when loads are counted.
+    pub slow: Vec<SlowModel>,
     /// All daemons that take requests, when that changed.
     pub members: Option<Vec<HostMember>>,
     /// Newest manifest that the coordinator knows.
@@ -119,6 +121,17 @@
     pub poisoned: Vec<RequestFingerprint>,
 }
 
+/// A model that no engine has at hand.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowModel {
+    /// The service.
+    pub service: ServiceName,
+    /// The model.
+    pub model: ModelName,
+    /// Time until it should be ready.
+    pub ready_in: TimeSpan,
+}
+
 /// What daemons need to know of an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineInfo {
--- a/crates/ward-fleet/src/placement/engine.rs
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -68,6 +68,8 @@
     pub model: ModelName,
     /// Where from.
     pub source: LoadSource,
+    /// When it was planned.
+    pub since: MonoTime,
 }
 
 /// Whether the engine itself was asked what it holds.
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -2,7 +2,9 @@
 //!
 //! In order of need: models that requests wait for and no engine holds; busy
 //! models that need one more engine; idle memory that could hold a model which
-//! lies on the engine's disk and on no engine's memory.
+//! lies on the engine's disk and on no engine's memory; while the weight store is
+//! idle, models that no engine has a copy of, since they take longest when asked
+//! for.
 
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, TimeSpan};
 
@@ -11,7 +13,7 @@
 use super::engine::{AuditState, EngineTask, LoadSource, PlacedEngine};
 use super::spread::{ReplicaCounts, wanted_replicas};
 use super::state::PlacementState;
-use super::victim::{VictimChoice, choose_victims};
+use super::victim::{VictimChoice, VictimSearch};
 use crate::entry::EngineBirth;
 use crate::manifest::{EngineClass, ServingManifest};
 
@@ -70,6 +72,8 @@
     Busy,
     /// The engine has room for it.
     Room,
+    /// No engine has a copy of it, and the weight store is idle.
+    Absent,
 }
 
 /// Load an adapter, after another has made way.
@@ -109,6 +113,7 @@
     planner.plan_missing();
     planner.plan_busy();
     planner.plan_room();
+    planner.plan_absent();
     works.extend(planner.works.into_iter().map(PlannedWork::Model));
     works
 }
@@ -208,6 +213,37 @@
         }
     }
 
+    /// Fetches one model that lies nowhere, before it is asked for.
+    fn plan_absent(&mut self) {
+        let fetching = |engine: &PlacedEngine| {
+            let task = engine.task.as_ref();
+            task.is_some_and(|task| task.source == LoadSource::Store)
+        };
+        if self.state.engines.values().any(fetching) {
+            return;
+        }
+        let services = self.manifest.services.iter();
+        let absent = services.filter_map(|(service, class)| {
+            let mut models = class.engine.as_ref()?.models.keys();
+            let key = |model: &ModelName| ModelKey {
+                service: service.clone(),
+                model: model.clone(),
+            };
+            let known = self.state.engines.values();
+            let mut audited = known.filter(|engine| engine.info.service == *service);
+            let sure = audited.all(|engine| engine.audit == AuditState::Done);
+            let model = models.find(|model| {
+                let key = key(model);
+                self.counts.get(&key) == 0 && self.copies(&key) == 0
+            })?;
+            sure.then(|| key(model))
+        });
+        let absent: Vec<_> = absent.collect();
+        for key in absent {
+            self.load_somewhere(&key, WorkReason::Absent, true);
+        }
+    }
+
     /// The model for an engine's idle memory: on its disk, in no engine's
     /// memory, with the fewest copies on other disks.
     fn room_candidate(&self, id: &BackendId) -> Option<(ModelKey, Candidate)> {
@@ -251,7 +287,7 @@
     /// Plans a load on the cheapest engine; returns whether there is one.
     fn load_somewhere(&mut self, key: &ModelKey, reason: WorkReason, from_store: bool) -> bool {
         let candidates = self.state.engines.iter().filter_map(|(id, engine)| {
-            let candidate = self.candidate(key, id, engine)?;
+            let candidate = self.candidate(key, id, engine, reason)?;
             let allowed =
                 candidate.source != LoadSource::Store || (from_store && self.store_allows(key));
             allowed.then_some(candidate)
@@ -284,6 +320,7 @@
         key: &ModelKey,
         id: &BackendId,
         engine: &PlacedEngine,
+        reason: WorkReason,
     ) -> Option<Candidate> {
         let usable = engine.info.service == key.service
             && engine.is_free(self.now)
@@ -294,14 +331,14 @@
         }
         let class = self.manifest.engine_class(&key.service)?;
         let model = class.models.get(&key.model)?;
-        let victims = choose_victims(
-            &self.state.demand,
-            &self.counts,
-            engine,
+        let search = VictimSearch {
+            demand: &self.state.demand,
+            counts: &self.counts,
             class,
-            model.weights,
-            self.now,
-        )?;
+            in_use: reason == WorkReason::Missing,
+            now: self.now,
+        };
+        let victims = search.choose(engine, model.weights)?;
         let source = engine.source(&key.model);
         let load = source.load_time(model).seconds() * 1_000.0;
         let running = RUNNING_COST_MILLIS * f64::from(engine.running());
@@ -370,6 +407,7 @@
         engine.task = Some(EngineTask {
             model: key.model.clone(),
             source: candidate.source,
+            since: self.now,
         });
         let birth = engine.info.birth;
         if candidate.source == LoadSource::Store {
--- a/crates/ward-fleet/src/placement/victim.rs
+++ b/crates/ward-fleet/src/placement/victim.rs
@@ -1,14 +1,16 @@
 //! Which models make way for another.
 //!
-//! Load pattern: more models than memory, most asked for seconds apart. Only
-//! models without requests make way: first those that other engines hold too
-//! and that are hardly used, then the ones asked for least, since bringing a
-//! model back from the same disk costs about the same for all.
+//! Load pattern: more models than memory, most asked for seconds apart. Models
+//! without requests make way: first those that other engines hold too and that
+//! are hardly used, then the ones asked for least, since bringing a model back
+//! from the same disk costs about the same for all. Where a model that requests
+//! wait for has its only copy on an engine that is busy all the time, a model in
+//! use makes way too, if other engines hold it: its runs end first.
 
 use ward_protocol::{MemorySize, ModelName, MonoTime, TimeSpan};
 
 use super::demand::{DemandTable, ModelKey};
-use super::engine::PlacedEngine;
+use super::engine::{PlacedEngine, PlacedModel};
 use super::spread::ReplicaCounts;
 use crate::manifest::EngineClass;
 
@@ -18,6 +20,10 @@
 const RATE_COST_MILLIS: f64 = 600.0;
 /// Cost of ordering an unload, in milliseconds.
 const UNLOAD_COST_MILLIS: f64 = 30.0;
+/// Cost of taking away a model in use, and of each of its requests, in
+/// milliseconds.
+const IN_USE_COST_MILLIS: f64 = 250.0;
+const RUN_COST_MILLIS: f64 = 40.0;
 /// Concurrency per replica above which a model keeps all of its replicas.
 const BUSY_REPLICA: f64 = 2.0;
 
@@ -30,81 +36,93 @@
     pub(super) cost: f64,
 }
 
-/// The cheapest models that make room for `needed` on an engine; nothing when
-/// even all idle ones do not.
-pub(super) fn choose_victims(
-    demand: &DemandTable,
-    counts: &ReplicaCounts,
-    engine: &PlacedEngine,
-    class: &EngineClass,
-    needed: MemorySize,
-    now: MonoTime,
-) -> Option<VictimChoice> {
-    let mut free = engine.free(class);
-    let mut choice = VictimChoice::default();
-    if free >= needed {
-        return Some(choice);
-    }
-    let mut idle: Vec<_> = engine
-        .held
-        .iter()
-        .filter(|(_, model)| model.running == 0 && now.since(model.last_used) > FRESH)
-        .filter_map(|(name, _)| Some((absence_cost(demand, counts, engine, name)?, name)))
-        .collect();
-    idle.sort_by(|left, right| left.0.total_cmp(&right.0));
-    for (cost, name) in idle {
-        let size = class.models.get(name).map(|model| model.weights);
-        free = free.saturating_add(size.unwrap_or(MemorySize::ZERO));
-        choice.cost += cost + UNLOAD_COST_MILLIS;
-        choice.models.push(name.clone());
+/// Where victims are looked for.
+#[derive(Clone, Copy)]
+pub(super) struct VictimSearch<'a> {
+    pub(super) demand: &'a DemandTable,
+    pub(super) counts: &'a ReplicaCounts,
+    pub(super) class: &'a EngineClass,
+    /// Whether models in use may make way.
+    pub(super) in_use: bool,
+    pub(super) now: MonoTime,
+}
+
+impl VictimSearch<'_> {
+    /// The cheapest models that make room for `needed` on an engine; nothing
+    /// when even all that may go do not.
+    pub(super) fn choose(&self, engine: &PlacedEngine, needed: MemorySize) -> Option<VictimChoice> {
+        let mut free = engine.free(self.class);
+        let mut choice = VictimChoice::default();
         if free >= needed {
-            drop_needless(&mut choice, class, free, needed);
             return Some(choice);
         }
+        for (cost, name) in self.candidates(engine) {
+            free = free.saturating_add(self.size(name));
+            choice.cost += cost + UNLOAD_COST_MILLIS;
+            choice.models.push(name.clone());
+            if free >= needed {
+                self.drop_needless(&mut choice, free, needed);
+                return Some(choice);
+            }
+        }
+        None
+    }
+
+    /// Models that may go, cheapest first.
+    fn candidates<'a>(&self, engine: &'a PlacedEngine) -> Vec<(f64, &'a ModelName)> {
+        let mut candidates: Vec<_> = engine
+            .held
+            .iter()
+            .filter_map(|(name, held)| Some((self.cost(engine, name, held)?, name)))
+            .collect();
+        candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
+        candidates
     }
-    None
-}
 
-/// Takes back victims that turned out not to be needed.
-fn drop_needless(
-    choice: &mut VictimChoice,
-    class: &EngineClass,
-    mut free: MemorySize,
-    needed: MemorySize,
-) {
-    choice.models.retain(|name| {
-        let size = class.models.get(name).map(|model| model.weights);
-        let size = size.unwrap_or(MemorySize::ZERO);
-        let spare = free.saturating_sub(needed) >= size;
-        if spare {
-            free = free.saturating_sub(size);
+    /// What it costs that an engine no longer holds a model; nothing when it
+    /// must not be taken away.
+    fn cost(&self, engine: &PlacedEngine, model: &ModelName, held: &PlacedModel) -> Option<f64> {
+        let key = ModelKey {
+            service: engine.info.service.clone(),
+            model: model.clone(),
+        };
+        let others = self.counts.get(&key).saturating_sub(1);
+        let fresh = held.running > 0 || self.now.since(held.last_used) <= FRESH;
+        if fresh && (!self.in_use || others == 0) {
+            return None;
         }
-        !spare
-    });
-}
+        let in_use = if fresh {
+            IN_USE_COST_MILLIS + RUN_COST_MILLIS * f64::from(held.running)
+        } else {
+            0.0
+        };
+        let Some(demand) = self.demand.get(&key) else {
+            return Some(in_use);
+        };
+        if demand.waiting > 0 {
+            return None;
+        }
+        if others == 0 {
+            return Some(in_use + demand.rate * RATE_COST_MILLIS);
+        }
+        let busy = demand.concurrency / others as f64 > BUSY_REPLICA;
+        (!busy || self.in_use).then_some(in_use)
+    }
 
-/// What it costs that this engine no longer holds a model; nothing when it must
-/// not be taken away.
-fn absence_cost(
-    demand: &DemandTable,
-    counts: &ReplicaCounts,
-    engine: &PlacedEngine,
-    model: &ModelName,
-) -> Option<f64> {
-    let key = ModelKey {
-        service: engine.info.service.clone(),
-        model: model.clone(),
-    };
-    let Some(demand) = demand.get(&key) else {
-        return Some(0.0);
-    };
-    if demand.waiting > 0 {
-        return None;
+    fn size(&self, model: &ModelName) -> MemorySize {
+        let class = self.class.models.get(model);
+        class.map_or(MemorySize::ZERO, |model| model.weights)
     }
-    let others = counts.get(&key).saturating_sub(1);
-    if others == 0 {
-        return Some(demand.rate * RATE_COST_MILLIS);
+
+    /// Takes back victims that turned out not to be needed.
+    fn drop_needless(&self, choice: &mut VictimChoice, mut free: MemorySize, needed: MemorySize) {
+        choice.models.retain(|name| {
+            let size = self.size(name);
+            let spare = free.saturating_sub(needed) >= size;
+            if spare {
+                free = free.saturating_sub(size);
+            }
+            !spare
+        });
     }
-    let busy = demand.concurrency / others as f64 > BUSY_REPLICA;
-    (!busy).then_some(0.0)
 }
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -55,6 +55,7 @@
         engines: Vec::new(),
         gone: Vec::new(),
         loads: Some(loads.collect()),
+        slow: Vec::new(),
         members: None,
         manifest: ward_fleet::ManifestVersion(1),
         store_age: TimeSpan::ZERO,
--- a/crates/ward-fleet/tests/placement.rs
+++ b/crates/ward-fleet/tests/placement.rs
@@ -6,7 +6,7 @@
 use support::{at, entry, held, id, manifest, name, report, running, service, waiting};
 use ward_fleet::placement::{
     AuditState, LoadSource, MemberKey, ModelKey, ModelWork, PlacementState, PlannedWork,
-    WorkReason, plan_work,
+    WorkReason, plan_work, slow_models,
 };
 use ward_fleet::{EngineEntry, LoadReport, OrderSequence, ServingManifest};
 use ward_protocol::{MonoTime, TimeSpan};
@@ -89,6 +89,26 @@
     );
 }
 
+#[gtest]
+fn plan_work_model_in_use_elsewhere_too_makes_way_for_one_that_is_missing() {
+    let entries = [
+        entry("e1", &["m2", "m3", "m4"], &["m1"]),
+        entry("e2", &["m3"], &[]),
+    ];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1", "m2", "m3", "m4"]);
+    let busy = vec![
+        running("e1", "m2", 1),
+        running("e1", "m3", 1),
+        running("e1", "m4", 1),
+    ];
+    let load = report(busy, vec![waiting("m1", None, 1)]);
+    let works = plan(&mut state, &manifest, load, at(2_000));
+    let works = models(&works);
+    expect_that!(works.len(), eq(1));
+    expect_that!(works[0].unload, elements_are![eq(&name("m3"))]);
+}
+
 #[gtest]
 fn plan_work_one_load_for_many_that_wait() {
     let entries = [entry("e1", &[], &["m1"]), entry("e2", &[], &["m1"])];
@@ -259,3 +279,29 @@
     expect_that!(high, gt(9.0));
     expect_that!(low, gt(0.5 * high));
 }
+
+#[gtest]
+fn plan_work_model_without_any_copy_is_fetched_while_the_store_is_idle() {
+    let mut state = state(&[entry("e1", &["m1"], &["m1"])]);
+    let manifest = manifest(&["m1", "m2", "m3"]);
+    let works = plan(&mut state, &manifest, LoadReport::default(), at(2_000));
+    let works = models(&works);
+    expect_that!(works.len(), eq(1));
+    expect_that!(works[0].reason, eq(WorkReason::Absent));
+    let works = plan(&mut state, &manifest, LoadReport::default(), at(2_100));
+    expect_that!(models(&works), is_empty());
+}
+
+#[gtest]
+fn slow_models_wait_for_their_turn_at_the_store() {
+    let mut state = state(&[entry("e1", &[], &[]), entry("e2", &[], &[])]);
+    let manifest = manifest(&["m1", "m2"]);
+    let wanted = vec![waiting("m1", None, 1), waiting("m2", None, 1)];
+    plan(&mut state, &manifest, report(vec![], wanted), at(2_000));
+    let slow = slow_models(&state, &manifest, at(4_000));
+    let spans: Vec<_> = slow.iter().map(|slow| slow.ready_in).collect();
+    expect_that!(
+        spans,
+        elements_are![eq(&TimeSpan::from_secs(4)), eq(&TimeSpan::from_secs(10))]
+    );
+}
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -5,7 +5,9 @@
 use indexmap::IndexMap;
 use slog::{Logger, warn};
 use tokio::sync::mpsc::error::TrySendError;
-use ward_fleet::{CoordinatorMessage, EngineInfo, FleetView, HostMember, ManifestVersion};
+use ward_fleet::{
+    CoordinatorMessage, EngineInfo, FleetView, HostMember, ManifestVersion, SlowModel,
+};
 use ward_protocol::{BackendId, MonoTime, RequestFingerprint, TimeSpan};
 
 use super::active::ActiveCoordinator;
@@ -54,7 +56,12 @@
 }
 
 /// Sends each daemon what changed, and a complete view to those that are new.
-pub(super) fn publish(coordinator: &ActiveCoordinator, manifest: ManifestVersion, logger: &Logger) {
+pub(super) fn publish(
+    coordinator: &ActiveCoordinator,
+    manifest: ManifestVersion,
+    slow: Vec<SlowModel>,
+    logger: &Logger,
+) {
     let now = clock::now();
     let engines = coordinator.state.borrow().engine_infos();
     let members = current_members(coordinator, now);
@@ -86,6 +93,7 @@
         engines: changed,
         gone,
         loads,
+        slow,
         members: members_changed.then(|| members.clone()),
         manifest,
         store_age: now.since(coordinator.store_heard.get()),
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -6,7 +6,7 @@
 
 use slog::{info, warn};
 use ward_adapter::{StoreClient, StoreError, StoreTopic, decode_entry};
-use ward_fleet::placement::plan_work;
+use ward_fleet::placement::{plan_work, slow_models};
 use ward_fleet::{CoordinatorLease, LeaseWindow, TermRecord};
 use ward_protocol::FenceNumber;
 use ward_protocol::codec::{decode, encode};
@@ -181,7 +181,15 @@
                 start_work(gateway, coordinator, work);
             }
         }
-        publish(coordinator, gateway.manifest_heard.get(), &gateway.logger);
+        let slow = manifest.map_or_else(Vec::new, |manifest| {
+            slow_models(&coordinator.state.borrow(), &manifest, now)
+        });
+        publish(
+            coordinator,
+            gateway.manifest_heard.get(),
+            slow,
+            &gateway.logger,
+        );
     }
 }
 
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -22,9 +22,9 @@
 const REPORT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 /// Pause before an order is tried again; grows with each try.
 const BUSY_PAUSE: Duration = Duration::from_millis(12);
-const MOST_TRIES: u32 = 14;
+const MOST_TRIES: u32 = 20;
 /// Tries after which the engine is asked for its sequence number.
-const TRIES_TO_ASK: u32 = 4;
+const TRIES_TO_ASK: u32 = 6;
 /// Time that an adapter takes to load once its order was accepted.
 const ADAPTER_TIME: Duration = Duration::from_millis(8);
 /// Pause for an engine after work that failed.
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -407,9 +407,15 @@
             let answer = OwnAnswer::NotRun(retry_after);
             return Err(refuse(answer, "its engines are overloaded and it is late"));
         }
+        if let WaitFailure::NotInTime(ready_in) = failure {
+            let answer = OwnAnswer::NotRun(ready_in);
+            return Err(refuse(answer, "its model cannot be ready in time"));
+        }
         Err(not_run(match failure {
             WaitFailure::NoEngine => "the service has no engine",
-            WaitFailure::Timeout | WaitFailure::Overload(_) => "no engine had room in time",
+            WaitFailure::Timeout | WaitFailure::Overload(_) | WaitFailure::NotInTime(_) => {
+                "no engine had room in time"
+            }
             WaitFailure::Closed => "the daemon stops",
         }))
     }
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -258,6 +258,9 @@
     if let Some(members) = &view.members {
         gateway.members.borrow_mut().clone_from(members);
     }
+    if view.loads.is_some() {
+        gateway.queue.note_slow(&view.slow, now);
+    }
     gateway.hear_manifest(view.manifest);
     for fingerprint in &view.poisoned {
         gateway.crashes.borrow_mut().block(*fingerprint, now);
--- a/crates/ward-gateway/src/queue.rs
+++ b/crates/ward-gateway/src/queue.rs
@@ -7,7 +7,9 @@
 use tokio::sync::{Notify, oneshot};
 use ward_fleet::choice::EngineChoice;
 use ward_fleet::flow::{LateVerdict, RequestFlow};
-use ward_fleet::{ChoiceContext, EngineInfo, EngineWish, QueueRank, WaitingCount, choose_engine};
+use ward_fleet::{
+    ChoiceContext, EngineInfo, EngineWish, QueueRank, SlowModel, WaitingCount, choose_engine,
+};
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, TimeSpan};
 
 use crate::clock;
@@ -54,6 +56,12 @@
     }
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct SlowKey {
+    service: ServiceName,
+    model: ModelName,
+}
+
 /// Requests that the same engines can serve.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct WaitKey {
@@ -77,6 +85,8 @@
     /// Whether no request may wait any more.
     closed: Cell<bool>,
     flows: RefCell<IndexMap<WaitKey, RequestFlow>>,
+    /// Models that no engine has at hand, and when they should be ready.
+    slow: RefCell<IndexMap<SlowKey, MonoTime>>,
 }
 
 /// Why a request got no engine.
@@ -86,6 +96,8 @@
     NoEngine,
     /// Its time ran out.
     Timeout,
+    /// Its model cannot be ready in time; it may come back after this time.
+    NotInTime(TimeSpan),
     /// Its engines are overloaded and it is late; it may come back after this
     /// time.
     Overload(TimeSpan),
@@ -174,6 +186,28 @@
             .note_grant(clock::now());
     }
 
+    /// Notes which models must come from the weight store.
+    pub(crate) fn note_slow(&self, slow: &[SlowModel], now: MonoTime) {
+        let ready = slow.iter().map(|slow| {
+            let key = SlowKey {
+                service: slow.service.clone(),
+                model: slow.model.clone(),
+            };
+            (key, now + slow.ready_in)
+        });
+        *self.slow.borrow_mut() = ready.collect();
+    }
+
+    /// Time until a request's model is ready, when that is too late for it.
+    fn too_slow(&self, ticket: &WaitTicket) -> Option<TimeSpan> {
+        let key = SlowKey {
+            service: ticket.service.clone(),
+            model: ticket.model.clone()?,
+        };
+        let ready = *self.slow.borrow().get(&key)?;
+        (ready > ticket.deadline).then(|| ready.since(clock::now()))
+    }
+
     /// Forgets flows that have dried up.
     pub(crate) fn sweep(&self) {
         let now = clock::now();
@@ -200,7 +234,12 @@
             }
         }
         EngineChoice::NoEngine => return Err(WaitFailure::NoEngine),
-        EngineChoice::Missing => gateway.report_wanted.notify_one(),
+        EngineChoice::Missing => {
+            gateway.report_wanted.notify_one();
+            if let Some(ready_in) = gateway.queue.too_slow(&ticket) {
+                return Err(WaitFailure::NotInTime(ready_in));
+            }
+        }
         EngineChoice::Full => {}
     }
     if gateway.queue.closed.get() {
@@ -294,9 +333,12 @@
                 unserved.insert(key, 0);
                 review_late(gateway, number, &ticket, 0);
             }
-            EngineChoice::Missing => {
-                missing.insert(key);
-            }
+            EngineChoice::Missing => match gateway.queue.too_slow(&ticket) {
+                Some(ready_in) => end_wait(gateway, number, WaitFailure::NotInTime(ready_in)),
+                None => {
+                    missing.insert(key);
+                }
+            },
         }
     }
 }
@@ -316,9 +358,13 @@
         return;
     };
     drop(flows);
+    end_wait(gateway, number, WaitFailure::Overload(retry_after));
+}
+
+fn end_wait(gateway: &Gateway, number: u64, failure: WaitFailure) {
     if let Some(grant) = take_grant(gateway, number) {
         // A request that is gone needs no answer.
-        drop(grant.send(Err(WaitFailure::Overload(retry_after))));
+        drop(grant.send(Err(failure)));
     }
 }
 
--- a/crates/ward-protocol/src/time.rs
+++ b/crates/ward-protocol/src/time.rs
@@ -69,6 +69,12 @@
         u64::try_from(self.0.as_micros()).unwrap_or(u64::MAX)
     }
 
+    /// The difference, at least zero.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
     /// Seconds with fraction.
     #[must_use]
     pub fn seconds(self) -> f64 {
