--- a/crates/ward-fleet/src/budget.rs
+++ b/crates/ward-fleet/src/budget.rs
@@ -10,6 +10,7 @@
 
 use ward_protocol::{MonoTime, TimeSpan};
 
+use crate::number::real;
 use crate::settings::ServingBounds;
 
 /// Part of the budget that is used; the rest covers daemons that restarted and
@@ -34,10 +35,10 @@
     pub fn take_repeat(&mut self, now: MonoTime, bounds: &ServingBounds, daemons: usize) -> bool {
         forget(&mut self.requests, now, bounds.repeat_window);
         forget(&mut self.repeats, now, bounds.repeat_window);
-        let slack = bounds.repeat_slack / daemons.max(1) as f64;
-        let earned = bounds.repeat_ratio * self.requests.len() as f64;
+        let slack = bounds.repeat_slack / real(daemons.max(1));
+        let earned = bounds.repeat_ratio * real(self.requests.len());
         let allowed = USED_PART * (slack + earned);
-        if self.repeats.len() as f64 + 1.0 > allowed {
+        if real(self.repeats.len()) + 1.0 > allowed {
             return false;
         }
         self.repeats.push_back(now);
--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexSet;
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, ZoneName};
 
+use crate::number::{real, real_u64};
 use crate::table::{EngineRecord, EngineTable};
 
 /// Engines compared for one request.
@@ -48,7 +49,7 @@
         }
         let others = engine.total.saturating_sub(engine.own_in_total);
         let free = engine.info.slots.saturating_sub(others);
-        let share = (PLACE_SHARE * f64::from(free) / self.daemons.max(1) as f64).ceil();
+        let share = (PLACE_SHARE * f64::from(free) / real(self.daemons.max(1))).ceil();
         let added = engine.own_count().saturating_sub(engine.own_in_total);
         f64::from(added) < share
     }
@@ -127,7 +128,7 @@
             cost -= ZONE_BONUS;
         }
         if sticky == Some(&engine.info.id) {
-            cost -= STICKY_BONUS * wish.shared_tokens as f64 / 1_000.0;
+            cost -= STICKY_BONUS * real_u64(wish.shared_tokens) / 1_000.0;
         }
         cost + slowness(engine, best_latency)
     };
--- a/crates/ward-fleet/src/flow.rs
+++ b/crates/ward-fleet/src/flow.rs
@@ -10,6 +10,8 @@
 
 use ward_protocol::{MonoTime, TimeSpan};
 
+use crate::number::{real, span};
+
 /// Time over which arrivals and places are counted.
 const FLOW_SPAN: TimeSpan = TimeSpan::from_secs(2);
 /// Part of the time left that waiting may be expected to take, in percent.
@@ -66,7 +68,7 @@
         if spare <= 0.0 {
             return LateVerdict::Leave(LAST_RETURN);
         }
-        let wait = TimeSpan::from_millis(((ahead as f64 + 1.0) / spare * 1_000.0) as u64);
+        let wait = span(real(ahead + 1) / spare);
         if wait.millis() <= left.millis() * WORTH_PERCENT / 100 {
             return LateVerdict::Wait;
         }
@@ -77,7 +79,7 @@
 /// Events per second.
 fn rate(times: &VecDeque<MonoTime>, now: MonoTime) -> f64 {
     let recent = times.iter().filter(|time| now.since(**time) <= FLOW_SPAN);
-    recent.count() as f64 / FLOW_SPAN.seconds()
+    real(recent.count()) / FLOW_SPAN.seconds()
 }
 
 fn forget(times: &mut VecDeque<MonoTime>, now: MonoTime) {
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod manifest;
 pub mod message;
+pub mod number;
 pub mod order;
 pub mod placement;
 pub mod queue;
@@ -34,8 +35,8 @@
     ServingManifest, ServingRoute,
 };
 pub use message::{
-    CoordinatorMessage, EngineInfo, EngineLoad, FleetView, HostMember, LoadReport, MemberMessage,
-    RunningCount, SlowModel, WaitingCount,
+    CoordinatorMessage, EngineInfo, EngineLoad, FleetBriefing, FleetView, HostMember, LoadReport,
+    MemberMessage, RunningCount, SlowModel, WaitingCount,
 };
 pub use order::EngineOrder;
 pub use queue::QueueRank;
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -2,7 +2,8 @@
 //!
 //! Every daemon holds one connection to the coordinator. It reports its own
 //! requests; the coordinator answers with the state of the fleet. Both send
-//! only what changed or is not zero. Messages may be lost with a connection
+//! only what changed or is not zero. A daemon that starts while the store is away
+//! asks any other daemon what it knows. Messages may be lost with a connection
 //! without harm: the first message on a new one is complete.
 
 use std::net::SocketAddr;
@@ -41,6 +42,8 @@
     Report(LoadReport),
     /// The daemon stops and takes no new callers.
     Leaving,
+    /// The only message on a connection: what do you know? Any daemon answers.
+    Ask,
 }
 
 /// A daemon's own requests.
@@ -91,6 +94,21 @@
 pub enum CoordinatorMessage {
     /// The state of the fleet.
     View(FleetView),
+    /// The answer of any daemon to [`MemberMessage::Ask`].
+    Briefing(FleetBriefing),
+}
+
+/// What a daemon that cannot reach the store needs to serve.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetBriefing {
+    /// The manifest in force as the operator wrote it, if one is known.
+    pub manifest: Option<Vec<u8>>,
+    /// Engines.
+    pub engines: Vec<EngineInfo>,
+    /// All daemons that take requests.
+    pub members: Vec<HostMember>,
+    /// Where the coordinator listens, if one is followed.
+    pub coordinator: Option<SocketAddr>,
 }
 
 /// The state of the fleet, or what changed of it.
--- a/crates/ward-fleet/src/placement/ceiling.rs
+++ b/crates/ward-fleet/src/placement/ceiling.rs
@@ -9,6 +9,8 @@
 
 use ward_protocol::{MonoTime, TimeSpan};
 
+use crate::number::real;
+
 /// Most loads that are ever run at the same time.
 const MOST_AT_ONCE: usize = 8;
 /// A load is on time up to this part of its stated time, in percent.
@@ -39,7 +41,7 @@
             .iter()
             .filter(|begun| now.since(**begun) <= window);
         let most = (per_second * window.seconds()).floor();
-        running < self.at_once && (recent.count() as f64) < most
+        running < self.at_once && real(recent.count()) < most
     }
 
     /// Counts a load that begins.
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -16,6 +16,7 @@
 use super::victim::{VictimChoice, VictimSearch};
 use crate::entry::EngineBirth;
 use crate::manifest::{EngineClass, ServingManifest};
+use crate::number::real;
 
 /// Cost of giving a busy engine one more model, in milliseconds per request.
 const RUNNING_COST_MILLIS: f64 = 40.0;
@@ -175,7 +176,7 @@
             .iter()
             .filter(|(_, demand)| demand.concurrency >= 1.0)
             .map(|(key, demand)| {
-                let replicas = self.counts.get(key).max(1) as f64;
+                let replicas = real(self.counts.get(key).max(1));
                 (key.clone(), demand.clone(), demand.concurrency / replicas)
             })
             .collect();
@@ -184,11 +185,11 @@
             let Some(slots) = self.slots(&key) else {
                 continue;
             };
-            let wanted = wanted_replicas(&demand, slots);
+            let wanted = usize::try_from(wanted_replicas(&demand, slots)).unwrap_or(usize::MAX);
             let present = self.counts.get(&key);
             let missing = wanted.saturating_sub(present);
             let coming = self.loading(&key);
-            let full = f64::from(slots) * present as f64;
+            let full = f64::from(slots) * real(present);
             let pressed = demand.concurrency * STORE_SPREAD_CONCURRENCY > full;
             for _ in 0..missing.min(MOST_SPREADS.saturating_sub(coming)) {
                 if !self.load_somewhere(&key, WorkReason::Busy, pressed) {
--- a/crates/ward-fleet/src/placement/spread.rs
+++ b/crates/ward-fleet/src/placement/spread.rs
@@ -8,6 +8,7 @@
 
 use super::demand::{ModelDemand, ModelKey};
 use super::state::PlacementState;
+use crate::number::whole;
 
 /// Concurrent requests that one replica should have at most.
 const MOST_PER_REPLICA: f64 = 8.0;
@@ -17,9 +18,9 @@
 const PAIR_CONCURRENCY: f64 = 1.5;
 
 /// Engines that should hold a model.
-pub(super) fn wanted_replicas(demand: &ModelDemand, slots: u32) -> usize {
+pub(super) fn wanted_replicas(demand: &ModelDemand, slots: u32) -> u64 {
     let per_replica = MOST_PER_REPLICA.min(SLOT_PART * f64::from(slots)).max(1.0);
-    let wanted = (demand.concurrency / per_replica).ceil() as usize;
+    let wanted = whole((demand.concurrency / per_replica).ceil());
     if demand.concurrency >= PAIR_CONCURRENCY {
         wanted.max(2)
     } else {
--- a/crates/ward-fleet/src/placement/victim.rs
+++ b/crates/ward-fleet/src/placement/victim.rs
@@ -13,6 +13,7 @@
 use super::engine::{PlacedEngine, PlacedModel};
 use super::spread::ReplicaCounts;
 use crate::manifest::EngineClass;
+use crate::number::real;
 
 /// A model that was used or loaded so recently stays.
 const FRESH: TimeSpan = TimeSpan::from_millis(400);
@@ -105,7 +106,7 @@
         if others == 0 {
             return Some(in_use + demand.rate * RATE_COST_MILLIS);
         }
-        let busy = demand.concurrency / others as f64 > BUSY_REPLICA;
+        let busy = demand.concurrency / real(others) > BUSY_REPLICA;
         (!busy || self.in_use).then_some(in_use)
     }
 
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -58,6 +58,8 @@
     pub peers: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
+    /// Where other daemons may listen for daemons; some may be gone.
+    pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Size of the host.
--- a/crates/ward-fleet/tests/budget.rs
+++ b/crates/ward-fleet/tests/budget.rs
@@ -1,5 +1,7 @@
 //! The budget of repeats.
 
+#![allow(clippy::cast_precision_loss)]
+
 mod support;
 
 use googletest::prelude::*;
--- a/crates/ward-fleet/tests/directory.rs
+++ b/crates/ward-fleet/tests/directory.rs
@@ -1,5 +1,7 @@
 //! Which daemons callers are told to use.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use googletest::prelude::*;
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! Engines, models and requests for tests.
 
-#![allow(dead_code, reason = "each test file uses some of it")]
+#![allow(
+    dead_code,
+    clippy::unwrap_used,
+    reason = "each test file uses some of it, and a test may panic"
+)]
 
 use indexmap::IndexMap;
 use ward_fleet::{
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -119,9 +119,10 @@
             return;
         };
         engine.task = None;
-        match result {
-            Ok(()) => engine.note_loaded(&work.model, clock::now()),
-            Err(_) => engine.note_failed(clock::now(), REST),
+        if result.is_ok() {
+            engine.note_loaded(&work.model, clock::now());
+        } else {
+            engine.note_failed(clock::now(), REST);
         }
     }
 
@@ -177,12 +178,11 @@
             return;
         };
         engine.adapter_busy = false;
-        match result {
-            Ok(()) => engine.note_adapter(&work.model, &work.adapter, clock::now()),
-            Err(_) => {
-                engine.note_adapter_gone(&work.model, &work.adapter);
-                engine.note_failed(clock::now(), REST);
-            }
+        if result.is_ok() {
+            engine.note_adapter(&work.model, &work.adapter, clock::now());
+        } else {
+            engine.note_adapter_gone(&work.model, &work.adapter);
+            engine.note_failed(clock::now(), REST);
         }
     }
 
--- a/crates/ward-gateway/src/forward/events.rs
+++ b/crates/ward-gateway/src/forward/events.rs
@@ -51,7 +51,7 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    let id = std::str::from_utf8(ids.next_back()?).ok()?;
     Some(id.trim().to_owned())
 }
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What the parts of a daemon share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use indexmap::IndexMap;
@@ -56,7 +57,11 @@
     pub(crate) report_wanted: Notify,
     /// Whether the process is to end.
     pub(crate) stopping: Cell<bool>,
+    /// Where the coordinator listens, while it is followed or was heard of.
+    pub(crate) coordinator_address: Cell<Option<SocketAddr>>,
     manifest: RefCell<Option<Rc<ServingManifest>>>,
+    /// The manifest in force as the operator wrote it.
+    manifest_text: RefCell<Vec<u8>>,
     budgets: RefCell<IndexMap<ServiceName, RepeatBudget>>,
 }
 
@@ -91,7 +96,9 @@
             engines_known: Cell::default(),
             report_wanted: Notify::new(),
             stopping: Cell::default(),
+            coordinator_address: Cell::default(),
             manifest: RefCell::default(),
+            manifest_text: RefCell::default(),
             budgets: RefCell::default(),
         }
     }
@@ -106,8 +113,14 @@
         self.manifest.borrow().clone()
     }
 
+    /// The manifest in force as the operator wrote it.
+    pub(crate) fn manifest_text(&self) -> Option<Vec<u8>> {
+        self.manifest()?;
+        Some(self.manifest_text.borrow().clone())
+    }
+
     /// Puts a manifest in force unless a newer one is.
-    pub(crate) fn adopt_manifest(&self, manifest: ServingManifest) {
+    pub(crate) fn adopt_manifest(&self, manifest: ServingManifest, text: &[u8]) {
         let version = manifest.version;
         let current = self.manifest().map(|current| current.version);
         if current.is_some_and(|current| current >= version) {
@@ -123,6 +136,7 @@
             .set(i64::try_from(version.0).unwrap_or(i64::MAX));
         self.manifest_heard
             .set(self.manifest_heard.get().max(version));
+        text.clone_into(&mut self.manifest_text.borrow_mut());
         *self.manifest.borrow_mut() = Some(Rc::new(manifest));
         self.queue.changed();
     }
--- /dev/null
+++ b/crates/ward-gateway/src/hub/brief.rs
@@ -0,0 +1,106 @@
+//! What a daemon that cannot reach the store learns from another daemon.
+//!
+//! A daemon that starts during an outage of the store has neither manifest nor
+//! engines. It asks the hosts that its settings name and the daemons it knows;
+//! any of them tells all it has. A manifest is taken only if it is newer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use slog::{info, warn};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use ward_adapter::decode_manifest;
+use ward_fleet::{CoordinatorMessage, FleetBriefing, MemberMessage};
+
+use super::frame::{FrameError, encode_frame, read_frame};
+use crate::gateway::Gateway;
+
+const ASK_TIME: Duration = Duration::from_millis(600);
+/// Daemons asked at a time, one after another.
+const MOST_ASKED: usize = 4;
+
+/// What this daemon tells others.
+pub(super) fn briefing(gateway: &Gateway) -> FleetBriefing {
+    let table = gateway.table.borrow();
+    FleetBriefing {
+        manifest: gateway.manifest_text(),
+        engines: table.iter().map(|engine| engine.info.clone()).collect(),
+        members: gateway.members.borrow().clone(),
+        coordinator: gateway.coordinator_address.get(),
+    }
+}
+
+/// Asks other daemons until one tells something new.
+pub(crate) async fn ask_daemons(gateway: &Rc<Gateway>) {
+    for address in addresses(gateway) {
+        match tokio::time::timeout(ASK_TIME, ask(address)).await {
+            Ok(Ok(briefing)) if briefing.manifest.is_some() => {
+                apply(gateway, address, briefing);
+                return;
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(cause)) => {
+                warn!(gateway.logger, "peers: no briefing"; "address" => %address, "cause" => %cause);
+            }
+            Err(_) => {
+                warn!(gateway.logger, "peers: no briefing in time"; "address" => %address);
+            }
+        }
+    }
+}
+
+/// Some of the daemons that may know more, in random order.
+fn addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+    let settings = gateway.settings();
+    let members = gateway.members.borrow();
+    let known = members.iter().map(|member| member.peers);
+    let mut rest: IndexSet<SocketAddr> = settings.seeds.iter().copied().chain(known).collect();
+    rest.shift_remove(&settings.peers);
+    let mut drawn = Vec::new();
+    while drawn.len() < MOST_ASKED && !rest.is_empty() {
+        let index = rand::random_range(0..rest.len());
+        drawn.extend(rest.swap_remove_index(index));
+    }
+    drawn
+}
+
+async fn ask(address: SocketAddr) -> Result<FleetBriefing, FrameError> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream
+        .write_all(&encode_frame(&MemberMessage::Ask)?)
+        .await?;
+    match read_frame(&mut stream).await? {
+        Some(CoordinatorMessage::Briefing(briefing)) => Ok(briefing),
+        _ => Err(FrameError::Refused),
+    }
+}
+
+fn apply(gateway: &Gateway, address: SocketAddr, briefing: FleetBriefing) {
+    info!(
+        gateway.logger, "peers: briefing"; "address" => %address,
+        "engines" => briefing.engines.len(), "members" => briefing.members.len(),
+    );
+    let text = briefing.manifest.unwrap_or_default();
+    match decode_manifest(&text) {
+        Ok(manifest) => gateway.adopt_manifest(manifest, &text),
+        Err(cause) => warn!(gateway.logger, "manifest: briefing ignored"; "cause" => %cause),
+    }
+    if gateway.members.borrow().is_empty() {
+        *gateway.members.borrow_mut() = briefing.members;
+    }
+    if gateway.coordinator_address.get().is_none() {
+        gateway.coordinator_address.set(briefing.coordinator);
+    }
+    // Whoever has read the engines itself knows them better.
+    if gateway.read_time.get().is_none() && !briefing.engines.is_empty() {
+        let mut table = gateway.table.borrow_mut();
+        for engine in briefing.engines {
+            table.insert(engine);
+        }
+        gateway.engines_known.set(true);
+    }
+    gateway.queue.changed();
+}
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -117,7 +117,7 @@
         Ok(tail) => tail,
         Err(cause) => {
             warn!(gateway.logger, "coordinator: unknown"; "cause" => %cause);
-            return None;
+            return gateway.coordinator_address.get();
         }
     };
     let key = StoreClient::coordinator_key();
@@ -163,6 +163,7 @@
     .await?;
     send(&mut writer, &MemberMessage::Report(report(gateway))).await?;
     info!(gateway.logger, "coordinator: connected"; "address" => %address);
+    gateway.coordinator_address.set(Some(address));
     let reports = send_reports(gateway, writer);
     let views = async {
         // A view that was not taken over whole must come again.
@@ -182,7 +183,7 @@
                         return Err(FrameError::CutOff);
                     }
                 }
-                None => return Err(FrameError::Refused),
+                Some(CoordinatorMessage::Briefing(_)) | None => return Err(FrameError::Refused),
             }
         }
     };
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -8,9 +8,10 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use ward_fleet::MemberMessage;
+use ward_fleet::{CoordinatorMessage, HostMember, MemberMessage};
 
-use super::frame::{FrameError, read_frame};
+use super::brief::briefing;
+use super::frame::{FrameError, encode_frame, read_frame};
 use crate::clock;
 use crate::coordinator::{ActiveCoordinator, ViewFrame};
 use crate::gateway::Gateway;
@@ -19,18 +20,13 @@
 const SILENCE: Duration = Duration::from_millis(1_500);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts daemons; only the coordinator keeps their connections.
+/// Accepts daemons. Any daemon says what it knows; only the coordinator keeps
+/// connections.
 pub(crate) async fn accept_members(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Some(coordinator) = gateway.coordinator.active() {
-                    tokio::task::spawn_local(serve_member(
-                        Rc::clone(&gateway),
-                        coordinator,
-                        stream,
-                    ));
-                }
+                tokio::task::spawn_local(serve_daemon(Rc::clone(&gateway), stream));
             }
             Err(cause) => {
                 warn!(gateway.logger, "peers: accept failed"; "cause" => %cause);
@@ -40,12 +36,47 @@
     }
 }
 
-async fn serve_member(gateway: Rc<Gateway>, coordinator: Rc<ActiveCoordinator>, stream: TcpStream) {
+async fn serve_daemon(gateway: Rc<Gateway>, mut stream: TcpStream) {
+    let first = read_frame::<MemberMessage>(&mut stream);
+    match tokio::time::timeout(SILENCE, first).await {
+        Ok(Ok(Some(MemberMessage::Hello(member)))) => {
+            if let Some(coordinator) = gateway.coordinator.active() {
+                serve_member(gateway, coordinator, member, stream).await;
+            }
+        }
+        Ok(Ok(Some(MemberMessage::Ask))) => answer_ask(&gateway, stream).await,
+        // A daemon that only looks whether this one runs says nothing.
+        _ => {}
+    }
+}
+
+async fn answer_ask(gateway: &Gateway, mut stream: TcpStream) {
+    let message = CoordinatorMessage::Briefing(briefing(gateway));
+    let frame = match encode_frame(&message) {
+        Ok(frame) => frame,
+        Err(cause) => {
+            warn!(gateway.logger, "peers: briefing cannot be encoded"; "cause" => %cause);
+            return;
+        }
+    };
+    let sent = tokio::time::timeout(SILENCE, stream.write_all(&frame)).await;
+    if !matches!(sent, Ok(Ok(()))) {
+        warn!(gateway.logger, "peers: briefing was not taken");
+    }
+}
+
+async fn serve_member(
+    gateway: Rc<Gateway>,
+    coordinator: Rc<ActiveCoordinator>,
+    member: HostMember,
+    stream: TcpStream,
+) {
     if let Err(cause) = stream.set_nodelay(true) {
         warn!(gateway.logger, "peers: no immediate sends"; "cause" => %cause);
     }
     let (reader, writer) = stream.into_split();
     let (key, frames) = coordinator.add_link();
+    coordinator.note_member(key, member);
     let ended = tokio::select! {
         result = read_reports(&gateway, &coordinator, key, reader) => result,
         result = write_views(frames, writer) => result,
@@ -70,12 +101,12 @@
         let next = read_frame::<MemberMessage>(&mut reader);
         let message = tokio::time::timeout(SILENCE, next).await;
         match message.map_err(|_| FrameError::Silent)?? {
-            Some(MemberMessage::Hello(member)) => coordinator.note_member(key, member),
             Some(MemberMessage::Report(report)) => {
                 gateway.hear_manifest(report.manifest);
                 coordinator.note_report(key, report, clock::now());
             }
             Some(MemberMessage::Leaving) => coordinator.note_leaving(key),
+            Some(MemberMessage::Hello(_) | MemberMessage::Ask) => return Err(FrameError::Refused),
             None => return Ok(()),
         }
     }
--- a/crates/ward-gateway/src/stop.rs
+++ b/crates/ward-gateway/src/stop.rs
@@ -82,7 +82,7 @@
             *gateway.settings.borrow_mut() = Rc::new(settings);
         }
         Err(cause) => {
-            warn!(gateway.logger, "settings: kept, the new ones are bad"; "cause" => %cause)
+            warn!(gateway.logger, "settings: kept, the new ones are bad"; "cause" => %cause);
         }
     }
 }
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -12,6 +12,7 @@
 use ward_protocol::TimeSpan;
 
 use crate::gateway::Gateway;
+use crate::hub::ask_daemons;
 
 /// Wait at the store for a new manifest while the coordinator would tell of one.
 const LONG_WAIT: TimeSpan = TimeSpan::from_millis(10_000);
@@ -63,6 +64,9 @@
                 if matches!(cause, StoreError::Deleted(_)) {
                     next = None;
                 }
+                if lacks_manifest(&gateway) {
+                    ask_daemons(&gateway).await;
+                }
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
@@ -81,6 +85,12 @@
     }
 }
 
+/// Whether another daemon may have a manifest that this one has not.
+fn lacks_manifest(gateway: &Gateway) -> bool {
+    let own = gateway.manifest().map(|manifest| manifest.version);
+    own.is_none_or(|own| own < gateway.manifest_heard.get())
+}
+
 async fn read(
     gateway: &Gateway,
     next: Option<u64>,
@@ -101,7 +111,7 @@
         return;
     };
     match decode_manifest(&record.value) {
-        Ok(manifest) => gateway.adopt_manifest(manifest),
+        Ok(manifest) => gateway.adopt_manifest(manifest, &record.value),
         Err(cause) => {
             warn!(
                 gateway.logger, "manifest: ignored";
--- a/crates/ward-stage/src/engine.rs
+++ b/crates/ward-stage/src/engine.rs
@@ -104,8 +104,8 @@
             }),
             ledger,
         });
-        let served = Arc::clone(&shared);
-        let server = serve(ip, move |request| answer(Arc::clone(&served), request)).await?;
+        let seen = Arc::clone(&shared);
+        let server = serve(ip, move |request| answer(Arc::clone(&seen), request)).await?;
         shared.lock().entry.address = server.address;
         Ok(Self {
             shared,
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -117,7 +117,10 @@
         }
         for number in 0..plan.daemons {
             let ip = network.daemon(number);
-            let settings = settings(plan, number, ip, stage.store_link.address())?;
+            let seeds: Vec<_> = (0..plan.daemons.min(3))
+                .map(|number| network.daemon(number))
+                .collect();
+            let settings = settings(plan, number, ip, &seeds, stage.store_link.address())?;
             stage
                 .daemons
                 .push(DaemonProcess::start(program, folder, settings)?);
@@ -311,9 +314,14 @@
     plan: &StagePlan,
     number: usize,
     ip: IpAddr,
+    seeds: &[IpAddr],
     store: SocketAddr,
 ) -> Result<HostSettings, StageError> {
     let at = |port| SocketAddr::new(ip, port);
+    let seeds = seeds
+        .iter()
+        .map(|ip| SocketAddr::new(*ip, PEERS_PORT))
+        .collect();
     Ok(HostSettings {
         daemon: format!("host-{number}").parse()?,
         zone: "north".parse()?,
@@ -322,6 +330,7 @@
         directory: at(DIRECTORY_PORT),
         peers: at(PEERS_PORT),
         metrics: at(METRICS_PORT),
+        seeds,
         store,
         capacity: HostCapacity {
             cores: CoreShare(500),
