--- a/crates/ward-fleet/src/placement/adapter.rs
+++ b/crates/ward-fleet/src/placement/adapter.rs
@@ -9,8 +9,8 @@
 
 use super::demand::ModelKey;
 use super::engine::{PlacedAdapter, PlacedEngine};
-use super::plan::AdapterWork;
 use super::state::PlacementState;
+use super::work::AdapterWork;
 use crate::manifest::{EngineClass, ServingManifest};
 
 /// Requests at an engine that a free adapter slot outweighs.
--- a/crates/ward-fleet/src/placement/mod.rs
+++ b/crates/ward-fleet/src/placement/mod.rs
@@ -13,9 +13,11 @@
 mod spread;
 mod state;
 mod victim;
+mod work;
 
 pub use demand::{DemandTable, ModelKey};
 pub use engine::{AuditState, LoadSource, PlacedEngine, PlacedModel};
-pub use plan::{AdapterWork, AuditWork, ModelWork, PlannedWork, WorkReason, plan_work};
+pub use plan::plan_work;
 pub use slow::slow_models;
 pub use state::{MemberKey, PlacementState};
+pub use work::{AdapterWork, AuditWork, ModelWork, PlannedWork, WorkReason};
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -6,7 +6,7 @@
 //! idle, models that no engine has a copy of, since they take longest when asked
 //! for.
 
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, TimeSpan};
+use ward_protocol::{BackendId, ModelName, MonoTime, TimeSpan};
 
 use super::adapter::plan_adapters;
 use super::demand::ModelKey;
@@ -14,7 +14,7 @@
 use super::spread::{ReplicaCounts, wanted_replicas};
 use super::state::PlacementState;
 use super::victim::{VictimChoice, VictimSearch};
-use crate::entry::EngineBirth;
+use super::work::{AuditWork, ModelWork, PlannedWork, WorkReason};
 use crate::manifest::{EngineClass, ServingManifest};
 use crate::number::real;
 
@@ -25,73 +25,6 @@
 /// Longest load that spreading a model is worth without an idle store.
 const STORE_SPREAD_CONCURRENCY: f64 = 1.6;
 
-/// Work for an engine.
-#[derive(Debug, Clone, PartialEq)]
-pub enum PlannedWork {
-    /// Load a model.
-    Model(ModelWork),
-    /// Load an adapter.
-    Adapter(AdapterWork),
-    /// Ask what the engine holds.
-    Audit(AuditWork),
-}
-
-/// Ask an engine what it holds.
-#[derive(Debug, Clone, PartialEq)]
-pub struct AuditWork {
-    /// The engine.
-    pub engine: BackendId,
-    /// The engine's life for which this was planned.
-    pub birth: Option<EngineBirth>,
-}
-
-/// Load a model, after others have made way.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ModelWork {
-    /// The engine.
-    pub engine: BackendId,
-    /// The engine's life for which this was planned.
-    pub birth: Option<EngineBirth>,
-    /// Models to unload first.
-    pub unload: Vec<ModelName>,
-    /// The model to load.
-    pub model: ModelName,
-    /// Where its weights come from.
-    pub source: LoadSource,
-    /// How long loading should take.
-    pub load_time: TimeSpan,
-    /// Why.
-    pub reason: WorkReason,
-}
-
-/// Why a model is loaded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WorkReason {
-    /// Requests wait for it and no engine holds it.
-    Missing,
-    /// Its engines have too many requests.
-    Busy,
-    /// The engine has room for it.
-    Room,
-    /// No engine has a copy of it, and the weight store is idle.
-    Absent,
-}
-
-/// Load an adapter, after another has made way.
-#[derive(Debug, Clone, PartialEq)]
-pub struct AdapterWork {
-    /// The engine.
-    pub engine: BackendId,
-    /// The engine's life for which this was planned.
-    pub birth: Option<EngineBirth>,
-    /// The model.
-    pub model: ModelName,
-    /// The adapter to load.
-    pub adapter: AdapterName,
-    /// An adapter to unload first.
-    pub unload: Option<(ModelName, AdapterName)>,
-}
-
 /// Plans work for engines that have none, and marks them as having it.
 pub fn plan_work(
     state: &mut PlacementState,
--- /dev/null
+++ b/crates/ward-fleet/src/placement/work.rs
@@ -0,0 +1,73 @@
+//! Work that the coordinator plans for engines.
+
+use ward_protocol::{AdapterName, BackendId, ModelName, TimeSpan};
+
+use super::engine::LoadSource;
+use crate::entry::EngineBirth;
+
+/// Work for an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannedWork {
+    /// Load a model.
+    Model(ModelWork),
+    /// Load an adapter.
+    Adapter(AdapterWork),
+    /// Ask what the engine holds.
+    Audit(AuditWork),
+}
+
+/// Ask an engine what it holds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AuditWork {
+    /// The engine.
+    pub engine: BackendId,
+    /// The engine's life for which this was planned.
+    pub birth: Option<EngineBirth>,
+}
+
+/// Load a model, after others have made way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelWork {
+    /// The engine.
+    pub engine: BackendId,
+    /// The engine's life for which this was planned.
+    pub birth: Option<EngineBirth>,
+    /// Models to unload first.
+    pub unload: Vec<ModelName>,
+    /// The model to load.
+    pub model: ModelName,
+    /// Where its weights come from.
+    pub source: LoadSource,
+    /// How long loading should take.
+    pub load_time: TimeSpan,
+    /// Why.
+    pub reason: WorkReason,
+}
+
+/// Why a model is loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkReason {
+    /// Requests wait for it and no engine holds it.
+    Missing,
+    /// Its engines have too many requests.
+    Busy,
+    /// The engine has room for it.
+    Room,
+    /// No engine has a copy of it, and the weight store is idle.
+    Absent,
+}
+
+/// Load an adapter, after another has made way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdapterWork {
+    /// The engine.
+    pub engine: BackendId,
+    /// The engine's life for which this was planned.
+    pub birth: Option<EngineBirth>,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter to load.
+    pub adapter: AdapterName,
+    /// An adapter to unload first.
+    pub unload: Option<(ModelName, AdapterName)>,
+}
--- /dev/null
+++ b/crates/ward-gateway/src/front/job.rs
@@ -0,0 +1,306 @@
+//! A request on its way: waiting for an engine, sent, sent again where that is
+//! allowed, and answered.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Response;
+use http_body_util::BodyExt;
+use slog::{info, warn};
+use tokio::net::TcpStream;
+use ward_adapter::header::{closes, keep_alive};
+use ward_fleet::health::EngineSign;
+use ward_fleet::{RouteKind, RunningCount};
+use ward_protocol::{BackendId, MonoTime, RequestFingerprint, TimeSpan};
+
+use super::answer::{AnswerBody, OwnAnswer, streamed_answer, whole_answer};
+use super::route::RoutedRequest;
+use crate::clock;
+use crate::forward::{Attempt, AttemptEnd, AttemptRequest, RelayStart, StreamRelay, send_attempt};
+use crate::gateway::Gateway;
+use crate::queue::{WaitFailure, WaitTicket, acquire};
+
+/// Sends that the engine never saw, after which a request is refused.
+const MOST_UNSENT: u32 = 6;
+/// Refusals by engines after which a request is refused.
+const MOST_REFUSED: u32 = 12;
+/// Pause after an engine refused for lack of room.
+const REFUSED_PAUSE: Duration = Duration::from_millis(25);
+/// Pause after which an engine that did not crash can be connected to.
+const CRASH_PAUSE: Duration = Duration::from_millis(100);
+const CRASH_CONNECT_TIME: Duration = Duration::from_millis(400);
+/// Part of the target after which an idempotent request is sent elsewhere, in
+/// percent.
+const SILENT_PERCENT: u64 = 70;
+/// When a caller may come back after a refusal that says nothing better.
+const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
+
+/// An own answer and why it is given.
+pub(super) struct Refusal {
+    pub(super) answer: OwnAnswer,
+    pub(super) why: &'static str,
+}
+
+pub(super) fn refuse(answer: OwnAnswer, why: &'static str) -> Refusal {
+    Refusal { answer, why }
+}
+
+pub(super) fn not_run(why: &'static str) -> Refusal {
+    refuse(OwnAnswer::NotRun(RETRY_AFTER), why)
+}
+
+/// A request on its way to an answer.
+pub(super) struct ServeJob {
+    pub(super) routed: RoutedRequest,
+    pub(super) request: AttemptRequest,
+    pub(super) ticket: WaitTicket,
+    pub(super) fingerprint: RequestFingerprint,
+    pub(super) begun: MonoTime,
+}
+
+/// What a request has been through.
+#[derive(Default)]
+struct Progress {
+    /// Engines that may have run it.
+    runs: u32,
+    unsent: u32,
+    refused: u32,
+    /// An engine's failure to pass on when nothing better comes.
+    failure: Option<Response<AnswerBody>>,
+}
+
+impl ServeJob {
+    /// Finds an engine, sends the request, and again where that is allowed.
+    pub(super) async fn run(
+        mut self,
+        gateway: &Rc<Gateway>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let mut progress = Progress::default();
+        loop {
+            let lease = match acquire(gateway, self.ticket.clone()).await {
+                Ok(lease) => lease,
+                Err(failure) => return self.give_up(progress, failure),
+            };
+            let waited = clock::now().since(self.begun);
+            gateway.metrics.waited.observe(waited.seconds());
+            let engine = lease.engine.id.clone();
+            let address = lease.engine.address;
+            let patience = self.patience(&progress);
+            info!(
+                gateway.logger, "request: sent"; "request" => &self.request.id_text,
+                "engine" => %engine, "service" => %self.routed.service,
+                "model" => self.ticket.model.as_ref().map(ToString::to_string),
+                "waited" => waited.millis(), "run" => progress.runs + 1,
+            );
+            let sent = send_attempt(gateway, &self.request, lease, None, patience).await;
+            let end = match sent {
+                Ok(attempt) => match self.finish(gateway, attempt, &mut progress).await {
+                    Some(response) => return Ok(response),
+                    None => AttemptEnd::Unknown,
+                },
+                Err(end) => end,
+            };
+            if let Some(result) = self
+                .after(gateway, &engine, address, end, &mut progress)
+                .await
+            {
+                return result;
+            }
+        }
+    }
+
+    /// How long an answer may take to begin.
+    fn patience(&self, progress: &Progress) -> TimeSpan {
+        let left = self.request.deadline.since(clock::now());
+        if !self.may_run_again(progress.runs + 1) {
+            return left;
+        }
+        let target = self.routed.route.target_latency.millis();
+        left.min(TimeSpan::from_millis(target * SILENT_PERCENT / 100))
+    }
+
+    fn may_run_again(&self, runs: u32) -> bool {
+        self.routed.route.kind.is_idempotent() && runs < self.routed.route.attempts
+    }
+
+    /// Passes an answer on; nothing when the request is to be sent again.
+    async fn finish(
+        &self,
+        gateway: &Rc<Gateway>,
+        attempt: Attempt,
+        progress: &mut Progress,
+    ) -> Option<Response<AnswerBody>> {
+        let status = attempt.answer.status();
+        if self.routed.route.kind.is_stream() && status.is_success() {
+            let headers = attempt.answer.headers().clone();
+            let relay = self.relay(gateway, attempt, progress.runs + 1);
+            return Some(streamed_answer(status, &headers, relay));
+        }
+        let response = self.whole(gateway, attempt).await?;
+        if !status.is_server_error() || !self.may_run_again(progress.runs + 1) {
+            return Some(response);
+        }
+        progress.failure = Some(response);
+        None
+    }
+
+    fn relay(&self, gateway: &Rc<Gateway>, attempt: Attempt, runs: u32) -> StreamRelay {
+        let resumable = self.routed.route.kind == RouteKind::ResumableStream;
+        let start = RelayStart {
+            attempt,
+            request: self.request.clone(),
+            resume: resumable.then(|| self.ticket.clone()),
+            attempts_left: self.routed.route.attempts.saturating_sub(runs),
+        };
+        StreamRelay::new(Rc::clone(gateway), start)
+    }
+
+    /// An answer that is passed on only when it is complete.
+    async fn whole(&self, gateway: &Rc<Gateway>, attempt: Attempt) -> Option<Response<AnswerBody>> {
+        let Attempt {
+            lease,
+            sender,
+            answer,
+            ..
+        } = attempt;
+        let (head, body) = answer.into_parts();
+        let left = self.request.deadline.since(clock::now());
+        let body = tokio::time::timeout(left.duration(), body.collect()).await;
+        let mut table = gateway.table.borrow_mut();
+        let Ok(Ok(body)) = body else {
+            table.note(&lease.engine.id, EngineSign::Failed, clock::now());
+            drop(table);
+            warn!(
+                gateway.logger, "send: answer broke off"; "request" => &self.request.id_text,
+                "engine" => %lease.engine.id, "status" => head.status.as_u16(),
+            );
+            return None;
+        };
+        table.note(&lease.engine.id, EngineSign::Answered, clock::now());
+        drop(table);
+        let keep = keep_alive(&head.headers);
+        if !closes(&head.headers) {
+            gateway.pool.put_back(&lease.engine.id, sender, keep);
+        }
+        Some(whole_answer(head.status, &head.headers, body.to_bytes()))
+    }
+
+    /// What follows a send that brought no answer; nothing to try again.
+    async fn after(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        engine: &BackendId,
+        address: SocketAddr,
+        end: AttemptEnd,
+        progress: &mut Progress,
+    ) -> Option<Result<Response<AnswerBody>, Refusal>> {
+        let again = match end {
+            AttemptEnd::Unsent => {
+                self.ticket.avoided.insert(engine.clone());
+                progress.unsent += 1;
+                progress.unsent < MOST_UNSENT
+            }
+            AttemptEnd::Full | AttemptEnd::Misplaced => {
+                progress.refused += 1;
+                if end == AttemptEnd::Misplaced {
+                    self.note_misplaced(gateway, engine);
+                }
+                tokio::time::sleep(REFUSED_PAUSE * progress.refused).await;
+                progress.refused < MOST_REFUSED && gateway.take_repeat(&self.routed.service)
+            }
+            AttemptEnd::Unknown | AttemptEnd::Silent => {
+                self.ticket.avoided.insert(engine.clone());
+                progress.runs += 1;
+                if end == AttemptEnd::Unknown && progress.failure.is_none() {
+                    note_crash(gateway, self.fingerprint, address);
+                }
+                self.may_run_again(progress.runs) && gateway.take_repeat(&self.routed.service)
+            }
+        };
+        if again && clock::now() < self.ticket.deadline {
+            return None;
+        }
+        Some(self.conclude(progress, end))
+    }
+
+    fn conclude(
+        &self,
+        progress: &mut Progress,
+        end: AttemptEnd,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if let Some(failure) = progress.failure.take() {
+            return Ok(failure);
+        }
+        if progress.runs == 0 {
+            return Err(not_run("engines refused it or could not be reached"));
+        }
+        if end == AttemptEnd::Silent || clock::now() >= self.request.deadline {
+            return Err(refuse(OwnAnswer::Timeout, "no answer of an engine in time"));
+        }
+        Err(refuse(OwnAnswer::BadEngine, "the engine broke off"))
+    }
+
+    fn give_up(
+        &self,
+        mut progress: Progress,
+        failure: WaitFailure,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if progress.failure.is_some() || progress.runs > 0 {
+            return self.conclude(&mut progress, AttemptEnd::Unknown);
+        }
+        if let WaitFailure::Overload(retry_after) = failure {
+            let answer = OwnAnswer::NotRun(retry_after);
+            return Err(refuse(answer, "its engines are overloaded and it is late"));
+        }
+        if let WaitFailure::NotInTime(ready_in) = failure {
+            let answer = OwnAnswer::NotRun(ready_in);
+            return Err(refuse(answer, "its model cannot be ready in time"));
+        }
+        Err(not_run(match failure {
+            WaitFailure::NoEngine => "the service has no engine",
+            WaitFailure::Timeout | WaitFailure::Overload(_) | WaitFailure::NotInTime(_) => {
+                "no engine had room in time"
+            }
+            WaitFailure::Closed => "the daemon stops",
+        }))
+    }
+
+    fn note_misplaced(&self, gateway: &Gateway, engine: &BackendId) {
+        let Some(model) = &self.ticket.model else {
+            return;
+        };
+        let adapter = self.ticket.adapter.as_ref();
+        gateway
+            .table
+            .borrow_mut()
+            .forget_held(engine, model, adapter);
+        gateway.notes.borrow_mut().misplaced.push(RunningCount {
+            engine: engine.clone(),
+            model: Some(model.clone()),
+            adapter: adapter.cloned(),
+            count: 1,
+        });
+        gateway.report_wanted.notify_one();
+    }
+}
+
+/// Notes that a request may have crashed its engine: it broke off without an
+/// answer, and the engine cannot be reached a moment later.
+fn note_crash(gateway: &Rc<Gateway>, fingerprint: RequestFingerprint, address: SocketAddr) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(CRASH_PAUSE).await;
+        let connect = TcpStream::connect(address);
+        let reached = tokio::time::timeout(CRASH_CONNECT_TIME, connect).await;
+        if matches!(reached, Ok(Ok(_))) {
+            return;
+        }
+        warn!(
+            gateway.logger, "crash: engine is gone after a request";
+            "fingerprint" => %fingerprint, "address" => %address,
+        );
+        gateway.crashes.borrow_mut().note(fingerprint, clock::now());
+        gateway.notes.borrow_mut().crashes.push(fingerprint);
+    });
+}
--- a/crates/ward-gateway/src/front/mod.rs
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod directory;
 mod handle;
+mod job;
 mod listen;
 mod route;
 
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! All of a daemon runs on one thread, since its hosts have a fraction of one
 //! core: servers, forwarding, the link to the coordinator and, on the one
 //! daemon that holds the term, the coordinator itself. State is shared through
-//! [`gateway::Gateway`]; decisions are in `ward-fleet`, names and formats of
+//! `gateway::Gateway`; decisions are in `ward-fleet`, names and formats of
 //! the platform in `ward-adapter`.
 
 mod clock;
--- a/crates/ward-gateway/src/queue.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -1,5 +1,7 @@
 //! Requests that wait for an engine.
 
+mod ticket;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -7,69 +9,14 @@
 use tokio::sync::{Notify, oneshot};
 use ward_fleet::choice::EngineChoice;
 use ward_fleet::flow::{LateVerdict, RequestFlow};
-use ward_fleet::{
-    ChoiceContext, EngineInfo, EngineWish, QueueRank, SlowModel, WaitingCount, choose_engine,
-};
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, TimeSpan};
+use ward_fleet::{ChoiceContext, EngineInfo, SlowModel, WaitingCount, choose_engine};
+use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, TimeSpan};
 
+use self::ticket::{SlowKey, WaitKey};
+pub(crate) use self::ticket::{WaitFailure, WaitTicket};
 use crate::clock;
 use crate::gateway::Gateway;
 
-/// What a request needs of an engine, and how urgently.
-#[derive(Debug, Clone)]
-pub(crate) struct WaitTicket {
-    pub(crate) service: ServiceName,
-    pub(crate) model: Option<ModelName>,
-    pub(crate) adapter: Option<AdapterName>,
-    pub(crate) shared_tokens: u64,
-    pub(crate) shared_part: Option<String>,
-    pub(crate) priority: u32,
-    /// Until when an answer is on time.
-    pub(crate) target: MonoTime,
-    /// Until when an answer is of use.
-    pub(crate) deadline: MonoTime,
-    /// Engines that should not get it again.
-    pub(crate) avoided: IndexSet<BackendId>,
-}
-
-impl WaitTicket {
-    fn wish(&self) -> EngineWish<'_> {
-        EngineWish {
-            service: &self.service,
-            model: self.model.as_ref(),
-            adapter: self.adapter.as_ref(),
-            shared_tokens: self.shared_tokens,
-            shared_part: self.shared_part.as_deref(),
-        }
-    }
-
-    fn rank(&self, now: MonoTime) -> QueueRank {
-        QueueRank::new(self.priority, self.target, self.deadline, now)
-    }
-
-    fn key(&self) -> WaitKey {
-        WaitKey {
-            service: self.service.clone(),
-            model: self.model.clone(),
-            adapter: self.adapter.clone(),
-        }
-    }
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct SlowKey {
-    service: ServiceName,
-    model: ModelName,
-}
-
-/// Requests that the same engines can serve.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct WaitKey {
-    service: ServiceName,
-    model: Option<ModelName>,
-    adapter: Option<AdapterName>,
-}
-
 struct Waiter {
     number: u64,
     ticket: WaitTicket,
@@ -89,22 +36,6 @@
     slow: RefCell<IndexMap<SlowKey, MonoTime>>,
 }
 
-/// Why a request got no engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum WaitFailure {
-    /// The service has no engine that takes requests.
-    NoEngine,
-    /// Its time ran out.
-    Timeout,
-    /// Its model cannot be ready in time; it may come back after this time.
-    NotInTime(TimeSpan),
-    /// Its engines are overloaded and it is late; it may come back after this
-    /// time.
-    Overload(TimeSpan),
-    /// The daemon stops, so another one must serve it.
-    Closed,
-}
-
 /// A place at an engine; given back when dropped.
 pub(crate) struct EngineLease {
     gateway: Rc<Gateway>,
--- /dev/null
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -0,0 +1,160 @@
+//! What an engine answers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use ward_adapter::served::{
+    EnginePath, OrderReading, ReportedState, answer_marks, engine_path, parse_order, read_request,
+    refusal_marks, report_json,
+};
+
+use super::{EngineFault, Shared};
+use crate::ledger::{OrderNote, RunNote};
+use crate::reply::{BreakOff, StageBody, streamed, whole};
+
+/// Events of a stream and the pause between them.
+const EVENTS: u64 = 5;
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+const WORK_TIME: Duration = Duration::from_millis(10);
+
+/// Answers a request, an order or a question.
+pub(super) async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<StageBody>, BreakOff> {
+    let (head, body) = request.into_parts();
+    let reading = read_request(&head.headers);
+    let path = head.uri.path().to_owned();
+    let body = body.collect().await.map_err(|_| BreakOff)?.to_bytes();
+    let id = shared.lock().entry.id.to_string();
+    if reading.engine.as_ref().is_some_and(|engine| *engine != id) {
+        return Ok(whole(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
+    }
+    match engine_path(&path) {
+        EnginePath::Order => answer_order(&shared, &body),
+        EnginePath::Report => Ok(answer_report(&shared)),
+        EnginePath::Request => answer_request(&shared, &reading, &path).await,
+    }
+}
+
+fn answer_report(shared: &Shared) -> Response<StageBody> {
+    let mut state = shared.lock();
+    state.settle();
+    let body = report_json(&ReportedState {
+        models: &state.entry.models,
+        busy: state.is_busy(),
+        sequence: state.sequence,
+    });
+    whole(StatusCode::OK, body)
+}
+
+fn answer_order(shared: &Shared, body: &[u8]) -> Result<Response<StageBody>, BreakOff> {
+    let Some(asked) = parse_order(body) else {
+        return Ok(whole(StatusCode::BAD_REQUEST, Bytes::new()));
+    };
+    let mut state = shared.lock();
+    let (status, exceeded) = state.take_order(&asked);
+    let fault = state.fault;
+    let engine = state.entry.id.to_string();
+    drop(state);
+    shared.ledger.note_order(OrderNote {
+        engine,
+        order: asked.order,
+        fence: asked.fence,
+        accepted: status == StatusCode::ACCEPTED,
+        exceeded,
+    });
+    if fault == EngineFault::LoseOrders {
+        return Err(BreakOff);
+    }
+    Ok(whole(status, Bytes::new()))
+}
+
+async fn answer_request(
+    shared: &Shared,
+    reading: &OrderReading,
+    path: &str,
+) -> Result<Response<StageBody>, BreakOff> {
+    let (fault, missing, engine) = {
+        let mut state = shared.lock();
+        state.settle();
+        let missing = reading
+            .model
+            .as_ref()
+            .is_some_and(|model| !state.holds(model));
+        (state.fault, missing, state.entry.id.to_string())
+    };
+    if missing {
+        return Ok(whole(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
+    }
+    if fault == EngineFault::Full {
+        let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        response.headers_mut().extend(refusal_marks());
+        return Ok(response);
+    }
+    let id = reading
+        .id
+        .as_ref()
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or("-");
+    shared.ledger.note_run(RunNote {
+        request: id.to_owned(),
+        engine: engine.clone(),
+        path: path.to_owned(),
+        at: Instant::now(),
+        resumed: reading.last_event.is_some(),
+    });
+    tokio::time::sleep(WORK_TIME).await;
+    match fault {
+        EngineFault::LoseAnswers => Err(BreakOff),
+        EngineFault::Mute => std::future::pending().await,
+        _ => Ok(run_answer(fault, reading, &engine, path)),
+    }
+}
+
+fn run_answer(
+    fault: EngineFault,
+    reading: &OrderReading,
+    engine: &str,
+    path: &str,
+) -> Response<StageBody> {
+    let other = HeaderValue::from_static("another");
+    let id = if fault == EngineFault::WrongId {
+        Some(&other)
+    } else {
+        reading.id.as_ref()
+    };
+    let marks = answer_marks(id, engine);
+    if fault == EngineFault::Fail {
+        let mut response = whole(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+        response.headers_mut().extend(marks);
+        return response;
+    }
+    if reading.model.is_none() {
+        let mut response = whole(StatusCode::OK, format!("served {path}"));
+        response.headers_mut().extend(marks);
+        if fault == EngineFault::BreakOff {
+            // More is announced than follows.
+            let headers = response.headers_mut();
+            headers.insert(http::header::CONTENT_LENGTH, 10_000.into());
+        }
+        return response;
+    }
+    let breaks = fault == EngineFault::BreakOff;
+    let first = reading.last_event.map_or(1, |event| event + 1);
+    let events = stream::iter(first..=EVENTS).then(move |number| async move {
+        tokio::time::sleep(EVENT_PAUSE).await;
+        if breaks && number >= first + 2 {
+            return Err(BreakOff);
+        }
+        let text = format!("id: {number}\ndata: part {number}\n\n");
+        Ok(Frame::data(Bytes::from(text)))
+    });
+    streamed(StatusCode::OK, marks, events.boxed())
+}
