--- a/crates/ward-daemon/tests/gateway/logging.rs
+++ b/crates/ward-daemon/tests/gateway/logging.rs
@@ -1,5 +1,7 @@
 //! Log lines: bounded, never blocking, and enough to explain a failure.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use http::StatusCode;
 use ward_stage::{CallerRequest, EngineFault, StageCaller, StagePlan};
@@ -47,3 +49,21 @@
     expect_that!(lines, contains_substring("request: own answer"));
     expect_that!(lines, contains_substring("bad_engine"));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn logging_caller_that_leaves_has_a_line() {
+    let stage = stage("left", &StagePlan::default()).await;
+    for engine in &stage.engines {
+        engine.set_fault(EngineFault::Mute);
+    }
+    let mut request = CallerRequest::new("left-1", "/book/a", None);
+    request.patience = Duration::from_millis(300);
+    expect_that!(send(&stage, 0, &request).await, err(anything()));
+    let logged = || {
+        let log = stage.daemons[0].log().unwrap();
+        let mut lines = log.lines();
+        lines.any(|line| line.contains("request: caller left") && line.contains("left-1"))
+    };
+    wait_until("the line of the caller that left", logged).await;
+}
--- a/crates/ward-fleet/src/lease.rs
+++ b/crates/ward-fleet/src/lease.rs
@@ -141,14 +141,20 @@
     /// Without any record there never was one.
     #[must_use]
     pub fn may_take_over(&self, window: &LeaseWindow, now: MonoTime) -> bool {
+        self.take_over_in(window, now) == TimeSpan::ZERO
+    }
+
+    /// Time until that is so, if no other record comes.
+    #[must_use]
+    pub fn take_over_in(&self, window: &LeaseWindow, now: MonoTime) -> TimeSpan {
         let Some(seen) = self.seen else {
-            return true;
+            return TimeSpan::ZERO;
         };
         let wait = if seen.released {
             window.release
         } else {
             window.takeover
         };
-        now.since(seen.first_seen) >= wait
+        wait.saturating_sub(now.since(seen.first_seen))
     }
 }
--- a/crates/ward-fleet/tests/lease.rs
+++ b/crates/ward-fleet/tests/lease.rs
@@ -70,3 +70,14 @@
     expect_false!(watch.may_take_over(&window(), MonoTime(LEASE.micros())));
     expect_true!(watch.may_take_over(&window(), at(0) + window().release));
 }
+
+#[gtest]
+fn take_over_in_counts_down_to_the_end_of_the_wait() {
+    let mut watch = TermWatch::default();
+    expect_that!(watch.take_over_in(&window(), at(0)), eq(TimeSpan::ZERO));
+    watch.note(7, true, at(1_000));
+    let left = watch.take_over_in(&window(), at(2_000));
+    expect_that!(left + TimeSpan::from_secs(1), eq(window().release));
+    let end = at(1_000) + window().release;
+    expect_that!(watch.take_over_in(&window(), end), eq(TimeSpan::ZERO));
+}
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -28,6 +28,8 @@
     pub(super) wake: Notify,
     logger: Logger,
     next_key: Cell<u64>,
+    /// Whether the term is being released: no more orders and renewals.
+    resigned: Cell<bool>,
     ended: Cell<bool>,
     end: Notify,
 }
@@ -59,6 +61,7 @@
             wake: Notify::new(),
             logger,
             next_key: Cell::default(),
+            resigned: Cell::default(),
             ended: Cell::default(),
             end: Notify::new(),
         }
@@ -71,7 +74,17 @@
 
     /// Whether orders may be given now.
     pub(super) fn may_order(&self) -> bool {
-        !self.ended.get() && self.lease.borrow().may_order(&self.window, clock::now())
+        !self.resigned.get() && self.lease.borrow().may_order(&self.window, clock::now())
+    }
+
+    /// Gives no more orders and renewals.
+    pub(super) fn resign(&self) {
+        self.resigned.set(true);
+    }
+
+    /// Whether the term is being released.
+    pub(super) fn is_resigned(&self) -> bool {
+        self.resigned.get()
     }
 
     /// Whether the term is over.
@@ -81,6 +94,7 @@
 
     /// Ends the term.
     pub(super) fn end(&self, why: &str) {
+        self.resigned.set(true);
         if !self.ended.replace(true) {
             warn!(self.logger, "coordinator: term ends"; "fence" => self.fence().0, "why" => why);
             self.end.notify_waiters();
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -121,6 +121,10 @@
 async fn renew(gateway: &Gateway, coordinator: &ActiveCoordinator) {
     loop {
         tokio::time::sleep(coordinator.window.renewal.duration()).await;
+        if coordinator.is_resigned() {
+            // The release ends the term.
+            continue;
+        }
         let lease = *coordinator.lease.borrow();
         let started = clock::now();
         match append(gateway, lease.fence, false, lease.next).await {
@@ -199,9 +203,11 @@
     let Some(coordinator) = gateway.coordinator.active() else {
         return;
     };
+    // The record comes first: daemons look at it as soon as their link ends.
+    coordinator.resign();
     let lease = *coordinator.lease.borrow();
-    coordinator.end("the process stops");
     if let Err(cause) = append(gateway, lease.fence, true, lease.next).await {
         warn!(gateway.logger, "coordinator: release failed"; "cause" => %cause);
     }
+    coordinator.end("the process stops");
 }
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -38,7 +38,15 @@
     let wanted = wanted_text(&marks);
     let host = named_host(&request);
     let path = request.uri().path().to_owned();
+    let mut leave = LeaveNote {
+        gateway: Rc::clone(&gateway),
+        id: id_text.clone(),
+        wanted: wanted.clone(),
+        begun,
+        answered: false,
+    };
     let served = serve(&gateway, request, marks, &host, begun).await;
+    leave.answered = true;
     let millis = clock::now().since(begun).millis();
     match served {
         Ok(response) => {
@@ -66,6 +74,30 @@
     }
 }
 
+/// Logs a request whose caller left before it was answered: it is dropped then.
+struct LeaveNote {
+    gateway: Rc<Gateway>,
+    id: String,
+    wanted: Option<String>,
+    begun: MonoTime,
+    answered: bool,
+}
+
+impl Drop for LeaveNote {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let metrics = &self.gateway.metrics;
+        metrics.answers.with_label_values(&["caller_left"]).inc();
+        warn!(
+            self.gateway.logger, "request: caller left"; "request" => &self.id,
+            "wanted" => self.wanted.as_deref(), "waiting" => self.gateway.queue.len(),
+            "millis" => clock::now().since(self.begun).millis(),
+        );
+    }
+}
+
 /// The model and adapter that a request names, for logs.
 fn wanted_text(marks: &RequestMarks) -> Option<String> {
     let model = marks.model.as_ref()?;
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -33,6 +33,8 @@
 /// Time between looks for a coordinator of a host that is not among the largest;
 /// each look is a call to the store.
 const SMALL_LOOK_PAUSE: Duration = Duration::from_millis(1_600);
+/// Least time between looks for a coordinator.
+const LEAST_LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Time between looks for a coordinator.
 const LOOK_PAUSE: Duration = Duration::from_millis(700);
 /// Age of the coordinator's news from the store from which on it is taken to be
@@ -60,6 +62,7 @@
     tokio::time::sleep(delay.duration()).await;
     loop {
         if let Some(address) = find_coordinator(&gateway, &mut watch).await {
+            let linked = Instant::now();
             let ended = follow(&gateway, address, &mut watch).await;
             gateway.view_time.set(None);
             gateway.manifest_wanted.notify_one();
@@ -70,15 +73,25 @@
                 gateway.logger, "coordinator: link lost";
                 "address" => %address, "why" => ended.err().map(|cause| cause.to_string()),
             );
+            if linked.elapsed() > LOOK_PAUSE {
+                // Whether the term was released decides how long to wait.
+                continue;
+            }
         }
         check_members(&gateway).await;
-        let pause = if is_large(&gateway) {
-            LOOK_PAUSE
-        } else {
-            SMALL_LOOK_PAUSE
-        };
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(look_pause(&gateway, &watch)).await;
+    }
+}
+
+/// Time until the next look for a coordinator; a large host looks when it may
+/// take over.
+fn look_pause(gateway: &Gateway, watch: &TermWatch) -> Duration {
+    if !is_large(gateway) {
+        return SMALL_LOOK_PAUSE;
     }
+    let window = LeaseWindow::new(gateway.settings().bounds.lease);
+    let due = watch.take_over_in(&window, clock::now());
+    due.duration().clamp(LEAST_LOOK_PAUSE, LOOK_PAUSE)
 }
 
 /// Whether this host is among the largest of those known; the coordinator's link
