Orders go on while the store is away for everyone

Ruled out: a longer window (every takeover would wait as much longer); trusting the coordinator's own failed calls (it may be the only one cut off); counting from when a daemon's answer arrives (an answer held up by a cut would prove too much).

Change: when a renewal is overdue, the coordinator asks the two largest daemons of each zone to call the store; if all fail, the window counts from the question. A successor's wait begins anew whenever the store does not answer it, or a view says that orders go on. The rule is ward_fleet::outage, pure.

--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -11,6 +11,28 @@
 
 use crate::support::{WHOLE_STREAM, expect_sound_orders, send, stage, wait_until};
 
+/// A lease as long as on the users' platform.
+const LONG_LEASE: TimeSpan = TimeSpan::from_secs(3);
+/// Time within which a daemon that was the coordinator is it again after its
+/// restart; any other daemon would have to wait for more than a lease.
+const RESUME_TIME: Duration = Duration::from_millis(1_500);
+
+/// Terms that a daemon has begun in any of its lives.
+fn terms(stage: &Stage, daemon: usize) -> usize {
+    let log = stage.daemons[daemon].log().unwrap();
+    log.matches("coordinator: term begins").count()
+}
+
+/// Waits for a coordinator that all daemons follow; returns which one it is.
+async fn wait_for_coordinator(stage: &Stage) -> usize {
+    let follows = |daemon: usize| {
+        let log = stage.daemons[daemon].log().unwrap();
+        log.contains("coordinator: connected")
+    };
+    wait_until("a coordinator", || (0..3).all(follows)).await;
+    (0..3).find(|daemon| terms(stage, *daemon) > 0).unwrap()
+}
+
 fn set_all(stage: &Stage, fault: EngineFault) {
     for engine in &stage.engines {
         engine.set_fault(fault);
@@ -193,19 +215,11 @@
         },
     )
     .await;
-    let coordinates = |stage: &Stage, daemon: usize| {
-        let log = stage.daemons[daemon].log().unwrap();
-        log.contains("coordinator: term begins")
-    };
-    wait_until("a coordinator", || {
-        (0..3).any(|daemon| coordinates(&stage, daemon))
-    })
-    .await;
-    let first = (0..3).find(|daemon| coordinates(&stage, *daemon)).unwrap();
+    let first = wait_for_coordinator(&stage).await;
     stage.daemons[first].kill();
     let others: Vec<_> = (0..3).filter(|daemon| *daemon != first).collect();
     wait_until("another coordinator", || {
-        others.iter().any(|daemon| coordinates(&stage, *daemon))
+        others.iter().any(|daemon| terms(&stage, *daemon) > 0)
     })
     .await;
     stage.daemons[first].restart().unwrap();
@@ -219,11 +233,35 @@
     expect_sound_orders(&stage);
 }
 
-/// Lease of a deployment whose daemons all restart at once.
-const LONG_LEASE: TimeSpan = TimeSpan::from_secs(3);
-/// Time within which a daemon that was the coordinator is it again after its
-/// restart; any other daemon would have to wait for more than a lease.
-const RESUME_TIME: Duration = Duration::from_millis(1_500);
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn models_are_swapped_while_the_store_is_away() {
+    let plan = StagePlan {
+        models: 20,
+        lease: LONG_LEASE,
+        ..StagePlan::default()
+    };
+    let stage = stage("swap-in-outage", &plan).await;
+    wait_for_coordinator(&stage).await;
+    for (turn, fault) in [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent]
+        .into_iter()
+        .enumerate()
+    {
+        stage.store.set_fault(fault);
+        // Longer than orders follow a renewal.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        for number in 0..6 {
+            let model = Stage::model(turn * 6 + number);
+            let id = format!("{fault:?}{number}");
+            let request = CallerRequest::new(id, "/quote/a", Some(&model));
+            let answer = send(&stage, number % 3, &request).await.unwrap();
+            expect_that!(answer.status, eq(StatusCode::OK), "{fault:?} {model}");
+        }
+        stage.store.set_fault(StoreFault::None);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+    expect_sound_orders(&stage);
+}
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -237,15 +275,7 @@
         },
     )
     .await;
-    let terms = |stage: &Stage, daemon: usize| {
-        let log = stage.daemons[daemon].log().unwrap();
-        log.matches("coordinator: term begins").count()
-    };
-    wait_until("a coordinator", || {
-        (0..3).any(|daemon| terms(&stage, daemon) > 0)
-    })
-    .await;
-    let first = (0..3).find(|daemon| terms(&stage, *daemon) > 0).unwrap();
+    let first = wait_for_coordinator(&stage).await;
     let before = terms(&stage, first);
     for daemon in &mut stage.daemons {
         daemon.kill();
--- a/crates/ward-fleet/src/lease.rs
+++ b/crates/ward-fleet/src/lease.rs
@@ -5,7 +5,9 @@
 //! extend the same history. It may give orders only for a short window after
 //! the *start* of its last renewal, on a clock that counts suspension. A
 //! successor waits, from when it first saw the last record, until that window
-//! must be over and a further lease has passed. A daemon that starts again and
+//! must be over and a further lease has passed. While the store is away for
+//! everyone (see [`crate::outage`]), the window counts from when that was found;
+//! so a successor's wait begins only once the store answers it. A daemon that starts again and
 //! finds itself in the last record need not wait: its earlier process is gone,
 //! and all orders come from the same host. The offset of the record that began a
 //! term, plus one, is its fencing number.
@@ -21,6 +23,13 @@
 const CLOCK_ALLOWANCE_PERCENT: u64 = 5;
 /// Renewals per order window.
 const RENEWALS_PER_WINDOW: u64 = 2;
+/// Part of the order window after which a renewal is overdue, in percent.
+const OVERDUE_PERCENT: u64 = 65;
+/// Part of the order window for which a call to the store is given time when
+/// daemons are asked whether it answers, in percent. A slow store is not away.
+const PROBE_PERCENT: u64 = 33;
+/// Questions to daemons per order window.
+const PROBES_PER_WINDOW: u64 = 4;
 
 /// The record of a term in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +66,12 @@
     pub takeover: TimeSpan,
     /// How long a successor waits after a release.
     pub release: TimeSpan,
+    /// Time since a renewal after which the next one is overdue.
+    pub overdue: TimeSpan,
+    /// Time within which the store answers a daemon that was asked about it.
+    pub probe: TimeSpan,
+    /// Time between questions to daemons.
+    pub probe_pause: TimeSpan,
 }
 
 impl LeaseWindow {
@@ -66,11 +81,15 @@
         let part = |percent: u64| TimeSpan::from_millis(lease.millis() * percent / 100);
         let orders = part(ORDER_WINDOW_PERCENT);
         let release = lease + part(CLOCK_ALLOWANCE_PERCENT);
+        let of_orders = |percent: u64| TimeSpan::from_millis(orders.millis() * percent / 100);
         Self {
             orders,
             renewal: TimeSpan::from_millis(orders.millis() / RENEWALS_PER_WINDOW),
             takeover: orders + release,
             release,
+            overdue: of_orders(OVERDUE_PERCENT),
+            probe: of_orders(PROBE_PERCENT),
+            probe_pause: TimeSpan::from_millis(orders.millis() / PROBES_PER_WINDOW),
         }
     }
 }
@@ -84,6 +103,9 @@
     pub next: u64,
     /// Start of the last renewal that succeeded.
     pub renewed: MonoTime,
+    /// As of when the store was away for everyone, if that was found since the
+    /// last renewal.
+    pub away: Option<MonoTime>,
 }
 
 impl CoordinatorLease {
@@ -94,6 +116,7 @@
             fence: FenceNumber(offset + 1),
             next: offset + 1,
             renewed: started,
+            away: None,
         }
     }
 
@@ -101,6 +124,20 @@
     pub fn renew(&mut self, offset: u64, started: MonoTime) {
         self.next = offset + 1;
         self.renewed = started;
+        self.away = None;
+    }
+
+    /// Notes that the store was away for everyone: nobody had taken over then.
+    pub fn note_away(&mut self, asked: MonoTime) {
+        if asked > self.renewed {
+            self.away = self.away.max(Some(asked));
+        }
+    }
+
+    /// Time until the next renewal is overdue.
+    #[must_use]
+    pub fn overdue_in(&self, window: &LeaseWindow, now: MonoTime) -> TimeSpan {
+        window.overdue.saturating_sub(now.since(self.renewed))
     }
 
     /// Offset of the newest record of the term.
@@ -112,7 +149,13 @@
     /// Whether orders may be given now.
     #[must_use]
     pub fn may_order(&self, window: &LeaseWindow, now: MonoTime) -> bool {
-        now < self.renewed + window.orders
+        now < self.away.unwrap_or(self.renewed) + window.orders
+    }
+
+    /// Whether orders may be given though the store does not renew the lease.
+    #[must_use]
+    pub fn is_extended(&self, window: &LeaseWindow, now: MonoTime) -> bool {
+        self.away.is_some() && self.may_order(window, now)
     }
 }
 
@@ -142,6 +185,13 @@
         });
     }
 
+    /// Notes that the store did not answer, or that the coordinator gives orders
+    /// without it: the wait begins anew with the next record that is read, since
+    /// the coordinator's orders may last until the store is back.
+    pub fn note_outage(&mut self) {
+        self.seen = None;
+    }
+
     /// Offset of the newest record noted.
     #[must_use]
     pub fn offset(&self) -> Option<u64> {
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod message;
 pub mod number;
 pub mod order;
+pub mod outage;
 pub mod placement;
 pub mod queue;
 pub mod settings;
@@ -39,6 +40,7 @@
     MemberMessage, RunningCount, SlowModel, WaitingCount,
 };
 pub use order::EngineOrder;
+pub use outage::{OutageWatch, ProbeNumber, WitnessCandidate, choose_witnesses};
 pub use queue::QueueRank;
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
 pub use table::{EngineRecord, EngineTable};
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -16,6 +16,7 @@
 
 use crate::entry::{EngineBirth, EngineEntry, HeldModel};
 use crate::manifest::ManifestVersion;
+use crate::outage::ProbeNumber;
 use crate::settings::HostCapacity;
 
 /// A daemon that takes requests.
@@ -61,6 +62,9 @@
     pub crashes: Vec<RequestFingerprint>,
     /// Engines that said they lack what they were thought to hold.
     pub misplaced: Vec<RunningCount>,
+    /// The coordinator's question to which the store gave this daemon no answer
+    /// since the last report.
+    pub store_away: Option<ProbeNumber>,
 }
 
 /// Requests of one daemon at one engine.
@@ -94,6 +98,8 @@
 pub enum CoordinatorMessage {
     /// The state of the fleet.
     View(FleetView),
+    /// Does the store answer you? Said only if it does not, in the next report.
+    AskStore(ProbeNumber),
     /// The answer of any daemon to [`MemberMessage::Ask`].
     Briefing(FleetBriefing),
 }
@@ -135,6 +141,8 @@
     pub manifest: ManifestVersion,
     /// Time since the coordinator last heard from the store.
     pub store_age: TimeSpan,
+    /// Whether the store is away for everyone and orders go on without it.
+    pub store_away: bool,
     /// Requests that must not be sent to engines any more.
     pub poisoned: Vec<RequestFingerprint>,
 }
--- /dev/null
+++ b/crates/ward-fleet/src/outage.rs
@@ -0,0 +1,115 @@
+//! Whether the store is away for everyone.
+//!
+//! Failure pattern: the store answers nobody for seconds, while requests go on
+//! and models must be swapped. The coordinator cannot renew its lease then, but
+//! no other daemon can begin a term either. So it asks some daemons of every
+//! availability zone to call the store. When all of them fail, nobody had taken
+//! over when they were asked, and the lease counts from that moment. One daemon
+//! that reaches the store, or a zone without any daemon to ask, is enough to let
+//! it run out.
+
+use std::collections::VecDeque;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+use ward_protocol::{MonoTime, ZoneName};
+
+use crate::message::HostMember;
+use crate::placement::MemberKey;
+
+/// Daemons asked in each zone; a second one notices when only the first one's
+/// way to the store is cut.
+const WITNESSES_PER_ZONE: usize = 2;
+/// Questions whose answers are still awaited.
+const MOST_PROBES: usize = 8;
+
+/// Number of a question whether the store answers; counts up in a term.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProbeNumber(pub u64);
+
+/// A connected daemon that could be asked.
+#[derive(Debug, Clone, Copy)]
+pub struct WitnessCandidate<'a> {
+    /// Its connection.
+    pub key: MemberKey,
+    /// Who it is.
+    pub member: &'a HostMember,
+}
+
+/// A question that was asked.
+#[derive(Debug, Clone)]
+struct StoreProbe {
+    number: ProbeNumber,
+    asked: MonoTime,
+    /// Daemons that have not said that their call failed.
+    awaited: IndexSet<MemberKey>,
+}
+
+/// Questions of one term and their answers.
+#[derive(Debug, Clone, Default)]
+pub struct OutageWatch {
+    newest: ProbeNumber,
+    probes: VecDeque<StoreProbe>,
+}
+
+impl OutageWatch {
+    /// Notes that daemons are asked now.
+    pub fn ask(
+        &mut self,
+        witnesses: impl IntoIterator<Item = MemberKey>,
+        now: MonoTime,
+    ) -> ProbeNumber {
+        self.newest = ProbeNumber(self.newest.0 + 1);
+        self.probes.push_back(StoreProbe {
+            number: self.newest,
+            asked: now,
+            awaited: witnesses.into_iter().collect(),
+        });
+        while self.probes.len() > MOST_PROBES {
+            self.probes.pop_front();
+        }
+        self.newest
+    }
+
+    /// Notes that the call of a daemon failed; returns as of when the store was
+    /// away for everyone, once all that were asked have said so.
+    pub fn note_away(&mut self, witness: MemberKey, number: ProbeNumber) -> Option<MonoTime> {
+        let mut probes = self.probes.iter_mut();
+        let probe = probes.find(|probe| probe.number == number)?;
+        let was_awaited = probe.awaited.swap_remove(&witness);
+        (was_awaited && probe.awaited.is_empty()).then_some(probe.asked)
+    }
+}
+
+/// The daemons to ask: the largest of each zone, besides the coordinator, which
+/// is its own witness. Nobody when a zone has no daemon to ask, or when there is
+/// no other daemon at all.
+#[must_use]
+pub fn choose_witnesses(
+    candidates: &[WitnessCandidate<'_>],
+    zones: &IndexSet<ZoneName>,
+    own_zone: &ZoneName,
+) -> Vec<MemberKey> {
+    let mut by_zone: IndexMap<&ZoneName, Vec<&WitnessCandidate<'_>>> =
+        zones.iter().map(|zone| (zone, Vec::new())).collect();
+    for candidate in candidates {
+        by_zone
+            .entry(&candidate.member.zone)
+            .or_default()
+            .push(candidate);
+    }
+    let is_unseen = |zone: &&ZoneName| *zone != own_zone;
+    if by_zone
+        .iter()
+        .any(|(zone, candidates)| candidates.is_empty() && is_unseen(zone))
+    {
+        return Vec::new();
+    }
+    let mut witnesses = Vec::new();
+    for candidates in by_zone.values_mut() {
+        candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.member.capacity.size()));
+        let largest = candidates.iter().take(WITNESSES_PER_ZONE);
+        witnesses.extend(largest.map(|candidate| candidate.key));
+    }
+    witnesses
+}
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -59,6 +59,7 @@
         members: None,
         manifest: ward_fleet::ManifestVersion(1),
         store_age: TimeSpan::ZERO,
+        store_away: false,
         poisoned: Vec::new(),
     }
 }
--- a/crates/ward-fleet/tests/directory.rs
+++ b/crates/ward-fleet/tests/directory.rs
@@ -5,24 +5,8 @@
 mod support;
 
 use googletest::prelude::*;
-use support::name;
-use ward_fleet::{CoreShare, HostCapacity, HostMember, LinkRate, choose_hosts};
-use ward_protocol::MemorySize;
-
-fn member(number: u8, zone: &str, cores: u32) -> HostMember {
-    HostMember {
-        daemon: name(&format!("host-{number}")),
-        zone: name(zone),
-        callers: format!("10.0.0.{number}:80").parse().unwrap(),
-        peers: format!("10.0.0.{number}:81").parse().unwrap(),
-        capacity: HostCapacity {
-            cores: CoreShare(cores),
-            link: LinkRate(1_000_000),
-            memory: MemorySize::from_mib(260),
-            descriptors: 4_000,
-        },
-    }
-}
+use support::{member, name};
+use ward_fleet::{HostMember, choose_hosts};
 
 fn chosen(members: &[HostMember], zone: &str) -> Vec<String> {
     let hosts = choose_hosts(members, Some(&name(zone)), 64);
--- a/crates/ward-fleet/tests/lease.rs
+++ b/crates/ward-fleet/tests/lease.rs
@@ -37,6 +37,42 @@
     expect_false!(lease.may_order(&window(), at(20_000)));
 }
 
+#[gtest]
+fn lease_goes_on_while_the_store_is_away_for_everyone() {
+    let mut lease = CoordinatorLease::begin(0, at(1_000));
+    let renewal_due = at(1_000) + window().renewal;
+    expect_that!(lease.overdue_in(&window(), renewal_due), gt(TimeSpan::ZERO));
+    let ended = at(1_000) + window().orders;
+    expect_that!(lease.overdue_in(&window(), ended), eq(TimeSpan::ZERO));
+    lease.note_away(at(2_000));
+    lease.note_away(at(1_900));
+    expect_true!(lease.is_extended(&window(), at(2_900)));
+    expect_false!(lease.may_order(&window(), at(2_000) + window().orders));
+    lease.renew(1, at(2_500));
+    expect_false!(lease.is_extended(&window(), at(2_600)));
+    expect_false!(lease.may_order(&window(), at(2_500) + window().orders));
+}
+
+#[gtest]
+fn lease_is_not_extended_by_an_outage_before_its_renewal() {
+    let mut lease = CoordinatorLease::begin(0, at(1_000));
+    lease.note_away(at(900));
+    expect_false!(lease.is_extended(&window(), at(1_100)));
+    expect_false!(lease.may_order(&window(), at(1_000) + window().orders));
+}
+
+#[gtest]
+fn watch_waits_anew_after_an_outage() {
+    let mut watch = TermWatch::default();
+    watch.note(7, false, at(0));
+    watch.note_outage();
+    let returned = at(9_000);
+    watch.note(7, false, returned);
+    let last_order = returned + window().orders;
+    expect_false!(watch.may_take_over(&window(), last_order + LEASE));
+    expect_true!(watch.may_take_over(&window(), returned + window().takeover));
+}
+
 #[gtest]
 fn watch_without_any_record_takes_over_at_once() {
     expect_true!(TermWatch::default().may_take_over(&window(), at(0)));
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -8,9 +8,10 @@
 
 use indexmap::IndexMap;
 use ward_fleet::{
-    CallerLimits, EngineBirth, EngineClass, EngineEntry, EngineInfo, HeartbeatCount, HeldModel,
-    LoadReport, ManifestVersion, ModelClass, RouteKind, RouteTarget, RunningCount, ServiceClass,
-    ServingBounds, ServingManifest, ServingRoute, WaitingCount,
+    CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, EngineInfo, HeartbeatCount,
+    HeldModel, HostCapacity, HostMember, LinkRate, LoadReport, ManifestVersion, ModelClass,
+    RouteKind, RouteTarget, RunningCount, ServiceClass, ServingBounds, ServingManifest,
+    ServingRoute, WaitingCount,
 };
 use ward_protocol::{BackendId, MemorySize, ModelName, MonoTime, ServiceName, TimeSpan};
 
@@ -30,6 +31,21 @@
     MonoTime(millis * 1_000)
 }
 
+pub(crate) fn member(number: u8, zone: &str, cores: u32) -> HostMember {
+    HostMember {
+        daemon: name(&format!("host-{number}")),
+        zone: name(zone),
+        callers: format!("10.0.0.{number}:80").parse().unwrap(),
+        peers: format!("10.0.0.{number}:81").parse().unwrap(),
+        capacity: HostCapacity {
+            cores: CoreShare(cores),
+            link: LinkRate(1_000_000),
+            memory: MemorySize::from_mib(260),
+            descriptors: 4_000,
+        },
+    }
+}
+
 pub(crate) fn held(model: &str, adapters: &[&str]) -> HeldModel {
     HeldModel {
         model: name(model),
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
-use ward_fleet::{CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport};
-use ward_protocol::{BackendId, FenceNumber, MonoTime};
+use ward_fleet::{
+    CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport, OutageWatch,
+};
+use ward_protocol::{BackendId, FenceNumber, MonoTime, ZoneName};
 
 use super::publish::{Publisher, ViewFrame};
 use crate::clock;
@@ -24,6 +26,9 @@
     pub(super) publisher: RefCell<Publisher>,
     pub(super) crashes: RefCell<CrashLedger>,
     pub(super) store_heard: Cell<MonoTime>,
+    pub(super) outage: RefCell<OutageWatch>,
+    /// Availability zones of all daemons known in this term.
+    pub(super) zones: RefCell<IndexSet<ZoneName>>,
     /// Wakes planning before its time.
     pub(super) wake: Notify,
     logger: Logger,
@@ -47,17 +52,20 @@
     pub(super) fn new(
         lease: CoordinatorLease,
         window: LeaseWindow,
-        publisher: Publisher,
+        inherited: Vec<HostMember>,
         logger: Logger,
     ) -> Self {
+        let zones = inherited.iter().map(|member| member.zone.clone()).collect();
         Self {
             state: RefCell::default(),
             lease: RefCell::new(lease),
             window,
             links: RefCell::default(),
-            publisher: RefCell::new(publisher),
+            publisher: RefCell::new(Publisher::new(inherited)),
             crashes: RefCell::default(),
             store_heard: Cell::new(clock::now()),
+            outage: RefCell::default(),
+            zones: RefCell::new(zones),
             wake: Notify::new(),
             logger,
             next_key: Cell::default(),
@@ -140,6 +148,7 @@
             self.logger, "coordinator: daemon joined";
             "daemon" => %member.daemon, "zone" => %member.zone,
         );
+        self.zones.borrow_mut().insert(member.zone.clone());
         if let Some(link) = self.links.borrow_mut().get_mut(&key) {
             link.member = Some(member);
         }
@@ -163,6 +172,11 @@
                 self.publisher.borrow_mut().block(*fingerprint);
             }
         }
+        let probe = report.store_away;
+        let away = probe.and_then(|probe| self.outage.borrow_mut().note_away(key, probe));
+        if let Some(asked) = away {
+            self.lease.borrow_mut().note_away(asked);
+        }
         self.state.borrow_mut().note_report(key, report);
         if urgent {
             self.wake.notify_one();
--- a/crates/ward-gateway/src/coordinator/mod.rs
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -1,6 +1,7 @@
 //! The coordinator: the one daemon that gives orders to engines.
 
 mod active;
+mod outage;
 mod publish;
 mod slot;
 mod term;
--- /dev/null
+++ b/crates/ward-gateway/src/coordinator/outage.rs
@@ -0,0 +1,73 @@
+//! Finding out whether the store is away for everyone while it does not renew
+//! the coordinator's lease.
+
+use std::rc::Rc;
+
+use slog::{info, warn};
+use ward_fleet::{CoordinatorMessage, WitnessCandidate, choose_witnesses};
+use ward_protocol::TimeSpan;
+
+use super::active::ActiveCoordinator;
+use crate::clock;
+use crate::gateway::Gateway;
+use crate::hub::encode_frame;
+
+/// Asks other daemons about the store whenever a renewal is overdue.
+pub(super) async fn watch_store(gateway: &Gateway, coordinator: &ActiveCoordinator) {
+    let mut was_extended = false;
+    loop {
+        let now = clock::now();
+        let lease = *coordinator.lease.borrow();
+        let is_extended = lease.is_extended(&coordinator.window, now);
+        if is_extended != was_extended {
+            info!(
+                gateway.logger, "coordinator: store away for everyone";
+                "fence" => lease.fence.0, "orders_go_on" => is_extended,
+                "unrenewed_millis" => now.since(lease.renewed).millis(),
+            );
+            was_extended = is_extended;
+        }
+        let wait = lease.overdue_in(&coordinator.window, now);
+        if wait > TimeSpan::ZERO {
+            tokio::time::sleep(wait.duration()).await;
+            continue;
+        }
+        if !coordinator.is_resigned() {
+            ask_witnesses(gateway, coordinator);
+        }
+        tokio::time::sleep(coordinator.window.probe_pause.duration()).await;
+    }
+}
+
+fn ask_witnesses(gateway: &Gateway, coordinator: &ActiveCoordinator) {
+    let mut links = coordinator.links.borrow_mut();
+    let connected = links.iter().filter(|(_, link)| !link.leaving);
+    let candidates: Vec<_> = connected
+        .filter_map(|(key, link)| {
+            let member = link.member.as_ref()?;
+            Some(WitnessCandidate { key: *key, member })
+        })
+        .collect();
+    let zones = coordinator.zones.borrow();
+    let witnesses = choose_witnesses(&candidates, &zones, &gateway.settings().zone);
+    if witnesses.is_empty() {
+        return;
+    }
+    let mut outage = coordinator.outage.borrow_mut();
+    let probe = outage.ask(witnesses.iter().copied(), clock::now());
+    let frame = match encode_frame(&CoordinatorMessage::AskStore(probe)) {
+        Ok(frame) => Rc::new(frame),
+        Err(cause) => {
+            warn!(gateway.logger, "coordinator: question cannot be encoded"; "cause" => %cause);
+            return;
+        }
+    };
+    for key in witnesses {
+        let sent = links
+            .get_mut(&key)
+            .map(|link| link.frames.try_send(Rc::clone(&frame)));
+        if let Some(Err(cause)) = sent {
+            warn!(gateway.logger, "coordinator: question not sent"; "cause" => %cause);
+        }
+    }
+}
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -97,6 +97,10 @@
         members: members_changed.then(|| members.clone()),
         manifest,
         store_age: now.since(coordinator.store_heard.get()),
+        store_away: coordinator
+            .lease
+            .borrow()
+            .is_extended(&coordinator.window, now),
         poisoned: blocked,
     };
     let worth_sending = loads_due
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -12,7 +12,8 @@
 use ward_protocol::codec::{decode, encode};
 
 use super::active::ActiveCoordinator;
-use super::publish::{Publisher, publish};
+use super::outage::watch_store;
+use super::publish::publish;
 use super::work::start_work;
 use crate::clock;
 use crate::gateway::Gateway;
@@ -38,9 +39,9 @@
     let settings = gateway.settings();
     let window = LeaseWindow::new(settings.bounds.lease);
     let lease = CoordinatorLease::begin(offset, started);
-    let publisher = Publisher::new(gateway.members.borrow().clone());
+    let members = gateway.members.borrow().clone();
     let logger = gateway.logger.clone();
-    let coordinator = Rc::new(ActiveCoordinator::new(lease, window, publisher, logger));
+    let coordinator = Rc::new(ActiveCoordinator::new(lease, window, members, logger));
     info!(gateway.logger, "coordinator: term begins"; "fence" => lease.fence.0);
     gateway.metrics.coordinates.set(1);
     learn_engines(gateway, &coordinator).await;
@@ -89,6 +90,7 @@
     tokio::select! {
         () = renew(&gateway, &coordinator) => {}
         () = plan(&gateway, &coordinator) => {}
+        () = watch_store(&gateway, &coordinator) => {}
         () = coordinator.ended() => {}
     }
     coordinator.end("renewal or planning stopped");
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreClient;
 use ward_fleet::{
-    CrashLedger, EngineTable, HostMember, HostSettings, ManifestVersion, RepeatBudget,
+    CrashLedger, EngineTable, HostMember, HostSettings, ManifestVersion, ProbeNumber, RepeatBudget,
     RunningCount, ServingManifest, WaitingCount,
 };
 use ward_protocol::{Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime};
@@ -74,6 +74,7 @@
     pub(crate) arrivals: Vec<WaitingCount>,
     pub(crate) crashes: Vec<RequestFingerprint>,
     pub(crate) misplaced: Vec<RunningCount>,
+    pub(crate) store_away: Option<ProbeNumber>,
 }
 
 impl Gateway {
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -12,7 +12,7 @@
 use ward_adapter::{StoreClient, StoreTopic};
 use ward_fleet::{
     CoordinatorMessage, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
-    MemberMessage, TermRecord, TermWatch,
+    MemberMessage, ProbeNumber, TermRecord, TermWatch,
 };
 use ward_protocol::TimeSpan;
 use ward_protocol::codec::decode;
@@ -88,6 +88,9 @@
     if !is_large(gateway) {
         return SMALL_LOOK_PAUSE;
     }
+    if watch.offset().is_none() {
+        return LOOK_PAUSE;
+    }
     let window = LeaseWindow::new(gateway.settings().bounds.lease);
     let due = watch.take_over_in(&window, clock::now());
     due.duration().clamp(LEAST_LOOK_PAUSE, LOOK_PAUSE)
@@ -128,6 +131,7 @@
     let tail = match gateway.store.newest(StoreTopic::Coordinator).await {
         Ok(tail) => tail,
         Err(cause) => {
+            watch.note_outage();
             warn!(gateway.logger, "coordinator: unknown"; "cause" => %cause);
             return gateway.coordinator_address.get();
         }
@@ -188,8 +192,15 @@
             let next = read_frame::<CoordinatorMessage>(&mut reader);
             let message = tokio::time::timeout(SILENCE, next).await;
             match message.map_err(|_| FrameError::Silent)?? {
+                Some(CoordinatorMessage::AskStore(probe)) => {
+                    tokio::task::spawn_local(call_store(Rc::clone(gateway), probe));
+                }
                 Some(CoordinatorMessage::View(view)) => {
-                    watch.note(view.renewal, false, clock::now());
+                    if view.store_away {
+                        watch.note_outage();
+                    } else {
+                        watch.note(view.renewal, false, clock::now());
+                    }
                     let outdated = apply_view(gateway, &view);
                     if was_outdated && !outdated {
                         return Err(FrameError::Resync);
@@ -209,6 +220,22 @@
     }
 }
 
+/// Calls the store because the coordinator asks; reports when it does not answer.
+async fn call_store(gateway: Rc<Gateway>, probe: ProbeNumber) {
+    let window = LeaseWindow::new(gateway.settings().bounds.lease);
+    let call = gateway.store.newest(StoreTopic::Coordinator);
+    let away = match tokio::time::timeout(window.probe.duration(), call).await {
+        Ok(Ok(_)) => false,
+        Ok(Err(cause)) => cause.is_away(),
+        Err(_) => true,
+    };
+    info!(gateway.logger, "store: asked for the coordinator"; "probe" => probe.0, "away" => away);
+    if away {
+        gateway.notes.borrow_mut().store_away = Some(probe);
+        gateway.report_wanted.notify_one();
+    }
+}
+
 async fn send_reports(gateway: &Gateway, mut writer: OwnedWriteHalf) -> Result<(), FrameError> {
     let mut told_leaving = false;
     loop {
@@ -261,6 +288,7 @@
         arrivals: notes.arrivals,
         crashes: notes.crashes,
         misplaced: notes.misplaced,
+        store_away: notes.store_away,
     }
 }
 
@@ -270,7 +298,9 @@
     let view_time = now - view.store_age;
     let read_later = gateway.read_time.get().is_some_and(|time| time > view_time);
     let outdated = read_later && !gateway.coordinator.is_active();
-    gateway.view_time.set(Some(view_time));
+    // While the store is away for everyone, reading it oneself tells no more.
+    let heard_time = if view.store_away { now } else { view_time };
+    gateway.view_time.set(Some(heard_time));
     gateway.table.borrow_mut().apply(view, outdated);
     if let Some(members) = &view.members {
         gateway.members.borrow_mut().clone_from(members);
