--- a/crates/ward-bench/src/report/table.rs
+++ b/crates/ward-bench/src/report/table.rs
@@ -100,6 +100,7 @@
         median(&|row| row.counts.values().map(|count| count.refused).sum::<u64>() as f64),
         median(&|row| row.counts.values().map(|count| count.late).sum::<u64>() as f64),
     ];
+    // Writing to a string does not fail.
     let _ = write!(
         text,
         "| {} | {} | {} |",
--- a/crates/ward-daemon/src/control/handle.rs
+++ b/crates/ward-daemon/src/control/handle.rs
@@ -85,6 +85,7 @@
 
     /// Passes a hint on; it is dropped when the control thread is behind.
     pub fn hint(&self, event: ControlEvent) {
+        // Hints repeat what the log or a backend server says by itself later.
         let _ = self.inputs.try_send(ControlInput::Event(event));
     }
 
@@ -101,6 +102,7 @@
     ) -> Option<T> {
         let (sender, answer) = oneshot::channel();
         let query: ControlQuery = Box::new(move |core| {
+            // Whoever asked may have stopped waiting.
             let _ = sender.send(look(core));
         });
         self.inputs.send(ControlInput::Query(query)).await.ok()?;
@@ -129,11 +131,13 @@
 
     /// Ends the control thread.
     pub async fn quit(&self) {
+        // A thread that is gone has ended already.
         let _ = self.inputs.send(ControlInput::Quit).await;
     }
 
     /// Waits until this daemon has left, or its control thread has ended.
     pub async fn stopped(&mut self) {
+        // A sender that is gone means that the thread has ended.
         let _ = self.stopped.wait_for(|stopped| *stopped).await;
     }
 }
--- a/crates/ward-daemon/src/control/thread.rs
+++ b/crates/ward-daemon/src/control/thread.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval};
@@ -67,7 +67,7 @@
     );
     let peers = parts.handle.clone();
     let keys = parts.ports.keys.clone();
-    let answer = answer_with(peers, rings.clone());
+    let answer = answer_with(peers, rings.clone(), parts.logger.clone());
     spawn_local(serve_peers(
         parts.listener,
         keys,
@@ -96,9 +96,11 @@
 fn answer_with(
     handle: ControlHandle,
     rings: SharedRings,
+    logger: Logger,
 ) -> impl Fn(PeerRequest) -> BoxFuture<'static, PeerAnswer> + Send + Sync + 'static {
     move |request| {
         let handle = handle.clone();
+        let logger = logger.clone();
         match request {
             PeerRequest::Level => async move { PeerAnswer::Level(level(&handle).await) }.boxed(),
             PeerRequest::State(request) => {
@@ -106,7 +108,7 @@
                 async move {
                     match records {
                         Some(records) => PeerAnswer::State(StateAnswer::Records(records)),
-                        None => PeerAnswer::State(whole_state(&handle, request).await),
+                        None => PeerAnswer::State(whole_state(&handle, &logger, request).await),
                     }
                 }
                 .boxed()
@@ -127,14 +129,22 @@
     handle.ask(look).await.unwrap_or(none)
 }
 
-async fn whole_state(handle: &ControlHandle, request: StateRequest) -> StateAnswer {
+async fn whole_state(
+    handle: &ControlHandle,
+    logger: &Logger,
+    request: StateRequest,
+) -> StateAnswer {
     let encode = move |core: &mut ControlCore| {
         let state = core.state();
         let newer = state.applied() > request.applied;
-        newer.then(|| state.encode().ok()).flatten()
+        newer.then(|| state.encode())
     };
     match handle.ask(encode).await.flatten() {
-        Some(bytes) => StateAnswer::Snapshot(bytes),
+        Some(Ok(bytes)) => StateAnswer::Snapshot(bytes),
+        Some(Err(cause)) => {
+            warn!(logger, "control: state not told to a peer"; "cause" => %cause);
+            StateAnswer::Nothing
+        }
         None => StateAnswer::Nothing,
     }
 }
--- a/crates/ward-daemon/src/process.rs
+++ b/crates/ward-daemon/src/process.rs
@@ -99,9 +99,15 @@
             );
         }
         // Answers of keys are worth a short wait, an outage of the log is not.
-        let _ = tokio::time::timeout(LEAVE_TIME, self.once.flush()).await;
+        let flushed = tokio::time::timeout(LEAVE_TIME, self.once.flush()).await;
+        if flushed.is_err() {
+            warn!(self.logger, "daemon: left before all answers were recorded");
+        }
+        // A task that has ended by itself needs no signal.
         let _ = self.operators.stop.send(());
-        let _ = self.operators.task.await;
+        if let Err(cause) = self.operators.task.await {
+            warn!(self.logger, "daemon: operators' server failed"; "cause" => %cause);
+        }
         end_control(&self.control, &self.thread).await;
         info!(self.logger, "daemon: stopped");
     }
--- a/crates/ward-daemon/src/program/mod.rs
+++ b/crates/ward-daemon/src/program/mod.rs
@@ -27,6 +27,7 @@
             } else {
                 ProgramExit::Done
             };
+            // Nobody may be reading, which is no failure.
             let _ = error.print();
             exit
         }
--- a/crates/ward-daemon/src/spawn.rs
+++ b/crates/ward-daemon/src/spawn.rs
@@ -57,6 +57,7 @@
         let runtime = match Builder::new_current_thread().enable_all().build() {
             Ok(runtime) => runtime,
             Err(cause) => {
+                // Whoever starts the thread waits for this; the same below.
                 let _ = ready.send(Err(cause));
                 return;
             }
--- a/crates/ward-daemon/tests/gateway/path.rs
+++ b/crates/ward-daemon/tests/gateway/path.rs
@@ -62,6 +62,19 @@
     expect_sound_orders(&stage);
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn path_model_that_is_no_name_is_refused_with_a_reason() {
+    let stage = stage("bad-model", &StagePlan::default()).await;
+    for (id, model) in [("r1", "mod el"), ("r2", "model1/a b"), ("r3", "")] {
+        let request = CallerRequest::new(id, "/quote/a", Some(model));
+        let answer = send(&stage, 0, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::BAD_REQUEST), "{model}");
+        let text = String::from_utf8_lossy(&answer.body);
+        expect_that!(text, contains_substring("bad_model"), "{model}");
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn path_unknown_host_or_path_is_not_found() {
--- a/crates/ward-fleet/src/placement/adapter.rs
+++ b/crates/ward-fleet/src/placement/adapter.rs
@@ -65,16 +65,16 @@
     now: MonoTime,
 ) -> Option<AdapterWork> {
     let size = class.models.get(&key.model)?.adapter_weights;
-    let engines = state.engines.iter().filter(|(_, engine)| {
+    let engines = state.engines.values().filter(|engine| {
         let holds = engine
             .held
             .get(&key.model)
             .is_some_and(|held| !held.leaving);
         engine.info.service == key.service && holds && accepts_adapters(engine, now)
     });
-    let fitting = engines.filter_map(|(id, engine)| {
+    let fitting = engines.filter_map(|engine| {
         let room = make_room(engine, class, size)?;
-        Some((id, engine, room))
+        Some((engine, room))
     });
     let cost = |engine: &PlacedEngine, room: &Room| {
         let bonus = if room.victim.is_none() {
@@ -84,10 +84,9 @@
         };
         engine.running() + bonus
     };
-    let (id, engine, room) = fitting.min_by_key(|(_, engine, room)| cost(engine, room))?;
+    let (engine, room) = fitting.min_by_key(|(engine, room)| cost(engine, room))?;
     Some(AdapterWork {
-        engine: id.clone(),
-        birth: engine.info.birth,
+        target: engine.target(),
         model: key.model.clone(),
         adapter: adapter.clone(),
         unload: room.victim,
@@ -124,7 +123,7 @@
 }
 
 fn mark(state: &mut PlacementState, work: &AdapterWork, now: MonoTime) {
-    let Some(engine) = state.engines.get_mut::<BackendId>(&work.engine) else {
+    let Some(engine) = state.engines.get_mut::<BackendId>(&work.target.engine) else {
         return;
     };
     engine.adapter_busy = true;
--- a/crates/ward-fleet/src/placement/engine.rs
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use ward_protocol::{AdapterName, MemorySize, ModelName, MonoTime, TimeSpan};
 
+use super::work::WorkTarget;
 use crate::entry::{EngineEntry, HeldModel, OrderSequence};
 use crate::manifest::{EngineClass, ModelClass};
 use crate::message::EngineInfo;
@@ -135,6 +136,15 @@
         engine
     }
 
+    /// The engine in its present life, as the target of work.
+    #[must_use]
+    pub fn target(&self) -> WorkTarget {
+        WorkTarget {
+            engine: self.info.id.clone(),
+            birth: self.info.birth,
+        }
+    }
+
     /// Takes over a later heartbeat of the same life.
     pub fn refresh(&mut self, entry: &EngineEntry, now: MonoTime) {
         let holding = std::mem::take(&mut self.info.holding);
--- a/crates/ward-fleet/src/placement/mod.rs
+++ b/crates/ward-fleet/src/placement/mod.rs
@@ -20,4 +20,4 @@
 pub use plan::plan_work;
 pub use slow::slow_models;
 pub use state::{MemberKey, PlacementState};
-pub use work::{AdapterWork, AuditWork, ModelWork, PlannedWork, WorkReason};
+pub use work::{AdapterWork, ModelWork, PlannedWork, WorkReason, WorkTarget};
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -14,7 +14,7 @@
 use super::spread::{ReplicaCounts, wanted_replicas};
 use super::state::PlacementState;
 use super::victim::{VictimChoice, VictimSearch};
-use super::work::{AuditWork, ModelWork, PlannedWork, WorkReason};
+use super::work::{ModelWork, PlannedWork, WorkReason};
 use crate::manifest::{EngineClass, ServingManifest};
 use crate::number::real;
 
@@ -63,10 +63,7 @@
     let works = engines.map(|engine| {
         engine.audit = AuditState::Running;
         engine.audited = now;
-        PlannedWork::Audit(AuditWork {
-            engine: engine.info.id.clone(),
-            birth: engine.info.birth,
-        })
+        PlannedWork::Audit(engine.target())
     });
     works.collect()
 }
@@ -343,13 +340,12 @@
             source: candidate.source,
             since: self.now,
         });
-        let birth = engine.info.birth;
+        let target = engine.target();
         if candidate.source == LoadSource::Store {
             self.state.ceiling.note(self.now, self.window);
         }
         self.works.push(ModelWork {
-            engine: candidate.engine,
-            birth,
+            target,
             unload: candidate.victims.models,
             model: key.model.clone(),
             source: candidate.source,
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -6,7 +6,8 @@
 use super::ceiling::StoreCeiling;
 use super::demand::{DemandTable, ModelKey};
 use super::engine::{AuditState, LoadSource, PlacedAdapter, PlacedEngine};
-use crate::entry::{EngineBirth, EngineEntry, HeldModel, OrderSequence};
+use super::work::WorkTarget;
+use crate::entry::{EngineEntry, HeldModel, OrderSequence};
 use crate::message::{EngineInfo, EngineLoad, LoadReport};
 
 /// A daemon's connection to the coordinator.
@@ -153,14 +154,10 @@
         infos.collect()
     }
 
-    /// The engine with an id, if it is still in the same life.
-    pub fn engine_mut(
-        &mut self,
-        id: &BackendId,
-        birth: Option<EngineBirth>,
-    ) -> Option<&mut PlacedEngine> {
-        let engine = self.engines.get_mut(id)?;
-        (engine.info.birth == birth).then_some(engine)
+    /// The engine that work was planned for, if it is still in the same life.
+    pub fn engine_mut(&mut self, target: &WorkTarget) -> Option<&mut PlacedEngine> {
+        let engine = self.engines.get_mut(&target.engine)?;
+        (engine.info.birth == target.birth).then_some(engine)
     }
 
     /// A request found that an engine lacks what it should hold.
--- a/crates/ward-fleet/src/placement/work.rs
+++ b/crates/ward-fleet/src/placement/work.rs
@@ -5,6 +5,15 @@
 use super::engine::LoadSource;
 use crate::entry::EngineBirth;
 
+/// An engine in one of its lives.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkTarget {
+    /// The engine.
+    pub engine: BackendId,
+    /// The life for which the work was planned.
+    pub birth: Option<EngineBirth>,
+}
+
 /// Work for an engine.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlannedWork {
@@ -13,25 +22,26 @@
     /// Load an adapter.
     Adapter(AdapterWork),
     /// Ask what the engine holds.
-    Audit(AuditWork),
+    Audit(WorkTarget),
 }
 
-/// Ask an engine what it holds.
-#[derive(Debug, Clone, PartialEq)]
-pub struct AuditWork {
-    /// The engine.
-    pub engine: BackendId,
-    /// The engine's life for which this was planned.
-    pub birth: Option<EngineBirth>,
+impl PlannedWork {
+    /// The engine that does it.
+    #[must_use]
+    pub const fn target(&self) -> &WorkTarget {
+        match self {
+            Self::Model(work) => &work.target,
+            Self::Adapter(work) => &work.target,
+            Self::Audit(target) => target,
+        }
+    }
 }
 
 /// Load a model, after others have made way.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ModelWork {
     /// The engine.
-    pub engine: BackendId,
-    /// The engine's life for which this was planned.
-    pub birth: Option<EngineBirth>,
+    pub target: WorkTarget,
     /// Models to unload first.
     pub unload: Vec<ModelName>,
     /// The model to load.
@@ -61,9 +71,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct AdapterWork {
     /// The engine.
-    pub engine: BackendId,
-    /// The engine's life for which this was planned.
-    pub birth: Option<EngineBirth>,
+    pub target: WorkTarget,
     /// The model.
     pub model: ModelName,
     /// The adapter to load.
--- a/crates/ward-fleet/tests/placement.rs
+++ b/crates/ward-fleet/tests/placement.rs
@@ -19,7 +19,7 @@
     let mut state = PlacementState::default();
     for entry in entries {
         state.note_entry(entry, at(0));
-        let engine = state.engine_mut(&entry.id, entry.birth).unwrap();
+        let engine = state.engines.get_mut(&entry.id).unwrap();
         engine.note_report(OrderSequence(0), &entry.models);
     }
     state
@@ -70,7 +70,7 @@
     let works = plan(&mut state, &manifest, load, at(2_000));
     let works = models(&works);
     expect_that!(works.len(), eq(1));
-    expect_that!(works[0].engine, eq(&id("e2")));
+    expect_that!(works[0].target.engine, eq(&id("e2")));
     expect_that!(works[0].source, eq(LoadSource::Disk));
     expect_that!(works[0].unload.len(), eq(1));
 }
@@ -140,7 +140,7 @@
             let PlannedWork::Model(work) = work else {
                 continue;
             };
-            let engine = state.engine_mut(&work.engine, work.birth).unwrap();
+            let engine = state.engine_mut(&work.target).unwrap();
             for victim in &work.unload {
                 engine.note_unloaded(victim);
             }
@@ -168,7 +168,7 @@
     }
     expect_that!(spread.len(), eq(1));
     expect_that!(spread[0].reason, eq(WorkReason::Busy));
-    expect_that!(spread[0].engine, eq(&id("e2")));
+    expect_that!(spread[0].target.engine, eq(&id("e2")));
 }
 
 #[gtest]
@@ -203,7 +203,7 @@
         for work in models(&works) {
             expect_that!(work.source, eq(LoadSource::Store));
             begun += 1;
-            state.engine_mut(&work.engine, work.birth).unwrap().task = None;
+            state.engine_mut(&work.target).unwrap().task = None;
         }
     }
     expect_that!(begun, all!(gt(0), le(17)));
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -10,7 +10,7 @@
 };
 use ward_protocol::{BackendId, MonoTime, RequestFingerprint, TimeSpan};
 
-use super::active::ActiveCoordinator;
+use super::active::{ActiveCoordinator, MemberLink};
 use crate::clock;
 use crate::hub::encode_frame;
 
@@ -113,7 +113,21 @@
     }
     publisher.engines = engines;
     publisher.members = members;
-    let whole = FleetView {
+    drop(publisher);
+    let is_new = |link: &MemberLink| !link.complete;
+    let whole = coordinator.links.borrow().values().any(is_new);
+    let whole = whole.then(|| complete_view(coordinator, &part));
+    let frames = ViewFrames {
+        part: worth_sending.then(|| encode(part, logger)).flatten(),
+        whole: whole.and_then(|view| encode(view, logger)),
+    };
+    send(coordinator, &frames);
+}
+
+/// The view for a daemon that has got none yet, from what others get now.
+fn complete_view(coordinator: &ActiveCoordinator, part: &FleetView) -> FleetView {
+    let publisher = coordinator.publisher.borrow();
+    FleetView {
         complete: true,
         engines: publisher.engines.values().cloned().collect(),
         gone: Vec::new(),
@@ -121,9 +135,7 @@
         members: Some(publisher.members.clone()),
         poisoned: coordinator.crashes.borrow().blocked(),
         ..part.clone()
-    };
-    drop(publisher);
-    send(coordinator, worth_sending.then_some(part), whole, logger);
+    }
 }
 
 /// Daemons that take requests: those connected, and at the begin of a term also
@@ -157,22 +169,20 @@
     members
 }
 
-fn send(
-    coordinator: &ActiveCoordinator,
-    part: Option<FleetView>,
-    whole: FleetView,
-    logger: &Logger,
-) {
-    let part = part.and_then(|view| encode(view, logger));
+/// A view as it goes to daemons, where there is something to tell.
+struct ViewFrames {
+    part: Option<ViewFrame>,
+    whole: Option<ViewFrame>,
+}
+
+fn send(coordinator: &ActiveCoordinator, frames: &ViewFrames) {
     let mut links = coordinator.links.borrow_mut();
-    let needs_whole = links.values().any(|link| !link.complete);
-    let whole = if needs_whole {
-        encode(whole, logger)
-    } else {
-        None
-    };
     links.retain(|_, link| {
-        let frame = if link.complete { &part } else { &whole };
+        let frame = if link.complete {
+            &frames.part
+        } else {
+            &frames.whole
+        };
         let Some(frame) = frame else {
             return true;
         };
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -152,13 +152,23 @@
     coordinator: &ActiveCoordinator,
     lease: &CoordinatorLease,
 ) -> bool {
-    let Ok(tail) = gateway.store.newest(StoreTopic::Coordinator).await else {
-        // Without the store nobody can take over, and no orders are given.
-        return true;
+    let tail = match gateway.store.newest(StoreTopic::Coordinator).await {
+        Ok(tail) => tail,
+        Err(cause) => {
+            // Whoever takes over must reach the store too; the window bounds orders.
+            warn!(gateway.logger, "coordinator: term not checked"; "cause" => %cause);
+            return true;
+        }
     };
     let newest = tail.records.last();
-    let term = newest.and_then(|record| decode::<TermRecord>(&record.value).ok());
+    let term = newest.map(|record| decode::<TermRecord>(&record.value));
+    if let Some(Err(cause)) = &term {
+        warn!(gateway.logger, "coordinator: bad record"; "cause" => %cause);
+    }
     let ours = term.is_some_and(|term| {
+        let Ok(term) = term else {
+            return false;
+        };
         term.incarnation == gateway.incarnation && term.daemon == gateway.settings().daemon
     });
     if ours || newest.is_some_and(|record| record.offset < lease.next) {
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -9,10 +9,12 @@
 
 use slog::{info, warn};
 use ward_adapter::{EngineReport, OrderAnswer, OrderCall, OrderFailure, fetch_report, send_order};
-use ward_fleet::placement::{AdapterWork, LoadSource, ModelWork, PlannedWork};
-use ward_fleet::{EngineBirth, EngineOrder};
+use ward_fleet::EngineOrder;
+use ward_fleet::placement::{
+    AdapterWork, LoadSource, ModelWork, PlacedEngine, PlannedWork, WorkTarget,
+};
 use ward_http::HttpCaller;
-use ward_protocol::{BackendId, TimeSpan};
+use ward_protocol::TimeSpan;
 
 use super::active::ActiveCoordinator;
 use crate::clock;
@@ -54,17 +56,13 @@
 /// Questions after which a load is given up.
 const MOST_CONFIRMS: u32 = 120;
 
-/// An engine in one of its lives.
-struct Target {
-    engine: BackendId,
-    birth: Option<EngineBirth>,
-}
-
 struct Worker {
     gateway: Rc<Gateway>,
     coordinator: Rc<ActiveCoordinator>,
+    /// For this work only: a connection that rested since earlier work may have
+    /// been forgotten by the other side, which would cost the timeout.
     caller: HttpCaller,
-    target: Target,
+    target: WorkTarget,
 }
 
 /// Starts work; its outcome shows in the coordinator's state.
@@ -73,25 +71,11 @@
     coordinator: &Rc<ActiveCoordinator>,
     work: PlannedWork,
 ) {
-    let target = match &work {
-        PlannedWork::Model(work) => Target {
-            engine: work.engine.clone(),
-            birth: work.birth,
-        },
-        PlannedWork::Adapter(work) => Target {
-            engine: work.engine.clone(),
-            birth: work.birth,
-        },
-        PlannedWork::Audit(work) => Target {
-            engine: work.engine.clone(),
-            birth: work.birth,
-        },
-    };
     let worker = Worker {
         gateway: Rc::clone(gateway),
         coordinator: Rc::clone(coordinator),
         caller: HttpCaller::new(),
-        target,
+        target: work.target().clone(),
     };
     tokio::task::spawn_local(async move {
         match work {
@@ -114,15 +98,21 @@
             "millis" => clock::now().since(started).millis(),
             "failed" => result.err().map(|stop| format!("{stop:?}")),
         );
+        self.change_engine(|engine| {
+            engine.task = None;
+            if result.is_ok() {
+                engine.note_loaded(&work.model, clock::now());
+            } else {
+                engine.note_failed(clock::now(), REST);
+            }
+        });
+    }
+
+    /// Changes what is known of the engine, if it is still in the same life.
+    fn change_engine(&self, change: impl FnOnce(&mut PlacedEngine)) {
         let mut state = self.coordinator.state.borrow_mut();
-        let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) else {
-            return;
-        };
-        engine.task = None;
-        if result.is_ok() {
-            engine.note_loaded(&work.model, clock::now());
-        } else {
-            engine.note_failed(clock::now(), REST);
+        if let Some(engine) = state.engine_mut(&self.target) {
+            change(engine);
         }
     }
 
@@ -132,10 +122,7 @@
             if answer == OrderAnswer::Accepted {
                 tokio::time::sleep(UNLOAD_TIME).await;
             }
-            let mut state = self.coordinator.state.borrow_mut();
-            if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
-                engine.note_unloaded(victim);
-            }
+            self.change_engine(|engine| engine.note_unloaded(victim));
         }
         let answer = self
             .order(EngineOrder::LoadModel(work.model.clone()))
@@ -173,27 +160,22 @@
             "model" => %work.model, "adapter" => %work.adapter,
             "failed" => result.err().map(|stop| format!("{stop:?}")),
         );
-        let mut state = self.coordinator.state.borrow_mut();
-        let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) else {
-            return;
-        };
-        engine.adapter_busy = false;
-        if result.is_ok() {
-            engine.note_adapter(&work.model, &work.adapter, clock::now());
-        } else {
-            engine.note_adapter_gone(&work.model, &work.adapter);
-            engine.note_failed(clock::now(), REST);
-        }
+        self.change_engine(|engine| {
+            engine.adapter_busy = false;
+            if result.is_ok() {
+                engine.note_adapter(&work.model, &work.adapter, clock::now());
+            } else {
+                engine.note_adapter_gone(&work.model, &work.adapter);
+                engine.note_failed(clock::now(), REST);
+            }
+        });
     }
 
     async fn swap_adapter(&self, work: &AdapterWork) -> Result<(), OrderStop> {
         if let Some((model, adapter)) = &work.unload {
             let order = EngineOrder::UnloadAdapter(model.clone(), adapter.clone());
             self.order(order).await?;
-            let mut state = self.coordinator.state.borrow_mut();
-            if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
-                engine.note_adapter_gone(model, adapter);
-            }
+            self.change_engine(|engine| engine.note_adapter_gone(model, adapter));
         }
         let order = EngineOrder::LoadAdapter(work.model.clone(), work.adapter.clone());
         if self.order(order).await? == OrderAnswer::Accepted {
@@ -234,7 +216,7 @@
         }
         let (address, expect) = {
             let mut state = self.coordinator.state.borrow_mut();
-            let engine = state.engine_mut(&self.target.engine, self.target.birth);
+            let engine = state.engine_mut(&self.target);
             let engine = engine.ok_or(OrderStop::EngineGone)?;
             (engine.info.address, engine.sequence)
         };
@@ -265,10 +247,7 @@
         };
         self.gateway.metrics.orders.with_label_values(&[word]).inc();
         if word == "accepted" {
-            let mut state = self.coordinator.state.borrow_mut();
-            if let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) {
-                engine.note_accepted(clock::now());
-            }
+            self.change_engine(|engine| engine.note_accepted(clock::now()));
             return;
         }
         warn!(
@@ -285,7 +264,7 @@
             return Ok(());
         };
         let mut state = self.coordinator.state.borrow_mut();
-        let engine = state.engine_mut(&self.target.engine, self.target.birth);
+        let engine = state.engine_mut(&self.target);
         let engine = engine.ok_or(OrderStop::EngineGone)?;
         if Some(report.sequence) > engine.sequence {
             return Err(OrderStop::Changed);
@@ -296,22 +275,18 @@
     /// Takes over what the engine says that it holds.
     async fn audit(&self) {
         let report = self.ask().await;
-        let mut state = self.coordinator.state.borrow_mut();
-        let Some(engine) = state.engine_mut(&self.target.engine, self.target.birth) else {
-            return;
-        };
-        match report {
+        self.change_engine(|engine| match report {
             Some(report) if !report.busy => engine.note_report(report.sequence, &report.models),
             Some(_) => engine.note_failed(clock::now(), REST),
             None => engine.note_failed(clock::now(), LONG_REST),
-        }
+        });
     }
 
     /// What the engine says of itself, if it answers.
     async fn ask(&self) -> Option<EngineReport> {
         let address = {
             let mut state = self.coordinator.state.borrow_mut();
-            let engine = state.engine_mut(&self.target.engine, self.target.birth)?;
+            let engine = state.engine_mut(&self.target)?;
             engine.info.address
         };
         match fetch_report(&self.caller, address, REPORT_TIMEOUT).await {
--- a/crates/ward-gateway/src/front/answer.rs
+++ b/crates/ward-gateway/src/front/answer.rs
@@ -26,6 +26,8 @@
 pub(crate) enum OwnAnswer {
     /// No route leads there.
     NoRoute,
+    /// The model or adapter named cannot be one.
+    BadModel,
     /// The body is longer than allowed.
     TooLong,
     /// The body did not come in time or broke off.
@@ -42,6 +44,7 @@
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BadModel => StatusCode::BAD_REQUEST,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoBody => StatusCode::REQUEST_TIMEOUT,
             Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
@@ -54,6 +57,7 @@
     pub(crate) const fn word(self) -> &'static str {
         match self {
             Self::NoRoute => "no_route",
+            Self::BadModel => "bad_model",
             Self::TooLong => "too_long",
             Self::NoBody => "no_body",
             Self::NotRun(_) => "not_run",
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -120,6 +120,10 @@
     let path = request.uri().path();
     let routed = route_request(&manifest, marks, host, path)
         .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest fits"))?;
+    if routed.marks.is_garbled {
+        let why = "the model or adapter named is no name";
+        return Err(refuse(OwnAnswer::BadModel, why));
+    }
     let (head, body) = request.into_parts();
     let body = read_body(body, manifest.limits.body_bytes, routed.patience).await?;
     let fingerprint = fingerprint(&head.uri, &body);
--- a/crates/ward-operator/src/serve.rs
+++ b/crates/ward-operator/src/serve.rs
@@ -41,12 +41,17 @@
             () = stop.as_mut() => break,
             accepted = accept(&listener, &places) => accepted,
         };
-        let Some((stream, peer, place)) = accepted else {
-            warn!(log, "operators: accept failed");
-            sleep(ACCEPT_PAUSE).await;
-            continue;
+        let caller = match accepted {
+            Ok(caller) => caller,
+            Err(cause) => {
+                warn!(log, "operators: accept failed"; "cause" => %cause);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
-        let connection = connection(stream, peer, Arc::clone(&tree), graceful.watcher());
+        let place = caller.place;
+        let tree = Arc::clone(&tree);
+        let connection = connection(caller.stream, caller.peer, tree, graceful.watcher());
         tokio::spawn(async move {
             connection.await;
             drop(place);
@@ -58,17 +63,30 @@
     }
 }
 
+/// A caller that was accepted, with its place among all.
+struct AcceptedCaller {
+    stream: TcpStream,
+    peer: SocketAddr,
+    place: OwnedSemaphorePermit,
+}
+
 /// Waits for a free place first, so that surplus connections stay in the backlog.
 async fn accept(
     listener: &TcpListener,
     places: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
-    let place = Arc::clone(places).acquire_owned().await.ok()?;
-    let (stream, peer) = listener.accept().await.ok()?;
-    Some((stream, peer, place))
+) -> std::io::Result<AcceptedCaller> {
+    let place = Arc::clone(places).acquire_owned().await;
+    let place = place.map_err(std::io::Error::other)?;
+    let (stream, peer) = listener.accept().await?;
+    Ok(AcceptedCaller {
+        stream,
+        peer,
+        place,
+    })
 }
 
 async fn connection(stream: TcpStream, peer: SocketAddr, tree: Arc<Tree>, watcher: Watcher) {
+    // Without the option small answers wait for the peer's acknowledgement.
     let _ = stream.set_nodelay(true);
     let mut builder = Builder::new(TokioExecutor::new());
     builder
--- a/crates/ward-test-support/src/process/fleet.rs
+++ b/crates/ward-test-support/src/process/fleet.rs
@@ -200,6 +200,7 @@
 
 impl Drop for ProcessFleet {
     fn drop(&mut self) {
+        // What is left lies in the folder for temporary files.
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
--- a/crates/ward-test-support/src/process/program.rs
+++ b/crates/ward-test-support/src/process/program.rs
@@ -116,6 +116,7 @@
         // Goes on reading, so that the program never waits for its output.
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
+                // The test may have ended.
                 let _ = sender.send(line);
             }
         });
--- a/crates/ward-traffic/src/forward/budget.rs
+++ b/crates/ward-traffic/src/forward/budget.rs
@@ -30,6 +30,7 @@
         if self.saved.load(Ordering::Relaxed) >= MOST_SAVED {
             return;
         }
+        // Never fails, since the change is never declined.
         let earn = |saved: u64| Some((saved + self.percent).min(MOST_SAVED));
         let _ = self
             .saved
