Waiting requests go by when they must begin, not by urgency first

Ruled out: engine priorities (engines have places, they admit at once); refusals by engines (19 of them).

Change: the rank is the time by which a request must begin to be on time, target less the first part's time learned per route; urgency decides among equals and among late requests.

--- a/crates/ward-fleet/src/queue.rs
+++ b/crates/ward-fleet/src/queue.rs
@@ -1,22 +1,36 @@
 //! In which order waiting requests get an engine.
 //!
-//! Load pattern: more requests than places, some of which are late already.
-//! Urgent routes go first; within a route's urgency the request that is about
-//! to miss its target goes first, and those that have missed it come after all
-//! that can still meet theirs.
+//! Load pattern: more requests than places for seconds, of kinds whose answers
+//! take very different times to begin; some requests are late already. The
+//! request that must begin first to be on time goes first, whatever its kind, so
+//! that no kind is starved by a more urgent one; the more urgent goes first among
+//! requests that must begin at the same time, and among those that are late.
+//! Requests that are late come after all that can still be on time.
 
 use ward_protocol::{MonoTime, TimeSpan};
 
+use crate::number::span;
+
 /// Place of a waiting request; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueRank {
-    priority: u32,
     late: bool,
+    /// Urgency of a late request; zero for others.
+    late_priority: u32,
     due: MonoTime,
+    priority: u32,
 }
 
-/// Time that an engine needs for the first part of an answer.
-const FIRST_PART: TimeSpan = TimeSpan::from_millis(80);
+/// When a waiting request is of use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestTimes {
+    /// Until when an answer is on time.
+    pub target: MonoTime,
+    /// Until when an answer is of use.
+    pub deadline: MonoTime,
+    /// Time that an engine needs for the first part of the answer.
+    pub first_part: TimeSpan,
+}
 
 impl QueueRank {
     /// Whether the request can no longer meet its target.
@@ -25,15 +39,60 @@
         self.late
     }
 
-    /// The rank of a request that is on time until `target` and must be
-    /// answered by `deadline`.
+    /// The rank of a request; zero is the most urgent priority.
     #[must_use]
-    pub fn new(priority: u32, target: MonoTime, deadline: MonoTime, now: MonoTime) -> Self {
-        let late = now + FIRST_PART >= target;
+    pub fn new(priority: u32, times: &RequestTimes, now: MonoTime) -> Self {
+        let late = now + times.first_part >= times.target;
         Self {
-            priority,
             late,
-            due: if late { deadline } else { target },
+            late_priority: if late { priority } else { 0 },
+            due: if late {
+                times.deadline
+            } else {
+                times.target - times.first_part
+            },
+            priority,
         }
     }
 }
+
+/// Time for the first part of an answer while none was seen.
+const UNKNOWN_FIRST_PART: TimeSpan = TimeSpan::from_millis(80);
+/// Weight of the newest time in the averages.
+const NEWEST_WEIGHT: f64 = 0.1;
+
+/// How long the first part of an answer takes once a request has an engine, for
+/// requests of one kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct FirstPartTime {
+    seen: Option<SeenTime>,
+}
+
+/// Averages in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct SeenTime {
+    mean: f64,
+    deviation: f64,
+}
+
+impl FirstPartTime {
+    /// Notes the time of one request.
+    pub fn note(&mut self, span: TimeSpan) {
+        let millis = span.seconds() * 1_000.0;
+        let mut seen = self.seen.unwrap_or(SeenTime {
+            mean: millis,
+            deviation: 0.0,
+        });
+        let difference = millis - seen.mean;
+        seen.mean += NEWEST_WEIGHT * difference;
+        seen.deviation += NEWEST_WEIGHT * (difference.abs() - seen.deviation);
+        self.seen = Some(seen);
+    }
+
+    /// The time that most requests keep within.
+    #[must_use]
+    pub fn expected(&self) -> TimeSpan {
+        let seen = self.seen.map(|seen| seen.mean + seen.deviation);
+        seen.map_or(UNKNOWN_FIRST_PART, |millis| span(millis / 1_000.0))
+    }
+}
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -237,13 +237,13 @@
 
     fn may_go_on(&self, ticket: &WaitTicket) -> bool {
         self.attempts_left > 0
-            && ticket.deadline.since(clock::now()) > LEAST_TIME
+            && ticket.times.deadline.since(clock::now()) > LEAST_TIME
             && self.gateway.take_repeat(&ticket.service)
     }
 
     async fn resend(&self, ticket: &WaitTicket) -> Option<Attempt> {
         let lease = acquire(&self.gateway, ticket.clone()).await.ok()?;
-        let patience = ticket.deadline.since(clock::now());
+        let patience = ticket.times.deadline.since(clock::now());
         let last_event = self.cutter.last_id();
         let sent = send_attempt(&self.gateway, &self.request, lease, last_event, patience).await;
         sent.ok()
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexSet;
 use slog::{info, warn};
 use ward_adapter::RequestMarks;
+use ward_fleet::queue::RequestTimes;
 use ward_fleet::{RouteKind, WaitingCount};
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
 
@@ -144,7 +145,7 @@
             priority: engine_priority(&routed),
             need: connection_need(routed.route.kind),
         },
-        ticket: wait_ticket(&routed, begun),
+        ticket: wait_ticket(gateway, &routed, begun),
         routed,
         fingerprint,
         begun,
@@ -197,7 +198,7 @@
     }
 }
 
-fn wait_ticket(routed: &RoutedRequest, begun: MonoTime) -> WaitTicket {
+fn wait_ticket(gateway: &Gateway, routed: &RoutedRequest, begun: MonoTime) -> WaitTicket {
     WaitTicket {
         service: routed.service.clone(),
         model: routed.marks.model.clone(),
@@ -205,8 +206,11 @@
         shared_tokens: routed.marks.shared_tokens,
         shared_part: routed.marks.shared_part.clone(),
         priority: routed.route.priority,
-        target: begun + routed.route.target_latency,
-        deadline: (begun + routed.patience) - LEAST_SERVICE,
+        times: RequestTimes {
+            target: begun + routed.route.target_latency,
+            deadline: (begun + routed.patience) - LEAST_SERVICE,
+            first_part: gateway.queue.first_part(&routed.route.name),
+        },
         avoided: IndexSet::new(),
     }
 }
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -93,7 +93,12 @@
                 "model" => self.ticket.model.as_ref().map(ToString::to_string),
                 "waited" => waited.millis(), "run" => progress.runs + 1,
             );
+            let started = clock::now();
             let sent = send_attempt(gateway, &self.request, lease, None, patience).await;
+            if sent.is_ok() {
+                let span = clock::now().since(started);
+                gateway.queue.note_first_part(&self.routed.route.name, span);
+            }
             let end = match sent {
                 Ok(attempt) => match self.finish(gateway, attempt, &mut progress).await {
                     Some(response) => return Ok(response),
@@ -218,7 +223,7 @@
                 self.may_run_again(progress.runs) && gateway.take_repeat(&self.routed.service)
             }
         };
-        if again && clock::now() < self.ticket.deadline {
+        if again && clock::now() < self.ticket.times.deadline {
             return None;
         }
         Some(self.conclude(progress, end))
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 use ward_fleet::choice::EngineChoice;
 use ward_fleet::flow::{LateVerdict, RequestFlow};
+use ward_fleet::queue::FirstPartTime;
 use ward_fleet::{ChoiceContext, EngineInfo, SlowModel, WaitingCount, choose_engine};
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, TimeSpan};
 
@@ -32,6 +33,8 @@
     /// Whether no request may wait any more.
     closed: Cell<bool>,
     flows: RefCell<IndexMap<WaitKey, RequestFlow>>,
+    /// By name of the route.
+    first_parts: RefCell<IndexMap<String, FirstPartTime>>,
     /// Models that no engine has at hand, and when they should be ready.
     slow: RefCell<IndexMap<SlowKey, MonoTime>>,
 }
@@ -117,6 +120,21 @@
             .note_grant(clock::now());
     }
 
+    /// Time that the first part of an answer should take on a route.
+    pub(crate) fn first_part(&self, route: &str) -> TimeSpan {
+        let times = self.first_parts.borrow();
+        times.get(route).copied().unwrap_or_default().expected()
+    }
+
+    /// Notes how long the first part of an answer took on a route.
+    pub(crate) fn note_first_part(&self, route: &str, span: TimeSpan) {
+        let mut times = self.first_parts.borrow_mut();
+        match times.get_mut(route) {
+            Some(time) => time.note(span),
+            None => times.entry(route.to_owned()).or_default().note(span),
+        }
+    }
+
     /// Notes which models must come from the weight store.
     pub(crate) fn note_slow(&self, slow: &[SlowModel], now: MonoTime) {
         let ready = slow.iter().map(|slow| {
@@ -136,7 +154,7 @@
             model: ticket.model.clone()?,
         };
         let ready = *self.slow.borrow().get(&key)?;
-        (ready > ticket.deadline).then(|| ready.since(clock::now()))
+        (ready > ticket.times.deadline).then(|| ready.since(clock::now()))
     }
 
     /// Forgets flows that have dried up.
@@ -184,7 +202,7 @@
     let number = queue.next.get();
     queue.next.set(number + 1);
     let (grant, granted) = oneshot::channel();
-    let left = ticket.deadline.since(clock::now());
+    let left = ticket.times.deadline.since(clock::now());
     let waiter = Waiter {
         number,
         ticket,
@@ -284,7 +302,7 @@
     let Some(flow) = flows.get(&ticket.key()) else {
         return;
     };
-    let left = ticket.deadline.since(now);
+    let left = ticket.times.deadline.since(now);
     let LateVerdict::Leave(retry_after) = flow.judge_late(ahead, left, now) else {
         return;
     };
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -1,6 +1,7 @@
 //! What waiting requests need, and why they may wait in vain.
 
 use indexmap::IndexSet;
+use ward_fleet::queue::RequestTimes;
 use ward_fleet::{EngineWish, QueueRank};
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, TimeSpan};
 
@@ -13,10 +14,7 @@
     pub(crate) shared_tokens: u64,
     pub(crate) shared_part: Option<String>,
     pub(crate) priority: u32,
-    /// Until when an answer is on time.
-    pub(crate) target: MonoTime,
-    /// Until when an answer is of use.
-    pub(crate) deadline: MonoTime,
+    pub(crate) times: RequestTimes,
     /// Engines that should not get it again.
     pub(crate) avoided: IndexSet<BackendId>,
 }
@@ -33,7 +31,7 @@
     }
 
     pub(super) fn rank(&self, now: MonoTime) -> QueueRank {
-        QueueRank::new(self.priority, self.target, self.deadline, now)
+        QueueRank::new(self.priority, &self.times, now)
     }
 
     pub(super) fn key(&self) -> WaitKey {
