Hundreds of hosts: what is told and read grows with hosts, not with their square

Each change of the list of daemons sent the whole list to all (trial at 144 hosts: 5,478 views of 3.6 KB in two seconds after a start); every daemon read all engines from the store at the start and again whenever the coordinator was lost (trial at 144 hosts: 128 MB); after a loss of all hosts these reads ran into the store's limits (9 s until served).

Ruled out: deltas of engines while no coordinator is heard (0.7 MB in that trial).

Change: views carry daemons that came or went; the pause between counts follows the view's size, the daemons and the link (ward_fleet::pace); views tell up to where the store's engines were read, so a daemon on its own reads on from there; where the list of engines has several pages, a daemon that starts waits one to two seconds for the coordinator before it reads the rest; a daemon that knows nobody tries the coordinator's address again before it looks into the store. The former holder of a term is not listed until it connects (trial at 144 hosts: DRAIN, a directory named it 6.2 s after its end).

All daemons known at the last renewal must be connected or have said that they stop.

Tests: ward-fleet/{pace,view,outage}; engines_are_followed_after_the_stores_history_is_gone (failed with the coordinator reading on from what it told itself).

--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -187,6 +187,25 @@
     }
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_are_followed_after_the_stores_history_is_gone() {
+    let stage = stage("history", &StagePlan::default()).await;
+    wait_for_coordinator(&stage).await;
+    // The records that the coordinator would read next are deleted.
+    let leaving = &stage.engines[3];
+    leaving.drain(&stage.store);
+    stage.store.forget_history();
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    for number in 0..9 {
+        let id = format!("r{number}");
+        let request = CallerRequest::new(&id, "/stock/a", None);
+        let answer = send(&stage, number % 3, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK));
+        expect_that!(stage.ledger.runs_of(&id)[0].engine, not(eq(&leaving.id())));
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn store_outage_stops_no_request() {
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod number;
 pub mod order;
 pub mod outage;
+pub mod pace;
 pub mod placement;
 pub mod queue;
 pub mod settings;
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -124,7 +124,7 @@
     pub term: FenceNumber,
     /// Offset of the newest record of the term.
     pub renewal: u64,
-    /// Whether engines that are not listed are gone.
+    /// Whether engines and daemons that are not listed are gone.
     pub complete: bool,
     /// Engines that changed.
     pub engines: Vec<EngineInfo>,
@@ -135,8 +135,12 @@
     pub loads: Option<Vec<EngineLoad>>,
     /// Models that must come from the weight store, when loads are counted.
     pub slow: Vec<SlowModel>,
-    /// All daemons that take requests, when that changed.
-    pub members: Option<Vec<HostMember>>,
+    /// Daemons that take requests now, or have changed.
+    pub joined: Vec<HostMember>,
+    /// Daemons that take no more requests.
+    pub left: Vec<DaemonId>,
+    /// Offset up to which the coordinator has read the store's engines.
+    pub engines_end: Option<u64>,
     /// Newest manifest that the coordinator knows.
     pub manifest: ManifestVersion,
     /// Time since the coordinator last heard from the store.
@@ -179,6 +183,24 @@
     pub holding: Vec<HeldModel>,
 }
 
+impl FleetView {
+    /// Changes a list of daemons as the view says.
+    pub fn apply_members(&self, members: &mut Vec<HostMember>) {
+        if self.complete {
+            members.clear();
+        }
+        let is_named = |member: &HostMember| {
+            let joined = self
+                .joined
+                .iter()
+                .any(|other| other.daemon == member.daemon);
+            joined || self.left.contains(&member.daemon)
+        };
+        members.retain(|member| !is_named(member));
+        members.extend(self.joined.iter().cloned());
+    }
+}
+
 impl From<&EngineEntry> for EngineInfo {
     fn from(entry: &EngineEntry) -> Self {
         Self {
--- a/crates/ward-fleet/src/outage.rs
+++ b/crates/ward-fleet/src/outage.rs
@@ -5,8 +5,8 @@
 //! no other daemon can begin a term either. So it asks some daemons of every
 //! availability zone to call the store. When all of them fail, nobody had taken
 //! over when they were asked, and the lease counts from that moment. One daemon
-//! that reaches the store, or a zone without any daemon to ask, is enough to let
-//! it run out.
+//! that reaches the store, or one that is no longer connected without having said
+//! that it stops, is enough to let it run out.
 
 use std::collections::VecDeque;
 
@@ -81,30 +81,26 @@
     }
 }
 
-/// The daemons to ask: the largest of each zone, besides the coordinator, which
-/// is its own witness. Nobody when a zone has no daemon to ask, or when there is
-/// no other daemon at all.
+/// The daemons to ask: the two largest of each zone. Nobody when one that was
+/// known at the last renewal is no longer connected, since it may be the one that
+/// reaches the store, or when there is no other daemon at all.
 #[must_use]
 pub fn choose_witnesses(
-    candidates: &[WitnessCandidate<'_>],
-    zones: &IndexSet<ZoneName>,
-    own_zone: &ZoneName,
+    known: &[HostMember],
+    connected: &[WitnessCandidate<'_>],
 ) -> Vec<MemberKey> {
-    let mut by_zone: IndexMap<&ZoneName, Vec<&WitnessCandidate<'_>>> =
-        zones.iter().map(|zone| (zone, Vec::new())).collect();
-    for candidate in candidates {
-        by_zone
-            .entry(&candidate.member.zone)
-            .or_default()
-            .push(candidate);
-    }
-    let is_unseen = |zone: &&ZoneName| *zone != own_zone;
-    if by_zone
-        .iter()
-        .any(|(zone, candidates)| candidates.is_empty() && is_unseen(zone))
-    {
+    let is_connected = |member: &HostMember| {
+        let mut candidates = connected.iter();
+        candidates.any(|candidate| candidate.member.daemon == member.daemon)
+    };
+    if !known.iter().all(is_connected) {
         return Vec::new();
     }
+    let mut by_zone: IndexMap<&ZoneName, Vec<&WitnessCandidate<'_>>> = IndexMap::new();
+    for candidate in connected {
+        let candidates = by_zone.entry(&candidate.member.zone).or_default();
+        candidates.push(candidate);
+    }
     let mut witnesses = Vec::new();
     for candidates in by_zone.values_mut() {
         candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.member.capacity.size()));
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -2,14 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
     CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport, OutageWatch,
 };
-use ward_protocol::{BackendId, FenceNumber, MonoTime, ZoneName};
+use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
 use super::publish::{Publisher, ViewFrame};
 use crate::clock;
@@ -26,9 +26,11 @@
     pub(super) publisher: RefCell<Publisher>,
     pub(super) crashes: RefCell<CrashLedger>,
     pub(super) store_heard: Cell<MonoTime>,
+    /// Offset up to which the store's engines have been read.
+    pub(super) engines_end: Cell<Option<u64>>,
     pub(super) outage: RefCell<OutageWatch>,
-    /// Availability zones of all daemons known in this term.
-    pub(super) zones: RefCell<IndexSet<ZoneName>>,
+    /// Daemons that took requests at the last renewal and have not stopped.
+    pub(super) known: RefCell<Vec<HostMember>>,
     /// Wakes planning before its time.
     pub(super) wake: Notify,
     logger: Logger,
@@ -55,17 +57,17 @@
         inherited: Vec<HostMember>,
         logger: Logger,
     ) -> Self {
-        let zones = inherited.iter().map(|member| member.zone.clone()).collect();
         Self {
             state: RefCell::default(),
             lease: RefCell::new(lease),
             window,
             links: RefCell::default(),
-            publisher: RefCell::new(Publisher::new(inherited)),
+            publisher: RefCell::new(Publisher::new(inherited.clone())),
             crashes: RefCell::default(),
             store_heard: Cell::new(clock::now()),
+            engines_end: Cell::default(),
             outage: RefCell::default(),
-            zones: RefCell::new(zones),
+            known: RefCell::new(inherited),
             wake: Notify::new(),
             logger,
             next_key: Cell::default(),
@@ -148,7 +150,6 @@
             self.logger, "coordinator: daemon joined";
             "daemon" => %member.daemon, "zone" => %member.zone,
         );
-        self.zones.borrow_mut().insert(member.zone.clone());
         if let Some(link) = self.links.borrow_mut().get_mut(&key) {
             link.member = Some(member);
         }
@@ -159,6 +160,10 @@
     pub(crate) fn note_leaving(&self, key: MemberKey) {
         if let Some(link) = self.links.borrow_mut().get_mut(&key) {
             link.leaving = true;
+            if let Some(member) = &link.member {
+                let mut known = self.known.borrow_mut();
+                known.retain(|other| other.daemon != member.daemon);
+            }
         }
         self.wake.notify_one();
     }
@@ -183,9 +188,10 @@
         }
     }
 
-    /// Notes that the store has told all it knows of engines.
-    pub(super) fn note_store(&self, now: MonoTime) {
+    /// Notes that the store has told all it knows of engines, up to an offset.
+    pub(super) fn note_store(&self, end: u64, now: MonoTime) {
         self.store_heard.set(now);
+        self.engines_end.set(Some(end));
     }
 
     /// Notes an engine's heartbeat.
--- a/crates/ward-gateway/src/coordinator/outage.rs
+++ b/crates/ward-gateway/src/coordinator/outage.rs
@@ -48,8 +48,7 @@
             Some(WitnessCandidate { key: *key, member })
         })
         .collect();
-    let zones = coordinator.zones.borrow();
-    let witnesses = choose_witnesses(&candidates, &zones, &gateway.settings().zone);
+    let witnesses = choose_witnesses(&coordinator.known.borrow(), &candidates);
     if witnesses.is_empty() {
         return;
     }
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -5,10 +5,11 @@
 use indexmap::IndexMap;
 use slog::{Logger, warn};
 use tokio::sync::mpsc::error::TrySendError;
+use ward_fleet::pace::loads_pause;
 use ward_fleet::{
-    CoordinatorMessage, EngineInfo, FleetView, HostMember, ManifestVersion, SlowModel,
+    CoordinatorMessage, EngineInfo, FleetView, HostMember, LinkRate, ManifestVersion, SlowModel,
 };
-use ward_protocol::{BackendId, MonoTime, RequestFingerprint, TimeSpan};
+use ward_protocol::{BackendId, DaemonId, MonoTime, RequestFingerprint, TimeSpan};
 
 use super::active::{ActiveCoordinator, MemberLink};
 use crate::clock;
@@ -17,14 +18,9 @@
 /// An encoded view.
 pub(crate) type ViewFrame = Rc<Vec<u8>>;
 
-/// Time between views that count requests.
-const LOADS_PAUSE: TimeSpan = TimeSpan::from_millis(200);
-/// The same with many daemons, so that the coordinator's link carries it.
-const MANY_LOADS_PAUSE: TimeSpan = TimeSpan::from_millis(300);
-const MANY_DAEMONS: usize = 30;
 /// Time at the begin of a term in which daemons that are not connected yet are
 /// still listed.
-const JOIN_TIME: TimeSpan = TimeSpan::from_millis(2_500);
+const JOIN_TIME: TimeSpan = TimeSpan::from_millis(1_800);
 
 /// What daemons have been told.
 pub(super) struct Publisher {
@@ -33,6 +29,7 @@
     inherited: Vec<HostMember>,
     blocked: Vec<RequestFingerprint>,
     loads_sent: MonoTime,
+    loads_pause: TimeSpan,
     begun: MonoTime,
 }
 
@@ -45,6 +42,7 @@
             inherited,
             blocked: Vec::new(),
             loads_sent: MonoTime::default(),
+            loads_pause: TimeSpan::ZERO,
             begun: clock::now(),
         }
     }
@@ -60,18 +58,14 @@
     coordinator: &ActiveCoordinator,
     manifest: ManifestVersion,
     slow: Vec<SlowModel>,
+    link: LinkRate,
     logger: &Logger,
 ) {
     let now = clock::now();
     let engines = coordinator.state.borrow().engine_infos();
     let members = current_members(coordinator, now);
-    let loads_pause = if members.len() > MANY_DAEMONS {
-        MANY_LOADS_PAUSE
-    } else {
-        LOADS_PAUSE
-    };
     let mut publisher = coordinator.publisher.borrow_mut();
-    let loads_due = now.since(publisher.loads_sent) >= loads_pause;
+    let loads_due = now.since(publisher.loads_sent) >= publisher.loads_pause;
     let changed: Vec<_> = engines
         .values()
         .filter(|info| publisher.engines.get(&info.id) != Some(*info))
@@ -83,7 +77,8 @@
         .filter(|id| !engines.contains_key(*id))
         .cloned()
         .collect();
-    let members_changed = publisher.members != members;
+    let changes = loads_due.then(|| member_changes(&publisher.members, &members));
+    let changes = changes.unwrap_or_default();
     let blocked = std::mem::take(&mut publisher.blocked);
     let loads = loads_due.then(|| coordinator.state.borrow().loads());
     let part = FleetView {
@@ -94,7 +89,9 @@
         gone,
         loads,
         slow,
-        members: members_changed.then(|| members.clone()),
+        joined: changes.joined,
+        left: changes.left,
+        engines_end: coordinator.engines_end.get(),
         manifest,
         store_age: now.since(coordinator.store_heard.get()),
         store_away: coordinator
@@ -103,16 +100,13 @@
             .is_extended(&coordinator.window, now),
         poisoned: blocked,
     };
-    let worth_sending = loads_due
-        || members_changed
-        || !part.engines.is_empty()
-        || !part.gone.is_empty()
-        || !part.poisoned.is_empty();
+    let worth_sending =
+        loads_due || !part.engines.is_empty() || !part.gone.is_empty() || !part.poisoned.is_empty();
     if loads_due {
         publisher.loads_sent = now;
+        publisher.members = members;
     }
     publisher.engines = engines;
-    publisher.members = members;
     drop(publisher);
     let is_new = |link: &MemberLink| !link.complete;
     let whole = coordinator.links.borrow().values().any(is_new);
@@ -121,6 +115,10 @@
         part: worth_sending.then(|| encode(part, logger)).flatten(),
         whole: whole.and_then(|view| encode(view, logger)),
     };
+    if let Some(part) = frames.part.as_ref().filter(|_| loads_due) {
+        let daemons = coordinator.links.borrow().len();
+        coordinator.publisher.borrow_mut().loads_pause = loads_pause(part.len(), daemons, link);
+    }
     send(coordinator, &frames);
 }
 
@@ -132,15 +130,33 @@
         engines: publisher.engines.values().cloned().collect(),
         gone: Vec::new(),
         loads: Some(coordinator.state.borrow().loads()),
-        members: Some(publisher.members.clone()),
+        joined: publisher.members.clone(),
+        left: Vec::new(),
         poisoned: coordinator.crashes.borrow().blocked(),
         ..part.clone()
     }
 }
 
+/// Daemons that came, changed or went.
+#[derive(Default)]
+struct MemberChanges {
+    joined: Vec<HostMember>,
+    left: Vec<DaemonId>,
+}
+
+fn member_changes(before: &[HostMember], now: &[HostMember]) -> MemberChanges {
+    let joined = now.iter().filter(|member| !before.contains(member));
+    let stays = |daemon: &DaemonId| now.iter().any(|member| member.daemon == *daemon);
+    let left = before.iter().map(|member| &member.daemon);
+    MemberChanges {
+        joined: joined.cloned().collect(),
+        left: left.filter(|daemon| !stays(daemon)).cloned().collect(),
+    }
+}
+
 /// Daemons that take requests: those connected, and at the begin of a term also
 /// those known from before.
-fn current_members(coordinator: &ActiveCoordinator, now: MonoTime) -> Vec<HostMember> {
+pub(super) fn current_members(coordinator: &ActiveCoordinator, now: MonoTime) -> Vec<HostMember> {
     let links = coordinator.links.borrow();
     let mut members: Vec<HostMember> = links
         .values()
--- a/crates/ward-gateway/src/coordinator/slot.rs
+++ b/crates/ward-gateway/src/coordinator/slot.rs
@@ -29,10 +29,10 @@
         *self.active.borrow_mut() = coordinator;
     }
 
-    /// Notes that the store has told all it knows of engines.
-    pub(crate) fn note_store(&self, now: MonoTime) {
+    /// Notes that the store has told all it knows of engines, up to an offset.
+    pub(crate) fn note_store(&self, end: u64, now: MonoTime) {
         if let Some(coordinator) = self.active() {
-            coordinator.note_store(now);
+            coordinator.note_store(end, now);
         }
     }
 
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -8,12 +8,12 @@
 use ward_adapter::{StoreClient, StoreError, StoreTopic, decode_entry};
 use ward_fleet::placement::{plan_work, slow_models};
 use ward_fleet::{CoordinatorLease, LeaseWindow, TermRecord};
-use ward_protocol::FenceNumber;
 use ward_protocol::codec::{decode, encode};
+use ward_protocol::{DaemonId, FenceNumber};
 
 use super::active::ActiveCoordinator;
 use super::outage::watch_store;
-use super::publish::publish;
+use super::publish::{current_members, publish};
 use super::work::start_work;
 use crate::clock;
 use crate::gateway::Gateway;
@@ -27,7 +27,12 @@
 
 /// Begins a term if no other daemon has since the store was read; returns where
 /// the coordinator is then.
-pub(crate) async fn take_over(gateway: &Rc<Gateway>, end: u64) -> Option<SocketAddr> {
+/// Whoever held the term before is not listed until it connects.
+pub(crate) async fn take_over(
+    gateway: &Rc<Gateway>,
+    former: Option<&DaemonId>,
+    end: u64,
+) -> Option<SocketAddr> {
     let started = clock::now();
     let offset = match append(gateway, FenceNumber(0), false, end).await {
         Ok(offset) => offset,
@@ -39,7 +44,8 @@
     let settings = gateway.settings();
     let window = LeaseWindow::new(settings.bounds.lease);
     let lease = CoordinatorLease::begin(offset, started);
-    let members = gateway.members.borrow().clone();
+    let mut members = gateway.members.borrow().clone();
+    members.retain(|member| Some(&member.daemon) != former);
     let logger = gateway.logger.clone();
     let coordinator = Rc::new(ActiveCoordinator::new(lease, window, members, logger));
     info!(gateway.logger, "coordinator: term begins"; "fence" => lease.fence.0);
@@ -130,7 +136,11 @@
         let lease = *coordinator.lease.borrow();
         let started = clock::now();
         match append(gateway, lease.fence, false, lease.next).await {
-            Ok(offset) => coordinator.lease.borrow_mut().renew(offset, started),
+            Ok(offset) => {
+                coordinator.lease.borrow_mut().renew(offset, started);
+                let members = current_members(coordinator, started);
+                coordinator.known.replace(members);
+            }
             Err(cause) => {
                 warn!(
                     gateway.logger, "coordinator: renewal failed";
@@ -204,6 +214,7 @@
             coordinator,
             gateway.manifest_heard.get(),
             slow,
+            gateway.settings().capacity.link,
             &gateway.logger,
         );
     }
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 /// Age of the coordinator's news from the store from which on a daemon reads the
 /// store itself; well below the time in which a draining engine must be known.
+const VIEW_LOOK_PAUSE: Duration = Duration::from_millis(50);
 const VIEW_AGE: TimeSpan = TimeSpan::from_millis(1_000);
 /// Daemons assumed when none has been heard of, so that shares stay small.
 const UNKNOWN_DAEMONS: usize = 16;
@@ -46,6 +47,8 @@
     pub(crate) manifest_heard: Cell<ManifestVersion>,
     /// Wakes the reader of manifests.
     pub(crate) manifest_wanted: Notify,
+    /// Offset up to which the coordinator had read the engines when it last told.
+    pub(crate) told_end: Cell<Option<u64>>,
     /// Woken when the store answers again after a call that failed.
     pub(crate) store_regained: Notify,
     /// When the coordinator had last heard from the store, as its views tell.
@@ -94,6 +97,7 @@
             coordinator: CoordinatorSlot::default(),
             manifest_heard: Cell::default(),
             manifest_wanted: Notify::new(),
+            told_end: Cell::default(),
             store_regained: Notify::new(),
             view_time: Cell::default(),
             read_time: Cell::default(),
@@ -163,6 +167,16 @@
         }
     }
 
+    /// Whether the coordinator begins to tell what the store says within a time.
+    pub(crate) async fn hears_view_within(&self, patience: Duration) -> bool {
+        let heard = async {
+            while !self.hears_view() {
+                tokio::time::sleep(VIEW_LOOK_PAUSE).await;
+            }
+        };
+        tokio::time::timeout(patience, heard).await.is_ok()
+    }
+
     /// Whether the coordinator tells what the store says, as of a moment ago.
     pub(crate) fn hears_view(&self) -> bool {
         let time = self.view_time.get();
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -14,8 +14,8 @@
     CoordinatorMessage, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
     MemberMessage, ProbeNumber, TermRecord, TermWatch,
 };
-use ward_protocol::TimeSpan;
 use ward_protocol::codec::decode;
+use ward_protocol::{MonoTime, TimeSpan};
 
 use super::check::check_members;
 use super::frame::{FrameError, encode_frame, read_frame};
@@ -33,6 +33,10 @@
 /// Time between looks for a coordinator of a host that is not among the largest;
 /// each look is a call to the store.
 const SMALL_LOOK_PAUSE: Duration = Duration::from_millis(1_600);
+/// Tries to connect to a coordinator from which no view ever came, and the pause
+/// between them; costs less than a look.
+const FIRST_CONNECTS: u32 = 5;
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Least time between looks for a coordinator.
 const LEAST_LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Time between looks for a coordinator.
@@ -58,13 +62,12 @@
 /// Follows the coordinator, or becomes it, until the process ends.
 pub(crate) async fn follow_coordinator(gateway: Rc<Gateway>) {
     let mut watch = TermWatch::default();
-    let delay = candidate_delay(&gateway);
-    tokio::time::sleep(delay.duration()).await;
+    let started = clock::now();
     loop {
-        if let Some(address) = find_coordinator(&gateway, &mut watch).await {
+        if let Some(address) = find_coordinator(&gateway, &mut watch, started).await {
             let linked = Instant::now();
-            let ended = follow(&gateway, address, &mut watch).await;
-            gateway.view_time.set(None);
+            let ended = follow_patiently(&gateway, address, &mut watch).await;
+            let was_followed = gateway.view_time.take().is_some();
             if let Err(FrameError::Resync) = ended {
                 continue;
             }
@@ -72,7 +75,7 @@
                 gateway.logger, "coordinator: link lost";
                 "address" => %address, "why" => ended.err().map(|cause| cause.to_string()),
             );
-            if linked.elapsed() > LOOK_PAUSE {
+            if was_followed && linked.elapsed() > LOOK_PAUSE {
                 // Whether the term was released decides how long to wait.
                 continue;
             }
@@ -127,7 +130,11 @@
 }
 
 /// Where the coordinator is, after taking over if there is none.
-async fn find_coordinator(gateway: &Rc<Gateway>, watch: &mut TermWatch) -> Option<SocketAddr> {
+async fn find_coordinator(
+    gateway: &Rc<Gateway>,
+    watch: &mut TermWatch,
+    started: MonoTime,
+) -> Option<SocketAddr> {
     let tail = match gateway.store.newest(StoreTopic::Coordinator).await {
         Ok(tail) => tail,
         Err(cause) => {
@@ -154,18 +161,40 @@
     let turn = term
         .as_ref()
         .map_or(TimeSpan::ZERO, |(term, _)| turn_delay(gateway, term));
-    let delay = candidate_delay(gateway) + turn;
+    let delay = candidate_delay(gateway);
     let resumes = term.as_ref().is_some_and(|(term, _)| {
         let settings = gateway.settings();
         term.is_held_by(&settings.daemon, settings.peers)
     });
-    if candidate && (resumes || watch.may_take_over(&window, now - delay)) {
-        return take_over(gateway, tail.end).await;
+    let has_waited = now.since(started) >= delay;
+    let may_begin = has_waited && watch.may_take_over(&window, now - (delay + turn));
+    if candidate && (resumes || may_begin) {
+        let former = term.as_ref().map(|(term, _)| &term.daemon);
+        return take_over(gateway, former, tail.end).await;
     }
     term.filter(|(term, _)| !term.released)
         .map(|(term, _)| term.peers)
 }
 
+/// Follows a coordinator; one that has started together with this daemon may not
+/// listen yet.
+async fn follow_patiently(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    watch: &mut TermWatch,
+) -> Result<(), FrameError> {
+    for _ in 0..FIRST_CONNECTS {
+        let begun = Instant::now();
+        let ended = follow(gateway, address, watch).await;
+        let was_refused = matches!(ended, Err(FrameError::Io(_)));
+        if !was_refused || begun.elapsed() > FIRST_PAUSE || gateway.view_time.get().is_some() {
+            return ended;
+        }
+        tokio::time::sleep(FIRST_PAUSE).await;
+    }
+    follow(gateway, address, watch).await
+}
+
 async fn follow(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
@@ -302,9 +331,8 @@
     let heard_time = if view.store_away { now } else { view_time };
     gateway.view_time.set(Some(heard_time));
     gateway.table.borrow_mut().apply(view, outdated);
-    if let Some(members) = &view.members {
-        gateway.members.borrow_mut().clone_from(members);
-    }
+    view.apply_members(&mut gateway.members.borrow_mut());
+    gateway.told_end.set(view.engines_end);
     if view.loads.is_some() {
         gateway.queue.note_slow(&view.slow, now);
     }
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -22,6 +22,9 @@
 const LONE_PAUSE: Duration = Duration::from_millis(800);
 /// Time between looks at whether the coordinator is heard.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
+/// Time for the coordinator to tell a daemon that has just started of many
+/// engines; each daemon waits up to twice as long, so that not all read at once.
+const TELL_TIME: Duration = Duration::from_millis(1_000);
 /// Pause between reads after which the newest records are read, not the history.
 const HISTORY_TIME: TimeSpan = TimeSpan::from_secs(3);
 /// Time after the store's return in which engines register again.
@@ -72,25 +75,22 @@
 impl EngineReader {
     async fn read_once(&mut self, gateway: &Gateway) {
         let now = clock::now();
-        if gateway
-            .read_time
-            .get()
-            .is_some_and(|time| now.since(time) > HISTORY_TIME)
-        {
+        let read_time = gateway.read_time.get();
+        // What the coordinator tells itself is where this reader was, which may
+        // have been deleted since.
+        let told_end = gateway.told_end.take();
+        if let Some(end) = told_end.filter(|_| !gateway.coordinator.is_active()) {
+            self.next = self.next.max(Some(end));
+        } else if read_time.is_some_and(|time| now.since(time) > HISTORY_TIME) {
             self.next = None;
         }
-        let complete = self.next.is_none();
         let result = match self.next {
-            Some(from) => {
-                let read = gateway
-                    .store
-                    .read(StoreTopic::Engines, from, TimeSpan::ZERO);
-                read.await
-            }
-            None => gateway.store.newest(StoreTopic::Engines).await,
+            Some(from) => read_on(gateway, from).await,
+            None => read_newest(gateway).await,
         };
         match result {
-            Ok(tail) => {
+            Ok(read) => {
+                let EngineRead { tail, complete } = read;
                 gateway
                     .metrics
                     .store_calls
@@ -101,7 +101,7 @@
                 gateway.read_time.set(Some(now));
                 let streak = gateway.store_streak.get().saturating_add(1);
                 gateway.store_streak.set(streak);
-                gateway.coordinator.note_store(clock::now());
+                gateway.coordinator.note_store(tail.end, clock::now());
                 if !gateway.engines_known.replace(true) {
                     info!(gateway.logger, "engines: known"; "count" => tail.records.len());
                 }
@@ -212,6 +212,47 @@
     }
 }
 
+/// What the store told of engines.
+struct EngineRead {
+    tail: StoreTail,
+    /// Whether engines that are not listed are gone.
+    complete: bool,
+}
+
+/// Changes from an offset on.
+async fn read_on(gateway: &Gateway, from: u64) -> Result<EngineRead, StoreError> {
+    let store = &gateway.store;
+    let tail = store
+        .read(StoreTopic::Engines, from, TimeSpan::ZERO)
+        .await?;
+    Ok(EngineRead {
+        tail,
+        complete: false,
+    })
+}
+
+/// All engines. Where they are many, each daemon's whole list would keep the
+/// store busy for seconds after all have started at once; so the coordinator,
+/// which needs a few bytes for each, is given time to tell them.
+async fn read_newest(gateway: &Gateway) -> Result<EngineRead, StoreError> {
+    let store = &gateway.store;
+    let first = store.newest_page(StoreTopic::Engines, None).await?;
+    if !first.is_last && !gateway.coordinator.is_active() {
+        let patience = TELL_TIME.mul_f64(rand::random_range(1.0..2.0));
+        if gateway.hears_view_within(patience).await {
+            return Ok(EngineRead {
+                tail: first.tail,
+                complete: false,
+            });
+        }
+    }
+    let tail = store.newest_rest(StoreTopic::Engines, first).await?;
+    Ok(EngineRead {
+        tail,
+        complete: true,
+    })
+}
+
 fn note_entry(gateway: &Gateway, entry: &EngineEntry) {
     let info = EngineInfo::from(entry);
     let mut table = gateway.table.borrow_mut();
