--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -196,7 +196,7 @@
     let leaving = &stage.engines[3];
     leaving.drain(&stage.store);
     stage.store.forget_history();
-    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     for number in 0..9 {
         let id = format!("r{number}");
         let request = CallerRequest::new(&id, "/stock/a", None);
--- a/crates/ward-fleet/tests/outage.rs
+++ b/crates/ward-fleet/tests/outage.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use googletest::prelude::*;
-use support::{at, member, name};
+use support::{at, member};
 use ward_fleet::HostMember;
 use ward_fleet::outage::{OutageWatch, ProbeNumber, WitnessCandidate, choose_witnesses};
 use ward_fleet::placement::MemberKey;
@@ -61,7 +61,7 @@
 
 /// Failure pattern: a third of the hosts, the coordinator among them, cannot reach
 /// the store; the others leave the coordinator, so only hosts that fail are still
-/// connected (prevleke-ops-grown scale-2, node_cut).
+/// connected (`node_cut`).
 #[gtest]
 fn witnesses_are_none_once_a_known_daemon_has_left() {
     let known = [
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -53,61 +53,26 @@
     }
 }
 
+/// What views say beside what the coordinator itself holds.
+pub(super) struct ViewNews {
+    /// Newest manifest that this daemon knows.
+    pub(super) manifest: ManifestVersion,
+    /// Models that must come from the weight store.
+    pub(super) slow: Vec<SlowModel>,
+    /// Bandwidth of this host.
+    pub(super) link: LinkRate,
+}
+
 /// Sends each daemon what changed, and a complete view to those that are new.
-pub(super) fn publish(
-    coordinator: &ActiveCoordinator,
-    manifest: ManifestVersion,
-    slow: Vec<SlowModel>,
-    link: LinkRate,
-    logger: &Logger,
-) {
+pub(super) fn publish(coordinator: &ActiveCoordinator, news: ViewNews, logger: &Logger) {
     let now = clock::now();
-    let engines = coordinator.state.borrow().engine_infos();
-    let members = current_members(coordinator, now);
-    let mut publisher = coordinator.publisher.borrow_mut();
-    let loads_due = now.since(publisher.loads_sent) >= publisher.loads_pause;
-    let changed: Vec<_> = engines
-        .values()
-        .filter(|info| publisher.engines.get(&info.id) != Some(*info))
-        .cloned()
-        .collect();
-    let gone: Vec<_> = publisher
-        .engines
-        .keys()
-        .filter(|id| !engines.contains_key(*id))
-        .cloned()
-        .collect();
-    let changes = loads_due.then(|| member_changes(&publisher.members, &members));
-    let changes = changes.unwrap_or_default();
-    let blocked = std::mem::take(&mut publisher.blocked);
-    let loads = loads_due.then(|| coordinator.state.borrow().loads());
-    let part = FleetView {
-        term: coordinator.fence(),
-        renewal: coordinator.lease.borrow().newest(),
-        complete: false,
-        engines: changed,
-        gone,
-        loads,
-        slow,
-        joined: changes.joined,
-        left: changes.left,
-        engines_end: coordinator.engines_end.get(),
-        manifest,
-        store_age: now.since(coordinator.store_heard.get()),
-        store_away: coordinator
-            .lease
-            .borrow()
-            .is_extended(&coordinator.window, now),
-        poisoned: blocked,
-    };
-    let worth_sending =
-        loads_due || !part.engines.is_empty() || !part.gone.is_empty() || !part.poisoned.is_empty();
-    if loads_due {
-        publisher.loads_sent = now;
-        publisher.members = members;
-    }
-    publisher.engines = engines;
-    drop(publisher);
+    let link = news.link;
+    let part = next_part(coordinator, news, now);
+    let counts_loads = part.loads.is_some();
+    let worth_sending = counts_loads
+        || !part.engines.is_empty()
+        || !part.gone.is_empty()
+        || !part.poisoned.is_empty();
     let is_new = |link: &MemberLink| !link.complete;
     let whole = coordinator.links.borrow().values().any(is_new);
     let whole = whole.then(|| complete_view(coordinator, &part));
@@ -115,13 +80,50 @@
         part: worth_sending.then(|| encode(part, logger)).flatten(),
         whole: whole.and_then(|view| encode(view, logger)),
     };
-    if let Some(part) = frames.part.as_ref().filter(|_| loads_due) {
+    if let Some(part) = frames.part.as_ref().filter(|_| counts_loads) {
         let daemons = coordinator.links.borrow().len();
         coordinator.publisher.borrow_mut().loads_pause = loads_pause(part.len(), daemons, link);
     }
     send(coordinator, &frames);
 }
 
+/// What changed since the last view; counts of requests and daemons that came or
+/// went only after a pause.
+fn next_part(coordinator: &ActiveCoordinator, news: ViewNews, now: MonoTime) -> FleetView {
+    let engines = coordinator.state.borrow().engine_infos();
+    let members = current_members(coordinator, now);
+    let lease = *coordinator.lease.borrow();
+    let mut publisher = coordinator.publisher.borrow_mut();
+    let loads_due = now.since(publisher.loads_sent) >= publisher.loads_pause;
+    let engine_changes = engine_changes(&publisher.engines, &engines);
+    let member_changes = if loads_due {
+        member_changes(&publisher.members, &members)
+    } else {
+        MemberChanges::default()
+    };
+    publisher.engines = engines;
+    if loads_due {
+        publisher.loads_sent = now;
+        publisher.members = members;
+    }
+    FleetView {
+        term: lease.fence,
+        renewal: lease.newest(),
+        complete: false,
+        engines: engine_changes.changed,
+        gone: engine_changes.gone,
+        loads: loads_due.then(|| coordinator.state.borrow().loads()),
+        slow: news.slow,
+        joined: member_changes.joined,
+        left: member_changes.left,
+        engines_end: coordinator.engines_end.get(),
+        manifest: news.manifest,
+        store_age: now.since(coordinator.store_heard.get()),
+        store_away: lease.is_extended(&coordinator.window, now),
+        poisoned: std::mem::take(&mut publisher.blocked),
+    }
+}
+
 /// The view for a daemon that has got none yet, from what others get now.
 fn complete_view(coordinator: &ActiveCoordinator, part: &FleetView) -> FleetView {
     let publisher = coordinator.publisher.borrow();
@@ -137,6 +139,26 @@
     }
 }
 
+/// Engines that came, changed or went.
+struct EngineChanges {
+    changed: Vec<EngineInfo>,
+    gone: Vec<BackendId>,
+}
+
+fn engine_changes(
+    before: &IndexMap<BackendId, EngineInfo>,
+    now: &IndexMap<BackendId, EngineInfo>,
+) -> EngineChanges {
+    let changed = now
+        .iter()
+        .filter(|(id, info)| before.get(*id) != Some(*info));
+    let gone = before.keys().filter(|id| !now.contains_key(*id));
+    EngineChanges {
+        changed: changed.map(|(_, info)| info.clone()).collect(),
+        gone: gone.cloned().collect(),
+    }
+}
+
 /// Daemons that came, changed or went.
 #[derive(Default)]
 struct MemberChanges {
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -13,7 +13,7 @@
 
 use super::active::ActiveCoordinator;
 use super::outage::watch_store;
-use super::publish::{current_members, publish};
+use super::publish::{ViewNews, current_members, publish};
 use super::work::start_work;
 use crate::clock;
 use crate::gateway::Gateway;
@@ -210,13 +210,12 @@
         let slow = manifest.map_or_else(Vec::new, |manifest| {
             slow_models(&coordinator.state.borrow(), &manifest, now)
         });
-        publish(
-            coordinator,
-            gateway.manifest_heard.get(),
+        let news = ViewNews {
+            manifest: gateway.manifest_heard.get(),
             slow,
-            gateway.settings().capacity.link,
-            &gateway.logger,
-        );
+            link: gateway.settings().capacity.link,
+        };
+        publish(coordinator, news, &gateway.logger);
     }
 }
 
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -18,6 +18,10 @@
 use crate::clock;
 use crate::gateway::Gateway;
 
+/// Routes whose first parts are remembered; those that the operators removed are
+/// among them until then.
+const MOST_ROUTES: usize = 1_000;
+
 struct Waiter {
     number: u64,
     ticket: WaitTicket,
@@ -157,9 +161,14 @@
         (ready > ticket.times.deadline).then(|| ready.since(clock::now()))
     }
 
-    /// Forgets flows that have dried up.
+    /// Forgets flows that have dried up, and routes once they are many.
     pub(crate) fn sweep(&self) {
         let now = clock::now();
+        let mut first_parts = self.first_parts.borrow_mut();
+        if first_parts.len() > MOST_ROUTES {
+            first_parts.clear();
+        }
+        drop(first_parts);
         self.flows.borrow_mut().retain(|_, flow| !flow.is_idle(now));
     }
 
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -24,7 +24,7 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// Time for the coordinator to tell a daemon that has just started of many
 /// engines; each daemon waits up to twice as long, so that not all read at once.
-const TELL_TIME: Duration = Duration::from_millis(1_000);
+const TELL_TIME: Duration = Duration::from_secs(1);
 /// Pause between reads after which the newest records are read, not the history.
 const HISTORY_TIME: TimeSpan = TimeSpan::from_secs(3);
 /// Time after the store's return in which engines register again.
