A load from the weight store is confirmed by the engine's report, not by its order sent again

Cause: after the stated time, the coordinator sent the order of a load again every half second until the engine said that it holds. An engine that is still loading answers 'busy', and its load does not end any more. Ruled out: a weight store that stands still (first loads asked once took 6.0 s beside them), fencing and sequence numbers (the answer to one more order after the end was 'holds').

Change: confirm_load asks for the report, and ends when the engine or the term does. Test: load_from_the_weight_store_that_is_slow_is_ordered_once; the stand-in engines share a weight store that slows down, and fetch anew what is ordered again while it comes. It failed before.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -7,3 +7,4 @@
 mod path;
 mod soak;
 mod support;
+mod weights;
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/weights.rs
@@ -0,0 +1,58 @@
+//! Models that must come from the weight store.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::StatusCode;
+use ward_fleet::EngineOrder;
+use ward_stage::{CallerRequest, Stage, StagePlan};
+
+use crate::support::{expect_sound_orders, send, stage, wait_until};
+
+/// Engines without any copy, before a weight store that is slow.
+fn empty_engines() -> StagePlan {
+    StagePlan {
+        engines: 3,
+        models: 8,
+        copies: false,
+        load_slowness: 3,
+        ..StagePlan::default()
+    }
+}
+
+fn orders_of(stage: &Stage, model: &str) -> Vec<bool> {
+    let orders = stage.ledger.orders();
+    let loads = orders.iter().filter(
+        |note| matches!(&note.order, EngineOrder::LoadModel(name) if name.as_str() == model),
+    );
+    loads.map(|note| note.accepted).collect()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn load_from_the_weight_store_that_is_slow_is_ordered_once() {
+    let stage = stage("slow-load", &empty_engines()).await;
+    let models: Vec<_> = (3..6).map(Stage::model).collect();
+    let loaded = |model: &str| {
+        let mut engines = stage.engines.iter();
+        engines.any(|engine| engine.held().iter().any(|name| name.as_str() == model))
+    };
+    for round in 0..40 {
+        for model in models.iter().filter(|model| !loaded(model)) {
+            let request = CallerRequest::new(format!("r{round}{model}"), "/quote/a", Some(model));
+            // Whether it is served in time depends on its place in the order of loads.
+            drop(send(&stage, 0, &request).await);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    wait_until("all models", || models.iter().all(|model| loaded(model))).await;
+    for model in &models {
+        let orders = orders_of(&stage, model);
+        expect_that!(orders.iter().filter(|accepted| **accepted).count(), eq(1));
+        expect_that!(orders.len(), le(2), "{model}: {orders:?}");
+    }
+    let request = CallerRequest::new("last", "/quote/a", Some(&models[0]));
+    let answer = send(&stage, 1, &request).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_sound_orders(&stage);
+}
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -9,10 +9,10 @@
 
 use slog::{info, warn};
 use ward_adapter::{EngineReport, OrderAnswer, OrderCall, OrderFailure, fetch_report, send_order};
-use ward_fleet::EngineOrder;
 use ward_fleet::placement::{
     AdapterWork, LoadSource, ModelWork, PlacedEngine, PlannedWork, WorkTarget,
 };
+use ward_fleet::{EngineOrder, HeldModel};
 use ward_http::HttpCaller;
 use ward_protocol::TimeSpan;
 
@@ -116,6 +116,12 @@
         }
     }
 
+    /// Whether the engine is still known in the life for which work was planned.
+    fn is_known(&self) -> bool {
+        let mut state = self.coordinator.state.borrow_mut();
+        state.engine_mut(&self.target).is_some()
+    }
+
     async fn swap(&self, work: &ModelWork) -> Result<(), OrderStop> {
         for victim in &work.unload {
             let answer = self.order(EngineOrder::UnloadModel(victim.clone())).await?;
@@ -140,14 +146,22 @@
         Ok(())
     }
 
-    /// Waits until a load from the weight store, which slows down under load, is
-    /// done: the same order then says that it holds.
+    /// Waits until the engine reports a model that comes from the weight store,
+    /// which slows down under load. The order itself is not sent again: an engine
+    /// that gets it during the load fetches the model anew.
     async fn confirm_load(&self, work: &ModelWork) -> Result<(), OrderStop> {
-        let order = EngineOrder::LoadModel(work.model.clone());
         for _ in 0..MOST_CONFIRMS {
-            if self.order_once(&order).await? == Some(OrderAnswer::Holds) {
+            let report = self.ask().await;
+            let holds = |held: &HeldModel| held.model == work.model;
+            if report.is_some_and(|report| report.models.iter().any(holds)) {
                 return Ok(());
             }
+            if !self.is_known() {
+                return Err(OrderStop::EngineGone);
+            }
+            if self.coordinator.is_ended() {
+                return Err(OrderStop::NoLease);
+            }
             tokio::time::sleep(CONFIRM_PAUSE).await;
         }
         Err(OrderStop::Unreachable)
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -16,6 +16,7 @@
 use crate::ledger::RunLedger;
 use crate::serve::{StageServer, serve};
 use crate::store::StageStore;
+use crate::weights::StageWeights;
 
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -47,6 +48,7 @@
     fence: FenceNumber,
     busy_until: Instant,
     coming: Option<ModelName>,
+    weights: StageWeights,
     fault: EngineFault,
 }
 
@@ -72,7 +74,7 @@
 
 impl StageEngine {
     /// Starts an engine; `entry` says what it begins with, `class` what its
-    /// models are like.
+    /// models are like, `weights` where it fetches those that it has no copy of.
     ///
     /// # Errors
     /// When no port is free.
@@ -80,6 +82,7 @@
         ip: IpAddr,
         entry: EngineEntry,
         class: Option<EngineClass>,
+        weights: StageWeights,
         ledger: RunLedger,
     ) -> std::io::Result<Self> {
         let shared = Arc::new(Shared {
@@ -90,6 +93,7 @@
                 fence: FenceNumber(0),
                 busy_until: Instant::now(),
                 coming: None,
+                weights,
                 fault: EngineFault::None,
             }),
             ledger,
@@ -177,6 +181,9 @@
             return;
         }
         if let Some(model) = self.coming.take() {
+            if !self.entry.on_disk.contains(&model) {
+                self.entry.on_disk.push(model.clone());
+            }
             let adapters = Vec::new();
             self.entry.models.push(HeldModel { model, adapters });
         }
@@ -201,7 +208,11 @@
             return (StatusCode::PRECONDITION_FAILED, false);
         }
         self.fence = asked.fence;
-        if self.is_busy() || asked.expect.is_some_and(|expect| expect != self.sequence) {
+        if self.is_busy() {
+            self.begin_again(&asked.order);
+            return (StatusCode::CONFLICT, false);
+        }
+        if asked.expect.is_some_and(|expect| expect != self.sequence) {
             return (StatusCode::CONFLICT, false);
         }
         self.carry_out(&asked.order)
@@ -247,6 +258,22 @@
         (status, exceeded)
     }
 
+    /// A model that is ordered again while it comes from the weight store is
+    /// fetched anew.
+    fn begin_again(&mut self, order: &EngineOrder) {
+        let EngineOrder::LoadModel(model) = order else {
+            return;
+        };
+        let fetched = self.coming.as_ref() == Some(model) && !self.entry.on_disk.contains(model);
+        let size = self
+            .class
+            .as_ref()
+            .and_then(|class| class.models.get(model));
+        if let Some(size) = size.filter(|_| fetched) {
+            self.busy_until = self.weights.begin(size.store_load.duration());
+        }
+    }
+
     fn begin_load(&mut self, model: &ModelName) -> (StatusCode, bool) {
         let Some((class, size)) = self
             .class
@@ -262,17 +289,12 @@
             .filter_map(|held| class.models.get(&held.model));
         let used: u64 = held.map(|model| model.weights.bytes()).sum();
         let exceeded = used + size.weights.bytes() > class.weight_memory.bytes();
-        let at_hand = self.entry.on_disk.contains(model);
-        let time = if at_hand {
-            size.disk_load
+        self.busy_until = if self.entry.on_disk.contains(model) {
+            Instant::now() + size.disk_load.duration()
         } else {
-            size.store_load
+            self.weights.begin(size.store_load.duration())
         };
-        self.busy_until = Instant::now() + time.duration();
         self.coming = Some(model.clone());
-        if !at_hand {
-            self.entry.on_disk.push(model.clone());
-        }
         (StatusCode::ACCEPTED, exceeded)
     }
 }
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -15,6 +15,7 @@
 mod serve;
 mod stage;
 mod store;
+mod weights;
 
 pub use caller::{CallerAnswer, CallerError, CallerRequest, StageCaller};
 pub use daemon::{DaemonProcess, StageError};
@@ -23,3 +24,4 @@
 pub use proxy::{LinkFault, StageProxy};
 pub use stage::{Stage, StagePlan, stage_folder};
 pub use store::{StageStore, StoreFault};
+pub use weights::StageWeights;
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -23,6 +23,7 @@
 use crate::ledger::RunLedger;
 use crate::proxy::StageProxy;
 use crate::store::StageStore;
+use crate::weights::StageWeights;
 
 /// Ports of each daemon, which has an address of its own.
 const CALLERS_PORT: u16 = 8101;
@@ -45,8 +46,14 @@
     pub daemons: usize,
     /// Model engines; each begins with one model.
     pub engines: usize,
-    /// Models; each engine has all on disk.
+    /// Models.
     pub models: usize,
+    /// Whether each engine begins with a copy of every model on its disk.
+    pub copies: bool,
+    /// Loads that the weight store serves at once at full speed.
+    pub loads_at_once: u32,
+    /// How many times longer a load from the weight store takes than stated.
+    pub load_slowness: u32,
     /// Backend servers of the plain service.
     pub servers: usize,
     /// The deployment's lease.
@@ -59,6 +66,9 @@
             daemons: 3,
             engines: 3,
             models: 8,
+            copies: true,
+            loads_at_once: 4,
+            load_slowness: 1,
             servers: 2,
             lease: TimeSpan::from_millis(1_000),
         }
@@ -82,6 +92,7 @@
     pub ledger: RunLedger,
     /// The manifest in force.
     pub manifest: ServingManifest,
+    weights: StageWeights,
 }
 
 impl Stage {
@@ -111,9 +122,16 @@
             daemons: Vec::new(),
             ledger: RunLedger::default(),
             manifest,
+            weights: StageWeights::new(plan.loads_at_once, plan.load_slowness),
         };
         for number in 0..plan.engines + plan.servers {
-            stage.add_engine(plan, number).await?;
+            let service = if number < plan.engines {
+                "assistant"
+            } else {
+                "orders"
+            };
+            let entry = engine_entry(plan, number, service)?;
+            stage.add_engine(entry).await?;
         }
         for number in 0..plan.daemons {
             let ip = network.daemon(number);
@@ -129,13 +147,29 @@
         Ok(stage)
     }
 
-    async fn add_engine(&mut self, plan: &StagePlan, number: usize) -> Result<(), StageError> {
-        let model = number < plan.engines;
-        let service = if model { "assistant" } else { "orders" };
+    /// Starts a model engine without any copy of a model, and lets `former`
+    /// drain.
+    ///
+    /// # Errors
+    /// When the new engine cannot be started.
+    pub async fn replace_engine(&mut self, former: usize) -> Result<(), StageError> {
+        let number = self.engines.len();
+        let plan = StagePlan {
+            engines: 0,
+            copies: false,
+            ..StagePlan::default()
+        };
+        self.add_engine(engine_entry(&plan, number, "assistant")?)
+            .await?;
+        self.engines[former].drain(&self.store);
+        Ok(())
+    }
+
+    async fn add_engine(&mut self, entry: EngineEntry) -> Result<(), StageError> {
         let ip = self.network.address(STAND_IN_HOST);
-        let entry = engine_entry(plan, number, service)?;
-        let class = self.manifest.engine_class(&service.parse()?).cloned();
-        let mut engine = StageEngine::start(ip, entry, class, self.ledger.clone()).await?;
+        let class = self.manifest.engine_class(&entry.service).cloned();
+        let (weights, ledger) = (self.weights.clone(), self.ledger.clone());
+        let mut engine = StageEngine::start(ip, entry, class, weights, ledger).await?;
         let link = StageProxy::start(ip, engine.address()).await?;
         engine.register(&self.store, link.address());
         self.engines.push(engine);
@@ -233,7 +267,7 @@
         heartbeat: HeartbeatCount(0),
         models: held.into_iter().collect(),
         in_memory: Vec::new(),
-        on_disk: models,
+        on_disk: if plan.copies { models } else { Vec::new() },
     })
 }
 
