The weight store brings what serves most requests, also ahead of engines that will leave

Change: fetch.rs weighs each model by its requests per second and those that wait, times the chance that all its copies are gone within one load (outlook.rs: pace of engines that left in the last 5 s; new ones apart). ceiling.rs begins with two, grows, and takes the number from a load that was late. slow.rs forecasts with the same order and number of loads; views hand the number on to successors. An engine that holds nothing gets a share of the busiest model while the store is idle.

The test slow_models_wait_for_their_turn_at_the_store now states the number of loads at once (one), which was the default before; what it expects is the same.

Still open: refusals that come back in vain, requests held to the end.

--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -135,6 +135,8 @@
     pub loads: Option<Vec<EngineLoad>>,
     /// Models that must come from the weight store, when loads are counted.
     pub slow: Vec<SlowModel>,
+    /// Loads that the weight store serves at once, as far as is known.
+    pub loads_at_once: u32,
     /// Daemons that take requests now, or have changed.
     pub joined: Vec<HostMember>,
     /// Daemons that take no more requests.
--- a/crates/ward-fleet/src/placement/ceiling.rs
+++ b/crates/ward-fleet/src/placement/ceiling.rs
@@ -1,41 +1,66 @@
 //! The weight store's limits.
 //!
 //! Load pattern: many models wanted that no engine has a copy of. The store
-//! allows a rate of loads, and slows all of them down when more run at once than
-//! it was built for. How many that is is learned: one load at first, one more
-//! after loads that took their time, one less after loads that took longer.
+//! allows a rate of loads, and slows them down in proportion when more run at
+//! once than it was built for. How many that is is learned: the number grows
+//! while loads take their time, and a load that took longer among others tells
+//! it exactly.
 
 use std::collections::VecDeque;
 
 use ward_protocol::{MonoTime, TimeSpan};
 
-use crate::number::real;
+use crate::number::{real, whole};
 
+/// Loads at once while nothing is known of the store.
+const FIRST_AT_ONCE: u32 = 2;
+/// Loads at once up to which the number doubles; above, one more at a time.
+const LAST_DOUBLED: u32 = 2;
 /// Most loads that are ever run at the same time.
-const MOST_AT_ONCE: usize = 8;
+const MOST_AT_ONCE: u32 = 16;
 /// A load is on time up to this part of its stated time, in percent.
-const ON_TIME_PERCENT: u64 = 125;
+const ON_TIME_PERCENT: u64 = 120;
+/// Loads on time, with the store in full use, after which a number that a late
+/// load told is tried again with one more.
+const RETRY_AFTER: u32 = 12;
 
 /// Loads from the weight store.
 #[derive(Debug, Clone)]
 pub struct StoreCeiling {
     begun: VecDeque<MonoTime>,
-    at_once: usize,
+    at_once: u32,
+    /// Whether a late load has told the number of loads at once.
+    told: bool,
+    /// Loads on time with the store in full use since the number changed.
+    on_time: u32,
 }
 
 impl Default for StoreCeiling {
     fn default() -> Self {
         Self {
             begun: VecDeque::new(),
-            at_once: 1,
+            at_once: FIRST_AT_ONCE,
+            told: false,
+            on_time: 0,
         }
     }
 }
 
 impl StoreCeiling {
+    /// Loads that may run at once.
+    #[must_use]
+    pub const fn at_once(&self) -> u32 {
+        self.at_once
+    }
+
+    /// Takes over the number that an earlier coordinator learned.
+    pub fn inherit(&mut self, at_once: u32) {
+        self.at_once = at_once.clamp(1, MOST_AT_ONCE);
+    }
+
     /// Whether one more load may begin while some run.
     #[must_use]
-    pub fn allows(&self, running: usize, per_second: f64, window: TimeSpan, now: MonoTime) -> bool {
+    pub fn allows(&self, running: u32, per_second: f64, window: TimeSpan, now: MonoTime) -> bool {
         let recent = self
             .begun
             .iter()
@@ -56,14 +81,34 @@
         self.begun.push_back(now);
     }
 
-    /// Learns from a load that took `taken` while `running` ran at its end, with
-    /// itself.
-    pub fn note_done(&mut self, stated: TimeSpan, taken: TimeSpan, running: usize) {
-        let on_time = taken.millis() * 100 <= stated.millis() * ON_TIME_PERCENT;
-        if !on_time {
-            self.at_once = self.at_once.saturating_sub(1).max(1);
-        } else if running >= self.at_once {
-            self.at_once = (self.at_once + 1).min(MOST_AT_ONCE);
+    /// Learns from a load that took `taken`, and began as one of `together`.
+    pub fn note_done(&mut self, stated: TimeSpan, taken: TimeSpan, together: u32) {
+        if taken.millis() * 100 <= stated.millis() * ON_TIME_PERCENT {
+            self.note_on_time(together);
+            return;
+        }
+        let served = f64::from(together) * stated.seconds() / taken.seconds().max(f64::EPSILON);
+        let served = u32::try_from(whole(served.round())).unwrap_or(MOST_AT_ONCE);
+        self.at_once = served.clamp(1, self.at_once);
+        self.told = true;
+        self.on_time = 0;
+    }
+
+    fn note_on_time(&mut self, together: u32) {
+        if together < self.at_once {
+            return;
+        }
+        self.on_time += 1;
+        let next = if self.told {
+            self.at_once + u32::from(self.on_time >= RETRY_AFTER)
+        } else if self.at_once <= LAST_DOUBLED {
+            self.at_once * 2
+        } else {
+            self.at_once + u32::from(self.on_time >= self.at_once)
+        };
+        if next > self.at_once {
+            self.at_once = next.min(MOST_AT_ONCE);
+            self.on_time = 0;
         }
     }
 }
--- a/crates/ward-fleet/src/placement/engine.rs
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -71,6 +71,8 @@
     pub source: LoadSource,
     /// When it was planned.
     pub since: MonoTime,
+    /// Loads from the weight store at that time, with this one if it is one.
+    pub together: u32,
 }
 
 /// Whether the engine itself was asked what it holds.
@@ -113,12 +115,16 @@
     pub audit: AuditState,
     /// When it was last asked.
     pub audited: MonoTime,
+    /// When it came, if it had no copy of any model then.
+    pub came_empty: Option<MonoTime>,
 }
 
 impl PlacedEngine {
     /// An engine as its first heartbeat describes it.
     #[must_use]
-    pub fn new(entry: &EngineEntry) -> Self {
+    pub fn new(entry: &EngineEntry, now: MonoTime) -> Self {
+        let empty =
+            entry.models.is_empty() && entry.in_memory.is_empty() && entry.on_disk.is_empty();
         let mut engine = Self {
             info: EngineInfo::from(entry),
             sequence: None,
@@ -131,6 +137,7 @@
             ordered: MonoTime::default(),
             audit: AuditState::Needed,
             audited: MonoTime::default(),
+            came_empty: empty.then_some(now),
         };
         engine.take_held(&entry.models);
         engine
--- a/crates/ward-fleet/src/placement/mod.rs
+++ b/crates/ward-fleet/src/placement/mod.rs
@@ -8,6 +8,8 @@
 mod ceiling;
 mod demand;
 mod engine;
+mod fetch;
+mod outlook;
 mod plan;
 mod slow;
 mod spread;
@@ -15,6 +17,7 @@
 mod victim;
 mod work;
 
+pub use ceiling::StoreCeiling;
 pub use demand::{DemandTable, ModelKey};
 pub use engine::{AuditState, LoadSource, PlacedEngine, PlacedModel};
 pub use plan::plan_work;
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -1,25 +1,30 @@
 //! The next work for engines.
 //!
-//! In order of need: models that requests wait for and no engine holds; busy
-//! models that need one more engine; idle memory that could hold a model which
-//! lies on the engine's disk and on no engine's memory; while the weight store is
-//! idle, models that no engine has a copy of, since they take longest when asked
-//! for.
+//! In order of need: models that requests wait for and an engine has at hand;
+//! models that the weight store must bring; busy models that need one more engine;
+//! idle memory that could hold a model which lies on the engine's disk and on no
+//! engine's memory; while the weight store is idle, engines that hold nothing, and
+//! models that no engine has a copy of, since they take longest when asked for.
 
-use ward_protocol::{BackendId, ModelName, MonoTime, TimeSpan};
+use indexmap::IndexMap;
+use ward_protocol::{BackendId, ModelName, MonoTime, ServiceName, TimeSpan};
 
 use super::adapter::plan_adapters;
-use super::demand::ModelKey;
+use super::demand::{ModelDemand, ModelKey};
 use super::engine::{AuditState, EngineTask, LoadSource, PlacedEngine};
+use super::fetch::{FetchList, FetchWish, fetch_wishes};
+use super::outlook::{LossOutlook, is_new, loss_outlooks};
 use super::spread::{ReplicaCounts, wanted_replicas};
 use super::state::PlacementState;
-use super::victim::{VictimChoice, VictimSearch};
+use super::victim::{RATE_COST_MILLIS, VictimChoice, VictimSearch};
 use super::work::{ModelWork, PlannedWork, WorkReason};
 use crate::manifest::{EngineClass, ServingManifest};
 use crate::number::real;
 
 /// Cost of giving a busy engine one more model, in milliseconds per request.
 const RUNNING_COST_MILLIS: f64 = 40.0;
+/// Concurrency from which on a model may get one more engine.
+const LEAST_BUSY: f64 = 1.0;
 /// Loads of the same model that may run at once to spread it.
 const MOST_SPREADS: usize = 2;
 /// Longest load that spreading a model is worth without an idle store.
@@ -36,17 +41,21 @@
     let adapters = plan_adapters(state, manifest, now);
     works.extend(adapters.into_iter().map(PlannedWork::Adapter));
     let counts = ReplicaCounts::of(state);
+    let outlooks = loss_outlooks(state, manifest, now);
     let mut planner = Planner {
         state,
         counts,
+        outlooks,
         manifest,
         window,
         now,
         works: Vec::new(),
     };
     planner.plan_missing();
+    planner.plan_fetches();
     planner.plan_busy();
     planner.plan_room();
+    planner.plan_empty();
     planner.plan_absent();
     works.extend(planner.works.into_iter().map(PlannedWork::Model));
     works
@@ -71,6 +80,7 @@
 struct Planner<'a> {
     state: &'a mut PlacementState,
     counts: ReplicaCounts,
+    outlooks: IndexMap<ServiceName, LossOutlook>,
     manifest: &'a ServingManifest,
     window: TimeSpan,
     now: MonoTime,
@@ -95,7 +105,49 @@
             .collect();
         missing.sort_by_key(|(since, _)| *since);
         for (_, key) in missing {
-            self.load_somewhere(&key, WorkReason::Missing, true);
+            self.load_somewhere(&key, WorkReason::Missing, false);
+        }
+    }
+
+    /// Brings from the weight store what is needed most.
+    fn plan_fetches(&mut self) {
+        if self.state.fetches.is_due(self.now) {
+            let wishes = fetch_wishes(self.state, self.manifest, &self.outlooks);
+            self.state.fetches = FetchList::new(wishes, self.now);
+        }
+        for wish in self.state.fetches.wishes.clone() {
+            if self.store_allows(&wish.key) && self.loading(&wish.key) == 0 {
+                self.fetch(&wish);
+            }
+        }
+    }
+
+    /// Loads one model from the weight store on the cheapest engine. What has a
+    /// copy still goes only to a new engine's free memory; what nobody waits for
+    /// takes no more away than it brings.
+    fn fetch(&mut self, wish: &FetchWish) {
+        let waiting = self
+            .state
+            .demand
+            .get(&wish.key)
+            .is_some_and(|demand| demand.waiting > 0);
+        let reason = if waiting && wish.absent {
+            WorkReason::Missing
+        } else {
+            WorkReason::Leaving
+        };
+        let candidates = self.state.engines.iter().filter_map(|(id, engine)| {
+            let candidate = self.candidate(&wish.key, id, engine, reason)?;
+            let fits = if wish.absent {
+                waiting || candidate.victims.cost <= wish.gain * RATE_COST_MILLIS
+            } else {
+                candidate.victims.models.is_empty() && is_new(engine, self.now)
+            };
+            (candidate.source == LoadSource::Store && fits).then_some(candidate)
+        });
+        let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
+        if let Some(candidate) = best {
+            self.add(&wish.key, candidate, reason);
         }
     }
 
@@ -104,7 +156,7 @@
             .state
             .demand
             .iter()
-            .filter(|(_, demand)| demand.concurrency >= 1.0)
+            .filter(|(_, demand)| demand.concurrency >= LEAST_BUSY)
             .map(|(key, demand)| {
                 let replicas = real(self.counts.get(key).max(1));
                 (key.clone(), demand.clone(), demand.concurrency / replicas)
@@ -144,13 +196,44 @@
         }
     }
 
-    /// Fetches one model that lies nowhere, before it is asked for.
-    fn plan_absent(&mut self) {
-        let fetching = |engine: &PlacedEngine| {
-            let task = engine.task.as_ref();
-            task.is_some_and(|task| task.source == LoadSource::Store)
+    /// Gives engines that hold nothing the model with most requests per replica.
+    fn plan_empty(&mut self) {
+        let is_empty = |engine: &PlacedEngine| engine.is_free(self.now) && engine.held.is_empty();
+        let engines = self.state.engines.iter();
+        let empty = engines.filter(|(_, engine)| is_empty(engine));
+        let empty: Vec<_> = empty.map(|(id, _)| id.clone()).collect();
+        for id in empty {
+            if let Some((key, candidate)) = self.empty_candidate(&id) {
+                self.add(&key, candidate, WorkReason::Busy);
+            }
+        }
+    }
+
+    fn empty_candidate(&self, id: &BackendId) -> Option<(ModelKey, Candidate)> {
+        let key = self.busiest_model(id)?;
+        let idle = self.state.store_loads().next().is_none() && self.store_allows(&key);
+        let engine = self.state.engines.get(id)?;
+        let candidate = self.candidate(&key, id, engine, WorkReason::Busy)?;
+        (idle || candidate.source != LoadSource::Store).then_some((key, candidate))
+    }
+
+    /// The model of an engine's service with most requests per replica.
+    fn busiest_model(&self, id: &BackendId) -> Option<ModelKey> {
+        let service = &self.state.engines.get(id)?.info.service;
+        let demands = self.state.demand.iter();
+        let demands = demands
+            .filter(|(key, demand)| key.service == *service && demand.concurrency >= LEAST_BUSY);
+        let share = |key: &ModelKey, demand: &ModelDemand| {
+            demand.concurrency / real(self.counts.get(key).max(1))
         };
-        if self.state.engines.values().any(fetching) {
+        let busiest =
+            demands.max_by(|left, right| share(left.0, left.1).total_cmp(&share(right.0, right.1)));
+        busiest.map(|(key, _)| key.clone())
+    }
+
+    /// Fetches models that lie nowhere, before they are asked for.
+    fn plan_absent(&mut self) {
+        if !self.state.fetches.wishes.is_empty() {
             return;
         }
         let services = self.manifest.services.iter();
@@ -227,25 +310,10 @@
         let Some(candidate) = best else {
             return false;
         };
-        if reason == WorkReason::Missing
-            && candidate.source == LoadSource::Store
-            && self.comes_soon(key)
-        {
-            return false;
-        }
         self.add(key, candidate, reason);
         true
     }
 
-    /// Whether an engine that has a copy at hand will be free for it soon.
-    fn comes_soon(&self, key: &ModelKey) -> bool {
-        self.state.engines.values().any(|engine| {
-            engine.info.service == key.service
-                && !engine.info.draining
-                && engine.source(&key.model) != LoadSource::Store
-        })
-    }
-
     fn candidate(
         &self,
         key: &ModelKey,
@@ -273,10 +341,12 @@
         let source = engine.source(&key.model);
         let load = source.load_time(model).seconds() * 1_000.0;
         let running = RUNNING_COST_MILLIS * f64::from(engine.running());
+        let outlook = self.outlooks.get(&key.service);
+        let lost = outlook.map_or(0.0, |outlook| outlook.chance(engine)) * load;
         Some(Candidate {
             engine: id.clone(),
             source,
-            cost: load + victims.cost + running,
+            cost: load + lost + victims.cost + running,
             victims,
         })
     }
@@ -284,14 +354,7 @@
     fn store_allows(&self, key: &ModelKey) -> bool {
         let class = self.manifest.engine_class(&key.service);
         let rate = class.map_or(0.0, |class| class.loads_per_second);
-        let tasks = self
-            .state
-            .engines
-            .values()
-            .filter_map(|engine| engine.task.as_ref());
-        let running = tasks
-            .filter(|task| task.source == LoadSource::Store)
-            .count();
+        let running = self.state.store_load_count();
         self.state
             .ceiling
             .allows(running, rate, self.window, self.now)
@@ -322,6 +385,7 @@
         else {
             return;
         };
+        let together = self.state.store_load_count() + 1;
         let Some(engine) = self.state.engines.get_mut(&candidate.engine) else {
             return;
         };
@@ -339,6 +403,7 @@
             model: key.model.clone(),
             source: candidate.source,
             since: self.now,
+            together,
         });
         let target = engine.target();
         if candidate.source == LoadSource::Store {
@@ -350,6 +415,7 @@
             model: key.model.clone(),
             source: candidate.source,
             load_time,
+            together,
             reason,
         });
     }
--- a/crates/ward-fleet/src/placement/slow.rs
+++ b/crates/ward-fleet/src/placement/slow.rs
@@ -2,16 +2,23 @@
 //!
 //! Load pattern: requests for models that no engine has a copy of, while the
 //! store carries only few loads at once. Daemons that know how long it takes
-//! refuse at once what cannot be ready in time.
+//! refuse at once what cannot be ready in time, and name a time to come back
+//! that the planned order of loads bears out.
 
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::demand::ModelKey;
-use super::engine::LoadSource;
+use super::engine::EngineTask;
 use super::state::PlacementState;
 use crate::manifest::ServingManifest;
 use crate::message::SlowModel;
 
+/// Part of its stated time that a load which is overdue is given, in percent.
+const OVERDUE_PERCENT: u64 = 25;
+/// Most models that daemons are told of; the rest come later than any request
+/// waits.
+const MOST_SLOW: usize = 64;
+
 /// Models that are fetched now, and those that wait for their turn.
 #[must_use]
 pub fn slow_models(
@@ -20,35 +27,59 @@
     now: MonoTime,
 ) -> Vec<SlowModel> {
     let mut slow = Vec::new();
-    let mut turn = TimeSpan::ZERO;
-    for engine in state.engines.values() {
-        let task = engine.task.as_ref();
-        let Some(task) = task.filter(|task| task.source == LoadSource::Store) else {
-            continue;
-        };
+    let mut places = Vec::new();
+    for (engine, task) in state.store_loads() {
         let key = ModelKey {
             service: engine.info.service.clone(),
             model: task.model.clone(),
         };
-        let ready_in = load_time(manifest, &key).saturating_sub(now.since(task.since));
-        turn = turn.max(ready_in);
-        slow.push(slow_model(key, ready_in));
+        let ready_in = time_left(task, load_time(manifest, &key), now);
+        places.push(ready_in);
+        if !is_held(state, &key) {
+            slow.push(slow_model(key, ready_in));
+        }
     }
-    for (key, demand) in state.demand.iter().filter(|(_, demand)| demand.waiting > 0) {
-        let present = state.engines.values().any(|engine| {
-            engine.info.service == key.service
-                && !engine.info.draining
-                && (engine.has_or_expects(&key.model)
-                    || engine.source(&key.model) != LoadSource::Store)
-        });
-        if !present && demand.waiting_since.is_some() {
-            turn = turn + load_time(manifest, key);
-            slow.push(slow_model(key.clone(), turn));
+    let at_once = usize::try_from(state.ceiling.at_once()).unwrap_or(usize::MAX);
+    places.resize(at_once.max(places.len()), TimeSpan::ZERO);
+    for wish in state.fetches.wishes.iter().take(MOST_SLOW) {
+        if slow.iter().any(|slow| is_model(slow, &wish.key)) {
+            continue;
+        }
+        let Some(place) = places.iter_mut().min() else {
+            break;
+        };
+        *place = *place + load_time(manifest, &wish.key);
+        if wish.absent {
+            slow.push(slow_model(wish.key.clone(), *place));
         }
     }
     slow
 }
 
+fn time_left(task: &EngineTask, stated: TimeSpan, now: MonoTime) -> TimeSpan {
+    let left = stated.saturating_sub(now.since(task.since));
+    let overdue = TimeSpan::from_millis(stated.millis() * OVERDUE_PERCENT / 100);
+    if left == TimeSpan::ZERO {
+        overdue
+    } else {
+        left
+    }
+}
+
+/// Whether an engine that stays holds a model.
+fn is_held(state: &PlacementState, key: &ModelKey) -> bool {
+    state.engines.values().any(|engine| {
+        let held = engine.held.get(&key.model);
+        engine.info.service == key.service
+            && !engine.info.draining
+            && held.is_some_and(|held| !held.leaving)
+    })
+}
+
+fn is_model(slow: &SlowModel, key: &ModelKey) -> bool {
+    slow.service == key.service && slow.model == key.model
+}
+
 fn slow_model(key: ModelKey, ready_in: TimeSpan) -> SlowModel {
     SlowModel {
         service: key.service,
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -5,7 +5,9 @@
 
 use super::ceiling::StoreCeiling;
 use super::demand::{DemandTable, ModelKey};
-use super::engine::{AuditState, LoadSource, PlacedAdapter, PlacedEngine};
+use super::engine::{AuditState, EngineTask, LoadSource, PlacedAdapter, PlacedEngine};
+use super::fetch::FetchList;
+use super::outlook::LossHistory;
 use super::work::WorkTarget;
 use crate::entry::{EngineEntry, HeldModel, OrderSequence};
 use crate::message::{EngineInfo, EngineLoad, LoadReport};
@@ -23,6 +25,8 @@
     pub demand: DemandTable,
     /// Loads from the weight store.
     pub ceiling: StoreCeiling,
+    pub(super) losses: LossHistory,
+    pub(super) fetches: FetchList,
     reports: IndexMap<MemberKey, LoadReport>,
 }
 
@@ -32,12 +36,16 @@
     pub fn note_entry(&mut self, entry: &EngineEntry, now: MonoTime) -> bool {
         match self.engines.get_mut(&entry.id) {
             Some(engine) if engine.info.birth == entry.birth => {
+                let drained = engine.info.draining;
                 engine.refresh(entry, now);
+                if engine.info.draining && !drained {
+                    self.losses.note(engine, now);
+                }
                 false
             }
             Some(engine) if entry.birth < engine.info.birth => false,
             _ => {
-                let engine = PlacedEngine::new(entry);
+                let engine = PlacedEngine::new(entry, now);
                 self.engines.insert(entry.id.clone(), engine);
                 true
             }
@@ -45,8 +53,11 @@
     }
 
     /// Forgets an engine.
-    pub fn remove_engine(&mut self, id: &BackendId) {
-        self.engines.shift_remove(id);
+    pub fn remove_engine(&mut self, id: &BackendId, now: MonoTime) {
+        let engine = self.engines.shift_remove(id);
+        if let Some(engine) = engine.filter(|engine| !engine.info.draining) {
+            self.losses.note(&engine, now);
+        }
     }
 
     /// Takes over a daemon's report.
@@ -132,16 +143,16 @@
         loads.collect()
     }
 
-    /// Learns how long a load from the weight store took.
-    pub fn note_store_load(&mut self, stated: TimeSpan, taken: TimeSpan) {
-        let tasks = self
-            .engines
-            .values()
-            .filter_map(|engine| engine.task.as_ref());
-        let running = tasks
-            .filter(|task| task.source == LoadSource::Store)
-            .count();
-        self.ceiling.note_done(stated, taken, running);
+    /// Number of loads from the weight store that run now.
+    pub(super) fn store_load_count(&self) -> u32 {
+        u32::try_from(self.store_loads().count()).unwrap_or(u32::MAX)
+    }
+
+    /// Loads from the weight store that run now.
+    pub(super) fn store_loads(&self) -> impl Iterator<Item = (&PlacedEngine, &EngineTask)> {
+        let engines = self.engines.values();
+        let tasks = engines.filter_map(|engine| Some((engine, engine.task.as_ref()?)));
+        tasks.filter(|(_, task)| task.source == LoadSource::Store)
     }
 
     /// What daemons are told of the engines.
--- a/crates/ward-fleet/src/placement/victim.rs
+++ b/crates/ward-fleet/src/placement/victim.rs
@@ -18,7 +18,7 @@
 /// A model that was used or loaded so recently stays.
 const FRESH: TimeSpan = TimeSpan::from_millis(400);
 /// Cost of a model's absence per request per second, in milliseconds.
-const RATE_COST_MILLIS: f64 = 600.0;
+pub(super) const RATE_COST_MILLIS: f64 = 600.0;
 /// Cost of ordering an unload, in milliseconds.
 const UNLOAD_COST_MILLIS: f64 = 30.0;
 /// Cost of taking away a model in use, and of each of its requests, in
--- a/crates/ward-fleet/src/placement/work.rs
+++ b/crates/ward-fleet/src/placement/work.rs
@@ -50,6 +50,8 @@
     pub source: LoadSource,
     /// How long loading should take.
     pub load_time: TimeSpan,
+    /// Loads from the weight store when it was planned, with this one.
+    pub together: u32,
     /// Why.
     pub reason: WorkReason,
 }
@@ -59,6 +61,8 @@
 pub enum WorkReason {
     /// Requests wait for it and no engine holds it.
     Missing,
+    /// Its last copies are gone, or on engines that are likely to leave.
+    Leaving,
     /// Its engines have too many requests.
     Busy,
     /// The engine has room for it.
--- /dev/null
+++ b/crates/ward-fleet/tests/fetch.rs
@@ -0,0 +1,245 @@
+//! What the weight store brings, and when, while engines are replaced by empty
+//! ones.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use googletest::prelude::*;
+use support::{at, entry, id, manifest, name, report, running, waiting};
+use ward_fleet::placement::{
+    LoadSource, MemberKey, ModelWork, PlacementState, PlannedWork, StoreCeiling, WorkReason,
+    plan_work, slow_models,
+};
+use ward_fleet::{EngineEntry, LoadReport, OrderSequence, ServingManifest, WaitingCount};
+use ward_protocol::TimeSpan;
+
+const WINDOW: TimeSpan = TimeSpan::from_secs(5);
+const LOAD: TimeSpan = TimeSpan::from_secs(6);
+
+fn state(entries: &[EngineEntry]) -> PlacementState {
+    let mut state = PlacementState::default();
+    for entry in entries {
+        state.note_entry(entry, at(0));
+        settle_engine(&mut state, entry);
+    }
+    state
+}
+
+fn settle_engine(state: &mut PlacementState, entry: &EngineEntry) {
+    let engine = state.engines.get_mut(&entry.id).unwrap();
+    engine.note_report(OrderSequence(0), &entry.models);
+}
+
+fn arrivals(model: &str, count: u32) -> LoadReport {
+    LoadReport {
+        arrivals: vec![waiting(model, None, count)],
+        ..LoadReport::default()
+    }
+}
+
+/// The engine `old` drains, and one without any copy has come.
+fn replace(state: &mut PlacementState, old: &EngineEntry, new: &str, time: u64) {
+    let new = entry(new, &[], &[]);
+    state.note_entry(&new, at(time));
+    settle_engine(state, &new);
+    let mut old = old.clone();
+    old.draining = true;
+    state.note_entry(&old, at(time));
+}
+
+fn plan(
+    state: &mut PlacementState,
+    manifest: &ServingManifest,
+    load: LoadReport,
+    time: u64,
+) -> Vec<ModelWork> {
+    state.note_report(MemberKey(1), load);
+    state.settle(at(time));
+    let works = plan_work(state, manifest, WINDOW, at(time));
+    let works = works.into_iter().filter_map(|work| match work {
+        PlannedWork::Model(work) => Some(work),
+        _ => None,
+    });
+    works.collect()
+}
+
+#[gtest]
+fn plan_work_model_on_engines_that_are_replaced_is_fetched_before_they_are_gone() {
+    let names = ["m1", "m2", "m3"];
+    let entries: Vec<_> = (0..4)
+        .map(|number| entry(&format!("e{number}"), &names, &names))
+        .collect();
+    let mut state = state(&entries);
+    let manifest = manifest(&names);
+    plan(&mut state, &manifest, arrivals("m1", 150), 1_000);
+    let mut fetched = Vec::new();
+    for step in 0..3 {
+        let time = 2_000 + step * 1_000;
+        let old = &entries[usize::try_from(step).unwrap()];
+        replace(&mut state, old, &format!("new{step}"), time);
+        fetched.extend(plan(&mut state, &manifest, LoadReport::default(), time));
+    }
+    let first = fetched.first().unwrap();
+    expect_that!(first.model, eq(&name("m1")));
+    expect_that!(first.source, eq(LoadSource::Store));
+    expect_that!(first.reason, eq(WorkReason::Leaving));
+    expect_that!(first.target.engine.as_str(), starts_with("new"));
+}
+
+#[gtest]
+fn plan_work_model_whose_copies_stay_is_not_fetched() {
+    let entries = [
+        entry("e1", &["m1"], &["m1"]),
+        entry("e2", &["m1"], &["m1"]),
+        entry("e3", &[], &[]),
+    ];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1"]);
+    for step in 0..50 {
+        let load = arrivals("m1", 1);
+        expect_that!(
+            plan(&mut state, &manifest, load, 1_000 + step * 200),
+            is_empty()
+        );
+    }
+}
+
+#[gtest]
+fn plan_work_busy_model_goes_before_one_that_a_single_request_waits_for() {
+    let entries = [entry("e1", &[], &[]), entry("e2", &[], &[])];
+    let mut state = state(&entries);
+    state.ceiling.inherit(1);
+    let manifest = manifest(&["busy", "rare"]);
+    let load = LoadReport {
+        waiting: vec![waiting("rare", None, 1), waiting("busy", None, 9)],
+        arrivals: vec![waiting("busy", None, 30), waiting("rare", None, 1)],
+        ..LoadReport::default()
+    };
+    let works = plan(&mut state, &manifest, load, 1_000);
+    expect_that!(works.len(), eq(1));
+    expect_that!(works[0].model, eq(&name("busy")));
+}
+
+#[gtest]
+fn plan_work_draining_engine_gets_no_load() {
+    let mut leaving = entry("e1", &[], &[]);
+    leaving.leaves_in = Some(TimeSpan::from_secs(2));
+    let mut state = state(&[leaving, entry("e2", &[], &[])]);
+    let manifest = manifest(&["m1"]);
+    let load = report(vec![], vec![waiting("m1", None, 1)]);
+    let works = plan(&mut state, &manifest, load, 1_000);
+    expect_that!(works.len(), eq(1));
+    expect_that!(works[0].target.engine, eq(&id("e2")));
+}
+
+#[gtest]
+fn plan_work_empty_engine_takes_a_share_of_the_busiest_model() {
+    let entries = [entry("e1", &["m1"], &["m1"]), entry("e2", &[], &[])];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1"]);
+    let mut works = Vec::new();
+    for step in 0..20 {
+        let load = report(vec![running("e1", "m1", 4)], vec![]);
+        works.extend(plan(&mut state, &manifest, load, 1_000 + step * 100));
+    }
+    expect_that!(works.len(), eq(1));
+    expect_that!(works[0].target.engine, eq(&id("e2")));
+}
+
+#[gtest]
+fn note_done_number_of_loads_grows_while_they_are_on_time() {
+    let mut ceiling = StoreCeiling::default();
+    let first = ceiling.at_once();
+    ceiling.note_done(LOAD, LOAD, first);
+    expect_that!(ceiling.at_once(), gt(first));
+    let alone = ceiling.at_once();
+    ceiling.note_done(LOAD, LOAD, 1);
+    expect_that!(ceiling.at_once(), eq(alone), "a load alone tells nothing");
+}
+
+#[gtest]
+fn note_done_late_load_tells_how_many_are_served() {
+    for (served, together) in [(1, 2), (4, 5), (4, 8), (3, 4)] {
+        let mut ceiling = StoreCeiling::default();
+        ceiling.inherit(together);
+        let taken = TimeSpan::from_millis(LOAD.millis() * u64::from(together) / served);
+        ceiling.note_done(LOAD, taken + TimeSpan::from_millis(500), together);
+        expect_that!(u64::from(ceiling.at_once()), eq(served));
+        for _ in 0..served {
+            ceiling.note_done(LOAD, LOAD, ceiling.at_once());
+        }
+        expect_that!(u64::from(ceiling.at_once()), eq(served));
+    }
+}
+
+/// Runs the loads that are planned in virtual time; returns when a model is ready.
+fn ready_time(
+    state: &mut PlacementState,
+    manifest: &ServingManifest,
+    waits: &[WaitingCount],
+    model: &str,
+    from: u64,
+) -> u64 {
+    let mut running: Vec<(u64, ModelWork)> = Vec::new();
+    for time in (from..from + 90_000).step_by(100) {
+        running.retain(|(end, work)| {
+            if *end > time {
+                return true;
+            }
+            let engine = state.engine_mut(&work.target).unwrap();
+            engine.task = None;
+            engine.note_loaded(&work.model, at(time));
+            false
+        });
+        let held = |engine: &ward_fleet::placement::PlacedEngine| {
+            engine
+                .held
+                .contains_key::<ward_protocol::ModelName>(&name(model))
+        };
+        if state.engines.values().any(held) {
+            return time;
+        }
+        let works = plan(state, manifest, report(vec![], waits.to_vec()), time);
+        running.extend(works.into_iter().map(|work| (time + LOAD.millis(), work)));
+    }
+    panic!("{model} is never ready");
+}
+
+#[gtest]
+fn slow_models_promised_time_comes_true() {
+    let names: Vec<String> = (0..12).map(|number| format!("m{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let manifest = manifest(&names);
+    for at_once in [1, 2, 4] {
+        for wanted in ["m0", "m5", "m11"] {
+            let entries: Vec<_> = (0..6)
+                .map(|number| entry(&format!("e{number}"), &[], &[]))
+                .collect();
+            let mut state = state(&entries);
+            state.ceiling.inherit(at_once);
+            let counts = names.iter().zip(1..);
+            let waits: Vec<_> = counts
+                .map(|(model, number)| waiting(model, None, 13 - number))
+                .collect();
+            state.note_report(MemberKey(1), report(vec![], waits.clone()));
+            state.settle(at(1_000));
+            let mut promised = state.clone();
+            plan_work(&mut promised, &manifest, WINDOW, at(1_000));
+            let slow = slow_models(&promised, &manifest, at(1_000));
+            let promise = slow.iter().find(|slow| slow.model == name(wanted)).unwrap();
+            let ready = ready_time(&mut state, &manifest, &waits, wanted, 1_000);
+            let taken = ready - 1_000;
+            expect_that!(
+                taken,
+                le(promise.ready_in.millis() + 1_000),
+                "{wanted}, {at_once} at once"
+            );
+            expect_that!(
+                taken + 1_000,
+                ge(promise.ready_in.millis()),
+                "{wanted}, {at_once} at once"
+            );
+        }
+    }
+}
--- a/crates/ward-fleet/tests/placement.rs
+++ b/crates/ward-fleet/tests/placement.rs
@@ -297,6 +297,7 @@
 #[gtest]
 fn slow_models_wait_for_their_turn_at_the_store() {
     let mut state = state(&[entry("e1", &[], &[]), entry("e2", &[], &[])]);
+    state.ceiling.inherit(1);
     let manifest = manifest(&["m1", "m2"]);
     let wanted = vec![waiting("m1", None, 1), waiting("m2", None, 1)];
     plan(&mut state, &manifest, report(vec![], wanted), at(2_000));
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -57,6 +57,7 @@
         gone: Vec::new(),
         loads: None,
         slow: Vec::new(),
+        loads_at_once: 1,
         joined: Vec::new(),
         left: Vec::new(),
         engines_end: None,
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -203,7 +203,7 @@
 
     /// Notes that an engine is gone.
     pub(super) fn remove_engine(&self, id: &BackendId) {
-        self.state.borrow_mut().remove_engine(id);
+        self.state.borrow_mut().remove_engine(id, clock::now());
         self.wake.notify_one();
     }
 }
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -114,6 +114,7 @@
         gone: engine_changes.gone,
         loads: loads_due.then(|| coordinator.state.borrow().loads()),
         slow: news.slow,
+        loads_at_once: coordinator.state.borrow().ceiling.at_once(),
         joined: member_changes.joined,
         left: member_changes.left,
         engines_end: coordinator.engines_end.get(),
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -140,7 +140,9 @@
                 self.confirm_load(work).await?;
                 let taken = clock::now().since(begun);
                 let mut state = self.coordinator.state.borrow_mut();
-                state.note_store_load(work.load_time, taken);
+                state
+                    .ceiling
+                    .note_done(work.load_time, taken, work.together);
             }
         }
         Ok(())
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -51,6 +51,8 @@
     pub(crate) told_end: Cell<Option<u64>>,
     /// Woken when the store answers again after a call that failed.
     pub(crate) store_regained: Notify,
+    /// Loads that the weight store serves at once, as the coordinator tells.
+    pub(crate) loads_at_once: Cell<Option<u32>>,
     /// When the coordinator had last heard from the store, as its views tell.
     pub(crate) view_time: Cell<Option<MonoTime>>,
     /// When this daemon last read the engines from the store itself.
@@ -99,6 +101,7 @@
             manifest_wanted: Notify::new(),
             told_end: Cell::default(),
             store_regained: Notify::new(),
+            loads_at_once: Cell::default(),
             view_time: Cell::default(),
             read_time: Cell::default(),
             store_streak: Cell::default(),
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -333,6 +333,7 @@
     gateway.table.borrow_mut().apply(view, outdated);
     view.apply_members(&mut gateway.members.borrow_mut());
     gateway.told_end.set(view.engines_end);
+    gateway.loads_at_once.set(Some(view.loads_at_once));
     if view.loads.is_some() {
         gateway.queue.note_slow(&view.slow, now);
     }
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -158,7 +158,8 @@
             model: ticket.model.clone()?,
         };
         let ready = *self.slow.borrow().get(&key)?;
-        (ready > ticket.times.deadline).then(|| ready.since(clock::now()))
+        let answered = ready + ticket.times.first_part;
+        (answered > ticket.times.deadline).then(|| ready.since(clock::now()))
     }
 
     /// Forgets flows that have dried up, and routes once they are many.
