Requests wait for an engine no longer than their callers wait for an answer

Change: the adapter reads the pause of a route; ServingRoute::stream_patience says how long a caller waits; queue and refusals go by it, and a request that an engine could only begin too late is refused at once. Relays use the route's pause instead of a constant, and go on elsewhere only while the caller is there. Test: stream_that_cannot_begin_before_its_caller_leaves_is_refused_at_once, failed before (2.2 s of 2.0 s).

--- a/crates/ward-daemon/tests/gateway/weights.rs
+++ b/crates/ward-daemon/tests/gateway/weights.rs
@@ -1,6 +1,6 @@
 //! Models that must come from the weight store.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use http::StatusCode;
@@ -56,3 +56,28 @@
     expect_that!(answer.status, eq(StatusCode::OK));
     expect_sound_orders(&stage);
 }
+
+/// Time after which the callers of a stage's streams leave when nothing comes.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_cannot_begin_before_its_caller_leaves_is_refused_at_once() {
+    let plan = StagePlan {
+        load_slowness: 30,
+        ..empty_engines()
+    };
+    let stage = stage("no-weights", &plan).await;
+    for round in 0..4 {
+        for (number, path) in ["/quick/a", "/quote/a"].into_iter().enumerate() {
+            let id = format!("r{round}-{number}");
+            let model = Stage::model(3 + round);
+            let begun = Instant::now();
+            let request = CallerRequest::new(&id, path, Some(&model));
+            let answer = send(&stage, 0, &request).await.unwrap();
+            let taken = begun.elapsed();
+            expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE), "{id}");
+            expect_that!(taken, lt(CALLER_PATIENCE), "{id}");
+        }
+    }
+}
--- a/crates/ward-fleet/src/manifest.rs
+++ b/crates/ward-fleet/src/manifest.rs
@@ -38,6 +38,8 @@
     pub timeout: TimeSpan,
     /// Time within which an answer is on time.
     pub target_latency: TimeSpan,
+    /// Longest pause between events of a stream that is on time.
+    pub event_pause: TimeSpan,
     /// Most engines that one attempt of a caller may run on.
     pub attempts: u32,
     /// Urgency; zero is the most urgent.
@@ -149,7 +151,41 @@
     }
 }
 
+/// Callers of streams wait at least so long for the next event.
+const LEAST_STREAM_PATIENCE: TimeSpan = TimeSpan::from_secs(2);
+/// Multiples of a route's target and pause that callers of streams wait.
+const TARGETS_WAITED: u64 = 4;
+const PAUSES_WAITED: u64 = 8;
+
 impl ServingRoute {
+    /// Time without an event after which the callers of a stream leave; nothing
+    /// for answers that are no streams.
+    ///
+    /// ```
+    /// # use ward_fleet::{RouteKind, ServingRoute};
+    /// # use ward_protocol::TimeSpan;
+    /// let route = ServingRoute {
+    ///     name: "quick".to_owned(),
+    ///     host: "shop.example".to_owned(),
+    ///     prefix: "/quick/".to_owned(),
+    ///     targets: Vec::new(),
+    ///     kind: RouteKind::Stream,
+    ///     timeout: TimeSpan::from_secs(6),
+    ///     target_latency: TimeSpan::from_millis(500),
+    ///     event_pause: TimeSpan::from_millis(600),
+    ///     attempts: 1,
+    ///     priority: 0,
+    /// };
+    /// assert_eq!(route.stream_patience(), Some(TimeSpan::from_millis(4_800)));
+    /// ```
+    #[must_use]
+    pub fn stream_patience(&self) -> Option<TimeSpan> {
+        let targets = TimeSpan::from_millis(self.target_latency.millis() * TARGETS_WAITED);
+        let pauses = TimeSpan::from_millis(self.event_pause.millis() * PAUSES_WAITED);
+        let patience = LEAST_STREAM_PATIENCE.max(targets).max(pauses);
+        self.kind.is_stream().then_some(patience)
+    }
+
     /// The service for a draw from 0 up to 1.
     #[must_use]
     pub fn pick_service(&self, draw: f64) -> &ServiceName {
--- a/crates/ward-fleet/src/queue.rs
+++ b/crates/ward-fleet/src/queue.rs
@@ -32,6 +32,14 @@
     pub first_part: TimeSpan,
 }
 
+impl RequestTimes {
+    /// Until when an engine must begin for the answer to be of use.
+    #[must_use]
+    pub fn last_begin(&self) -> MonoTime {
+        self.deadline - self.first_part
+    }
+}
+
 impl QueueRank {
     /// Whether the request can no longer meet its target.
     #[must_use]
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -147,6 +147,7 @@
         kind: RouteKind::Safe,
         timeout: TimeSpan::from_secs(5),
         target_latency: TimeSpan::from_millis(500),
+        event_pause: TimeSpan::from_millis(600),
         attempts: 2,
         priority: 0,
     }
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -6,7 +6,6 @@
 //! which cancels the request there.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::{self, Stream};
@@ -29,8 +28,6 @@
 /// Silence, in pauses that the route allows, after which a stream goes on
 /// elsewhere.
 const SILENT_PAUSES: u32 = 3;
-/// Pause assumed where the route names none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(600);
 /// Least time that must be left for a stream to go on elsewhere.
 const LEAST_TIME: TimeSpan = TimeSpan::from_millis(200);
 
@@ -58,6 +55,10 @@
     pub(crate) resume: Option<WaitTicket>,
     /// Engines that may still be tried.
     pub(crate) attempts_left: u32,
+    /// Longest pause between events that is on time.
+    pub(crate) event_pause: TimeSpan,
+    /// Time without an event after which the caller leaves.
+    pub(crate) caller_patience: TimeSpan,
 }
 
 struct Source {
@@ -74,9 +75,13 @@
     source: Option<Source>,
     resume: Option<WaitTicket>,
     attempts_left: u32,
+    event_pause: TimeSpan,
+    caller_patience: TimeSpan,
     cutter: EventCutter,
     bytes: u64,
     begun: MonoTime,
+    /// When bytes were last passed on.
+    passed: MonoTime,
 }
 
 impl From<Attempt> for Source {
@@ -105,9 +110,12 @@
             source: Some(Source::from(start.attempt)),
             resume: start.resume,
             attempts_left: start.attempts_left,
+            event_pause: start.event_pause,
+            caller_patience: start.caller_patience,
             cutter: EventCutter::default(),
             bytes: 0,
             begun: clock::now(),
+            passed: clock::now(),
         }
     }
 
@@ -130,6 +138,7 @@
                     let bytes = self.cut(bytes);
                     if !bytes.is_empty() {
                         self.bytes += bytes.len() as u64;
+                        self.passed = clock::now();
                         return Ok(Some(bytes));
                     }
                 }
@@ -158,7 +167,8 @@
         };
         let left = (self.request.deadline + END_GRACE).since(clock::now());
         let patience = if self.resume.is_some() {
-            left.duration().min(DEFAULT_PAUSE * SILENT_PAUSES)
+            left.duration()
+                .min(self.event_pause.duration() * SILENT_PAUSES)
         } else {
             left.duration()
         };
@@ -219,6 +229,8 @@
             return false;
         };
         ticket.avoided.insert(broken.clone());
+        let leaves = self.passed + self.caller_patience;
+        ticket.times.deadline = leaves.min(self.request.deadline);
         while self.may_go_on(&ticket) {
             self.attempts_left -= 1;
             info!(
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -208,7 +208,7 @@
         priority: routed.route.priority,
         times: RequestTimes {
             target: begun + routed.route.target_latency,
-            deadline: (begun + routed.patience) - LEAST_SERVICE,
+            deadline: (begun + routed.begin_patience) - LEAST_SERVICE,
             first_part: gateway.queue.first_part(&routed.route.name),
         },
         avoided: IndexSet::new(),
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -157,6 +157,8 @@
             request: self.request.clone(),
             resume: resumable.then(|| self.ticket.clone()),
             attempts_left: self.routed.route.attempts.saturating_sub(runs),
+            event_pause: self.routed.route.event_pause,
+            caller_patience: self.routed.begin_patience,
         };
         StreamRelay::new(Rc::clone(gateway), start)
     }
--- a/crates/ward-gateway/src/front/route.rs
+++ b/crates/ward-gateway/src/front/route.rs
@@ -12,6 +12,8 @@
     pub(super) marks: RequestMarks,
     /// Time until the caller or the route gives up.
     pub(super) patience: TimeSpan,
+    /// Time until the caller leaves if no answer has begun.
+    pub(super) begin_patience: TimeSpan,
 }
 
 /// Finds the route of a request.
@@ -26,11 +28,13 @@
     let patience = marks
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let stream_patience = route.stream_patience();
     Some(RoutedRequest {
         route,
         service,
         marks,
         patience,
+        begin_patience: stream_patience.map_or(patience, |stream| stream.min(patience)),
     })
 }
 
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -158,8 +158,7 @@
             model: ticket.model.clone()?,
         };
         let ready = *self.slow.borrow().get(&key)?;
-        let answered = ready + ticket.times.first_part;
-        (answered > ticket.times.deadline).then(|| ready.since(clock::now()))
+        (ready > ticket.times.last_begin()).then(|| ready.since(clock::now()))
     }
 
     /// Forgets flows that have dried up, and routes once they are many.
@@ -212,7 +211,7 @@
     let number = queue.next.get();
     queue.next.set(number + 1);
     let (grant, granted) = oneshot::channel();
-    let left = ticket.times.deadline.since(clock::now());
+    let left = ticket.times.last_begin().since(clock::now());
     let waiter = Waiter {
         number,
         ticket,
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -339,6 +339,7 @@
         kind,
         timeout: TimeSpan::from_millis(2_500),
         target_latency: TimeSpan::from_millis(500),
+        event_pause: TimeSpan::from_millis(200),
         attempts,
         priority: 0,
     })
