--- a/crates/ward-fleet/src/placement/fetch.rs
+++ b/crates/ward-fleet/src/placement/fetch.rs
@@ -3,10 +3,12 @@
 //! Load pattern: more models without a copy at hand than the weight store can
 //! bring in time, since engines were replaced by empty ones or many rare models
 //! are asked for at once. The store brings first what serves most requests for
-//! its time: a model counts by its requests per second and those that wait, times
-//! the chance that all its copies are gone before a load could be repeated. So a
-//! busy model whose last copies are about to leave goes before a rare one that a
-//! single request waits for, and one whose copies stay is not fetched at all.
+//! its time: a model counts by its requests per second and, less, by those that
+//! wait, times the chance that all its copies are gone before a load could be
+//! repeated. So a busy model whose last copies are about to leave goes before a
+//! rare one that a single request waits for, and one whose copies stay is not
+//! fetched at all. The order changes slowly, so that a time named to a caller
+//! holds.
 
 use indexmap::{IndexMap, IndexSet};
 use ward_protocol::{ModelName, MonoTime, ServiceName, TimeSpan};
@@ -19,8 +21,11 @@
 
 /// Least time between two looks at all copies of all models.
 const FETCH_PAUSE: TimeSpan = TimeSpan::from_millis(100);
-/// Time over which a waiting request counts like those that arrive.
-const WAITING_SPAN: TimeSpan = TimeSpan::from_secs(5);
+/// Time over which a waiting request counts, beside its arrival.
+const WAITING_SPAN: TimeSpan = TimeSpan::from_secs(30);
+/// Requests per second for each second of the longest wait, so that of models
+/// asked for equally often the one waited for longest goes first.
+const AGE_GAIN: f64 = 0.002;
 /// Least requests per second that a fetch ahead of need should save.
 const LEAST_GAIN: f64 = 0.1;
 
@@ -74,13 +79,14 @@
     state: &PlacementState,
     manifest: &ServingManifest,
     outlooks: &IndexMap<ServiceName, LossOutlook>,
+    now: MonoTime,
 ) -> Vec<FetchWish> {
     let copies = copies_by_service(state, outlooks);
     let wishes = state.demand.iter().filter_map(|(key, demand)| {
         let class = manifest.engine_class(&key.service)?;
         class.models.get(&key.model)?;
         let copy = copies.get(&key.service)?.get(&key.model);
-        fetch_wish(key, demand, copy)
+        fetch_wish(key, demand, copy, now)
     });
     let mut wishes: Vec<_> = wishes.collect();
     wishes.sort_by(|left, right| right.gain.total_cmp(&left.gain));
@@ -91,8 +97,13 @@
     key: &ModelKey,
     demand: &ModelDemand,
     copy: Option<&CopyOutlook>,
+    now: MonoTime,
 ) -> Option<FetchWish> {
-    let use_rate = demand.rate + f64::from(demand.waiting) / WAITING_SPAN.seconds();
+    let age = demand
+        .waiting_since
+        .map_or(0.0, |since| now.since(since).seconds());
+    let waiting = f64::from(demand.waiting) / WAITING_SPAN.seconds() + AGE_GAIN * age;
+    let use_rate = demand.rate + waiting;
     let absent = copy.is_none_or(|copy| !copy.stays);
     let gain = copy.map_or(use_rate, |copy| use_rate * copy.loss);
     let needed = demand.waiting > 0 && absent || gain >= LEAST_GAIN;
--- a/crates/ward-fleet/src/placement/outlook.rs
+++ b/crates/ward-fleet/src/placement/outlook.rs
@@ -18,7 +18,7 @@
 use crate::number::real;
 
 /// Time over which engines that leave are counted.
-const LOSS_SPAN: TimeSpan = TimeSpan::from_secs(5);
+const LOSS_SPAN: TimeSpan = TimeSpan::from_secs(3);
 /// Time for which an engine that came empty counts as new.
 const NEW_SPAN: TimeSpan = TimeSpan::from_secs(30);
 
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Whether no engine has left of late.
+    pub(super) fn is_calm(&self) -> bool {
+        self.old <= 0.0 && self.new <= 0.0
+    }
+
     /// Chance that an engine leaves within the time of one load.
     pub(super) fn chance(&self, engine: &PlacedEngine) -> f64 {
         if engine.info.draining {
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -112,7 +112,7 @@
     /// Brings from the weight store what is needed most.
     fn plan_fetches(&mut self) {
         if self.state.fetches.is_due(self.now) {
-            let wishes = fetch_wishes(self.state, self.manifest, &self.outlooks);
+            let wishes = fetch_wishes(self.state, self.manifest, &self.outlooks, self.now);
             self.state.fetches = FetchList::new(wishes, self.now);
         }
         for wish in self.state.fetches.wishes.clone() {
@@ -246,11 +246,12 @@
             let known = self.state.engines.values();
             let mut audited = known.filter(|engine| engine.info.service == *service);
             let sure = audited.all(|engine| engine.audit == AuditState::Done);
+            let calm = self.outlooks.get(service).is_some_and(LossOutlook::is_calm);
             let model = models.find(|model| {
                 let key = key(model);
                 self.counts.get(&key) == 0 && self.copies(&key) == 0
             })?;
-            sure.then(|| key(model))
+            (sure && calm).then(|| key(model))
         });
         let absent: Vec<_> = absent.collect();
         for key in absent {
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -52,9 +52,9 @@
 }
 
 /// Pause between questions whether a load is done.
-const CONFIRM_PAUSE: Duration = Duration::from_millis(500);
+const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
 /// Questions after which a load is given up.
-const MOST_CONFIRMS: u32 = 120;
+const MOST_CONFIRMS: u32 = 300;
 
 struct Worker {
     gateway: Rc<Gateway>,
