An adapter that is unloaded at once counts as an order of its engine

Cause: an engine answers the unload of an unused adapter with the code of an order that holds already, and counts it. The coordinator did not, so the next order to that engine named an old sequence number: six refusals, a question, the work failed, and the engine rested and was asked anew.

Also: an unload of a model in use is waited for by what daemons report of its requests, instead of sending the load until the engine takes it.

--- a/crates/ward-daemon/tests/gateway/path.rs
+++ b/crates/ward-daemon/tests/gateway/path.rs
@@ -4,8 +4,8 @@
 
 use googletest::prelude::*;
 use http::{HeaderValue, StatusCode};
-use ward_fleet::ManifestVersion;
-use ward_stage::{CallerRequest, Stage, StageCaller, StagePlan};
+use ward_fleet::{EngineOrder, ManifestVersion};
+use ward_stage::{CallerRequest, OrderNote, Stage, StageCaller, StagePlan};
 
 use crate::support::{
     WHOLE_STREAM, expect_models_served, expect_sound_orders, send, stage, wait_until,
@@ -53,6 +53,11 @@
     let stage = stage("adapter", &StagePlan::default()).await;
     let models: Vec<_> = (0..12).map(|number| format!("model0/a{number}")).collect();
     expect_models_served(&stage, "/quick/a", &models).await;
+    let orders = stage.ledger.orders();
+    let is_refused =
+        |note: &&OrderNote| matches!(note.order, EngineOrder::LoadAdapter(..)) && !note.accepted;
+    let refused: Vec<_> = orders.iter().filter(is_refused).collect();
+    expect_that!(refused, is_empty());
     expect_sound_orders(&stage);
 }
 
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -14,7 +14,7 @@
 };
 use ward_fleet::{EngineOrder, HeldModel};
 use ward_http::HttpCaller;
-use ward_protocol::TimeSpan;
+use ward_protocol::{ModelName, TimeSpan};
 
 use super::active::ActiveCoordinator;
 use crate::clock;
@@ -23,8 +23,8 @@
 const ORDER_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
 const REPORT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 /// Pause before an order is tried again; grows with each try.
-const BUSY_PAUSE: Duration = Duration::from_millis(12);
-const MOST_TRIES: u32 = 20;
+const BUSY_PAUSE: Duration = Duration::from_millis(25);
+const MOST_TRIES: u32 = 14;
 /// Tries after which the engine is asked for its sequence number.
 const TRIES_TO_ASK: u32 = 6;
 /// Time that an adapter takes to load once its order was accepted.
@@ -33,6 +33,8 @@
 const REST: TimeSpan = TimeSpan::from_millis(300);
 /// Pause for an engine that did not report.
 const LONG_REST: TimeSpan = TimeSpan::from_millis(1_500);
+/// Longest time that requests are expected to keep a model from being unloaded.
+const LONGEST_RUN: TimeSpan = TimeSpan::from_secs(3);
 /// Time that an unload of an idle model takes.
 const UNLOAD_TIME: Duration = Duration::from_millis(55);
 
@@ -126,7 +128,7 @@
         for victim in &work.unload {
             let answer = self.order(EngineOrder::UnloadModel(victim.clone())).await?;
             if answer == OrderAnswer::Accepted {
-                tokio::time::sleep(UNLOAD_TIME).await;
+                self.await_unload(victim).await;
             }
             self.change_engine(|engine| engine.note_unloaded(victim));
         }
@@ -148,6 +150,24 @@
         Ok(())
     }
 
+    /// Waits until an unload should be done: it begins when the last request that
+    /// uses the model has ended, as the daemons report.
+    async fn await_unload(&self, victim: &ModelName) {
+        let begun = clock::now();
+        while self.is_used(victim) && clock::now().since(begun) < LONGEST_RUN {
+            tokio::time::sleep(UNLOAD_TIME).await;
+        }
+        tokio::time::sleep(UNLOAD_TIME).await;
+    }
+
+    /// Whether requests use a model of the engine.
+    fn is_used(&self, model: &ModelName) -> bool {
+        let mut state = self.coordinator.state.borrow_mut();
+        let engine = state.engine_mut(&self.target);
+        let held = engine.and_then(|engine| engine.held.get(model));
+        held.is_some_and(|held| held.running > 0)
+    }
+
     /// Waits until the engine reports a model that comes from the weight store,
     /// which slows down under load. The order itself is not sent again: an engine
     /// that gets it during the load fetches the model anew.
@@ -262,7 +282,10 @@
             Err(_) => "unknown",
         };
         self.gateway.metrics.orders.with_label_values(&[word]).inc();
-        if word == "accepted" {
+        // An adapter that no request uses is unloaded at once: the answer is that
+        // of an order that holds already, and the engine counts it all the same.
+        let at_once = word == "holds" && matches!(order, EngineOrder::UnloadAdapter(..));
+        if word == "accepted" || at_once {
             self.change_engine(|engine| engine.note_accepted(clock::now()));
             return;
         }
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 use ward_adapter::served::{AskedOrder, entry_json};
 use ward_fleet::{EngineClass, EngineEntry, EngineOrder, HeartbeatCount, HeldModel, OrderSequence};
-use ward_protocol::{FenceNumber, ModelName};
+use ward_protocol::{AdapterName, FenceNumber, ModelName};
 
 use self::answer::answer;
 use crate::ledger::RunLedger;
@@ -241,13 +241,10 @@
                 }
             }
             EngineOrder::UnloadAdapter(model, adapter) => {
-                for held in self
-                    .entry
-                    .models
-                    .iter_mut()
-                    .filter(|held| held.model == *model)
-                {
-                    held.adapters.retain(|name| name != adapter);
+                // Done at once, so it is answered like an order that holds, and
+                // counted like one that was accepted.
+                if self.drop_adapter(model, adapter) {
+                    self.sequence = self.sequence.next();
                 }
                 (StatusCode::OK, false)
             }
@@ -258,6 +255,17 @@
         (status, exceeded)
     }
 
+    /// Drops an adapter; returns whether it was there.
+    fn drop_adapter(&mut self, model: &ModelName, adapter: &AdapterName) -> bool {
+        let mut models = self.entry.models.iter_mut();
+        let Some(held) = models.find(|held| held.model == *model) else {
+            return false;
+        };
+        let before = held.adapters.len();
+        held.adapters.retain(|name| name != adapter);
+        held.adapters.len() < before
+    }
+
     /// A model that is ordered again while it comes from the weight store is
     /// fetched anew.
     fn begin_again(&mut self, order: &EngineOrder) {
