--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -22,11 +22,12 @@
 
 const ORDER_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
 const REPORT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
-/// Pause before an order is tried again; grows with each try.
+/// Pause before an order is tried again; doubles with each try.
 const BUSY_PAUSE: Duration = Duration::from_millis(25);
-const MOST_TRIES: u32 = 14;
+const LONGEST_BUSY_PAUSE: Duration = Duration::from_millis(400);
+const MOST_TRIES: u32 = 9;
 /// Tries after which the engine is asked for its sequence number.
-const TRIES_TO_ASK: u32 = 6;
+const TRIES_TO_ASK: u32 = 4;
 /// Time that an adapter takes to load once its order was accepted.
 const ADAPTER_TIME: Duration = Duration::from_millis(8);
 /// Pause for an engine after work that failed.
@@ -237,7 +238,8 @@
                 Some(OrderAnswer::Invalid) => return Err(OrderStop::Refused),
                 Some(OrderAnswer::Busy) | None => {}
             }
-            tokio::time::sleep(BUSY_PAUSE * tries).await;
+            let pause = BUSY_PAUSE * 2_u32.pow(tries - 1);
+            tokio::time::sleep(pause.min(LONGEST_BUSY_PAUSE)).await;
             if tries % TRIES_TO_ASK == 0 {
                 self.check_sequence().await?;
             }
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -55,6 +55,8 @@
     pub(crate) loads_at_once: Cell<Option<u32>>,
     /// When the coordinator had last heard from the store, as its views tell.
     pub(crate) view_time: Cell<Option<MonoTime>>,
+    /// Whether the coordinator tells that the store is away for everyone.
+    pub(crate) told_away: Cell<bool>,
     /// When this daemon last read the engines from the store itself.
     pub(crate) read_time: Cell<Option<MonoTime>>,
     /// Own reads of engines from the store that succeeded in a row.
@@ -103,6 +105,7 @@
             store_regained: Notify::new(),
             loads_at_once: Cell::default(),
             view_time: Cell::default(),
+            told_away: Cell::default(),
             read_time: Cell::default(),
             store_streak: Cell::default(),
             engines_known: Cell::default(),
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -330,6 +330,7 @@
     // While the store is away for everyone, reading it oneself tells no more.
     let heard_time = if view.store_away { now } else { view_time };
     gateway.view_time.set(Some(heard_time));
+    gateway.told_away.set(view.store_away);
     gateway.table.borrow_mut().apply(view, outdated);
     view.apply_members(&mut gateway.members.borrow_mut());
     gateway.told_end.set(view.engines_end);
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -1,8 +1,11 @@
 //! The manifest, read as soon as it changes.
 //!
 //! A read waits at the store for the next record. It is given up early when
-//! another daemon is heard to have a newer manifest, since the connection may
-//! have gone silent.
+//! another daemon is heard to have a newer manifest and the read brings none,
+//! since the connection may have gone silent. While the coordinator tells of new
+//! manifests, a daemon whose read failed does not try again until it is told that
+//! the store answers: hundreds of daemons would spend thousands of calls on an
+//! outage.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,16 +14,21 @@
 use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic, decode_manifest};
 use ward_protocol::TimeSpan;
 
+use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::ask_daemons;
 
 /// Wait at the store for a new manifest while the coordinator would tell of one.
-const LONG_WAIT: TimeSpan = TimeSpan::from_millis(10_000);
+const LONG_WAIT: TimeSpan = TimeSpan::from_millis(25_000);
 /// Wait at the store otherwise; bounds how long a silent connection goes
 /// unnoticed.
 const SHORT_WAIT: TimeSpan = TimeSpan::from_millis(1_200);
 /// Time between looks at whether the coordinator is heard.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
+/// Time for a read to bring the manifest that was heard of.
+const OWN_READ_TIME: Duration = Duration::from_millis(250);
+/// Longest pause after a failed read while the store is away for everyone.
+const OUTAGE_PAUSE: TimeSpan = TimeSpan::from_secs(5);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
@@ -34,7 +42,7 @@
         let result = tokio::select! {
             result = read(&gateway, next, wait) => result,
             () = wait_until_lone(&gateway, told) => continue,
-            () = gateway.manifest_wanted.notified() => {
+            () = wait_until_behind(&gateway) => {
                 info!(
                     gateway.logger, "manifest: read anew";
                     "heard_of" => gateway.manifest_heard.get().0,
@@ -62,6 +70,7 @@
                     ask_daemons(&gateway).await;
                 }
                 tokio::time::sleep(pause).await;
+                wait_until_useful(&gateway).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
@@ -79,6 +88,32 @@
     }
 }
 
+/// Waits until another daemon has a newer manifest and the read that runs had
+/// time to bring it.
+async fn wait_until_behind(gateway: &Gateway) {
+    loop {
+        gateway.manifest_wanted.notified().await;
+        tokio::time::sleep(OWN_READ_TIME).await;
+        if lacks_manifest(gateway) {
+            return;
+        }
+    }
+}
+
+/// Waits while the coordinator tells that the store is away for everyone, unless
+/// another daemon has a newer manifest.
+async fn wait_until_useful(gateway: &Gateway) {
+    let begun = clock::now();
+    while gateway.hears_view()
+        && gateway.told_away.get()
+        && !gateway.coordinator.is_active()
+        && !lacks_manifest(gateway)
+        && clock::now().since(begun) < OUTAGE_PAUSE
+    {
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
 /// Whether another daemon may have a manifest that this one has not.
 fn lacks_manifest(gateway: &Gateway) -> bool {
     let own = gateway.manifest().map(|manifest| manifest.version);
