--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
+use ward_fleet::ManifestVersion;
 use ward_protocol::TimeSpan;
 use ward_stage::{
     CallerError, CallerRequest, EngineFault, LinkFault, Stage, StagePlan, StoreFault,
@@ -16,6 +17,7 @@
 
 /// A lease as long as on the users' platform.
 const LONG_LEASE: TimeSpan = TimeSpan::from_secs(3);
+const LONG_OUTAGE: Duration = Duration::from_secs(6);
 /// Time within which a daemon that was the coordinator is it again after its
 /// restart; any other daemon would have to wait for more than a lease.
 const RESUME_TIME: Duration = Duration::from_millis(1_500);
@@ -273,6 +275,38 @@
     expect_sound_orders(&stage);
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_leave_a_store_alone_that_is_away_for_everyone() {
+    let plan = StagePlan {
+        lease: LONG_LEASE,
+        ..StagePlan::default()
+    };
+    let stage = stage("outage-calls", &plan).await;
+    let coordinator = wait_for_coordinator(&stage).await;
+    stage.store.set_fault(StoreFault::Reset);
+    tokio::time::sleep(LONG_OUTAGE).await;
+    for (number, daemon) in stage.daemons.iter().enumerate() {
+        let failed = daemon
+            .log()
+            .unwrap()
+            .matches("manifest: read failed")
+            .count();
+        if number != coordinator {
+            expect_that!(failed as u64, le(LONG_OUTAGE.as_secs()), "daemon {number}");
+        }
+    }
+    stage.store.set_fault(StoreFault::None);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut manifest = stage.manifest.clone();
+    manifest.version = ManifestVersion(5);
+    stage.store.put_manifest(&manifest);
+    for daemon in &stage.daemons {
+        let in_force = || daemon.log().unwrap().matches("manifest: in force").count();
+        wait_until("the newer manifest", || in_force() == 2).await;
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn coordinator_that_restarts_orders_again_without_waiting_for_a_lease() {
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -173,8 +173,9 @@
             let coming = self.loading(&key);
             let full = f64::from(slots) * real(present);
             let pressed = demand.concurrency * STORE_SPREAD_CONCURRENCY > full;
+            let idle = self.state.store_load_count() == 0;
             for _ in 0..missing.min(MOST_SPREADS.saturating_sub(coming)) {
-                if !self.load_somewhere(&key, WorkReason::Busy, pressed) {
+                if !self.load_somewhere(&key, WorkReason::Busy, pressed && idle) {
                     break;
                 }
             }
@@ -231,9 +232,12 @@
         busiest.map(|(key, _)| key.clone())
     }
 
-    /// Fetches models that lie nowhere, before they are asked for.
+    /// Fetches models that lie nowhere, before they are asked for: one at a time
+    /// once there are requests, since an engine takes no other order meanwhile.
     fn plan_absent(&mut self) {
-        if !self.state.fetches.wishes.is_empty() {
+        let asked_for = self.state.demand.iter().next().is_some();
+        let fetching = self.state.store_load_count() > 0;
+        if !self.state.fetches.wishes.is_empty() || (asked_for && fetching) {
             return;
         }
         let services = self.manifest.services.iter();
