--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -237,7 +237,7 @@
     fn plan_absent(&mut self) {
         let asked_for = self.state.demand.iter().next().is_some();
         let fetching = self.state.store_load_count() > 0;
-        if !self.state.fetches.wishes.is_empty() || (asked_for && fetching) {
+        if asked_for && fetching {
             return;
         }
         let services = self.manifest.services.iter();
