Loads whose engines left keep their place at the store; busy models get its last places

Change: while several engines leave and several come empty, a model without a copy on the newest counts as lost with even chance, however many hold it; what few ask for and has a copy takes half of the store at most; lost loads count until they should be done.

Tests: plan_work_busy_model_on_many_engines_is_fetched_while_all_are_replaced (failed without the joint chance), plan_work_load_whose_engine_left_still_takes_its_place_at_the_store.

--- a/crates/ward-fleet/src/placement/engine.rs
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -71,10 +71,20 @@
     pub source: LoadSource,
     /// When it was planned.
     pub since: MonoTime,
+    /// How long it should take.
+    pub load_time: TimeSpan,
     /// Loads from the weight store at that time, with this one if it is one.
     pub together: u32,
 }
 
+impl EngineTask {
+    /// When it should be done.
+    #[must_use]
+    pub fn due(&self) -> MonoTime {
+        self.since + self.load_time
+    }
+}
+
 /// Whether the engine itself was asked what it holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AuditState {
--- a/crates/ward-fleet/src/placement/fetch.rs
+++ b/crates/ward-fleet/src/placement/fetch.rs
@@ -70,6 +70,8 @@
     loss: f64,
     /// Whether one lies on an engine that does not drain.
     stays: bool,
+    /// Whether one lies on an engine that came with the replacement under way.
+    fresh: bool,
 }
 
 type ServiceCopies<'a> = IndexMap<&'a ModelName, CopyOutlook>;
@@ -137,11 +139,16 @@
             let copy = copies.entry(model).or_insert(CopyOutlook {
                 loss: 1.0,
                 stays: false,
+                fresh: false,
             });
             copy.loss *= loss;
             copy.stays |= !engine.info.draining;
+            copy.fresh |= outlook.is_fresh(engine);
         }
     }
+    for copy in copies.values_mut() {
+        copy.loss = outlook.joint_loss(copy.loss, copy.fresh);
+    }
     copies
 }
 
--- a/crates/ward-fleet/src/placement/outlook.rs
+++ b/crates/ward-fleet/src/placement/outlook.rs
@@ -5,7 +5,9 @@
 //! only on engines that have not been replaced yet will be gone; fetched again
 //! only when somebody waits for it, it comes too late. The pace at which engines
 //! left lately tells how many of the others leave during one load; engines that
-//! came empty are counted apart, since most are not replaced a second time.
+//! came empty are counted apart, since most are not replaced a second time. While
+//! several leave and several come, the losses are not independent: all engines
+//! but the newest may be replaced, however many hold a model.
 
 use std::collections::VecDeque;
 
@@ -22,6 +24,15 @@
 /// Time for which an engine that came empty counts as new.
 const NEW_SPAN: TimeSpan = TimeSpan::from_secs(30);
 
+/// Time for which an engine that came empty counts as part of the replacement
+/// that is under way.
+const FRESH_SPAN: TimeSpan = TimeSpan::from_secs(8);
+/// Engines that leave, and that come empty, from which on a replacement of all is
+/// likely.
+const LEAST_REPLACED: usize = 2;
+/// Chance that a replacement under way goes on to all engines.
+const ROLL_CHANCE: f64 = 0.5;
+
 /// Engines that began to drain or vanished, by service.
 #[derive(Debug, Clone, Default)]
 pub(super) struct LossHistory {
@@ -48,13 +59,15 @@
         });
     }
 
+    /// Engines of a service that left of late.
+    fn recent(&self, service: &ServiceName, now: MonoTime) -> impl Iterator<Item = &EngineLoss> {
+        let losses = self.losses.get(service).into_iter().flatten();
+        losses.filter(move |loss| now.since(loss.time) <= LOSS_SPAN)
+    }
+
     /// New or old engines of a service that leave per second.
     fn rate(&self, service: &ServiceName, new: bool, now: MonoTime) -> f64 {
-        let losses = self.losses.get(service);
-        let recent = losses
-            .into_iter()
-            .flatten()
-            .filter(|loss| loss.new == new && now.since(loss.time) <= LOSS_SPAN);
+        let recent = self.recent(service, now).filter(|loss| loss.new == new);
         real(recent.count()) / LOSS_SPAN.seconds()
     }
 }
@@ -66,6 +79,8 @@
     old: f64,
     /// The same for a new engine.
     new: f64,
+    /// Whether engines are being replaced, perhaps all of them.
+    rolling: bool,
     now: MonoTime,
 }
 
@@ -87,13 +102,33 @@
             let expected = history.rate(service, new, now) * load.seconds();
             (expected / real(staying.count().max(1))).min(1.0)
         };
+        let came = engines.values().filter(|engine| {
+            engine.info.service == *service && came_within(engine, FRESH_SPAN, now)
+        });
+        let left = history.recent(service, now);
         Self {
             old: chance(false),
             new: chance(true),
+            rolling: left.count() >= LEAST_REPLACED && came.count() >= LEAST_REPLACED,
             now,
         }
     }
 
+    /// Whether an engine belongs to the replacement that is under way.
+    pub(super) fn is_fresh(&self, engine: &PlacedEngine) -> bool {
+        !engine.info.draining && came_within(engine, FRESH_SPAN, self.now)
+    }
+
+    /// Chance that copies are lost which would be with `apart` if engines left
+    /// independently; `fresh` is whether one lies on a fresh engine.
+    pub(super) fn joint_loss(&self, apart: f64, fresh: bool) -> f64 {
+        if self.rolling && !fresh {
+            apart.max(ROLL_CHANCE)
+        } else {
+            apart
+        }
+    }
+
     /// Whether no engine has left of late.
     pub(super) fn is_calm(&self) -> bool {
         self.old <= 0.0 && self.new <= 0.0
@@ -129,7 +164,11 @@
 
 /// Whether an engine came without any copy of a model a short time ago.
 pub(super) fn is_new(engine: &PlacedEngine, now: MonoTime) -> bool {
+    came_within(engine, NEW_SPAN, now)
+}
+
+fn came_within(engine: &PlacedEngine, span: TimeSpan, now: MonoTime) -> bool {
     engine
         .came_empty
-        .is_some_and(|came| now.since(came) <= NEW_SPAN)
+        .is_some_and(|came| now.since(came) <= span)
 }
--- a/crates/ward-fleet/src/placement/plan.rs
+++ b/crates/ward-fleet/src/placement/plan.rs
@@ -23,6 +23,8 @@
 
 /// Cost of giving a busy engine one more model, in milliseconds per request.
 const RUNNING_COST_MILLIS: f64 = 40.0;
+/// Requests per second from which on a model is fetched with all of the store.
+const URGENT_GAIN: f64 = 1.0;
 /// Concurrency from which on a model may get one more engine.
 const LEAST_BUSY: f64 = 1.0;
 /// Loads of the same model that may run at once to spread it.
@@ -115,17 +117,26 @@
             let wishes = fetch_wishes(self.state, self.manifest, &self.outlooks, self.now);
             self.state.fetches = FetchList::new(wishes, self.now);
         }
-        for wish in self.state.fetches.wishes.clone() {
-            if self.store_allows(&wish.key) && self.loading(&wish.key) == 0 {
-                self.fetch(&wish);
+        for wish in std::mem::take(&mut self.state.fetches.wishes) {
+            let begun = self.has_place(&wish) && self.fetch(&wish);
+            if !begun {
+                self.state.fetches.wishes.push(wish);
             }
         }
     }
 
+    /// Whether the store has a place for a wish. What few ask for and still has a
+    /// copy leaves half of the places free, for models whose copies may go next.
+    fn has_place(&self, wish: &FetchWish) -> bool {
+        let spare = wish.absent || wish.gain >= URGENT_GAIN;
+        let half = self.state.ceiling.at_once().div_ceil(2);
+        self.store_allows(&wish.key) && (spare || self.state.store_load_count() < half)
+    }
+
     /// Loads one model from the weight store on the cheapest engine. What has a
     /// copy still goes only to a new engine's free memory; what nobody waits for
-    /// takes no more away than it brings.
-    fn fetch(&mut self, wish: &FetchWish) {
+    /// takes no more away than it brings. Returns whether there is such an engine.
+    fn fetch(&mut self, wish: &FetchWish) -> bool {
         let waiting = self
             .state
             .demand
@@ -146,9 +157,11 @@
             (candidate.source == LoadSource::Store && fits).then_some(candidate)
         });
         let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
-        if let Some(candidate) = best {
-            self.add(&wish.key, candidate, reason);
-        }
+        let Some(candidate) = best else {
+            return false;
+        };
+        self.add(&wish.key, candidate, reason);
+        true
     }
 
     fn plan_busy(&mut self) {
@@ -408,6 +421,7 @@
             model: key.model.clone(),
             source: candidate.source,
             since: self.now,
+            load_time,
             together,
         });
         let target = engine.target();
--- a/crates/ward-fleet/src/placement/slow.rs
+++ b/crates/ward-fleet/src/placement/slow.rs
@@ -33,12 +33,13 @@
             service: engine.info.service.clone(),
             model: task.model.clone(),
         };
-        let ready_in = time_left(task, load_time(manifest, &key), now);
+        let ready_in = time_left(task, now);
         places.push(ready_in);
         if !is_held(state, &key) {
             slow.push(slow_model(key, ready_in));
         }
     }
+    places.extend(state.lost_loads().iter().map(|due| due.since(now)));
     let at_once = usize::try_from(state.ceiling.at_once()).unwrap_or(usize::MAX);
     places.resize(at_once.max(places.len()), TimeSpan::ZERO);
     for wish in state.fetches.wishes.iter().take(MOST_SLOW) {
@@ -56,9 +57,9 @@
     slow
 }
 
-fn time_left(task: &EngineTask, stated: TimeSpan, now: MonoTime) -> TimeSpan {
-    let left = stated.saturating_sub(now.since(task.since));
-    let overdue = TimeSpan::from_millis(stated.millis() * OVERDUE_PERCENT / 100);
+fn time_left(task: &EngineTask, now: MonoTime) -> TimeSpan {
+    let left = task.due().since(now);
+    let overdue = TimeSpan::from_millis(task.load_time.millis() * OVERDUE_PERCENT / 100);
     if left == TimeSpan::ZERO {
         overdue
     } else {
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -26,6 +26,9 @@
     /// Loads from the weight store.
     pub ceiling: StoreCeiling,
     pub(super) losses: LossHistory,
+    /// When loads should be done whose engines left meanwhile: the store goes on
+    /// with them.
+    lost_loads: Vec<MonoTime>,
     pub(super) fetches: FetchList,
     reports: IndexMap<MemberKey, LoadReport>,
 }
@@ -46,7 +49,8 @@
             Some(engine) if entry.birth < engine.info.birth => false,
             _ => {
                 let engine = PlacedEngine::new(entry, now);
-                self.engines.insert(entry.id.clone(), engine);
+                let former = self.engines.insert(entry.id.clone(), engine);
+                self.note_lost_load(former.as_ref());
                 true
             }
         }
@@ -55,11 +59,18 @@
     /// Forgets an engine.
     pub fn remove_engine(&mut self, id: &BackendId, now: MonoTime) {
         let engine = self.engines.shift_remove(id);
+        self.note_lost_load(engine.as_ref());
         if let Some(engine) = engine.filter(|engine| !engine.info.draining) {
             self.losses.note(&engine, now);
         }
     }
 
+    fn note_lost_load(&mut self, engine: Option<&PlacedEngine>) {
+        let task = engine.and_then(|engine| engine.task.as_ref());
+        let due = task.filter(|task| task.source == LoadSource::Store);
+        self.lost_loads.extend(due.map(EngineTask::due));
+    }
+
     /// Takes over a daemon's report.
     pub fn note_report(&mut self, member: MemberKey, report: LoadReport) {
         for arrival in &report.arrivals {
@@ -86,6 +97,7 @@
 
     /// Recomputes what depends on the daemons' reports.
     pub fn settle(&mut self, now: MonoTime) {
+        self.lost_loads.retain(|due| *due > now);
         let running = self.count_running(now);
         self.demand.update(self.reports.values(), &running, now);
     }
@@ -143,9 +155,15 @@
         loads.collect()
     }
 
+    /// When the loads should be done whose engines left.
+    pub(super) fn lost_loads(&self) -> &[MonoTime] {
+        &self.lost_loads
+    }
+
     /// Number of loads from the weight store that run now.
     pub(super) fn store_load_count(&self) -> u32 {
-        u32::try_from(self.store_loads().count()).unwrap_or(u32::MAX)
+        let loads = self.store_loads().count() + self.lost_loads.len();
+        u32::try_from(loads).unwrap_or(u32::MAX)
     }
 
     /// Loads from the weight store that run now.
--- a/crates/ward-fleet/tests/fetch.rs
+++ b/crates/ward-fleet/tests/fetch.rs
@@ -243,3 +243,43 @@
         }
     }
 }
+
+#[gtest]
+fn plan_work_busy_model_on_many_engines_is_fetched_while_all_are_replaced() {
+    let names = ["m1", "m2", "m3"];
+    let entries: Vec<_> = (0..9)
+        .map(|number| entry(&format!("e{number}"), &names, &names))
+        .collect();
+    let mut state = state(&entries);
+    let manifest = manifest(&names);
+    plan(&mut state, &manifest, arrivals("m1", 30), 1_000);
+    let mut fetched = Vec::new();
+    for step in 0..2 {
+        let time = 2_000 + step * 300;
+        let old = &entries[usize::try_from(step).unwrap()];
+        replace(&mut state, old, &format!("new{step}"), time);
+        fetched.extend(plan(&mut state, &manifest, LoadReport::default(), time));
+        fetched.extend(plan(
+            &mut state,
+            &manifest,
+            LoadReport::default(),
+            time + 150,
+        ));
+    }
+    let models: Vec<_> = fetched.iter().map(|work| work.model.as_str()).collect();
+    expect_that!(models, contains(eq(&"m1")));
+}
+
+#[gtest]
+fn plan_work_load_whose_engine_left_still_takes_its_place_at_the_store() {
+    let entries = [entry("e1", &[], &[]), entry("e2", &[], &[])];
+    let mut state = state(&entries);
+    state.ceiling.inherit(1);
+    let manifest = manifest(&["m1", "m2"]);
+    let load = report(vec![], vec![waiting("m1", None, 1), waiting("m2", None, 1)]);
+    let works = plan(&mut state, &manifest, load.clone(), 1_000);
+    expect_that!(works.len(), eq(1));
+    state.remove_engine(&works[0].target.engine, at(2_000));
+    expect_that!(plan(&mut state, &manifest, load.clone(), 3_000), is_empty());
+    expect_that!(plan(&mut state, &manifest, load, 7_100).len(), eq(1));
+}
