A caller that leaves has a reason on its line; fetches have a line; planner in three files

The line 'request: caller left' says what the request waited for: its model, a place at full engines, or the answer of an engine.

--- a/crates/ward-daemon/tests/gateway/logging.rs
+++ b/crates/ward-daemon/tests/gateway/logging.rs
@@ -65,7 +65,11 @@
     let logged = || {
         let log = stage.daemons[0].log().unwrap();
         let mut lines = log.lines();
-        lines.any(|line| line.contains("request: caller left") && line.contains("left-1"))
+        lines.any(|line| {
+            line.contains("request: caller left")
+                && line.contains("left-1")
+                && line.contains("had not answered")
+        })
     };
     wait_until("the line of the caller that left", logged).await;
 }
--- /dev/null
+++ b/crates/ward-fleet/src/placement/plan/mod.rs
@@ -0,0 +1,207 @@
+//! The next work for engines.
+//!
+//! In order of need: models that requests wait for and an engine has at hand;
+//! models that the weight store must bring; busy models that need one more engine;
+//! idle memory that could hold a model which lies on the engine's disk and on no
+//! engine's memory; while the weight store is idle, engines that hold nothing, and
+//! models that no engine has a copy of, since they take longest when asked for.
+
+mod need;
+mod store;
+
+use indexmap::IndexMap;
+use ward_protocol::{BackendId, MonoTime, ServiceName, TimeSpan};
+
+use super::adapter::plan_adapters;
+use super::demand::ModelKey;
+use super::engine::{AuditState, EngineTask, LoadSource, PlacedEngine};
+use super::outlook::{LossOutlook, loss_outlooks};
+use super::spread::ReplicaCounts;
+use super::state::PlacementState;
+use super::victim::{VictimChoice, VictimSearch};
+use super::work::{ModelWork, PlannedWork, WorkReason};
+use crate::manifest::{EngineClass, ServingManifest};
+
+/// Cost of giving a busy engine one more model, in milliseconds per request.
+const RUNNING_COST_MILLIS: f64 = 40.0;
+/// Concurrency from which on a model may get one more engine.
+const LEAST_BUSY: f64 = 1.0;
+
+/// Plans work for engines that have none, and marks them as having it.
+pub fn plan_work(
+    state: &mut PlacementState,
+    manifest: &ServingManifest,
+    window: TimeSpan,
+    now: MonoTime,
+) -> Vec<PlannedWork> {
+    let mut works = plan_audits(state, manifest, now);
+    let adapters = plan_adapters(state, manifest, now);
+    works.extend(adapters.into_iter().map(PlannedWork::Adapter));
+    let counts = ReplicaCounts::of(state);
+    let outlooks = loss_outlooks(state, manifest, now);
+    let mut planner = Planner {
+        state,
+        counts,
+        outlooks,
+        manifest,
+        window,
+        now,
+        works: Vec::new(),
+    };
+    planner.plan_missing();
+    planner.plan_fetches();
+    planner.plan_busy();
+    planner.plan_room();
+    planner.plan_empty();
+    planner.plan_absent();
+    works.extend(planner.works.into_iter().map(PlannedWork::Model));
+    works
+}
+
+fn plan_audits(
+    state: &mut PlacementState,
+    manifest: &ServingManifest,
+    now: MonoTime,
+) -> Vec<PlannedWork> {
+    let engines = state.engines.values_mut().filter(|engine| {
+        manifest.engine_class(&engine.info.service).is_some() && engine.is_audit_due(now)
+    });
+    let works = engines.map(|engine| {
+        engine.audit = AuditState::Running;
+        engine.audited = now;
+        PlannedWork::Audit(engine.target())
+    });
+    works.collect()
+}
+
+struct Planner<'a> {
+    state: &'a mut PlacementState,
+    counts: ReplicaCounts,
+    outlooks: IndexMap<ServiceName, LossOutlook>,
+    manifest: &'a ServingManifest,
+    window: TimeSpan,
+    now: MonoTime,
+    works: Vec<ModelWork>,
+}
+
+struct Candidate {
+    engine: BackendId,
+    source: LoadSource,
+    victims: VictimChoice,
+    cost: f64,
+}
+
+impl Planner<'_> {
+    /// Plans a load on the cheapest engine; returns whether there is one.
+    fn load_somewhere(&mut self, key: &ModelKey, reason: WorkReason, from_store: bool) -> bool {
+        let candidates = self.state.engines.iter().filter_map(|(id, engine)| {
+            let candidate = self.candidate(key, id, engine, reason)?;
+            let allowed =
+                candidate.source != LoadSource::Store || (from_store && self.store_allows(key));
+            allowed.then_some(candidate)
+        });
+        let best = candidates.min_by(|left, right| left.cost.total_cmp(&right.cost));
+        let Some(candidate) = best else {
+            return false;
+        };
+        self.add(key, candidate, reason);
+        true
+    }
+
+    fn candidate(
+        &self,
+        key: &ModelKey,
+        id: &BackendId,
+        engine: &PlacedEngine,
+        reason: WorkReason,
+    ) -> Option<Candidate> {
+        let usable = engine.info.service == key.service
+            && engine.is_free(self.now)
+            && !engine.adapter_busy
+            && !engine.held.contains_key(&key.model);
+        if !usable {
+            return None;
+        }
+        let class = self.manifest.engine_class(&key.service)?;
+        let model = class.models.get(&key.model)?;
+        let search = VictimSearch {
+            demand: &self.state.demand,
+            counts: &self.counts,
+            class,
+            in_use: reason == WorkReason::Missing,
+            now: self.now,
+        };
+        let victims = search.choose(engine, model.weights)?;
+        let source = engine.source(&key.model);
+        let load = source.load_time(model).seconds() * 1_000.0;
+        let running = RUNNING_COST_MILLIS * f64::from(engine.running());
+        let outlook = self.outlooks.get(&key.service);
+        let lost = outlook.map_or(0.0, |outlook| outlook.chance(engine)) * load;
+        Some(Candidate {
+            engine: id.clone(),
+            source,
+            cost: load + lost + victims.cost + running,
+            victims,
+        })
+    }
+
+    fn store_allows(&self, key: &ModelKey) -> bool {
+        let class = self.manifest.engine_class(&key.service);
+        let rate = class.map_or(0.0, |class| class.loads_per_second);
+        let running = self.state.store_load_count();
+        self.state
+            .ceiling
+            .allows(running, rate, self.window, self.now)
+    }
+
+    fn add(&mut self, key: &ModelKey, candidate: Candidate, reason: WorkReason) {
+        let Some(class) = self.class(key) else {
+            return;
+        };
+        let Some(load_time) = class
+            .models
+            .get(&key.model)
+            .map(|model| candidate.source.load_time(model))
+        else {
+            return;
+        };
+        let together = self.state.store_load_count() + 1;
+        let Some(engine) = self.state.engines.get_mut(&candidate.engine) else {
+            return;
+        };
+        self.counts.add(key.clone());
+        for victim in &candidate.victims.models {
+            self.counts.remove(&ModelKey {
+                service: key.service.clone(),
+                model: victim.clone(),
+            });
+            if let Some(held) = engine.held.get_mut(victim) {
+                held.leaving = true;
+            }
+        }
+        engine.task = Some(EngineTask {
+            model: key.model.clone(),
+            source: candidate.source,
+            since: self.now,
+            load_time,
+            together,
+        });
+        let target = engine.target();
+        if candidate.source == LoadSource::Store {
+            self.state.ceiling.note(self.now, self.window);
+        }
+        self.works.push(ModelWork {
+            target,
+            unload: candidate.victims.models,
+            model: key.model.clone(),
+            source: candidate.source,
+            load_time,
+            together,
+            reason,
+        });
+    }
+
+    fn class(&self, key: &ModelKey) -> Option<&EngineClass> {
+        self.manifest.engine_class(&key.service)
+    }
+}
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -93,6 +93,14 @@
 impl Worker {
     async fn model(&self, work: ModelWork) {
         let started = clock::now();
+        if work.source == LoadSource::Store {
+            let at_once = self.coordinator.state.borrow().ceiling.at_once();
+            info!(
+                self.gateway.logger, "placement: fetch begins"; "engine" => %self.target.engine,
+                "model" => %work.model, "reason" => ?work.reason, "together" => work.together,
+                "at_once" => at_once, "load_millis" => work.load_time.millis(),
+            );
+        }
         let result = self.swap(&work).await;
         info!(
             self.gateway.logger, "placement: model"; "engine" => %self.target.engine,
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::forward::{AttemptRequest, ConnectionNeed};
 use crate::gateway::Gateway;
+use crate::phase::SharedPhase;
 use crate::queue::WaitTicket;
 
 /// Time before the deadline at which a request that still waits is given up.
@@ -43,10 +44,12 @@
         gateway: Rc::clone(&gateway),
         id: id_text.clone(),
         wanted: wanted.clone(),
+        phase: SharedPhase::default(),
         begun,
         answered: false,
     };
-    let served = serve(&gateway, request, marks, &host, begun).await;
+    let phase = leave.phase.clone();
+    let served = serve(&gateway, request, marks, &host, begun, phase).await;
     leave.answered = true;
     let millis = clock::now().since(begun).millis();
     match served {
@@ -80,6 +83,7 @@
     gateway: Rc<Gateway>,
     id: String,
     wanted: Option<String>,
+    phase: SharedPhase,
     begun: MonoTime,
     answered: bool,
 }
@@ -93,7 +97,8 @@
         metrics.answers.with_label_values(&["caller_left"]).inc();
         warn!(
             self.gateway.logger, "request: caller left"; "request" => &self.id,
-            "wanted" => self.wanted.as_deref(), "waiting" => self.gateway.queue.len(),
+            "wanted" => self.wanted.as_deref(), "why" => %self.phase,
+            "waiting" => self.gateway.queue.len(),
             "millis" => clock::now().since(self.begun).millis(),
         );
     }
@@ -114,6 +119,7 @@
     marks: RequestMarks,
     host: &str,
     begun: MonoTime,
+    phase: SharedPhase,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let manifest = gateway
         .manifest()
@@ -145,7 +151,7 @@
             priority: engine_priority(&routed),
             need: connection_need(routed.route.kind),
         },
-        ticket: wait_ticket(gateway, &routed, begun),
+        ticket: wait_ticket(gateway, &routed, begun, phase),
         routed,
         fingerprint,
         begun,
@@ -198,7 +204,12 @@
     }
 }
 
-fn wait_ticket(gateway: &Gateway, routed: &RoutedRequest, begun: MonoTime) -> WaitTicket {
+fn wait_ticket(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    begun: MonoTime,
+    phase: SharedPhase,
+) -> WaitTicket {
     WaitTicket {
         service: routed.service.clone(),
         model: routed.marks.model.clone(),
@@ -212,5 +223,6 @@
             first_part: gateway.queue.first_part(&routed.route.name),
         },
         avoided: IndexSet::new(),
+        phase,
     }
 }
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::forward::{Attempt, AttemptEnd, AttemptRequest, RelayStart, StreamRelay, send_attempt};
 use crate::gateway::Gateway;
+use crate::phase::RequestPhase;
 use crate::queue::{WaitFailure, WaitTicket, acquire};
 
 /// Sends that the engine never saw, after which a request is refused.
@@ -87,6 +88,9 @@
             let engine = lease.engine.id.clone();
             let address = lease.engine.address;
             let patience = self.patience(&progress);
+            self.ticket
+                .phase
+                .enter(RequestPhase::Answer(engine.clone()));
             info!(
                 gateway.logger, "request: sent"; "request" => &self.request.id_text,
                 "engine" => %engine, "service" => %self.routed.service,
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod gateway;
 mod hub;
 mod metrics;
+mod phase;
 mod queue;
 mod start;
 mod stop;
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use self::ticket::{WaitFailure, WaitTicket};
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::phase::RequestPhase;
 
 /// Routes whose first parts are remembered; those that the operators removed are
 /// among them until then.
@@ -193,12 +194,13 @@
         }
         EngineChoice::NoEngine => return Err(WaitFailure::NoEngine),
         EngineChoice::Missing => {
+            ticket.phase.enter(RequestPhase::Model);
             gateway.report_wanted.notify_one();
             if let Some(ready_in) = gateway.queue.too_slow(&ticket) {
                 return Err(WaitFailure::NotInTime(ready_in));
             }
         }
-        EngineChoice::Full => {}
+        EngineChoice::Full => ticket.phase.enter(RequestPhase::Place),
     }
     if gateway.queue.closed.get() {
         return Err(WaitFailure::Closed);
@@ -288,15 +290,18 @@
             EngineChoice::Engine(id) => grant(gateway, number, &id, &ticket),
             EngineChoice::NoEngine => withdraw(gateway, number),
             EngineChoice::Full => {
+                ticket.phase.enter(RequestPhase::Place);
                 unserved.insert(key, 0);
                 review_late(gateway, number, &ticket, 0);
             }
-            EngineChoice::Missing => match gateway.queue.too_slow(&ticket) {
-                Some(ready_in) => end_wait(gateway, number, WaitFailure::NotInTime(ready_in)),
-                None => {
+            EngineChoice::Missing => {
+                if let Some(ready_in) = gateway.queue.too_slow(&ticket) {
+                    end_wait(gateway, number, WaitFailure::NotInTime(ready_in));
+                } else {
+                    ticket.phase.enter(RequestPhase::Model);
                     missing.insert(key);
                 }
-            },
+            }
         }
     }
 }
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -5,6 +5,8 @@
 use ward_fleet::{EngineWish, QueueRank};
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, TimeSpan};
 
+use crate::phase::SharedPhase;
+
 /// What a request needs of an engine, and how urgently.
 #[derive(Debug, Clone)]
 pub(crate) struct WaitTicket {
@@ -17,6 +19,7 @@
     pub(crate) times: RequestTimes,
     /// Engines that should not get it again.
     pub(crate) avoided: IndexSet<BackendId>,
+    pub(crate) phase: SharedPhase,
 }
 
 impl WaitTicket {
