An emulator of engines and the weight store in virtual time, beside a bound; four loads at once until more is known

Cause of the change that it showed: with two loads at first, half of the store stood idle for the first six seconds of a replacement. Loads that begin together before a store that serves fewer end when they would one after the other.

--- /dev/null
+++ b/crates/ward-bench/src/command/emulate.rs
@@ -0,0 +1,88 @@
+//! `ward-bench emulate`: days in virtual time, beside what they could bring.
+
+use std::fs;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use ward_protocol::TimeSpan;
+
+use super::CommandError;
+use crate::emulator::{
+    DayPlan, EmulatedDay, SiteFigures, day_svg, day_table, draw_requests, perfect_outcome, run_day,
+};
+
+/// The command's name.
+pub(super) const NAME: &str = "emulate";
+
+const DAYS: &str = "days";
+const SEED: &str = "seed";
+const ENGINES: &str = "engines";
+const MODELS: &str = "models";
+const AT_ONCE: &str = "at-once";
+const LOAD_MILLIS: &str = "load-millis";
+const OUT: &str = "out";
+
+/// The command's arguments.
+pub(super) fn emulate_command() -> Command {
+    let number = |name: &'static str, help: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .help(help)
+            .default_value(default)
+            .value_parser(value_parser!(u32).range(1..=100_000))
+    };
+    Command::new(NAME)
+        .about("Plays days with engines and the weight store in virtual time")
+        .arg(
+            Arg::new(DAYS)
+                .help("Days to play; all when none is named")
+                .num_args(0..),
+        )
+        .arg(number(SEED, "Seed of the requests", "1"))
+        .arg(number(ENGINES, "Engines", "9"))
+        .arg(number(MODELS, "Models", "50"))
+        .arg(number(AT_ONCE, "Loads at full speed", "4"))
+        .arg(number(LOAD_MILLIS, "Load time, in milliseconds", "6000"))
+        .arg(
+            Arg::new(OUT)
+                .long(OUT)
+                .help("Folder for a curve of each day")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+/// Runs the command.
+pub(super) fn run_emulate(matches: &ArgMatches) -> Result<(), CommandError> {
+    let number = |name: &str| matches.get_one::<u32>(name).copied().unwrap_or(1);
+    let figures = SiteFigures {
+        engines: number(ENGINES) as usize,
+        models: number(MODELS) as usize,
+        at_once: number(AT_ONCE),
+        store_load: TimeSpan::from_millis(number(LOAD_MILLIS).into()),
+        ..SiteFigures::default()
+    };
+    for day in named_days(matches)? {
+        let plan = DayPlan::new(day, &figures);
+        let requests = draw_requests(&figures, &plan, number(SEED).into());
+        let outcome = run_day(&figures, &plan, &requests)?;
+        let bound = perfect_outcome(&figures, &plan, &requests);
+        println!("{}", day_table(day, &outcome, &bound));
+        if let Some(folder) = matches.get_one::<PathBuf>(OUT) {
+            let path = folder.join(format!("emulated-{day}.svg"));
+            fs::write(&path, day_svg(day, &outcome, &bound))
+                .map_err(|cause| CommandError::File(path.clone(), cause))?;
+        }
+    }
+    Ok(())
+}
+
+fn named_days(matches: &ArgMatches) -> Result<Vec<EmulatedDay>, CommandError> {
+    let names = matches.get_many::<String>(DAYS).into_iter().flatten();
+    let days: Result<Vec<EmulatedDay>, _> = names.map(|name| name.parse()).collect();
+    let days = days?;
+    Ok(if days.is_empty() {
+        EmulatedDay::ALL.to_vec()
+    } else {
+        days
+    })
+}
--- a/crates/ward-bench/src/command/mod.rs
+++ b/crates/ward-bench/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The program's commands.
 
+mod emulate;
 mod load;
 mod owners;
 mod replay;
@@ -49,6 +50,18 @@
             display("{cause}")
             source(cause)
         }
+        /// A day cannot be emulated.
+        Day(cause: crate::emulator::DayError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
+        /// A name made for an emulated day is not valid.
+        Name(cause: ward_protocol::IdError) {
+            from()
+            display("{cause}")
+            source(cause)
+        }
         /// An unknown command.
         Unknown {
             display("no command given; see --help")
@@ -66,6 +79,7 @@
         .subcommand(replay::replay_command())
         .subcommand(report::report_command())
         .subcommand(owners::owners_command())
+        .subcommand(emulate::emulate_command())
         .subcommand(load::load_command())
         .subcommand(load::overhead_command())
         .subcommand(slopes::slopes_command())
@@ -80,6 +94,7 @@
 pub fn run_command(matches: &ArgMatches) -> Result<(), CommandError> {
     match matches.subcommand() {
         Some((replay::NAME, matches)) => replay::run_replay(matches),
+        Some((emulate::NAME, matches)) => emulate::run_emulate(matches),
         Some((report::NAME, matches)) => report::run_report(matches),
         Some((slopes::NAME, matches)) => slopes::run_slopes(matches),
         Some((serving::NAME, matches)) => serving::run_serving(matches),
--- /dev/null
+++ b/crates/ward-bench/src/emulator/day.rs
@@ -0,0 +1,177 @@
+//! Sizes of an emulated site, and what happens to its engines.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use ward_protocol::TimeSpan;
+
+quick_error! {
+    /// A day that cannot be emulated.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum DayError {
+        /// Its name is not known.
+        Unknown(name: String) {
+            display("there is no day {name:?}; use calm, release, twice, shift, rare or scale-in")
+        }
+    }
+}
+
+/// A day by name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EmulatedDay {
+    /// Nothing happens.
+    Calm,
+    /// Each engine is replaced once, one a second.
+    Release,
+    /// Half of the engines are replaced, then all within a few seconds.
+    Twice,
+    /// Demand moves to other models twice.
+    Shift,
+    /// Rare models are asked for five times as often for some seconds.
+    Rare,
+    /// A third of the engines leave at once; empty ones come later.
+    ScaleIn,
+}
+
+impl EmulatedDay {
+    /// All days.
+    pub const ALL: [Self; 6] = [
+        Self::Calm,
+        Self::Release,
+        Self::Twice,
+        Self::Shift,
+        Self::Rare,
+        Self::ScaleIn,
+    ];
+}
+
+impl Display for EmulatedDay {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Calm => "calm",
+            Self::Release => "release",
+            Self::Twice => "twice",
+            Self::Shift => "shift",
+            Self::Rare => "rare",
+            Self::ScaleIn => "scale-in",
+        })
+    }
+}
+
+impl FromStr for EmulatedDay {
+    type Err = DayError;
+
+    fn from_str(text: &str) -> Result<Self, DayError> {
+        let mut days = Self::ALL.into_iter();
+        let day = days.find(|day| day.to_string() == text);
+        day.ok_or_else(|| DayError::Unknown(text.to_owned()))
+    }
+}
+
+/// Sizes of a site with model engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SiteFigures {
+    /// Engines.
+    pub engines: usize,
+    /// Requests that an engine runs at once.
+    pub slots: u32,
+    /// Models.
+    pub models: usize,
+    /// Copies of each model on engines' disks at the start.
+    pub copies: usize,
+    /// Load time from the weight store at full speed.
+    pub store_load: TimeSpan,
+    /// Loads that the weight store serves at once at full speed.
+    pub at_once: u32,
+    /// Requests per second for busy models.
+    pub busy_rate: f64,
+    /// Requests per second for rare models.
+    pub rare_rate: f64,
+    /// Length of the day.
+    pub length: TimeSpan,
+}
+
+impl Default for SiteFigures {
+    fn default() -> Self {
+        Self {
+            engines: 9,
+            slots: 64,
+            models: 50,
+            copies: 3,
+            store_load: TimeSpan::from_secs(6),
+            at_once: 4,
+            busy_rate: 60.0,
+            rare_rate: 5.0,
+            length: TimeSpan::from_secs(35),
+        }
+    }
+}
+
+/// One engine that makes way for an empty one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Replacement {
+    /// When the engine begins to drain, and the new one comes.
+    pub at: TimeSpan,
+    /// Time between the two; the new one is late by it.
+    pub gap: TimeSpan,
+}
+
+/// What happens on a day.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DayPlan {
+    /// Engines that are replaced, the oldest first.
+    pub replaced: Vec<Replacement>,
+    /// When demand moves to other models.
+    pub shifts: Vec<TimeSpan>,
+    /// When rare models are asked for more often, and until when.
+    pub rush: Option<(TimeSpan, TimeSpan)>,
+}
+
+/// Time between two engines of a planned replacement.
+const ROLL_PAUSE: TimeSpan = TimeSpan::from_secs(1);
+/// The same where two replacements overlap.
+const FAST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
+const FIRST: TimeSpan = TimeSpan::from_secs(5);
+const SECOND: TimeSpan = TimeSpan::from_secs(12);
+
+impl DayPlan {
+    /// The plan of a day for a site.
+    #[must_use]
+    pub fn new(day: EmulatedDay, figures: &SiteFigures) -> Self {
+        let mut plan = Self {
+            replaced: Vec::new(),
+            shifts: Vec::new(),
+            rush: None,
+        };
+        match day {
+            EmulatedDay::Calm => {}
+            EmulatedDay::Release => plan.roll(FIRST, figures.engines, ROLL_PAUSE),
+            EmulatedDay::Twice => {
+                plan.roll(FIRST, figures.engines / 2, ROLL_PAUSE);
+                plan.roll(SECOND, figures.engines, FAST_PAUSE);
+            }
+            EmulatedDay::Shift => plan.shifts = vec![FIRST, SECOND],
+            EmulatedDay::Rare => plan.rush = Some((FIRST, SECOND)),
+            EmulatedDay::ScaleIn => {
+                let leaving = Replacement {
+                    at: FIRST,
+                    gap: TimeSpan::from_secs(4),
+                };
+                plan.replaced = vec![leaving; figures.engines / 3];
+            }
+        }
+        plan
+    }
+
+    fn roll(&mut self, first: TimeSpan, count: usize, pause: TimeSpan) {
+        let mut at = first;
+        for _ in 0..count {
+            self.replaced.push(Replacement {
+                at,
+                gap: TimeSpan::ZERO,
+            });
+            at = at + pause;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ward-bench/src/emulator/report.rs
@@ -0,0 +1,78 @@
+//! A day as a table and as a curve.
+
+use std::fmt::Write;
+
+use ward_fleet::number::real;
+
+use super::day::EmulatedDay;
+use super::run::{DayOutcome, KindOutcome};
+
+const WIDTH: f64 = 640.0;
+const HEIGHT: f64 = 240.0;
+const MARGIN: f64 = 40.0;
+const OURS: &str = "#c0392b";
+const BOUND: &str = "#27ae60";
+
+/// A row for callers of each kind, beside the bound.
+#[must_use]
+pub fn day_table(day: EmulatedDay, outcome: &DayOutcome, bound: &DayOutcome) -> String {
+    let mut text = format!(
+        "{day}: worth {:.3}, bound {:.3}; loads from the store {}, bound {}\n\
+         | kind | asked | on time | late | refused | lost | worth | bound |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+        outcome.part(),
+        bound.part(),
+        outcome.store_loads,
+        bound.store_loads,
+    );
+    push_row(&mut text, "busy", &outcome.busy, &bound.busy);
+    push_row(&mut text, "rare", &outcome.rare, &bound.rare);
+    text
+}
+
+fn push_row(text: &mut String, name: &str, kind: &KindOutcome, bound: &KindOutcome) {
+    // Writing into a string does not fail.
+    let _ = writeln!(
+        text,
+        "| {name} | {} | {} | {} | {} | {} | {:.3} | {:.3} |",
+        kind.asked,
+        kind.on_time,
+        kind.late,
+        kind.refused,
+        kind.lost,
+        kind.part(),
+        bound.part(),
+    );
+}
+
+/// Worth earned by the requests of each second, beside the bound.
+#[must_use]
+pub fn day_svg(day: EmulatedDay, outcome: &DayOutcome, bound: &DayOutcome) -> String {
+    let mut text = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDTH}\" height=\"{HEIGHT}\" \
+         font-family=\"sans-serif\" font-size=\"11\">\n\
+         <rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n\
+         <text x=\"{MARGIN}\" y=\"20\">{day}: part of the worth earned by the requests of each \
+         second; green: bound</text>\n"
+    );
+    push_curve(&mut text, bound, BOUND);
+    push_curve(&mut text, outcome, OURS);
+    text.push_str("</svg>\n");
+    text
+}
+
+fn push_curve(text: &mut String, outcome: &DayOutcome, colour: &str) {
+    let count = real(outcome.seconds.len().max(1));
+    let points = outcome.seconds.iter().enumerate().map(|(second, kind)| {
+        let x = MARGIN + real(second) / count * (WIDTH - 2.0 * MARGIN);
+        let y = HEIGHT - MARGIN - kind.part() * (HEIGHT - 2.0 * MARGIN);
+        format!("{x:.1},{y:.1}")
+    });
+    let points: Vec<_> = points.collect();
+    // Writing into a string does not fail.
+    let _ = writeln!(
+        text,
+        "<polyline points=\"{}\" fill=\"none\" stroke=\"{colour}\" stroke-width=\"1.5\"/>",
+        points.join(" ")
+    );
+}
--- /dev/null
+++ b/crates/ward-bench/src/emulator/run.rs
@@ -0,0 +1,291 @@
+//! One emulated day: requests wait for engines, are served, refused or lost.
+
+use indexmap::IndexMap;
+use ward_fleet::placement::{MemberKey, plan_work, slow_models};
+use ward_fleet::{LoadReport, RunningCount, WaitingCount};
+use ward_protocol::{BackendId, IdError, ModelName, MonoTime, TimeSpan};
+
+use super::day::{DayPlan, SiteFigures};
+use super::fleet::{EmulatedFleet, model_name};
+use super::traffic::{CallerRequest, RequestKind};
+
+/// Time between two steps of the emulation.
+const STEP: TimeSpan = TimeSpan::from_millis(20);
+/// Steps between two plans.
+const STEPS_PER_PLAN: u64 = 3;
+/// Time before the first request.
+const WARM_TIME: TimeSpan = TimeSpan::from_secs(10);
+/// Span over which the store's rate is kept.
+const RATE_WINDOW: TimeSpan = TimeSpan::from_secs(5);
+/// Prompt tokens of a request, and how many are read per millisecond.
+const PROMPT_MILLIS: u64 = 646 * 10 / 387;
+/// Steps of an answer, and the time of one at an engine with no other request.
+const ANSWER_STEPS: u64 = 70;
+const STEP_MICROS: u64 = 5_470;
+/// Growth of a step for each other request at the engine, in percent.
+const BATCH_PERCENT: u64 = 2;
+
+/// What callers of one kind got.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct KindOutcome {
+    /// Requests.
+    pub asked: usize,
+    /// Answered on time.
+    pub on_time: usize,
+    /// Answered late.
+    pub late: usize,
+    /// Refused with a time to come back.
+    pub refused: usize,
+    /// Neither answered nor refused before their caller left.
+    pub lost: usize,
+    /// Worth earned.
+    pub earned: f64,
+    /// Worth of all, had they been on time.
+    pub owed: f64,
+}
+
+impl KindOutcome {
+    pub(super) fn ask(&mut self, kind: RequestKind) {
+        self.asked += 1;
+        self.owed += kind.worth().0;
+    }
+
+    pub(super) fn answer(&mut self, kind: RequestKind, waited: TimeSpan) {
+        let (on_time, late) = kind.worth();
+        if waited <= kind.target() {
+            self.on_time += 1;
+            self.earned += on_time;
+        } else {
+            self.late += 1;
+            self.earned += late;
+        }
+    }
+
+    /// Part of the worth that was earned.
+    #[must_use]
+    pub fn part(&self) -> f64 {
+        if self.owed > 0.0 {
+            self.earned / self.owed
+        } else {
+            1.0
+        }
+    }
+}
+
+/// What callers got on a day.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct DayOutcome {
+    /// Requests for busy models.
+    pub busy: KindOutcome,
+    /// Requests for rare models.
+    pub rare: KindOutcome,
+    /// Loads from the weight store.
+    pub store_loads: usize,
+    /// Part of the worth earned by requests of each second.
+    pub seconds: Vec<KindOutcome>,
+}
+
+impl DayOutcome {
+    pub(super) fn new(figures: &SiteFigures) -> Self {
+        let seconds = usize::try_from(figures.length.millis() / 1_000 + 2).unwrap_or(1);
+        Self {
+            seconds: vec![KindOutcome::default(); seconds],
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn note(&mut self, request: &CallerRequest, note: impl Fn(&mut KindOutcome)) {
+        let kind = match request.kind {
+            RequestKind::Busy => &mut self.busy,
+            RequestKind::Rare => &mut self.rare,
+        };
+        note(kind);
+        let since = request.at.since(MonoTime::default()).millis() / 1_000;
+        let second = usize::try_from(since).unwrap_or(usize::MAX);
+        if let Some(second) = self.seconds.get_mut(second) {
+            note(second);
+        }
+    }
+
+    /// Part of all worth that was earned.
+    #[must_use]
+    pub fn part(&self) -> f64 {
+        (self.busy.earned + self.rare.earned) / (self.busy.owed + self.rare.owed).max(1.0)
+    }
+}
+
+/// A request at an engine.
+struct RunningRequest {
+    engine: BackendId,
+    model: ModelName,
+    ends: MonoTime,
+}
+
+struct DayRun {
+    fleet: EmulatedFleet,
+    waiting: Vec<CallerRequest>,
+    running: Vec<RunningRequest>,
+    arrivals: Vec<WaitingCount>,
+    outcome: DayOutcome,
+}
+
+/// Runs a day with the placement that daemons run.
+///
+/// # Errors
+/// When a name made for the day is not valid.
+pub fn run_day(
+    figures: &SiteFigures,
+    plan: &DayPlan,
+    requests: &[CallerRequest],
+) -> Result<DayOutcome, IdError> {
+    let warm = WARM_TIME.millis() / STEP.millis();
+    let steps = (figures.length + RequestKind::Rare.patience()).millis() / STEP.millis();
+    let mut run = DayRun {
+        fleet: EmulatedFleet::new(figures, &shifted(plan))?,
+        waiting: Vec::new(),
+        running: Vec::new(),
+        arrivals: Vec::new(),
+        outcome: DayOutcome::new(figures),
+    };
+    let mut rest = requests.iter().peekable();
+    for step in 0..warm + steps {
+        let now = MonoTime::default() + TimeSpan::from_millis(step * STEP.millis());
+        run.fleet.advance(now)?;
+        run.running.retain(|request| request.ends > now);
+        while let Some(request) = rest.next_if(|request| request.at + WARM_TIME <= now) {
+            run.arrive(request)?;
+        }
+        run.serve(now)?;
+        if step % STEPS_PER_PLAN == 0 {
+            run.plan(now);
+        }
+    }
+    run.outcome.store_loads = run.fleet.store_loads;
+    Ok(run.outcome)
+}
+
+/// The plan on the run's clock, which begins before the first request.
+fn shifted(plan: &DayPlan) -> DayPlan {
+    let mut plan = plan.clone();
+    for replaced in &mut plan.replaced {
+        replaced.at = replaced.at + WARM_TIME;
+    }
+    plan
+}
+
+impl DayRun {
+    fn arrive(&mut self, request: &CallerRequest) -> Result<(), IdError> {
+        self.outcome.note(request, |kind| kind.ask(request.kind));
+        self.arrivals.push(WaitingCount {
+            service: self.fleet.service.clone(),
+            model: model_name(request.model)?,
+            adapter: None,
+            count: 1,
+        });
+        self.waiting.push(*request);
+        Ok(())
+    }
+
+    fn serve(&mut self, now: MonoTime) -> Result<(), IdError> {
+        let slow = slow_models(&self.fleet.state, &self.fleet.manifest, now);
+        for request in std::mem::take(&mut self.waiting) {
+            let model = model_name(request.model)?;
+            let since = request.at + WARM_TIME;
+            if let Some(engine) = self.choose(&model) {
+                self.start(&request, engine, model, now);
+                continue;
+            }
+            let patience = request.kind.patience();
+            let forecast = slow.iter().find(|slow| slow.model == model);
+            let late = forecast.is_some_and(|slow| now + slow.ready_in > since + patience);
+            if late {
+                self.outcome.note(&request, |kind| kind.refused += 1);
+            } else if now.since(since) >= patience {
+                self.outcome.note(&request, |kind| kind.lost += 1);
+            } else {
+                self.waiting.push(request);
+            }
+        }
+        Ok(())
+    }
+
+    /// The engine with fewest requests among those with the model and a place.
+    fn choose(&self, model: &ModelName) -> Option<BackendId> {
+        let engines = self.fleet.state.engines.iter().filter(|(_, engine)| {
+            let held = engine.held.get(model);
+            !engine.info.draining && held.is_some_and(|held| !held.leaving)
+        });
+        let loads = engines.map(|(id, engine)| (self.load(id), engine.info.slots, id));
+        let open = loads.filter(|(load, slots, _)| load < slots);
+        open.min_by_key(|(load, _, _)| *load)
+            .map(|(_, _, id)| id.clone())
+    }
+
+    fn load(&self, engine: &BackendId) -> u32 {
+        let running = self.running.iter();
+        let load = running.filter(|request| request.engine == *engine).count();
+        u32::try_from(load).unwrap_or(u32::MAX)
+    }
+
+    fn start(
+        &mut self,
+        request: &CallerRequest,
+        engine: BackendId,
+        model: ModelName,
+        now: MonoTime,
+    ) {
+        let others = u64::from(self.load(&engine));
+        let steps = ANSWER_STEPS * STEP_MICROS * (100 + BATCH_PERCENT * others) / 100;
+        let first = now + TimeSpan::from_millis(PROMPT_MILLIS);
+        let waited = first.since(request.at + WARM_TIME);
+        self.outcome
+            .note(request, |kind| kind.answer(request.kind, waited));
+        self.running.push(RunningRequest {
+            engine,
+            model,
+            ends: first + TimeSpan::from_millis(steps / 1_000),
+        });
+    }
+
+    fn plan(&mut self, now: MonoTime) {
+        let report = LoadReport {
+            running: self.running_counts(),
+            waiting: self.waiting_counts(),
+            arrivals: std::mem::take(&mut self.arrivals),
+            ..LoadReport::default()
+        };
+        let fleet = &mut self.fleet;
+        fleet.state.note_report(MemberKey(0), report);
+        fleet.state.settle(now);
+        let works = plan_work(&mut fleet.state, &fleet.manifest, RATE_WINDOW, now);
+        for work in works {
+            fleet.begin(work, now);
+        }
+    }
+
+    fn running_counts(&self) -> Vec<RunningCount> {
+        let counts = self.running.iter().map(|request| RunningCount {
+            engine: request.engine.clone(),
+            model: Some(request.model.clone()),
+            adapter: None,
+            count: 1,
+        });
+        counts.collect()
+    }
+
+    fn waiting_counts(&self) -> Vec<WaitingCount> {
+        let mut counts: IndexMap<usize, u32> = IndexMap::new();
+        for request in &self.waiting {
+            *counts.entry(request.model).or_default() += 1;
+        }
+        let counts = counts.into_iter().filter_map(|(model, count)| {
+            Some(WaitingCount {
+                service: self.fleet.service.clone(),
+                model: model_name(model).ok()?,
+                adapter: None,
+                count,
+            })
+        });
+        counts.collect()
+    }
+}
--- a/crates/ward-fleet/src/placement/ceiling.rs
+++ b/crates/ward-fleet/src/placement/ceiling.rs
@@ -12,10 +12,10 @@
 
 use crate::number::{real, whole};
 
-/// Loads at once while nothing is known of the store.
-const FIRST_AT_ONCE: u32 = 2;
-/// Loads at once up to which the number doubles; above, one more at a time.
-const LAST_DOUBLED: u32 = 2;
+/// Loads at once while nothing is known of the store. Loads that begin together
+/// before a store that serves fewer end when they would one after the other, so a
+/// number too high costs less than one too low.
+const FIRST_AT_ONCE: u32 = 4;
 /// Most loads that are ever run at the same time.
 const MOST_AT_ONCE: u32 = 16;
 /// A load is on time up to this part of its stated time, in percent.
@@ -99,15 +99,9 @@
             return;
         }
         self.on_time += 1;
-        let next = if self.told {
-            self.at_once + u32::from(self.on_time >= RETRY_AFTER)
-        } else if self.at_once <= LAST_DOUBLED {
-            self.at_once * 2
-        } else {
-            self.at_once + u32::from(self.on_time >= self.at_once)
-        };
-        if next > self.at_once {
-            self.at_once = next.min(MOST_AT_ONCE);
+        let needed = if self.told { RETRY_AFTER } else { self.at_once };
+        if self.on_time >= needed {
+            self.at_once = (self.at_once + 1).min(MOST_AT_ONCE);
             self.on_time = 0;
         }
     }
--- a/crates/ward-fleet/tests/fetch.rs
+++ b/crates/ward-fleet/tests/fetch.rs
@@ -151,7 +151,9 @@
 fn note_done_number_of_loads_grows_while_they_are_on_time() {
     let mut ceiling = StoreCeiling::default();
     let first = ceiling.at_once();
-    ceiling.note_done(LOAD, LOAD, first);
+    for _ in 0..first {
+        ceiling.note_done(LOAD, LOAD, first);
+    }
     expect_that!(ceiling.at_once(), gt(first));
     let alone = ceiling.at_once();
     ceiling.note_done(LOAD, LOAD, 1);
