--- a/crates/ward-bench/src/emulator/bound.rs
+++ b/crates/ward-bench/src/emulator/bound.rs
@@ -10,12 +10,9 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::day::{DayPlan, SiteFigures};
-use super::run::DayOutcome;
+use super::run::{DayOutcome, PROMPT_TIME};
 use super::traffic::CallerRequest;
 
-/// Time in which an engine reads the prompt, the least that an answer takes.
-const FIRST_PART: TimeSpan = TimeSpan::from_millis(17);
-
 /// The outcome of a day with perfect knowledge.
 #[must_use]
 pub fn perfect_outcome(
@@ -116,8 +113,8 @@
 ) -> Option<TimeSpan> {
     let until = kept.get(request.model).copied().flatten();
     if until.is_none_or(|until| request.at < until) {
-        return Some(FIRST_PART);
+        return Some(PROMPT_TIME);
     }
     let ready = fetched.get(request.model).copied().flatten()?;
-    Some(ready.since(request.at) + FIRST_PART)
+    Some(ready.since(request.at) + PROMPT_TIME)
 }
--- a/crates/ward-bench/src/emulator/run.rs
+++ b/crates/ward-bench/src/emulator/run.rs
@@ -17,8 +17,8 @@
 const WARM_TIME: TimeSpan = TimeSpan::from_secs(10);
 /// Span over which the store's rate is kept.
 const RATE_WINDOW: TimeSpan = TimeSpan::from_secs(5);
-/// Prompt tokens of a request, and how many are read per millisecond.
-const PROMPT_MILLIS: u64 = 646 * 10 / 387;
+/// Time in which an engine reads the prompt, before the first part of an answer.
+pub(super) const PROMPT_TIME: TimeSpan = TimeSpan::from_millis(17);
 /// Steps of an answer, and the time of one at an engine with no other request.
 const ANSWER_STEPS: u64 = 70;
 const STEP_MICROS: u64 = 5_470;
@@ -236,7 +236,7 @@
     ) {
         let others = u64::from(self.load(&engine));
         let steps = ANSWER_STEPS * STEP_MICROS * (100 + BATCH_PERCENT * others) / 100;
-        let first = now + TimeSpan::from_millis(PROMPT_MILLIS);
+        let first = now + PROMPT_TIME;
         let waited = first.since(request.at + WARM_TIME);
         self.outcome
             .note(request, |kind| kind.answer(request.kind, waited));
--- a/crates/ward-fleet/src/placement/outlook.rs
+++ b/crates/ward-fleet/src/placement/outlook.rs
@@ -23,7 +23,6 @@
 const LOSS_SPAN: TimeSpan = TimeSpan::from_secs(3);
 /// Time for which an engine that came empty counts as new.
 const NEW_SPAN: TimeSpan = TimeSpan::from_secs(30);
-
 /// Time for which an engine that came empty counts as part of the replacement
 /// that is under way.
 const FRESH_SPAN: TimeSpan = TimeSpan::from_secs(8);
--- a/crates/ward-fleet/src/placement/plan/need.rs
+++ b/crates/ward-fleet/src/placement/plan/need.rs
@@ -1,4 +1,4 @@
-//! Loads that need no weight store: what requests wait for, one more engine for
+//! Models that requests wait for and an engine has at hand, one more engine for
 //! busy models, idle memory.
 
 use ward_protocol::BackendId;
@@ -13,8 +13,8 @@
 
 /// Loads of the same model that may run at once to spread it.
 const MOST_SPREADS: usize = 2;
-/// Part by which demand must exceed the slots of a model's engines before the
-/// weight store is used to spread it.
+/// A model is spread from the weight store when its demand, times this, exceeds
+/// the slots of its engines.
 const STORE_SPREAD_CONCURRENCY: f64 = 1.6;
 
 impl Planner<'_> {
@@ -54,8 +54,8 @@
             let coming = self.loading(&key);
             let full = f64::from(slots) * real(present);
             let pressed = demand.concurrency * STORE_SPREAD_CONCURRENCY > full;
-            let idle = self.state.store_load_count() == 0;
             for _ in 0..missing.min(MOST_SPREADS.saturating_sub(coming)) {
+                let idle = self.state.store_load_count() == 0;
                 if !self.load_somewhere(&key, WorkReason::Busy, pressed && idle) {
                     break;
                 }
