A new term begins few loads, since an earlier coordinator's are not known to it

The first loads of a term are four at once now, and the platform's ceiling allows three above the rate for each window: a coordinator that takes over within a window of full use could exceed it where the rate is low. Three loads begin in the first window of a term.

--- a/crates/ward-fleet/src/placement/ceiling.rs
+++ b/crates/ward-fleet/src/placement/ceiling.rs
@@ -18,6 +18,9 @@
 const FIRST_AT_ONCE: u32 = 4;
 /// Most loads that are ever run at the same time.
 const MOST_AT_ONCE: u32 = 16;
+/// Loads that may begin in the first window of a term, beside those that an
+/// earlier coordinator began and the new one does not know of.
+const FIRST_WINDOW_LOADS: usize = 3;
 /// A load is on time up to this part of its stated time, in percent.
 const ON_TIME_PERCENT: u64 = 120;
 /// Loads on time, with the store in full use, after which a number that a late
@@ -28,6 +31,8 @@
 #[derive(Debug, Clone)]
 pub struct StoreCeiling {
     begun: VecDeque<MonoTime>,
+    /// When the coordinator's term began.
+    term_begun: Option<MonoTime>,
     at_once: u32,
     /// Whether a late load has told the number of loads at once.
     told: bool,
@@ -39,6 +44,7 @@
     fn default() -> Self {
         Self {
             begun: VecDeque::new(),
+            term_begun: None,
             at_once: FIRST_AT_ONCE,
             told: false,
             on_time: 0,
@@ -53,6 +59,11 @@
         self.at_once
     }
 
+    /// Notes that a term begins: an earlier coordinator may have begun loads.
+    pub fn begin_term(&mut self, now: MonoTime) {
+        self.term_begun = Some(now);
+    }
+
     /// Takes over the number that an earlier coordinator learned.
     pub fn inherit(&mut self, at_once: u32) {
         self.at_once = at_once.clamp(1, MOST_AT_ONCE);
@@ -66,7 +77,12 @@
             .iter()
             .filter(|begun| now.since(**begun) <= window);
         let most = (per_second * window.seconds()).floor();
-        running < self.at_once && real(recent.count()) < most
+        let first_window = self
+            .term_begun
+            .is_some_and(|begun| now.since(begun) <= window);
+        let count = recent.count();
+        let known = !first_window || count < FIRST_WINDOW_LOADS;
+        running < self.at_once && real(count) < most && known
     }
 
     /// Counts a load that begins.
--- a/crates/ward-fleet/tests/fetch.rs
+++ b/crates/ward-fleet/tests/fetch.rs
@@ -285,3 +285,20 @@
     expect_that!(plan(&mut state, &manifest, load.clone(), 3_000), is_empty());
     expect_that!(plan(&mut state, &manifest, load, 7_100).len(), eq(1));
 }
+
+#[gtest]
+fn allows_first_window_of_a_term_leaves_room_for_loads_begun_before() {
+    let mut ceiling = StoreCeiling::default();
+    ceiling.begin_term(at(10_000));
+    let mut begun = 0;
+    for step in 0..100 {
+        let now = at(10_000 + step * 50);
+        if ceiling.allows(0, 3.5, WINDOW, now) {
+            ceiling.note(now, WINDOW);
+            begun += 1;
+        }
+    }
+    // What the platform allows above the rate, for a window.
+    expect_that!(begun, eq(3));
+    expect_true!(ceiling.allows(0, 3.5, WINDOW, at(15_100)));
+}
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -188,6 +188,16 @@
         }
     }
 
+    /// Prepares for loads from the weight store; `at_once` is how many it serves,
+    /// as an earlier coordinator told.
+    pub(super) fn begin_loads(&self, at_once: Option<u32>, now: MonoTime) {
+        let mut state = self.state.borrow_mut();
+        state.ceiling.begin_term(now);
+        if let Some(at_once) = at_once {
+            state.ceiling.inherit(at_once);
+        }
+    }
+
     /// Notes that the store has told all it knows of engines, up to an offset.
     pub(super) fn note_store(&self, end: u64, now: MonoTime) {
         self.store_heard.set(now);
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -50,9 +50,7 @@
     let coordinator = Rc::new(ActiveCoordinator::new(lease, window, members, logger));
     info!(gateway.logger, "coordinator: term begins"; "fence" => lease.fence.0);
     gateway.metrics.coordinates.set(1);
-    if let Some(at_once) = gateway.loads_at_once.get() {
-        coordinator.state.borrow_mut().ceiling.inherit(at_once);
-    }
+    coordinator.begin_loads(gateway.loads_at_once.get(), clock::now());
     learn_engines(gateway, &coordinator).await;
     gateway.coordinator.set(Some(Rc::clone(&coordinator)));
     tokio::task::spawn_local(run_term(Rc::clone(gateway), coordinator));
