Answers and events without an end are given up; dribbled bytes are no sign of life

Cause: an answer that is no stream was collected whole without a limit, and a resumable stream kept an unfinished event without a limit; any byte counted as a sign of life, so that a stalled stream that sent a byte now and then was held to its deadline.

Change: answers are kept whole up to 1 MiB, an event up to 256 KiB; the silence after which a stream goes on elsewhere counts from its last whole event.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod endless;
 mod faults;
 mod logging;
 mod path;
--- a/crates/ward-gateway/src/forward/events.rs
+++ b/crates/ward-gateway/src/forward/events.rs
@@ -4,6 +4,8 @@
 
 const EVENT_END: &[u8] = b"\n\n";
 const ID_FIELD: &[u8] = b"id:";
+/// Longest event that is kept until it is whole, in bytes.
+const LONGEST_EVENT: usize = 256 << 10;
 
 /// Cuts a stream into whole events and remembers the newest id.
 #[derive(Debug, Default)]
@@ -26,6 +28,11 @@
         whole
     }
 
+    /// Whether the event that is not whole yet is longer than any should be.
+    pub(super) fn is_too_long(&self) -> bool {
+        self.partial.len() > LONGEST_EVENT
+    }
+
     /// Takes what is left after the stream's end.
     pub(super) fn take_rest(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -27,7 +27,7 @@
 const END_GRACE: TimeSpan = TimeSpan::from_millis(100);
 /// Silence, in pauses that the route allows, after which a stream goes on
 /// elsewhere.
-const SILENT_PAUSES: u32 = 3;
+const SILENT_PAUSES: u64 = 3;
 /// Least time that must be left for a stream to go on elsewhere.
 const LEAST_TIME: TimeSpan = TimeSpan::from_millis(200);
 
@@ -141,6 +141,9 @@
                         self.passed = clock::now();
                         return Ok(Some(bytes));
                     }
+                    if self.cutter.is_too_long() && !self.go_on("an event has no end").await {
+                        return Err(self.give_up(RelayError::Broken));
+                    }
                 }
                 Step::End => return Ok(self.finish()),
                 Step::Timeout => return Err(self.give_up(RelayError::Timeout)),
@@ -165,13 +168,14 @@
         let Some(source) = &mut self.source else {
             return Step::End;
         };
-        let left = (self.request.deadline + END_GRACE).since(clock::now());
-        let patience = if self.resume.is_some() {
-            left.duration()
-                .min(self.event_pause.duration() * SILENT_PAUSES)
-        } else {
-            left.duration()
-        };
+        let now = clock::now();
+        let mut until = self.request.deadline + END_GRACE;
+        if self.resume.is_some() {
+            // Bytes that complete no event are no sign of life.
+            let silence = TimeSpan::from_millis(self.event_pause.millis() * SILENT_PAUSES);
+            until = until.min(self.passed + silence);
+        }
+        let patience = until.since(now).duration();
         let frame = tokio::time::timeout(patience, source.body.frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => Step::Data(frame.into_data().unwrap_or_default()),
@@ -241,6 +245,7 @@
                 self.cutter.drop_partial();
                 self.source = Some(Source::from(attempt));
                 self.resume = Some(ticket);
+                self.passed = clock::now();
                 return true;
             }
         }
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use slog::{info, warn};
 use tokio::net::TcpStream;
 use ward_adapter::header::{closes, keep_alive};
@@ -22,6 +22,9 @@
 use crate::phase::RequestPhase;
 use crate::queue::{WaitFailure, WaitTicket, acquire};
 
+/// Longest answer that is kept whole before it is passed on, in bytes; an engine
+/// in trouble may send without end.
+const LONGEST_ANSWER: usize = 1 << 20;
 /// Sends that the engine never saw, after which a request is refused.
 const MOST_UNSENT: u32 = 6;
 /// Refusals by engines after which a request is refused.
@@ -177,7 +180,8 @@
         } = attempt;
         let (head, body) = answer.into_parts();
         let left = self.request.deadline.since(clock::now());
-        let body = tokio::time::timeout(left.duration(), body.collect()).await;
+        let body = Limited::new(body, LONGEST_ANSWER).collect();
+        let body = tokio::time::timeout(left.duration(), body).await;
         let mut table = gateway.table.borrow_mut();
         let Ok(Ok(body)) = body else {
             table.note(&lease.engine.id, EngineSign::Failed, clock::now());
--- a/crates/ward-stage/src/daemon.rs
+++ b/crates/ward-stage/src/daemon.rs
@@ -10,6 +10,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use ward_adapter::served::settings_json;
 use ward_fleet::HostSettings;
+use ward_protocol::MemorySize;
 
 quick_error! {
     /// A stage that cannot be set up or go on.
@@ -144,6 +145,19 @@
         Ok(())
     }
 
+    /// Memory that the process has in use.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn memory(&self) -> Result<MemorySize, StageError> {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        let kibibytes = kibibytes.ok_or_else(|| io::Error::other("no line tells the memory"))?;
+        Ok(MemorySize::from_bytes(kibibytes << 10))
+    }
+
     /// Whether the process has ended.
     #[must_use]
     pub fn has_ended(&mut self) -> bool {
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::{StreamExt, stream};
+use futures::{Stream, StreamExt, stream};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -18,6 +18,9 @@
 use crate::ledger::{OrderNote, RunNote};
 use crate::reply::{BreakOff, StageBody, streamed, whole};
 
+/// Bytes of an answer without end that are sent at once.
+const ENDLESS_PIECE: &[u8] = &[b'x'; 64 << 10];
+const DRIBBLE_PAUSE: Duration = Duration::from_millis(100);
 /// Events of a stream and the pause between them.
 const EVENTS: u64 = 5;
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
@@ -136,6 +139,10 @@
         response.headers_mut().extend(marks);
         return response;
     }
+    if fault == EngineFault::Endless {
+        let pieces = stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(ENDLESS_PIECE))));
+        return streamed(StatusCode::OK, marks, pieces.boxed());
+    }
     if reading.model.is_none() {
         let mut response = whole(StatusCode::OK, format!("served {path}"));
         response.headers_mut().extend(marks);
@@ -156,5 +163,17 @@
         let text = format!("id: {number}\ndata: part {number}\n\n");
         Ok(Frame::data(Bytes::from(text)))
     });
+    if fault == EngineFault::Dribble {
+        let events = events.take(2).chain(dribble());
+        return streamed(StatusCode::OK, marks, events.boxed());
+    }
     streamed(StatusCode::OK, marks, events.boxed())
 }
+
+/// A byte now and then, for ever.
+fn dribble() -> impl Stream<Item = Result<Frame<Bytes>, BreakOff>> {
+    stream::repeat(()).then(|()| async {
+        tokio::time::sleep(DRIBBLE_PAUSE).await;
+        Ok(Frame::data(Bytes::from_static(b":")))
+    })
+}
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -39,6 +39,10 @@
     Mute,
     /// Orders are carried out and not answered.
     LoseOrders,
+    /// Its answers go on without end, in one event where they are streams.
+    Endless,
+    /// After two events of a stream it sends a byte now and then, and no event.
+    Dribble,
 }
 
 struct EngineState {
