Each run that ends without a whole answer has a line and a counter

A lease at an engine now knows how far its run has come; one that is given back unfinished logs request, fingerprint, engine and birth (run: no whole answer), whether its connection broke off or it was left or silent. ward_unfinished_runs_total counts them.

No decision changes. The request's id and fingerprint are in the ticket, so the lease can name them; the lease has a file of its own.

--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -15,7 +15,7 @@
 use super::pool::{ConnectionNeed, EngineSender};
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::queue::EngineLease;
+use crate::queue::{EngineLease, RunState};
 
 /// What is sent, the same for every attempt.
 #[derive(Debug, Clone)]
@@ -108,6 +108,7 @@
         fail(gateway, request, &lease, end, &cause.to_string());
         end
     })?;
+    lease.note_run(RunState::Running);
     let sent = sender.try_send_request(outgoing);
     let answer = match tokio::time::timeout(patience.duration(), sent).await {
         Err(_) => {
@@ -122,11 +123,12 @@
         }
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
-            let end = if unsent {
-                AttemptEnd::Unsent
+            let (end, run) = if unsent {
+                (AttemptEnd::Unsent, RunState::NotRun)
             } else {
-                AttemptEnd::Unknown
+                (AttemptEnd::Unknown, RunState::BrokenOff)
             };
+            lease.note_run(run);
             fail(gateway, request, &lease, end, &error.error().to_string());
             return Err(end);
         }
@@ -204,6 +206,7 @@
             (EngineSign::Full, "the engine refused")
         };
         note(gateway, &attempt.lease, sign);
+        attempt.lease.note_run(RunState::NotRun);
         info!(
             gateway.logger, "send: not run"; "request" => &request.id_text,
             "engine" => %attempt.lease.engine.id, "status" => status.as_u16(), "why" => why,
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -21,7 +21,7 @@
 use super::pool::EngineSender;
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::queue::{EngineLease, WaitTicket, acquire};
+use crate::queue::{EngineLease, RunState, WaitTicket, acquire};
 
 /// Time past the deadline in which an engine may still end its stream itself.
 const END_GRACE: TimeSpan = TimeSpan::from_millis(100);
@@ -179,7 +179,10 @@
         let frame = tokio::time::timeout(patience, source.body.frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => Step::Data(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) => Step::Broken("the engine broke off"),
+            Ok(Some(Err(_))) => {
+                source.lease.note_run(RunState::BrokenOff);
+                Step::Broken("the engine broke off")
+            }
             Ok(None) => Step::End,
             Err(_) if clock::now() >= self.request.deadline => Step::Timeout,
             Err(_) => Step::Broken("the engine fell silent"),
@@ -190,6 +193,7 @@
         let rest = self.cutter.take_rest();
         let source = self.source.take()?;
         note(&self.gateway, &source.lease, EngineSign::Answered);
+        source.lease.note_run(RunState::Answered);
         info!(
             self.gateway.logger, "stream: ended"; "request" => &self.request.id_text,
             "engine" => %source.lease.engine.id, "bytes" => self.bytes,
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -20,7 +20,7 @@
 use crate::forward::{AttemptRequest, ConnectionNeed};
 use crate::gateway::Gateway;
 use crate::phase::SharedPhase;
-use crate::queue::WaitTicket;
+use crate::queue::{RequestSubject, WaitTicket};
 
 /// Time before the deadline at which a request that still waits is given up.
 const LEAST_SERVICE: TimeSpan = TimeSpan::from_millis(60);
@@ -151,9 +151,8 @@
             priority: engine_priority(&routed),
             need: connection_need(routed.route.kind),
         },
-        ticket: wait_ticket(gateway, &routed, begun, phase),
+        ticket: wait_ticket(gateway, &routed, fingerprint, begun, phase),
         routed,
-        fingerprint,
         begun,
     };
     job.run(gateway).await
@@ -207,10 +206,15 @@
 fn wait_ticket(
     gateway: &Gateway,
     routed: &RoutedRequest,
+    fingerprint: RequestFingerprint,
     begun: MonoTime,
     phase: SharedPhase,
 ) -> WaitTicket {
     WaitTicket {
+        subject: RequestSubject {
+            request: routed.marks.id_text().into(),
+            fingerprint,
+        },
         service: routed.service.clone(),
         model: routed.marks.model.clone(),
         adapter: routed.marks.adapter.clone(),
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -20,7 +20,7 @@
 use crate::forward::{Attempt, AttemptEnd, AttemptRequest, RelayStart, StreamRelay, send_attempt};
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
-use crate::queue::{WaitFailure, WaitTicket, acquire};
+use crate::queue::{RunState, WaitFailure, WaitTicket, acquire};
 
 /// Longest answer that is kept whole before it is passed on, in bytes; an engine
 /// in trouble may send without end.
@@ -59,7 +59,6 @@
     pub(super) routed: RoutedRequest,
     pub(super) request: AttemptRequest,
     pub(super) ticket: WaitTicket,
-    pub(super) fingerprint: RequestFingerprint,
     pub(super) begun: MonoTime,
 }
 
@@ -184,6 +183,9 @@
         let body = tokio::time::timeout(left.duration(), body).await;
         let mut table = gateway.table.borrow_mut();
         let Ok(Ok(body)) = body else {
+            if body.is_ok() {
+                lease.note_run(RunState::BrokenOff);
+            }
             table.note(&lease.engine.id, EngineSign::Failed, clock::now());
             drop(table);
             warn!(
@@ -193,6 +195,7 @@
             return None;
         };
         table.note(&lease.engine.id, EngineSign::Answered, clock::now());
+        lease.note_run(RunState::Answered);
         drop(table);
         let keep = keep_alive(&head.headers);
         if !closes(&head.headers) {
@@ -228,7 +231,7 @@
                 self.ticket.avoided.insert(engine.clone());
                 progress.runs += 1;
                 if end == AttemptEnd::Unknown && progress.failure.is_none() {
-                    note_crash(gateway, self.fingerprint, address);
+                    note_crash(gateway, self.ticket.subject.fingerprint, address);
                 }
                 self.may_run_again(progress.runs) && gateway.take_repeat(&self.routed.service)
             }
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub(crate) answers: IntCounterVec,
     /// Sends to engines by result.
     pub(crate) sends: IntCounterVec,
+    /// Runs that ended without a whole answer, by how.
+    pub(crate) unfinished: IntCounterVec,
     /// Seconds until an engine's answer began.
     pub(crate) first_byte: Histogram,
     /// Seconds that requests waited for an engine.
@@ -44,6 +46,11 @@
         let metrics = Self {
             answers: counters("ward_answers_total", "answers by outcome", "outcome")?,
             sends: counters("ward_sends_total", "sends to engines by result", "result")?,
+            unfinished: counters(
+                "ward_unfinished_runs_total",
+                "runs without a whole answer",
+                "end",
+            )?,
             first_byte: latency("ward_first_byte_seconds", "until an engine's answer began")?,
             waited: latency("ward_waited_seconds", "wait for an engine")?,
             waiting: IntGauge::new("ward_waiting", "requests that wait now")?,
@@ -62,6 +69,7 @@
         let registry = &self.registry;
         registry.register(Box::new(self.answers.clone()))?;
         registry.register(Box::new(self.sends.clone()))?;
+        registry.register(Box::new(self.unfinished.clone()))?;
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.waited.clone()))?;
         registry.register(Box::new(self.waiting.clone()))?;
--- /dev/null
+++ b/crates/ward-gateway/src/queue/lease.rs
@@ -0,0 +1,86 @@
+//! A place at an engine, and what became of the run in it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use slog::info;
+use ward_fleet::EngineInfo;
+
+use super::ticket::WaitTicket;
+use crate::gateway::Gateway;
+
+/// How far the run in a place has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// The engine has not begun it, or said that it did not run it.
+    NotRun,
+    /// The engine may be at work on it.
+    Running,
+    /// The connection ended before the answer did.
+    BrokenOff,
+    /// The engine answered it whole.
+    Answered,
+}
+
+impl RunState {
+    /// The word for logs and metrics.
+    const fn word(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Running => "running",
+            Self::BrokenOff => "broken_off",
+            Self::Answered => "answered",
+        }
+    }
+}
+
+/// A place at an engine; given back when dropped.
+pub(crate) struct EngineLease {
+    gateway: Rc<Gateway>,
+    pub(crate) engine: EngineInfo,
+    ticket: WaitTicket,
+    run: Cell<RunState>,
+}
+
+impl EngineLease {
+    pub(super) fn new(gateway: &Rc<Gateway>, engine: EngineInfo, ticket: &WaitTicket) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            engine,
+            ticket: ticket.clone(),
+            run: Cell::new(RunState::NotRun),
+        }
+    }
+
+    /// Notes how far the run has come.
+    pub(crate) fn note_run(&self, run: RunState) {
+        self.run.set(run);
+    }
+
+    /// Logs a run that ended without a whole answer: silent, broken off, or left
+    /// by its caller.
+    fn note_unfinished(&self, run: RunState) {
+        let metrics = &self.gateway.metrics;
+        metrics.unfinished.with_label_values(&[run.word()]).inc();
+        info!(
+            self.gateway.logger, "run: no whole answer";
+            "request" => &*self.ticket.subject.request, "end" => run.word(),
+            "fingerprint" => %self.ticket.subject.fingerprint,
+            "engine" => %self.engine.id, "birth" => self.engine.birth.map(|birth| birth.0),
+        );
+    }
+}
+
+impl Drop for EngineLease {
+    fn drop(&mut self) {
+        let mut table = self.gateway.table.borrow_mut();
+        let (model, adapter) = (&self.ticket.model, &self.ticket.adapter);
+        table.end(&self.engine.id, model.as_ref(), adapter.as_ref());
+        drop(table);
+        self.gateway.queue.changed();
+        let run = self.run.get();
+        if matches!(run, RunState::Running | RunState::BrokenOff) {
+            self.note_unfinished(run);
+        }
+    }
+}
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that wait for an engine.
 
+mod lease;
 mod ticket;
 
 use std::cell::{Cell, RefCell};
@@ -10,11 +11,12 @@
 use ward_fleet::choice::EngineChoice;
 use ward_fleet::flow::{LateVerdict, RequestFlow};
 use ward_fleet::queue::FirstPartTime;
-use ward_fleet::{ChoiceContext, EngineInfo, SlowModel, WaitingCount, choose_engine};
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, TimeSpan};
+use ward_fleet::{ChoiceContext, SlowModel, WaitingCount, choose_engine};
+use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
+pub(crate) use self::lease::{EngineLease, RunState};
+pub(crate) use self::ticket::{RequestSubject, WaitFailure, WaitTicket};
 use self::ticket::{SlowKey, WaitKey};
-pub(crate) use self::ticket::{WaitFailure, WaitTicket};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
@@ -44,22 +46,6 @@
     slow: RefCell<IndexMap<SlowKey, MonoTime>>,
 }
 
-/// A place at an engine; given back when dropped.
-pub(crate) struct EngineLease {
-    gateway: Rc<Gateway>,
-    pub(crate) engine: EngineInfo,
-    model: Option<ModelName>,
-    adapter: Option<AdapterName>,
-}
-
-impl Drop for EngineLease {
-    fn drop(&mut self) {
-        let mut table = self.gateway.table.borrow_mut();
-        table.end(&self.engine.id, self.model.as_ref(), self.adapter.as_ref());
-        self.gateway.queue.changed();
-    }
-}
-
 /// Takes a waiter out of the queue when its request is dropped.
 struct WaiterGuard {
     gateway: Rc<Gateway>,
@@ -253,12 +239,7 @@
     let mut table = gateway.table.borrow_mut();
     let engine = table.get(id)?.info.clone();
     table.begin(id, ticket.model.as_ref(), ticket.adapter.as_ref());
-    Some(EngineLease {
-        gateway: Rc::clone(gateway),
-        engine,
-        model: ticket.model.clone(),
-        adapter: ticket.adapter.clone(),
-    })
+    Some(EngineLease::new(gateway, engine, ticket))
 }
 
 /// Gives engines to waiting requests whenever something changed.
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -1,15 +1,29 @@
 //! What waiting requests need, and why they may wait in vain.
 
+use std::rc::Rc;
+
 use indexmap::IndexSet;
 use ward_fleet::queue::RequestTimes;
 use ward_fleet::{EngineWish, QueueRank};
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, TimeSpan};
+use ward_protocol::{
+    AdapterName, BackendId, ModelName, MonoTime, RequestFingerprint, ServiceName, TimeSpan,
+};
 
 use crate::phase::SharedPhase;
 
+/// Which request it is.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestSubject {
+    /// Its id, for logs.
+    pub(crate) request: Rc<str>,
+    /// What it asks for, also when it is sent again under another id.
+    pub(crate) fingerprint: RequestFingerprint,
+}
+
 /// What a request needs of an engine, and how urgently.
 #[derive(Debug, Clone)]
 pub(crate) struct WaitTicket {
+    pub(crate) subject: RequestSubject,
     pub(crate) service: ServiceName,
     pub(crate) model: Option<ModelName>,
     pub(crate) adapter: Option<AdapterName>,
