--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod crashes;
 mod endless;
 mod faults;
 mod logging;
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -14,7 +14,7 @@
     refusal_marks, report_json,
 };
 
-use super::{EngineFault, Shared};
+use super::{CRASHING_PATH, CrashKind, EngineFault, Shared};
 use crate::ledger::{OrderNote, RunNote};
 use crate::reply::{BreakOff, StageBody, streamed, whole};
 
@@ -80,7 +80,7 @@
 }
 
 async fn answer_request(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     reading: &OrderReading,
     path: &str,
 ) -> Result<Response<StageBody>, BreakOff> {
@@ -114,13 +114,38 @@
         resumed: reading.last_event.is_some(),
     });
     tokio::time::sleep(WORK_TIME).await;
+    let fault = match fault {
+        EngineFault::Crash(_) if !path.contains(CRASHING_PATH) => EngineFault::None,
+        EngineFault::Crash(CrashKind::AfterHead) => {
+            let shared = Arc::clone(shared);
+            tokio::spawn(async move {
+                tokio::time::sleep(EVENT_PAUSE * 3).await;
+                shared.crashed.notify_one();
+            });
+            cut_short(reading)
+        }
+        fault => fault,
+    };
     match fault {
         EngineFault::LoseAnswers => Err(BreakOff),
         EngineFault::Mute => std::future::pending().await,
+        EngineFault::Crash(_) => {
+            shared.crashed.notify_one();
+            std::future::pending().await
+        }
         _ => Ok(run_answer(fault, reading, &engine, path)),
     }
 }
 
+/// The fault that keeps an answer from its end until the engine has crashed.
+fn cut_short(reading: &OrderReading) -> EngineFault {
+    if reading.model.is_some() {
+        EngineFault::Dribble
+    } else {
+        EngineFault::BreakOff
+    }
+}
+
 fn run_answer(
     fault: EngineFault,
     reading: &OrderReading,
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -7,18 +7,27 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use ward_adapter::served::{AskedOrder, entry_json};
-use ward_fleet::{EngineClass, EngineEntry, EngineOrder, HeartbeatCount, HeldModel, OrderSequence};
+use ward_fleet::{
+    EngineBirth, EngineClass, EngineEntry, EngineOrder, HeartbeatCount, HeldModel, OrderSequence,
+};
 use ward_protocol::{AdapterName, FenceNumber, ModelName};
 
 use self::answer::answer;
 use crate::ledger::RunLedger;
+use crate::proxy::{LinkFault, LinkSwitch, StageProxy};
 use crate::serve::{StageServer, serve};
 use crate::store::StageStore;
 use crate::weights::StageWeights;
 
+/// Time between heartbeats.
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
+/// Heartbeats that may be missing before an entry is removed.
+const MISSED_HEARTBEATS: u32 = 3;
+/// Time from the removal of a crashed engine's entry until the engine is back.
+const RESTART_TIME: Duration = Duration::from_millis(200);
 
 /// How an engine misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +52,32 @@
     Endless,
     /// After two events of a stream it sends a byte now and then, and no event.
     Dribble,
+    /// It crashes when it begins a request whose path has [`CRASHING_PATH`].
+    Crash(CrashKind),
+}
+
+/// Part of the path of requests that crash engines.
+pub const CRASHING_PATH: &str = "crashing";
+
+/// What callers see of a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashKind {
+    /// Its connections end before the answer begins.
+    BeforeHead,
+    /// Its connections end after two events, or midway in another answer.
+    AfterHead,
+    /// Nothing any more: the host is gone.
+    Silent,
+}
+
+impl CrashKind {
+    /// What is left of the link to an engine that crashed.
+    const fn link(self) -> LinkFault {
+        match self {
+            Self::BeforeHead | Self::AfterHead => LinkFault::Refuse,
+            Self::Silent => LinkFault::Silence,
+        }
+    }
 }
 
 struct EngineState {
@@ -59,6 +94,7 @@
 struct Shared {
     state: Mutex<EngineState>,
     ledger: RunLedger,
+    crashed: Notify,
 }
 
 /// An engine.
@@ -101,6 +137,7 @@
                 fault: EngineFault::None,
             }),
             ledger,
+            crashed: Notify::new(),
         });
         let seen = Arc::clone(&shared);
         let server = serve(ip, move |request| answer(Arc::clone(&seen), request)).await?;
@@ -112,15 +149,18 @@
         })
     }
 
-    /// Begins to write heartbeats into the store, through `address` as callers
+    /// Begins to write heartbeats into the store, through `link` as callers
     /// should see it.
-    pub fn register(&mut self, store: &Arc<StageStore>, address: SocketAddr) {
-        self.shared.lock().entry.address = address;
+    pub fn register(&mut self, store: &Arc<StageStore>, link: &StageProxy) {
+        self.shared.lock().entry.address = link.address();
         let (shared, store) = (Arc::clone(&self.shared), Arc::clone(store));
+        let switch = link.switch();
         self.heartbeat = Some(tokio::spawn(async move {
             loop {
-                shared.write_heartbeat(&store);
-                tokio::time::sleep(HEARTBEAT_PAUSE).await;
+                tokio::select! {
+                    () = shared.write_heartbeats(&store) => {}
+                    () = shared.crashed.notified() => shared.restart(&store, &switch).await,
+                }
             }
         }));
     }
@@ -167,6 +207,29 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    async fn write_heartbeats(&self, store: &StageStore) {
+        loop {
+            self.write_heartbeat(store);
+            tokio::time::sleep(HEARTBEAT_PAUSE).await;
+        }
+    }
+
+    /// Ends this life of the engine and begins the next, which has its copies on
+    /// disk only and another id.
+    async fn restart(&self, store: &StageStore, switch: &LinkSwitch) {
+        let former = {
+            let mut state = self.lock();
+            if let EngineFault::Crash(kind) = state.fault {
+                switch.set_fault(kind.link());
+            }
+            state.begin_life()
+        };
+        tokio::time::sleep(HEARTBEAT_PAUSE * MISSED_HEARTBEATS).await;
+        store.put_entry(&former, None);
+        tokio::time::sleep(RESTART_TIME).await;
+        switch.set_fault(LinkFault::None);
+    }
+
     fn write_heartbeat(&self, store: &StageStore) {
         let mut state = self.lock();
         state.settle();
@@ -179,6 +242,24 @@
 }
 
 impl EngineState {
+    /// Forgets what a restart forgets; returns the former id.
+    fn begin_life(&mut self) -> String {
+        let former = self.entry.id.to_string();
+        let birth = EngineBirth(self.entry.birth.map_or(0, |birth| birth.0) + 1);
+        let number = former.split('.').next().unwrap_or(&former);
+        if let Ok(id) = format!("{number}.{}", birth.0).parse() {
+            self.entry.id = id;
+        }
+        self.entry.birth = Some(birth);
+        self.entry.heartbeat = HeartbeatCount(0);
+        self.entry.models.clear();
+        self.sequence = OrderSequence(0);
+        self.fence = FenceNumber(0);
+        self.busy_until = Instant::now();
+        self.coming = None;
+        former
+    }
+
     /// Completes a load whose time is over.
     fn settle(&mut self) {
         if self.is_busy() {
--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -1,17 +1,18 @@
 //! A loopback proxy that harms connections.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 const CHUNK_BYTES: usize = 16 << 10;
+const BIND_PAUSE: Duration = Duration::from_millis(20);
 
 /// How a link is harmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,16 +23,35 @@
     Delay(Duration),
     /// New connections are closed, open ones are reset.
     Reset,
+    /// Nothing listens: new connections are refused, open ones are reset.
+    Refuse,
     /// Bytes from the far side are held back.
     CutAnswers,
     /// All bytes are held back.
     Silence,
 }
 
+impl LinkFault {
+    fn resets(self) -> bool {
+        matches!(self, Self::Reset | Self::Refuse)
+    }
+}
+
+/// Harms a proxy's link, or heals it.
+#[derive(Debug, Clone)]
+pub struct LinkSwitch(Arc<watch::Sender<LinkFault>>);
+
+impl LinkSwitch {
+    /// Harms the link, or heals it.
+    pub fn set_fault(&self, fault: LinkFault) {
+        self.0.send_replace(fault);
+    }
+}
+
 /// A proxy before one address.
 pub struct StageProxy {
     address: SocketAddr,
-    fault: Arc<watch::Sender<LinkFault>>,
+    switch: LinkSwitch,
     accepted: Arc<AtomicU32>,
     task: JoinHandle<()>,
 }
@@ -53,19 +73,24 @@
         let (fault, faults) = watch::channel(LinkFault::None);
         let accepted = Arc::new(AtomicU32::new(0));
         let counted = Arc::clone(&accepted);
-        let links = Arc::new(Mutex::new(tokio::task::JoinSet::new()));
         let task = tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                counted.fetch_add(1, Ordering::Relaxed);
-                let faults = faults.clone();
-                let mut links = links.lock().unwrap_or_else(PoisonError::into_inner);
-                links.spawn(link(near, target, faults));
-                while links.try_join_next().is_some() {}
+            // Dropping the links with this task ends them.
+            let mut links = JoinSet::new();
+            let mut listener = listener;
+            loop {
+                accept_links(&listener, target, &faults, &counted, &mut links).await;
+                drop(listener);
+                let mut healed = faults.clone();
+                let heals = healed.wait_for(|fault| *fault != LinkFault::Refuse);
+                if heals.await.is_err() {
+                    return;
+                }
+                listener = bind_again(address).await;
             }
         });
         Ok(Self {
             address,
-            fault: Arc::new(fault),
+            switch: LinkSwitch(Arc::new(fault)),
             accepted,
             task,
         })
@@ -79,7 +104,13 @@
 
     /// Harms the link, or heals it.
     pub fn set_fault(&self, fault: LinkFault) {
-        self.fault.send_replace(fault);
+        self.switch.set_fault(fault);
+    }
+
+    /// What harms the link, for others than the proxy's owner.
+    #[must_use]
+    pub fn switch(&self) -> LinkSwitch {
+        self.switch.clone()
     }
 
     /// Connections accepted so far.
@@ -89,8 +120,40 @@
     }
 }
 
+/// Listens again on an address that others may use for a moment.
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(BIND_PAUSE).await;
+    }
+}
+
+/// Accepts connections until the link refuses them.
+async fn accept_links(
+    listener: &TcpListener,
+    target: SocketAddr,
+    faults: &watch::Receiver<LinkFault>,
+    accepted: &AtomicU32,
+    links: &mut JoinSet<()>,
+) {
+    let mut refused = faults.clone();
+    loop {
+        tokio::select! {
+            _ = refused.wait_for(|fault| *fault == LinkFault::Refuse) => return,
+            incoming = listener.accept() => {
+                let Ok((near, _)) = incoming else { return };
+                accepted.fetch_add(1, Ordering::Relaxed);
+                links.spawn(link(near, target, faults.clone()));
+                while links.try_join_next().is_some() {}
+            }
+        }
+    }
+}
+
 async fn link(near: TcpStream, target: SocketAddr, faults: watch::Receiver<LinkFault>) {
-    if *faults.borrow() == LinkFault::Reset {
+    if faults.borrow().resets() {
         return;
     }
     let Ok(far) = TcpStream::connect(target).await else {
@@ -107,7 +170,7 @@
             );
         } => {}
         // The sender lives as long as the proxy.
-        _ = reset.wait_for(|fault| *fault == LinkFault::Reset) => {}
+        _ = reset.wait_for(|fault| fault.resets()) => {}
     }
 }
 
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -171,7 +171,7 @@
         let (weights, ledger) = (self.weights.clone(), self.ledger.clone());
         let mut engine = StageEngine::start(ip, entry, class, weights, ledger).await?;
         let link = StageProxy::start(ip, engine.address()).await?;
-        engine.register(&self.store, link.address());
+        engine.register(&self.store, &link);
         self.engines.push(engine);
         self.engine_links.push(link);
         Ok(())
