Crashes of engines are noticed wherever a run can end

Cause: evidence was taken at one of five places where a run ends with its engine, a send that failed before the head of its answer. A stream broken off after the head, one that went on elsewhere, a run that fell silent and one whose caller left were not counted. Class: a belief drawn from one of several symptoms of the same event.

Fix: the lease of a place at an engine sees every end of a run, so it reports each that is not a whole answer. The run is watched: its engine ended if its address refuses connections just after the connection broke (as before), or if its entry is gone or names another life within five heartbeats. A silent address is no sign any more (a cut host counted crashes that were none), nor is the end of an engine that drains. What counts is on how many engines' lives a request ran when they ended, so one crash told twice counts once; a whole answer clears a request. Crashes count for an hour, as a request that returns every two minutes crashed two engines each time; the refusal says how long is left.

--- /dev/null
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -0,0 +1,48 @@
+//! Requests that crash the engines that run them.
+//!
+//! Load pattern: one request crashes each engine that begins it, and its caller
+//! sends it again under other ids, to any daemon. Engines also end for reasons of
+//! their own, with all their other requests at work. So what counts is on how
+//! many engines a request was running when they ended, with no whole answer in
+//! between; one that this happened to more than once is not sent to engines for a
+//! while.
+
+mod ledger;
+mod watch;
+
+use serde::{Deserialize, Serialize};
+use ward_protocol::{BackendId, RequestFingerprint, TimeSpan};
+
+pub use self::ledger::{CrashLedger, CrashNews};
+pub use self::watch::{CrashWatch, UnfinishedRun};
+use crate::entry::EngineBirth;
+use crate::message::EngineInfo;
+
+/// One life of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLife {
+    /// The engine.
+    pub engine: BackendId,
+    /// Start of this life.
+    pub birth: Option<EngineBirth>,
+}
+
+impl From<&EngineInfo> for EngineLife {
+    fn from(info: &EngineInfo) -> Self {
+        Self {
+            engine: info.id.clone(),
+            birth: info.birth,
+        }
+    }
+}
+
+/// An engine's life that ended while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashMark {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The life that ended.
+    pub life: EngineLife,
+    /// Time since then, when this is told.
+    pub age: TimeSpan,
+}
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -8,9 +8,9 @@
 
 pub mod budget;
 pub mod choice;
+pub mod crash;
 pub mod directory;
 pub mod entry;
-pub mod fault;
 pub mod flow;
 pub mod health;
 pub mod lease;
@@ -27,9 +27,9 @@
 
 pub use budget::RepeatBudget;
 pub use choice::{ChoiceContext, EngineWish, choose_engine};
+pub use crash::{CrashLedger, CrashMark, CrashNews, CrashWatch, EngineLife, UnfinishedRun};
 pub use directory::choose_hosts;
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
-pub use fault::CrashLedger;
 pub use health::EngineHealth;
 pub use lease::{CoordinatorLease, LeaseWindow, TermRecord, TermWatch};
 pub use manifest::{
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -14,6 +14,7 @@
     TimeSpan, ZoneName,
 };
 
+use crate::crash::CrashMark;
 use crate::entry::{EngineBirth, EngineEntry, HeldModel};
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
@@ -58,8 +59,10 @@
     pub waiting: Vec<WaitingCount>,
     /// Models and adapters asked for since the last report.
     pub arrivals: Vec<WaitingCount>,
-    /// Requests whose engine broke off without an answer since the last report.
-    pub crashes: Vec<RequestFingerprint>,
+    /// Engines that ended under requests, as far as the coordinator does not know.
+    pub crashes: Vec<CrashMark>,
+    /// Requests that were thought to crash engines and got a whole answer.
+    pub cleared: Vec<RequestFingerprint>,
     /// Engines that said they lack what they were thought to hold.
     pub misplaced: Vec<RunningCount>,
     /// The coordinator's question to which the store gave this daemon no answer
@@ -149,8 +152,10 @@
     pub store_age: TimeSpan,
     /// Whether the store is away for everyone and orders go on without it.
     pub store_away: bool,
-    /// Requests that must not be sent to engines any more.
-    pub poisoned: Vec<RequestFingerprint>,
+    /// Engines that ended under requests.
+    pub crashes: Vec<CrashMark>,
+    /// Requests whose crashes do not count any more.
+    pub cleared: Vec<RequestFingerprint>,
 }
 
 /// A model that no engine has at hand.
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -62,6 +62,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Time between heartbeats of an engine.
+    pub engine_heartbeat: TimeSpan,
     /// Size of the host.
     pub capacity: HostCapacity,
     /// Bounds that the deployment promises.
--- /dev/null
+++ b/crates/ward-fleet/tests/crash.rs
@@ -0,0 +1,206 @@
+//! Requests that crash engines.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{at, name, service};
+use ward_fleet::{
+    CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo, EngineLife,
+    EngineTable, UnfinishedRun,
+};
+use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
+
+const BAD: RequestFingerprint = RequestFingerprint(1);
+const HEARTBEAT: TimeSpan = TimeSpan::from_secs(1);
+
+fn life(number: i64) -> EngineLife {
+    EngineLife {
+        engine: name(&format!("i-{number}")),
+        birth: Some(EngineBirth(number)),
+    }
+}
+
+fn mark(fingerprint: RequestFingerprint, number: i64) -> CrashMark {
+    CrashMark {
+        fingerprint,
+        life: life(number),
+        age: TimeSpan::ZERO,
+    }
+}
+
+fn engine(number: i64) -> EngineInfo {
+    EngineInfo {
+        id: name(&format!("i-{number}")),
+        service: service(),
+        address: name("10.0.0.1:80"),
+        zone: name("north"),
+        slots: 12,
+        draining: false,
+        birth: Some(EngineBirth(number)),
+        holding: Vec::new(),
+    }
+}
+
+fn table(numbers: impl IntoIterator<Item = i64>) -> EngineTable {
+    let mut table = EngineTable::default();
+    for number in numbers {
+        table.insert(engine(number));
+    }
+    table
+}
+
+fn run(number: i64, ended: MonoTime) -> UnfinishedRun {
+    UnfinishedRun {
+        fingerprint: BAD,
+        life: life(number),
+        at: ended,
+    }
+}
+
+#[gtest]
+fn note_crash_on_a_second_engine_blocks() {
+    let mut ledger = CrashLedger::default();
+    expect_that!(ledger.note(&mark(BAD, 1), at(0)), eq(CrashNews::Counted));
+    expect_that!(ledger.blocked_for(&BAD, at(0)), none());
+    expect_that!(
+        ledger.note(&mark(BAD, 2), at(4_000)),
+        eq(CrashNews::Blocked)
+    );
+    expect_that!(ledger.blocked_for(&BAD, at(4_000)), some(anything()));
+    expect_that!(ledger.marks(at(4_000)).len(), eq(2));
+}
+
+#[gtest]
+fn note_crash_told_twice_counts_once() {
+    let mut ledger = CrashLedger::default();
+    ledger.note(&mark(BAD, 1), at(0));
+    expect_that!(ledger.note(&mark(BAD, 1), at(9_000)), eq(CrashNews::Known));
+    expect_that!(ledger.blocked_for(&BAD, at(9_000)), none());
+}
+
+#[gtest]
+fn note_crash_of_an_engine_with_many_requests_blocks_none() {
+    let mut ledger = CrashLedger::default();
+    for request in 0..60 {
+        let mark = mark(RequestFingerprint(request), 1);
+        expect_that!(ledger.note(&mark, at(0)), eq(CrashNews::Counted));
+    }
+    for request in 0..60 {
+        let fingerprint = RequestFingerprint(request);
+        expect_that!(ledger.blocked_for(&fingerprint, at(0)), none());
+    }
+}
+
+#[gtest]
+fn note_crash_that_returns_after_minutes_still_blocks() {
+    let mut ledger = CrashLedger::default();
+    ledger.note(&mark(BAD, 1), at(0));
+    let later = at(10 * 60_000);
+    expect_that!(ledger.note(&mark(BAD, 2), later), eq(CrashNews::Blocked));
+}
+
+#[gtest]
+fn note_crash_told_late_is_as_old_as_it_is() {
+    let mut early = CrashLedger::default();
+    early.note(&mark(BAD, 1), at(0));
+    early.note(&mark(BAD, 2), at(0));
+    let now = at(30 * 60_000);
+    let mut late = CrashLedger::default();
+    for mark in early.marks(now) {
+        late.note(&mark, now);
+    }
+    expect_that!(
+        late.blocked_for(&BAD, now),
+        eq(early.blocked_for(&BAD, now))
+    );
+    let forgotten = at(2 * 60 * 60_000);
+    expect_that!(late.blocked_for(&BAD, forgotten), none());
+}
+
+#[gtest]
+fn note_many_requests_forgets_no_blocked_one() {
+    let mut ledger = CrashLedger::default();
+    ledger.note(&mark(BAD, 1), at(0));
+    ledger.note(&mark(BAD, 2), at(0));
+    for request in 100..10_000 {
+        ledger.note(&mark(RequestFingerprint(request), 3), at(1));
+    }
+    expect_that!(ledger.blocked_for(&BAD, at(1)), some(anything()));
+}
+
+#[gtest]
+fn clear_request_with_a_whole_answer_counts_anew() {
+    let mut ledger = CrashLedger::default();
+    ledger.note(&mark(BAD, 1), at(0));
+    expect_true!(ledger.clear(&BAD));
+    expect_that!(ledger.note(&mark(BAD, 2), at(1)), eq(CrashNews::Counted));
+    expect_false!(ledger.clear(&RequestFingerprint(2)));
+}
+
+#[gtest]
+fn review_engine_whose_entry_is_gone_has_ended() {
+    let mut watch = CrashWatch::default();
+    watch.note(run(1, at(0)), false, &table([1, 2]));
+    expect_that!(
+        watch.review(&table([1, 2]), HEARTBEAT, at(2_000)),
+        is_empty()
+    );
+    let ended = watch.review(&table([2]), HEARTBEAT, at(4_000));
+    expect_that!(ended.len(), eq(1));
+    expect_that!(
+        watch.review(&table([2]), HEARTBEAT, at(4_500)),
+        is_empty(),
+        "counted once"
+    );
+}
+
+#[gtest]
+fn review_engine_back_under_its_id_has_ended() {
+    let mut watch = CrashWatch::default();
+    watch.note(run(1, at(0)), false, &table([1]));
+    let mut reborn = engine(1);
+    reborn.birth = Some(EngineBirth(77));
+    let mut after = EngineTable::default();
+    after.insert(reborn);
+    expect_that!(watch.review(&after, HEARTBEAT, at(500)).len(), eq(1));
+}
+
+#[gtest]
+fn review_engine_that_only_lost_an_answer_is_forgotten() {
+    let mut watch = CrashWatch::default();
+    watch.note(run(1, at(0)), true, &table([1]));
+    expect_that!(watch.review(&table([1]), HEARTBEAT, at(6_000)), is_empty());
+    // What ends it later is another matter.
+    expect_that!(watch.review(&table([]), HEARTBEAT, at(7_000)), is_empty());
+}
+
+#[gtest]
+fn review_engine_that_leaves_as_planned_has_not_crashed() {
+    let mut leaving = engine(1);
+    leaving.draining = true;
+    let mut before = EngineTable::default();
+    before.insert(leaving);
+    let mut watch = CrashWatch::default();
+    expect_false!(watch.note(run(1, at(0)), true, &before));
+    expect_that!(watch.review(&table([]), HEARTBEAT, at(1_000)), is_empty());
+    // One that never says so is dropped by the store, and goes on for a while.
+    expect_false!(watch.note(run(2, at(0)), true, &table([])));
+    expect_that!(watch.review(&table([]), HEARTBEAT, at(1_000)), is_empty());
+}
+
+#[gtest]
+fn note_run_that_broke_off_asks_for_one_probe_at_a_time() {
+    let engines = table([1, 2]);
+    let mut watch = CrashWatch::default();
+    expect_false!(
+        watch.note(run(1, at(0)), false, &engines),
+        "it was only left"
+    );
+    expect_true!(watch.note(run(1, at(0)), true, &engines));
+    expect_false!(watch.note(run(1, at(0)), true, &engines));
+    expect_true!(watch.note(run(2, at(0)), true, &engines));
+    expect_that!(watch.note_probe(&life(1), false), is_empty());
+    expect_true!(watch.note(run(1, at(900)), true, &engines));
+    expect_that!(watch.note_probe(&life(1), true).len(), eq(4));
+    expect_that!(watch.note_probe(&life(1), true), is_empty());
+}
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -64,7 +64,8 @@
         manifest: ManifestVersion(1),
         store_age: TimeSpan::ZERO,
         store_away: false,
-        poisoned: Vec::new(),
+        crashes: Vec::new(),
+        cleared: Vec::new(),
     }
 }
 
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -7,7 +7,8 @@
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
-    CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport, OutageWatch,
+    CoordinatorLease, CrashLedger, CrashNews, EngineEntry, HostMember, LeaseWindow, LoadReport,
+    OutageWatch,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
@@ -170,13 +171,8 @@
 
     /// Notes a daemon's requests.
     pub(crate) fn note_report(&self, key: MemberKey, report: LoadReport, now: MonoTime) {
-        let urgent = !report.waiting.is_empty();
-        for fingerprint in &report.crashes {
-            if self.crashes.borrow_mut().note(*fingerprint, now) {
-                warn!(self.logger, "coordinator: request blocked"; "fingerprint" => %fingerprint);
-                self.publisher.borrow_mut().block(*fingerprint);
-            }
-        }
+        let urgent = !report.waiting.is_empty() || !report.crashes.is_empty();
+        self.note_crashes(&report, now);
         let probe = report.store_away;
         let away = probe.and_then(|probe| self.outage.borrow_mut().note_away(key, probe));
         if let Some(asked) = away {
@@ -188,6 +184,22 @@
         }
     }
 
+    /// Counts crashes that a daemon tells, and passes them on where they are news.
+    fn note_crashes(&self, report: &LoadReport, now: MonoTime) {
+        let mut crashes = self.crashes.borrow_mut();
+        let mut publisher = self.publisher.borrow_mut();
+        for fingerprint in &report.cleared {
+            if crashes.clear(fingerprint) {
+                publisher.tell_cleared(*fingerprint);
+            }
+        }
+        for mark in &report.crashes {
+            if crashes.note(mark, now) != CrashNews::Known {
+                publisher.tell_crash(mark);
+            }
+        }
+    }
+
     /// Prepares for loads from the weight store; `at_once` is how many it serves,
     /// as an earlier coordinator told.
     pub(super) fn begin_loads(&self, at_once: Option<u32>, now: MonoTime) {
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -7,7 +7,8 @@
 use tokio::sync::mpsc::error::TrySendError;
 use ward_fleet::pace::loads_pause;
 use ward_fleet::{
-    CoordinatorMessage, EngineInfo, FleetView, HostMember, LinkRate, ManifestVersion, SlowModel,
+    CoordinatorMessage, CrashMark, EngineInfo, FleetView, HostMember, LinkRate, ManifestVersion,
+    SlowModel,
 };
 use ward_protocol::{BackendId, DaemonId, MonoTime, RequestFingerprint, TimeSpan};
 
@@ -27,7 +28,8 @@
     engines: IndexMap<BackendId, EngineInfo>,
     members: Vec<HostMember>,
     inherited: Vec<HostMember>,
-    blocked: Vec<RequestFingerprint>,
+    crashes: Vec<CrashMark>,
+    cleared: Vec<RequestFingerprint>,
     loads_sent: MonoTime,
     loads_pause: TimeSpan,
     begun: MonoTime,
@@ -40,16 +42,23 @@
             engines: IndexMap::new(),
             members: Vec::new(),
             inherited,
-            blocked: Vec::new(),
+            crashes: Vec::new(),
+            cleared: Vec::new(),
             loads_sent: MonoTime::default(),
             loads_pause: TimeSpan::ZERO,
             begun: clock::now(),
         }
     }
 
-    /// Tells daemons not to send a request to engines any more.
-    pub(super) fn block(&mut self, fingerprint: RequestFingerprint) {
-        self.blocked.push(fingerprint);
+    /// Tells daemons of an engine that ended under a request.
+    pub(super) fn tell_crash(&mut self, mark: &CrashMark) {
+        self.crashes.push(mark.clone());
+    }
+
+    /// Tells daemons that the crashes of a request do not count any more.
+    pub(super) fn tell_cleared(&mut self, fingerprint: RequestFingerprint) {
+        self.crashes.retain(|mark| mark.fingerprint != fingerprint);
+        self.cleared.push(fingerprint);
     }
 }
 
@@ -72,7 +81,8 @@
     let worth_sending = counts_loads
         || !part.engines.is_empty()
         || !part.gone.is_empty()
-        || !part.poisoned.is_empty();
+        || !part.crashes.is_empty()
+        || !part.cleared.is_empty();
     let is_new = |link: &MemberLink| !link.complete;
     let whole = coordinator.links.borrow().values().any(is_new);
     let whole = whole.then(|| complete_view(coordinator, &part));
@@ -121,7 +131,8 @@
         manifest: news.manifest,
         store_age: now.since(coordinator.store_heard.get()),
         store_away: lease.is_extended(&coordinator.window, now),
-        poisoned: std::mem::take(&mut publisher.blocked),
+        crashes: std::mem::take(&mut publisher.crashes),
+        cleared: std::mem::take(&mut publisher.cleared),
     }
 }
 
@@ -135,7 +146,8 @@
         loads: Some(coordinator.state.borrow().loads()),
         joined: publisher.members.clone(),
         left: Vec::new(),
-        poisoned: coordinator.crashes.borrow().blocked(),
+        crashes: coordinator.crashes.borrow().marks(clock::now()),
+        cleared: Vec::new(),
         ..part.clone()
     }
 }
--- /dev/null
+++ b/crates/ward-gateway/src/crash.rs
@@ -0,0 +1,111 @@
+//! Notes which requests crash the engines that run them.
+//!
+//! A run that ends without a whole answer is watched, however it ended. Its engine
+//! crashed if nothing listens at its address a moment after a connection broke
+//! off, or if its entry is gone or names another life soon after.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::net::TcpStream;
+use ward_fleet::{CrashMark, CrashNews, EngineInfo, EngineLife, UnfinishedRun};
+use ward_protocol::RequestFingerprint;
+
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// Pause after which an engine that did not crash can be connected to.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+const PROBE_TIME: Duration = Duration::from_millis(400);
+
+/// Watches a run that ended without a whole answer; `broke_off` when its
+/// connection ended.
+pub(crate) fn watch_run(
+    gateway: &Rc<Gateway>,
+    engine: &EngineInfo,
+    fingerprint: RequestFingerprint,
+    broke_off: bool,
+) {
+    let life = EngineLife::from(engine);
+    let run = UnfinishedRun {
+        fingerprint,
+        life: life.clone(),
+        at: clock::now(),
+    };
+    let mut watch = gateway.crash_watch.borrow_mut();
+    if watch.note(run, broke_off, &gateway.table.borrow()) {
+        let probe = probe_engine(Rc::clone(gateway), life, engine.address);
+        tokio::task::spawn_local(probe);
+    }
+}
+
+/// Counts the runs at an engine if nothing listens at its address. An address
+/// that is silent says nothing: the link to it may be cut.
+async fn probe_engine(gateway: Rc<Gateway>, life: EngineLife, address: SocketAddr) {
+    tokio::time::sleep(PROBE_PAUSE).await;
+    let connect = TcpStream::connect(address);
+    let outcome = tokio::time::timeout(PROBE_TIME, connect).await;
+    let refused = matches!(outcome, Ok(Err(_)));
+    let runs = gateway.crash_watch.borrow_mut().note_probe(&life, refused);
+    count_runs(&gateway, &runs, "connection refused");
+}
+
+/// Counts the runs whose engines have turned out to have ended.
+pub(crate) fn review_runs(gateway: &Gateway) {
+    let heartbeat = gateway.settings().engine_heartbeat;
+    let table = gateway.table.borrow();
+    let mut watch = gateway.crash_watch.borrow_mut();
+    let runs = watch.review(&table, heartbeat, clock::now());
+    drop((watch, table));
+    count_runs(gateway, &runs, "entry gone");
+}
+
+fn count_runs(gateway: &Gateway, runs: &[UnfinishedRun], evidence: &'static str) {
+    for run in runs {
+        let mark = run.mark(clock::now());
+        info!(
+            gateway.logger, "crash: engine ended under a request";
+            "fingerprint" => %mark.fingerprint, "engine" => %mark.life.engine,
+            "birth" => mark.life.birth.map(|birth| birth.0),
+            "age" => mark.age.millis(), "evidence" => evidence,
+        );
+        if learn_crash(gateway, &mark) {
+            gateway.notes.borrow_mut().crashes.push(mark);
+            gateway.report_wanted.notify_one();
+        }
+    }
+}
+
+/// Takes over a crash that this or another daemon saw; returns whether it was
+/// news.
+pub(crate) fn learn_crash(gateway: &Gateway, mark: &CrashMark) -> bool {
+    let news = gateway.crashes.borrow_mut().note(mark, clock::now());
+    if news == CrashNews::Blocked {
+        gateway.metrics.blocked.inc();
+        warn!(
+            gateway.logger, "crash: request blocked"; "fingerprint" => %mark.fingerprint,
+            "engine" => %mark.life.engine, "age" => mark.age.millis(),
+        );
+    }
+    news != CrashNews::Known
+}
+
+/// Forgets the crashes of a request that an engine has answered whole: it is not
+/// what ends engines.
+pub(crate) fn note_answered(gateway: &Gateway, fingerprint: &RequestFingerprint) {
+    if clear_crashes(gateway, fingerprint) {
+        gateway.notes.borrow_mut().cleared.push(*fingerprint);
+        gateway.report_wanted.notify_one();
+    }
+}
+
+/// Forgets the crashes of a request; returns whether there were any.
+pub(crate) fn clear_crashes(gateway: &Gateway, fingerprint: &RequestFingerprint) -> bool {
+    let cleared = gateway.crashes.borrow_mut().clear(fingerprint);
+    if cleared {
+        info!(gateway.logger, "crash: request cleared"; "fingerprint" => %fingerprint);
+    }
+    cleared
+}
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -134,8 +134,12 @@
     let (head, body) = request.into_parts();
     let body = read_body(body, manifest.limits.body_bytes, routed.patience).await?;
     let fingerprint = fingerprint(&head.uri, &body);
-    if gateway.crashes.borrow().is_blocked(&fingerprint) {
-        return Err(not_run("the request has crashed engines"));
+    let blocked = gateway.crashes.borrow().blocked_for(&fingerprint, begun);
+    if let Some(left) = blocked {
+        return Err(refuse(
+            OwnAnswer::NotRun(left),
+            "the request has crashed engines",
+        ));
     }
     gateway.note_request(&routed.service);
     note_arrival(gateway, &routed);
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -1,18 +1,16 @@
 //! A request on its way: waiting for an engine, sent, sent again where that is
 //! allowed, and answered.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use slog::{info, warn};
-use tokio::net::TcpStream;
 use ward_adapter::header::{closes, keep_alive};
 use ward_fleet::health::EngineSign;
 use ward_fleet::{RouteKind, RunningCount};
-use ward_protocol::{BackendId, MonoTime, RequestFingerprint, TimeSpan};
+use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use super::answer::{AnswerBody, OwnAnswer, streamed_answer, whole_answer};
 use super::route::RoutedRequest;
@@ -31,9 +29,6 @@
 const MOST_REFUSED: u32 = 12;
 /// Pause after an engine refused for lack of room.
 const REFUSED_PAUSE: Duration = Duration::from_millis(25);
-/// Pause after which an engine that did not crash can be connected to.
-const CRASH_PAUSE: Duration = Duration::from_millis(100);
-const CRASH_CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Part of the target after which an idempotent request is sent elsewhere, in
 /// percent.
 const SILENT_PERCENT: u64 = 70;
@@ -88,7 +83,6 @@
             let waited = clock::now().since(self.begun);
             gateway.metrics.waited.observe(waited.seconds());
             let engine = lease.engine.id.clone();
-            let address = lease.engine.address;
             let patience = self.patience(&progress);
             self.ticket
                 .phase
@@ -112,10 +106,7 @@
                 },
                 Err(end) => end,
             };
-            if let Some(result) = self
-                .after(gateway, &engine, address, end, &mut progress)
-                .await
-            {
+            if let Some(result) = self.after(gateway, &engine, end, &mut progress).await {
                 return result;
             }
         }
@@ -195,8 +186,12 @@
             return None;
         };
         table.note(&lease.engine.id, EngineSign::Answered, clock::now());
-        lease.note_run(RunState::Answered);
         drop(table);
+        lease.note_run(if head.status.is_success() {
+            RunState::Answered
+        } else {
+            RunState::Failed
+        });
         let keep = keep_alive(&head.headers);
         if !closes(&head.headers) {
             gateway.pool.put_back(&lease.engine.id, sender, keep);
@@ -209,7 +204,6 @@
         &mut self,
         gateway: &Rc<Gateway>,
         engine: &BackendId,
-        address: SocketAddr,
         end: AttemptEnd,
         progress: &mut Progress,
     ) -> Option<Result<Response<AnswerBody>, Refusal>> {
@@ -230,9 +224,6 @@
             AttemptEnd::Unknown | AttemptEnd::Silent => {
                 self.ticket.avoided.insert(engine.clone());
                 progress.runs += 1;
-                if end == AttemptEnd::Unknown && progress.failure.is_none() {
-                    note_crash(gateway, self.ticket.subject.fingerprint, address);
-                }
                 self.may_run_again(progress.runs) && gateway.take_repeat(&self.routed.service)
             }
         };
@@ -302,23 +293,3 @@
         gateway.report_wanted.notify_one();
     }
 }
-
-/// Notes that a request may have crashed its engine: it broke off without an
-/// answer, and the engine cannot be reached a moment later.
-fn note_crash(gateway: &Rc<Gateway>, fingerprint: RequestFingerprint, address: SocketAddr) {
-    let gateway = Rc::clone(gateway);
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(CRASH_PAUSE).await;
-        let connect = TcpStream::connect(address);
-        let reached = tokio::time::timeout(CRASH_CONNECT_TIME, connect).await;
-        if matches!(reached, Ok(Ok(_))) {
-            return;
-        }
-        warn!(
-            gateway.logger, "crash: engine is gone after a request";
-            "fingerprint" => %fingerprint, "address" => %address,
-        );
-        gateway.crashes.borrow_mut().note(fingerprint, clock::now());
-        gateway.notes.borrow_mut().crashes.push(fingerprint);
-    });
-}
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -10,8 +10,8 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreClient;
 use ward_fleet::{
-    CrashLedger, EngineTable, HostMember, HostSettings, ManifestVersion, ProbeNumber, RepeatBudget,
-    RunningCount, ServingManifest, WaitingCount,
+    CrashLedger, CrashMark, CrashWatch, EngineTable, HostMember, HostSettings, ManifestVersion,
+    ProbeNumber, RepeatBudget, RunningCount, ServingManifest, WaitingCount,
 };
 use ward_protocol::{Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime};
 
@@ -40,6 +40,7 @@
     pub(crate) table: RefCell<EngineTable>,
     pub(crate) queue: WaitQueue,
     pub(crate) crashes: RefCell<CrashLedger>,
+    pub(crate) crash_watch: RefCell<CrashWatch>,
     pub(crate) notes: RefCell<ReportNotes>,
     pub(crate) members: RefCell<Vec<HostMember>>,
     pub(crate) coordinator: CoordinatorSlot,
@@ -79,7 +80,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ReportNotes {
     pub(crate) arrivals: Vec<WaitingCount>,
-    pub(crate) crashes: Vec<RequestFingerprint>,
+    pub(crate) crashes: Vec<CrashMark>,
+    pub(crate) cleared: Vec<RequestFingerprint>,
     pub(crate) misplaced: Vec<RunningCount>,
     pub(crate) store_away: Option<ProbeNumber>,
 }
@@ -96,6 +98,7 @@
             table: RefCell::default(),
             queue: WaitQueue::default(),
             crashes: RefCell::default(),
+            crash_watch: RefCell::default(),
             notes: RefCell::default(),
             members: RefCell::default(),
             coordinator: CoordinatorSlot::default(),
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -21,6 +21,7 @@
 use super::frame::{FrameError, encode_frame, read_frame};
 use crate::clock;
 use crate::coordinator::take_over;
+use crate::crash::{clear_crashes, learn_crash};
 use crate::gateway::Gateway;
 
 /// Time between reports while nothing urgent happens.
@@ -316,6 +317,7 @@
         waiting: gateway.queue.waiting_counts(),
         arrivals: notes.arrivals,
         crashes: notes.crashes,
+        cleared: notes.cleared,
         misplaced: notes.misplaced,
         store_away: notes.store_away,
     }
@@ -339,8 +341,11 @@
         gateway.queue.note_slow(&view.slow, now);
     }
     gateway.hear_manifest(view.manifest);
-    for fingerprint in &view.poisoned {
-        gateway.crashes.borrow_mut().block(*fingerprint, now);
+    for fingerprint in &view.cleared {
+        clear_crashes(gateway, fingerprint);
+    }
+    for mark in &view.crashes {
+        learn_crash(gateway, mark);
     }
     if !gateway.engines_known.replace(true) {
         info!(gateway.logger, "engines: known from the coordinator"; "count" => view.engines.len());
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod clock;
 mod coordinator;
+mod crash;
 mod forward;
 mod front;
 mod gateway;
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     pub(crate) sends: IntCounterVec,
     /// Runs that ended without a whole answer, by how.
     pub(crate) unfinished: IntCounterVec,
+    /// Requests that this daemon learned to send no more, since they crash engines.
+    pub(crate) blocked: IntCounter,
     /// Seconds until an engine's answer began.
     pub(crate) first_byte: Histogram,
     /// Seconds that requests waited for an engine.
@@ -51,6 +53,7 @@
                 "runs without a whole answer",
                 "end",
             )?,
+            blocked: IntCounter::new("ward_blocked_requests_total", "requests that crash engines")?,
             first_byte: latency("ward_first_byte_seconds", "until an engine's answer began")?,
             waited: latency("ward_waited_seconds", "wait for an engine")?,
             waiting: IntGauge::new("ward_waiting", "requests that wait now")?,
@@ -70,6 +73,7 @@
         registry.register(Box::new(self.answers.clone()))?;
         registry.register(Box::new(self.sends.clone()))?;
         registry.register(Box::new(self.unfinished.clone()))?;
+        registry.register(Box::new(self.blocked.clone()))?;
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.waited.clone()))?;
         registry.register(Box::new(self.waiting.clone()))?;
--- a/crates/ward-gateway/src/queue/lease.rs
+++ b/crates/ward-gateway/src/queue/lease.rs
@@ -7,6 +7,7 @@
 use ward_fleet::EngineInfo;
 
 use super::ticket::WaitTicket;
+use crate::crash::{note_answered, watch_run};
 use crate::gateway::Gateway;
 
 /// How far the run in a place has come.
@@ -18,6 +19,8 @@
     Running,
     /// The connection ended before the answer did.
     BrokenOff,
+    /// The engine answered it whole, with a failure.
+    Failed,
     /// The engine answered it whole.
     Answered,
 }
@@ -29,6 +32,7 @@
             Self::NotRun => "not_run",
             Self::Running => "running",
             Self::BrokenOff => "broken_off",
+            Self::Failed => "failed",
             Self::Answered => "answered",
         }
     }
@@ -58,7 +62,7 @@
     }
 
     /// Logs a run that ended without a whole answer: silent, broken off, or left
-    /// by its caller.
+    /// by its caller; and watches whether the engine ended with it.
     fn note_unfinished(&self, run: RunState) {
         let metrics = &self.gateway.metrics;
         metrics.unfinished.with_label_values(&[run.word()]).inc();
@@ -68,6 +72,9 @@
             "fingerprint" => %self.ticket.subject.fingerprint,
             "engine" => %self.engine.id, "birth" => self.engine.birth.map(|birth| birth.0),
         );
+        let fingerprint = self.ticket.subject.fingerprint;
+        let broke_off = run == RunState::BrokenOff;
+        watch_run(&self.gateway, &self.engine, fingerprint, broke_off);
     }
 }
 
@@ -78,9 +85,10 @@
         table.end(&self.engine.id, model.as_ref(), adapter.as_ref());
         drop(table);
         self.gateway.queue.changed();
-        let run = self.run.get();
-        if matches!(run, RunState::Running | RunState::BrokenOff) {
-            self.note_unfinished(run);
+        match self.run.get() {
+            RunState::NotRun | RunState::Failed => {}
+            RunState::Answered => note_answered(&self.gateway, &self.ticket.subject.fingerprint),
+            run @ (RunState::Running | RunState::BrokenOff) => self.note_unfinished(run),
         }
     }
 }
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -11,6 +11,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use ward_fleet::HostSettings;
 
+use crate::crash::review_runs;
 use crate::front::{
     Listening, accept_callers, serve_directory, serve_metrics, serve_readiness, serve_simple,
 };
@@ -114,6 +115,7 @@
         gateway.pool.sweep(|engine| table.get(engine).is_some());
         drop(table);
         gateway.queue.sweep();
+        review_runs(&gateway);
         // An engine that was ejected may be due again.
         gateway.queue.changed();
     }
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -23,7 +23,7 @@
 use crate::weights::StageWeights;
 
 /// Time between heartbeats.
-const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
+pub(crate) const HEARTBEAT_PAUSE: Duration = Duration::from_millis(300);
 /// Heartbeats that may be missing before an entry is removed.
 const MISSED_HEARTBEATS: u32 = 3;
 /// Time from the removal of a crashed engine's entry until the engine is back.
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -19,7 +19,7 @@
 use ward_protocol::{MemorySize, ModelName, TimeSpan};
 
 use crate::daemon::{DaemonProcess, StageError};
-use crate::engine::StageEngine;
+use crate::engine::{HEARTBEAT_PAUSE, StageEngine};
 use crate::ledger::RunLedger;
 use crate::proxy::StageProxy;
 use crate::store::StageStore;
@@ -367,6 +367,7 @@
         metrics: at(METRICS_PORT),
         seeds,
         store,
+        engine_heartbeat: HEARTBEAT_PAUSE.into(),
         capacity: HostCapacity {
             cores: CoreShare(500),
             link: LinkRate(1_000_000),
