A request that crashes engines is judged before each send and while it waits

Cause: the block was looked at once, as the request arrived; waiting for a model takes up to 17 s, and a repeat came through another door. Class: a check at the entrance for something that changes while the request is inside.

Fix: acquire, through which every send gets its place (first, repeated, resumed), asks; a new block wakes the queue, which refuses waiting copies at once with the time that is left. The refusals of waits are one match now.

--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use tokio::net::TcpStream;
 use ward_fleet::{CrashMark, CrashNews, EngineInfo, EngineLife, UnfinishedRun};
-use ward_protocol::RequestFingerprint;
+use ward_protocol::{RequestFingerprint, TimeSpan};
 
 use crate::clock;
 use crate::gateway::Gateway;
@@ -88,10 +88,18 @@
             gateway.logger, "crash: request blocked"; "fingerprint" => %mark.fingerprint,
             "engine" => %mark.life.engine, "age" => mark.age.millis(),
         );
+        // Copies of it may wait.
+        gateway.queue.changed();
     }
     news != CrashNews::Known
 }
 
+/// Time for which a request must not be sent to engines, if it is blocked.
+pub(crate) fn blocked_for(gateway: &Gateway, fingerprint: &RequestFingerprint) -> Option<TimeSpan> {
+    let crashes = gateway.crashes.borrow();
+    crashes.blocked_for(fingerprint, clock::now())
+}
+
 /// Forgets the crashes of a request that an engine has answered whole: it is not
 /// what ends engines.
 pub(crate) fn note_answered(gateway: &Gateway, fingerprint: &RequestFingerprint) {
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -14,9 +14,10 @@
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
 
 use super::answer::{AnswerBody, OwnAnswer};
-use super::job::{Refusal, ServeJob, not_run, refuse};
+use super::job::{Refusal, ServeJob, crashes_engines, not_run, refuse};
 use super::route::{RoutedRequest, named_host, origin_target, route_request};
 use crate::clock;
+use crate::crash::blocked_for;
 use crate::forward::{AttemptRequest, ConnectionNeed};
 use crate::gateway::Gateway;
 use crate::phase::SharedPhase;
@@ -134,12 +135,9 @@
     let (head, body) = request.into_parts();
     let body = read_body(body, manifest.limits.body_bytes, routed.patience).await?;
     let fingerprint = fingerprint(&head.uri, &body);
-    let blocked = gateway.crashes.borrow().blocked_for(&fingerprint, begun);
-    if let Some(left) = blocked {
-        return Err(refuse(
-            OwnAnswer::NotRun(left),
-            "the request has crashed engines",
-        ));
+    // It is no demand for its model either.
+    if let Some(left) = blocked_for(gateway, &fingerprint) {
+        return Err(crashes_engines(left));
     }
     gateway.note_request(&routed.service);
     note_arrival(gateway, &routed);
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -49,6 +49,11 @@
     refuse(OwnAnswer::NotRun(RETRY_AFTER), why)
 }
 
+/// The refusal of a request that is not sent to engines for a time.
+pub(super) fn crashes_engines(left: TimeSpan) -> Refusal {
+    refuse(OwnAnswer::NotRun(left), "the request has crashed engines")
+}
+
 /// A request on its way to an answer.
 pub(super) struct ServeJob {
     pub(super) routed: RoutedRequest,
@@ -258,21 +263,20 @@
         if progress.failure.is_some() || progress.runs > 0 {
             return self.conclude(&mut progress, AttemptEnd::Unknown);
         }
-        if let WaitFailure::Overload(retry_after) = failure {
-            let answer = OwnAnswer::NotRun(retry_after);
-            return Err(refuse(answer, "its engines are overloaded and it is late"));
-        }
-        if let WaitFailure::NotInTime(ready_in) = failure {
-            let answer = OwnAnswer::NotRun(ready_in);
-            return Err(refuse(answer, "its model cannot be ready in time"));
-        }
-        Err(not_run(match failure {
-            WaitFailure::NoEngine => "the service has no engine",
-            WaitFailure::Timeout | WaitFailure::Overload(_) | WaitFailure::NotInTime(_) => {
-                "no engine had room in time"
+        Err(match failure {
+            WaitFailure::Overload(retry_after) => {
+                let answer = OwnAnswer::NotRun(retry_after);
+                refuse(answer, "its engines are overloaded and it is late")
+            }
+            WaitFailure::NotInTime(ready_in) => {
+                let answer = OwnAnswer::NotRun(ready_in);
+                refuse(answer, "its model cannot be ready in time")
             }
-            WaitFailure::Closed => "the daemon stops",
-        }))
+            WaitFailure::Crashes(left) => crashes_engines(left),
+            WaitFailure::NoEngine => not_run("the service has no engine"),
+            WaitFailure::Timeout => not_run("no engine had room in time"),
+            WaitFailure::Closed => not_run("the daemon stops"),
+        })
     }
 
     fn note_misplaced(&self, gateway: &Gateway, engine: &BackendId) {
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) use self::ticket::{RequestSubject, WaitFailure, WaitTicket};
 use self::ticket::{SlowKey, WaitKey};
 use crate::clock;
+use crate::crash::blocked_for;
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
 
@@ -165,11 +166,15 @@
     }
 }
 
-/// A place at an engine for a request, now or when there is one.
+/// A place at an engine for a request, now or when there is one. All sends come
+/// through here, the first and the repeated ones.
 pub(crate) async fn acquire(
     gateway: &Rc<Gateway>,
     ticket: WaitTicket,
 ) -> Result<EngineLease, WaitFailure> {
+    if let Some(left) = blocked_for(gateway, &ticket.subject.fingerprint) {
+        return Err(WaitFailure::Crashes(left));
+    }
     gateway.queue.note_arrival(&ticket);
     match choose(gateway, &ticket) {
         EngineChoice::Engine(id) => {
@@ -257,6 +262,10 @@
         let Some(ticket) = ticket(gateway, number) else {
             continue;
         };
+        if let Some(left) = blocked_for(gateway, &ticket.subject.fingerprint) {
+            end_wait(gateway, number, WaitFailure::Crashes(left));
+            continue;
+        }
         let key = ticket.key();
         if ticket.avoided.is_empty() && missing.contains(&key) {
             continue;
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -87,6 +87,8 @@
     /// Its engines are overloaded and it is late; it may come back after this
     /// time.
     Overload(TimeSpan),
+    /// It has crashed engines; it is not sent for this time.
+    Crashes(TimeSpan),
     /// The daemon stops, so another one must serve it.
     Closed,
 }
