Crashes of engines are remembered beyond the daemons that counted them

Cause: the count lived in the coordinator's memory and in what each daemon had heard; a report that was lost with its link was never sent again, a new coordinator began from nothing, and nothing outlived a loss of all. Class: a decision kept only by whoever made it, and told once.

Fix: crashes are marks (request, engine's life, age) that may be told in any order and more than once. A daemon that gets a complete view tells what it holds beyond it, so reports lost with a link and a new coordinator's ignorance heal with the next link; the new coordinator begins with what its own daemon holds; briefings carry the marks. Which requests are blocked stands in the store beside the term, written by the holder in the same call as its renewal, so it costs no call and nobody else can write it; daemons read it with the look for a coordinator that they make at their start and whenever the link is lost. Ages, not times, are kept: a process that starts anew cannot place a crash before its clock began (found by the test of the record, which gave 3598 s where 3420 s were left).

Also: one reading of the coordinator's records for both that need it.

Ruled out: writing each crash to the store (an engine that ends has a dozen innocent requests), and a topic of its own (a call more per daemon and start).

--- a/crates/ward-fleet/src/crash/ledger.rs
+++ b/crates/ward-fleet/src/crash/ledger.rs
@@ -10,11 +10,20 @@
 /// Time for which a crash counts; a blocked request stays so after its last one.
 const MEMORY: TimeSpan = TimeSpan::from_secs(3_600);
 const MOST_REQUESTS: usize = 4_096;
+/// Blocked requests that are kept in the store, whose records have a limit.
+const MOST_STORED: usize = 1_024;
 
 #[derive(Debug, Clone)]
 struct CountedCrash {
     life: EngineLife,
-    at: MonoTime,
+    /// Until when it counts.
+    until: MonoTime,
+}
+
+impl CountedCrash {
+    fn left(&self, now: MonoTime) -> TimeSpan {
+        self.until.since(now)
+    }
 }
 
 /// What a mark changed.
@@ -32,8 +41,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
     requests: IndexMap<RequestFingerprint, Vec<CountedCrash>>,
+    blocks: BlockRevision,
 }
 
+/// Number of changes to which requests are blocked.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BlockRevision(u64);
+
 impl CrashLedger {
     /// Counts a crash.
     pub fn note(&mut self, mark: &CrashMark, now: MonoTime) -> CrashNews {
@@ -51,9 +65,10 @@
         }
         crashes.push(CountedCrash {
             life: mark.life.clone(),
-            at: now - mark.age,
+            until: now + MEMORY.saturating_sub(mark.age),
         });
         if crashes.len() == CRASHES_TO_BLOCK {
+            self.blocks.0 += 1;
             CrashNews::Blocked
         } else {
             CrashNews::Counted
@@ -63,15 +78,26 @@
     /// Forgets the crashes of a request that an engine has answered whole;
     /// returns whether there were any.
     pub fn clear(&mut self, fingerprint: &RequestFingerprint) -> bool {
-        self.requests.shift_remove(fingerprint).is_some()
+        let Some(crashes) = self.requests.shift_remove(fingerprint) else {
+            return false;
+        };
+        if crashes.len() >= CRASHES_TO_BLOCK {
+            self.blocks.0 += 1;
+        }
+        true
+    }
+
+    /// Changes so far to which requests are blocked.
+    #[must_use]
+    pub const fn blocks(&self) -> BlockRevision {
+        self.blocks
     }
 
     /// Time for which a request must not be sent to engines, if it is blocked.
     #[must_use]
     pub fn blocked_for(&self, fingerprint: &RequestFingerprint, now: MonoTime) -> Option<TimeSpan> {
         let crashes = self.requests.get(fingerprint)?;
-        let last = crashes.iter().map(|crash| crash.at).max()?;
-        let left = MEMORY.saturating_sub(now.since(last));
+        let left = crashes.iter().map(|crash| crash.left(now)).max()?;
         (crashes.len() >= CRASHES_TO_BLOCK && left > TimeSpan::ZERO).then_some(left)
     }
 
@@ -79,19 +105,37 @@
     #[must_use]
     pub fn marks(&self, now: MonoTime) -> Vec<CrashMark> {
         let requests = self.requests.iter();
-        let marks = requests.flat_map(|(fingerprint, crashes)| {
-            crashes.iter().map(move |crash| CrashMark {
-                fingerprint: *fingerprint,
-                life: crash.life.clone(),
-                age: now.since(crash.at),
-            })
-        });
-        marks.collect()
+        requests
+            .flat_map(|(fingerprint, crashes)| marks_of(*fingerprint, crashes, now))
+            .collect()
+    }
+
+    /// The crashes that count and that others have not told.
+    #[must_use]
+    pub fn marks_beyond(&self, told: &[CrashMark], now: MonoTime) -> Vec<CrashMark> {
+        let mut others = Self::default();
+        for mark in told {
+            others.note(mark, now);
+        }
+        let mut marks = self.marks(now);
+        marks.retain(|mark| others.note(mark, now) != CrashNews::Known);
+        marks
+    }
+
+    /// The crashes of the requests blocked last.
+    #[must_use]
+    pub fn blocked_marks(&self, now: MonoTime) -> Vec<CrashMark> {
+        let blocked = self.requests.iter().rev();
+        let blocked = blocked.filter(|(_, crashes)| crashes.len() >= CRASHES_TO_BLOCK);
+        blocked
+            .take(MOST_STORED)
+            .flat_map(|(fingerprint, crashes)| marks_of(*fingerprint, crashes, now))
+            .collect()
     }
 
     fn forget(&mut self, now: MonoTime) {
         self.requests.retain(|_, crashes| {
-            crashes.retain(|crash| now.since(crash.at) <= MEMORY);
+            crashes.retain(|crash| crash.left(now) > TimeSpan::ZERO);
             !crashes.is_empty()
         });
     }
@@ -106,3 +150,15 @@
         self.requests.shift_remove_index(index.unwrap_or(0));
     }
 }
+
+fn marks_of(
+    fingerprint: RequestFingerprint,
+    crashes: &[CountedCrash],
+    now: MonoTime,
+) -> impl Iterator<Item = CrashMark> {
+    crashes.iter().map(move |crash| CrashMark {
+        fingerprint,
+        life: crash.life.clone(),
+        age: MEMORY.saturating_sub(crash.left(now)),
+    })
+}
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -27,7 +27,10 @@
 
 pub use budget::RepeatBudget;
 pub use choice::{ChoiceContext, EngineWish, choose_engine};
-pub use crash::{CrashLedger, CrashMark, CrashNews, CrashWatch, EngineLife, UnfinishedRun};
+pub use crash::{
+    BlockRecord, BlockRevision, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineLife,
+    UnfinishedRun,
+};
 pub use directory::choose_hosts;
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
 pub use health::EngineHealth;
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -116,6 +116,8 @@
     pub engines: Vec<EngineInfo>,
     /// All daemons that take requests.
     pub members: Vec<HostMember>,
+    /// Engines that ended under requests.
+    pub crashes: Vec<CrashMark>,
     /// Where the coordinator listens, if one is followed.
     pub coordinator: Option<SocketAddr>,
 }
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -5,10 +5,10 @@
 use googletest::prelude::*;
 use support::{at, name, service};
 use ward_fleet::{
-    CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo, EngineLife,
-    EngineTable, UnfinishedRun,
+    BlockRecord, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo,
+    EngineLife, EngineTable, UnfinishedRun,
 };
-use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
+use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan, WallTime};
 
 const BAD: RequestFingerprint = RequestFingerprint(1);
 const HEARTBEAT: TimeSpan = TimeSpan::from_secs(1);
@@ -204,3 +204,68 @@
     expect_that!(watch.note_probe(&life(1), true).len(), eq(4));
     expect_that!(watch.note_probe(&life(1), true), is_empty());
 }
+
+#[gtest]
+fn marks_beyond_what_was_told_are_told_once() {
+    let mut ledger = CrashLedger::default();
+    ledger.note(&mark(BAD, 1), at(0));
+    ledger.note(&mark(BAD, 2), at(0));
+    ledger.note(&mark(RequestFingerprint(2), 1), at(0));
+    let beyond = ledger.marks_beyond(&[mark(BAD, 1)], at(10));
+    let lives: Vec<_> = beyond.iter().map(|mark| &mark.life).collect();
+    expect_that!(lives, elements_are![eq(&&life(2)), eq(&&life(1))]);
+    let all = ledger.marks(at(10));
+    expect_that!(ledger.marks_beyond(&all, at(10)), is_empty());
+}
+
+#[gtest]
+fn marks_of_daemons_that_each_saw_one_crash_block_together() {
+    // A new coordinator knows nothing; each daemon tells what it holds.
+    let mut coordinator = CrashLedger::default();
+    let daemons = [1, 2].map(|number| {
+        let mut ledger = CrashLedger::default();
+        ledger.note(&mark(BAD, number), at(0));
+        ledger
+    });
+    for daemon in &daemons {
+        let told = coordinator.marks(at(5));
+        for mark in daemon.marks_beyond(&told, at(5)) {
+            coordinator.note(&mark, at(5));
+        }
+    }
+    expect_that!(coordinator.blocked_for(&BAD, at(5)), some(anything()));
+}
+
+#[gtest]
+fn blocked_marks_survive_a_record_with_their_age() {
+    let mut ledger = CrashLedger::default();
+    ledger.note(&mark(BAD, 1), at(0));
+    ledger.note(&mark(BAD, 2), at(0));
+    ledger.note(&mark(RequestFingerprint(2), 1), at(0));
+    let record = BlockRecord {
+        written: WallTime(1_000_000),
+        marks: ledger.blocked_marks(at(60_000)),
+    };
+    let now = at(2_000);
+    let mut restarted = CrashLedger::default();
+    for mark in record.into_marks(WallTime(1_000_000 + 120_000)) {
+        restarted.note(&mark, now);
+    }
+    let left = restarted.blocked_for(&BAD, now);
+    let alone = ledger.blocked_for(&BAD, at(180_000));
+    expect_that!(left, eq(alone));
+    expect_that!(restarted.marks(now).len(), eq(2));
+}
+
+#[gtest]
+fn blocks_change_with_each_block_and_clear() {
+    let mut ledger = CrashLedger::default();
+    let first = ledger.blocks();
+    ledger.note(&mark(BAD, 1), at(0));
+    expect_that!(ledger.blocks(), eq(first));
+    ledger.note(&mark(BAD, 2), at(0));
+    let second = ledger.blocks();
+    expect_that!(second, not(eq(first)));
+    ledger.clear(&BAD);
+    expect_that!(ledger.blocks(), not(eq(second)));
+}
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -7,8 +7,8 @@
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
-    CoordinatorLease, CrashLedger, CrashNews, EngineEntry, HostMember, LeaseWindow, LoadReport,
-    OutageWatch,
+    BlockRevision, CoordinatorLease, CrashLedger, CrashNews, EngineEntry, HostMember, LeaseWindow,
+    LoadReport, OutageWatch,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
@@ -26,6 +26,8 @@
     pub(super) links: RefCell<IndexMap<MemberKey, MemberLink>>,
     pub(super) publisher: RefCell<Publisher>,
     pub(super) crashes: RefCell<CrashLedger>,
+    /// Which blocked requests the store has from this term, if any.
+    pub(super) stored_blocks: Cell<Option<BlockRevision>>,
     pub(super) store_heard: Cell<MonoTime>,
     /// Offset up to which the store's engines have been read.
     pub(super) engines_end: Cell<Option<u64>>,
@@ -56,6 +58,7 @@
         lease: CoordinatorLease,
         window: LeaseWindow,
         inherited: Vec<HostMember>,
+        crashes: CrashLedger,
         logger: Logger,
     ) -> Self {
         Self {
@@ -64,7 +67,8 @@
             window,
             links: RefCell::default(),
             publisher: RefCell::new(Publisher::new(inherited.clone())),
-            crashes: RefCell::default(),
+            crashes: RefCell::new(crashes),
+            stored_blocks: Cell::default(),
             store_heard: Cell::new(clock::now()),
             engines_end: Cell::default(),
             outage: RefCell::default(),
--- a/crates/ward-gateway/src/coordinator/mod.rs
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -3,11 +3,13 @@
 mod active;
 mod outage;
 mod publish;
+mod record;
 mod slot;
 mod term;
 mod work;
 
 pub(crate) use active::ActiveCoordinator;
 pub(crate) use publish::ViewFrame;
+pub(crate) use record::{newest_term, stored_crashes};
 pub(crate) use slot::CoordinatorSlot;
 pub(crate) use term::{release, take_over};
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use ward_adapter::{StoreClient, StoreError, StoreTopic, decode_entry};
+use ward_adapter::{NewRecord, StoreClient, StoreError, StoreTopic, decode_entry};
 use ward_fleet::placement::{plan_work, slow_models};
-use ward_fleet::{CoordinatorLease, LeaseWindow, TermRecord};
-use ward_protocol::codec::{decode, encode};
-use ward_protocol::{DaemonId, FenceNumber};
+use ward_fleet::{BlockRecord, CoordinatorLease, LeaseWindow, TermRecord};
+use ward_protocol::codec::encode;
+use ward_protocol::{DaemonId, FenceNumber, WallTime};
 
 use super::active::ActiveCoordinator;
 use super::outage::watch_store;
 use super::publish::{ViewNews, current_members, publish};
+use super::record::{SeenRecord, newest_term};
 use super::work::start_work;
 use crate::clock;
 use crate::gateway::Gateway;
@@ -34,7 +35,8 @@
     end: u64,
 ) -> Option<SocketAddr> {
     let started = clock::now();
-    let offset = match append(gateway, FenceNumber(0), false, end).await {
+    let begin = term_record(gateway, FenceNumber(0), false);
+    let offset = match append(gateway, begin, Vec::new(), end).await {
         Ok(offset) => offset,
         Err(cause) => {
             info!(gateway.logger, "coordinator: not taken over"; "cause" => %cause);
@@ -47,7 +49,9 @@
     let mut members = gateway.members.borrow().clone();
     members.retain(|member| Some(&member.daemon) != former);
     let logger = gateway.logger.clone();
-    let coordinator = Rc::new(ActiveCoordinator::new(lease, window, members, logger));
+    let crashes = gateway.crashes.borrow().clone();
+    let coordinator = ActiveCoordinator::new(lease, window, members, crashes, logger);
+    let coordinator = Rc::new(coordinator);
     info!(gateway.logger, "coordinator: term begins"; "fence" => lease.fence.0);
     gateway.metrics.coordinates.set(1);
     coordinator.begin_loads(gateway.loads_at_once.get(), clock::now());
@@ -105,26 +109,60 @@
     gateway.metrics.coordinates.set(0);
 }
 
-async fn append(
-    gateway: &Gateway,
-    fence: FenceNumber,
-    released: bool,
-    at: u64,
-) -> Result<u64, StoreError> {
+fn term_record(gateway: &Gateway, fence: FenceNumber, released: bool) -> TermRecord {
     let settings = gateway.settings();
-    let record = TermRecord {
+    TermRecord {
         daemon: settings.daemon.clone(),
         incarnation: gateway.incarnation,
         peers: settings.peers,
         fence,
         released,
-    };
-    let value = encode(&record).map_err(|_| StoreError::Format("a term cannot be encoded"))?;
+    }
+}
+
+/// Appends a term, after other records; returns the term's offset.
+async fn append(
+    gateway: &Gateway,
+    term: TermRecord,
+    mut records: Vec<NewRecord>,
+    at: u64,
+) -> Result<u64, StoreError> {
+    let value = encode(&term).map_err(|_| StoreError::Format("a term cannot be encoded"))?;
     let key = StoreClient::coordinator_key();
-    gateway
-        .store
-        .append_at(StoreTopic::Coordinator, key, &value, at)
-        .await
+    records.push(NewRecord { key, value });
+    let topic = StoreTopic::Coordinator;
+    gateway.store.append_at(topic, &records, at).await
+}
+
+/// Appends a term of the holder, with what the store lacks of blocked requests.
+async fn append_held(
+    gateway: &Gateway,
+    coordinator: &ActiveCoordinator,
+    lease: &CoordinatorLease,
+    released: bool,
+) -> Result<u64, StoreError> {
+    let blocks = coordinator.crashes.borrow().blocks();
+    let is_stored = coordinator.stored_blocks.get() == Some(blocks);
+    let records = if is_stored {
+        Vec::new()
+    } else {
+        vec![block_record(coordinator)?]
+    };
+    let term = term_record(gateway, lease.fence, released);
+    let offset = append(gateway, term, records, lease.next).await?;
+    coordinator.stored_blocks.set(Some(blocks));
+    Ok(offset)
+}
+
+fn block_record(coordinator: &ActiveCoordinator) -> Result<NewRecord, StoreError> {
+    let record = BlockRecord {
+        written: WallTime::now(),
+        marks: coordinator.crashes.borrow().blocked_marks(clock::now()),
+    };
+    let value =
+        encode(&record).map_err(|_| StoreError::Format("blocked requests cannot be encoded"))?;
+    let key = StoreClient::crashes_key();
+    Ok(NewRecord { key, value })
 }
 
 async fn renew(gateway: &Gateway, coordinator: &ActiveCoordinator) {
@@ -136,7 +174,7 @@
         }
         let lease = *coordinator.lease.borrow();
         let started = clock::now();
-        match append(gateway, lease.fence, false, lease.next).await {
+        match append_held(gateway, coordinator, &lease, false).await {
             Ok(offset) => {
                 coordinator.lease.borrow_mut().renew(offset, started);
                 let members = current_members(coordinator, started);
@@ -171,18 +209,13 @@
             return true;
         }
     };
-    let newest = tail.records.last();
-    let term = newest.map(|record| decode::<TermRecord>(&record.value));
-    if let Some(Err(cause)) = &term {
-        warn!(gateway.logger, "coordinator: bad record"; "cause" => %cause);
-    }
-    let ours = term.is_some_and(|term| {
-        let Ok(term) = term else {
-            return false;
-        };
-        term.incarnation == gateway.incarnation && term.daemon == gateway.settings().daemon
+    let newest = newest_term(&tail, &gateway.logger);
+    let is_ours = newest.is_some_and(|SeenRecord { term, offset }| {
+        let holds =
+            term.incarnation == gateway.incarnation && term.daemon == gateway.settings().daemon;
+        holds || offset < lease.next
     });
-    if ours || newest.is_some_and(|record| record.offset < lease.next) {
+    if is_ours {
         coordinator.lease.borrow_mut().next = tail.end;
         return true;
     }
@@ -229,7 +262,7 @@
     // The record comes first: daemons look at it as soon as their link ends.
     coordinator.resign();
     let lease = *coordinator.lease.borrow();
-    if let Err(cause) = append(gateway, lease.fence, true, lease.next).await {
+    if let Err(cause) = append_held(gateway, &coordinator, &lease, true).await {
         warn!(gateway.logger, "coordinator: release failed"; "cause" => %cause);
     }
     coordinator.end("the process stops");
--- a/crates/ward-gateway/src/hub/brief.rs
+++ b/crates/ward-gateway/src/hub/brief.rs
@@ -16,6 +16,8 @@
 use ward_fleet::{CoordinatorMessage, FleetBriefing, MemberMessage};
 
 use super::frame::{FrameError, encode_frame, read_frame};
+use crate::clock;
+use crate::crash::learn_crash;
 use crate::gateway::Gateway;
 
 const ASK_TIME: Duration = Duration::from_millis(600);
@@ -29,6 +31,7 @@
         manifest: gateway.manifest_text(),
         engines: table.iter().map(|engine| engine.info.clone()).collect(),
         members: gateway.members.borrow().clone(),
+        crashes: gateway.crashes.borrow().marks(clock::now()),
         coordinator: gateway.coordinator_address.get(),
     }
 }
@@ -88,6 +91,9 @@
         Ok(manifest) => gateway.adopt_manifest(manifest, &text),
         Err(cause) => warn!(gateway.logger, "manifest: briefing ignored"; "cause" => %cause),
     }
+    for mark in &briefing.crashes {
+        learn_crash(gateway, mark);
+    }
     if gateway.members.borrow().is_empty() {
         *gateway.members.borrow_mut() = briefing.members;
     }
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -9,18 +9,17 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::Instant;
-use ward_adapter::{StoreClient, StoreTopic};
+use ward_adapter::StoreTopic;
 use ward_fleet::{
     CoordinatorMessage, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
     MemberMessage, ProbeNumber, TermRecord, TermWatch,
 };
-use ward_protocol::codec::decode;
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::check::check_members;
 use super::frame::{FrameError, encode_frame, read_frame};
 use crate::clock;
-use crate::coordinator::take_over;
+use crate::coordinator::{newest_term, stored_crashes, take_over};
 use crate::crash::{clear_crashes, learn_crash};
 use crate::gateway::Gateway;
 
@@ -144,37 +143,32 @@
             return gateway.coordinator_address.get();
         }
     };
-    let key = StoreClient::coordinator_key();
-    let newest = tail.records.iter().rfind(|record| record.key == key);
-    let term = newest.and_then(|record| match decode::<TermRecord>(&record.value) {
-        Ok(term) => Some((term, record.offset)),
-        Err(cause) => {
-            warn!(gateway.logger, "coordinator: bad record"; "cause" => %cause);
-            None
-        }
-    });
+    for mark in stored_crashes(&tail, &gateway.logger) {
+        learn_crash(gateway, &mark);
+    }
+    let seen = newest_term(&tail, &gateway.logger);
     let now = clock::now();
-    if let Some((term, offset)) = &term {
-        watch.note(*offset, term.released, now);
+    if let Some(seen) = &seen {
+        watch.note(seen.offset, seen.term.released, now);
     }
+    let term = seen.map(|seen| seen.term);
     let window = LeaseWindow::new(gateway.settings().bounds.lease);
     let candidate = !gateway.stopping.get() && !gateway.coordinator.is_active();
     let turn = term
         .as_ref()
-        .map_or(TimeSpan::ZERO, |(term, _)| turn_delay(gateway, term));
+        .map_or(TimeSpan::ZERO, |term| turn_delay(gateway, term));
     let delay = candidate_delay(gateway);
-    let resumes = term.as_ref().is_some_and(|(term, _)| {
+    let resumes = term.as_ref().is_some_and(|term| {
         let settings = gateway.settings();
         term.is_held_by(&settings.daemon, settings.peers)
     });
     let has_waited = now.since(started) >= delay;
     let may_begin = has_waited && watch.may_take_over(&window, now - (delay + turn));
     if candidate && (resumes || may_begin) {
-        let former = term.as_ref().map(|(term, _)| &term.daemon);
+        let former = term.as_ref().map(|term| &term.daemon);
         return take_over(gateway, former, tail.end).await;
     }
-    term.filter(|(term, _)| !term.released)
-        .map(|(term, _)| term.peers)
+    term.filter(|term| !term.released).map(|term| term.peers)
 }
 
 /// Follows a coordinator; one that has started together with this daemon may not
@@ -347,6 +341,14 @@
     for mark in &view.crashes {
         learn_crash(gateway, mark);
     }
+    if view.complete {
+        // The coordinator may be new, or reports may have been lost with a link.
+        let beyond = gateway.crashes.borrow().marks_beyond(&view.crashes, now);
+        if !beyond.is_empty() {
+            gateway.report_wanted.notify_one();
+        }
+        gateway.notes.borrow_mut().crashes = beyond;
+    }
     if !gateway.engines_known.replace(true) {
         info!(gateway.logger, "engines: known from the coordinator"; "count" => view.engines.len());
     }
