Crashes are shared while no coordinator is heard

Cause: daemons speak to the coordinator only. Class: one process as the only way between the others, for something that must hold without it.

Fix: a crash that a daemon saw is unconfirmed until a coordinator's view tells it back. While no view is heard, the daemon tells all others that it knows, sixteen at a time, and takes from their answers what they know; so daemons that never heard of each other meet at the hosts that the settings name. Briefings and these answers go out the same way.

Ruled out: writing crashes to the store from every daemon (they would move the end of the log at which the holder renews its term).

--- a/crates/ward-fleet/src/crash/mod.rs
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -48,3 +48,11 @@
     /// Time since then, when this is told.
     pub age: TimeSpan,
 }
+
+impl CrashMark {
+    /// Whether it tells of the same crash, now or earlier.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.fingerprint == other.fingerprint && self.life == other.life
+    }
+}
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -46,6 +46,9 @@
     Leaving,
     /// The only message on a connection: what do you know? Any daemon answers.
     Ask,
+    /// The only message on a connection: engines that ended under requests. Any
+    /// daemon answers with those that it knows of.
+    Crashes(Vec<CrashMark>),
 }
 
 /// A daemon's own requests.
@@ -96,7 +99,7 @@
     pub count: u32,
 }
 
-/// From the coordinator to a daemon.
+/// From the coordinator to a daemon, and answers of any daemon.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum CoordinatorMessage {
     /// The state of the fleet.
@@ -105,6 +108,8 @@
     AskStore(ProbeNumber),
     /// The answer of any daemon to [`MemberMessage::Ask`].
     Briefing(FleetBriefing),
+    /// The answer of any daemon to [`MemberMessage::Crashes`].
+    Crashes(Vec<CrashMark>),
 }
 
 /// What a daemon that cannot reach the store needs to serve.
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -7,8 +7,8 @@
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
-    BlockRevision, CoordinatorLease, CrashLedger, CrashNews, EngineEntry, HostMember, LeaseWindow,
-    LoadReport, OutageWatch,
+    BlockRevision, CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport,
+    OutageWatch,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
@@ -188,7 +188,7 @@
         }
     }
 
-    /// Counts crashes that a daemon tells, and passes them on where they are news.
+    /// Counts crashes that a daemon tells, and passes them on.
     fn note_crashes(&self, report: &LoadReport, now: MonoTime) {
         let mut crashes = self.crashes.borrow_mut();
         let mut publisher = self.publisher.borrow_mut();
@@ -198,9 +198,9 @@
             }
         }
         for mark in &report.crashes {
-            if crashes.note(mark, now) != CrashNews::Known {
-                publisher.tell_crash(mark);
-            }
+            // Whoever told it waits for a view that confirms it.
+            crashes.note(mark, now);
+            publisher.tell_crash(mark);
         }
     }
 
--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -72,8 +72,10 @@
             "age" => mark.age.millis(), "evidence" => evidence,
         );
         if learn_crash(gateway, &mark) {
-            gateway.notes.borrow_mut().crashes.push(mark);
+            gateway.notes.borrow_mut().crashes.push(mark.clone());
             gateway.report_wanted.notify_one();
+            gateway.unconfirmed.borrow_mut().push(mark);
+            gateway.crash_counted.notify_one();
         }
     }
 }
@@ -94,6 +96,12 @@
     news != CrashNews::Known
 }
 
+/// Notes which crashes the coordinator has told all daemons.
+pub(crate) fn confirm_crashes(gateway: &Gateway, told: &[CrashMark]) {
+    let mut unconfirmed = gateway.unconfirmed.borrow_mut();
+    unconfirmed.retain(|mark| !told.iter().any(|other| other.is_same(mark)));
+}
+
 /// Time for which a request must not be sent to engines, if it is blocked.
 pub(crate) fn blocked_for(gateway: &Gateway, fingerprint: &RequestFingerprint) -> Option<TimeSpan> {
     let crashes = gateway.crashes.borrow();
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -41,6 +41,10 @@
     pub(crate) queue: WaitQueue,
     pub(crate) crashes: RefCell<CrashLedger>,
     pub(crate) crash_watch: RefCell<CrashWatch>,
+    /// Crashes that this daemon saw and no view has confirmed.
+    pub(crate) unconfirmed: RefCell<Vec<CrashMark>>,
+    /// Woken when there is one more.
+    pub(crate) crash_counted: Notify,
     pub(crate) notes: RefCell<ReportNotes>,
     pub(crate) members: RefCell<Vec<HostMember>>,
     pub(crate) coordinator: CoordinatorSlot,
@@ -99,6 +103,8 @@
             queue: WaitQueue::default(),
             crashes: RefCell::default(),
             crash_watch: RefCell::default(),
+            unconfirmed: RefCell::default(),
+            crash_counted: Notify::new(),
             notes: RefCell::default(),
             members: RefCell::default(),
             coordinator: CoordinatorSlot::default(),
--- a/crates/ward-gateway/src/hub/brief.rs
+++ b/crates/ward-gateway/src/hub/brief.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexSet;
 use slog::{info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -16,6 +15,7 @@
 use ward_fleet::{CoordinatorMessage, FleetBriefing, MemberMessage};
 
 use super::frame::{FrameError, encode_frame, read_frame};
+use super::tell::known_addresses;
 use crate::clock;
 use crate::crash::learn_crash;
 use crate::gateway::Gateway;
@@ -57,11 +57,7 @@
 
 /// Some of the daemons that may know more, in random order.
 fn addresses(gateway: &Gateway) -> Vec<SocketAddr> {
-    let settings = gateway.settings();
-    let members = gateway.members.borrow();
-    let known = members.iter().map(|member| member.peers);
-    let mut rest: IndexSet<SocketAddr> = settings.seeds.iter().copied().chain(known).collect();
-    rest.shift_remove(&settings.peers);
+    let mut rest = known_addresses(gateway);
     let mut drawn = Vec::new();
     while drawn.len() < MOST_ASKED && !rest.is_empty() {
         let index = rand::random_range(0..rest.len());
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -20,7 +20,7 @@
 use super::frame::{FrameError, encode_frame, read_frame};
 use crate::clock;
 use crate::coordinator::{newest_term, stored_crashes, take_over};
-use crate::crash::{clear_crashes, learn_crash};
+use crate::crash::{clear_crashes, confirm_crashes, learn_crash};
 use crate::gateway::Gateway;
 
 /// Time between reports while nothing urgent happens.
@@ -234,7 +234,9 @@
                         return Err(FrameError::CutOff);
                     }
                 }
-                Some(CoordinatorMessage::Briefing(_)) | None => return Err(FrameError::Refused),
+                Some(CoordinatorMessage::Briefing(_) | CoordinatorMessage::Crashes(_)) | None => {
+                    return Err(FrameError::Refused);
+                }
             }
         }
     };
@@ -341,6 +343,7 @@
     for mark in &view.crashes {
         learn_crash(gateway, mark);
     }
+    confirm_crashes(gateway, &view.crashes);
     if view.complete {
         // The coordinator may be new, or reports may have been lost with a link.
         let beyond = gateway.crashes.borrow().marks_beyond(&view.crashes, now);
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -14,6 +14,7 @@
 use super::frame::{FrameError, encode_frame, read_frame};
 use crate::clock;
 use crate::coordinator::{ActiveCoordinator, ViewFrame};
+use crate::crash::learn_crash;
 use crate::gateway::Gateway;
 
 /// Silence after which a daemon is taken for lost.
@@ -44,24 +45,34 @@
                 serve_member(gateway, coordinator, member, stream).await;
             }
         }
-        Ok(Ok(Some(MemberMessage::Ask))) => answer_ask(&gateway, stream).await,
+        Ok(Ok(Some(MemberMessage::Ask))) => {
+            let message = CoordinatorMessage::Briefing(briefing(&gateway));
+            answer_once(&gateway, message, stream).await;
+        }
+        Ok(Ok(Some(MemberMessage::Crashes(marks)))) => {
+            for mark in &marks {
+                learn_crash(&gateway, mark);
+            }
+            let known = gateway.crashes.borrow().marks(clock::now());
+            answer_once(&gateway, CoordinatorMessage::Crashes(known), stream).await;
+        }
         // A daemon that only looks whether this one runs says nothing.
         _ => {}
     }
 }
 
-async fn answer_ask(gateway: &Gateway, mut stream: TcpStream) {
-    let message = CoordinatorMessage::Briefing(briefing(gateway));
+/// Answers a question that is the only message on its connection.
+async fn answer_once(gateway: &Gateway, message: CoordinatorMessage, mut stream: TcpStream) {
     let frame = match encode_frame(&message) {
         Ok(frame) => frame,
         Err(cause) => {
-            warn!(gateway.logger, "peers: briefing cannot be encoded"; "cause" => %cause);
+            warn!(gateway.logger, "peers: answer cannot be encoded"; "cause" => %cause);
             return;
         }
     };
     let sent = tokio::time::timeout(SILENCE, stream.write_all(&frame)).await;
     if !matches!(sent, Ok(Ok(()))) {
-        warn!(gateway.logger, "peers: briefing was not taken");
+        warn!(gateway.logger, "peers: answer was not taken");
     }
 }
 
@@ -106,7 +117,9 @@
                 coordinator.note_report(key, report, clock::now());
             }
             Some(MemberMessage::Leaving) => coordinator.note_leaving(key),
-            Some(MemberMessage::Hello(_) | MemberMessage::Ask) => return Err(FrameError::Refused),
+            Some(MemberMessage::Hello(_) | MemberMessage::Ask | MemberMessage::Crashes(_)) => {
+                return Err(FrameError::Refused);
+            }
             None => return Ok(()),
         }
     }
--- /dev/null
+++ b/crates/ward-gateway/src/hub/tell.rs
@@ -0,0 +1,97 @@
+//! Telling other daemons of crashes while no coordinator does.
+//!
+//! A crash that this daemon saw is told to the coordinator, whose views confirm
+//! it. Until a view has, and while none is heard, the daemon tells all others
+//! itself, and they answer with what they know. Whoever cannot be reached learns
+//! it from the next coordinator.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream;
+use indexmap::IndexSet;
+use slog::{info, warn};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use ward_fleet::{CoordinatorMessage, CrashMark, MemberMessage};
+
+use super::frame::{FrameError, encode_frame, read_frame};
+use crate::crash::learn_crash;
+use crate::gateway::Gateway;
+
+/// Time in which the view of a coordinator confirms a crash, and in which crashes
+/// are gathered that are told together.
+const CONFIRM_TIME: Duration = Duration::from_millis(150);
+const TELL_TIME: Duration = Duration::from_millis(400);
+/// Daemons told at a time.
+const TOLD_AT_ONCE: usize = 16;
+
+/// Tells other daemons of crashes, until the process ends.
+pub(crate) async fn tell_crashes(gateway: Rc<Gateway>) {
+    loop {
+        if gateway.unconfirmed.borrow().is_empty() {
+            gateway.crash_counted.notified().await;
+        }
+        tokio::time::sleep(CONFIRM_TIME).await;
+        if !gateway.hears_view() {
+            let marks = gateway.unconfirmed.take();
+            tell_all(&gateway, marks).await;
+        }
+    }
+}
+
+async fn tell_all(gateway: &Gateway, marks: Vec<CrashMark>) {
+    let count = marks.len();
+    let frame = match encode_frame(&MemberMessage::Crashes(marks)) {
+        Ok(frame) => frame,
+        Err(cause) => {
+            warn!(gateway.logger, "crash: marks cannot be encoded"; "cause" => %cause);
+            return;
+        }
+    };
+    let addresses = known_addresses(gateway);
+    let tells = addresses.iter().map(|address| tell(*address, &frame));
+    let mut answers = stream::iter(tells).buffer_unordered(TOLD_AT_ONCE);
+    let mut told = 0;
+    while let Some(answer) = answers.next().await {
+        match answer {
+            Ok(known) => {
+                told += 1;
+                for mark in &known {
+                    learn_crash(gateway, mark);
+                }
+            }
+            Err(cause) => info!(gateway.logger, "crash: not told"; "cause" => %cause),
+        }
+    }
+    info!(
+        gateway.logger, "crash: told without a coordinator";
+        "crashes" => count, "daemons" => addresses.len(), "told" => told,
+    );
+}
+
+/// Tells one daemon; returns the crashes that it knows of.
+async fn tell(address: SocketAddr, frame: &[u8]) -> Result<Vec<CrashMark>, FrameError> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(frame).await?;
+        match read_frame(&mut stream).await? {
+            Some(CoordinatorMessage::Crashes(known)) => Ok(known),
+            _ => Err(FrameError::Refused),
+        }
+    };
+    let known = tokio::time::timeout(TELL_TIME, exchange).await;
+    known.unwrap_or(Err(FrameError::Silent))
+}
+
+/// Where other daemons may listen: those known and those that the settings name.
+pub(super) fn known_addresses(gateway: &Gateway) -> IndexSet<SocketAddr> {
+    let settings = gateway.settings();
+    let members = gateway.members.borrow();
+    let known = members.iter().map(|member| member.peers);
+    let mut addresses: IndexSet<SocketAddr> = settings.seeds.iter().copied().chain(known).collect();
+    addresses.shift_remove(&settings.peers);
+    addresses
+}
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -16,7 +16,7 @@
     Listening, accept_callers, serve_directory, serve_metrics, serve_readiness, serve_simple,
 };
 use crate::gateway::Gateway;
-use crate::hub::{accept_members, follow_coordinator};
+use crate::hub::{accept_members, follow_coordinator, tell_crashes};
 use crate::metrics::GatewayMetrics;
 use crate::queue::serve_queue;
 use crate::stop::{reload_on_signal, stop_on_signal};
@@ -95,6 +95,7 @@
     spawn_local(sync_manifest(Rc::clone(&gateway)));
     spawn_local(sync_engines(Rc::clone(&gateway)));
     spawn_local(follow_coordinator(Rc::clone(&gateway)));
+    spawn_local(tell_crashes(Rc::clone(&gateway)));
     spawn_local(serve_queue(Rc::clone(&gateway)));
     spawn_local(sweep(Rc::clone(&gateway)));
     spawn_local(reload_on_signal(Rc::clone(&gateway)));
