An engine that lapsed while the store was away for the coordinator is not added again

Callers' side: none saw it; requests reached an engine 2.1 s after its entry was removed (2.0 s allowed).

Cause, from the log: the store turned away the coordinator (baltic-a-2) for seconds; the others read the removal at 26.35 s themselves and left the link. At 27.29 s the store answered the coordinator, which keeps engines whose entries lapsed in its outage for 2 s, since they may register again. The others linked at 27.84 s, and its complete view, now fresh, put the engine back into their tables; 10 ms later they sent there. Class: a cautious guess of one process, told to others as knowledge.

Fix: a view says which engines lapsed. A daemon keeps such an engine if it knows it and does not add it; the next heartbeat takes the mark away.

--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -191,6 +191,8 @@
     pub slots: u32,
     /// Whether it takes no new requests.
     pub draining: bool,
+    /// Whether the store dropped its entry in an outage, so that it may be gone.
+    pub lapsed: bool,
     /// Start of its life.
     pub birth: Option<EngineBirth>,
     /// Models that requests may be sent to.
@@ -224,6 +226,7 @@
             zone: entry.zone.clone(),
             slots: entry.slots,
             draining: entry.draining || entry.leaves_in.is_some(),
+            lapsed: false,
             birth: entry.birth,
             holding: entry.models.clone(),
         }
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Notes that the store dropped an engine's entry in an outage; a heartbeat
+    /// takes that back.
+    pub fn note_lapsed(&mut self, id: &BackendId) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.info.lapsed = true;
+        }
+    }
+
     /// Forgets an engine.
     pub fn remove_engine(&mut self, id: &BackendId, now: MonoTime) {
         let engine = self.engines.shift_remove(id);
--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -146,7 +146,10 @@
             self.engines.retain(|id, _| listed(id));
         }
         for info in &view.engines {
-            self.insert(info.clone());
+            // One that lapsed is kept for a while; this daemon may have seen it go.
+            if !info.lapsed || self.engines.contains_key(&info.id) {
+                self.insert(info.clone());
+            }
         }
         for id in &view.gone {
             self.remove(id);
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use googletest::prelude::*;
-use support::{at, name, service};
+use support::{at, info, name};
 use ward_fleet::{
     BlockRecord, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo,
     EngineLife, EngineTable, UnfinishedRun,
@@ -30,14 +30,8 @@
 
 fn engine(number: i64) -> EngineInfo {
     EngineInfo {
-        id: name(&format!("i-{number}")),
-        service: service(),
-        address: name("10.0.0.1:80"),
-        zone: name("north"),
-        slots: 12,
-        draining: false,
         birth: Some(EngineBirth(number)),
-        holding: Vec::new(),
+        ..info(&format!("i-{number}"), &[])
     }
 }
 
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -227,6 +227,11 @@
         }
     }
 
+    /// Notes that the store dropped an engine's entry in an outage.
+    pub(super) fn note_lapsed(&self, id: &BackendId) {
+        self.state.borrow_mut().note_lapsed(id);
+    }
+
     /// Notes that an engine is gone.
     pub(super) fn remove_engine(&self, id: &BackendId) {
         self.state.borrow_mut().remove_engine(id, clock::now());
--- a/crates/ward-gateway/src/coordinator/slot.rs
+++ b/crates/ward-gateway/src/coordinator/slot.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Notes that the store dropped an engine's entry in an outage.
+    pub(crate) fn note_lapsed(&self, id: &BackendId) {
+        if let Some(coordinator) = self.active() {
+            coordinator.note_lapsed(id);
+        }
+    }
+
     /// Notes that an engine is gone.
     pub(crate) fn remove_engine(&self, id: &BackendId) {
         if let Some(coordinator) = self.active() {
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -183,6 +183,7 @@
             .is_some_and(|failed| now.since(failed) < RETURN_TIME);
         if outage {
             info!(gateway.logger, "engines: lapsed in an outage"; "engine" => %id);
+            gateway.coordinator.note_lapsed(&id);
             self.lapsed.entry(id).or_insert(now);
         } else {
             remove(gateway, &id, "its entry was removed");
