The shares of the budget of repeats do not grow while daemons cannot hear each other

Fix: the share goes by the most daemons known within ten minutes. The coordinator keeps that number in the store beside the blocked requests, in one record of what outlives all daemons, written with a renewal when it changes; daemons read it at their start with the look for a coordinator. Shares of engines' places still go by the daemons known now, since the places of hosts that are gone are free.

Test, failing with the old count (90 of 50): share_of_daemons_that_cannot_hear_each_other_does_not_grow.

--- a/crates/ward-fleet/src/budget.rs
+++ b/crates/ward-fleet/src/budget.rs
@@ -17,6 +17,39 @@
 /// forgot what they spent.
 const USED_PART: f64 = 0.6;
 
+/// Time for which daemons count that are not heard any more.
+const DAEMON_MEMORY: TimeSpan = TimeSpan::from_secs(600);
+/// Daemons assumed when none has been heard of.
+const UNKNOWN_DAEMONS: usize = 16;
+
+/// Daemons that share the budgets: the most that were known of late. Whoever cannot
+/// hear the others must not take over their shares.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DaemonCount {
+    most: usize,
+    seen: MonoTime,
+}
+
+impl DaemonCount {
+    /// Notes how many daemons are known now.
+    pub fn note(&mut self, known: usize, now: MonoTime) {
+        if known >= self.most || now.since(self.seen) > DAEMON_MEMORY {
+            self.most = known;
+            self.seen = now;
+        }
+    }
+
+    /// Daemons that share the budgets.
+    #[must_use]
+    pub fn sharing(&self) -> usize {
+        if self.most == 0 {
+            UNKNOWN_DAEMONS
+        } else {
+            self.most
+        }
+    }
+}
+
 /// One daemon's budget of repeats for one service.
 #[derive(Debug, Clone, Default)]
 pub struct RepeatBudget {
--- a/crates/ward-fleet/src/crash/mod.rs
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -8,14 +8,12 @@
 //! while.
 
 mod ledger;
-mod record;
 mod watch;
 
 use serde::{Deserialize, Serialize};
 use ward_protocol::{BackendId, RequestFingerprint, TimeSpan};
 
 pub use self::ledger::{BlockRevision, CrashLedger, CrashNews};
-pub use self::record::BlockRecord;
 pub use self::watch::{CrashWatch, UnfinishedRun};
 use crate::entry::EngineBirth;
 use crate::message::EngineInfo;
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -22,14 +22,14 @@
 pub mod pace;
 pub mod placement;
 pub mod queue;
+pub mod record;
 pub mod settings;
 pub mod table;
 
-pub use budget::RepeatBudget;
+pub use budget::{DaemonCount, RepeatBudget};
 pub use choice::{ChoiceContext, EngineWish, choose_engine};
 pub use crash::{
-    BlockRecord, BlockRevision, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineLife,
-    UnfinishedRun,
+    BlockRevision, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineLife, UnfinishedRun,
 };
 pub use directory::choose_hosts;
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
@@ -46,5 +46,6 @@
 pub use order::EngineOrder;
 pub use outage::{OutageWatch, ProbeNumber, WitnessCandidate, choose_witnesses};
 pub use queue::QueueRank;
+pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
 pub use table::{EngineRecord, EngineTable};
--- a/crates/ward-fleet/tests/budget.rs
+++ b/crates/ward-fleet/tests/budget.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use support::{at, bounds};
-use ward_fleet::RepeatBudget;
+use ward_fleet::{DaemonCount, RepeatBudget};
 
 fn spend(budget: &mut RepeatBudget, daemons: usize) -> usize {
     (0..1_000)
@@ -41,3 +41,27 @@
     expect_false!(budget.take_repeat(at(2_000), &bounds(), 1));
     expect_true!(budget.take_repeat(at(11_500), &bounds(), 1));
 }
+
+#[gtest]
+fn share_of_daemons_that_cannot_hear_each_other_does_not_grow() {
+    // Nine daemons, cut into three groups of three.
+    let mut spent = 0;
+    for _ in 0..9 {
+        let mut count = DaemonCount::default();
+        count.note(9, at(0));
+        count.note(3, at(500));
+        spent += spend(&mut RepeatBudget::default(), count.sharing());
+    }
+    expect_that!(spent as f64, le(bounds().repeat_slack));
+}
+
+#[gtest]
+fn share_grows_when_daemons_are_gone_for_long() {
+    let mut count = DaemonCount::default();
+    expect_that!(count.sharing(), gt(1), "nobody is known");
+    count.note(9, at(0));
+    count.note(3, at(20 * 60_000));
+    expect_that!(count.sharing(), eq(3));
+    count.note(12, at(20 * 60_000));
+    expect_that!(count.sharing(), eq(12));
+}
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use support::{at, info, name};
 use ward_fleet::{
-    BlockRecord, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo,
-    EngineLife, EngineTable, UnfinishedRun,
+    CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo, EngineLife,
+    EngineTable, FleetRecord, UnfinishedRun,
 };
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan, WallTime};
 
@@ -236,13 +236,14 @@
     ledger.note(&mark(BAD, 1), at(0));
     ledger.note(&mark(BAD, 2), at(0));
     ledger.note(&mark(RequestFingerprint(2), 1), at(0));
-    let record = BlockRecord {
+    let record = FleetRecord {
         written: WallTime(1_000_000),
-        marks: ledger.blocked_marks(at(60_000)),
+        daemons: 9,
+        crashes: ledger.blocked_marks(at(60_000)),
     };
     let now = at(2_000);
     let mut restarted = CrashLedger::default();
-    for mark in record.into_marks(WallTime(1_000_000 + 120_000)) {
+    for mark in record.into_crashes(WallTime(1_000_000 + 120_000)) {
         restarted.note(&mark, now);
     }
     let left = restarted.blocked_for(&BAD, now);
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -7,8 +7,8 @@
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
-    BlockRevision, CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport,
-    OutageWatch,
+    CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport, OutageWatch,
+    StoredFleet,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
@@ -26,8 +26,8 @@
     pub(super) links: RefCell<IndexMap<MemberKey, MemberLink>>,
     pub(super) publisher: RefCell<Publisher>,
     pub(super) crashes: RefCell<CrashLedger>,
-    /// Which blocked requests the store has from this term, if any.
-    pub(super) stored_blocks: Cell<Option<BlockRevision>>,
+    /// What the store has of the fleet from this term.
+    pub(super) stored: Cell<Option<StoredFleet>>,
     pub(super) store_heard: Cell<MonoTime>,
     /// Offset up to which the store's engines have been read.
     pub(super) engines_end: Cell<Option<u64>>,
@@ -68,7 +68,7 @@
             links: RefCell::default(),
             publisher: RefCell::new(Publisher::new(inherited.clone())),
             crashes: RefCell::new(crashes),
-            stored_blocks: Cell::default(),
+            stored: Cell::default(),
             store_heard: Cell::new(clock::now()),
             engines_end: Cell::default(),
             outage: RefCell::default(),
--- a/crates/ward-gateway/src/coordinator/mod.rs
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -10,6 +10,6 @@
 
 pub(crate) use active::ActiveCoordinator;
 pub(crate) use publish::ViewFrame;
-pub(crate) use record::{newest_term, stored_crashes};
+pub(crate) use record::{newest_term, stored_fleet};
 pub(crate) use slot::CoordinatorSlot;
 pub(crate) use term::{release, take_over};
--- a/crates/ward-gateway/src/coordinator/record.rs
+++ b/crates/ward-gateway/src/coordinator/record.rs
@@ -1,10 +1,9 @@
-//! The records of the coordinator in the store: its term, and which requests are
-//! blocked since they crash engines. Only the holder of the term writes either.
+//! The records of the coordinator in the store: its term, and what outlives all
+//! daemons. Only the holder of the term writes either.
 
 use slog::{Logger, warn};
 use ward_adapter::{StoreClient, StoreTail};
-use ward_fleet::{BlockRecord, CrashMark, TermRecord};
-use ward_protocol::WallTime;
+use ward_fleet::{FleetRecord, TermRecord};
 use ward_protocol::codec::decode;
 
 /// The newest term, with its place in the log.
@@ -29,17 +28,15 @@
     }
 }
 
-/// The crashes of blocked requests.
-pub(crate) fn stored_crashes(tail: &StoreTail, logger: &Logger) -> Vec<CrashMark> {
-    let key = StoreClient::crashes_key();
-    let Some(record) = tail.records.iter().rfind(|record| record.key == key) else {
-        return Vec::new();
-    };
-    match decode::<BlockRecord>(&record.value) {
-        Ok(blocks) => blocks.into_marks(WallTime::now()),
+/// What outlives all daemons, if it is there and can be read.
+pub(crate) fn stored_fleet(tail: &StoreTail, logger: &Logger) -> Option<FleetRecord> {
+    let key = StoreClient::fleet_key();
+    let record = tail.records.iter().rfind(|record| record.key == key)?;
+    match decode(&record.value) {
+        Ok(fleet) => Some(fleet),
         Err(cause) => {
-            warn!(logger, "crash: bad record"; "cause" => %cause);
-            Vec::new()
+            warn!(logger, "coordinator: bad record of the fleet"; "cause" => %cause);
+            None
         }
     }
 }
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -7,7 +7,7 @@
 use slog::{info, warn};
 use ward_adapter::{NewRecord, StoreClient, StoreError, StoreTopic, decode_entry};
 use ward_fleet::placement::{plan_work, slow_models};
-use ward_fleet::{BlockRecord, CoordinatorLease, LeaseWindow, TermRecord};
+use ward_fleet::{CoordinatorLease, FleetRecord, LeaseWindow, StoredFleet, TermRecord};
 use ward_protocol::codec::encode;
 use ward_protocol::{DaemonId, FenceNumber, WallTime};
 
@@ -134,34 +134,36 @@
     gateway.store.append_at(topic, &records, at).await
 }
 
-/// Appends a term of the holder, with what the store lacks of blocked requests.
+/// Appends a term of the holder, with what the store lacks of the fleet.
 async fn append_held(
     gateway: &Gateway,
     coordinator: &ActiveCoordinator,
     lease: &CoordinatorLease,
     released: bool,
 ) -> Result<u64, StoreError> {
-    let blocks = coordinator.crashes.borrow().blocks();
-    let is_stored = coordinator.stored_blocks.get() == Some(blocks);
-    let records = if is_stored {
+    let fleet = StoredFleet {
+        daemons: gateway.budget_sharing(),
+        blocks: coordinator.crashes.borrow().blocks(),
+    };
+    let records = if coordinator.stored.get() == Some(fleet) {
         Vec::new()
     } else {
-        vec![block_record(coordinator)?]
+        vec![fleet_record(coordinator, fleet.daemons)?]
     };
     let term = term_record(gateway, lease.fence, released);
     let offset = append(gateway, term, records, lease.next).await?;
-    coordinator.stored_blocks.set(Some(blocks));
+    coordinator.stored.set(Some(fleet));
     Ok(offset)
 }
 
-fn block_record(coordinator: &ActiveCoordinator) -> Result<NewRecord, StoreError> {
-    let record = BlockRecord {
+fn fleet_record(coordinator: &ActiveCoordinator, daemons: usize) -> Result<NewRecord, StoreError> {
+    let record = FleetRecord {
         written: WallTime::now(),
-        marks: coordinator.crashes.borrow().blocked_marks(clock::now()),
+        daemons,
+        crashes: coordinator.crashes.borrow().blocked_marks(clock::now()),
     };
-    let value =
-        encode(&record).map_err(|_| StoreError::Format("blocked requests cannot be encoded"))?;
-    let key = StoreClient::crashes_key();
+    let value = encode(&record).map_err(|_| StoreError::Format("the fleet cannot be encoded"))?;
+    let key = StoreClient::fleet_key();
     Ok(NewRecord { key, value })
 }
 
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -10,8 +10,8 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreClient;
 use ward_fleet::{
-    CrashLedger, CrashMark, CrashWatch, EngineTable, HostMember, HostSettings, ManifestVersion,
-    ProbeNumber, RepeatBudget, RunningCount, ServingManifest, WaitingCount,
+    CrashLedger, CrashMark, CrashWatch, DaemonCount, EngineTable, HostMember, HostSettings,
+    ManifestVersion, ProbeNumber, RepeatBudget, RunningCount, ServingManifest, WaitingCount,
 };
 use ward_protocol::{Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime};
 
@@ -26,8 +26,6 @@
 /// store itself; well below the time in which a draining engine must be known.
 const VIEW_LOOK_PAUSE: Duration = Duration::from_millis(50);
 const VIEW_AGE: TimeSpan = TimeSpan::from_millis(1_000);
-/// Daemons assumed when none has been heard of, so that shares stay small.
-const UNKNOWN_DAEMONS: usize = 16;
 
 /// One daemon.
 pub(crate) struct Gateway {
@@ -78,6 +76,7 @@
     /// The manifest in force as the operator wrote it.
     manifest_text: RefCell<Vec<u8>>,
     budgets: RefCell<IndexMap<ServiceName, RepeatBudget>>,
+    daemons: Cell<DaemonCount>,
 }
 
 /// What the next report to the coordinator will say beside counts.
@@ -124,6 +123,7 @@
             manifest: RefCell::default(),
             manifest_text: RefCell::default(),
             budgets: RefCell::default(),
+            daemons: Cell::default(),
         }
     }
 
@@ -203,10 +203,22 @@
         !self.stopping.get() && self.manifest.borrow().is_some() && self.engines_known.get()
     }
 
-    /// Daemons that share the budget of repeats.
+    /// Notes how many daemons are known now.
+    pub(crate) fn note_daemons(&self, known: usize) {
+        let mut daemons = self.daemons.get();
+        daemons.note(known, clock::now());
+        self.daemons.set(daemons);
+    }
+
+    /// Daemons that share the budgets of repeats.
+    pub(crate) fn budget_sharing(&self) -> usize {
+        self.daemons.get().sharing()
+    }
+
+    /// Daemons that send requests to the same engines, as far as is known now.
     pub(crate) fn daemon_count(&self) -> usize {
         match self.members.borrow().len() {
-            0 => UNKNOWN_DAEMONS,
+            0 => self.budget_sharing(),
             count => count,
         }
     }
@@ -222,7 +234,7 @@
     /// Takes one repeat out of a service's budget, if there is one left.
     pub(crate) fn take_repeat(&self, service: &ServiceName) -> bool {
         let settings = self.settings();
-        let daemons = self.daemon_count();
+        let daemons = self.budget_sharing();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
         budget.take_repeat(clock::now(), &settings.bounds, daemons)
--- a/crates/ward-gateway/src/hub/brief.rs
+++ b/crates/ward-gateway/src/hub/brief.rs
@@ -91,6 +91,7 @@
         learn_crash(gateway, mark);
     }
     if gateway.members.borrow().is_empty() {
+        gateway.note_daemons(briefing.members.len());
         *gateway.members.borrow_mut() = briefing.members;
     }
     if gateway.coordinator_address.get().is_none() {
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -11,15 +11,15 @@
 use tokio::time::Instant;
 use ward_adapter::StoreTopic;
 use ward_fleet::{
-    CoordinatorMessage, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
+    CoordinatorMessage, FleetRecord, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
     MemberMessage, ProbeNumber, TermRecord, TermWatch,
 };
-use ward_protocol::{MonoTime, TimeSpan};
+use ward_protocol::{MonoTime, TimeSpan, WallTime};
 
 use super::check::check_members;
 use super::frame::{FrameError, encode_frame, read_frame};
 use crate::clock;
-use crate::coordinator::{newest_term, stored_crashes, take_over};
+use crate::coordinator::{newest_term, stored_fleet, take_over};
 use crate::crash::{clear_crashes, confirm_crashes, learn_crash};
 use crate::gateway::Gateway;
 
@@ -143,8 +143,8 @@
             return gateway.coordinator_address.get();
         }
     };
-    for mark in stored_crashes(&tail, &gateway.logger) {
-        learn_crash(gateway, &mark);
+    if let Some(fleet) = stored_fleet(&tail, &gateway.logger) {
+        learn_fleet(gateway, fleet);
     }
     let seen = newest_term(&tail, &gateway.logger);
     let now = clock::now();
@@ -171,6 +171,14 @@
     term.filter(|term| !term.released).map(|term| term.peers)
 }
 
+/// Takes over what an earlier coordinator kept in the store.
+fn learn_fleet(gateway: &Gateway, fleet: FleetRecord) {
+    gateway.note_daemons(fleet.daemons);
+    for mark in fleet.into_crashes(WallTime::now()) {
+        learn_crash(gateway, &mark);
+    }
+}
+
 /// Follows a coordinator; one that has started together with this daemon may not
 /// listen yet.
 async fn follow_patiently(
@@ -331,6 +339,7 @@
     gateway.told_away.set(view.store_away);
     gateway.table.borrow_mut().apply(view, outdated);
     view.apply_members(&mut gateway.members.borrow_mut());
+    gateway.note_daemons(gateway.members.borrow().len());
     gateway.told_end.set(view.engines_end);
     gateway.loads_at_once.set(Some(view.loads_at_once));
     if view.loads.is_some() {
