An engine that says in an answer that it leaves gets no request from then on

Until now only the entry in the store counted, so a host went on sending until it had read it or been told, and an engine that never says so there got requests until its entry was gone.

The adapter decodes the mark once, for answers to requests of any kind, to orders and to questions. From the first one on the daemon begins nothing there: the table of engines keeps the life, also when the entry is gone and old news lists it again. Reports tell the coordinator, whose planner counts the copies as going and whose views tell all; any daemon that knows better than a view contradicts it, so a report lost with its link, or a new coordinator that reads a ready entry, heals. A next life under the same id starts without the mark.

Not built: daemons without a coordinator don't tell each other of leaving engines; each learns it from its own first answer.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod endless;
 mod faults;
+mod leaving;
 mod logging;
 mod path;
 mod soak;
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -48,6 +48,21 @@
     }
 }
 
+/// Waits until all daemons are linked to a coordinator; returns which one it is.
+pub(crate) async fn wait_for_links(stage: &Stage) -> usize {
+    let joined = |daemon: usize| {
+        let log = stage.daemons[daemon].log().unwrap();
+        log.matches("coordinator: daemon joined").count()
+    };
+    let daemons = stage.daemons.len();
+    let links_all = |daemon: &usize| joined(*daemon) >= daemons;
+    wait_until("a coordinator", || {
+        (0..daemons).any(|daemon| links_all(&daemon))
+    })
+    .await;
+    (0..daemons).find(links_all).unwrap()
+}
+
 /// Requests for models, one after another, at all daemons in turn: all are served.
 pub(crate) async fn expect_models_served(stage: &Stage, path: &str, models: &[String]) {
     for (number, model) in models.iter().enumerate() {
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -14,7 +14,7 @@
     TimeSpan, ZoneName,
 };
 
-use crate::crash::CrashMark;
+use crate::crash::{CrashMark, EngineLife};
 use crate::entry::{EngineBirth, EngineEntry, HeldModel};
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
@@ -64,6 +64,8 @@
     pub arrivals: Vec<WaitingCount>,
     /// Engines that ended under requests, as far as the coordinator does not know.
     pub crashes: Vec<CrashMark>,
+    /// Engines that said in an answer that they leave.
+    pub leaving: Vec<EngineLife>,
     /// Requests that were thought to crash engines and got a whole answer.
     pub cleared: Vec<RequestFingerprint>,
     /// Engines that said they lack what they were thought to hold.
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -9,6 +9,7 @@
 use super::fetch::FetchList;
 use super::outlook::LossHistory;
 use super::work::WorkTarget;
+use crate::crash::EngineLife;
 use crate::entry::{EngineEntry, HeldModel, OrderSequence};
 use crate::message::{EngineInfo, EngineLoad, LoadReport};
 
@@ -56,6 +57,17 @@
         }
     }
 
+    /// Notes that an engine said that it leaves: its copies are going.
+    pub fn note_leaving(&mut self, life: &EngineLife, now: MonoTime) {
+        let engine = self.engines.get_mut(&life.engine);
+        let Some(engine) = engine.filter(|engine| engine.info.birth == life.birth) else {
+            return;
+        };
+        if !std::mem::replace(&mut engine.info.draining, true) {
+            self.losses.note(engine, now);
+        }
+    }
+
     /// Notes that the store dropped an engine's entry in an outage; a heartbeat
     /// takes that back.
     pub fn note_lapsed(&mut self, id: &BackendId) {
--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -3,9 +3,13 @@
 use indexmap::IndexMap;
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName};
 
+use crate::crash::EngineLife;
 use crate::health::{EngineHealth, EngineSign};
 use crate::message::{EngineInfo, EngineLoad, FleetView, RunningCount};
 
+/// Engines that said that they leave and are remembered.
+const MOST_LEAVING: usize = 4_096;
+
 /// One engine as this daemon sees it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineRecord {
@@ -60,6 +64,9 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct EngineTable {
     engines: IndexMap<BackendId, EngineRecord>,
+    /// Lives that said that they leave, also of engines that are not listed any
+    /// more: old news may list them again.
+    leaving: IndexMap<BackendId, EngineLife>,
 }
 
 impl EngineTable {
@@ -90,6 +97,7 @@
     /// Takes over what is said of an engine. One that began to drain keeps
     /// draining for the rest of its life, however old the news.
     pub fn insert(&mut self, mut info: EngineInfo) {
+        info.draining |= self.is_leaving(&EngineLife::from(&info));
         let Some(known) = self.engines.get_mut(&info.id) else {
             self.engines
                 .insert(info.id.clone(), EngineRecord::new(info));
@@ -113,6 +121,28 @@
         self.insert(info);
     }
 
+    /// Notes that an engine said that it leaves; returns whether that is news.
+    pub fn note_leaving(&mut self, life: &EngineLife) -> bool {
+        if self.is_leaving(life) {
+            return false;
+        }
+        if self.leaving.len() >= MOST_LEAVING {
+            self.leaving.shift_remove_index(0);
+        }
+        self.leaving.insert(life.engine.clone(), life.clone());
+        let engine = self.engines.get_mut(&life.engine);
+        if let Some(engine) = engine.filter(|engine| engine.info.birth == life.birth) {
+            engine.info.draining = true;
+        }
+        true
+    }
+
+    /// Whether a life of an engine said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, life: &EngineLife) -> bool {
+        self.leaving.get(&life.engine) == Some(life)
+    }
+
     /// Forgets an engine.
     pub fn remove(&mut self, id: &BackendId) -> bool {
         self.engines.shift_remove(id).is_some()
--- a/crates/ward-fleet/tests/table.rs
+++ b/crates/ward-fleet/tests/table.rs
@@ -1,11 +1,13 @@
 //! What daemons know of engines, from the store and from the coordinator.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use googletest::prelude::*;
 use support::{at, empty_view, entry, info, name};
 use ward_fleet::placement::PlacementState;
-use ward_fleet::{EngineInfo, EngineTable, FleetView};
+use ward_fleet::{EngineBirth, EngineInfo, EngineLife, EngineTable, FleetView};
 
 fn view(complete: bool, engines: Vec<EngineInfo>) -> FleetView {
     FleetView {
@@ -55,3 +57,45 @@
     state.note_entry(&entry("e1", &["m1"], &[]), at(100));
     expect_false!(state.engine_infos()[0].lapsed);
 }
+
+fn life(id: &str) -> EngineLife {
+    EngineLife::from(&info(id, &[]))
+}
+
+#[gtest]
+fn note_leaving_no_news_of_the_same_life_ends_it() {
+    let mut table = EngineTable::default();
+    table.insert(info("e1", &["m1"]));
+    expect_true!(table.note_leaving(&life("e1")));
+    expect_false!(table.note_leaving(&life("e1")), "told once");
+    table.apply(&view(true, vec![info("e1", &["m1"])]), false);
+    expect_true!(table.get(&name("e1")).unwrap().info.draining);
+    // Nor after its entry was gone for a while.
+    table.remove(&name("e1"));
+    table.insert_entry(info("e1", &["m1"]), true);
+    expect_true!(table.get(&name("e1")).unwrap().info.draining);
+}
+
+#[gtest]
+fn note_leaving_next_life_under_the_same_id_serves() {
+    let mut table = EngineTable::default();
+    table.insert(info("e1", &["m1"]));
+    table.note_leaving(&life("e1"));
+    let next = EngineInfo {
+        birth: Some(EngineBirth(i64::MAX)),
+        ..info("e1", &["m1"])
+    };
+    table.insert(next);
+    expect_false!(table.get(&name("e1")).unwrap().info.draining);
+}
+
+#[gtest]
+fn note_leaving_copies_of_the_engine_are_going() {
+    let mut state = PlacementState::default();
+    state.note_entry(&entry("e1", &["m1"], &[]), at(0));
+    state.note_leaving(&life("e1"), at(10));
+    expect_true!(state.engine_infos()[0].draining);
+    // Its entry in the store still says otherwise.
+    state.note_entry(&entry("e1", &["m1"], &[]), at(100));
+    expect_true!(state.engine_infos()[0].draining);
+}
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -175,14 +175,20 @@
 
     /// Notes a daemon's requests.
     pub(crate) fn note_report(&self, key: MemberKey, report: LoadReport, now: MonoTime) {
-        let urgent = !report.waiting.is_empty() || !report.crashes.is_empty();
+        let urgent =
+            !(report.waiting.is_empty() && report.crashes.is_empty() && report.leaving.is_empty());
         self.note_crashes(&report, now);
         let probe = report.store_away;
         let away = probe.and_then(|probe| self.outage.borrow_mut().note_away(key, probe));
         if let Some(asked) = away {
             self.lease.borrow_mut().note_away(asked);
         }
-        self.state.borrow_mut().note_report(key, report);
+        let mut state = self.state.borrow_mut();
+        for life in &report.leaving {
+            state.note_leaving(life, now);
+        }
+        state.note_report(key, report);
+        drop(state);
         if urgent {
             self.wake.notify_one();
         }
--- a/crates/ward-gateway/src/coordinator/work.rs
+++ b/crates/ward-gateway/src/coordinator/work.rs
@@ -12,13 +12,14 @@
 use ward_fleet::placement::{
     AdapterWork, LoadSource, ModelWork, PlacedEngine, PlannedWork, WorkTarget,
 };
-use ward_fleet::{EngineOrder, HeldModel};
+use ward_fleet::{EngineLife, EngineOrder, HeldModel};
 use ward_http::HttpCaller;
 use ward_protocol::{ModelName, TimeSpan};
 
 use super::active::ActiveCoordinator;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::leaving::note_leaving;
 
 const ORDER_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
 const REPORT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
@@ -276,7 +277,11 @@
             holder: &holder,
             fence: self.coordinator.fence(),
         };
-        let answer = send_order(&self.caller, &call, ORDER_TIMEOUT).await;
+        let reply = send_order(&self.caller, &call, ORDER_TIMEOUT).await;
+        if reply.as_ref().is_ok_and(|reply| reply.leaving) {
+            self.note_leaving();
+        }
+        let answer = reply.map(|reply| reply.answer);
         self.note_answer(order, &answer);
         Ok(answer.ok())
     }
@@ -306,6 +311,14 @@
         );
     }
 
+    fn note_leaving(&self) {
+        let life = EngineLife {
+            engine: self.target.engine.clone(),
+            birth: self.target.birth,
+        };
+        note_leaving(&self.gateway, &life);
+    }
+
     /// Whether the engine has accepted an order that we do not know of. A report
     /// may be older than our newest orders, so a lower number says nothing.
     async fn check_sequence(&self) -> Result<(), OrderStop> {
@@ -345,6 +358,9 @@
                     "sequence" => report.sequence.0, "busy" => report.busy,
                     "models" => report.models.len(),
                 );
+                if report.leaving {
+                    self.note_leaving();
+                }
                 Some(report)
             }
             Err(cause) => {
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -7,14 +7,16 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::{info, warn};
-use ward_adapter::header::{closes, keep_alive};
+use ward_adapter::header::{closes, keep_alive, says_leaving};
 use ward_adapter::{AnswerMarks, CallMarks};
+use ward_fleet::EngineLife;
 use ward_fleet::health::EngineSign;
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::pool::{ConnectionNeed, EngineSender};
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::leaving::note_leaving;
 use crate::queue::{EngineLease, RunState};
 
 /// What is sent, the same for every attempt.
@@ -135,6 +137,9 @@
         Ok(Ok(answer)) => answer,
     };
     let marks = AnswerMarks::read(answer.headers(), request.id.as_ref());
+    if says_leaving(answer.headers()) {
+        note_leaving(gateway, &EngineLife::from(&lease.engine));
+    }
     let attempt = Attempt {
         lease,
         sender,
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -10,8 +10,9 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreClient;
 use ward_fleet::{
-    CrashLedger, CrashMark, CrashWatch, DaemonCount, EngineTable, HostMember, HostSettings,
-    ManifestVersion, ProbeNumber, RepeatBudget, RunningCount, ServingManifest, WaitingCount,
+    CrashLedger, CrashMark, CrashWatch, DaemonCount, EngineLife, EngineTable, HostMember,
+    HostSettings, ManifestVersion, ProbeNumber, RepeatBudget, RunningCount, ServingManifest,
+    WaitingCount,
 };
 use ward_protocol::{Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime};
 
@@ -86,6 +87,7 @@
 pub(crate) struct ReportNotes {
     pub(crate) arrivals: Vec<WaitingCount>,
     pub(crate) crashes: Vec<CrashMark>,
+    pub(crate) leaving: Vec<EngineLife>,
     pub(crate) cleared: Vec<RequestFingerprint>,
     pub(crate) misplaced: Vec<RunningCount>,
     pub(crate) store_away: Option<ProbeNumber>,
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -23,6 +23,7 @@
 use crate::coordinator::{newest_term, stored_fleet, take_over};
 use crate::crash::{clear_crashes, confirm_crashes, learn_crash};
 use crate::gateway::Gateway;
+use crate::leaving::contradict_view;
 
 /// Time between reports while nothing urgent happens.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
@@ -323,6 +324,7 @@
         waiting: gateway.queue.waiting_counts(),
         arrivals: notes.arrivals,
         crashes: notes.crashes,
+        leaving: notes.leaving,
         cleared: notes.cleared,
         misplaced: notes.misplaced,
         store_away: notes.store_away,
@@ -344,6 +346,7 @@
     gateway.table.borrow_mut().apply(view, outdated);
     view.apply_members(&mut gateway.members.borrow_mut());
     gateway.note_daemons(gateway.members.borrow().len());
+    contradict_view(gateway, view);
     gateway.told_end.set(view.engines_end);
     gateway.loads_at_once.set(Some(view.loads_at_once));
     if view.loads.is_some() {
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod front;
 mod gateway;
 mod hub;
+mod leaving;
 mod metrics;
 mod phase;
 mod queue;
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -10,8 +10,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ward_adapter::served::{
-    EnginePath, OrderReading, ReportedState, answer_marks, engine_path, parse_order, read_request,
-    refusal_marks, report_json,
+    EnginePath, OrderReading, ReportedState, answer_marks, engine_path, leaving_marks, parse_order,
+    read_request, refusal_marks, report_json,
 };
 
 use super::{CRASHING_PATH, CrashKind, EngineFault, Shared};
@@ -39,11 +39,15 @@
     if reading.engine.as_ref().is_some_and(|engine| *engine != id) {
         return Ok(whole(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
     }
-    match engine_path(&path) {
-        EnginePath::Order => answer_order(&shared, &body),
-        EnginePath::Report => Ok(answer_report(&shared)),
-        EnginePath::Request => answer_request(&shared, &reading, &path).await,
+    let mut response = match engine_path(&path) {
+        EnginePath::Order => answer_order(&shared, &body)?,
+        EnginePath::Report => answer_report(&shared),
+        EnginePath::Request => answer_request(&shared, &reading, &path).await?,
+    };
+    if shared.lock().fault == EngineFault::Leaving {
+        response.headers_mut().extend(leaving_marks());
     }
+    Ok(response)
 }
 
 fn answer_report(shared: &Shared) -> Response<StageBody> {
