The test that follows a failed request waits for its last line

logging_failed_request_leads_from_its_id_to_the_cause failed once in a whole run: it read the log once three lines of the request were there, which were all until an unfinished run got a line of its own; the fourth came a moment later, as lines are written by another thread. It waits for the last line now, with the same expectations and one more, the new line.

--- a/crates/ward-daemon/tests/gateway/logging.rs
+++ b/crates/ward-daemon/tests/gateway/logging.rs
@@ -42,10 +42,12 @@
         let lines = log.lines().filter(|line| line.contains("lost-1"));
         lines.map(str::to_owned).collect::<Vec<_>>()
     };
-    wait_until("the request's lines", || lines().len() >= 3).await;
+    let is_last = |line: &String| line.contains("request: own answer");
+    wait_until("the request's last line", || lines().iter().any(is_last)).await;
     let lines = lines().join("\n");
     expect_that!(lines, contains_substring("request: sent"));
     expect_that!(lines, contains_substring("send: failed"));
+    expect_that!(lines, contains_substring("run: no whole answer"));
     expect_that!(lines, contains_substring("request: own answer"));
     expect_that!(lines, contains_substring("bad_engine"));
 }
