An engine that asks for a pause gets nothing from this host until its end

Until now such a refusal was one for lack of room: 100 to 800 ms, and as a last resort nothing at all.

The adapter decodes the time (seconds, fractions; negative, endless or no number is garbled and counts as a plain refusal, with a line); the daemon bounds it by 600 s. The pause is part of the choice of engines: paused ones are left out; when all that hold the model are, a request waits for the first end, or is refused at once with the time that is left when that is too late for it. Each host adds up to 0.4 s of its own and then sends one request at a time until one is answered.

--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -44,6 +44,9 @@
 impl ChoiceContext<'_> {
     /// Whether an engine has a place that this daemon may take.
     fn is_open(&self, engine: &EngineRecord) -> bool {
+        if engine.health.recovers() && engine.own_count() > 0 {
+            return false;
+        }
         if engine.health.is_full(self.now) || engine.running() >= engine.info.slots {
             return false;
         }
@@ -86,6 +89,9 @@
     Engine(BackendId),
     /// Some engines hold what it needs, and all are full.
     Full,
+    /// All engines that hold what it needs have asked for a pause, the shortest
+    /// until this time.
+    Paused(MonoTime),
     /// No engine holds what it needs.
     Missing,
     /// The service has no engine at all.
@@ -112,6 +118,13 @@
     if fitting.is_empty() {
         return EngineChoice::Missing;
     }
+    let pauses = fitting
+        .iter()
+        .map(|engine| engine.health.paused_until(context.now));
+    if let Some(until) = pauses.min().flatten() {
+        return EngineChoice::Paused(until);
+    }
+    fitting.retain(|engine| engine.health.paused_until(context.now).is_none());
     prefer(&mut fitting, |engine| {
         !engine.health.is_ejected(context.now)
     });
--- a/crates/ward-fleet/src/health.rs
+++ b/crates/ward-fleet/src/health.rs
@@ -27,6 +27,8 @@
     Answered,
     /// It refused for lack of room.
     Full,
+    /// It refused, and wants nothing from this daemon for a time.
+    Pause(TimeSpan),
     /// It lacks the model that was asked for.
     Misplaced,
     /// It answered wrongly, or broke off.
@@ -42,6 +44,9 @@
     ejected_until: MonoTime,
     refusals: u32,
     full_until: MonoTime,
+    paused_until: MonoTime,
+    /// Whether it has answered no request since it asked for a pause.
+    recovers: bool,
     first_byte_millis: Option<f64>,
 }
 
@@ -53,6 +58,11 @@
                 self.failures = 0;
                 self.ejected_until = MonoTime::default();
                 self.refusals = 0;
+                self.recovers = false;
+            }
+            EngineSign::Pause(span) => {
+                self.paused_until = self.paused_until.max(now + span);
+                self.recovers = true;
             }
             EngineSign::Full => {
                 let doublings = self.refusals.min(MOST_FULL_DOUBLINGS);
@@ -92,6 +102,19 @@
         now < self.ejected_until
     }
 
+    /// Until when it wants nothing from this daemon, if it does.
+    #[must_use]
+    pub fn paused_until(&self, now: MonoTime) -> Option<MonoTime> {
+        (now < self.paused_until).then_some(self.paused_until)
+    }
+
+    /// Whether it should get one request at a time: it asked for a pause and has
+    /// answered none since.
+    #[must_use]
+    pub fn recovers(&self) -> bool {
+        self.recovers
+    }
+
     /// Whether it said a moment ago that it has no room.
     #[must_use]
     pub fn is_full(&self, now: MonoTime) -> bool {
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -10,7 +10,7 @@
 use ward_fleet::{
     ChoiceContext, EngineLoad, EngineTable, EngineWish, FleetView, HeldModel, choose_engine,
 };
-use ward_protocol::{BackendId, ModelName, ServiceName};
+use ward_protocol::{BackendId, ModelName, ServiceName, TimeSpan};
 
 fn table(engines: &[(&str, &[&str])]) -> EngineTable {
     let mut table = EngineTable::default();
@@ -216,3 +216,52 @@
     table.apply(&view, false);
     expect_false!(table.is_empty());
 }
+
+fn choose_at(table: &EngineTable, millis: u64) -> EngineChoice {
+    let (service, model): (_, ModelName) = (service(), name("m1"));
+    let context = ChoiceContext {
+        now: at(millis),
+        ..context(1)
+    };
+    choose_engine(
+        table,
+        &wish(&service, &model),
+        &context,
+        &IndexSet::new(),
+        |_| 0,
+    )
+}
+
+#[gtest]
+fn choose_engine_that_asked_for_a_pause_is_no_last_resort() {
+    let mut table = table(&[("e1", &["m1"]), ("e2", &["m1"])]);
+    let span = TimeSpan::from_secs(2);
+    table.note(&id("e1"), EngineSign::Pause(span), at(0));
+    expect_that!(choose_at(&table, 10), eq(&EngineChoice::Engine(id("e2"))));
+    table.note(&id("e2"), EngineSign::Pause(span), at(500));
+    expect_that!(choose_at(&table, 600), eq(&EngineChoice::Paused(at(2_000))));
+    // A shorter wish does not end a longer one.
+    table.note(&id("e1"), EngineSign::Pause(TimeSpan::ZERO), at(700));
+    expect_that!(choose_at(&table, 700), eq(&EngineChoice::Paused(at(2_000))));
+    expect_that!(
+        choose_at(&table, 2_001),
+        eq(&EngineChoice::Engine(id("e1")))
+    );
+}
+
+#[gtest]
+fn choose_engine_after_a_pause_gets_one_request_until_it_has_answered() {
+    let mut table = table(&[("e1", &["m1"])]);
+    table.note(&id("e1"), EngineSign::Pause(TimeSpan::from_secs(1)), at(0));
+    expect_that!(
+        choose_at(&table, 1_100),
+        eq(&EngineChoice::Engine(id("e1")))
+    );
+    table.begin(&id("e1"), None, None);
+    expect_that!(choose_at(&table, 1_100), eq(&EngineChoice::Full));
+    table.note(&id("e1"), EngineSign::Answered, at(1_200));
+    expect_that!(
+        choose_at(&table, 1_200),
+        eq(&EngineChoice::Engine(id("e1")))
+    );
+}
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::{info, warn};
-use ward_adapter::header::{closes, keep_alive, says_leaving};
+use ward_adapter::header::{PauseMark, closes, keep_alive, pause_mark, says_leaving};
 use ward_adapter::{AnswerMarks, CallMarks};
 use ward_fleet::EngineLife;
 use ward_fleet::health::EngineSign;
@@ -19,6 +19,11 @@
 use crate::leaving::note_leaving;
 use crate::queue::{EngineLease, RunState};
 
+/// Longest pause that an engine gets when it asks for one.
+const LONGEST_PAUSE: TimeSpan = TimeSpan::from_secs(600);
+/// Time over which daemons come back to an engine after the pause that it asked for.
+const LONGEST_SPREAD: TimeSpan = TimeSpan::from_millis(400);
+
 /// What is sent, the same for every attempt.
 #[derive(Debug, Clone)]
 pub(crate) struct AttemptRequest {
@@ -137,6 +142,9 @@
         Ok(Ok(answer)) => answer,
     };
     let marks = AnswerMarks::read(answer.headers(), request.id.as_ref());
+    if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+        note_pause(gateway, &lease, answer.headers());
+    }
     if says_leaving(answer.headers()) {
         note_leaving(gateway, &EngineLife::from(&lease.engine));
     }
@@ -242,6 +250,33 @@
     Ok(attempt)
 }
 
+/// Notes that an engine asks for a pause, if it does.
+fn note_pause(gateway: &Rc<Gateway>, lease: &EngineLease, headers: &HeaderMap) {
+    let mark = pause_mark(headers);
+    let asked = match mark {
+        PauseMark::Absent => return,
+        PauseMark::Span(span) => span,
+        PauseMark::Garbled => TimeSpan::ZERO,
+    };
+    let span = asked.min(LONGEST_PAUSE);
+    info!(
+        gateway.logger, "engines: asks for a pause"; "engine" => %lease.engine.id,
+        "asked" => ?mark, "millis" => span.millis(),
+    );
+    if span == TimeSpan::ZERO {
+        return;
+    }
+    let spread = LONGEST_SPREAD.min(span).millis();
+    let span = span + TimeSpan::from_millis(rand::random_range(0..=spread));
+    note(gateway, lease, EngineSign::Pause(span));
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        // Requests may wait for the end of the pause.
+        tokio::time::sleep(span.duration()).await;
+        gateway.queue.changed();
+    });
+}
+
 /// Reads what is left of a refusal and keeps its connection.
 async fn give_back(gateway: &Rc<Gateway>, attempt: Attempt) {
     let reuse = Reuse::of(&attempt.answer);
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -272,6 +272,10 @@
                 let answer = OwnAnswer::NotRun(ready_in);
                 refuse(answer, "its model cannot be ready in time")
             }
+            WaitFailure::Paused(left) => refuse(
+                OwnAnswer::NotRun(left),
+                "its engines have asked for a pause",
+            ),
             WaitFailure::Crashes(left) => crashes_engines(left),
             WaitFailure::NoEngine => not_run("the service has no engine"),
             WaitFailure::Timeout => not_run("no engine had room in time"),
--- a/crates/ward-gateway/src/phase.rs
+++ b/crates/ward-gateway/src/phase.rs
@@ -16,6 +16,8 @@
     Model,
     /// A place at one of the engines that hold its model.
     Place,
+    /// The end of the pause that its engines asked for.
+    Pause,
     /// The answer of an engine.
     Answer(BackendId),
 }
@@ -26,6 +28,7 @@
             Self::Read => formatter.write_str("it was being read"),
             Self::Model => formatter.write_str("its model was on its way"),
             Self::Place => formatter.write_str("its engines were full"),
+            Self::Pause => formatter.write_str("its engines had asked for a pause"),
             Self::Answer(engine) => write!(formatter, "engine {engine} had not answered"),
         }
     }
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -191,6 +191,12 @@
                 return Err(WaitFailure::NotInTime(ready_in));
             }
         }
+        EngineChoice::Paused(until) => {
+            ticket.phase.enter(RequestPhase::Pause);
+            if let Some(left) = too_long(&ticket, until) {
+                return Err(WaitFailure::Paused(left));
+            }
+        }
         EngineChoice::Full => ticket.phase.enter(RequestPhase::Place),
     }
     if gateway.queue.closed.get() {
@@ -224,6 +230,11 @@
     }
 }
 
+/// Time until a pause ends, when that is too late for a request.
+fn too_long(ticket: &WaitTicket, until: MonoTime) -> Option<TimeSpan> {
+    (until > ticket.times.last_begin()).then(|| until.since(clock::now()))
+}
+
 fn choose(gateway: &Gateway, ticket: &WaitTicket) -> EngineChoice {
     let settings = gateway.settings();
     let context = ChoiceContext {
@@ -257,7 +268,7 @@
 
 fn serve_once(gateway: &Rc<Gateway>) {
     let mut unserved: IndexMap<WaitKey, usize> = IndexMap::new();
-    let mut missing = IndexSet::new();
+    let mut unready = IndexSet::new();
     for number in numbers_by_rank(gateway) {
         let Some(ticket) = ticket(gateway, number) else {
             continue;
@@ -267,7 +278,7 @@
             continue;
         }
         let key = ticket.key();
-        if ticket.avoided.is_empty() && missing.contains(&key) {
+        if ticket.avoided.is_empty() && unready.contains(&key) {
             continue;
         }
         if let Some(ahead) = unserved.get_mut(&key).filter(|_| ticket.avoided.is_empty()) {
@@ -279,6 +290,15 @@
         match choose(gateway, &ticket) {
             EngineChoice::Engine(id) => grant(gateway, number, &id, &ticket),
             EngineChoice::NoEngine => withdraw(gateway, number),
+            EngineChoice::Paused(until) => {
+                if let Some(left) = too_long(&ticket, until) {
+                    end_wait(gateway, number, WaitFailure::Paused(left));
+                } else {
+                    // The next in rank can wait longer still.
+                    ticket.phase.enter(RequestPhase::Pause);
+                    unready.insert(key);
+                }
+            }
             EngineChoice::Full => {
                 ticket.phase.enter(RequestPhase::Place);
                 unserved.insert(key, 0);
@@ -289,7 +309,7 @@
                     end_wait(gateway, number, WaitFailure::NotInTime(ready_in));
                 } else {
                     ticket.phase.enter(RequestPhase::Model);
-                    missing.insert(key);
+                    unready.insert(key);
                 }
             }
         }
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -87,6 +87,9 @@
     /// Its engines are overloaded and it is late; it may come back after this
     /// time.
     Overload(TimeSpan),
+    /// Its engines have asked for a pause that is too long for it; it may come back
+    /// after this time.
+    Paused(TimeSpan),
     /// It has crashed engines; it is not sent for this time.
     Crashes(TimeSpan),
     /// The daemon stops, so another one must serve it.
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -11,11 +11,11 @@
 use hyper::body::Incoming;
 use ward_adapter::served::{
     EnginePath, OrderReading, ReportedState, answer_marks, engine_path, leaving_marks, parse_order,
-    read_request, refusal_marks, report_json,
+    pause_marks, read_request, refusal_marks, report_json,
 };
 
 use super::{CRASHING_PATH, CrashKind, EngineFault, Shared};
-use crate::ledger::{OrderNote, RunNote};
+use crate::ledger::{OrderNote, RefusalNote, RunNote};
 use crate::reply::{BreakOff, StageBody, streamed, whole};
 
 /// Bytes of an answer without end that are sent at once.
@@ -100,9 +100,18 @@
     if missing {
         return Ok(whole(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
     }
-    if fault == EngineFault::Full {
+    let refusal = match fault {
+        EngineFault::Full => Some(refusal_marks()),
+        EngineFault::Pause(span) => Some(pause_marks(span.into())),
+        _ => None,
+    };
+    if let Some(marks) = refusal {
+        shared.ledger.note_refusal(RefusalNote {
+            engine,
+            at: Instant::now(),
+        });
         let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-        response.headers_mut().extend(refusal_marks());
+        response.headers_mut().extend(marks);
         return Ok(response);
     }
     let id = reading
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -52,6 +52,8 @@
     Endless,
     /// After two events of a stream it sends a byte now and then, and no event.
     Dribble,
+    /// It refuses all requests and wants nothing for a time.
+    Pause(Duration),
     /// It says in each answer that it leaves, and nowhere else.
     Leaving,
     /// It crashes when it begins a request whose path has [`CRASHING_PATH`].
--- a/crates/ward-stage/src/ledger.rs
+++ b/crates/ward-stage/src/ledger.rs
@@ -21,6 +21,15 @@
     pub resumed: bool,
 }
 
+/// A request that an engine refused.
+#[derive(Debug, Clone)]
+pub struct RefusalNote {
+    /// The engine.
+    pub engine: String,
+    /// When.
+    pub at: Instant,
+}
+
 /// An order that an engine accepted or refused.
 #[derive(Debug, Clone)]
 pub struct OrderNote {
@@ -46,6 +55,7 @@
 struct Notes {
     runs: Vec<RunNote>,
     orders: Vec<OrderNote>,
+    refusals: Vec<RefusalNote>,
 }
 
 impl RunLedger {
@@ -61,6 +71,16 @@
         self.notes().orders.push(order);
     }
 
+    pub(crate) fn note_refusal(&self, refusal: RefusalNote) {
+        self.notes().refusals.push(refusal);
+    }
+
+    /// All refusals so far.
+    #[must_use]
+    pub fn refusals(&self) -> Vec<RefusalNote> {
+        self.notes().refusals.clone()
+    }
+
     /// All runs so far.
     #[must_use]
     pub fn runs(&self) -> Vec<RunNote> {
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -20,7 +20,7 @@
 pub use caller::{CallerAnswer, CallerError, CallerRequest, StageCaller};
 pub use daemon::{DaemonProcess, StageError};
 pub use engine::{CRASHING_PATH, CrashKind, EngineFault, StageEngine};
-pub use ledger::{OrderNote, RunLedger, RunNote};
+pub use ledger::{OrderNote, RefusalNote, RunLedger, RunNote};
 pub use proxy::{LinkFault, LinkSwitch, StageProxy};
 pub use stage::{Stage, StagePlan, stage_folder};
 pub use store::{StageStore, StoreFault};
