A request that was answered of late is not blamed for the end of its engines

Found while the soak was prepared: its callers all send the same requests.

Cause: nothing told a request that ends engines from one that engines end under, but answers in between, and after the block there are none. Each daemon now keeps the last 2,048 to 4,096 requests that it saw answered whole; a mark of one of these does not count there, and the coordinator is told to clear it. A request that crashes every engine that begins it was never answered.

Ruled out: counting crashes within a second as one (a request that is sent again at once would cost one engine more), trying a blocked request now and then (each try costs an engine).

Test, failing before (three callers of three refused): request_of_many_callers_is_ served_after_all_its_engines_lost_power. Stand-in: an engine that several requests crashed at once crashed again after its restart; mended.

--- a/crates/ward-daemon/tests/gateway/crashes.rs
+++ b/crates/ward-daemon/tests/gateway/crashes.rs
@@ -7,7 +7,7 @@
 use ward_protocol::TimeSpan;
 use ward_stage::{CRASHING_PATH, CallerRequest, CrashKind, EngineFault, RunNote, Stage, StagePlan};
 
-use crate::support::{expect_models_served, send, stage, wait_until};
+use crate::support::{expect_models_served, send, set_all, stage, wait_for_links, wait_until};
 
 /// Time after the third crash from which on sends are counted, and how many the
 /// platform allows then.
@@ -15,6 +15,8 @@
 const MOST_LATE_SENDS: usize = 3;
 /// Time for a crash that ends the connection to be known everywhere.
 const SPREAD_TIME: Duration = Duration::from_millis(600);
+/// Time after which an engine that crashed serves again.
+const RESTART_TIME: Duration = Duration::from_secs(2);
 /// A lease during which no other daemon takes over.
 const LONG_LEASE: TimeSpan = TimeSpan::from_secs(12);
 
@@ -28,9 +30,7 @@
 
 async fn crashing_stage(test: &str, plan: &StagePlan, kind: CrashKind) -> Stage {
     let stage = stage(test, plan).await;
-    for engine in &stage.engines {
-        engine.set_fault(EngineFault::Crash(kind));
-    }
+    set_all(&stage, EngineFault::Crash(kind));
     stage
 }
 
@@ -219,6 +219,32 @@
     expect_that!(answered - second, le(SPREAD_TIME));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_of_many_callers_is_served_after_all_its_engines_lost_power() {
+    let stage = stage("crash-popular", &one_model()).await;
+    wait_for_links(&stage).await;
+    for number in 0..9 {
+        let answer = send(&stage, number % 3, &crashing_request(number, "stock")).await;
+        expect_that!(answer.unwrap().status, eq(StatusCode::OK));
+    }
+    set_all(&stage, EngineFault::Crash(CrashKind::BeforeHead));
+    let both = (9..12).map(|number| {
+        let stage = &stage;
+        async move { drop(send(stage, number % 3, &crashing_request(number, "stock")).await) }
+    });
+    futures::future::join_all(both).await;
+    set_all(&stage, EngineFault::None);
+    tokio::time::sleep(RESTART_TIME).await;
+    for engine in &stage.engines[3..] {
+        expect_that!(engine.id(), ends_with(".2"), "it is in its second life");
+    }
+    for number in 12..15 {
+        let answer = send(&stage, number % 3, &crashing_request(number, "stock")).await;
+        expect_that!(answer.unwrap().status, eq(StatusCode::OK));
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn request_under_which_engines_crash_for_other_reasons_is_served() {
--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::support::{
-    WHOLE_STREAM, expect_left_alone, expect_models_served, expect_sound_orders, send, stage,
-    wait_until,
+    WHOLE_STREAM, expect_left_alone, expect_models_served, expect_sound_orders, send, set_all,
+    stage, wait_until,
 };
 
 /// A lease as long as on the users' platform.
@@ -38,12 +38,6 @@
     (0..3).find(|daemon| terms(stage, *daemon) > 0).unwrap()
 }
 
-fn set_all(stage: &Stage, fault: EngineFault) {
-    for engine in &stage.engines {
-        engine.set_fault(fault);
-    }
-}
-
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn unsafe_request_whose_answer_is_lost_runs_once_and_is_not_refused() {
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -6,8 +6,8 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use ward_stage::{
-    CallerAnswer, CallerError, CallerRequest, Stage, StageCaller, StageEngine, StagePlan,
-    stage_folder,
+    CallerAnswer, CallerError, CallerRequest, EngineFault, Stage, StageCaller, StageEngine,
+    StagePlan, stage_folder,
 };
 
 /// The whole stream of a stand-in engine.
@@ -39,6 +39,13 @@
     caller.send(request).await
 }
 
+/// Makes all engines misbehave, or behave again.
+pub(crate) fn set_all(stage: &Stage, fault: EngineFault) {
+    for engine in &stage.engines {
+        engine.set_fault(fault);
+    }
+}
+
 /// Waits until something holds.
 pub(crate) async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
     let begun = Instant::now();
--- a/crates/ward-fleet/src/crash/mod.rs
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -7,12 +7,14 @@
 //! between; one that this happened to more than once is not sent to engines for a
 //! while.
 
+mod answered;
 mod ledger;
 mod watch;
 
 use serde::{Deserialize, Serialize};
 use ward_protocol::{BackendId, RequestFingerprint, TimeSpan};
 
+pub use self::answered::AnsweredRequests;
 pub use self::ledger::{BlockRevision, CrashLedger, CrashNews};
 pub use self::watch::{CrashWatch, UnfinishedRun};
 use crate::entry::EngineBirth;
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -29,7 +29,8 @@
 pub use budget::{DaemonCount, RepeatBudget};
 pub use choice::{ChoiceContext, EngineWish, choose_engine};
 pub use crash::{
-    BlockRevision, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineLife, UnfinishedRun,
+    AnsweredRequests, BlockRevision, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineLife,
+    UnfinishedRun,
 };
 pub use directory::choose_hosts;
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use support::{at, info, name};
 use ward_fleet::{
-    CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo, EngineLife,
-    EngineTable, FleetRecord, UnfinishedRun,
+    AnsweredRequests, CrashLedger, CrashMark, CrashNews, CrashWatch, EngineBirth, EngineInfo,
+    EngineLife, EngineTable, FleetRecord, UnfinishedRun,
 };
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan, WallTime};
 
@@ -131,6 +131,21 @@
     expect_false!(ledger.clear(&RequestFingerprint(2)));
 }
 
+#[gtest]
+fn answered_last_requests_are_known() {
+    let mut answered = AnsweredRequests::default();
+    answered.note(BAD);
+    for request in 100..2_100 {
+        answered.note(RequestFingerprint(request));
+    }
+    expect_true!(answered.contains(&BAD));
+    for request in 2_100..9_000 {
+        answered.note(RequestFingerprint(request));
+    }
+    expect_false!(answered.contains(&BAD));
+    expect_true!(answered.contains(&RequestFingerprint(8_999)));
+}
+
 #[gtest]
 fn review_engine_whose_entry_is_gone_has_ended() {
     let mut watch = CrashWatch::default();
--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -81,8 +81,14 @@
 }
 
 /// Takes over a crash that this or another daemon saw; returns whether it was
-/// news.
+/// news. A request that was answered whole of late is not to blame, and the
+/// coordinator is told so.
 pub(crate) fn learn_crash(gateway: &Gateway, mark: &CrashMark) -> bool {
+    if gateway.answered.borrow().contains(&mark.fingerprint) {
+        gateway.notes.borrow_mut().cleared.push(mark.fingerprint);
+        gateway.report_wanted.notify_one();
+        return false;
+    }
     let news = gateway.crashes.borrow_mut().note(mark, clock::now());
     if news == CrashNews::Blocked {
         gateway.metrics.blocked.inc();
@@ -111,6 +117,7 @@
 /// Forgets the crashes of a request that an engine has answered whole: it is not
 /// what ends engines.
 pub(crate) fn note_answered(gateway: &Gateway, fingerprint: &RequestFingerprint) {
+    gateway.answered.borrow_mut().note(*fingerprint);
     if clear_crashes(gateway, fingerprint) {
         gateway.notes.borrow_mut().cleared.push(*fingerprint);
         gateway.report_wanted.notify_one();
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -10,9 +10,9 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreClient;
 use ward_fleet::{
-    CrashLedger, CrashMark, CrashWatch, DaemonCount, EngineLife, EngineTable, HostMember,
-    HostSettings, ManifestVersion, ProbeNumber, RepeatBudget, RunningCount, ServingManifest,
-    WaitingCount,
+    AnsweredRequests, CrashLedger, CrashMark, CrashWatch, DaemonCount, EngineLife, EngineTable,
+    HostMember, HostSettings, ManifestVersion, ProbeNumber, RepeatBudget, RunningCount,
+    ServingManifest, WaitingCount,
 };
 use ward_protocol::{Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime};
 
@@ -40,6 +40,7 @@
     pub(crate) queue: WaitQueue,
     pub(crate) crashes: RefCell<CrashLedger>,
     pub(crate) crash_watch: RefCell<CrashWatch>,
+    pub(crate) answered: RefCell<AnsweredRequests>,
     /// Crashes that this daemon saw and no view has confirmed.
     pub(crate) unconfirmed: RefCell<Vec<CrashMark>>,
     /// Woken when there is one more.
@@ -106,6 +107,7 @@
             queue: WaitQueue::default(),
             crashes: RefCell::default(),
             crash_watch: RefCell::default(),
+            answered: RefCell::default(),
             unconfirmed: RefCell::default(),
             crash_counted: Notify::new(),
             notes: RefCell::default(),
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use futures::FutureExt;
 use http::StatusCode;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -231,6 +232,8 @@
         tokio::time::sleep(HEARTBEAT_PAUSE * MISSED_HEARTBEATS).await;
         store.put_entry(&former, None);
         tokio::time::sleep(RESTART_TIME).await;
+        // Other requests of the life that ended may have crashed it, too.
+        self.crashed.notified().now_or_never();
         switch.set_fault(LinkFault::None);
     }
 
