The soak overlaps signals, and its engines crash, leave and ask for pauses

Signals now come in series: a daemon is stopped, frozen or told to reload in the middle of its start or its planned stop, with manifests meanwhile, and sometimes killed on top. Callers use their connections until they end. One request in forty is one that crashes engines; engines crash in three ways, say that they leave (and end when they behave again), ask for a pause; links refuse.

Requests have paths of their own now, so that what comes again is only what crashes engines.

--- a/crates/ward-daemon/tests/gateway/soak.rs
+++ b/crates/ward-daemon/tests/gateway/soak.rs
@@ -2,9 +2,11 @@
 //! see.
 //!
 //! A seed draws a series of overlapping faults: daemons that are killed, paused,
-//! stopped and restarted, links that are delayed, reset, cut one way or silent,
-//! a store and engines that misbehave. Callers go on using open connections all
-//! the while. `SOAK_SEEDS=FROM..TO` runs other seeds than the short series.
+//! stopped and restarted, also in the middle of a start or a stop and with manifests
+//! meanwhile, links that are delayed, reset, cut one way or silent, a store and
+//! engines that misbehave, crash, leave or ask for a pause. Callers use open
+//! connections until they end, and some requests crash engines. `SOAK_SEEDS=FROM..TO`
+//! runs other seeds than the short series.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -16,8 +18,8 @@
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rustix::process::Signal;
 use ward_stage::{
-    CallerError, CallerRequest, EngineFault, LinkFault, RunLedger, Stage, StageCaller, StagePlan,
-    StoreFault,
+    CRASHING_PATH, CallerError, CallerRequest, CrashKind, EngineFault, LinkFault, RunLedger, Stage,
+    StageCaller, StagePlan, StoreFault,
 };
 
 use crate::support::{WHOLE_STREAM, expect_sound_orders, stage};
@@ -27,6 +29,8 @@
 const STEPS: usize = 12;
 const STEP_PAUSE: Duration = Duration::from_millis(250);
 const CALLERS: usize = 6;
+/// One request in so many is one that crashes engines.
+const CRASHING_SHARE: usize = 40;
 /// After the last fault, requests must be served again within this time.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -102,7 +106,8 @@
 fn strike(stage: &mut Stage, draw: &mut Draw) {
     let daemon = draw.below(stage.daemons.len());
     let engine = draw.below(stage.engines.len());
-    match draw.below(7) {
+    match draw.below(8) {
+        7 => strike_in_series(stage, draw, daemon),
         0 => stage.daemons[daemon].kill(),
         1 => stage.daemons[daemon].restart().unwrap(),
         2 | 3 => {
@@ -119,6 +124,11 @@
             EngineFault::WrongId,
             EngineFault::Fail,
             EngineFault::LoseOrders,
+            EngineFault::Leaving,
+            EngineFault::Pause(Duration::from_millis(400)),
+            EngineFault::Crash(CrashKind::BeforeHead),
+            EngineFault::Crash(CrashKind::AfterHead),
+            EngineFault::Crash(CrashKind::Silent),
         ])),
         _ => match draw.below(3) {
             0 => stage.store_link.set_fault(link_fault(draw)),
@@ -135,11 +145,30 @@
     }
 }
 
+/// Signals that meet a daemon in the middle of its start or its planned stop, with
+/// manifests in quick succession.
+fn strike_in_series(stage: &mut Stage, draw: &mut Draw, daemon: usize) {
+    if draw.below(2) == 0 {
+        stage.daemons[daemon].restart().unwrap();
+    }
+    for _ in 0..2 {
+        let signal = draw.of(&[Signal::TERM, Signal::STOP, Signal::CONT, Signal::HUP]);
+        // The process may have ended.
+        drop(stage.daemons[daemon].signal(signal));
+        stage.manifest.version.0 += 1;
+        stage.store.put_manifest(&stage.manifest);
+    }
+    if draw.below(3) == 0 {
+        stage.daemons[daemon].kill();
+    }
+}
+
 fn link_fault(draw: &mut Draw) -> LinkFault {
     draw.of(&[
         LinkFault::None,
         LinkFault::Delay(Duration::from_millis(40)),
         LinkFault::Reset,
+        LinkFault::Refuse,
         LinkFault::CutAnswers,
         LinkFault::Silence,
     ])
@@ -202,10 +231,8 @@
             let request = self.request(count, &mut draw);
             count += 1;
             let answer = caller.send(&request).await;
-            if let Ok(answer) = &answer {
-                let closes = answer.headers.get("connection").is_some();
-                connection = (!closes).then_some(caller);
-            }
+            // A connection is used until it ends, whatever answers on it say.
+            connection = answer.is_ok().then_some(caller);
             breaches.extend(self.check(&request, &answer));
         }
         breaches
@@ -225,12 +252,20 @@
     fn request(&self, count: usize, draw: &mut Draw) -> CallerRequest {
         let id = format!("s{}-{}-{count}", self.seed, self.number);
         let model = Stage::model(draw.below(12));
-        match draw.below(4) {
-            0 => CallerRequest::new(id, "/quick/a", Some(&model)),
-            1 => CallerRequest::new(id, "/quote/a", Some(&model)),
-            2 => CallerRequest::new(id, "/book/a", None),
-            _ => CallerRequest::new(id, "/stock/a", None),
-        }
+        // The same content comes again only where it crashes engines.
+        let content = if draw.below(CRASHING_SHARE) == 0 {
+            CRASHING_PATH
+        } else {
+            &id
+        };
+        let (route, model) = draw.of(&[
+            ("quick", Some(&model)),
+            ("quote", Some(&model)),
+            ("book", None),
+            ("stock", None),
+        ]);
+        let path = format!("/{route}/{content}");
+        CallerRequest::new(&id, path, model.map(String::as_str))
     }
 
     fn check(
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -182,9 +182,13 @@
         self.shared.lock().entry.id.to_string()
     }
 
-    /// Makes it misbehave, or behave again.
+    /// Makes it misbehave, or behave again. One that has said that it leaves ends,
+    /// and is back in its next life.
     pub fn set_fault(&self, fault: EngineFault) {
-        self.shared.lock().fault = fault;
+        let former = std::mem::replace(&mut self.shared.lock().fault, fault);
+        if former == EngineFault::Leaving && fault != EngineFault::Leaving {
+            self.shared.crashed.notify_one();
+        }
     }
 
     /// Begins to drain, and says so.
