--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -118,13 +118,12 @@
     if fitting.is_empty() {
         return EngineChoice::Missing;
     }
-    let pauses = fitting
-        .iter()
-        .map(|engine| engine.health.paused_until(context.now));
-    if let Some(until) = pauses.min().flatten() {
-        return EngineChoice::Paused(until);
+    let pause = |engine: &EngineRecord| engine.health.paused_until(context.now);
+    if fitting.iter().all(|engine| pause(engine).is_some()) {
+        let first = fitting.iter().filter_map(|engine| pause(engine)).min();
+        return EngineChoice::Paused(first.unwrap_or(context.now));
     }
-    fitting.retain(|engine| engine.health.paused_until(context.now).is_none());
+    fitting.retain(|engine| pause(engine).is_none());
     prefer(&mut fitting, |engine| {
         !engine.health.is_ejected(context.now)
     });
--- a/crates/ward-fleet/src/crash/ledger.rs
+++ b/crates/ward-fleet/src/crash/ledger.rs
@@ -24,6 +24,10 @@
     fn left(&self, now: MonoTime) -> TimeSpan {
         self.until.since(now)
     }
+
+    fn counts(&self, now: MonoTime) -> bool {
+        self.left(now) > TimeSpan::ZERO
+    }
 }
 
 /// What a mark changed.
@@ -51,14 +55,14 @@
 impl CrashLedger {
     /// Counts a crash.
     pub fn note(&mut self, mark: &CrashMark, now: MonoTime) -> CrashNews {
-        self.forget(now);
         if mark.age > MEMORY {
             return CrashNews::Known;
         }
         if !self.requests.contains_key(&mark.fingerprint) {
-            self.make_room();
+            self.make_room(now);
         }
         let crashes = self.requests.entry(mark.fingerprint).or_default();
+        crashes.retain(|crash| crash.counts(now));
         let is_known = crashes.iter().any(|crash| crash.life == mark.life);
         if is_known || crashes.len() >= CRASHES_TO_BLOCK {
             return CrashNews::Known;
@@ -97,8 +101,8 @@
     #[must_use]
     pub fn blocked_for(&self, fingerprint: &RequestFingerprint, now: MonoTime) -> Option<TimeSpan> {
         let crashes = self.requests.get(fingerprint)?;
-        let left = crashes.iter().map(|crash| crash.left(now)).max()?;
-        (crashes.len() >= CRASHES_TO_BLOCK && left > TimeSpan::ZERO).then_some(left)
+        let last = crashes.iter().max_by_key(|crash| crash.until)?;
+        (crashes.len() >= CRASHES_TO_BLOCK && last.counts(now)).then(|| last.left(now))
     }
 
     /// All crashes that count.
@@ -133,15 +137,13 @@
             .collect()
     }
 
-    fn forget(&mut self, now: MonoTime) {
-        self.requests.retain(|_, crashes| {
-            crashes.retain(|crash| crash.left(now) > TimeSpan::ZERO);
-            !crashes.is_empty()
-        });
-    }
-
     /// Makes room for one more request; blocked ones are the last to be forgotten.
-    fn make_room(&mut self) {
+    fn make_room(&mut self, now: MonoTime) {
+        if self.requests.len() < MOST_REQUESTS {
+            return;
+        }
+        self.requests
+            .retain(|_, crashes| crashes.iter().any(|crash| crash.counts(now)));
         if self.requests.len() < MOST_REQUESTS {
             return;
         }
@@ -156,7 +158,8 @@
     crashes: &[CountedCrash],
     now: MonoTime,
 ) -> impl Iterator<Item = CrashMark> {
-    crashes.iter().map(move |crash| CrashMark {
+    let counting = crashes.iter().filter(move |crash| crash.counts(now));
+    counting.map(move |crash| CrashMark {
         fingerprint,
         life: crash.life.clone(),
         age: MEMORY.saturating_sub(crash.left(now)),
--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -126,6 +126,8 @@
 
 /// Forgets the crashes of a request; returns whether there were any.
 pub(crate) fn clear_crashes(gateway: &Gateway, fingerprint: &RequestFingerprint) -> bool {
+    let mut unconfirmed = gateway.unconfirmed.borrow_mut();
+    unconfirmed.retain(|mark| mark.fingerprint != *fingerprint);
     let cleared = gateway.crashes.borrow_mut().clear(fingerprint);
     if cleared {
         info!(gateway.logger, "crash: request cleared"; "fingerprint" => %fingerprint);
--- a/crates/ward-gateway/src/hub/tell.rs
+++ b/crates/ward-gateway/src/hub/tell.rs
@@ -26,6 +26,8 @@
 /// Time in which the view of a coordinator confirms a crash, and in which crashes
 /// are gathered that are told together.
 const CONFIRM_TIME: Duration = Duration::from_millis(150);
+/// Looks at a coordinator that is heard before a crash counts as told.
+const MOST_WAITS: u32 = 20;
 /// Time in which all daemons find a new coordinator; small hosts look seldom.
 const FIND_TIME: TimeSpan = TimeSpan::from_millis(2_000);
 const TELL_TIME: Duration = Duration::from_millis(400);
@@ -34,14 +36,20 @@
 
 /// Tells other daemons of crashes, until the process ends.
 pub(crate) async fn tell_crashes(gateway: Rc<Gateway>) {
+    let mut waits = 0;
     loop {
         if gateway.unconfirmed.borrow().is_empty() {
             gateway.crash_counted.notified().await;
+            waits = 0;
         }
         tokio::time::sleep(CONFIRM_TIME).await;
+        waits += 1;
         if !reaches_all(&gateway) {
             let marks = gateway.unconfirmed.take();
             tell_all(&gateway, marks).await;
+        } else if waits >= MOST_WAITS {
+            // The coordinator has its reports; it may know better by now.
+            gateway.unconfirmed.take();
         }
     }
 }
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! An engine, or a plain service's backend server, in memory.
 
 mod answer;
+mod fault;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +18,7 @@
 use ward_protocol::{AdapterName, FenceNumber, ModelName};
 
 use self::answer::answer;
+pub use self::fault::{CRASHING_PATH, CrashKind, EngineFault};
 use crate::ledger::RunLedger;
 use crate::proxy::{LinkFault, LinkSwitch, StageProxy};
 use crate::serve::{StageServer, serve};
@@ -30,61 +32,6 @@
 /// Time from the removal of a crashed engine's entry until the engine is back.
 const RESTART_TIME: Duration = Duration::from_millis(200);
 
-/// How an engine misbehaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EngineFault {
-    /// It does not.
-    None,
-    /// It breaks off each stream after two events and each other answer midway.
-    BreakOff,
-    /// It runs requests and closes the connection without an answer.
-    LoseAnswers,
-    /// It refuses all requests as if it were full.
-    Full,
-    /// It answers with the id of another request.
-    WrongId,
-    /// It answers all requests with a failure of its own.
-    Fail,
-    /// It runs requests and never answers.
-    Mute,
-    /// Orders are carried out and not answered.
-    LoseOrders,
-    /// Its answers go on without end, in one event where they are streams.
-    Endless,
-    /// After two events of a stream it sends a byte now and then, and no event.
-    Dribble,
-    /// It refuses all requests and wants nothing for a time.
-    Pause(Duration),
-    /// It says in each answer that it leaves, and nowhere else.
-    Leaving,
-    /// It crashes when it begins a request whose path has [`CRASHING_PATH`].
-    Crash(CrashKind),
-}
-
-/// Part of the path of requests that crash engines.
-pub const CRASHING_PATH: &str = "crashing";
-
-/// What callers see of a crash.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CrashKind {
-    /// Its connections end before the answer begins.
-    BeforeHead,
-    /// Its connections end after two events, or midway in another answer.
-    AfterHead,
-    /// Nothing any more: the host is gone.
-    Silent,
-}
-
-impl CrashKind {
-    /// What is left of the link to an engine that crashed.
-    const fn link(self) -> LinkFault {
-        match self {
-            Self::BeforeHead | Self::AfterHead => LinkFault::Refuse,
-            Self::Silent => LinkFault::Silence,
-        }
-    }
-}
-
 struct EngineState {
     entry: EngineEntry,
     class: Option<EngineClass>,
