--- a/crates/ward-daemon/tests/gateway/crashes.rs
+++ b/crates/ward-daemon/tests/gateway/crashes.rs
@@ -7,7 +7,9 @@
 use ward_protocol::TimeSpan;
 use ward_stage::{CRASHING_PATH, CallerRequest, CrashKind, EngineFault, RunNote, Stage, StagePlan};
 
-use crate::support::{expect_models_served, send, set_all, stage, wait_for_links, wait_until};
+use crate::support::{
+    expect_models_served, send, set_all, stage, terms, wait_for_links, wait_until,
+};
 
 /// Time after the third crash from which on sends are counted, and how many the
 /// platform allows then.
@@ -169,15 +171,12 @@
         ..one_model()
     };
     let mut stage = crashing_stage("crash-alone", &plan, CrashKind::BeforeHead).await;
-    let coordinates = |stage: &Stage, daemon: usize| {
-        let log = stage.daemons[daemon].log().unwrap();
-        log.contains("coordinator: term begins")
-    };
+    let coordinates = |daemon: &usize| terms(&stage, *daemon) > 0;
     wait_until("a coordinator", || {
-        (0..7).any(|daemon| coordinates(&stage, daemon))
+        (0..7).any(|daemon| coordinates(&daemon))
     })
     .await;
-    let coordinator = (0..7).find(|daemon| coordinates(&stage, *daemon)).unwrap();
+    let coordinator = (0..7).find(coordinates).unwrap();
     stage.daemons[coordinator].kill();
     send_again_and_again(&stage, "book", 24, Duration::from_millis(500)).await;
     expect_few_late_sends(&stage);
--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -12,7 +12,7 @@
 
 use crate::support::{
     WHOLE_STREAM, expect_left_alone, expect_models_served, expect_sound_orders, send, set_all,
-    stage, wait_until,
+    stage, terms, wait_until,
 };
 
 /// A lease as long as on the users' platform.
@@ -22,12 +22,6 @@
 /// restart; any other daemon would have to wait for more than a lease.
 const RESUME_TIME: Duration = Duration::from_millis(1_500);
 
-/// Terms that a daemon has begun in any of its lives.
-fn terms(stage: &Stage, daemon: usize) -> usize {
-    let log = stage.daemons[daemon].log().unwrap();
-    log.matches("coordinator: term begins").count()
-}
-
 /// Waits for a coordinator that all daemons follow; returns which one it is.
 async fn wait_for_coordinator(stage: &Stage) -> usize {
     let follows = |daemon: usize| {
--- a/crates/ward-daemon/tests/gateway/leaving.rs
+++ b/crates/ward-daemon/tests/gateway/leaving.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 use ward_stage::{CallerRequest, EngineFault, Stage, StagePlan};
 
-use crate::support::{expect_left_alone, send, stage, wait_for_links, wait_until};
+use crate::support::{expect_left_alone, send, stage, terms, wait_for_links, wait_until};
 
 /// Time for what one daemon knows to reach the others.
 const SPREAD_TIME: Duration = Duration::from_millis(600);
@@ -57,15 +57,11 @@
     stage.engines[number].set_fault(EngineFault::Leaving);
     hear_from(&stage, 0, "/stock/a").await;
     tokio::time::sleep(SPREAD_TIME).await;
-    let coordinates = |stage: &Stage, daemon: usize| {
-        let log = stage.daemons[daemon].log().unwrap();
-        log.contains("coordinator: term begins")
-    };
     stage.daemons[former].kill();
     let others = |daemon: &usize| *daemon != former;
     wait_until("a successor", || {
         let mut others = (0..3).filter(others);
-        others.any(|daemon| coordinates(&stage, daemon))
+        others.any(|daemon| terms(&stage, daemon) > 0)
     })
     .await;
     stage.daemons[former].restart().unwrap();
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -55,6 +55,12 @@
     }
 }
 
+/// Terms that a daemon has begun in any of its lives.
+pub(crate) fn terms(stage: &Stage, daemon: usize) -> usize {
+    let log = stage.daemons[daemon].log().unwrap();
+    log.matches("coordinator: term begins").count()
+}
+
 /// Waits until all daemons are linked to a coordinator; returns which one it is.
 pub(crate) async fn wait_for_links(stage: &Stage) -> usize {
     let joined = |daemon: usize| {
