Log the prompt parts of runs that end with their engine

Change: RequestFields keeps the ids of the shared parts (PartId), and the line 'run: no whole answer' names them and the time for which the engine had been answering. No decision changes: the last shared part still guides the choice of an engine.

--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -11,7 +11,7 @@
 //! processed it, unless that engine is much busier than the others.
 
 use indexmap::IndexSet;
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName, ZoneName};
+use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, PartId, ServiceName, ZoneName};
 
 use crate::number::{u64_to_f64, usize_to_f64};
 use crate::table::{EngineRecord, EngineTable};
@@ -78,9 +78,8 @@
     pub adapter: Option<&'a AdapterName>,
     /// Prompt tokens shared with other requests.
     pub shared_tokens: u64,
-    /// Identifier of the shared prompt prefix; `None` if the request names
-    /// none.
-    pub shared_prefix: Option<&'a str>,
+    /// Last part of the shared prompt prefix; `None` if the request names none.
+    pub shared_prefix: Option<&'a PartId>,
 }
 
 impl EngineRequirement<'_> {
@@ -208,9 +207,9 @@
     Some(&engine.info.id)
 }
 
-fn rendezvous_weight(prefix: &str, engine: &BackendId) -> u64 {
+fn rendezvous_weight(prefix: &PartId, engine: &BackendId) -> u64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(prefix.as_bytes());
+    hasher.update(prefix.as_str().as_bytes());
     hasher.update(&[0]);
     hasher.update(engine.as_str().as_bytes());
     let mut bytes = [0; 8];
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -220,12 +220,12 @@
         identity: RequestIdentity {
             request_id: routed.fields.id_text().into(),
             fingerprint,
+            parts: routed.fields.shared_parts.as_slice().into(),
         },
         service: routed.service.clone(),
         model: routed.fields.model.clone(),
         adapter: routed.fields.adapter.clone(),
         shared_tokens: routed.fields.shared_tokens,
-        shared_prefix: routed.fields.shared_prefix.clone(),
         priority: routed.route.priority,
         times: RequestTimes {
             target: arrival + routed.route.target_latency,
--- a/crates/ward-gateway/src/queue/slot.rs
+++ b/crates/ward-gateway/src/queue/slot.rs
@@ -5,8 +5,10 @@
 
 use slog::info;
 use ward_fleet::EngineInfo;
+use ward_protocol::{MonoTime, PartId, TimeSpan};
 
 use super::ticket::WaitTicket;
+use crate::clock;
 use crate::crash::{record_answered, track_unfinished_run};
 use crate::gateway::Gateway;
 
@@ -45,6 +47,8 @@
     pub(crate) engine: EngineInfo,
     ticket: WaitTicket,
     run: Cell<RunState>,
+    /// When the engine began to answer; `None` before that.
+    answer_began: Cell<Option<MonoTime>>,
 }
 
 impl EngineSlot {
@@ -54,9 +58,21 @@
             engine,
             ticket: ticket.clone(),
             run: Cell::new(RunState::NotRun),
+            answer_began: Cell::default(),
         }
     }
 
+    /// Records that the engine has begun to answer the request.
+    pub(crate) fn record_answer_began(&self) {
+        self.answer_began.set(Some(clock::now()));
+    }
+
+    /// Time since the engine began to answer; `None` before that.
+    fn answered_for(&self) -> Option<TimeSpan> {
+        let began = self.answer_began.get()?;
+        Some(clock::now().since(began))
+    }
+
     /// Sets the state of the request's run.
     pub(crate) fn set_run_state(&self, run: RunState) {
         self.run.set(run);
@@ -72,6 +88,8 @@
             self.gateway.logger, "run: no whole answer";
             "request" => &*self.ticket.identity.request_id, "end" => run.label(),
             "fingerprint" => %self.ticket.identity.fingerprint,
+            "parts" => format_parts(&self.ticket.identity.parts),
+            "answered_for" => self.answered_for().map(TimeSpan::millis),
             "engine" => %self.engine.id, "birth" => self.engine.birth.map(|birth| birth.0),
         );
         let fingerprint = self.ticket.identity.fingerprint;
@@ -80,6 +98,12 @@
     }
 }
 
+/// The parts of a prompt for logs, separated by commas.
+fn format_parts(parts: &[PartId]) -> String {
+    let texts: Vec<_> = parts.iter().map(PartId::as_str).collect();
+    texts.join(",")
+}
+
 impl Drop for EngineSlot {
     fn drop(&mut self) {
         let mut table = self.gateway.table.borrow_mut();
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -6,7 +6,7 @@
 use ward_fleet::queue::RequestTimes;
 use ward_fleet::{EngineRequirement, QueueRank};
 use ward_protocol::{
-    AdapterName, BackendId, ModelName, MonoTime, RequestFingerprint, ServiceName, TimeSpan,
+    AdapterName, BackendId, ModelName, MonoTime, PartId, RequestFingerprint, ServiceName, TimeSpan,
 };
 
 use crate::phase::SharedPhase;
@@ -19,6 +19,8 @@
     /// Hash of target and body, the same when the request is sent again under another
     /// id.
     pub(crate) fingerprint: RequestFingerprint,
+    /// Parts of its prompt that other requests may share, in order.
+    pub(crate) parts: Rc<[PartId]>,
 }
 
 /// What a request needs of an engine, and how urgently.
@@ -30,8 +32,6 @@
     pub(crate) adapter: Option<AdapterName>,
     /// Number of tokens at the start of the prompt that other requests share.
     pub(crate) shared_tokens: u64,
-    /// Id of the longest prefix of the prompt that other requests share.
-    pub(crate) shared_prefix: Option<String>,
     /// Priority of the route; zero is the most urgent.
     pub(crate) priority: u32,
     pub(crate) times: RequestTimes,
@@ -47,7 +47,7 @@
             model: self.model.as_ref(),
             adapter: self.adapter.as_ref(),
             shared_tokens: self.shared_tokens,
-            shared_prefix: self.shared_prefix.as_deref(),
+            shared_prefix: self.identity.parts.last(),
         }
     }
 
--- a/crates/ward-protocol/src/id.rs
+++ b/crates/ward-protocol/src/id.rs
@@ -130,6 +130,10 @@
     /// Name of an adapter of a model.
     AdapterName, "adapter name", 128, is_name_character
 );
+text_id!(
+    /// Id of a part of a prompt, which many requests may share.
+    PartId, "prompt part", 64, is_name_character
+);
 text_id!(
     /// Version of a model or adapter.
     VersionTag, "version", 64, is_name_character
--- a/crates/ward-protocol/src/lib.rs
+++ b/crates/ward-protocol/src/lib.rs
@@ -27,8 +27,8 @@
 pub use codec::CodecError;
 pub use id::{
     AdapterName, BackendId, DaemonId, FenceNumber, IdError, IdempotencyKey, Incarnation, LogOffset,
-    ModelName, OperatorName, PlanRevision, RecordId, RequestFingerprint, RequestId, ReservationId,
-    ServiceName, VersionTag, ZoneName,
+    ModelName, OperatorName, PartId, PlanRevision, RecordId, RequestFingerprint, RequestId,
+    ReservationId, ServiceName, VersionTag, ZoneName,
 };
 pub use limits::{LeaseTimes, PolicyValues, StoreLimits, TrafficLimits};
 pub use message::{PeerAddress, PeerEnvelope, PeerMessage, WakeHint};
