--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -10,4 +10,5 @@
 mod path;
 mod soak;
 mod support;
+mod tainted;
 mod weights;
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -14,7 +14,7 @@
     parse_order, parse_request_headers, report_json, retry_after_headers, signed_answer_headers,
 };
 
-use super::{CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
+use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
 use crate::ledger::{OrderRecord, RefusalRecord, RunRecord};
 use crate::reply::{AbortConnection, StageBody, full_response, streamed_response};
 
@@ -135,13 +135,22 @@
         request: id.to_owned(),
         engine: engine.clone(),
         path: path.to_owned(),
+        shared_parts: received.shared_parts.clone(),
         begun_at: Instant::now(),
         resumed: received.last_event_id.is_some(),
     });
     tokio::time::sleep(PROCESSING_TIME).await;
-    let fault = match fault {
-        EngineFault::Crash(_) if !path.contains(CRASHING_PATH) => EngineFault::None,
-        EngineFault::Crash(CrashKind::AfterHead) => {
+    let crashes = match fault {
+        EngineFault::Crash(_) => path.contains(CRASHING_PATH),
+        EngineFault::CrashOnPart(_) => {
+            let mut parts = received.shared_parts.iter();
+            parts.any(|part| part.as_str() == CRASHING_PART)
+        }
+        _ => false,
+    };
+    let fault = match fault.crash_kind() {
+        Some(_) if !crashes => EngineFault::None,
+        Some(CrashKind::AfterHead) => {
             let shared = Arc::clone(shared);
             tokio::spawn(async move {
                 tokio::time::sleep(EVENT_INTERVAL * 3).await;
@@ -149,12 +158,12 @@
             });
             partial_answer_fault(received)
         }
-        fault => fault,
+        _ => fault,
     };
     match fault {
         EngineFault::LoseAnswers => Err(AbortConnection),
         EngineFault::Hang => std::future::pending().await,
-        EngineFault::Crash(_) => {
+        EngineFault::Crash(_) | EngineFault::CrashOnPart(_) => {
             shared.process_ended.notify_one();
             std::future::pending().await
         }
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -38,11 +38,27 @@
     Leaving,
     /// Crashes while running a request whose path contains [`CRASHING_PATH`].
     Crash(CrashKind),
+    /// Crashes while running a request whose prompt has the part [`CRASHING_PART`],
+    /// other than as its last part.
+    CrashOnPart(CrashKind),
+}
+
+impl EngineFault {
+    /// How a crash appears, if the fault is one that crashes engines.
+    pub(super) const fn crash_kind(self) -> Option<CrashKind> {
+        match self {
+            Self::Crash(kind) | Self::CrashOnPart(kind) => Some(kind),
+            _ => None,
+        }
+    }
 }
 
 /// Part of the path of requests that crash an engine with [`EngineFault::Crash`].
 pub const CRASHING_PATH: &str = "crashing";
 
+/// Part of the prompt of requests that crash an engine with [`EngineFault::CrashOnPart`].
+pub const CRASHING_PART: &str = "badbad";
+
 /// How a crash appears to clients that are connected to the engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashKind {
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -18,7 +18,7 @@
 use ward_protocol::{AdapterName, FenceNumber, ModelName};
 
 use self::answer::answer;
-pub use self::fault::{CRASHING_PATH, CrashKind, EngineFault};
+pub use self::fault::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault};
 use crate::ledger::RunLedger;
 use crate::proxy::{LinkControl, LinkFault, StageProxy};
 use crate::serve::{StageServer, serve};
@@ -148,6 +148,13 @@
         }
     }
 
+    /// Ends the engine's process as a crash does: connections end, new ones are refused,
+    /// and the engine restarts in a new incarnation.
+    pub fn crash(&self) {
+        self.shared.lock().fault = EngineFault::Crash(CrashKind::BeforeHead);
+        self.shared.process_ended.notify_one();
+    }
+
     /// Starts to drain, and announces it with a heartbeat at once.
     pub fn drain(&self, store: &StageStore) {
         self.shared.lock().entry.draining = true;
@@ -185,7 +192,7 @@
     async fn restart(&self, store: &StageStore, control: &LinkControl) {
         let former = {
             let mut state = self.lock();
-            if let EngineFault::Crash(kind) = state.fault {
+            if let Some(kind) = state.fault.crash_kind() {
                 control.set_fault(kind.link_fault());
             }
             state.start_incarnation()
--- a/crates/ward-stage/src/ledger.rs
+++ b/crates/ward-stage/src/ledger.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use ward_fleet::EngineOrder;
-use ward_protocol::FenceNumber;
+use ward_protocol::{FenceNumber, PartId};
 
 /// A request that an engine began to run.
 #[derive(Debug, Clone)]
@@ -15,6 +15,8 @@
     pub engine: String,
     /// Path of the request.
     pub path: String,
+    /// Parts of its prompt that other requests may share.
+    pub shared_parts: Vec<PartId>,
     /// Time at which the engine began to run the request.
     pub begun_at: Instant,
     /// Whether the request resumes a stream after the last event that the caller received.
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use caller::{CallerAnswer, CallerError, CallerRequest, StageCaller};
 pub use daemon::{DaemonProcess, StageError};
-pub use engine::{CRASHING_PATH, CrashKind, EngineFault, StageEngine};
+pub use engine::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, StageEngine};
 pub use ledger::{OrderRecord, RefusalRecord, RunLedger, RunRecord};
 pub use proxy::{LinkControl, LinkFault, StageProxy};
 pub use stage::{Stage, StagePlan, stage_folder};
