Runs that an engine had been answering for a while blame no part of a prompt

Cause: every run of an engine that ended counted against its parts, and a part that few requests have is not answered again between three crashes. Change: a run counts against its parts only if the engine had been writing its answer for less than 100 ms, counted from the first bytes of a stream and not from its head; such an answer that goes on for 100 ms, or is whole, clears them. The factor on the time of the runs that ended goes. Ruled out: a greater number of crashes (presence alone is no more likely for a bad part in 5% of requests than for a customer's).

--- a/crates/ward-fleet/src/crash/detector.rs
+++ b/crates/ward-fleet/src/crash/detector.rs
@@ -25,7 +25,7 @@
     pub incarnation: EngineIncarnation,
     /// Time at which the run ended.
     pub ended_at: MonoTime,
-    /// How long the engine had been answering; `None` if no answer had begun.
+    /// How long the engine had been writing an answer; `None` if it had not begun.
     pub answered_for: Option<TimeSpan>,
 }
 
--- a/crates/ward-fleet/src/crash/mod.rs
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -51,7 +51,7 @@
     pub age: TimeSpan,
     /// Parts of the request's prompt that other requests may share, in order.
     pub parts: Vec<PartId>,
-    /// How long the engine had been answering; `None` if no answer had begun.
+    /// How long the engine had been writing an answer; `None` if it had not begun.
     pub answered_for: Option<TimeSpan>,
     /// Whether the request itself is suspect. False if it was answered completely of
     /// late, so that only its parts are.
--- a/crates/ward-fleet/src/crash/parts.rs
+++ b/crates/ward-fleet/src/crash/parts.rs
@@ -4,13 +4,14 @@
 //! ends, whatever else the request holds. No two requests with the part are alike,
 //! they reach every daemon, and sound ones share their other parts.
 //!
-//! An engine ends with all its runs, so at first every part of these is suspect. Two
-//! things single out the cause. A part that is answered after the crash is sound and
-//! no longer suspect; other parts have to crash engines one after the other, each
-//! under a run whose answer began after the crash before it, because engines that end
-//! at the same moment may have any common cause. And a crash that one part explains
-//! says nothing against the others: the part that explains most crashes is blocked
-//! first, the narrowest if there are several.
+//! An engine ends with all its runs, so all parts of these are suspect, except of runs
+//! that the engine had been writing an answer to for a while. Two things single out the
+//! cause. A part that is answered after the crash is sound and no longer suspect; other
+//! parts have to crash engines one after the other, each under a run whose answer began
+//! after the crash before it, because engines that end at the same moment may have any
+//! common cause. And a crash that one part explains says nothing against the others:
+//! the part that explains most crashes is blocked first, the narrowest if there are
+//! several.
 
 use indexmap::IndexMap;
 use ward_protocol::{MonoTime, PartId, RequestFingerprint, TimeSpan};
@@ -26,11 +27,8 @@
 const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(400);
 /// Engines that end within this time of each other count as ended by one cause.
 const MIN_CRASH_GAP: TimeSpan = TimeSpan::from_millis(50);
-/// A part is sound if an engine has been answering on it for this many times as long
-/// as the engines that ended had.
-const PROOF_FACTOR: u64 = 2;
-/// Minimum time for which an engine has to be answering on a part to prove it sound.
-const MIN_PROOF_TIME: TimeSpan = TimeSpan::from_millis(200);
+/// An engine that has been writing an answer for this long doesn't end because of it.
+const PROOF_TIME: TimeSpan = TimeSpan::from_millis(100);
 const MAX_ENGINES: usize = 256;
 const MAX_RUNS_PER_ENGINE: usize = 64;
 /// Maximum number of parts that are remembered as sound.
@@ -51,10 +49,6 @@
     fn has(&self, part: &PartId) -> bool {
         self.parts.contains(part)
     }
-
-    fn answered_for(&self) -> TimeSpan {
-        self.ended_at.since(self.began_at)
-    }
 }
 
 /// The end of an engine incarnation, with the suspect runs that it ended.
@@ -141,14 +135,15 @@
     /// Records the run in a crash report; returns whether it was new and any of its
     /// parts is suspect.
     pub(super) fn record(&mut self, report: &CrashReport, now: MonoTime) -> bool {
-        if report.age > CRASH_RETENTION {
+        let answered_for = report.answered_for.unwrap_or_default();
+        if report.age > CRASH_RETENTION || answered_for >= PROOF_TIME {
             return false;
         }
         let ended_at = now - report.age;
         let run = SuspectRun {
             fingerprint: report.fingerprint,
             parts: self.suspect_parts(&report.parts, ended_at),
-            began_at: ended_at - report.answered_for.unwrap_or_default(),
+            began_at: ended_at - answered_for,
             ended_at,
         };
         if run.parts.is_empty() || !self.add_run(&report.incarnation, run) {
@@ -206,8 +201,8 @@
     }
 
     /// Whether an answer that began at a time clears a part of earlier crashes;
-    /// `answered_for` is how long the engine has been answering, `None` if the answer
-    /// is complete.
+    /// `answered_for` is how long the engine has been writing it, `None` if it is
+    /// complete.
     #[must_use]
     pub fn proves_sound(
         &self,
@@ -215,20 +210,9 @@
         began_at: MonoTime,
         answered_for: Option<TimeSpan>,
     ) -> bool {
-        let crashes = self.engines.values();
-        let mut earlier = crashes.filter(|crash| crash.ended_at <= began_at && crash.has(part));
-        earlier.next().is_some() && answered_for.is_none_or(|span| span >= self.proof_time(part))
-    }
-
-    /// How long an engine has to be answering on a part to prove it sound.
-    fn proof_time(&self, part: &PartId) -> TimeSpan {
-        let shortest = |crash: &EngineCrash| {
-            let runs = crash.runs_with(part);
-            runs.map(SuspectRun::answered_for).min()
-        };
-        let longest = self.engines.values().filter_map(shortest).max();
-        let millis = longest.unwrap_or_default().millis() * PROOF_FACTOR;
-        TimeSpan::from_millis(millis).max(MIN_PROOF_TIME)
+        let mut crashes = self.engines.values();
+        answered_for.is_none_or(|span| span >= PROOF_TIME)
+            && crashes.any(|crash| crash.ended_at <= began_at && crash.has(part))
     }
 
     /// Records that an engine answered on a part from a time on, so that earlier
@@ -384,7 +368,7 @@
         incarnation: incarnation.clone(),
         age: now.since(run.ended_at),
         parts,
-        answered_for: Some(run.answered_for()),
+        answered_for: Some(run.ended_at.since(run.began_at)),
         blames_request: false,
     }
 }
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -147,7 +147,6 @@
         }
         Ok(Ok(answer)) => answer,
     };
-    slot.record_answer_began();
     let fields = AnswerFields::read(answer.headers(), request.id.as_ref());
     if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
         record_pause(gateway, &slot, answer.headers());
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -189,7 +189,7 @@
         let frame = tokio::time::timeout(timeout, source.body.frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => {
-                source.slot.check_progress();
+                source.slot.record_progress();
                 RelayStep::Data(frame.into_data().unwrap_or_default())
             }
             Ok(Some(Err(_))) => {
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -195,6 +195,7 @@
             answer,
             ..
         } = attempt;
+        slot.record_answer_began();
         let (head, body) = answer.into_parts();
         let remaining = self.request.deadline.since(clock::now());
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
--- a/crates/ward-gateway/src/queue/slot.rs
+++ b/crates/ward-gateway/src/queue/slot.rs
@@ -50,7 +50,8 @@
     pub(crate) engine: EngineInfo,
     ticket: WaitTicket,
     run: Cell<RunState>,
-    /// When the engine began to answer; `None` before that.
+    /// When the engine began to write an answer; `None` before that. A stream begins
+    /// with its first bytes, not with its head.
     answer_began: Cell<Option<MonoTime>>,
     /// Earliest time for the next look at the progress of the answer.
     next_check: Cell<MonoTime>,
@@ -68,12 +69,12 @@
         }
     }
 
-    /// Records that the engine has begun to answer the request.
+    /// Records that the engine has begun to write an answer.
     pub(crate) fn record_answer_began(&self) {
         self.answer_began.set(Some(clock::now()));
     }
 
-    /// Time since the engine began to answer; `None` before that.
+    /// Time since the engine began to write an answer; `None` before that.
     fn answered_for(&self) -> Option<TimeSpan> {
         let began = self.answer_began.get()?;
         Some(clock::now().since(began))
@@ -84,10 +85,13 @@
         self.run.set(run);
     }
 
-    /// Looks from time to time whether the answer proves parts of the prompt sound,
-    /// while it goes on.
-    pub(crate) fn check_progress(&self) {
+    /// Records that a part of a stream has arrived, and looks from time to time whether
+    /// that proves parts of the prompt sound.
+    pub(crate) fn record_progress(&self) {
         let now = clock::now();
+        if self.answer_began.get().is_none() {
+            self.answer_began.set(Some(now));
+        }
         if now < self.next_check.get() || !self.gateway.crashes.borrow().parts().has_suspects() {
             return;
         }
