A stream that ends inside an event is broken off

Callers saw (stand-in engines, unframed answers that are cut): a cut stream that looked complete, its half event included, and no resumption where the route allows it. Cause: the end of the body counted as the end of the stream, whatever came last. Class: completeness was taken from the transport alone. A stream of events that ends inside one, or without length and chunks before its first, is broken off: resumed elsewhere or cut, and its run counts as unfinished, so that a crash behind it is noticed. Whole unframed answers are passed on as before.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -11,4 +11,5 @@
 mod soak;
 mod support;
 mod tainted;
+mod unframed;
 mod weights;
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/unframed.rs
@@ -0,0 +1,66 @@
+//! Answers with neither a length nor chunks, which end with their connection.
+
+use googletest::prelude::*;
+use http::StatusCode;
+use ward_stage::{CallerError, CallerRequest, EngineFault, Stage, StagePlan};
+
+use crate::support::{COMPLETE_STREAM, send, set_fault_on_all, stage, wait_until_all_joined};
+
+/// A stage whose engines all hold the same model.
+async fn one_model_stage(test: &str) -> Stage {
+    let plan = StagePlan {
+        models: 1,
+        ..StagePlan::default()
+    };
+    let stage = stage(test, &plan).await;
+    wait_until_all_joined(&stage).await;
+    stage
+}
+
+fn request(id: &str, path: &str) -> CallerRequest {
+    CallerRequest::new(id, path, Some(&Stage::model_name(0)))
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_answer_is_whole_when_its_connection_ends() {
+    let stage = one_model_stage("unframed-whole").await;
+    set_fault_on_all(&stage, EngineFault::Unframed);
+    for path in ["/quick/a", "/quote/a"] {
+        for number in 0..4 {
+            let request = request(&format!("{path}{number}"), path);
+            let answer = send(&stage, number % 3, &request).await.unwrap();
+            expect_that!(answer.text(), eq(COMPLETE_STREAM));
+        }
+    }
+    let plain = CallerRequest::new("plain", "/book/a", None);
+    let answer = send(&stage, 0, &plain).await.unwrap();
+    expect_that!(answer.text(), eq("served /book/a"));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_that_ended_inside_an_event_looked_complete() {
+    let stage = one_model_stage("unframed-cut").await;
+    set_fault_on_all(&stage, EngineFault::UnframedCut);
+    let answer = send(&stage, 0, &request("cut", "/quick/a")).await;
+    expect_that!(
+        answer,
+        err(matches_pattern!(CallerError::Broken(
+            eq(&StatusCode::OK),
+            anything()
+        )))
+    );
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_that_ended_inside_an_event_was_not_resumed() {
+    let stage = one_model_stage("unframed-resumed").await;
+    stage.engines[0].set_fault(EngineFault::UnframedCut);
+    for number in 0..6 {
+        let request = request(&format!("r{number}"), "/quote/a");
+        let answer = send(&stage, number % 3, &request).await.unwrap();
+        expect_that!(answer.text(), eq(COMPLETE_STREAM));
+    }
+}
--- a/crates/ward-gateway/src/forward/mod.rs
+++ b/crates/ward-gateway/src/forward/mod.rs
@@ -1,7 +1,6 @@
 //! Forwarding of requests and streams to and from engines.
 
 mod attempt;
-mod events;
 mod pool;
 mod relay;
 
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use futures::stream::{self, Stream};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
@@ -17,9 +19,9 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal, send_attempt};
-use super::events::EventSplitter;
 use super::pool::EngineSender;
 use crate::clock;
+use crate::events::{EventCursor, EventSplitter};
 use crate::gateway::Gateway;
 use crate::queue::{EngineSlot, RunState, WaitTicket, acquire_slot};
 
@@ -28,6 +30,7 @@
 /// Time without an event, as a multiple of the route's longest pause between events,
 /// after which a stream is resumed at another engine.
 const MAX_SILENT_PAUSES: u64 = 3;
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Minimum remaining time for a stream to be resumed at another engine.
 const MIN_RESUME_TIME: TimeSpan = TimeSpan::from_millis(200);
 
@@ -70,6 +73,31 @@
     sender: EngineSender,
     body: Incoming,
     reuse: ConnectionReuse,
+    framing: StreamFraming,
+}
+
+/// How the end of a stream shows.
+#[derive(Debug, Clone, Copy)]
+struct StreamFraming {
+    /// Whether the stream consists of events.
+    has_events: bool,
+    /// Whether the stream has neither a length nor chunks and ends with its
+    /// connection.
+    ends_with_connection: bool,
+}
+
+impl StreamFraming {
+    fn of(answer: &Response<Incoming>) -> Self {
+        let headers = answer.headers();
+        let content_type = headers.get(CONTENT_TYPE);
+        let is_event_type = |value: &HeaderValue| value.as_bytes().starts_with(EVENT_STREAM);
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        Self {
+            has_events: content_type.is_none_or(is_event_type),
+            ends_with_connection: !is_framed,
+        }
+    }
 }
 
 /// A stream that is being relayed.
@@ -93,6 +121,7 @@
     fn from(attempt: Attempt) -> Self {
         Self {
             reuse: ConnectionReuse::of(&attempt.answer),
+            framing: StreamFraming::of(&attempt.answer),
             slot: attempt.slot,
             sender: attempt.sender,
             body: attempt.answer.into_body(),
@@ -108,6 +137,18 @@
     Timeout,
 }
 
+/// Why a stream that ended at a position counts as broken off; `None` if it is complete.
+fn early_end(framing: StreamFraming, cursor: EventCursor) -> Option<&'static str> {
+    if !framing.has_events {
+        return None;
+    }
+    if cursor.is_inside_event() {
+        return Some("the stream ended inside an event");
+    }
+    let is_empty = framing.ends_with_connection && !cursor.has_event();
+    is_empty.then_some("the connection ended before the first event")
+}
+
 impl StreamRelay {
     pub(crate) fn new(gateway: Rc<Gateway>, start: RelayStart) -> Self {
         Self {
@@ -170,6 +211,7 @@
         if self.resume_ticket.is_some() {
             self.splitter.push(&bytes)
         } else {
+            self.splitter.pass(&bytes);
             bytes
         }
     }
@@ -196,7 +238,13 @@
                 source.slot.set_run_state(RunState::BrokenOff);
                 RelayStep::Broken("the engine broke off")
             }
-            Ok(None) => RelayStep::End,
+            Ok(None) => match early_end(source.framing, self.splitter.cursor()) {
+                Some(reason) => {
+                    source.slot.set_run_state(RunState::BrokenOff);
+                    RelayStep::Broken(reason)
+                }
+                None => RelayStep::End,
+            },
             Err(_) if clock::now() >= self.request.deadline => RelayStep::Timeout,
             Err(_) => RelayStep::Broken("the engine sent no event in time"),
         }
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod coordinator;
 mod crash;
+pub mod events;
 mod forward;
 mod front;
 mod gateway;
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -22,6 +22,8 @@
 const ENDLESS_CHUNK: &[u8] = &[b'x'; 64 << 10];
 /// Time between two single bytes of [`EngineFault::Trickle`].
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Beginning of an event.
+const CUT_EVENT: &[u8] = b"id: 3\ndata: par";
 /// Number of events of a stream.
 const EVENT_COUNT: u64 = 5;
 /// Time before each event of a stream.
@@ -202,9 +204,13 @@
         let chunks = stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(ENDLESS_CHUNK))));
         return streamed_response(StatusCode::OK, signed_headers, chunks.boxed());
     }
+    let is_unframed = matches!(fault, EngineFault::Unframed | EngineFault::UnframedCut);
     if received.model.is_none() {
         let mut response = full_response(StatusCode::OK, format!("served {path}"));
         response.headers_mut().extend(signed_headers);
+        if is_unframed {
+            remove_framing(&mut response);
+        }
         if fault == EngineFault::BreakOff {
             // A content length beyond the body makes the server close the connection.
             let headers = response.headers_mut();
@@ -226,7 +232,26 @@
         let events = events.take(2).chain(trickle());
         return streamed_response(StatusCode::OK, signed_headers, events.boxed());
     }
-    streamed_response(StatusCode::OK, signed_headers, events.boxed())
+    let events = if fault == EngineFault::UnframedCut {
+        let part = Frame::data(Bytes::from_static(CUT_EVENT));
+        let part = stream::once(async move { Ok(part) });
+        events.take(2).chain(part).boxed()
+    } else {
+        events.boxed()
+    };
+    let mut response = streamed_response(StatusCode::OK, signed_headers, events);
+    if is_unframed {
+        remove_framing(&mut response);
+    }
+    response
+}
+
+/// Makes the server send a response without length and chunks, and close the
+/// connection after it.
+fn remove_framing(response: &mut Response<StageBody>) {
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    // HTTP/1.0 has no chunks.
+    *response.version_mut() = Version::HTTP_10;
 }
 
 /// Single bytes at intervals, without end; `:` begins a comment line of a stream.
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -12,6 +12,11 @@
     /// Closes the connection after two events of each stream, and midway through each
     /// other answer.
     BreakOff,
+    /// Sends answers with neither a length nor chunks, which end with their connection.
+    Unframed,
+    /// Like [`Self::Unframed`], but streams end inside their third event; the connection
+    /// is closed, not reset.
+    UnframedCut,
     /// Runs requests, then closes the connection without an answer.
     LoseAnswers,
     /// Refuses all requests with status 503 as not executed, as if all slots of the
