Engines that end together count as one crash of a part, which needs four

Cause: each engine was counted for itself, though what ended three at once was no part that only one of them had. Change: engines that end within 50 ms are one crash, which counts only against parts that each of them had begun to answer on; so ends without suspect runs are kept, too. Four crashes one after the other block a part, still before the fifth.

--- a/crates/ward-fleet/src/crash/parts.rs
+++ b/crates/ward-fleet/src/crash/parts.rs
@@ -8,8 +8,9 @@
 //! that the engine had been writing an answer to for a while. Two things single out the
 //! cause. A part that is answered after the crash is sound and no longer suspect; other
 //! parts have to crash engines one after the other, each under a run whose answer began
-//! after the crash before it, because engines that end at the same moment may have any
-//! common cause. And a crash that one part explains says nothing against the others:
+//! after the crash before it. Engines that end at the same moment may have any common
+//! cause, so they count as one crash, and only against parts that each of them had
+//! begun to answer on. And a crash that one part explains says nothing against the others:
 //! the part that explains most crashes is blocked first, the narrowest if there are
 //! several.
 
@@ -19,13 +20,13 @@
 use super::{CrashReport, EngineIncarnation, SoundPart};
 
 /// Crashes one after the other that block a part.
-const CRASHES_TO_BLOCK: usize = 3;
+const CRASHES_TO_BLOCK: usize = 4;
 /// Time for which a crash counts.
 const CRASH_RETENTION: TimeSpan = TimeSpan::from_secs(3_600);
 /// Age from which a crash counts. Until then daemons report their runs on the engine,
 /// and sound parts are answered elsewhere.
 const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(400);
-/// Engines that end within this time of each other count as ended by one cause.
+/// Engines that end within this time of the first count as one crash.
 const MIN_CRASH_GAP: TimeSpan = TimeSpan::from_millis(50);
 /// An engine that has been writing an answer for this long doesn't end because of it.
 const PROOF_TIME: TimeSpan = TimeSpan::from_millis(100);
@@ -51,7 +52,8 @@
     }
 }
 
-/// The end of an engine incarnation, with the suspect runs that it ended.
+/// The end of an engine incarnation, with the suspect runs that it ended; there may be
+/// none left.
 #[derive(Debug, Clone)]
 struct EngineCrash {
     ended_at: MonoTime,
@@ -73,10 +75,23 @@
     }
 }
 
+/// Engines that ended at the same moment.
+struct CrashEvent<'a> {
+    ended_at: MonoTime,
+    engines: Vec<&'a EngineCrash>,
+}
+
+impl CrashEvent<'_> {
+    fn is_on_each_engine(&self, part: &PartId) -> bool {
+        self.engines.iter().all(|crash| crash.has(part))
+    }
+}
+
 /// What speaks against one part.
 #[derive(Default)]
 struct Suspicion {
-    /// End of each engine, with the latest beginning of an answer on the part there.
+    /// Time of each crash, with the latest beginning of an answer on the part on the
+    /// engines that ended.
     crashes: Vec<(MonoTime, MonoTime)>,
     runs: usize,
     /// Greatest index of the part in the prompts of these runs.
@@ -87,13 +102,11 @@
     /// Ends of engines one after the other, each under a run whose answer began after
     /// the end before it.
     fn sequence(&self) -> Vec<MonoTime> {
-        let mut crashes = self.crashes.clone();
-        crashes.sort_unstable();
         let mut sequence: Vec<MonoTime> = Vec::new();
-        for (ended, began) in crashes {
-            let follows = |last: &MonoTime| began >= *last + MIN_CRASH_GAP;
+        for (ended, began) in &self.crashes {
+            let follows = |last: &MonoTime| *began >= *last + MIN_CRASH_GAP;
             if sequence.last().is_none_or(follows) {
-                sequence.push(ended);
+                sequence.push(*ended);
             }
         }
         sequence
@@ -135,36 +148,43 @@
     /// Records the run in a crash report; returns whether it was new and any of its
     /// parts is suspect.
     pub(super) fn record(&mut self, report: &CrashReport, now: MonoTime) -> bool {
-        let answered_for = report.answered_for.unwrap_or_default();
-        if report.age > CRASH_RETENTION || answered_for >= PROOF_TIME {
+        if report.age > CRASH_RETENTION || report.parts.is_empty() {
             return false;
         }
         let ended_at = now - report.age;
+        self.add_engine(&report.incarnation, ended_at);
+        let answered_for = report.answered_for.unwrap_or_default();
         let run = SuspectRun {
             fingerprint: report.fingerprint,
             parts: self.suspect_parts(&report.parts, ended_at),
             began_at: ended_at - answered_for,
             ended_at,
         };
-        if run.parts.is_empty() || !self.add_run(&report.incarnation, run) {
+        let is_suspect = answered_for < PROOF_TIME && !run.parts.is_empty();
+        if !is_suspect || !self.add_run(&report.incarnation, run) {
             return false;
         }
         self.refresh_at = Some(now);
         true
     }
 
-    /// Adds a run unless it is known or a blocked part explains the engine's end.
-    fn add_run(&mut self, incarnation: &EngineIncarnation, run: SuspectRun) -> bool {
+    fn add_engine(&mut self, incarnation: &EngineIncarnation, ended_at: MonoTime) {
         if !self.engines.contains_key(incarnation) {
             self.evict();
         }
-        let crash = self
-            .engines
-            .entry(incarnation.clone())
-            .or_insert_with(|| EngineCrash {
-                ended_at: run.ended_at,
-                runs: Vec::new(),
-            });
+        let crash = EngineCrash {
+            ended_at,
+            runs: Vec::new(),
+        };
+        let crash = self.engines.entry(incarnation.clone()).or_insert(crash);
+        crash.ended_at = crash.ended_at.min(ended_at);
+    }
+
+    /// Adds a run unless it is known or a blocked part explains the engine's end.
+    fn add_run(&mut self, incarnation: &EngineIncarnation, run: SuspectRun) -> bool {
+        let Some(crash) = self.engines.get_mut(incarnation) else {
+            return false;
+        };
         let is_known = |known: &SuspectRun| known.fingerprint == run.fingerprint;
         let is_explained = crash.has_any(&self.blocked);
         let has_blocked = self.blocked.keys().any(|part| run.has(part));
@@ -174,7 +194,6 @@
         {
             return false;
         }
-        crash.ended_at = crash.ended_at.min(run.ended_at);
         crash.runs.push(run);
         true
     }
@@ -234,7 +253,6 @@
             }
             crash.runs.retain(|run| !run.parts.is_empty());
         }
-        self.engines.retain(|_, crash| !crash.runs.is_empty());
         self.refresh_at = Some(now);
         true
     }
@@ -242,7 +260,7 @@
     /// Whether any part is suspect.
     #[must_use]
     pub fn has_suspects(&self) -> bool {
-        !self.engines.is_empty()
+        self.engines.values().any(|crash| !crash.runs.is_empty())
     }
 
     /// Time from which [`Self::refresh`] may change the blocks; `None` for never.
@@ -383,7 +401,8 @@
 
 /// The part that explains most of the crashes, and until when they block it.
 fn best_cause(crashes: &[&EngineCrash]) -> Option<(PartId, MonoTime)> {
-    let suspicions = suspicions(crashes);
+    let events = crash_events(crashes);
+    let suspicions = suspicions(&events);
     let causes = suspicions.iter().filter_map(|(part, suspicion)| {
         let until = suspicion.blocked_until()?;
         let narrowness = std::cmp::Reverse(suspicion.runs);
@@ -394,11 +413,30 @@
     Some((part.clone(), until))
 }
 
-fn suspicions<'a>(crashes: &[&'a EngineCrash]) -> IndexMap<&'a PartId, Suspicion> {
-    let mut suspicions: IndexMap<&PartId, Suspicion> = IndexMap::new();
+/// The crashes in order of time, with engines that ended together as one.
+fn crash_events<'a>(crashes: &[&'a EngineCrash]) -> Vec<CrashEvent<'a>> {
+    let mut crashes = crashes.to_vec();
+    crashes.sort_by_key(|crash| crash.ended_at);
+    let mut events: Vec<CrashEvent<'_>> = Vec::new();
     for crash in crashes {
+        match events.last_mut() {
+            Some(event) if crash.ended_at < event.ended_at + MIN_CRASH_GAP => {
+                event.engines.push(crash);
+            }
+            _ => events.push(CrashEvent {
+                ended_at: crash.ended_at,
+                engines: vec![crash],
+            }),
+        }
+    }
+    events
+}
+
+fn suspicions<'a>(events: &[CrashEvent<'a>]) -> IndexMap<&'a PartId, Suspicion> {
+    let mut suspicions: IndexMap<&PartId, Suspicion> = IndexMap::new();
+    for event in events {
         let mut latest: IndexMap<&PartId, MonoTime> = IndexMap::new();
-        for run in &crash.runs {
+        for run in event.engines.iter().flat_map(|crash| &crash.runs) {
             for (depth, part) in run.parts.iter().enumerate() {
                 let suspicion = suspicions.entry(part).or_default();
                 suspicion.runs += 1;
@@ -407,9 +445,10 @@
                 *began = run.began_at.max(*began);
             }
         }
+        latest.retain(|part, _| event.is_on_each_engine(part));
         for (part, began) in latest {
             let suspicion = suspicions.entry(part).or_default();
-            suspicion.crashes.push((crash.ended_at, began));
+            suspicion.crashes.push((event.ended_at, began));
         }
     }
     suspicions
