Only a refused connection shows that an engine has ended

Cause: probe_engine took any error of the connect for a refusal. Change: ProbeResult (pure) tells a refused connection from all other errors. Ruled out as proof: resets, unreachable hosts and networks, time-outs. Test: probe_of_a_host_without_descriptors_blames_no_request; with the old rule in its place (any error is an end) it fails for each of the six other errors.

--- a/crates/ward-fleet/src/crash/detector.rs
+++ b/crates/ward-fleet/src/crash/detector.rs
@@ -2,6 +2,7 @@
 //! until it is known whether the engine process ended, too.
 
 use std::collections::VecDeque;
+use std::io;
 
 use ward_protocol::{MonoTime, PartId, RequestFingerprint, TimeSpan};
 
@@ -62,6 +63,25 @@
     }
 }
 
+/// What the attempt to connect to an engine says about its process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeResult {
+    /// Nothing listens at the address: the process has ended.
+    Ended,
+    /// The engine accepts connections, or the attempt failed for another reason, such
+    /// as a cut network or a lack of descriptors on this host.
+    Unknown,
+}
+
+impl From<io::Result<()>> for ProbeResult {
+    fn from(connected: io::Result<()>) -> Self {
+        match connected {
+            Err(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => Self::Ended,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Unfinished runs that are being tracked.
 #[derive(Debug, Clone, Default)]
 pub struct CrashDetector {
@@ -94,14 +114,14 @@
     }
 
     /// Records the result of probing an engine. Returns its runs, which are no
-    /// longer tracked, if the connection was refused.
+    /// longer tracked, if the engine has ended.
     pub fn record_probe(
         &mut self,
         incarnation: &EngineIncarnation,
-        refused: bool,
+        result: ProbeResult,
     ) -> Vec<UnfinishedRun> {
         self.probed.retain(|other| other != incarnation);
-        if !refused {
+        if result == ProbeResult::Unknown {
             return Vec::new();
         }
         let runs = std::mem::take(&mut self.runs);
--- a/crates/ward-fleet/src/crash/mod.rs
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -16,7 +16,7 @@
 use ward_protocol::{BackendId, PartId, RequestFingerprint, TimeSpan};
 
 pub use self::answered::{AnsweredParts, AnsweredRequests};
-pub use self::detector::{CrashDetector, UnfinishedRun};
+pub use self::detector::{CrashDetector, ProbeResult, UnfinishedRun};
 pub use self::ledger::{BlockRevision, CrashEffect, CrashLedger};
 pub use self::parts::{BlockChange, PartCrashes};
 use crate::entry::EngineBirth;
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -30,7 +30,8 @@
 pub use choice::{ChoiceContext, EngineRequirement, choose_engine};
 pub use crash::{
     AnsweredParts, AnsweredRequests, BlockChange, BlockRevision, CrashDetector, CrashEffect,
-    CrashLedger, CrashNews, CrashReport, EngineIncarnation, PartCrashes, SoundPart, UnfinishedRun,
+    CrashLedger, CrashNews, CrashReport, EngineIncarnation, PartCrashes, ProbeResult, SoundPart,
+    UnfinishedRun,
 };
 pub use directory::choose_hosts;
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -6,7 +6,7 @@
 use support::{at, info, name};
 use ward_fleet::{
     AnsweredRequests, CrashDetector, CrashEffect, CrashLedger, CrashReport, EngineBirth,
-    EngineIncarnation, EngineInfo, EngineTable, FleetRecord, UnfinishedRun,
+    EngineIncarnation, EngineInfo, EngineTable, FleetRecord, ProbeResult, UnfinishedRun,
 };
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan, WallTime};
 
@@ -238,10 +238,12 @@
     expect_true!(detector.add_run(run(1, at(0)), true, &engines));
     expect_false!(detector.add_run(run(1, at(0)), true, &engines));
     expect_true!(detector.add_run(run(2, at(0)), true, &engines));
-    expect_that!(detector.record_probe(&incarnation(1), false), is_empty());
+    let mut probe = |result| detector.record_probe(&incarnation(1), result).len();
+    expect_that!(probe(ProbeResult::Unknown), eq(0));
     expect_true!(detector.add_run(run(1, at(900)), true, &engines));
-    expect_that!(detector.record_probe(&incarnation(1), true).len(), eq(4));
-    expect_that!(detector.record_probe(&incarnation(1), true), is_empty());
+    let mut probe = |result| detector.record_probe(&incarnation(1), result).len();
+    expect_that!(probe(ProbeResult::Ended), eq(4));
+    expect_that!(probe(ProbeResult::Ended), eq(0));
 }
 
 #[gtest]
@@ -313,3 +315,24 @@
     ledger.clear(&BAD);
     expect_that!(ledger.block_revision(), not(eq(second)));
 }
+
+#[gtest]
+fn probe_of_a_host_without_descriptors_blames_no_request() {
+    use std::io::{Error, ErrorKind};
+    let refused = Err(Error::from(ErrorKind::ConnectionRefused));
+    expect_that!(ProbeResult::from(refused), eq(ProbeResult::Ended));
+    expect_that!(ProbeResult::from(Ok(())), eq(ProbeResult::Unknown));
+    for kind in [
+        ErrorKind::ConnectionReset,
+        ErrorKind::HostUnreachable,
+        ErrorKind::NetworkUnreachable,
+        ErrorKind::AddrNotAvailable,
+        ErrorKind::TimedOut,
+    ] {
+        let failed = ProbeResult::from(Err(Error::from(kind)));
+        expect_that!(failed, eq(ProbeResult::Unknown), "{kind:?}");
+    }
+    // Too many open files.
+    let failed = ProbeResult::from(Err(Error::from_raw_os_error(24)));
+    expect_that!(failed, eq(ProbeResult::Unknown));
+}
--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -3,7 +3,7 @@
 //! A run is one execution of a request on an engine. A run that ends without a
 //! complete answer is tracked, unless its engine was known to be leaving, or was known
 //! to be gone when the connection was closed. The engine counts as crashed if
-//! connecting to its address fails shortly after the connection of the run was closed,
+//! connections to its address are refused shortly after the connection of the run was closed,
 //! or if its store entry disappears or names another incarnation soon after.
 
 use std::net::SocketAddr;
@@ -12,7 +12,9 @@
 
 use slog::{info, warn};
 use tokio::net::TcpStream;
-use ward_fleet::{CrashEffect, CrashReport, EngineIncarnation, SoundPart, UnfinishedRun};
+use ward_fleet::{
+    CrashEffect, CrashReport, EngineIncarnation, ProbeResult, SoundPart, UnfinishedRun,
+};
 use ward_protocol::{MonoTime, PartId, RequestFingerprint, TimeSpan};
 
 use crate::clock;
@@ -77,17 +79,19 @@
 }
 
 /// Records a crash for the tracked runs of requests on an engine incarnation if
-/// connecting to its address fails with an error. A timeout proves nothing: the network
-/// to the engine may be down.
+/// connections to its address are refused.
 async fn probe_engine(gateway: Rc<Gateway>, incarnation: EngineIncarnation, address: SocketAddr) {
     tokio::time::sleep(PROBE_DELAY).await;
     let connect = TcpStream::connect(address);
     let outcome = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
-    let refused = matches!(outcome, Ok(Err(_)));
+    let result = match outcome {
+        Ok(connected) => ProbeResult::from(connected.map(drop)),
+        Err(_) => ProbeResult::Unknown,
+    };
     let runs = gateway
         .crash_detector
         .borrow_mut()
-        .record_probe(&incarnation, refused);
+        .record_probe(&incarnation, result);
     record_engine_crashes(&gateway, &runs, "connection refused");
 }
 
