An engine that ended under requests gets none until it is heard again

Cause: that an engine has ended is known 100 ms later, from the refused connection, but only blamed requests; the engine stayed in the choice until its entry lapsed, three heartbeats later. A request whose engines had all ended tried them six times and was refused, and no load of its model was ordered elsewhere. Class: a belief is used for one decision and not for the others. Ruled out: retry budget, waits given up, overload (20 of these answers). Change: a crash report marks the incarnation as ended at the coordinator, whose view tells all; it takes no requests and its models count as missing, so a request waits for a load from another engine's disk. A heartbeat that arrives 600 ms after the end or later resets the mark, in case the engine lives.

--- a/crates/ward-daemon/tests/gateway/crashes.rs
+++ b/crates/ward-daemon/tests/gateway/crashes.rs
@@ -276,3 +276,34 @@
     let answer = send(&stage, 0, &request).await.unwrap();
     expect_that!(answer.status, eq(StatusCode::OK));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn model_of_a_crashed_engine_was_refused_until_its_entry_lapsed() {
+    // Each engine holds one model in memory, and copies of the others on disk.
+    let plan = StagePlan {
+        models: 3,
+        ..StagePlan::default()
+    };
+    let stage = stage("crash-model", &plan).await;
+    wait_until_all_joined(&stage).await;
+    let model = Stage::model_name(0);
+    let request = |id: &str| CallerRequest::new(id, "/quick/a", Some(&model));
+    let first = request("first");
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        for engine in &stage.engines {
+            if engine.models().contains(&model.parse().unwrap()) {
+                engine.crash();
+            }
+        }
+    };
+    // The answer breaks off.
+    drop(tokio::join!(send(&stage, 0, &first), crash));
+    // The crash is noticed 100 ms later.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for number in 0..3 {
+        let answer = send(&stage, number, &request(&format!("r{number}"))).await;
+        expect_that!(answer.unwrap().status, eq(StatusCode::OK));
+    }
+}
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -217,6 +217,8 @@
     /// Whether the store dropped the engine's entry during an outage, so that
     /// the engine may have ended.
     pub lapsed: bool,
+    /// Whether the engine ended under requests and has sent no heartbeat since.
+    pub ended: bool,
     /// Start time of the engine's incarnation; `None` if the engine reports
     /// none.
     pub birth: Option<EngineBirth>,
@@ -252,6 +254,7 @@
             slots: entry.slots,
             draining: entry.draining || entry.leaves_in.is_some(),
             lapsed: false,
+            ended: false,
             birth: entry.birth,
             holding: entry.models.clone(),
         }
@@ -259,6 +262,12 @@
 }
 
 impl EngineInfo {
+    /// Whether new requests may be sent to the engine.
+    #[must_use]
+    pub const fn takes_requests(&self) -> bool {
+        !self.draining && !self.ended
+    }
+
     /// Whether the engine holds a model, and the adapter if one is given.
     #[must_use]
     pub fn holds(&self, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
--- a/crates/ward-fleet/src/placement/adapter.rs
+++ b/crates/ward-fleet/src/placement/adapter.rs
@@ -38,13 +38,13 @@
 }
 
 /// Adapters that requests wait for and that no engine holds or is loading,
-/// apart from draining engines.
+/// apart from engines that take no requests.
 fn missing_adapters(state: &PlacementState) -> Vec<(ModelKey, AdapterName)> {
     let mut missing = Vec::new();
     for (key, demand) in state.demand.iter() {
         for adapter in demand.adapters.keys() {
             let present = state.engines.values().any(|engine| {
-                let serves = engine.info.service == key.service && !engine.info.draining;
+                let serves = engine.info.service == key.service && engine.info.takes_requests();
                 serves && has_adapter(engine, &key.model, adapter)
             });
             if !present {
--- a/crates/ward-fleet/src/placement/engine.rs
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -8,6 +8,8 @@
 use crate::manifest::{EngineClass, ModelClass};
 use crate::message::EngineInfo;
 
+/// Time in which a heartbeat reaches the coordinator.
+const MAX_HEARTBEAT_DELAY: TimeSpan = TimeSpan::from_millis(600);
 /// Time after an order during which a heartbeat or report may still be older
 /// than the order.
 const REPORT_LAG: TimeSpan = TimeSpan::from_millis(1_500);
@@ -138,6 +140,10 @@
     /// Time of the engine's first heartbeat; `None` if the engine had a copy of
     /// a model then.
     pub joined_empty: Option<MonoTime>,
+    /// Time of the latest heartbeat.
+    last_heartbeat: MonoTime,
+    /// Time from which a heartbeat shows that an engine taken for ended is running.
+    heard_since: MonoTime,
 }
 
 impl PlacedEngine {
@@ -159,6 +165,8 @@
             audit: AuditState::Needed,
             last_audit: MonoTime::default(),
             joined_empty: empty.then_some(now),
+            last_heartbeat: now,
+            heard_since: now,
         };
         engine.replace_held(&entry.models);
         engine
@@ -176,10 +184,14 @@
     /// Applies a later heartbeat of the same incarnation.
     pub fn refresh(&mut self, entry: &EngineEntry, now: MonoTime) {
         let holding = std::mem::take(&mut self.info.holding);
-        let draining = self.info.draining;
+        let EngineInfo {
+            draining, ended, ..
+        } = self.info;
         self.info = EngineInfo::from(entry);
         self.info.holding = holding;
         self.info.draining |= draining;
+        self.info.ended = ended && now < self.heard_since;
+        self.last_heartbeat = now;
         self.in_memory.clone_from(&entry.in_memory);
         self.on_disk.clone_from(&entry.on_disk);
         if self.is_quiescent(now) && self.models_differ(&entry.models) {
@@ -187,6 +199,18 @@
         }
     }
 
+    /// Records that the engine ended at a time under requests, unless a later heartbeat
+    /// has arrived; returns whether this is news.
+    pub(super) fn mark_ended(&mut self, ended_at: MonoTime) -> bool {
+        let heard_since = ended_at + MAX_HEARTBEAT_DELAY;
+        if self.info.ended || self.last_heartbeat >= heard_since {
+            return false;
+        }
+        self.info.ended = true;
+        self.heard_since = heard_since;
+        true
+    }
+
     /// Whether the models in a heartbeat, apart from their adapters, are not
     /// those held.
     fn models_differ(&self, models: &[HeldModel]) -> bool {
@@ -229,19 +253,19 @@
     #[must_use]
     pub fn is_audit_due(&self, now: MonoTime) -> bool {
         self.audit == AuditState::Needed
-            && !self.info.draining
+            && self.info.takes_requests()
             && self.is_quiescent(now)
             && now >= self.backoff_until
             && now.since(self.last_audit) >= MIN_AUDIT_INTERVAL
     }
 
-    /// Whether the engine is audited, not draining, not in a backoff and not
-    /// loading a model. Adapters may still be loading.
+    /// Whether the engine is audited, takes requests, and is neither in a backoff
+    /// nor loading a model. Adapters may still be loading.
     #[must_use]
     pub fn is_free(&self, now: MonoTime) -> bool {
         self.task.is_none()
             && self.audit == AuditState::Done
-            && !self.info.draining
+            && self.info.takes_requests()
             && now >= self.backoff_until
     }
 
--- a/crates/ward-fleet/src/placement/slow.rs
+++ b/crates/ward-fleet/src/placement/slow.rs
@@ -72,12 +72,12 @@
     TimeSpan::from_millis(minimum.max(elapsed))
 }
 
-/// Whether an engine that is not draining holds a model.
+/// Whether an engine that takes requests holds a model.
 fn is_held(state: &PlacementState, key: &ModelKey) -> bool {
     state.engines.values().any(|engine| {
         let held = engine.held.get(&key.model);
         engine.info.service == key.service
-            && !engine.info.draining
+            && engine.info.takes_requests()
             && held.is_some_and(|held| !held.unloading)
     })
 }
--- a/crates/ward-fleet/src/placement/spread.rs
+++ b/crates/ward-fleet/src/placement/spread.rs
@@ -39,13 +39,13 @@
 }
 
 impl ReplicaCounts {
-    /// Counts the replicas on engines that are not draining.
+    /// Counts the replicas on engines that take requests.
     pub(super) fn of(state: &PlacementState) -> Self {
         let mut counts = Self::default();
         for engine in state
             .engines
             .values()
-            .filter(|engine| !engine.info.draining)
+            .filter(|engine| engine.info.takes_requests())
         {
             let present = engine.held.iter().filter(|(_, held)| !held.unloading);
             let loading = engine.task.iter().map(|task| &task.model);
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -69,6 +69,22 @@
         }
     }
 
+    /// Records that an engine ended at a time under requests. The daemons send it no
+    /// more, and its models are loaded elsewhere, before its entry is dropped. A later
+    /// heartbeat resets this. Returns whether it is news.
+    pub fn mark_ended(&mut self, incarnation: &EngineIncarnation, ended_at: MonoTime) -> bool {
+        let engine = self.engines.get_mut(&incarnation.engine);
+        engine
+            .filter(|engine| engine.info.birth == incarnation.birth)
+            .is_some_and(|engine| engine.mark_ended(ended_at))
+    }
+
+    /// Whether an engine ended under requests and has sent no heartbeat since.
+    #[must_use]
+    pub fn has_ended(&self, id: &BackendId) -> bool {
+        self.engines.get(id).is_some_and(|engine| engine.info.ended)
+    }
+
     /// Records that the store dropped an engine's entry during an outage. The
     /// next heartbeat resets this.
     pub fn mark_lapsed(&mut self, id: &BackendId) {
--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -87,7 +87,7 @@
     pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &EngineRecord> {
         self.engines
             .values()
-            .filter(move |engine| engine.info.service == *service && !engine.info.draining)
+            .filter(move |engine| engine.info.service == *service && engine.info.takes_requests())
     }
 
     /// Whether no engine is known.
@@ -114,12 +114,13 @@
     }
 
     /// Adds or updates an engine from its entry in the store. The models of a
-    /// known incarnation are kept unless `trust_models` is set, because the
-    /// coordinator's information about them is newer.
-    pub fn insert_entry(&mut self, mut info: EngineInfo, trust_models: bool) {
+    /// known incarnation, and whether it has ended, are kept unless `trust_entry`
+    /// is set, because the coordinator's information about them is newer.
+    pub fn insert_entry(&mut self, mut info: EngineInfo, trust_entry: bool) {
         let known = self.engines.get(&info.id);
-        if let Some(known) = known.filter(|known| known.info.birth == info.birth && !trust_models) {
+        if let Some(known) = known.filter(|known| known.info.birth == info.birth && !trust_entry) {
             info.holding.clone_from(&known.info.holding);
+            info.ended = known.info.ended;
         }
         self.insert(info);
     }
--- a/crates/ward-fleet/tests/placement.rs
+++ b/crates/ward-fleet/tests/placement.rs
@@ -10,7 +10,9 @@
     AuditState, LoadReason, LoadSource, MemberKey, ModelKey, ModelLoadTask, PlacementState,
     PlannedTask, plan_tasks, slow_models,
 };
-use ward_fleet::{EngineEntry, LoadReport, OrderSequence, ServingManifest};
+use ward_fleet::{
+    EngineBirth, EngineEntry, EngineIncarnation, LoadReport, OrderSequence, ServingManifest,
+};
 use ward_protocol::{MonoTime, TimeSpan};
 
 const WINDOW: TimeSpan = TimeSpan::from_secs(5);
@@ -322,3 +324,50 @@
         elements_are![matches_pattern!(PlannedTask::Adapter(_))]
     );
 }
+
+#[gtest]
+fn plan_tasks_model_of_an_engine_that_ended_is_loaded_elsewhere() {
+    let manifest = manifest(&["m1", "m2"]);
+    let entries = [
+        entry("e1", &["m1"], &["m1", "m2"]),
+        entry("e2", &["m2"], &["m1", "m2"]),
+    ];
+    let mut state = state(&entries);
+    let ended = EngineIncarnation {
+        engine: name("e1"),
+        birth: Some(EngineBirth(1)),
+    };
+    state.mark_ended(&ended, at(2_000));
+    expect_false!(state.engine_infos()[&id("e1")].takes_requests());
+    let waits = report(vec![], vec![waiting("m1", None, 1)]);
+    let tasks = plan(&mut state, &manifest, waits, at(2_100));
+    let models = models(&tasks);
+    expect_that!(models.len(), eq(1));
+    expect_that!(models[0].target.engine, eq(&id("e2")));
+}
+
+#[gtest]
+fn mark_ended_engine_with_a_later_heartbeat_takes_requests() {
+    let first = entry("e1", &["m1"], &["m1"]);
+    let mut state = state(std::slice::from_ref(&first));
+    let ended = EngineIncarnation {
+        engine: name("e1"),
+        birth: Some(EngineBirth(1)),
+    };
+    let takes_requests = |state: &PlacementState| state.engine_infos()[&id("e1")].takes_requests();
+    state.mark_ended(&ended, at(2_000));
+    // Written before the engine ended.
+    state.apply_entry(&first, at(2_100));
+    expect_false!(takes_requests(&state));
+    state.apply_entry(&first, at(3_200));
+    expect_true!(takes_requests(&state));
+    // Told again, or of another incarnation.
+    state.mark_ended(&ended, at(2_000));
+    expect_true!(takes_requests(&state));
+    let other = EngineIncarnation {
+        birth: Some(EngineBirth(9)),
+        ..ended
+    };
+    state.mark_ended(&other, at(4_000));
+    expect_true!(takes_requests(&state));
+}
--- a/crates/ward-fleet/tests/table.rs
+++ b/crates/ward-fleet/tests/table.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use googletest::prelude::*;
-use support::{at, empty_view, entry, info, name};
+use support::{at, empty_view, entry, info, name, service};
 use ward_fleet::placement::PlacementState;
 use ward_fleet::{EngineBirth, EngineIncarnation, EngineInfo, EngineTable, FleetView};
 
@@ -99,3 +99,19 @@
     state.apply_entry(&entry("e1", &["m1"], &[]), at(100));
     expect_true!(state.engine_infos()[0].draining);
 }
+
+#[gtest]
+fn insert_entry_engine_that_ended_stays_ended() {
+    let mut table = EngineTable::default();
+    let ended = EngineInfo {
+        ended: true,
+        ..info("e1", &["m1"])
+    };
+    table.insert(ended);
+    let is_used = |table: &EngineTable| table.of_service(&service()).next().is_some();
+    // Its last heartbeat may be read after its end was noticed.
+    table.insert_entry(info("e1", &["m1"]), false);
+    expect_false!(is_used(&table));
+    table.insert_entry(info("e1", &["m1"]), true);
+    expect_true!(is_used(&table), "no coordinator knows better");
+}
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
-    CoordinatorLease, CrashLedger, EngineEntry, HostMember, LeaseWindow, LoadReport,
+    CoordinatorLease, CrashLedger, CrashReport, EngineEntry, HostMember, LeaseWindow, LoadReport,
     OutageDetector, StoredFleet,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
@@ -230,10 +230,24 @@
             // A known crash is queued, too: the daemon that reported it waits for a
             // view that confirms it.
             crashes.record(crash_report, now);
+            self.mark_ended(crash_report, now);
             publisher.queue_crash(crash_report);
         }
     }
 
+    /// Records that the engine of a crash report has ended, so that its models are loaded
+    /// elsewhere before its entry is dropped.
+    fn mark_ended(&self, report: &CrashReport, now: MonoTime) {
+        let incarnation = &report.incarnation;
+        let mut state = self.state.borrow_mut();
+        if state.mark_ended(incarnation, now - report.age) {
+            info!(
+                self.logger, "coordinator: engine has ended"; "engine" => %incarnation.engine,
+                "birth" => incarnation.birth.map(|birth| birth.0), "age" => report.age.millis(),
+            );
+        }
+    }
+
     /// Initializes the limits on loads from the weight store; `limit` is the number of
     /// concurrent loads that an earlier coordinator published, if known.
     pub(super) fn init_load_limit(&self, limit: Option<u32>, now: MonoTime) {
@@ -252,7 +266,14 @@
 
     /// Applies an engine's store entry, which is written again with each heartbeat.
     pub(super) fn apply_entry(&self, entry: &EngineEntry, now: MonoTime) {
-        if self.state.borrow_mut().apply_entry(entry, now) {
+        let mut state = self.state.borrow_mut();
+        let had_ended = state.has_ended(&entry.id);
+        let is_new = state.apply_entry(entry, now);
+        if had_ended && !is_new && !state.has_ended(&entry.id) {
+            info!(self.logger, "coordinator: engine has not ended"; "engine" => %entry.id);
+        }
+        drop(state);
+        if is_new {
             self.plan_requested.notify_one();
         }
     }
