--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -217,16 +217,28 @@
     unconfirmed_crashes.retain(|timed| !is_confirmed(timed));
 }
 
-/// Remaining time for which a request is not sent to engines, because of itself or of
-/// a part of its prompt; `None` when it is not blocked.
-pub(crate) fn blocked_for(gateway: &Gateway, identity: &RequestIdentity) -> Option<TimeSpan> {
+/// Why a request is not sent to engines, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestBlock {
+    /// The request itself has crashed engines.
+    Request(TimeSpan),
+    /// A part of its prompt has crashed engines.
+    Part(TimeSpan),
+}
+
+/// The block that a request is under; `None` when it may be sent.
+pub(crate) fn request_block(gateway: &Gateway, identity: &RequestIdentity) -> Option<RequestBlock> {
     let now = clock::now();
     let crashes = gateway.crashes.borrow();
-    let blocked_part = crashes.parts().blocked_part(&identity.parts, now);
-    let part_remaining = blocked_part.map(|(_, remaining)| remaining);
-    crashes
-        .blocked_for(&identity.fingerprint, now)
-        .max(part_remaining)
+    if let Some((part, remaining)) = crashes.parts().blocked_part(&identity.parts, now) {
+        info!(
+            gateway.logger, "crash: request has a blocked part";
+            "request" => &*identity.request_id, "part" => %part,
+        );
+        return Some(RequestBlock::Part(remaining));
+    }
+    let remaining = crashes.blocked_for(&identity.fingerprint, now)?;
+    Some(RequestBlock::Request(remaining))
 }
 
 /// Decides again which parts of prompts are blocked.
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -17,7 +17,7 @@
 use super::job::{Refusal, ServeJob, blocked_refusal, not_run, refuse};
 use super::route::{RoutedRequest, origin_target, requested_host, route_request};
 use crate::clock;
-use crate::crash::blocked_for;
+use crate::crash::request_block;
 use crate::forward::{AttemptRequest, ConnectionNeed};
 use crate::gateway::Gateway;
 use crate::phase::SharedPhase;
@@ -144,8 +144,8 @@
     };
     // A blocked request must not count as demand for its model either, so this
     // precedes `record_arrival`.
-    if let Some(remaining) = blocked_for(gateway, &identity) {
-        return Err(blocked_refusal(remaining));
+    if let Some(block) = request_block(gateway, &identity) {
+        return Err(blocked_refusal(block));
     }
     gateway.record_request(&routed.service);
     record_arrival(gateway, &routed);
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -15,6 +15,7 @@
 use super::answer::{AnswerBody, OwnAnswer, buffered_answer, streamed_answer};
 use super::route::RoutedRequest;
 use crate::clock;
+use crate::crash::RequestBlock;
 use crate::forward::{
     Attempt, AttemptFailure, AttemptRequest, RelayStart, StreamRelay, send_attempt,
 };
@@ -52,12 +53,19 @@
     refuse(OwnAnswer::NotRun(DEFAULT_RETRY_AFTER), reason)
 }
 
-/// Refuses a request that is blocked because it has crashed engines.
-pub(super) fn blocked_refusal(remaining: TimeSpan) -> Refusal {
-    refuse(
-        OwnAnswer::NotRun(remaining),
-        "the request has crashed engines",
-    )
+/// Refuses a request that is blocked because it, or a part of its prompt, has crashed
+/// engines.
+pub(super) fn blocked_refusal(block: RequestBlock) -> Refusal {
+    match block {
+        RequestBlock::Request(remaining) => refuse(
+            OwnAnswer::NotRun(remaining),
+            "the request has crashed engines",
+        ),
+        RequestBlock::Part(remaining) => refuse(
+            OwnAnswer::NotRun(remaining),
+            "a part of its prompt has crashed engines",
+        ),
+    }
 }
 
 /// A routed request that is being processed.
@@ -303,7 +311,7 @@
                 OwnAnswer::NotRun(remaining),
                 "its engines have asked for a pause",
             ),
-            WaitFailure::Crashes(remaining) => blocked_refusal(remaining),
+            WaitFailure::Blocked(block) => blocked_refusal(block),
             WaitFailure::NoEngine => not_run("the service has no engine"),
             WaitFailure::Timeout => not_run("no engine had room in time"),
             WaitFailure::Closed => not_run("the daemon is shutting down"),
--- a/crates/ward-gateway/src/hub/mod.rs
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -7,6 +7,7 @@
 mod member;
 mod server;
 mod snapshot;
+mod view;
 
 pub(crate) use broadcast::broadcast_crashes;
 pub(crate) use frame::encode_frame;
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -18,7 +18,7 @@
 use self::ticket::{ModelKey, WaitKey};
 pub(crate) use self::ticket::{RequestIdentity, WaitFailure, WaitTicket};
 use crate::clock;
-use crate::crash::blocked_for;
+use crate::crash::request_block;
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
 
@@ -176,8 +176,8 @@
     gateway: &Rc<Gateway>,
     ticket: WaitTicket,
 ) -> Result<EngineSlot, WaitFailure> {
-    if let Some(remaining) = blocked_for(gateway, &ticket.identity) {
-        return Err(WaitFailure::Crashes(remaining));
+    if let Some(block) = request_block(gateway, &ticket.identity) {
+        return Err(WaitFailure::Blocked(block));
     }
     gateway.queue.record_arrival(&ticket);
     match choose_engine_for(gateway, &ticket) {
@@ -280,8 +280,8 @@
         let Some(ticket) = ticket_of(gateway, number) else {
             continue;
         };
-        if let Some(remaining) = blocked_for(gateway, &ticket.identity) {
-            fail_wait(gateway, number, WaitFailure::Crashes(remaining));
+        if let Some(block) = request_block(gateway, &ticket.identity) {
+            fail_wait(gateway, number, WaitFailure::Blocked(block));
             continue;
         }
         let key = ticket.key();
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -9,6 +9,7 @@
     AdapterName, BackendId, ModelName, MonoTime, PartId, RequestFingerprint, ServiceName, TimeSpan,
 };
 
+use crate::crash::RequestBlock;
 use crate::phase::SharedPhase;
 
 /// Identifies a request in logs and as a possible cause of crashes.
@@ -94,8 +95,8 @@
     /// The engines requested a pause that is too long for the request; the caller may
     /// retry after this time.
     Paused(TimeSpan),
-    /// The request has crashed engines and is blocked for this time.
-    Crashes(TimeSpan),
+    /// The request, or a part of its prompt, has crashed engines.
+    Blocked(RequestBlock),
     /// The daemon is shutting down, so another one must serve the request.
     Closed,
 }
