A blocked request stays blocked until its last crash expires

Change: crashes of a blocked request are dropped together. Test: block_ended_early_when_its_last_crash_was_told_again failed before (not blocked at 65 minutes).

--- a/crates/ward-fleet/src/crash/ledger.rs
+++ b/crates/ward-fleet/src/crash/ledger.rs
@@ -9,8 +9,7 @@
 /// Crashes after which a request is blocked.
 const CRASHES_TO_BLOCK: usize = 2;
 /// Time for which a crash counts. A blocked request stays blocked until its last
-/// crash expires, or until that crash is reported again after the first one has
-/// expired, since only one crash then remains.
+/// crash expires.
 const CRASH_RETENTION: TimeSpan = TimeSpan::from_secs(3_600);
 const MAX_REQUESTS: usize = 4_096;
 /// Maximum number of blocked requests written to the store, whose records are
@@ -86,7 +85,11 @@
             self.evict(now);
         }
         let crashes = self.requests.entry(report.fingerprint).or_default();
-        crashes.retain(|crash| crash.counts(now));
+        let is_blocked =
+            crashes.len() >= CRASHES_TO_BLOCK && crashes.iter().any(|crash| crash.counts(now));
+        if !is_blocked {
+            crashes.retain(|crash| crash.counts(now));
+        }
         let is_known = crashes
             .iter()
             .any(|crash| crash.incarnation == report.incarnation);
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -336,3 +336,23 @@
     let failed = ProbeResult::from(Err(Error::from_raw_os_error(24)));
     expect_that!(failed, eq(ProbeResult::Unknown));
 }
+
+#[gtest]
+fn block_ended_early_when_its_last_crash_was_told_again() {
+    let mut ledger = CrashLedger::default();
+    let minutes = |count: u64| at(count * 60_000);
+    ledger.record(&report(BAD, 1), minutes(0));
+    ledger.record(&report(BAD, 2), minutes(50));
+    let again = CrashReport {
+        age: TimeSpan::from_secs(15 * 60),
+        ..report(BAD, 2)
+    };
+    ledger.record(&again, minutes(65));
+    expect_that!(ledger.blocked_for(&BAD, minutes(65)), some(anything()));
+    expect_that!(ledger.blocked_for(&BAD, minutes(111)), none());
+    expect_that!(
+        ledger.record(&report(BAD, 3), minutes(112)),
+        eq(CrashEffect::Counted),
+        "all earlier crashes have expired"
+    );
+}
