--- a/crates/ward-daemon/tests/gateway/crashes.rs
+++ b/crates/ward-daemon/tests/gateway/crashes.rs
@@ -154,6 +154,31 @@
     expect_others_served(&stage).await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_block_outlives_its_coordinator_and_then_all_daemons() {
+    let mut stage = crashing_stage("crash-successor", &one_model(), CrashKind::BeforeHead).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    send_repeatedly(&stage, "book", 8, Duration::from_millis(250)).await;
+    let count_terms = |stage: &Stage| (0..3).map(|daemon| terms(stage, daemon)).sum::<usize>();
+    let before = count_terms(&stage);
+    stage.daemons[coordinator].restart().unwrap();
+    wait_until("a new term", || count_terms(&stage) > before).await;
+    // Several renewals of the new term.
+    tokio::time::sleep(RESTART_TIME).await;
+    for daemon in &mut stage.daemons {
+        daemon.kill();
+    }
+    for daemon in &mut stage.daemons {
+        daemon.restart().unwrap();
+    }
+    stage.wait_ready().await.unwrap();
+    let runs = crashing_runs(&stage).len();
+    send_repeatedly(&stage, "book", 8, Duration::from_millis(250)).await;
+    expect_that!(crashing_runs(&stage).len(), eq(runs), "still blocked");
+    expect_few_late_sends(&stage);
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn crash_block_outlives_rolling_restarts() {
