Soak: parts of prompts that crash engines, and unframed answers

Callers of the soak name the parts of their prompts, one in 40 with the part on which engines end while that fault is set; engines also send answers without length and chunks, whole or cut.

--- a/crates/ward-daemon/tests/gateway/soak.rs
+++ b/crates/ward-daemon/tests/gateway/soak.rs
@@ -5,7 +5,8 @@
 //! stopped and restarted, also in the middle of a start or a stop while new manifests
 //! arrive. Links delay, reset or refuse connections, or hold back answers or all bytes.
 //! The store fails, and engines fail, crash, leave or send `Retry-After`. Callers keep
-//! using a connection until it closes, and some requests crash engines.
+//! using a connection until it closes, and some requests, or a part of their prompts,
+//! crash engines.
 //! `SOAK_SEEDS=FROM..TO` replaces the seeds of the short series.
 
 use std::sync::Arc;
@@ -17,9 +18,11 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rustix::process::Signal;
+use ward_adapter::served::prompt_headers;
+use ward_protocol::PartId;
 use ward_stage::{
-    CRASHING_PATH, CallerError, CallerRequest, CrashKind, EngineFault, LinkFault, RunLedger, Stage,
-    StageCaller, StagePlan, StoreFault,
+    CRASHING_PART, CRASHING_PATH, CallerError, CallerRequest, CrashKind, EngineFault, LinkFault,
+    RunLedger, Stage, StageCaller, StagePlan, StoreFault,
 };
 
 use crate::support::{COMPLETE_STREAM, expect_valid_orders, stage};
@@ -129,6 +132,10 @@
             EngineFault::Crash(CrashKind::BeforeHead),
             EngineFault::Crash(CrashKind::AfterHead),
             EngineFault::Crash(CrashKind::Silent),
+            EngineFault::CrashOnPart(CrashKind::BeforeHead),
+            EngineFault::CrashOnPart(CrashKind::AfterHead),
+            EngineFault::Unframed,
+            EngineFault::UnframedCut,
         ])),
         _ => match random.below(3) {
             0 => stage.store_link.set_fault(link_fault(random)),
@@ -269,7 +276,16 @@
             ("stock", None),
         ]);
         let path = format!("/{route}/{content}");
-        CallerRequest::new(&id, path, model.map(String::as_str))
+        let mut parts = vec!["common".to_owned(), format!("caller-{}", self.number)];
+        if random.below(REQUESTS_PER_CRASH) == 0 {
+            parts.push(CRASHING_PART.to_owned());
+        }
+        parts.push(format!("own-{id}"));
+        let parts: Vec<PartId> = parts.iter().map(|part| part.parse().unwrap()).collect();
+        CallerRequest {
+            headers: prompt_headers(&parts),
+            ..CallerRequest::new(&id, path, model.map(String::as_str))
+        }
     }
 
     fn check(
