--- a/crates/ward-fleet/src/crash/parts/mod.rs
+++ b/crates/ward-fleet/src/crash/parts/mod.rs
@@ -10,9 +10,9 @@
 //! parts have to crash engines one after the other, each under a run whose answer began
 //! after the crash before it. Engines that end at the same moment may have any common
 //! cause, so they count as one crash, and only against parts that each of them had
-//! begun to answer on. And a crash that one part explains says nothing against the others:
-//! the part that explains most crashes is blocked first, the narrowest if there are
-//! several.
+//! begun to answer on. And a crash that one part explains says nothing against the
+//! others: the part that explains most crashes is blocked first, the narrowest if there
+//! are several.
 
 mod cause;
 mod run;
@@ -32,7 +32,7 @@
 /// An engine that has been writing an answer for this long doesn't end because of it.
 const PROOF_TIME: TimeSpan = TimeSpan::from_millis(100);
 const MAX_ENGINES: usize = 256;
-const MAX_RUNS_PER_ENGINE: usize = 64;
+const MAX_RUNS_PER_ENGINE: usize = 128;
 /// Maximum number of parts that are remembered as sound.
 const MAX_SOUND: usize = 512;
 
--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -3,8 +3,8 @@
 //! A run is one execution of a request on an engine. A run that ends without a
 //! complete answer is tracked, unless its engine was known to be leaving, or was known
 //! to be gone when the connection was closed. The engine counts as crashed if
-//! connections to its address are refused shortly after the connection of the run was closed,
-//! or if its store entry disappears or names another incarnation soon after.
+//! connections to its address are refused shortly after the connection of the run was
+//! closed, or if its store entry disappears or names another incarnation soon after.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,7 +25,6 @@
 /// accepts connections.
 const PROBE_DELAY: Duration = Duration::from_millis(100);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Minimum time between two decisions on which parts of prompts are blocked.
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(20);
 
