A refusal without end no longer holds up the next attempt

Callers saw (stand-in server that refuses with a body that never ends): the request wasn't sent on until its caller left, while the daemon read without a bound. Cause: drain_refusal collects the body of a refusal, to keep its connection, without a limit in bytes or time. Change: 64 KiB and 50 ms; then the connection is closed, with a line. Test: endless_refusal_held_up_the_next_attempt failed before (time-out of the caller) and passes.

--- a/crates/ward-daemon/tests/gateway/endless.rs
+++ b/crates/ward-daemon/tests/gateway/endless.rs
@@ -17,6 +17,8 @@
 const CALLERS: usize = 30;
 /// Timeout of the routes plus time to send the answer.
 const MAX_DURATION: Duration = Duration::from_secs(3);
+/// Time in which a request that one server refuses is served by another.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Sends concurrent requests to one daemon, expects them to fail in time, and returns
@@ -93,3 +95,23 @@
     let (answer, ()) = tokio::join!(send(&stage, 0, &request), recovery);
     expect_that!(answer.unwrap().text(), eq(COMPLETE_STREAM));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_refusal_held_up_the_next_attempt() {
+    let stage = stage("endless-refusal", &StagePlan::default()).await;
+    let plain_servers = &stage.engines[3..];
+    plain_servers[0].set_fault(EngineFault::EndlessRefusal);
+    for number in 0..6 {
+        let begun = Instant::now();
+        let request = CallerRequest::new(format!("r{number}"), "/stock/a", None);
+        let answer = send(&stage, 0, &request).await.unwrap();
+        expect_that!(answer.status.as_u16(), eq(200));
+        expect_that!(begun.elapsed(), lt(REFUSAL_TIME));
+    }
+    for server in plain_servers {
+        server.set_fault(EngineFault::EndlessRefusal);
+    }
+    let memory = peak_memory(&stage, "/stock/b", None).await;
+    expect_that!(memory, lt(HOST_MEMORY));
+}
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -1,10 +1,11 @@
 //! One attempt to send a request to one engine.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use slog::{info, warn};
 use ward_adapter::header::{
@@ -27,6 +28,11 @@
 /// requests to it again at the same time.
 const MAX_PAUSE_JITTER: TimeSpan = TimeSpan::from_millis(400);
 
+/// Maximum length of a refusal that is read to its end, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+/// Maximum time for reading the rest of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// The parts of a request that are the same for every attempt.
 #[derive(Debug, Clone)]
 pub(crate) struct AttemptRequest {
@@ -286,12 +292,21 @@
     });
 }
 
-/// Reads the remaining body of a refusal, so that its connection can be kept.
+/// Reads the remaining body of a refusal, so that its connection can be kept; a long or
+/// slow one isn't worth the wait, and its connection is closed.
 async fn drain_refusal(gateway: &Rc<Gateway>, attempt: Attempt) {
     let reuse = ConnectionReuse::of(&attempt.answer);
-    let body = attempt.answer.into_body().collect().await;
-    if body.is_ok() {
-        reuse.put_back(gateway, &attempt.slot, attempt.sender);
+    let body = Limited::new(attempt.answer.into_body(), MAX_REFUSAL_BYTES).collect();
+    match tokio::time::timeout(REFUSAL_TIMEOUT, body).await {
+        Ok(Ok(_)) => reuse.put_back(gateway, &attempt.slot, attempt.sender),
+        Ok(Err(cause)) => info!(
+            gateway.logger, "send: refusal not read"; "engine" => %attempt.slot.engine.id,
+            "why" => %cause,
+        ),
+        Err(_) => info!(
+            gateway.logger, "send: refusal not read"; "engine" => %attempt.slot.engine.id,
+            "why" => "it did not end in time",
+        ),
     }
 }
 
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::stream::BoxStream;
 use futures::{Stream, StreamExt, stream};
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body::Frame;
@@ -115,7 +116,7 @@
         return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
     }
     let refusal = match fault {
-        EngineFault::Full => Some(not_executed_headers()),
+        EngineFault::Full | EngineFault::EndlessRefusal => Some(not_executed_headers()),
         EngineFault::RetryAfter(span) => Some(retry_after_headers(span.into())),
         _ => None,
     };
@@ -124,6 +125,10 @@
             engine,
             refused_at: Instant::now(),
         });
+        if fault == EngineFault::EndlessRefusal {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Ok(streamed_response(status, headers, endless_body()));
+        }
         let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         response.headers_mut().extend(headers);
         return Ok(response);
@@ -201,8 +206,7 @@
         return response;
     }
     if fault == EngineFault::Endless {
-        let chunks = stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(ENDLESS_CHUNK))));
-        return streamed_response(StatusCode::OK, signed_headers, chunks.boxed());
+        return streamed_response(StatusCode::OK, signed_headers, endless_body());
     }
     let is_unframed = matches!(fault, EngineFault::Unframed | EngineFault::UnframedCut);
     if received.model.is_none() {
@@ -254,6 +258,10 @@
     *response.version_mut() = Version::HTTP_10;
 }
 
+fn endless_body() -> BoxStream<'static, Result<Frame<Bytes>, AbortConnection>> {
+    stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(ENDLESS_CHUNK)))).boxed()
+}
+
 /// Single bytes at intervals, without end; `:` begins a comment line of a stream.
 fn trickle() -> impl Stream<Item = Result<Frame<Bytes>, AbortConnection>> {
     stream::repeat(()).then(|()| async {
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -32,6 +32,9 @@
     LoseOrderAnswers,
     /// Sends answers that never end; a stream consists of one endless event.
     Endless,
+    /// Refuses all requests with status 503 as not executed, with a body that never
+    /// ends.
+    EndlessRefusal,
     /// After two events of a stream, sends single bytes at intervals, which never
     /// complete an event.
     Trickle,
