--- a/crates/ward-daemon/tests/gateway/crashes.rs
+++ b/crates/ward-daemon/tests/gateway/crashes.rs
@@ -10,7 +10,8 @@
 };
 
 use crate::support::{
-    expect_models_served, send, set_fault_on_all, stage, terms, wait_until, wait_until_all_joined,
+    expect_models_served, restart_all_at_once, restart_coordinator, send, set_fault_on_all, stage,
+    terms, wait_until, wait_until_all_joined,
 };
 
 /// A send counts as late when it begins later than this after the third crash.
@@ -160,19 +161,10 @@
     let mut stage = crashing_stage("crash-successor", &one_model(), CrashKind::BeforeHead).await;
     let coordinator = wait_until_all_joined(&stage).await;
     send_repeatedly(&stage, "book", 8, Duration::from_millis(250)).await;
-    let count_terms = |stage: &Stage| (0..3).map(|daemon| terms(stage, daemon)).sum::<usize>();
-    let before = count_terms(&stage);
-    stage.daemons[coordinator].restart().unwrap();
-    wait_until("a new term", || count_terms(&stage) > before).await;
+    restart_coordinator(&mut stage, coordinator).await;
     // Several renewals of the new term.
     tokio::time::sleep(RESTART_TIME).await;
-    for daemon in &mut stage.daemons {
-        daemon.kill();
-    }
-    for daemon in &mut stage.daemons {
-        daemon.restart().unwrap();
-    }
-    stage.wait_ready().await.unwrap();
+    restart_all_at_once(&mut stage).await;
     let runs = crashing_runs(&stage).len();
     send_repeatedly(&stage, "book", 8, Duration::from_millis(250)).await;
     expect_that!(crashing_runs(&stage).len(), eq(runs), "still blocked");
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -61,6 +61,32 @@
     log.matches("coordinator: term begins").count()
 }
 
+/// Number of coordinator terms that all daemons have begun.
+pub(crate) fn all_terms(stage: &Stage) -> usize {
+    (0..stage.daemons.len())
+        .map(|daemon| terms(stage, daemon))
+        .sum()
+}
+
+/// Restarts a daemon and waits until some daemon has begun another term.
+pub(crate) async fn restart_coordinator(stage: &mut Stage, coordinator: usize) {
+    let before = all_terms(stage);
+    stage.daemons[coordinator].restart().unwrap();
+    wait_until("a new term", || all_terms(stage) > before).await;
+}
+
+/// Kills all daemons before it starts the first of them again, and waits until all are
+/// ready.
+pub(crate) async fn restart_all_at_once(stage: &mut Stage) {
+    for daemon in &mut stage.daemons {
+        daemon.kill();
+    }
+    for daemon in &mut stage.daemons {
+        daemon.restart().unwrap();
+    }
+    stage.wait_ready().await.unwrap();
+}
+
 /// Waits until all daemons have joined one coordinator; returns the coordinator's index.
 pub(crate) async fn wait_until_all_joined(stage: &Stage) -> usize {
     let joined = |daemon: usize| {
--- a/crates/ward-daemon/tests/gateway/tainted.rs
+++ b/crates/ward-daemon/tests/gateway/tainted.rs
@@ -11,7 +11,10 @@
     CRASHING_PART, CallerRequest, CrashKind, EngineFault, RunRecord, Stage, StagePlan,
 };
 
-use crate::support::{send, set_fault_on_all, stage, terms, wait_until, wait_until_all_joined};
+use crate::support::{
+    restart_all_at_once, restart_coordinator, send, set_fault_on_all, stage, wait_until,
+    wait_until_all_joined,
+};
 
 /// A send counts as late when it begins later than this after the fifth crash.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -233,22 +236,10 @@
     let coordinator = wait_until_all_joined(&stage).await;
     set_fault_on_all(&stage, EngineFault::CrashOnPart(CrashKind::AfterHead));
     send_traffic(&stage, "first", &[0, 1, 2], Duration::from_secs(6)).await;
-    let before = terms(&stage, 0) + terms(&stage, 1) + terms(&stage, 2);
-    stage.daemons[coordinator].restart().unwrap();
-    stage.wait_ready().await.unwrap();
-    wait_until("a new term", || {
-        terms(&stage, 0) + terms(&stage, 1) + terms(&stage, 2) > before
-    })
-    .await;
+    restart_coordinator(&mut stage, coordinator).await;
     // The new coordinator has written its record by then.
     tokio::time::sleep(RESTART_TIME).await;
-    for daemon in &mut stage.daemons {
-        daemon.kill();
-    }
-    for daemon in &mut stage.daemons {
-        daemon.restart().unwrap();
-    }
-    stage.wait_ready().await.unwrap();
+    restart_all_at_once(&mut stage).await;
     send_traffic(&stage, "second", &[0, 1, 2], Duration::from_secs(4)).await;
     expect_few_late_sends(&stage);
 }
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -5,10 +5,11 @@
 use googletest::prelude::*;
 use support::{at, info, name};
 use ward_fleet::{
-    AnsweredRequests, CrashDetector, CrashEffect, CrashLedger, CrashReport, EngineBirth,
-    EngineIncarnation, EngineInfo, EngineTable, FleetRecord, ProbeResult, UnfinishedRun,
+    AnsweredParts, AnsweredRequests, CrashDetector, CrashEffect, CrashLedger, CrashReport,
+    EngineBirth, EngineIncarnation, EngineInfo, EngineTable, FleetRecord, ProbeResult,
+    UnfinishedRun,
 };
-use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan, WallTime};
+use ward_protocol::{MonoTime, PartId, RequestFingerprint, TimeSpan, WallTime};
 
 const BAD: RequestFingerprint = RequestFingerprint(1);
 const HEARTBEAT: TimeSpan = TimeSpan::from_secs(1);
@@ -356,3 +357,22 @@
         "all earlier crashes have expired"
     );
 }
+
+#[gtest]
+fn answered_parts_keep_the_latest_beginning() {
+    let mut answered = AnsweredParts::default();
+    answered.record(&name::<PartId>("90c5"), at(900));
+    answered.record(&name::<PartId>("90c5"), at(400));
+    expect_that!(
+        answered.answered_at(&name::<PartId>("90c5")),
+        some(eq(at(900)))
+    );
+    for number in 0..10_000 {
+        answered.record(&name::<PartId>(&format!("p{number}")), at(1_000));
+    }
+    expect_that!(answered.answered_at(&name::<PartId>("90c5")), none());
+    expect_that!(
+        answered.answered_at(&name::<PartId>("p9999")),
+        some(eq(at(1_000)))
+    );
+}
--- a/crates/ward-fleet/tests/parts.rs
+++ b/crates/ward-fleet/tests/parts.rs
@@ -5,8 +5,7 @@
 use googletest::prelude::*;
 use support::{at, name};
 use ward_fleet::{
-    AnsweredParts, CrashEffect, CrashLedger, CrashReport, EngineBirth, EngineIncarnation,
-    FleetRecord,
+    CrashEffect, CrashLedger, CrashReport, EngineBirth, EngineIncarnation, FleetRecord,
 };
 use ward_protocol::{MonoTime, PartId, RequestFingerprint, TimeSpan, WallTime};
 
@@ -391,16 +390,3 @@
     expect_that!(blocked(&mut ledger, 3_600_000), eq(&parts(&[TAINTED])));
     expect_that!(blocked(&mut ledger, 3_602_000), is_empty());
 }
-
-#[gtest]
-fn answered_parts_keep_the_latest_beginning() {
-    let mut answered = AnsweredParts::default();
-    answered.record(&part(COMMON), at(900));
-    answered.record(&part(COMMON), at(400));
-    expect_that!(answered.answered_at(&part(COMMON)), some(eq(at(900))));
-    for number in 0..10_000 {
-        answered.record(&part(&format!("p{number}")), at(1_000));
-    }
-    expect_that!(answered.answered_at(&part(COMMON)), none());
-    expect_that!(answered.answered_at(&part("p9999")), some(eq(at(1_000))));
-}
