Names of the field: crashing and cleared parts

'Sound' and 'tainted' are the users' words; requests are crashing and cleared in this code, and so are parts now. The test file is crashing_parts.rs.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod crashes;
+mod crashing_parts;
 mod endless;
 mod faults;
 mod leaving;
@@ -10,6 +11,5 @@
 mod path;
 mod soak;
 mod support;
-mod tainted;
 mod unframed;
 mod weights;
--- a/crates/ward-fleet/src/crash/ledger.rs
+++ b/crates/ward-fleet/src/crash/ledger.rs
@@ -128,8 +128,8 @@
 
     /// Records that an engine answered on a part of prompts from a time on; returns
     /// whether this is news.
-    pub fn record_sound(&mut self, part: &PartId, began_at: MonoTime, now: MonoTime) -> bool {
-        self.parts.record_sound(part, began_at, now)
+    pub fn clear_part(&mut self, part: &PartId, began_at: MonoTime, now: MonoTime) -> bool {
+        self.parts.clear_part(part, began_at, now)
     }
 
     /// Decides again which parts of prompts are blocked.
@@ -171,12 +171,12 @@
         reports.into_values().collect()
     }
 
-    /// All crashes that count, and the suspect parts that were proved sound.
+    /// All crashes that count, and the suspect parts that were cleared.
     #[must_use]
     pub fn news(&self, now: MonoTime) -> CrashNews {
         CrashNews {
             crashes: self.reports(now),
-            sound: self.parts.sound_parts(now),
+            cleared_parts: self.parts.cleared_parts(now),
         }
     }
 
--- a/crates/ward-fleet/src/crash/mod.rs
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -78,7 +78,7 @@
 
 /// A suspect part of a prompt that an engine answered on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SoundPart {
+pub struct ClearedPart {
     /// Id of the part.
     pub part: PartId,
     /// Time between the beginning of that answer and the sending of this message.
@@ -91,5 +91,5 @@
     /// Runs that ended with their engines.
     pub crashes: Vec<CrashReport>,
     /// Suspect parts that were answered.
-    pub sound: Vec<SoundPart>,
+    pub cleared_parts: Vec<ClearedPart>,
 }
--- a/crates/ward-fleet/src/crash/parts/mod.rs
+++ b/crates/ward-fleet/src/crash/parts/mod.rs
@@ -2,11 +2,11 @@
 //!
 //! Load pattern: each engine that begins to write an answer on one part of a prompt
 //! ends, whatever else the request holds. No two requests with the part are alike,
-//! they reach every daemon, and sound ones share their other parts.
+//! they reach every daemon, and harmless ones share their other parts.
 //!
 //! An engine ends with all its runs, so all parts of these are suspect, except of runs
 //! that the engine had been writing an answer to for a while. Two things single out the
-//! cause. A part that is answered after the crash is sound and no longer suspect; other
+//! cause. A part that is answered after the crash is cleared and no longer suspect; other
 //! parts have to crash engines one after the other, each under a run whose answer began
 //! after the crash before it. Engines that end at the same moment may have any common
 //! cause, so they count as one crash, and only against parts that each of them had
@@ -22,19 +22,19 @@
 
 use self::cause::best_cause;
 use self::run::{EngineCrash, SuspectRun};
-use super::{CrashReport, EngineIncarnation, SoundPart};
+use super::{ClearedPart, CrashReport, EngineIncarnation};
 
 /// Time for which a crash counts.
 const CRASH_RETENTION: TimeSpan = TimeSpan::from_secs(3_600);
 /// Age from which a crash counts. Until then daemons report their runs on the engine,
-/// and sound parts are answered elsewhere.
+/// and harmless parts are answered elsewhere.
 const SETTLE_TIME: TimeSpan = TimeSpan::from_millis(400);
 /// An engine that has been writing an answer for this long doesn't end because of it.
-const PROOF_TIME: TimeSpan = TimeSpan::from_millis(100);
+const MIN_ANSWER_TIME: TimeSpan = TimeSpan::from_millis(100);
 const MAX_ENGINES: usize = 256;
 const MAX_RUNS_PER_ENGINE: usize = 128;
-/// Maximum number of parts that are remembered as sound.
-const MAX_SOUND: usize = 512;
+/// Maximum number of parts that are remembered as cleared.
+const MAX_CLEARED: usize = 512;
 
 /// Parts that were blocked or cleared.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -51,8 +51,8 @@
 pub struct PartCrashes {
     engines: IndexMap<EngineIncarnation, EngineCrash>,
     /// Suspect parts that an engine answered on, with the latest time at which such an
-    /// answer began; the most recently proved last.
-    sound: IndexMap<PartId, MonoTime>,
+    /// answer began; the most recently cleared last.
+    cleared: IndexMap<PartId, MonoTime>,
     /// Blocked parts, with the end of each block, as of the last refresh.
     blocked: IndexMap<PartId, MonoTime>,
     /// Time from which [`Self::refresh`] may change the blocks; `None` for never.
@@ -76,7 +76,7 @@
             began_at: ended_at - answered_for,
             ended_at,
         };
-        let is_suspect = answered_for < PROOF_TIME && !run.parts.is_empty();
+        let is_suspect = answered_for < MIN_ANSWER_TIME && !run.parts.is_empty();
         if !is_suspect || !self.add_run(&report.incarnation, run) {
             return false;
         }
@@ -114,12 +114,12 @@
         true
     }
 
-    /// The parts that were not proved sound after a time.
+    /// The parts that were not cleared after a time.
     fn suspect_parts(&self, parts: &[PartId], ended_at: MonoTime) -> Vec<PartId> {
-        let is_sound = |part: &PartId| self.sound.get(part).is_some_and(|at| *at >= ended_at);
+        let is_cleared = |part: &PartId| self.cleared.get(part).is_some_and(|at| *at >= ended_at);
         parts
             .iter()
-            .filter(|part| !is_sound(part))
+            .filter(|part| !is_cleared(part))
             .cloned()
             .collect()
     }
@@ -139,28 +139,32 @@
     /// `answered_for` is how long the engine has been writing it, `None` if it is
     /// complete.
     #[must_use]
-    pub fn proves_sound(
+    pub fn would_clear(
         &self,
         part: &PartId,
         began_at: MonoTime,
         answered_for: Option<TimeSpan>,
     ) -> bool {
         let mut crashes = self.engines.values();
-        answered_for.is_none_or(|span| span >= PROOF_TIME)
+        answered_for.is_none_or(|span| span >= MIN_ANSWER_TIME)
             && crashes.any(|crash| crash.ended_at <= began_at && crash.has(part))
     }
 
     /// Records that an engine answered on a part from a time on, so that earlier
     /// crashes don't count against it; returns whether this is news.
-    pub fn record_sound(&mut self, part: &PartId, began_at: MonoTime, now: MonoTime) -> bool {
-        if self.sound.get(part).is_some_and(|known| *known >= began_at) {
+    pub fn clear_part(&mut self, part: &PartId, began_at: MonoTime, now: MonoTime) -> bool {
+        if self
+            .cleared
+            .get(part)
+            .is_some_and(|known| *known >= began_at)
+        {
             return false;
         }
-        self.sound.shift_remove(part);
-        if self.sound.len() >= MAX_SOUND {
-            self.sound.shift_remove_index(0);
+        self.cleared.shift_remove(part);
+        if self.cleared.len() >= MAX_CLEARED {
+            self.cleared.shift_remove_index(0);
         }
-        self.sound.insert(part.clone(), began_at);
+        self.cleared.insert(part.clone(), began_at);
         for crash in self.engines.values_mut() {
             for run in &mut crash.runs {
                 if run.ended_at <= began_at {
@@ -280,14 +284,14 @@
         reports
     }
 
-    /// Suspect parts that were proved sound.
+    /// Suspect parts that were cleared.
     #[must_use]
-    pub fn sound_parts(&self, now: MonoTime) -> Vec<SoundPart> {
-        let sound = self.sound.iter().map(|(part, began_at)| SoundPart {
+    pub fn cleared_parts(&self, now: MonoTime) -> Vec<ClearedPart> {
+        let cleared = self.cleared.iter().map(|(part, began_at)| ClearedPart {
             part: part.clone(),
             age: now.since(*began_at),
         });
-        sound.collect()
+        cleared.collect()
     }
 }
 
--- a/crates/ward-fleet/src/crash/parts/run.rs
+++ b/crates/ward-fleet/src/crash/parts/run.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct SuspectRun {
     pub(super) fingerprint: RequestFingerprint,
-    /// Parts of its prompt that are not known to be sound, in order.
+    /// Parts of its prompt that have not been cleared, in order.
     pub(super) parts: Vec<PartId>,
     /// When the engine began to answer; when the run ended if it never did.
     pub(super) began_at: MonoTime,
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -29,8 +29,8 @@
 pub use budget::{DaemonCount, RetryBudget};
 pub use choice::{ChoiceContext, EngineRequirement, choose_engine};
 pub use crash::{
-    AnsweredParts, AnsweredRequests, BlockChange, BlockRevision, CrashDetector, CrashEffect,
-    CrashLedger, CrashNews, CrashReport, EngineIncarnation, PartCrashes, ProbeResult, SoundPart,
+    AnsweredParts, AnsweredRequests, BlockChange, BlockRevision, ClearedPart, CrashDetector,
+    CrashEffect, CrashLedger, CrashNews, CrashReport, EngineIncarnation, PartCrashes, ProbeResult,
     UnfinishedRun,
 };
 pub use directory::choose_hosts;
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -14,7 +14,7 @@
     TimeSpan, ZoneName,
 };
 
-use crate::crash::{CrashNews, CrashReport, EngineIncarnation, SoundPart};
+use crate::crash::{ClearedPart, CrashNews, CrashReport, EngineIncarnation};
 use crate::entry::{EngineBirth, EngineEntry, HeldModel};
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
@@ -72,7 +72,7 @@
     /// Requests with recorded crashes that have since been answered completely.
     pub cleared: Vec<RequestFingerprint>,
     /// Suspect parts of prompts that have since been answered.
-    pub sound: Vec<SoundPart>,
+    pub cleared_parts: Vec<ClearedPart>,
     /// Engines that refused a request because they do not hold its model or
     /// adapter.
     pub misplaced: Vec<RunningCount>,
@@ -185,7 +185,7 @@
     pub cleared: Vec<RequestFingerprint>,
     /// Suspect parts of prompts that were answered: all of them in a complete view,
     /// otherwise those reported since the last view.
-    pub sound: Vec<SoundPart>,
+    pub cleared_parts: Vec<ClearedPart>,
 }
 
 /// A model that no engine holds and that must come from the weight store.
--- a/crates/ward-fleet/tests/parts.rs
+++ b/crates/ward-fleet/tests/parts.rs
@@ -11,13 +11,13 @@
 
 /// First part of nearly all prompts.
 const COMMON: &str = "90c5";
-/// Part that tainted and some sound prompts share.
+/// Part that crashing and some harmless prompts share.
 const CUSTOMER: &str = "e7c6";
 /// Part that crashes engines.
-const TAINTED: &str = "3932";
+const CRASHING: &str = "3932";
 /// Time in which the engine that answers on the part ends.
 const CRASH_MILLIS: u64 = 60;
-/// Time after which a crash counts, and a sound part has been answered again.
+/// Time after which a crash counts, and a harmless part has been answered again.
 const SETTLED_MILLIS: u64 = 500;
 
 /// A run that ended with its engine: the engine's number, the prompt, when the answer
@@ -57,14 +57,14 @@
     }
 }
 
-/// Runs of the part that end one engine after the other, with a sound run on each.
-fn tainted_runs(engines: std::ops::Range<i64>, first: u64, interval: u64) -> Vec<Run<'static>> {
+/// Runs of the part that end one engine after the other, with a harmless run on each.
+fn crashing_runs(engines: std::ops::Range<i64>, first: u64, interval: u64) -> Vec<Run<'static>> {
     let mut runs = Vec::new();
     for (number, engine) in engines.enumerate() {
         let ended = first + interval * number as u64;
         runs.push(Run {
             engine,
-            parts: &[COMMON, CUSTOMER, TAINTED],
+            parts: &[COMMON, CUSTOMER, CRASHING],
             began: Some(ended - CRASH_MILLIS),
             ended,
         });
@@ -91,7 +91,7 @@
 fn blocked(ledger: &mut CrashLedger, millis: u64) -> Vec<PartId> {
     let now = at(millis);
     ledger.refresh_parts(now);
-    let all = parts(&[COMMON, CUSTOMER, TAINTED, "aa", "bb"]);
+    let all = parts(&[COMMON, CUSTOMER, CRASHING, "aa", "bb"]);
     let is_blocked = |part: &PartId| {
         let blocked = ledger.parts().blocked_part(std::slice::from_ref(part), now);
         blocked.is_some()
@@ -102,25 +102,25 @@
 #[gtest]
 fn block_part_of_unlike_requests() {
     let mut ledger = CrashLedger::default();
-    let runs = tainted_runs(0..4, 1_000, 300);
-    expect_that!(replay(&mut ledger, &runs), eq(&parts(&[TAINTED])));
-    let prompt = parts(&[COMMON, TAINTED, "bb"]);
+    let runs = crashing_runs(0..4, 1_000, 300);
+    expect_that!(replay(&mut ledger, &runs), eq(&parts(&[CRASHING])));
+    let prompt = parts(&[COMMON, CRASHING, "bb"]);
     let (found, remaining) = ledger.parts().blocked_part(&prompt, at(3_000)).unwrap();
-    expect_that!(found, eq(&part(TAINTED)));
+    expect_that!(found, eq(&part(CRASHING)));
     expect_that!(remaining, gt(TimeSpan::from_secs(3_000)));
 }
 
 #[gtest]
 fn block_three_crashes_are_too_few() {
     let mut ledger = CrashLedger::default();
-    let runs = tainted_runs(0..3, 1_000, 300);
+    let runs = crashing_runs(0..3, 1_000, 300);
     expect_that!(replay(&mut ledger, &runs), is_empty());
 }
 
 #[gtest]
 fn block_not_before_reports_of_other_daemons_can_arrive() {
     let mut ledger = CrashLedger::default();
-    replay(&mut ledger, &tainted_runs(0..3, 700, 300));
+    replay(&mut ledger, &crashing_runs(0..3, 700, 300));
     let last = Run {
         engine: 3,
         parts: &[COMMON],
@@ -130,14 +130,14 @@
     ledger.record(&report(&last, 70, at(1_700)), at(1_700));
     expect_that!(blocked(&mut ledger, 1_750), is_empty());
     // Another daemon sent the request that ended the engine.
-    let tainted = Run {
-        parts: &[COMMON, CUSTOMER, TAINTED],
+    let crashing = Run {
+        parts: &[COMMON, CUSTOMER, CRASHING],
         began: Some(1_540),
         ..last
     };
-    ledger.record(&report(&tainted, 71, at(1_800)), at(1_800));
+    ledger.record(&report(&crashing, 71, at(1_800)), at(1_800));
     expect_that!(ledger.parts().refresh_at(), some(le(at(2_000))));
-    expect_that!(blocked(&mut ledger, 2_100), eq(&parts(&[TAINTED])));
+    expect_that!(blocked(&mut ledger, 2_100), eq(&parts(&[CRASHING])));
 }
 
 #[gtest]
@@ -145,14 +145,14 @@
     let runs: Vec<_> = (0..4)
         .map(|engine| Run {
             engine,
-            parts: &[COMMON, TAINTED],
+            parts: &[COMMON, CRASHING],
             began: None,
             ended: 1_000 + 200 * engine.unsigned_abs(),
         })
         .collect();
     let mut ledger = CrashLedger::default();
-    ledger.record_sound(&part(COMMON), at(1_650), at(1_700));
-    expect_that!(replay(&mut ledger, &runs), eq(&parts(&[TAINTED])));
+    ledger.clear_part(&part(COMMON), at(1_650), at(1_700));
+    expect_that!(replay(&mut ledger, &runs), eq(&parts(&[CRASHING])));
 }
 
 #[gtest]
@@ -188,13 +188,11 @@
             let began = at(ended + 10);
             let proves = |millis| {
                 let answered_for = Some(TimeSpan::from_millis(millis));
-                ledger
-                    .parts()
-                    .proves_sound(&part(text), began, answered_for)
+                ledger.parts().would_clear(&part(text), began, answered_for)
             };
             expect_false!(proves(60), "as long as a run that ended its engine");
             expect_true!(proves(120));
-            ledger.record_sound(&part(text), began, at(ended + 260));
+            ledger.clear_part(&part(text), began, at(ended + 260));
         }
         expect_that!(blocked(&mut ledger, ended + 290), is_empty());
     }
@@ -202,7 +200,7 @@
 
 #[gtest]
 fn block_customer_of_a_bad_part_is_not_blamed_for_another_crash() {
-    // Three engines lose power at once; one of them had begun to answer a sound request
+    // Three engines lose power at once; one of them had begun to answer a harmless request
     // of the customer whose other requests have the bad part.
     let mut ledger = CrashLedger::default();
     let together: Vec<_> = (10..13)
@@ -218,16 +216,16 @@
         })
         .collect();
     replay(&mut ledger, &together);
-    ledger.record_sound(&part(COMMON), at(720), at(830));
-    let tainted = tainted_runs(0..3, 1_000, 300);
-    for (number, run) in tainted.iter().enumerate() {
+    ledger.clear_part(&part(COMMON), at(720), at(830));
+    let crashing = crashing_runs(0..3, 1_000, 300);
+    for (number, run) in crashing.iter().enumerate() {
         let now = at(run.ended);
         ledger.record(&report(run, 100 + number as u128, now), now);
     }
     expect_that!(blocked(&mut ledger, 2_200), is_empty());
-    let fourth = tainted_runs(3..4, 1_900, 300);
+    let fourth = crashing_runs(3..4, 1_900, 300);
     ledger.record(&report(&fourth[0], 200, at(1_900)), at(1_900));
-    expect_that!(blocked(&mut ledger, 2_400), eq(&parts(&[TAINTED])));
+    expect_that!(blocked(&mut ledger, 2_400), eq(&parts(&[CRASHING])));
 }
 
 #[gtest]
@@ -261,32 +259,32 @@
         ended,
     };
     let runs = [
-        with(0, 1_000, &[TAINTED, "aa"]),
-        with(1, 1_300, &[TAINTED, "aa"]),
-        with(2, 1_600, &[TAINTED, "aa"]),
-        with(3, 1_900, &[TAINTED, "aa"]),
+        with(0, 1_000, &[CRASHING, "aa"]),
+        with(1, 1_300, &[CRASHING, "aa"]),
+        with(2, 1_600, &[CRASHING, "aa"]),
+        with(3, 1_900, &[CRASHING, "aa"]),
     ];
     // Nothing tells the two apart yet.
     expect_that!(replay(&mut ledger, &runs), eq(&parts(&["aa"])));
-    let further = with(4, 2_200, &[TAINTED, "bb"]);
+    let further = with(4, 2_200, &[CRASHING, "bb"]);
     ledger.record(&report(&further, 50, at(2_200)), at(2_200));
-    expect_that!(blocked(&mut ledger, 2_800), eq(&parts(&[TAINTED])));
+    expect_that!(blocked(&mut ledger, 2_800), eq(&parts(&[CRASHING])));
 }
 
 #[gtest]
 fn block_ends_when_the_part_is_answered() {
     let mut ledger = CrashLedger::default();
-    replay(&mut ledger, &tainted_runs(0..4, 1_000, 300));
+    replay(&mut ledger, &crashing_runs(0..4, 1_000, 300));
     let before = ledger.block_revision();
-    for text in [COMMON, CUSTOMER, TAINTED] {
-        expect_true!(ledger.record_sound(&part(text), at(2_000), at(2_600)));
+    for text in [COMMON, CUSTOMER, CRASHING] {
+        expect_true!(ledger.clear_part(&part(text), at(2_000), at(2_600)));
     }
     expect_that!(blocked(&mut ledger, 2_600), is_empty());
     expect_that!(ledger.block_revision(), not(eq(before)));
     // A report that arrives late says nothing new.
     let late = Run {
         engine: 9,
-        parts: &[TAINTED],
+        parts: &[CRASHING],
         began: Some(1_700),
         ended: 1_800,
     };
@@ -300,26 +298,26 @@
 #[gtest]
 fn block_answers_before_the_crash_clear_nothing() {
     let mut ledger = CrashLedger::default();
-    let runs = tainted_runs(0..4, 1_000, 300);
+    let runs = crashing_runs(0..4, 1_000, 300);
     for run in &runs {
-        let answered = part(TAINTED);
-        ledger.record_sound(&answered, at(800), at(run.ended));
+        let answered = part(CRASHING);
+        ledger.clear_part(&answered, at(800), at(run.ended));
     }
-    expect_that!(replay(&mut ledger, &runs), eq(&parts(&[TAINTED])));
-    let proves = |began| ledger.parts().proves_sound(&part(TAINTED), at(began), None);
+    expect_that!(replay(&mut ledger, &runs), eq(&parts(&[CRASHING])));
+    let proves = |began| ledger.parts().would_clear(&part(CRASHING), at(began), None);
     expect_false!(proves(900));
     expect_true!(proves(2_000));
 }
 
 #[gtest]
 fn reports_in_any_order_and_more_than_once_block_the_same_part() {
-    let runs = tainted_runs(0..5, 1_000, 250);
+    let runs = crashing_runs(0..5, 1_000, 250);
     let now = at(2_100);
     let mut ledger = CrashLedger::default();
     for (number, run) in runs.iter().enumerate().rev().chain(runs.iter().enumerate()) {
         ledger.record(&report(run, number as u128, now), now);
     }
-    expect_that!(blocked(&mut ledger, 2_700), eq(&parts(&[TAINTED])));
+    expect_that!(blocked(&mut ledger, 2_700), eq(&parts(&[CRASHING])));
     let known = ledger.reports(at(2_700));
     expect_that!(ledger.reports_missing_from(&known, at(2_700)), is_empty());
 }
@@ -327,24 +325,24 @@
 #[gtest]
 fn news_of_a_ledger_block_the_same_part_elsewhere() {
     let mut ledger = CrashLedger::default();
-    replay(&mut ledger, &tainted_runs(0..4, 1_000, 300));
-    ledger.record_sound(&part(COMMON), at(1_950), at(2_500));
+    replay(&mut ledger, &crashing_runs(0..4, 1_000, 300));
+    ledger.clear_part(&part(COMMON), at(1_950), at(2_500));
     let now = at(2_500);
     let news = ledger.news(now);
     let mut other = CrashLedger::default();
-    for sound in &news.sound {
-        other.record_sound(&sound.part, now - sound.age, now);
+    for cleared in &news.cleared_parts {
+        other.clear_part(&cleared.part, now - cleared.age, now);
     }
     for report in &news.crashes {
         other.record(report, now);
     }
-    expect_that!(blocked(&mut other, 2_500), eq(&parts(&[TAINTED])));
+    expect_that!(blocked(&mut other, 2_500), eq(&parts(&[CRASHING])));
 }
 
 #[gtest]
 fn blocked_reports_block_the_part_alone_after_a_restart() {
     let mut ledger = CrashLedger::default();
-    replay(&mut ledger, &tainted_runs(0..4, 1_000, 300));
+    replay(&mut ledger, &crashing_runs(0..4, 1_000, 300));
     let record = FleetRecord {
         written: WallTime(1_000_000),
         daemons: 9,
@@ -355,13 +353,13 @@
     for report in record.into_crashes(WallTime(1_000_000 + 30_000)) {
         restarted.record(&report, now);
     }
-    expect_that!(blocked(&mut restarted, 60_000), eq(&parts(&[TAINTED])));
+    expect_that!(blocked(&mut restarted, 60_000), eq(&parts(&[CRASHING])));
 }
 
 #[gtest]
 fn record_many_engines_evicts_no_blocked_part() {
     let mut ledger = CrashLedger::default();
-    replay(&mut ledger, &tainted_runs(0..4, 1_000, 300));
+    replay(&mut ledger, &crashing_runs(0..4, 1_000, 300));
     for engine in 100..2_000_i64 {
         let run = Run {
             engine,
@@ -374,7 +372,7 @@
             at(3_000),
         );
     }
-    expect_that!(blocked(&mut ledger, 3_500), eq(&parts(&[TAINTED])));
+    expect_that!(blocked(&mut ledger, 3_500), eq(&parts(&[CRASHING])));
     let reports = ledger.reports(at(3_500));
     let named: Vec<_> = reports
         .iter()
@@ -386,7 +384,7 @@
 #[gtest]
 fn block_ends_an_hour_after_the_crashes() {
     let mut ledger = CrashLedger::default();
-    replay(&mut ledger, &tainted_runs(0..4, 1_000, 300));
-    expect_that!(blocked(&mut ledger, 3_600_000), eq(&parts(&[TAINTED])));
+    replay(&mut ledger, &crashing_runs(0..4, 1_000, 300));
+    expect_that!(blocked(&mut ledger, 3_600_000), eq(&parts(&[CRASHING])));
     expect_that!(blocked(&mut ledger, 3_602_000), is_empty());
 }
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -65,7 +65,7 @@
         store_age: TimeSpan::ZERO,
         store_outage: false,
         crashes: Vec::new(),
-        sound: Vec::new(),
+        cleared_parts: Vec::new(),
         cleared: Vec::new(),
     }
 }
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -221,9 +221,9 @@
                 publisher.queue_cleared(*fingerprint);
             }
         }
-        for sound in &report.sound {
-            if crashes.record_sound(&sound.part, now - sound.age, now) {
-                publisher.queue_sound(sound);
+        for cleared in &report.cleared_parts {
+            if crashes.clear_part(&cleared.part, now - cleared.age, now) {
+                publisher.queue_cleared_part(cleared);
             }
         }
         for crash_report in &report.crashes {
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -7,8 +7,8 @@
 use tokio::sync::mpsc::error::TrySendError;
 use ward_fleet::pace::load_broadcast_interval;
 use ward_fleet::{
-    CoordinatorMessage, CrashReport, EngineInfo, FleetView, HostMember, LinkRate, ManifestVersion,
-    SlowModel, SoundPart,
+    ClearedPart, CoordinatorMessage, CrashReport, EngineInfo, FleetView, HostMember, LinkRate,
+    ManifestVersion, SlowModel,
 };
 use ward_protocol::{BackendId, DaemonId, MonoTime, RequestFingerprint, TimeSpan};
 
@@ -34,7 +34,7 @@
     /// Crashes that the next view adds.
     crashes: Vec<CrashReport>,
     /// Suspect parts of prompts that the next view names because they were answered.
-    sound: Vec<SoundPart>,
+    cleared_parts: Vec<ClearedPart>,
     /// Requests that the next view names because their crashes no longer count.
     cleared: Vec<RequestFingerprint>,
     /// When a view last contained request counts.
@@ -53,7 +53,7 @@
             members: Vec::new(),
             inherited,
             crashes: Vec::new(),
-            sound: Vec::new(),
+            cleared_parts: Vec::new(),
             cleared: Vec::new(),
             loads_sent_at: MonoTime::default(),
             loads_interval: TimeSpan::ZERO,
@@ -67,8 +67,8 @@
     }
 
     /// Adds to the next view a suspect part of prompts that was answered.
-    pub(super) fn queue_sound(&mut self, sound: &SoundPart) {
-        self.sound.push(sound.clone());
+    pub(super) fn queue_cleared_part(&mut self, cleared: &ClearedPart) {
+        self.cleared_parts.push(cleared.clone());
     }
 
     /// Adds to the next view a request whose crashes no longer count.
@@ -99,7 +99,7 @@
         || !delta.engines.is_empty()
         || !delta.gone.is_empty()
         || !delta.crashes.is_empty()
-        || !delta.sound.is_empty()
+        || !delta.cleared_parts.is_empty()
         || !delta.cleared.is_empty();
     let is_new = |link: &MemberLink| !link.has_complete_view;
     let has_new = coordinator.links.borrow().values().any(is_new);
@@ -152,7 +152,7 @@
         store_outage: lease.is_extended(&coordinator.window, now),
         crashes: std::mem::take(&mut publisher.crashes),
         cleared: std::mem::take(&mut publisher.cleared),
-        sound: std::mem::take(&mut publisher.sound),
+        cleared_parts: std::mem::take(&mut publisher.cleared_parts),
     }
 }
 
@@ -170,7 +170,7 @@
         left: Vec::new(),
         crashes: news.crashes,
         cleared: Vec::new(),
-        sound: news.sound,
+        cleared_parts: news.cleared_parts,
         ..delta.clone()
     }
 }
--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 use tokio::net::TcpStream;
 use ward_fleet::{
-    CrashEffect, CrashReport, EngineIncarnation, ProbeResult, SoundPart, UnfinishedRun,
+    ClearedPart, CrashEffect, CrashReport, EngineIncarnation, ProbeResult, UnfinishedRun,
 };
 use ward_protocol::{MonoTime, PartId, RequestFingerprint, TimeSpan};
 
@@ -37,15 +37,15 @@
 
 /// A suspect part of prompts that an engine answered on from a time on.
 #[derive(Debug, Clone)]
-pub(crate) struct ProvedPart {
+pub(crate) struct PartClearance {
     part: PartId,
     began_at: MonoTime,
 }
 
-impl ProvedPart {
+impl PartClearance {
     /// The part as named in a message that is sent now.
-    pub(crate) fn sound_part(&self, now: MonoTime) -> SoundPart {
-        SoundPart {
+    pub(crate) fn cleared_part(&self, now: MonoTime) -> ClearedPart {
+        ClearedPart {
             part: self.part.clone(),
             age: now.since(self.began_at),
         }
@@ -149,17 +149,17 @@
 }
 
 /// Records what another daemon tells of crashes.
-pub(crate) fn record_news(gateway: &Gateway, crashes: &[CrashReport], sound: &[SoundPart]) {
+pub(crate) fn record_news(gateway: &Gateway, crashes: &[CrashReport], cleared: &[ClearedPart]) {
     let now = clock::now();
-    for sound in sound {
-        let began_at = now - sound.age;
+    for part in cleared {
+        let began_at = now - part.age;
         let mut ledger = gateway.crashes.borrow_mut();
-        ledger.record_sound(&sound.part, began_at, now);
+        ledger.clear_part(&part.part, began_at, now);
     }
     for report in crashes {
         record_crash(gateway, &without_answered_request(gateway, report));
     }
-    if !sound.is_empty() {
+    if !cleared.is_empty() {
         gateway.suspects_changed.notify_one();
     }
 }
@@ -188,7 +188,7 @@
     let ended_at = now - report.age;
     for part in &report.parts {
         if let Some(began_at) = answered.answered_at(part).filter(|at| *at >= ended_at) {
-            record_proved_part(gateway, part, began_at);
+            clear_suspect_part(gateway, part, began_at);
         }
     }
     drop(answered);
@@ -255,9 +255,9 @@
     }
 }
 
-/// Records the parts that an answer proves sound; `answered_for` is how long the engine
+/// Clears the parts that an answer shows to be harmless; `answered_for` is how long the engine
 /// has been answering, `None` if the answer is complete.
-pub(crate) fn record_proofs(
+pub(crate) fn clear_answered_parts(
     gateway: &Gateway,
     parts: &[PartId],
     began_at: MonoTime,
@@ -265,48 +265,48 @@
 ) {
     for part in parts {
         let crashes = gateway.crashes.borrow();
-        let is_proved = crashes.parts().proves_sound(part, began_at, answered_for);
+        let is_cleared = crashes.parts().would_clear(part, began_at, answered_for);
         drop(crashes);
-        if is_proved {
-            record_proved_part(gateway, part, began_at);
+        if is_cleared {
+            clear_suspect_part(gateway, part, began_at);
         }
     }
 }
 
-/// Records a part that an answer proves sound, and reports it to the coordinator if that
-/// is news.
-fn record_proved_part(gateway: &Gateway, part: &PartId, began_at: MonoTime) {
+/// Clears a part that an engine answered on, and reports it to the coordinator if that is
+/// news.
+fn clear_suspect_part(gateway: &Gateway, part: &PartId, began_at: MonoTime) {
     let now = clock::now();
     let mut crashes = gateway.crashes.borrow_mut();
-    if !crashes.record_sound(part, began_at, now) {
+    if !crashes.clear_part(part, began_at, now) {
         return;
     }
     gateway.suspects_changed.notify_one();
     info!(
-        gateway.logger, "crash: part is sound"; "part" => %part,
+        gateway.logger, "crash: part cleared"; "part" => %part,
         "age" => now.since(began_at).millis(),
     );
     let part = part.clone();
     let mut events = gateway.report_events.borrow_mut();
-    events.sound.push(ProvedPart { part, began_at });
+    events.cleared_parts.push(PartClearance { part, began_at });
     gateway.report_requested.notify_one();
 }
 
-/// Reports parts again that this daemon knows to be sound and a complete view does not
+/// Reports parts again that this daemon knows to be cleared and a complete view does not
 /// name: the coordinator may be new, or reports were lost with a connection.
-pub(crate) fn report_missing_sound(gateway: &Gateway, known: &[SoundPart], now: MonoTime) {
-    let is_known = |sound: &SoundPart| {
+pub(crate) fn report_missing_clearances(gateway: &Gateway, known: &[ClearedPart], now: MonoTime) {
+    let is_known = |cleared: &ClearedPart| {
         let mut known = known.iter();
-        known.any(|other| other.part == sound.part && other.age <= sound.age)
+        known.any(|other| other.part == cleared.part && other.age <= cleared.age)
     };
-    let mut sound = gateway.crashes.borrow().parts().sound_parts(now);
-    sound.retain(|sound| !is_known(sound));
-    let missing = sound.into_iter().map(|sound| ProvedPart {
-        began_at: now - sound.age,
-        part: sound.part,
+    let mut cleared = gateway.crashes.borrow().parts().cleared_parts(now);
+    cleared.retain(|part| !is_known(part));
+    let missing = cleared.into_iter().map(|cleared| PartClearance {
+        began_at: now - cleared.age,
+        part: cleared.part,
     });
     let mut events = gateway.report_events.borrow_mut();
-    events.sound = missing.collect();
+    events.cleared_parts = missing.collect();
 }
 
 /// Records that an engine has answered a request in full, and clears the request's
@@ -322,7 +322,7 @@
             answered_parts.record(part, began_at);
         }
         drop(answered_parts);
-        record_proofs(gateway, &identity.parts, began_at, None);
+        clear_answered_parts(gateway, &identity.parts, began_at, None);
     }
     let fingerprint = &identity.fingerprint;
     gateway.answered.borrow_mut().record(*fingerprint);
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 
 use crate::clock;
 use crate::coordinator::CoordinatorSlot;
-use crate::crash::{ProvedPart, TimedReport};
+use crate::crash::{PartClearance, TimedReport};
 use crate::forward::EnginePool;
 use crate::metrics::GatewayMetrics;
 use crate::queue::WaitQueue;
@@ -49,7 +49,7 @@
     pub(crate) unconfirmed_crashes: RefCell<Vec<TimedReport>>,
     /// Notified when a crash is added to `unconfirmed_crashes`.
     pub(crate) crash_recorded: Notify,
-    /// Notified when a crash is recorded, or a suspect part of prompts is proved sound.
+    /// Notified when a crash is recorded, or a suspect part of prompts is cleared.
     pub(crate) suspects_changed: Notify,
     pub(crate) report_events: RefCell<ReportEvents>,
     pub(crate) members: RefCell<Vec<HostMember>>,
@@ -109,7 +109,7 @@
     /// Requests that an engine has answered in full, so that their crashes do not count.
     pub(crate) cleared: Vec<RequestFingerprint>,
     /// Suspect parts of prompts that an engine has answered on.
-    pub(crate) sound: Vec<ProvedPart>,
+    pub(crate) cleared_parts: Vec<PartClearance>,
     /// Requests refused by engines that do not hold the model or adapter.
     pub(crate) misplaced: Vec<RunningCount>,
     /// The coordinator's newest probe in which this daemon could not reach the store.
--- a/crates/ward-gateway/src/hub/broadcast.rs
+++ b/crates/ward-gateway/src/hub/broadcast.rs
@@ -71,7 +71,7 @@
     let now = clock::now();
     let news = CrashNews {
         crashes: current_reports(&reports, now),
-        sound: gateway.crashes.borrow().parts().sound_parts(now),
+        cleared_parts: gateway.crashes.borrow().parts().cleared_parts(now),
     };
     let frame = match encode_frame(&MemberMessage::Crashes(news)) {
         Ok(frame) => frame,
@@ -90,7 +90,7 @@
         match reply {
             Ok(known) => {
                 delivered += 1;
-                record_news(gateway, &known.crashes, &known.sound);
+                record_news(gateway, &known.crashes, &known.cleared_parts);
             }
             Err(cause) => info!(gateway.logger, "crash: daemon not reached"; "cause" => %cause),
         }
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -341,10 +341,10 @@
         crashes: current_reports(&events.crashes, now),
         leaving: events.leaving,
         cleared: events.cleared,
-        sound: events
-            .sound
+        cleared_parts: events
+            .cleared_parts
             .iter()
-            .map(|proved| proved.sound_part(now))
+            .map(|clearance| clearance.cleared_part(now))
             .collect(),
         misplaced: events.misplaced,
         failed_probe: events.failed_probe,
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -50,7 +50,7 @@
             send_reply(&gateway, message, stream).await;
         }
         Ok(Ok(Some(MemberMessage::Crashes(news)))) => {
-            record_news(&gateway, &news.crashes, &news.sound);
+            record_news(&gateway, &news.crashes, &news.cleared_parts);
             let known = gateway.crashes.borrow().news(clock::now());
             send_reply(&gateway, CoordinatorMessage::Crashes(known), stream).await;
         }
--- a/crates/ward-gateway/src/hub/snapshot.rs
+++ b/crates/ward-gateway/src/hub/snapshot.rs
@@ -90,7 +90,11 @@
         Ok(manifest) => gateway.adopt_manifest(manifest, &text),
         Err(cause) => warn!(gateway.logger, "manifest: invalid in the snapshot"; "cause" => %cause),
     }
-    record_news(gateway, &snapshot.crashes.crashes, &snapshot.crashes.sound);
+    record_news(
+        gateway,
+        &snapshot.crashes.crashes,
+        &snapshot.crashes.cleared_parts,
+    );
     if gateway.members.borrow().is_empty() {
         gateway.record_daemon_count(snapshot.members.len());
         *gateway.members.borrow_mut() = snapshot.members;
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -6,7 +6,7 @@
 use super::broadcast::coordinator_reaches_all;
 use crate::clock;
 use crate::crash::{
-    TimedReport, clear_crashes, confirm_crashes, record_news, report_missing_sound,
+    TimedReport, clear_crashes, confirm_crashes, record_news, report_missing_clearances,
 };
 use crate::gateway::Gateway;
 use crate::leaving::report_missed_leaving;
@@ -37,7 +37,7 @@
     for fingerprint in &view.cleared {
         clear_crashes(gateway, fingerprint);
     }
-    record_news(gateway, &view.crashes, &view.sound);
+    record_news(gateway, &view.crashes, &view.cleared_parts);
     if coordinator_reaches_all(gateway) {
         confirm_crashes(gateway, &view.crashes);
     }
@@ -54,7 +54,7 @@
             .into_iter()
             .map(|report| TimedReport { report, at: now });
         gateway.report_events.borrow_mut().crashes = missing_reports.collect();
-        report_missing_sound(gateway, &view.sound, now);
+        report_missing_clearances(gateway, &view.cleared_parts, now);
     }
     if !gateway.engines_known.replace(true) {
         info!(gateway.logger, "engines: first received from the coordinator"; "count" => view.engines.len());
--- a/crates/ward-gateway/src/queue/slot.rs
+++ b/crates/ward-gateway/src/queue/slot.rs
@@ -9,7 +9,7 @@
 
 use super::ticket::WaitTicket;
 use crate::clock;
-use crate::crash::{record_answered, record_proofs, track_unfinished_run};
+use crate::crash::{clear_answered_parts, record_answered, track_unfinished_run};
 use crate::gateway::Gateway;
 
 /// Minimum time between two looks at the progress of an answer.
@@ -86,7 +86,7 @@
     }
 
     /// Records that a part of a stream has arrived, and looks from time to time whether
-    /// that proves parts of the prompt sound.
+    /// that clears parts of the prompt.
     pub(crate) fn record_progress(&self) {
         let now = clock::now();
         if self.answer_began.get().is_none() {
@@ -99,7 +99,7 @@
         if let Some(began_at) = self.answer_began.get() {
             let answered_for = Some(now.since(began_at));
             let parts = &self.ticket.identity.parts;
-            record_proofs(&self.gateway, parts, began_at, answered_for);
+            clear_answered_parts(&self.gateway, parts, began_at, answered_for);
         }
     }
 
