Log which request an engine's answer belongs to, and how often its connection was used

'send: not run' now says whether the id matches and how many requests the connection has carried; 'send: answer to another request' names the id that the answer bears; a kept connection that fails while idle is logged with its cause (the error was dropped). No decision changed.

--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -9,14 +9,15 @@
 use hyper::body::Incoming;
 use slog::{info, warn};
 use ward_adapter::header::{
-    RetryAfter, closes_connection, has_leaving_header, keep_alive_timeout, parse_retry_after,
+    RetryAfter, answer_id, closes_connection, has_leaving_header, keep_alive_timeout,
+    parse_retry_after,
 };
 use ward_adapter::{AnswerFields, ForwardFields};
 use ward_fleet::EngineIncarnation;
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
-use super::pool::{ConnectionNeed, EngineSender};
+use super::pool::{ConnectionNeed, EngineConnection};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::leaving::record_leaving;
@@ -53,7 +54,7 @@
 /// An attempt whose answer has begun.
 pub(crate) struct Attempt {
     pub(crate) slot: EngineSlot,
-    pub(crate) sender: EngineSender,
+    pub(crate) connection: EngineConnection,
     pub(crate) answer: Response<Incoming>,
     pub(crate) fields: AnswerFields,
 }
@@ -121,14 +122,14 @@
     last_event_id: Option<&str>,
     timeout: TimeSpan,
 ) -> Result<Attempt, AttemptFailure> {
-    let mut sender = connect(gateway, request, &slot).await?;
+    let mut connection = connect(gateway, request, &slot).await?;
     let outgoing = build_request(request, &slot, last_event_id).map_err(|cause| {
         let failure = AttemptFailure::Unsent;
         record_attempt_failure(gateway, request, &slot, failure, &cause.to_string());
         failure
     })?;
     slot.set_run_state(RunState::Running);
-    let sent = sender.try_send_request(outgoing);
+    let sent = connection.sender.try_send_request(outgoing);
     let answer = match tokio::time::timeout(timeout.duration(), sent).await {
         Err(_) => {
             record_attempt_failure(
@@ -162,7 +163,7 @@
     }
     let attempt = Attempt {
         slot,
-        sender,
+        connection,
         answer,
         fields,
     };
@@ -173,13 +174,13 @@
     gateway: &Rc<Gateway>,
     request: &AttemptRequest,
     slot: &EngineSlot,
-) -> Result<EngineSender, AttemptFailure> {
+) -> Result<EngineConnection, AttemptFailure> {
     let engine = &slot.engine;
-    let connection = gateway
+    let connected = gateway
         .pool
         .connect(&engine.id, engine.address, request.need)
         .await;
-    connection.map_err(|cause| {
+    connected.map_err(|cause| {
         record_attempt_failure(
             gateway,
             request,
@@ -238,11 +239,19 @@
         info!(
             gateway.logger, "send: not run"; "request" => &request.id_text,
             "engine" => %attempt.slot.engine.id, "status" => status.as_u16(), "why" => reason,
+            "id_matches" => attempt.fields.id_matches, "carried" => attempt.connection.carried,
         );
         drain_refusal(gateway, attempt).await;
         return Err(failure);
     }
     if !attempt.fields.id_matches {
+        warn!(
+            gateway.logger, "send: answer to another request"; "request" => &request.id_text,
+            "engine" => %attempt.slot.engine.id, "status" => status.as_u16(),
+            "answered" => answer_id(attempt.answer.headers()),
+            "not_executed" => attempt.fields.not_executed,
+            "carried" => attempt.connection.carried,
+        );
         record_attempt_failure(
             gateway,
             request,
@@ -298,7 +307,7 @@
     let reuse = ConnectionReuse::of(&attempt.answer);
     let body = Limited::new(attempt.answer.into_body(), MAX_REFUSAL_BYTES).collect();
     match tokio::time::timeout(REFUSAL_TIMEOUT, body).await {
-        Ok(Ok(_)) => reuse.put_back(gateway, &attempt.slot, attempt.sender),
+        Ok(Ok(_)) => reuse.put_back(gateway, &attempt.slot, attempt.connection),
         Ok(Err(cause)) => info!(
             gateway.logger, "send: refusal not read"; "engine" => %attempt.slot.engine.id,
             "why" => %cause,
@@ -325,11 +334,16 @@
         }
     }
 
-    pub(super) fn put_back(self, gateway: &Gateway, slot: &EngineSlot, sender: EngineSender) {
+    pub(super) fn put_back(
+        self,
+        gateway: &Gateway,
+        slot: &EngineSlot,
+        connection: EngineConnection,
+    ) {
         if !self.closes {
             gateway
                 .pool
-                .put_back(&slot.engine.id, sender, self.keep_alive);
+                .put_back(&slot.engine.id, connection, self.keep_alive);
         }
     }
 }
--- a/crates/ward-gateway/src/forward/pool.rs
+++ b/crates/ward-gateway/src/forward/pool.rs
@@ -17,6 +17,7 @@
 use indexmap::IndexMap;
 use prometheus::IntCounter;
 use quick_error::quick_error;
+use slog::{Logger, info};
 use tokio::net::TcpStream;
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
@@ -68,25 +69,38 @@
 }
 
 /// A connection to an engine, which carries one request at a time.
-pub(crate) type EngineSender = SendRequest<Full<Bytes>>;
+pub(crate) struct EngineConnection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    /// Requests that it carried before the current one.
+    pub(super) carried: u32,
+}
 
 struct IdleConnection {
-    sender: EngineSender,
+    connection: EngineConnection,
     idle_since: MonoTime,
     max_idle: TimeSpan,
 }
 
+impl IdleConnection {
+    /// Whether the connection is open and not idle for too long.
+    fn is_usable(&self, now: MonoTime) -> bool {
+        self.connection.sender.is_ready() && now.since(self.idle_since) < self.max_idle
+    }
+}
+
 /// A pool of idle connections by engine.
 pub(crate) struct EnginePool {
     idle: RefCell<IndexMap<BackendId, VecDeque<IdleConnection>>>,
     opened: IntCounter,
+    logger: Logger,
 }
 
 impl EnginePool {
-    pub(crate) fn new(opened: IntCounter) -> Self {
+    pub(crate) fn new(opened: IntCounter, logger: Logger) -> Self {
         Self {
             idle: RefCell::default(),
             opened,
+            logger,
         }
     }
 
@@ -96,19 +110,19 @@
         engine: &BackendId,
         address: SocketAddr,
         need: ConnectionNeed,
-    ) -> Result<EngineSender, ConnectError> {
-        if let Some(sender) = self.take_idle(engine, need) {
-            return Ok(sender);
+    ) -> Result<EngineConnection, ConnectError> {
+        if let Some(connection) = self.take_idle(engine, need) {
+            return Ok(connection);
         }
         self.opened.inc();
-        let open = open_connection(address);
+        let open = self.open_connection(engine.clone(), address);
         match tokio::time::timeout(CONNECT_TIMEOUT, open).await {
             Ok(result) => result,
             Err(_) => Err(ConnectError::Timeout),
         }
     }
 
-    fn take_idle(&self, engine: &BackendId, need: ConnectionNeed) -> Option<EngineSender> {
+    fn take_idle(&self, engine: &BackendId, need: ConnectionNeed) -> Option<EngineConnection> {
         let idle_limit = match need {
             ConnectionNeed::Any => TimeSpan::from_micros(u64::MAX),
             ConnectionNeed::Fresh => MAX_FRESH_IDLE,
@@ -117,13 +131,13 @@
         let now = clock::now();
         let mut pools = self.idle.borrow_mut();
         let idle = pools.get_mut(engine)?;
-        idle.retain(|kept| kept.sender.is_ready() && now.since(kept.idle_since) < kept.max_idle);
+        idle.retain(|kept| kept.is_usable(now));
         let usable = |kept: &IdleConnection| {
             let idle_time = now.since(kept.idle_since);
             idle_time <= idle_limit && idle_time >= MIN_IDLE_TIME
         };
         let index = idle.iter().rposition(usable)?;
-        idle.remove(index).map(|kept| kept.sender)
+        idle.remove(index).map(|kept| kept.connection)
     }
 
     /// Keeps a connection whose last answer was complete; `keep_alive` is the engine's
@@ -131,16 +145,17 @@
     pub(crate) fn put_back(
         &self,
         engine: &BackendId,
-        sender: EngineSender,
+        mut connection: EngineConnection,
         keep_alive: Option<TimeSpan>,
     ) {
+        connection.carried = connection.carried.saturating_add(1);
         let max_idle = keep_alive.map_or(DEFAULT_MAX_IDLE, |keep_alive| {
             TimeSpan::from_millis(keep_alive.millis() * MAX_IDLE_PERCENT_OF_KEEP_ALIVE / 100)
         });
         let mut pools = self.idle.borrow_mut();
         let idle = pools.entry(engine.clone()).or_default();
         idle.push_back(IdleConnection {
-            sender,
+            connection,
             idle_since: clock::now(),
             max_idle,
         });
@@ -154,19 +169,27 @@
     pub(crate) fn sweep(&self, is_known: impl Fn(&BackendId) -> bool) {
         let now = clock::now();
         self.idle.borrow_mut().retain(|engine, idle| {
-            idle.retain(|kept| {
-                kept.sender.is_ready() && now.since(kept.idle_since) < kept.max_idle
-            });
+            idle.retain(|kept| kept.is_usable(now));
             is_known(engine) && !idle.is_empty()
         });
     }
-}
 
-async fn open_connection(address: SocketAddr) -> Result<EngineSender, ConnectError> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    // An error of the connection is also returned for the answer that it carries.
-    tokio::task::spawn_local(async move { drop(connection.await) });
-    Ok(sender)
+    async fn open_connection(
+        &self,
+        engine: BackendId,
+        address: SocketAddr,
+    ) -> Result<EngineConnection, ConnectError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let logger = self.logger.clone();
+        tokio::task::spawn_local(async move {
+            // Also returned for the answer that the connection carries, but bytes on an
+            // idle connection are seen only here.
+            if let Err(cause) = connection.await {
+                info!(logger, "pool: connection failed"; "engine" => %engine, "cause" => %cause);
+            }
+        });
+        Ok(EngineConnection { sender, carried: 0 })
+    }
 }
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -19,7 +19,7 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal, send_attempt};
-use super::pool::EngineSender;
+use super::pool::EngineConnection;
 use crate::clock;
 use crate::events::{EventCursor, EventSplitter};
 use crate::gateway::Gateway;
@@ -70,7 +70,7 @@
 /// The answer of the engine that a stream currently comes from.
 struct StreamSource {
     slot: EngineSlot,
-    sender: EngineSender,
+    connection: EngineConnection,
     body: Incoming,
     reuse: ConnectionReuse,
     framing: StreamFraming,
@@ -123,7 +123,7 @@
             reuse: ConnectionReuse::of(&attempt.answer),
             framing: StreamFraming::of(&attempt.answer),
             slot: attempt.slot,
-            sender: attempt.sender,
+            connection: attempt.connection,
             body: attempt.answer.into_body(),
         }
     }
@@ -264,11 +264,11 @@
         );
         let StreamSource {
             slot,
-            sender,
+            connection,
             reuse,
             ..
         } = source;
-        reuse.put_back(&self.gateway, &slot, sender);
+        reuse.put_back(&self.gateway, &slot, connection);
         (!remainder.is_empty()).then_some(remainder)
     }
 
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -199,7 +199,7 @@
     ) -> Option<Response<AnswerBody>> {
         let Attempt {
             slot,
-            sender,
+            connection,
             answer,
             ..
         } = attempt;
@@ -230,7 +230,9 @@
         });
         let keep_alive = keep_alive_timeout(&head.headers);
         if !closes_connection(&head.headers) {
-            gateway.pool.put_back(&slot.engine.id, sender, keep_alive);
+            gateway
+                .pool
+                .put_back(&slot.engine.id, connection, keep_alive);
         }
         Some(buffered_answer(head.status, &head.headers, body.to_bytes()))
     }
