Read the software version of engines, and choose engines by it

Nothing read the version. The heartbeat's version is decoded, kept in what daemons tell each other, and an engine choice may require one; no request requires one yet. Test: choose_engine_continues_a_stream_only_at_its_software_version (did not compile before).

--- a/crates/ward-bench/src/emulator/fleet.rs
+++ b/crates/ward-bench/src/emulator/fleet.rs
@@ -107,6 +107,7 @@
             service: self.service.clone(),
             address: ([127, 0, 0, 1], 1).into(),
             zone: "north".parse()?,
+            software: "v1".parse()?,
             slots: self.slots,
             draining: false,
             leaves_in: None,
--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -11,7 +11,9 @@
 //! processed it, unless that engine is much busier than the others.
 
 use indexmap::IndexSet;
-use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, PartId, ServiceName, ZoneName};
+use ward_protocol::{
+    AdapterName, BackendId, ModelName, MonoTime, PartId, ServiceName, SoftwareVersion, ZoneName,
+};
 
 use crate::number::{u64_to_f64, usize_to_f64};
 use crate::table::{EngineRecord, EngineTable};
@@ -76,6 +78,9 @@
     pub model: Option<&'a ModelName>,
     /// Adapter of that model that must be ready too.
     pub adapter: Option<&'a AdapterName>,
+    /// Software version that the engine must run, so that it can continue a stream;
+    /// `None` if any will do.
+    pub software: Option<&'a SoftwareVersion>,
     /// Prompt tokens shared with other requests.
     pub shared_tokens: u64,
     /// Last part of the shared prompt prefix; `None` if the request names none.
@@ -90,6 +95,12 @@
         self.model
             .is_none_or(|model| engine.info.holds(model, self.adapter))
     }
+
+    /// Whether an engine runs the required software version.
+    fn has_software(&self, engine: &EngineRecord) -> bool {
+        let required = self.software;
+        required.is_none_or(|software| engine.info.software == *software)
+    }
 }
 
 /// Result of choosing an engine.
@@ -106,7 +117,8 @@
     Paused(MonoTime),
     /// The service has engines, but none holds the model and adapter.
     Missing,
-    /// The service has no engine that takes requests.
+    /// The service has no engine that takes requests, or none of the required software
+    /// version.
     NoEngine,
 }
 
@@ -120,7 +132,8 @@
     avoided: &IndexSet<BackendId>,
     mut draw: impl FnMut(usize) -> usize,
 ) -> EngineChoice {
-    let engines: Vec<_> = table.of_service(requirement.service).collect();
+    let mut engines: Vec<_> = table.of_service(requirement.service).collect();
+    engines.retain(|engine| requirement.has_software(engine));
     if engines.is_empty() {
         return EngineChoice::NoEngine;
     }
--- a/crates/ward-fleet/src/entry.rs
+++ b/crates/ward-fleet/src/entry.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use ward_protocol::{AdapterName, BackendId, ModelName, ServiceName, TimeSpan, ZoneName};
+use ward_protocol::{
+    AdapterName, BackendId, ModelName, ServiceName, SoftwareVersion, TimeSpan, ZoneName,
+};
 
 /// Start time of an engine incarnation, in milliseconds since 1970.
 /// Distinguishes a restarted engine from the earlier one with the same id.
@@ -48,6 +50,8 @@
     pub address: SocketAddr,
     /// Availability zone that the server runs in.
     pub zone: ZoneName,
+    /// Version of the server's software.
+    pub software: SoftwareVersion,
     /// Number of requests that the server can run concurrently.
     pub slots: u32,
     /// Whether the server takes no new requests.
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use ward_protocol::{
     AdapterName, BackendId, DaemonId, FenceNumber, ModelName, RequestFingerprint, ServiceName,
-    TimeSpan, ZoneName,
+    SoftwareVersion, TimeSpan, ZoneName,
 };
 
 use crate::crash::{ClearedPart, CrashNews, CrashReport, EngineIncarnation};
@@ -210,6 +210,9 @@
     pub address: SocketAddr,
     /// Availability zone that the engine runs in.
     pub zone: ZoneName,
+    /// Version of the engine's software; what two versions write does not fit together
+    /// in one stream.
+    pub software: SoftwareVersion,
     /// Number of requests that the engine can run concurrently.
     pub slots: u32,
     /// Whether the engine takes no new requests.
@@ -251,6 +254,7 @@
             service: entry.service.clone(),
             address: entry.address,
             zone: entry.zone.clone(),
+            software: entry.software.clone(),
             slots: entry.slots,
             draining: entry.draining || entry.leaves_in.is_some(),
             lapsed: false,
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -25,6 +25,7 @@
         service,
         model: Some(model),
         adapter: None,
+        software: None,
         shared_tokens: 0,
         shared_prefix: None,
     }
@@ -172,6 +173,7 @@
             service: &service,
             model: Some(&model),
             adapter: Some(&adapter),
+            software: None,
             shared_tokens: 0,
             shared_prefix: None,
         };
@@ -269,3 +271,24 @@
         eq(&EngineChoice::Engine(id("e1")))
     );
 }
+
+#[gtest]
+fn choose_engine_continues_a_stream_only_at_its_software_version() {
+    let mut table = table(&[("e1", &["m1"])]);
+    table.insert(ward_fleet::EngineInfo {
+        software: name("v2"),
+        ..info("e2", &["m1"])
+    });
+    let (service, model): (_, ModelName) = (service(), name("m1"));
+    let choice = |software: &str| {
+        let software = name(software);
+        let requirement = EngineRequirement {
+            software: Some(&software),
+            ..requirement(&service, &model)
+        };
+        choose_engine(&table, &requirement, &context(1), &IndexSet::new(), |_| 0)
+    };
+    expect_that!(choice("v1"), eq(&EngineChoice::Engine(id("e1"))));
+    expect_that!(choice("v2"), eq(&EngineChoice::Engine(id("e2"))));
+    expect_that!(choice("v3"), eq(&EngineChoice::NoEngine));
+}
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -83,6 +83,7 @@
         service: service(),
         address: "127.0.0.1:9000".parse().unwrap(),
         zone: name("north"),
+        software: name("v1"),
         slots: 12,
         draining: false,
         leaves_in: None,
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -225,6 +225,7 @@
         service: routed.service.clone(),
         model: routed.fields.model.clone(),
         adapter: routed.fields.adapter.clone(),
+        software: None,
         shared_tokens: routed.fields.shared_tokens,
         priority: routed.route.priority,
         times: RequestTimes {
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -6,7 +6,8 @@
 use ward_fleet::queue::RequestTimes;
 use ward_fleet::{EngineRequirement, QueueRank};
 use ward_protocol::{
-    AdapterName, BackendId, ModelName, MonoTime, PartId, RequestFingerprint, ServiceName, TimeSpan,
+    AdapterName, BackendId, ModelName, MonoTime, PartId, RequestFingerprint, ServiceName,
+    SoftwareVersion, TimeSpan,
 };
 
 use crate::crash::RequestBlock;
@@ -31,6 +32,9 @@
     pub(crate) service: ServiceName,
     pub(crate) model: Option<ModelName>,
     pub(crate) adapter: Option<AdapterName>,
+    /// Software version that began the stream; `None` for a request that no engine has
+    /// answered yet.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Number of tokens at the start of the prompt that other requests share.
     pub(crate) shared_tokens: u64,
     /// Priority of the route; zero is the most urgent.
@@ -47,6 +51,7 @@
             service: &self.service,
             model: self.model.as_ref(),
             adapter: self.adapter.as_ref(),
+            software: self.software.as_ref(),
             shared_tokens: self.shared_tokens,
             shared_prefix: self.identity.parts.last(),
         }
@@ -61,6 +66,7 @@
             service: self.service.clone(),
             model: self.model.clone(),
             adapter: self.adapter.clone(),
+            software: self.software.clone(),
         }
     }
 }
@@ -78,6 +84,7 @@
     pub(super) service: ServiceName,
     pub(super) model: Option<ModelName>,
     pub(super) adapter: Option<AdapterName>,
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 /// Why a request got no slot at an engine.
--- a/crates/ward-protocol/src/id.rs
+++ b/crates/ward-protocol/src/id.rs
@@ -138,6 +138,10 @@
     /// Version of a model or adapter.
     VersionTag, "version", 64, is_name_character
 );
+text_id!(
+    /// Version of the software that a backend server runs.
+    SoftwareVersion, "software version", 128, is_key_character
+);
 text_id!(
     /// Name of a service that backend servers answer.
     ServiceName, "service name", 64, is_name_character
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -263,6 +263,7 @@
         service: service.parse()?,
         address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
         zone: "north".parse()?,
+        software: "v1".parse()?,
         slots: 12,
         draining: false,
         leaves_in: None,
