--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/repeated_refusals.rs
@@ -0,0 +1,172 @@
+//! Engines that write a refusal once more on a kept connection, where the answer to the
+//! next request is expected.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::StatusCode;
+use ward_stage::{
+    CallerAnswer, CallerError, CallerRequest, EngineFault, LinkFault, Stage, StagePlan,
+};
+
+use crate::support::{COMPLETE_STREAM, send, set_fault_on_all, stage, wait_until_all_joined};
+
+/// Time for which an idle connection to an engine must be kept before it is used again.
+const REUSE_TIME: Duration = Duration::from_millis(60);
+/// Time in which an engine runs the requests that have reached it.
+const RUN_TIME: Duration = Duration::from_millis(500);
+
+/// A stage whose engines hold the same model and repeat their refusals.
+async fn repeating_stage(test: &str, engines: usize) -> Stage {
+    let plan = StagePlan {
+        models: 1,
+        engines,
+        ..StagePlan::default()
+    };
+    let stage = stage(test, &plan).await;
+    wait_until_all_joined(&stage).await;
+    for link in &stage.engine_links {
+        link.set_fault(LinkFault::RepeatRefusals);
+    }
+    stage
+}
+
+fn stream_request(id: &str, path: &str) -> CallerRequest {
+    CallerRequest::new(id, path, Some(&Stage::model_name(0)))
+}
+
+type CallerResult = std::result::Result<CallerAnswer, CallerError>;
+
+/// Expects that a request that must run once did so at most, and not at all if its caller
+/// was told so.
+fn expect_run_at_most_once(stage: &Stage, id: &str, result: &CallerResult) {
+    let runs = stage.ledger.runs_of(id).len();
+    expect_that!(runs, le(1), "{id} ran {runs} times");
+    let Ok(answer) = result else {
+        return;
+    };
+    match answer.status {
+        StatusCode::OK => expect_that!(answer.text(), eq(COMPLETE_STREAM), "{id}"),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            expect_that!(runs, eq(0), "{id} was refused, and ran");
+        }
+        status => expect_that!(status, eq(StatusCode::BAD_GATEWAY), "{id}"),
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_was_taken_for_the_answer_to_the_next_request() {
+    let stage = repeating_stage("repeated", 3).await;
+    let mut results = Vec::new();
+    for round in 0..12 {
+        // Some requests are refused; their connections are kept.
+        set_fault_on_all(&stage, EngineFault::Full);
+        for daemon in 0..3 {
+            let id = format!("refused{round}-{daemon}");
+            let result = send(&stage, daemon, &stream_request(&id, "/quick/a")).await;
+            results.push((id, result));
+        }
+        set_fault_on_all(&stage, EngineFault::None);
+        tokio::time::sleep(RUN_TIME).await;
+        for number in 0..6 {
+            let id = format!("next{round}-{number}");
+            let result = send(&stage, number % 3, &stream_request(&id, "/quick/a")).await;
+            results.push((id, result));
+        }
+    }
+    tokio::time::sleep(RUN_TIME).await;
+    for (id, result) in &results {
+        expect_run_at_most_once(&stage, id, result);
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_of_the_same_request_was_taken_for_its_next_answer() {
+    let stage = repeating_stage("repeated-same", 1).await;
+    let mut results = Vec::new();
+    for number in 0..12 {
+        set_fault_on_all(&stage, EngineFault::FullOnce);
+        let id = format!("r{number}");
+        let result = send(&stage, number % 3, &stream_request(&id, "/quick/a")).await;
+        results.push((id, result));
+        tokio::time::sleep(REUSE_TIME).await;
+    }
+    tokio::time::sleep(RUN_TIME).await;
+    for (id, result) in &results {
+        expect_run_at_most_once(&stage, id, result);
+    }
+    let served = results.iter().filter(|(_, result)| {
+        let answer = result.as_ref().ok();
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    });
+    expect_that!(served.count(), ge(6));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_met_a_caller_that_sends_its_request_again() {
+    let stage = repeating_stage("repeated-caller", 1).await;
+    for number in 0..12 {
+        let id = format!("r{number}");
+        set_fault_on_all(&stage, EngineFault::Full);
+        let refused = send(&stage, 0, &stream_request(&id, "/quick/a")).await;
+        expect_that!(
+            refused.unwrap().status,
+            eq(StatusCode::SERVICE_UNAVAILABLE),
+            "{id}"
+        );
+        set_fault_on_all(&stage, EngineFault::None);
+        tokio::time::sleep(RUN_TIME).await;
+        let result = send(&stage, 0, &stream_request(&id, "/quick/a")).await;
+        tokio::time::sleep(REUSE_TIME).await;
+        expect_run_at_most_once(&stage, &id, &result);
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_made_an_idempotent_request_fail() {
+    let stage = repeating_stage("repeated-safe", 3).await;
+    for round in 0..6 {
+        set_fault_on_all(&stage, EngineFault::Full);
+        for daemon in 0..3 {
+            let id = format!("refused{round}-{daemon}");
+            drop(send(&stage, daemon, &stream_request(&id, "/quote/a")).await);
+        }
+        set_fault_on_all(&stage, EngineFault::None);
+        tokio::time::sleep(RUN_TIME).await;
+        for daemon in 0..3 {
+            let id = format!("next{round}-{daemon}");
+            let answer = send(&stage, daemon, &stream_request(&id, "/quote/a")).await;
+            expect_that!(answer.unwrap().text(), eq(COMPLETE_STREAM), "{id}");
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_paused_its_engine_again() {
+    let stage = repeating_stage("repeated-pause", 1).await;
+    let pause = Duration::from_secs(1);
+    set_fault_on_all(&stage, EngineFault::RetryAfter(pause));
+    let mut request = stream_request("refused", "/quote/a");
+    request.timeout = pause / 2;
+    drop(send(&stage, 0, &request).await);
+    set_fault_on_all(&stage, EngineFault::None);
+    let pauses = || {
+        let log = stage.daemons[0].log().unwrap();
+        log.matches("engines: asks for a pause").count()
+    };
+    // A pause is extended at random.
+    tokio::time::sleep(pause + RUN_TIME).await;
+    for number in 0..4 {
+        let id = format!("next{number}");
+        drop(send(&stage, 0, &stream_request(&id, "/quote/a")).await);
+    }
+    // The log is written in the background.
+    tokio::time::sleep(RUN_TIME).await;
+    expect_that!(stage.ledger.refusals().len(), eq(1));
+    expect_that!(pauses(), eq(1));
+}
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -48,7 +48,7 @@
         .to_bytes();
     let id = shared.lock().entry.id.to_string();
     if received.engine.as_ref().is_some_and(|engine| *engine != id) {
-        return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
+        return Ok(misdirected_response(&received));
     }
     let mut response = match engine_path(&path) {
         EnginePath::Order => answer_order(&shared, &body)?,
@@ -61,6 +61,14 @@
     Ok(response)
 }
 
+/// Refuses a request that this engine does not serve; it did not run.
+fn misdirected_response(received: &ReceivedHeaders) -> Response<StageBody> {
+    let mut response = full_response(StatusCode::MISDIRECTED_REQUEST, Bytes::new());
+    let headers = not_executed_headers(received.id.as_ref());
+    response.headers_mut().extend(headers);
+    response
+}
+
 fn answer_report(shared: &SharedEngine) -> Response<StageBody> {
     let mut state = shared.lock();
     state.finish_due_load();
@@ -103,6 +111,11 @@
     received: &ReceivedHeaders,
     path: &str,
 ) -> Result<Response<StageBody>, AbortConnection> {
+    let id = received
+        .id
+        .as_ref()
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or("-");
     let (fault, model_missing, engine) = {
         let mut state = shared.lock();
         state.finish_due_load();
@@ -113,11 +126,15 @@
         (state.fault, model_missing, state.entry.id.to_string())
     };
     if model_missing {
-        return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
+        return Ok(misdirected_response(received));
     }
+    let request_id = received.id.as_ref();
     let refusal = match fault {
-        EngineFault::Full | EngineFault::EndlessRefusal => Some(not_executed_headers()),
-        EngineFault::RetryAfter(span) => Some(retry_after_headers(span.into())),
+        EngineFault::Full | EngineFault::EndlessRefusal => Some(not_executed_headers(request_id)),
+        EngineFault::FullOnce if shared.lock().refused.insert(id.to_owned()) => {
+            Some(not_executed_headers(request_id))
+        }
+        EngineFault::RetryAfter(span) => Some(retry_after_headers(request_id, span.into())),
         _ => None,
     };
     if let Some(headers) = refusal {
@@ -133,11 +150,6 @@
         response.headers_mut().extend(headers);
         return Ok(response);
     }
-    let id = received
-        .id
-        .as_ref()
-        .and_then(|id| id.to_str().ok())
-        .unwrap_or("-");
     shared.ledger.record_run(RunRecord {
         request: id.to_owned(),
         engine: engine.clone(),
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -22,6 +22,9 @@
     /// Refuses all requests with status 503 as not executed, as if all slots of the
     /// engine were taken.
     Full,
+    /// Refuses each request like [`Self::Full`] when it first comes, and runs it when it
+    /// comes again.
+    FullOnce,
     /// Runs requests and answers them with the id of another request.
     WrongId,
     /// Runs requests and answers them with status 500.
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -9,6 +9,7 @@
 
 use futures::FutureExt;
 use http::StatusCode;
+use indexmap::IndexSet;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use ward_adapter::served::{ReceivedOrder, entry_json};
@@ -46,6 +47,8 @@
     loading: Option<ModelName>,
     weights: WeightStore,
     fault: EngineFault,
+    /// Ids of the requests refused with [`EngineFault::FullOnce`].
+    refused: IndexSet<String>,
 }
 
 /// Parts of an engine that its HTTP server and its heartbeat task share.
@@ -96,6 +99,7 @@
                 loading: None,
                 weights,
                 fault: EngineFault::None,
+                refused: IndexSet::new(),
             }),
             ledger,
             process_ended: Notify::new(),
--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -8,10 +8,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 use tokio::task::{JoinHandle, JoinSet};
 
 const CHUNK_BYTES: usize = 16 << 10;
+const REFUSAL_STARTS: [&[u8]; 2] = [b"HTTP/1.1 503", b"HTTP/1.1 421"];
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Fault that a proxy injects into all its connections, open and new.
@@ -30,6 +31,9 @@
     /// Bytes in both directions are held back until the fault ends; connections
     /// stay open.
     HoldAll,
+    /// The target writes each of its refusals once more, when the next request comes on
+    /// the same connection: the copy stands where the answer to that request is expected.
+    RepeatRefusals,
 }
 
 impl LinkFault {
@@ -168,12 +172,16 @@
     };
     let (client_reader, client_writer) = client.into_split();
     let (server_reader, server_writer) = server.into_split();
+    let client_side = Mutex::new(ClientSide {
+        writer: client_writer,
+        refusal: None,
+    });
     let mut updates = faults.clone();
     tokio::select! {
         () = async {
             tokio::join!(
-                forward_bytes(client_reader, server_writer, faults.clone(), false),
-                forward_bytes(server_reader, client_writer, faults.clone(), true),
+                forward_requests(client_reader, server_writer, &client_side, faults.clone()),
+                forward_answers(server_reader, &client_side, faults.clone()),
             );
         } => {}
         // No error before the proxy is dropped: it owns the sender.
@@ -181,26 +189,78 @@
     }
 }
 
-async fn forward_bytes(
+/// The side of a connection on which answers are written.
+struct ClientSide {
+    writer: OwnedWriteHalf,
+    /// A refusal that is written once more with [`LinkFault::RepeatRefusals`].
+    refusal: Option<Vec<u8>>,
+}
+
+async fn forward_requests(
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
+    client_side: &Mutex<ClientSide>,
     mut faults: watch::Receiver<LinkFault>,
-    from_server: bool,
 ) {
     let mut buffer = vec![0; CHUNK_BYTES];
     while let Ok(count) = reader.read(&mut buffer).await {
-        let is_held = |fault: &LinkFault| {
-            *fault == LinkFault::HoldAll || (from_server && *fault == LinkFault::HoldAnswers)
-        };
-        if faults.wait_for(|fault| !is_held(fault)).await.is_err() {
+        let is_held = |fault: &LinkFault| *fault == LinkFault::HoldAll;
+        if !pass_fault(&mut faults, is_held).await {
             return;
         }
-        let fault = *faults.borrow();
-        if let LinkFault::Delay(span) = fault {
-            tokio::time::sleep(span).await;
+        let mut client_side = client_side.lock().await;
+        if let Some(refusal) = client_side.refusal.take()
+            && client_side.writer.write_all(&refusal).await.is_err()
+        {
+            return;
         }
+        drop(client_side);
         if count == 0 || writer.write_all(&buffer[..count]).await.is_err() {
             return;
         }
     }
 }
+
+async fn forward_answers(
+    mut reader: OwnedReadHalf,
+    client_side: &Mutex<ClientSide>,
+    mut faults: watch::Receiver<LinkFault>,
+) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    while let Ok(count) = reader.read(&mut buffer).await {
+        let is_held =
+            |fault: &LinkFault| matches!(*fault, LinkFault::HoldAll | LinkFault::HoldAnswers);
+        if !pass_fault(&mut faults, is_held).await {
+            return;
+        }
+        let bytes = &buffer[..count];
+        let mut client_side = client_side.lock().await;
+        if *faults.borrow() == LinkFault::RepeatRefusals && is_refusal(bytes) {
+            client_side.refusal = Some(bytes.to_vec());
+        }
+        if count == 0 || client_side.writer.write_all(bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits while bytes are held back or delayed; returns false when the proxy has ended.
+async fn pass_fault(
+    faults: &mut watch::Receiver<LinkFault>,
+    is_held: impl Fn(&LinkFault) -> bool,
+) -> bool {
+    if faults.wait_for(|fault| !is_held(fault)).await.is_err() {
+        return false;
+    }
+    let fault = *faults.borrow();
+    if let LinkFault::Delay(span) = fault {
+        tokio::time::sleep(span).await;
+    }
+    true
+}
+
+/// Whether bytes begin an answer with the status of a refusal. Stand-ins write a refusal
+/// in one piece.
+fn is_refusal(bytes: &[u8]) -> bool {
+    REFUSAL_STARTS.iter().any(|start| bytes.starts_with(start))
+}
