--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -12,6 +12,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 
 const CHUNK_BYTES: usize = 16 << 10;
+const ANSWER_START: &[u8] = b"HTTP/1.1 ";
 const REFUSAL_STARTS: [&[u8]; 2] = [b"HTTP/1.1 503", b"HTTP/1.1 421"];
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -34,6 +35,9 @@
     /// The target writes each of its refusals once more, when the next request comes on
     /// the same connection: the copy stands where the answer to that request is expected.
     RepeatRefusals,
+    /// Like [`Self::RepeatRefusals`], but for all answers that the target writes in one
+    /// piece.
+    RepeatAnswers,
 }
 
 impl LinkFault {
@@ -174,14 +178,19 @@
     let (server_reader, server_writer) = server.into_split();
     let client_side = Mutex::new(ClientSide {
         writer: client_writer,
-        refusal: None,
+        copy: None,
     });
     let mut updates = faults.clone();
     tokio::select! {
         () = async {
             tokio::join!(
                 forward_requests(client_reader, server_writer, &client_side, faults.clone()),
-                forward_answers(server_reader, &client_side, faults.clone()),
+                async {
+                    forward_answers(server_reader, &client_side, faults.clone()).await;
+                    // The end of the answers is passed on while requests may still come; an
+                    // error means that the client has gone.
+                    drop(client_side.lock().await.writer.shutdown().await);
+                },
             );
         } => {}
         // No error before the proxy is dropped: it owns the sender.
@@ -192,8 +201,8 @@
 /// The side of a connection on which answers are written.
 struct ClientSide {
     writer: OwnedWriteHalf,
-    /// A refusal that is written once more with [`LinkFault::RepeatRefusals`].
-    refusal: Option<Vec<u8>>,
+    /// An answer that is written once more.
+    copy: Option<Vec<u8>>,
 }
 
 async fn forward_requests(
@@ -209,8 +218,8 @@
             return;
         }
         let mut client_side = client_side.lock().await;
-        if let Some(refusal) = client_side.refusal.take()
-            && client_side.writer.write_all(&refusal).await.is_err()
+        if let Some(copy) = client_side.copy.take()
+            && client_side.writer.write_all(&copy).await.is_err()
         {
             return;
         }
@@ -235,8 +244,8 @@
         }
         let bytes = &buffer[..count];
         let mut client_side = client_side.lock().await;
-        if *faults.borrow() == LinkFault::RepeatRefusals && is_refusal(bytes) {
-            client_side.refusal = Some(bytes.to_vec());
+        if is_repeated(*faults.borrow(), bytes) {
+            client_side.copy = Some(bytes.to_vec());
         }
         if count == 0 || client_side.writer.write_all(bytes).await.is_err() {
             return;
@@ -259,8 +268,13 @@
     true
 }
 
-/// Whether bytes begin an answer with the status of a refusal. Stand-ins write a refusal
-/// in one piece.
-fn is_refusal(bytes: &[u8]) -> bool {
-    REFUSAL_STARTS.iter().any(|start| bytes.starts_with(start))
+/// Whether a fault repeats an answer that consists of these bytes. Stand-ins write a
+/// refusal in one piece.
+fn is_repeated(fault: LinkFault, bytes: &[u8]) -> bool {
+    let starts = |starts: &[&[u8]]| starts.iter().any(|start| bytes.starts_with(start));
+    match fault {
+        LinkFault::RepeatRefusals => starts(&REFUSAL_STARTS),
+        LinkFault::RepeatAnswers => starts(&[ANSWER_START]),
+        _ => false,
+    }
 }
