An answer counts only if it names its request, and no connection is kept after a refusal

Cause: an engine wrote a refusal once more on a kept connection, where the answer to the next request was expected. 'not executed' and status 421 were believed before the echoed request id was looked at, a pause and a leaving sign even before that; the connection was then kept, so each later answer met the request after its own. Where the refused request itself was sent again on the same connection, the copy bore its id.

Evidence: 'send: answer to another request' and 'carried' in the logs of the failing tests; both hypotheses show, each alone. Ruled out for these tests: an engine that runs what it has refused (each stand-in's ledger shows one run per send).

Change: the id is looked at first, and an answer that doesn't name the request, or names two, is of unknown outcome. Connections are kept only after a complete success, so a request that is sent again never meets its own former answer. An engine that has answered out of turn gets new connections for 30 s. Requests without an id get a new connection each. Refusals are no longer read to their end, which held up the next attempt.

--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -1,11 +1,10 @@
 //! One attempt to send a request to one engine.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::{info, warn};
 use ward_adapter::header::{
@@ -29,11 +28,6 @@
 /// requests to it again at the same time.
 const MAX_PAUSE_JITTER: TimeSpan = TimeSpan::from_millis(400);
 
-/// Maximum length of a refusal that is read to its end, in bytes.
-const MAX_REFUSAL_BYTES: usize = 64 << 10;
-/// Maximum time for reading the rest of a refusal.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// The parts of a request that are the same for every attempt.
 #[derive(Debug, Clone)]
 pub(crate) struct AttemptRequest {
@@ -155,19 +149,13 @@
         Ok(Ok(answer)) => answer,
     };
     let fields = AnswerFields::read(answer.headers(), request.id.as_ref());
-    if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
-        record_pause(gateway, &slot, answer.headers());
-    }
-    if has_leaving_header(answer.headers()) {
-        record_leaving(gateway, &EngineIncarnation::from(&slot.engine));
-    }
     let attempt = Attempt {
         slot,
         connection,
         answer,
         fields,
     };
-    classify_answer(gateway, request, attempt).await
+    classify_answer(gateway, request, attempt)
 }
 
 async fn connect(
@@ -211,55 +199,27 @@
     Ok(outgoing)
 }
 
-/// Returns an answer that can be forwarded; fails if the answer says that the request
-/// did not run, belongs to another request or is a success without a signature.
-async fn classify_answer(
+/// Returns an answer that can be forwarded; fails if the answer belongs to another request,
+/// says that the request did not run, or is a success without a signature.
+fn classify_answer(
     gateway: &Rc<Gateway>,
     request: &AttemptRequest,
     attempt: Attempt,
 ) -> Result<Attempt, AttemptFailure> {
+    // Nothing in an answer counts before it is known to be this request's.
+    if !attempt.fields.id_matches {
+        return Err(record_answer_out_of_turn(gateway, request, &attempt));
+    }
     let status = attempt.answer.status();
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        record_pause(gateway, &attempt.slot, attempt.answer.headers());
+    }
+    if has_leaving_header(attempt.answer.headers()) {
+        record_leaving(gateway, &EngineIncarnation::from(&attempt.slot.engine));
+    }
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if (attempt.fields.not_executed || misdirected) && !attempt.fields.signed {
-        let failure = if misdirected {
-            AttemptFailure::Misplaced
-        } else {
-            AttemptFailure::Full
-        };
-        let (signal, reason) = if misdirected {
-            (
-                EngineSignal::Misplaced,
-                "the engine does not hold the model or adapter",
-            )
-        } else {
-            (EngineSignal::Full, "the engine refused the request")
-        };
-        record_signal(gateway, &attempt.slot, signal);
-        attempt.slot.set_run_state(RunState::NotRun);
-        info!(
-            gateway.logger, "send: not run"; "request" => &request.id_text,
-            "engine" => %attempt.slot.engine.id, "status" => status.as_u16(), "why" => reason,
-            "id_matches" => attempt.fields.id_matches, "carried" => attempt.connection.carried,
-        );
-        drain_refusal(gateway, attempt).await;
-        return Err(failure);
-    }
-    if !attempt.fields.id_matches {
-        warn!(
-            gateway.logger, "send: answer to another request"; "request" => &request.id_text,
-            "engine" => %attempt.slot.engine.id, "status" => status.as_u16(),
-            "answered" => answer_id(attempt.answer.headers()),
-            "not_executed" => attempt.fields.not_executed,
-            "carried" => attempt.connection.carried,
-        );
-        record_attempt_failure(
-            gateway,
-            request,
-            &attempt.slot,
-            AttemptFailure::Unknown,
-            "the answer belongs to another request",
-        );
-        return Err(AttemptFailure::Unknown);
+        return Err(record_refusal(gateway, request, &attempt));
     }
     if status.is_success() && !attempt.fields.signed {
         record_attempt_failure(
@@ -274,6 +234,62 @@
     Ok(attempt)
 }
 
+/// Records an answer to another request. The engine may be running this request, whose
+/// answer would follow on the same connection.
+fn record_answer_out_of_turn(
+    gateway: &Gateway,
+    request: &AttemptRequest,
+    attempt: &Attempt,
+) -> AttemptFailure {
+    let engine = &attempt.slot.engine.id;
+    warn!(
+        gateway.logger, "send: answer to another request"; "request" => &request.id_text,
+        "engine" => %engine, "status" => attempt.answer.status().as_u16(),
+        "answered" => answer_id(attempt.answer.headers()),
+        "not_executed" => attempt.fields.not_executed,
+        "carried" => attempt.connection.carried,
+    );
+    gateway.pool.record_unreliable(engine);
+    record_attempt_failure(
+        gateway,
+        request,
+        &attempt.slot,
+        AttemptFailure::Unknown,
+        "the answer belongs to another request",
+    );
+    AttemptFailure::Unknown
+}
+
+/// Records that the engine did not run the request.
+fn record_refusal(
+    gateway: &Gateway,
+    request: &AttemptRequest,
+    attempt: &Attempt,
+) -> AttemptFailure {
+    let status = attempt.answer.status();
+    let (failure, signal, reason) = if status == StatusCode::MISDIRECTED_REQUEST {
+        (
+            AttemptFailure::Misplaced,
+            EngineSignal::Misplaced,
+            "the engine does not hold the model or adapter",
+        )
+    } else {
+        (
+            AttemptFailure::Full,
+            EngineSignal::Full,
+            "the engine refused the request",
+        )
+    };
+    record_signal(gateway, &attempt.slot, signal);
+    attempt.slot.set_run_state(RunState::NotRun);
+    info!(
+        gateway.logger, "send: not run"; "request" => &request.id_text,
+        "engine" => %attempt.slot.engine.id, "status" => status.as_u16(), "why" => reason,
+        "carried" => attempt.connection.carried,
+    );
+    failure
+}
+
 /// Records the pause that an engine requests with Retry-After, if it does.
 fn record_pause(gateway: &Rc<Gateway>, slot: &EngineSlot, headers: &HeaderMap) {
     let retry_after = parse_retry_after(headers);
@@ -301,24 +317,6 @@
     });
 }
 
-/// Reads the remaining body of a refusal, so that its connection can be kept; a long or
-/// slow one isn't worth the wait, and its connection is closed.
-async fn drain_refusal(gateway: &Rc<Gateway>, attempt: Attempt) {
-    let reuse = ConnectionReuse::of(&attempt.answer);
-    let body = Limited::new(attempt.answer.into_body(), MAX_REFUSAL_BYTES).collect();
-    match tokio::time::timeout(REFUSAL_TIMEOUT, body).await {
-        Ok(Ok(_)) => reuse.put_back(gateway, &attempt.slot, attempt.connection),
-        Ok(Err(cause)) => info!(
-            gateway.logger, "send: refusal not read"; "engine" => %attempt.slot.engine.id,
-            "why" => %cause,
-        ),
-        Err(_) => info!(
-            gateway.logger, "send: refusal not read"; "engine" => %attempt.slot.engine.id,
-            "why" => "it did not end in time",
-        ),
-    }
-}
-
 /// Whether a connection may be reused after an answer, and for how long.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ConnectionReuse {
--- a/crates/ward-gateway/src/forward/pool.rs
+++ b/crates/ward-gateway/src/forward/pool.rs
@@ -1,9 +1,15 @@
 //! Connection pool for engines.
 //!
-//! A connection carries one request at a time and is kept only after a complete answer
-//! that matched its request, or a complete refusal. Requests that must not be retried
-//! get a connection that is new or was used very recently, since an engine may close
-//! an idle one at the moment the next request is sent.
+//! A connection carries one request at a time and is kept only after a complete success
+//! that matched its request. Requests that must not be retried get a connection that is
+//! new or was used very recently, since an engine may close an idle one at the moment the
+//! next request is sent.
+//!
+//! A faulty engine may write an answer once more, so that it stands where the next one is
+//! expected. A request that was refused or failed may be sent again under the same id, and
+//! would then take the copy for its answer; so no connection is kept after these. An
+//! engine that has answered out of turn gets a new connection for each request for a
+//! while.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -32,6 +38,8 @@
 /// Minimum idle time before reuse, within which excess bytes after an answer are
 /// detected.
 const MIN_IDLE_TIME: TimeSpan = TimeSpan::from_millis(10);
+/// Time for which no connection is reused to an engine that has answered out of turn.
+const UNRELIABLE_TIME: TimeSpan = TimeSpan::from_secs(30);
 /// Percentage of the engine's keep-alive timeout for which a connection is kept.
 const MAX_IDLE_PERCENT_OF_KEEP_ALIVE: u64 = 70;
 
@@ -91,6 +99,9 @@
 /// A pool of idle connections by engine.
 pub(crate) struct EnginePool {
     idle: RefCell<IndexMap<BackendId, VecDeque<IdleConnection>>>,
+    /// Engines that have answered out of turn, and until when no connection to them is
+    /// reused.
+    unreliable: RefCell<IndexMap<BackendId, MonoTime>>,
     opened: IntCounter,
     logger: Logger,
 }
@@ -99,6 +110,7 @@
     pub(crate) fn new(opened: IntCounter, logger: Logger) -> Self {
         Self {
             idle: RefCell::default(),
+            unreliable: RefCell::default(),
             opened,
             logger,
         }
@@ -140,7 +152,7 @@
         idle.remove(index).map(|kept| kept.connection)
     }
 
-    /// Keeps a connection whose last answer was complete; `keep_alive` is the engine's
+    /// Keeps a connection whose last answer was a complete success; `keep_alive` is the engine's
     /// keep-alive timeout, if stated.
     pub(crate) fn put_back(
         &self,
@@ -149,6 +161,9 @@
         keep_alive: Option<TimeSpan>,
     ) {
         connection.carried = connection.carried.saturating_add(1);
+        if self.is_unreliable(engine) {
+            return;
+        }
         let max_idle = keep_alive.map_or(DEFAULT_MAX_IDLE, |keep_alive| {
             TimeSpan::from_millis(keep_alive.millis() * MAX_IDLE_PERCENT_OF_KEEP_ALIVE / 100)
         });
@@ -164,10 +179,26 @@
         }
     }
 
+    /// Closes the idle connections to an engine that has answered out of turn, and reuses
+    /// none for a while.
+    pub(crate) fn record_unreliable(&self, engine: &BackendId) {
+        self.idle.borrow_mut().shift_remove(engine);
+        let until = clock::now() + UNRELIABLE_TIME;
+        self.unreliable.borrow_mut().insert(engine.clone(), until);
+    }
+
+    fn is_unreliable(&self, engine: &BackendId) -> bool {
+        let unreliable = self.unreliable.borrow();
+        unreliable
+            .get(engine)
+            .is_some_and(|until| *until > clock::now())
+    }
+
     /// Closes connections that were idle for too long, and all idle connections to
     /// engines for which `is_known` returns false.
     pub(crate) fn sweep(&self, is_known: impl Fn(&BackendId) -> bool) {
         let now = clock::now();
+        self.unreliable.borrow_mut().retain(|_, until| *until > now);
         self.idle.borrow_mut().retain(|engine, idle| {
             idle.retain(|kept| kept.is_usable(now));
             is_known(engine) && !idle.is_empty()
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -159,7 +159,7 @@
             body,
             deadline: arrival + routed.timeout,
             priority: engine_priority(&routed),
-            need: connection_need(routed.route.kind),
+            need: connection_need(&routed),
         },
         ticket: wait_ticket(gateway, &routed, identity, arrival, phase),
         routed,
@@ -205,8 +205,13 @@
     u8::try_from(priority).ok()
 }
 
-const fn connection_need(kind: RouteKind) -> ConnectionNeed {
-    match kind {
+/// Answers to a request without an id can't be told apart on a connection that has carried
+/// others.
+const fn connection_need(routed: &RoutedRequest) -> ConnectionNeed {
+    if routed.fields.id.is_none() {
+        return ConnectionNeed::New;
+    }
+    match routed.route.kind {
         RouteKind::Safe | RouteKind::ResumableStream => ConnectionNeed::Any,
         RouteKind::Stream => ConnectionNeed::Fresh,
         RouteKind::Unsafe => ConnectionNeed::New,
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -229,7 +229,7 @@
             RunState::Failed
         });
         let keep_alive = keep_alive_timeout(&head.headers);
-        if !closes_connection(&head.headers) {
+        if head.status.is_success() && !closes_connection(&head.headers) {
             gateway
                 .pool
                 .put_back(&slot.engine.id, connection, keep_alive);
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -211,6 +211,12 @@
     } else {
         received.id.as_ref()
     };
+    if fault == EngineFault::CrossedRefusal {
+        let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        let headers = not_executed_headers(Some(&other_id));
+        response.headers_mut().extend(headers);
+        return response;
+    }
     let signed_headers = signed_answer_headers(id, engine);
     if fault == EngineFault::Fail {
         let mut response = full_response(StatusCode::INTERNAL_SERVER_ERROR, "failed");
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -27,6 +27,8 @@
     FullOnce,
     /// Runs requests and answers them with the id of another request.
     WrongId,
+    /// Runs requests and answers them with a refusal of another request.
+    CrossedRefusal,
     /// Runs requests and answers them with status 500.
     Fail,
     /// Runs requests and never answers; the connection stays open.
