Soak: engines that answer out of turn

Odd seeds play links that write refusals or all answers once more, engines that refuse each request once, and engines that answer with another request's refusal. Even seeds keep their series, so that recorded seeds stay what they were.

--- a/crates/ward-daemon/tests/gateway/soak.rs
+++ b/crates/ward-daemon/tests/gateway/soak.rs
@@ -6,7 +6,8 @@
 //! arrive. Links delay, reset or refuse connections, or hold back answers or all bytes.
 //! The store fails, and engines fail, crash, leave or send `Retry-After`. Callers keep
 //! using a connection until it closes, and some requests, or a part of their prompts,
-//! crash engines.
+//! crash engines. Odd seeds also play engines that answer out of turn; even ones don't,
+//! so that recorded seeds keep their series.
 //! `SOAK_SEEDS=FROM..TO` replaces the seeds of the short series.
 
 use std::sync::Arc;
@@ -91,8 +92,12 @@
         })
         .collect();
     let mut random = RandomSource(ChaCha8Rng::seed_from_u64(seed));
+    let mut out_of_turn = RandomSource(ChaCha8Rng::seed_from_u64(!seed));
     for _ in 0..STEPS {
         inject_fault(&mut stage, &mut random);
+        if seed % 2 == 1 {
+            inject_answer_out_of_turn(&stage, &mut out_of_turn);
+        }
         tokio::time::sleep(STEP_INTERVAL).await;
     }
     clear_faults(&mut stage);
@@ -152,6 +157,25 @@
     }
 }
 
+/// Makes an engine, or the link to it, send answers that belong to other requests.
+fn inject_answer_out_of_turn(stage: &Stage, random: &mut RandomSource) {
+    let engine = random.below(stage.engines.len());
+    if random.below(2) == 0 {
+        stage.engine_links[engine].set_fault(random.choose(&[
+            LinkFault::None,
+            LinkFault::RepeatRefusals,
+            LinkFault::RepeatAnswers,
+        ]));
+    } else {
+        stage.engines[engine].set_fault(random.choose(&[
+            EngineFault::None,
+            EngineFault::FullOnce,
+            EngineFault::Full,
+            EngineFault::CrossedRefusal,
+        ]));
+    }
+}
+
 /// Sends signals to a daemon in the middle of its start or planned stop, with new
 /// manifests in quick succession.
 fn inject_signal_series(stage: &mut Stage, random: &mut RandomSource, daemon: usize) {
