--- a/crates/ward-daemon/tests/gateway/soak.rs
+++ b/crates/ward-daemon/tests/gateway/soak.rs
@@ -29,7 +29,11 @@
 use crate::support::{COMPLETE_STREAM, expect_valid_orders, stage};
 
 /// Seeds of the short series; a seed that has ever failed is added and never removed.
-const SEEDS: [u64; 3] = [1, 2, 3];
+const SEEDS: [u64; 4] = [
+    1, 2, 3,
+    // A refusal that an engine wrote once more was taken for the answer to the next request.
+    605,
+];
 const STEPS: usize = 12;
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
 const CALLERS: usize = 6;
