Load models for streams that wait at the software version that began them

A stream that a caller takes up goes on only at its software version. Where engines of that version serve and hold other models, the model counted as present (at engines of another version), nobody loaded it, and the stream waited in vain. Reports say which version waiting requests need; the coordinator loads the model from a local copy on an engine of that version. Loads from the weight store take longer than a caller waits for the next event of a stream, and are left out.

Test: plan_tasks_stream_gets_its_model_at_its_software_version, failed before (no task).

--- a/crates/ward-bench/src/emulator/run.rs
+++ b/crates/ward-bench/src/emulator/run.rs
@@ -183,6 +183,7 @@
             service: self.fleet.service.clone(),
             model: model_name(request.model)?,
             adapter: None,
+            software: None,
             count: 1,
         });
         self.waiting.push(*request);
@@ -288,6 +289,7 @@
                 service: self.fleet.service.clone(),
                 model: model_name(model).ok()?,
                 adapter: None,
+                software: None,
                 count,
             })
         });
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -104,6 +104,9 @@
     pub model: ModelName,
     /// Adapter that the requests need, if any.
     pub adapter: Option<AdapterName>,
+    /// Software version that began the streams which the requests continue; `None` for
+    /// other requests.
+    pub software: Option<SoftwareVersion>,
     /// Number of requests.
     pub count: u32,
 }
--- a/crates/ward-fleet/src/placement/demand.rs
+++ b/crates/ward-fleet/src/placement/demand.rs
@@ -1,7 +1,7 @@
 //! Demand for each model, computed from the daemons' reports.
 
-use indexmap::IndexMap;
-use ward_protocol::{AdapterName, ModelName, MonoTime, ServiceName, TimeSpan};
+use indexmap::{IndexMap, IndexSet};
+use ward_protocol::{AdapterName, ModelName, MonoTime, ServiceName, SoftwareVersion, TimeSpan};
 
 use crate::message::LoadReport;
 
@@ -22,6 +22,16 @@
     pub model: ModelName,
 }
 
+/// A model that must be held by an engine of one software version, because streams that
+/// the version began wait to go on.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct VersionedModel {
+    /// The model.
+    pub key: ModelKey,
+    /// Software version that began the streams.
+    pub software: SoftwareVersion,
+}
+
 /// Demand for one model, over all daemons.
 #[derive(Debug, Clone, Default)]
 pub struct ModelDemand {
@@ -44,6 +54,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct DemandTable {
     models: IndexMap<ModelKey, ModelDemand>,
+    /// Models that streams wait for at a software version.
+    versioned: IndexSet<VersionedModel>,
     updated: MonoTime,
 }
 
@@ -59,6 +71,11 @@
         self.models.iter()
     }
 
+    /// Models that streams wait for at the software version that began them.
+    pub fn versioned(&self) -> impl Iterator<Item = &VersionedModel> {
+        self.versioned.iter()
+    }
+
     /// Adds newly arrived requests to a model's rate of arrivals.
     pub fn record_arrivals(&mut self, key: ModelKey, count: u32) {
         let demand = self.models.entry(key).or_default();
@@ -78,11 +95,16 @@
             demand.waiting = 0;
             demand.adapters.clear();
         }
+        self.versioned.clear();
         for waiting in reports.flat_map(|report| &report.waiting) {
             let key = ModelKey {
                 service: waiting.service.clone(),
                 model: waiting.model.clone(),
             };
+            if let Some(software) = waiting.software.clone() {
+                let key = key.clone();
+                self.versioned.insert(VersionedModel { key, software });
+            }
             let demand = self.models.entry(key).or_default();
             demand.waiting += waiting.count;
             if let Some(adapter) = &waiting.adapter {
--- a/crates/ward-fleet/src/placement/plan/mod.rs
+++ b/crates/ward-fleet/src/placement/plan/mod.rs
@@ -1,7 +1,8 @@
 //! Plans the next tasks for engines.
 //!
 //! Audits and adapters come first. Model loads follow in order of need: models
-//! that requests wait for and an engine has a local copy of; models that the
+//! that requests wait for and an engine has a local copy of; the same for models
+//! that streams wait for at the software version that began them; models that the
 //! weight store must deliver; further replicas of busy models; for an engine's
 //! idle memory, models that it has a local copy of and no engine holds; busy
 //! models for engines that hold nothing; and models that no engine has a copy
@@ -53,6 +54,7 @@
         tasks: Vec::new(),
     };
     planner.plan_missing();
+    planner.plan_versioned();
     planner.plan_fetches();
     planner.plan_busy();
     planner.plan_idle_memory();
@@ -102,7 +104,20 @@
     /// engine can load the model. `from_store` allows a load from the weight
     /// store.
     fn load_on_cheapest(&mut self, key: &ModelKey, reason: LoadReason, from_store: bool) -> bool {
-        let candidates = self.state.engines.iter().filter_map(|(id, engine)| {
+        self.load_on_cheapest_of(key, reason, from_store, |_| true)
+    }
+
+    /// Like [`Self::load_on_cheapest`], on one of the engines that match a predicate.
+    fn load_on_cheapest_of(
+        &mut self,
+        key: &ModelKey,
+        reason: LoadReason,
+        from_store: bool,
+        accept: impl Fn(&PlacedEngine) -> bool,
+    ) -> bool {
+        let engines = self.state.engines.iter();
+        let candidates = engines.filter(|(_, engine)| accept(engine));
+        let candidates = candidates.filter_map(|(id, engine)| {
             let candidate = self.candidate(key, id, engine, reason)?;
             let allowed =
                 candidate.source != LoadSource::Store || (from_store && self.store_allows(key));
--- a/crates/ward-fleet/src/placement/plan/need.rs
+++ b/crates/ward-fleet/src/placement/plan/need.rs
@@ -2,11 +2,11 @@
 //! replicas of busy models, and models for idle memory. Only replicas of busy
 //! models may also come from the weight store.
 
-use ward_protocol::BackendId;
+use ward_protocol::{BackendId, SoftwareVersion};
 
 use super::{Candidate, MIN_REPLICA_CONCURRENCY, Planner};
 use crate::number::usize_to_f64;
-use crate::placement::demand::ModelKey;
+use crate::placement::demand::{ModelKey, VersionedModel};
 use crate::placement::engine::LoadSource;
 use crate::placement::spread::wanted_replicas;
 use crate::placement::task::LoadReason;
@@ -36,6 +36,35 @@
         }
     }
 
+    /// Plans loads from local copies of models that streams wait for at the software
+    /// version that began them, where no engine of that version holds or is loading it.
+    /// Engines of other versions that hold the model are no help to them.
+    pub(super) fn plan_versioned(&mut self) {
+        let wanted: Vec<_> = self.state.demand.versioned().cloned().collect();
+        for VersionedModel { key, software } in wanted {
+            if !self.has_replica_at(&key, &software) {
+                self.load_on_cheapest_of(&key, LoadReason::Missing, false, |engine| {
+                    engine.info.software == software
+                });
+            }
+        }
+    }
+
+    /// Whether an engine of a software version that takes requests holds or is loading a
+    /// model.
+    fn has_replica_at(&self, key: &ModelKey, software: &SoftwareVersion) -> bool {
+        self.state.engines.values().any(|engine| {
+            let info = &engine.info;
+            let held = engine.held.get(&key.model);
+            let task = engine.task.as_ref();
+            info.service == key.service
+                && info.software == *software
+                && info.takes_requests()
+                && (held.is_some_and(|held| !held.unloading)
+                    || task.is_some_and(|task| task.model == key.model))
+        })
+    }
+
     /// Plans further replicas of busy models, most requests per replica first.
     pub(super) fn plan_busy(&mut self) {
         let mut demands: Vec<_> = self
--- a/crates/ward-fleet/tests/placement.rs
+++ b/crates/ward-fleet/tests/placement.rs
@@ -371,3 +371,32 @@
     state.mark_ended(&other, at(4_000));
     expect_true!(takes_requests(&state));
 }
+
+#[gtest]
+fn plan_tasks_stream_gets_its_model_at_its_software_version() {
+    let engine = |id: &str, software: &str, models: &[&str]| EngineEntry {
+        software: name(software),
+        ..entry(id, models, &["m1", "m2"])
+    };
+    let entries = [
+        engine("e1", "v1", &["m2"]),
+        engine("e2", "v1", &["m2"]),
+        engine("e3", "v2", &["m1"]),
+    ];
+    let mut state = state(&entries);
+    let manifest = manifest(&["m1", "m2"]);
+    let mut stream = waiting("m1", None, 1);
+    stream.software = Some(name("v1"));
+    let load = report(vec![], vec![stream]);
+    let tasks = plan(&mut state, &manifest, load.clone(), at(2_000));
+    let tasks = models(&tasks);
+    expect_that!(tasks.len(), eq(1));
+    expect_that!(tasks[0].model, eq(&name("m1")));
+    expect_that!(tasks[0].reason, eq(LoadReason::Missing));
+    expect_that!(tasks[0].target.engine, any![eq(&id("e1")), eq(&id("e2"))]);
+    // One load serves all streams of the version.
+    expect_that!(
+        models(&plan(&mut state, &manifest, load, at(2_010))),
+        is_empty()
+    );
+}
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -173,6 +173,7 @@
         service: service(),
         model: name(model),
         adapter: adapter.map(name),
+        software: None,
         count,
     }
 }
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -195,6 +195,7 @@
         service: routed.service.clone(),
         model,
         adapter: routed.fields.adapter.clone(),
+        software: None,
         count: 1,
     });
 }
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -93,6 +93,7 @@
                 service: key.service,
                 model: key.model?,
                 adapter: key.adapter,
+                software: key.software,
                 count,
             })
         });
