Stand-in proxy: close towards the client when the target has closed

Tests saw no end of answers that end with their connection: since both sides of a connection share the half that writes to the client, so the end of the copying of answers no longer dropped it, and the close of an engine never reached a daemon. Faults of engines that end by closing a connection (Unframed, UnframedCut, BreakOff) were not seen as such in tests, the soak's included. The proxy now shuts its writing half down when the target has closed, as dropping it did.

unframed_answer_is_whole_when_its_connection_ends failed before (timeout, 1 of 1 runs), and passes with this change.

--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -224,6 +224,17 @@
 async fn forward_answers(
     mut reader: OwnedReadHalf,
     client_side: &Mutex<ClientSide>,
+    faults: watch::Receiver<LinkFault>,
+) {
+    copy_answers(&mut reader, client_side, faults).await;
+    // Fails only if the client has closed the connection.
+    drop(client_side.lock().await.writer.shutdown().await);
+}
+
+/// Forwards bytes to the client until the target closes the connection.
+async fn copy_answers(
+    reader: &mut OwnedReadHalf,
+    client_side: &Mutex<ClientSide>,
     mut faults: watch::Receiver<LinkFault>,
 ) {
     let mut buffer = vec![0; CHUNK_BYTES];
