Tests of resumed streams and of answers that end early, failing

Stand-in engines gain faults of resumed answers (status, content type, no event, an event without end, events from the start), other framings, and a software version that tests can set; links cut answers inside and after the head, with a close or a reset. Streams of stand-ins state their content type, as the users' page says.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -4,12 +4,14 @@
 
 mod crashes;
 mod crashing_parts;
+mod cut_answers;
 mod endless;
 mod faults;
 mod leaving;
 mod logging;
 mod path;
 mod repeated_refusals;
+mod resumed;
 mod soak;
 mod support;
 mod unframed;
--- a/crates/ward-daemon/tests/gateway/unframed.rs
+++ b/crates/ward-daemon/tests/gateway/unframed.rs
@@ -1,10 +1,19 @@
 //! Answers with neither a length nor chunks, which end with their connection.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use http::StatusCode;
-use ward_stage::{CallerError, CallerRequest, EngineFault, Stage, StagePlan};
+use ward_stage::{
+    CallerAnswer, CallerError, CallerRequest, EngineFault, LinkFault, Stage, StagePlan,
+};
+
+use crate::support::{
+    COMPLETE_STREAM, send, set_fault_on_all, stage, wait_until, wait_until_all_joined,
+};
 
-use crate::support::{COMPLETE_STREAM, send, set_fault_on_all, stage, wait_until_all_joined};
+/// Time in which an engine has sent some events of a stream, but not all.
+const EVENTS_TIME: Duration = Duration::from_millis(40);
 
 /// A stage whose engines all hold the same model.
 async fn one_model_stage(test: &str) -> Stage {
@@ -64,3 +73,49 @@
         expect_that!(answer.text(), eq(COMPLETE_STREAM));
     }
 }
+
+/// Sends a stream and lets the link of its engine refuse connections after the first
+/// events; the connection is closed then, not reset.
+async fn send_stream_and_refuse(
+    stage: &Stage,
+    id: &str,
+    path: &str,
+) -> std::result::Result<CallerAnswer, CallerError> {
+    let refusal = async {
+        wait_until("a run", || !stage.ledger.runs_of(id).is_empty()).await;
+        tokio::time::sleep(EVENTS_TIME).await;
+        let run = &stage.ledger.runs_of(id)[0];
+        let engine = stage
+            .engines
+            .iter()
+            .position(|engine| engine.id() == run.engine);
+        stage.engine_links[engine.unwrap()].set_fault(LinkFault::Refuse);
+    };
+    let request = request(id, path);
+    tokio::join!(send(stage, 0, &request), refusal).0
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_whose_engine_was_gone_looked_complete() {
+    let stage = one_model_stage("unframed-gone").await;
+    set_fault_on_all(&stage, EngineFault::Unframed);
+    let answer = send_stream_and_refuse(&stage, "r1", "/quick/a").await;
+    expect_that!(
+        answer,
+        err(matches_pattern!(CallerError::Broken(
+            eq(&StatusCode::OK),
+            anything()
+        )))
+    );
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_whose_engine_was_gone_was_not_resumed() {
+    let stage = one_model_stage("unframed-gone-resumed").await;
+    set_fault_on_all(&stage, EngineFault::Unframed);
+    let answer = send_stream_and_refuse(&stage, "r1", "/quote/a").await;
+    let text = answer.map(|answer| answer.text());
+    expect_that!(text, ok(eq(COMPLETE_STREAM)));
+}
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::stream::BoxStream;
 use futures::{Stream, StreamExt, stream};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -15,6 +16,7 @@
     parse_order, parse_request_headers, report_json, retry_after_headers, signed_answer_headers,
 };
 
+use super::resume::resumed_answer;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
 use crate::ledger::{OrderRecord, RefusalRecord, RunRecord};
 use crate::reply::{AbortConnection, StageBody, full_response, streamed_response};
@@ -23,10 +25,11 @@
 const ENDLESS_CHUNK: &[u8] = &[b'x'; 64 << 10];
 /// Time between two single bytes of [`EngineFault::Trickle`].
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
 /// Beginning of an event.
-const CUT_EVENT: &[u8] = b"id: 3\ndata: par";
+pub(super) const CUT_EVENT: &[u8] = b"id: 3\ndata: par";
 /// Number of events of a stream.
-const EVENT_COUNT: u64 = 5;
+pub(super) const EVENT_COUNT: u64 = 5;
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a request runs before its answer begins.
@@ -217,33 +220,50 @@
         response.headers_mut().extend(signed_headers);
         return response;
     }
+    if let EngineFault::Resumed(fault) = fault
+        && let Some(last_event) = received.last_event_id
+    {
+        return resumed_answer(fault, received, last_event, signed_headers);
+    }
     if fault == EngineFault::Endless {
         return streamed_response(StatusCode::OK, signed_headers, endless_body());
     }
     let is_unframed = matches!(fault, EngineFault::Unframed | EngineFault::UnframedCut);
+    let breaks_off = matches!(
+        fault,
+        EngineFault::BreakOff | EngineFault::NoEventIds | EngineFault::Resumed(_)
+    );
     if received.model.is_none() {
         let mut response = full_response(StatusCode::OK, format!("served {path}"));
         response.headers_mut().extend(signed_headers);
         if is_unframed {
             remove_framing(&mut response);
         }
-        if fault == EngineFault::BreakOff {
+        if fault == EngineFault::OtherFraming {
+            response.headers_mut().remove(CONTENT_LENGTH);
+        }
+        if breaks_off {
             // A content length beyond the body makes the server close the connection.
             let headers = response.headers_mut();
-            headers.insert(http::header::CONTENT_LENGTH, 10_000.into());
+            headers.insert(CONTENT_LENGTH, 10_000.into());
         }
         return response;
     }
-    let breaks_off = fault == EngineFault::BreakOff;
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
     let events = stream::iter(first_event..=EVENT_COUNT).then(move |number| async move {
         tokio::time::sleep(EVENT_INTERVAL).await;
         if breaks_off && number >= first_event + 2 {
             return Err(AbortConnection);
         }
-        let text = format!("id: {number}\ndata: part {number}\n\n");
+        let text = if fault == EngineFault::NoEventIds {
+            format!("data: part {number}\n\n")
+        } else {
+            event_text(number)
+        };
         Ok(Frame::data(Bytes::from(text)))
     });
+    let mut signed_headers = signed_headers;
+    signed_headers.insert(CONTENT_TYPE, EVENT_STREAM);
     if fault == EngineFault::Trickle {
         let events = events.take(2).chain(trickle());
         return streamed_response(StatusCode::OK, signed_headers, events.boxed());
@@ -259,23 +279,34 @@
     if is_unframed {
         remove_framing(&mut response);
     }
+    if fault == EngineFault::OtherFraming {
+        let length: usize = (first_event..=EVENT_COUNT)
+            .map(|number| event_text(number).len())
+            .sum();
+        response.headers_mut().insert(CONTENT_LENGTH, length.into());
+    }
     response
 }
 
+/// The event with this number.
+pub(super) fn event_text(number: u64) -> String {
+    format!("id: {number}\ndata: part {number}\n\n")
+}
+
 /// Makes the server send a response without length and chunks, and close the
 /// connection after it.
-fn remove_framing(response: &mut Response<StageBody>) {
-    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+pub(super) fn remove_framing(response: &mut Response<StageBody>) {
+    response.headers_mut().remove(CONTENT_LENGTH);
     // HTTP/1.0 has no chunks.
     *response.version_mut() = Version::HTTP_10;
 }
 
-fn endless_body() -> BoxStream<'static, Result<Frame<Bytes>, AbortConnection>> {
+pub(super) fn endless_body() -> BoxStream<'static, Result<Frame<Bytes>, AbortConnection>> {
     stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(ENDLESS_CHUNK)))).boxed()
 }
 
 /// Single bytes at intervals, without end; `:` begins a comment line of a stream.
-fn trickle() -> impl Stream<Item = Result<Frame<Bytes>, AbortConnection>> {
+pub(super) fn trickle() -> impl Stream<Item = Result<Frame<Bytes>, AbortConnection>> {
     stream::repeat(()).then(|()| async {
         tokio::time::sleep(TRICKLE_INTERVAL).await;
         Ok(Frame::data(Bytes::from_static(b":")))
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -17,6 +17,12 @@
     /// Like [`Self::Unframed`], but streams end inside their third event; the connection
     /// is closed, not reset.
     UnframedCut,
+    /// Sends plain answers in chunks, and streams with a content length.
+    OtherFraming,
+    /// Like [`Self::BreakOff`], but the events of streams have no id.
+    NoEventIds,
+    /// Like [`Self::BreakOff`], but streams that are resumed have this fault instead.
+    Resumed(ResumeFault),
     /// Runs requests, then closes the connection without an answer.
     LoseAnswers,
     /// Refuses all requests with status 503 as not executed, as if all slots of the
@@ -64,6 +70,31 @@
     }
 }
 
+/// Fault of the answer to a request that resumes a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumeFault {
+    /// A whole answer with this status; 204 has no body.
+    Status(u16),
+    /// A refusal with status 503, as not executed.
+    Refusal,
+    /// The events, with this content type; without one if it is empty.
+    ContentType(&'static str),
+    /// No event, in an answer with a content length.
+    Empty,
+    /// No event, in an answer in chunks.
+    EmptyChunked,
+    /// No event, in an answer that ends with its connection.
+    EmptyUnframed,
+    /// One event that never ends.
+    Endless,
+    /// The beginning of an event, then single bytes at intervals.
+    Trickle,
+    /// The events from the first one on, as if the caller had none.
+    FromStart,
+    /// The events, with lines that end with carriage returns and line feeds.
+    ReturnFeeds,
+}
+
 /// Part of the path of requests that crash an engine with [`EngineFault::Crash`].
 pub const CRASHING_PATH: &str = "crashing";
 
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod fault;
+mod resume;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,10 +17,10 @@
 use ward_fleet::{
     EngineBirth, EngineClass, EngineEntry, EngineOrder, HeartbeatCount, HeldModel, OrderSequence,
 };
-use ward_protocol::{AdapterName, FenceNumber, ModelName};
+use ward_protocol::{AdapterName, FenceNumber, ModelName, SoftwareVersion};
 
 use self::answer::answer;
-pub use self::fault::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault};
+pub use self::fault::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, ResumeFault};
 use crate::ledger::RunLedger;
 use crate::proxy::{LinkControl, LinkFault, StageProxy};
 use crate::serve::{StageServer, serve};
@@ -165,6 +166,12 @@
         self.shared.write_heartbeat(store);
     }
 
+    /// Sets the version of the engine's software, and announces it with a heartbeat at once.
+    pub fn set_software(&self, software: SoftwareVersion, store: &StageStore) {
+        self.shared.lock().entry.software = software;
+        self.shared.write_heartbeat(store);
+    }
+
     /// Models in the engine's memory, without one that is still loading.
     #[must_use]
     pub fn models(&self) -> Vec<ModelName> {
--- /dev/null
+++ b/crates/ward-stage/src/engine/resume.rs
@@ -0,0 +1,78 @@
+//! Faulty answers to requests that resume a stream.
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body::Frame;
+use ward_adapter::served::{ReceivedHeaders, not_executed_headers};
+
+use super::ResumeFault;
+use super::answer::{CUT_EVENT, EVENT_COUNT, EVENT_STREAM, endless_body, event_text};
+use super::answer::{remove_framing, trickle};
+use crate::reply::{StageBody, full_response, streamed_response};
+
+/// The answer to a request that resumes a stream after the event `last_event`; `headers`
+/// are the id and signature of an answer.
+pub(super) fn resumed_answer(
+    fault: ResumeFault,
+    received: &ReceivedHeaders,
+    last_event: u64,
+    mut headers: HeaderMap,
+) -> Response<StageBody> {
+    headers.insert(CONTENT_TYPE, EVENT_STREAM);
+    match fault {
+        ResumeFault::Status(status) => status_response(status, headers),
+        ResumeFault::Refusal => {
+            let headers = not_executed_headers(received.id.as_ref());
+            whole_response(StatusCode::SERVICE_UNAVAILABLE, headers, String::new())
+        }
+        ResumeFault::ContentType(content_type) => {
+            headers.remove(CONTENT_TYPE);
+            if !content_type.is_empty() {
+                headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+            }
+            whole_response(StatusCode::OK, headers, events_from(last_event + 1))
+        }
+        ResumeFault::Empty => whole_response(StatusCode::OK, headers, String::new()),
+        ResumeFault::EmptyChunked => {
+            streamed_response(StatusCode::OK, headers, stream::empty().boxed())
+        }
+        ResumeFault::EmptyUnframed => {
+            let mut response = whole_response(StatusCode::OK, headers, String::new());
+            remove_framing(&mut response);
+            response
+        }
+        ResumeFault::Endless => streamed_response(StatusCode::OK, headers, endless_body()),
+        ResumeFault::Trickle => {
+            let part = stream::once(async { Ok(Frame::data(Bytes::from_static(CUT_EVENT))) });
+            streamed_response(StatusCode::OK, headers, part.chain(trickle()).boxed())
+        }
+        ResumeFault::FromStart => whole_response(StatusCode::OK, headers, events_from(1)),
+        ResumeFault::ReturnFeeds => {
+            let events = events_from(last_event + 1).replace('\n', "\r\n");
+            whole_response(StatusCode::OK, headers, events)
+        }
+    }
+}
+
+fn events_from(first: u64) -> String {
+    (first..=EVENT_COUNT).map(event_text).collect()
+}
+
+/// A whole answer with a status, and with a body that looks like an event where the status
+/// allows one.
+fn status_response(status: u16, headers: HeaderMap) -> Response<StageBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = match status {
+        StatusCode::NO_CONTENT => String::new(),
+        _ => events_from(EVENT_COUNT),
+    };
+    whole_response(status, headers, body)
+}
+
+fn whole_response(status: StatusCode, headers: HeaderMap, body: String) -> Response<StageBody> {
+    let mut response = full_response(status, body);
+    response.headers_mut().extend(headers);
+    response
+}
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -19,9 +19,9 @@
 
 pub use caller::{CallerAnswer, CallerError, CallerRequest, StageCaller};
 pub use daemon::{DaemonProcess, StageError};
-pub use engine::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, StageEngine};
+pub use engine::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, ResumeFault, StageEngine};
 pub use ledger::{OrderRecord, RefusalRecord, RunLedger, RunRecord};
-pub use proxy::{LinkControl, LinkFault, StageProxy};
+pub use proxy::{CutEnd, CutPlace, LinkControl, LinkFault, StageProxy};
 pub use stage::{Stage, StagePlan, stage_folder};
 pub use store::{StageStore, StoreFault};
 pub use weights::WeightStore;
--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -8,11 +8,17 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, watch};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::{JoinHandle, JoinSet};
 
 const CHUNK_BYTES: usize = 16 << 10;
 const REFUSAL_STARTS: [&[u8]; 2] = [b"HTTP/1.1 503", b"HTTP/1.1 421"];
+const LINE_END: &[u8] = b"\r\n";
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Length of an answer that is cut inside the status line: up to its status.
+const STATUS_CUT_BYTES: usize = b"HTTP/1.1 20".len();
+/// Time for the bytes before a reset to be read, which would discard them otherwise.
+const RESET_DELAY: Duration = Duration::from_millis(5);
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Fault that a proxy injects into all its connections, open and new.
@@ -34,6 +40,56 @@
     /// The target writes each of its refusals once more, when the next request comes on
     /// the same connection: the copy stands where the answer to that request is expected.
     RepeatRefusals,
+    /// The target stops within each answer with status 200, and its connection ends.
+    CutAnswers(CutPlace, CutEnd),
+}
+
+/// Where [`LinkFault::CutAnswers`] cuts an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutPlace {
+    /// Inside the status line.
+    StatusLine,
+    /// Inside a header line.
+    HeaderLine,
+    /// After a header line, before the next.
+    BetweenHeaders,
+    /// After the empty line that ends the head.
+    AfterHead,
+}
+
+/// How a connection ends after [`LinkFault::CutAnswers`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutEnd {
+    /// It is closed, as when a process ends.
+    Close,
+    /// It is reset.
+    Reset,
+}
+
+impl CutPlace {
+    /// The number of bytes of an answer that are still sent; `None` if these bytes don't
+    /// begin an answer with status 200. Stand-ins write a head in one piece.
+    fn length(self, bytes: &[u8]) -> Option<usize> {
+        let version = bytes.strip_prefix(b"HTTP/1.")?;
+        let is_success = version
+            .get(1..)
+            .is_some_and(|rest| rest.starts_with(b" 200"));
+        let end_of = |end: &[u8]| {
+            let mut windows = bytes.windows(end.len());
+            windows.position(|window| window == end)
+        };
+        let status_end = end_of(LINE_END).filter(|_| is_success)? + LINE_END.len();
+        let rest = &bytes[status_end..];
+        let line_length = rest
+            .windows(LINE_END.len())
+            .position(|window| window == LINE_END)?;
+        match self {
+            Self::StatusLine => Some(STATUS_CUT_BYTES),
+            Self::HeaderLine => Some(status_end + line_length / 2),
+            Self::BetweenHeaders => Some(status_end + line_length + LINE_END.len()),
+            Self::AfterHead => Some(end_of(HEAD_END)? + HEAD_END.len()),
+        }
+    }
 }
 
 impl LinkFault {
@@ -176,14 +232,16 @@
         writer: client_writer,
         refusal: None,
     });
+    let reset = Notify::new();
     let mut updates = faults.clone();
     tokio::select! {
         () = async {
             tokio::join!(
                 forward_requests(client_reader, server_writer, &client_side, faults.clone()),
-                forward_answers(server_reader, &client_side, faults.clone()),
+                forward_answers(server_reader, &client_side, &reset, faults.clone()),
             );
         } => {}
+        () = reset.notified() => {}
         // No error before the proxy is dropped: it owns the sender.
         _ = updates.wait_for(|fault| fault.resets_connections()) => {}
     }
@@ -224,35 +282,54 @@
 async fn forward_answers(
     mut reader: OwnedReadHalf,
     client_side: &Mutex<ClientSide>,
+    reset: &Notify,
     faults: watch::Receiver<LinkFault>,
 ) {
-    copy_answers(&mut reader, client_side, faults).await;
+    let end = copy_answers(&mut reader, client_side, faults).await;
+    let mut client_side = client_side.lock().await;
+    if end == CutEnd::Reset {
+        tokio::time::sleep(RESET_DELAY).await;
+        // Fails only if the client has closed the connection.
+        drop(client_side.writer.as_ref().set_zero_linger());
+        reset.notify_one();
+        return;
+    }
     // Fails only if the client has closed the connection.
-    drop(client_side.lock().await.writer.shutdown().await);
+    drop(client_side.writer.shutdown().await);
 }
 
-/// Forwards bytes to the client until the target closes the connection.
+/// Forwards bytes to the client until the target closes the connection or an answer is
+/// cut; returns how the connection to the client ends.
 async fn copy_answers(
     reader: &mut OwnedReadHalf,
     client_side: &Mutex<ClientSide>,
     mut faults: watch::Receiver<LinkFault>,
-) {
+) -> CutEnd {
     let mut buffer = vec![0; CHUNK_BYTES];
     while let Ok(count) = reader.read(&mut buffer).await {
         let is_held =
             |fault: &LinkFault| matches!(*fault, LinkFault::HoldAll | LinkFault::HoldAnswers);
         if !pass_fault(&mut faults, is_held).await {
-            return;
+            break;
         }
         let bytes = &buffer[..count];
+        let fault = *faults.borrow();
         let mut client_side = client_side.lock().await;
-        if *faults.borrow() == LinkFault::RepeatRefusals && is_refusal(bytes) {
+        if let LinkFault::CutAnswers(place, end) = fault
+            && let Some(length) = place.length(bytes)
+        {
+            // Fails only if the client has closed the connection.
+            drop(client_side.writer.write_all(&bytes[..length]).await);
+            return end;
+        }
+        if fault == LinkFault::RepeatRefusals && is_refusal(bytes) {
             client_side.refusal = Some(bytes.to_vec());
         }
         if count == 0 || client_side.writer.write_all(bytes).await.is_err() {
-            return;
+            break;
         }
     }
+    CutEnd::Close
 }
 
 /// Waits while bytes are held back or delayed; returns false when the proxy has ended.
