Move the framing and the resumption of streams into modules of their own

Two things change with the move: the content type is compared as a media type (any case, with parameters, not as a prefix), and an answer of another type on a stream route that has neither length nor chunks and brings no byte counts as broken off. No test of its own shows the second.

--- /dev/null
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -0,0 +1,79 @@
+//! How an engine's answer is delimited, and whether its end shows that it is whole.
+
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, Response, StatusCode};
+
+use crate::events::EventCursor;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Whether an answer has neither a length nor chunks and ends with its connection.
+pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Whether a success with this status has a body.
+pub(crate) fn has_body(status: StatusCode) -> bool {
+    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
+}
+
+/// Content type of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamType {
+    Events,
+    /// The answer names no content type.
+    Unstated,
+    Other,
+}
+
+impl StreamType {
+    fn of(headers: &HeaderMap) -> Self {
+        let Some(value) = headers.get(CONTENT_TYPE) else {
+            return Self::Unstated;
+        };
+        // Parameters, such as the character set, follow a semicolon.
+        let text = value.to_str().unwrap_or_default();
+        let media_type = text.split(';').next().unwrap_or_default().trim();
+        if media_type.eq_ignore_ascii_case(EVENT_STREAM) {
+            Self::Events
+        } else {
+            Self::Other
+        }
+    }
+}
+
+/// How the end of a stream shows.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamFraming {
+    status: StatusCode,
+    content_type: StreamType,
+    /// Whether the stream ends with its connection.
+    pub(super) ends_with_connection: bool,
+}
+
+impl StreamFraming {
+    pub(super) fn of<B>(answer: &Response<B>) -> Self {
+        Self {
+            status: answer.status(),
+            content_type: StreamType::of(answer.headers()),
+            ends_with_connection: ends_with_connection(answer.headers()),
+        }
+    }
+
+    /// Why a stream that ended counts as broken off; `None` if it may be complete.
+    /// `is_empty` is whether it brought no bytes, `cursor` its position.
+    pub(super) fn early_end(self, is_empty: bool, cursor: EventCursor) -> Option<&'static str> {
+        if !has_body(self.status) {
+            return None;
+        }
+        if self.content_type == StreamType::Other {
+            let is_cut = self.ends_with_connection && is_empty;
+            return is_cut.then_some("the connection ended before the first byte");
+        }
+        if cursor.is_inside_event() {
+            return Some("the stream ended inside an event");
+        }
+        let is_cut = self.ends_with_connection && !cursor.has_event();
+        is_cut.then_some("the connection ended before the first event")
+    }
+}
--- a/crates/ward-gateway/src/forward/mod.rs
+++ b/crates/ward-gateway/src/forward/mod.rs
@@ -1,8 +1,10 @@
 //! Forwarding of requests and streams to and from engines.
 
 mod attempt;
+mod framing;
 mod pool;
 mod relay;
+mod resume;
 
 pub(crate) use attempt::{Attempt, AttemptFailure, AttemptRequest, send_attempt};
 pub(crate) use pool::{ConnectionNeed, EnginePool};
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -9,8 +9,6 @@
 
 use bytes::Bytes;
 use futures::stream::{self, Stream};
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
@@ -18,21 +16,19 @@
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
-use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal, send_attempt};
+use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal};
+use super::framing::StreamFraming;
 use super::pool::EngineConnection;
 use crate::clock;
 use crate::events::{EventCursor, EventSplitter};
 use crate::gateway::Gateway;
-use crate::queue::{EngineSlot, RunState, WaitTicket, acquire_slot};
+use crate::queue::{EngineSlot, RunState, WaitTicket};
 
 /// Time after the deadline within which an engine may still end the stream itself.
 const END_GRACE: TimeSpan = TimeSpan::from_millis(100);
 /// Time without an event, as a multiple of the route's longest pause between events,
 /// after which a stream is resumed at another engine.
 const MAX_SILENT_PAUSES: u64 = 3;
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-/// Minimum remaining time for a stream to be resumed at another engine.
-const MIN_RESUME_TIME: TimeSpan = TimeSpan::from_millis(200);
 
 quick_error! {
     /// An error that ends a stream before it is complete, and closes the caller's
@@ -68,53 +64,31 @@
 }
 
 /// The answer of the engine that a stream currently comes from.
-struct StreamSource {
-    slot: EngineSlot,
+pub(super) struct StreamSource {
+    pub(super) slot: EngineSlot,
     connection: EngineConnection,
     body: Incoming,
     reuse: ConnectionReuse,
     framing: StreamFraming,
-}
-
-/// How the end of a stream shows.
-#[derive(Debug, Clone, Copy)]
-struct StreamFraming {
-    /// Whether the stream consists of events.
-    has_events: bool,
-    /// Whether the stream has neither a length nor chunks and ends with its
-    /// connection.
-    ends_with_connection: bool,
-}
-
-impl StreamFraming {
-    fn of(answer: &Response<Incoming>) -> Self {
-        let headers = answer.headers();
-        let content_type = headers.get(CONTENT_TYPE);
-        let is_event_type = |value: &HeaderValue| value.as_bytes().starts_with(EVENT_STREAM);
-        let is_framed =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        Self {
-            has_events: content_type.is_none_or(is_event_type),
-            ends_with_connection: !is_framed,
-        }
-    }
+    /// Whether no bytes have come from it.
+    is_empty: bool,
 }
 
 /// A stream that is being relayed.
 pub(crate) struct StreamRelay {
-    gateway: Rc<Gateway>,
-    request: AttemptRequest,
+    pub(super) gateway: Rc<Gateway>,
+    pub(super) request: AttemptRequest,
     /// `None` once the stream has ended, or while it has no engine.
-    source: Option<StreamSource>,
-    resume_ticket: Option<WaitTicket>,
-    attempts_left: u32,
+    pub(super) source: Option<StreamSource>,
+    pub(super) resume_ticket: Option<WaitTicket>,
+    pub(super) attempts_left: u32,
     event_pause: TimeSpan,
-    caller_timeout: TimeSpan,
-    splitter: EventSplitter,
+    pub(super) caller_timeout: TimeSpan,
+    pub(super) splitter: EventSplitter,
     forwarded_bytes: u64,
     start_time: MonoTime,
     /// When bytes were last forwarded, or the stream was last resumed.
-    last_forwarded: MonoTime,
+    pub(super) last_forwarded: MonoTime,
 }
 
 impl From<Attempt> for StreamSource {
@@ -125,6 +99,20 @@
             slot: attempt.slot,
             connection: attempt.connection,
             body: attempt.answer.into_body(),
+            is_empty: true,
+        }
+    }
+}
+
+impl StreamSource {
+    /// The step at the end of the answer, at this position.
+    fn end_step(&self, cursor: EventCursor) -> RelayStep {
+        match self.framing.early_end(self.is_empty, cursor) {
+            Some(reason) => {
+                self.slot.set_run_state(RunState::BrokenOff);
+                RelayStep::Broken(reason)
+            }
+            None => RelayStep::End,
         }
     }
 }
@@ -137,18 +125,6 @@
     Timeout,
 }
 
-/// Why a stream that ended at a position counts as broken off; `None` if it is complete.
-fn early_end(framing: StreamFraming, cursor: EventCursor) -> Option<&'static str> {
-    if !framing.has_events {
-        return None;
-    }
-    if cursor.is_inside_event() {
-        return Some("the stream ended inside an event");
-    }
-    let is_empty = framing.ends_with_connection && !cursor.has_event();
-    is_empty.then_some("the connection ended before the first event")
-}
-
 impl StreamRelay {
     pub(crate) fn new(gateway: Rc<Gateway>, start: RelayStart) -> Self {
         Self {
@@ -232,19 +208,15 @@
         match frame {
             Ok(Some(Ok(frame))) => {
                 source.slot.record_progress();
-                RelayStep::Data(frame.into_data().unwrap_or_default())
+                let bytes = frame.into_data().unwrap_or_default();
+                source.is_empty &= bytes.is_empty();
+                RelayStep::Data(bytes)
             }
             Ok(Some(Err(_))) => {
                 source.slot.set_run_state(RunState::BrokenOff);
                 RelayStep::Broken("the engine broke off")
             }
-            Ok(None) => match early_end(source.framing, self.splitter.cursor()) {
-                Some(reason) => {
-                    source.slot.set_run_state(RunState::BrokenOff);
-                    RelayStep::Broken(reason)
-                }
-                None => RelayStep::End,
-            },
+            Ok(None) => source.end_step(self.splitter.cursor()),
             Err(_) if clock::now() >= self.request.deadline => RelayStep::Timeout,
             Err(_) => RelayStep::Broken("the engine sent no event in time"),
         }
@@ -288,63 +260,4 @@
         );
         error
     }
-
-    /// Resumes the stream at another engine, after the last event that the caller has
-    /// received; returns whether that succeeded.
-    async fn resume_elsewhere(&mut self, reason: &'static str) -> bool {
-        let Some(source) = self.source.take() else {
-            return false;
-        };
-        record_signal(&self.gateway, &source.slot, EngineSignal::Failed);
-        let failed_engine = source.slot.engine.id.clone();
-        drop(source);
-        let Some(mut ticket) = self.resume_ticket.clone() else {
-            return false;
-        };
-        ticket.avoided.insert(failed_engine.clone());
-        let caller_deadline = self.last_forwarded + self.caller_timeout;
-        ticket.times.deadline = caller_deadline.min(self.request.deadline);
-        while self.may_resume(&ticket) {
-            self.attempts_left -= 1;
-            info!(
-                self.gateway.logger, "stream: goes on elsewhere"; "request" => &self.request.id_text,
-                "former" => %failed_engine, "why" => reason, "after" => self.splitter.last_id(),
-            );
-            if let Some(attempt) = self.resend(&ticket).await {
-                self.splitter.discard_partial();
-                self.source = Some(StreamSource::from(attempt));
-                self.resume_ticket = Some(ticket);
-                self.last_forwarded = clock::now();
-                return true;
-            }
-        }
-        false
-    }
-
-    fn may_resume(&self, ticket: &WaitTicket) -> bool {
-        self.attempts_left > 0
-            && ticket.times.deadline.since(clock::now()) > MIN_RESUME_TIME
-            && self.gateway.take_retry(&ticket.service)
-    }
-
-    /// Sends the request again, to continue after the last forwarded event; `None` if no
-    /// engine answers with success.
-    async fn resend(&self, ticket: &WaitTicket) -> Option<Attempt> {
-        let slot = match acquire_slot(&self.gateway, ticket.clone()).await {
-            Ok(slot) => slot,
-            Err(failure) => {
-                warn!(
-                    self.gateway.logger, "stream: no engine to resume at";
-                    "request" => &self.request.id_text, "why" => ?failure,
-                );
-                return None;
-            }
-        };
-        let timeout = ticket.times.deadline.since(clock::now());
-        let last_event_id = self.splitter.last_id();
-        let sent = send_attempt(&self.gateway, &self.request, slot, last_event_id, timeout).await;
-        // `send_attempt` has logged the cause of a failure.
-        sent.ok()
-            .filter(|attempt| attempt.answer.status().is_success())
-    }
 }
