A resumed stream that ends before its first event is not complete

Callers got a stream as complete that had broken off after some events: the engine that was to go on closed its answer, with neither length nor chunks, before its first event. That an event had come was remembered from the engine before. The position in a stream now begins anew with each engine.

--- a/crates/ward-gateway/src/events.rs
+++ b/crates/ward-gateway/src/events.rs
@@ -135,13 +135,11 @@
         self.partial.split().freeze()
     }
 
-    /// Discards an event that was cut off.
-    pub fn discard_partial(&mut self) {
+    /// Discards an event that was cut off, and begins with another stream that goes on
+    /// after the newest complete event.
+    pub fn begin_resumed(&mut self) {
         self.partial.clear();
-        self.cursor = EventCursor {
-            any_event: self.cursor.any_event,
-            ..EventCursor::default()
-        };
+        self.cursor = EventCursor::default();
     }
 
     /// Id of the newest complete event that had one.
--- a/crates/ward-gateway/src/forward/resume.rs
+++ b/crates/ward-gateway/src/forward/resume.rs
@@ -35,7 +35,7 @@
                 "former" => %failed_engine, "why" => reason, "after" => self.splitter.last_id(),
             );
             if let Some(attempt) = self.resend(&ticket).await {
-                self.splitter.discard_partial();
+                self.splitter.begin_resumed();
                 self.source = Some(StreamSource::from(attempt));
                 self.resume_ticket = Some(ticket);
                 self.last_forwarded = clock::now();
--- a/crates/ward-gateway/tests/events.rs
+++ b/crates/ward-gateway/tests/events.rs
@@ -54,11 +54,13 @@
 }
 
 #[gtest]
-fn discard_partial_event_goes_on_with_the_next_stream() {
+fn begin_resumed_discards_a_partial_event() {
     let mut splitter = EventSplitter::default();
     splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
-    splitter.discard_partial();
+    splitter.begin_resumed();
     expect_false!(splitter.cursor().is_inside_event());
+    // The events of the former stream say nothing of this one.
+    expect_false!(splitter.cursor().has_event());
     let event = b"id: 2\ndata: b\n\n";
     expect_that!(&splitter.push(event)[..], eq(event));
     expect_that!(splitter.last_id(), some(eq("2")));
