Resume a stream only with a signed 200 of the same content type

A stream had broken off and any success of the next engine was forwarded as its rest: 201, 204 and 206, and bodies of another content type or of none, so that callers got foreign bytes in the middle of their stream or took the first events for all. Only the status class was looked at. An answer now continues a stream only with the first answer's status, which must be 200, an engine's signature and the media type text/event-stream; without a content type only if the first answer had none either, since its head has gone out. Anything else is logged, forwarded with no byte, and another engine is tried within the attempts. A first answer that is not 200 or has another content type is not resumed at all.

An engine whose answer did not continue a stream is avoided by the next attempt: a faulty one used up the attempts while a sound one was left. When no engine can be had, the stream breaks off instead of waiting again for each attempt left.

--- a/crates/ward-gateway/src/forward/framing.rs
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -3,6 +3,7 @@
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Response, StatusCode};
 
+use super::attempt::Attempt;
 use crate::events::EventCursor;
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -60,6 +61,27 @@
         }
     }
 
+    /// Whether the answer is a stream of events that another engine may continue.
+    pub(super) fn may_continue_elsewhere(self) -> bool {
+        self.status == StatusCode::OK && self.content_type != StreamType::Other
+    }
+
+    /// Why the answer to a request that resumes a stream with this framing does not
+    /// continue it; `None` if it does. An answer without content type continues only a
+    /// stream whose caller got none either.
+    pub(super) fn mismatch(self, resumed: &Attempt) -> Option<&'static str> {
+        let framing = Self::of(&resumed.answer);
+        if framing.status != self.status {
+            return Some("the status differs");
+        }
+        if !resumed.fields.signed {
+            return Some("the answer has no signature");
+        }
+        let fits =
+            framing.content_type == StreamType::Events || framing.content_type == self.content_type;
+        (!fits).then_some("the answer is no stream of events")
+    }
+
     /// Why a stream that ended counts as broken off; `None` if it may be complete.
     /// `is_empty` is whether it brought no bytes, `cursor` its position.
     pub(super) fn early_end(self, is_empty: bool, cursor: EventCursor) -> Option<&'static str> {
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -80,6 +80,8 @@
     pub(super) request: AttemptRequest,
     /// `None` once the stream has ended, or while it has no engine.
     pub(super) source: Option<StreamSource>,
+    /// How the answer began whose head the caller got.
+    pub(super) first_framing: StreamFraming,
     pub(super) resume_ticket: Option<WaitTicket>,
     pub(super) attempts_left: u32,
     event_pause: TimeSpan,
@@ -127,11 +129,17 @@
 
 impl StreamRelay {
     pub(crate) fn new(gateway: Rc<Gateway>, start: RelayStart) -> Self {
+        let source = StreamSource::from(start.attempt);
+        let first_framing = source.framing;
+        let resume_ticket = start
+            .resume_ticket
+            .filter(|_| first_framing.may_continue_elsewhere());
         Self {
             gateway,
             request: start.request,
-            source: Some(StreamSource::from(start.attempt)),
-            resume_ticket: start.resume_ticket,
+            source: Some(source),
+            first_framing,
+            resume_ticket,
             attempts_left: start.attempts_left,
             event_pause: start.event_pause,
             caller_timeout: start.caller_timeout,
--- a/crates/ward-gateway/src/forward/resume.rs
+++ b/crates/ward-gateway/src/forward/resume.rs
@@ -7,7 +7,7 @@
 use super::attempt::{Attempt, record_signal, send_attempt};
 use super::relay::{StreamRelay, StreamSource};
 use crate::clock;
-use crate::queue::{WaitTicket, acquire_slot};
+use crate::queue::{EngineSlot, RunState, WaitFailure, WaitTicket, acquire_slot};
 
 /// Minimum remaining time for a stream to be resumed at another engine.
 const MIN_RESUME_TIME: TimeSpan = TimeSpan::from_millis(200);
@@ -34,13 +34,18 @@
                 self.gateway.logger, "stream: goes on elsewhere"; "request" => &self.request.id_text,
                 "former" => %failed_engine, "why" => reason, "after" => self.splitter.last_id(),
             );
-            if let Some(attempt) = self.resend(&ticket).await {
+            let Some(slot) = self.acquire_slot(&ticket).await else {
+                return false;
+            };
+            let engine = slot.engine.id.clone();
+            if let Some(attempt) = self.resend(&ticket, slot).await {
                 self.splitter.begin_resumed();
                 self.source = Some(StreamSource::from(attempt));
                 self.resume_ticket = Some(ticket);
                 self.last_forwarded = clock::now();
                 return true;
             }
+            ticket.avoided.insert(engine);
         }
         false
     }
@@ -51,24 +56,38 @@
             && self.gateway.take_retry(&ticket.service)
     }
 
-    /// Sends the request again, to continue after the last forwarded event; `None` if no
-    /// engine answers with success.
-    async fn resend(&self, ticket: &WaitTicket) -> Option<Attempt> {
-        let slot = match acquire_slot(&self.gateway, ticket.clone()).await {
-            Ok(slot) => slot,
-            Err(failure) => {
-                warn!(
-                    self.gateway.logger, "stream: no engine to resume at";
-                    "request" => &self.request.id_text, "why" => ?failure,
-                );
-                return None;
-            }
+    /// Waits for a slot; `None` if no engine can continue the stream in time.
+    async fn acquire_slot(&self, ticket: &WaitTicket) -> Option<EngineSlot> {
+        let acquired = acquire_slot(&self.gateway, ticket.clone()).await;
+        let log_failure = |failure: &WaitFailure| {
+            warn!(
+                self.gateway.logger, "stream: no engine to resume at";
+                "request" => &self.request.id_text, "why" => ?failure,
+            );
         };
+        acquired.inspect_err(log_failure).ok()
+    }
+
+    /// Sends the request again, to continue after the last forwarded event; `None` if the
+    /// engine does not answer with a stream that continues this one.
+    async fn resend(&self, ticket: &WaitTicket, slot: EngineSlot) -> Option<Attempt> {
         let timeout = ticket.times.deadline.since(clock::now());
         let last_event_id = self.splitter.last_id();
         let sent = send_attempt(&self.gateway, &self.request, slot, last_event_id, timeout).await;
         // `send_attempt` has logged the cause of a failure.
-        sent.ok()
-            .filter(|attempt| attempt.answer.status().is_success())
+        let attempt = sent.ok()?;
+        let Some(reason) = self.first_framing.mismatch(&attempt) else {
+            return Some(attempt);
+        };
+        let status = attempt.answer.status();
+        warn!(
+            self.gateway.logger, "stream: not continued by the answer";
+            "request" => &self.request.id_text, "engine" => %attempt.slot.engine.id,
+            "status" => status.as_u16(), "why" => reason,
+        );
+        if !status.is_success() {
+            attempt.slot.set_run_state(RunState::Failed);
+        }
+        None
     }
 }
