An empty answer does not complete a stream that had broken off

A stream had broken off, and the next engine answered with status 200, the right content type and no event, in an answer with a content length or in chunks: the caller got the first events as the complete stream. A resumed answer now counts as broken off unless at least one event came. A stream that broke off after its last event, but before its end, is broken off by this, too, if no engine has anything to add; its caller may take it up itself.

empty_answer_was_taken_for_the_rest_of_a_stream failed before, and passes with this change.

--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -70,6 +70,8 @@
     body: Incoming,
     reuse: ConnectionReuse,
     framing: StreamFraming,
+    /// Whether it continues the stream of another engine.
+    is_resumed: bool,
     /// Whether no bytes have come from it.
     is_empty: bool,
 }
@@ -101,15 +103,24 @@
             slot: attempt.slot,
             connection: attempt.connection,
             body: attempt.answer.into_body(),
+            is_resumed: false,
             is_empty: true,
         }
     }
 }
 
 impl StreamSource {
+    /// The source of a stream that an attempt continues.
+    pub(super) fn resumed(attempt: Attempt) -> Self {
+        Self {
+            is_resumed: true,
+            ..Self::from(attempt)
+        }
+    }
+
     /// The step at the end of the answer, at this position.
     fn end_step(&self, cursor: EventCursor) -> RelayStep {
-        match self.framing.early_end(self.is_empty, cursor) {
+        match self.early_end(cursor) {
             Some(reason) => {
                 self.slot.set_run_state(RunState::BrokenOff);
                 RelayStep::Broken(reason)
@@ -117,6 +128,14 @@
             None => RelayStep::End,
         }
     }
+
+    fn early_end(&self, cursor: EventCursor) -> Option<&'static str> {
+        if self.is_resumed && !cursor.has_event() {
+            // The engine before did not end the stream, so some of it is missing.
+            return Some("the resumed stream ended before its first event");
+        }
+        self.framing.early_end(self.is_empty, cursor)
+    }
 }
 
 /// Result of reading the next frame from the engine.
--- a/crates/ward-gateway/src/forward/resume.rs
+++ b/crates/ward-gateway/src/forward/resume.rs
@@ -40,7 +40,7 @@
             let engine = slot.engine.id.clone();
             if let Some(attempt) = self.resend(&ticket, slot).await {
                 self.splitter.begin_resumed();
-                self.source = Some(StreamSource::from(attempt));
+                self.source = Some(StreamSource::resumed(attempt));
                 self.resume_ticket = Some(ticket);
                 self.last_forwarded = clock::now();
                 return true;
