Resume a stream only at the software version that began it

A stream that broke off was resumed at any engine of its service, so that callers got pieces of two versions in one answer. The version of the engine whose answer broke off is now required of the next one; also before the first event, since the head of the first engine has gone out. A stream is broken off at once if no engine of that version holds its model while other versions serve: placement knows nothing of versions, so waiting for a load would hold the caller in vain.

That the engine of the version is there and has lost the model is not tested.

--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -96,8 +96,10 @@
             .is_none_or(|model| engine.info.holds(model, self.adapter))
     }
 
-    /// Whether an engine runs the required software version.
-    fn has_software(&self, engine: &EngineRecord) -> bool {
+    /// Whether an engine runs the required software version; always true if none is
+    /// required.
+    #[must_use]
+    pub fn has_software(&self, engine: &EngineRecord) -> bool {
         let required = self.software;
         required.is_none_or(|software| engine.info.software == *software)
     }
--- a/crates/ward-gateway/src/forward/resume.rs
+++ b/crates/ward-gateway/src/forward/resume.rs
@@ -21,11 +21,14 @@
         };
         record_signal(&self.gateway, &source.slot, EngineSignal::Failed);
         let failed_engine = source.slot.engine.id.clone();
+        let software = source.slot.engine.software.clone();
         drop(source);
         let Some(mut ticket) = self.resume_ticket.clone() else {
             return false;
         };
         ticket.avoided.insert(failed_engine.clone());
+        // What engines of two versions write does not fit together.
+        ticket.software = Some(software);
         let caller_deadline = self.last_forwarded + self.caller_timeout;
         ticket.times.deadline = caller_deadline.min(self.request.deadline);
         while self.may_resume(&ticket) {
@@ -56,8 +59,30 @@
             && self.gateway.take_retry(&ticket.service)
     }
 
+    /// Whether an engine of the required software version holds what the stream needs. If
+    /// only that version serves, a load will see to it; which version gets a load is not
+    /// decided by the streams that wait.
+    fn has_engine_of_version(&self, ticket: &WaitTicket) -> bool {
+        let requirement = ticket.requirement();
+        let table = self.gateway.table.borrow();
+        let mut engines = table.of_service(&ticket.service);
+        if engines.any(|engine| requirement.has_software(engine) && requirement.fits(engine)) {
+            return true;
+        }
+        let mut engines = table.of_service(&ticket.service);
+        engines.all(|engine| requirement.has_software(engine))
+    }
+
     /// Waits for a slot; `None` if no engine can continue the stream in time.
     async fn acquire_slot(&self, ticket: &WaitTicket) -> Option<EngineSlot> {
+        if !self.has_engine_of_version(ticket) {
+            warn!(
+                self.gateway.logger, "stream: no engine of its software version";
+                "request" => &self.request.id_text,
+                "version" => ticket.software.as_ref().map(ToString::to_string),
+            );
+            return None;
+        }
         let acquired = acquire_slot(&self.gateway, ticket.clone()).await;
         let log_failure = |failure: &WaitFailure| {
             warn!(
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -46,7 +46,7 @@
 }
 
 impl WaitTicket {
-    pub(super) fn requirement(&self) -> EngineRequirement<'_> {
+    pub(crate) fn requirement(&self) -> EngineRequirement<'_> {
         EngineRequirement {
             service: &self.service,
             model: self.model.as_ref(),
