An answer that ends right after its head is not whole without length or chunks

An engine stopped after the head of its answer and closed; the head named neither a length nor chunks. Callers of plain routes got a 200 with an empty body, framed as whole, since such an answer ends with its connection. A success (other than 204, 304 and answers to HEAD) that has neither and brings no body byte now counts as incomplete: 502 for requests that may run once, another attempt for idempotent ones. An engine whose proper answer is empty must say so with a content length or chunks, or its answers fail.

Failed before, pass now: unsafe_request_got_an_empty_answer_that_looked_whole, safe_request_got_an_empty_answer_that_looked_whole (both only for unframed answers that end after the head; the other 22 cases of each passed before), safe_request_is_sent_again_after_an_empty_answer. Answers cut inside the head, and streams (cut_stream_does_not_look_complete, cut_resumable_stream_does_not_look_complete), passed before.

--- a/crates/ward-gateway/src/forward/framing.rs
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -1,20 +1,28 @@
 //! How an engine's answer is delimited, and whether its end shows that it is whole.
 
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use http::{HeaderMap, Response, StatusCode};
+use http::response::Parts;
+use http::{HeaderMap, Method, Response, StatusCode};
 
 use super::attempt::Attempt;
 use crate::events::EventCursor;
 
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Whether an answer without body bytes counts as cut off right after its head: a success
+/// whose end shows only in the end of its connection.
+pub(crate) fn is_cut_if_empty(method: &Method, head: &Parts) -> bool {
+    let may_have_body = *method != Method::HEAD && has_body(head.status);
+    may_have_body && head.status.is_success() && ends_with_connection(&head.headers)
+}
+
 /// Whether an answer has neither a length nor chunks and ends with its connection.
-pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+fn ends_with_connection(headers: &HeaderMap) -> bool {
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
 /// Whether a success with this status has a body.
-pub(crate) fn has_body(status: StatusCode) -> bool {
+fn has_body(status: StatusCode) -> bool {
     status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
 }
 
--- a/crates/ward-gateway/src/forward/mod.rs
+++ b/crates/ward-gateway/src/forward/mod.rs
@@ -7,5 +7,6 @@
 mod resume;
 
 pub(crate) use attempt::{Attempt, AttemptFailure, AttemptRequest, send_attempt};
+pub(crate) use framing::is_cut_if_empty;
 pub(crate) use pool::{ConnectionNeed, EnginePool};
 pub(crate) use relay::{RelayStart, StreamRelay};
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, Collected, Limited};
 use slog::{info, warn};
 use ward_adapter::header::{closes_connection, keep_alive_timeout};
 use ward_fleet::health::EngineSignal;
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::crash::RequestBlock;
 use crate::forward::{
-    Attempt, AttemptFailure, AttemptRequest, RelayStart, StreamRelay, send_attempt,
+    Attempt, AttemptFailure, AttemptRequest, RelayStart, StreamRelay, is_cut_if_empty, send_attempt,
 };
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
@@ -208,9 +208,13 @@
         let remaining = self.request.deadline.since(clock::now());
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
         let body = tokio::time::timeout(remaining.duration(), body).await;
+        let is_late = body.is_err();
+        let body = body.ok().and_then(Result::ok).map(Collected::to_bytes);
+        let is_cut_if_empty = is_cut_if_empty(&self.request.method, &head);
+        let body = body.filter(|body| !(body.is_empty() && is_cut_if_empty));
         let mut table = gateway.table.borrow_mut();
-        let Ok(Ok(body)) = body else {
-            if body.is_ok() {
+        let Some(body) = body else {
+            if !is_late {
                 slot.set_run_state(RunState::BrokenOff);
             }
             table.record_signal(&slot.engine.id, EngineSignal::Failed, clock::now());
@@ -234,7 +238,7 @@
                 .pool
                 .put_back(&slot.engine.id, connection, keep_alive);
         }
-        Some(buffered_answer(head.status, &head.headers, body.to_bytes()))
+        Some(buffered_answer(head.status, &head.headers, body))
     }
 
     /// Handles an attempt whose answer was not forwarded; returns `None` when the request
