A resumed stream brings no event twice

A stream was resumed after the newest id that any event had carried. Two faults showed: the events after it that carried no id, or all of a stream without ids, came to the caller a second time from the next engine; and an engine that ignored Last-Event-Id and began anew was forwarded from its first event on. A stream now goes on only after its newest complete event, and is broken off if that has no id that can be sent; before the first event it may begin anew. The first event of a resumed stream must come after the last one forwarded, as a number, or differ from it if the ids are no numbers; otherwise none of its events is forwarded and another engine is tried. Blocks without id and data are no events. Ids are read line by line, for all three line ends.

--- a/crates/ward-gateway/src/events.rs
+++ b/crates/ward-gateway/src/events.rs
@@ -4,8 +4,10 @@
 //! A stream that ends before that was broken off inside the event.
 
 use bytes::{Bytes, BytesMut};
+use http::HeaderValue;
 
 const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data:";
 const COMMENT_START: u8 = b':';
 /// Maximum length of an event that is buffered until it is complete, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -89,16 +91,32 @@
     }
 }
 
+/// Where a stream would have to go on at another engine.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum ResumePoint {
+    /// At its beginning, as no event has come.
+    #[default]
+    Start,
+    /// After the event with this id.
+    After(String),
+    /// Unknown, as the newest event has no id.
+    Unknown,
+}
+
 /// Splits a stream into complete events and keeps the newest event id.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     cursor: EventCursor,
     partial: BytesMut,
-    last_id: Option<String>,
+    point: ResumePoint,
+    /// Id that the first event of a resumed stream must come after.
+    resumed_after: Option<String>,
+    is_repeating: bool,
 }
 
 impl EventSplitter {
-    /// Appends bytes; returns all events that are complete now.
+    /// Appends bytes; returns all events that are complete now, none if they repeat events
+    /// of the stream that is resumed.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         let buffered = self.partial.len();
         self.partial.extend_from_slice(bytes);
@@ -107,12 +125,29 @@
             return Bytes::new();
         }
         let complete = self.partial.split_to(buffered + end).freeze();
-        if let Some(id) = last_id(&complete) {
-            self.last_id = Some(id);
+        let ids = event_ids(&complete);
+        let Some(last) = ids.last() else {
+            return complete;
+        };
+        if let Some(former) = self.resumed_after.take() {
+            let first = ids.iter().flatten().next();
+            self.is_repeating = first.is_some_and(|first| !is_after(first, &former));
         }
+        if self.is_repeating {
+            return Bytes::new();
+        }
+        self.point = last.as_ref().map_or(ResumePoint::Unknown, |id| {
+            ResumePoint::After((*id).to_owned())
+        });
         complete
     }
 
+    /// Whether a resumed stream began with events that came before.
+    #[must_use]
+    pub const fn is_repeating(&self) -> bool {
+        self.is_repeating
+    }
+
     /// Moves past bytes that are forwarded as they are.
     pub fn pass(&mut self, bytes: &[u8]) {
         self.cursor.advance(bytes);
@@ -140,18 +175,66 @@
     pub fn begin_resumed(&mut self) {
         self.partial.clear();
         self.cursor = EventCursor::default();
+        self.resumed_after = self.last_id().map(str::to_owned);
+        self.is_repeating = false;
+    }
+
+    /// Where another stream would have to go on.
+    #[must_use]
+    pub const fn resume_point(&self) -> &ResumePoint {
+        &self.point
     }
 
-    /// Id of the newest complete event that had one.
+    /// Id of the newest complete event; `None` if there is no event or it has no id.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
+        match &self.point {
+            ResumePoint::After(id) => Some(id),
+            ResumePoint::Start | ResumePoint::Unknown => None,
+        }
+    }
+}
+
+/// The ids of complete events, in order; `None` for an event whose id is missing or cannot
+/// be sent in a header. An event without id and data is none to its reader.
+fn event_ids(events: &[u8]) -> Vec<Option<&str>> {
+    let mut ids = Vec::new();
+    let mut id = None;
+    let mut counts = false;
+    for line in lines(events) {
+        if line.is_empty() && counts {
+            ids.push(id.take());
+            counts = false;
+        }
+        if let Some(value) = line.strip_prefix(ID_FIELD) {
+            id = header_text(value);
+            counts = true;
+        }
+        counts |= line.starts_with(DATA_FIELD);
     }
+    ids
 }
 
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    let id = std::str::from_utf8(ids.next_back()?).ok()?;
-    Some(id.trim().to_owned())
+/// The lines of a text, without their ends.
+fn lines(text: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let pieces = text.split(|byte| *byte == b'\n');
+    pieces
+        .map(|piece| piece.strip_suffix(b"\r").unwrap_or(piece))
+        .flat_map(|piece| piece.split(|byte| *byte == b'\r'))
+}
+
+/// The value of an id field, if it can be sent in a header.
+fn header_text(value: &[u8]) -> Option<&str> {
+    let text = std::str::from_utf8(value).ok()?.trim();
+    let is_usable = !text.is_empty() && HeaderValue::from_str(text).is_ok();
+    is_usable.then_some(text)
+}
+
+/// Whether an event comes after another one of the same stream; ids that are no numbers
+/// have no known order, and must only differ.
+fn is_after(id: &str, former: &str) -> bool {
+    match (id.parse::<u64>(), former.parse::<u64>()) {
+        (Ok(id), Ok(former)) => id > former,
+        _ => id != former,
+    }
 }
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -205,8 +205,8 @@
                         self.last_forwarded = clock::now();
                         return Ok(Some(bytes));
                     }
-                    if self.splitter.is_too_long()
-                        && !self.resume_elsewhere("an event is too long").await
+                    if let Some(reason) = self.splitter_failure()
+                        && !self.resume_elsewhere(reason).await
                     {
                         return Err(self.break_off(RelayError::Broken));
                     }
@@ -232,6 +232,15 @@
         }
     }
 
+    /// Why the engine's events cannot be forwarded, if so.
+    fn splitter_failure(&self) -> Option<&'static str> {
+        if self.splitter.is_repeating() {
+            return Some("the engine repeats events");
+        }
+        let is_too_long = self.splitter.is_too_long();
+        is_too_long.then_some("an event is too long")
+    }
+
     async fn next_step(&mut self) -> RelayStep {
         let Some(source) = &mut self.source else {
             return RelayStep::End;
--- a/crates/ward-gateway/src/forward/resume.rs
+++ b/crates/ward-gateway/src/forward/resume.rs
@@ -7,6 +7,7 @@
 use super::attempt::{Attempt, record_signal, send_attempt};
 use super::relay::{StreamRelay, StreamSource};
 use crate::clock;
+use crate::events::ResumePoint;
 use crate::queue::{EngineSlot, RunState, WaitFailure, WaitTicket, acquire_slot};
 
 /// Minimum remaining time for a stream to be resumed at another engine.
@@ -26,6 +27,13 @@
         let Some(mut ticket) = self.resume_ticket.clone() else {
             return false;
         };
+        if *self.splitter.resume_point() == ResumePoint::Unknown {
+            warn!(
+                self.gateway.logger, "stream: not resumable after an event without id";
+                "request" => &self.request.id_text, "why" => reason,
+            );
+            return false;
+        }
         ticket.avoided.insert(failed_engine.clone());
         // What engines of two versions write does not fit together.
         ticket.software = Some(software);
--- a/crates/ward-gateway/tests/events.rs
+++ b/crates/ward-gateway/tests/events.rs
@@ -1,7 +1,7 @@
 //! Splitting of streams into events.
 
 use googletest::prelude::*;
-use ward_gateway::events::{EventCursor, EventSplitter};
+use ward_gateway::events::{EventCursor, EventSplitter, ResumePoint};
 
 /// Whether a stream that ends here was broken off inside an event.
 fn is_cut(stream: &str) -> bool {
@@ -65,3 +65,67 @@
     expect_that!(&splitter.push(event)[..], eq(event));
     expect_that!(splitter.last_id(), some(eq("2")));
 }
+
+/// Where a stream goes on that broke off after these events.
+fn resume_point(events: &str) -> ResumePoint {
+    let mut splitter = EventSplitter::default();
+    splitter.push(events.as_bytes());
+    splitter.resume_point().clone()
+}
+
+#[gtest]
+fn resume_point_is_the_id_of_the_newest_complete_event() {
+    let after = |id: &str| ResumePoint::After(id.to_owned());
+    for (events, point) in [
+        ("", ResumePoint::Start),
+        ("id: 1\ndata: a", ResumePoint::Start),
+        (": note\n\n", ResumePoint::Start),
+        ("retry: 9\n\n", ResumePoint::Start),
+        ("id: 1\ndata: a\n\n", after("1")),
+        ("id:1\ndata:a\n\n", after("1")),
+        ("data: a\nid: 1\n\n", after("1")),
+        ("data: a\r\nid: 1\r\n\r\n", after("1")),
+        ("data: a\rid: 1\r\rdata: b\rid: 2\r\r", after("2")),
+        ("id: 1\nid: 2\ndata: a\n\n", after("2")),
+        ("id: 1\ndata: a\n\nid: 2\nda", after("1")),
+        ("id: 1\ndata: a\n\n: note\n\nretry: 9\n\n", after("1")),
+        ("data: a\n\n", ResumePoint::Unknown),
+        ("id: 1\ndata: a\n\ndata: b\n\n", ResumePoint::Unknown),
+        ("id: 1\ndata: a\n\nid:\ndata: b\n\n", ResumePoint::Unknown),
+        (
+            "id: 1\ndata: a\n\nid: \u{7}\ndata: b\n\n",
+            ResumePoint::Unknown,
+        ),
+        (
+            "id: 1\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n",
+            after("3"),
+        ),
+    ] {
+        expect_that!(resume_point(events), eq(&point), "{events:?}");
+    }
+}
+
+#[gtest]
+fn push_events_that_came_before_a_resumption() {
+    let resumed = |first: &str, then: &str| {
+        let mut splitter = EventSplitter::default();
+        splitter.push(first.as_bytes());
+        splitter.begin_resumed();
+        let bytes = splitter.push(then.as_bytes());
+        (bytes.len(), splitter.is_repeating())
+    };
+    for (last, next) in [("2", "1"), ("2", "2"), ("10", "9"), ("a", "a")] {
+        let first = format!("id: {last}\ndata: x\n\n");
+        let then = format!("id: {next}\ndata: x\n\nid: 77\ndata: y\n\n");
+        expect_that!(resumed(&first, &then), eq((0, true)), "{next} after {last}");
+    }
+    for (last, next) in [("2", "3"), ("9", "10"), ("2", "5"), ("b", "a")] {
+        let first = format!("id: {last}\ndata: x\n\n");
+        let then = format!("id: {next}\ndata: x\n\n");
+        let result = resumed(&first, &then);
+        expect_that!(result, eq((then.len(), false)), "{next} after {last}");
+    }
+    // A stream of which no event had come begins anew.
+    let then = "id: 1\ndata: x\n\n";
+    expect_that!(resumed("id: 1\nda", then), eq((then.len(), false)));
+}
