Tests of resumed streams whose event never ends

endless.rs covers first answers only. A resumed answer that is one endless event is given up at the maximum length of an event, one that trickles after the longest pause, and the stream goes on at another engine. What makes each fail, tried alone: no maximum length (resumed_endless_event_is_given_up_at_its_maximum_length), a longest silence 1,000 times as long (resumed_stream_that_trickles_goes_on_at_another_engine; the older resumed_event_without_end_is_not_forwarded does not see that one).

--- a/crates/ward-daemon/tests/gateway/resumed.rs
+++ b/crates/ward-daemon/tests/gateway/resumed.rs
@@ -139,6 +139,36 @@
     }
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_endless_event_is_given_up_at_its_maximum_length() {
+    let stage = one_model_stage("resumed-too-long").await;
+    set_fault_on_all(&stage, EngineFault::Resumed(ResumeFault::Endless));
+    let begun = Instant::now();
+    let result = send_stream(&stage, "r1").await;
+    // Sooner than after the longest pauses of two resumptions.
+    expect_that!(begun.elapsed(), lt(MAX_HOLD_TIME));
+    expect_broken_off(&result, FIRST_EVENTS, "endless");
+    expect_that!(stage.ledger.runs_of("r1").len(), eq(3));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_stream_that_trickles_goes_on_at_another_engine() {
+    let stage = one_model_stage("resumed-trickle").await;
+    set_fault_on_all(&stage, EngineFault::Resumed(ResumeFault::Trickle));
+    let recovery = async {
+        wait_until("a resumption", || stage.ledger.runs_of("r1").len() == 2).await;
+        // The answer that trickles has begun by then.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        set_fault_on_all(&stage, EngineFault::None);
+    };
+    let (result, ()) = tokio::join!(send_stream(&stage, "r1"), recovery);
+    let text = result.map(|answer| answer.text());
+    expect_that!(text, ok(eq(COMPLETE_STREAM)));
+    expect_that!(stage.ledger.runs_of("r1").len(), eq(3));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn resumed_stream_may_state_its_type_and_end_its_lines_in_other_ways() {
