--- a/crates/ward-daemon/tests/gateway/soak.rs
+++ b/crates/ward-daemon/tests/gateway/soak.rs
@@ -29,8 +29,11 @@
 use crate::support::{COMPLETE_STREAM, expect_valid_orders, stage};
 
 /// Seeds of the short series; a seed that has ever failed is added and never removed.
-const SEEDS: [u64; 4] = [
+const SEEDS: [u64; 5] = [
     1, 2, 3,
+    // The link of an engine refused in the middle of an unframed stream, which then looked
+    // complete.
+    442,
     // A refusal that an engine wrote once more was taken for the answer to the next request.
     605,
 ];
--- /dev/null
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -0,0 +1,109 @@
+//! How an engine's answer is delimited, and whether its end shows that it is whole.
+
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::response::Parts;
+use http::{HeaderMap, Method, Response, StatusCode};
+
+use super::attempt::Attempt;
+use crate::events::EventCursor;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Whether an answer without body bytes counts as cut off right after its head: a success
+/// whose end shows only in the end of its connection.
+pub(crate) fn is_cut_if_empty(method: &Method, head: &Parts) -> bool {
+    let may_have_body = *method != Method::HEAD && has_body(head.status);
+    may_have_body && head.status.is_success() && ends_with_connection(&head.headers)
+}
+
+/// Whether an answer has neither a length nor chunks and ends with its connection.
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Whether a success with this status has a body.
+fn has_body(status: StatusCode) -> bool {
+    status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
+}
+
+/// Content type of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamType {
+    Events,
+    /// The answer names no content type.
+    Unstated,
+    Other,
+}
+
+impl StreamType {
+    fn of(headers: &HeaderMap) -> Self {
+        let Some(value) = headers.get(CONTENT_TYPE) else {
+            return Self::Unstated;
+        };
+        // Parameters, such as the character set, follow a semicolon.
+        let text = value.to_str().unwrap_or_default();
+        let media_type = text.split(';').next().unwrap_or_default().trim();
+        if media_type.eq_ignore_ascii_case(EVENT_STREAM) {
+            Self::Events
+        } else {
+            Self::Other
+        }
+    }
+}
+
+/// How the end of a stream shows.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamFraming {
+    status: StatusCode,
+    content_type: StreamType,
+    /// Whether the stream ends with its connection.
+    pub(super) ends_with_connection: bool,
+}
+
+impl StreamFraming {
+    pub(super) fn of<B>(answer: &Response<B>) -> Self {
+        Self {
+            status: answer.status(),
+            content_type: StreamType::of(answer.headers()),
+            ends_with_connection: ends_with_connection(answer.headers()),
+        }
+    }
+
+    /// Whether the answer is a stream of events that another engine may continue.
+    pub(super) fn may_continue_elsewhere(self) -> bool {
+        self.status == StatusCode::OK && self.content_type != StreamType::Other
+    }
+
+    /// Why the answer to a request that resumes a stream with this framing does not
+    /// continue it; `None` if it does. An answer without content type continues only a
+    /// stream whose caller got none either.
+    pub(super) fn mismatch(self, resumed: &Attempt) -> Option<&'static str> {
+        let framing = Self::of(&resumed.answer);
+        if framing.status != self.status {
+            return Some("the status differs");
+        }
+        if !resumed.fields.signed {
+            return Some("the answer has no signature");
+        }
+        let fits =
+            framing.content_type == StreamType::Events || framing.content_type == self.content_type;
+        (!fits).then_some("the answer is no stream of events")
+    }
+
+    /// Why a stream that ended counts as broken off; `None` if it may be complete.
+    /// `is_empty` is whether it brought no bytes, `cursor` its position.
+    pub(super) fn early_end(self, is_empty: bool, cursor: EventCursor) -> Option<&'static str> {
+        if !has_body(self.status) {
+            return None;
+        }
+        if self.content_type == StreamType::Other {
+            let is_cut = self.ends_with_connection && is_empty;
+            return is_cut.then_some("the connection ended before the first byte");
+        }
+        if cursor.is_inside_event() {
+            return Some("the stream ended inside an event");
+        }
+        let is_cut = self.ends_with_connection && !cursor.has_event();
+        is_cut.then_some("the connection ended before the first event")
+    }
+}
