Test of a stream whose software version lost its model

A stream breaks off whose engine drains; another engine of its version serves without the model, and one of another version with it.

--- a/crates/ward-daemon/tests/gateway/resumed.rs
+++ b/crates/ward-daemon/tests/gateway/resumed.rs
@@ -210,6 +210,34 @@
     }
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_waited_for_a_model_at_the_only_engine_of_its_software_version() {
+    let plan = StagePlan {
+        models: 2,
+        ..StagePlan::default()
+    };
+    // The first and the last engine hold the model.
+    let stage = stage("resumed-missing", &plan).await;
+    wait_until_all_joined(&stage).await;
+    set_versions(&stage, &["v1", "v1", "v2"]).await;
+    stage.engines[0].set_fault(EngineFault::Trickle);
+    stage.engines[2].set_fault(EngineFault::Full);
+    let failure = async {
+        wait_until("a run", || !stage.ledger.runs_of("r1").is_empty()).await;
+        set_fault_on_all(&stage, EngineFault::None);
+        stage.engines[0].drain(&stage.store);
+        // The daemons know by then that it drains.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        stage.engine_links[0].set_fault(LinkFault::Reset);
+        Instant::now()
+    };
+    let (result, failed_at) = tokio::join!(send_stream(&stage, "r1"), failure);
+    expect_that!(failed_at.elapsed(), lt(MAX_HOLD_TIME));
+    expect_broken_off(&result, FIRST_EVENTS, "missing");
+    expect_that!(stage.ledger.runs_of("r1").len(), eq(1));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_whose_software_version_is_gone_is_broken_off_at_once() {
