Count a success that continues no stream as a failure of its engine

An engine that answered a resumption with a success of another type or status went on getting requests as if sound, unlike one that answers without a signature. It is now recorded like that one. Error answers still count as answers. No test of its own; the tests of resumed streams pass.

--- a/crates/ward-gateway/src/forward/resume.rs
+++ b/crates/ward-gateway/src/forward/resume.rs
@@ -118,7 +118,9 @@
             "request" => &self.request.id_text, "engine" => %attempt.slot.engine.id,
             "status" => status.as_u16(), "why" => reason,
         );
-        if !status.is_success() {
+        if status.is_success() {
+            record_signal(&self.gateway, &attempt.slot, EngineSignal::Failed);
+        } else {
             attempt.slot.set_run_state(RunState::Failed);
         }
         None
