No kept connection carries a request id twice (product's path)

Callers would see: a repeatable request that its engine had refused once was sent again on the same kept connection; an engine that writes its refusal once more there was believed, the request was called "not run" and sent a third time, so it ran twice, and, out of attempts, it could be refused as not run while it ran.

Cause: an answer was matched to its request by the echoed id alone. A copy of the request's own earlier answer bears the right id, so only its place on the connection told it from the answer. Cancellations, resumptions and moves share the request's id and the pool, too.

Fix: a connection keeps the ids it has carried (and is closed after 256 requests, so the list is short); the pool never hands out one that has carried the id before. A copy of any answer then meets a request with another id, is of unknown outcome and closes its connection, as it did before.

--- a/crates/ward-backend/src/request/call.rs
+++ b/crates/ward-backend/src/request/call.rs
@@ -13,7 +13,8 @@
 /// Which kind of connection a call is sent on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionUse {
-    /// An idle connection from the pool, or a new one when there is none.
+    /// An idle connection from the pool, or a new one when none is left that has not carried
+    /// a call with the same request id.
     Pooled,
     /// Always a new connection, for calls that must not be retried.
     Fresh,
--- a/crates/ward-backend/src/request/client.rs
+++ b/crates/ward-backend/src/request/client.rs
@@ -76,7 +76,7 @@
     pub async fn send(&self, call: BackendCall) -> Result<BackendAnswer, CallError> {
         let request = build_request(&call)?;
         if call.connection == ConnectionUse::Pooled
-            && let Some(connection) = self.pool.take(call.address)
+            && let Some(connection) = self.pool.take(call.address, call.request)
         {
             match self.attempt(connection, &call, request).await {
                 Err(CallError::NotSent) => {}
@@ -114,6 +114,7 @@
             self.pool.put(connection);
             return Err(CallError::Expired);
         }
+        connection.record_request(call.request);
         connection.gate.arm(call.send_by);
         let answer = timeout_at(call.answer_by, connection.sender.try_send_request(request));
         let response = match answer.await {
--- a/crates/ward-backend/src/request/connection.rs
+++ b/crates/ward-backend/src/request/connection.rs
@@ -8,10 +8,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use ward_protocol::RequestId;
 
 use super::body::CallBody;
 use super::gate::{GatedStream, WriteGate};
 
+/// Maximum number of requests on a connection, which keeps their ids.
+const MAX_REQUESTS: usize = 256;
+
 /// An open connection with the gate that guards its writes.
 #[derive(Debug)]
 pub(super) struct BackendConnection {
@@ -19,6 +23,25 @@
     pub(super) sender: SendRequest<CallBody>,
     pub(super) gate: Arc<WriteGate>,
     pub(super) idle_since: Instant,
+    /// Ids of the requests sent on the connection.
+    carried: Vec<RequestId>,
+}
+
+impl BackendConnection {
+    /// Whether a request with this id was sent on the connection. A late copy of its
+    /// answer would bear the right id when the request comes again.
+    pub(super) fn has_carried(&self, request: RequestId) -> bool {
+        self.carried.contains(&request)
+    }
+
+    pub(super) fn record_request(&mut self, request: RequestId) {
+        self.carried.push(request);
+    }
+
+    /// Whether the connection can carry another request.
+    pub(super) fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && self.carried.len() < MAX_REQUESTS
+    }
 }
 
 /// Opens a connection and starts the task that drives it.
@@ -44,5 +67,6 @@
         sender,
         gate,
         idle_since: Instant::now(),
+        carried: Vec::new(),
     })
 }
--- a/crates/ward-backend/src/request/mod.rs
+++ b/crates/ward-backend/src/request/mod.rs
@@ -7,6 +7,12 @@
 //! every connection has a `gate` that sees each write: a request whose gate was
 //! shut before its first byte was certainly not sent, whatever the error was.
 //! The gate also checks the deadline immediately before that first byte.
+//!
+//! An answer is believed because it names its request, never because of where it
+//! stands on a connection: a backend server may write an earlier answer once more. An
+//! answer that does not name the request closes its connection, and what became of the
+//! request is unknown. Since a copy of an answer bears the id of its own request, no
+//! connection carries the same id twice, not even for a cancellation.
 
 mod answer;
 mod body;
--- a/crates/ward-backend/src/request/pool.rs
+++ b/crates/ward-backend/src/request/pool.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use tokio::time::Instant;
+use ward_protocol::RequestId;
 
 use super::connection::BackendConnection;
 
@@ -26,22 +27,31 @@
         }
     }
 
-    /// Takes an open connection to `address`; drops closed ones and those past the idle timeout.
-    pub(super) fn take(&self, address: SocketAddr) -> Option<BackendConnection> {
+    /// Takes an open connection to `address` that has not carried `request` before; drops
+    /// closed ones and those past the idle timeout.
+    pub(super) fn take(
+        &self,
+        address: SocketAddr,
+        request: RequestId,
+    ) -> Option<BackendConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
+        for index in (0..connections.len()).rev() {
+            let connection = &connections[index];
             let fresh = connection.idle_since.elapsed() < self.idle_timeout;
-            if fresh && !connection.sender.is_closed() {
-                return Some(connection);
+            if !fresh || !connection.is_usable() {
+                connections.remove(index);
+            } else if !connection.has_carried(request) {
+                return Some(connections.remove(index));
             }
         }
         None
     }
 
-    /// Returns a connection whose answer was read to its end; closes it when the pool is full.
+    /// Returns a connection whose answer was read to its end; closes it when the pool is full
+    /// or it has carried too many requests.
     pub(super) fn put(&self, mut connection: BackendConnection) {
-        if connection.sender.is_closed() {
+        if !connection.is_usable() {
             return;
         }
         connection.idle_since = Instant::now();
