Stand-in proxy passes on the end of answers again

Cause: both directions share the writer towards the daemon, so it wasn't dropped, and the connection not closed, when the engine had closed its side.

Fix: the writer is shut down when the answers end.

--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -181,7 +181,12 @@
         () = async {
             tokio::join!(
                 forward_requests(client_reader, server_writer, &client_side, faults.clone()),
-                forward_answers(server_reader, &client_side, faults.clone()),
+                async {
+                    forward_answers(server_reader, &client_side, faults.clone()).await;
+                    // The end of the answers is passed on while requests may still come; an
+                    // error means that the client has gone.
+                    drop(client_side.lock().await.writer.shutdown().await);
+                },
             );
         } => {}
         // No error before the proxy is dropped: it owns the sender.
