Orders and queries of engines go on a connection of their own

Operators would see: an engine that writes its answer to an order or a report query once more on a kept connection makes the coordinator believe loads that no engine accepted (requests for the model then get 421 there) and count orders that were refused; in the product's own path a refused order was taken for an accepted one, and an older status for a new one.

Cause: answers to orders and queries name nothing that they answer, so on a kept connection only their place told which order they belong to. The workers of the coordinator kept a connection for a task, the product's control thread one pool for all orders and status queries.

The only answer on a connection belongs to the only request; what comes after it meets a closed connection.

Failed before (with a pooled client in the place of the unpooled one): repeated_order_answer_made_a_load_believed_that_never_ran and repeated_report_made_a_load_believed_that_never_ran (models of which one load was accepted were believed to be loaded four times), repeated_order_answer_was_taken_for_that_of_the_next_order (Taken instead of Refused), repeated_status_was_taken_for_a_new_one, unpooled_call_has_a_connection_of_its_own.

Also shown, and true before: a call given up by its timeout never leaves its connection to the next call (late_answer_to_a_call_that_was_given_up_met_the_next_call, answer_at_the_time_limit_met_the_next_call), which the calls to the store rest on.

--- a/crates/ward-backend/src/order/send.rs
+++ b/crates/ward-backend/src/order/send.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::Method;
-use ward_http::{CallBounds, HttpClient, json_request};
+use ward_http::{CallBounds, UnpooledClient, json_request};
 use ward_protocol::{BackendOrder, OrderResult, TimeSpan};
 
 use super::wire;
@@ -16,7 +16,7 @@
 /// `Unknown` also covers an order that was certainly not sent: orders are
 /// idempotent by id, and the sender retries one after reading the engine's status.
 pub async fn send_order(
-    client: &HttpClient,
+    client: &UnpooledClient,
     address: SocketAddr,
     order: &BackendOrder,
     timeout: TimeSpan,
--- a/crates/ward-backend/src/status/fetch.rs
+++ b/crates/ward-backend/src/status/fetch.rs
@@ -4,7 +4,7 @@
 
 use http::Method;
 use quick_error::quick_error;
-use ward_http::{CallBounds, CallError, HttpClient, ReplyError, json_request};
+use ward_http::{CallBounds, CallError, ReplyError, UnpooledClient, json_request};
 use ward_protocol::{BackendId, BackendStatus, TimeSpan};
 
 const STATUS_PATH: &str = "/status";
@@ -38,7 +38,7 @@
 /// # Errors
 /// No complete answer arrives in time, or it is not a report of this engine.
 pub async fn fetch_status(
-    client: &HttpClient,
+    client: &UnpooledClient,
     address: SocketAddr,
     backend: &BackendId,
     timeout: TimeSpan,
--- a/crates/ward-backend/tests/orders.rs
+++ b/crates/ward-backend/tests/orders.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use ward_backend::order::send_order;
 use ward_backend::status::{StatusError, fetch_status};
-use ward_http::{CallError, HttpClient, ReplyError};
+use ward_http::{CallError, ReplyError, UnpooledClient};
 use ward_protocol::{
     BackendId, BackendOrder, BackendStatus, EngineRole, FenceNumber, FencingSupport, MemorySize,
     OrderKind, OrderRefusal, OrderResult, RecordId, ReplicaKey, ResidentPhase, TimeSpan,
@@ -26,7 +26,7 @@
     control: StandinControl,
     address: std::net::SocketAddr,
     id: BackendId,
-    client: HttpClient,
+    client: UnpooledClient,
 }
 
 impl EngineFixture {
@@ -40,7 +40,7 @@
             address: standin.address,
             _standin: standin,
             id,
-            client: HttpClient::new(),
+            client: UnpooledClient::new(),
         }
     }
 
--- a/crates/ward-daemon/src/control/act.rs
+++ b/crates/ward-daemon/src/control/act.rs
@@ -11,7 +11,7 @@
 use ward_backend::order::send_order;
 use ward_backend::status::fetch_status;
 use ward_control::{ControlAction, ControlEvent};
-use ward_http::HttpClient;
+use ward_http::UnpooledClient;
 use ward_peer::{DatagramSender, PeerKeys, StateAnswer, StateRequest, fetch_state};
 use ward_platform::{HostClient, LogClient, SnapshotImage};
 use ward_protocol::codec::encode;
@@ -58,7 +58,7 @@
     /// Reads the list of backend servers.
     pub hosts: HostClient,
     /// Sends orders to engines and reads their status.
-    pub engines: HttpClient,
+    pub engines: UnpooledClient,
     /// Timeout for the answer to an order.
     pub order_timeout: TimeSpan,
     /// Sends datagrams to other daemons.
--- a/crates/ward-daemon/src/spawn.rs
+++ b/crates/ward-daemon/src/spawn.rs
@@ -7,7 +7,7 @@
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
 use ward_control::{ControlConfig, ControlCore};
-use ward_http::HttpClient;
+use ward_http::UnpooledClient;
 use ward_peer::{DatagramSocket, PeerCounters, PeerKeys};
 use ward_platform::{HostClient, LogClient, LogTimeouts};
 use ward_protocol::{MemberInfo, TimeSpan};
@@ -89,7 +89,7 @@
         let clients = ActionClients {
             log: LogClient::new(self.settings.platform.log, LogTimeouts::default()),
             hosts: HostClient::new(self.settings.platform.hosts, HOSTS_TIMEOUT),
-            engines: HttpClient::new(),
+            engines: UnpooledClient::new(),
             order_timeout: self.settings.lease.order_life,
             peers: socket.sender(),
             keys: self.keys,
--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod logging;
 mod path;
+mod repeated_orders;
 mod repeated_refusals;
 mod soak;
 mod support;
--- a/crates/ward-gateway/src/coordinator/worker.rs
+++ b/crates/ward-gateway/src/coordinator/worker.rs
@@ -14,7 +14,7 @@
     AdapterLoadTask, LoadSource, ModelLoadTask, PlacedEngine, PlannedTask, TaskTarget,
 };
 use ward_fleet::{EngineIncarnation, EngineOrder, HeldModel};
-use ward_http::HttpClient;
+use ward_http::UnpooledClient;
 use ward_protocol::{ModelName, TimeSpan};
 
 use super::active::ActiveCoordinator;
@@ -67,10 +67,7 @@
 struct Worker {
     gateway: Rc<Gateway>,
     coordinator: Rc<ActiveCoordinator>,
-    /// Used for this task only: the engine may have dropped a connection that was
-    /// idle since an earlier task, and a send on it would fail only after the
-    /// timeout.
-    client: HttpClient,
+    client: UnpooledClient,
     target: TaskTarget,
 }
 
@@ -83,7 +80,7 @@
     let worker = Worker {
         gateway: Rc::clone(gateway),
         coordinator: Rc::clone(coordinator),
-        client: HttpClient::new(),
+        client: UnpooledClient::new(),
         target: task.target().clone(),
     };
     tokio::task::spawn_local(async move {
--- a/crates/ward-http/src/call.rs
+++ b/crates/ward-http/src/call.rs
@@ -45,13 +45,17 @@
     /// Creates a client with an empty pool.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_max_idle(MAX_IDLE_CONNECTIONS)
+    }
+
+    fn with_max_idle(max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(false)
             .build(connector);
         Self { client }
@@ -104,6 +108,42 @@
     }
 }
 
+/// HTTP client that sends each call on a connection of its own, for servers whose answers
+/// don't name their request; clones may be used at the same time.
+#[derive(Debug, Clone)]
+pub struct UnpooledClient {
+    client: HttpClient,
+}
+
+impl Default for UnpooledClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl UnpooledClient {
+    /// Creates a client.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            // Without idle connections, the library has no pool.
+            client: HttpClient::with_max_idle(0),
+        }
+    }
+
+    /// Sends a request once and reads its complete answer, whatever its status.
+    ///
+    /// # Errors
+    /// The same as of [`HttpClient::call`].
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        bounds: CallBounds,
+    ) -> Result<HttpReply, CallError> {
+        self.client.call(request, bounds).await
+    }
+}
+
 /// Builds a request with a JSON body to a path at an address.
 ///
 /// # Errors
--- a/crates/ward-http/src/lib.rs
+++ b/crates/ward-http/src/lib.rs
@@ -9,11 +9,18 @@
 //! cannot always tell whether it was: an error wrongly reported as "not sent" would
 //! make a call run twice, while one wrongly reported as "lost" only costs a read of
 //! the log.
+//!
+//! An answer on a kept connection belongs to a call only because it is the next one
+//! there. That holds for the platform's services, which return nothing further on a
+//! connection on which an answer was lost; [`HttpClient`] closes the connection of a call
+//! that is given up. Backend servers may write an answer once more, late, and their
+//! answers to orders and queries don't name what they answer: these calls take an
+//! [`UnpooledClient`].
 
 mod call;
 mod error;
 mod reply;
 
-pub use call::{CallBounds, HttpClient, json_request};
+pub use call::{CallBounds, HttpClient, UnpooledClient, json_request};
 pub use error::{CallCause, CallError};
 pub use reply::{HttpReply, ReplyError};
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -33,6 +33,8 @@
     Hang,
     /// Carries out orders, then closes the connection without an answer.
     LoseOrderAnswers,
+    /// Takes this time to unload a model, and refuses orders meanwhile.
+    SlowUnload(Duration),
     /// Sends answers that never end; a stream consists of one endless event.
     Endless,
     /// Refuses all requests with status 503 as not executed, with a body that never
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -299,6 +299,9 @@
             EngineOrder::LoadModel(model) => self.start_load(model),
             EngineOrder::UnloadModel(model) => {
                 self.entry.models.retain(|held| held.model != *model);
+                if let EngineFault::SlowUnload(span) = self.fault {
+                    self.busy_until = Instant::now() + span;
+                }
                 (StatusCode::ACCEPTED, false)
             }
             EngineOrder::LoadAdapter(model, adapter) => {
--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, watch};
 use tokio::task::{JoinHandle, JoinSet};
+use ward_adapter::served::{EnginePath, engine_path};
 
 const CHUNK_BYTES: usize = 16 << 10;
 const REFUSAL_STARTS: [&[u8]; 2] = [b"HTTP/1.1 503", b"HTTP/1.1 421"];
@@ -34,6 +35,8 @@
     /// The target writes each of its refusals once more, when the next request comes on
     /// the same connection: the copy stands where the answer to that request is expected.
     RepeatRefusals,
+    /// Like [`Self::RepeatRefusals`], but with each answer to an order or a report query.
+    RepeatOrderAnswers,
 }
 
 impl LinkFault {
@@ -174,7 +177,8 @@
     let (server_reader, server_writer) = server.into_split();
     let client_side = Mutex::new(ClientSide {
         writer: client_writer,
-        refusal: None,
+        carries_orders: false,
+        repeated: None,
     });
     let mut updates = faults.clone();
     tokio::select! {
@@ -197,8 +201,10 @@
 /// The side of a connection on which answers are written.
 struct ClientSide {
     writer: OwnedWriteHalf,
-    /// A refusal that is written once more with [`LinkFault::RepeatRefusals`].
-    refusal: Option<Vec<u8>>,
+    /// Whether an order or a report query was forwarded.
+    carries_orders: bool,
+    /// An answer that is written once more when the next request comes.
+    repeated: Option<Vec<u8>>,
 }
 
 async fn forward_requests(
@@ -214,11 +220,12 @@
             return;
         }
         let mut client_side = client_side.lock().await;
-        if let Some(refusal) = client_side.refusal.take()
-            && client_side.writer.write_all(&refusal).await.is_err()
+        if let Some(answer) = client_side.repeated.take()
+            && client_side.writer.write_all(&answer).await.is_err()
         {
             return;
         }
+        client_side.carries_orders |= is_order(&buffer[..count]);
         drop(client_side);
         if count == 0 || writer.write_all(&buffer[..count]).await.is_err() {
             return;
@@ -240,8 +247,13 @@
         }
         let bytes = &buffer[..count];
         let mut client_side = client_side.lock().await;
-        if *faults.borrow() == LinkFault::RepeatRefusals && is_refusal(bytes) {
-            client_side.refusal = Some(bytes.to_vec());
+        let is_repeated = match *faults.borrow() {
+            LinkFault::RepeatRefusals => is_refusal(bytes),
+            LinkFault::RepeatOrderAnswers => client_side.carries_orders,
+            _ => false,
+        };
+        if is_repeated {
+            client_side.repeated = Some(bytes.to_vec());
         }
         if count == 0 || client_side.writer.write_all(bytes).await.is_err() {
             return;
@@ -269,3 +281,10 @@
 fn is_refusal(bytes: &[u8]) -> bool {
     REFUSAL_STARTS.iter().any(|start| bytes.starts_with(start))
 }
+
+/// Whether bytes begin an order or a report query. Daemons write its head in one piece.
+fn is_order(bytes: &[u8]) -> bool {
+    let path = bytes.split(|byte| *byte == b' ').nth(1);
+    let path = path.and_then(|path| std::str::from_utf8(path).ok());
+    path.is_some_and(|path| engine_path(path) != EnginePath::Request)
+}
