--- a/crates/ward-gateway/src/coordinator/worker.rs
+++ b/crates/ward-gateway/src/coordinator/worker.rs
@@ -372,7 +372,7 @@
             let engine = state.engine_mut(&self.target)?;
             engine.info.address
         };
-        match fetch_report(&self.client, address, REPORT_TIMEOUT).await {
+        match fetch_report(&self.client, address, &self.target.engine, REPORT_TIMEOUT).await {
             Ok(report) => {
                 info!(
                     self.gateway.logger, "order: engine asked"; "engine" => %self.target.engine,
