--- a/crates/ward-backend/src/request/client.rs
+++ b/crates/ward-backend/src/request/client.rs
@@ -76,7 +76,7 @@
     pub async fn send(&self, call: BackendCall) -> Result<BackendAnswer, CallError> {
         let request = build_request(&call)?;
         if call.connection == ConnectionUse::Pooled
-            && let Some(connection) = self.pool.take(call.address)
+            && let Some(connection) = self.pool.take(call.address, call.request)
         {
             match self.attempt(connection, &call, request).await {
                 Err(CallError::NotSent) => {}
@@ -114,6 +114,7 @@
             self.pool.put(connection);
             return Err(CallError::Expired);
         }
+        connection.record_request(call.request);
         connection.gate.arm(call.send_by);
         let answer = timeout_at(call.answer_by, connection.sender.try_send_request(request));
         let response = match answer.await {
@@ -193,7 +194,16 @@
     let bodiless = method == Method::HEAD
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
-    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    let encoding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    // With an encoding other than chunked, a length does not count.
+    bodiless || encoding.map_or_else(|| headers.contains_key(CONTENT_LENGTH), ends_chunked)
+}
+
+/// Whether the last encoding that is named is `chunked`.
+fn ends_chunked(encodings: &HeaderValue) -> bool {
+    let text = encodings.to_str().unwrap_or_default();
+    let last = text.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
 }
 
 /// Time allowed for a control call (resume, cancel, KV cache), for sending and for its answer.
--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod logging;
 mod path;
+mod repeated_orders;
 mod repeated_refusals;
 mod resumed;
 mod soak;
--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::{JoinHandle, JoinSet};
+use ward_adapter::served::{EnginePath, engine_path};
 
 const CHUNK_BYTES: usize = 16 << 10;
 const ANSWER_START: &[u8] = b"HTTP/1.1 ";
@@ -44,6 +45,8 @@
     /// Like [`Self::RepeatRefusals`], but for all answers that the target writes in one
     /// piece.
     RepeatAnswers,
+    /// Like [`Self::RepeatRefusals`], but with each answer to an order or a report query.
+    RepeatOrderAnswers,
     /// The target stops within each answer with status 200, and its connection ends.
     CutAnswers(CutPlace, CutEnd),
 }
@@ -234,6 +237,7 @@
     let (server_reader, server_writer) = server.into_split();
     let client_side = Mutex::new(ClientSide {
         writer: client_writer,
+        carries_orders: false,
         copy: None,
     });
     let reset = Notify::new();
@@ -254,7 +258,9 @@
 /// The side of a connection on which answers are written.
 struct ClientSide {
     writer: OwnedWriteHalf,
-    /// An answer that is written once more.
+    /// Whether an order or a report query was forwarded.
+    carries_orders: bool,
+    /// An answer that is written once more when the next request comes.
     copy: Option<Vec<u8>>,
 }
 
@@ -276,6 +282,7 @@
         {
             return;
         }
+        client_side.carries_orders |= is_order(&buffer[..count]);
         drop(client_side);
         if count == 0 || writer.write_all(&buffer[..count]).await.is_err() {
             return;
@@ -326,7 +333,7 @@
             drop(client_side.writer.write_all(&bytes[..length]).await);
             return end;
         }
-        if is_repeated(fault, bytes) {
+        if is_repeated(fault, bytes, client_side.carries_orders) {
             client_side.copy = Some(bytes.to_vec());
         }
         if count == 0 || client_side.writer.write_all(bytes).await.is_err() {
@@ -351,13 +358,21 @@
     true
 }
 
-/// Whether a fault repeats an answer that consists of these bytes. Stand-ins write a
-/// refusal in one piece.
-fn is_repeated(fault: LinkFault, bytes: &[u8]) -> bool {
+/// Whether a fault repeats an answer that consists of these bytes; `to_order` is whether
+/// its connection carries orders or report queries. Stand-ins write a refusal in one piece.
+fn is_repeated(fault: LinkFault, bytes: &[u8], to_order: bool) -> bool {
     let starts = |starts: &[&[u8]]| starts.iter().any(|start| bytes.starts_with(start));
     match fault {
         LinkFault::RepeatRefusals => starts(&REFUSAL_STARTS),
         LinkFault::RepeatAnswers => starts(&[ANSWER_START]),
+        LinkFault::RepeatOrderAnswers => to_order,
         _ => false,
     }
 }
+
+/// Whether bytes begin an order or a report query. Daemons write its head in one piece.
+fn is_order(bytes: &[u8]) -> bool {
+    let path = bytes.split(|byte| *byte == b' ').nth(1);
+    let path = path.and_then(|path| std::str::from_utf8(path).ok());
+    path.is_some_and(|path| engine_path(path) != EnginePath::Request)
+}
