Tests of streams that callers take up while two software versions serve, failing

Stand-in engines get a software version each, write it into their events when it isn't the first one, and can come back with another version under their id and address. Streams on a path with "slow" take 1.5 s, so that a daemon can be killed in mid-stream.

Of the nine tests, eight fail on the code as it is: streams that are taken up at another daemon hold events of both versions, and streams of an unknown version run. The ninth, with a single version, passes and must go on doing so.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -13,4 +13,5 @@
 mod soak;
 mod support;
 mod unframed;
+mod versions;
 mod weights;
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/versions.rs
@@ -0,0 +1,376 @@
+//! Streams that callers take up while engines of several software versions serve: a
+//! stream goes on only at the version that began it.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use http::StatusCode;
+use tokio::task::JoinHandle;
+use ward_adapter::served::resume_headers;
+use ward_stage::{
+    CallerAnswer, CallerError, CallerRequest, PLAIN_SOFTWARE, SLOW_PATH, Stage, StageCaller,
+    StagePlan, StoreFault,
+};
+
+use crate::support::{restart_all_at_once, send, stage, wait_until_all_joined};
+
+const OTHER_SOFTWARE: &str = "v2";
+/// Number of events of a complete stream.
+const EVENT_COUNT: usize = 5;
+/// Time in which a slow stream brings some of its events, but not all.
+const SOME_EVENTS: Duration = Duration::from_millis(750);
+/// The same for most of its events.
+const MOST_EVENTS: Duration = Duration::from_millis(1_300);
+/// Whole time of a caller, over all its tries.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum time of a refusal that is sent at once.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
+type CallerResult = std::result::Result<CallerAnswer, CallerError>;
+
+/// A stream as its caller sees it, over all tries.
+struct CallerStream {
+    /// Id of the try that brought the first event.
+    first_try: String,
+    /// Complete events that the caller has received.
+    events: String,
+}
+
+impl CallerStream {
+    fn event_count(&self) -> usize {
+        self.events.matches("\n\n").count()
+    }
+
+    fn is_complete(&self) -> bool {
+        [PLAIN_SOFTWARE, OTHER_SOFTWARE]
+            .iter()
+            .any(|software| self.events == complete_stream(software))
+    }
+
+    /// Whether all events come from engines of one version.
+    fn is_of_one_version(&self) -> bool {
+        [PLAIN_SOFTWARE, OTHER_SOFTWARE]
+            .iter()
+            .any(|software| complete_stream(software).starts_with(&self.events))
+    }
+
+    fn add(&mut self, result: CallerResult) {
+        let received = match result {
+            Ok(answer) if answer.status.is_success() => answer.body,
+            Err(CallerError::Broken(_, part)) => part,
+            _ => return,
+        };
+        let text = String::from_utf8_lossy(&received);
+        let complete = text.rfind("\n\n").map_or(0, |end| end + 2);
+        self.events.push_str(&text[..complete]);
+    }
+
+    /// The request with which the caller takes up the stream.
+    fn resumption(&self, id: &str) -> CallerRequest {
+        let mut request = slow_request(id);
+        let last = self.event_count() as u64;
+        request.headers = resume_headers(Some(&self.first_try), last);
+        request
+    }
+}
+
+fn complete_stream(software: &str) -> String {
+    let suffix = match software {
+        PLAIN_SOFTWARE => String::new(),
+        other => format!(" {other}"),
+    };
+    let events =
+        (1..=EVENT_COUNT).map(|number| format!("id: {number}\ndata: part {number}{suffix}\n\n"));
+    events.collect()
+}
+
+fn slow_request(id: &str) -> CallerRequest {
+    let path = format!("/quote/{SLOW_PATH}");
+    let mut request = CallerRequest::new(id, path, Some(&Stage::model_name(0)));
+    request.timeout = CALLER_TIMEOUT;
+    request
+}
+
+fn quick_request(id: &str) -> CallerRequest {
+    CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)))
+}
+
+/// A stage whose engines all hold the same model, half of them with another software
+/// version.
+fn two_versions() -> StagePlan {
+    StagePlan {
+        daemons: 4,
+        engines: 4,
+        models: 1,
+        software: &[PLAIN_SOFTWARE, OTHER_SOFTWARE],
+        ..StagePlan::default()
+    }
+}
+
+fn one_version() -> StagePlan {
+    StagePlan {
+        software: &[PLAIN_SOFTWARE],
+        ..two_versions()
+    }
+}
+
+/// Sends a request in the background, so that daemons can be killed meanwhile.
+fn send_in_background(
+    stage: &Stage,
+    daemon: usize,
+    request: CallerRequest,
+) -> JoinHandle<CallerResult> {
+    let address = stage.daemons[daemon].callers();
+    tokio::spawn(async move { StageCaller::connect(address).await?.send(&request).await })
+}
+
+/// Streams that have begun at the daemons, and the tasks that read them.
+struct BegunStreams {
+    streams: Vec<CallerStream>,
+    readers: Vec<JoinHandle<CallerResult>>,
+}
+
+/// Begins streams at some daemons in turn.
+fn begin_streams(stage: &Stage, daemons: &[usize], count: usize) -> BegunStreams {
+    let mut begun = BegunStreams {
+        streams: Vec::new(),
+        readers: Vec::new(),
+    };
+    for number in 0..count {
+        let id = format!("begin{number}");
+        let daemon = daemons[number % daemons.len()];
+        begun
+            .readers
+            .push(send_in_background(stage, daemon, slow_request(&id)));
+        begun.streams.push(CallerStream {
+            first_try: id,
+            events: String::new(),
+        });
+    }
+    begun
+}
+
+impl BegunStreams {
+    /// The streams that broke off after their first event.
+    async fn broken_streams(self) -> Vec<CallerStream> {
+        let mut broken = Vec::new();
+        for (mut stream, reader) in self.streams.into_iter().zip(self.readers) {
+            stream.add(reader.await.unwrap());
+            if stream.event_count() > 0 && !stream.is_complete() {
+                broken.push(stream);
+            }
+        }
+        broken
+    }
+}
+
+/// Takes up streams at some daemons in turn, all at the same time.
+async fn take_up(stage: &Stage, daemons: &[usize], streams: &mut [CallerStream], round: &str) {
+    let mut readers = Vec::new();
+    for (number, stream) in streams.iter().enumerate() {
+        let request = stream.resumption(&format!("{round}{number}"));
+        readers.push(send_in_background(
+            stage,
+            daemons[number % daemons.len()],
+            request,
+        ));
+    }
+    for (stream, reader) in streams.iter_mut().zip(readers) {
+        stream.add(reader.await.unwrap());
+    }
+}
+
+/// Expects that no stream holds events of two versions, and that at least half of
+/// them went on to their end.
+fn expect_taken_up(streams: &[CallerStream], begun: usize) {
+    expect_that!(
+        streams.len(),
+        ge(begun / 2),
+        "too few streams broke off in mid-stream"
+    );
+    for stream in streams {
+        expect_true!(stream.is_of_one_version(), "mixed: {:?}", stream.events);
+    }
+    let complete = streams.iter().filter(|stream| stream.is_complete()).count();
+    expect_that!(complete * 2, ge(streams.len()), "too few streams went on");
+    println!("{complete} of {} streams went on", streams.len());
+}
+
+/// Expects that a request is refused at once and ran on no engine.
+async fn expect_refused(stage: &Stage, daemon: usize, request: &CallerRequest) {
+    let begun = Instant::now();
+    let answer = send(stage, daemon, request).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(begun.elapsed(), lt(REFUSAL_TIME));
+    expect_true!(answer.headers.contains_key("retry-after"));
+    expect_that!(stage.ledger.runs_of(&request.id).len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_died_took_the_version_of_its_streams_along() {
+    let mut stage = stage("versions-died", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    let begun = begin_streams(&stage, &[0], 16);
+    tokio::time::sleep(SOME_EVENTS).await;
+    stage.daemons[0].kill();
+    let mut streams = begun.broken_streams().await;
+    take_up(&stage, &[1, 2, 3], &mut streams, "next").await;
+    expect_taken_up(&streams, 16);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_twice_went_on_at_another_version() {
+    let mut stage = stage("versions-twice", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    let begun = begin_streams(&stage, &[0], 12);
+    tokio::time::sleep(SOME_EVENTS).await;
+    stage.daemons[0].kill();
+    let mut streams = begun.broken_streams().await;
+    let second = streams.iter().enumerate().map(|(number, stream)| {
+        let request = stream.resumption(&format!("second{number}"));
+        send_in_background(&stage, 1, request)
+    });
+    let second: Vec<_> = second.collect();
+    tokio::time::sleep(SOME_EVENTS).await;
+    stage.daemons[1].kill();
+    for (stream, reader) in streams.iter_mut().zip(second) {
+        stream.add(reader.await.unwrap());
+    }
+    take_up(&stage, &[2, 3], &mut streams, "third").await;
+    expect_taken_up(&streams, 12);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_went_on_at_another_version_without_coordinator_and_store() {
+    let mut stage = stage("versions-alone", &two_versions()).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    stage.store.set_fault(StoreFault::Reset);
+    stage.daemons[coordinator].kill();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let others: Vec<_> = (0..4).filter(|daemon| *daemon != coordinator).collect();
+    let begun = begin_streams(&stage, &others[..1], 12);
+    tokio::time::sleep(SOME_EVENTS).await;
+    stage.daemons[others[0]].kill();
+    let mut streams = begun.broken_streams().await;
+    take_up(&stage, &others[1..], &mut streams, "next").await;
+    expect_taken_up(&streams, 12);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_went_on_at_another_version_after_all_daemons_restarted() {
+    let mut stage = stage("versions-all", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    let begun = begin_streams(&stage, &[0, 1, 2, 3], 16);
+    tokio::time::sleep(MOST_EVENTS).await;
+    restart_all_at_once(&mut stage).await;
+    let mut streams = begun.broken_streams().await;
+    take_up(&stage, &[1, 2, 3, 0], &mut streams, "next").await;
+    expect_taken_up(&streams, 16);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_the_only_version_goes_on_after_all_daemons_restarted() {
+    let mut stage = stage("versions-one", &one_version()).await;
+    wait_until_all_joined(&stage).await;
+    let begun = begin_streams(&stage, &[0, 1, 2, 3], 16);
+    tokio::time::sleep(SOME_EVENTS).await;
+    restart_all_at_once(&mut stage).await;
+    let mut streams = begun.broken_streams().await;
+    take_up(&stage, &[1, 2, 3, 0], &mut streams, "next").await;
+    expect_taken_up(&streams, 16);
+    let mut request = quick_request("unnamed");
+    request.headers = resume_headers(None, 2);
+    let answer = send(&stage, 2, &request).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+}
+
+/// Sends new requests to a daemon until one is answered by another software version.
+async fn wait_until_other_version_serves(stage: &Stage, daemon: usize) {
+    for number in 0..200 {
+        let request = quick_request(&format!("new{daemon}-{number}"));
+        let answer = send(stage, daemon, &request).await;
+        if answer.is_ok_and(|answer| answer.text().contains(OTHER_SOFTWARE)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the other software version did not serve in time");
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_that_came_back_with_another_version_continued_the_stream() {
+    let mut stage = stage(
+        "versions-back",
+        &StagePlan {
+            engines: 2,
+            ..one_version()
+        },
+    )
+    .await;
+    wait_until_all_joined(&stage).await;
+    let begun = begin_streams(&stage, &[0], 12);
+    tokio::time::sleep(SOME_EVENTS).await;
+    stage.daemons[0].kill();
+    stage.engines[0].restart_with_software(OTHER_SOFTWARE.parse().unwrap());
+    let mut streams = begun.broken_streams().await;
+    for daemon in 1..4 {
+        wait_until_other_version_serves(&stage, daemon).await;
+    }
+    take_up(&stage, &[1, 2, 3], &mut streams, "next").await;
+    for stream in &streams {
+        expect_true!(stream.is_of_one_version(), "mixed: {:?}", stream.events);
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_version_is_gone_went_on_at_another() {
+    let mut stage = stage("versions-gone", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    let begun = begin_streams(&stage, &[0], 12);
+    tokio::time::sleep(SOME_EVENTS).await;
+    stage.daemons[0].kill();
+    let streams = begun.broken_streams().await;
+    let other = OTHER_SOFTWARE.parse().unwrap();
+    for engine in [0, 2] {
+        stage.engines[engine].restart_with_software(std::clone::Clone::clone(&other));
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let of_former = |stream: &&CallerStream| !stream.events.contains(OTHER_SOFTWARE);
+    let former: Vec<_> = streams.iter().filter(of_former).collect();
+    expect_that!(former.len(), gt(0));
+    for (number, stream) in former.iter().enumerate() {
+        let request = stream.resumption(&format!("next{number}"));
+        expect_refused(&stage, 1 + number % 3, &request).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_an_unknown_version_is_refused_at_once() {
+    let stage = stage("versions-unknown", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    for daemon in 0..4 {
+        let mut request = quick_request(&format!("unknown{daemon}"));
+        request.headers = resume_headers(Some("never-seen"), 2);
+        expect_refused(&stage, daemon, &request).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_names_no_first_try_is_refused_while_two_versions_serve() {
+    let stage = stage("versions-unnamed", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    for daemon in 0..4 {
+        let mut request = quick_request(&format!("unnamed{daemon}"));
+        request.headers = resume_headers(None, 2);
+        expect_refused(&stage, daemon, &request).await;
+    }
+}
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -14,7 +14,9 @@
     EnginePath, ReceivedHeaders, ReportedState, engine_path, leaving_headers, not_executed_headers,
     parse_order, parse_request_headers, report_json, retry_after_headers, signed_answer_headers,
 };
+use ward_protocol::SoftwareVersion;
 
+use super::software::event_text;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
 use crate::ledger::{OrderRecord, RefusalRecord, RunRecord};
 use crate::reply::{AbortConnection, StageBody, full_response, streamed_response};
@@ -29,6 +31,10 @@
 const EVENT_COUNT: u64 = 5;
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Part of the path of requests whose streams are slow.
+pub const SLOW_PATH: &str = "slow";
+/// Time before each event of a slow stream.
+const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time that a request runs before its answer begins.
 const PROCESSING_TIME: Duration = Duration::from_millis(10);
 
@@ -186,7 +192,10 @@
             shared.process_ended.notify_one();
             std::future::pending().await
         }
-        _ => Ok(build_answer(fault, received, &engine, path)),
+        _ => {
+            let software = shared.lock().entry.software.clone();
+            Ok(build_answer(fault, received, &engine, &software, path))
+        }
     }
 }
 
@@ -203,6 +212,7 @@
     fault: EngineFault,
     received: &ReceivedHeaders,
     engine: &str,
+    software: &SoftwareVersion,
     path: &str,
 ) -> Response<StageBody> {
     let other_id = HeaderValue::from_static("another");
@@ -236,13 +246,21 @@
     }
     let breaks_off = fault == EngineFault::BreakOff;
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
-    let events = stream::iter(first_event..=EVENT_COUNT).then(move |number| async move {
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        if breaks_off && number >= first_event + 2 {
-            return Err(AbortConnection);
+    let interval = if path.contains(SLOW_PATH) {
+        SLOW_EVENT_INTERVAL
+    } else {
+        EVENT_INTERVAL
+    };
+    let software = software.clone();
+    let events = stream::iter(first_event..=EVENT_COUNT).then(move |number| {
+        let text = event_text(number, &software);
+        async move {
+            tokio::time::sleep(interval).await;
+            if breaks_off && number >= first_event + 2 {
+                return Err(AbortConnection);
+            }
+            Ok(Frame::data(Bytes::from(text)))
         }
-        let text = format!("id: {number}\ndata: part {number}\n\n");
-        Ok(Frame::data(Bytes::from(text)))
     });
     if fault == EngineFault::Trickle {
         let events = events.take(2).chain(trickle());
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod fault;
+mod software;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,10 +17,13 @@
 use ward_fleet::{
     EngineBirth, EngineClass, EngineEntry, EngineOrder, HeartbeatCount, HeldModel, OrderSequence,
 };
-use ward_protocol::{AdapterName, FenceNumber, ModelName};
+use ward_protocol::{AdapterName, FenceNumber, ModelName, SoftwareVersion};
 
+pub use self::answer::SLOW_PATH;
 use self::answer::answer;
 pub use self::fault::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault};
+pub use self::software::PLAIN_SOFTWARE;
+use self::software::next_id;
 use crate::ledger::RunLedger;
 use crate::proxy::{LinkControl, LinkFault, StageProxy};
 use crate::serve::{StageServer, serve};
@@ -47,6 +51,9 @@
     loading: Option<ModelName>,
     weights: WeightStore,
     fault: EngineFault,
+    /// Software version that the engine runs after its next restart, under the same id;
+    /// `None` if it keeps its version and changes its id.
+    next_software: Option<SoftwareVersion>,
     /// Ids of the requests refused with [`EngineFault::FullOnce`].
     refused: IndexSet<String>,
 }
@@ -99,6 +106,7 @@
                 loading: None,
                 weights,
                 fault: EngineFault::None,
+                next_software: None,
                 refused: IndexSet::new(),
             }),
             ledger,
@@ -227,9 +235,9 @@
     fn start_incarnation(&mut self) -> String {
         let former = self.entry.id.to_string();
         let birth = EngineBirth(self.entry.birth.map_or(0, |birth| birth.0) + 1);
-        let base_id = former.split('.').next().unwrap_or(&former);
-        if let Ok(id) = format!("{base_id}.{}", birth.0).parse() {
-            self.entry.id = id;
+        match self.next_software.take() {
+            Some(software) => self.entry.software = software,
+            None => self.entry.id = next_id(&self.entry.id, birth),
         }
         self.entry.birth = Some(birth);
         self.entry.heartbeat = HeartbeatCount(0);
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon;
 mod engine;
 mod ledger;
+mod network;
 mod proxy;
 mod reply;
 mod serve;
@@ -19,7 +20,9 @@
 
 pub use caller::{CallerAnswer, CallerError, CallerRequest, StageCaller};
 pub use daemon::{DaemonProcess, StageError};
-pub use engine::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, StageEngine};
+pub use engine::{
+    CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, PLAIN_SOFTWARE, SLOW_PATH, StageEngine,
+};
 pub use ledger::{OrderRecord, RefusalRecord, RunLedger, RunRecord};
 pub use proxy::{LinkControl, LinkFault, StageProxy};
 pub use stage::{Stage, StagePlan, stage_folder};
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -3,7 +3,6 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Method;
@@ -19,8 +18,9 @@
 use ward_protocol::{MemorySize, ModelName, TimeSpan};
 
 use crate::daemon::{DaemonProcess, StageError};
-use crate::engine::{HEARTBEAT_INTERVAL, StageEngine};
+use crate::engine::{HEARTBEAT_INTERVAL, PLAIN_SOFTWARE, StageEngine};
 use crate::ledger::RunLedger;
+use crate::network::StageNetwork;
 use crate::proxy::StageProxy;
 use crate::store::StageStore;
 use crate::weights::WeightStore;
@@ -57,6 +57,8 @@
     pub load_slowdown: u32,
     /// Number of backend servers of the plain service.
     pub backend_servers: usize,
+    /// Software versions of the engines, which take them in turn.
+    pub software: &'static [&'static str],
     /// Lease of the coordinator: minimum time between the orders of two coordinators.
     pub lease: TimeSpan,
 }
@@ -71,6 +73,7 @@
             full_speed_loads: 4,
             load_slowdown: 1,
             backend_servers: 2,
+            software: &[PLAIN_SOFTWARE],
             lease: TimeSpan::from_millis(1_000),
         }
     }
@@ -205,34 +208,6 @@
     }
 }
 
-/// Loopback addresses of one stage, chosen so that stages that run at the same time
-/// don't share a port: `127.process.stage.host`.
-#[derive(Debug, Clone, Copy)]
-struct StageNetwork {
-    process: u8,
-    stage: u8,
-}
-
-impl StageNetwork {
-    fn allocate() -> Self {
-        static STAGES: AtomicU8 = AtomicU8::new(0);
-        // From 16 on, to avoid addresses that other programs use on loopback.
-        let process = 16 + u8::try_from(std::process::id() % 200).unwrap_or(0);
-        Self {
-            process,
-            stage: STAGES.fetch_add(1, Ordering::Relaxed),
-        }
-    }
-
-    fn address(self, host: u8) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(127, self.process, self.stage, host))
-    }
-
-    fn daemon(self, number: usize) -> IpAddr {
-        self.address(u8::try_from(number + 1).unwrap_or(u8::MAX))
-    }
-}
-
 /// Whether the daemon's readiness check succeeds.
 async fn is_ready(address: SocketAddr) -> bool {
     let Ok(request) = json_request(Method::GET, address, READINESS_PATH, "") else {
@@ -258,12 +233,14 @@
             model,
             adapters: Vec::new(),
         });
+    let mut software = plan.software.iter().cycle();
+    let software = software.nth(number).unwrap_or(&PLAIN_SOFTWARE);
     Ok(EngineEntry {
         id: format!("i-{number}").parse()?,
         service: service.parse()?,
         address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0),
         zone: "north".parse()?,
-        software: "v1".parse()?,
+        software: software.parse()?,
         slots: 12,
         draining: false,
         leaves_in: None,
