--- a/crates/ward-protocol/src/id.rs
+++ b/crates/ward-protocol/src/id.rs
@@ -262,6 +262,12 @@
     RequestFingerprint, "request fingerprint"
 );
 
+random_id!(
+    /// Digest of the id of the try that brought a stream's first event; names the stream
+    /// over all tries of its caller.
+    StreamKey, "stream key"
+);
+
 impl RequestFingerprint {
     /// Computes the fingerprint of a request from its target and body.
     #[must_use]
@@ -270,8 +276,23 @@
         hasher.update(&(target.len() as u64).to_le_bytes());
         hasher.update(target.as_bytes());
         hasher.update(body);
-        let mut bytes = [0; 16];
-        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-        Self(u128::from_le_bytes(bytes))
+        Self(short_digest(&hasher))
+    }
+}
+
+impl StreamKey {
+    /// Computes the key from the bytes of a request id.
+    #[must_use]
+    pub fn of(request_id: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(request_id);
+        Self(short_digest(&hasher))
     }
 }
+
+/// The first 128 bits of a digest.
+fn short_digest(hasher: &blake3::Hasher) -> u128 {
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    u128::from_le_bytes(bytes)
+}
