Continue a stream only at the software version that began it, at any daemon

Callers that took up a stream at another daemon got events of two software versions in one stream, since the request went to any engine of the service.

The version was known only to the daemon that forwarded the stream. Now each daemon records the origin of its streams, and while a service has had several versions within MAX_STREAM_AGE, it tells the two keepers of the stream's key before the caller gets the first bytes; when a second version comes, the keepers of all its streams. A daemon asked to take a stream up looks in its own register, then whether the service has had one version only, then asks the keepers, then reads the store, and otherwise refuses at once. One version counts only while the engines were seen of late, or when another daemon that answers knows of no other one.

A daemon reads its earlier record before its first write, which would replace it. Keepers are found by their addresses, so that daemons which know no others yet take those in their settings: without it, the test without coordinator and store lost 8 of 8 streams.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod queue;
 pub mod record;
 pub mod settings;
+pub mod streams;
 pub mod table;
 
 pub use budget::{DaemonCount, RetryBudget};
@@ -50,4 +51,8 @@
 pub use queue::QueueRank;
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
+pub use streams::{
+    ServedVersions, StreamNews, StreamNote, StreamOrigin, StreamRecord, StreamRegister,
+    VersionHistory, VersionRevision, VersionSighting,
+};
 pub use table::{EngineRecord, EngineTable};
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use ward_protocol::{
     AdapterName, BackendId, DaemonId, FenceNumber, ModelName, RequestFingerprint, ServiceName,
-    SoftwareVersion, TimeSpan, ZoneName,
+    SoftwareVersion, StreamKey, TimeSpan, ZoneName,
 };
 
 use crate::crash::{ClearedPart, CrashNews, CrashReport, EngineIncarnation};
@@ -19,6 +19,7 @@
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
 use crate::settings::HostCapacity;
+use crate::streams::{StreamNews, VersionSighting};
 
 /// A daemon that accepts requests from callers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +52,10 @@
     /// Reports crashes; the only message on its connection. Any daemon answers
     /// with what it knows of crashes.
     Crashes(CrashNews),
+    /// Tells a keeper where streams come from; the only message on its connection.
+    RecordStreams(StreamNews),
+    /// Asks a keeper where a stream comes from; the only message on its connection.
+    FindStream(StreamKey),
 }
 
 /// Load and observations of one daemon.
@@ -121,6 +126,11 @@
     Snapshot(FleetSnapshot),
     /// The answer of any daemon to [`MemberMessage::Crashes`].
     Crashes(CrashNews),
+    /// The answer of any daemon to [`MemberMessage::RecordStreams`].
+    StreamsRecorded,
+    /// The answer of any daemon to [`MemberMessage::FindStream`]: the stream if it is
+    /// known, and the software versions that served of late.
+    FoundStream(StreamNews),
 }
 
 /// State that a daemon needs to serve requests while it cannot reach the store.
@@ -138,6 +148,8 @@
     /// Address on which the coordinator accepts connections from daemons;
     /// `None` if the sender knows none.
     pub coordinator: Option<SocketAddr>,
+    /// Software versions that served of late.
+    pub versions: Vec<VersionSighting>,
 }
 
 /// State of the fleet, or the changes to it since the last view.
@@ -186,6 +198,9 @@
     /// Suspect parts of prompts that were answered: all of them in a complete view,
     /// otherwise those reported since the last view.
     pub cleared_parts: Vec<ClearedPart>,
+    /// Software versions that served of late: all of them in a complete view, otherwise
+    /// none.
+    pub versions: Vec<VersionSighting>,
 }
 
 /// A model that no engine holds and that must come from the weight store.
--- a/crates/ward-fleet/src/record.rs
+++ b/crates/ward-fleet/src/record.rs
@@ -2,9 +2,10 @@
 //! restart of all daemons.
 
 use serde::{Deserialize, Serialize};
-use ward_protocol::WallTime;
+use ward_protocol::{TimeSpan, WallTime};
 
 use crate::crash::{BlockRevision, CrashReport};
+use crate::streams::{VersionRevision, VersionSighting};
 
 /// State that a restarted daemon needs before it has received any from other
 /// daemons.
@@ -16,9 +17,24 @@
     pub daemons: usize,
     /// Crash reports of blocked requests and parts of prompts.
     pub crashes: Vec<CrashReport>,
+    /// Software versions that served of late.
+    pub versions: Vec<VersionSighting>,
 }
 
 impl FleetRecord {
+    /// The software versions that served of late. When a version was last seen is not
+    /// known, since the record is written only when versions come or go; so all count as
+    /// seen just now.
+    #[must_use]
+    pub fn sightings(&self) -> Vec<VersionSighting> {
+        let versions = self.versions.iter();
+        let sightings = versions.map(|sighting| VersionSighting {
+            age: TimeSpan::ZERO,
+            ..sighting.clone()
+        });
+        sightings.collect()
+    }
+
     /// The crash reports with their ages at `now`. An adjustment of the wall
     /// clock affects only these ages.
     #[must_use]
@@ -37,4 +53,6 @@
     pub daemons: usize,
     /// Revision of the set of blocked requests and parts.
     pub blocks: BlockRevision,
+    /// Revision of the software versions that served of late.
+    pub versions: VersionRevision,
 }
--- a/crates/ward-fleet/tests/crash.rs
+++ b/crates/ward-fleet/tests/crash.rs
@@ -292,6 +292,7 @@
         written: WallTime(1_000_000),
         daemons: 9,
         crashes: ledger.blocked_reports(at(60_000)),
+        versions: Vec::new(),
     };
     let now = at(2_000);
     let mut restarted = CrashLedger::default();
--- a/crates/ward-fleet/tests/parts.rs
+++ b/crates/ward-fleet/tests/parts.rs
@@ -347,6 +347,7 @@
         written: WallTime(1_000_000),
         daemons: 9,
         crashes: ledger.blocked_reports(at(2_500)),
+        versions: Vec::new(),
     };
     let now = at(60_000);
     let mut restarted = CrashLedger::default();
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -67,6 +67,7 @@
         crashes: Vec::new(),
         cleared_parts: Vec::new(),
         cleared: Vec::new(),
+        versions: Vec::new(),
     }
 }
 
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -8,7 +8,7 @@
 use ward_fleet::pace::load_broadcast_interval;
 use ward_fleet::{
     ClearedPart, CoordinatorMessage, CrashReport, EngineInfo, FleetView, HostMember, LinkRate,
-    ManifestVersion, SlowModel,
+    ManifestVersion, SlowModel, VersionSighting,
 };
 use ward_protocol::{BackendId, DaemonId, MonoTime, RequestFingerprint, TimeSpan};
 
@@ -85,6 +85,8 @@
     pub(super) manifest: ManifestVersion,
     /// Models that no engine holds and that must come from the weight store.
     pub(super) slow: Vec<SlowModel>,
+    /// Software versions that served of late.
+    pub(super) versions: Vec<VersionSighting>,
     /// Bandwidth of this host, which bounds how often loads are broadcast.
     pub(super) link: LinkRate,
 }
@@ -93,6 +95,7 @@
 pub(super) fn publish(coordinator: &ActiveCoordinator, inputs: ViewInputs, logger: &Logger) {
     let now = clock::now();
     let link_rate = inputs.link;
+    let versions = inputs.versions.clone();
     let delta = next_delta(coordinator, inputs, now);
     let has_loads = delta.loads.is_some();
     let has_changes = has_loads
@@ -103,7 +106,7 @@
         || !delta.cleared.is_empty();
     let is_new = |link: &MemberLink| !link.has_complete_view;
     let has_new = coordinator.links.borrow().values().any(is_new);
-    let complete = has_new.then(|| complete_view(coordinator, &delta));
+    let complete = has_new.then(|| complete_view(coordinator, &delta, versions));
     let frames = ViewFrames {
         delta: has_changes.then(|| encode(delta, logger)).flatten(),
         complete: complete.and_then(|view| encode(view, logger)),
@@ -153,12 +156,17 @@
         crashes: std::mem::take(&mut publisher.crashes),
         cleared: std::mem::take(&mut publisher.cleared),
         cleared_parts: std::mem::take(&mut publisher.cleared_parts),
+        versions: Vec::new(),
     }
 }
 
 /// The complete view for newly connected daemons, based on the changes that the
 /// others receive now.
-fn complete_view(coordinator: &ActiveCoordinator, delta: &FleetView) -> FleetView {
+fn complete_view(
+    coordinator: &ActiveCoordinator,
+    delta: &FleetView,
+    versions: Vec<VersionSighting>,
+) -> FleetView {
     let publisher = coordinator.publisher.borrow();
     let news = coordinator.crashes.borrow().news(clock::now());
     FleetView {
@@ -171,6 +179,7 @@
         crashes: news.crashes,
         cleared: Vec::new(),
         cleared_parts: news.cleared_parts,
+        versions,
         ..delta.clone()
     }
 }
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -132,7 +132,7 @@
     offset: u64,
 ) -> Result<u64, StoreError> {
     let value = encode(&term).map_err(|_| StoreError::Format("a term cannot be encoded"))?;
-    let key = StoreClient::coordinator_key();
+    let key = StoreClient::coordinator_key().into();
     records.push(NewRecord { key, value });
     let topic = StoreTopic::Coordinator;
     gateway.store.append_at(topic, &records, offset).await
@@ -150,11 +150,12 @@
     let fleet = StoredFleet {
         daemons: gateway.budget_daemons(),
         blocks: coordinator.crashes.borrow().block_revision(),
+        versions: gateway.streams.version_revision(),
     };
     let records = if coordinator.stored_fleet.get() == Some(fleet) {
         Vec::new()
     } else {
-        vec![fleet_record(coordinator, fleet.daemons)?]
+        vec![fleet_record(gateway, coordinator, fleet.daemons)?]
     };
     let term = term_record(gateway, lease.fence, released);
     let offset = append_term(gateway, term, records, lease.next_offset).await?;
@@ -162,14 +163,19 @@
     Ok(offset)
 }
 
-fn fleet_record(coordinator: &ActiveCoordinator, daemons: usize) -> Result<NewRecord, StoreError> {
+fn fleet_record(
+    gateway: &Gateway,
+    coordinator: &ActiveCoordinator,
+    daemons: usize,
+) -> Result<NewRecord, StoreError> {
     let record = FleetRecord {
         written: WallTime::now(),
         daemons,
         crashes: coordinator.crashes.borrow().blocked_reports(clock::now()),
+        versions: gateway.streams.sightings(),
     };
     let value = encode(&record).map_err(|_| StoreError::Format("the fleet cannot be encoded"))?;
-    let key = StoreClient::fleet_key();
+    let key = StoreClient::fleet_key().into();
     Ok(NewRecord { key, value })
 }
 
@@ -260,6 +266,7 @@
         let inputs = ViewInputs {
             manifest: gateway.newest_manifest.get(),
             slow,
+            versions: gateway.streams.sightings(),
             link: gateway.settings().capacity.link,
         };
         publish(coordinator, inputs, &gateway.logger);
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -15,6 +15,7 @@
 
 use super::answer::{AnswerBody, OwnAnswer};
 use super::job::{Refusal, ServeJob, blocked_refusal, not_run, refuse};
+use super::resume::{required_software, stream_try};
 use super::route::{RoutedRequest, origin_target, requested_host, route_request};
 use crate::clock;
 use crate::crash::request_block;
@@ -129,7 +130,7 @@
         .manifest()
         .ok_or_else(|| not_run("no manifest is known yet"))?;
     let path = request.uri().path();
-    let routed = route_request(&manifest, fields, host, path)
+    let mut routed = route_request(&manifest, fields, host, path)
         .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest matches"))?;
     if routed.fields.is_model_malformed {
         let reason = "the name of the model or adapter is invalid";
@@ -147,6 +148,8 @@
     if let Some(block) = request_block(gateway, &identity) {
         return Err(blocked_refusal(block));
     }
+    // A stream that cannot go on is no demand for its model either.
+    let software = required_software(gateway, &mut routed).await?;
     gateway.record_request(&routed.service);
     record_arrival(gateway, &routed);
     let job = ServeJob {
@@ -161,7 +164,11 @@
             priority: engine_priority(&routed),
             need: connection_need(routed.route.kind),
         },
-        ticket: wait_ticket(gateway, &routed, identity, arrival, phase),
+        ticket: WaitTicket {
+            software,
+            ..wait_ticket(gateway, &routed, identity, arrival, phase)
+        },
+        stream: stream_try(&routed, arrival),
         routed,
         arrival,
     };
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 use ward_adapter::header::{closes_connection, keep_alive_timeout};
 use ward_fleet::health::EngineSignal;
-use ward_fleet::{RouteKind, RunningCount};
+use ward_fleet::{RouteKind, RunningCount, StreamOrigin};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use super::answer::{AnswerBody, OwnAnswer, buffered_answer, streamed_answer};
@@ -22,6 +22,7 @@
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
 use crate::queue::{RunState, WaitFailure, WaitTicket, acquire_slot};
+use crate::streams::{StreamTry, record_origin};
 
 /// Maximum length of an answer that is buffered before it is forwarded, in bytes; a
 /// faulty engine may never stop sending.
@@ -73,6 +74,7 @@
     pub(super) routed: RoutedRequest,
     pub(super) request: AttemptRequest,
     pub(super) ticket: WaitTicket,
+    pub(super) stream: StreamTry,
     pub(super) arrival: MonoTime,
 }
 
@@ -165,6 +167,9 @@
     ) -> Option<Response<AnswerBody>> {
         let status = attempt.answer.status();
         if self.routed.route.kind.is_stream() && status.is_success() {
+            if self.routed.route.kind == RouteKind::ResumableStream {
+                self.record_stream(gateway, &attempt).await;
+            }
             let headers = attempt.answer.headers().clone();
             let relay = self.relay(gateway, attempt, progress.runs + 1);
             return Some(streamed_answer(status, &headers, relay));
@@ -177,6 +182,16 @@
         None
     }
 
+    /// Records which engines the stream comes from, for its caller's next try.
+    async fn record_stream(&self, gateway: &Gateway, attempt: &Attempt) {
+        let engine = &attempt.slot.engine;
+        let origin = StreamOrigin {
+            service: engine.service.clone(),
+            software: engine.software.clone(),
+        };
+        record_origin(gateway, &self.stream, origin, &self.request.id_text).await;
+    }
+
     fn relay(&self, gateway: &Rc<Gateway>, attempt: Attempt, runs: u32) -> StreamRelay {
         let resumable = self.routed.route.kind == RouteKind::ResumableStream;
         let start = RelayStart {
@@ -314,6 +329,9 @@
                 "its engines have asked for a pause",
             ),
             WaitFailure::Blocked(block) => blocked_refusal(block),
+            WaitFailure::NoEngine if self.ticket.software.is_some() => {
+                not_run("the service has no engine of the stream's software version")
+            }
             WaitFailure::NoEngine => not_run("the service has no engine"),
             WaitFailure::Timeout => not_run("no engine had room in time"),
             WaitFailure::Closed => not_run("the daemon is shutting down"),
--- a/crates/ward-gateway/src/front/mod.rs
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod handle;
 mod job;
 mod listen;
+mod resume;
 mod route;
 
 pub(crate) use directory::{serve_directory, serve_metrics, serve_readiness};
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::forward::EnginePool;
 use crate::metrics::GatewayMetrics;
 use crate::queue::WaitQueue;
+use crate::streams::StreamState;
 
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time between checks whether a current view has arrived.
@@ -51,6 +52,7 @@
     pub(crate) crash_recorded: Notify,
     /// Notified when a crash is recorded, or a suspect part of prompts is cleared.
     pub(crate) suspects_changed: Notify,
+    pub(crate) streams: StreamState,
     pub(crate) report_events: RefCell<ReportEvents>,
     pub(crate) members: RefCell<Vec<HostMember>>,
     pub(crate) coordinator: CoordinatorSlot,
@@ -134,6 +136,7 @@
             unconfirmed_crashes: RefCell::default(),
             crash_recorded: Notify::new(),
             suspects_changed: Notify::new(),
+            streams: StreamState::default(),
             report_events: RefCell::default(),
             members: RefCell::default(),
             coordinator: CoordinatorSlot::default(),
--- a/crates/ward-gateway/src/hub/broadcast.rs
+++ b/crates/ward-gateway/src/hub/broadcast.rs
@@ -14,12 +14,11 @@
 use futures::stream;
 use indexmap::IndexSet;
 use slog::{info, warn};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use ward_fleet::{CoordinatorMessage, CrashNews, MemberMessage};
 use ward_protocol::TimeSpan;
 
-use super::frame::{PeerError, encode_frame, read_frame};
+use super::call::call_daemon;
+use super::frame::{PeerError, encode_frame};
 use crate::clock;
 use crate::crash::{TimedReport, current_reports, record_news};
 use crate::gateway::Gateway;
@@ -103,16 +102,10 @@
 
 /// Sends encoded crashes to one daemon; returns what it knows of crashes.
 async fn send_reports(address: SocketAddr, frame: &[u8]) -> Result<CrashNews, PeerError> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await?;
-        stream.write_all(frame).await?;
-        match read_frame(&mut stream).await? {
-            Some(CoordinatorMessage::Crashes(known)) => Ok(known),
-            _ => Err(PeerError::Unexpected),
-        }
-    };
-    let known = tokio::time::timeout(SEND_TIMEOUT, exchange).await;
-    known.unwrap_or(Err(PeerError::Timeout))
+    match call_daemon(address, frame, SEND_TIMEOUT).await? {
+        CoordinatorMessage::Crashes(known) => Ok(known),
+        _ => Err(PeerError::Unexpected),
+    }
 }
 
 /// Addresses of other daemons: the known ones and those named in the settings.
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -162,6 +162,7 @@
     if let Some(fleet) = stored_fleet(&tail, &gateway.logger) {
         apply_fleet_record(gateway, fleet);
     }
+    gateway.streams.complete_history();
     let stored = newest_term(&tail, &gateway.logger);
     let now = clock::now();
     if let Some(stored) = &stored {
@@ -190,6 +191,7 @@
 /// Applies the fleet record that an earlier coordinator wrote to the store.
 fn apply_fleet_record(gateway: &Gateway, fleet: FleetRecord) {
     gateway.record_daemon_count(fleet.daemons);
+    gateway.streams.record_sightings(&fleet.sightings());
     record_news(gateway, &fleet.into_crashes(WallTime::now()), &[]);
 }
 
@@ -259,7 +261,13 @@
                         return Err(PeerError::StoreUnavailable);
                     }
                 }
-                Some(CoordinatorMessage::Snapshot(_) | CoordinatorMessage::Crashes(_)) | None => {
+                Some(
+                    CoordinatorMessage::Snapshot(_)
+                    | CoordinatorMessage::Crashes(_)
+                    | CoordinatorMessage::StreamsRecorded
+                    | CoordinatorMessage::FoundStream(_),
+                )
+                | None => {
                     return Err(PeerError::Unexpected);
                 }
             }
--- a/crates/ward-gateway/src/hub/mod.rs
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -2,6 +2,7 @@
 //! messages while there is none.
 
 mod broadcast;
+mod call;
 mod check;
 mod frame;
 mod member;
@@ -10,7 +11,8 @@
 mod view;
 
 pub(crate) use broadcast::broadcast_crashes;
-pub(crate) use frame::encode_frame;
+pub(crate) use call::call_daemon;
+pub(crate) use frame::{PeerError, encode_frame};
 pub(crate) use member::follow_coordinator;
 pub(crate) use server::accept_members;
 pub(crate) use snapshot::request_snapshot;
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -54,6 +54,14 @@
             let known = gateway.crashes.borrow().news(clock::now());
             send_reply(&gateway, CoordinatorMessage::Crashes(known), stream).await;
         }
+        Ok(Ok(Some(MemberMessage::RecordStreams(news)))) => {
+            gateway.streams.record_news(news);
+            send_reply(&gateway, CoordinatorMessage::StreamsRecorded, stream).await;
+        }
+        Ok(Ok(Some(MemberMessage::FindStream(key)))) => {
+            let news = gateway.streams.news_of(key);
+            send_reply(&gateway, CoordinatorMessage::FoundStream(news), stream).await;
+        }
         // A daemon that only checks whether this one is running sends no message.
         _ => {}
     }
@@ -118,7 +126,9 @@
             Some(
                 MemberMessage::Hello(_)
                 | MemberMessage::SnapshotRequest
-                | MemberMessage::Crashes(_),
+                | MemberMessage::Crashes(_)
+                | MemberMessage::RecordStreams(_)
+                | MemberMessage::FindStream(_),
             ) => {
                 return Err(PeerError::Unexpected);
             }
--- a/crates/ward-gateway/src/hub/snapshot.rs
+++ b/crates/ward-gateway/src/hub/snapshot.rs
@@ -35,6 +35,7 @@
         members: gateway.members.borrow().clone(),
         crashes: gateway.crashes.borrow().news(clock::now()),
         coordinator: gateway.coordinator_address.get(),
+        versions: gateway.streams.sightings(),
     }
 }
 
@@ -95,6 +96,9 @@
         &snapshot.crashes.crashes,
         &snapshot.crashes.cleared_parts,
     );
+    gateway.streams.record_sightings(&snapshot.versions);
+    gateway.streams.record_engines(&snapshot.engines);
+    gateway.streams.complete_history();
     if gateway.members.borrow().is_empty() {
         gateway.record_daemon_count(snapshot.members.len());
         *gateway.members.borrow_mut() = snapshot.members;
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -25,6 +25,8 @@
     gateway.followed_since.set(Some(since));
     gateway.store_outage.set(view.store_outage);
     gateway.table.borrow_mut().apply(view, is_outdated);
+    gateway.streams.record_engines(&view.engines);
+    gateway.streams.record_sightings(&view.versions);
     view.apply_members(&mut gateway.members.borrow_mut());
     gateway.record_daemon_count(gateway.members.borrow().len());
     report_missed_leaving(gateway, view);
@@ -42,6 +44,7 @@
         confirm_crashes(gateway, &view.crashes);
     }
     if view.complete {
+        gateway.streams.complete_history();
         // The coordinator may be new, or reports were lost with a connection.
         let missing_reports = gateway
             .crashes
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod queue;
 mod start;
 mod stop;
+mod streams;
 mod sync;
 
 pub use start::{GatewayError, run_gateway};
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) unfinished: IntCounterVec,
     /// Requests that this daemon has blocked because they crash engines.
     pub(crate) blocked: IntCounter,
+    /// Requests that take up a stream, by where its software version was found.
+    pub(crate) resumptions: IntCounterVec,
     /// Parts of prompts that this daemon has blocked because they crash engines.
     pub(crate) blocked_parts: IntCounter,
     /// Seconds from a send until the engine's answer began.
@@ -59,6 +61,11 @@
                 "end",
             )?,
             blocked: IntCounter::new("ward_blocked_requests_total", "requests that crash engines")?,
+            resumptions: counter_vec(
+                "ward_resumptions_total",
+                "requests that take up a stream, by source of its version",
+                "source",
+            )?,
             blocked_parts: IntCounter::new(
                 "ward_blocked_parts_total",
                 "parts of prompts that crash engines",
@@ -86,6 +93,7 @@
         registry.register(Box::new(self.sends.clone()))?;
         registry.register(Box::new(self.unfinished.clone()))?;
         registry.register(Box::new(self.blocked.clone()))?;
+        registry.register(Box::new(self.resumptions.clone()))?;
         registry.register(Box::new(self.blocked_parts.clone()))?;
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.waited.clone()))?;
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -21,6 +21,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::queue::dispatch_queue;
 use crate::stop::{reload_on_signal, stop_on_signal};
+use crate::streams::{persist_streams, spread_streams};
 use crate::sync::{sync_engines, sync_manifest};
 
 /// Time between sweeps of idle connections, the queue and unfinished runs.
@@ -98,6 +99,8 @@
     spawn_local(sync_engines(Rc::clone(&gateway)));
     spawn_local(follow_coordinator(Rc::clone(&gateway)));
     spawn_local(broadcast_crashes(Rc::clone(&gateway)));
+    spawn_local(spread_streams(Rc::clone(&gateway)));
+    spawn_local(persist_streams(Rc::clone(&gateway)));
     spawn_local(watch_blocked_parts(Rc::clone(&gateway)));
     spawn_local(dispatch_queue(Rc::clone(&gateway)));
     spawn_local(sweep(Rc::clone(&gateway)));
@@ -119,6 +122,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let table = gateway.table.borrow();
         gateway.pool.sweep(|engine| table.get(engine).is_some());
+        gateway.streams.sweep(&table);
         drop(table);
         gateway.queue.sweep();
         check_unfinished_runs(&gateway);
--- a/crates/ward-gateway/src/stop.rs
+++ b/crates/ward-gateway/src/stop.rs
@@ -13,6 +13,7 @@
 use crate::coordinator::release_term;
 use crate::front::ConnectionTracker;
 use crate::gateway::Gateway;
+use crate::streams::persist_now;
 
 /// Percentage of the grace period in which new requests are still accepted:
 /// callers may keep using the address for a while, and the last accepted request
@@ -43,6 +44,7 @@
     gateway.stopping.set(true);
     gateway.report_requested.notify_one();
     release_term(&gateway).await;
+    persist_now(&gateway).await;
     tokio::time::sleep_until(start + grace.duration() * ACCEPT_PERCENT_OF_GRACE / 100).await;
     info!(gateway.logger, "stop: takes no more"; "connections" => tracker.open());
     tracker.close_all();
--- /dev/null
+++ b/crates/ward-gateway/src/streams/mod.rs
@@ -0,0 +1,155 @@
+//! Keeps which software version began a stream, so that any daemon can continue it at
+//! that version.
+//!
+//! A daemon records each stream that it forwards. While a service has several versions,
+//! it also tells two other daemons, and writes its streams to the store from time to
+//! time. A request that takes up a stream is served only if the version is found.
+
+mod find;
+mod record;
+mod store;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+
+use tokio::sync::Notify;
+use ward_fleet::streams::{NoteSource, keepers};
+use ward_fleet::{
+    EngineInfo, EngineTable, ServedVersions, StreamNews, StreamNote, StreamOrigin, StreamRegister,
+    VersionHistory, VersionRevision, VersionSighting,
+};
+use ward_protocol::{MonoTime, ServiceName, StreamKey, TimeSpan};
+
+pub(crate) use self::find::find_origin;
+pub(crate) use self::record::{StreamTry, record_origin, spread_streams};
+use self::store::StreamStore;
+pub(crate) use self::store::{persist_now, persist_streams};
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// Time between two looks at all engines for the versions that still serve.
+const REFRESH_INTERVAL: TimeSpan = TimeSpan::from_secs(10);
+
+/// What one daemon knows of streams and software versions.
+#[derive(Default)]
+pub(crate) struct StreamState {
+    register: RefCell<StreamRegister>,
+    versions: RefCell<VersionHistory>,
+    /// Whether the versions that served before this daemon started are known.
+    history_known: Cell<bool>,
+    /// Notified when a service gets a further version.
+    version_added: Notify,
+    next_refresh: Cell<MonoTime>,
+    store: StreamStore,
+}
+
+impl StreamState {
+    /// Records that engines exist.
+    pub(crate) fn record_engines<'a>(&self, engines: impl IntoIterator<Item = &'a EngineInfo>) {
+        let now = clock::now();
+        let mut versions = self.versions.borrow_mut();
+        for engine in engines {
+            if versions.record_engine(engine, now) {
+                self.version_added.notify_one();
+            }
+        }
+    }
+
+    /// Records the versions that another daemon, or an earlier coordinator, has seen.
+    pub(crate) fn record_sightings(&self, sightings: &[VersionSighting]) {
+        let now = clock::now();
+        let mut versions = self.versions.borrow_mut();
+        for sighting in sightings {
+            if versions.record_sighting(sighting, now) {
+                self.version_added.notify_one();
+            }
+        }
+    }
+
+    /// Records that it is known which versions served before this daemon started.
+    pub(crate) fn complete_history(&self) {
+        self.history_known.set(true);
+    }
+
+    /// The versions that served of late, as sent to another daemon now.
+    pub(crate) fn sightings(&self) -> Vec<VersionSighting> {
+        self.versions.borrow().sightings(clock::now())
+    }
+
+    /// The revision of the set of these versions.
+    pub(crate) fn version_revision(&self) -> VersionRevision {
+        self.versions.borrow().revision()
+    }
+
+    /// Records what another daemon knows of streams and versions.
+    pub(crate) fn record_news(&self, news: StreamNews) {
+        self.record_sightings(&news.versions);
+        self.record_notes(news.notes, NoteSource::Other);
+    }
+
+    /// What this daemon knows of a stream and of versions, for another daemon.
+    pub(crate) fn news_of(&self, key: StreamKey) -> StreamNews {
+        let note = self.register.borrow().note(key, clock::now());
+        StreamNews {
+            notes: note.into_iter().collect(),
+            versions: self.sightings(),
+        }
+    }
+
+    /// Drops streams and versions that no longer matter, and looks from time to time
+    /// which versions still serve.
+    pub(crate) fn sweep(&self, table: &EngineTable) {
+        let now = clock::now();
+        self.register.borrow_mut().remove_expired(now);
+        if now < self.next_refresh.get() {
+            return;
+        }
+        self.next_refresh.set(now + REFRESH_INTERVAL);
+        self.record_engines(table.iter().map(|engine| &engine.info));
+        self.versions.borrow_mut().remove_expired(now);
+    }
+
+    fn record_notes(&self, notes: impl IntoIterator<Item = StreamNote>, source: NoteSource) {
+        let now = clock::now();
+        let mut register = self.register.borrow_mut();
+        for note in notes {
+            register.record(note, source, now);
+        }
+    }
+
+    fn known_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
+        self.register.borrow().origin(key, clock::now()).cloned()
+    }
+
+    /// The origin of every stream of a service, if engines of a single version served it.
+    fn only_origin(&self, service: &ServiceName) -> Option<StreamOrigin> {
+        if !self.history_known.get() {
+            return None;
+        }
+        match self.versions.borrow().served(service) {
+            ServedVersions::Single(software) => Some(StreamOrigin {
+                service: service.clone(),
+                software,
+            }),
+            ServedVersions::Unknown | ServedVersions::Several => None,
+        }
+    }
+
+    fn has_several_versions(&self, service: &ServiceName) -> bool {
+        self.versions.borrow().has_several(service)
+    }
+}
+
+/// Addresses of the other daemons that keep the origin of a stream. A daemon that knows
+/// no others, since it has followed no coordinator yet, takes those in its settings.
+fn keeper_addresses(gateway: &Gateway, key: StreamKey, count: usize) -> Vec<SocketAddr> {
+    let settings = gateway.settings();
+    let members = gateway.members.borrow();
+    let known = members.iter().map(|member| member.peers);
+    let mut others: Vec<_> = known.filter(|peers| *peers != settings.peers).collect();
+    if others.is_empty() {
+        let seeds = settings.seeds.iter().copied();
+        others.extend(seeds.filter(|seed| *seed != settings.peers));
+    }
+    keepers(others, key, count)
+}
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -261,6 +261,7 @@
 
 fn apply_entry(gateway: &Gateway, entry: &EngineEntry) {
     let info = EngineInfo::from(entry);
+    gateway.streams.record_engines([&info]);
     let mut table = gateway.table.borrow_mut();
     let known = table.get(&entry.id).map(|engine| engine.info.clone());
     let is_coordinator = gateway.coordinator.is_active();
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -238,6 +238,7 @@
         StoreTopic::Manifest => "manifest",
         StoreTopic::Engines => "engines",
         StoreTopic::Coordinator => "coordinator",
+        StoreTopic::Streams => "streams",
     }
 }
 
