Refuse a stream at once whose model only other software versions hold

A request that takes up a stream and needs version v2 waited to its deadline for a model that only engines of v1 held: the choice said Missing, and the coordinator loads nothing that some engine holds. The choice now says NoEngine, and the request is refused at once, not run. A model that no engine holds is waited for as before, since it is loaded.

Test: choose_engine_waited_for_a_model_that_only_another_software_version_holds, which failed before (Missing in place of NoEngine).

--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -118,7 +118,7 @@
     /// The service has engines, but none holds the model and adapter.
     Missing,
     /// The service has no engine that takes requests, or none of the required software
-    /// version.
+    /// version, or only engines of other versions hold the model and adapter.
     NoEngine,
 }
 
@@ -132,18 +132,22 @@
     avoided: &IndexSet<BackendId>,
     mut draw: impl FnMut(usize) -> usize,
 ) -> EngineChoice {
-    let mut engines: Vec<_> = table.of_service(requirement.service).collect();
-    engines.retain(|engine| requirement.has_software(engine));
-    if engines.is_empty() {
+    let mut fitting: Vec<_> = table.of_service(requirement.service).collect();
+    if !fitting
+        .iter()
+        .any(|engine| requirement.has_software(engine))
+    {
         return EngineChoice::NoEngine;
     }
-    let mut fitting: Vec<_> = engines
-        .into_iter()
-        .filter(|engine| requirement.fits(engine))
-        .collect();
+    fitting.retain(|engine| requirement.fits(engine));
     if fitting.is_empty() {
         return EngineChoice::Missing;
     }
+    fitting.retain(|engine| requirement.has_software(engine));
+    if fitting.is_empty() {
+        // A model that some engine holds is not loaded for a waiting request.
+        return EngineChoice::NoEngine;
+    }
     let pause = |engine: &EngineRecord| engine.health.paused_until(context.now);
     if fitting.iter().all(|engine| pause(engine).is_some()) {
         let first = fitting.iter().filter_map(|engine| pause(engine)).min();
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -292,3 +292,25 @@
     expect_that!(choice("v2"), eq(&EngineChoice::Engine(id("e2"))));
     expect_that!(choice("v3"), eq(&EngineChoice::NoEngine));
 }
+
+#[gtest]
+fn choose_engine_waited_for_a_model_that_only_another_software_version_holds() {
+    let mut table = table(&[("e1", &["m1"])]);
+    table.insert(ward_fleet::EngineInfo {
+        software: name("v2"),
+        ..info("e2", &["m2"])
+    });
+    let (service, software) = (service(), name("v2"));
+    let choice = |model: &str| {
+        let model = name(model);
+        let requirement = EngineRequirement {
+            software: Some(&software),
+            ..requirement(&service, &model)
+        };
+        choose_engine(&table, &requirement, &context(1), &IndexSet::new(), |_| 0)
+    };
+    // Nobody loads a model that some engine holds.
+    expect_that!(choice("m1"), eq(&EngineChoice::NoEngine));
+    expect_that!(choice("m2"), eq(&EngineChoice::Engine(id("e2"))));
+    expect_that!(choice("m3"), eq(&EngineChoice::Missing));
+}
