A version that is gone is forgotten although daemons tell each other of it

Daemons would have gone on telling keepers of each stream, and refusing streams without a known origin, for as long as they send each other messages: each message names how long ago a version was seen, its transit time isn't counted, and the sum over many messages exceeds the time that passes. A sight of a known version now counts only if it is at least 30 s later, and an old one of an unknown version not at all.

Test: history_of_a_gone_version_lasted_as_long_as_daemons_told_each_other, which failed before.

--- a/crates/ward-fleet/src/streams/versions.rs
+++ b/crates/ward-fleet/src/streams/versions.rs
@@ -1,7 +1,7 @@
 //! The software versions that serve, or served of late.
 
 use indexmap::IndexMap;
-use ward_protocol::{MonoTime, ServiceName, SoftwareVersion, number_id};
+use ward_protocol::{MonoTime, ServiceName, SoftwareVersion, TimeSpan, number_id};
 
 use super::{MAX_STREAM_AGE, StreamOrigin, VersionSighting};
 use crate::message::EngineInfo;
@@ -9,6 +9,12 @@
 /// Maximum number of versions of a service that are kept, those seen last.
 const MAX_VERSIONS: usize = 16;
 
+/// Minimum time by which another daemon's sight of a known version must be later.
+const MIN_ADVANCE: TimeSpan = TimeSpan::from_secs(30);
+/// Maximum age of another daemon's sight of a version that is not known here. Well below
+/// the age at which versions are removed, which daemons do at slightly different times.
+const MAX_NEWS_AGE: TimeSpan = MAX_STREAM_AGE.saturating_sub(TimeSpan::from_secs(60));
+
 number_id!(
     /// Number that rises whenever a version is added to a history or removed from it.
     VersionRevision, "version revision"
@@ -40,13 +46,18 @@
     }
 
     /// Records what another daemon, or an earlier coordinator, has seen; returns the same
-    /// as [`Self::record_engine`].
+    /// as [`Self::record_engine`]. A version that was seen hardly later than is known
+    /// already counts for nothing: the transit times of messages would add up, and
+    /// daemons keep a version that is gone forever.
     pub fn record_sighting(&mut self, sighting: &VersionSighting, now: MonoTime) -> bool {
-        if sighting.age >= MAX_STREAM_AGE {
-            return false;
-        }
         let StreamOrigin { service, software } = &sighting.origin;
-        self.record(service, software, now - sighting.age)
+        let seen_at = now - sighting.age;
+        let versions = self.services.get(service);
+        let known_at = versions.and_then(|versions| versions.get(software));
+        let is_news = known_at.map_or(sighting.age < MAX_NEWS_AGE, |known_at| {
+            seen_at.since(*known_at) >= MIN_ADVANCE
+        });
+        is_news && self.record(service, software, seen_at)
     }
 
     fn record(
--- a/crates/ward-fleet/tests/streams.rs
+++ b/crates/ward-fleet/tests/streams.rs
@@ -223,6 +223,33 @@
     expect_that!(other.served(&support::service()), eq(&single));
 }
 
+#[gtest]
+fn history_of_a_gone_version_lasted_as_long_as_daemons_told_each_other() {
+    let transit = TimeSpan::from_millis(20);
+    let mut histories = [VersionHistory::default(), VersionHistory::default()];
+    histories[0].record_engine(&engine("i-1", "v1"), at(0));
+    let mut now = at(0);
+    // Hundreds of messages in each second add up to more than the time that passes.
+    for second in 0..660 {
+        for message in 0..60 {
+            let (sender, receiver) = (message % 2, 1 - message % 2);
+            let sightings = histories[sender].sightings(now);
+            for sighting in sightings {
+                histories[receiver].record_sighting(&sighting, now + transit);
+            }
+        }
+        now = at(second);
+        for history in &mut histories {
+            history.record_engine(&engine("i-2", "v2"), now);
+            history.remove_expired(now);
+        }
+    }
+    let single = ServedVersions::Single(name("v2"));
+    for history in histories {
+        expect_that!(history.served(&support::service()), eq(&single));
+    }
+}
+
 #[gtest]
 fn history_in_a_record_outlives_a_restart_of_all_daemons() {
     let mut history = VersionHistory::default();
