Ask the keepers of a stream also while one software version is known

A daemon that hadn't yet seen the first engine of a second version let a stream of that version go on at its own, since the service had had one version as far as it knew.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod path;
 mod repeated_refusals;
 mod soak;
+mod stream_keepers;
 mod support;
 mod unframed;
 mod versions;
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/stream_keepers.rs
@@ -0,0 +1,86 @@
+//! What daemons tell each other of the streams that they forward.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use ward_adapter::served::resume_headers;
+use ward_fleet::{CoordinatorMessage, MemberMessage, StreamNews, StreamNote, StreamOrigin};
+use ward_protocol::codec::{decode, encode};
+use ward_protocol::{StreamKey, TimeSpan};
+use ward_stage::{CallerRequest, Stage, StagePlan};
+
+use crate::support::{expect_refused, stage, wait_until_all_joined};
+
+const FIRST_TRY: &str = "elsewhere";
+
+/// Sends a message to a daemon as another daemon does; returns its answer.
+async fn call(address: SocketAddr, message: &MemberMessage) -> CoordinatorMessage {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let content = encode(message).unwrap();
+    let length = u32::try_from(content.len()).unwrap();
+    stream.write_all(&length.to_be_bytes()).await.unwrap();
+    stream.write_all(&content).await.unwrap();
+    let length = stream.read_u32().await.unwrap();
+    let mut answer = vec![0; length as usize];
+    stream.read_exact(&mut answer).await.unwrap();
+    decode(&answer).unwrap()
+}
+
+/// News of a stream that engines of another software version began.
+fn news_of_other_version() -> StreamNews {
+    let note = StreamNote {
+        key: StreamKey::of(FIRST_TRY.as_bytes()),
+        origin: StreamOrigin {
+            service: "assistant".parse().unwrap(),
+            software: "v2".parse().unwrap(),
+        },
+        lifetime: TimeSpan::from_secs(30),
+    };
+    StreamNews {
+        notes: vec![note],
+        versions: Vec::new(),
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_knew_a_single_version_continued_a_stream_of_another() {
+    let plan = StagePlan {
+        models: 1,
+        ..StagePlan::default()
+    };
+    let stage = stage("stream-keepers", &plan).await;
+    wait_until_all_joined(&stage).await;
+    // Another daemon has seen the further version earlier than daemon 0.
+    for keeper in &stage.daemons[1..] {
+        let message = MemberMessage::RecordStreams(news_of_other_version());
+        let answer = call(keeper.settings().peers, &message).await;
+        expect_that!(answer, eq(&CoordinatorMessage::StreamsRecorded));
+    }
+    let mut request = CallerRequest::new("next", "/quote/a", Some(&Stage::model_name(0)));
+    request.headers = resume_headers(Some(FIRST_TRY), 2);
+    expect_refused(&stage, 0, &request).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn keeper_answers_where_a_stream_comes_from() {
+    let stage = stage("stream-answer", &StagePlan::default()).await;
+    let peers = stage.daemons[0].settings().peers;
+    let news = news_of_other_version();
+    call(peers, &MemberMessage::RecordStreams(news.clone())).await;
+    let key = StreamKey::of(FIRST_TRY.as_bytes());
+    let CoordinatorMessage::FoundStream(found) = call(peers, &MemberMessage::FindStream(key)).await
+    else {
+        panic!("another answer");
+    };
+    expect_that!(found.notes[0].origin, eq(&news.notes[0].origin));
+    expect_that!(found.notes[0].lifetime, le(news.notes[0].lifetime));
+    let unknown = MemberMessage::FindStream(StreamKey::of(b"unknown"));
+    let CoordinatorMessage::FoundStream(found) = call(peers, &unknown).await else {
+        panic!("another answer");
+    };
+    expect_that!(found.notes, is_empty());
+}
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -16,6 +16,8 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum time of a refusal that is sent at once.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 pub(crate) fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_persimmonward"))
@@ -138,3 +140,13 @@
         expect_true!(fences.is_sorted(), "{fences:?}");
     }
 }
+
+/// Expects that a request is refused at once and ran on no engine.
+pub(crate) async fn expect_refused(stage: &Stage, daemon: usize, request: &CallerRequest) {
+    let begun = Instant::now();
+    let answer = send(stage, daemon, request).await.unwrap();
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(begun.elapsed(), lt(REFUSAL_TIME));
+    expect_true!(answer.headers.contains_key("retry-after"));
+    expect_that!(stage.ledger.runs_of(&request.id).len(), eq(0));
+}
--- a/crates/ward-daemon/tests/gateway/versions.rs
+++ b/crates/ward-daemon/tests/gateway/versions.rs
@@ -1,7 +1,7 @@
 //! Streams that callers take up while engines of several software versions serve: a
 //! stream goes on only at the version that began it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use googletest::prelude::*;
 use http::StatusCode;
@@ -12,7 +12,9 @@
     StagePlan, StoreFault,
 };
 
-use crate::support::{restart_all_at_once, send, stage, wait_until, wait_until_all_joined};
+use crate::support::{
+    expect_refused, restart_all_at_once, send, stage, wait_until, wait_until_all_joined,
+};
 
 const OTHER_SOFTWARE: &str = "v2";
 /// Number of events of a complete stream.
@@ -23,8 +25,6 @@
 const MOST_EVENTS: Duration = Duration::from_millis(1_300);
 /// Whole time of a caller, over all its tries.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum time of a refusal that is sent at once.
-const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 type CallerResult = std::result::Result<CallerAnswer, CallerError>;
 
@@ -196,16 +196,6 @@
     println!("{complete} of {} streams went on", streams.len());
 }
 
-/// Expects that a request is refused at once and ran on no engine.
-async fn expect_refused(stage: &Stage, daemon: usize, request: &CallerRequest) {
-    let begun = Instant::now();
-    let answer = send(stage, daemon, request).await.unwrap();
-    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
-    expect_that!(begun.elapsed(), lt(REFUSAL_TIME));
-    expect_true!(answer.headers.contains_key("retry-after"));
-    expect_that!(stage.ledger.runs_of(&request.id).len(), eq(0));
-}
-
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_that_died_took_the_version_of_its_streams_along() {
--- a/crates/ward-gateway/src/streams/find.rs
+++ b/crates/ward-gateway/src/streams/find.rs
@@ -62,18 +62,21 @@
     if let Some(origin) = key.and_then(|key| state.known_origin(key)) {
         return Some((origin, OriginSource::Own));
     }
-    if knows_engines(gateway)
-        && let Some(origin) = state.only_origin(service)
-    {
-        return Some((origin, OriginSource::OnlyVersion));
-    }
-    let has_answer = ask_keepers(gateway, key).await;
+    // The keepers are asked also while this daemon knows of one version only: the daemon
+    // that forwarded the stream may have seen another one earlier.
+    let is_current = knows_engines(gateway);
+    let has_answer = if key.is_some() || !is_current {
+        ask_keepers(gateway, key).await
+    } else {
+        false
+    };
     if let Some(origin) = key.and_then(|key| state.known_origin(key)) {
         return Some((origin, OriginSource::Keeper));
     }
-    // Daemons cut off from the store know of no further version, and the answers would
-    // have named one.
-    if has_answer && let Some(origin) = state.only_origin(service) {
+    // A daemon cut off from the store may have missed a version; the answers name it.
+    if (is_current || has_answer)
+        && let Some(origin) = state.only_origin(service)
+    {
         return Some((origin, OriginSource::OnlyVersion));
     }
     let key = key?;
