Find the keepers of a stream also when only some daemons are known

Without a coordinator, six of twelve streams that were taken up were refused, in one of three runs of the tests: the coordinator had died 13 ms after the daemons joined, so that one of them knew a single other daemon, a dead one, and asked nobody else. Without a current view, the daemons named in the settings count as possible keepers, too, as they do when crashes are told.

Tests of the versions that daemons know after restarts: restarted_daemons_forgot_that_another_version_served and daemon_restarted_without_store_forgot_that_another_version_served.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -14,5 +14,6 @@
 mod stream_keepers;
 mod support;
 mod unframed;
+mod version_history;
 mod versions;
 mod weights;
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/version_history.rs
@@ -0,0 +1,68 @@
+//! Which software versions served of late, as daemons know after restarts.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use ward_adapter::served::resume_headers;
+use ward_stage::{CallerRequest, Stage, StagePlan, StoreFault};
+
+use crate::support::{
+    expect_refused, restart_all_at_once, send, stage, wait_until, wait_until_all_joined,
+};
+
+/// Time in which the coordinator renews its lease, and writes what has changed.
+const RENEWAL_TIME: Duration = Duration::from_millis(1_000);
+
+/// A request that takes up a stream and doesn't name it.
+fn unnamed_resumption(id: &str) -> CallerRequest {
+    let mut request = CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)));
+    request.headers = resume_headers(None, 2);
+    request
+}
+
+/// A stage whose only engine has changed its software version, so that streams of the
+/// former one may still be taken up.
+async fn upgraded_stage(test: &str) -> Stage {
+    let plan = StagePlan {
+        engines: 1,
+        models: 1,
+        ..StagePlan::default()
+    };
+    let stage = stage(test, &plan).await;
+    wait_until_all_joined(&stage).await;
+    stage.engines[0].restart_with_software("v2".parse().unwrap());
+    wait_until("the second version at all daemons", || {
+        let mut logs = stage.daemons.iter().map(|daemon| daemon.log().unwrap());
+        logs.all(|log| log.contains("a service has a further software version"))
+    })
+    .await;
+    let request = CallerRequest::new("new", "/quote/a", Some(&Stage::model_name(0)));
+    let answer = send(&stage, 0, &request).await.unwrap();
+    expect_that!(answer.text(), contains_substring("part 1 v2"));
+    tokio::time::sleep(RENEWAL_TIME).await;
+    stage
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_daemons_forgot_that_another_version_served() {
+    let mut stage = upgraded_stage("history-all").await;
+    restart_all_at_once(&mut stage).await;
+    for daemon in 0..3 {
+        let request = unnamed_resumption(&format!("next{daemon}"));
+        expect_refused(&stage, daemon, &request).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_restarted_without_store_forgot_that_another_version_served() {
+    let mut stage = upgraded_stage("history-peers").await;
+    stage.store.set_fault(StoreFault::Reset);
+    for daemon in 0..3 {
+        stage.daemons[daemon].restart().unwrap();
+        stage.wait_ready().await.unwrap();
+        let request = unnamed_resumption(&format!("next{daemon}"));
+        expect_refused(&stage, daemon, &request).await;
+    }
+}
--- a/crates/ward-gateway/src/hub/broadcast.rs
+++ b/crates/ward-gateway/src/hub/broadcast.rs
@@ -109,7 +109,7 @@
 }
 
 /// Addresses of other daemons: the known ones and those named in the settings.
-pub(super) fn peer_addresses(gateway: &Gateway) -> IndexSet<SocketAddr> {
+pub(crate) fn peer_addresses(gateway: &Gateway) -> IndexSet<SocketAddr> {
     let settings = gateway.settings();
     let members = gateway.members.borrow();
     let known = members.iter().map(|member| member.peers);
--- a/crates/ward-gateway/src/hub/mod.rs
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -10,7 +10,7 @@
 mod snapshot;
 mod view;
 
-pub(crate) use broadcast::broadcast_crashes;
+pub(crate) use broadcast::{broadcast_crashes, peer_addresses};
 pub(crate) use call::call_daemon;
 pub(crate) use frame::{PeerError, encode_frame};
 pub(crate) use member::follow_coordinator;
--- a/crates/ward-gateway/src/streams/mod.rs
+++ b/crates/ward-gateway/src/streams/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) use self::store::{persist_now, persist_streams};
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::hub::peer_addresses;
 
 /// Time between two looks at all engines for the versions that still serve.
 const REFRESH_INTERVAL: TimeSpan = TimeSpan::from_secs(10);
@@ -140,16 +141,16 @@
     }
 }
 
-/// Addresses of the other daemons that keep the origin of a stream. A daemon that knows
-/// no others, since it has followed no coordinator yet, takes those in its settings.
+/// Addresses of the other daemons that keep the origin of a stream. Without a current
+/// view, the known daemons may be only some of all, so those in the settings count, too.
 fn keeper_addresses(gateway: &Gateway, key: StreamKey, count: usize) -> Vec<SocketAddr> {
     let settings = gateway.settings();
     let members = gateway.members.borrow();
     let known = members.iter().map(|member| member.peers);
-    let mut others: Vec<_> = known.filter(|peers| *peers != settings.peers).collect();
-    if others.is_empty() {
-        let seeds = settings.seeds.iter().copied();
-        others.extend(seeds.filter(|seed| *seed != settings.peers));
+    let others: Vec<_> = known.filter(|peers| *peers != settings.peers).collect();
+    drop(members);
+    if others.is_empty() || !gateway.has_current_view() {
+        return keepers(peer_addresses(gateway), key, count);
     }
     keepers(others, key, count)
 }
