Tell keepers of a stream without the list of all software versions

The note of a stream names its service and version, and the keeper takes that as a sight of the version.

Test: keeper_answers_where_a_stream_comes_from, extended; it failed before.

--- a/crates/ward-daemon/tests/gateway/stream_keepers.rs
+++ b/crates/ward-daemon/tests/gateway/stream_keepers.rs
@@ -77,6 +77,8 @@
         panic!("another answer");
     };
     expect_that!(found.notes[0].origin, eq(&news.notes[0].origin));
+    let mut versions = found.versions.iter();
+    expect_true!(versions.any(|version| version.origin == news.notes[0].origin));
     expect_that!(found.notes[0].lifetime, le(news.notes[0].lifetime));
     let unknown = MemberMessage::FindStream(StreamKey::of(b"unknown"));
     let CoordinatorMessage::FoundStream(found) = call(peers, &unknown).await else {
--- a/crates/ward-gateway/src/streams/mod.rs
+++ b/crates/ward-gateway/src/streams/mod.rs
@@ -12,6 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
+use indexmap::IndexSet;
 use tokio::sync::Notify;
 use ward_fleet::streams::{NoteSource, keepers};
 use ward_fleet::{
@@ -82,8 +83,16 @@
         self.versions.borrow().revision()
     }
 
-    /// Records what another daemon knows of streams and versions.
+    /// Records what another daemon knows of streams and versions. A stream shows that its
+    /// version served of late, too.
     pub(crate) fn record_news(&self, news: StreamNews) {
+        let origins = news.notes.iter().map(|note| note.origin.clone());
+        let sightings: IndexSet<_> = origins.collect();
+        let sightings = sightings.into_iter().map(|origin| VersionSighting {
+            origin,
+            age: TimeSpan::ZERO,
+        });
+        self.record_sightings(&sightings.collect::<Vec<_>>());
         self.record_sightings(&news.versions);
         self.record_notes(news.notes, NoteSource::Other);
     }
--- a/crates/ward-gateway/src/streams/record.rs
+++ b/crates/ward-gateway/src/streams/record.rs
@@ -116,9 +116,11 @@
 
 /// Tells one keeper; returns whether it has recorded the streams.
 async fn tell(gateway: &Gateway, address: SocketAddr, notes: Vec<StreamNote>) -> bool {
+    // The versions that matter are those of the streams; all of them would make most of
+    // the message.
     let news = StreamNews {
         notes,
-        versions: gateway.streams.sightings(),
+        versions: Vec::new(),
     };
     let told = send_news(address, news).await;
     if let Err(cause) = &told {
