--- a/crates/ward-daemon/tests/gateway/version_history.rs
+++ b/crates/ward-daemon/tests/gateway/version_history.rs
@@ -11,7 +11,7 @@
 };
 
 /// Time in which the coordinator renews its lease, and writes what has changed.
-const RENEWAL_TIME: Duration = Duration::from_millis(1_000);
+const RENEWAL_TIME: Duration = Duration::from_secs(1);
 
 /// A request that takes up a stream and doesn't name it.
 fn unnamed_resumption(id: &str) -> CallerRequest {
