--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod caller_stream;
 mod crashes;
 mod crashing_parts;
 mod endless;
--- a/crates/ward-daemon/tests/gateway/versions.rs
+++ b/crates/ward-daemon/tests/gateway/versions.rs
@@ -7,89 +7,17 @@
 use http::StatusCode;
 use tokio::task::JoinHandle;
 use ward_adapter::served::resume_headers;
-use ward_stage::{
-    CallerAnswer, CallerError, CallerRequest, PLAIN_SOFTWARE, SLOW_PATH, Stage, StageCaller,
-    StagePlan, StoreFault,
-};
+use ward_stage::{CallerRequest, PLAIN_SOFTWARE, Stage, StageCaller, StagePlan, StoreFault};
 
+use crate::caller_stream::{CallerResult, CallerStream, OTHER_SOFTWARE, slow_request};
 use crate::support::{
     expect_refused, restart_all_at_once, send, stage, wait_until, wait_until_all_joined,
 };
 
-const OTHER_SOFTWARE: &str = "v2";
-/// Number of events of a complete stream.
-const EVENT_COUNT: usize = 5;
 /// Time in which a slow stream brings some of its events, but not all.
 const SOME_EVENTS: Duration = Duration::from_millis(750);
 /// The same for most of its events.
 const MOST_EVENTS: Duration = Duration::from_millis(1_300);
-/// Whole time of a caller, over all its tries.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
-
-type CallerResult = std::result::Result<CallerAnswer, CallerError>;
-
-/// A stream as its caller sees it, over all tries.
-struct CallerStream {
-    /// Id of the try that brought the first event.
-    first_try: String,
-    /// Complete events that the caller has received.
-    events: String,
-}
-
-impl CallerStream {
-    fn event_count(&self) -> usize {
-        self.events.matches("\n\n").count()
-    }
-
-    fn is_complete(&self) -> bool {
-        [PLAIN_SOFTWARE, OTHER_SOFTWARE]
-            .iter()
-            .any(|software| self.events == complete_stream(software))
-    }
-
-    /// Whether all events come from engines of one version.
-    fn is_of_one_version(&self) -> bool {
-        [PLAIN_SOFTWARE, OTHER_SOFTWARE]
-            .iter()
-            .any(|software| complete_stream(software).starts_with(&self.events))
-    }
-
-    fn add(&mut self, result: CallerResult) {
-        let received = match result {
-            Ok(answer) if answer.status.is_success() => answer.body,
-            Err(CallerError::Broken(_, part)) => part,
-            _ => return,
-        };
-        let text = String::from_utf8_lossy(&received);
-        let complete = text.rfind("\n\n").map_or(0, |end| end + 2);
-        self.events.push_str(&text[..complete]);
-    }
-
-    /// The request with which the caller takes up the stream.
-    fn resumption(&self, id: &str) -> CallerRequest {
-        let mut request = slow_request(id);
-        let last = self.event_count() as u64;
-        request.headers = resume_headers(Some(&self.first_try), last);
-        request
-    }
-}
-
-fn complete_stream(software: &str) -> String {
-    let suffix = match software {
-        PLAIN_SOFTWARE => String::new(),
-        other => format!(" {other}"),
-    };
-    let events =
-        (1..=EVENT_COUNT).map(|number| format!("id: {number}\ndata: part {number}{suffix}\n\n"));
-    events.collect()
-}
-
-fn slow_request(id: &str) -> CallerRequest {
-    let path = format!("/quote/{SLOW_PATH}");
-    let mut request = CallerRequest::new(id, path, Some(&Stage::model_name(0)));
-    request.timeout = CALLER_TIMEOUT;
-    request
-}
 
 fn quick_request(id: &str) -> CallerRequest {
     CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)))
@@ -262,6 +190,22 @@
     expect_taken_up(&streams, 16);
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_was_lost_with_its_keepers_that_restarted_before_its_daemon() {
+    let mut stage = stage("versions-keepers", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    let begun = begin_streams(&stage, &[0], 12);
+    tokio::time::sleep(SOME_EVENTS).await;
+    for daemon in [1, 2, 3, 0] {
+        stage.daemons[daemon].restart().unwrap();
+        stage.wait_ready().await.unwrap();
+    }
+    let mut streams = begun.broken_streams().await;
+    take_up(&stage, &[0, 1, 2, 3], &mut streams, "next").await;
+    expect_taken_up(&streams, 12);
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_the_only_version_goes_on_after_all_daemons_restarted() {
