--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod caller_stream;
 mod crashes;
 mod crashing_parts;
 mod cut_answers;
@@ -14,6 +15,9 @@
 mod repeated_refusals;
 mod resumed;
 mod soak;
+mod stream_keepers;
 mod support;
 mod unframed;
+mod version_history;
+mod versions;
 mod weights;
--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -119,6 +119,8 @@
     Paused(MonoTime),
     /// The service has engines, but none holds the model and adapter.
     Missing,
+    /// Only engines of other software versions hold the model and adapter.
+    OtherVersions,
     /// The service has no engine that takes requests, or none of the required software
     /// version.
     NoEngine,
@@ -134,18 +136,21 @@
     avoided: &IndexSet<BackendId>,
     mut draw: impl FnMut(usize) -> usize,
 ) -> EngineChoice {
-    let mut engines: Vec<_> = table.of_service(requirement.service).collect();
-    engines.retain(|engine| requirement.has_software(engine));
-    if engines.is_empty() {
+    let mut fitting: Vec<_> = table.of_service(requirement.service).collect();
+    if !fitting
+        .iter()
+        .any(|engine| requirement.has_software(engine))
+    {
         return EngineChoice::NoEngine;
     }
-    let mut fitting: Vec<_> = engines
-        .into_iter()
-        .filter(|engine| requirement.fits(engine))
-        .collect();
+    fitting.retain(|engine| requirement.fits(engine));
     if fitting.is_empty() {
         return EngineChoice::Missing;
     }
+    fitting.retain(|engine| requirement.has_software(engine));
+    if fitting.is_empty() {
+        return EngineChoice::OtherVersions;
+    }
     let pause = |engine: &EngineRecord| engine.health.paused_until(context.now);
     if fitting.iter().all(|engine| pause(engine).is_some()) {
         let first = fitting.iter().filter_map(|engine| pause(engine)).min();
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -189,6 +189,13 @@
             }
         }
         EngineChoice::NoEngine => return Err(WaitFailure::NoEngine),
+        EngineChoice::OtherVersions => {
+            ticket.phase.enter(RequestPhase::Model);
+            gateway.report_requested.notify_one();
+            if ticket.is_too_late_for_load(clock::now()) {
+                return Err(WaitFailure::NoEngine);
+            }
+        }
         EngineChoice::Missing => {
             ticket.phase.enter(RequestPhase::Model);
             gateway.report_requested.notify_one();
@@ -301,6 +308,14 @@
         match choose_engine_for(gateway, &ticket) {
             EngineChoice::Engine(id) => grant(gateway, number, &id, &ticket),
             EngineChoice::NoEngine => drop_grant(gateway, number),
+            EngineChoice::OtherVersions => {
+                if ticket.is_too_late_for_load(clock::now()) {
+                    drop_grant(gateway, number);
+                } else {
+                    ticket.phase.enter(RequestPhase::Model);
+                    unready_keys.insert(key);
+                }
+            }
             EngineChoice::Paused(until) => {
                 if let Some(remaining) = pause_if_late(&ticket, until) {
                     fail_wait(gateway, number, WaitFailure::Paused(remaining));
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -15,8 +15,10 @@
     EnginePath, ReceivedHeaders, ReportedState, engine_path, leaving_headers, not_executed_headers,
     parse_order, parse_request_headers, report_json, retry_after_headers, signed_answer_headers,
 };
+use ward_protocol::SoftwareVersion;
 
 use super::resume::resumed_answer;
+use super::software::event_text;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
 use crate::ledger::{OrderRecord, RefusalRecord, RunRecord};
 use crate::reply::{AbortConnection, StageBody, full_response, streamed_response};
@@ -32,6 +34,10 @@
 pub(super) const EVENT_COUNT: u64 = 5;
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Part of the path of requests whose streams are slow.
+pub const SLOW_PATH: &str = "slow";
+/// Time before each event of a slow stream.
+const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time that a request runs before its answer begins.
 const PROCESSING_TIME: Duration = Duration::from_millis(10);
 
@@ -189,7 +195,10 @@
             shared.process_ended.notify_one();
             std::future::pending().await
         }
-        _ => Ok(build_answer(fault, received, &engine, path)),
+        _ => {
+            let software = shared.lock().entry.software.clone();
+            Ok(build_answer(fault, received, &engine, &software, path))
+        }
     }
 }
 
@@ -206,6 +215,7 @@
     fault: EngineFault,
     received: &ReceivedHeaders,
     engine: &str,
+    software: &SoftwareVersion,
     path: &str,
 ) -> Response<StageBody> {
     let other_id = HeaderValue::from_static("another");
@@ -256,17 +266,25 @@
         return response;
     }
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
-    let events = stream::iter(first_event..=EVENT_COUNT).then(move |number| async move {
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        if breaks_off && number >= first_event + 2 {
-            return Err(AbortConnection);
-        }
+    let interval = if path.contains(SLOW_PATH) {
+        SLOW_EVENT_INTERVAL
+    } else {
+        EVENT_INTERVAL
+    };
+    let event_software = software.clone();
+    let events = stream::iter(first_event..=EVENT_COUNT).then(move |number| {
         let text = if fault == EngineFault::NoEventIds {
             format!("data: part {number}\n\n")
         } else {
-            event_text(number)
+            event_text(number, &event_software)
         };
-        Ok(Frame::data(Bytes::from(text)))
+        async move {
+            tokio::time::sleep(interval).await;
+            if breaks_off && number >= first_event + 2 {
+                return Err(AbortConnection);
+            }
+            Ok(Frame::data(Bytes::from(text)))
+        }
     });
     let mut signed_headers = signed_headers;
     signed_headers.insert(CONTENT_TYPE, EVENT_STREAM);
@@ -287,18 +305,13 @@
     }
     if fault == EngineFault::OtherFraming {
         let length: usize = (first_event..=EVENT_COUNT)
-            .map(|number| event_text(number).len())
+            .map(|number| event_text(number, software).len())
             .sum();
         response.headers_mut().insert(CONTENT_LENGTH, length.into());
     }
     response
 }
 
-/// The event with this number.
-pub(super) fn event_text(number: u64) -> String {
-    format!("id: {number}\ndata: part {number}\n\n")
-}
-
 /// Makes the server send a response without length and chunks, and close the
 /// connection after it.
 pub(super) fn remove_framing(response: &mut Response<StageBody>) {
