A refusal isn't delayed past the time of its caller

After a refusal by an engine, a request slept for the delay before its next attempt even if its time was over before that; its caller had left by the time it was refused. Seen once in repeated_refusal_met_a_caller_that_sends_its_request_again (caller left after 601 of 600 ms; third refusal at 525 ms, delay of 75 ms). It is now refused at once.

--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -276,8 +276,9 @@
                 if failure == AttemptFailure::Misplaced {
                     self.record_misplaced(gateway, engine);
                 }
-                tokio::time::sleep(REFUSAL_BACKOFF * progress.refused).await;
-                progress.refused < MAX_REFUSALS && gateway.take_retry(&self.routed.service)
+                progress.refused < MAX_REFUSALS
+                    && self.sleep_in_time(REFUSAL_BACKOFF * progress.refused).await
+                    && gateway.take_retry(&self.routed.service)
             }
             AttemptFailure::Unknown | AttemptFailure::Silent => {
                 self.ticket.avoided.insert(engine.clone());
@@ -291,6 +292,16 @@
         Some(self.final_result(progress, failure))
     }
 
+    /// Sleeps, unless the request's time would be over before; returns whether it has slept.
+    async fn sleep_in_time(&self, delay: Duration) -> bool {
+        let remaining = self.ticket.times.deadline.since(clock::now());
+        if remaining.duration() <= delay {
+            return false;
+        }
+        tokio::time::sleep(delay).await;
+        true
+    }
+
     /// The result after the last attempt: an engine's error answer if there is one,
     /// otherwise a refusal.
     fn final_result(
