--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -380,23 +380,3 @@
         expect_that!(answer.status, eq(StatusCode::OK), "{path}");
     }
 }
-
-#[gtest]
-#[tokio::test(flavor = "multi_thread")]
-async fn refusal_by_engines_came_after_its_caller_had_left() {
-    let plan = StagePlan {
-        models: 1,
-        ..StagePlan::default()
-    };
-    let stage = stage("late-refusal", &plan).await;
-    set_fault_on_all(&stage, EngineFault::Full);
-    // Each refusal makes the delay before the next attempt longer.
-    for millis in (400..=1_000).step_by(60) {
-        let id = format!("r{millis}");
-        let mut request = CallerRequest::new(&id, "/quick/a", Some("model0"));
-        request.timeout = Duration::from_millis(millis);
-        let answer = send(&stage, 0, &request).await;
-        let status = answer.map(|answer| answer.status.as_u16());
-        expect_that!(status, ok(eq(&503)), "{id}");
-    }
-}
--- a/crates/ward-daemon/tests/gateway/weights.rs
+++ b/crates/ward-daemon/tests/gateway/weights.rs
@@ -1,13 +1,13 @@
-//! Models that must be loaded from the weight store.
+//! Models that must be loaded from the weight store, and requests that wait in vain.
 
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use http::StatusCode;
 use ward_fleet::EngineOrder;
-use ward_stage::{CallerRequest, Stage, StagePlan};
+use ward_stage::{CallerRequest, EngineFault, Stage, StagePlan};
 
-use crate::support::{expect_valid_orders, send, stage, wait_until};
+use crate::support::{expect_valid_orders, send, set_fault_on_all, stage, wait_until};
 
 /// Engines without copies on disk and a slow weight store.
 fn empty_engines() -> StagePlan {
@@ -85,3 +85,23 @@
         }
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_by_engines_came_after_its_caller_had_left() {
+    let plan = StagePlan {
+        models: 1,
+        ..StagePlan::default()
+    };
+    let stage = stage("late-refusal", &plan).await;
+    set_fault_on_all(&stage, EngineFault::Full);
+    // Each refusal makes the delay before the next attempt longer.
+    for millis in (400..=1_000).step_by(60) {
+        let id = format!("r{millis}");
+        let mut request = CallerRequest::new(&id, "/quick/a", Some("model0"));
+        request.timeout = Duration::from_millis(millis);
+        let answer = send(&stage, 0, &request).await;
+        let status = answer.map(|answer| answer.status.as_u16());
+        expect_that!(status, ok(eq(&503)), "{id}");
+    }
+}
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -1,19 +1,21 @@
 //! The queue of requests that wait for a slot at an engine.
 
+mod dispatch;
 mod slot;
 mod ticket;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot};
 use ward_fleet::choice::EngineChoice;
-use ward_fleet::flow::{LateDecision, RequestFlow};
+use ward_fleet::flow::RequestFlow;
 use ward_fleet::queue::FirstPartTime;
 use ward_fleet::{ChoiceContext, SlowModel, WaitingCount, choose_engine};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
+pub(crate) use self::dispatch::dispatch_queue;
 pub(crate) use self::slot::{EngineSlot, RunState};
 use self::ticket::{ModelKey, WaitKey};
 pub(crate) use self::ticket::{RequestIdentity, WaitFailure, WaitTicket};
@@ -272,144 +274,3 @@
     table.begin_request(id, ticket.model.as_ref(), ticket.adapter.as_ref());
     Some(EngineSlot::new(gateway, engine, ticket))
 }
-
-/// Grants slots to waiting requests after every change; never returns.
-pub(crate) async fn dispatch_queue(gateway: Rc<Gateway>) {
-    loop {
-        gateway.queue.changed.notified().await;
-        dispatch_once(&gateway);
-    }
-}
-
-fn dispatch_once(gateway: &Rc<Gateway>) {
-    let mut ahead_by_key: IndexMap<WaitKey, usize> = IndexMap::new();
-    let mut unready_keys = IndexSet::new();
-    for number in numbers_by_rank(gateway) {
-        let Some(ticket) = ticket_of(gateway, number) else {
-            continue;
-        };
-        if let Some(block) = request_block(gateway, &ticket.identity) {
-            fail_wait(gateway, number, WaitFailure::Blocked(block));
-            continue;
-        }
-        let key = ticket.key();
-        if ticket.avoided.is_empty() && unready_keys.contains(&key) {
-            continue;
-        }
-        if let Some(ahead) = ahead_by_key
-            .get_mut(&key)
-            .filter(|_| ticket.avoided.is_empty())
-        {
-            *ahead += 1;
-            let ahead = *ahead;
-            shed_if_late(gateway, number, &ticket, ahead);
-            continue;
-        }
-        match choose_engine_for(gateway, &ticket) {
-            EngineChoice::Engine(id) => grant(gateway, number, &id, &ticket),
-            EngineChoice::NoEngine => drop_grant(gateway, number),
-            EngineChoice::OtherVersions => {
-                if ticket.is_too_late_for_load(clock::now()) {
-                    drop_grant(gateway, number);
-                } else {
-                    ticket.phase.enter(RequestPhase::Model);
-                    unready_keys.insert(key);
-                }
-            }
-            EngineChoice::Paused(until) => {
-                if let Some(remaining) = pause_if_late(&ticket, until) {
-                    fail_wait(gateway, number, WaitFailure::Paused(remaining));
-                } else {
-                    // The next in rank may be able to wait longer.
-                    ticket.phase.enter(RequestPhase::Pause);
-                    unready_keys.insert(key);
-                }
-            }
-            EngineChoice::Full => {
-                ticket.phase.enter(RequestPhase::Slot);
-                ahead_by_key.insert(key, 0);
-                shed_if_late(gateway, number, &ticket, 0);
-            }
-            EngineChoice::Missing => {
-                if let Some(ready_in) = gateway.queue.ready_in_if_late(&ticket) {
-                    fail_wait(gateway, number, WaitFailure::NotInTime(ready_in));
-                } else {
-                    ticket.phase.enter(RequestPhase::Model);
-                    unready_keys.insert(key);
-                }
-            }
-        }
-    }
-}
-
-/// Refuses a waiting request that can no longer meet its target latency and is
-/// unlikely to get a slot before its deadline.
-fn shed_if_late(gateway: &Gateway, number: u64, ticket: &WaitTicket, ahead: usize) {
-    let now = clock::now();
-    if !ticket.rank(now).is_late() {
-        return;
-    }
-    let flows = gateway.queue.flows.borrow();
-    let Some(flow) = flows.get(&ticket.key()) else {
-        return;
-    };
-    let remaining = ticket.times.deadline.since(now);
-    let LateDecision::Refuse(retry_after) = flow.decide_late(ahead, remaining, now) else {
-        return;
-    };
-    drop(flows);
-    fail_wait(gateway, number, WaitFailure::Overload(retry_after));
-}
-
-/// Ends the wait of a request with a failure.
-fn fail_wait(gateway: &Gateway, number: u64, failure: WaitFailure) {
-    if let Some(grant) = take_grant(gateway, number) {
-        // A dropped request needs no answer.
-        drop(grant.send(Err(failure)));
-    }
-}
-
-/// Numbers of the waiting requests, the one to serve first at the front.
-fn numbers_by_rank(gateway: &Gateway) -> Vec<u64> {
-    let now = clock::now();
-    let waiters = gateway.queue.waiters.borrow();
-    let mut ranked: Vec<_> = waiters
-        .values()
-        .filter(|waiter| waiter.grant.is_some())
-        .map(|waiter| (waiter.ticket.rank(now), waiter.number))
-        .collect();
-    ranked.sort_unstable();
-    ranked.into_iter().map(|(_, number)| number).collect()
-}
-
-fn ticket_of(gateway: &Gateway, number: u64) -> Option<WaitTicket> {
-    let waiters = gateway.queue.waiters.borrow();
-    Some(waiters.get(&number)?.ticket.clone())
-}
-
-type GrantSender = oneshot::Sender<Result<EngineSlot, WaitFailure>>;
-
-fn take_grant(gateway: &Gateway, number: u64) -> Option<GrantSender> {
-    let mut waiters = gateway.queue.waiters.borrow_mut();
-    waiters.get_mut(&number)?.grant.take()
-}
-
-/// Ends the wait of a request with a slot at an engine.
-fn grant(gateway: &Rc<Gateway>, number: u64, id: &BackendId, ticket: &WaitTicket) {
-    let Some(slot) = occupy_slot(gateway, id, ticket) else {
-        return;
-    };
-    // If the request was dropped meanwhile, dropping the slot releases it.
-    gateway.queue.record_grant(ticket);
-    if let Some(grant) = take_grant(gateway, number)
-        && let Err(slot) = grant.send(Ok(slot))
-    {
-        drop(slot);
-    }
-}
-
-/// Ends the wait of a request whose service has lost its last engine: dropping the
-/// grant makes it fail with `WaitFailure::NoEngine`.
-fn drop_grant(gateway: &Gateway, number: u64) {
-    drop(take_grant(gateway, number));
-}
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -174,12 +174,6 @@
         self.shared.write_heartbeat(store);
     }
 
-    /// Sets the version of the engine's software, and announces it with a heartbeat at once.
-    pub fn set_software(&self, software: SoftwareVersion, store: &StageStore) {
-        self.shared.lock().entry.software = software;
-        self.shared.write_heartbeat(store);
-    }
-
     /// Models in the engine's memory, without one that is still loading.
     #[must_use]
     pub fn models(&self) -> Vec<ModelName> {
--- a/crates/ward-stage/src/engine/software.rs
+++ b/crates/ward-stage/src/engine/software.rs
@@ -4,11 +4,18 @@
 use ward_protocol::{BackendId, SoftwareVersion};
 
 use super::{CrashKind, EngineFault, StageEngine};
+use crate::store::StageStore;
 
 /// Software version of engines whose events name none.
 pub const PLAIN_SOFTWARE: &str = "v1";
 
 impl StageEngine {
+    /// Sets the version of the engine's software, and announces it with a heartbeat at once.
+    pub fn set_software(&self, software: SoftwareVersion, store: &StageStore) {
+        self.shared.lock().entry.software = software;
+        self.shared.write_heartbeat(store);
+    }
+
     /// Ends the engine's process as a crash does; it restarts with another software
     /// version under the same id and address, and without loaded models.
     pub fn restart_with_software(&self, software: SoftwareVersion) {
