A keeper that doesn't answer no longer holds up the beginning of streams

While a service has several software versions, a stream's first bytes waited until both of its keepers had answered, 200 ms where one is on a silent host. They wait for the first one now; the other is told meanwhile.

--- a/crates/ward-daemon/tests/gateway/stream_keepers.rs
+++ b/crates/ward-daemon/tests/gateway/stream_keepers.rs
@@ -1,8 +1,11 @@
 //! What daemons tell each other of the streams that they forward.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use http::StatusCode;
+use rustix::process::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use ward_adapter::served::resume_headers;
@@ -11,9 +14,15 @@
 use ward_protocol::{StreamKey, TimeSpan};
 use ward_stage::{CallerRequest, Stage, StagePlan};
 
-use crate::support::{expect_refused, stage, wait_until_all_joined};
+use crate::support::{expect_refused, send, stage, wait_until_all_joined};
 
 const FIRST_TRY: &str = "elsewhere";
+const REQUESTS: u32 = 12;
+/// Time that a stream of a stand-in engine takes.
+const STREAM_TIME: Duration = Duration::from_millis(125);
+/// Maximum time by which a silent daemon may hold up all streams together: less than two
+/// waits for its answer.
+const MAX_TOTAL_DELAY: Duration = Duration::from_millis(300);
 
 /// Sends a message to a daemon as another daemon does; returns its answer.
 async fn call(address: SocketAddr, message: &MemberMessage) -> CoordinatorMessage {
@@ -86,3 +95,28 @@
     };
     expect_that!(found.notes, is_empty());
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_keeper_held_up_the_beginning_of_streams() {
+    let plan = StagePlan {
+        daemons: 4,
+        engines: 2,
+        models: 1,
+        software: &["v1", "v2"],
+        ..StagePlan::default()
+    };
+    let stage = stage("stream-silent", &plan).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    let silent = (1..4).find(|daemon| *daemon != coordinator).unwrap();
+    stage.daemons[silent].signal(Signal::STOP).unwrap();
+    let begun = Instant::now();
+    for number in 0..REQUESTS {
+        let request = CallerRequest::new(format!("r{number}"), "/quote/a", Some("model0"));
+        let answer = send(&stage, 0, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK));
+    }
+    let elapsed = begun.elapsed();
+    stage.daemons[silent].signal(Signal::CONT).unwrap();
+    expect_that!(elapsed, lt(STREAM_TIME * REQUESTS + MAX_TOTAL_DELAY));
+}
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -183,7 +183,7 @@
     }
 
     /// Records which engines the stream comes from, for its caller's next try.
-    async fn record_stream(&self, gateway: &Gateway, attempt: &Attempt) {
+    async fn record_stream(&self, gateway: &Rc<Gateway>, attempt: &Attempt) {
         let engine = &attempt.slot.engine;
         let origin = StreamOrigin {
             service: engine.service.clone(),
--- a/crates/ward-gateway/src/streams/record.rs
+++ b/crates/ward-gateway/src/streams/record.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use futures::stream;
+use futures::stream::{self, FuturesUnordered};
 use indexmap::IndexMap;
 use slog::{info, warn};
 use ward_fleet::streams::NoteSource;
@@ -41,7 +41,7 @@
 /// Records that a stream comes from engines of this origin; while the service has
 /// several versions, also at the keepers, before the caller gets the first bytes.
 pub(crate) async fn record_origin(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     stream: &StreamTry,
     origin: StreamOrigin,
     request: &str,
@@ -59,7 +59,7 @@
     if !state.has_several_versions(&origin.service) {
         return;
     }
-    let told = tell_keepers(gateway, notes).await;
+    let told = tell_any_keeper(gateway, notes).await;
     info!(
         gateway.logger, "stream: origin recorded"; "request" => request,
         "service" => %origin.service, "software" => %origin.software, "told" => told,
@@ -89,6 +89,25 @@
     needed.collect()
 }
 
+/// Tells the keepers of streams where these come from, and returns as soon as one has
+/// recorded it, or false if none has. The others are told meanwhile: one on a silent host
+/// must not hold up the stream.
+async fn tell_any_keeper(gateway: &Rc<Gateway>, notes: Vec<StreamNote>) -> bool {
+    let keepers = notes_by_keeper(gateway, notes).await;
+    let tells = keepers.into_iter().map(|(address, notes)| {
+        let gateway = Rc::clone(gateway);
+        tokio::task::spawn_local(async move { tell(&gateway, address, notes).await })
+    });
+    let mut tells: FuturesUnordered<_> = tells.collect();
+    while let Some(told) = tells.next().await {
+        if matches!(told, Ok(true)) {
+            // Tasks that are dropped here run on.
+            return true;
+        }
+    }
+    false
+}
+
 /// Tells the keepers of streams where these come from; returns how many daemons have
 /// recorded it.
 async fn tell_keepers(gateway: &Gateway, notes: Vec<StreamNote>) -> usize {
