Soak: callers take up their streams between engines of two software versions

Odd seeds have engines of two versions, whose events differ; a caller whose resumable stream broke off takes it up at any daemon, up to three times, and all it got must be of one version. Even seeds keep their series. Its callers are in a module of their own.

--- a/crates/ward-daemon/tests/gateway/caller_stream.rs
+++ b/crates/ward-daemon/tests/gateway/caller_stream.rs
@@ -50,11 +50,16 @@
         self.events.push_str(&text[..complete]);
     }
 
-    /// The request with which the caller takes up the stream.
+    /// The request with which the caller takes up a slow stream.
     pub(crate) fn resumption(&self, id: &str) -> CallerRequest {
-        let mut request = slow_request(id);
+        self.resumption_of(slow_request(id))
+    }
+
+    /// A request that takes up the stream.
+    pub(crate) fn resumption_of(&self, mut request: CallerRequest) -> CallerRequest {
         let last = self.event_count() as u64;
-        request.headers = resume_headers(Some(&self.first_try), last);
+        let headers = resume_headers(Some(&self.first_try), last);
+        request.headers.extend(headers);
         request
     }
 }
--- a/crates/ward-daemon/tests/gateway/soak.rs
+++ b/crates/ward-daemon/tests/gateway/soak/mod.rs
@@ -6,27 +6,26 @@
 //! arrive. Links delay, reset or refuse connections, or hold back answers or all bytes.
 //! The store fails, and engines fail, crash, leave or send `Retry-After`. Callers keep
 //! using a connection until it closes, and some requests, or a part of their prompts,
-//! crash engines. Odd seeds also play engines that answer out of turn; even ones don't,
-//! so that recorded seeds keep their series.
+//! crash engines. Odd seeds also play engines that answer out of turn and engines of two
+//! software versions, between which callers take up their streams; even ones don't, so
+//! that recorded seeds keep their series.
 //! `SOAK_SEEDS=FROM..TO` replaces the seeds of the short series.
 
+mod caller;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use googletest::prelude::*;
-use http::StatusCode;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rustix::process::Signal;
-use ward_adapter::served::prompt_headers;
-use ward_protocol::PartId;
-use ward_stage::{
-    CRASHING_PART, CRASHING_PATH, CallerError, CallerRequest, CrashKind, EngineFault, LinkFault,
-    RunLedger, Stage, StageCaller, StagePlan, StoreFault,
-};
+use ward_stage::{CrashKind, EngineFault, LinkFault, PLAIN_SOFTWARE, Stage, StagePlan, StoreFault};
 
-use crate::support::{COMPLETE_STREAM, expect_valid_orders, stage};
+use self::caller::SoakCaller;
+use crate::caller_stream::OTHER_SOFTWARE;
+use crate::support::{expect_valid_orders, stage};
 
 /// Seeds of the short series; a seed that has ever failed is added and never removed.
 const SEEDS: [u64; 5] = [
@@ -40,6 +39,8 @@
 const STEPS: usize = 12;
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
 const CALLERS: usize = 6;
+/// Times that a caller takes up a stream that broke off.
+const MAX_RESUMPTIONS: usize = 3;
 /// One of this many requests crashes the engine that runs it.
 const REQUESTS_PER_CRASH: usize = 40;
 /// Requests must be served again within this time after the last fault is cleared.
@@ -73,9 +74,18 @@
     }
 }
 
+const fn is_odd(seed: u64) -> bool {
+    seed % 2 == 1
+}
+
 async fn run_seed(seed: u64) {
     let plan = StagePlan {
         models: 12,
+        software: if is_odd(seed) {
+            &[PLAIN_SOFTWARE, OTHER_SOFTWARE]
+        } else {
+            &[PLAIN_SOFTWARE]
+        },
         ..StagePlan::default()
     };
     let mut stage = stage(&format!("soak-{seed}"), &plan).await;
@@ -102,7 +112,7 @@
     let mut out_of_turn = RandomSource(ChaCha8Rng::seed_from_u64(!seed));
     for _ in 0..STEPS {
         inject_fault(&mut stage, &mut random);
-        if seed % 2 == 1 {
+        if is_odd(seed) {
             inject_answer_out_of_turn(&stage, &mut out_of_turn);
         }
         tokio::time::sleep(STEP_INTERVAL).await;
@@ -241,118 +251,3 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
-
-struct SoakCaller {
-    seed: u64,
-    number: usize,
-    addresses: Vec<std::net::SocketAddr>,
-    ledger: RunLedger,
-    stop: Arc<AtomicBool>,
-    served: Arc<AtomicUsize>,
-}
-
-impl SoakCaller {
-    /// Sends requests over kept connections until `stop` is set; returns all violations of
-    /// guarantees.
-    async fn run(self) -> Vec<String> {
-        let mut violations = Vec::new();
-        let mut random = RandomSource(ChaCha8Rng::seed_from_u64(
-            self.seed ^ (self.number as u64) << 32,
-        ));
-        let mut connection = None;
-        let mut count = 0;
-        while !self.stop.load(Ordering::Relaxed) {
-            let Some(mut caller) = self.connect(connection.take(), &mut random).await else {
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            };
-            let request = self.request(count, &mut random);
-            count += 1;
-            let answer = caller.send(&request).await;
-            // A connection is used until it closes, whatever its answers announce.
-            connection = answer.is_ok().then_some(caller);
-            violations.extend(self.check(&request, &answer));
-        }
-        violations
-    }
-
-    async fn connect(
-        &self,
-        kept: Option<StageCaller>,
-        random: &mut RandomSource,
-    ) -> Option<StageCaller> {
-        if kept.is_some() {
-            return kept;
-        }
-        let connect = StageCaller::connect(random.choose(&self.addresses));
-        tokio::time::timeout(Duration::from_secs(1), connect)
-            .await
-            .ok()?
-            .ok()
-    }
-
-    fn request(&self, count: usize, random: &mut RandomSource) -> CallerRequest {
-        let id = format!("s{}-{}-{count}", self.seed, self.number);
-        let model = Stage::model_name(random.below(12));
-        // Only requests that crash engines have the same content more than once.
-        let content = if random.below(REQUESTS_PER_CRASH) == 0 {
-            CRASHING_PATH
-        } else {
-            &id
-        };
-        let (route, model) = random.choose(&[
-            ("quick", Some(&model)),
-            ("quote", Some(&model)),
-            ("book", None),
-            ("stock", None),
-        ]);
-        let path = format!("/{route}/{content}");
-        let mut parts = vec!["common".to_owned(), format!("caller-{}", self.number)];
-        if random.below(REQUESTS_PER_CRASH) == 0 {
-            parts.push(CRASHING_PART.to_owned());
-        }
-        parts.push(format!("own-{id}"));
-        let parts: Vec<PartId> = parts.iter().map(|part| part.parse().unwrap()).collect();
-        CallerRequest {
-            headers: prompt_headers(&parts),
-            ..CallerRequest::new(&id, path, model.map(String::as_str))
-        }
-    }
-
-    fn check(
-        &self,
-        request: &CallerRequest,
-        answer: &std::result::Result<ward_stage::CallerAnswer, CallerError>,
-    ) -> Vec<String> {
-        let runs = self.ledger.runs_of(&request.id);
-        let mut violations = Vec::new();
-        let repeatable = request.path.starts_with("/stock") || request.path.starts_with("/quote");
-        if !repeatable && runs.len() > 1 {
-            violations.push(format!("{}: {} runs", request.id, runs.len()));
-        }
-        let Ok(answer) = answer else {
-            return violations;
-        };
-        if answer.status == StatusCode::OK {
-            self.served.fetch_add(1, Ordering::Relaxed);
-            let own_id = answer.headers.get("x-persimmonward-request-id");
-            let own_id = own_id.is_some_and(|id| id.as_bytes() == request.id.as_bytes());
-            let complete = request.model.is_none() || answer.text() == COMPLETE_STREAM;
-            if !own_id || !complete || runs.is_empty() {
-                violations.push(format!(
-                    "{}: not the complete answer to this request: {}",
-                    request.id,
-                    answer.text()
-                ));
-            }
-        }
-        let not_executed = [
-            StatusCode::SERVICE_UNAVAILABLE,
-            StatusCode::TOO_MANY_REQUESTS,
-        ];
-        if !repeatable && not_executed.contains(&answer.status) && !runs.is_empty() {
-            violations.push(format!("{}: refused although it has run", request.id));
-        }
-        violations
-    }
-}
