--- a/crates/ward-daemon/tests/gateway/soak/caller.rs
+++ b/crates/ward-daemon/tests/gateway/soak/caller.rs
@@ -10,10 +10,11 @@
 use ward_adapter::served::prompt_headers;
 use ward_protocol::PartId;
 use ward_stage::{
-    CRASHING_PART, CRASHING_PATH, CallerError, CallerRequest, RunLedger, Stage, StageCaller,
+    CRASHING_PART, CRASHING_PATH, CallerError, CallerRequest, RunLedger, SLOW_PATH, Stage,
+    StageCaller,
 };
 
-use super::{MAX_RESUMPTIONS, REQUESTS_PER_CRASH, RandomSource};
+use super::{MAX_RESUMPTIONS, REQUESTS_PER_CRASH, RandomSource, has_two_versions, model_count};
 use crate::caller_stream::{CallerResult, CallerStream};
 
 pub(super) struct SoakCaller {
@@ -101,7 +102,7 @@
 
     fn request(&self, count: usize, random: &mut RandomSource) -> CallerRequest {
         let id = format!("s{}-{}-{count}", self.seed, self.number);
-        let model = Stage::model_name(random.below(12));
+        let model = Stage::model_name(random.below(model_count(self.seed)));
         // Only requests that crash engines have the same content more than once.
         let content = if random.below(REQUESTS_PER_CRASH) == 0 {
             CRASHING_PATH
@@ -114,7 +115,12 @@
             ("book", None),
             ("stock", None),
         ]);
-        let path = format!("/{route}/{content}");
+        let speed = if route == "quote" && has_two_versions(self.seed) {
+            SLOW_PATH
+        } else {
+            ""
+        };
+        let path = format!("/{route}/{speed}{content}");
         let mut parts = vec!["common".to_owned(), format!("caller-{}", self.number)];
         if random.below(REQUESTS_PER_CRASH) == 0 {
             parts.push(CRASHING_PART.to_owned());
--- a/crates/ward-daemon/tests/gateway/soak/mod.rs
+++ b/crates/ward-daemon/tests/gateway/soak/mod.rs
@@ -6,9 +6,9 @@
 //! arrive. Links delay, reset or refuse connections, or hold back answers or all bytes.
 //! The store fails, and engines fail, crash, leave or send `Retry-After`. Callers keep
 //! using a connection until it closes, and some requests, or a part of their prompts,
-//! crash engines. Odd seeds also play engines that answer out of turn and engines of two
-//! software versions, between which callers take up their streams; even ones don't, so
-//! that recorded seeds keep their series.
+//! crash engines. Odd seeds also play engines that answer out of turn, and every second
+//! of these engines of two software versions, between which callers take up their
+//! streams; the others don't, so that recorded seeds keep their series.
 //! `SOAK_SEEDS=FROM..TO` replaces the seeds of the short series.
 
 mod caller;
@@ -74,14 +74,20 @@
     }
 }
 
-const fn is_odd(seed: u64) -> bool {
-    seed % 2 == 1
+const fn has_two_versions(seed: u64) -> bool {
+    seed % 4 == 3
+}
+
+/// Number of models: few if streams are taken up, so that engines of both software
+/// versions hold them.
+const fn model_count(seed: u64) -> usize {
+    if has_two_versions(seed) { 2 } else { 12 }
 }
 
 async fn run_seed(seed: u64) {
     let plan = StagePlan {
-        models: 12,
-        software: if is_odd(seed) {
+        models: model_count(seed),
+        software: if has_two_versions(seed) {
             &[PLAIN_SOFTWARE, OTHER_SOFTWARE]
         } else {
             &[PLAIN_SOFTWARE]
@@ -112,7 +118,7 @@
     let mut out_of_turn = RandomSource(ChaCha8Rng::seed_from_u64(!seed));
     for _ in 0..STEPS {
         inject_fault(&mut stage, &mut random);
-        if is_odd(seed) {
+        if seed % 2 == 1 {
             inject_answer_out_of_turn(&stage, &mut out_of_turn);
         }
         tokio::time::sleep(STEP_INTERVAL).await;
