Answer a refused request before its caller gives up

Callers saw no answer within their time, instead of a 503: after its n-th refusal by an engine a request waited n times 25 ms, whatever was left of its time, and was refused only then. With three refusals the wait is longer than the 60 ms that are kept for the answer.

Cause: the delay after a refusal did not look at the request's deadline. Now a request that would be too late after the delay is refused at once.

--- a/crates/ward-daemon/tests/gateway/leaving.rs
+++ b/crates/ward-daemon/tests/gateway/leaving.rs
@@ -1,4 +1,5 @@
-//! Engines whose answers announce that they are leaving, or carry `Retry-After`.
+//! Engines whose answers announce that they are leaving, carry `Retry-After`, or refuse a
+//! request again and again.
 
 use std::time::{Duration, Instant};
 
@@ -6,7 +7,9 @@
 use http::StatusCode;
 use ward_stage::{CallerRequest, EngineFault, Stage, StagePlan};
 
-use crate::support::{expect_engine_unused, send, stage, terms, wait_until, wait_until_all_joined};
+use crate::support::{
+    expect_engine_unused, send, set_fault_on_all, stage, terms, wait_until, wait_until_all_joined,
+};
 
 /// Time in which state known to one daemon reaches all others.
 const PROPAGATION_TIME: Duration = Duration::from_millis(600);
@@ -158,3 +161,22 @@
     let (answer, ()) = tokio::join!(served, recovery);
     expect_that!(answer.unwrap().status, eq(StatusCode::OK));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn delay_after_a_refusal_outlasted_the_caller() {
+    let plan = StagePlan {
+        models: 1,
+        engines: 8,
+        ..StagePlan::default()
+    };
+    let stage = stage("outlasted", &plan).await;
+    set_fault_on_all(&stage, EngineFault::Full);
+    for (daemon, millis) in [640, 480, 350].into_iter().enumerate() {
+        let mut request = CallerRequest::new(format!("r{millis}"), "/quick/a", Some("model0"));
+        request.timeout = Duration::from_millis(millis);
+        let answer = send(&stage, daemon, &request).await;
+        let status = answer.map(|answer| answer.status);
+        expect_that!(status, ok(eq(&StatusCode::SERVICE_UNAVAILABLE)), "{millis}");
+    }
+}
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -261,8 +261,9 @@
                 if failure == AttemptFailure::Misplaced {
                     self.record_misplaced(gateway, engine);
                 }
-                tokio::time::sleep(REFUSAL_BACKOFF * progress.refused).await;
-                progress.refused < MAX_REFUSALS && gateway.take_retry(&self.routed.service)
+                self.wait_after_refusal(progress.refused).await
+                    && progress.refused < MAX_REFUSALS
+                    && gateway.take_retry(&self.routed.service)
             }
             AttemptFailure::Unknown | AttemptFailure::Silent => {
                 self.ticket.avoided.insert(engine.clone());
@@ -276,6 +277,18 @@
         Some(self.final_result(progress, failure))
     }
 
+    /// Waits before a refused request is sent again; returns false, without a wait, if it
+    /// would then be too late.
+    async fn wait_after_refusal(&self, refused: u32) -> bool {
+        let delay = REFUSAL_BACKOFF * refused;
+        let remaining = self.ticket.times.deadline.since(clock::now());
+        if delay >= remaining.duration() {
+            return false;
+        }
+        tokio::time::sleep(delay).await;
+        true
+    }
+
     /// The result after the last attempt: an engine's error answer if there is one,
     /// otherwise a refusal.
     fn final_result(
