--- a/crates/ward-daemon/tests/gateway/repeated_refusals.rs
+++ b/crates/ward-daemon/tests/gateway/repeated_refusals.rs
@@ -231,3 +231,81 @@
     // believed to answer in turn until its first copy.
     expect_that!(failed, le(1));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_another_request_paused_its_engine() {
+    let stage = stage("crossed-pause", &StagePlan::default()).await;
+    set_fault_on_all(&stage, EngineFault::CrossedPause);
+    let answer = send(&stage, 0, &CallerRequest::new("r0", "/stock/a", None)).await;
+    expect_that!(answer.unwrap().status, eq(StatusCode::BAD_GATEWAY));
+    // The log is written in the background.
+    tokio::time::sleep(RUN_TIME).await;
+    let log = stage.daemons[0].log().unwrap();
+    expect_that!(log, contains_substring("answer to another request"));
+    expect_that!(log, not(contains_substring("asks for a pause")));
+    expect_that!(log, not(contains_substring("says that it leaves")));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_error_made_the_next_request_fail() {
+    let stage = stage("repeated-errors", &StagePlan::default()).await;
+    wait_until_all_joined(&stage).await;
+    for link in &stage.engine_links {
+        link.set_fault(LinkFault::RepeatAnswers);
+    }
+    for round in 0..3 {
+        set_fault_on_all(&stage, EngineFault::Fail);
+        let id = format!("failed{round}");
+        let failed = send(&stage, 0, &CallerRequest::new(&id, "/stock/a", None)).await;
+        expect_that!(
+            failed.unwrap().status,
+            eq(StatusCode::INTERNAL_SERVER_ERROR)
+        );
+        set_fault_on_all(&stage, EngineFault::None);
+        tokio::time::sleep(REUSE_TIME).await;
+        let again = send(&stage, 0, &CallerRequest::new(&id, "/stock/a", None)).await;
+        expect_that!(again.unwrap().status, eq(StatusCode::OK), "{id}");
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_answer_was_taken_for_that_of_a_request_without_id() {
+    let stage = stage("repeated-no-id", &StagePlan::default()).await;
+    for link in &stage.engine_links {
+        link.set_fault(LinkFault::RepeatAnswers);
+    }
+    for number in 0..6 {
+        let path = format!("/stock/{number}");
+        let answer = send(&stage, 0, &CallerRequest::new("", &path, None)).await;
+        expect_that!(answer.unwrap().text(), eq(&format!("served {path}")));
+        tokio::time::sleep(REUSE_TIME).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_answers_on_idle_connections_failed_several_requests() {
+    let stage = stage("repeated-idle", &StagePlan::default()).await;
+    wait_until_all_joined(&stage).await;
+    for link in &stage.engine_links {
+        link.set_fault(LinkFault::RepeatAnswers);
+    }
+    let requests: Vec<_> = (0..8)
+        .map(|number| CallerRequest::new(format!("first{number}"), "/stock/a", None))
+        .collect();
+    let sent = requests.iter().map(|request| send(&stage, 0, request));
+    for answer in futures::future::join_all(sent).await {
+        expect_that!(answer.unwrap().status, eq(StatusCode::OK));
+    }
+    tokio::time::sleep(REUSE_TIME).await;
+    let mut failed = 0;
+    for number in 0..8 {
+        let id = format!("next{number}");
+        let answer = send(&stage, 0, &CallerRequest::new(&id, "/stock/a", None)).await;
+        failed += usize::from(answer.unwrap().status != StatusCode::OK);
+    }
+    expect_that!(failed, le(1));
+}
--- a/crates/ward-stage/src/caller.rs
+++ b/crates/ward-stage/src/caller.rs
@@ -39,7 +39,7 @@
 /// A POST request that a [`StageCaller`] sends.
 #[derive(Debug, Clone)]
 pub struct CallerRequest {
-    /// Request id; engines record their runs under it.
+    /// Request id, none if empty; engines record their runs under it.
     pub id: String,
     /// Path, which selects the route; the host is always [`ward_adapter::served::CALLER_HOST`].
     pub path: String,
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -32,6 +32,8 @@
 pub(super) const EVENT_COUNT: u64 = 5;
 /// Time before each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause that [`EngineFault::CrossedPause`] asks for.
+const CROSSED_PAUSE: Duration = Duration::from_secs(10);
 /// Time that a request runs before its answer begins.
 const PROCESSING_TIME: Duration = Duration::from_millis(10);
 
@@ -214,10 +216,18 @@
     } else {
         received.id.as_ref()
     };
-    if fault == EngineFault::CrossedRefusal {
+    if matches!(
+        fault,
+        EngineFault::CrossedRefusal | EngineFault::CrossedPause
+    ) {
         let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         let headers = not_executed_headers(Some(&other_id));
         response.headers_mut().extend(headers);
+        if fault == EngineFault::CrossedPause {
+            let headers = retry_after_headers(Some(&other_id), CROSSED_PAUSE.into());
+            response.headers_mut().extend(headers);
+            response.headers_mut().extend(leaving_headers());
+        }
         return response;
     }
     let signed_headers = signed_answer_headers(id, engine);
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -35,6 +35,9 @@
     WrongId,
     /// Runs requests and answers them with a refusal of another request.
     CrossedRefusal,
+    /// Like [`Self::CrossedRefusal`], and the refusal asks for a pause and announces that
+    /// the engine is leaving.
+    CrossedPause,
     /// Runs requests and answers them with status 500.
     Fail,
     /// Runs requests and never answers; the connection stays open.
