Pass on no engine's failure that would promise that a request did not run

Callers would see a 408, 421, 429 or 503, which promise that the request has not run and never will, for a request that an engine ran: an engine's answer with such a status was passed on as it came unless it said "not executed", and also if it said so and bore a signature. Only "not executed" and a 421 without signature state that a request did not run; rule REFUSED.

Now such an answer counts as a failure of unknown outcome: 502, or another engine where the request may be repeated. The daemon's own 502 bears no signature, so that no engine's status is changed under its signature. Requests that may be repeated are treated alike.

`failure_after_a_run_was_passed_on_as_a_refusal` failed before for all fourteen cases (408, 429 and 503 signed and unsigned, 421 signed; unsafe requests and streams), each with one run and the engine's status.

--- a/crates/ward-daemon/tests/gateway/repeated_refusals.rs
+++ b/crates/ward-daemon/tests/gateway/repeated_refusals.rs
@@ -309,3 +309,28 @@
     }
     expect_that!(failed, le(1));
 }
+
+/// The statuses with which an engine would promise that a request did not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn failure_after_a_run_was_passed_on_as_a_refusal() {
+    let stage = stage("promises", &StagePlan::default()).await;
+    for (status, is_signed) in PROMISES
+        .into_iter()
+        .flat_map(|status| [(status, true), (status, false)])
+    {
+        // A 421 without signature is a refusal, whatever else it says.
+        if status == 421 && !is_signed {
+            continue;
+        }
+        set_fault_on_all(&stage, EngineFault::FailWith(status, is_signed));
+        for (path, model) in [("/book/a", None), ("/quick/a", Some("model0"))] {
+            let id = format!("{path}-{status}-{is_signed}");
+            let answer = send(&stage, 0, &CallerRequest::new(&id, path, model)).await;
+            expect_that!(answer.unwrap().status, eq(StatusCode::BAD_GATEWAY), "{id}");
+            expect_that!(stage.ledger.runs_of(&id).len(), eq(1), "{id}");
+        }
+    }
+}
--- a/crates/ward-gateway/src/front/answer.rs
+++ b/crates/ward-gateway/src/front/answer.rs
@@ -125,6 +125,18 @@
     Box::pin(body)
 }
 
+/// Whether an answer with this status promises its caller that the request did not run and
+/// never will.
+pub(crate) fn promises_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Adds `Connection: close`, so that the caller opens a new connection for its next
 /// request.
 pub(crate) fn set_connection_close(response: &mut Response<AnswerBody>) {
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -12,7 +12,7 @@
 use ward_fleet::{RouteKind, RunningCount};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
-use super::answer::{AnswerBody, OwnAnswer, buffered_answer, streamed_answer};
+use super::answer::{AnswerBody, OwnAnswer, buffered_answer, promises_no_run, streamed_answer};
 use super::route::RoutedRequest;
 use crate::clock;
 use crate::crash::RequestBlock;
@@ -155,8 +155,9 @@
         self.routed.route.kind.is_idempotent() && runs < self.routed.route.attempts
     }
 
-    /// Forwards an answer; returns `None` if it is incomplete, or is a server error after
-    /// which the request may be retried.
+    /// Forwards an answer; returns `None` if it is incomplete, has a status that would
+    /// promise that the request did not run, or is a server error after which the request
+    /// may be retried.
     async fn forward_answer(
         &self,
         gateway: &Rc<Gateway>,
@@ -169,7 +170,17 @@
             let relay = self.relay(gateway, attempt, progress.runs + 1);
             return Some(streamed_answer(status, &headers, relay));
         }
+        let engine = attempt.slot.engine.id.clone();
         let response = self.collect_answer(gateway, attempt).await?;
+        // Callers would take it for a promise that the engine has not made.
+        if promises_no_run(status) {
+            warn!(
+                gateway.logger, "send: failure is no refusal"; "request" => &self.request.id_text,
+                "engine" => %engine, "status" => status.as_u16(),
+                "why" => "the engine does not say that the request did not run",
+            );
+            return None;
+        }
         if !status.is_server_error() || !self.may_retry(progress.runs + 1) {
             return Some(response);
         }
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -11,6 +11,7 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use ward_adapter::header::set_own_answer_headers;
 use ward_adapter::served::{
     EnginePath, ReceivedHeaders, ReportedState, engine_path, leaving_headers, not_executed_headers,
     parse_order, parse_request_headers, report_json, retry_after_headers, signed_answer_headers,
@@ -236,6 +237,15 @@
         response.headers_mut().extend(signed_headers);
         return response;
     }
+    if let EngineFault::FailWith(status, is_signed) = fault {
+        let mut response = full_response(failure_status(status), "failed");
+        if is_signed {
+            response.headers_mut().extend(signed_headers);
+        } else {
+            set_own_answer_headers(response.headers_mut(), id, None);
+        }
+        return response;
+    }
     if let EngineFault::Resumed(fault) = fault
         && let Some(last_event) = received.last_event_id
     {
@@ -304,6 +314,11 @@
     response
 }
 
+/// The status with this number; 500 if there is none.
+pub(super) fn failure_status(status: u16) -> StatusCode {
+    StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
 /// The event with this number.
 pub(super) fn event_text(number: u64) -> String {
     format!("id: {number}\ndata: part {number}\n\n")
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -40,6 +40,8 @@
     CrossedPause,
     /// Runs requests and answers them with status 500.
     Fail,
+    /// Runs requests and answers them with this status, with or without a signature.
+    FailWith(u16, bool),
     /// Runs requests and never answers; the connection stays open.
     Hang,
     /// Carries out orders, then closes the connection without an answer.
--- a/crates/ward-stage/src/engine/resume.rs
+++ b/crates/ward-stage/src/engine/resume.rs
@@ -8,7 +8,9 @@
 use ward_adapter::served::{ReceivedHeaders, not_executed_headers};
 
 use super::ResumeFault;
-use super::answer::{CUT_EVENT, EVENT_COUNT, EVENT_STREAM, endless_body, event_text};
+use super::answer::{
+    CUT_EVENT, EVENT_COUNT, EVENT_STREAM, endless_body, event_text, failure_status,
+};
 use super::answer::{remove_framing, trickle};
 use crate::reply::{StageBody, full_response, streamed_response};
 
@@ -63,7 +65,7 @@
 /// A whole answer with a status, and with a body that looks like an event where the status
 /// allows one.
 fn status_response(status: u16, headers: HeaderMap) -> Response<StageBody> {
-    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let status = failure_status(status);
     let body = match status {
         StatusCode::NO_CONTENT => String::new(),
         _ => events_from(EVENT_COUNT),
