An answer whose head holds the beginning of another belongs to no request

An engine that stops inside a head and writes the next one on the same connection makes one head of the two: `HTTP/1.1 503 ServHTTP/1.1 200 OK` is a status line with the first one's status, and the second one's fields follow, id and signature included. Callers saw the first status with the second answer's body and signature: a 500 or 503 for a request that ran and succeeded (MIXED, REFUSED), or a 206.

The id matched, since it stands after the cut; so did the two-ids check, unless the first head was cut after its id. Now an answer is of unknown outcome if its reason phrase or a field holds the beginning of a status line, and its engine counts as answering out of turn.

`cut_head_was_joined_with_the_next_answer` failed before: 500, 503 and 206 for unsafe requests and streams that ran.

--- a/crates/ward-daemon/tests/gateway/cut_answers.rs
+++ b/crates/ward-daemon/tests/gateway/cut_answers.rs
@@ -113,3 +113,33 @@
         expect_that!(answer.text(), eq("served /stock/a"));
     }
 }
+
+/// Beginnings of a head: two statuses that say that a request failed or did not run, another
+/// success, and a header line.
+const STARTS: [&str; 4] = [
+    "HTTP/1.1 500 Inter",
+    "HTTP/1.1 503 Serv",
+    "HTTP/1.1 206 Part",
+    "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1",
+];
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_head_was_joined_with_the_next_answer() {
+    let stage = cut_stage("cut-joined").await;
+    for (number, start) in STARTS.into_iter().enumerate() {
+        for link in &stage.engine_links {
+            link.set_fault(LinkFault::JoinAnswers(start));
+        }
+        for (path, model) in [("/book/a", None), ("/quick/a", Some("model0"))] {
+            let id = format!("{path}{number}");
+            let answer = send(&stage, 0, &CallerRequest::new(&id, path, model)).await;
+            expect_that!(
+                answer.map(|answer| answer.status),
+                ok(eq(&StatusCode::BAD_GATEWAY)),
+                "{id}"
+            );
+            expect_that!(stage.ledger.runs_of(&id).len(), eq(1), "{id}");
+        }
+    }
+}
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
+use super::framing::holds_another_head;
 use super::pool::{ConnectionNeed, EngineConnection};
 use crate::clock;
 use crate::gateway::Gateway;
@@ -208,7 +209,16 @@
 ) -> Result<Attempt, AttemptFailure> {
     // Nothing in an answer counts before it is known to be this request's.
     if !attempt.fields.id_matches {
-        return Err(record_answer_out_of_turn(gateway, request, &attempt));
+        let reason = "the answer belongs to another request";
+        return Err(record_answer_out_of_turn(
+            gateway, request, &attempt, reason,
+        ));
+    }
+    if holds_another_head(&attempt.answer) {
+        let reason = "the answer's head holds the beginning of another";
+        return Err(record_answer_out_of_turn(
+            gateway, request, &attempt, reason,
+        ));
     }
     let status = attempt.answer.status();
     if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -234,12 +244,13 @@
     Ok(attempt)
 }
 
-/// Records an answer to another request. The engine may be running this request, whose
-/// answer would follow on the same connection.
+/// Records an answer that is not this request's alone. The engine may be running this
+/// request, whose answer would follow on the same connection.
 fn record_answer_out_of_turn(
     gateway: &Gateway,
     request: &AttemptRequest,
     attempt: &Attempt,
+    reason: &str,
 ) -> AttemptFailure {
     let engine = &attempt.slot.engine.id;
     warn!(
@@ -255,7 +266,7 @@
         request,
         &attempt.slot,
         AttemptFailure::Unknown,
-        "the answer belongs to another request",
+        reason,
     );
     AttemptFailure::Unknown
 }
--- a/crates/ward-gateway/src/forward/framing.rs
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -2,12 +2,15 @@
 
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, Method, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
+use hyper::ext::ReasonPhrase;
 
 use super::attempt::Attempt;
 use crate::events::EventCursor;
 
 const EVENT_STREAM: &str = "text/event-stream";
+/// Length of a status line up to its status.
+const STATUS_LINE_LENGTH: usize = b"HTTP/1.1 200".len();
 
 /// Whether an answer without body bytes counts as cut off right after its head: a success
 /// whose end shows only in the end of its connection.
@@ -26,6 +29,26 @@
     status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
 }
 
+/// Whether the head of an answer holds the beginning of another head: the engine stopped
+/// inside the one and wrote the other on the same connection, so that the status of the one
+/// stands before the fields of the other.
+pub(super) fn holds_another_head<B>(answer: &Response<B>) -> bool {
+    let reason = answer.extensions().get::<ReasonPhrase>();
+    let reason = reason.map(ReasonPhrase::as_bytes);
+    let mut texts = answer
+        .headers()
+        .values()
+        .map(HeaderValue::as_bytes)
+        .chain(reason);
+    texts.any(|text| text.windows(STATUS_LINE_LENGTH).any(begins_status_line))
+}
+
+/// Whether a text of [`STATUS_LINE_LENGTH`] is the beginning of a status line.
+fn begins_status_line(text: &[u8]) -> bool {
+    let is_version = text.starts_with(b"HTTP/1.") && text[7].is_ascii_digit();
+    is_version && text[8] == b' ' && text[9..].iter().all(u8::is_ascii_digit)
+}
+
 /// Content type of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StreamType {
--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -47,6 +47,8 @@
     RepeatAnswers,
     /// Like [`Self::RepeatRefusals`], but with each answer to an order or a report query.
     RepeatOrderAnswers,
+    /// The target begins a head with these bytes, and its next answer follows at once.
+    JoinAnswers(&'static str),
     /// The target stops within each answer with status 200, and its connection ends.
     CutAnswers(CutPlace, CutEnd),
 }
@@ -333,6 +335,16 @@
             drop(client_side.writer.write_all(&bytes[..length]).await);
             return end;
         }
+        if let LinkFault::JoinAnswers(start) = fault
+            && bytes.starts_with(ANSWER_START)
+            && client_side
+                .writer
+                .write_all(start.as_bytes())
+                .await
+                .is_err()
+        {
+            break;
+        }
         if is_repeated(fault, bytes, client_side.carries_orders) {
             client_side.copy = Some(bytes.to_vec());
         }
