A switch of protocols is no answer to a request

Callers would see a 101, which ends their connection's protocol, from a faulty engine that answers so under the request's id. No request asks for another protocol: `Upgrade` is not forwarded. hyper hands 101 over as an answer without a body, and it was passed on like any failure of an engine. Now it counts as a failure of unknown outcome.

`switch_of_protocols_was_passed_on_as_an_answer` failed before: 101 for an unsafe request and for a stream.

--- a/crates/ward-daemon/tests/gateway/faults.rs
+++ b/crates/ward-daemon/tests/gateway/faults.rs
@@ -380,3 +380,15 @@
         expect_that!(answer.status, eq(StatusCode::OK), "{path}");
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn switch_of_protocols_was_passed_on_as_an_answer() {
+    let stage = stage("switch", &StagePlan::default()).await;
+    set_fault_on_all(&stage, EngineFault::FailWith(101, true));
+    for (path, model) in [("/book/a", None), ("/quick/a", Some("model0"))] {
+        let answer = send(&stage, 0, &CallerRequest::new(path, path, model)).await;
+        let status = answer.map(|answer| answer.status);
+        expect_that!(status, ok(eq(&StatusCode::BAD_GATEWAY)), "{path}");
+    }
+}
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -231,19 +231,24 @@
     if (attempt.fields.not_executed || misdirected) && !attempt.fields.signed {
         return Err(record_refusal(gateway, request, &attempt));
     }
-    if status.is_success() && !attempt.fields.signed {
-        record_attempt_failure(
-            gateway,
-            request,
-            &attempt.slot,
-            AttemptFailure::Unknown,
-            "the answer has no signature",
-        );
-        return Err(AttemptFailure::Unknown);
+    if let Some(reason) = invalid_reason(status, attempt.fields) {
+        let failure = AttemptFailure::Unknown;
+        record_attempt_failure(gateway, request, &attempt.slot, failure, reason);
+        return Err(failure);
     }
     Ok(attempt)
 }
 
+/// Why an answer with this status and these fields cannot be forwarded; `None` if it can.
+fn invalid_reason(status: StatusCode, fields: AnswerFields) -> Option<&'static str> {
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        // No request asks for another protocol.
+        return Some("the answer switches protocols");
+    }
+    let is_unsigned = status.is_success() && !fields.signed;
+    is_unsigned.then_some("the answer has no signature")
+}
+
 /// Records an answer that is not this request's alone. The engine may be running this
 /// request, whose answer would follow on the same connection.
 fn record_answer_out_of_turn(
