An answer whose encoding isn't chunked ends with its connection

Callers would see an empty or short 200, framed as whole, from an engine that stops right after the head of an answer with `Transfer-Encoding: identity` (or any other than chunked): hyper reads such a body to the end of the connection, whatever length is stated, but the daemon took any encoding for a visible end, so that neither the check of empty answers nor that of streams applied.

Now the last encoding that is named must be chunked, as on the product's path.

`empty_answer_in_another_encoding_looked_whole` failed before: an empty 200 for an unsafe request and for a stream.

--- a/crates/ward-daemon/tests/gateway/cut_answers.rs
+++ b/crates/ward-daemon/tests/gateway/cut_answers.rs
@@ -143,3 +143,21 @@
         }
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn empty_answer_in_another_encoding_looked_whole() {
+    let stage = cut_stage("cut-encoding").await;
+    set_fault_on_all(&stage, EngineFault::Unframed);
+    for link in &stage.engine_links {
+        link.set_fault(LinkFault::CutHeads(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n",
+        ));
+    }
+    for (path, model) in [("/book/a", None), ("/quick/a", Some("model0"))] {
+        let answer = send(&stage, 0, &CallerRequest::new(path, path, model)).await;
+        let success = answer.ok().filter(|answer| answer.status.is_success());
+        expect_that!(success.map(|answer| answer.text()), none(), "{path}");
+        expect_that!(stage.ledger.runs_of(path).len(), eq(1), "{path}");
+    }
+}
--- a/crates/ward-gateway/src/forward/framing.rs
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -21,7 +21,19 @@
 
 /// Whether an answer has neither a length nor chunks and ends with its connection.
 fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    let encoding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    // With an encoding other than chunked, a length does not count.
+    encoding.map_or_else(
+        || !headers.contains_key(CONTENT_LENGTH),
+        |encoding| !ends_chunked(encoding),
+    )
+}
+
+/// Whether the last encoding that is named is `chunked`.
+fn ends_chunked(encodings: &HeaderValue) -> bool {
+    let text = encodings.to_str().unwrap_or_default();
+    let last = text.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
 }
 
 /// Whether a success with this status has a body.
--- a/crates/ward-stage/src/proxy.rs
+++ b/crates/ward-stage/src/proxy.rs
@@ -42,8 +42,7 @@
     /// The target writes each of its refusals once more, when the next request comes on
     /// the same connection: the copy stands where the answer to that request is expected.
     RepeatRefusals,
-    /// Like [`Self::RepeatRefusals`], but for all answers that the target writes in one
-    /// piece.
+    /// Like [`Self::RepeatRefusals`], but for all answers that are written in one piece.
     RepeatAnswers,
     /// Like [`Self::RepeatRefusals`], but with each answer to an order or a report query.
     RepeatOrderAnswers,
@@ -51,6 +50,8 @@
     JoinAnswers(&'static str),
     /// The target stops within each answer with status 200, and its connection ends.
     CutAnswers(CutPlace, CutEnd),
+    /// The same right after the head, with these lines in place of the status line.
+    CutHeads(&'static [u8]),
 }
 
 /// Where [`LinkFault::CutAnswers`] cuts an answer.
@@ -191,8 +192,7 @@
     }
 }
 
-/// Listens again on the proxy's address, with retries in case another process has
-/// taken the port in the meantime.
+/// Listens again on the proxy's address, which another process may hold for a while.
 async fn bind_again(address: SocketAddr) -> TcpListener {
     loop {
         if let Ok(listener) = TcpListener::bind(address).await {
@@ -335,6 +335,15 @@
             drop(client_side.writer.write_all(&bytes[..length]).await);
             return end;
         }
+        if let LinkFault::CutHeads(lines) = fault
+            && let Some(length) = CutPlace::AfterHead.length(bytes)
+        {
+            let rest = bytes[..length].iter().skip_while(|byte| **byte != b'\n');
+            let head: Vec<u8> = lines.iter().chain(rest.skip(1)).copied().collect();
+            // Fails only if the client has closed the connection.
+            drop(client_side.writer.write_all(&head).await);
+            return CutEnd::Close;
+        }
         if let LinkFault::JoinAnswers(start) = fault
             && bytes.starts_with(ANSWER_START)
             && client_side
