--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
+use super::framing::holds_another_head;
 use super::pool::{ConnectionNeed, EngineConnection};
 use crate::clock;
 use crate::gateway::Gateway;
@@ -208,7 +209,16 @@
 ) -> Result<Attempt, AttemptFailure> {
     // Nothing in an answer counts before it is known to be this request's.
     if !attempt.fields.id_matches {
-        return Err(record_answer_out_of_turn(gateway, request, &attempt));
+        let reason = "the answer belongs to another request";
+        return Err(record_answer_out_of_turn(
+            gateway, request, &attempt, reason,
+        ));
+    }
+    if holds_another_head(&attempt.answer) {
+        let reason = "the answer's head holds the beginning of another";
+        return Err(record_answer_out_of_turn(
+            gateway, request, &attempt, reason,
+        ));
     }
     let status = attempt.answer.status();
     if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -221,25 +231,31 @@
     if (attempt.fields.not_executed || misdirected) && !attempt.fields.signed {
         return Err(record_refusal(gateway, request, &attempt));
     }
-    if status.is_success() && !attempt.fields.signed {
-        record_attempt_failure(
-            gateway,
-            request,
-            &attempt.slot,
-            AttemptFailure::Unknown,
-            "the answer has no signature",
-        );
-        return Err(AttemptFailure::Unknown);
+    if let Some(reason) = invalid_reason(status, attempt.fields) {
+        let failure = AttemptFailure::Unknown;
+        record_attempt_failure(gateway, request, &attempt.slot, failure, reason);
+        return Err(failure);
     }
     Ok(attempt)
 }
 
-/// Records an answer to another request. The engine may be running this request, whose
-/// answer would follow on the same connection.
+/// Why an answer with this status and these fields cannot be forwarded; `None` if it can.
+fn invalid_reason(status: StatusCode, fields: AnswerFields) -> Option<&'static str> {
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        // No request asks for another protocol.
+        return Some("the answer switches protocols");
+    }
+    let is_unsigned = status.is_success() && !fields.signed;
+    is_unsigned.then_some("the answer has no signature")
+}
+
+/// Records an answer that is not this request's alone. The engine may be running this
+/// request, whose answer would follow on the same connection.
 fn record_answer_out_of_turn(
     gateway: &Gateway,
     request: &AttemptRequest,
     attempt: &Attempt,
+    reason: &str,
 ) -> AttemptFailure {
     let engine = &attempt.slot.engine.id;
     warn!(
@@ -255,7 +271,7 @@
         request,
         &attempt.slot,
         AttemptFailure::Unknown,
-        "the answer belongs to another request",
+        reason,
     );
     AttemptFailure::Unknown
 }
