--- a/crates/ward-daemon/tests/gateway/resumed.rs
+++ b/crates/ward-daemon/tests/gateway/resumed.rs
@@ -9,7 +9,8 @@
 };
 
 use crate::support::{
-    COMPLETE_STREAM, send, set_fault_on_all, stage, wait_until, wait_until_all_joined,
+    COMPLETE_STREAM, one_model_stage, send, set_fault_on_all, stage, wait_until,
+    wait_until_all_joined,
 };
 
 /// The events of a stream before it breaks off.
@@ -23,17 +24,6 @@
 
 type CallerResult = std::result::Result<CallerAnswer, CallerError>;
 
-/// A stage whose engines hold the same model.
-async fn one_model_stage(test: &str) -> Stage {
-    let plan = StagePlan {
-        models: 1,
-        ..StagePlan::default()
-    };
-    let stage = stage(test, &plan).await;
-    wait_until_all_joined(&stage).await;
-    stage
-}
-
 async fn send_stream(stage: &Stage, id: &str) -> CallerResult {
     let request = CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)));
     send(stage, 0, &request).await
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -31,6 +31,18 @@
     Stage::start(program(), &folder(test), plan).await.unwrap()
 }
 
+/// A stage of default size whose engines all hold the same model, once all daemons have
+/// joined a coordinator.
+pub(crate) async fn one_model_stage(test: &str) -> Stage {
+    let plan = StagePlan {
+        models: 1,
+        ..StagePlan::default()
+    };
+    let stage = stage(test, &plan).await;
+    wait_until_all_joined(&stage).await;
+    stage
+}
+
 /// Sends one request to a daemon on a new connection.
 pub(crate) async fn send(
     stage: &Stage,
--- a/crates/ward-daemon/tests/gateway/unframed.rs
+++ b/crates/ward-daemon/tests/gateway/unframed.rs
@@ -4,28 +4,13 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
-use ward_stage::{
-    CallerAnswer, CallerError, CallerRequest, EngineFault, LinkFault, Stage, StagePlan,
-};
+use ward_stage::{CallerAnswer, CallerError, CallerRequest, EngineFault, LinkFault, Stage};
 
-use crate::support::{
-    COMPLETE_STREAM, send, set_fault_on_all, stage, wait_until, wait_until_all_joined,
-};
+use crate::support::{COMPLETE_STREAM, one_model_stage, send, set_fault_on_all, wait_until};
 
 /// Time in which an engine has sent some events of a stream, but not all.
 const EVENTS_TIME: Duration = Duration::from_millis(40);
 
-/// A stage whose engines all hold the same model.
-async fn one_model_stage(test: &str) -> Stage {
-    let plan = StagePlan {
-        models: 1,
-        ..StagePlan::default()
-    };
-    let stage = stage(test, &plan).await;
-    wait_until_all_joined(&stage).await;
-    stage
-}
-
 fn request(id: &str, path: &str) -> CallerRequest {
     CallerRequest::new(id, path, Some(&Stage::model_name(0)))
 }
