--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -292,3 +292,24 @@
     expect_that!(choice("v2"), eq(&EngineChoice::Engine(id("e2"))));
     expect_that!(choice("v3"), eq(&EngineChoice::NoEngine));
 }
+
+#[gtest]
+fn choose_engine_tells_a_model_that_only_other_software_versions_hold() {
+    let mut table = table(&[("e1", &["m1"])]);
+    table.insert(ward_fleet::EngineInfo {
+        software: name("v2"),
+        ..info("e2", &["m2"])
+    });
+    let (service, software) = (service(), name("v2"));
+    let choice = |model: &str| {
+        let model = name(model);
+        let requirement = EngineRequirement {
+            software: Some(&software),
+            ..requirement(&service, &model)
+        };
+        choose_engine(&table, &requirement, &context(1), &IndexSet::new(), |_| 0)
+    };
+    expect_that!(choice("m1"), eq(&EngineChoice::OtherVersions));
+    expect_that!(choice("m2"), eq(&EngineChoice::Engine(id("e2"))));
+    expect_that!(choice("m3"), eq(&EngineChoice::Missing));
+}
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -13,6 +13,10 @@
 use crate::crash::RequestBlock;
 use crate::phase::SharedPhase;
 
+/// Maximum time in which the coordinator hears of a waiting stream and has its model
+/// loaded from an engine's own copy.
+const MAX_COPY_LOAD_TIME: TimeSpan = TimeSpan::from_secs(3);
+
 /// Identifies a request in logs and as a possible cause of crashes.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestIdentity {
@@ -35,6 +39,8 @@
     /// Software version that began the stream; `None` for a request that no engine has
     /// answered yet.
     pub(crate) software: Option<SoftwareVersion>,
+    /// When the request arrived.
+    pub(crate) arrival: MonoTime,
     /// Number of tokens at the start of the prompt that other requests share.
     pub(crate) shared_tokens: u64,
     /// Priority of the route; zero is the most urgent.
@@ -57,6 +63,12 @@
         }
     }
 
+    /// Whether a model that only engines of other software versions hold would have been
+    /// loaded by now at the required one, if an engine had a copy of it.
+    pub(super) fn is_too_late_for_load(&self, now: MonoTime) -> bool {
+        now.since(self.arrival) > MAX_COPY_LOAD_TIME
+    }
+
     pub(super) fn rank(&self, now: MonoTime) -> QueueRank {
         QueueRank::new(self.priority, &self.times, now)
     }
--- a/crates/ward-stage/src/engine/resume.rs
+++ b/crates/ward-stage/src/engine/resume.rs
@@ -8,8 +8,8 @@
 use ward_adapter::served::{ReceivedHeaders, not_executed_headers};
 
 use super::ResumeFault;
-use super::answer::{CUT_EVENT, EVENT_COUNT, EVENT_STREAM, endless_body, event_text};
-use super::answer::{remove_framing, trickle};
+use super::answer::{CUT_EVENT, EVENT_COUNT, EVENT_STREAM, endless_body, remove_framing, trickle};
+use super::software::plain_event_text;
 use crate::reply::{StageBody, full_response, streamed_response};
 
 /// The answer to a request that resumes a stream after the event `last_event`; `headers`
@@ -57,7 +57,7 @@
 }
 
 fn events_from(first: u64) -> String {
-    (first..=EVENT_COUNT).map(event_text).collect()
+    (first..=EVENT_COUNT).map(plain_event_text).collect()
 }
 
 /// A whole answer with a status, and with a body that looks like an event where the status
