--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -7,10 +7,11 @@
 use futures::stream::BoxStream;
 use futures::{Stream, StreamExt, stream};
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
-use http::{HeaderValue, Request, Response, StatusCode, Version};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use ward_adapter::header::set_own_answer_headers;
 use ward_adapter::served::{
     EnginePath, ReceivedHeaders, ReportedState, engine_path, leaving_headers, not_executed_headers,
     parse_order, parse_request_headers, report_json, retry_after_headers, signed_answer_headers,
@@ -38,6 +39,8 @@
 pub const SLOW_PATH: &str = "slow";
 /// Time before each event of a slow stream.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause that [`EngineFault::CrossedPause`] asks for.
+const CROSSED_PAUSE: Duration = Duration::from_secs(10);
 /// Time that a request runs before its answer begins.
 const PROCESSING_TIME: Duration = Duration::from_millis(10);
 
@@ -224,17 +227,19 @@
     } else {
         received.id.as_ref()
     };
-    if fault == EngineFault::CrossedRefusal {
-        let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-        let headers = not_executed_headers(Some(&other_id));
-        response.headers_mut().extend(headers);
-        return response;
-    }
     let signed_headers = signed_answer_headers(id, engine);
-    if fault == EngineFault::Fail {
-        let mut response = full_response(StatusCode::INTERNAL_SERVER_ERROR, "failed");
-        response.headers_mut().extend(signed_headers);
-        return response;
+    match fault {
+        EngineFault::CrossedRefusal | EngineFault::CrossedPause => {
+            return crossed_refusal(&other_id, fault == EngineFault::CrossedPause);
+        }
+        EngineFault::Fail => return failed_answer(500, signed_headers),
+        EngineFault::FailWith(status, true) => return failed_answer(status, signed_headers),
+        EngineFault::FailWith(status, false) => {
+            let mut headers = HeaderMap::new();
+            set_own_answer_headers(&mut headers, id, None);
+            return failed_answer(status, headers);
+        }
+        _ => {}
     }
     if let EngineFault::Resumed(fault) = fault
         && let Some(last_event) = received.last_event_id
@@ -312,6 +317,30 @@
     response
 }
 
+/// A refusal of another request, which may also ask for a pause and announce that the
+/// engine leaves.
+fn crossed_refusal(other_id: &HeaderValue, asks_for_pause: bool) -> Response<StageBody> {
+    let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    let headers = response.headers_mut();
+    headers.extend(not_executed_headers(Some(other_id)));
+    if asks_for_pause {
+        headers.extend(retry_after_headers(Some(other_id), CROSSED_PAUSE.into()));
+        headers.extend(leaving_headers());
+    }
+    response
+}
+
+fn failed_answer(status: u16, headers: HeaderMap) -> Response<StageBody> {
+    let mut response = full_response(failure_status(status), "failed");
+    response.headers_mut().extend(headers);
+    response
+}
+
+/// The status with this number; 500 if there is none.
+pub(super) fn failure_status(status: u16) -> StatusCode {
+    StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
 /// Makes the server send a response without length and chunks, and close the
 /// connection after it.
 pub(super) fn remove_framing(response: &mut Response<StageBody>) {
