Log the limit that an engine names in its answers

Server-Limit is decoded once, in the adapter, into a typed rate; each daemon logs when an engine's limit begins, changes and ends, with the status of the answer. Evidence counts only from an answer that is known to be the request's own, not from 421, and only if it is newer than what is known, as answers overtake each other. Nothing acts on it yet. Tests of the header's values (0, fractions, negative, NaN, 1e400, empty, two headers) and of the ledger pass.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod flow;
 pub mod health;
 pub mod lease;
+pub mod limit;
 pub mod manifest;
 pub mod message;
 pub mod number;
@@ -38,6 +39,7 @@
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
 pub use health::EngineHealth;
 pub use lease::{CoordinatorLease, LeaseWindow, TermObserver, TermRecord};
+pub use limit::{LimitEvidence, LimitLedger, LimitSighting, RequestRate};
 pub use manifest::{
     CallerLimits, EngineClass, ManifestVersion, ModelClass, RouteKind, RouteTarget, ServiceClass,
     ServingManifest, ServingRoute,
--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -5,6 +5,7 @@
 
 use crate::crash::EngineIncarnation;
 use crate::health::{EngineHealth, EngineSignal};
+use crate::limit::LimitLedger;
 use crate::message::{EngineInfo, EngineLoad, FleetView, RunningCount};
 
 /// Maximum number of engines remembered as leaving.
@@ -69,6 +70,8 @@
     /// Incarnations that announced that they are leaving, including those of
     /// engines no longer listed, because stale information may list them again.
     leaving: IndexMap<BackendId, EngineIncarnation>,
+    /// Limits that engines have named.
+    pub limits: LimitLedger,
 }
 
 impl EngineTable {
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::leaving::record_leaving;
+use crate::limit::record_limit;
 use crate::queue::{EngineSlot, RunState};
 
 /// Maximum pause that an engine may request.
@@ -52,6 +53,8 @@
     pub(crate) connection: EngineConnection,
     pub(crate) answer: Response<Incoming>,
     pub(crate) fields: AnswerFields,
+    /// When the request was sent.
+    sent_at: MonoTime,
 }
 
 /// Why an attempt got no answer that can be forwarded.
@@ -124,6 +127,7 @@
         failure
     })?;
     slot.set_run_state(RunState::Running);
+    let sent_at = clock::now();
     let sent = connection.sender.try_send_request(outgoing);
     let answer = match tokio::time::timeout(timeout.duration(), sent).await {
         Err(_) => {
@@ -155,6 +159,7 @@
         connection,
         answer,
         fields,
+        sent_at,
     };
     classify_answer(gateway, request, attempt)
 }
@@ -224,6 +229,14 @@
     if status == StatusCode::SERVICE_UNAVAILABLE {
         record_pause(gateway, &attempt.slot, attempt.answer.headers());
     }
+    let headers = attempt.answer.headers();
+    record_limit(
+        gateway,
+        &attempt.slot.engine,
+        status,
+        headers,
+        attempt.sent_at,
+    );
     if has_leaving_header(attempt.answer.headers()) {
         record_leaving(gateway, &EngineIncarnation::from(&attempt.slot.engine));
     }
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod hub;
 mod leaving;
+mod limit;
 mod metrics;
 mod phase;
 mod queue;
