Test of an engine that names a limit, failing

A stand-in engine names a limit of 2 requests a second in each answer; callers of three daemons send 40 a second each, and another backend server has room for all.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod faults;
 mod leaving;
+mod limits;
 mod logging;
 mod path;
 mod repeated_orders;
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -14,7 +14,8 @@
 use ward_adapter::header::set_own_answer_headers;
 use ward_adapter::served::{
     EnginePath, ReceivedHeaders, ReportedState, engine_path, leaving_headers, not_executed_headers,
-    parse_order, parse_request_headers, report_json, retry_after_headers, signed_answer_headers,
+    parse_order, parse_request_headers, rate_limit_headers, report_json, retry_after_headers,
+    signed_answer_headers,
 };
 use ward_protocol::SoftwareVersion;
 
@@ -67,8 +68,11 @@
         EnginePath::Report => answer_report(&shared),
         EnginePath::Request => answer_request(&shared, &received, &path).await?,
     };
-    if shared.lock().fault == EngineFault::Leaving {
-        response.headers_mut().extend(leaving_headers());
+    let fault = shared.lock().fault;
+    match fault {
+        EngineFault::Leaving => response.headers_mut().extend(leaving_headers()),
+        EngineFault::Limited(rate) => response.headers_mut().extend(rate_limit_headers(rate)),
+        _ => {}
     }
     Ok(response)
 }
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use ward_fleet::RequestRate;
+
 use crate::proxy::LinkFault;
 
 /// Fault of an engine or backend server.
@@ -62,6 +64,9 @@
     /// Announces in a header of each answer that the engine is leaving, but not in
     /// heartbeats.
     Leaving,
+    /// Names in a header of each answer how many requests it takes from all daemons
+    /// together, and serves all that come.
+    Limited(RequestRate),
     /// Crashes while running a request whose path contains [`CRASHING_PATH`].
     Crash(CrashKind),
     /// Crashes while running a request whose prompt has the part [`CRASHING_PART`],
