--- a/crates/ward-daemon/tests/gateway/limits.rs
+++ b/crates/ward-daemon/tests/gateway/limits.rs
@@ -102,3 +102,143 @@
     // The other backend server has room for all.
     expect_that!(statuses, each(eq(&StatusCode::OK)));
 }
+
+/// Sets a limit on both backend servers of the plain service; returns their ids.
+fn limit_backend_servers(stage: &Stage, rate: RequestRate) -> Vec<String> {
+    let engines = stage.engines[stage.engines.len() - 2..].iter();
+    let limited = engines.map(|engine| {
+        engine.set_fault(EngineFault::Limited(rate));
+        engine.id()
+    });
+    limited.collect()
+}
+
+/// Limits all backend servers and expects that callers of these daemons use up most of the
+/// limit, and that the others are refused.
+async fn expect_limit_used(test: &str, daemons: &[usize]) {
+    let rate = RequestRate(4_000);
+    let stage = stage(test, &StagePlan::default()).await;
+    wait_until_all_joined(&stage).await;
+    let limited_at = Instant::now();
+    let engines = limit_backend_servers(&stage, rate);
+    let span = Duration::from_secs(9);
+    let calls = daemons
+        .iter()
+        .map(|daemon| call_repeatedly(&stage, *daemon, "/stock/a", None, span));
+    let statuses = futures::future::join_all(calls).await.concat();
+    for engine in &engines {
+        expect_limit_kept(&stage, engine, rate, limited_at);
+        // Two thirds of the limit in six seconds; an equal share of one daemon is one third.
+        let settled = limited_at + SETTLE_TIME;
+        expect_that!(run_times(&stage, engine, settled).len(), ge(16));
+    }
+    let is_told =
+        |status: &&StatusCode| [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE].contains(status);
+    let told = statuses.iter().filter(is_told).count();
+    expect_that!(told, eq(statuses.len()), "{statuses:?}");
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_was_left_unused_as_only_one_daemon_needs_it() {
+    expect_limit_used("limit-one", &[0]).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_was_left_unused_as_all_daemons_need_it() {
+    expect_limit_used("limit-all", &[0, 1, 2]).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_was_forgotten_with_the_coordinator() {
+    let rate = RequestRate(2_000);
+    let mut stage = stage("limit-term", &StagePlan::default()).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    let limited_at = Instant::now();
+    let engines = limit_backend_servers(&stage, rate);
+    call_all_daemons(&stage, "/stock/a", Duration::from_secs(4)).await;
+    stage.daemons[coordinator].kill();
+    let survivors = (0..3).filter(|daemon| *daemon != coordinator);
+    let span = Duration::from_secs(10);
+    let calls = survivors.map(|daemon| call_repeatedly(&stage, daemon, "/stock/b", None, span));
+    futures::future::join_all(calls).await;
+    for engine in &engines {
+        expect_limit_kept(&stage, engine, rate, limited_at);
+        // Permits are issued again, for the share of two daemons of three.
+        let late = limited_at + Duration::from_secs(10);
+        expect_that!(run_times(&stage, engine, late).len(), ge(3));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_that_ended_was_kept_by_other_daemons() {
+    let rate = RequestRate(1_000);
+    let stage = stage("limit-end", &StagePlan::default()).await;
+    wait_until_all_joined(&stage).await;
+    let engines = limit_backend_servers(&stage, rate);
+    call_all_daemons(&stage, "/stock/a", Duration::from_secs(4)).await;
+    for engine in &stage.engines {
+        engine.set_fault(EngineFault::None);
+    }
+    let ended_at = Instant::now();
+    // Only one daemon has callers that notice the end.
+    call_repeatedly(&stage, 0, "/stock/b", None, Duration::from_secs(3)).await;
+    for daemon in 0..3 {
+        let span = Duration::from_secs(1);
+        let statuses = call_repeatedly(&stage, daemon, "/stock/c", None, span).await;
+        expect_that!(statuses, each(eq(&StatusCode::OK)), "{daemon}");
+    }
+    for engine in &engines {
+        expect_that!(run_times(&stage, engine, ended_at).len(), ge(60));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_held_callers_who_could_not_be_served() {
+    let rate = RequestRate(200);
+    let stage = stage("limit-refuse", &StagePlan::default()).await;
+    wait_until_all_joined(&stage).await;
+    limit_backend_servers(&stage, rate);
+    call_all_daemons(&stage, "/stock/a", Duration::from_secs(2)).await;
+    for daemon in 0..3 {
+        let begun = Instant::now();
+        let request = CallerRequest::new(format!("late{daemon}"), "/stock/b", None);
+        let mut caller = StageCaller::connect(stage.daemons[daemon].callers())
+            .await
+            .unwrap();
+        let answer = caller.send(&request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        expect_that!(begun.elapsed(), lt(Duration::from_millis(500)));
+        let after: f64 = answer.headers["retry-after"]
+            .to_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        expect_that!(after, ge(2.0));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_kept_callers_of_a_model_waiting_that_others_could_load() {
+    // Each engine holds another model, and has copies of all on its disk.
+    let plan = StagePlan {
+        models: 3,
+        ..StagePlan::default()
+    };
+    let stage = stage("limit-model", &plan).await;
+    wait_until_all_joined(&stage).await;
+    stage.engines[0].set_fault(EngineFault::Limited(RequestRate(1_000)));
+    let model = Stage::model_name(0);
+    let calls = (0..3).map(|daemon| {
+        let span = Duration::from_secs(4);
+        call_repeatedly(&stage, daemon, "/quick/a", Some(&model), span)
+    });
+    let statuses = futures::future::join_all(calls).await.concat();
+    let served = statuses.iter().filter(|status| **status == StatusCode::OK);
+    expect_that!(served.count() * 10, ge(statuses.len() * 9));
+}
--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -15,6 +15,7 @@
     AdapterName, BackendId, ModelName, MonoTime, PartId, ServiceName, SoftwareVersion, ZoneName,
 };
 
+use crate::limit::{Turn, TurnShare};
 use crate::number::{u64_to_f64, usize_to_f64};
 use crate::table::{EngineRecord, EngineTable};
 
@@ -39,6 +40,9 @@
 /// daemons get more requests than others.
 const SLOT_SHARE: f64 = 2.0;
 
+/// Maximum number of limited engines of which permits are asked for a request.
+const MAX_LIMITED: usize = 8;
+
 /// State of the daemon that the choice depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceContext<'a> {
@@ -48,9 +52,25 @@
     pub daemons: usize,
     /// Current time, which health timeouts are compared with.
     pub now: MonoTime,
+    /// This daemon's turns at limited engines; `None` while a coordinator issues permits.
+    pub turns: Option<TurnShare>,
 }
 
 impl ChoiceContext<'_> {
+    /// The current turn of this daemon at a limited engine, if it has one.
+    #[must_use]
+    pub fn turn_at(&self, table: &EngineTable, engine: &EngineRecord) -> Option<Turn> {
+        let rate = table.limits.rate_of(&engine.info)?;
+        self.turns?.own_turn(rate)
+    }
+
+    /// Whether an engine has no limit, or this daemon may send it a request within it.
+    fn is_permitted(&self, table: &EngineTable, engine: &EngineRecord) -> bool {
+        let turn = self.turn_at(table, engine);
+        table.limits.rate_of(&engine.info).is_none()
+            || table.permits.allows(&engine.info.id, turn, self.now)
+    }
+
     /// Whether this daemon may send another request to an engine: one slot of
     /// its share is free, the engine has not just refused a request as full,
     /// and while it recovers from a pause, it runs no request of this daemon.
@@ -114,6 +134,9 @@
     /// this daemon; ejected or avoided ones do not count while there are
     /// others.
     Full,
+    /// Some engines that hold the model and adapter have a slot for this daemon, but
+    /// requests to them need permits that it does not have.
+    Limited(LimitedEngines),
     /// All engines that hold the model and adapter have asked for a pause; the
     /// first pause ends at this time.
     Paused(MonoTime),
@@ -126,6 +149,15 @@
     NoEngine,
 }
 
+/// Engines that could run a request, but for their limits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LimitedEngines {
+    /// The least loaded of them first; no more than [`MAX_LIMITED`].
+    pub engines: Vec<BackendId>,
+    /// Whether no engine without a limit holds the model and adapter.
+    pub are_only: bool,
+}
+
 /// Chooses an engine for a request. Engines in `avoided` are used only when all
 /// others that hold the model and adapter are paused or ejected. `draw` returns
 /// a random number below its argument.
@@ -161,10 +193,10 @@
         !engine.health.is_ejected(context.now)
     });
     prefer(&mut fitting, |engine| !avoided.contains(&engine.info.id));
-    let available: Vec<_> = fitting
-        .into_iter()
-        .filter(|engine| context.may_send_to(engine))
-        .collect();
+    let available = fitting.iter().copied();
+    let available = available.filter(|engine| context.may_send_to(engine));
+    let (available, limited): (Vec<_>, Vec<_>) =
+        available.partition(|engine| context.is_permitted(table, engine));
     let sticky = sticky_engine(&available, requirement);
     let best_first_byte_millis = best_first_byte_millis(&available);
     let cost = |engine: &EngineRecord| {
@@ -183,10 +215,47 @@
         .min_by(|left, right| cost(left).total_cmp(&cost(right)));
     match best {
         Some(engine) => EngineChoice::Engine(engine.info.id.clone()),
-        None => EngineChoice::Full,
+        None if limited.is_empty() => EngineChoice::Full,
+        None => EngineChoice::Limited(LimitedEngines {
+            engines: least_loaded(limited),
+            are_only: fitting
+                .iter()
+                .all(|engine| table.limits.rate_of(&engine.info).is_some()),
+        }),
     }
 }
 
+/// The limited engine that a request could use if this daemon had a permit: the least
+/// loaded one. A daemon that has requests for such an engine now and then asks for spare
+/// permits, so that the engine is used up to its limit, and its end is noticed.
+#[must_use]
+pub fn spare_engine<'a>(
+    table: &'a EngineTable,
+    requirement: &EngineRequirement<'_>,
+    context: &ChoiceContext<'_>,
+) -> Option<&'a BackendId> {
+    if table.limits.is_empty() {
+        return None;
+    }
+    let engines = table.of_service(requirement.service).filter(|engine| {
+        requirement.fits(engine)
+            && requirement.has_software(engine)
+            && engine.health.paused_until(context.now).is_none()
+            && context.may_send_to(engine)
+            && !context.is_permitted(table, engine)
+    });
+    let least = engines.min_by_key(|engine| engine.running());
+    least.map(|engine| &engine.info.id)
+}
+
+/// Ids of the least loaded engines.
+fn least_loaded(mut engines: Vec<&EngineRecord>) -> Vec<BackendId> {
+    engines.sort_by_key(|engine| engine.running());
+    engines.truncate(MAX_LIMITED);
+    let ids = engines.into_iter().map(|engine| engine.info.id.clone());
+    ids.collect()
+}
+
 /// Keeps the engines that match a predicate, or all if none does.
 fn prefer(engines: &mut Vec<&EngineRecord>, accept: impl Fn(&EngineRecord) -> bool) {
     if engines.iter().any(|engine| accept(engine)) {
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -39,7 +39,10 @@
 pub use entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel, OrderSequence};
 pub use health::EngineHealth;
 pub use lease::{CoordinatorLease, LeaseWindow, TermObserver, TermRecord};
-pub use limit::{LimitEvidence, LimitLedger, LimitSighting, RequestRate};
+pub use limit::{
+    LimitEvidence, LimitLedger, LimitSighting, PermitBatch, PermitGrant, PermitIssuer, PermitNeed,
+    PermitStore, RequestRate, TurnShare,
+};
 pub use manifest::{
     CallerLimits, EngineClass, ManifestVersion, ModelClass, RouteKind, RouteTarget, ServiceClass,
     ServingManifest, ServingRoute,
--- a/crates/ward-fleet/src/limit/ledger.rs
+++ b/crates/ward-fleet/src/limit/ledger.rs
@@ -59,6 +59,19 @@
     since: MonoTime,
 }
 
+impl KnownLimit {
+    fn sighting(&self, engine: &BackendId, now: MonoTime) -> LimitSighting {
+        LimitSighting {
+            incarnation: EngineIncarnation {
+                engine: engine.clone(),
+                birth: self.birth,
+            },
+            rate: self.rate,
+            age: now.since(self.since),
+        }
+    }
+}
+
 impl LimitLedger {
     /// Records what an answer says; returns whether the limit has changed.
     pub fn record(&mut self, evidence: &LimitEvidence) -> bool {
@@ -114,4 +127,55 @@
         let known = self.limits.get(&engine.id)?;
         known.rate.filter(|_| known.birth == engine.birth)
     }
+
+    /// Whether an engine with this id has a limit that has not ended.
+    #[must_use]
+    pub fn is_limited(&self, engine: &BackendId) -> bool {
+        let known = self.limits.get(engine);
+        known.is_some_and(|known| known.rate.is_some())
+    }
+
+    /// Engines that have a limit, with their limits.
+    pub fn limited(&self) -> impl Iterator<Item = (&BackendId, RequestRate)> {
+        let limits = self.limits.iter();
+        limits.filter_map(|(engine, known)| Some((engine, known.rate?)))
+    }
+
+    /// Whether no engine has a limit.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.limits.values().all(|known| known.rate.is_none())
+    }
+
+    /// What to tell another daemon of an engine; `None` if nothing is known.
+    #[must_use]
+    pub fn sighting(&self, engine: &BackendId, now: MonoTime) -> Option<LimitSighting> {
+        let known = self.limits.get(engine)?;
+        Some(known.sighting(engine, now))
+    }
+
+    /// What to tell another daemon of all engines.
+    #[must_use]
+    pub fn sightings(&self, now: MonoTime) -> Vec<LimitSighting> {
+        let limits = self.limits.iter();
+        limits
+            .map(|(engine, known)| known.sighting(engine, now))
+            .collect()
+    }
+
+    /// Engines of which the sender of these sightings, which have been recorded here, knows
+    /// something else, and, if they are complete, those with a limit that it doesn't know.
+    #[must_use]
+    pub fn unknown_to(&self, sightings: &[LimitSighting], complete: bool) -> Vec<BackendId> {
+        let told: IndexMap<_, _> = sightings
+            .iter()
+            .map(|sighting| (&sighting.incarnation.engine, sighting))
+            .collect();
+        let differs = |(engine, known): &(&BackendId, &KnownLimit)| match told.get(engine) {
+            Some(told) => told.rate != known.rate || told.incarnation.birth != known.birth,
+            None => complete && known.rate.is_some(),
+        };
+        let differing = self.limits.iter().filter(differs);
+        differing.map(|(engine, _)| engine.clone()).collect()
+    }
 }
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -10,12 +10,13 @@
 
 use serde::{Deserialize, Serialize};
 use ward_protocol::{
-    AdapterName, BackendId, DaemonId, FenceNumber, ModelName, RequestFingerprint, ServiceName,
-    SoftwareVersion, StreamKey, TimeSpan, ZoneName,
+    AdapterName, BackendId, DaemonId, FenceNumber, ModelName, MonoTime, RequestFingerprint,
+    ServiceName, SoftwareVersion, StreamKey, TimeSpan, ZoneName,
 };
 
 use crate::crash::{ClearedPart, CrashNews, CrashReport, EngineIncarnation};
 use crate::entry::{EngineBirth, EngineEntry, HeldModel};
+use crate::limit::{LimitSighting, PermitBatch, PermitNeed};
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
 use crate::settings::HostCapacity;
@@ -84,6 +85,12 @@
     /// Latest probe since the last report in which the daemon's call to the
     /// store failed; `None` if there was none.
     pub failed_probe: Option<ProbeNumber>,
+    /// Limits of engines that the coordinator may not know.
+    pub limits: Vec<LimitSighting>,
+    /// Permits that the daemon needs at limited engines.
+    pub permit_needs: Vec<PermitNeed>,
+    /// When the report was sent, by the daemon's own clock.
+    pub sent_at: MonoTime,
 }
 
 /// Number of one daemon's requests for a model and adapter at an engine.
@@ -122,6 +129,8 @@
 pub enum CoordinatorMessage {
     /// Changes to the state of the fleet.
     View(FleetView),
+    /// Permits for requests to limited engines.
+    Permits(PermitBatch),
     /// Asks the daemon to call the store. The daemon replies in its next
     /// report, and only if the call fails.
     ProbeStore(ProbeNumber),
@@ -153,6 +162,8 @@
     pub coordinator: Option<SocketAddr>,
     /// Software versions that served of late.
     pub versions: Vec<VersionSighting>,
+    /// Limits that engines have named.
+    pub limits: Vec<LimitSighting>,
 }
 
 /// State of the fleet, or the changes to it since the last view.
@@ -204,6 +215,9 @@
     /// Software versions that served of late: all of them in a complete view, otherwise
     /// none.
     pub versions: Vec<VersionSighting>,
+    /// Limits that engines have named: all of them in a complete view, otherwise those
+    /// that changed since the last view.
+    pub limits: Vec<LimitSighting>,
 }
 
 /// A model that no engine holds and that must come from the weight store.
--- a/crates/ward-fleet/src/placement/plan/mod.rs
+++ b/crates/ward-fleet/src/placement/plan/mod.rs
@@ -27,6 +27,9 @@
 /// Cost of loading a model on an engine that runs requests, in milliseconds per
 /// request.
 const RUNNING_COST_MILLIS: f64 = 40.0;
+/// Cost of loading a model on an engine that takes only a limited rate of requests, in
+/// milliseconds.
+const LIMITED_COST_MILLIS: f64 = 2_000.0;
 /// Minimum concurrency for which a model may get another replica.
 const MIN_REPLICA_CONCURRENCY: f64 = 1.0;
 
@@ -144,7 +147,8 @@
             && engine.is_free(self.now)
             && !engine.adapter_busy
             && !engine.held.contains_key(&key.model);
-        if !usable {
+        let is_limited = self.state.is_limited(engine);
+        if !usable || (is_limited && self.is_held(key)) {
             return None;
         }
         let class = self.manifest.engine_class(&key.service)?;
@@ -159,17 +163,29 @@
         let victims = search.choose(engine, model.weights)?;
         let source = engine.load_source(&key.model);
         let load_cost = source.load_time(model).seconds() * 1_000.0;
+        let limit_cost = if is_limited { LIMITED_COST_MILLIS } else { 0.0 };
         let running_cost = RUNNING_COST_MILLIS * f64::from(engine.running());
         let outlook = self.outlooks.get(&key.service);
         let loss_cost = outlook.map_or(0.0, |outlook| outlook.loss_chance(engine)) * load_cost;
         Some(Candidate {
             engine: id.clone(),
             source,
-            cost: load_cost + loss_cost + victims.cost + running_cost,
+            cost: load_cost + loss_cost + victims.cost + running_cost + limit_cost,
             victims,
         })
     }
 
+    /// Whether an engine that takes requests, even a limited one, holds or is loading a
+    /// model.
+    fn is_held(&self, key: &ModelKey) -> bool {
+        let mut engines = self.state.engines.values();
+        engines.any(|engine| {
+            engine.info.service == key.service
+                && engine.info.takes_requests()
+                && engine.has_or_expects(&key.model)
+        })
+    }
+
     /// Whether the limits of the weight store allow another load.
     fn store_allows(&self, key: &ModelKey) -> bool {
         let class = self.manifest.engine_class(&key.service);
--- a/crates/ward-fleet/src/placement/plan/need.rs
+++ b/crates/ward-fleet/src/placement/plan/need.rs
@@ -104,6 +104,7 @@
             .engines
             .iter()
             .filter(|(_, engine)| engine.is_free(self.now) && !engine.adapter_busy)
+            .filter(|(_, engine)| !self.state.is_limited(engine))
             .map(|(id, _)| id.clone())
             .collect();
         for id in free {
--- a/crates/ward-fleet/src/placement/plan/store.rs
+++ b/crates/ward-fleet/src/placement/plan/store.rs
@@ -79,7 +79,9 @@
     /// Plans loads of the model with the most requests per replica on engines
     /// that hold no model; from the weight store only while it is idle.
     pub(super) fn plan_empty(&mut self) {
-        let is_empty = |engine: &PlacedEngine| engine.is_free(self.now) && engine.held.is_empty();
+        let is_empty = |engine: &PlacedEngine| {
+            engine.is_free(self.now) && engine.held.is_empty() && !self.state.is_limited(engine)
+        };
         let engines = self.state.engines.iter();
         let empty = engines.filter(|(_, engine)| is_empty(engine));
         let empty: Vec<_> = empty.map(|(id, _)| id.clone()).collect();
--- a/crates/ward-fleet/src/placement/spread.rs
+++ b/crates/ward-fleet/src/placement/spread.rs
@@ -2,7 +2,9 @@
 //!
 //! Load pattern: a few models take most requests, and which ones changes during
 //! the day. Requests in an engine's batch slow each other down, so a model gets
-//! another replica while its engines are still far from full.
+//! another replica while its engines are still far from full. A replica on an engine that
+//! takes only a limited rate of requests doesn't count, so that its models get another
+//! one elsewhere while they are requested.
 
 use indexmap::IndexMap;
 
@@ -32,20 +34,20 @@
     }
 }
 
-/// Number of engines that hold or are loading a model, by model.
+/// Number of engines without a limit that hold or are loading a model, by model.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ReplicaCounts {
     counts: IndexMap<ModelKey, usize>,
 }
 
 impl ReplicaCounts {
-    /// Counts the replicas on engines that take requests.
+    /// Counts the replicas on engines that take requests and have no limit.
     pub(super) fn of(state: &PlacementState) -> Self {
         let mut counts = Self::default();
         for engine in state
             .engines
             .values()
-            .filter(|engine| engine.info.takes_requests())
+            .filter(|engine| engine.info.takes_requests() && !state.is_limited(engine))
         {
             let present = engine.held.iter().filter(|(_, held)| !held.unloading);
             let loading = engine.task.iter().map(|task| &task.model);
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -11,6 +11,7 @@
 use super::task::TaskTarget;
 use crate::crash::EngineIncarnation;
 use crate::entry::{EngineEntry, HeldModel, OrderSequence};
+use crate::limit::{LimitLedger, RequestRate};
 use crate::message::{EngineInfo, EngineLoad, LoadReport};
 
 /// Identifies a daemon's connection to the coordinator.
@@ -26,6 +27,8 @@
     pub demand: DemandTable,
     /// Limits on loads from the weight store.
     pub load_limiter: LoadLimiter,
+    /// Limits that engines have named.
+    pub limits: LimitLedger,
     pub(super) losses: LossHistory,
     /// Expected ends of loads whose engines left or restarted; the store
     /// continues to serve them.
@@ -79,6 +82,20 @@
             .is_some_and(|engine| engine.mark_ended(ended_at))
     }
 
+    /// Whether an engine takes only a limited rate of requests.
+    #[must_use]
+    pub fn is_limited(&self, engine: &PlacedEngine) -> bool {
+        self.limits.rate_of(&engine.info).is_some()
+    }
+
+    /// The limits of the known engines that have one.
+    #[must_use]
+    pub fn limited_rates(&self) -> IndexMap<BackendId, RequestRate> {
+        let limited = self.limits.limited();
+        let known = limited.filter(|(engine, _)| self.engines.contains_key(*engine));
+        known.map(|(engine, rate)| (engine.clone(), rate)).collect()
+    }
+
     /// Whether an engine ended under requests and has sent no heartbeat since.
     #[must_use]
     pub fn has_ended(&self, id: &BackendId) -> bool {
--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -5,7 +5,7 @@
 
 use crate::crash::EngineIncarnation;
 use crate::health::{EngineHealth, EngineSignal};
-use crate::limit::LimitLedger;
+use crate::limit::{LimitLedger, PermitStore};
 use crate::message::{EngineInfo, EngineLoad, FleetView, RunningCount};
 
 /// Maximum number of engines remembered as leaving.
@@ -72,6 +72,8 @@
     leaving: IndexMap<BackendId, EngineIncarnation>,
     /// Limits that engines have named.
     pub limits: LimitLedger,
+    /// This daemon's permits to send requests to limited engines.
+    pub permits: PermitStore,
 }
 
 impl EngineTable {
@@ -151,6 +153,12 @@
         self.leaving.get(&incarnation.engine) == Some(incarnation)
     }
 
+    /// Removes the permits for engines whose limit has ended.
+    pub fn drop_unneeded_permits(&mut self) {
+        let limits = &self.limits;
+        self.permits.retain(|engine| limits.is_limited(engine));
+    }
+
     /// Removes an engine; returns whether it was known.
     pub fn remove(&mut self, id: &BackendId) -> bool {
         self.engines.shift_remove(id).is_some()
--- a/crates/ward-fleet/tests/choice.rs
+++ b/crates/ward-fleet/tests/choice.rs
@@ -45,6 +45,7 @@
         zone: &ZONE,
         daemons,
         now: at(0),
+        turns: None,
     }
 }
 
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -68,6 +68,7 @@
         cleared_parts: Vec::new(),
         cleared: Vec::new(),
         versions: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -7,13 +7,14 @@
 use tokio::sync::{Notify, mpsc};
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
-    CoordinatorLease, CrashLedger, CrashReport, EngineEntry, HostMember, LeaseWindow, LoadReport,
-    OutageDetector, StoredFleet,
+    CoordinatorLease, CrashLedger, CrashReport, EngineEntry, HostMember, LeaseWindow, LimitLedger,
+    LoadReport, OutageDetector, PermitIssuer, StoredFleet,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
 use super::publish::{MessageFrame, Publisher};
 use crate::clock;
+use crate::limit::log_change;
 
 /// Maximum number of messages queued for a daemon; its connection is closed when a
 /// view finds the queue full.
@@ -27,6 +28,8 @@
     pub(super) links: RefCell<IndexMap<MemberKey, MemberLink>>,
     pub(super) publisher: RefCell<Publisher>,
     pub(super) crashes: RefCell<CrashLedger>,
+    /// Issues permits for engines that limit their requests.
+    pub(super) issuer: RefCell<PermitIssuer>,
     /// What this coordinator last wrote to the fleet record in the store; `None` until
     /// the first renewal of its lease.
     pub(super) stored_fleet: Cell<Option<StoredFleet>>,
@@ -51,6 +54,12 @@
     end_notify: Notify,
 }
 
+/// What the daemon that begins a term knows of the fleet from before it.
+pub(super) struct FleetKnowledge {
+    pub(super) crashes: CrashLedger,
+    pub(super) limits: LimitLedger,
+}
+
 /// A daemon's connection to the coordinator.
 pub(super) struct MemberLink {
     pub(super) frames: mpsc::Sender<MessageFrame>,
@@ -67,16 +76,20 @@
         lease: CoordinatorLease,
         window: LeaseWindow,
         inherited: Vec<HostMember>,
-        crashes: CrashLedger,
+        knowledge: FleetKnowledge,
         logger: Logger,
     ) -> Self {
+        let FleetKnowledge { crashes, limits } = knowledge;
+        let mut state = PlacementState::default();
+        state.limits = limits;
         Self {
-            state: RefCell::default(),
+            state: RefCell::new(state),
             lease: RefCell::new(lease),
             window,
             links: RefCell::default(),
             publisher: RefCell::new(Publisher::new(inherited.clone())),
             crashes: RefCell::new(crashes),
+            issuer: RefCell::default(),
             stored_fleet: Cell::default(),
             store_read_time: Cell::new(clock::now()),
             engines_offset: Cell::default(),
@@ -158,6 +171,7 @@
     /// daemon, if the connection was still listed.
     pub(crate) fn remove_link(&self, key: MemberKey) -> Option<HostMember> {
         self.state.borrow_mut().remove_member(key);
+        self.issuer.borrow_mut().remove_member(key);
         let link = self.links.borrow_mut().shift_remove(&key)?;
         link.member
     }
@@ -188,9 +202,14 @@
 
     /// Applies a daemon's report; replans at once if requests wait, an engine crashed
     /// or an engine is leaving.
-    pub(crate) fn apply_report(&self, key: MemberKey, report: LoadReport, now: MonoTime) {
+    pub(crate) fn apply_report(&self, key: MemberKey, mut report: LoadReport, now: MonoTime) {
         let urgent =
             !(report.waiting.is_empty() && report.crashes.is_empty() && report.leaving.is_empty());
+        let needs = std::mem::take(&mut report.permit_needs);
+        let mut issuer = self.issuer.borrow_mut();
+        issuer.record_needs(key, needs, report.sent_at, now);
+        drop(issuer);
+        self.record_limits(&report, now);
         self.record_crashes(&report, now);
         let probe = report.failed_probe;
         let outage_time = probe.and_then(|probe| {
@@ -212,6 +231,19 @@
         }
     }
 
+    /// Records the limits in a daemon's report and queues them for the next view.
+    fn record_limits(&self, report: &LoadReport, now: MonoTime) {
+        for sighting in &report.limits {
+            let mut state = self.state.borrow_mut();
+            if state.limits.record_sighting(sighting, now) {
+                log_change(&self.logger, sighting, "report");
+                let engine = sighting.incarnation.engine.clone();
+                self.publisher.borrow_mut().queue_limit(engine);
+                self.plan_requested.notify_one();
+            }
+        }
+    }
+
     /// Records the crashes in a daemon's report and queues them for the next view.
     fn record_crashes(&self, report: &LoadReport, now: MonoTime) {
         let mut crashes = self.crashes.borrow_mut();
--- a/crates/ward-gateway/src/coordinator/mod.rs
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -2,6 +2,7 @@
 
 mod active;
 mod outage;
+mod permits;
 mod publish;
 mod record;
 mod slot;
@@ -9,6 +10,7 @@
 mod worker;
 
 pub(crate) use active::ActiveCoordinator;
+pub(crate) use permits::issue_permits;
 pub(crate) use publish::MessageFrame;
 pub(crate) use record::{newest_term, stored_fleet};
 pub(crate) use slot::CoordinatorSlot;
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, warn};
 use tokio::sync::mpsc::error::TrySendError;
 use ward_fleet::pace::load_broadcast_interval;
@@ -37,6 +37,8 @@
     cleared_parts: Vec<ClearedPart>,
     /// Requests that the next view names because their crashes no longer count.
     cleared: Vec<RequestFingerprint>,
+    /// Engines whose limits the next view names because they changed.
+    limits: IndexSet<BackendId>,
     /// When a view last contained request counts.
     loads_sent_at: MonoTime,
     /// Minimum time between two views that contain request counts.
@@ -55,6 +57,7 @@
             crashes: Vec::new(),
             cleared_parts: Vec::new(),
             cleared: Vec::new(),
+            limits: IndexSet::new(),
             loads_sent_at: MonoTime::default(),
             loads_interval: TimeSpan::ZERO,
             term_start: clock::now(),
@@ -71,6 +74,11 @@
         self.cleared_parts.push(cleared.clone());
     }
 
+    /// Adds the limit of an engine to the next view.
+    pub(super) fn queue_limit(&mut self, engine: BackendId) {
+        self.limits.insert(engine);
+    }
+
     /// Adds to the next view a request whose crashes no longer count.
     pub(super) fn queue_cleared(&mut self, fingerprint: RequestFingerprint) {
         self.crashes
@@ -103,7 +111,8 @@
         || !delta.gone.is_empty()
         || !delta.crashes.is_empty()
         || !delta.cleared_parts.is_empty()
-        || !delta.cleared.is_empty();
+        || !delta.cleared.is_empty()
+        || !delta.limits.is_empty();
     let is_new = |link: &MemberLink| !link.has_complete_view;
     let has_new = coordinator.links.borrow().values().any(is_new);
     let complete = has_new.then(|| complete_view(coordinator, &delta, versions));
@@ -138,6 +147,10 @@
         publisher.loads_sent_at = now;
         publisher.members = members;
     }
+    let changed_limits = std::mem::take(&mut publisher.limits);
+    let limits = &coordinator.state.borrow().limits;
+    let changed_limits = changed_limits.iter();
+    let limits = changed_limits.filter_map(|engine| limits.sighting(engine, now));
     FleetView {
         term: lease.fence,
         renewal_offset: lease.newest_offset(),
@@ -157,6 +170,7 @@
         cleared: std::mem::take(&mut publisher.cleared),
         cleared_parts: std::mem::take(&mut publisher.cleared_parts),
         versions: Vec::new(),
+        limits: limits.collect(),
     }
 }
 
@@ -180,6 +194,7 @@
         cleared: Vec::new(),
         cleared_parts: news.cleared_parts,
         versions,
+        limits: coordinator.state.borrow().limits.sightings(clock::now()),
         ..delta.clone()
     }
 }
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -12,8 +12,9 @@
 use ward_protocol::codec::encode;
 use ward_protocol::{DaemonId, FenceNumber, WallTime};
 
-use super::active::ActiveCoordinator;
+use super::active::{ActiveCoordinator, FleetKnowledge};
 use super::outage::monitor_store;
+use super::permits::issue_permits;
 use super::publish::{ViewInputs, current_members, publish};
 use super::record::{StoredTerm, newest_term};
 use super::worker::spawn_task;
@@ -51,8 +52,11 @@
     let mut members = gateway.members.borrow().clone();
     members.retain(|member| Some(&member.daemon) != former);
     let logger = gateway.logger.clone();
-    let crashes = gateway.crashes.borrow().clone();
-    let coordinator = ActiveCoordinator::new(lease, window, members, crashes, logger);
+    let knowledge = FleetKnowledge {
+        crashes: gateway.crashes.borrow().clone(),
+        limits: gateway.table.borrow().limits.clone(),
+    };
+    let coordinator = ActiveCoordinator::new(lease, window, members, knowledge, logger);
     let coordinator = Rc::new(coordinator);
     info!(gateway.logger, "coordinator: term begins"; "fence" => lease.fence.0);
     gateway.metrics.coordinates.set(1);
@@ -270,6 +274,7 @@
             link: gateway.settings().capacity.link,
         };
         publish(coordinator, inputs, &gateway.logger);
+        issue_permits(gateway, coordinator);
     }
 }
 
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -354,6 +354,9 @@
                 OwnAnswer::NotRun(remaining),
                 "its engines have asked for a pause",
             ),
+            WaitFailure::Limited(wait) => {
+                refuse(OwnAnswer::NotRun(wait), "its engines take too few requests")
+            }
             WaitFailure::Blocked(block) => blocked_refusal(block),
             WaitFailure::NoEngine if self.ticket.software.is_some() => {
                 not_run("the service has no engine of the stream's software version")
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info};
 use tokio::sync::Notify;
 use ward_adapter::StoreClient;
@@ -14,7 +14,9 @@
     EngineTable, HostMember, HostSettings, ManifestVersion, ProbeNumber, RetryBudget, RunningCount,
     ServingManifest, WaitingCount,
 };
-use ward_protocol::{Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime};
+use ward_protocol::{
+    BackendId, Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime,
+};
 
 use crate::clock;
 use crate::coordinator::CoordinatorSlot;
@@ -73,6 +75,9 @@
     pub(crate) view_store_time: Cell<Option<MonoTime>>,
     /// When the first view came from the coordinator that is followed now.
     pub(crate) followed_since: Cell<Option<MonoTime>>,
+    /// When this daemon last stopped following a coordinator, or started; `None` while it
+    /// follows one.
+    pub(crate) unfollowed_since: Cell<Option<MonoTime>>,
     /// Whether the coordinator's last view says that the store is unavailable to all
     /// daemons.
     pub(crate) store_outage: Cell<bool>,
@@ -112,6 +117,8 @@
     pub(crate) cleared: Vec<RequestFingerprint>,
     /// Suspect parts of prompts that an engine has answered on.
     pub(crate) cleared_parts: Vec<PartClearance>,
+    /// Engines of whose limits the coordinator may not know.
+    pub(crate) limits: IndexSet<BackendId>,
     /// Requests refused by engines that do not hold the model or adapter.
     pub(crate) misplaced: Vec<RunningCount>,
     /// The coordinator's newest probe in which this daemon could not reach the store.
@@ -147,6 +154,7 @@
             load_limit: Cell::default(),
             view_store_time: Cell::default(),
             followed_since: Cell::default(),
+            unfollowed_since: Cell::new(Some(clock::now())),
             store_outage: Cell::default(),
             last_read: Cell::default(),
             consecutive_reads: Cell::default(),
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -24,6 +24,7 @@
 use crate::coordinator::{newest_term, stored_fleet, take_over};
 use crate::crash::{current_reports, record_news};
 use crate::gateway::Gateway;
+use crate::limit::{limit_sightings, receive_permits};
 
 /// Time between two reports unless one is requested.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -77,6 +78,9 @@
             let outcome = follow_with_retries(&gateway, address, &mut observer).await;
             let was_followed = gateway.view_store_time.take().is_some();
             gateway.followed_since.set(None);
+            if was_followed {
+                gateway.unfollowed_since.set(Some(clock::now()));
+            }
             if let Err(PeerError::Resync) = outcome {
                 continue;
             }
@@ -232,6 +236,7 @@
         &MemberMessage::Hello(own_member(&gateway.settings())),
     )
     .await?;
+    gateway.table.borrow_mut().permits.begin_link();
     send(&mut writer, &MemberMessage::Report(build_report(gateway))).await?;
     info!(gateway.logger, "coordinator: connected"; "address" => %address);
     gateway.coordinator_address.set(Some(address));
@@ -261,6 +266,7 @@
                         return Err(PeerError::StoreUnavailable);
                     }
                 }
+                Some(CoordinatorMessage::Permits(batch)) => receive_permits(gateway, &batch),
                 Some(
                     CoordinatorMessage::Snapshot(_)
                     | CoordinatorMessage::Crashes(_)
@@ -356,5 +362,8 @@
             .collect(),
         misplaced: events.misplaced,
         failed_probe: events.failed_probe,
+        limits: limit_sightings(gateway, &events.limits),
+        permit_needs: gateway.table.borrow().permits.needs(now),
+        sent_at: now,
     }
 }
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -13,7 +13,7 @@
 use super::frame::{PeerError, encode_frame, read_frame};
 use super::snapshot::build_snapshot;
 use crate::clock;
-use crate::coordinator::{ActiveCoordinator, MessageFrame};
+use crate::coordinator::{ActiveCoordinator, MessageFrame, issue_permits};
 use crate::crash::record_news;
 use crate::gateway::Gateway;
 
@@ -120,7 +120,11 @@
         match message.map_err(|_| PeerError::Timeout)?? {
             Some(MemberMessage::Report(report)) => {
                 gateway.record_manifest_version(report.manifest);
+                let needs_permits = !report.permit_needs.is_empty();
                 coordinator.apply_report(key, report, clock::now());
+                if needs_permits {
+                    issue_permits(gateway, coordinator);
+                }
             }
             Some(MemberMessage::Leaving) => coordinator.mark_leaving(key),
             Some(
--- a/crates/ward-gateway/src/hub/snapshot.rs
+++ b/crates/ward-gateway/src/hub/snapshot.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::crash::record_news;
 use crate::gateway::Gateway;
+use crate::limit::record_told_limits;
 
 const SNAPSHOT_FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum number of daemons queried in one round, one after another.
@@ -36,6 +37,7 @@
         crashes: gateway.crashes.borrow().news(clock::now()),
         coordinator: gateway.coordinator_address.get(),
         versions: gateway.streams.sightings(),
+        limits: table.limits.sightings(clock::now()),
     }
 }
 
@@ -96,6 +98,7 @@
         &snapshot.crashes.crashes,
         &snapshot.crashes.cleared_parts,
     );
+    record_told_limits(gateway, &snapshot.limits, false);
     gateway.streams.record_sightings(&snapshot.versions);
     gateway.streams.record_engines(&snapshot.engines);
     gateway.streams.complete_history();
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -10,6 +10,7 @@
 };
 use crate::gateway::Gateway;
 use crate::leaving::report_missed_leaving;
+use crate::limit::record_told_limits;
 
 /// Applies a view; returns whether its engines are outdated, because this daemon has read
 /// the store more recently than the coordinator, which is another daemon.
@@ -21,6 +22,7 @@
     // During a store outage, a read by this daemon would not be more recent.
     let store_time = if view.store_outage { now } else { view_time };
     gateway.view_store_time.set(Some(store_time));
+    gateway.unfollowed_since.set(None);
     let since = gateway.followed_since.get().unwrap_or(now);
     gateway.followed_since.set(Some(since));
     gateway.store_outage.set(view.store_outage);
@@ -30,6 +32,7 @@
     view.apply_members(&mut gateway.members.borrow_mut());
     gateway.record_daemon_count(gateway.members.borrow().len());
     report_missed_leaving(gateway, view);
+    record_told_limits(gateway, &view.limits, view.complete);
     gateway.view_engines_offset.set(view.engines_offset);
     gateway.load_limit.set(Some(view.load_concurrency_limit));
     if view.loads.is_some() {
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -24,6 +24,10 @@
     pub(crate) resumptions: IntCounterVec,
     /// Parts of prompts that this daemon has blocked because they crash engines.
     pub(crate) blocked_parts: IntCounter,
+    /// Requests sent to engines that limit their requests.
+    pub(crate) limited_sends: IntCounter,
+    /// Permits for limited engines that this daemon has issued as the coordinator.
+    pub(crate) permits: IntCounter,
     /// Seconds from a send until the engine's answer began.
     pub(crate) first_byte: Histogram,
     /// Seconds from a request's arrival until it got a slot at an engine, observed again
@@ -70,6 +74,8 @@
                 "ward_blocked_parts_total",
                 "parts of prompts that crash engines",
             )?,
+            limited_sends: IntCounter::new("ward_limited_sends_total", "sends to limited engines")?,
+            permits: IntCounter::new("ward_permits_total", "permits issued for limited engines")?,
             first_byte: latency_histogram(
                 "ward_first_byte_seconds",
                 "until an engine's answer began",
@@ -95,6 +101,8 @@
         registry.register(Box::new(self.blocked.clone()))?;
         registry.register(Box::new(self.resumptions.clone()))?;
         registry.register(Box::new(self.blocked_parts.clone()))?;
+        registry.register(Box::new(self.limited_sends.clone()))?;
+        registry.register(Box::new(self.permits.clone()))?;
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.waited.clone()))?;
         registry.register(Box::new(self.waiting.clone()))?;
--- a/crates/ward-gateway/src/phase.rs
+++ b/crates/ward-gateway/src/phase.rs
@@ -19,6 +19,8 @@
     /// The end of the pause that the engines with its model requested with
     /// Retry-After.
     Pause,
+    /// A permit for one of the engines with its model, which limit their requests.
+    Permit,
     /// The answer of this engine.
     Answer(BackendId),
 }
@@ -30,6 +32,7 @@
             Self::Model => formatter.write_str("its model was on its way"),
             Self::Slot => formatter.write_str("its engines were full"),
             Self::Pause => formatter.write_str("its engines had asked for a pause"),
+            Self::Permit => formatter.write_str("its engines had named a limit"),
             Self::Answer(engine) => write!(formatter, "engine {engine} had not answered"),
         }
     }
--- a/crates/ward-gateway/src/queue/dispatch.rs
+++ b/crates/ward-gateway/src/queue/dispatch.rs
@@ -4,10 +4,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::oneshot;
-use ward_fleet::choice::EngineChoice;
+use ward_fleet::choice::{EngineChoice, LimitedEngines};
 use ward_fleet::flow::LateDecision;
 use ward_protocol::BackendId;
 
+use super::limited::{PermitDemand, permit_wait_if_late, want_spare_permits};
 use super::slot::EngineSlot;
 use super::ticket::{WaitFailure, WaitKey, WaitTicket};
 use super::{choose_engine_for, occupy_slot, pause_if_late};
@@ -25,7 +26,8 @@
 }
 
 fn dispatch_once(gateway: &Rc<Gateway>) {
-    let mut ahead_by_key: IndexMap<WaitKey, usize> = IndexMap::new();
+    let mut waiting_keys: IndexMap<WaitKey, KeyQueue> = IndexMap::new();
+    let mut permit_demand = PermitDemand::default();
     let mut unready_keys = IndexSet::new();
     for number in numbers_by_rank(gateway) {
         let Some(ticket) = ticket_of(gateway, number) else {
@@ -39,13 +41,12 @@
         if ticket.avoided.is_empty() && unready_keys.contains(&key) {
             continue;
         }
-        if let Some(ahead) = ahead_by_key
+        if let Some(queue) = waiting_keys
             .get_mut(&key)
             .filter(|_| ticket.avoided.is_empty())
         {
-            *ahead += 1;
-            let ahead = *ahead;
-            shed_if_late(gateway, number, &ticket, ahead);
+            queue.ahead += 1;
+            keep_or_shed(gateway, number, &ticket, queue, &mut permit_demand);
             continue;
         }
         match choose_engine_for(gateway, &ticket) {
@@ -68,10 +69,17 @@
                     unready_keys.insert(key);
                 }
             }
+            EngineChoice::Limited(limited) => {
+                ticket.phase.enter(RequestPhase::Permit);
+                let queue = KeyQueue::new(Some(limited));
+                keep_or_shed(gateway, number, &ticket, &queue, &mut permit_demand);
+                waiting_keys.insert(key, queue);
+            }
             EngineChoice::Full => {
                 ticket.phase.enter(RequestPhase::Slot);
-                ahead_by_key.insert(key, 0);
-                shed_if_late(gateway, number, &ticket, 0);
+                let queue = KeyQueue::new(None);
+                keep_or_shed(gateway, number, &ticket, &queue, &mut permit_demand);
+                waiting_keys.insert(key, queue);
             }
             EngineChoice::Missing => {
                 if let Some(ready_in) = gateway.queue.ready_in_if_late(&ticket) {
@@ -83,6 +91,45 @@
             }
         }
     }
+    permit_demand.request(gateway);
+}
+
+/// Requests that the same engines can serve and that wait, as far as they were looked at.
+struct KeyQueue {
+    /// Requests before the one that is looked at.
+    ahead: usize,
+    /// Engines with a rate limit that have room; `None` if there are none.
+    limited: Option<LimitedEngines>,
+}
+
+impl KeyQueue {
+    const fn new(limited: Option<LimitedEngines>) -> Self {
+        Self { ahead: 0, limited }
+    }
+}
+
+/// Lets a request wait, with a permit asked for if that is what it lacks, or refuses it if
+/// it would wait too long.
+fn keep_or_shed(
+    gateway: &Gateway,
+    number: u64,
+    ticket: &WaitTicket,
+    queue: &KeyQueue,
+    permit_demand: &mut PermitDemand,
+) {
+    let Some(limited) = &queue.limited else {
+        shed_if_late(gateway, number, ticket, queue.ahead);
+        return;
+    };
+    if let Some(wait) = permit_wait_if_late(gateway, ticket, limited, queue.ahead) {
+        want_spare_permits(gateway, limited);
+        fail_wait(gateway, number, WaitFailure::Limited(wait));
+        return;
+    }
+    permit_demand.add(limited, queue.ahead);
+    if !limited.are_only {
+        shed_if_late(gateway, number, ticket, queue.ahead);
+    }
 }
 
 /// Refuses a waiting request that can no longer meet its target latency and is
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -1,6 +1,7 @@
 //! The queue of requests that wait for a slot at an engine.
 
 mod dispatch;
+mod limited;
 mod slot;
 mod ticket;
 
@@ -9,19 +10,21 @@
 
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot};
-use ward_fleet::choice::EngineChoice;
+use ward_fleet::choice::{EngineChoice, spare_engine};
 use ward_fleet::flow::RequestFlow;
 use ward_fleet::queue::FirstPartTime;
-use ward_fleet::{ChoiceContext, SlowModel, WaitingCount, choose_engine};
+use ward_fleet::{ChoiceContext, HostSettings, SlowModel, WaitingCount, choose_engine};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 pub(crate) use self::dispatch::dispatch_queue;
+use self::limited::{permit_wait_if_late, want_spare_permits};
 pub(crate) use self::slot::{EngineSlot, RunState};
 use self::ticket::{ModelKey, WaitKey};
 pub(crate) use self::ticket::{RequestIdentity, WaitFailure, WaitTicket};
 use crate::clock;
 use crate::crash::request_block;
 use crate::gateway::Gateway;
+use crate::limit::own_turns;
 use crate::phase::RequestPhase;
 
 /// Maximum number of routes with a recorded time to the first part of an answer.
@@ -167,6 +170,14 @@
         self.flows.borrow_mut().retain(|_, flow| !flow.is_idle(now));
     }
 
+    /// Number of waiting requests that the same engines can serve.
+    fn waiting_like(&self, ticket: &WaitTicket) -> usize {
+        let key = ticket.key();
+        let waiters = self.waiters.borrow();
+        let same = waiters.values().filter(|waiter| waiter.ticket.key() == key);
+        same.count()
+    }
+
     /// Number of waiting requests.
     pub(crate) fn len(&self) -> usize {
         self.waiters.borrow().len()
@@ -211,6 +222,16 @@
                 return Err(WaitFailure::Paused(remaining));
             }
         }
+        EngineChoice::Limited(limited) => {
+            ticket.phase.enter(RequestPhase::Permit);
+            let ahead = gateway.queue.waiting_like(&ticket);
+            if let Some(wait) = permit_wait_if_late(gateway, &ticket, &limited, ahead) {
+                want_spare_permits(gateway, &limited);
+                return Err(WaitFailure::Limited(wait));
+            }
+            // The dispatcher asks for permits.
+            gateway.queue.notify_change();
+        }
         EngineChoice::Full => ticket.phase.enter(RequestPhase::Slot),
     }
     if gateway.queue.closed.get() {
@@ -254,11 +275,7 @@
 
 fn choose_engine_for(gateway: &Gateway, ticket: &WaitTicket) -> EngineChoice {
     let settings = gateway.settings();
-    let context = ChoiceContext {
-        zone: &settings.zone,
-        daemons: gateway.daemon_count(),
-        now: clock::now(),
-    };
+    let context = choice_context(gateway, &settings);
     choose_engine(
         &gateway.table.borrow(),
         &ticket.requirement(),
@@ -268,9 +285,30 @@
     )
 }
 
+fn choice_context<'a>(gateway: &Gateway, settings: &'a HostSettings) -> ChoiceContext<'a> {
+    ChoiceContext {
+        zone: &settings.zone,
+        daemons: gateway.daemon_count(),
+        now: clock::now(),
+        turns: own_turns(gateway),
+    }
+}
+
 fn occupy_slot(gateway: &Rc<Gateway>, id: &BackendId, ticket: &WaitTicket) -> Option<EngineSlot> {
+    let settings = gateway.settings();
+    let context = choice_context(gateway, &settings);
     let mut table = gateway.table.borrow_mut();
-    let engine = table.get(id)?.info.clone();
+    let record = table.get(id)?;
+    let engine = record.info.clone();
+    let turn = context.turn_at(&table, record);
+    let spare = spare_engine(&table, &ticket.requirement(), &context).cloned();
+    if let Some(spare) = spare {
+        table.permits.want_spare(&spare, context.now);
+    }
+    if table.limits.rate_of(&engine).is_some() {
+        table.permits.spend(id, turn, context.now);
+        gateway.metrics.limited_sends.inc();
+    }
     table.begin_request(id, ticket.model.as_ref(), ticket.adapter.as_ref());
     Some(EngineSlot::new(gateway, engine, ticket))
 }
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -114,6 +114,9 @@
     /// The engines requested a pause that is too long for the request; the caller may
     /// retry after this time.
     Paused(TimeSpan),
+    /// Only engines with a rate limit can serve the request, and not within its time; the
+    /// caller may retry after this time.
+    Limited(TimeSpan),
     /// The request, or a part of its prompt, has crashed engines.
     Blocked(RequestBlock),
     /// The daemon is shutting down, so another one must serve the request.
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -120,6 +120,7 @@
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        gateway.table.borrow_mut().drop_unneeded_permits();
         let table = gateway.table.borrow();
         gateway.pool.sweep(|engine| table.get(engine).is_some());
         gateway.streams.sweep(&table);
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -17,6 +17,7 @@
     parse_order, parse_request_headers, rate_limit_headers, report_json, retry_after_headers,
     signed_answer_headers,
 };
+use ward_fleet::RequestRate;
 use ward_protocol::SoftwareVersion;
 
 use super::resume::resumed_answer;
@@ -321,8 +322,8 @@
     response
 }
 
-/// A refusal of another request, which may also ask for a pause and announce that the
-/// engine leaves.
+/// A refusal of another request, which may also ask for a pause, announce that the
+/// engine leaves and name a limit.
 fn crossed_refusal(other_id: &HeaderValue, asks_for_pause: bool) -> Response<StageBody> {
     let mut response = full_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     let headers = response.headers_mut();
@@ -330,6 +331,7 @@
     if asks_for_pause {
         headers.extend(retry_after_headers(Some(other_id), CROSSED_PAUSE.into()));
         headers.extend(leaving_headers());
+        headers.extend(rate_limit_headers(RequestRate(0)));
     }
     response
 }
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -37,8 +37,8 @@
     WrongId,
     /// Runs requests and answers them with a refusal of another request.
     CrossedRefusal,
-    /// Like [`Self::CrossedRefusal`], and the refusal asks for a pause and announces that
-    /// the engine is leaving.
+    /// Like [`Self::CrossedRefusal`], and the refusal asks for a pause, announces that the
+    /// engine is leaving and names a limit.
     CrossedPause,
     /// Runs requests and answers them with status 500.
     Fail,
