Read the store's era, and log when it changes

The store client decodes it from each answer and keeps the newest era; a daemon logs when the store came back from a copy. Nothing acts on it yet. The stand-in store can come back from a copy, ends the reads that wait and answers 410 to a read from an offset that it doesn't have.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outage;
 pub mod pace;
 pub mod placement;
+pub mod position;
 pub mod queue;
 pub mod record;
 pub mod settings;
@@ -53,6 +54,7 @@
 };
 pub use order::EngineOrder;
 pub use outage::{OutageDetector, ProbeNumber, WitnessCandidate, choose_witnesses};
+pub use position::{StoreEra, StorePosition};
 pub use queue::QueueRank;
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -22,7 +22,7 @@
 use crate::queue::dispatch_queue;
 use crate::stop::{reload_on_signal, stop_on_signal};
 use crate::streams::{persist_streams, spread_streams};
-use crate::sync::{sync_engines, sync_manifest};
+use crate::sync::{sync_engines, sync_manifest, watch_store_era};
 
 /// Time between sweeps of idle connections, the queue and unfinished runs.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -97,6 +97,7 @@
     spawn_local(accept_members(Rc::clone(&gateway), peers));
     spawn_local(sync_manifest(Rc::clone(&gateway)));
     spawn_local(sync_engines(Rc::clone(&gateway)));
+    spawn_local(watch_store_era(Rc::clone(&gateway)));
     spawn_local(follow_coordinator(Rc::clone(&gateway)));
     spawn_local(broadcast_crashes(Rc::clone(&gateway)));
     spawn_local(spread_streams(Rc::clone(&gateway)));
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -27,5 +27,5 @@
 pub use ledger::{OrderRecord, RefusalRecord, RunLedger, RunRecord};
 pub use proxy::{CutEnd, CutPlace, LinkControl, LinkFault, StageProxy};
 pub use stage::{Stage, StagePlan, stage_folder};
-pub use store::{StageStore, StoreFault};
+pub use store::{StageStore, StoreCopy, StoreFault};
 pub use weights::WeightStore;
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -12,11 +12,11 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreTopic;
 use ward_adapter::served::{
-    StoreCall, StoredRecord, append_answer, manifest_json, newest_answer, parse_call, read_answer,
-    split_keyed, split_records,
+    StoreCall, StoredRecord, append_answer, era_headers, manifest_json, newest_answer, parse_call,
+    read_answer, split_keyed, split_records,
 };
 use ward_adapter::store::MANIFEST_KEY;
-use ward_fleet::ServingManifest;
+use ward_fleet::{ServingManifest, StoreEra};
 use ward_protocol::TimeSpan;
 
 use crate::reply::{AbortConnection, StageBody, full_response};
@@ -39,7 +39,12 @@
     LoseAppendAnswers,
 }
 
-#[derive(Default)]
+/// A copy of all that a store holds.
+pub struct StoreCopy {
+    partitions: IndexMap<&'static str, Partition>,
+}
+
+#[derive(Clone, Default)]
 struct Partition {
     records: Vec<StoredRecord>,
     end: u64,
@@ -48,6 +53,9 @@
 struct StoreState {
     partitions: Mutex<IndexMap<&'static str, Partition>>,
     fault: Mutex<StoreFault>,
+    /// Number of times that the store came back from a copy.
+    era: Mutex<StoreEra>,
+    /// Notified when records are appended or the store comes back from a copy.
     appended: Notify,
 }
 
@@ -70,6 +78,7 @@
         let state = Arc::new(StoreState {
             partitions: Mutex::default(),
             fault: Mutex::new(StoreFault::None),
+            era: Mutex::default(),
             appended: Notify::new(),
         });
         let shared = Arc::clone(&state);
@@ -100,6 +109,23 @@
         self.state.append(StoreTopic::Engines, id, value);
     }
 
+    /// Copies all that the store holds now.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let partitions = lock(&self.state.partitions).clone();
+        StoreCopy { partitions }
+    }
+
+    /// Comes back from a copy: what was written since it was taken is gone, and waiting
+    /// reads end without an answer. Engines and operators have to write again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut partitions = lock(&self.state.partitions);
+        *partitions = copy.partitions;
+        lock(&self.state.era).0 += 1;
+        drop(partitions);
+        self.state.appended.notify_waiters();
+    }
+
     /// Compacts all topics: only the newest record of each key is kept, and none of
     /// a removed key. If that leaves gaps, reads from an offset before the end get status
     /// 410 from then on.
@@ -197,18 +223,27 @@
         full_response(StatusCode::OK, append_answer(first_offset, end))
     }
 
-    async fn read(&self, topic: StoreTopic, from: u64, wait: TimeSpan) -> Response<StageBody> {
+    async fn read(
+        &self,
+        topic: StoreTopic,
+        from: u64,
+        wait: TimeSpan,
+    ) -> Result<Response<StageBody>, AbortConnection> {
+        let era = *lock(&self.era);
         let appended = self.appended.notified();
         if self.end(topic) <= from {
             drop(tokio::time::timeout(wait.duration(), appended).await);
         }
         let partitions = lock(&self.partitions);
+        if *lock(&self.era) != era {
+            return Err(AbortConnection);
+        }
         let empty = Partition::default();
         let partition = partitions.get(topic_name(topic)).unwrap_or(&empty);
         let first_offset = partition.first_offset();
-        if from < first_offset {
+        if from < first_offset || from > partition.end {
             let body = append_answer(None, partition.end);
-            return full_response(StatusCode::GONE, body);
+            return Ok(full_response(StatusCode::GONE, body));
         }
         let records: Vec<_> = partition
             .records
@@ -216,10 +251,10 @@
             .filter(|record| record.offset >= from)
             .cloned()
             .collect();
-        full_response(
+        Ok(full_response(
             StatusCode::OK,
             read_answer(partition.end, first_offset, &records),
-        )
+        ))
     }
 
     fn read_newest(&self, topic: StoreTopic) -> Response<StageBody> {
@@ -245,6 +280,16 @@
 async fn answer(
     state: Arc<StoreState>,
     request: Request<Incoming>,
+) -> Result<Response<StageBody>, AbortConnection> {
+    let mut response = answer_call(&state, request).await?;
+    let era = *lock(&state.era);
+    response.headers_mut().extend(era_headers(era));
+    Ok(response)
+}
+
+async fn answer_call(
+    state: &StoreState,
+    request: Request<Incoming>,
 ) -> Result<Response<StageBody>, AbortConnection> {
     let fault = *lock(&state.fault);
     match fault {
@@ -271,7 +316,7 @@
             }
             Ok(response)
         }
-        Some(StoreCall::Read(topic, from, wait)) => Ok(state.read(topic, from, wait).await),
+        Some(StoreCall::Read(topic, from, wait)) => state.read(topic, from, wait).await,
         Some(StoreCall::Newest(topic)) => Ok(state.read_newest(topic)),
         None => Ok(full_response(StatusCode::NOT_FOUND, Bytes::new())),
     }
