Tests of a store that comes back from an older copy, failing

Each of the hypotheses shows, with a stand-in store: a change at an offset that was read before is in force nowhere; a successor gets the fencing number of the former coordinator (6 and 6), which takes the successor's record for its own at first; a block is not written again; an engine that had left is used again after a change of coordinator (3 of 60 requests). A daemon that starts before the operator has written again keeps the older configuration, though its peers know better.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod path;
 mod repeated_orders;
 mod repeated_refusals;
+mod restored;
 mod resumed;
 mod soak;
 mod stream_keepers;
