A position in the store names its era

What callers would see: 404 for a route that was added after the store came back from a copy, on all daemons, until another change. Cause: readers of manifest and engines remembered bare offsets. Once the restored log has grown past the remembered offset, no 410 comes, and the records between are never read; offsets in views carried an older era's offset to others. Class: a position compared with one of another history. The store client now gives positions with their era, refuses a read that was answered in another one, and pages of two eras; a reader then reads the newest records. Views tell the newest era, so that a daemon in a long poll, which may wait for a record with another offset now, reads again, too.

restored_store_hid_a_change_at_an_offset_that_was_read_before failed before (404 from all three daemons) and passes.

--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -19,6 +19,7 @@
 use crate::limit::{LimitSighting, PermitBatch, PermitNeed};
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
+use crate::position::{StoreEra, StorePosition};
 use crate::settings::HostCapacity;
 use crate::streams::{StreamNews, VersionSighting};
 
@@ -193,9 +194,11 @@
     pub joined: Vec<HostMember>,
     /// Daemons that no longer accept requests.
     pub left: Vec<DaemonId>,
-    /// Offset up to which the coordinator has read the store's engine entries;
+    /// Position up to which the coordinator has read the store's engine entries;
     /// `None` before its first read.
-    pub engines_offset: Option<u64>,
+    pub engines_position: Option<StorePosition>,
+    /// Newest era of the store that the coordinator knows.
+    pub store_era: StoreEra,
     /// Latest manifest version that the coordinator knows.
     pub manifest: ManifestVersion,
     /// Time since the coordinator last read from the store.
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -11,7 +11,7 @@
     CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, EngineInfo, FleetView,
     HeartbeatCount, HeldModel, HostCapacity, HostMember, LinkRate, LoadReport, ManifestVersion,
     ModelClass, RouteKind, RouteTarget, RunningCount, ServiceClass, ServingBounds, ServingManifest,
-    ServingRoute, WaitingCount,
+    ServingRoute, StoreEra, WaitingCount,
 };
 use ward_protocol::{
     BackendId, FenceNumber, MemorySize, ModelName, MonoTime, ServiceName, TimeSpan,
@@ -60,7 +60,8 @@
         load_concurrency_limit: 1,
         joined: Vec::new(),
         left: Vec::new(),
-        engines_offset: None,
+        engines_position: None,
+        store_era: StoreEra(0),
         manifest: ManifestVersion(1),
         store_age: TimeSpan::ZERO,
         store_outage: false,
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -8,7 +8,7 @@
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
     CoordinatorLease, CrashLedger, CrashReport, EngineEntry, HostMember, LeaseWindow, LimitLedger,
-    LoadReport, OutageDetector, PermitIssuer, StoredFleet,
+    LoadReport, OutageDetector, PermitIssuer, StorePosition, StoredFleet,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
@@ -35,9 +35,9 @@
     pub(super) stored_fleet: Cell<Option<StoredFleet>>,
     /// When the engines were last read from the store; initially the start of the term.
     pub(super) store_read_time: Cell<MonoTime>,
-    /// Offset up to which the store's engines topic has been read; `None` before the
+    /// Position up to which the store's engines topic has been read; `None` before the
     /// first read of the term.
-    pub(super) engines_offset: Cell<Option<u64>>,
+    pub(super) engines_position: Cell<Option<StorePosition>>,
     pub(super) outage_detector: RefCell<OutageDetector>,
     /// Daemons that accepted requests at the last renewal of the lease, or before the
     /// term if there was none yet, except those that have since announced that they are
@@ -92,7 +92,7 @@
             issuer: RefCell::default(),
             stored_fleet: Cell::default(),
             store_read_time: Cell::new(clock::now()),
-            engines_offset: Cell::default(),
+            engines_position: Cell::default(),
             outage_detector: RefCell::default(),
             members_at_renewal: RefCell::new(inherited),
             plan_requested: Notify::new(),
@@ -290,10 +290,10 @@
         }
     }
 
-    /// Records that the store's engines topic has been read up to an offset.
-    pub(super) fn record_store_read(&self, offset: u64, now: MonoTime) {
+    /// Records that the store's engines topic has been read up to a position.
+    pub(super) fn record_store_read(&self, position: StorePosition, now: MonoTime) {
         self.store_read_time.set(now);
-        self.engines_offset.set(Some(offset));
+        self.engines_position.set(Some(position));
     }
 
     /// Applies an engine's store entry, which is written again with each heartbeat.
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -8,7 +8,7 @@
 use ward_fleet::pace::load_broadcast_interval;
 use ward_fleet::{
     ClearedPart, CoordinatorMessage, CrashReport, EngineInfo, FleetView, HostMember, LinkRate,
-    ManifestVersion, SlowModel, VersionSighting,
+    ManifestVersion, SlowModel, StoreEra, VersionSighting,
 };
 use ward_protocol::{BackendId, DaemonId, MonoTime, RequestFingerprint, TimeSpan};
 
@@ -95,6 +95,8 @@
     pub(super) slow: Vec<SlowModel>,
     /// Software versions that served of late.
     pub(super) versions: Vec<VersionSighting>,
+    /// Newest era of the store that this daemon knows.
+    pub(super) store_era: StoreEra,
     /// Bandwidth of this host, which bounds how often loads are broadcast.
     pub(super) link: LinkRate,
 }
@@ -162,7 +164,8 @@
         load_concurrency_limit: coordinator.state.borrow().load_limiter.concurrency_limit(),
         joined: member_changes.joined,
         left: member_changes.left,
-        engines_offset: coordinator.engines_offset.get(),
+        engines_position: coordinator.engines_position.get(),
+        store_era: inputs.store_era,
         manifest: inputs.manifest,
         store_age: now.since(coordinator.store_read_time.get()),
         store_outage: lease.is_extended(&coordinator.window, now),
--- a/crates/ward-gateway/src/coordinator/slot.rs
+++ b/crates/ward-gateway/src/coordinator/slot.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use ward_fleet::EngineEntry;
+use ward_fleet::{EngineEntry, StorePosition};
 use ward_protocol::{BackendId, MonoTime};
 
 use super::active::ActiveCoordinator;
@@ -30,10 +30,10 @@
         *self.active.borrow_mut() = coordinator;
     }
 
-    /// Records that the store's engines topic has been read up to an offset.
-    pub(crate) fn record_store_read(&self, offset: u64, now: MonoTime) {
+    /// Records that the store's engines topic has been read up to a position.
+    pub(crate) fn record_store_read(&self, position: StorePosition, now: MonoTime) {
         if let Some(coordinator) = self.active() {
-            coordinator.record_store_read(offset, now);
+            coordinator.record_store_read(position, now);
         }
     }
 
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -238,7 +238,7 @@
         is_holder || offset < lease.next_offset
     });
     if is_own_term {
-        coordinator.lease.borrow_mut().next_offset = tail.end;
+        coordinator.lease.borrow_mut().next_offset = tail.end.offset;
         return true;
     }
     coordinator.end("another daemon took over");
@@ -271,6 +271,7 @@
             manifest: gateway.newest_manifest.get(),
             slow,
             versions: gateway.streams.sightings(),
+            store_era: gateway.store.era(),
             link: gateway.settings().capacity.link,
         };
         publish(coordinator, inputs, &gateway.logger);
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use ward_fleet::{
     AnsweredParts, AnsweredRequests, CrashDetector, CrashLedger, DaemonCount, EngineIncarnation,
     EngineTable, HostMember, HostSettings, ManifestVersion, ProbeNumber, RetryBudget, RunningCount,
-    ServingManifest, WaitingCount,
+    ServingManifest, StorePosition, WaitingCount,
 };
 use ward_protocol::{
     BackendId, Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime,
@@ -62,9 +62,9 @@
     pub(crate) newest_manifest: Cell<ManifestVersion>,
     /// Wakes the manifest reader when `newest_manifest` rises.
     pub(crate) manifest_outdated: Notify,
-    /// Offset up to which the coordinator had read the engines topic, from its last
+    /// Position up to which the coordinator had read the engines topic, from its last
     /// view; taken by the next read of this daemon.
-    pub(crate) view_engines_offset: Cell<Option<u64>>,
+    pub(crate) view_engines_position: Cell<Option<StorePosition>>,
     /// Notified when the store answers a read of the manifest after a failed one.
     pub(crate) store_recovered: Notify,
     /// Concurrent loads that the weight store sustains, from the coordinator's last
@@ -149,7 +149,7 @@
             coordinator: CoordinatorSlot::default(),
             newest_manifest: Cell::default(),
             manifest_outdated: Notify::new(),
-            view_engines_offset: Cell::default(),
+            view_engines_position: Cell::default(),
             store_recovered: Notify::new(),
             load_limit: Cell::default(),
             view_store_time: Cell::default(),
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -187,7 +187,7 @@
     let may_begin = has_waited && observer.may_take_over(&window, now - (delay + restart_delay));
     if is_candidate && (holds_term || may_begin) {
         let former = term.as_ref().map(|term| &term.daemon);
-        return take_over(gateway, former, tail.end).await;
+        return take_over(gateway, former, tail.end.offset).await;
     }
     term.filter(|term| !term.released).map(|term| term.peers)
 }
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -33,7 +33,8 @@
     gateway.record_daemon_count(gateway.members.borrow().len());
     report_missed_leaving(gateway, view);
     record_told_limits(gateway, &view.limits, view.complete);
-    gateway.view_engines_offset.set(view.engines_offset);
+    gateway.view_engines_position.set(view.engines_position);
+    gateway.store.record_era(view.store_era);
     gateway.load_limit.set(Some(view.load_concurrency_limit));
     if view.loads.is_some() {
         gateway.queue.set_slow_models(&view.slow, now);
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use slog::{debug, info, warn};
 use ward_adapter::{StoreError, StoreRecord, StoreTail, StoreTopic, decode_entry};
-use ward_fleet::{EngineBirth, EngineEntry, EngineInfo, HeartbeatCount};
+use ward_fleet::{EngineBirth, EngineEntry, EngineInfo, HeartbeatCount, StorePosition};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use crate::clock;
@@ -34,8 +34,8 @@
 const REREGISTER_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
 struct EngineReader {
-    /// Offset of the next read; `None` when the newest records must be read.
-    next_offset: Option<u64>,
+    /// Position of the next read; `None` when the newest records must be read.
+    next_position: Option<StorePosition>,
     /// When a read last failed; `None` if none has failed, or once the time for engines to
     /// register again has passed.
     last_failure: Option<MonoTime>,
@@ -55,7 +55,7 @@
 /// Keeps the table of engines up to date.
 pub(crate) async fn sync_engines(gateway: Rc<Gateway>) {
     let mut reader = EngineReader {
-        next_offset: None,
+        next_position: None,
         last_failure: None,
         lapsed: IndexMap::new(),
         newest_heartbeats: IndexMap::new(),
@@ -83,15 +83,15 @@
     async fn read_once(&mut self, gateway: &Gateway) {
         let now = clock::now();
         let last_read = gateway.last_read.get();
-        // On the coordinator, the offset is this reader's own earlier one, whose
+        // On the coordinator, the position is this reader's own earlier one, whose
         // records may have been deleted since.
-        let view_engines_offset = gateway.view_engines_offset.take();
-        if let Some(end) = view_engines_offset.filter(|_| !gateway.coordinator.is_active()) {
-            self.next_offset = self.next_offset.max(Some(end));
+        let view_position = gateway.view_engines_position.take();
+        if let Some(end) = view_position.filter(|_| !gateway.coordinator.is_active()) {
+            self.next_position = self.next_position.max(Some(end));
         } else if last_read.is_some_and(|time| now.since(time) > MAX_HISTORY_GAP) {
-            self.next_offset = None;
+            self.next_position = None;
         }
-        let result = match self.next_offset {
+        let result = match self.next_position {
             Some(from) => read_changes(gateway, from).await,
             None => read_all(gateway).await,
         };
@@ -99,7 +99,7 @@
             Ok(read) => {
                 let EngineRead { tail, complete } = read;
                 gateway.metrics.count_store_call(true);
-                self.next_offset = Some(tail.end);
+                self.next_position = Some(tail.end);
                 self.apply_tail(gateway, &tail, complete);
                 gateway.last_read.set(Some(now));
                 let streak = gateway.consecutive_reads.get().saturating_add(1);
@@ -117,8 +117,8 @@
                 if self.last_failure.replace(clock::now()).is_none() {
                     warn!(gateway.logger, "engines: store lost"; "cause" => %cause);
                 }
-                if matches!(cause, StoreError::Deleted(_)) {
-                    self.next_offset = None;
+                if cause.is_position_lost() {
+                    self.next_position = None;
                 }
             }
         }
@@ -224,8 +224,8 @@
     complete: bool,
 }
 
-/// Reads the changes from an offset on.
-async fn read_changes(gateway: &Gateway, from: u64) -> Result<EngineRead, StoreError> {
+/// Reads the changes from a position on.
+async fn read_changes(gateway: &Gateway, from: StorePosition) -> Result<EngineRead, StoreError> {
     let store = &gateway.store;
     let tail = store
         .read(StoreTopic::Engines, from, TimeSpan::ZERO)
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -13,6 +13,7 @@
 
 use slog::{info, warn};
 use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic, decode_manifest};
+use ward_fleet::{StoreEra, StorePosition};
 use ward_protocol::TimeSpan;
 
 use crate::clock;
@@ -35,7 +36,7 @@
 
 /// Keeps the manifest in force up to date.
 pub(crate) async fn sync_manifest(gateway: Rc<Gateway>) {
-    let mut next_offset = None;
+    let mut next_position = None;
     let mut backoff = MIN_BACKOFF;
     loop {
         let has_view = gateway.has_current_view() && !gateway.coordinator.is_active();
@@ -45,14 +46,18 @@
             SHORT_POLL_WAIT
         };
         let result = tokio::select! {
-            result = read_manifest(&gateway, next_offset, wait) => result,
+            result = read_manifest(&gateway, next_position, wait) => result,
             () = wait_until_view_lost(&gateway, has_view) => continue,
+            () = wait_until_later_era(&gateway, next_position) => {
+                next_position = None;
+                continue;
+            }
             () = wait_until_outdated(&gateway) => {
                 info!(
                     gateway.logger, "manifest: read restarted";
                     "heard_of" => gateway.newest_manifest.get().0,
                 );
-                next_offset = None;
+                next_position = None;
                 continue;
             }
         };
@@ -62,14 +67,14 @@
                 if std::mem::replace(&mut backoff, MIN_BACKOFF) != MIN_BACKOFF {
                     gateway.store_recovered.notify_waiters();
                 }
-                next_offset = Some(tail.end);
+                next_position = Some(tail.end);
                 adopt_newest(&gateway, &tail);
             }
             Err(cause) => {
                 gateway.metrics.count_store_call(false);
                 warn!(gateway.logger, "manifest: read failed"; "cause" => %cause);
-                if matches!(cause, StoreError::Deleted(_)) {
-                    next_offset = None;
+                if cause.is_position_lost() {
+                    next_position = None;
                 }
                 if is_outdated(&gateway) {
                     request_snapshot(&gateway).await;
@@ -79,7 +84,7 @@
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
         }
-        if next_offset == Some(0) {
+        if next_position.is_some_and(|position| position.offset == 0) {
             tokio::time::sleep(MIN_BACKOFF).await;
         }
     }
@@ -93,6 +98,19 @@
     }
 }
 
+/// Waits until the store is known to have come back from a copy since a position was
+/// read, so that a read from there may wait for a record that has another offset now.
+async fn wait_until_later_era(gateway: &Gateway, position: Option<StorePosition>) {
+    let Some(position) = position else {
+        return std::future::pending().await;
+    };
+    let mut eras = gateway.store.era_changes();
+    let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > position.era);
+    if eras.wait_for(is_later).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// Waits until another daemon has a newer manifest that the running read has had time
 /// to return but did not.
 async fn wait_until_outdated(gateway: &Gateway) {
@@ -127,10 +145,10 @@
 
 async fn read_manifest(
     gateway: &Gateway,
-    next_offset: Option<u64>,
+    next_position: Option<StorePosition>,
     wait: TimeSpan,
 ) -> Result<StoreTail, StoreError> {
-    match next_offset {
+    match next_position {
         Some(from) => gateway.store.read(StoreTopic::Manifest, from, wait).await,
         None => gateway.store.newest(StoreTopic::Manifest).await,
     }
