A daemon asks its peers when the store has an older manifest than they

What callers would see: 404 for a route that is in force, at a daemon that starts after the store came back from a copy and before the operator has written again. Cause: a daemon asked its peers for their manifest only when the store could not be read; one that the store gives counted as the newest, though views name a newer version. Class: an older source believed because it answers. After each read that leaves the daemon behind what others have, it now takes the manifest of a peer.

restored_store_gave_an_older_configuration_to_a_daemon_that_started failed before and passes.

--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -13,7 +13,7 @@
 
 use slog::{info, warn};
 use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic, decode_manifest};
-use ward_fleet::{StoreEra, StorePosition};
+use ward_fleet::{ManifestVersion, StoreEra, StorePosition};
 use ward_protocol::TimeSpan;
 
 use crate::clock;
@@ -69,6 +69,9 @@
                 }
                 next_position = Some(tail.end);
                 adopt_newest(&gateway, &tail);
+                if is_store_outdated(&gateway) {
+                    request_snapshot(&gateway).await;
+                }
             }
             Err(cause) => {
                 gateway.metrics.count_store_call(false);
@@ -143,6 +146,12 @@
     own.is_none_or(|own| own < gateway.newest_manifest.get())
 }
 
+/// Whether the store has just given an older manifest than another daemon has: it came back
+/// from a copy, and the operator has not written again yet.
+fn is_store_outdated(gateway: &Gateway) -> bool {
+    gateway.newest_manifest.get() > ManifestVersion::default() && is_outdated(gateway)
+}
+
 async fn read_manifest(
     gateway: &Gateway,
     next_position: Option<StorePosition>,
