Terms and fencing numbers are ordered by the store's era

What could be seen: two daemons give orders at once after the store came back from a copy, and engines that check fencing numbers refuse the new coordinator, or let an old order pass. Cause: a holder took any newest term record below its own offset for its own; a successor's record has such an offset once offsets went back. A record from before the restore also counted as current: its holder, when it restarted, took over at once, and a release in it shortened the wait. Class: an order of events read from numbers that the store gives out again.

Now a term record names the era that it was written for, the fencing number has the era above the offset, and a follower's wait begins anew with each era. A record of an earlier era says only who to ask. A holder whose term was forgotten writes it again if its last confirmed renewal or probe is younger than the wait of any successor; else it gives up. An append that was carried out in another era doesn't count. A term record that can't be decoded is waited for like any other, instead of counting as none.

--- a/crates/ward-fleet/src/lease.rs
+++ b/crates/ward-fleet/src/lease.rs
@@ -12,14 +12,22 @@
 //! probe that confirmed it, and a successor's wait begins only once the store
 //! answers it again. A daemon that restarts and finds itself in the last record
 //! need not wait: its earlier process is gone, and all orders come from the
-//! same host. The fencing number of a term is the offset of its first record
-//! plus one.
+//! same host. The fencing number of a term is made of the era of the store and the
+//! offset of its first record, so that it rises although offsets go back when the
+//! store comes back from an older copy.
+//!
+//! Such a store may have forgotten the term, show an earlier one as the newest, or
+//! show one as released whose holder took it over again. So a record counts as
+//! what it says only if it was written in the store's current era. A holder whose
+//! term was forgotten writes it again if nobody can have taken over meanwhile.
 
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use ward_protocol::{DaemonId, FenceNumber, Incarnation, MonoTime, TimeSpan};
 
+use crate::position::{StoreEra, StorePosition};
+
 /// Percentage of the lease for which orders may be given after a renewal.
 const ORDER_WINDOW_PERCENT_OF_LEASE: u64 = 35;
 /// Allowance for clocks that run at different speeds, in percent of the lease.
@@ -43,11 +51,13 @@
     pub incarnation: Incarnation,
     /// Address on which the holder accepts connections from other daemons.
     pub peers: SocketAddr,
-    /// Fencing number of the term; zero in the first record, whose offset
+    /// Fencing number of the term; zero in the first record, whose position
     /// determines the number.
     pub fence: FenceNumber,
     /// Whether the holder gives up the term with this record.
     pub released: bool,
+    /// Era of the store for which the record was written.
+    pub era: StoreEra,
 }
 
 impl TermRecord {
@@ -107,8 +117,8 @@
 pub struct CoordinatorLease {
     /// Fencing number of the term, sent with each order.
     pub fence: FenceNumber,
-    /// Offset that the next renewal must be appended at.
-    pub next_offset: u64,
+    /// Position that the next renewal must be appended at.
+    pub next: StorePosition,
     /// Start of the last successful renewal.
     pub renewal_started: MonoTime,
     /// Start of the newest probe that confirmed an outage of the store; `None`
@@ -117,22 +127,22 @@
 }
 
 impl CoordinatorLease {
-    /// The lease of a new term, whose first record was appended at `offset` by
+    /// The lease of a new term, whose first record was appended at `first` by
     /// a call that started at `started`.
     #[must_use]
-    pub fn begin(offset: u64, started: MonoTime) -> Self {
+    pub fn begin(first: StorePosition, started: MonoTime) -> Self {
         Self {
-            fence: FenceNumber(offset + 1),
-            next_offset: offset + 1,
+            fence: fence_of_term(first),
+            next: next_position(first),
             renewal_started: started,
             outage_probed: None,
         }
     }
 
-    /// Records a renewal that was appended at `offset` by a call that started
+    /// Records a renewal that was appended at `position` by a call that started
     /// at `started`.
-    pub fn renew(&mut self, offset: u64, started: MonoTime) {
-        self.next_offset = offset + 1;
+    pub fn renew(&mut self, position: StorePosition, started: MonoTime) {
+        self.next = next_position(position);
         self.renewal_started = started;
         self.outage_probed = None;
     }
@@ -154,16 +164,44 @@
             .saturating_sub(now.since(self.renewal_started))
     }
 
-    /// Offset of the latest record of the term.
+    /// Position of the latest record of the term.
+    #[must_use]
+    pub const fn newest_position(&self) -> StorePosition {
+        StorePosition {
+            era: self.next.era,
+            offset: self.next.offset.saturating_sub(1),
+        }
+    }
+
+    /// Whether the term is still held, after the store was read in the era `era`
+    /// and its newest term record was `newest`; `is_own` is whether this daemon
+    /// wrote that in its current incarnation.
     #[must_use]
-    pub const fn newest_offset(&self) -> u64 {
-        self.next_offset.saturating_sub(1)
+    pub fn is_held(
+        &self,
+        newest: Option<&TermRecord>,
+        is_own: bool,
+        era: StoreEra,
+        window: &LeaseWindow,
+        now: MonoTime,
+    ) -> bool {
+        if newest.is_some_and(|term| term.era == era) {
+            return is_own;
+        }
+        // The store has forgotten the term. A successor that it has forgotten, too,
+        // must have waited since the last time at which the term was confirmed.
+        now < self.confirmed_at() + window.takeover_wait
     }
 
     /// Whether orders may be given at `now`.
     #[must_use]
     pub fn may_order(&self, window: &LeaseWindow, now: MonoTime) -> bool {
-        now < self.outage_probed.unwrap_or(self.renewal_started) + window.order_window
+        now < self.confirmed_at() + window.order_window
+    }
+
+    /// When the last renewal started, or the last probe that confirmed an outage.
+    fn confirmed_at(&self) -> MonoTime {
+        self.outage_probed.unwrap_or(self.renewal_started)
     }
 
     /// Whether orders may be given and, since the last renewal, a confirmed
@@ -174,6 +212,20 @@
     }
 }
 
+/// Bits of a fencing number below those of the era, enough for all offsets of one era.
+const FENCE_OFFSET_BITS: u32 = 32;
+
+fn fence_of_term(first: StorePosition) -> FenceNumber {
+    FenceNumber((first.era.0 << FENCE_OFFSET_BITS) + first.offset + 1)
+}
+
+const fn next_position(position: StorePosition) -> StorePosition {
+    StorePosition {
+        era: position.era,
+        offset: position.offset + 1,
+    }
+}
+
 /// What a follower has seen of the coordinator's term records.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TermObserver {
@@ -183,7 +235,7 @@
 /// A term record, and when it was first seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ObservedTerm {
-    offset: u64,
+    position: StorePosition,
     first_seen: MonoTime,
     released: bool,
 }
@@ -191,12 +243,15 @@
 impl TermObserver {
     /// Records the latest term record that was read from the store or announced
     /// by the coordinator.
-    pub fn record(&mut self, offset: u64, released: bool, now: MonoTime) {
-        if self.newest.is_some_and(|newest| newest.offset == offset) {
+    pub fn record(&mut self, position: StorePosition, released: bool, now: MonoTime) {
+        if self
+            .newest
+            .is_some_and(|newest| newest.position == position)
+        {
             return;
         }
         self.newest = Some(ObservedTerm {
-            offset,
+            position,
             first_seen: now,
             released,
         });
@@ -209,10 +264,10 @@
         self.newest = None;
     }
 
-    /// Offset of the latest term record seen.
+    /// Whether no term record has been seen since the last outage.
     #[must_use]
-    pub fn offset(&self) -> Option<u64> {
-        self.newest.map(|newest| newest.offset)
+    pub fn is_empty(&self) -> bool {
+        self.newest.is_none()
     }
 
     /// Whether the wait of [`Self::take_over_in`] is over. Valid only after the
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -172,8 +172,8 @@
 pub struct FleetView {
     /// Fencing number of the coordinator's term.
     pub term: FenceNumber,
-    /// Offset of the latest record of the term.
-    pub renewal_offset: u64,
+    /// Position of the latest record of the term.
+    pub renewal: StorePosition,
     /// Whether the view is complete, so that engines and daemons that are not
     /// listed are gone.
     pub complete: bool,
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -11,7 +11,7 @@
     CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, EngineInfo, FleetView,
     HeartbeatCount, HeldModel, HostCapacity, HostMember, LinkRate, LoadReport, ManifestVersion,
     ModelClass, RouteKind, RouteTarget, RunningCount, ServiceClass, ServingBounds, ServingManifest,
-    ServingRoute, StoreEra, WaitingCount,
+    ServingRoute, StoreEra, StorePosition, WaitingCount,
 };
 use ward_protocol::{
     BackendId, FenceNumber, MemorySize, ModelName, MonoTime, ServiceName, TimeSpan,
@@ -51,7 +51,7 @@
 pub(crate) fn empty_view() -> FleetView {
     FleetView {
         term: FenceNumber(1),
-        renewal_offset: 0,
+        renewal: StorePosition::default(),
         complete: false,
         engines: Vec::new(),
         gone: Vec::new(),
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -155,7 +155,7 @@
     let limits = changed_limits.filter_map(|engine| limits.sighting(engine, now));
     FleetView {
         term: lease.fence,
-        renewal_offset: lease.newest_offset(),
+        renewal: lease.newest_position(),
         complete: false,
         engines: engine_changes.changed,
         gone: engine_changes.gone,
--- a/crates/ward-gateway/src/coordinator/record.rs
+++ b/crates/ward-gateway/src/coordinator/record.rs
@@ -4,29 +4,46 @@
 
 use slog::{Logger, warn};
 use ward_adapter::{StoreClient, StoreTail};
-use ward_fleet::{FleetRecord, TermRecord};
+use ward_fleet::{FleetRecord, StorePosition, TermRecord};
 use ward_protocol::codec::decode;
 
-/// A term record with its offset in the log.
+/// The newest term record as the store gave it.
 pub(crate) struct StoredTerm {
-    pub(crate) term: TermRecord,
-    pub(crate) offset: u64,
+    /// `None` if the record cannot be decoded.
+    pub(crate) term: Option<TermRecord>,
+    /// Where the record is, in the era in which the store gave it.
+    pub(crate) position: StorePosition,
 }
 
-/// The newest term record, if there is one and it can be decoded.
+impl StoredTerm {
+    /// The record, unless it was written before the store came back from a copy.
+    pub(crate) fn current(&self) -> Option<&TermRecord> {
+        let term = self.term.as_ref();
+        term.filter(|term| term.era == self.position.era)
+    }
+
+    /// Whether the holder gave up the term with this record.
+    pub(crate) fn is_released(&self) -> bool {
+        self.current().is_some_and(|term| term.released)
+    }
+}
+
+/// The newest term record, if there is one.
 pub(crate) fn newest_term(tail: &StoreTail, logger: &Logger) -> Option<StoredTerm> {
     let key = StoreClient::coordinator_key();
     let record = tail.records.iter().rfind(|record| record.key == key)?;
-    match decode::<TermRecord>(&record.value) {
-        Ok(term) => Some(StoredTerm {
-            term,
-            offset: record.offset,
-        }),
-        Err(cause) => {
-            warn!(logger, "coordinator: term record cannot be decoded"; "cause" => %cause);
-            None
-        }
+    let term = decode::<TermRecord>(&record.value);
+    if let Err(cause) = &term {
+        warn!(logger, "coordinator: term record cannot be decoded"; "cause" => %cause);
     }
+    let position = StorePosition {
+        era: tail.end.era,
+        offset: record.offset,
+    };
+    Some(StoredTerm {
+        term: term.ok(),
+        position,
+    })
 }
 
 /// The newest fleet record, if there is one and it can be decoded.
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -8,7 +8,9 @@
 use slog::{info, warn};
 use ward_adapter::{NewRecord, StoreClient, StoreError, StoreTopic, decode_entry};
 use ward_fleet::placement::{plan_tasks, slow_models};
-use ward_fleet::{CoordinatorLease, FleetRecord, LeaseWindow, StoredFleet, TermRecord};
+use ward_fleet::{
+    CoordinatorLease, FleetRecord, LeaseWindow, StoreEra, StorePosition, StoredFleet, TermRecord,
+};
 use ward_protocol::codec::encode;
 use ward_protocol::{DaemonId, FenceNumber, WallTime};
 
@@ -16,7 +18,7 @@
 use super::outage::monitor_store;
 use super::permits::issue_permits;
 use super::publish::{ViewInputs, current_members, publish};
-use super::record::{StoredTerm, newest_term};
+use super::record::newest_term;
 use super::worker::spawn_task;
 use crate::clock;
 use crate::gateway::Gateway;
@@ -29,18 +31,18 @@
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Begins a term, unless another daemon has begun one since the store was read up
-/// to `expected_offset`; returns this daemon's address for other daemons, or `None`
+/// to `expected`; returns this daemon's address for other daemons, or `None`
 /// if the append failed. The `former` holder of the term is not listed until it
 /// connects.
 pub(crate) async fn take_over(
     gateway: &Rc<Gateway>,
     former: Option<&DaemonId>,
-    expected_offset: u64,
+    expected: StorePosition,
 ) -> Option<SocketAddr> {
     let request_time = clock::now();
-    let record = term_record(gateway, FenceNumber(0), false);
-    let offset = match append_term(gateway, record, Vec::new(), expected_offset).await {
-        Ok(offset) => offset,
+    let record = term_record(gateway, FenceNumber(0), expected.era, false);
+    let first = match append_term(gateway, record, Vec::new(), expected).await {
+        Ok(first) => first,
         Err(cause) => {
             info!(gateway.logger, "coordinator: takeover failed"; "cause" => %cause);
             return None;
@@ -48,7 +50,7 @@
     };
     let settings = gateway.settings();
     let window = LeaseWindow::new(settings.bounds.lease);
-    let lease = CoordinatorLease::begin(offset, request_time);
+    let lease = CoordinatorLease::begin(first, request_time);
     let mut members = gateway.members.borrow().clone();
     members.retain(|member| Some(&member.daemon) != former);
     let logger = gateway.logger.clone();
@@ -116,7 +118,7 @@
     gateway.metrics.coordinates.set(0);
 }
 
-fn term_record(gateway: &Gateway, fence: FenceNumber, released: bool) -> TermRecord {
+fn term_record(gateway: &Gateway, fence: FenceNumber, era: StoreEra, released: bool) -> TermRecord {
     let settings = gateway.settings();
     TermRecord {
         daemon: settings.daemon.clone(),
@@ -124,22 +126,23 @@
         peers: settings.peers,
         fence,
         released,
+        era,
     }
 }
 
-/// Appends `records` and then the term, if the log still ends at `offset`; returns
-/// the offset of the term.
+/// Appends `records` and then the term, if the log still ends at `end`; returns the
+/// position of the term.
 async fn append_term(
     gateway: &Gateway,
     term: TermRecord,
     mut records: Vec<NewRecord>,
-    offset: u64,
-) -> Result<u64, StoreError> {
+    end: StorePosition,
+) -> Result<StorePosition, StoreError> {
     let value = encode(&term).map_err(|_| StoreError::Format("a term cannot be encoded"))?;
     let key = StoreClient::coordinator_key().into();
     records.push(NewRecord { key, value });
     let topic = StoreTopic::Coordinator;
-    gateway.store.append_at(topic, &records, offset).await
+    gateway.store.append_at(topic, &records, end).await
 }
 
 /// Appends a term record of the current holder, preceded by the fleet record if
@@ -149,7 +152,7 @@
     coordinator: &ActiveCoordinator,
     lease: &CoordinatorLease,
     released: bool,
-) -> Result<u64, StoreError> {
+) -> Result<StorePosition, StoreError> {
     coordinator.crashes.borrow_mut().refresh_parts(clock::now());
     let fleet = StoredFleet {
         daemons: gateway.budget_daemons(),
@@ -161,10 +164,10 @@
     } else {
         vec![fleet_record(gateway, coordinator, fleet.daemons)?]
     };
-    let term = term_record(gateway, lease.fence, released);
-    let offset = append_term(gateway, term, records, lease.next_offset).await?;
+    let term = term_record(gateway, lease.fence, lease.next.era, released);
+    let position = append_term(gateway, term, records, lease.next).await?;
     coordinator.stored_fleet.set(Some(fleet));
-    Ok(offset)
+    Ok(position)
 }
 
 fn fleet_record(
@@ -194,8 +197,8 @@
         let lease = *coordinator.lease.borrow();
         let request_time = clock::now();
         match append_own_term(gateway, coordinator, &lease, false).await {
-            Ok(offset) => {
-                coordinator.lease.borrow_mut().renew(offset, request_time);
+            Ok(position) => {
+                coordinator.lease.borrow_mut().renew(position, request_time);
                 let members = current_members(coordinator, request_time);
                 coordinator.members_at_renewal.replace(members);
             }
@@ -231,14 +234,20 @@
             return true;
         }
     };
-    let newest = newest_term(&tail, &gateway.logger);
-    let is_own_term = newest.is_some_and(|StoredTerm { term, offset }| {
-        let is_holder =
-            term.incarnation == gateway.incarnation && term.daemon == gateway.settings().daemon;
-        is_holder || offset < lease.next_offset
+    let newest = newest_term(&tail, &gateway.logger).and_then(|stored| stored.term);
+    let is_own = newest.as_ref().is_some_and(|term| {
+        term.incarnation == gateway.incarnation && term.daemon == gateway.settings().daemon
     });
-    if is_own_term {
-        coordinator.lease.borrow_mut().next_offset = tail.end.offset;
+    let era = tail.end.era;
+    let window = &coordinator.window;
+    if lease.is_held(newest.as_ref(), is_own, era, window, clock::now()) {
+        if era != lease.next.era {
+            info!(
+                gateway.logger, "coordinator: the store forgot the term, which goes on";
+                "fence" => lease.fence.0, "era" => era.0,
+            );
+        }
+        coordinator.lease.borrow_mut().next = tail.end;
         return true;
     }
     coordinator.end("another daemon took over");
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -13,7 +13,7 @@
 use ward_adapter::StoreTopic;
 use ward_fleet::{
     CoordinatorMessage, FleetRecord, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
-    MemberMessage, ProbeNumber, TermObserver, TermRecord,
+    MemberMessage, ProbeNumber, TermObserver,
 };
 use ward_protocol::{MonoTime, TimeSpan, WallTime};
 
@@ -21,7 +21,7 @@
 use super::frame::{PeerError, encode_frame, read_frame};
 use super::view::apply_view;
 use crate::clock;
-use crate::coordinator::{newest_term, stored_fleet, take_over};
+use crate::coordinator::{StoredTerm, newest_term, stored_fleet, take_over};
 use crate::crash::{current_reports, record_news};
 use crate::gateway::Gateway;
 use crate::limit::{limit_sightings, receive_permits};
@@ -107,7 +107,7 @@
     if !is_large_host(gateway) {
         return SMALL_HOST_POLL_INTERVAL;
     }
-    if observer.offset().is_none() {
+    if observer.is_empty() {
         return MAX_POLL_INTERVAL;
     }
     let window = LeaseWindow::new(gateway.settings().bounds.lease);
@@ -138,7 +138,10 @@
 /// Additional delay before taking over a released term. In a rolling restart,
 /// daemons that have already been restarted take over first, since they are likely
 /// to stay up.
-fn pending_restart_delay(gateway: &Gateway, term: &TermRecord) -> TimeSpan {
+fn pending_restart_delay(gateway: &Gateway, stored: &StoredTerm) -> TimeSpan {
+    let Some(term) = stored.current() else {
+        return TimeSpan::ZERO;
+    };
     let has_restarted = gateway.incarnation.0 > term.incarnation.0 + SIMULTANEOUS_START_MILLIS;
     if term.released && !has_restarted {
         PENDING_RESTART_DELAY
@@ -170,25 +173,27 @@
     let stored = newest_term(&tail, &gateway.logger);
     let now = clock::now();
     if let Some(stored) = &stored {
-        observer.record(stored.offset, stored.term.released, now);
+        observer.record(stored.position, stored.is_released(), now);
     }
-    let term = stored.map(|stored| stored.term);
     let window = LeaseWindow::new(gateway.settings().bounds.lease);
     let is_candidate = !gateway.stopping.get() && !gateway.coordinator.is_active();
-    let restart_delay = term
-        .as_ref()
-        .map_or(TimeSpan::ZERO, |term| pending_restart_delay(gateway, term));
-    let delay = takeover_delay(gateway);
-    let holds_term = term.as_ref().is_some_and(|term| {
-        let settings = gateway.settings();
-        term.is_held_by(&settings.daemon, settings.peers)
+    let restart_delay = stored.as_ref().map_or(TimeSpan::ZERO, |stored| {
+        pending_restart_delay(gateway, stored)
     });
+    let delay = takeover_delay(gateway);
+    let settings = gateway.settings();
+    let holds_term = stored
+        .as_ref()
+        .and_then(StoredTerm::current)
+        .is_some_and(|term| term.is_held_by(&settings.daemon, settings.peers));
     let has_waited = now.since(started) >= delay;
     let may_begin = has_waited && observer.may_take_over(&window, now - (delay + restart_delay));
     if is_candidate && (holds_term || may_begin) {
-        let former = term.as_ref().map(|term| &term.daemon);
-        return take_over(gateway, former, tail.end.offset).await;
+        let former = stored.as_ref().and_then(|stored| stored.term.as_ref());
+        let former = former.map(|term| &term.daemon);
+        return take_over(gateway, former, tail.end).await;
     }
+    let term = stored.and_then(|stored| stored.term);
     term.filter(|term| !term.released).map(|term| term.peers)
 }
 
@@ -255,7 +260,7 @@
                     if view.store_outage {
                         observer.record_outage();
                     } else {
-                        observer.record(view.renewal_offset, false, clock::now());
+                        observer.record(view.renewal, false, clock::now());
                     }
                     let is_outdated = apply_view(gateway, &view);
                     if was_outdated && !is_outdated {
--- a/crates/ward-stage/tests/store.rs
+++ b/crates/ward-stage/tests/store.rs
@@ -7,6 +7,7 @@
 use googletest::prelude::*;
 use tokio::task::JoinSet;
 use ward_adapter::{NewRecord, StoreClient, StoreTopic};
+use ward_fleet::{StoreEra, StorePosition};
 use ward_protocol::TimeSpan;
 use ward_stage::StageStore;
 
@@ -26,6 +27,10 @@
         .map(|_| StoreClient::new(store.address(), CALL_TIMEOUT))
         .collect();
     for offset in 0..ROUNDS {
+        let end = StorePosition {
+            era: StoreEra(0),
+            offset,
+        };
         let mut appends = JoinSet::new();
         for client in clients.clone() {
             appends.spawn(async move {
@@ -36,11 +41,11 @@
                     value,
                 }];
                 let topic = StoreTopic::Coordinator;
-                client.append_at(topic, &records, offset).await
+                client.append_at(topic, &records, end).await
             });
         }
         let results = appends.join_all().await;
         let accepted: Vec<_> = results.into_iter().filter_map(Result::ok).collect();
-        assert_that!(accepted, elements_are![eq(&offset)], "at {offset}");
+        assert_that!(accepted, elements_are![eq(&end)], "at {offset}");
     }
 }
