What the store may have forgotten is written to it again

What could be seen: a request that crashes engines reaches them again, and streams are refused or go on at another version, after the store came back from a copy and all daemons restarted. Cause: the fleet record (blocks, software versions, number of daemons) and the origins of streams were compared with what was once acknowledged, and not written again. Class: an acknowledgement taken for good.

The coordinator writes the fleet record with its first renewal in the new era. Each daemon writes its streams again once it knows the era, at its usual interval, which spreads 370 daemons over nine seconds, 40 writes a second.

--- a/crates/ward-daemon/tests/gateway/restored.rs
+++ b/crates/ward-daemon/tests/gateway/restored.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use rustix::process::Signal;
+use ward_adapter::StoreTopic;
 use ward_fleet::ManifestVersion;
 use ward_stage::{
     CallerRequest, CrashKind, EngineFault, Stage, StageCaller, StagePlan, StoreCopy, StoreFault,
@@ -169,6 +170,28 @@
     }
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_store_forgot_where_streams_come_from() {
+    let plan = StagePlan {
+        models: 1,
+        software: &["v1", "v2"],
+        ..StagePlan::default()
+    };
+    let mut stage = stage("restored-streams", &plan).await;
+    wait_until_all_joined(&stage).await;
+    let copy = stage.store.copy();
+    let request = CallerRequest::new("begun", "/quote/a", Some(&Stage::model_name(0)));
+    send(&stage, 0, &request).await.unwrap();
+    let is_written = |stage: &Stage| {
+        let keys = stage.store.keys(StoreTopic::Streams);
+        keys.iter().any(|key| key == "host-0")
+    };
+    wait_until("the streams in the store", || is_written(&stage)).await;
+    restore(&mut stage, copy, |_| ()).await;
+    wait_until("the streams in the store again", || is_written(&stage)).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn restored_store_brought_back_an_engine_that_had_left() {
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -246,6 +246,8 @@
                 gateway.logger, "coordinator: the store forgot the term, which goes on";
                 "fence" => lease.fence.0, "era" => era.0,
             );
+            // The fleet record may be forgotten, too.
+            coordinator.stored_fleet.set(None);
         }
         coordinator.lease.borrow_mut().next = tail.end;
         return true;
--- a/crates/ward-gateway/src/streams/store.rs
+++ b/crates/ward-gateway/src/streams/store.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Mutex;
 use ward_adapter::{NewRecord, StoreError, StoreRecord, StoreTopic};
 use ward_fleet::streams::NoteSource;
-use ward_fleet::{StreamNote, StreamRecord};
+use ward_fleet::{StoreEra, StreamNote, StreamRecord};
 use ward_protocol::codec::{decode, encode};
 use ward_protocol::{CodecError, MonoTime, TimeSpan, WallTime};
 
@@ -52,8 +52,9 @@
     /// Whether this daemon has read the record that an earlier incarnation of it wrote,
     /// which its own record replaces.
     is_restored: Cell<bool>,
-    /// Revision of the streams that were written last.
-    written_revision: Cell<u64>,
+    /// Revision of the streams that were written last, and the newest era of the store
+    /// that was known then.
+    written: Cell<(u64, StoreEra)>,
 }
 
 /// Reads the streams of all daemons, unless that was done just now.
@@ -115,8 +116,12 @@
 pub(crate) async fn persist_now(gateway: &Gateway) {
     let state = &gateway.streams;
     let revision = state.register.borrow().own_revision();
-    let is_written = revision == state.store.written_revision.get();
-    if is_written || !state.versions.borrow().any_has_several() {
+    // A store that came back from a copy since may have forgotten the streams.
+    let current = (revision, gateway.store.era());
+    if revision == 0
+        || current == state.store.written.get()
+        || !state.versions.borrow().any_has_several()
+    {
         return;
     }
     if !state.store.is_restored.get() {
@@ -126,7 +131,7 @@
         return;
     }
     match write_streams(gateway).await {
-        Ok(()) => state.store.written_revision.set(revision),
+        Ok(()) => state.store.written.set(current),
         Err(cause) => {
             warn!(gateway.logger, "stream: streams not written"; "cause" => %cause);
         }
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -109,6 +109,16 @@
         self.state.append(StoreTopic::Engines, id, value);
     }
 
+    /// Keys of a topic's records.
+    #[must_use]
+    pub fn keys(&self, topic: StoreTopic) -> Vec<String> {
+        let partitions = lock(&self.state.partitions);
+        let partition = partitions.get(topic_name(topic));
+        let records = partition.map(Partition::newest_records);
+        let keys = records.into_iter().flatten().map(|record| record.key);
+        keys.collect()
+    }
+
     /// Copies all that the store holds now.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
