A list of the store doesn't bring back engines that are gone

Cause: a daemon that becomes coordinator takes all entries that the store lists, and so does the reader of a daemon that has followed views and has few heartbeats of its own to compare with.

The table of engines now remembers the incarnations that were removed, by a read or by a view. An entry of one in a list is ignored; if the engine does live, its next heartbeat comes as a change and counts.

--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -1,6 +1,6 @@
 //! Engines known to a daemon, with their running requests and health.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use ward_protocol::{AdapterName, BackendId, ModelName, MonoTime, ServiceName};
 
 use crate::crash::EngineIncarnation;
@@ -8,7 +8,7 @@
 use crate::limit::{LimitLedger, PermitStore};
 use crate::message::{EngineInfo, EngineLoad, FleetView, RunningCount};
 
-/// Maximum number of engines remembered as leaving.
+/// Maximum number of engines remembered as leaving, and of those remembered as gone.
 const MAX_LEAVING: usize = 4_096;
 
 /// One engine as this daemon sees it.
@@ -70,6 +70,9 @@
     /// Incarnations that announced that they are leaving, including those of
     /// engines no longer listed, because stale information may list them again.
     leaving: IndexMap<BackendId, EngineIncarnation>,
+    /// Incarnations that were removed. A list of the store may name them again, if it
+    /// came back from an older copy.
+    departed: IndexMap<BackendId, EngineIncarnation>,
     /// Limits that engines have named.
     pub limits: LimitLedger,
     /// This daemon's permits to send requests to limited engines.
@@ -104,6 +107,7 @@
     /// Adds or updates an engine. An engine that began to drain keeps draining
     /// until its incarnation ends, even if stale information says otherwise.
     pub fn insert(&mut self, mut info: EngineInfo) {
+        self.departed.shift_remove(&info.id);
         info.draining |= self.is_leaving(&EngineIncarnation::from(&info));
         let Some(known) = self.engines.get_mut(&info.id) else {
             self.engines
@@ -161,7 +165,21 @@
 
     /// Removes an engine; returns whether it was known.
     pub fn remove(&mut self, id: &BackendId) -> bool {
-        self.engines.shift_remove(id).is_some()
+        let Some(engine) = self.engines.shift_remove(id) else {
+            return false;
+        };
+        if self.departed.len() >= MAX_LEAVING {
+            self.departed.shift_remove_index(0);
+        }
+        let incarnation = EngineIncarnation::from(&engine.info);
+        self.departed.insert(id.clone(), incarnation);
+        true
+    }
+
+    /// Whether an engine incarnation was removed and has not come back since.
+    #[must_use]
+    pub fn has_departed(&self, incarnation: &EngineIncarnation) -> bool {
+        self.departed.get(&incarnation.engine) == Some(incarnation)
     }
 
     /// Removes the engines that do not match a predicate.
@@ -188,8 +206,11 @@
 
     fn apply_engines(&mut self, view: &FleetView) {
         if view.complete {
-            let listed = |id: &BackendId| view.engines.iter().any(|info| info.id == *id);
-            self.engines.retain(|id, _| listed(id));
+            let listed: IndexSet<_> = view.engines.iter().map(|info| &info.id).collect();
+            let known: Vec<_> = self.engines.keys().cloned().collect();
+            for id in known.iter().filter(|id| !listed.contains(id)) {
+                self.remove(id);
+            }
         }
         for info in &view.engines {
             // Lapsed engines stay in the view for a while, but this daemon may
--- a/crates/ward-fleet/tests/table.rs
+++ b/crates/ward-fleet/tests/table.rs
@@ -115,3 +115,21 @@
     table.insert_entry(info("e1", &["m1"]), true);
     expect_true!(is_used(&table), "no coordinator knows better");
 }
+
+#[gtest]
+fn has_departed_until_the_engine_is_inserted_again() {
+    let mut table = EngineTable::default();
+    let engine = info("e1", &["m1"]);
+    let incarnation = EngineIncarnation::from(&engine);
+    table.insert(engine.clone());
+    expect_false!(table.has_departed(&incarnation));
+    table.apply(&view(true, vec![]), false);
+    expect_true!(table.has_departed(&incarnation));
+    let restarted = EngineIncarnation {
+        birth: Some(EngineBirth(2)),
+        ..incarnation.clone()
+    };
+    expect_false!(table.has_departed(&restarted));
+    table.insert(engine);
+    expect_false!(table.has_departed(&incarnation));
+}
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -22,6 +22,7 @@
 use super::worker::spawn_task;
 use crate::clock;
 use crate::gateway::Gateway;
+use crate::sync::has_departed;
 
 /// Time between two plans unless one is requested.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
@@ -89,6 +90,9 @@
             // `sync_engines` logs invalid entries.
             continue;
         };
+        if has_departed(gateway, &entry) {
+            continue;
+        }
         let table = gateway.table.borrow();
         let known = table
             .get(&entry.id)
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -11,7 +11,9 @@
 use indexmap::IndexMap;
 use slog::{debug, info, warn};
 use ward_adapter::{StoreError, StoreRecord, StoreTail, StoreTopic, decode_entry};
-use ward_fleet::{EngineBirth, EngineEntry, EngineInfo, HeartbeatCount, StorePosition};
+use ward_fleet::{
+    EngineBirth, EngineEntry, EngineIncarnation, EngineInfo, HeartbeatCount, StorePosition,
+};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use crate::clock;
@@ -97,10 +99,10 @@
         };
         match result {
             Ok(read) => {
-                let EngineRead { tail, complete } = read;
+                let EngineRead { tail, scope } = read;
                 gateway.metrics.count_store_call(true);
                 self.next_position = Some(tail.end);
-                self.apply_tail(gateway, &tail, complete);
+                self.apply_tail(gateway, &tail, scope);
                 gateway.last_read.set(Some(now));
                 let streak = gateway.consecutive_reads.get().saturating_add(1);
                 gateway.consecutive_reads.set(streak);
@@ -124,17 +126,17 @@
         }
     }
 
-    fn apply_tail(&mut self, gateway: &Gateway, tail: &StoreTail, complete: bool) {
+    fn apply_tail(&mut self, gateway: &Gateway, tail: &StoreTail, scope: ReadScope) {
         let mut listed = Vec::new();
         for record in &tail.records {
             listed.push(record.key.as_str());
             if record.value.is_empty() {
                 self.handle_missing(gateway, &record.key);
             } else {
-                self.insert(gateway, record);
+                self.insert(gateway, record, scope);
             }
         }
-        if complete {
+        if scope == ReadScope::All {
             let missing: Vec<_> = gateway
                 .table
                 .borrow()
@@ -148,7 +150,7 @@
         }
     }
 
-    fn insert(&mut self, gateway: &Gateway, record: &StoreRecord) {
+    fn insert(&mut self, gateway: &Gateway, record: &StoreRecord, scope: ReadScope) {
         let entry = match decode_entry(&record.key, &record.value) {
             Ok(entry) => entry,
             Err(cause) => {
@@ -177,6 +179,13 @@
             return;
         }
         self.newest_heartbeats.insert(entry.id.clone(), position);
+        if scope != ReadScope::Changes && has_departed(gateway, &entry) {
+            info!(
+                gateway.logger, "engines: entry of one that is gone ignored";
+                "engine" => %entry.id, "heartbeat" => entry.heartbeat.0,
+            );
+            return;
+        }
         self.lapsed.shift_remove(&entry.id);
         apply_entry(gateway, &entry);
     }
@@ -220,8 +229,29 @@
 /// Result of one read of engines.
 struct EngineRead {
     tail: StoreTail,
-    /// Whether all engines are listed, so that missing ones are gone.
-    complete: bool,
+    scope: ReadScope,
+}
+
+/// What a read of engines contains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadScope {
+    /// What was written since the last read.
+    Changes,
+    /// The newest entries of some engines.
+    FirstPage,
+    /// The newest entries of all engines, so that missing ones are gone.
+    All,
+}
+
+/// Whether an entry is one of an engine incarnation that is known to be gone. The list of a
+/// store that came back from an older copy may name it; if the engine does live, it soon
+/// writes another heartbeat.
+pub(crate) fn has_departed(gateway: &Gateway, entry: &EngineEntry) -> bool {
+    let incarnation = EngineIncarnation {
+        engine: entry.id.clone(),
+        birth: entry.birth,
+    };
+    gateway.table.borrow().has_departed(&incarnation)
 }
 
 /// Reads the changes from a position on.
@@ -232,7 +262,7 @@
         .await?;
     Ok(EngineRead {
         tail,
-        complete: false,
+        scope: ReadScope::Changes,
     })
 }
 
@@ -248,14 +278,14 @@
         if gateway.receives_view_within(timeout).await {
             return Ok(EngineRead {
                 tail: first.tail,
-                complete: false,
+                scope: ReadScope::FirstPage,
             });
         }
     }
     let tail = store.newest_from_page(StoreTopic::Engines, first).await?;
     Ok(EngineRead {
         tail,
-        complete: true,
+        scope: ReadScope::All,
     })
 }
 
--- a/crates/ward-gateway/src/sync/mod.rs
+++ b/crates/ward-gateway/src/sync/mod.rs
@@ -4,6 +4,6 @@
 mod era;
 mod manifest;
 
-pub(crate) use engines::sync_engines;
+pub(crate) use engines::{has_departed, sync_engines};
 pub(crate) use era::watch_store_era;
 pub(crate) use manifest::sync_manifest;
