A daemon that starts without a coordinator asks a peer for the manifest

Found by a second run of the tests of a restored store: a former coordinator that restarted after the restore kept the older manifest for the two seconds of the test. Its own log shows why: its term record is one of an earlier era, so it waits before it takes over, as it must, and nobody tells it which version others have. If the store has ever come back from a copy, a daemon whose first manifest comes from it while it has no current view now asks one peer. The test that failed once is split in two, for the coordinator and for another daemon, so that each case is played every time; the first failed in each run before (404) and passes.

--- a/crates/ward-daemon/tests/gateway/restored.rs
+++ b/crates/ward-daemon/tests/gateway/restored.rs
@@ -103,21 +103,34 @@
     expect_served_soon(&stage, "/fourth/a").await;
 }
 
-#[gtest]
-#[tokio::test(flavor = "multi_thread")]
-async fn restored_store_gave_an_older_configuration_to_a_daemon_that_started() {
-    let mut stage = stage("restored-start", &StagePlan::default()).await;
-    wait_until_all_joined(&stage).await;
+/// Restarts a daemon after the store came back from a copy, before the operator has
+/// written again, and expects that it serves what the others do. `pick` chooses the daemon
+/// by the coordinator's index.
+async fn expect_newest_after_restart(test: &str, pick: impl FnOnce(usize) -> usize) {
+    let mut stage = stage(test, &StagePlan::default()).await;
+    let coordinator = wait_until_all_joined(&stage).await;
     let copy = stage.store.copy();
     add_route(&mut stage, "late");
     expect_served_soon(&stage, "/late/a").await;
     restore(&mut stage, copy, |_| ()).await;
-    // The operator has not written again yet.
-    stage.daemons[0].restart().unwrap();
+    stage.daemons[pick(coordinator)].restart().unwrap();
     stage.wait_ready().await.unwrap();
     expect_served_soon(&stage, "/late/a").await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_store_gave_an_older_configuration_to_a_daemon_that_started() {
+    let other = |coordinator: usize| (coordinator + 1) % 3;
+    expect_newest_after_restart("restored-start", other).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restored_store_gave_an_older_configuration_to_a_coordinator_that_started() {
+    expect_newest_after_restart("restored-coordinator", |coordinator| coordinator).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn restored_store_let_a_former_coordinator_go_on() {
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -68,8 +68,9 @@
                     gateway.store_recovered.notify_waiters();
                 }
                 next_position = Some(tail.end);
+                let is_first = gateway.manifest().is_none();
                 adopt_newest(&gateway, &tail);
-                if is_store_outdated(&gateway) {
+                if is_store_outdated(&gateway) || (is_first && may_store_be_outdated(&gateway)) {
                     request_snapshot(&gateway).await;
                 }
             }
@@ -152,6 +153,12 @@
     gateway.newest_manifest.get() > ManifestVersion::default() && is_outdated(gateway)
 }
 
+/// Whether the store has come back from a copy at some time, and no coordinator tells
+/// whether other daemons have a newer manifest.
+fn may_store_be_outdated(gateway: &Gateway) -> bool {
+    gateway.store.era() > StoreEra::default() && !gateway.has_current_view()
+}
+
 async fn read_manifest(
     gateway: &Gateway,
     next_position: Option<StorePosition>,
