A daemon out of step doesn't continue a stream at the only version it knows

Cause: the only known version was taken if the list of engines was fresh, even when no other daemon answered, and without asking any for a request that names no stream; or if a keeper answered, however old the list. Class: absence of evidence, in a list that may be a moment old, taken for evidence. Both are needed now: a fresh list, and the answer of another daemon, which names the versions that it knows. Otherwise the request is refused as not run, and its caller may take the stream up elsewhere.

--- a/crates/ward-daemon/tests/gateway/stream_keepers.rs
+++ b/crates/ward-daemon/tests/gateway/stream_keepers.rs
@@ -73,6 +73,34 @@
     expect_refused(&stage, 0, &request).await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_out_of_step_continued_a_stream_of_another_version() {
+    let plan = StagePlan {
+        models: 1,
+        ..StagePlan::default()
+    };
+    let stage = stage("stream-step", &plan).await;
+    wait_until_all_joined(&stage).await;
+    // The daemons that know of the further version can't be reached; the list of engines
+    // at daemon 0 is a moment old.
+    for keeper in &stage.daemons[1..] {
+        let message = MemberMessage::RecordStreams(news_of_other_version());
+        call(keeper.settings().peers, &message).await;
+        keeper.signal(Signal::STOP).unwrap();
+    }
+    for (id, first_try) in [("named", Some(FIRST_TRY)), ("unnamed", None)] {
+        let mut request = CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)));
+        request.headers = resume_headers(first_try, 2);
+        let answer = send(&stage, 0, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE), "{id}");
+        expect_that!(stage.ledger.runs_of(id).len(), eq(0), "{id}");
+    }
+    for keeper in &stage.daemons[1..] {
+        keeper.signal(Signal::CONT).unwrap();
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn keeper_answers_where_a_stream_comes_from() {
--- a/crates/ward-gateway/src/streams/find.rs
+++ b/crates/ward-gateway/src/streams/find.rs
@@ -64,17 +64,15 @@
     }
     // The keepers are asked also while this daemon knows of one version only: the daemon
     // that forwarded the stream may have seen another one earlier.
-    let is_current = knows_engines(gateway);
-    let has_answer = if key.is_some() || !is_current {
-        ask_keepers(gateway, key).await
-    } else {
-        false
-    };
+    let has_answer = ask_keepers(gateway, key).await;
     if let Some(origin) = key.and_then(|key| state.known_origin(key)) {
         return Some((origin, OriginSource::Keeper));
     }
-    // A daemon cut off from the store may have missed a version; the answers name it.
-    if (is_current || has_answer)
+    // A daemon that is out of step may have missed a version. It needs both a list of
+    // engines that is up to date and the answer of another daemon, which names the
+    // versions that it knows.
+    if has_answer
+        && knows_engines(gateway)
         && let Some(origin) = state.only_origin(service)
     {
         return Some((origin, OriginSource::OnlyVersion));
