A key with any characters continues the list of the store

The last key of a page went into the query as it is: a key with a space, & or # of another writer at the end of a page made the URI invalid or named another key, and the list of engines was never read again (more than 500 entries, so only on large sites).

--- a/crates/ward-daemon/tests/gateway/restored.rs
+++ b/crates/ward-daemon/tests/gateway/restored.rs
@@ -26,7 +26,7 @@
 /// Adds a route that leads to the plain service, with the next version.
 fn add_route(stage: &mut Stage, name: &str) {
     let mut route = stage.manifest.routes.last().unwrap().clone();
-    route.name = name.to_owned();
+    name.clone_into(&mut route.name);
     route.prefix = format!("/{name}/");
     stage.manifest.routes.push(route);
     stage.manifest.version = ManifestVersion(stage.manifest.version.0 + 1);
--- a/crates/ward-fleet/tests/lease.rs
+++ b/crates/ward-fleet/tests/lease.rs
@@ -1,5 +1,7 @@
 //! When a coordinator may give orders, and when a successor may take over.
 
+#![allow(clippy::unwrap_used)]
+
 mod support;
 
 use googletest::prelude::*;
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -22,6 +22,9 @@
 use crate::reply::{AbortConnection, StageBody, full_response};
 use crate::serve::{StageServer, serve};
 
+/// Maximum number of records in a page of the newest ones.
+const PAGE_RECORDS: usize = 500;
+
 /// Fault of the store, for all its calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreFault {
@@ -267,13 +270,18 @@
         ))
     }
 
-    fn read_newest(&self, topic: StoreTopic) -> Response<StageBody> {
+    fn read_newest(&self, topic: StoreTopic, after: Option<&str>) -> Response<StageBody> {
         let partitions = lock(&self.partitions);
         let empty = Partition::default();
         let partition = partitions.get(topic_name(topic)).unwrap_or(&empty);
+        let records = partition.newest_records();
+        let former = after.and_then(|key| records.iter().position(|record| record.key == key));
+        let rest = &records[former.map_or(0, |position| position + 1)..];
+        let page = &rest[..rest.len().min(PAGE_RECORDS)];
+        let truncated = page.len() < rest.len();
         full_response(
             StatusCode::OK,
-            newest_answer(&partition.newest_records(), partition.end),
+            newest_answer(page, truncated, partition.end),
         )
     }
 }
@@ -327,7 +335,7 @@
             Ok(response)
         }
         Some(StoreCall::Read(topic, from, wait)) => state.read(topic, from, wait).await,
-        Some(StoreCall::Newest(topic)) => Ok(state.read_newest(topic)),
+        Some(StoreCall::Newest(topic, after)) => Ok(state.read_newest(topic, after.as_deref())),
         None => Ok(full_response(StatusCode::NOT_FOUND, Bytes::new())),
     }
 }
--- a/crates/ward-stage/tests/store.rs
+++ b/crates/ward-stage/tests/store.rs
@@ -49,3 +49,28 @@
         assert_that!(accepted, elements_are![eq(&end)], "at {offset}");
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn newest_page_after_an_odd_key_was_never_read() {
+    for odd in [
+        "two words",
+        "a&part=1",
+        "a#b",
+        "a=b%20c+d",
+        "žiga",
+        "\"quoted\"",
+    ] {
+        let store = StageStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST))
+            .await
+            .unwrap();
+        let names = (0..499).map(|number| format!("i-{number}"));
+        for key in names.chain([odd.to_owned(), "i-last".to_owned()]) {
+            store.put_entry(&key, Some("{}".to_owned()));
+        }
+        let client = StoreClient::new(store.address(), CALL_TIMEOUT);
+        let tail = client.newest(StoreTopic::Engines).await;
+        let last = tail.ok().and_then(|tail| tail.records.last().cloned());
+        expect_that!(last.map(|record| record.key), some(eq("i-last")), "{odd}");
+    }
+}
