A daemon that shuts down takes no request that is unlikely to end in time

Cause: for 45% of the grace period each request was taken, however long its answers last. What a route's answers take is known: a moving average of the time from arrival to end, plus four mean deviations, as in TCP's retransmission timeout. During a stop, a request whose bound lies beyond the end of the process is refused at once, as not run, with a Retry-After of 50 ms, since other daemons can serve it. The same holds with any grace period. The longest answer of late was tried as the bound, and dropped: one outlier would turn away a route from SIGTERM on.

request_that_could_not_end_before_the_stop_was_taken failed before (the stream was cut after four of five events) and passes; one that can end in time is served.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod restored;
 mod resumed;
 mod soak;
+mod stopping;
 mod stream_keepers;
 mod support;
 mod unframed;
--- a/crates/ward-fleet/src/queue.rs
+++ b/crates/ward-fleet/src/queue.rs
@@ -7,6 +7,9 @@
 //! Priority decides between requests that must start at the same time, and
 //! between late requests. Late requests come after all that can still be on
 //! time.
+//!
+//! How long answers of each kind take decides, too, which requests a daemon still takes
+//! while it shuts down.
 
 use ward_protocol::{MonoTime, TimeSpan};
 
@@ -68,6 +71,9 @@
 
 /// Estimate of the time to the first part of an answer before the first sample.
 const DEFAULT_FIRST_PART: TimeSpan = TimeSpan::from_millis(80);
+/// Mean deviations above the mean that few answers exceed, as in the retransmission
+/// timeout of TCP.
+const TAIL_DEVIATIONS: f64 = 4.0;
 /// Weight of the latest sample in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -85,27 +91,61 @@
     deviation: f64,
 }
 
-impl FirstPartTime {
-    /// Adds the measured time of one request.
-    pub fn record(&mut self, span: TimeSpan) {
+impl AverageTime {
+    /// The averages with one more sample.
+    fn with_sample(averages: Option<Self>, span: TimeSpan) -> Self {
         let millis = span.seconds() * 1_000.0;
-        let mut averages = self.averages.unwrap_or(AverageTime {
+        let mut averages = averages.unwrap_or(Self {
             mean: millis,
             deviation: 0.0,
         });
         let difference = millis - averages.mean;
         averages.mean += NEWEST_WEIGHT * difference;
         averages.deviation += NEWEST_WEIGHT * (difference.abs() - averages.deviation);
-        self.averages = Some(averages);
+        averages
+    }
+
+    /// The mean plus a multiple of the mean deviation.
+    fn bound(&self, deviations: f64) -> TimeSpan {
+        secs_to_span((self.mean + deviations * self.deviation) / 1_000.0)
+    }
+}
+
+impl FirstPartTime {
+    /// Adds the measured time of one request.
+    pub fn record(&mut self, span: TimeSpan) {
+        self.averages = Some(AverageTime::with_sample(self.averages, span));
     }
 
     /// Expected time: mean plus mean deviation, which most requests stay below;
     /// a default before the first sample.
     #[must_use]
     pub fn expected(&self) -> TimeSpan {
-        let averages = self
-            .averages
-            .map(|averages| averages.mean + averages.deviation);
-        averages.map_or(DEFAULT_FIRST_PART, |millis| secs_to_span(millis / 1_000.0))
+        let averages = self.averages;
+        averages.map_or(DEFAULT_FIRST_PART, |averages| averages.bound(1.0))
+    }
+}
+
+/// Estimates how long whole answers take from the arrival of their requests, for requests
+/// of one kind.
+///
+/// Load pattern: a daemon shuts down while requests arrive. One that is unlikely to end
+/// before the process does had better go to another daemon at once.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct AnswerTime {
+    averages: Option<AverageTime>,
+}
+
+impl AnswerTime {
+    /// Adds the measured time of one answer.
+    pub fn record(&mut self, span: TimeSpan) {
+        self.averages = Some(AverageTime::with_sample(self.averages, span));
+    }
+
+    /// Time that few answers exceed; zero before the first sample.
+    #[must_use]
+    pub fn bound(&self) -> TimeSpan {
+        let averages = self.averages;
+        averages.map_or(TimeSpan::ZERO, |averages| averages.bound(TAIL_DEVIATIONS))
     }
 }
--- a/crates/ward-fleet/tests/queue.rs
+++ b/crates/ward-fleet/tests/queue.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use support::at;
-use ward_fleet::queue::{FirstPartTime, QueueRank, RequestTimes};
+use ward_fleet::queue::{AnswerTime, FirstPartTime, QueueRank, RequestTimes};
 use ward_protocol::TimeSpan;
 
 fn times(target: u64, first_part: u64) -> RequestTimes {
@@ -71,3 +71,18 @@
     time.record(TimeSpan::from_millis(900));
     expect_that!(time.expected().millis(), gt(steady));
 }
+
+#[gtest]
+fn answer_time_bound_lies_above_most_of_a_wide_distribution() {
+    let mut time = AnswerTime::default();
+    expect_that!(time.bound(), eq(TimeSpan::ZERO));
+    time.record(TimeSpan::from_millis(2_000));
+    expect_that!(time.bound(), eq(TimeSpan::from_millis(2_000)));
+    // One answer of ten is long.
+    for number in 0..200 {
+        let millis = if number % 10 == 0 { 4_500 } else { 800 };
+        time.record(TimeSpan::from_millis(millis));
+    }
+    expect_that!(time.bound(), gt(TimeSpan::from_millis(2_500)));
+    expect_that!(time.bound(), lt(TimeSpan::from_millis(6_000)));
+}
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -27,6 +27,8 @@
 /// Minimum time that an engine needs for a request. A request that has no slot this
 /// long before its answer must begin is refused.
 const MIN_SERVICE_TIME: TimeSpan = TimeSpan::from_millis(60);
+/// Retry-After of a request that another daemon can serve at once.
+const STOP_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(50);
 /// Engine priority of routes with the most urgent priority, zero.
 const MOST_URGENT_PRIORITY: u32 = 1;
 /// Engine priority of the least urgent routes.
@@ -143,6 +145,12 @@
         fingerprint: fingerprint(&head.uri, &body),
         parts: routed.fields.shared_parts.as_slice().into(),
     };
+    if !can_end_in_time(gateway, &routed) {
+        return Err(refuse(
+            OwnAnswer::NotRun(STOP_RETRY_AFTER),
+            "the daemon is shutting down, and its answer may take too long",
+        ));
+    }
     // A blocked request must not count as demand for its model either, so this
     // precedes `record_arrival`.
     if let Some(block) = request_block(gateway, &identity) {
@@ -175,6 +183,16 @@
     job.run(gateway).await
 }
 
+/// Whether the answer to a request is likely to end before the process does; always true
+/// unless the daemon is shutting down.
+fn can_end_in_time(gateway: &Gateway, routed: &RoutedRequest) -> bool {
+    let Some(deadline) = gateway.stop_deadline.get() else {
+        return true;
+    };
+    let bound = gateway.queue.answer_time_bound(&routed.route.name);
+    clock::now() + bound.min(routed.timeout) < deadline
+}
+
 async fn read_body(body: Incoming, limit: usize, timeout: TimeSpan) -> Result<Bytes, Refusal> {
     let collected = Limited::new(body, limit).collect();
     match tokio::time::timeout(timeout.duration(), collected).await {
@@ -235,6 +253,7 @@
 ) -> WaitTicket {
     WaitTicket {
         identity,
+        route: routed.route.name.as_str().into(),
         service: routed.service.clone(),
         model: routed.fields.model.clone(),
         adapter: routed.fields.adapter.clone(),
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -93,6 +93,8 @@
     pub(crate) report_requested: Notify,
     /// Whether the daemon is shutting down.
     pub(crate) stopping: Cell<bool>,
+    /// When the process ends; `None` unless it is shutting down.
+    pub(crate) stop_deadline: Cell<Option<MonoTime>>,
     /// Address of the last coordinator that this daemon connected to, or that a
     /// snapshot named.
     pub(crate) coordinator_address: Cell<Option<SocketAddr>>,
@@ -161,6 +163,7 @@
             engines_known: Cell::default(),
             report_requested: Notify::new(),
             stopping: Cell::default(),
+            stop_deadline: Cell::default(),
             coordinator_address: Cell::default(),
             manifest: RefCell::default(),
             manifest_text: RefCell::default(),
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, oneshot};
 use ward_fleet::choice::{EngineChoice, spare_engine};
 use ward_fleet::flow::RequestFlow;
-use ward_fleet::queue::FirstPartTime;
+use ward_fleet::queue::{AnswerTime, FirstPartTime};
 use ward_fleet::{ChoiceContext, HostSettings, SlowModel, WaitingCount, choose_engine};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
@@ -50,6 +50,8 @@
     flows: RefCell<IndexMap<WaitKey, RequestFlow>>,
     /// Time to the first part of an answer, by name of the route.
     first_parts: RefCell<IndexMap<String, FirstPartTime>>,
+    /// Time to the end of an answer, by name of the route.
+    answer_times: RefCell<IndexMap<Rc<str>, AnswerTime>>,
     /// When the models that no engine holds and that must come from the weight store are
     /// expected to be ready.
     slow_models: RefCell<IndexMap<ModelKey, MonoTime>>,
@@ -136,6 +138,21 @@
         }
     }
 
+    /// Time from a request's arrival to the end of its answer that few answers on a route
+    /// exceed; zero if there was none.
+    pub(crate) fn answer_time_bound(&self, route: &str) -> TimeSpan {
+        let times = self.answer_times.borrow();
+        times.get(route).copied().unwrap_or_default().bound()
+    }
+
+    /// Records a complete answer.
+    fn record_answer_end(&self, ticket: &WaitTicket) {
+        let span = clock::now().since(ticket.arrival);
+        let mut times = self.answer_times.borrow_mut();
+        let time = times.entry(Rc::clone(&ticket.route)).or_default();
+        time.record(span);
+    }
+
     /// Replaces the models that no engine holds and that must come from the weight store.
     pub(crate) fn set_slow_models(&self, slow: &[SlowModel], now: MonoTime) {
         let ready = slow.iter().map(|slow| {
@@ -158,8 +175,8 @@
         (ready > ticket.times.latest_start()).then(|| ready.since(clock::now()))
     }
 
-    /// Removes idle request flows, and clears the recorded times to the first part of an
-    /// answer if they cover more than `MAX_TRACKED_ROUTES` routes.
+    /// Removes idle request flows, and clears the recorded times of answers if they cover
+    /// more than `MAX_TRACKED_ROUTES` routes.
     pub(crate) fn sweep(&self) {
         let now = clock::now();
         let mut first_parts = self.first_parts.borrow_mut();
@@ -167,6 +184,11 @@
             first_parts.clear();
         }
         drop(first_parts);
+        let mut answer_times = self.answer_times.borrow_mut();
+        if answer_times.len() > MAX_TRACKED_ROUTES {
+            answer_times.clear();
+        }
+        drop(answer_times);
         self.flows.borrow_mut().retain(|_, flow| !flow.is_idle(now));
     }
 
--- a/crates/ward-gateway/src/queue/slot.rs
+++ b/crates/ward-gateway/src/queue/slot.rs
@@ -145,6 +145,7 @@
         match self.run.get() {
             RunState::NotRun | RunState::Failed => {}
             RunState::Answered => {
+                self.gateway.queue.record_answer_end(&self.ticket);
                 let began_at = self.answer_began.get();
                 record_answered(&self.gateway, &self.ticket.identity, began_at);
             }
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct WaitTicket {
     pub(crate) identity: RequestIdentity,
+    /// Name of the route.
+    pub(crate) route: Rc<str>,
     pub(crate) service: ServiceName,
     pub(crate) model: Option<ModelName>,
     pub(crate) adapter: Option<AdapterName>,
--- a/crates/ward-gateway/src/stop.rs
+++ b/crates/ward-gateway/src/stop.rs
@@ -10,14 +10,15 @@
 use ward_adapter::{parse_settings, settings_path};
 use ward_protocol::TimeSpan;
 
+use crate::clock;
 use crate::coordinator::release_term;
 use crate::front::ConnectionTracker;
 use crate::gateway::Gateway;
 use crate::streams::persist_now;
 
 /// Percentage of the grace period in which new requests are still accepted:
-/// callers may keep using the address for a while, and the last accepted request
-/// must have time to finish.
+/// callers may keep using the address for a while. Those that are unlikely to end
+/// before the process does are refused at once.
 const ACCEPT_PERCENT_OF_GRACE: u32 = 45;
 /// Time before the end of the grace period at which the process exits.
 const SHUTDOWN_MARGIN: TimeSpan = TimeSpan::from_millis(300);
@@ -42,6 +43,8 @@
     let grace = gateway.settings().bounds.stop_grace;
     info!(gateway.logger, "stop: begins"; "grace" => %grace, "connections" => tracker.open());
     gateway.stopping.set(true);
+    let lifetime = grace.saturating_sub(SHUTDOWN_MARGIN);
+    gateway.stop_deadline.set(Some(clock::now() + lifetime));
     gateway.report_requested.notify_one();
     release_term(&gateway).await;
     persist_now(&gateway).await;
@@ -49,7 +52,7 @@
     info!(gateway.logger, "stop: takes no more"; "connections" => tracker.open());
     tracker.close_all();
     gateway.queue.close();
-    let deadline = start + grace.duration().saturating_sub(SHUTDOWN_MARGIN.duration());
+    let deadline = start + lifetime.duration();
     while Instant::now() < deadline && tracker.open() > 0 {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -41,6 +41,10 @@
 pub const SLOW_PATH: &str = "slow";
 /// Time before each event of a slow stream.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(300);
+/// Part of the path of requests whose streams last almost as long as a route allows.
+pub const SLOWEST_PATH: &str = "slowest";
+/// Time before each event of such a stream.
+const SLOWEST_EVENT_INTERVAL: Duration = Duration::from_millis(450);
 /// Pause that [`EngineFault::CrossedPause`] asks for.
 const CROSSED_PAUSE: Duration = Duration::from_secs(10);
 /// Time that a request runs before its answer begins.
@@ -276,7 +280,9 @@
         return response;
     }
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
-    let interval = if path.contains(SLOW_PATH) {
+    let interval = if path.contains(SLOWEST_PATH) {
+        SLOWEST_EVENT_INTERVAL
+    } else if path.contains(SLOW_PATH) {
         SLOW_EVENT_INTERVAL
     } else {
         EVENT_INTERVAL
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -20,8 +20,8 @@
 };
 use ward_protocol::{AdapterName, FenceNumber, ModelName, SoftwareVersion};
 
-pub use self::answer::SLOW_PATH;
 use self::answer::answer;
+pub use self::answer::{SLOW_PATH, SLOWEST_PATH};
 pub use self::fault::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, ResumeFault};
 pub use self::software::PLAIN_SOFTWARE;
 use self::software::next_id;
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -22,7 +22,7 @@
 pub use daemon::{DaemonProcess, StageError};
 pub use engine::{
     CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, PLAIN_SOFTWARE, ResumeFault, SLOW_PATH,
-    StageEngine,
+    SLOWEST_PATH, StageEngine,
 };
 pub use ledger::{OrderRecord, RefusalRecord, RunLedger, RunRecord};
 pub use proxy::{CutEnd, CutPlace, LinkControl, LinkFault, StageProxy};
