--- a/crates/ward-daemon/tests/gateway/soak/mod.rs
+++ b/crates/ward-daemon/tests/gateway/soak/mod.rs
@@ -8,7 +8,8 @@
 //! using a connection until it closes, and some requests, or a part of their prompts,
 //! crash engines. Odd seeds also play engines that answer out of turn, and every second
 //! of these engines of two software versions, between which callers take up their
-//! streams; the others don't, so that recorded seeds keep their series.
+//! streams; every fourth seed plays a store that comes back from an older copy, and engines
+//! that limit their requests. The others don't, so that recorded seeds keep their series.
 //! `SOAK_SEEDS=FROM..TO` replaces the seeds of the short series.
 
 mod caller;
@@ -21,15 +22,18 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rustix::process::Signal;
-use ward_stage::{CrashKind, EngineFault, LinkFault, PLAIN_SOFTWARE, Stage, StagePlan, StoreFault};
+use ward_fleet::RequestRate;
+use ward_stage::{
+    CrashKind, EngineFault, LinkFault, PLAIN_SOFTWARE, Stage, StagePlan, StoreCopy, StoreFault,
+};
 
 use self::caller::SoakCaller;
 use crate::caller_stream::OTHER_SOFTWARE;
 use crate::support::{expect_valid_orders, stage};
 
 /// Seeds of the short series; a seed that has ever failed is added and never removed.
-const SEEDS: [u64; 5] = [
-    1, 2, 3,
+const SEEDS: [u64; 6] = [
+    1, 2, 3, 4,
     // The link of an engine refused in the middle of an unframed stream, which then looked
     // complete.
     442,
@@ -116,8 +120,12 @@
         .collect();
     let mut random = RandomSource(ChaCha8Rng::seed_from_u64(seed));
     let mut out_of_turn = RandomSource(ChaCha8Rng::seed_from_u64(!seed));
+    let mut copy = None;
     for _ in 0..STEPS {
         inject_fault(&mut stage, &mut random);
+        if seed.is_multiple_of(4) {
+            inject_limit_or_restore(&stage, &mut out_of_turn, &mut copy);
+        }
         if seed % 2 == 1 {
             inject_answer_out_of_turn(&stage, &mut out_of_turn);
         }
@@ -199,6 +207,23 @@
     }
 }
 
+/// Makes an engine limit its requests, or the store come back from an older copy, after
+/// which the operator writes the manifest again.
+fn inject_limit_or_restore(stage: &Stage, random: &mut RandomSource, copy: &mut Option<StoreCopy>) {
+    let engine = random.below(stage.engines.len());
+    let limit = random.choose(&[0, 300, 2_000, 20_000]);
+    match random.below(4) {
+        0 => *copy = Some(stage.store.copy()),
+        1 => {
+            if let Some(copy) = copy.take() {
+                stage.store.restore(copy);
+                stage.store.put_manifest(&stage.manifest);
+            }
+        }
+        _ => stage.engines[engine].set_fault(EngineFault::Limited(RequestRate(limit))),
+    }
+}
+
 /// Sends signals to a daemon in the middle of its start or planned stop, with new
 /// manifests in quick succession.
 fn inject_signal_series(stage: &mut Stage, random: &mut RandomSource, daemon: usize) {
