Rare models of a limited engine keep their replica there

Now a replica on a limited engine counts for a model that needs at most a quarter of the limit and whose requests don't wait for more than 0.3 s.

plan_tasks_rare_models_of_a_limited_engine_evicted_others fails without it (a load at the first look), and a model that waits, or is busy, still gets another replica.

--- a/crates/ward-fleet/src/placement/plan/mod.rs
+++ b/crates/ward-fleet/src/placement/plan/mod.rs
@@ -45,7 +45,7 @@
     let mut tasks = plan_audits(state, manifest, now);
     let adapters = plan_adapters(state, manifest, now);
     tasks.extend(adapters.into_iter().map(PlannedTask::Adapter));
-    let counts = ReplicaCounts::of(state);
+    let counts = ReplicaCounts::of(state, now);
     let outlooks = loss_outlooks(state, manifest, now);
     let mut planner = Planner {
         state,
