Spare permits cost the coordinator no answer

Each daemon that could use a limited engine reports so every 200 ms; the coordinator answered each report with an estimate and looked through all daemons for each engine, even with no token left: at 195 daemons a thousand answers a second. Only reports of waiting requests are answered now, and daemons are looked through only if there is a token.

--- a/crates/ward-fleet/src/limit/issuer.rs
+++ b/crates/ward-fleet/src/limit/issuer.rs
@@ -50,7 +50,8 @@
     reported_at: MonoTime,
     /// When that report arrived.
     received_at: MonoTime,
-    /// Whether the latest report has not been answered yet.
+    /// Whether requests wait according to the latest report, and it has not been answered
+    /// yet.
     is_unanswered: bool,
     /// Permits issued so far, by engine.
     issued: IndexMap<BackendId, u32>,
@@ -83,7 +84,7 @@
             return;
         }
         let known = self.members.entry(member).or_default();
-        known.is_unanswered = !needs.is_empty();
+        known.is_unanswered = needs.iter().any(|need| need.waiting > 0);
         known.needs = needs;
         known.reported_at = reported_at;
         known.received_at = now;
@@ -95,8 +96,8 @@
     }
 
     /// Issues permits for engines with these limits; `share` is the connected fraction of
-    /// all daemons. Returns a batch for each daemon that gets permits or has sent a report
-    /// since the last call.
+    /// all daemons. Returns a batch for each daemon that gets permits, or whose latest
+    /// report of waiting requests has not been answered.
     pub fn issue(
         &mut self,
         rates: &IndexMap<BackendId, RequestRate>,
@@ -106,10 +107,10 @@
         self.fill_buckets(rates, share, now);
         let mut granted: IndexMap<(MemberKey, BackendId), u32> = IndexMap::new();
         for engine in self.needed_engines() {
-            while let Some(member) = self.next_member(&engine) {
-                if !self.take_token(&engine, member) {
-                    break;
-                }
+            while self.has_token(&engine)
+                && let Some(member) = self.next_member(&engine)
+            {
+                self.take_token(&engine, member);
                 let key = (member, engine.clone());
                 *granted.entry(key).or_default() += 1;
             }
@@ -155,19 +156,19 @@
         next.or_else(|| spare.map(|(member, _)| *member).min_by_key(after))
     }
 
-    fn take_token(&mut self, engine: &BackendId, member: MemberKey) -> bool {
-        let Some(bucket) = self.buckets.get_mut(engine) else {
-            return false;
-        };
-        if bucket.tokens < 1.0 {
-            return false;
+    fn has_token(&self, engine: &BackendId) -> bool {
+        let bucket = self.buckets.get(engine);
+        bucket.is_some_and(|bucket| bucket.tokens >= 1.0)
+    }
+
+    fn take_token(&mut self, engine: &BackendId, member: MemberKey) {
+        if let Some(bucket) = self.buckets.get_mut(engine) {
+            bucket.tokens -= 1.0;
+            bucket.last_member = Some(member);
         }
-        bucket.tokens -= 1.0;
-        bucket.last_member = Some(member);
         if let Some(needs) = self.members.get_mut(&member) {
             *needs.issued.entry(engine.clone()).or_default() += 1;
         }
-        true
     }
 
     fn batches(
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -120,9 +120,10 @@
         match message.map_err(|_| PeerError::Timeout)?? {
             Some(MemberMessage::Report(report)) => {
                 gateway.record_manifest_version(report.manifest);
-                let needs_permits = !report.permit_needs.is_empty();
+                // Spare permits are issued with the next plan.
+                let waits_for_permits = report.permit_needs.iter().any(|need| need.waiting > 0);
                 coordinator.apply_report(key, report, clock::now());
-                if needs_permits {
+                if waits_for_permits {
                     issue_permits(gateway, coordinator);
                 }
             }
