--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -152,7 +152,7 @@
 /// Engines that could run a request, but for their limits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LimitedEngines {
-    /// The least loaded of them first; no more than [`MAX_LIMITED`].
+    /// The least loaded of them first; only some if there are many.
     pub engines: Vec<BackendId>,
     /// Whether no engine without a limit holds the model and adapter.
     pub are_only: bool,
