Streams are written to the store as often as it takes writes

Cause: the origins of streams reach the store one write each 25 ms over all daemons, so each daemon writes every 4.9 s, and the streams that broke off were younger. The 25 ms came from a site whose store takes 400 writes a second; this one takes 3,200. The interval now follows from the settings (writesPerS): a tenth of what the store takes, at least 0.5 s. The small sites keep their interval.

--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use crate::limit::RequestRate;
 use serde::{Deserialize, Serialize};
 use ward_protocol::{DaemonId, IdError, MemorySize, TimeSpan, ZoneName};
 
@@ -110,6 +111,8 @@
     pub retry_window: TimeSpan,
     /// Window over which loads from the weight store are counted.
     pub load_window: TimeSpan,
+    /// Write calls that the platform's store takes from all daemons together.
+    pub store_writes: RequestRate,
     /// Maximum time for which callers may cache a directory answer.
     pub max_ttl: TimeSpan,
 }
--- a/crates/ward-fleet/src/streams/mod.rs
+++ b/crates/ward-fleet/src/streams/mod.rs
@@ -9,6 +9,7 @@
 //! While a service has a single version, nothing needs to be known of its streams.
 
 mod keepers;
+mod persist;
 mod register;
 mod versions;
 
@@ -16,6 +17,7 @@
 use ward_protocol::{ServiceName, SoftwareVersion, StreamKey, TimeSpan, WallTime};
 
 pub use self::keepers::keepers;
+pub use self::persist::persist_interval;
 pub use self::register::{MAX_STREAMS, NoteSource, StreamRegister};
 pub use self::versions::{ServedVersions, VersionHistory, VersionRevision};
 
--- a/crates/ward-fleet/tests/streams.rs
+++ b/crates/ward-fleet/tests/streams.rs
@@ -7,9 +7,9 @@
 
 use googletest::prelude::*;
 use support::{info, member, name};
-use ward_fleet::streams::{MAX_STREAM_AGE, MAX_STREAMS, NoteSource, keepers};
+use ward_fleet::streams::{MAX_STREAM_AGE, MAX_STREAMS, NoteSource, keepers, persist_interval};
 use ward_fleet::{
-    EngineInfo, FleetRecord, ServedVersions, StreamNote, StreamOrigin, StreamRecord,
+    EngineInfo, FleetRecord, RequestRate, ServedVersions, StreamNote, StreamOrigin, StreamRecord,
     StreamRegister, VersionHistory,
 };
 use ward_protocol::{MonoTime, StreamKey, TimeSpan, WallTime};
@@ -267,3 +267,12 @@
     }
     expect_true!(restarted.has_several(&support::service()));
 }
+
+#[gtest]
+fn persist_interval_grew_with_the_daemons_whatever_the_store_takes() {
+    let interval = |daemons, writes| persist_interval(daemons, RequestRate(writes));
+    expect_that!(interval(9, 400_000), eq(TimeSpan::from_millis(500)));
+    expect_that!(interval(195, 3_200_000), le(TimeSpan::from_millis(610)));
+    expect_that!(interval(195, 400_000), ge(TimeSpan::from_secs(4)));
+    expect_that!(interval(195, 0), eq(TimeSpan::from_secs(30)));
+}
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -10,8 +10,8 @@
 use ward_fleet::{
     CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, EngineInfo, FleetView,
     HeartbeatCount, HeldModel, HostCapacity, HostMember, LinkRate, LoadReport, ManifestVersion,
-    ModelClass, RouteKind, RouteTarget, RunningCount, ServiceClass, ServingBounds, ServingManifest,
-    ServingRoute, StoreEra, StorePosition, WaitingCount,
+    ModelClass, RequestRate, RouteKind, RouteTarget, RunningCount, ServiceClass, ServingBounds,
+    ServingManifest, ServingRoute, StoreEra, StorePosition, WaitingCount,
 };
 use ward_protocol::{
     BackendId, FenceNumber, MemorySize, ModelName, MonoTime, ServiceName, TimeSpan,
@@ -167,6 +167,7 @@
         retry_slack: 50.0,
         retry_window: TimeSpan::from_secs(10),
         load_window: TimeSpan::from_secs(5),
+        store_writes: RequestRate(400_000),
         max_ttl: TimeSpan::from_secs(5),
     }
 }
--- a/crates/ward-gateway/src/streams/store.rs
+++ b/crates/ward-gateway/src/streams/store.rs
@@ -3,13 +3,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use quick_error::quick_error;
 use slog::warn;
 use tokio::sync::Mutex;
 use ward_adapter::{NewRecord, StoreError, StoreRecord, StoreTopic};
-use ward_fleet::streams::NoteSource;
+use ward_fleet::streams::{NoteSource, persist_interval};
 use ward_fleet::{StoreEra, StreamNote, StreamRecord};
 use ward_protocol::codec::{decode, encode};
 use ward_protocol::{CodecError, MonoTime, TimeSpan, WallTime};
@@ -19,10 +18,6 @@
 
 /// Minimum time between two reads by one daemon.
 const MIN_READ_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
-/// Minimum time between two writes by one daemon.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
-/// Minimum time between two writes by any daemons, on average.
-const FLEET_WRITE_INTERVAL: Duration = Duration::from_millis(25);
 /// Maximum length of the notes in a record, in bytes; the store accepts 256 KiB.
 const MAX_NOTES_BYTES: usize = 240 << 10;
 
@@ -104,9 +99,9 @@
 /// Writes this daemon's streams to the store from time to time; never returns.
 pub(crate) async fn persist_streams(gateway: Rc<Gateway>) {
     loop {
-        let daemons = u32::try_from(gateway.daemon_count()).unwrap_or(u32::MAX);
-        let interval = FLEET_WRITE_INTERVAL.saturating_mul(daemons);
-        tokio::time::sleep(interval.max(MIN_WRITE_INTERVAL)).await;
+        let writes = gateway.settings().bounds.store_writes;
+        let interval = persist_interval(gateway.daemon_count(), writes);
+        tokio::time::sleep(interval.duration()).await;
         persist_now(&gateway).await;
     }
 }
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -11,8 +11,8 @@
 use ward_adapter::served::CALLER_HOST;
 use ward_fleet::{
     CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, HeartbeatCount, HeldModel,
-    HostCapacity, HostSettings, LinkRate, ManifestVersion, ModelClass, RouteKind, RouteTarget,
-    ServiceClass, ServingBounds, ServingManifest, ServingRoute,
+    HostCapacity, HostSettings, LinkRate, ManifestVersion, ModelClass, RequestRate, RouteKind,
+    RouteTarget, ServiceClass, ServingBounds, ServingManifest, ServingRoute,
 };
 use ward_http::{CallBounds, HttpClient, json_request};
 use ward_protocol::{MemorySize, ModelName, TimeSpan};
@@ -362,6 +362,7 @@
             retry_slack: 160.0,
             retry_window: TimeSpan::from_secs(10),
             load_window: TimeSpan::from_secs(5),
+            store_writes: RequestRate(400_000),
             max_ttl: TimeSpan::from_secs(5),
         },
     })
