--- a/crates/ward-daemon/tests/gateway/limits.rs
+++ b/crates/ward-daemon/tests/gateway/limits.rs
@@ -113,14 +113,38 @@
     limited.collect()
 }
 
+/// A stage whose backend servers all have a limit.
+struct LimitedStage {
+    stage: Stage,
+    coordinator: usize,
+    limited_at: Instant,
+    /// Ids of the backend servers.
+    engines: Vec<String>,
+}
+
+async fn limited_stage(test: &str, rate: RequestRate) -> LimitedStage {
+    let stage = stage(test, &StagePlan::default()).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    let limited_at = Instant::now();
+    let engines = limit_backend_servers(&stage, rate);
+    LimitedStage {
+        stage,
+        coordinator,
+        limited_at,
+        engines,
+    }
+}
+
 /// Limits all backend servers and expects that callers of these daemons use up most of the
 /// limit, and that the others are refused.
 async fn expect_limit_used(test: &str, daemons: &[usize]) {
     let rate = RequestRate(4_000);
-    let stage = stage(test, &StagePlan::default()).await;
-    wait_until_all_joined(&stage).await;
-    let limited_at = Instant::now();
-    let engines = limit_backend_servers(&stage, rate);
+    let LimitedStage {
+        stage,
+        limited_at,
+        engines,
+        ..
+    } = limited_stage(test, rate).await;
     let span = Duration::from_secs(9);
     let calls = daemons
         .iter()
@@ -154,10 +178,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_was_forgotten_with_the_coordinator() {
     let rate = RequestRate(2_000);
-    let mut stage = stage("limit-term", &StagePlan::default()).await;
-    let coordinator = wait_until_all_joined(&stage).await;
-    let limited_at = Instant::now();
-    let engines = limit_backend_servers(&stage, rate);
+    let LimitedStage {
+        mut stage,
+        coordinator,
+        limited_at,
+        engines,
+    } = limited_stage("limit-term", rate).await;
     call_all_daemons(&stage, "/stock/a", Duration::from_secs(4)).await;
     stage.daemons[coordinator].kill();
     let survivors = (0..3).filter(|daemon| *daemon != coordinator);
@@ -176,9 +202,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_that_ended_was_kept_by_other_daemons() {
     let rate = RequestRate(1_000);
-    let stage = stage("limit-end", &StagePlan::default()).await;
-    wait_until_all_joined(&stage).await;
-    let engines = limit_backend_servers(&stage, rate);
+    let LimitedStage { stage, engines, .. } = limited_stage("limit-end", rate).await;
     call_all_daemons(&stage, "/stock/a", Duration::from_secs(4)).await;
     for engine in &stage.engines {
         engine.set_fault(EngineFault::None);
@@ -199,10 +223,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_held_callers_who_could_not_be_served() {
-    let rate = RequestRate(200);
-    let stage = stage("limit-refuse", &StagePlan::default()).await;
-    wait_until_all_joined(&stage).await;
-    limit_backend_servers(&stage, rate);
+    let LimitedStage { stage, .. } = limited_stage("limit-refuse", RequestRate(200)).await;
     call_all_daemons(&stage, "/stock/a", Duration::from_secs(2)).await;
     for daemon in 0..3 {
         let begun = Instant::now();
--- a/crates/ward-daemon/tests/gateway/restored.rs
+++ b/crates/ward-daemon/tests/gateway/restored.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::support::{
-    expect_refused, restart_all_at_once, send, set_fault_on_all, stage, terms, wait_until,
-    wait_until_all_joined,
+    expect_refused, one_model_stage, restart_all_at_once, send, set_fault_on_all, stage, terms,
+    wait_until, wait_until_all_joined,
 };
 
 /// Time for which the store is away before it comes back from the copy.
@@ -156,12 +156,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn restored_store_forgot_a_request_that_crashes_engines() {
-    let plan = StagePlan {
-        models: 1,
-        ..StagePlan::default()
-    };
-    let mut stage = stage("restored-block", &plan).await;
-    wait_until_all_joined(&stage).await;
+    let mut stage = one_model_stage("restored-block").await;
     let copy = stage.store.copy();
     set_fault_on_all(&stage, EngineFault::Crash(CrashKind::BeforeHead));
     let request = |number: usize| {
--- a/crates/ward-fleet/src/choice.rs
+++ b/crates/ward-fleet/src/choice.rs
@@ -15,7 +15,7 @@
     AdapterName, BackendId, ModelName, MonoTime, PartId, ServiceName, SoftwareVersion, ZoneName,
 };
 
-use crate::limit::{Turn, TurnShare};
+use crate::limit::{RequestRate, Turn, TurnShare};
 use crate::number::{u64_to_f64, usize_to_f64};
 use crate::table::{EngineRecord, EngineTable};
 
@@ -60,15 +60,20 @@
     /// The current turn of this daemon at a limited engine, if it has one.
     #[must_use]
     pub fn turn_at(&self, table: &EngineTable, engine: &EngineRecord) -> Option<Turn> {
-        let rate = table.limits.rate_of(&engine.info)?;
+        self.turn_within(table.limits.rate_of(&engine.info)?)
+    }
+
+    fn turn_within(&self, rate: RequestRate) -> Option<Turn> {
         self.turns?.own_turn(rate)
     }
 
     /// Whether an engine has no limit, or this daemon may send it a request within it.
     fn is_permitted(&self, table: &EngineTable, engine: &EngineRecord) -> bool {
-        let turn = self.turn_at(table, engine);
-        table.limits.rate_of(&engine.info).is_none()
-            || table.permits.allows(&engine.info.id, turn, self.now)
+        let Some(rate) = table.limits.rate_of(&engine.info) else {
+            return true;
+        };
+        let turn = self.turn_within(rate);
+        table.permits.allows(&engine.info.id, turn, self.now)
     }
 
     /// Whether this daemon may send another request to an engine: one slot of
--- a/crates/ward-fleet/src/crash/mod.rs
+++ b/crates/ward-fleet/src/crash/mod.rs
@@ -19,7 +19,7 @@
 pub use self::detector::{CrashDetector, ProbeResult, UnfinishedRun};
 pub use self::ledger::{BlockRevision, CrashEffect, CrashLedger};
 pub use self::parts::{BlockChange, PartCrashes};
-use crate::entry::EngineBirth;
+use crate::entry::{EngineBirth, EngineEntry};
 use crate::message::EngineInfo;
 
 /// The lifetime of one engine process, from its start to its end.
@@ -40,6 +40,15 @@
     }
 }
 
+impl From<&EngineEntry> for EngineIncarnation {
+    fn from(entry: &EngineEntry) -> Self {
+        Self {
+            engine: entry.id.clone(),
+            birth: entry.birth,
+        }
+    }
+}
+
 /// Report that an engine incarnation ended while it was running a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
--- a/crates/ward-fleet/src/limit/issuer.rs
+++ b/crates/ward-fleet/src/limit/issuer.rs
@@ -106,16 +106,17 @@
     ) -> Vec<(MemberKey, PermitBatch)> {
         self.fill_buckets(rates, share, now);
         let mut granted: IndexMap<(MemberKey, BackendId), u32> = IndexMap::new();
-        for engine in self.needed_engines() {
-            while self.has_token(&engine)
-                && let Some(member) = self.next_member(&engine)
+        let engines = self.needed_engines();
+        for engine in &engines {
+            while self.has_token(engine)
+                && let Some(member) = self.next_member(engine)
             {
-                self.take_token(&engine, member);
+                self.take_token(engine, member);
                 let key = (member, engine.clone());
                 *granted.entry(key).or_default() += 1;
             }
         }
-        self.batches(&granted, now)
+        self.batches(engines, &granted, now)
     }
 
     /// Adds the tokens since the last call.
@@ -173,11 +174,11 @@
 
     fn batches(
         &mut self,
+        engines: Vec<BackendId>,
         granted: &IndexMap<(MemberKey, BackendId), u32>,
         now: MonoTime,
     ) -> Vec<(MemberKey, PermitBatch)> {
-        let engines = self.needed_engines().into_iter();
-        let waits = engines.filter_map(|engine| {
+        let waits = engines.into_iter().filter_map(|engine| {
             let wait = self.expected_wait(&engine)?;
             Some((engine, wait))
         });
--- a/crates/ward-fleet/src/limit/mod.rs
+++ b/crates/ward-fleet/src/limit/mod.rs
@@ -4,7 +4,6 @@
 //! names the rate of requests that it takes from all daemons together. Daemons that keep
 //! such a limit each for itself exceed it in sum, and those that share it equally leave
 //! most of it unused, because callers ask only some of them for the engine's models.
-
 //!
 //! So the coordinator issues permits from one token bucket per limited engine, to the
 //! daemons at which requests wait ([`PermitIssuer`], [`PermitStore`]). Daemons that follow
@@ -19,7 +18,7 @@
 
 pub use self::issuer::PermitIssuer;
 pub use self::ledger::{LimitEvidence, LimitLedger, LimitSighting};
-pub use self::permits::{PERMIT_LIFETIME, PermitBatch, PermitGrant, PermitNeed, PermitStore};
+pub use self::permits::{PermitBatch, PermitGrant, PermitNeed, PermitStore};
 pub use self::rate::RequestRate;
 pub use self::turns::{Turn, TurnShare};
 
--- a/crates/ward-fleet/src/limit/permits.rs
+++ b/crates/ward-fleet/src/limit/permits.rs
@@ -16,7 +16,7 @@
 use crate::number::{secs_to_span, usize_to_f64};
 
 /// Time for which a permit may be used.
-pub const PERMIT_LIFETIME: TimeSpan = TimeSpan::from_millis(1_000);
+const PERMIT_LIFETIME: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time for which a daemon asks for a spare permit after it had a request that a limited
 /// engine could have served.
 const SPARE_INTEREST: TimeSpan = TimeSpan::from_millis(1_000);
--- a/crates/ward-fleet/src/limit/rate.rs
+++ b/crates/ward-fleet/src/limit/rate.rs
@@ -3,9 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
-use ward_protocol::{IdError, TimeSpan};
-
 use serde_with::{DeserializeFromStr, SerializeDisplay};
+use ward_protocol::{IdError, TimeSpan};
 
 use crate::number::{floor_to_u64, u64_to_f64};
 
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use crate::limit::RequestRate;
 use serde::{Deserialize, Serialize};
 use ward_protocol::{DaemonId, IdError, MemorySize, TimeSpan, ZoneName};
 
+use crate::limit::RequestRate;
+
 /// Processor time of a host, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/ward-fleet/src/table.rs
+++ b/crates/ward-fleet/src/table.rs
@@ -9,7 +9,7 @@
 use crate::message::{EngineInfo, EngineLoad, FleetView, RunningCount};
 
 /// Maximum number of engines remembered as leaving, and of those remembered as gone.
-const MAX_LEAVING: usize = 4_096;
+const MAX_REMEMBERED: usize = 4_096;
 
 /// One engine as this daemon sees it.
 #[derive(Debug, Clone, PartialEq)]
@@ -139,11 +139,7 @@
         if self.is_leaving(incarnation) {
             return false;
         }
-        if self.leaving.len() >= MAX_LEAVING {
-            self.leaving.shift_remove_index(0);
-        }
-        self.leaving
-            .insert(incarnation.engine.clone(), incarnation.clone());
+        remember(&mut self.leaving, incarnation.clone());
         let engine = self.engines.get_mut(&incarnation.engine);
         if let Some(engine) = engine.filter(|engine| engine.info.birth == incarnation.birth) {
             engine.info.draining = true;
@@ -168,11 +164,7 @@
         let Some(engine) = self.engines.shift_remove(id) else {
             return false;
         };
-        if self.departed.len() >= MAX_LEAVING {
-            self.departed.shift_remove_index(0);
-        }
-        let incarnation = EngineIncarnation::from(&engine.info);
-        self.departed.insert(id.clone(), incarnation);
+        remember(&mut self.departed, EngineIncarnation::from(&engine.info));
         true
     }
 
@@ -182,11 +174,6 @@
         self.departed.get(&incarnation.engine) == Some(incarnation)
     }
 
-    /// Removes the engines that do not match a predicate.
-    pub fn retain(&mut self, keep: impl Fn(&EngineRecord) -> bool) {
-        self.engines.retain(|_, engine| keep(engine));
-    }
-
     /// Applies the coordinator's view. An outdated view, older than what this
     /// daemon has itself read from the store, only updates known engines.
     pub fn apply(&mut self, view: &FleetView, outdated: bool) {
@@ -331,3 +318,14 @@
         counts.collect()
     }
 }
+
+/// Adds an incarnation, in place of the one remembered for longest if there are too many.
+fn remember(
+    incarnations: &mut IndexMap<BackendId, EngineIncarnation>,
+    incarnation: EngineIncarnation,
+) {
+    if incarnations.len() >= MAX_REMEMBERED {
+        incarnations.shift_remove_index(0);
+    }
+    incarnations.insert(incarnation.engine.clone(), incarnation);
+}
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -226,10 +226,10 @@
         ));
     }
     let status = attempt.answer.status();
+    let headers = attempt.answer.headers();
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        record_pause(gateway, &attempt.slot, attempt.answer.headers());
+        record_pause(gateway, &attempt.slot, headers);
     }
-    let headers = attempt.answer.headers();
     record_limit(
         gateway,
         &attempt.slot.engine,
@@ -237,7 +237,7 @@
         headers,
         attempt.sent_at,
     );
-    if has_leaving_header(attempt.answer.headers()) {
+    if has_leaving_header(headers) {
         record_leaving(gateway, &EngineIncarnation::from(&attempt.slot.engine));
     }
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/ward-gateway/src/front/directory.rs
+++ b/crates/ward-gateway/src/front/directory.rs
@@ -37,7 +37,7 @@
     let settings = gateway.settings();
     let members = gateway.members.borrow();
     let mut addresses = choose_hosts(&members, query.zone().as_ref(), MAX_ADDRESSES);
-    if addresses.is_empty() && !gateway.stopping.get() {
+    if addresses.is_empty() && !gateway.is_stopping() {
         addresses.push(settings.callers);
     }
     if addresses.is_empty() {
--- a/crates/ward-gateway/src/front/listen.rs
+++ b/crates/ward-gateway/src/front/listen.rs
@@ -104,7 +104,7 @@
         let gateway = Rc::clone(&gateway);
         async move {
             let mut response = handle_request(Rc::clone(&gateway), request).await;
-            if gateway.stopping.get() {
+            if gateway.is_stopping() {
                 set_connection_close(&mut response);
             }
             Ok::<_, Infallible>(response)
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -91,8 +91,6 @@
     pub(crate) engines_known: Cell<bool>,
     /// Wakes the report sender before its interval ends.
     pub(crate) report_requested: Notify,
-    /// Whether the daemon is shutting down.
-    pub(crate) stopping: Cell<bool>,
     /// The shutdown, once it has begun.
     pub(crate) stop_plan: Cell<Option<StopPlan>>,
     /// Address of the last coordinator that this daemon connected to, or that a
@@ -162,7 +160,6 @@
             consecutive_reads: Cell::default(),
             engines_known: Cell::default(),
             report_requested: Notify::new(),
-            stopping: Cell::default(),
             stop_plan: Cell::default(),
             coordinator_address: Cell::default(),
             manifest: RefCell::default(),
@@ -246,10 +243,15 @@
         time.is_some_and(|time| clock::now().since(time) < MAX_VIEW_AGE)
     }
 
+    /// Whether the daemon is shutting down.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop_plan.get().is_some()
+    }
+
     /// Whether requests can be routed: a manifest and engines are known, and the
     /// daemon is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.manifest.borrow().is_some() && self.engines_known.get()
+        !self.is_stopping() && self.manifest.borrow().is_some() && self.engines_known.get()
     }
 
     /// Records how many daemons are known now.
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -176,7 +176,7 @@
         observer.record(stored.position, stored.is_released(), now);
     }
     let window = LeaseWindow::new(gateway.settings().bounds.lease);
-    let is_candidate = !gateway.stopping.get() && !gateway.coordinator.is_active();
+    let is_candidate = !gateway.is_stopping() && !gateway.coordinator.is_active();
     let restart_delay = stored.as_ref().map_or(TimeSpan::ZERO, |stored| {
         pending_restart_delay(gateway, stored)
     });
@@ -314,7 +314,7 @@
         let requested = gateway.report_requested.notified();
         drop(tokio::time::timeout(REPORT_INTERVAL, requested).await);
         tokio::time::sleep_until(earliest).await;
-        if gateway.stopping.get() && !leaving_sent {
+        if gateway.is_stopping() && !leaving_sent {
             send(&mut writer, &MemberMessage::Leaving).await?;
             leaving_sent = true;
         }
--- a/crates/ward-gateway/src/stop.rs
+++ b/crates/ward-gateway/src/stop.rs
@@ -36,7 +36,6 @@
     let start = Instant::now();
     let grace = gateway.settings().bounds.stop_grace;
     info!(gateway.logger, "stop: begins"; "grace" => %grace, "connections" => tracker.open());
-    gateway.stopping.set(true);
     let begun = clock::now();
     let plan = StopPlan { begun, grace };
     gateway.stop_plan.set(Some(plan));
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{debug, info, warn};
 use ward_adapter::{StoreError, StoreRecord, StoreTail, StoreTopic, decode_entry};
 use ward_fleet::{
@@ -127,9 +127,9 @@
     }
 
     fn apply_tail(&mut self, gateway: &Gateway, tail: &StoreTail, scope: ReadScope) {
-        let mut listed = Vec::new();
+        let mut listed = IndexSet::new();
         for record in &tail.records {
-            listed.push(record.key.as_str());
+            listed.insert(record.key.as_str());
             if record.value.is_empty() {
                 self.handle_missing(gateway, &record.key);
             } else {
@@ -142,7 +142,7 @@
                 .borrow()
                 .iter()
                 .map(|engine| engine.info.id.clone())
-                .filter(|id| !listed.contains(&id.as_str()))
+                .filter(|id| !listed.contains(id.as_str()))
                 .collect();
             for id in missing {
                 self.handle_missing(gateway, id.as_str());
@@ -247,10 +247,7 @@
 /// store that came back from an older copy may name it; if the engine does live, it soon
 /// writes another heartbeat.
 pub(crate) fn has_departed(gateway: &Gateway, entry: &EngineEntry) -> bool {
-    let incarnation = EngineIncarnation {
-        engine: entry.id.clone(),
-        birth: entry.birth,
-    };
+    let incarnation = EngineIncarnation::from(entry);
     gateway.table.borrow().has_departed(&incarnation)
 }
 
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/sync/manifest.rs
@@ -110,6 +110,7 @@
     };
     let mut eras = gateway.store.era_changes();
     let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > position.era);
+    // It fails only once the store client is gone, when there are no more eras to wait for.
     if eras.wait_for(is_later).await.is_err() {
         std::future::pending::<()>().await;
     }
