--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
     echo "build first: the build of the deploy file, then review/build.sh" >&2
     exit 2
 fi
-exec target/review/stand-in second_copy review/2
+exec target/review/stand-in endless_head review/2
--- a/review/stand_in/engine.rs
+++ b/review/stand_in/engine.rs
@@ -219,6 +219,9 @@
         }
         self.log(&id, &format!("runs {} {} body={}", head.word(0), head.word(1), body.len()));
         std::thread::sleep(Duration::from_millis(self.number("work_ms")));
+        if self.is_endless() {
+            return self.write_endless_head(conn, &id);
+        }
         let framing = self.next_framing();
         let text = body_of(&id);
         let (first, second) = text.as_bytes().split_at(text.len() / 2);
@@ -246,6 +249,23 @@
         ended.is_ok() && framing == Framing::Length
     }
 
+    /// Whether the next answer begins without end: one in so many within the window.
+    fn is_endless(&self) -> bool {
+        if self.options.get("fault").map(String::as_str) != Some("endless") || !self.is_within("fault") {
+            return false;
+        }
+        self.answers.fetch_add(1, Ordering::Relaxed) % self.number("one_in").max(1) == 0
+    }
+
+    /// Writes bytes that are no answer until the connection is closed.
+    fn write_endless_head(&self, conn: &mut Conn, id: &str) -> bool {
+        self.log(id, "writes without end");
+        let bytes = "HTTP/1.1 100 Continue\r\n\r\n".repeat(40_000);
+        while conn.write(bytes.as_bytes()).is_ok() {}
+        self.log(id, "is closed by the other side");
+        false
+    }
+
     /// How the next answer is given: within the window of the fault, one in so many is
     /// faulty.
     fn next_framing(&self) -> Framing {
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -51,6 +51,7 @@
     let result = std::panic::catch_unwind(|| match name {
         "cut_answer" => plain_answers::cut_answer(&record, trouble),
         "second_copy" => plain_answers::second_copy(&record, trouble),
+        "endless_head" => plain_answers::endless_head(&record, trouble),
         "moved_stream" => streams::moved_stream(&record, trouble),
         "lost_stream" => streams::lost_stream(&record, trouble),
         "taken_up" => streams::taken_up(&record, trouble),
--- a/review/stand_in/plain_answers.rs
+++ b/review/stand_in/plain_answers.rs
@@ -57,6 +57,78 @@
     play(record, &fault, |_, _| {})
 }
 
+/// Two of four engines begin one answer in 50 without end; the requests to another
+/// service, at the same daemons, must be answered in time.
+pub fn endless_head(record: &Path, trouble: bool) -> bool {
+    const BOOK_TIMEOUT_MS: f64 = 800.0;
+    const GRACE_MS: f64 = 500.0;
+    const REQUESTERS: usize = 24;
+    let mut world = World::new(record, 2);
+    let book = r#"{"name":"book","host":"callers.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":800,"targetLatencyMs":300,"priority":2,"service":"booking","attempts":1,"sticky":false,"resumable":false}"#;
+    let quick = r#"{"name":"quick","host":"callers.example","pathPrefix":"/quick/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":500,"priority":0,"service":"assistant","attempts":1,"sticky":false,"resumable":false,"gapAimMs":600}"#;
+    let service = |name: &str| format!(r#"{{"name":"{name}","healthPath":"/health","connectionCap":370,"protocol":"h1","tls":false}}"#);
+    world.put_manifest(&manifest(&[book, quick], &[&service("booking"), &service("assistant")]));
+    for number in 0..3 {
+        world.add_engine(&format!("b-{number}"), "booking", &["slots=64".to_owned(), "work_ms=60".to_owned()]);
+    }
+    let start = now_ms() + 6_000.0;
+    for number in 0..4 {
+        let mut options = vec!["slots=64".to_owned(), "work_ms=300".to_owned()];
+        if trouble && number < FAULTY_ENGINES {
+            options.extend(["fault=endless".to_owned(), "one_in=50".to_owned(), format!("fault_start={start}")]);
+            options.extend([format!("fault_length={WINDOW_MS}"), format!("fault_every={WINDOW_EVERY_MS}"), "fault_rounds=4".to_owned()]);
+        }
+        world.add_engine(&format!("i-{number}"), "assistant", &options);
+    }
+    world.add_daemon(1, 2);
+    world.add_daemon(2, 2);
+    world.wait_in_touch();
+    sleep_until(start - 500.0);
+    let end = start + (4 * WINDOW_EVERY_MS) as f64;
+    let daemons: Vec<_> = world.daemons.iter().map(|daemon| daemon.callers).collect();
+    let requesters = (0..REQUESTERS).map(|number| {
+        let daemons = daemons.clone();
+        std::thread::spawn(move || {
+            let mut outcomes = Vec::new();
+            std::thread::sleep(Duration::from_millis(20 * number as u64));
+            while now_ms() < end {
+                let id = format!("{number:04x}{:08x}", outcomes.len());
+                let daemon = number / 3 % daemons.len();
+                // A requester waits on after its time limit, to see when an answer comes.
+                let (path, limit_ms, pause) = if number % 3 == 0 { ("/book/a", 8_000, 200) } else { ("/quick/a", 6_000, 300) };
+                let request = Request { method: "POST", path, id: &id, headers: "", body: b"an order", limit_ms };
+                let answer = send(daemons[daemon], &request);
+                outcomes.push(Outcome { path: path.to_owned(), daemon, answer, id });
+                std::thread::sleep(Duration::from_millis(pause));
+            }
+            outcomes
+        })
+    });
+    let requesters: Vec<_> = requesters.collect();
+    let outcomes: Vec<_> = requesters.into_iter().flat_map(|one| one.join().unwrap_or_default()).collect();
+    for (time, request, engine, what) in world.runs() {
+        world.record(&format!("run log: {time:.0} {request} at {engine}: {what}"));
+    }
+    let mut late = 0;
+    let mut unanswered = 0;
+    let mut booked = 0;
+    for outcome in &outcomes {
+        let answer = &outcome.answer;
+        let took = answer.ended_ms - answer.sent_ms;
+        let status = answer.status.map_or("none".to_owned(), |status| status.to_string());
+        world.record(&format!("request {} {} to daemon {} sent {:.0}, after {took:.0} ms: {status}", outcome.id, outcome.path, outcome.daemon + 1, answer.sent_ms));
+        if outcome.path == "/book/a" {
+            booked += 1;
+            late += usize::from(took > BOOK_TIMEOUT_MS);
+            unanswered += usize::from(took > BOOK_TIMEOUT_MS + GRACE_MS);
+        }
+    }
+    let line = format!("CONFIG: of {booked} bookings, {late} had no answer at their route's timeout, {unanswered} of these none half a second later");
+    println!("{line}");
+    world.record(&line);
+    unanswered >= 8 && unanswered * 2 > late
+}
+
 /// Plays a case: requests all the time, faulty answers in windows, and `disrupt` beside
 /// them; returns whether the rule was broken.
 fn play(record: &Path, fault: &[String], disrupt: impl FnOnce(&mut World, f64)) -> bool {
