--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
     echo "build first: the build of the deploy file, then review/build.sh" >&2
     exit 2
 fi
-exec target/review/stand-in lost_stream review/5
+exec target/review/stand-in all_dark review/5
--- a/review/stand_in/client.rs
+++ b/review/stand_in/client.rs
@@ -25,7 +25,10 @@
     pub id: &'a str,
     pub headers: &'a str,
     pub body: &'a [u8],
+    /// The requester's time limit.
     pub limit_ms: u64,
+    /// Silence after which the requester gives the answer up.
+    pub silence_ms: u64,
 }
 
 /// Sends a request on a connection of its own and reads the answer; `reached` is called
@@ -46,9 +49,8 @@
 }
 
 fn exchange(address: SocketAddr, request: &Request, answer: &mut Answer) {
-    let limit = Duration::from_millis(request.limit_ms);
     let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return };
-    let _ = stream.set_read_timeout(Some(limit));
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(request.silence_ms)));
     let mut conn = Conn::new(stream);
     let length = if request.method == "GET" {
         String::new()
--- a/review/stand_in/engine.rs
+++ b/review/stand_in/engine.rs
@@ -103,8 +103,9 @@
         for sequence in 1_u64.. {
             let models = self.models_json();
             let entry = format!(
-                "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\"both\",\"models\":[{models}],\"sequence\":{sequence},\"born\":{}}}",
-                self.options["service"], self.options["zone"], self.number("slots"), self.born
+                "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\"both\",\"models\":[{models}],\"sequence\":{sequence},\"born\":{}}}",
+                self.options["service"], self.options["zone"],
+                self.options.get("version").map_or("v1", String::as_str), self.number("slots"), self.born
             );
             let mut content = vec![self.id.len() as u8];
             content.extend_from_slice(self.id.as_bytes());
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -9,6 +9,7 @@
 mod client;
 mod engine;
 mod http;
+mod link;
 mod plain_answers;
 mod store;
 mod streams;
@@ -54,6 +55,7 @@
         "endless_head" => plain_answers::endless_head(&record, trouble),
         "moved_stream" => streams::moved_stream(&record, trouble),
         "lost_stream" => streams::lost_stream(&record, trouble),
+        "all_dark" => streams::all_dark(&record, trouble),
         "taken_up" => streams::taken_up(&record, trouble),
         _ => cannot_run("unknown case"),
     });
--- a/review/stand_in/plain_answers.rs
+++ b/review/stand_in/plain_answers.rs
@@ -57,10 +57,11 @@
     play(record, &fault, |_, _| {})
 }
 
-/// Two of four engines begin one answer in 50 without end; the requests to another
-/// service, at the same daemons, must be answered in time.
+/// Two of four engines begin one answer in 50 without end; all requests at the same
+/// daemons, to this service and to another one, must be answered in time.
 pub fn endless_head(record: &Path, trouble: bool) -> bool {
     const BOOK_TIMEOUT_MS: f64 = 800.0;
+    const QUICK_TIMEOUT_MS: f64 = 6_000.0;
     const GRACE_MS: f64 = 500.0;
     const REQUESTERS: usize = 24;
     let mut world = World::new(record, 2);
@@ -94,9 +95,9 @@
             while now_ms() < end {
                 let id = format!("{number:04x}{:08x}", outcomes.len());
                 let daemon = number / 3 % daemons.len();
+                let (path, limit_ms, pause) = if number % 3 == 0 { ("/book/a", 1_500, 200) } else { ("/quick/a", 6_000, 300) };
                 // A requester waits on after its time limit, to see when an answer comes.
-                let (path, limit_ms, pause) = if number % 3 == 0 { ("/book/a", 8_000, 200) } else { ("/quick/a", 6_000, 300) };
-                let request = Request { method: "POST", path, id: &id, headers: "", body: b"an order", limit_ms };
+                let request = Request { method: "POST", path, id: &id, headers: "", body: b"an order", limit_ms, silence_ms: 9_000 };
                 let answer = send(daemons[daemon], &request);
                 outcomes.push(Outcome { path: path.to_owned(), daemon, answer, id });
                 std::thread::sleep(Duration::from_millis(pause));
@@ -111,19 +112,19 @@
     }
     let mut late = 0;
     let mut unanswered = 0;
-    let mut booked = 0;
     for outcome in &outcomes {
         let answer = &outcome.answer;
         let took = answer.ended_ms - answer.sent_ms;
         let status = answer.status.map_or("none".to_owned(), |status| status.to_string());
         world.record(&format!("request {} {} to daemon {} sent {:.0}, after {took:.0} ms: {status}", outcome.id, outcome.path, outcome.daemon + 1, answer.sent_ms));
-        if outcome.path == "/book/a" {
-            booked += 1;
-            late += usize::from(took > BOOK_TIMEOUT_MS);
-            unanswered += usize::from(took > BOOK_TIMEOUT_MS + GRACE_MS);
-        }
+        let timeout = if outcome.path == "/book/a" { BOOK_TIMEOUT_MS } else { QUICK_TIMEOUT_MS };
+        late += usize::from(took > timeout);
+        unanswered += usize::from(took > timeout + GRACE_MS);
     }
-    let line = format!("CONFIG: of {booked} bookings, {late} had no answer at their route's timeout, {unanswered} of these none half a second later");
+    let line = format!(
+        "CONFIG: of {} requests, {late} had no answer at their route's timeout, {unanswered} of these none half a second later",
+        outcomes.len()
+    );
     println!("{line}");
     world.record(&line);
     unanswered >= 8 && unanswered * 2 > late
@@ -183,7 +184,7 @@
             let (method, path) = if number % 2 == 0 { ("POST", "/book/a") } else { ("GET", "/stock/a") };
             let daemon = number / 2 % daemons.len();
             let body = format!("order of {id}");
-            let request = Request { method, path, id: &id, headers: "", body: body.as_bytes(), limit_ms: 4_000 };
+            let request = Request { method, path, id: &id, headers: "", body: body.as_bytes(), limit_ms: 4_000, silence_ms: 4_000 };
             let answer = send(daemons[daemon], &request);
             outcomes.push(Outcome { path: path.to_owned(), daemon, answer, id });
         }
--- a/review/stand_in/streams.rs
+++ b/review/stand_in/streams.rs
@@ -7,11 +7,14 @@
 
 use crate::client::{send, Answer, Request};
 use crate::engine::event_text;
+use crate::link::Link;
 use crate::now_ms;
 use crate::world::{manifest, signal, World, TERM};
 
 /// Time limit of the requesters and of the route, in milliseconds.
 const LIMIT_MS: u64 = 17_000;
+/// Silence after which requesters give a stream up: four times its objective.
+const SILENCE_MS: u64 = 10_000;
 /// Time for which a run may go on after the request went on at another engine.
 const STOP_MS: f64 = 400.0;
 /// Time that a refused requester waits; the daemons ask for half a second.
@@ -100,6 +103,7 @@
         headers: &headers,
         body: b"a quote, please",
         limit_ms: LIMIT_MS,
+        silence_ms: SILENCE_MS,
     };
     let answer = send(address, &request);
     Try { id: id.to_owned(), first_id, after, daemon, answer }
@@ -279,6 +283,64 @@
     taken_up.len() >= MIN_TAKEN_UP && share < share_new / 2.0
 }
 
+/// All daemons lose their power at once while engines of two software versions serve;
+/// requesters take their streams up when the daemons are in touch again.
+pub fn all_dark(record: &Path, trouble: bool) -> bool {
+    const REQUESTERS: usize = 45;
+    const ROUNDS: u64 = 3;
+    const ROUND_MS: f64 = 16_000.0;
+    const KILL_AFTER_MS: f64 = 4_000.0;
+    const DOWN_MS: f64 = 1_100.0;
+    const TOUCH_MS: f64 = 3_000.0;
+    let mut world = start_world(record, 3, 6, |number| {
+        vec!["step_ms=22".to_owned(), "events=14".to_owned(), format!("version=v{}", 1 + number % 2)]
+    });
+    let links: Vec<_> = world.daemons.iter().map(|daemon| Link::start(daemon.callers)).collect();
+    let addresses: Vec<_> = links.iter().map(|link| link.address).collect();
+    let start = now_ms();
+    let end = start + ROUNDS as f64 * ROUND_MS;
+    let requesters = (0..REQUESTERS).map(|number| {
+        let own = number % 3;
+        stream_until(end, number, addresses.clone(), own, vec![(own + 1) % 3])
+    });
+    let requesters: Vec<_> = requesters.collect();
+    let mut back = Vec::new();
+    for round in 0..ROUNDS {
+        let kill_at = start + round as f64 * ROUND_MS + KILL_AFTER_MS;
+        sleep_until(kill_at);
+        if !trouble {
+            continue;
+        }
+        links.iter().for_each(|link| link.set_dark(true));
+        world.record("all daemons lose their power");
+        (0..3).for_each(|index| world.kill_daemon(index));
+        sleep_until(kill_at + DOWN_MS);
+        (0..3).for_each(|index| world.restart_daemon(index));
+        links.iter().for_each(|link| link.set_dark(false));
+        world.record("all daemons are started again");
+        back.push((kill_at, now_ms()));
+    }
+    let tries: Vec<_> = requesters.into_iter().flat_map(|one| one.join().unwrap_or_default()).collect();
+    record_all(&mut world, &tries);
+    let is_in_touch = |one: &&Try| {
+        let sent = one.answer.sent_ms;
+        one.answer.status.is_some() && back.iter().all(|(dark, back)| sent < *dark - 1_000.0 || sent > back + TOUCH_MS)
+    };
+    let in_touch: Vec<_> = tries.iter().filter(is_in_touch).collect();
+    let mut taken_up: Vec<_> = in_touch.iter().filter(|one| one.after > 0).map(|one| &one.first_id).collect();
+    taken_up.sort();
+    taken_up.dedup();
+    let goes_on = |one: &&&Try| one.after > 0 && one.answer.status == Some(200) && one.last_event() > one.after;
+    let gone_on = in_touch.iter().filter(goes_on).count();
+    let new: Vec<_> = in_touch.iter().filter(|one| one.after == 0).collect();
+    let begun = new.iter().filter(|one| one.answer.status == Some(200) && one.last_event() > 0).count();
+    conclude(&mut world, &format!("new streams at daemons in touch: {begun} of {} began", new.len()));
+    conclude(&mut world, &format!("LOST: {gone_on} of {} streams that were taken up at daemons in touch went on", taken_up.len()));
+    let share_new = begun as f64 / new.len().max(1) as f64;
+    let share = gone_on as f64 / taken_up.len().max(1) as f64;
+    taken_up.len() >= MIN_TAKEN_UP && share < share_new / 2.0
+}
+
 /// Whether a stream that went on does not begin with the event after the last one.
 fn is_wrong(one: &Try) -> bool {
     let text = String::from_utf8_lossy(&one.answer.body).into_owned();
--- a/review/stand_in/world.rs
+++ b/review/stand_in/world.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -20,8 +21,25 @@
 const TOUCH: Duration = Duration::from_millis(3_000);
 pub const TERM: i32 = 15;
 
+const KILL: u64 = 9;
+/// Sets the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64, third: u64, fourth: u64, fifth: u64) -> i32;
+}
+
+/// Starts a process that ends with this one, however that ends.
+fn spawn_bound(command: &mut Command) -> std::io::Result<Child> {
+    // Only a system call is made between the fork and the start of the program.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, KILL, 0, 0, 0);
+            Ok(())
+        });
+    }
+    command.spawn()
 }
 
 /// Sends a signal to a process that the case started.
@@ -175,7 +193,7 @@
         }
         command.env("PERSIMMONWARD_BOOT", self.settings_path(number));
         command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
-        let Ok(child) = command.spawn() else { crate::cannot_run("the daemon cannot be started") };
+        let Ok(child) = spawn_bound(&mut command) else { crate::cannot_run("the daemon cannot be started") };
         child
     }
 
@@ -229,8 +247,8 @@
     let program = std::env::current_exe().expect("the own program");
     let mut command = Command::new(program);
     command.arg("engine").arg(format!("id={id}")).arg(format!("address={address}")).args(options);
-    let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn();
-    let Ok(mut child) = child else { crate::cannot_run("an engine cannot be started") };
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null());
+    let Ok(mut child) = spawn_bound(&mut command) else { crate::cannot_run("an engine cannot be started") };
     let mut line = String::new();
     let output = child.stdout.take().expect("the engine's output");
     let _ = BufReader::new(output).read_line(&mut line);
