--- a/crates/ward-stage/src/proxy/mod.rs
+++ b/crates/ward-stage/src/proxy/mod.rs
@@ -1,5 +1,7 @@
 //! A loopback TCP proxy that injects faults into connections.
 
+mod fault;
+
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -12,102 +14,19 @@
 use tokio::task::{JoinHandle, JoinSet};
 use ward_adapter::served::{EnginePath, engine_path};
 
+pub use self::fault::{CutEnd, CutPlace, LinkFault};
+
 const CHUNK_BYTES: usize = 16 << 10;
 const ANSWER_START: &[u8] = b"HTTP/1.1 ";
 const REFUSAL_STARTS: [&[u8]; 2] = [b"HTTP/1.1 503", b"HTTP/1.1 421"];
-const LINE_END: &[u8] = b"\r\n";
-const HEAD_END: &[u8] = b"\r\n\r\n";
-/// Length of an answer that is cut inside the status line: up to its status.
-const STATUS_CUT_BYTES: usize = b"HTTP/1.1 20".len();
+/// A head that announces an answer; any number of them may come before it.
+const INTERIM_HEAD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Number of interim heads that are written at once.
+const HEADS_PER_WRITE: usize = 1 << 10;
 /// Time for the bytes before a reset to be read, which would discard them otherwise.
 const RESET_DELAY: Duration = Duration::from_millis(5);
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Fault that a proxy injects into all its connections, open and new.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LinkFault {
-    /// No fault: bytes are forwarded as they come.
-    None,
-    /// Each chunk of bytes is forwarded after this delay, in both directions.
-    Delay(Duration),
-    /// New connections are closed, open ones are reset.
-    Reset,
-    /// Nothing listens: new connections are refused, open ones are reset.
-    Refuse,
-    /// Bytes from the proxy's target are held back until the fault ends.
-    HoldAnswers,
-    /// Bytes in both directions are held back until the fault ends; connections
-    /// stay open.
-    HoldAll,
-    /// The target writes each of its refusals once more, when the next request comes on
-    /// the same connection: the copy stands where the answer to that request is expected.
-    RepeatRefusals,
-    /// Like [`Self::RepeatRefusals`], but for all answers that are written in one piece.
-    RepeatAnswers,
-    /// Like [`Self::RepeatRefusals`], but with each answer to an order or a report query.
-    RepeatOrderAnswers,
-    /// The target begins a head with these bytes, and its next answer follows at once.
-    JoinAnswers(&'static str),
-    /// The target stops within each answer with status 200, and its connection ends.
-    CutAnswers(CutPlace, CutEnd),
-    /// The same right after the head, with these lines in place of the status line.
-    CutHeads(&'static [u8]),
-}
-
-/// Where [`LinkFault::CutAnswers`] cuts an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CutPlace {
-    /// Inside the status line.
-    StatusLine,
-    /// Inside a header line.
-    HeaderLine,
-    /// After a header line, before the next.
-    BetweenHeaders,
-    /// After the empty line that ends the head.
-    AfterHead,
-}
-
-/// How a connection ends after [`LinkFault::CutAnswers`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CutEnd {
-    /// It is closed, as when a process ends.
-    Close,
-    /// It is reset.
-    Reset,
-}
-
-impl CutPlace {
-    /// The number of bytes of an answer that are still sent; `None` if these bytes don't
-    /// begin an answer with status 200. Stand-ins write a head in one piece.
-    fn length(self, bytes: &[u8]) -> Option<usize> {
-        let version = bytes.strip_prefix(b"HTTP/1.")?;
-        let is_success = version
-            .get(1..)
-            .is_some_and(|rest| rest.starts_with(b" 200"));
-        let end_of = |end: &[u8]| {
-            let mut windows = bytes.windows(end.len());
-            windows.position(|window| window == end)
-        };
-        let status_end = end_of(LINE_END).filter(|_| is_success)? + LINE_END.len();
-        let rest = &bytes[status_end..];
-        let line_length = rest
-            .windows(LINE_END.len())
-            .position(|window| window == LINE_END)?;
-        match self {
-            Self::StatusLine => Some(STATUS_CUT_BYTES),
-            Self::HeaderLine => Some(status_end + line_length / 2),
-            Self::BetweenHeaders => Some(status_end + line_length + LINE_END.len()),
-            Self::AfterHead => Some(end_of(HEAD_END)? + HEAD_END.len()),
-        }
-    }
-}
-
-impl LinkFault {
-    fn resets_connections(self) -> bool {
-        matches!(self, Self::Reset | Self::Refuse)
-    }
-}
-
 /// Handle that sets the fault of a [`StageProxy`].
 #[derive(Debug, Clone)]
 pub struct LinkControl(Arc<watch::Sender<LinkFault>>);
@@ -328,6 +247,10 @@
         let bytes = &buffer[..count];
         let fault = *faults.borrow();
         let mut client_side = client_side.lock().await;
+        if fault == LinkFault::EndlessHeads && count > 0 {
+            write_interim_heads(&mut client_side.writer, &faults).await;
+            break;
+        }
         if let LinkFault::CutAnswers(place, end) = fault
             && let Some(length) = place.length(bytes)
         {
@@ -364,6 +287,16 @@
     CutEnd::Close
 }
 
+/// Writes interim heads until the client closes the connection or the fault changes.
+async fn write_interim_heads(writer: &mut OwnedWriteHalf, faults: &watch::Receiver<LinkFault>) {
+    let heads = INTERIM_HEAD.repeat(HEADS_PER_WRITE);
+    while *faults.borrow() == LinkFault::EndlessHeads {
+        if writer.write_all(&heads).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Waits while bytes are held back or delayed; returns false when the proxy has ended.
 async fn pass_fault(
     faults: &mut watch::Receiver<LinkFault>,
