An answer that never begins no longer holds up a daemon

Cause: the reader of a connection went on as long as bytes were there, on the one thread of the daemon, and nothing counted the bytes before an answer. Ruled out: memory (skipped heads aren't kept).

Change: FairStream reads for each connection on which a daemon is the client. It gives way after 64 KiB, and fails once 64 KiB have come before the head of an answer is complete.

--- a/crates/ward-backend/src/request/client.rs
+++ b/crates/ward-backend/src/request/client.rs
@@ -126,6 +126,7 @@
             }
             Err(_) => return Err(classify_failure(&connection, || CallError::TimedOut)),
         };
+        connection.head_limit.lift();
         self.check_answer(response, connection, call)
     }
 
--- a/crates/ward-backend/src/request/connection.rs
+++ b/crates/ward-backend/src/request/connection.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
+use ward_http::{FairStream, HeadLimit};
 use ward_protocol::RequestId;
 
 use super::body::CallBody;
@@ -25,6 +26,8 @@
     pub(super) idle_since: Instant,
     /// Ids of the requests sent on the connection.
     carried: Vec<RequestId>,
+    /// Armed for each request, and lifted when the header of its answer is complete.
+    pub(super) head_limit: HeadLimit,
 }
 
 impl BackendConnection {
@@ -34,8 +37,10 @@
         self.carried.contains(&request)
     }
 
+    /// Records a request that is about to be sent.
     pub(super) fn record_request(&mut self, request: RequestId) {
         self.carried.push(request);
+        self.head_limit.arm();
     }
 
     /// Whether the connection can carry another request.
@@ -53,9 +58,11 @@
     stream.set_nodelay(true)?;
     let gate = Arc::new(WriteGate::new());
     let gated = GatedStream::new(stream, Arc::clone(&gate));
+    let head_limit = HeadLimit::default();
+    let stream = FairStream::new(gated, head_limit.clone());
     let (sender, driver) = Builder::new()
         .max_header_size(header_bytes)
-        .handshake(TokioIo::new(gated))
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     tokio::spawn(async move {
@@ -68,5 +75,6 @@
         gate,
         idle_since: Instant::now(),
         carried: Vec::new(),
+        head_limit,
     })
 }
--- a/crates/ward-backend/tests/answers.rs
+++ b/crates/ward-backend/tests/answers.rs
@@ -246,3 +246,13 @@
         expect_that!(error, matches_pattern!(CallError::Lost(_)), "{length}");
     }
 }
+
+#[googletest::test]
+#[tokio::test]
+async fn interim_heads_without_an_answer_were_read_until_the_deadline() {
+    let heads = "HTTP/1.1 100 Continue\r\n\r\n".repeat(1 << 20);
+    let server = ScriptedServer::start(false, move |_| heads.clone()).await;
+    let client = BackendClient::new(ClientLimits::default());
+    let result = server.send(&client, ID).await;
+    expect_true!(matches!(result, Err(CallError::Lost(_))));
+}
--- a/crates/ward-daemon/tests/gateway/endless.rs
+++ b/crates/ward-daemon/tests/gateway/endless.rs
@@ -1,14 +1,15 @@
 //! Engines that send bytes without end and never a valid answer.
 //!
-//! Guards against two failures: answers were buffered without a size limit, and any
-//! byte counted as progress of a stream, so that a stalled stream never timed out.
+//! Guards against three failures: answers were buffered without a size limit; any byte
+//! counted as progress of a stream, so that a stalled stream never timed out; and one
+//! connection whose bytes never ran out kept a daemon from all other work.
 
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use googletest::prelude::*;
 use ward_protocol::MemorySize;
-use ward_stage::{CallerRequest, EngineFault, Stage, StagePlan};
+use ward_stage::{CallerRequest, EngineFault, LinkFault, Stage, StagePlan};
 
 use crate::support::{COMPLETE_STREAM, send, stage};
 
@@ -19,6 +20,8 @@
 const MAX_DURATION: Duration = Duration::from_secs(3);
 /// Time in which a request that one server refuses is served by another.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// Time in which a request to a sound engine is served: the target of the routes.
+const SOUND_TIME: Duration = Duration::from_millis(500);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Sends concurrent requests to one daemon, expects them to fail in time, and returns
@@ -115,3 +118,87 @@
     let memory = peak_memory(&stage, "/stock/b", None).await;
     expect_that!(memory, lt(HOST_MEMORY));
 }
+
+/// Sends requests to each daemon in turn, to engines that are sound, until `end`; expects
+/// each to be served in time.
+async fn expect_served_meanwhile(stage: &Stage, path: &str, end: Instant) {
+    let mut number = 0;
+    while Instant::now() < end {
+        let daemon = number % stage.daemons.len();
+        let request = CallerRequest::new(format!("{path}{number}"), path, None);
+        let begun = Instant::now();
+        let answer = send(stage, daemon, &request).await.unwrap();
+        expect_that!(answer.status.as_u16(), eq(200), "{number}");
+        expect_that!(begun.elapsed(), lt(SOUND_TIME), "{number}");
+        number += 1;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_interim_heads_held_up_all_callers_of_the_daemon() {
+    let stage = stage("endless-heads", &StagePlan::default()).await;
+    for link in &stage.engine_links[..3] {
+        link.set_fault(LinkFault::EndlessHeads);
+    }
+    let model = Stage::model_name(1);
+    let faulty: Vec<_> = (0..stage.daemons.len() * 4)
+        .map(|number| CallerRequest::new(format!("f{number}"), "/quick/a", Some(&model)))
+        .collect();
+    let calls = faulty.iter().enumerate().map(|(number, request)| {
+        let daemon = number % stage.daemons.len();
+        send(&stage, daemon, request)
+    });
+    let end = Instant::now() + Duration::from_secs(3);
+    let (answers, ()) = tokio::join!(
+        join_all(calls),
+        expect_served_meanwhile(&stage, "/stock/a", end)
+    );
+    for answer in answers {
+        expect_that!(answer.unwrap().status.as_u16(), eq(502));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_interim_heads_after_a_safe_request_go_to_another_engine() {
+    let stage = stage("endless-heads-safe", &StagePlan::default()).await;
+    stage.engine_links[3].set_fault(LinkFault::EndlessHeads);
+    for number in 0..6 {
+        let begun = Instant::now();
+        let request = CallerRequest::new(format!("r{number}"), "/stock/a", None);
+        let answer = send(&stage, 0, &request).await.unwrap();
+        expect_that!(answer.status.as_u16(), eq(200));
+        expect_that!(begun.elapsed(), lt(SOUND_TIME));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_interim_heads_to_orders_held_up_the_coordinator() {
+    let stage = stage("endless-heads-orders", &StagePlan::default()).await;
+    for link in &stage.engine_links[..3] {
+        link.set_fault(LinkFault::EndlessHeads);
+    }
+    // Nobody holds the last models, so these are ordered.
+    let models: Vec<_> = (4..8).map(Stage::model_name).collect();
+    let wanted: Vec<_> = models
+        .iter()
+        .map(|model| CallerRequest::new(model, "/quote/a", Some(model)))
+        .collect();
+    let calls = wanted.iter().map(|request| send(&stage, 0, request));
+    let end = Instant::now() + Duration::from_secs(3);
+    tokio::join!(
+        join_all(calls),
+        expect_served_meanwhile(&stage, "/stock/a", end)
+    );
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_interim_heads_of_the_store_held_up_all_callers() {
+    let stage = stage("endless-heads-store", &StagePlan::default()).await;
+    stage.store_link.set_fault(LinkFault::EndlessHeads);
+    let end = Instant::now() + Duration::from_secs(3);
+    expect_served_meanwhile(&stage, "/stock/a", end).await;
+}
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -128,6 +128,7 @@
     })?;
     slot.set_run_state(RunState::Running);
     let sent_at = clock::now();
+    connection.head_limit.arm();
     let sent = connection.sender.try_send_request(outgoing);
     let answer = match tokio::time::timeout(timeout.duration(), sent).await {
         Err(_) => {
@@ -153,6 +154,7 @@
         }
         Ok(Ok(answer)) => answer,
     };
+    connection.head_limit.lift();
     let fields = AnswerFields::read(answer.headers(), request.id.as_ref());
     let attempt = Attempt {
         slot,
--- a/crates/ward-gateway/src/forward/pool.rs
+++ b/crates/ward-gateway/src/forward/pool.rs
@@ -10,9 +10,14 @@
 //! would then take the copy for its answer; so no connection is kept after these. An
 //! engine that has answered out of turn gets a new connection for each request for a
 //! while.
+//!
+//! A faulty engine may also send interim heads without end, which the HTTP library skips;
+//! so the bytes that come before an answer are limited.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::error::Error;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,10 +26,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use prometheus::IntCounter;
+use prometheus::{Histogram, IntCounter};
 use quick_error::quick_error;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::TcpStream;
+use ward_http::{FairStream, HeadLimit};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use crate::clock;
@@ -40,6 +46,8 @@
 const MIN_IDLE_TIME: TimeSpan = TimeSpan::from_millis(10);
 /// Time for which no connection is reused to an engine that has answered out of turn.
 const UNRELIABLE_TIME: TimeSpan = TimeSpan::from_secs(30);
+/// Time that one connection works at a stretch from which on it is logged.
+const LONG_TURN: TimeSpan = TimeSpan::from_millis(50);
 /// Percentage of the engine's keep-alive timeout for which a connection is kept.
 const MAX_IDLE_PERCENT_OF_KEEP_ALIVE: u64 = 70;
 
@@ -81,6 +89,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// Requests that it carried before the current one.
     pub(super) carried: u32,
+    /// Armed for each request, and lifted when the head of its answer is complete.
+    pub(super) head_limit: HeadLimit,
 }
 
 struct IdleConnection {
@@ -103,15 +113,18 @@
     /// reused.
     unreliable: RefCell<IndexMap<BackendId, MonoTime>>,
     opened: IntCounter,
+    /// Seconds that a connection worked at a stretch while all other work waited.
+    turns: Histogram,
     logger: Logger,
 }
 
 impl EnginePool {
-    pub(crate) fn new(opened: IntCounter, logger: Logger) -> Self {
+    pub(crate) fn new(opened: IntCounter, turns: Histogram, logger: Logger) -> Self {
         Self {
             idle: RefCell::default(),
             unreliable: RefCell::default(),
             opened,
+            turns,
             logger,
         }
     }
@@ -212,15 +225,50 @@
     ) -> Result<EngineConnection, ConnectError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        let head_limit = HeadLimit::default();
+        let stream = FairStream::new(stream, head_limit.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let logger = self.logger.clone();
+        let connection = timed_turns(connection, self.turns.clone(), engine.clone(), &logger);
         tokio::task::spawn_local(async move {
             // Also returned for the answer that the connection carries, but bytes on an
             // idle connection are seen only here.
             if let Err(cause) = connection.await {
-                info!(logger, "pool: connection failed"; "engine" => %engine, "cause" => %cause);
+                info!(
+                    logger, "pool: connection failed"; "engine" => %engine, "cause" => %cause,
+                    "source" => cause.source().map(ToString::to_string),
+                );
             }
         });
-        Ok(EngineConnection { sender, carried: 0 })
+        Ok(EngineConnection {
+            sender,
+            carried: 0,
+            head_limit,
+        })
     }
 }
+
+/// Observes how long a connection works at a stretch, and logs when other work had to wait
+/// for long.
+fn timed_turns<F: Future>(
+    connection: F,
+    turns: Histogram,
+    engine: BackendId,
+    logger: &Logger,
+) -> impl Future<Output = F::Output> + use<F> {
+    let mut connection = Box::pin(connection);
+    let logger = logger.clone();
+    std::future::poll_fn(move |cx| {
+        let begun = clock::now();
+        let result = connection.as_mut().poll(cx);
+        let span = clock::now().since(begun);
+        turns.observe(span.seconds());
+        if span >= LONG_TURN {
+            warn!(
+                logger, "pool: a connection held up all other work"; "engine" => %engine,
+                "millis" => span.millis(),
+            );
+        }
+        result
+    })
+}
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -131,7 +131,11 @@
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             settings: RefCell::new(Rc::new(settings)),
             incarnation: Incarnation(WallTime::now().0),
-            pool: EnginePool::new(metrics.connections.clone(), logger.clone()),
+            pool: EnginePool::new(
+                metrics.connections.clone(),
+                metrics.connection_turns.clone(),
+                logger.clone(),
+            ),
             logger,
             metrics,
             table: RefCell::default(),
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -39,6 +39,9 @@
     pub(crate) orders: IntCounterVec,
     /// Attempts to open connections to engines.
     pub(crate) connections: IntCounter,
+    /// Seconds that a connection to an engine worked at a stretch, while all other work of
+    /// the daemon waited.
+    pub(crate) connection_turns: Histogram,
     /// Reads of engines and manifests from the store by result.
     store_calls: IntCounterVec,
     /// Version of the manifest in force.
@@ -84,6 +87,10 @@
             waiting: IntGauge::new("ward_waiting", "requests that wait now")?,
             orders: counter_vec("ward_orders_total", "orders by answer", "answer")?,
             connections: IntCounter::new("ward_connections_total", "connections to engines")?,
+            connection_turns: latency_histogram(
+                "ward_connection_turn_seconds",
+                "work of one connection at a stretch",
+            )?,
             store_calls: counter_vec("ward_store_calls_total", "calls to the store", "result")?,
             manifest: IntGauge::new("ward_manifest_version", "manifest in force")?,
             coordinates: IntGauge::new("ward_coordinates", "1 on the coordinator")?,
@@ -108,6 +115,7 @@
         registry.register(Box::new(self.waiting.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
+        registry.register(Box::new(self.connection_turns.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
         registry.register(Box::new(self.manifest.clone()))?;
         registry.register(Box::new(self.coordinates.clone()))
--- a/crates/ward-http/src/call.rs
+++ b/crates/ward-http/src/call.rs
@@ -7,16 +7,16 @@
 use http::{Method, Request, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use ward_protocol::TimeSpan;
 
+use crate::connector::FairConnector;
 use crate::error::CallError;
+use crate::fair::HeadLimit;
 use crate::reply::HttpReply;
 
 /// Time after which an idle connection in the pool is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections to one address in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -32,7 +32,7 @@
 /// HTTP client with a connection pool; clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<FairConnector, Full<Bytes>>,
 }
 
 impl Default for HttpClient {
@@ -49,15 +49,12 @@
     }
 
     fn with_max_idle(max_idle: usize) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(FairConnector::new());
         Self { client }
     }
 
@@ -93,6 +90,10 @@
             }
         })?;
         let (head, body) = answer.into_parts();
+        let head_limit = head.extensions.get::<HeadLimit>();
+        if let Some(head_limit) = head_limit {
+            head_limit.lift();
+        }
         let body = Limited::new(body, limit).collect().await.map_err(|cause| {
             if cause.is::<LengthLimitError>() {
                 CallError::TooLong(limit)
@@ -100,6 +101,11 @@
                 CallError::Lost(cause)
             }
         })?;
+        // Another call may have taken the connection already; its limit is then in force
+        // from its next write on.
+        if let Some(head_limit) = head_limit {
+            head_limit.arm();
+        }
         Ok(HttpReply {
             status: head.status,
             headers: head.headers,
--- a/crates/ward-http/src/lib.rs
+++ b/crates/ward-http/src/lib.rs
@@ -10,6 +10,9 @@
 //! make a call run twice, while one wrongly reported as "lost" only costs a read of
 //! the log.
 //!
+//! A server may send bytes faster than they can be read, and without end. [`FairStream`]
+//! keeps such a connection from holding up all other tasks of its thread.
+//!
 //! An answer on a kept connection belongs to a call only because it is the next one
 //! there. That holds for the platform's services, which return nothing further on a
 //! connection on which an answer was lost; [`HttpClient`] closes the connection of a call
@@ -18,9 +21,12 @@
 //! [`UnpooledClient`].
 
 mod call;
+mod connector;
 mod error;
+mod fair;
 mod reply;
 
 pub use call::{CallBounds, HttpClient, UnpooledClient, json_request};
 pub use error::{CallCause, CallError};
+pub use fair::{FairStream, HeadLimit};
 pub use reply::{HttpReply, ReplyError};
