Streams of the only software version go on at the last daemon that lives

Cause: a daemon believed in a single version only if another daemon answered, and the others were dead. Ruled out: an old list of engines (new streams began), an unknown history.

Change: each daemon lists in the store the versions that its streams come from, before the first stream of a version goes to a caller. A read that began after the request came then names every version, whoever is alive. Without it, all is as strict as before.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod soak;
 mod stopping;
 mod stream_keepers;
+mod stream_loss;
 mod support;
 mod unframed;
 mod version_history;
--- /dev/null
+++ b/crates/ward-daemon/tests/gateway/stream_loss.rs
@@ -0,0 +1,74 @@
+//! Streams that callers take up when all daemons are gone that knew of them.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::StatusCode;
+use ward_adapter::served::resume_headers;
+use ward_stage::{CallerRequest, Stage, StagePlan, StoreFault};
+
+use crate::caller_stream::{begin_streams, expect_taken_up, one_version, take_up};
+use crate::support::{expect_refused, send, stage, wait_until_all_joined};
+
+/// Time in which a slow stream brings some of its events, but not all.
+const SOME_EVENTS: Duration = Duration::from_millis(750);
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_the_only_version_was_refused_by_the_only_daemon_left() {
+    let plan = StagePlan {
+        daemons: 2,
+        ..one_version()
+    };
+    for killed in 0..2 {
+        let mut stage = stage(&format!("loss-two-{killed}"), &plan).await;
+        wait_until_all_joined(&stage).await;
+        let begun = begin_streams(&stage, &[killed], 12);
+        tokio::time::sleep(SOME_EVENTS).await;
+        stage.daemons[killed].kill();
+        let mut streams = begun.broken_streams().await;
+        let left = 1 - killed;
+        take_up(&stage, &[left], &mut streams, "next").await;
+        expect_taken_up(&streams, 12);
+        let mut request = CallerRequest::new("unnamed", "/quote/a", Some(&Stage::model_name(0)));
+        request.headers = resume_headers(None, 2);
+        let answer = send(&stage, left, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_the_only_version_was_refused_after_the_loss_of_two_of_three() {
+    let plan = StagePlan {
+        daemons: 3,
+        ..one_version()
+    };
+    let mut stage = stage("loss-three", &plan).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    let other = (coordinator + 1) % 3;
+    let left = (coordinator + 2) % 3;
+    let begun = begin_streams(&stage, &[coordinator, other], 12);
+    tokio::time::sleep(SOME_EVENTS).await;
+    stage.daemons[coordinator].kill();
+    stage.daemons[other].kill();
+    let mut streams = begun.broken_streams().await;
+    take_up(&stage, &[left], &mut streams, "next").await;
+    expect_taken_up(&streams, 12);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn only_version_is_not_believed_without_other_daemons_and_store() {
+    let plan = StagePlan {
+        daemons: 2,
+        ..one_version()
+    };
+    let mut stage = stage("loss-store", &plan).await;
+    wait_until_all_joined(&stage).await;
+    stage.daemons[0].kill();
+    stage.store.set_fault(StoreFault::Reset);
+    let mut request = CallerRequest::new("next", "/quote/a", Some(&Stage::model_name(0)));
+    request.headers = resume_headers(Some("begun"), 2);
+    expect_refused(&stage, 1, &request).await;
+}
--- a/crates/ward-daemon/tests/gateway/versions.rs
+++ b/crates/ward-daemon/tests/gateway/versions.rs
@@ -5,11 +5,14 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
-use tokio::task::JoinHandle;
+
 use ward_adapter::served::resume_headers;
-use ward_stage::{CallerRequest, PLAIN_SOFTWARE, Stage, StageCaller, StagePlan, StoreFault};
+use ward_stage::{CallerRequest, PLAIN_SOFTWARE, Stage, StagePlan, StoreFault};
 
-use crate::caller_stream::{CallerResult, CallerStream, OTHER_SOFTWARE, slow_request};
+use crate::caller_stream::{
+    CallerStream, OTHER_SOFTWARE, begin_streams, expect_taken_up, one_version, send_in_background,
+    take_up, two_versions,
+};
 use crate::support::{
     expect_refused, restart_all_at_once, send, stage, wait_until, wait_until_all_joined,
 };
@@ -23,107 +26,6 @@
     CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)))
 }
 
-/// A stage whose engines all hold the same model, half of them with another software
-/// version.
-fn two_versions() -> StagePlan {
-    StagePlan {
-        daemons: 4,
-        engines: 4,
-        models: 1,
-        software: &[PLAIN_SOFTWARE, OTHER_SOFTWARE],
-        ..StagePlan::default()
-    }
-}
-
-fn one_version() -> StagePlan {
-    StagePlan {
-        software: &[PLAIN_SOFTWARE],
-        ..two_versions()
-    }
-}
-
-/// Sends a request in the background, so that daemons can be killed meanwhile.
-fn send_in_background(
-    stage: &Stage,
-    daemon: usize,
-    request: CallerRequest,
-) -> JoinHandle<CallerResult> {
-    let address = stage.daemons[daemon].callers();
-    tokio::spawn(async move { StageCaller::connect(address).await?.send(&request).await })
-}
-
-/// Streams that have begun at the daemons, and the tasks that read them.
-struct BegunStreams {
-    streams: Vec<CallerStream>,
-    readers: Vec<JoinHandle<CallerResult>>,
-}
-
-/// Begins streams at some daemons in turn.
-fn begin_streams(stage: &Stage, daemons: &[usize], count: usize) -> BegunStreams {
-    let mut begun = BegunStreams {
-        streams: Vec::new(),
-        readers: Vec::new(),
-    };
-    for number in 0..count {
-        let id = format!("begin{number}");
-        let daemon = daemons[number % daemons.len()];
-        begun
-            .readers
-            .push(send_in_background(stage, daemon, slow_request(&id)));
-        begun.streams.push(CallerStream {
-            first_try: id,
-            events: String::new(),
-        });
-    }
-    begun
-}
-
-impl BegunStreams {
-    /// The streams that broke off after their first event.
-    async fn broken_streams(self) -> Vec<CallerStream> {
-        let mut broken = Vec::new();
-        for (mut stream, reader) in self.streams.into_iter().zip(self.readers) {
-            stream.add(reader.await.unwrap());
-            if stream.event_count() > 0 && !stream.is_complete() {
-                broken.push(stream);
-            }
-        }
-        broken
-    }
-}
-
-/// Takes up streams at some daemons in turn, all at the same time.
-async fn take_up(stage: &Stage, daemons: &[usize], streams: &mut [CallerStream], round: &str) {
-    let mut readers = Vec::new();
-    for (number, stream) in streams.iter().enumerate() {
-        let request = stream.resumption(&format!("{round}{number}"));
-        readers.push(send_in_background(
-            stage,
-            daemons[number % daemons.len()],
-            request,
-        ));
-    }
-    for (stream, reader) in streams.iter_mut().zip(readers) {
-        stream.add(reader.await.unwrap());
-    }
-}
-
-/// Expects that no stream holds events of two versions, and that at least half of
-/// them went on to their end.
-fn expect_taken_up(streams: &[CallerStream], begun: usize) {
-    expect_that!(
-        streams.len(),
-        ge(begun / 2),
-        "too few streams broke off in mid-stream"
-    );
-    for stream in streams {
-        expect_true!(stream.is_of_one_version(), "mixed: {:?}", stream.events);
-    }
-    let complete = streams.iter().filter(|stream| stream.is_complete()).count();
-    expect_that!(complete * 2, ge(streams.len()), "too few streams went on");
-    println!("{complete} of {} streams went on", streams.len());
-}
-
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn daemon_that_died_took_the_version_of_its_streams_along() {
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -62,6 +62,6 @@
 pub use stop::StopPlan;
 pub use streams::{
     ServedVersions, StreamNews, StreamNote, StreamOrigin, StreamRecord, StreamRegister,
-    VersionHistory, VersionRevision, VersionSighting,
+    VersionHistory, VersionList, VersionRevision, VersionSighting,
 };
 pub use table::{EngineRecord, EngineTable};
--- a/crates/ward-fleet/src/streams/mod.rs
+++ b/crates/ward-fleet/src/streams/mod.rs
@@ -6,7 +6,10 @@
 //! the first one died. So each daemon records the origin of its streams, and while a
 //! service has several versions, two other daemons, the keepers of the stream's key,
 //! record it too. Whoever takes the stream up finds the keepers from the key alone.
-//! While a service has a single version, nothing needs to be known of its streams.
+//! While a service has a single version, nothing needs to be known of its streams but
+//! that: each daemon lists in the store the versions that its streams come from, before
+//! the first stream of a further version goes to a caller. So whoever reads the lists of
+//! all daemons knows every version, although none of these daemons may be left.
 
 mod keepers;
 mod persist;
@@ -25,6 +28,9 @@
 /// than callers wait in all their tries together.
 pub const MAX_STREAM_AGE: TimeSpan = TimeSpan::from_secs(600);
 
+/// Time after which a daemon writes an unchanged version list again.
+pub const LIST_INTERVAL: TimeSpan = TimeSpan::from_secs(200);
+
 /// The engines that a stream comes from.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamOrigin {
@@ -74,6 +80,32 @@
     pub notes: Vec<StreamNote>,
 }
 
+/// The software versions of the engines that one daemon's streams come from, as kept in
+/// the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionList {
+    /// Time of writing, by the clock of the host that wrote the list.
+    pub written: WallTime,
+    /// The versions, with their ages at the time of writing.
+    pub versions: Vec<VersionSighting>,
+}
+
+impl VersionList {
+    /// The versions whose streams may still be taken up at `now`. Streams of a listed
+    /// version may begin until the list is written again.
+    #[must_use]
+    pub fn into_sightings(self, now: WallTime) -> Vec<VersionSighting> {
+        let elapsed = now.since(self.written).saturating_sub(LIST_INTERVAL);
+        let versions = self.versions.into_iter().map(|sighting| VersionSighting {
+            age: sighting.age + elapsed,
+            ..sighting
+        });
+        versions
+            .filter(|sighting| sighting.age < MAX_STREAM_AGE)
+            .collect()
+    }
+}
+
 impl StreamRecord {
     /// The streams that may still be taken up at `now`.
     #[must_use]
--- a/crates/ward-fleet/src/streams/versions.rs
+++ b/crates/ward-fleet/src/streams/versions.rs
@@ -84,6 +84,12 @@
         versions.len() > 1
     }
 
+    /// Whether no version is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Removes the versions whose streams can no longer be taken up.
     pub fn remove_expired(&mut self, now: MonoTime) {
         let mut removed = 0;
--- a/crates/ward-fleet/tests/streams.rs
+++ b/crates/ward-fleet/tests/streams.rs
@@ -7,10 +7,12 @@
 
 use googletest::prelude::*;
 use support::{info, member, name};
-use ward_fleet::streams::{MAX_STREAM_AGE, MAX_STREAMS, NoteSource, keepers, persist_interval};
+use ward_fleet::streams::{
+    LIST_INTERVAL, MAX_STREAM_AGE, MAX_STREAMS, NoteSource, keepers, persist_interval,
+};
 use ward_fleet::{
     EngineInfo, FleetRecord, RequestRate, ServedVersions, StreamNote, StreamOrigin, StreamRecord,
-    StreamRegister, VersionHistory,
+    StreamRegister, VersionHistory, VersionList, VersionSighting,
 };
 use ward_protocol::{MonoTime, StreamKey, TimeSpan, WallTime};
 
@@ -276,3 +278,24 @@
     expect_that!(interval(195, 400_000), ge(TimeSpan::from_secs(4)));
     expect_that!(interval(195, 0), eq(TimeSpan::from_secs(30)));
 }
+
+#[gtest]
+fn version_list_names_a_version_as_long_as_its_streams_may_be_taken_up() {
+    let written = WallTime(1_000_000);
+    let list = VersionList {
+        written,
+        versions: vec![VersionSighting {
+            origin: origin("v1"),
+            age: TimeSpan::from_secs(10),
+        }],
+    };
+    let listed_after = |seconds| {
+        let now = written + TimeSpan::from_secs(seconds);
+        list.clone().into_sightings(now).len()
+    };
+    // Streams may begin until the list is written again, and are taken up for a while.
+    let longest = (LIST_INTERVAL + MAX_STREAM_AGE).millis() / 1_000;
+    expect_that!(listed_after(0), eq(1));
+    expect_that!(listed_after(longest - 11), eq(1));
+    expect_that!(listed_after(longest), eq(0));
+}
--- a/crates/ward-gateway/src/streams/find.rs
+++ b/crates/ward-gateway/src/streams/find.rs
@@ -11,7 +11,7 @@
 use ward_protocol::{ServiceName, StreamKey, TimeSpan};
 
 use super::keeper_addresses;
-use super::store::read_streams;
+use super::store::{MIN_READ_INTERVAL, read_streams};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::{PeerError, call_daemon, encode_frame};
@@ -21,7 +21,7 @@
 const ASKED_KEEPERS: usize = 3;
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time that a request waits for a read of the store.
-const STORE_READ_TIMEOUT: Duration = Duration::from_millis(500);
+const STORE_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Age of the last look at the engines up to which this daemon itself knows all software
 /// versions that serve.
 const MAX_TABLE_AGE: TimeSpan = TimeSpan::from_millis(2_000);
@@ -31,8 +31,10 @@
 pub(crate) enum OriginSource {
     /// In this daemon's own register.
     Own,
-    /// The service has had a single version.
+    /// The service has had a single version, as this daemon and others know.
     OnlyVersion,
+    /// The service has had a single version, as the lists of all daemons in the store say.
+    OnlyListed,
     /// At a keeper of the stream's key.
     Keeper,
     /// In the store.
@@ -45,6 +47,7 @@
         match self {
             Self::Own => "own",
             Self::OnlyVersion => "only_version",
+            Self::OnlyListed => "only_listed",
             Self::Keeper => "keeper",
             Self::Store => "store",
         }
@@ -59,6 +62,7 @@
     service: &ServiceName,
 ) -> Option<(StreamOrigin, OriginSource)> {
     let state = &gateway.streams;
+    let asked_at = clock::now();
     if let Some(origin) = key.and_then(|key| state.known_origin(key)) {
         return Some((origin, OriginSource::Own));
     }
@@ -77,13 +81,27 @@
     {
         return Some((origin, OriginSource::OnlyVersion));
     }
-    let key = key?;
-    let read = tokio::time::timeout(STORE_READ_TIMEOUT, read_streams(gateway)).await;
+    // Where several versions are known, a read is of use only if it finds the stream: then
+    // a refused caller rather comes again than waits for the next read.
+    let earliest = match state.single_origin(service) {
+        Some(_) => asked_at,
+        None => asked_at - MIN_READ_INTERVAL,
+    };
+    let read = read_streams(gateway, earliest);
+    let read = tokio::time::timeout(STORE_READ_TIMEOUT, read).await;
     if read.is_err() {
         info!(gateway.logger, "stream: store not read in time");
     }
-    let origin = state.known_origin(key)?;
-    Some((origin, OriginSource::Store))
+    if let Some(origin) = key.and_then(|key| state.known_origin(key)) {
+        return Some((origin, OriginSource::Store));
+    }
+    // The daemons that could not be asked may be dead, or only out of reach. Each listed
+    // the versions of its streams before the caller got their first events.
+    if read != Ok(true) {
+        return None;
+    }
+    let origin = state.only_listed_origin(service)?;
+    Some((origin, OriginSource::OnlyListed))
 }
 
 /// Whether this daemon's list of engines is up to date.
--- a/crates/ward-gateway/src/streams/mod.rs
+++ b/crates/ward-gateway/src/streams/mod.rs
@@ -1,11 +1,14 @@
 //! Keeps which software version began a stream, so that any daemon can continue it at
 //! that version.
 //!
-//! A daemon records each stream that it forwards. While a service has several versions,
-//! it also tells two other daemons, and writes its streams to the store from time to
-//! time. A request that takes up a stream is served only if the version is found.
+//! A daemon records each stream that it forwards, and lists in the store the versions that
+//! its streams come from before the first stream of a version goes to a caller. While a
+//! service has several versions, it also tells two other daemons, and writes its streams
+//! to the store from time to time. A request that takes up a stream is served only if the
+//! version is found.
 
 mod find;
+mod persist;
 mod record;
 mod store;
 
@@ -22,9 +25,9 @@
 use ward_protocol::{MonoTime, ServiceName, StreamKey, TimeSpan};
 
 pub(crate) use self::find::find_origin;
+pub(crate) use self::persist::{persist_now, persist_streams, wait_until_listed};
 pub(crate) use self::record::{StreamTry, record_origin, spread_streams};
 use self::store::StreamStore;
-pub(crate) use self::store::{persist_now, persist_streams};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::peer_addresses;
@@ -37,6 +40,9 @@
 pub(crate) struct StreamState {
     register: RefCell<StreamRegister>,
     versions: RefCell<VersionHistory>,
+    /// The versions that streams of this daemon may come from, or streams that other
+    /// daemons have told it of; those of its version list in the store.
+    own_versions: RefCell<VersionHistory>,
     /// Whether the versions that served before this daemon started are known.
     history_known: Cell<bool>,
     /// Notified when a service gets a further version.
@@ -50,10 +56,25 @@
     pub(crate) fn record_engines<'a>(&self, engines: impl IntoIterator<Item = &'a EngineInfo>) {
         let now = clock::now();
         let mut versions = self.versions.borrow_mut();
+        let mut own_versions = self.own_versions.borrow_mut();
+        let former_revision = own_versions.revision();
         for engine in engines {
             if versions.record_engine(engine, now) {
                 self.version_added.notify_one();
             }
+            own_versions.record_engine(engine, now);
+        }
+        if own_versions.revision() != former_revision {
+            self.store.request_write();
+        }
+    }
+
+    /// Records versions that streams of this daemon may come from.
+    fn record_own_versions(&self, sightings: &[VersionSighting]) {
+        let now = clock::now();
+        let mut own_versions = self.own_versions.borrow_mut();
+        for sighting in sightings {
+            own_versions.record_sighting(sighting, now);
         }
     }
 
@@ -84,7 +105,7 @@
     }
 
     /// Records what another daemon knows of streams and versions. A stream shows that its
-    /// version served of late, too.
+    /// version served of late, too; the other daemon may not have been able to list it.
     pub(crate) fn record_news(&self, news: StreamNews) {
         let origins = news.notes.iter().map(|note| note.origin.clone());
         let sightings: IndexSet<_> = origins.collect();
@@ -92,7 +113,9 @@
             origin,
             age: TimeSpan::ZERO,
         });
-        self.record_sightings(&sightings.collect::<Vec<_>>());
+        let sightings: Vec<_> = sightings.collect();
+        self.record_sightings(&sightings);
+        self.record_own_versions(&sightings);
         self.record_sightings(&news.versions);
         self.record_notes(news.notes, NoteSource::Other);
     }
@@ -117,6 +140,7 @@
         self.next_refresh.set(now + REFRESH_INTERVAL);
         self.record_engines(table.iter().map(|engine| &engine.info));
         self.versions.borrow_mut().remove_expired(now);
+        self.own_versions.borrow_mut().remove_expired(now);
     }
 
     fn record_notes(&self, notes: impl IntoIterator<Item = StreamNote>, source: NoteSource) {
@@ -133,9 +157,20 @@
 
     /// The origin of every stream of a service, if engines of a single version served it.
     fn only_origin(&self, service: &ServiceName) -> Option<StreamOrigin> {
-        if !self.history_known.get() {
-            return None;
-        }
+        let is_known = self.history_known.get();
+        self.single_origin(service).filter(|_| is_known)
+    }
+
+    /// The same if the lists of all daemons, as last read from the store, name this version
+    /// and no other.
+    fn only_listed_origin(&self, service: &ServiceName) -> Option<StreamOrigin> {
+        let origin = self.single_origin(service)?;
+        self.store.lists_only(&origin).then_some(origin)
+    }
+
+    /// The origin of the streams of a service as far as this daemon knows, if it knows a
+    /// single one.
+    fn single_origin(&self, service: &ServiceName) -> Option<StreamOrigin> {
         match self.versions.borrow().served(service) {
             ServedVersions::Single(software) => Some(StreamOrigin {
                 service: service.clone(),
@@ -145,6 +180,10 @@
         }
     }
 
+    fn has_own_versions(&self) -> bool {
+        !self.own_versions.borrow().is_empty()
+    }
+
     fn has_several_versions(&self, service: &ServiceName) -> bool {
         self.versions.borrow().has_several(service)
     }
--- /dev/null
+++ b/crates/ward-gateway/src/streams/persist.rs
@@ -0,0 +1,163 @@
+//! Decides when this daemon's streams and version list are written to the store, and lets
+//! streams wait for it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use ward_fleet::streams::{LIST_INTERVAL, persist_interval};
+use ward_protocol::TimeSpan;
+
+use super::StreamState;
+use super::store::{WriteScope, WrittenState, write_records};
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// Time between two looks whether anything must be written, without a request to write.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a failed write until the next one. Streams don't wait meanwhile.
+const WRITE_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// Writes this daemon's streams and version list to the store as they change; never
+/// returns.
+pub(crate) async fn persist_streams(gateway: Rc<Gateway>) {
+    let store = &gateway.streams.store;
+    loop {
+        // Waits for a request or until it is time for a look.
+        drop(tokio::time::timeout(CHECK_INTERVAL, store.write_requested.notified()).await);
+        if !persist_now(&gateway).await {
+            continue;
+        }
+        let writes = gateway.settings().bounds.store_writes;
+        let mut pause = persist_interval(gateway.daemon_count(), writes);
+        if has_failed(&gateway.streams) {
+            pause = pause.max(WRITE_RETRY_DELAY);
+        }
+        tokio::time::sleep(pause.duration()).await;
+    }
+}
+
+/// Writes what the store doesn't hold yet: the version list, and the streams while a
+/// service has several software versions. Returns false if nothing was due.
+pub(crate) async fn persist_now(gateway: &Gateway) -> bool {
+    let state = &gateway.streams;
+    let current = current_state(gateway);
+    let Some(scope) = due_scope(state, current) else {
+        return false;
+    };
+    match write_records(gateway, scope).await {
+        Ok(()) => {
+            state.store.failed_at.set(None);
+            let written = state.store.written.get();
+            state
+                .store
+                .written
+                .set(merged_state(written, current, scope));
+        }
+        Err(cause) => {
+            state.store.failed_at.set(Some(clock::now()));
+            warn!(gateway.logger, "stream: streams not written"; "cause" => %cause);
+        }
+    }
+    state.store.write_ended.notify_waiters();
+    true
+}
+
+/// Waits until the store holds this daemon's version list; returns false if the store
+/// does not acknowledge it within `timeout`, or has just failed to.
+pub(crate) async fn wait_until_listed(gateway: &Gateway, timeout: Duration) -> bool {
+    let state = &gateway.streams;
+    let is_listed = || {
+        let written = state.store.written.get();
+        let current = current_state(gateway);
+        written.era == current.era && written.versions == current.versions
+    };
+    wait_until_written(gateway, timeout, is_listed).await
+}
+
+async fn wait_until_written(
+    gateway: &Gateway,
+    timeout: Duration,
+    is_written: impl Fn() -> bool,
+) -> bool {
+    let state = &gateway.streams;
+    let written = async {
+        loop {
+            let ended = state.store.write_ended.notified();
+            if is_written() {
+                return true;
+            }
+            if has_failed(state) {
+                return false;
+            }
+            state.store.request_write();
+            ended.await;
+        }
+    };
+    match tokio::time::timeout(timeout, written).await {
+        Ok(is_written) => is_written,
+        Err(_) => {
+            // Later streams don't wait for a store that is slow.
+            state.store.failed_at.set(Some(clock::now()));
+            info!(
+                gateway.logger,
+                "stream: the store did not acknowledge in time"
+            );
+            false
+        }
+    }
+}
+
+/// Whether the store has failed to acknowledge a write of late.
+fn has_failed(state: &StreamState) -> bool {
+    let failed_at = state.store.failed_at.get();
+    failed_at.is_some_and(|time| clock::now().since(time) < WRITE_RETRY_DELAY)
+}
+
+/// What a write that begins now contains.
+fn current_state(gateway: &Gateway) -> WrittenState {
+    let state = &gateway.streams;
+    WrittenState {
+        era: gateway.store.era(),
+        streams: state.register.borrow().own_revision(),
+        versions: state.own_versions.borrow().revision(),
+        listed_at: clock::now(),
+    }
+}
+
+/// The records that must be written; `None` if the store holds what it should. A store
+/// that came back from a copy since the last write may have forgotten everything.
+fn due_scope(state: &StreamState, current: WrittenState) -> Option<WriteScope> {
+    let written = state.store.written.get();
+    let is_other_era = written.era != current.era;
+    let is_list_old = current.listed_at.since(written.listed_at) >= LIST_INTERVAL;
+    let has_new_versions = written.versions != current.versions;
+    let has_new_streams = written.streams != current.streams;
+    let has_versions = state.has_own_versions();
+    let scope = WriteScope {
+        has_versions: has_versions && (has_new_versions || is_other_era || is_list_old),
+        has_streams: current.streams > 0
+            && (has_new_streams || is_other_era)
+            && state.versions.borrow().any_has_several(),
+    };
+    (scope.has_versions || scope.has_streams).then_some(scope)
+}
+
+/// What the store holds after a write of these records. Of an earlier era it holds nothing
+/// for sure.
+fn merged_state(written: WrittenState, current: WrittenState, scope: WriteScope) -> WrittenState {
+    let mut merged = if written.era == current.era {
+        written
+    } else {
+        WrittenState::default()
+    };
+    merged.era = current.era;
+    if scope.has_streams {
+        merged.streams = current.streams;
+    }
+    if scope.has_versions {
+        merged.versions = current.versions;
+        merged.listed_at = current.listed_at;
+    }
+    merged
+}
--- a/crates/ward-gateway/src/streams/record.rs
+++ b/crates/ward-gateway/src/streams/record.rs
@@ -12,7 +12,7 @@
 use ward_fleet::{CoordinatorMessage, MemberMessage, StreamNews, StreamNote, StreamOrigin};
 use ward_protocol::{MonoTime, StreamKey};
 
-use super::{StreamState, keeper_addresses};
+use super::{StreamState, keeper_addresses, wait_until_listed};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::{PeerError, call_daemon, encode_frame};
@@ -21,6 +21,9 @@
 const KEEPERS: usize = 2;
 /// Time within which a keeper must answer; the caller waits for it.
 const TELL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time for which a stream waits until the store lists its software version; only
+/// the first streams of a version do.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(500);
 /// Maximum number of keepers that are told at the same time.
 const MAX_CONCURRENT_TELLS: usize = 16;
 /// Number of streams whose keepers are looked up before other work has its turn; each
@@ -38,8 +41,9 @@
     pub(crate) keep_until: MonoTime,
 }
 
-/// Records that a stream comes from engines of this origin; while the service has
-/// several versions, also at the keepers, before the caller gets the first bytes.
+/// Records that a stream comes from engines of this origin, before the caller gets the
+/// first bytes: the store must list its version, and while the service has several
+/// versions, a keeper must know the stream.
 pub(crate) async fn record_origin(
     gateway: &Rc<Gateway>,
     stream: &StreamTry,
@@ -56,13 +60,16 @@
     let notes: Vec<_> = notes.collect();
     let state = &gateway.streams;
     state.record_notes(notes.iter().cloned(), NoteSource::Own);
+    let listed = wait_until_listed(gateway, MAX_LIST_WAIT);
     if !state.has_several_versions(&origin.service) {
+        listed.await;
         return;
     }
-    let told = tell_any_keeper(gateway, notes).await;
+    let (told, listed) = tokio::join!(tell_any_keeper(gateway, notes), listed);
     info!(
         gateway.logger, "stream: origin recorded"; "request" => request,
         "service" => %origin.service, "software" => %origin.software, "told" => told,
+        "listed" => listed,
     );
 }
 
--- a/crates/ward-gateway/src/streams/store.rs
+++ b/crates/ward-gateway/src/streams/store.rs
@@ -1,15 +1,16 @@
-//! Copies of streams' origins in the store, for the case that a stream's daemon and its
-//! keepers have all restarted.
+//! Reads and writes what the store keeps of streams, for the case that no daemon is left
+//! that knows it: the origins of streams and the version lists.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use std::cell::{Cell, RefCell};
 
+use indexmap::IndexSet;
 use quick_error::quick_error;
 use slog::warn;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, Notify};
+use ward_adapter::store::{is_version_list_key, version_list_key};
 use ward_adapter::{NewRecord, StoreError, StoreRecord, StoreTopic};
-use ward_fleet::streams::{NoteSource, persist_interval};
-use ward_fleet::{StoreEra, StreamNote, StreamRecord};
+use ward_fleet::streams::{NoteSource, VersionRevision};
+use ward_fleet::{StoreEra, StreamNote, StreamOrigin, StreamRecord, VersionList};
 use ward_protocol::codec::{decode, encode};
 use ward_protocol::{CodecError, MonoTime, TimeSpan, WallTime};
 
@@ -17,12 +18,12 @@
 use crate::gateway::Gateway;
 
 /// Minimum time between two reads by one daemon.
-const MIN_READ_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
+pub(super) const MIN_READ_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
 /// Maximum length of the notes in a record, in bytes; the store accepts 256 KiB.
 const MAX_NOTES_BYTES: usize = 240 << 10;
 
 quick_error! {
-    /// Why a daemon's streams cannot be written to the store.
+    /// Why what a daemon knows of streams cannot be written to the store.
     #[derive(Debug)]
     #[allow(unreachable_pub, reason = "quick_error knows no narrower visibility")]
     pub enum PersistError {
@@ -36,114 +37,202 @@
             from()
             display("{cause}")
         }
+        /// The records of an earlier incarnation of this daemon, which its own records
+        /// replace, cannot be read.
+        Unrestored {
+            display("its earlier records cannot be read")
+        }
     }
 }
 
+/// A read of all daemons' records.
+#[derive(Debug, Clone, Copy)]
+struct StoreRead {
+    begun: MonoTime,
+    /// Whether all records were read, and all version lists decoded.
+    is_complete: bool,
+}
+
+/// What the store is known to hold of this daemon's streams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct WrittenState {
+    /// The newest era of the store that was known at the time of writing.
+    pub(super) era: StoreEra,
+    /// Revision of the streams.
+    pub(super) streams: u64,
+    /// Revision of the version list.
+    pub(super) versions: VersionRevision,
+    /// When the version list was last written.
+    pub(super) listed_at: MonoTime,
+}
+
+/// Which records a write contains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct WriteScope {
+    pub(super) has_streams: bool,
+    pub(super) has_versions: bool,
+}
+
 /// What this daemon has read from the store and written to it.
 #[derive(Default)]
 pub(super) struct StreamStore {
-    /// When the last read began; locked while one is under way.
-    last_read: Mutex<Option<MonoTime>>,
-    /// Whether this daemon has read the record that an earlier incarnation of it wrote,
-    /// which its own record replaces.
+    /// The last read; locked while one is under way.
+    last_read: Mutex<Option<StoreRead>>,
+    /// Whether this daemon has read the records of its earlier incarnation.
     is_restored: Cell<bool>,
-    /// Revision of the streams that were written last, and the newest era of the store
-    /// that was known then.
-    written: Cell<(u64, StoreEra)>,
+    /// Versions in the lists of all daemons as of the last complete read.
+    listed: RefCell<IndexSet<StreamOrigin>>,
+    pub(super) written: Cell<WrittenState>,
+    /// When a write last failed, or was not acknowledged in time.
+    pub(super) failed_at: Cell<Option<MonoTime>>,
+    pub(super) write_requested: Notify,
+    /// Notified after each write, whether or not it has succeeded.
+    pub(super) write_ended: Notify,
+}
+
+impl StreamStore {
+    /// Requests a write of what has changed.
+    pub(super) fn request_write(&self) {
+        self.write_requested.notify_one();
+    }
+
+    /// Whether daemons list this version and no other one of its service, as of the last
+    /// complete read.
+    pub(super) fn lists_only(&self, origin: &StreamOrigin) -> bool {
+        let listed = self.listed.borrow();
+        let mut same_service = listed
+            .iter()
+            .filter(|other| other.service == origin.service);
+        same_service.next() == Some(origin) && same_service.next().is_none()
+    }
 }
 
-/// Reads the streams of all daemons, unless that was done just now.
-pub(super) async fn read_streams(gateway: &Gateway) {
+/// Reads the records of all daemons, unless a read began at `earliest` or later; returns
+/// whether that read was complete.
+pub(super) async fn read_streams(gateway: &Gateway, earliest: MonoTime) -> bool {
     let store = &gateway.streams.store;
     let mut last_read = store.last_read.lock().await;
-    let now = clock::now();
-    if last_read.is_some_and(|time| now.since(time) < MIN_READ_INTERVAL) {
-        return;
+    if let Some(read) = *last_read {
+        if read.begun >= earliest {
+            return read.is_complete;
+        }
+        let elapsed = clock::now().since(read.begun);
+        tokio::time::sleep(MIN_READ_INTERVAL.saturating_sub(elapsed).duration()).await;
     }
-    *last_read = Some(now);
-    match gateway.store.newest(StoreTopic::Streams).await {
+    let begun = clock::now();
+    let is_complete = match gateway.store.newest(StoreTopic::Streams).await {
         Ok(tail) => {
             gateway.metrics.count_store_call(true);
-            for record in &tail.records {
-                apply_record(gateway, record);
-            }
             store.is_restored.set(true);
+            apply_records(gateway, &tail.records)
         }
         Err(cause) => {
             gateway.metrics.count_store_call(false);
             warn!(gateway.logger, "stream: store cannot be read"; "cause" => %cause);
+            false
         }
-    }
+    };
+    *last_read = Some(StoreRead { begun, is_complete });
+    is_complete
 }
 
-fn apply_record(gateway: &Gateway, record: &StoreRecord) {
-    let streams: StreamRecord = match decode(&record.value) {
-        Ok(streams) => streams,
-        Err(cause) => {
+/// Applies the records of all daemons; returns whether all version lists were decoded.
+fn apply_records(gateway: &Gateway, records: &[StoreRecord]) -> bool {
+    let settings = gateway.settings();
+    let own_list_key = version_list_key(&settings.daemon);
+    let mut listed = IndexSet::new();
+    let mut is_complete = true;
+    for record in records.iter().filter(|record| !record.value.is_empty()) {
+        let applied = if is_version_list_key(&record.key) {
+            apply_list(gateway, record, &mut listed, record.key == own_list_key)
+        } else {
+            apply_notes(gateway, record, record.key == settings.daemon.as_str())
+        };
+        if let Err(cause) = applied {
             warn!(
                 gateway.logger, "stream: record cannot be decoded";
                 "key" => &record.key, "cause" => %cause,
             );
-            return;
+            is_complete &= !is_version_list_key(&record.key);
         }
-    };
-    let source = if record.key == gateway.settings().daemon.as_str() {
+    }
+    if is_complete {
+        gateway.streams.store.listed.replace(listed);
+    }
+    is_complete
+}
+
+fn apply_notes(gateway: &Gateway, record: &StoreRecord, is_own: bool) -> Result<(), CodecError> {
+    let streams: StreamRecord = decode(&record.value)?;
+    let source = if is_own {
         NoteSource::Own
     } else {
         NoteSource::Other
     };
     let notes = streams.into_notes(WallTime::now());
     gateway.streams.record_notes(notes, source);
+    Ok(())
 }
 
-/// Writes this daemon's streams to the store from time to time; never returns.
-pub(crate) async fn persist_streams(gateway: Rc<Gateway>) {
-    loop {
-        let writes = gateway.settings().bounds.store_writes;
-        let interval = persist_interval(gateway.daemon_count(), writes);
-        tokio::time::sleep(interval.duration()).await;
-        persist_now(&gateway).await;
+fn apply_list(
+    gateway: &Gateway,
+    record: &StoreRecord,
+    listed: &mut IndexSet<StreamOrigin>,
+    is_own: bool,
+) -> Result<(), CodecError> {
+    let list: VersionList = decode(&record.value)?;
+    let sightings = list.into_sightings(WallTime::now());
+    gateway.streams.record_sightings(&sightings);
+    if is_own {
+        gateway.streams.record_own_versions(&sightings);
     }
+    listed.extend(sightings.into_iter().map(|sighting| sighting.origin));
+    Ok(())
 }
 
-/// Writes this daemon's streams to the store if a service has several software versions
-/// and there are new streams.
-pub(crate) async fn persist_now(gateway: &Gateway) {
-    let state = &gateway.streams;
-    let revision = state.register.borrow().own_revision();
-    // A store that came back from a copy since may have forgotten the streams.
-    let current = (revision, gateway.store.era());
-    if revision == 0
-        || current == state.store.written.get()
-        || !state.versions.borrow().any_has_several()
-    {
-        return;
+/// Writes this daemon's records, after it has read those of its earlier incarnation.
+pub(super) async fn write_records(
+    gateway: &Gateway,
+    scope: WriteScope,
+) -> Result<(), PersistError> {
+    if !gateway.streams.store.is_restored.get() {
+        read_streams(gateway, clock::now()).await;
     }
-    if !state.store.is_restored.get() {
-        read_streams(gateway).await;
+    if !gateway.streams.store.is_restored.get() {
+        return Err(PersistError::Unrestored);
     }
-    if !state.store.is_restored.get() {
-        return;
+    let mut records = Vec::new();
+    if scope.has_versions {
+        records.push(list_record(gateway)?);
     }
-    match write_streams(gateway).await {
-        Ok(()) => state.store.written.set(current),
-        Err(cause) => {
-            warn!(gateway.logger, "stream: streams not written"; "cause" => %cause);
-        }
+    if scope.has_streams {
+        records.push(notes_record(gateway)?);
     }
+    gateway.store.append(StoreTopic::Streams, &records).await?;
+    Ok(())
+}
+
+fn list_record(gateway: &Gateway) -> Result<NewRecord, CodecError> {
+    let own_versions = gateway.streams.own_versions.borrow();
+    let list = VersionList {
+        written: WallTime::now(),
+        versions: own_versions.sightings(clock::now()),
+    };
+    Ok(NewRecord {
+        key: version_list_key(&gateway.settings().daemon).into(),
+        value: encode(&list)?,
+    })
 }
 
-async fn write_streams(gateway: &Gateway) -> Result<(), PersistError> {
+fn notes_record(gateway: &Gateway) -> Result<NewRecord, CodecError> {
     let record = StreamRecord {
         written: WallTime::now(),
         notes: notes_to_write(gateway)?,
     };
-    let record = NewRecord {
+    Ok(NewRecord {
         key: gateway.settings().daemon.to_string().into(),
         value: encode(&record)?,
-    };
-    gateway.store.append(StoreTopic::Streams, &[record]).await?;
-    Ok(())
+    })
 }
 
 /// The own streams that may be taken up for the longest time, as many as fit.
