Streams that have just begun go on after all daemons lost power

Cause: the origin of a stream was acknowledged by a keeper's memory, and written to the store up to half a second after its first bytes. Ruled out: origins that are stored and not found (older streams went on), missing engines (three of each version served).

Change: while a service has several versions, the first bytes of a stream wait for a write to the store that contains it; streams that begin during a write share the next one. If the store does not acknowledge in time, the keepers alone must do, and the log says so.

--- a/crates/ward-daemon/tests/gateway/stream_loss.rs
+++ b/crates/ward-daemon/tests/gateway/stream_loss.rs
@@ -7,11 +7,16 @@
 use ward_adapter::served::resume_headers;
 use ward_stage::{CallerRequest, Stage, StagePlan, StoreFault};
 
-use crate::caller_stream::{begin_streams, expect_taken_up, one_version, take_up};
-use crate::support::{expect_refused, send, stage, wait_until_all_joined};
+use crate::caller_stream::{
+    CallerStream, begin_streams, begin_streams_of, expect_taken_up, one_version, take_up,
+    two_versions,
+};
+use crate::support::{expect_refused, restart_all_at_once, send, stage, wait_until_all_joined};
 
 /// Time in which a slow stream brings some of its events, but not all.
 const SOME_EVENTS: Duration = Duration::from_millis(750);
+/// Time between the beginnings of streams, so that some have just begun at any moment.
+const BEGIN_INTERVAL: Duration = Duration::from_millis(4);
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -72,3 +77,55 @@
     request.headers = resume_headers(Some("begun"), 2);
     expect_refused(&stage, 1, &request).await;
 }
+
+/// Begins streams one after another that last for an eighth of a second each, ends all
+/// daemons, and takes up the streams that broke off; returns these.
+async fn take_up_after_loss_of_all(stage: &mut Stage, round: &str) -> Vec<CallerStream> {
+    let mut begun = Vec::new();
+    for number in 0..80 {
+        let id = format!("{round}{number}-");
+        begun.push(begin_streams_of(stage, &[number % 4], 1, |request| {
+            let id = format!("{id}{request}");
+            CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)))
+        }));
+        tokio::time::sleep(BEGIN_INTERVAL).await;
+    }
+    restart_all_at_once(stage).await;
+    let mut streams = Vec::new();
+    for (number, begun) in begun.into_iter().enumerate() {
+        for mut stream in begun.broken_streams().await {
+            stream.first_try = format!("{round}{number}-{}", stream.first_try);
+            streams.push(stream);
+        }
+    }
+    take_up(stage, &[1, 2, 3, 0], &mut streams, &format!("next{round}")).await;
+    streams
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_had_just_begun_were_refused_after_the_loss_of_all_daemons() {
+    let mut stage = stage("loss-all", &two_versions()).await;
+    let mut streams = Vec::new();
+    for round in ["one", "two", "three"] {
+        wait_until_all_joined(&stage).await;
+        streams.extend(take_up_after_loss_of_all(&mut stage, round).await);
+    }
+    expect_taken_up(&streams, 12);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_begins_in_time_while_the_store_does_not_answer() {
+    let stage = stage("loss-silent-store", &two_versions()).await;
+    wait_until_all_joined(&stage).await;
+    stage.store.set_fault(StoreFault::Hang);
+    for number in 0..10 {
+        let id = format!("r{number}");
+        let request = CallerRequest::new(&id, "/quote/a", Some(&Stage::model_name(0)));
+        let answer = send(&stage, number % 4, &request).await.unwrap();
+        expect_that!(answer.status, eq(StatusCode::OK));
+    }
+    let log = stage.daemons[0].log().unwrap();
+    expect_true!(log.contains("the store did not acknowledge in time"));
+}
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -20,9 +20,6 @@
 
 /// Time after which a daemon counts as lost if it sends or reads no message.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Maximum time for which the sender of a stream waits until the store lists its software
-/// version; shorter than the sender waits for an answer.
-const MAX_LIST_WAIT: Duration = Duration::from_millis(150);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Accepts connections of other daemons. Any daemon answers single requests; only
@@ -60,7 +57,7 @@
         }
         Ok(Ok(Some(MemberMessage::RecordStreams(news)))) => {
             gateway.streams.record_news(news);
-            wait_until_listed(&gateway, MAX_LIST_WAIT).await;
+            wait_until_listed(&gateway).await;
             send_reply(&gateway, CoordinatorMessage::StreamsRecorded, stream).await;
         }
         Ok(Ok(Some(MemberMessage::FindStream(key)))) => {
--- a/crates/ward-gateway/src/streams/mod.rs
+++ b/crates/ward-gateway/src/streams/mod.rs
@@ -3,9 +3,9 @@
 //!
 //! A daemon records each stream that it forwards, and lists in the store the versions that
 //! its streams come from before the first stream of a version goes to a caller. While a
-//! service has several versions, it also tells two other daemons, and writes its streams
-//! to the store from time to time. A request that takes up a stream is served only if the
-//! version is found.
+//! service has several versions, it also tells two other daemons of each stream, and
+//! writes it to the store, before the caller gets the first bytes. A request that takes up
+//! a stream is served only if the version is found.
 
 mod find;
 mod persist;
--- a/crates/ward-gateway/src/streams/persist.rs
+++ b/crates/ward-gateway/src/streams/persist.rs
@@ -1,5 +1,9 @@
 //! Decides when this daemon's streams and version list are written to the store, and lets
 //! streams wait for it.
+//!
+//! Load pattern: streams begin all the time while two software versions serve, and all
+//! daemons may lose power at any moment. A write per stream would be too many, so all
+//! streams that begin during a write, or in the pause after it, share the next one.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +21,20 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after a failed write until the next one. Streams don't wait meanwhile.
 const WRITE_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time within which a store that works acknowledges a write.
+const MAX_ACK_TIME: Duration = Duration::from_millis(400);
+/// Maximum time for which the sender of a stream waits until the store lists its software
+/// version; shorter than the sender waits for an answer.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(150);
+
+/// What a stream waits for before it begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum WaitScope {
+    /// The version list.
+    Versions,
+    /// The version list and the streams.
+    Streams,
+}
 
 /// Writes this daemon's streams and version list to the store as they change; never
 /// returns.
@@ -28,8 +46,7 @@
         if !persist_now(&gateway).await {
             continue;
         }
-        let writes = gateway.settings().bounds.store_writes;
-        let mut pause = persist_interval(gateway.daemon_count(), writes);
+        let mut pause = write_interval(&gateway);
         if has_failed(&gateway.streams) {
             pause = pause.max(WRITE_RETRY_DELAY);
         }
@@ -63,51 +80,65 @@
     true
 }
 
-/// Waits until the store holds this daemon's version list; returns false if the store
-/// does not acknowledge it within `timeout`, or has just failed to.
-pub(crate) async fn wait_until_listed(gateway: &Gateway, timeout: Duration) -> bool {
-    let state = &gateway.streams;
-    let is_listed = || {
-        let written = state.store.written.get();
-        let current = current_state(gateway);
-        written.era == current.era && written.versions == current.versions
+fn write_interval(gateway: &Gateway) -> TimeSpan {
+    let writes = gateway.settings().bounds.store_writes;
+    persist_interval(gateway.daemon_count(), writes)
+}
+
+/// Waits until the store lists the versions of this daemon's streams, `MAX_LIST_WAIT` at
+/// most.
+pub(crate) async fn wait_until_listed(gateway: &Gateway) {
+    let written = wait_until_written(gateway, WaitScope::Versions);
+    if tokio::time::timeout(MAX_LIST_WAIT, written).await.is_err() {
+        info!(
+            gateway.logger,
+            "stream: versions of another daemon's streams not listed in time"
+        );
+    }
+}
+
+/// Waits until the store holds what must outlive all daemons before a stream begins.
+/// Returns false if the store has just failed to acknowledge a write, or does not
+/// acknowledge it in time: then the stream begins without.
+pub(super) async fn wait_until_stored(gateway: &Gateway, scope: WaitScope) -> bool {
+    let timeout = write_interval(gateway).duration() + MAX_ACK_TIME;
+    let written = wait_until_written(gateway, scope);
+    let Ok(is_written) = tokio::time::timeout(timeout, written).await else {
+        // Later streams don't wait for a store that is slow.
+        gateway.streams.store.failed_at.set(Some(clock::now()));
+        info!(
+            gateway.logger,
+            "stream: the store did not acknowledge in time"
+        );
+        return false;
     };
-    wait_until_written(gateway, timeout, is_listed).await
+    is_written
 }
 
-async fn wait_until_written(
-    gateway: &Gateway,
-    timeout: Duration,
-    is_written: impl Fn() -> bool,
-) -> bool {
-    let state = &gateway.streams;
-    let written = async {
-        loop {
-            let ended = state.store.write_ended.notified();
-            if is_written() {
-                return true;
-            }
-            if has_failed(state) {
-                return false;
-            }
-            state.store.request_write();
-            ended.await;
+/// Waits until the next write that contains what was recorded before this call; returns
+/// false if the store fails.
+async fn wait_until_written(gateway: &Gateway, scope: WaitScope) -> bool {
+    let store = &gateway.streams.store;
+    let needed = current_state(gateway);
+    loop {
+        let ended = store.write_ended.notified();
+        if is_written(store.written.get(), needed, scope) {
+            return true;
         }
-    };
-    match tokio::time::timeout(timeout, written).await {
-        Ok(is_written) => is_written,
-        Err(_) => {
-            // Later streams don't wait for a store that is slow.
-            state.store.failed_at.set(Some(clock::now()));
-            info!(
-                gateway.logger,
-                "stream: the store did not acknowledge in time"
-            );
-            false
+        if has_failed(&gateway.streams) {
+            return false;
         }
+        store.request_write();
+        ended.await;
     }
 }
 
+/// Whether the store holds at least what is needed, in the same era or a later one.
+fn is_written(written: WrittenState, needed: WrittenState, scope: WaitScope) -> bool {
+    let has_streams = scope == WaitScope::Versions || written.streams >= needed.streams;
+    written.era >= needed.era && written.versions >= needed.versions && has_streams
+}
+
 /// Whether the store has failed to acknowledge a write of late.
 fn has_failed(state: &StreamState) -> bool {
     let failed_at = state.store.failed_at.get();
--- a/crates/ward-gateway/src/streams/record.rs
+++ b/crates/ward-gateway/src/streams/record.rs
@@ -12,7 +12,8 @@
 use ward_fleet::{CoordinatorMessage, MemberMessage, StreamNews, StreamNote, StreamOrigin};
 use ward_protocol::{MonoTime, StreamKey};
 
-use super::{StreamState, keeper_addresses, wait_until_listed};
+use super::persist::{WaitScope, wait_until_stored};
+use super::{StreamState, keeper_addresses};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::{PeerError, call_daemon, encode_frame};
@@ -21,9 +22,6 @@
 const KEEPERS: usize = 2;
 /// Time within which a keeper must answer; the caller waits for it.
 const TELL_TIMEOUT: Duration = Duration::from_millis(200);
-/// Maximum time for which a stream waits until the store lists its software version; only
-/// the first streams of a version do.
-const MAX_LIST_WAIT: Duration = Duration::from_millis(500);
 /// Maximum number of keepers that are told at the same time.
 const MAX_CONCURRENT_TELLS: usize = 16;
 /// Number of streams whose keepers are looked up before other work has its turn; each
@@ -42,8 +40,9 @@
 }
 
 /// Records that a stream comes from engines of this origin, before the caller gets the
-/// first bytes: the store must list its version, and while the service has several
-/// versions, a keeper must know the stream.
+/// first bytes. The store must list its version; while the service has several versions,
+/// a keeper and the store must know the stream itself. Keepers serve while the store is
+/// away, and the store once all daemons have lost power.
 pub(crate) async fn record_origin(
     gateway: &Rc<Gateway>,
     stream: &StreamTry,
@@ -60,16 +59,16 @@
     let notes: Vec<_> = notes.collect();
     let state = &gateway.streams;
     state.record_notes(notes.iter().cloned(), NoteSource::Own);
-    let listed = wait_until_listed(gateway, MAX_LIST_WAIT);
     if !state.has_several_versions(&origin.service) {
-        listed.await;
+        wait_until_stored(gateway, WaitScope::Versions).await;
         return;
     }
-    let (told, listed) = tokio::join!(tell_any_keeper(gateway, notes), listed);
+    let stored = wait_until_stored(gateway, WaitScope::Streams);
+    let (told, stored) = tokio::join!(tell_any_keeper(gateway, notes), stored);
     info!(
         gateway.logger, "stream: origin recorded"; "request" => request,
         "service" => %origin.service, "software" => %origin.software, "told" => told,
-        "listed" => listed,
+        "stored" => stored,
     );
 }
 
