Bodies together take no more memory than the host has

Cause: answers and bodies of requests were bounded each, and nothing bounded their sum.

Change: buffered bodies come out of one budget, a quarter of the host's memory. A request whose body doesn't fit is refused as not run, an answer that doesn't fit counts as broken off. The first 16 KiB of each body always fit, so that short requests beside are served.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod limits;
 mod logging;
+mod memory;
 mod path;
 mod repeated_orders;
 mod repeated_refusals;
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use indexmap::IndexSet;
 use slog::{info, warn};
@@ -17,6 +16,7 @@
 use super::job::{Refusal, ServeJob, blocked_refusal, not_run, refuse};
 use super::resume::{required_software, stream_try};
 use super::route::{RoutedRequest, origin_target, requested_host, route_request};
+use crate::buffer::BufferError;
 use crate::clock;
 use crate::crash::request_block;
 use crate::forward::{AttemptRequest, ConnectionNeed};
@@ -139,7 +139,8 @@
         return Err(refuse(OwnAnswer::BadModel, reason));
     }
     let (head, body) = request.into_parts();
-    let body = read_body(body, manifest.limits.body_bytes, routed.timeout).await?;
+    let max_bytes = manifest.limits.body_bytes;
+    let body = read_body(gateway, body, max_bytes, routed.timeout).await?;
     let identity = RequestIdentity {
         request_id: routed.fields.id_text().into(),
         fingerprint: fingerprint(&head.uri, &body),
@@ -192,15 +193,21 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize, timeout: TimeSpan) -> Result<Bytes, Refusal> {
-    let collected = Limited::new(body, limit).collect();
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    max_bytes: usize,
+    timeout: TimeSpan,
+) -> Result<Bytes, Refusal> {
+    let collected = gateway.buffers.collect(body, max_bytes);
     match tokio::time::timeout(timeout.duration(), collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err(refuse(
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BufferError::TooLong)) => Err(refuse(
             OwnAnswer::TooLong,
             "the body is longer than the manifest allows",
         )),
-        Ok(Err(_)) => Err(refuse(OwnAnswer::NoBody, "the body broke off")),
+        Ok(Err(BufferError::Full)) => Err(not_run("there is no memory left for its body")),
+        Ok(Err(BufferError::Cut)) => Err(refuse(OwnAnswer::NoBody, "the body broke off")),
         Err(_) => Err(refuse(OwnAnswer::NoBody, "the body did not arrive in time")),
     }
 }
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::{BodyExt, Collected, Limited};
 use slog::{info, warn};
 use ward_adapter::header::{closes_connection, keep_alive_timeout};
 use ward_fleet::health::EngineSignal;
@@ -232,10 +231,15 @@
         slot.record_answer_began();
         let (head, body) = answer.into_parts();
         let remaining = self.request.deadline.since(clock::now());
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = gateway.buffers.collect(body, MAX_ANSWER_BYTES);
         let body = tokio::time::timeout(remaining.duration(), body).await;
         let is_late = body.is_err();
-        let body = body.ok().and_then(Result::ok).map(Collected::to_bytes);
+        let error = body
+            .as_ref()
+            .ok()
+            .and_then(|body| body.as_ref().err())
+            .copied();
+        let body = body.ok().and_then(Result::ok);
         let is_cut_if_empty = is_cut_if_empty(&self.request.method, &head);
         let body = body.filter(|body| !(body.is_empty() && is_cut_if_empty));
         let mut table = gateway.table.borrow_mut();
@@ -248,6 +252,7 @@
             warn!(
                 gateway.logger, "send: answer incomplete"; "request" => &self.request.id_text,
                 "engine" => %slot.engine.id, "status" => head.status.as_u16(),
+                "why" => error.map(|error| error.to_string()),
             );
             return None;
         };
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -18,6 +18,7 @@
     BackendId, Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime,
 };
 
+use crate::buffer::BufferBudget;
 use crate::clock;
 use crate::coordinator::CoordinatorSlot;
 use crate::crash::{PartClearance, TimedReport};
@@ -42,6 +43,8 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) store: StoreClient,
     pub(crate) pool: EnginePool,
+    /// Memory for buffered bodies.
+    pub(crate) buffers: BufferBudget,
     pub(crate) table: RefCell<EngineTable>,
     pub(crate) queue: WaitQueue,
     pub(crate) crashes: RefCell<CrashLedger>,
@@ -129,6 +132,7 @@
     pub(crate) fn new(settings: HostSettings, metrics: GatewayMetrics, logger: Logger) -> Self {
         Self {
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
+            buffers: BufferBudget::new(settings.capacity.memory),
             settings: RefCell::new(Rc::new(settings)),
             incarnation: Incarnation(WallTime::now().0),
             pool: EnginePool::new(
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! parts share their state through `gateway::Gateway`. Decisions are made in
 //! `ward-fleet`; the names and formats of the platform are in `ward-adapter`.
 
+mod buffer;
 mod clock;
 mod coordinator;
 mod crash;
