A planned stop leaves no request without an answer

Cause: a daemon takes what is likely to end in time, and exits with whatever is open. Ruled out: requests that are accepted and never read, and waiting ones (refused when the queue closes).

Change: 200 ms before the exit each request without an answer gets one, 503 if it was never sent, 502 if it was. What is taken as sure to end must end before that.

--- a/crates/ward-fleet/src/stop.rs
+++ b/crates/ward-fleet/src/stop.rs
@@ -4,6 +4,7 @@
 //! the directory. Most requests end quickly, so turning all of them away would cost each a
 //! retry; but a few streams last longer than what is left, and would be cut off. At first,
 //! requests are taken that are likely to end in time, later only those that are sure to.
+//! Those that have no answer shortly before the exit are told so, while there is time.
 
 use ward_protocol::{MonoTime, TimeSpan};
 
@@ -14,6 +15,9 @@
 const ACCEPT_PERCENT_OF_GRACE: u64 = 45;
 /// Time before the end of the grace period at which the process exits.
 const SHUTDOWN_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+/// Time before the exit at which requests that have no answer get one, so that it still
+/// reaches their callers.
+const FINAL_ANSWER_MARGIN: TimeSpan = TimeSpan::from_millis(200);
 
 /// A shutdown that has begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,12 +41,18 @@
         self.begun + self.grace.saturating_sub(SHUTDOWN_MARGIN)
     }
 
+    /// When requests that have no answer get one of the daemon's own.
+    #[must_use]
+    pub fn final_answer_time(&self) -> MonoTime {
+        self.exit_time() - FINAL_ANSWER_MARGIN
+    }
+
     /// Whether to take a request at `now`. `answer_bound` is a time that few answers of its
     /// kind exceed, `timeout` the time after which the request ends in any case.
     #[must_use]
     pub fn may_take(&self, answer_bound: TimeSpan, timeout: TimeSpan, now: MonoTime) -> bool {
         let is_likely = now + answer_bound.min(timeout) < self.exit_time();
-        let is_sure = now + timeout < self.exit_time();
+        let is_sure = now + timeout < self.final_answer_time();
         let likely_end = self.begun + self.part_of_grace(LIKELY_PERCENT_OF_GRACE);
         is_sure || (is_likely && now < likely_end)
     }
--- a/crates/ward-fleet/tests/stop.rs
+++ b/crates/ward-fleet/tests/stop.rs
@@ -36,6 +36,7 @@
 fn exit_time_leaves_a_margin() {
     expect_that!(plan().exit_time(), eq(at(17_700)));
     expect_that!(plan().accept_end(), eq(at(13_600)));
+    expect_that!(plan().final_answer_time(), eq(at(17_500)));
     let short = StopPlan {
         grace: TimeSpan::from_millis(200),
         ..plan()
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -55,7 +55,11 @@
         answered: false,
     };
     let phase = guard.phase.clone();
-    let served = serve_request(&gateway, request, fields, &host, arrival, phase).await;
+    let served = tokio::select! {
+        biased;
+        served = serve_request(&gateway, request, fields, &host, arrival, phase.clone()) => served,
+        () = gateway.final_answers_due() => Err(stop_refusal(&phase)),
+    };
     guard.answered = true;
     let millis = clock::now().since(arrival).millis();
     match served {
@@ -84,6 +88,21 @@
     }
 }
 
+/// The answer to a request that has none shortly before the process exits.
+fn stop_refusal(phase: &SharedPhase) -> Refusal {
+    if phase.was_sent() {
+        refuse(
+            OwnAnswer::BadEngine,
+            "the daemon stops before the engine has answered",
+        )
+    } else {
+        refuse(
+            OwnAnswer::NotRun(STOP_RETRY_AFTER),
+            "the daemon stops, and the request was not sent",
+        )
+    }
+}
+
 /// Logs and counts a request whose caller disconnected before the answer: hyper then
 /// drops the request's future, and this guard with it.
 struct CallerGuard {
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use ward_adapter::StoreClient;
 use ward_fleet::{
     AnsweredParts, AnsweredRequests, CrashDetector, CrashLedger, DaemonCount, EngineIncarnation,
@@ -96,6 +96,8 @@
     pub(crate) report_requested: Notify,
     /// The shutdown, once it has begun.
     pub(crate) stop_plan: Cell<Option<StopPlan>>,
+    /// Becomes true shortly before the process exits: requests without an answer get one.
+    pub(crate) final_answers_due: watch::Sender<bool>,
     /// Address of the last coordinator that this daemon connected to, or that a
     /// snapshot named.
     pub(crate) coordinator_address: Cell<Option<SocketAddr>>,
@@ -169,6 +171,7 @@
             engines_known: Cell::default(),
             report_requested: Notify::new(),
             stop_plan: Cell::default(),
+            final_answers_due: watch::Sender::default(),
             coordinator_address: Cell::default(),
             manifest: RefCell::default(),
             manifest_text: RefCell::default(),
@@ -256,6 +259,13 @@
         self.stop_plan.get().is_some()
     }
 
+    /// Waits until requests that have no answer must get one, since the process exits soon.
+    pub(crate) async fn final_answers_due(&self) {
+        let mut due = self.final_answers_due.subscribe();
+        // The sender lives as long as this daemon.
+        drop(due.wait_for(|is_due| *is_due).await);
+    }
+
     /// Whether requests can be routed: a manifest and engines are known, and the
     /// daemon is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/ward-gateway/src/phase.rs
+++ b/crates/ward-gateway/src/phase.rs
@@ -1,6 +1,6 @@
 //! The phase of a request, logged when its caller disconnects before the answer.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
 
@@ -40,17 +40,28 @@
 
 /// The phase of one request, shared by all code that handles it.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct SharedPhase(Rc<RefCell<RequestPhase>>);
+pub(crate) struct SharedPhase {
+    phase: Rc<RefCell<RequestPhase>>,
+    was_sent: Rc<Cell<bool>>,
+}
 
 impl SharedPhase {
     /// Replaces the phase.
     pub(crate) fn enter(&self, phase: RequestPhase) {
-        self.0.replace(phase);
+        if matches!(phase, RequestPhase::Answer(_)) {
+            self.was_sent.set(true);
+        }
+        self.phase.replace(phase);
+    }
+
+    /// Whether the request was ever about to be sent to an engine, so that it may have run.
+    pub(crate) fn was_sent(&self) -> bool {
+        self.was_sent.get()
     }
 }
 
 impl Display for SharedPhase {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        self.0.borrow().fmt(formatter)
+        self.phase.borrow().fmt(formatter)
     }
 }
--- a/crates/ward-gateway/src/stop.rs
+++ b/crates/ward-gateway/src/stop.rs
@@ -47,15 +47,23 @@
     info!(gateway.logger, "stop: takes no more"; "connections" => tracker.open());
     tracker.close_all();
     gateway.queue.close();
+    let final_answers = start + plan.final_answer_time().since(begun).duration();
+    drain(&tracker, final_answers).await;
+    gateway.final_answers_due.send_replace(true);
     let deadline = start + plan.exit_time().since(begun).duration();
-    while Instant::now() < deadline && tracker.open() > 0 {
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    }
+    drain(&tracker, deadline).await;
     tokio::time::sleep(FLUSH_TIME).await;
     info!(gateway.logger, "stop: ends"; "connections" => tracker.open());
     Ok(())
 }
 
+/// Waits until all connections have closed, or until the deadline.
+async fn drain(tracker: &ConnectionTracker, deadline: Instant) {
+    while Instant::now() < deadline && tracker.open() > 0 {
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
+
 /// Reloads the settings on SIGHUP; if they are invalid, the old ones stay.
 pub(crate) async fn reload_on_signal(gateway: Rc<Gateway>) -> std::io::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
