--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -132,14 +132,9 @@
     let sent = connection.sender.try_send_request(outgoing);
     let answer = match tokio::time::timeout(timeout.duration(), sent).await {
         Err(_) => {
-            record_attempt_failure(
-                gateway,
-                request,
-                &slot,
-                AttemptFailure::Silent,
-                "no answer in time",
-            );
-            return Err(AttemptFailure::Silent);
+            let failure = AttemptFailure::Silent;
+            record_attempt_failure(gateway, request, &slot, failure, "no answer in time");
+            return Err(failure);
         }
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -234,11 +234,10 @@
         let body = gateway.buffers.collect(body, MAX_ANSWER_BYTES);
         let body = tokio::time::timeout(remaining.duration(), body).await;
         let is_late = body.is_err();
-        let error = body
-            .as_ref()
-            .ok()
-            .and_then(|body| body.as_ref().err())
-            .copied();
+        let error = match &body {
+            Ok(Err(error)) => Some(*error),
+            _ => None,
+        };
         let body = body.ok().and_then(Result::ok);
         let is_cut_if_empty = is_cut_if_empty(&self.request.method, &head);
         let body = body.filter(|body| !(body.is_empty() && is_cut_if_empty));
