Streams don't wait for the store until it has acknowledged a write again

A store that is silent made some streams of each second wait, as a failure was forgotten after a second. Found by reading; the tests of stream_loss pass as before.

--- a/crates/ward-gateway/src/streams/persist.rs
+++ b/crates/ward-gateway/src/streams/persist.rs
@@ -19,7 +19,7 @@
 
 /// Time between two looks whether anything must be written, without a request to write.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after a failed write until the next one. Streams don't wait meanwhile.
+/// Time after a failed write until the next one.
 const WRITE_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time within which a store that works acknowledges a write.
 const MAX_ACK_TIME: Duration = Duration::from_millis(400);
@@ -47,7 +47,7 @@
             continue;
         }
         let mut pause = write_interval(&gateway);
-        if has_failed(&gateway.streams) {
+        if store.has_failed.get() {
             pause = pause.max(WRITE_RETRY_DELAY);
         }
         tokio::time::sleep(pause.duration()).await;
@@ -64,7 +64,7 @@
     };
     match write_records(gateway, scope).await {
         Ok(()) => {
-            state.store.failed_at.set(None);
+            state.store.has_failed.set(false);
             let written = state.store.written.get();
             state
                 .store
@@ -72,7 +72,7 @@
                 .set(merged_state(written, current, scope));
         }
         Err(cause) => {
-            state.store.failed_at.set(Some(clock::now()));
+            state.store.has_failed.set(true);
             warn!(gateway.logger, "stream: streams not written"; "cause" => %cause);
         }
     }
@@ -98,14 +98,14 @@
 }
 
 /// Waits until the store holds what must outlive all daemons before a stream begins.
-/// Returns false if the store has just failed to acknowledge a write, or does not
-/// acknowledge it in time: then the stream begins without.
+/// Returns false if the store has not acknowledged the last write, or does not acknowledge
+/// this one in time: then the stream begins without.
 pub(super) async fn wait_until_stored(gateway: &Gateway, scope: WaitScope) -> bool {
     let timeout = write_interval(gateway).duration() + MAX_ACK_TIME;
     let written = wait_until_written(gateway, scope);
     let Ok(is_written) = tokio::time::timeout(timeout, written).await else {
-        // Later streams don't wait for a store that is slow.
-        gateway.streams.store.failed_at.set(Some(clock::now()));
+        // Later streams don't wait until the store has acknowledged a write again.
+        gateway.streams.store.has_failed.set(true);
         info!(
             gateway.logger,
             "stream: the store did not acknowledge in time"
@@ -125,7 +125,7 @@
         if is_written(store.written.get(), needed, scope) {
             return true;
         }
-        if has_failed(&gateway.streams) {
+        if store.has_failed.get() {
             return false;
         }
         store.request_write();
@@ -139,12 +139,6 @@
     written.era >= needed.era && written.versions >= needed.versions && has_streams
 }
 
-/// Whether the store has failed to acknowledge a write of late.
-fn has_failed(state: &StreamState) -> bool {
-    let failed_at = state.store.failed_at.get();
-    failed_at.is_some_and(|time| clock::now().since(time) < WRITE_RETRY_DELAY)
-}
-
 /// What a write that begins now contains.
 fn current_state(gateway: &Gateway) -> WrittenState {
     let state = &gateway.streams;
--- a/crates/ward-gateway/src/streams/store.rs
+++ b/crates/ward-gateway/src/streams/store.rs
@@ -83,8 +83,8 @@
     /// Versions in the lists of all daemons as of the last complete read.
     listed: RefCell<IndexSet<StreamOrigin>>,
     pub(super) written: Cell<WrittenState>,
-    /// When a write last failed, or was not acknowledged in time.
-    pub(super) failed_at: Cell<Option<MonoTime>>,
+    /// Whether the last write failed, or has not been acknowledged in time.
+    pub(super) has_failed: Cell<bool>,
     pub(super) write_requested: Notify,
     /// Notified after each write, whether or not it has succeeded.
     pub(super) write_ended: Notify,
