Streams wait for a slow store as long as they are on time

Cause: streams waited for the store's acknowledgement for the write interval and 0.4 s, whatever their target latency, and began unlisted behind that; an acknowledgement that crossed the end of the wait left the mark of a failure, so later streams didn't wait at all. Ruled out: few or slow cores, records read too early or overwritten (older streams go on).

Change: a stream waits until it would be late, at least as long as before, and looks once more before it counts the store as failed.

--- a/crates/ward-daemon/tests/gateway/stream_loss.rs
+++ b/crates/ward-daemon/tests/gateway/stream_loss.rs
@@ -5,11 +5,12 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use ward_adapter::served::resume_headers;
+use ward_protocol::TimeSpan;
 use ward_stage::{CallerRequest, Stage, StagePlan, StoreFault};
 
 use crate::caller_stream::{
-    CallerStream, begin_streams, begin_streams_of, expect_taken_up, one_version, take_up,
-    two_versions,
+    CallerStream, begin_streams, begin_streams_of, expect_taken_up, one_version, slow_request,
+    take_up, two_versions,
 };
 use crate::support::{expect_refused, restart_all_at_once, send, stage, wait_until_all_joined};
 
@@ -17,6 +18,10 @@
 const SOME_EVENTS: Duration = Duration::from_millis(750);
 /// Time between the beginnings of streams, so that some have just begun at any moment.
 const BEGIN_INTERVAL: Duration = Duration::from_millis(4);
+/// The same for streams that wait for a slow store.
+const SLOW_BEGIN_INTERVAL: Duration = Duration::from_millis(25);
+/// Time that a slow store takes for a call; longer than the daemons wait at least.
+const SLOW_ACK: Duration = Duration::from_millis(600);
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -114,6 +119,40 @@
     expect_taken_up(&streams, 12);
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_began_while_the_store_was_slow_were_refused_after_the_loss_of_all_daemons() {
+    let plan = StagePlan {
+        target_latency: TimeSpan::from_millis(2_000),
+        ..two_versions()
+    };
+    let mut stage = stage("loss-slow-store", &plan).await;
+    wait_until_all_joined(&stage).await;
+    stage.store.set_fault(StoreFault::Slow(SLOW_ACK));
+    let mut begun = Vec::new();
+    for number in 0..80 {
+        let id = format!("{number}-");
+        begun.push(begin_streams_of(&stage, &[number % 4], 1, |request| {
+            slow_request(&format!("{id}{request}"))
+        }));
+        tokio::time::sleep(SLOW_BEGIN_INTERVAL).await;
+    }
+    stage.daemons.iter_mut().for_each(|daemon| daemon.kill());
+    stage.store.set_fault(StoreFault::None);
+    restart_all_at_once(&mut stage).await;
+    let mut streams = Vec::new();
+    for (number, begun) in begun.into_iter().enumerate() {
+        for mut stream in begun.broken_streams().await {
+            stream.first_try = format!("{number}-{}", stream.first_try);
+            streams.push(stream);
+        }
+    }
+    take_up(&stage, &[1, 2, 3, 0], &mut streams, "next").await;
+    expect_taken_up(&streams, 24);
+    let refused = streams.iter().filter(|stream| !stream.is_complete());
+    expect_that!(refused.count(), eq(0));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_begins_in_time_while_the_store_does_not_answer() {
--- a/crates/ward-gateway/src/front/resume.rs
+++ b/crates/ward-gateway/src/front/resume.rs
@@ -58,5 +58,6 @@
         own: fields.own_stream(),
         first_try: fields.resumed_stream(),
         keep_until: arrival + whole_time + KEEP_GRACE,
+        on_time_until: arrival + routed.route.target_latency,
     }
 }
--- a/crates/ward-gateway/src/streams/persist.rs
+++ b/crates/ward-gateway/src/streams/persist.rs
@@ -10,7 +10,7 @@
 
 use slog::{info, warn};
 use ward_fleet::streams::{LIST_INTERVAL, persist_interval};
-use ward_protocol::TimeSpan;
+use ward_protocol::{MonoTime, TimeSpan};
 
 use super::StreamState;
 use super::store::{WriteScope, WrittenState, write_records};
@@ -97,15 +97,26 @@
     }
 }
 
-/// Waits until the store holds what must outlive all daemons before a stream begins.
-/// Returns false if the store has not acknowledged the last write, or does not acknowledge
-/// this one in time: then the stream begins without.
-pub(super) async fn wait_until_stored(gateway: &Gateway, scope: WaitScope) -> bool {
-    let timeout = write_interval(gateway).duration() + MAX_ACK_TIME;
+/// Waits until the store holds what must outlive all daemons before a stream begins; at
+/// least as long as a store that works needs, and longer as long as the stream is still on
+/// time. Returns false if the store has not acknowledged the last write, or does not
+/// acknowledge this one in time: then the stream begins without.
+pub(super) async fn wait_until_stored(
+    gateway: &Gateway,
+    scope: WaitScope,
+    on_time_until: MonoTime,
+) -> bool {
+    let needed = current_state(gateway);
+    let usual_wait = write_interval(gateway).duration() + MAX_ACK_TIME;
+    let timeout = usual_wait.max(on_time_until.since(clock::now()).duration());
     let written = wait_until_written(gateway, scope);
     let Ok(is_written) = tokio::time::timeout(timeout, written).await else {
+        let store = &gateway.streams.store;
+        if is_written(store.written.get(), needed, scope) {
+            return true;
+        }
         // Later streams don't wait until the store has acknowledged a write again.
-        gateway.streams.store.has_failed.set(true);
+        store.has_failed.set(true);
         info!(
             gateway.logger,
             "stream: the store did not acknowledge in time"
--- a/crates/ward-gateway/src/streams/record.rs
+++ b/crates/ward-gateway/src/streams/record.rs
@@ -37,6 +37,8 @@
     pub(crate) first_try: Option<StreamKey>,
     /// Until when the caller may take up the stream again.
     pub(crate) keep_until: MonoTime,
+    /// Until when a stream that begins is on time.
+    pub(crate) on_time_until: MonoTime,
 }
 
 /// Records that a stream comes from engines of this origin, before the caller gets the
@@ -60,10 +62,10 @@
     let state = &gateway.streams;
     state.record_notes(notes.iter().cloned(), NoteSource::Own);
     if !state.has_several_versions(&origin.service) {
-        wait_until_stored(gateway, WaitScope::Versions).await;
+        wait_until_stored(gateway, WaitScope::Versions, stream.on_time_until).await;
         return;
     }
-    let stored = wait_until_stored(gateway, WaitScope::Streams);
+    let stored = wait_until_stored(gateway, WaitScope::Streams, stream.on_time_until);
     let (told, stored) = tokio::join!(tell_any_keeper(gateway, notes), stored);
     info!(
         gateway.logger, "stream: origin recorded"; "request" => request,
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -61,6 +61,8 @@
     pub software: &'static [&'static str],
     /// Lease of the coordinator: minimum time between the orders of two coordinators.
     pub lease: TimeSpan,
+    /// Target latency of all routes.
+    pub target_latency: TimeSpan,
 }
 
 impl Default for StagePlan {
@@ -75,6 +77,7 @@
             backend_servers: 2,
             software: &[PLAIN_SOFTWARE],
             lease: TimeSpan::from_millis(1_000),
+            target_latency: TimeSpan::from_millis(500),
         }
     }
 }
@@ -288,10 +291,10 @@
     Ok(ServingManifest {
         version: ManifestVersion(1),
         routes: vec![
-            route("/quick/", "assistant", RouteKind::Stream, 1)?,
-            route("/quote/", "assistant", RouteKind::ResumableStream, 3)?,
-            route("/book/", "orders", RouteKind::Unsafe, 1)?,
-            route("/stock/", "orders", RouteKind::Safe, 2)?,
+            route(plan, "/quick/", "assistant", RouteKind::Stream, 1)?,
+            route(plan, "/quote/", "assistant", RouteKind::ResumableStream, 3)?,
+            route(plan, "/book/", "orders", RouteKind::Unsafe, 1)?,
+            route(plan, "/stock/", "orders", RouteKind::Safe, 2)?,
         ],
         services,
         limits: CallerLimits {
@@ -304,6 +307,7 @@
 }
 
 fn route(
+    plan: &StagePlan,
     prefix: &str,
     service: &str,
     kind: RouteKind,
@@ -319,7 +323,7 @@
         }],
         kind,
         timeout: TimeSpan::from_millis(2_500),
-        target_latency: TimeSpan::from_millis(500),
+        target_latency: plan.target_latency,
         event_pause: TimeSpan::from_millis(200),
         attempts,
         priority: 0,
