Tenant interfaces: API keys tell tenants, 401 without a known one, priority of tenants

Change: the manifest's tenants, keys (as digests), quotas and public routes are decoded; the key is checked right after the route is found, before the body is read or anything counts as demand, and again when a waiting request gets an engine. Engines get the tenant's name, never the key or a caller's own tenant header. A tenant's priority goes before the route's in the queue and at engines. The headers' module is split by direction, refusals have a module of their own.

Tests: header, manifest and queue tests of the new fields.

--- a/crates/ward-bench/src/emulator/fleet.rs
+++ b/crates/ward-bench/src/emulator/fleet.rs
@@ -259,5 +259,6 @@
             header_timeout: TimeSpan::from_secs(3),
             idle_timeout: TimeSpan::from_secs(15),
         },
+        tenants: None,
     })
 }
--- a/crates/ward-daemon/tests/gateway/stream_loss.rs
+++ b/crates/ward-daemon/tests/gateway/stream_loss.rs
@@ -137,7 +137,9 @@
         }));
         tokio::time::sleep(SLOW_BEGIN_INTERVAL).await;
     }
-    stage.daemons.iter_mut().for_each(|daemon| daemon.kill());
+    for daemon in &mut stage.daemons {
+        daemon.kill();
+    }
     stage.store.set_fault(StoreFault::None);
     restart_all_at_once(&mut stage).await;
     let mut streams = Vec::new();
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod stop;
 pub mod streams;
 pub mod table;
+pub mod tenant;
 
 pub use budget::{DaemonCount, RetryBudget};
 pub use choice::{ChoiceContext, EngineRequirement, choose_engine};
@@ -65,3 +66,7 @@
     VersionHistory, VersionList, VersionRevision, VersionSighting,
 };
 pub use table::{EngineRecord, EngineTable};
+pub use tenant::{
+    ApiKeyDigest, QuotaAmount, QuotaRate, QuotaUnit, RequestPriority, TenantClass, TenantDirectory,
+    TenantQuota, TokenCount,
+};
--- a/crates/ward-fleet/src/manifest.rs
+++ b/crates/ward-fleet/src/manifest.rs
@@ -3,6 +3,8 @@
 use indexmap::IndexMap;
 use ward_protocol::{MemorySize, ModelName, ServiceName, TimeSpan, number_id};
 
+use crate::tenant::TenantDirectory;
+
 number_id!(
     /// Version of a manifest. Versions increase, but not always by one.
     ManifestVersion, "manifest version"
@@ -19,6 +21,8 @@
     pub services: IndexMap<ServiceName, ServiceClass>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// Tenants and their API keys; `None` if requests need no key.
+    pub tenants: Option<TenantDirectory>,
 }
 
 /// A route: which requests go to which service, and how they are treated.
@@ -44,6 +48,8 @@
     pub attempts: u32,
     /// Priority in the queue; zero is the most urgent.
     pub priority: u32,
+    /// Whether requests need no API key.
+    pub is_public: bool,
 }
 
 /// A service's share of a route.
@@ -176,6 +182,7 @@
     ///     event_pause: TimeSpan::from_millis(600),
     ///     attempts: 1,
     ///     priority: 0,
+    ///     is_public: false,
     /// };
     /// assert_eq!(route.stream_idle_timeout(), Some(TimeSpan::from_millis(4_800)));
     /// ```
--- a/crates/ward-fleet/src/queue.rs
+++ b/crates/ward-fleet/src/queue.rs
@@ -14,16 +14,17 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 use crate::number::secs_to_span;
+use crate::tenant::RequestPriority;
 
 /// Rank of a waiting request in the queue; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueRank {
     late: bool,
-    /// Priority of a late request; zero for others.
-    late_priority: u32,
+    /// Priority of a late request; the most urgent one for others.
+    late_priority: RequestPriority,
     /// Deadline of a late request; for others, the latest start to be on time.
     sort_time: MonoTime,
-    priority: u32,
+    priority: RequestPriority,
 }
 
 /// Times that determine the rank of a waiting request.
@@ -52,13 +53,17 @@
         self.late
     }
 
-    /// Ranks a request; zero is the most urgent priority.
+    /// Ranks a request.
     #[must_use]
-    pub fn new(priority: u32, times: &RequestTimes, now: MonoTime) -> Self {
+    pub fn new(priority: RequestPriority, times: &RequestTimes, now: MonoTime) -> Self {
         let late = now + times.first_part >= times.target;
         Self {
             late,
-            late_priority: if late { priority } else { 0 },
+            late_priority: if late {
+                priority
+            } else {
+                RequestPriority::default()
+            },
             sort_time: if late {
                 times.deadline
             } else {
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -8,6 +8,7 @@
 use ward_protocol::{DaemonId, IdError, MemorySize, TimeSpan, ZoneName};
 
 use crate::limit::RequestRate;
+use crate::tenant::QuotaAmount;
 
 /// Processor time of a host, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -116,4 +117,8 @@
     pub store_writes: RequestRate,
     /// Maximum time for which callers may cache a directory answer.
     pub max_ttl: TimeSpan,
+    /// Window over which the use of a tenant's quota is counted.
+    pub quota_window: TimeSpan,
+    /// Amount by which a tenant may exceed its quota in a window.
+    pub quota_slack: QuotaAmount,
 }
--- a/crates/ward-fleet/tests/queue.rs
+++ b/crates/ward-fleet/tests/queue.rs
@@ -4,9 +4,14 @@
 
 use googletest::prelude::*;
 use support::at;
+use ward_fleet::RequestPriority;
 use ward_fleet::queue::{AnswerTime, FirstPartTime, QueueRank, RequestTimes};
 use ward_protocol::TimeSpan;
 
+fn route_priority(route: u32) -> RequestPriority {
+    RequestPriority { tenant: 0, route }
+}
+
 fn times(target: u64, first_part: u64) -> RequestTimes {
     RequestTimes {
         target: at(target),
@@ -17,22 +22,22 @@
 
 #[gtest]
 fn rank_of_the_request_that_must_begin_first_is_the_smallest() {
-    let long = QueueRank::new(2, &times(800, 500), at(0));
-    let short = QueueRank::new(0, &times(500, 50), at(0));
+    let long = QueueRank::new(route_priority(2), &times(800, 500), at(0));
+    let short = QueueRank::new(route_priority(0), &times(500, 50), at(0));
     expect_that!(long, lt(short));
 }
 
 #[gtest]
 fn rank_of_the_more_urgent_is_smaller_at_the_same_time() {
-    let urgent = QueueRank::new(0, &times(500, 50), at(0));
-    let other = QueueRank::new(2, &times(500, 50), at(0));
+    let urgent = QueueRank::new(route_priority(0), &times(500, 50), at(0));
+    let other = QueueRank::new(route_priority(2), &times(500, 50), at(0));
     expect_that!(urgent, lt(other));
 }
 
 #[gtest]
 fn rank_of_a_late_request_comes_after_all_that_are_on_time() {
-    let late = QueueRank::new(0, &times(500, 50), at(460));
-    let on_time = QueueRank::new(2, &times(4_000, 50), at(460));
+    let late = QueueRank::new(route_priority(0), &times(500, 50), at(460));
+    let on_time = QueueRank::new(route_priority(2), &times(4_000, 50), at(460));
     expect_true!(late.is_late());
     expect_false!(on_time.is_late());
     expect_that!(on_time, lt(late));
@@ -40,8 +45,8 @@
 
 #[gtest]
 fn rank_of_late_requests_follows_their_urgency() {
-    let urgent = QueueRank::new(0, &times(500, 50), at(900));
-    let other = QueueRank::new(2, &times(400, 50), at(900));
+    let urgent = QueueRank::new(route_priority(0), &times(500, 50), at(900));
+    let other = QueueRank::new(route_priority(2), &times(400, 50), at(900));
     expect_that!(urgent, lt(other));
 }
 
@@ -53,7 +58,8 @@
     let long = times(800, 300);
     let turn = (0..800).find(|now| {
         let newest = times(now + 500, 40);
-        QueueRank::new(2, &long, at(*now)) < QueueRank::new(0, &newest, at(*now))
+        QueueRank::new(route_priority(2), &long, at(*now))
+            < QueueRank::new(route_priority(0), &newest, at(*now))
     });
     expect_that!(turn, some(le(500)));
 }
@@ -86,3 +92,17 @@
     expect_that!(time.bound(), gt(TimeSpan::from_millis(2_500)));
     expect_that!(time.bound(), lt(TimeSpan::from_millis(6_000)));
 }
+
+#[gtest]
+fn rank_late_tenant_priority_goes_before_that_of_the_route() {
+    let tenant = RequestPriority {
+        tenant: 0,
+        route: 2,
+    };
+    let other = RequestPriority {
+        tenant: 1,
+        route: 0,
+    };
+    let rank = |priority| QueueRank::new(priority, &times(500, 50), at(900));
+    expect_that!(rank(tenant), lt(rank(other)));
+}
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -10,8 +10,8 @@
 use ward_fleet::{
     CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, EngineInfo, FleetView,
     HeartbeatCount, HeldModel, HostCapacity, HostMember, LinkRate, LoadReport, ManifestVersion,
-    ModelClass, RequestRate, RouteKind, RouteTarget, RunningCount, ServiceClass, ServingBounds,
-    ServingManifest, ServingRoute, StoreEra, StorePosition, WaitingCount,
+    ModelClass, QuotaAmount, RequestRate, RouteKind, RouteTarget, RunningCount, ServiceClass,
+    ServingBounds, ServingManifest, ServingRoute, StoreEra, StorePosition, WaitingCount,
 };
 use ward_protocol::{
     BackendId, FenceNumber, MemorySize, ModelName, MonoTime, ServiceName, TimeSpan,
@@ -138,6 +138,7 @@
             header_timeout: TimeSpan::from_secs(3),
             idle_timeout: TimeSpan::from_secs(15),
         },
+        tenants: None,
     }
 }
 
@@ -156,6 +157,7 @@
         event_pause: TimeSpan::from_millis(600),
         attempts: 2,
         priority: 0,
+        is_public: false,
     }
 }
 
@@ -169,6 +171,8 @@
         load_window: TimeSpan::from_secs(5),
         store_writes: RequestRate(400_000),
         max_ttl: TimeSpan::from_secs(5),
+        quota_window: TimeSpan::from_secs(8),
+        quota_slack: QuotaAmount(0),
     }
 }
 
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -14,7 +14,7 @@
 use ward_adapter::{AnswerFields, ForwardFields};
 use ward_fleet::EngineIncarnation;
 use ward_fleet::health::EngineSignal;
-use ward_protocol::{MonoTime, TimeSpan};
+use ward_protocol::{MonoTime, TenantName, TimeSpan};
 
 use super::framing::holds_another_head;
 use super::pool::{ConnectionNeed, EngineConnection};
@@ -42,6 +42,8 @@
     pub(crate) body: Bytes,
     /// When the timeout of the caller or the route ends, whichever is earlier.
     pub(crate) deadline: MonoTime,
+    /// Tenant of the caller.
+    pub(crate) tenant: Option<TenantName>,
     /// Priority at the engine; `None` for requests that name no model.
     pub(crate) priority: Option<u8>,
     pub(crate) need: ConnectionNeed,
@@ -191,6 +193,7 @@
     let fields = ForwardFields {
         engine: &slot.engine.id,
         time_left: request.deadline.since(clock::now()),
+        tenant: request.tenant.as_ref(),
         priority: request.priority,
         last_event_id,
     };
--- a/crates/ward-gateway/src/front/answer.rs
+++ b/crates/ward-gateway/src/front/answer.rs
@@ -27,6 +27,8 @@
 pub(crate) enum OwnAnswer {
     /// No route of the manifest matches the request.
     NoRoute,
+    /// The request needs an API key and has none that is known.
+    UnknownKey,
     /// The request names a model or adapter that is not a valid name.
     BadModel,
     /// The body is longer than the manifest allows.
@@ -45,6 +47,7 @@
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BadModel => StatusCode::BAD_REQUEST,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoBody => StatusCode::REQUEST_TIMEOUT,
@@ -58,6 +61,7 @@
     pub(crate) const fn label(self) -> &'static str {
         match self {
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
             Self::BadModel => "bad_model",
             Self::TooLong => "too_long",
             Self::NoBody => "no_body",
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -8,12 +8,14 @@
 use indexmap::IndexSet;
 use slog::{info, warn};
 use ward_adapter::RequestFields;
+use ward_adapter::header::remove_credentials;
 use ward_fleet::queue::RequestTimes;
-use ward_fleet::{RouteKind, WaitingCount};
+use ward_fleet::{RequestPriority, RouteKind, WaitingCount};
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
 
 use super::answer::{AnswerBody, OwnAnswer};
-use super::job::{Refusal, ServeJob, blocked_refusal, not_run, refuse};
+use super::job::ServeJob;
+use super::refusal::{Refusal, blocked_refusal, not_run, refuse};
 use super::resume::{required_software, stream_try};
 use super::route::{RoutedRequest, origin_target, requested_host, route_request};
 use crate::buffer::BufferError;
@@ -33,6 +35,8 @@
 const MOST_URGENT_PRIORITY: u32 = 1;
 /// Engine priority of the least urgent routes.
 const LEAST_URGENT_PRIORITY: u32 = 9;
+/// Engine priorities that the tenants of one priority share.
+const TENANT_BAND: u32 = 3;
 
 /// Answers a caller's request.
 pub(crate) async fn handle_request(
@@ -151,13 +155,13 @@
         .manifest()
         .ok_or_else(|| not_run("no manifest is known yet"))?;
     let path = request.uri().path();
-    let mut routed = route_request(&manifest, fields, host, path)
-        .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest matches"))?;
+    let mut routed = route_request(gateway, &manifest, fields, host, path)?;
     if routed.fields.is_model_malformed {
         let reason = "the name of the model or adapter is invalid";
         return Err(refuse(OwnAnswer::BadModel, reason));
     }
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    remove_credentials(&mut head.headers);
     let max_bytes = manifest.limits.body_bytes;
     let body = read_body(gateway, body, max_bytes, routed.timeout).await?;
     let identity = RequestIdentity {
@@ -189,7 +193,8 @@
             headers: head.headers,
             body,
             deadline: arrival + routed.timeout,
-            priority: engine_priority(&routed),
+            tenant: routed.tenant.clone(),
+            priority: engine_priority(&routed, manifest.tenants.is_some()),
             need: connection_need(&routed),
         },
         ticket: WaitTicket {
@@ -250,9 +255,21 @@
     });
 }
 
-fn engine_priority(routed: &RoutedRequest) -> Option<u8> {
+/// Priority at the engine. With tenants, those of one tenant priority share a band, in
+/// which the priorities of routes follow each other.
+fn engine_priority(routed: &RoutedRequest, has_tenants: bool) -> Option<u8> {
     routed.fields.model.as_ref()?;
-    let priority = (MOST_URGENT_PRIORITY + 2 * routed.route.priority).min(LEAST_URGENT_PRIORITY);
+    let RequestPriority { tenant, route } = routed.priority;
+    let rank = if has_tenants {
+        TENANT_BAND
+            .saturating_mul(tenant)
+            .saturating_add(route.min(TENANT_BAND - 1))
+    } else {
+        route.saturating_mul(2)
+    };
+    let priority = MOST_URGENT_PRIORITY
+        .saturating_add(rank)
+        .min(LEAST_URGENT_PRIORITY);
     u8::try_from(priority).ok()
 }
 
@@ -285,7 +302,7 @@
         software: None,
         arrival,
         shared_tokens: routed.fields.shared_tokens,
-        priority: routed.route.priority,
+        priority: routed.priority,
         times: RequestTimes {
             target: arrival + routed.route.target_latency,
             deadline: (arrival + routed.first_byte_timeout) - MIN_SERVICE_TIME,
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -12,9 +12,10 @@
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use super::answer::{AnswerBody, OwnAnswer, buffered_answer, promises_no_run, streamed_answer};
+use super::refusal::{Refusal, blocked_refusal, not_run, refuse};
 use super::route::RoutedRequest;
+use super::tenant::check_withdrawal;
 use crate::clock;
-use crate::crash::RequestBlock;
 use crate::forward::{
     Attempt, AttemptFailure, AttemptRequest, RelayStart, StreamRelay, is_cut_if_empty, send_attempt,
 };
@@ -35,38 +36,6 @@
 /// Percentage of the route's target latency after which an idempotent request
 /// without an answer is sent to another engine.
 const ATTEMPT_TIMEOUT_PERCENT_OF_TARGET: u64 = 70;
-/// Retry-After of a refusal for which no better estimate is known.
-const DEFAULT_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(500);
-
-/// An answer that the daemon itself generates, with the reason that is logged.
-pub(super) struct Refusal {
-    pub(super) answer: OwnAnswer,
-    pub(super) reason: &'static str,
-}
-
-pub(super) fn refuse(answer: OwnAnswer, reason: &'static str) -> Refusal {
-    Refusal { answer, reason }
-}
-
-/// Refuses a request that did not run, with the default Retry-After.
-pub(super) fn not_run(reason: &'static str) -> Refusal {
-    refuse(OwnAnswer::NotRun(DEFAULT_RETRY_AFTER), reason)
-}
-
-/// Refuses a request that is blocked because it, or a part of its prompt, has crashed
-/// engines.
-pub(super) fn blocked_refusal(block: RequestBlock) -> Refusal {
-    match block {
-        RequestBlock::Request(remaining) => refuse(
-            OwnAnswer::NotRun(remaining),
-            "the request has crashed engines",
-        ),
-        RequestBlock::Part(remaining) => refuse(
-            OwnAnswer::NotRun(remaining),
-            "a part of its prompt has crashed engines",
-        ),
-    }
-}
 
 /// A routed request that is being processed.
 pub(super) struct ServeJob {
@@ -102,6 +71,9 @@
                 Ok(slot) => slot,
                 Err(failure) => return self.wait_failure_result(progress, failure),
             };
+            if let Err(refusal) = check_withdrawal(gateway, &self.routed) {
+                return self.withdrawn_result(progress, refusal);
+            }
             let waited = clock::now().since(self.arrival);
             gateway.metrics.waited.observe(waited.seconds());
             let engine = slot.engine.id.clone();
@@ -336,6 +308,18 @@
         Err(refuse(OwnAnswer::BadEngine, "the engine broke off"))
     }
 
+    /// The result for a request whose API key was withdrawn while it waited.
+    fn withdrawn_result(
+        &self,
+        mut progress: Progress,
+        refusal: Refusal,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if progress.runs > 0 {
+            return self.final_result(&mut progress, AttemptFailure::Unknown);
+        }
+        Err(refusal)
+    }
+
     /// The result for a request that got no slot at an engine.
     fn wait_failure_result(
         &self,
--- a/crates/ward-gateway/src/front/resume.rs
+++ b/crates/ward-gateway/src/front/resume.rs
@@ -4,7 +4,7 @@
 use slog::{info, warn};
 use ward_protocol::{MonoTime, SoftwareVersion, TimeSpan};
 
-use super::job::{Refusal, not_run};
+use super::refusal::{Refusal, not_run};
 use super::route::RoutedRequest;
 use crate::gateway::Gateway;
 use crate::streams::{StreamTry, find_origin};
--- a/crates/ward-gateway/src/front/route.rs
+++ b/crates/ward-gateway/src/front/route.rs
@@ -2,14 +2,22 @@
 
 use http::{HeaderMap, Request, Uri};
 use ward_adapter::RequestFields;
-use ward_fleet::{ServingManifest, ServingRoute};
-use ward_protocol::{ServiceName, TimeSpan};
+use ward_fleet::{RequestPriority, ServingManifest, ServingRoute};
+use ward_protocol::{ServiceName, TenantName, TimeSpan};
+
+use super::answer::OwnAnswer;
+use super::refusal::{Refusal, refuse};
+use super::tenant::{identify_tenant, request_priority};
+use crate::gateway::Gateway;
 
 /// A request with its route and the service chosen for it.
 pub(super) struct RoutedRequest {
     pub(super) route: ServingRoute,
     pub(super) service: ServiceName,
     pub(super) fields: RequestFields,
+    /// Tenant whose API key the request carries.
+    pub(super) tenant: Option<TenantName>,
+    pub(super) priority: RequestPriority,
     /// Time from arrival to the deadline: the caller's or the route's, whichever is
     /// shorter.
     pub(super) timeout: TimeSpan,
@@ -17,23 +25,36 @@
     pub(super) first_byte_timeout: TimeSpan,
 }
 
-/// Finds the route of a request and draws one of its services by weight.
+/// Finds the route and the tenant of a request, and draws one of the route's services by
+/// weight.
+///
+/// # Errors
+/// A refusal if no route matches, or the request needs an API key and has none that is
+/// known.
 pub(super) fn route_request(
+    gateway: &Gateway,
     manifest: &ServingManifest,
     fields: RequestFields,
     host: &str,
     path: &str,
-) -> Option<RoutedRequest> {
-    let route = manifest.find_route(host, path)?.clone();
+) -> Result<RoutedRequest, Refusal> {
+    let route = manifest
+        .find_route(host, path)
+        .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest matches"))?
+        .clone();
+    let tenant = identify_tenant(gateway, manifest, &route, &fields.key)?;
+    let priority = request_priority(manifest, &route, tenant.as_ref());
     let service = route.pick_service(rand::random::<f64>()).clone();
     let timeout = fields
         .time_left
         .map_or(route.timeout, |time_left| time_left.min(route.timeout));
     let stream_timeout = route.stream_idle_timeout();
-    Some(RoutedRequest {
+    Ok(RoutedRequest {
         route,
         service,
         fields,
+        tenant,
+        priority,
         timeout,
         first_byte_timeout: stream_timeout.map_or(timeout, |stream| stream.min(timeout)),
     })
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexSet;
 use ward_fleet::queue::RequestTimes;
-use ward_fleet::{EngineRequirement, QueueRank};
+use ward_fleet::{EngineRequirement, QueueRank, RequestPriority};
 use ward_protocol::{
     AdapterName, BackendId, ModelName, MonoTime, PartId, RequestFingerprint, ServiceName,
     SoftwareVersion, TimeSpan,
@@ -45,8 +45,7 @@
     pub(crate) arrival: MonoTime,
     /// Number of tokens at the start of the prompt that other requests share.
     pub(crate) shared_tokens: u64,
-    /// Priority of the route; zero is the most urgent.
-    pub(crate) priority: u32,
+    pub(crate) priority: RequestPriority,
     pub(crate) times: RequestTimes,
     /// Engines that should not receive the request again.
     pub(crate) avoided: IndexSet<BackendId>,
--- a/crates/ward-protocol/src/id.rs
+++ b/crates/ward-protocol/src/id.rs
@@ -146,6 +146,10 @@
     /// Name of a service that backend servers answer.
     ServiceName, "service name", 64, is_name_character
 );
+text_id!(
+    /// Name of a tenant: an organisation whose callers share API keys and a quota.
+    TenantName, "tenant name", 128, is_name_character
+);
 text_id!(
     /// Name of an operator, as recorded in plan records.
     OperatorName, "operator name", 64, is_name_character
--- a/crates/ward-protocol/src/lib.rs
+++ b/crates/ward-protocol/src/lib.rs
@@ -28,7 +28,7 @@
 pub use id::{
     AdapterName, BackendId, DaemonId, FenceNumber, IdError, IdempotencyKey, Incarnation, LogOffset,
     ModelName, OperatorName, PartId, PlanRevision, RecordId, RequestFingerprint, RequestId,
-    ReservationId, ServiceName, SoftwareVersion, StreamKey, VersionTag, ZoneName,
+    ReservationId, ServiceName, SoftwareVersion, StreamKey, TenantName, VersionTag, ZoneName,
 };
 pub use limits::{LeaseTimes, PolicyValues, StoreLimits, TrafficLimits};
 pub use message::{PeerAddress, PeerEnvelope, PeerMessage, WakeHint};
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -11,8 +11,8 @@
 use ward_adapter::served::CALLER_HOST;
 use ward_fleet::{
     CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, HeartbeatCount, HeldModel,
-    HostCapacity, HostSettings, LinkRate, ManifestVersion, ModelClass, RequestRate, RouteKind,
-    RouteTarget, ServiceClass, ServingBounds, ServingManifest, ServingRoute,
+    HostCapacity, HostSettings, LinkRate, ManifestVersion, ModelClass, QuotaAmount, RequestRate,
+    RouteKind, RouteTarget, ServiceClass, ServingBounds, ServingManifest, ServingRoute,
 };
 use ward_http::{CallBounds, HttpClient, json_request};
 use ward_protocol::{MemorySize, ModelName, TimeSpan};
@@ -303,6 +303,7 @@
             header_timeout: TimeSpan::from_secs(3),
             idle_timeout: TimeSpan::from_secs(10),
         },
+        tenants: None,
     })
 }
 
@@ -327,6 +328,7 @@
         event_pause: TimeSpan::from_millis(200),
         attempts,
         priority: 0,
+        is_public: false,
     })
 }
 
@@ -368,6 +370,8 @@
             load_window: TimeSpan::from_secs(5),
             store_writes: RequestRate(400_000),
             max_ttl: TimeSpan::from_secs(5),
+            quota_window: TimeSpan::from_secs(8),
+            quota_slack: QuotaAmount(0),
         },
     })
 }
