Quotas of tenants over all daemons: credit from the coordinator, equal shares without one

Cause: the daemon knew the quotas of the manifest and charged nothing, so one tenant could send any number of requests.

Change: the coordinator keeps a token bucket per tenant with a quota and hands out parts of it as credit, for the requests that daemons expect within 1.5 s. A request is charged before its body is read; if credit is missing, it waits for the coordinator's answer for an eighth of the target latency, then gets 429 with the expected wait. Credit that isn't used goes back with the daemon's own report. A daemon that hears nothing for 1.5 s keeps an equal share. What no engine has run is given back. The token bucket is shared with the permits of limited engines.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod position;
 pub mod queue;
+pub mod quota;
 pub mod record;
 pub mod settings;
 pub mod stop;
@@ -58,6 +59,10 @@
 pub use outage::{OutageDetector, ProbeNumber, WitnessCandidate, choose_witnesses};
 pub use position::{StoreEra, StorePosition};
 pub use queue::QueueRank;
+pub use quota::{
+    CreditAnswer, CreditContext, CreditStatus, CreditStore, IssueContext, QuotaBatch, QuotaGrant,
+    QuotaIssuer, QuotaNeed, TenantKey,
+};
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
 pub use stop::StopPlan;
--- a/crates/ward-fleet/src/limit/issuer.rs
+++ b/crates/ward-fleet/src/limit/issuer.rs
@@ -10,6 +10,7 @@
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
 use super::MIN_RATE;
+use super::bucket::TokenBucket;
 use super::permits::{PermitBatch, PermitGrant, PermitNeed};
 use super::rate::RequestRate;
 use crate::number::secs_to_span;
@@ -27,17 +28,16 @@
 /// Issues permits for limited engines to the connected daemons.
 #[derive(Debug, Clone, Default)]
 pub struct PermitIssuer {
-    buckets: IndexMap<BackendId, TokenBucket>,
+    buckets: IndexMap<BackendId, EngineBucket>,
     members: IndexMap<MemberKey, MemberNeeds>,
 }
 
 /// Tokens of one limited engine.
 #[derive(Debug, Clone, Default)]
-struct TokenBucket {
-    tokens: f64,
+struct EngineBucket {
+    bucket: TokenBucket,
     /// Tokens per second.
     per_second: f64,
-    filled_at: Option<MonoTime>,
     /// The daemon that got the last permit.
     last_member: Option<MemberKey>,
 }
@@ -159,13 +159,13 @@
 
     fn has_token(&self, engine: &BackendId) -> bool {
         let bucket = self.buckets.get(engine);
-        bucket.is_some_and(|bucket| bucket.tokens >= 1.0)
+        bucket.is_some_and(|engine| engine.bucket.holds(1.0))
     }
 
     fn take_token(&mut self, engine: &BackendId, member: MemberKey) {
-        if let Some(bucket) = self.buckets.get_mut(engine) {
-            bucket.tokens -= 1.0;
-            bucket.last_member = Some(member);
+        if let Some(known) = self.buckets.get_mut(engine) {
+            known.bucket.take(1.0);
+            known.last_member = Some(member);
         }
         if let Some(needs) = self.members.get_mut(&member) {
             *needs.issued.entry(engine.clone()).or_default() += 1;
@@ -213,25 +213,21 @@
     /// Expected time until a further waiting request gets a permit, after all that wait
     /// now; `None` if the engine has no limit.
     fn expected_wait(&self, engine: &BackendId) -> Option<TimeSpan> {
-        let bucket = self.buckets.get(engine)?;
+        let known = self.buckets.get(engine)?;
         let members = self.members.values();
         let waiting: f64 = members.map(|needs| f64::from(needs.unmet(engine).0)).sum();
-        let missing = (waiting + 1.0 - bucket.tokens).max(0.0);
-        if bucket.per_second <= 0.0 {
+        let missing = (waiting + 1.0 - known.bucket.tokens()).max(0.0);
+        if known.per_second <= 0.0 {
             return Some(MAX_WAIT);
         }
-        Some(secs_to_span(missing / bucket.per_second).min(MAX_WAIT))
+        Some(secs_to_span(missing / known.per_second).min(MAX_WAIT))
     }
 }
 
-impl TokenBucket {
-    /// Adds the tokens since the last call. A new bucket begins empty: an earlier
-    /// coordinator may have issued permits until just now.
+impl EngineBucket {
     fn fill(&mut self, per_second: f64, now: MonoTime) {
-        let span = self.filled_at.map_or(TimeSpan::ZERO, |at| now.since(at));
         let capacity = BUCKET_TOKENS + per_second * BUCKET_SPAN.seconds();
-        self.tokens = (self.tokens + per_second * span.seconds()).min(capacity);
+        self.bucket.fill(per_second, capacity, now);
         self.per_second = per_second;
-        self.filled_at = Some(now);
     }
 }
--- a/crates/ward-fleet/src/limit/mod.rs
+++ b/crates/ward-fleet/src/limit/mod.rs
@@ -10,12 +10,14 @@
 //! no coordinator send in turns ([`TurnShare`]). What is known of limits is told on by
 //! each daemon ([`LimitLedger`]).
 
+mod bucket;
 mod issuer;
 mod ledger;
 mod permits;
 mod rate;
 mod turns;
 
+pub use self::bucket::TokenBucket;
 pub use self::issuer::PermitIssuer;
 pub use self::ledger::{LimitEvidence, LimitLedger, LimitSighting};
 pub use self::permits::{PermitBatch, PermitGrant, PermitNeed, PermitStore};
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -20,6 +20,7 @@
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
 use crate::position::{StoreEra, StorePosition};
+use crate::quota::{QuotaBatch, QuotaNeed};
 use crate::settings::HostCapacity;
 use crate::streams::{StreamNews, VersionSighting};
 
@@ -90,6 +91,9 @@
     pub limits: Vec<LimitSighting>,
     /// Permits that the daemon needs at limited engines.
     pub permit_needs: Vec<PermitNeed>,
+    /// Credit that the daemon holds and needs of tenants with quotas, for those of which
+    /// there is news.
+    pub quota_needs: Vec<QuotaNeed>,
     /// When the report was sent, by the daemon's own clock.
     pub sent_at: MonoTime,
 }
@@ -132,6 +136,8 @@
     View(FleetView),
     /// Permits for requests to limited engines.
     Permits(PermitBatch),
+    /// Credit for requests of tenants with quotas.
+    QuotaGrants(QuotaBatch),
     /// Asks the daemon to call the store. The daemon replies in its next
     /// report, and only if the call fails.
     ProbeStore(ProbeNumber),
--- /dev/null
+++ b/crates/ward-fleet/src/quota/store.rs
@@ -0,0 +1,271 @@
+//! The credit that one daemon holds of all tenants.
+//!
+//! While messages of a coordinator arrive, credit comes only with its grants. Otherwise
+//! the daemon is alone: it keeps no more than an equal share of the credit, and refills it
+//! with an equal share of the rate. A daemon that was frozen finds that it has been alone
+//! before it reads any message, so it never uses credit that was handed out again.
+
+use indexmap::IndexMap;
+use ward_protocol::{MonoTime, TimeSpan};
+
+use super::CONTACT_TIMEOUT;
+use super::credit::{CreditAnswer, CreditStatus, TenantCredit};
+use super::message::{QuotaBatch, QuotaNeed, TenantKey};
+use crate::limit::TokenBucket;
+use crate::number::usize_to_f64;
+use crate::tenant::{QuotaAmount, TenantQuota};
+
+/// Fraction of the slack that daemons save up in sum while they are alone, in addition to
+/// what the coordinator may hand out.
+const ALONE_SLACK_FRACTION: f64 = 0.25;
+
+/// What credit depends on besides the messages of the coordinator.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CreditContext {
+    /// Number of daemons that share the quotas.
+    pub daemons: usize,
+    /// Amount by which a tenant may exceed its quota in a window.
+    pub slack: QuotaAmount,
+    /// Current time by the daemon's clock.
+    pub now: MonoTime,
+}
+
+impl CreditContext {
+    /// This daemon's share of the rate of a quota, per second.
+    fn share_per_second(&self, quota: &TenantQuota) -> f64 {
+        quota.rate.per_second() / usize_to_f64(self.daemons.max(1))
+    }
+
+    /// Credit that this daemon holds at most while it is alone.
+    fn share_capacity(&self, quota: &TenantQuota) -> f64 {
+        let saved = self.slack.to_f64() * ALONE_SLACK_FRACTION;
+        (quota.capacity(self.slack) + saved) / usize_to_f64(self.daemons.max(1))
+    }
+
+    /// Refills the credit of a daemon that is alone.
+    fn refill(&self, credit: &mut TenantCredit) {
+        let quota = credit.quota;
+        let per_second = self.share_per_second(&quota);
+        credit
+            .bucket
+            .fill(per_second, self.share_capacity(&quota), self.now);
+    }
+}
+
+/// The credit that a daemon holds, by tenant.
+#[derive(Debug, Clone)]
+pub struct CreditStore {
+    credits: IndexMap<TenantKey, TenantCredit>,
+    /// When the last message of a coordinator arrived.
+    last_contact: Option<MonoTime>,
+    /// Since when the daemon has been alone; `None` while it hears of a coordinator.
+    alone_since: Option<MonoTime>,
+    next_ticket: u64,
+}
+
+impl CreditStore {
+    /// No credit, at a daemon that starts now.
+    #[must_use]
+    pub fn new(now: MonoTime) -> Self {
+        Self {
+            credits: IndexMap::new(),
+            last_contact: None,
+            alone_since: Some(now),
+            next_ticket: 0,
+        }
+    }
+
+    /// Finds out whether the daemon is alone; precedes every other step.
+    fn refresh(&mut self, context: &CreditContext) {
+        let now = context.now;
+        let is_heard = |at: MonoTime| now.since(at) < CONTACT_TIMEOUT;
+        if self.alone_since.is_some() || self.last_contact.is_some_and(is_heard) {
+            return;
+        }
+        self.alone_since = Some(now);
+        for credit in self.credits.values_mut() {
+            credit.bucket.skip_until(now);
+            context.refill(credit);
+        }
+    }
+
+    /// Begins a connection to a coordinator.
+    pub fn begin_link(&mut self, context: &CreditContext) {
+        self.refresh(context);
+        for credit in self.credits.values_mut() {
+            credit.begin_link();
+        }
+    }
+
+    /// Records that a message of the coordinator has arrived.
+    pub fn record_contact(&mut self, context: &CreditContext) {
+        self.refresh(context);
+        self.last_contact = Some(context.now);
+        if self.alone_since.take().is_none() {
+            return;
+        }
+        for credit in self.credits.values_mut() {
+            context.refill(credit);
+            credit.mark_unreported();
+        }
+    }
+
+    /// Adds the credit that the coordinator has granted.
+    pub fn receive(&mut self, batch: &QuotaBatch, context: &CreditContext) {
+        self.record_contact(context);
+        let now = context.now;
+        let is_fresh = now.since(batch.reported_at + batch.held_for) < CONTACT_TIMEOUT;
+        for grant in &batch.grants {
+            if let Some(credit) = self.credits.get_mut(&grant.tenant) {
+                credit.receive(grant.amount, grant.wait, is_fresh, now);
+                let capacity = credit.quota.capacity(context.slack);
+                credit.bucket.clamp_to(capacity);
+            }
+        }
+    }
+
+    /// Takes the cost of a new request out of its tenant's credit, or has it wait, unless
+    /// the wait would be longer than `patience`.
+    pub fn request(
+        &mut self,
+        tenant: TenantKey,
+        quota: TenantQuota,
+        cost: QuotaAmount,
+        patience: TimeSpan,
+        context: &CreditContext,
+    ) -> CreditAnswer {
+        self.refresh(context);
+        let start = self.alone_since.unwrap_or(context.now);
+        let credit = self
+            .credits
+            .entry(tenant)
+            .or_insert_with(|| TenantCredit::new(quota, TokenBucket::since(start)));
+        let cost = cost.to_f64();
+        credit.record_demand(cost, context.now);
+        if self.alone_since.is_some() {
+            return answer_alone(credit, cost, context);
+        }
+        if credit.take(cost) {
+            return CreditAnswer::Granted;
+        }
+        let ticket = self.next_ticket;
+        let wait = credit.expected_wait(context.now);
+        let is_too_long = credit.has_estimate() && wait > patience;
+        if is_too_long || !credit.enqueue(ticket, cost) {
+            credit.record_refusal(cost);
+            return CreditAnswer::Refused(wait);
+        }
+        self.next_ticket += 1;
+        CreditAnswer::Waits(ticket)
+    }
+
+    /// Takes the cost of a waiting request if there is credit by now; refuses it if the
+    /// wait would be longer than the `patience` left.
+    pub fn request_again(
+        &mut self,
+        tenant: TenantKey,
+        ticket: u64,
+        patience: TimeSpan,
+        context: &CreditContext,
+    ) -> CreditAnswer {
+        self.refresh(context);
+        let is_alone = self.alone_since.is_some();
+        let Some(credit) = self.credits.get_mut(&tenant) else {
+            // A newer manifest has no quota for the tenant.
+            return CreditAnswer::Granted;
+        };
+        if credit.take_waiting(ticket) {
+            return CreditAnswer::Granted;
+        }
+        let wait = credit.expected_wait(context.now);
+        let may_come = wait <= patience || !credit.has_estimate();
+        if !is_alone && may_come && patience > TimeSpan::ZERO {
+            return CreditAnswer::Waits(ticket);
+        }
+        let Some(cost) = credit.dequeue(ticket) else {
+            return CreditAnswer::Granted;
+        };
+        if is_alone {
+            return answer_alone(credit, cost, context);
+        }
+        credit.record_refusal(cost);
+        CreditAnswer::Refused(wait)
+    }
+
+    /// Removes a waiting request whose caller has left.
+    pub fn cancel(&mut self, tenant: TenantKey, ticket: u64) {
+        if let Some(credit) = self.credits.get_mut(&tenant) {
+            credit.dequeue(ticket);
+        }
+    }
+
+    /// Gives back the cost of a request that no engine has run.
+    pub fn refund(&mut self, tenant: TenantKey, cost: QuotaAmount, context: &CreditContext) {
+        self.refresh(context);
+        let is_alone = self.alone_since.is_some();
+        let Some(credit) = self.credits.get_mut(&tenant) else {
+            return;
+        };
+        credit.bucket.put(cost.to_f64());
+        if is_alone {
+            context.refill(credit);
+        } else {
+            credit.bucket.clamp_to(credit.quota.capacity(context.slack));
+        }
+    }
+
+    /// What the daemon tells the coordinator of its credit now.
+    pub fn needs(&mut self, context: &CreditContext) -> Vec<QuotaNeed> {
+        self.refresh(context);
+        let now = context.now;
+        let needs = self.credits.iter_mut();
+        needs
+            .filter_map(|(tenant, credit)| credit.need(*tenant, now))
+            .collect()
+    }
+
+    /// Puts the quotas of a manifest in force. Credit shrinks with a quota, and doesn't
+    /// grow with it.
+    pub fn adopt(&mut self, quotas: &IndexMap<TenantKey, TenantQuota>, context: &CreditContext) {
+        self.refresh(context);
+        self.credits.retain(|tenant, _| quotas.contains_key(tenant));
+        for (tenant, credit) in &mut self.credits {
+            let Some(quota) = quotas.get(tenant) else {
+                continue;
+            };
+            let former = credit.quota.capacity(context.slack);
+            let capacity = quota.capacity(context.slack);
+            if credit.quota.unit != quota.unit {
+                credit.bucket.clamp_to(0.0);
+            } else if capacity < former {
+                let scaled = credit.bucket.tokens() * capacity / former;
+                credit.bucket.clamp_to(scaled);
+            }
+            credit.quota = *quota;
+            credit.mark_unreported();
+        }
+    }
+
+    /// The credit of a tenant, for logs.
+    #[must_use]
+    pub fn status(&self, tenant: TenantKey, now: MonoTime) -> CreditStatus {
+        let credit = self.credits.get(&tenant);
+        let granted_at = credit.and_then(|credit| credit.granted_at);
+        CreditStatus {
+            held: credit.map_or(0.0, |credit| credit.bucket.tokens()),
+            grant_age: granted_at.map(|at| now.since(at)),
+            is_alone: self.alone_since.is_some(),
+        }
+    }
+}
+
+/// Takes a request's cost out of the equal share of a daemon that is alone.
+fn answer_alone(credit: &mut TenantCredit, cost: f64, context: &CreditContext) -> CreditAnswer {
+    context.refill(credit);
+    if credit.take(cost) {
+        return CreditAnswer::Granted;
+    }
+    credit.record_refusal(cost);
+    let per_second = context.share_per_second(&credit.quota);
+    CreditAnswer::Refused(credit.share_wait(cost, per_second))
+}
--- a/crates/ward-fleet/src/tenant/quota.rs
+++ b/crates/ward-fleet/src/tenant/quota.rs
@@ -124,3 +124,13 @@
     /// What is counted.
     pub unit: QuotaUnit,
 }
+
+impl TenantQuota {
+    /// Amount that all daemons together may hold in hand, with `slack` as the bound on
+    /// what a tenant may use beyond its quota. The other half of the slack covers what
+    /// daemons that follow no coordinator save up.
+    #[must_use]
+    pub const fn capacity(&self, slack: QuotaAmount) -> f64 {
+        self.burst.to_f64() + slack.to_f64() / 2.0
+    }
+}
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -8,7 +8,8 @@
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
     CoordinatorLease, CrashLedger, CrashReport, EngineEntry, HostMember, LeaseWindow, LimitLedger,
-    LoadReport, OutageDetector, PermitIssuer, StorePosition, StoredFleet,
+    LoadReport, ManifestVersion, OutageDetector, PermitIssuer, QuotaIssuer, StorePosition,
+    StoredFleet,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
@@ -30,6 +31,10 @@
     pub(super) crashes: RefCell<CrashLedger>,
     /// Issues permits for engines that limit their requests.
     pub(super) issuer: RefCell<PermitIssuer>,
+    /// Issues credit of the tenants' quotas.
+    pub(super) quotas: RefCell<QuotaIssuer>,
+    /// Version of the manifest whose quotas are in force; `None` before the first.
+    pub(super) quota_version: Cell<Option<ManifestVersion>>,
     /// What this coordinator last wrote to the fleet record in the store; `None` until
     /// the first renewal of its lease.
     pub(super) stored_fleet: Cell<Option<StoredFleet>>,
@@ -90,6 +95,8 @@
             publisher: RefCell::new(Publisher::new(inherited.clone())),
             crashes: RefCell::new(crashes),
             issuer: RefCell::default(),
+            quotas: RefCell::default(),
+            quota_version: Cell::default(),
             stored_fleet: Cell::default(),
             store_read_time: Cell::new(clock::now()),
             engines_position: Cell::default(),
@@ -172,6 +179,7 @@
     pub(crate) fn remove_link(&self, key: MemberKey) -> Option<HostMember> {
         self.state.borrow_mut().remove_member(key);
         self.issuer.borrow_mut().remove_member(key);
+        self.quotas.borrow_mut().remove_member(key, clock::now());
         let link = self.links.borrow_mut().shift_remove(&key)?;
         link.member
     }
@@ -209,6 +217,10 @@
         let mut issuer = self.issuer.borrow_mut();
         issuer.record_needs(key, needs, report.sent_at, now);
         drop(issuer);
+        let needs = std::mem::take(&mut report.quota_needs);
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.record_needs(key, needs, report.sent_at, now);
+        drop(quotas);
         self.record_limits(&report, now);
         self.record_crashes(&report, now);
         let probe = report.failed_probe;
--- a/crates/ward-gateway/src/coordinator/permits.rs
+++ b/crates/ward-gateway/src/coordinator/permits.rs
@@ -7,7 +7,7 @@
 use ward_fleet::placement::MemberKey;
 use ward_fleet::{CoordinatorMessage, PermitBatch};
 
-use super::active::ActiveCoordinator;
+use super::active::{ActiveCoordinator, MemberLink};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::encode_frame;
@@ -25,7 +25,7 @@
 }
 
 /// Fraction of the daemons that are connected. The others may send in turns of their own.
-fn connected_share(gateway: &Gateway, coordinator: &ActiveCoordinator) -> f64 {
+pub(super) fn connected_share(gateway: &Gateway, coordinator: &ActiveCoordinator) -> f64 {
     let links = coordinator.links.borrow();
     let connected = links.values().filter(|link| link.member.is_some()).count();
     let all = gateway.budget_daemons().max(connected).max(1);
@@ -50,10 +50,15 @@
             "count" => grant.count, "wait" => grant.wait.millis(),
         );
     }
-    let frame = match encode_frame(&CoordinatorMessage::Permits(batch)) {
+    send_message(gateway, link, &CoordinatorMessage::Permits(batch));
+}
+
+/// Queues a message of the coordinator for a daemon.
+pub(super) fn send_message(gateway: &Gateway, link: &MemberLink, message: &CoordinatorMessage) {
+    let frame = match encode_frame(message) {
         Ok(frame) => Rc::new(frame),
         Err(cause) => {
-            warn!(gateway.logger, "limits: permits cannot be encoded"; "cause" => %cause);
+            warn!(gateway.logger, "coordinator: message cannot be encoded"; "cause" => %cause);
             return;
         }
     };
@@ -61,7 +66,8 @@
         // The next view finds the queue full, too, and closes the connection.
         warn!(
             gateway.logger,
-            "limits: permits not sent, the daemon reads no messages"
+            "coordinator: message not sent, the daemon reads none";
+            "daemon" => link.member.as_ref().map(|member| member.daemon.to_string()),
         );
     }
 }
--- /dev/null
+++ b/crates/ward-gateway/src/coordinator/quotas.rs
@@ -0,0 +1,38 @@
+//! Issues credit of the tenants' quotas to the connected daemons.
+
+use ward_fleet::{CoordinatorMessage, IssueContext};
+
+use super::active::ActiveCoordinator;
+use super::permits::{connected_share, send_message};
+use crate::clock;
+use crate::gateway::Gateway;
+use crate::quota::manifest_quotas;
+
+/// Issues the credit that daemons need and the quotas allow now.
+pub(crate) fn issue_credit(gateway: &Gateway, coordinator: &ActiveCoordinator) {
+    let Some(manifest) = gateway.manifest() else {
+        return;
+    };
+    let now = clock::now();
+    let mut issuer = coordinator.quotas.borrow_mut();
+    if coordinator.quota_version.replace(Some(manifest.version)) != Some(manifest.version) {
+        issuer.adopt(&manifest_quotas(&manifest), now);
+    }
+    let batches = issuer.issue(&IssueContext {
+        share: connected_share(gateway, coordinator),
+        slack: gateway.settings().bounds.quota_slack,
+        now,
+    });
+    drop(issuer);
+    let links = coordinator.links.borrow();
+    for (member, batch) in batches {
+        let Some(link) = links.get(&member) else {
+            continue;
+        };
+        gateway
+            .metrics
+            .quota_grants
+            .inc_by(batch.grants.len() as u64);
+        send_message(gateway, link, &CoordinatorMessage::QuotaGrants(batch));
+    }
+}
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -18,6 +18,7 @@
 use super::outage::monitor_store;
 use super::permits::issue_permits;
 use super::publish::{ViewInputs, current_members, publish};
+use super::quotas::issue_credit;
 use super::record::newest_term;
 use super::worker::spawn_task;
 use crate::clock;
@@ -291,6 +292,7 @@
         };
         publish(coordinator, inputs, &gateway.logger);
         issue_permits(gateway, coordinator);
+        issue_credit(gateway, coordinator);
     }
 }
 
--- a/crates/ward-gateway/src/front/answer.rs
+++ b/crates/ward-gateway/src/front/answer.rs
@@ -29,6 +29,8 @@
     NoRoute,
     /// The request needs an API key and has none that is known.
     UnknownKey,
+    /// The request is beyond its tenant's quota; the caller may retry after this time.
+    OverQuota(TimeSpan),
     /// The request names a model or adapter that is not a valid name.
     BadModel,
     /// The body is longer than the manifest allows.
@@ -48,6 +50,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::BadModel => StatusCode::BAD_REQUEST,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoBody => StatusCode::REQUEST_TIMEOUT,
@@ -62,6 +65,7 @@
         match self {
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::OverQuota(_) => "over_quota",
             Self::BadModel => "bad_model",
             Self::TooLong => "too_long",
             Self::NoBody => "no_body",
@@ -71,6 +75,11 @@
         }
     }
 
+    /// Whether no engine has run the request, and none will.
+    pub(crate) const fn promises_no_run(self) -> bool {
+        !matches!(self, Self::BadEngine | Self::Timeout)
+    }
+
     /// The response to a request with this id.
     pub(crate) fn response(self, id: Option<&HeaderValue>) -> Response<AnswerBody> {
         let text = format!("{{\"error\":\"{}\"}}", self.label());
@@ -79,7 +88,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let retry_after = match self {
-            Self::NotRun(span) => Some(span),
+            Self::NotRun(span) | Self::OverQuota(span) => Some(span),
             _ => None,
         };
         set_own_answer_headers(headers, id, retry_after);
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -10,11 +10,12 @@
 use ward_adapter::RequestFields;
 use ward_adapter::header::remove_credentials;
 use ward_fleet::queue::RequestTimes;
-use ward_fleet::{RequestPriority, RouteKind, WaitingCount};
+use ward_fleet::{RequestPriority, RouteKind, ServingManifest, WaitingCount};
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
 
 use super::answer::{AnswerBody, OwnAnswer};
 use super::job::ServeJob;
+use super::quota::charge_quota;
 use super::refusal::{Refusal, blocked_refusal, not_run, refuse};
 use super::resume::{required_software, stream_try};
 use super::route::{RoutedRequest, origin_target, requested_host, route_request};
@@ -155,11 +156,28 @@
         .manifest()
         .ok_or_else(|| not_run("no manifest is known yet"))?;
     let path = request.uri().path();
-    let mut routed = route_request(gateway, &manifest, fields, host, path)?;
+    let routed = route_request(gateway, &manifest, fields, host, path)?;
     if routed.fields.is_model_malformed {
         let reason = "the name of the model or adapter is invalid";
         return Err(refuse(OwnAnswer::BadModel, reason));
     }
+    let charge = charge_quota(gateway, &manifest, &routed, arrival, &phase).await?;
+    let served = serve_routed(gateway, request, &manifest, routed, arrival, phase).await;
+    if let Some(mut charge) = charge {
+        charge.settle(&served);
+    }
+    served
+}
+
+/// Serves a request that its tenant may send.
+async fn serve_routed(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    manifest: &ServingManifest,
+    mut routed: RoutedRequest,
+    arrival: MonoTime,
+    phase: SharedPhase,
+) -> Result<Response<AnswerBody>, Refusal> {
     let (mut head, body) = request.into_parts();
     remove_credentials(&mut head.headers);
     let max_bytes = manifest.limits.body_bytes;
--- a/crates/ward-gateway/src/front/mod.rs
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod handle;
 mod job;
 mod listen;
+mod quota;
 mod refusal;
 mod resume;
 mod route;
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::forward::EnginePool;
 use crate::metrics::GatewayMetrics;
 use crate::queue::WaitQueue;
+use crate::quota::{QuotaState, adopt_quotas};
 use crate::streams::StreamState;
 
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
@@ -58,6 +59,7 @@
     /// Notified when a crash is recorded, or a suspect part of prompts is cleared.
     pub(crate) suspects_changed: Notify,
     pub(crate) streams: StreamState,
+    pub(crate) quota: QuotaState,
     pub(crate) report_events: RefCell<ReportEvents>,
     pub(crate) members: RefCell<Vec<HostMember>>,
     pub(crate) coordinator: CoordinatorSlot,
@@ -154,6 +156,7 @@
             crash_recorded: Notify::new(),
             suspects_changed: Notify::new(),
             streams: StreamState::default(),
+            quota: QuotaState::new(clock::now()),
             report_events: RefCell::default(),
             members: RefCell::default(),
             coordinator: CoordinatorSlot::default(),
@@ -213,6 +216,7 @@
             .set(i64::try_from(version.0).unwrap_or(i64::MAX));
         self.newest_manifest
             .set(self.newest_manifest.get().max(version));
+        adopt_quotas(self, &manifest);
         text.clone_into(&mut self.manifest_text.borrow_mut());
         *self.manifest.borrow_mut() = Some(Rc::new(manifest));
         self.queue.notify_change();
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -25,6 +25,7 @@
 use crate::crash::{current_reports, record_news};
 use crate::gateway::Gateway;
 use crate::limit::{limit_sightings, receive_permits};
+use crate::quota::{begin_quota_link, quota_needs, receive_grants};
 
 /// Time between two reports unless one is requested.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -242,6 +243,7 @@
     )
     .await?;
     gateway.table.borrow_mut().permits.begin_link();
+    begin_quota_link(gateway);
     send(&mut writer, &MemberMessage::Report(build_report(gateway))).await?;
     info!(gateway.logger, "coordinator: connected"; "address" => %address);
     gateway.coordinator_address.set(Some(address));
@@ -272,6 +274,7 @@
                     }
                 }
                 Some(CoordinatorMessage::Permits(batch)) => receive_permits(gateway, &batch),
+                Some(CoordinatorMessage::QuotaGrants(batch)) => receive_grants(gateway, &batch),
                 Some(
                     CoordinatorMessage::Snapshot(_)
                     | CoordinatorMessage::Crashes(_)
@@ -369,6 +372,7 @@
         failed_probe: events.failed_probe,
         limits: limit_sightings(gateway, &events.limits),
         permit_needs: gateway.table.borrow().permits.needs(now),
+        quota_needs: quota_needs(gateway),
         sent_at: now,
     }
 }
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -13,7 +13,7 @@
 use super::frame::{PeerError, encode_frame, read_frame};
 use super::snapshot::build_snapshot;
 use crate::clock;
-use crate::coordinator::{ActiveCoordinator, MessageFrame, issue_permits};
+use crate::coordinator::{ActiveCoordinator, MessageFrame, issue_credit, issue_permits};
 use crate::crash::record_news;
 use crate::gateway::Gateway;
 use crate::streams::wait_until_listed;
@@ -122,12 +122,17 @@
         match message.map_err(|_| PeerError::Timeout)?? {
             Some(MemberMessage::Report(report)) => {
                 gateway.record_manifest_version(report.manifest);
-                // Spare permits are issued with the next plan.
+                // Spare permits, and credit for later requests, are issued with the next
+                // plan.
                 let waits_for_permits = report.permit_needs.iter().any(|need| need.waiting > 0);
+                let waits_for_credit = report.quota_needs.iter().any(|need| need.waiting.0 > 0);
                 coordinator.apply_report(key, report, clock::now());
                 if waits_for_permits {
                     issue_permits(gateway, coordinator);
                 }
+                if waits_for_credit {
+                    issue_credit(gateway, coordinator);
+                }
             }
             Some(MemberMessage::Leaving) => coordinator.mark_leaving(key),
             Some(
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -11,6 +11,7 @@
 use crate::gateway::Gateway;
 use crate::leaving::report_missed_leaving;
 use crate::limit::record_told_limits;
+use crate::quota::record_quota_contact;
 
 /// Applies a view; returns whether its engines are outdated, because this daemon has read
 /// the store more recently than the coordinator, which is another daemon.
@@ -23,6 +24,7 @@
     let store_time = if view.store_outage { now } else { view_time };
     gateway.view_store_time.set(Some(store_time));
     gateway.unfollowed_since.set(None);
+    record_quota_contact(gateway);
     let since = gateway.followed_since.get().unwrap_or(now);
     gateway.followed_since.set(Some(since));
     gateway.store_outage.set(view.store_outage);
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod phase;
 mod queue;
+mod quota;
 mod start;
 mod stop;
 mod streams;
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -1,5 +1,9 @@
 //! Prometheus metrics of one daemon.
 
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use indexmap::IndexSet;
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -7,6 +11,11 @@
     0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.5, 5.0, 10.0, 20.0,
 ];
 
+/// Tenants with counters of their own; the others share one.
+const MAX_TENANT_LABELS: usize = 64;
+/// Label of the tenants that share a counter.
+const OTHER_TENANTS: &str = "other";
+
 /// Registered metrics of one daemon.
 #[derive(Debug, Clone)]
 pub(crate) struct GatewayMetrics {
@@ -28,6 +37,16 @@
     pub(crate) limited_sends: IntCounter,
     /// Permits for limited engines that this daemon has issued as the coordinator.
     pub(crate) permits: IntCounter,
+    /// Requests of tenants with quotas, by tenant and whether they were admitted.
+    charges: IntCounterVec,
+    /// Tenants with counters of their own.
+    labelled_tenants: Rc<RefCell<IndexSet<String>>>,
+    /// Charges given back, since no engine has run the request.
+    pub(crate) quota_refunds: IntCounter,
+    /// Grants of credit that this daemon has sent as the coordinator.
+    pub(crate) quota_grants: IntCounter,
+    /// Seconds that requests waited for credit.
+    pub(crate) quota_waited: Histogram,
     /// Seconds from a send until the engine's answer began.
     pub(crate) first_byte: Histogram,
     /// Seconds from a request's arrival until it got a slot at an engine, observed again
@@ -57,6 +76,21 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
+    /// Counts a request of a tenant with a quota.
+    pub(crate) fn count_charge(&self, tenant: &str, admitted: bool) {
+        let result = if admitted { "admitted" } else { "refused" };
+        let mut labelled = self.labelled_tenants.borrow_mut();
+        if labelled.len() < MAX_TENANT_LABELS && !labelled.contains(tenant) {
+            labelled.insert(tenant.to_owned());
+        }
+        let label = if labelled.contains(tenant) {
+            tenant
+        } else {
+            OTHER_TENANTS
+        };
+        self.charges.with_label_values(&[label, result]).inc();
+    }
+
     pub(crate) fn register() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
         let metrics = Self {
@@ -79,6 +113,14 @@
             )?,
             limited_sends: IntCounter::new("ward_limited_sends_total", "sends to limited engines")?,
             permits: IntCounter::new("ward_permits_total", "permits issued for limited engines")?,
+            charges: IntCounterVec::new(
+                Opts::new("ward_quota_requests_total", "requests charged to quotas"),
+                &["tenant", "result"],
+            )?,
+            labelled_tenants: Rc::default(),
+            quota_refunds: IntCounter::new("ward_quota_refunds_total", "charges given back")?,
+            quota_grants: IntCounter::new("ward_quota_grants_total", "grants of credit sent")?,
+            quota_waited: latency_histogram("ward_quota_waited_seconds", "wait for credit")?,
             first_byte: latency_histogram(
                 "ward_first_byte_seconds",
                 "until an engine's answer began",
@@ -110,6 +152,10 @@
         registry.register(Box::new(self.blocked_parts.clone()))?;
         registry.register(Box::new(self.limited_sends.clone()))?;
         registry.register(Box::new(self.permits.clone()))?;
+        registry.register(Box::new(self.charges.clone()))?;
+        registry.register(Box::new(self.quota_refunds.clone()))?;
+        registry.register(Box::new(self.quota_grants.clone()))?;
+        registry.register(Box::new(self.quota_waited.clone()))?;
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.waited.clone()))?;
         registry.register(Box::new(self.waiting.clone()))?;
--- /dev/null
+++ b/crates/ward-gateway/src/quota.rs
@@ -0,0 +1,87 @@
+//! The credit that this daemon holds of the tenants' quotas, and its exchange with the
+//! coordinator.
+
+use std::cell::RefCell;
+
+use indexmap::IndexMap;
+use slog::info;
+use tokio::sync::Notify;
+use ward_fleet::{
+    CreditContext, CreditStore, QuotaBatch, QuotaNeed, ServingManifest, TenantDirectory, TenantKey,
+    TenantQuota,
+};
+use ward_protocol::MonoTime;
+
+use crate::clock;
+use crate::gateway::Gateway;
+
+/// Credit of the tenants' quotas at this daemon.
+pub(crate) struct QuotaState {
+    pub(crate) credits: RefCell<CreditStore>,
+    /// Notified when waiting requests may get credit, or be refused.
+    pub(crate) changed: Notify,
+}
+
+impl QuotaState {
+    pub(crate) fn new(now: MonoTime) -> Self {
+        Self {
+            credits: RefCell::new(CreditStore::new(now)),
+            changed: Notify::new(),
+        }
+    }
+}
+
+/// What the credit of this daemon depends on now.
+pub(crate) fn credit_context(gateway: &Gateway) -> CreditContext {
+    CreditContext {
+        daemons: gateway.budget_daemons(),
+        slack: gateway.settings().bounds.quota_slack,
+        now: clock::now(),
+    }
+}
+
+/// The quotas of a manifest, by tenant.
+pub(crate) fn manifest_quotas(manifest: &ServingManifest) -> IndexMap<TenantKey, TenantQuota> {
+    let tenants = manifest.tenants.iter().flat_map(TenantDirectory::iter);
+    let quotas = tenants.filter_map(|(name, class)| Some((TenantKey::of(name), class.quota?)));
+    quotas.collect()
+}
+
+/// Puts the quotas of a new manifest in force.
+pub(crate) fn adopt_quotas(gateway: &Gateway, manifest: &ServingManifest) {
+    let quotas = manifest_quotas(manifest);
+    if !quotas.is_empty() {
+        info!(
+            gateway.logger, "quota: in force"; "version" => manifest.version.0,
+            "tenants" => quotas.len(), "daemons" => gateway.budget_daemons(),
+        );
+    }
+    let context = credit_context(gateway);
+    gateway.quota.credits.borrow_mut().adopt(&quotas, &context);
+    gateway.quota.changed.notify_waiters();
+}
+
+/// Begins a connection to a coordinator.
+pub(crate) fn begin_quota_link(gateway: &Gateway) {
+    let context = credit_context(gateway);
+    gateway.quota.credits.borrow_mut().begin_link(&context);
+}
+
+/// Records that a view of the coordinator has arrived.
+pub(crate) fn record_quota_contact(gateway: &Gateway) {
+    let context = credit_context(gateway);
+    gateway.quota.credits.borrow_mut().record_contact(&context);
+}
+
+/// Adds the credit that the coordinator has granted.
+pub(crate) fn receive_grants(gateway: &Gateway, batch: &QuotaBatch) {
+    let context = credit_context(gateway);
+    gateway.quota.credits.borrow_mut().receive(batch, &context);
+    gateway.quota.changed.notify_waiters();
+}
+
+/// What to report of the credit that this daemon holds and needs.
+pub(crate) fn quota_needs(gateway: &Gateway) -> Vec<QuotaNeed> {
+    let context = credit_context(gateway);
+    gateway.quota.credits.borrow_mut().needs(&context)
+}
