--- a/crates/ward-fleet/src/quota/credit.rs
+++ b/crates/ward-fleet/src/quota/credit.rs
@@ -137,6 +137,11 @@
         may_take
     }
 
+    /// Whether another request than the next one waits, or would.
+    pub(super) fn has_queue(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
     /// Adds a waiting request; returns whether there was room.
     pub(super) fn enqueue(&mut self, ticket: u64, cost: f64) -> bool {
         let has_room = self.queue.len() < MAX_WAITING;
--- a/crates/ward-fleet/src/quota/demand.rs
+++ b/crates/ward-fleet/src/quota/demand.rs
@@ -8,7 +8,7 @@
 /// the start of the loss of a coordinator.
 const HORIZON: TimeSpan = TimeSpan::from_millis(1_500);
 /// Time after its last request for which a tenant is expected to send another.
-const INTEREST: TimeSpan = TimeSpan::from_secs(10);
+const INTEREST: TimeSpan = TimeSpan::from_secs(6);
 /// Weight of the latest request in the typical cost.
 const TYPICAL_WEIGHT: f64 = 0.1;
 
--- a/crates/ward-fleet/src/quota/issuer.rs
+++ b/crates/ward-fleet/src/quota/issuer.rs
@@ -3,20 +3,24 @@
 use indexmap::{IndexMap, IndexSet};
 use ward_protocol::{MonoTime, TimeSpan};
 
-use super::ledger::TenantLedger;
+use super::ledger::{FillShare, TenantLedger};
 use super::message::{QuotaBatch, QuotaGrant, QuotaNeed, TenantKey};
+use crate::number::usize_to_f64;
 use crate::placement::MemberKey;
 use crate::tenant::{QuotaAmount, TenantQuota};
 
 /// Time between two issues from which the coordinator counts as frozen. Others may have
 /// handed out the tokens of that time.
 const FROZEN_TIME: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time without a report after which a daemon gets no share of the tokens. Shorter than
+/// the time after which it takes its share itself.
+const SILENCE: TimeSpan = TimeSpan::from_millis(600);
 
 /// What credit depends on besides the reports of daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct IssueContext {
-    /// Fraction of the daemons that are connected. The others go on with equal shares.
-    pub share: f64,
+    /// Number of daemons that share the quotas, connected or not.
+    pub daemons: usize,
     /// Amount by which a tenant may exceed its quota in a window.
     pub slack: QuotaAmount,
     /// Current time by the coordinator's clock.
@@ -38,13 +42,30 @@
 
 impl QuotaIssuer {
     /// Puts the quotas of a manifest in force. New buckets begin empty.
-    pub fn adopt(&mut self, quotas: &IndexMap<TenantKey, TenantQuota>, now: MonoTime) {
+    pub fn adopt(&mut self, quotas: &IndexMap<TenantKey, TenantQuota>, context: &IssueContext) {
+        let fill = self.fill_share(context);
         self.tenants.retain(|tenant, _| quotas.contains_key(tenant));
         for (tenant, quota) in quotas {
             let ledger = self.tenants.entry(*tenant);
             ledger
-                .or_insert_with(|| TenantLedger::new(*quota, now))
-                .set_quota(*quota);
+                .or_insert_with(|| TenantLedger::new(*quota, context.now))
+                .set_quota(*quota, &fill);
+        }
+    }
+
+    /// The share of the daemons that have reported of late. Those that haven't may be
+    /// alone already.
+    fn fill_share(&self, context: &IssueContext) -> FillShare {
+        let now = context.now;
+        let reports = self.reports.values();
+        let is_heard = |at: MonoTime| now.since(at) < SILENCE;
+        let heard = reports.filter(|(_, at)| is_heard(*at)).count();
+        let all = context.daemons.max(heard).max(1);
+        FillShare {
+            share: usize_to_f64(heard) / usize_to_f64(all),
+            slack: context.slack,
+            active_since: self.active_since,
+            now,
         }
     }
 
@@ -82,9 +103,10 @@
         if issued_at.is_none_or(|at| now.since(at) > FROZEN_TIME) {
             self.active_since = now;
         }
+        let fill = self.fill_share(context);
         let mut batches = IndexMap::new();
         for tenant in std::mem::take(&mut self.pending) {
-            self.issue_tenant(tenant, context, &mut batches);
+            self.issue_tenant(tenant, &fill, &mut batches);
         }
         batches.into_iter().collect()
     }
@@ -92,14 +114,14 @@
     fn issue_tenant(
         &mut self,
         tenant: TenantKey,
-        context: &IssueContext,
+        fill: &FillShare,
         batches: &mut IndexMap<MemberKey, QuotaBatch>,
     ) {
         let Some(ledger) = self.tenants.get_mut(&tenant) else {
             return;
         };
-        let (grants, wait) = ledger.issue(context, self.active_since);
-        if ledger.has_unmet(context.now) {
+        let (grants, wait) = ledger.issue(fill);
+        if ledger.has_unmet(fill.now) {
             self.pending.insert(tenant);
         }
         for grant in grants {
@@ -109,7 +131,7 @@
             let batch = batches.entry(grant.member).or_insert_with(|| QuotaBatch {
                 grants: Vec::new(),
                 reported_at: *reported_at,
-                held_for: context.now.since(*received_at),
+                held_for: fill.now.since(*received_at),
             });
             batch.grants.push(QuotaGrant {
                 tenant,
--- a/crates/ward-fleet/src/quota/ledger.rs
+++ b/crates/ward-fleet/src/quota/ledger.rs
@@ -4,7 +4,6 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::MAX_WAIT;
-use super::issuer::IssueContext;
 use super::message::QuotaNeed;
 use crate::limit::TokenBucket;
 use crate::number::{floor_to_u64, secs_to_span};
@@ -16,8 +15,8 @@
 const LOST_RETENTION: TimeSpan = TimeSpan::from_millis(2_000);
 /// Time for which a reported need is served; daemons report it again while it lasts.
 const NEED_LIFETIME: TimeSpan = TimeSpan::from_millis(400);
-/// Part of the bucket that is handed out for requests which have not arrived yet. The
-/// rest is kept for those that wait.
+/// Part of the bucket, and of all that daemons may hold, that is handed out for requests
+/// which have not arrived yet. The rest is kept for those that wait.
 const PREFETCH_FRACTION: f64 = 0.5;
 
 /// The bucket of one tenant, and the credit that daemons hold.
@@ -34,6 +33,8 @@
     backlog_at: MonoTime,
     /// The daemon whose waiting requests last got credit.
     last_member: Option<MemberKey>,
+    /// The daemon that last got credit for its next requests.
+    last_wanted: Option<MemberKey>,
 }
 
 /// Credit of one tenant at one daemon.
@@ -77,6 +78,18 @@
     }
 }
 
+/// What buckets fill with.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FillShare {
+    /// Fraction of the daemons that get credit. The others go on with equal shares.
+    pub(super) share: f64,
+    /// Amount by which a tenant may exceed its quota in a window.
+    pub(super) slack: QuotaAmount,
+    /// Since when credit has been issued without a long break.
+    pub(super) active_since: MonoTime,
+    pub(super) now: MonoTime,
+}
+
 /// Credit for one daemon.
 pub(super) struct MemberGrant {
     pub(super) member: MemberKey,
@@ -94,11 +107,13 @@
             backlog: 0.0,
             backlog_at: now,
             last_member: None,
+            last_wanted: None,
         }
     }
 
-    /// Puts another quota in force.
-    pub(super) fn set_quota(&mut self, quota: TenantQuota) {
+    /// Puts another quota in force; until now, the bucket has filled at the former one.
+    pub(super) fn set_quota(&mut self, quota: TenantQuota, context: &FillShare) {
+        self.fill(context);
         if self.quota.unit != quota.unit {
             self.bucket.clamp_to(0.0);
         }
@@ -133,16 +148,14 @@
     }
 
     /// Adds the tokens since the last call, except those of the time before `active_since`.
-    fn fill(&mut self, context: &IssueContext, active_since: MonoTime) {
+    fn fill(&mut self, context: &FillShare) {
         let now = context.now;
         self.lost.retain(|(_, at)| now.since(*at) < LOST_RETENTION);
         let lost: f64 = self.lost.iter().map(|(amount, _)| amount).sum();
-        let members = self.members.values();
-        let held: u64 = members.map(MemberCredit::outstanding).sum();
         let capacity = self.quota.capacity(context.slack) * context.share;
-        let room = capacity - QuotaAmount(held).to_f64() - lost;
+        let room = capacity - self.held() - lost;
         let per_second = self.quota.rate.per_second() * context.share;
-        self.bucket.skip_until(active_since);
+        self.bucket.skip_until(context.active_since);
         self.bucket.fill(per_second, room.max(0.0), now);
         let served = per_second * now.since(self.backlog_at).seconds();
         let longest = per_second * MAX_WAIT.seconds();
@@ -153,15 +166,11 @@
     /// Grants the credit that daemons need and the quota allows now; also returns the
     /// expected time until a further request gets credit. Includes daemons whose latest
     /// report of waiting requests has not been answered.
-    pub(super) fn issue(
-        &mut self,
-        context: &IssueContext,
-        active_since: MonoTime,
-    ) -> (Vec<MemberGrant>, TimeSpan) {
-        self.fill(context, active_since);
+    pub(super) fn issue(&mut self, context: &FillShare) -> (Vec<MemberGrant>, TimeSpan) {
+        self.fill(context);
         let mut amounts: IndexMap<MemberKey, u64> = IndexMap::new();
         let are_all_served = self.grant_waiting(&mut amounts, context.now);
-        if are_all_served && self.grant_wanted(&mut amounts, context.now) {
+        if are_all_served && self.grant_wanted(&mut amounts, context) {
             self.backlog = 0.0;
         }
         let wait = self.expected_wait(context);
@@ -197,22 +206,38 @@
         true
     }
 
-    /// Grants credit for the next requests, to all daemons in proportion; returns whether
-    /// there was enough for all.
-    fn grant_wanted(&mut self, amounts: &mut IndexMap<MemberKey, u64>, now: MonoTime) -> bool {
+    /// Grants credit for the next requests, to one daemon after another; returns whether
+    /// there was enough for all. Parts of a request's cost at many daemons are of no use,
+    /// so each gets all that it lacks.
+    fn grant_wanted(
+        &mut self,
+        amounts: &mut IndexMap<MemberKey, u64>,
+        context: &FillShare,
+    ) -> bool {
+        let last = self.last_wanted;
         let members = self.members.iter();
-        let unmet: Vec<_> = members
-            .map(|(member, credit)| (*member, credit.unmet(now)))
-            .collect();
-        let total: u64 = unmet.iter().map(|(_, unmet)| unmet).sum();
-        let budget = self.bucket.tokens().max(0.0) * PREFETCH_FRACTION;
-        let total = QuotaAmount(total).to_f64();
-        let part = if total > budget { budget / total } else { 1.0 };
-        for (member, unmet) in unmet {
-            let amount = floor_to_u64(QuotaAmount(unmet).to_f64() * part);
+        let unmet = members.map(|(member, credit)| (*member, credit.unmet(context.now)));
+        let mut lacking: Vec<_> = unmet.filter(|(_, unmet)| *unmet > 0).collect();
+        lacking.sort_unstable_by_key(|(member, _)| (Some(*member) <= last, *member));
+        let prefetched = self.quota.capacity(context.slack) * PREFETCH_FRACTION - self.held();
+        let budget = prefetched.min(self.bucket.tokens() * PREFETCH_FRACTION);
+        let mut budget = floor_to_u64(budget);
+        for (member, unmet) in lacking {
+            if budget == 0 {
+                return false;
+            }
+            let amount = unmet.min(budget);
+            budget -= amount;
             self.grant(amounts, member, amount);
+            self.last_wanted = Some(member);
         }
-        part >= 1.0
+        true
+    }
+
+    /// Credit that the connected daemons hold at most.
+    fn held(&self) -> f64 {
+        let members = self.members.values();
+        QuotaAmount(members.map(MemberCredit::outstanding).sum()).to_f64()
     }
 
     fn grant(&mut self, amounts: &mut IndexMap<MemberKey, u64>, member: MemberKey, amount: u64) {
@@ -228,7 +253,7 @@
 
     /// Expected time until a further request gets credit, after all that wait now and
     /// those that were refused before it.
-    fn expected_wait(&self, context: &IssueContext) -> TimeSpan {
+    fn expected_wait(&self, context: &FillShare) -> TimeSpan {
         let waiting: u64 = self.unmet_waiting(context.now);
         let missing = QuotaAmount(waiting).to_f64() + self.backlog;
         let per_second = self.quota.rate.per_second() * context.share;
--- a/crates/ward-fleet/src/quota/mod.rs
+++ b/crates/ward-fleet/src/quota/mod.rs
@@ -27,8 +27,10 @@
 pub use self::message::{QuotaBatch, QuotaGrant, QuotaNeed, TenantKey};
 pub use self::store::{CreditContext, CreditStore};
 
+/// Time without a message of the coordinator after which a daemon is alone.
+const ALONE_DELAY: TimeSpan = TimeSpan::from_millis(800);
 /// Time since the last message of the coordinator, or since the report that a grant
 /// answers, after which credit is of no use beyond the equal share.
-const CONTACT_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_500);
+const CREDIT_LIFETIME: TimeSpan = TimeSpan::from_millis(1_500);
 /// Longest wait that is estimated.
 const MAX_WAIT: TimeSpan = TimeSpan::from_secs(10);
--- a/crates/ward-fleet/src/quota/store.rs
+++ b/crates/ward-fleet/src/quota/store.rs
@@ -1,16 +1,17 @@
 //! The credit that one daemon holds of all tenants.
 //!
 //! While messages of a coordinator arrive, credit comes only with its grants. Otherwise
-//! the daemon is alone: it keeps no more than an equal share of the credit, and refills it
-//! with an equal share of the rate. A daemon that was frozen finds that it has been alone
-//! before it reads any message, so it never uses credit that was handed out again.
+//! the daemon is alone: it refills its credit with an equal share of the rate, and soon
+//! keeps no more than an equal share of all credit. A daemon that was frozen finds that it
+//! has been alone before it reads any message, so it never uses credit that was handed out
+//! again.
 
 use indexmap::IndexMap;
 use ward_protocol::{MonoTime, TimeSpan};
 
-use super::CONTACT_TIMEOUT;
 use super::credit::{CreditAnswer, CreditStatus, TenantCredit};
 use super::message::{QuotaBatch, QuotaNeed, TenantKey};
+use super::{ALONE_DELAY, CREDIT_LIFETIME};
 use crate::limit::TokenBucket;
 use crate::number::usize_to_f64;
 use crate::tenant::{QuotaAmount, TenantQuota};
@@ -42,13 +43,17 @@
         (quota.capacity(self.slack) + saved) / usize_to_f64(self.daemons.max(1))
     }
 
-    /// Refills the credit of a daemon that is alone.
-    fn refill(&self, credit: &mut TenantCredit) {
+    /// Refills the credit of a daemon that is alone. Until its credit is handed out again,
+    /// it keeps what it holds.
+    fn refill(&self, credit: &mut TenantCredit, last_contact: Option<MonoTime>) {
         let quota = credit.quota;
         let per_second = self.share_per_second(&quota);
-        credit
-            .bucket
-            .fill(per_second, self.share_capacity(&quota), self.now);
+        let is_current = |at: MonoTime| self.now.since(at) < CREDIT_LIFETIME;
+        let mut capacity = self.share_capacity(&quota);
+        if last_contact.is_some_and(is_current) {
+            capacity = capacity.max(credit.bucket.tokens());
+        }
+        credit.bucket.fill(per_second, capacity, self.now);
     }
 }
 
@@ -78,14 +83,26 @@
     /// Finds out whether the daemon is alone; precedes every other step.
     fn refresh(&mut self, context: &CreditContext) {
         let now = context.now;
-        let is_heard = |at: MonoTime| now.since(at) < CONTACT_TIMEOUT;
+        let is_heard = |at: MonoTime| now.since(at) < ALONE_DELAY;
         if self.alone_since.is_some() || self.last_contact.is_some_and(is_heard) {
             return;
         }
-        self.alone_since = Some(now);
+        self.be_alone(context);
+    }
+
+    fn be_alone(&mut self, context: &CreditContext) {
+        self.alone_since = Some(context.now);
         for credit in self.credits.values_mut() {
-            credit.bucket.skip_until(now);
-            context.refill(credit);
+            credit.bucket.skip_until(context.now);
+            context.refill(credit, self.last_contact);
+        }
+    }
+
+    /// Ends the connection to a coordinator.
+    pub fn end_link(&mut self, context: &CreditContext) {
+        self.refresh(context);
+        if self.alone_since.is_none() {
+            self.be_alone(context);
         }
     }
 
@@ -100,12 +117,12 @@
     /// Records that a message of the coordinator has arrived.
     pub fn record_contact(&mut self, context: &CreditContext) {
         self.refresh(context);
-        self.last_contact = Some(context.now);
+        let last_contact = self.last_contact.replace(context.now);
         if self.alone_since.take().is_none() {
             return;
         }
         for credit in self.credits.values_mut() {
-            context.refill(credit);
+            context.refill(credit, last_contact);
             credit.mark_unreported();
         }
     }
@@ -114,7 +131,7 @@
     pub fn receive(&mut self, batch: &QuotaBatch, context: &CreditContext) {
         self.record_contact(context);
         let now = context.now;
-        let is_fresh = now.since(batch.reported_at + batch.held_for) < CONTACT_TIMEOUT;
+        let is_fresh = now.since(batch.reported_at + batch.held_for) < CREDIT_LIFETIME;
         for grant in &batch.grants {
             if let Some(credit) = self.credits.get_mut(&grant.tenant) {
                 credit.receive(grant.amount, grant.wait, is_fresh, now);
@@ -143,14 +160,15 @@
         let cost = cost.to_f64();
         credit.record_demand(cost, context.now);
         if self.alone_since.is_some() {
-            return answer_alone(credit, cost, context);
+            return answer_alone(credit, cost, self.last_contact, context);
         }
         if credit.take(cost) {
             return CreditAnswer::Granted;
         }
         let ticket = self.next_ticket;
         let wait = credit.expected_wait(context.now);
-        let is_too_long = credit.has_estimate() && wait > patience;
+        // One request waits in any case, so that the daemon gets its turn.
+        let is_too_long = credit.has_queue() && credit.has_estimate() && wait > patience;
         if is_too_long || !credit.enqueue(ticket, cost) {
             credit.record_refusal(cost);
             return CreditAnswer::Refused(wait);
@@ -159,8 +177,8 @@
         CreditAnswer::Waits(ticket)
     }
 
-    /// Takes the cost of a waiting request if there is credit by now; refuses it if the
-    /// wait would be longer than the `patience` left.
+    /// Takes the cost of a waiting request if there is credit by now; refuses it if it has
+    /// no `patience` left.
     pub fn request_again(
         &mut self,
         tenant: TenantKey,
@@ -178,15 +196,14 @@
             return CreditAnswer::Granted;
         }
         let wait = credit.expected_wait(context.now);
-        let may_come = wait <= patience || !credit.has_estimate();
-        if !is_alone && may_come && patience > TimeSpan::ZERO {
+        if !is_alone && patience > TimeSpan::ZERO {
             return CreditAnswer::Waits(ticket);
         }
         let Some(cost) = credit.dequeue(ticket) else {
             return CreditAnswer::Granted;
         };
         if is_alone {
-            return answer_alone(credit, cost, context);
+            return answer_alone(credit, cost, self.last_contact, context);
         }
         credit.record_refusal(cost);
         CreditAnswer::Refused(wait)
@@ -208,7 +225,7 @@
         };
         credit.bucket.put(cost.to_f64());
         if is_alone {
-            context.refill(credit);
+            context.refill(credit, self.last_contact);
         } else {
             credit.bucket.clamp_to(credit.quota.capacity(context.slack));
         }
@@ -260,8 +277,13 @@
 }
 
 /// Takes a request's cost out of the equal share of a daemon that is alone.
-fn answer_alone(credit: &mut TenantCredit, cost: f64, context: &CreditContext) -> CreditAnswer {
-    context.refill(credit);
+fn answer_alone(
+    credit: &mut TenantCredit,
+    cost: f64,
+    last_contact: Option<MonoTime>,
+    context: &CreditContext,
+) -> CreditAnswer {
+    context.refill(credit, last_contact);
     if credit.take(cost) {
         return CreditAnswer::Granted;
     }
--- a/crates/ward-gateway/src/coordinator/permits.rs
+++ b/crates/ward-gateway/src/coordinator/permits.rs
@@ -25,7 +25,7 @@
 }
 
 /// Fraction of the daemons that are connected. The others may send in turns of their own.
-pub(super) fn connected_share(gateway: &Gateway, coordinator: &ActiveCoordinator) -> f64 {
+fn connected_share(gateway: &Gateway, coordinator: &ActiveCoordinator) -> f64 {
     let links = coordinator.links.borrow();
     let connected = links.values().filter(|link| link.member.is_some()).count();
     let all = gateway.budget_daemons().max(connected).max(1);
--- a/crates/ward-gateway/src/coordinator/quotas.rs
+++ b/crates/ward-gateway/src/coordinator/quotas.rs
@@ -3,7 +3,7 @@
 use ward_fleet::{CoordinatorMessage, IssueContext};
 
 use super::active::ActiveCoordinator;
-use super::permits::{connected_share, send_message};
+use super::permits::send_message;
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::quota::manifest_quotas;
@@ -13,16 +13,16 @@
     let Some(manifest) = gateway.manifest() else {
         return;
     };
-    let now = clock::now();
+    let context = IssueContext {
+        daemons: gateway.budget_daemons(),
+        slack: gateway.settings().bounds.quota_slack,
+        now: clock::now(),
+    };
     let mut issuer = coordinator.quotas.borrow_mut();
     if coordinator.quota_version.replace(Some(manifest.version)) != Some(manifest.version) {
-        issuer.adopt(&manifest_quotas(&manifest), now);
+        issuer.adopt(&manifest_quotas(&manifest), &context);
     }
-    let batches = issuer.issue(&IssueContext {
-        share: connected_share(gateway, coordinator),
-        slack: gateway.settings().bounds.quota_slack,
-        now,
-    });
+    let batches = issuer.issue(&context);
     drop(issuer);
     let links = coordinator.links.borrow();
     for (member, batch) in batches {
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -25,7 +25,7 @@
 use crate::crash::{current_reports, record_news};
 use crate::gateway::Gateway;
 use crate::limit::{limit_sightings, receive_permits};
-use crate::quota::{begin_quota_link, quota_needs, receive_grants};
+use crate::quota::{begin_quota_link, end_quota_link, quota_needs, receive_grants};
 
 /// Time between two reports unless one is requested.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -79,6 +79,7 @@
             let outcome = follow_with_retries(&gateway, address, &mut observer).await;
             let was_followed = gateway.view_store_time.take().is_some();
             gateway.followed_since.set(None);
+            end_quota_link(&gateway);
             if was_followed {
                 gateway.unfollowed_since.set(Some(clock::now()));
             }
--- a/crates/ward-gateway/src/quota.rs
+++ b/crates/ward-gateway/src/quota.rs
@@ -67,6 +67,13 @@
     gateway.quota.credits.borrow_mut().begin_link(&context);
 }
 
+/// Ends the connection to a coordinator.
+pub(crate) fn end_quota_link(gateway: &Gateway) {
+    let context = credit_context(gateway);
+    gateway.quota.credits.borrow_mut().end_link(&context);
+    gateway.quota.changed.notify_waiters();
+}
+
 /// Records that a view of the coordinator has arrived.
 pub(crate) fn record_quota_contact(gateway: &Gateway) {
     let context = credit_context(gateway);
