Views and reports by number: only what the other end doesn't know

Cause: each view went to all daemons with engines, models and adapters as text and with the count of every busy engine; reports repeated all counts of a daemon each time, up to 250 times a second.

Change: ward_fleet::compact numbers engines for a term and a daemon's counting keys for a connection, and encodes changes only; decoding gives back the same FleetView and LoadReport, so deciding code and its tests are unchanged. Models that come from the weight store are sent with counts only, as the daemons read them only then. ward_peer_bytes_total counts bytes by direction, kind and zone.

Ruled out: changes applied straight to the table (it also changes locally), a compression library, numbers derived by each daemon (docs/design/fan-out.md).

Tests: compact_views_tell_what_full_ones_do and changed_loads_follow_a_complete_view_with_newer_counts fail without the counts that a complete view diverged on; engine_numbers_are_not_reused and compact_views_tell_what_full_ones_do fail if numbers are reused; view_changes_are_several_times_smaller_than_named_ones has nothing to measure before.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod budget;
 pub mod choice;
+pub mod compact;
 pub mod crash;
 pub mod directory;
 pub mod entry;
@@ -32,6 +33,10 @@
 
 pub use budget::{DaemonCount, RetryBudget};
 pub use choice::{ChoiceContext, EngineRequirement, choose_engine};
+pub use compact::{
+    CompactError, CompactReport, CompactView, ReportDecoder, ReportEncoder, ViewDecoder,
+    ViewEncoder,
+};
 pub use crash::{
     AnsweredParts, AnsweredRequests, BlockChange, BlockRevision, ClearedPart, CrashDetector,
     CrashEffect, CrashLedger, CrashNews, CrashReport, EngineIncarnation, PartCrashes, ProbeResult,
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -14,6 +14,7 @@
     ServiceName, SoftwareVersion, StreamKey, TimeSpan, ZoneName,
 };
 
+use crate::compact::{CompactReport, CompactView};
 use crate::crash::{ClearedPart, CrashNews, CrashReport, EngineIncarnation};
 use crate::entry::{EngineBirth, EngineEntry, HeldModel};
 use crate::limit::{LimitSighting, PermitBatch, PermitNeed};
@@ -45,7 +46,7 @@
     /// coordinator.
     Hello(HostMember),
     /// Load and observations of the sender.
-    Report(LoadReport),
+    Report(Box<CompactReport>),
     /// The sender shuts down and takes no new callers.
     Leaving,
     /// Requests a [`FleetSnapshot`]; the only message on its connection. Any
@@ -129,7 +130,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum CoordinatorMessage {
     /// Changes to the state of the fleet.
-    View(FleetView),
+    View(Box<CompactView>),
     /// Permits for requests to limited engines.
     Permits(PermitBatch),
     /// Asks the daemon to call the store. The daemon replies in its next
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -12,8 +12,9 @@
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
 
-use super::publish::{MessageFrame, Publisher};
+use super::publish::Publisher;
 use crate::clock;
+use crate::hub::MessageFrame;
 use crate::limit::log_change;
 
 /// Maximum number of messages queued for a daemon; its connection is closed when a
--- a/crates/ward-gateway/src/coordinator/mod.rs
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -11,7 +11,6 @@
 
 pub(crate) use active::ActiveCoordinator;
 pub(crate) use permits::issue_permits;
-pub(crate) use publish::MessageFrame;
 pub(crate) use record::{StoredTerm, newest_term, stored_fleet};
 pub(crate) use slot::CoordinatorSlot;
 pub(crate) use term::{release_term, take_over};
--- a/crates/ward-gateway/src/coordinator/outage.rs
+++ b/crates/ward-gateway/src/coordinator/outage.rs
@@ -1,8 +1,6 @@
 //! Detects a store outage: while the coordinator's lease cannot be renewed, other
 //! daemons probe the store, and the lease is extended if none of them reaches it.
 
-use std::rc::Rc;
-
 use slog::{info, warn};
 use ward_fleet::{CoordinatorMessage, WitnessCandidate, choose_witnesses};
 use ward_protocol::TimeSpan;
@@ -10,7 +8,7 @@
 use super::active::ActiveCoordinator;
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::hub::encode_frame;
+use crate::hub::encode_message;
 
 /// Asks other daemons to probe the store whenever a renewal is overdue; never returns.
 pub(super) async fn monitor_store(gateway: &Gateway, coordinator: &ActiveCoordinator) {
@@ -57,8 +55,8 @@
     }
     let mut detector = coordinator.outage_detector.borrow_mut();
     let probe = detector.begin_probe(witnesses.iter().copied(), clock::now());
-    let frame = match encode_frame(&CoordinatorMessage::ProbeStore(probe)) {
-        Ok(frame) => Rc::new(frame),
+    let frame = match encode_message(&CoordinatorMessage::ProbeStore(probe)) {
+        Ok(frame) => frame,
         Err(cause) => {
             warn!(gateway.logger, "coordinator: store probe cannot be encoded"; "cause" => %cause);
             return;
@@ -67,7 +65,7 @@
     for key in witnesses {
         let sent = links
             .get_mut(&key)
-            .map(|link| link.frames.try_send(Rc::clone(&frame)));
+            .map(|link| link.frames.try_send(frame.clone()));
         if let Some(Err(cause)) = sent {
             warn!(gateway.logger, "coordinator: store probe not sent"; "cause" => %cause);
         }
--- a/crates/ward-gateway/src/coordinator/permits.rs
+++ b/crates/ward-gateway/src/coordinator/permits.rs
@@ -1,7 +1,5 @@
 //! Issues permits for requests to limited engines to the connected daemons.
 
-use std::rc::Rc;
-
 use slog::{debug, warn};
 use ward_fleet::number::usize_to_f64;
 use ward_fleet::placement::MemberKey;
@@ -10,7 +8,7 @@
 use super::active::ActiveCoordinator;
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::hub::encode_frame;
+use crate::hub::encode_message;
 
 /// Issues the permits that daemons need and the limits allow now.
 pub(crate) fn issue_permits(gateway: &Gateway, coordinator: &ActiveCoordinator) {
@@ -50,8 +48,8 @@
             "count" => grant.count, "wait" => grant.wait.millis(),
         );
     }
-    let frame = match encode_frame(&CoordinatorMessage::Permits(batch)) {
-        Ok(frame) => Rc::new(frame),
+    let frame = match encode_message(&CoordinatorMessage::Permits(batch)) {
+        Ok(frame) => frame,
         Err(cause) => {
             warn!(gateway.logger, "limits: permits cannot be encoded"; "cause" => %cause);
             return;
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -1,23 +1,18 @@
 //! Broadcasts the state of the fleet to all daemons as it changes.
 
-use std::rc::Rc;
-
 use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, warn};
 use tokio::sync::mpsc::error::TrySendError;
 use ward_fleet::pace::load_broadcast_interval;
 use ward_fleet::{
-    ClearedPart, CoordinatorMessage, CrashReport, EngineInfo, FleetView, HostMember, LinkRate,
-    ManifestVersion, SlowModel, StoreEra, VersionSighting,
+    ClearedPart, CompactView, CoordinatorMessage, CrashReport, EngineInfo, FleetView, HostMember,
+    LinkRate, ManifestVersion, SlowModel, StoreEra, VersionSighting, ViewEncoder,
 };
 use ward_protocol::{BackendId, DaemonId, MonoTime, RequestFingerprint, TimeSpan};
 
 use super::active::{ActiveCoordinator, MemberLink};
 use crate::clock;
-use crate::hub::encode_frame;
-
-/// An encoded message to daemons, shared between their queues.
-pub(crate) type MessageFrame = Rc<Vec<u8>>;
+use crate::hub::{MessageFrame, encode_message};
 
 /// Time after the start of a term for which daemons known from before it are listed
 /// although they have not connected yet.
@@ -44,6 +39,8 @@
     /// Minimum time between two views that contain request counts.
     loads_interval: TimeSpan,
     term_start: MonoTime,
+    /// What the daemons know from the views of this term.
+    encoder: ViewEncoder,
 }
 
 impl Publisher {
@@ -61,6 +58,7 @@
             loads_sent_at: MonoTime::default(),
             loads_interval: TimeSpan::ZERO,
             term_start: clock::now(),
+            encoder: ViewEncoder::default(),
         }
     }
 
@@ -106,7 +104,7 @@
     let now = clock::now();
     let link_rate = inputs.link;
     let versions = inputs.versions.clone();
-    let delta = next_delta(coordinator, inputs, now);
+    let mut delta = next_delta(coordinator, inputs, now);
     let has_loads = delta.loads.is_some();
     let has_changes = has_loads
         || !delta.engines.is_empty()
@@ -118,14 +116,20 @@
     let is_new = |link: &MemberLink| !link.has_complete_view;
     let has_new = coordinator.links.borrow().values().any(is_new);
     let complete = has_new.then(|| complete_view(coordinator, &delta, versions));
-    let frames = ViewFrames {
-        delta: has_changes.then(|| encode(delta, logger)).flatten(),
-        complete: complete.and_then(|view| encode(view, logger)),
-    };
+    if !has_loads {
+        delta.slow.clear();
+    }
+    let frames = encode_views(coordinator, has_changes.then_some(delta), complete, logger);
+    if has_changes && frames.delta.is_none() {
+        // The daemons lack these changes, so that later ones would not fit.
+        let mut links = coordinator.links.borrow_mut();
+        let links = links.values_mut();
+        links.for_each(|link| link.has_complete_view = false);
+    }
     if let Some(delta) = frames.delta.as_ref().filter(|_| has_loads) {
         let daemons = coordinator.links.borrow().len();
         coordinator.publisher.borrow_mut().loads_interval =
-            load_broadcast_interval(delta.len(), daemons, link_rate);
+            load_broadcast_interval(delta.bytes.len(), daemons, link_rate);
     }
     send(coordinator, &frames);
 }
@@ -287,7 +291,7 @@
         let Some(frame) = frame else {
             return true;
         };
-        match link.frames.try_send(Rc::clone(frame)) {
+        match link.frames.try_send(frame.clone()) {
             Ok(()) => {
                 link.has_complete_view = true;
                 true
@@ -299,9 +303,26 @@
     });
 }
 
-fn encode(view: FleetView, logger: &Logger) -> Option<MessageFrame> {
-    match encode_frame(&CoordinatorMessage::View(view)) {
-        Ok(frame) => Some(Rc::new(frame)),
+/// Encodes the changes, then the complete view that includes them.
+fn encode_views(
+    coordinator: &ActiveCoordinator,
+    delta: Option<FleetView>,
+    complete: Option<FleetView>,
+    logger: &Logger,
+) -> ViewFrames {
+    let mut publisher = coordinator.publisher.borrow_mut();
+    let encoder = &mut publisher.encoder;
+    let delta = delta.map(|view| encoder.encode_changes(view));
+    let complete = complete.map(|view| encoder.encode_complete(view));
+    ViewFrames {
+        delta: delta.and_then(|view| encode(view, logger)),
+        complete: complete.and_then(|view| encode(view, logger)),
+    }
+}
+
+fn encode(view: CompactView, logger: &Logger) -> Option<MessageFrame> {
+    match encode_message(&CoordinatorMessage::View(Box::new(view))) {
+        Ok(frame) => Some(frame),
         Err(cause) => {
             warn!(logger, "coordinator: view cannot be encoded"; "cause" => %cause);
             None
--- a/crates/ward-gateway/src/hub/frame.rs
+++ b/crates/ward-gateway/src/hub/frame.rs
@@ -1,17 +1,26 @@
 //! Framing of messages between daemons: a length of four bytes in big-endian order,
 //! then the encoded message.
 
+use std::rc::Rc;
+
 use quick_error::quick_error;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt};
+use ward_fleet::{CompactError, CoordinatorMessage};
 use ward_protocol::CodecError;
 use ward_protocol::codec::{decode, encode};
 
+use super::traffic::MessageKind;
+
 /// Maximum length of a message, so that invalid data on the port does not cause a
 /// large allocation.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Size of a message on a connection, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct FrameSize(pub(crate) usize);
+
 quick_error! {
     /// An error that ends a connection between daemons.
     #[derive(Debug)]
@@ -31,6 +40,11 @@
         TooLong(bytes: usize) {
             display("the message is too long: {bytes} bytes")
         }
+        /// The message does not fit to the earlier ones of its connection.
+        Compact(cause: CompactError) {
+            from()
+            display("{cause}")
+        }
         /// The coordinator cannot reach the store, but this daemon can.
         StoreUnavailable {
             display("the coordinator cannot reach the store")
@@ -51,6 +65,30 @@
     }
 }
 
+/// An encoded message of the coordinator, shared between the queues of daemons.
+#[derive(Debug, Clone)]
+pub(crate) struct MessageFrame {
+    /// Kind of the message.
+    pub(crate) kind: MessageKind,
+    /// The message, preceded by its length.
+    pub(crate) bytes: Rc<Vec<u8>>,
+}
+
+impl MessageFrame {
+    /// Size on a connection.
+    pub(crate) fn size(&self) -> FrameSize {
+        FrameSize(self.bytes.len())
+    }
+}
+
+/// Encodes a message of the coordinator.
+pub(crate) fn encode_message(message: &CoordinatorMessage) -> Result<MessageFrame, PeerError> {
+    Ok(MessageFrame {
+        kind: MessageKind::from(message),
+        bytes: Rc::new(encode_frame(message)?),
+    })
+}
+
 /// Encodes a message, preceded by its length.
 pub(crate) fn encode_frame(message: &impl Serialize) -> Result<Vec<u8>, PeerError> {
     let content = encode(message)?;
@@ -65,6 +103,15 @@
 pub(crate) async fn read_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
 ) -> Result<Option<T>, PeerError> {
+    let sized = read_sized_frame(stream).await?;
+    Ok(sized.map(|(message, _)| message))
+}
+
+/// Reads the next message, with its size on the connection; returns `None` if the stream ends before the message's
+/// length is complete.
+pub(crate) async fn read_sized_frame<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> Result<Option<(T, FrameSize)>, PeerError> {
     let mut header = [0; 4];
     match stream.read_exact(&mut header).await {
         Ok(_) => {}
@@ -77,5 +124,6 @@
     }
     let mut content = vec![0; length];
     stream.read_exact(&mut content).await?;
-    Ok(Some(decode(&content)?))
+    let size = FrameSize(header.len() + length);
+    Ok(Some((decode(&content)?, size)))
 }
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -13,12 +13,13 @@
 use ward_adapter::StoreTopic;
 use ward_fleet::{
     CoordinatorMessage, FleetRecord, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
-    MemberMessage, ProbeNumber, TermObserver,
+    MemberMessage, ProbeNumber, ReportEncoder, TermObserver, ViewDecoder,
 };
 use ward_protocol::{MonoTime, TimeSpan, WallTime};
 
 use super::check::drop_unreachable_members;
-use super::frame::{PeerError, encode_frame, read_frame};
+use super::frame::{FrameSize, PeerError, encode_frame, read_sized_frame};
+use super::traffic::{MessageKind, ZoneRelation, count_received, count_sent};
 use super::view::apply_view;
 use crate::clock;
 use crate::coordinator::{StoredTerm, newest_term, stored_fleet, take_over};
@@ -236,27 +237,31 @@
     stream.set_nodelay(true)?;
     let (reader, mut writer) = stream.into_split();
     let mut reader = BufReader::new(reader);
-    send(
-        &mut writer,
-        &MemberMessage::Hello(own_member(&gateway.settings())),
-    )
-    .await?;
+    let hello = MemberMessage::Hello(own_member(&gateway.settings()));
+    send(gateway, address, &mut writer, &hello).await?;
     gateway.table.borrow_mut().permits.begin_link();
-    send(&mut writer, &MemberMessage::Report(build_report(gateway))).await?;
+    let mut encoder = ReportEncoder::default();
+    send_report(gateway, address, &mut writer, &mut encoder).await?;
     info!(gateway.logger, "coordinator: connected"; "address" => %address);
     gateway.coordinator_address.set(Some(address));
-    let reports = send_reports(gateway, writer);
+    let reports = send_reports(gateway, address, writer, encoder);
     let views = async {
         // Once a view was applied only in part, a complete one is needed.
         let mut was_outdated = false;
+        let mut decoder = ViewDecoder::default();
         loop {
-            let next = read_frame::<CoordinatorMessage>(&mut reader);
-            let message = tokio::time::timeout(COORDINATOR_TIMEOUT, next).await;
-            match message.map_err(|_| PeerError::Timeout)?? {
-                Some(CoordinatorMessage::ProbeStore(probe)) => {
+            let next = read_sized_frame::<CoordinatorMessage>(&mut reader);
+            let next = tokio::time::timeout(COORDINATOR_TIMEOUT, next).await;
+            let next = next.map_err(|_| PeerError::Timeout)??;
+            let (message, size) = next.ok_or(PeerError::Unexpected)?;
+            let relation = ZoneRelation::to_address(gateway, address.ip());
+            count_received(gateway, MessageKind::from(&message), relation, size);
+            match message {
+                CoordinatorMessage::ProbeStore(probe) => {
                     tokio::task::spawn_local(probe_store(Rc::clone(gateway), probe));
                 }
-                Some(CoordinatorMessage::View(view)) => {
+                CoordinatorMessage::View(view) => {
+                    let view = decoder.decode(*view)?;
                     if view.store_outage {
                         observer.record_outage();
                     } else {
@@ -271,16 +276,11 @@
                         return Err(PeerError::StoreUnavailable);
                     }
                 }
-                Some(CoordinatorMessage::Permits(batch)) => receive_permits(gateway, &batch),
-                Some(
-                    CoordinatorMessage::Snapshot(_)
-                    | CoordinatorMessage::Crashes(_)
-                    | CoordinatorMessage::StreamsRecorded
-                    | CoordinatorMessage::FoundStream(_),
-                )
-                | None => {
-                    return Err(PeerError::Unexpected);
-                }
+                CoordinatorMessage::Permits(batch) => receive_permits(gateway, &batch),
+                CoordinatorMessage::Snapshot(_)
+                | CoordinatorMessage::Crashes(_)
+                | CoordinatorMessage::StreamsRecorded
+                | CoordinatorMessage::FoundStream(_) => return Err(PeerError::Unexpected),
             }
         }
     };
@@ -306,7 +306,12 @@
     }
 }
 
-async fn send_reports(gateway: &Gateway, mut writer: OwnedWriteHalf) -> Result<(), PeerError> {
+async fn send_reports(
+    gateway: &Gateway,
+    address: SocketAddr,
+    mut writer: OwnedWriteHalf,
+    mut encoder: ReportEncoder,
+) -> Result<(), PeerError> {
     let mut leaving_sent = false;
     loop {
         let earliest = Instant::now() + MIN_REPORT_INTERVAL;
@@ -315,19 +320,39 @@
         drop(tokio::time::timeout(REPORT_INTERVAL, requested).await);
         tokio::time::sleep_until(earliest).await;
         if gateway.is_stopping() && !leaving_sent {
-            send(&mut writer, &MemberMessage::Leaving).await?;
+            send(gateway, address, &mut writer, &MemberMessage::Leaving).await?;
             leaving_sent = true;
         }
-        send(&mut writer, &MemberMessage::Report(build_report(gateway))).await?;
+        send_report(gateway, address, &mut writer, &mut encoder).await?;
     }
 }
 
-async fn send(writer: &mut OwnedWriteHalf, message: &MemberMessage) -> Result<(), PeerError> {
+/// Sends a report with what changed since the last one.
+async fn send_report(
+    gateway: &Gateway,
+    address: SocketAddr,
+    writer: &mut OwnedWriteHalf,
+    encoder: &mut ReportEncoder,
+) -> Result<(), PeerError> {
+    let report = Box::new(encoder.encode(build_report(gateway)));
+    send(gateway, address, writer, &MemberMessage::Report(report)).await
+}
+
+async fn send(
+    gateway: &Gateway,
+    address: SocketAddr,
+    writer: &mut OwnedWriteHalf,
+    message: &MemberMessage,
+) -> Result<(), PeerError> {
     let frame = encode_frame(message)?;
     match tokio::time::timeout(COORDINATOR_TIMEOUT, writer.write_all(&frame)).await {
-        Ok(result) => Ok(result?),
-        Err(_) => Err(PeerError::Timeout),
+        Ok(result) => result?,
+        Err(_) => return Err(PeerError::Timeout),
     }
+    let relation = ZoneRelation::to_address(gateway, address.ip());
+    let size = FrameSize(frame.len());
+    count_sent(gateway, MessageKind::from(message), relation, size);
+    Ok(())
 }
 
 /// Whether the coordinator cannot reach the store although this daemon can.
--- a/crates/ward-gateway/src/hub/mod.rs
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -8,11 +8,12 @@
 mod member;
 mod server;
 mod snapshot;
+mod traffic;
 mod view;
 
 pub(crate) use broadcast::{broadcast_crashes, peer_addresses};
 pub(crate) use call::call_daemon;
-pub(crate) use frame::{PeerError, encode_frame};
+pub(crate) use frame::{MessageFrame, PeerError, encode_frame, encode_message};
 pub(crate) use member::follow_coordinator;
 pub(crate) use server::accept_members;
 pub(crate) use snapshot::request_snapshot;
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -8,12 +8,14 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use ward_fleet::{CoordinatorMessage, HostMember, MemberMessage};
+use ward_fleet::placement::MemberKey;
+use ward_fleet::{CoordinatorMessage, HostMember, MemberMessage, ReportDecoder};
 
-use super::frame::{PeerError, encode_frame, read_frame};
+use super::frame::{MessageFrame, PeerError, encode_message, read_sized_frame};
 use super::snapshot::build_snapshot;
+use super::traffic::{MessageKind, ZoneRelation, count_received, count_sent};
 use crate::clock;
-use crate::coordinator::{ActiveCoordinator, MessageFrame, issue_permits};
+use crate::coordinator::{ActiveCoordinator, issue_permits};
 use crate::crash::record_news;
 use crate::gateway::Gateway;
 use crate::streams::wait_until_listed;
@@ -39,49 +41,76 @@
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, mut stream: TcpStream) {
-    let first = read_frame::<MemberMessage>(&mut stream);
-    match tokio::time::timeout(MEMBER_TIMEOUT, first).await {
-        Ok(Ok(Some(MemberMessage::Hello(member)))) => {
+    let first = read_sized_frame::<MemberMessage>(&mut stream);
+    let first = tokio::time::timeout(MEMBER_TIMEOUT, first).await;
+    // A daemon that only checks whether this one is running sends no message.
+    let Ok(Ok(Some((message, size)))) = first else {
+        return;
+    };
+    let relation = relation_to_peer(&gateway, &message, &stream);
+    count_received(&gateway, MessageKind::from(&message), relation, size);
+    match message {
+        MemberMessage::Hello(member) => {
             if let Some(coordinator) = gateway.coordinator.active() {
                 serve_member(gateway, coordinator, member, stream).await;
             }
         }
-        Ok(Ok(Some(MemberMessage::SnapshotRequest))) => {
+        MemberMessage::SnapshotRequest => {
             let message = CoordinatorMessage::Snapshot(build_snapshot(&gateway));
-            send_reply(&gateway, message, stream).await;
+            send_reply(&gateway, &message, relation, stream).await;
         }
-        Ok(Ok(Some(MemberMessage::Crashes(news)))) => {
+        MemberMessage::Crashes(news) => {
             record_news(&gateway, &news.crashes, &news.cleared_parts);
             let known = gateway.crashes.borrow().news(clock::now());
-            send_reply(&gateway, CoordinatorMessage::Crashes(known), stream).await;
+            let message = CoordinatorMessage::Crashes(known);
+            send_reply(&gateway, &message, relation, stream).await;
         }
-        Ok(Ok(Some(MemberMessage::RecordStreams(news)))) => {
+        MemberMessage::RecordStreams(news) => {
             gateway.streams.record_news(news);
             wait_until_listed(&gateway).await;
-            send_reply(&gateway, CoordinatorMessage::StreamsRecorded, stream).await;
+            let message = CoordinatorMessage::StreamsRecorded;
+            send_reply(&gateway, &message, relation, stream).await;
         }
-        Ok(Ok(Some(MemberMessage::FindStream(key)))) => {
+        MemberMessage::FindStream(key) => {
             let news = gateway.streams.news_of(key);
-            send_reply(&gateway, CoordinatorMessage::FoundStream(news), stream).await;
+            let message = CoordinatorMessage::FoundStream(news);
+            send_reply(&gateway, &message, relation, stream).await;
         }
-        // A daemon that only checks whether this one is running sends no message.
-        _ => {}
+        MemberMessage::Report(_) | MemberMessage::Leaving => {}
+    }
+}
+
+/// Where the daemon at the other end of a connection runs.
+fn relation_to_peer(gateway: &Gateway, first: &MemberMessage, stream: &TcpStream) -> ZoneRelation {
+    if let MemberMessage::Hello(member) = first {
+        return ZoneRelation::to_zone(gateway, &member.zone);
+    }
+    match stream.peer_addr() {
+        Ok(address) => ZoneRelation::to_address(gateway, address.ip()),
+        Err(_) => ZoneRelation::Unknown,
     }
 }
 
 /// Sends the only reply on a connection.
-async fn send_reply(gateway: &Gateway, message: CoordinatorMessage, mut stream: TcpStream) {
-    let frame = match encode_frame(&message) {
+async fn send_reply(
+    gateway: &Gateway,
+    message: &CoordinatorMessage,
+    relation: ZoneRelation,
+    mut stream: TcpStream,
+) {
+    let frame = match encode_message(message) {
         Ok(frame) => frame,
         Err(cause) => {
             warn!(gateway.logger, "peers: reply cannot be encoded"; "cause" => %cause);
             return;
         }
     };
-    let sent = tokio::time::timeout(MEMBER_TIMEOUT, stream.write_all(&frame)).await;
+    let sent = tokio::time::timeout(MEMBER_TIMEOUT, stream.write_all(&frame.bytes)).await;
     if !matches!(sent, Ok(Ok(()))) {
         warn!(gateway.logger, "peers: reply failed");
+        return;
     }
+    count_sent(gateway, frame.kind, relation, frame.size());
 }
 
 async fn serve_member(
@@ -93,12 +122,13 @@
     if let Err(cause) = stream.set_nodelay(true) {
         warn!(gateway.logger, "peers: TCP_NODELAY not set"; "cause" => %cause);
     }
+    let relation = ZoneRelation::to_zone(&gateway, &member.zone);
     let (reader, writer) = stream.into_split();
     let (key, frames) = coordinator.add_link();
     coordinator.record_member(key, member);
     let outcome = tokio::select! {
-        result = read_reports(&gateway, &coordinator, key, reader) => result,
-        result = write_frames(frames, writer) => result,
+        result = read_reports(&gateway, &coordinator, key, relation, reader) => result,
+        result = write_frames(&gateway, relation, frames, writer) => result,
         () = coordinator.ended() => Ok(()),
     };
     let member = coordinator.remove_link(key);
@@ -112,15 +142,22 @@
 async fn read_reports(
     gateway: &Gateway,
     coordinator: &ActiveCoordinator,
-    key: ward_fleet::placement::MemberKey,
+    key: MemberKey,
+    relation: ZoneRelation,
     reader: OwnedReadHalf,
 ) -> Result<(), PeerError> {
     let mut reader = BufReader::new(reader);
+    let mut decoder = ReportDecoder::default();
     loop {
-        let next = read_frame::<MemberMessage>(&mut reader);
-        let message = tokio::time::timeout(MEMBER_TIMEOUT, next).await;
-        match message.map_err(|_| PeerError::Timeout)?? {
-            Some(MemberMessage::Report(report)) => {
+        let next = read_sized_frame::<MemberMessage>(&mut reader);
+        let next = tokio::time::timeout(MEMBER_TIMEOUT, next).await;
+        let Some((message, size)) = next.map_err(|_| PeerError::Timeout)?? else {
+            return Ok(());
+        };
+        count_received(gateway, MessageKind::from(&message), relation, size);
+        match message {
+            MemberMessage::Report(report) => {
+                let report = decoder.decode(*report)?;
                 gateway.record_manifest_version(report.manifest);
                 // Spare permits are issued with the next plan.
                 let waits_for_permits = report.permit_needs.iter().any(|need| need.waiting > 0);
@@ -129,30 +166,28 @@
                     issue_permits(gateway, coordinator);
                 }
             }
-            Some(MemberMessage::Leaving) => coordinator.mark_leaving(key),
-            Some(
-                MemberMessage::Hello(_)
-                | MemberMessage::SnapshotRequest
-                | MemberMessage::Crashes(_)
-                | MemberMessage::RecordStreams(_)
-                | MemberMessage::FindStream(_),
-            ) => {
-                return Err(PeerError::Unexpected);
-            }
-            None => return Ok(()),
+            MemberMessage::Leaving => coordinator.mark_leaving(key),
+            MemberMessage::Hello(_)
+            | MemberMessage::SnapshotRequest
+            | MemberMessage::Crashes(_)
+            | MemberMessage::RecordStreams(_)
+            | MemberMessage::FindStream(_) => return Err(PeerError::Unexpected),
         }
     }
 }
 
 async fn write_frames(
+    gateway: &Gateway,
+    relation: ZoneRelation,
     mut frames: mpsc::Receiver<MessageFrame>,
     mut writer: OwnedWriteHalf,
 ) -> Result<(), PeerError> {
     while let Some(frame) = frames.recv().await {
-        match tokio::time::timeout(MEMBER_TIMEOUT, writer.write_all(&frame)).await {
+        match tokio::time::timeout(MEMBER_TIMEOUT, writer.write_all(&frame.bytes)).await {
             Ok(result) => result?,
             Err(_) => return Err(PeerError::Timeout),
         }
+        count_sent(gateway, frame.kind, relation, frame.size());
     }
     Ok(())
 }
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -44,6 +44,9 @@
     pub(crate) connection_turns: Histogram,
     /// Reads of engines and manifests from the store by result.
     store_calls: IntCounterVec,
+    /// Bytes of messages between daemons by direction, kind of message, and whether the
+    /// other daemon runs in another availability zone.
+    pub(crate) peer_bytes: IntCounterVec,
     /// Version of the manifest in force.
     pub(crate) manifest: IntGauge,
     /// 1 while this daemon is the coordinator, otherwise 0.
@@ -92,6 +95,10 @@
                 "work of one connection at a stretch",
             )?,
             store_calls: counter_vec("ward_store_calls_total", "calls to the store", "result")?,
+            peer_bytes: IntCounterVec::new(
+                Opts::new("ward_peer_bytes_total", "bytes between daemons"),
+                &["direction", "kind", "zone"],
+            )?,
             manifest: IntGauge::new("ward_manifest_version", "manifest in force")?,
             coordinates: IntGauge::new("ward_coordinates", "1 on the coordinator")?,
             registry,
@@ -117,6 +124,7 @@
         registry.register(Box::new(self.connections.clone()))?;
         registry.register(Box::new(self.connection_turns.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.manifest.clone()))?;
         registry.register(Box::new(self.coordinates.clone()))
     }
