--- a/crates/ward-gateway/src/coordinator/mod.rs
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -12,7 +12,6 @@
 
 pub(crate) use active::ActiveCoordinator;
 pub(crate) use permits::issue_permits;
-pub(crate) use publish::MessageFrame;
 pub(crate) use quotas::issue_credit;
 pub(crate) use record::{StoredTerm, newest_term, stored_fleet};
 pub(crate) use slot::CoordinatorSlot;
--- a/crates/ward-gateway/src/coordinator/permits.rs
+++ b/crates/ward-gateway/src/coordinator/permits.rs
@@ -1,7 +1,5 @@
 //! Issues permits for requests to limited engines to the connected daemons.
 
-use std::rc::Rc;
-
 use slog::{debug, warn};
 use ward_fleet::number::usize_to_f64;
 use ward_fleet::placement::MemberKey;
@@ -10,7 +8,7 @@
 use super::active::{ActiveCoordinator, MemberLink};
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::hub::encode_frame;
+use crate::hub::encode_message;
 
 /// Issues the permits that daemons need and the limits allow now.
 pub(crate) fn issue_permits(gateway: &Gateway, coordinator: &ActiveCoordinator) {
@@ -55,8 +53,8 @@
 
 /// Queues a message of the coordinator for a daemon.
 pub(super) fn send_message(gateway: &Gateway, link: &MemberLink, message: &CoordinatorMessage) {
-    let frame = match encode_frame(message) {
-        Ok(frame) => Rc::new(frame),
+    let frame = match encode_message(message) {
+        Ok(frame) => frame,
         Err(cause) => {
             warn!(gateway.logger, "coordinator: message cannot be encoded"; "cause" => %cause);
             return;
