--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -178,6 +178,8 @@
         shared_parts: received.shared_parts.clone(),
         begun_at: Instant::now(),
         resumed: received.last_event_id.is_some(),
+        tenants: received.tenants.clone(),
+        has_key: received.has_key,
     });
     tokio::time::sleep(PROCESSING_TIME).await;
     let crashes = match fault {
--- a/crates/ward-stage/src/ledger.rs
+++ b/crates/ward-stage/src/ledger.rs
@@ -21,6 +21,10 @@
     pub begun_at: Instant,
     /// Whether the request resumes a stream after the last event that the caller received.
     pub resumed: bool,
+    /// Names of the request's tenant, as many as the header has.
+    pub tenants: Vec<String>,
+    /// Whether an API key was passed on to the engine.
+    pub has_key: bool,
 }
 
 /// A request that an engine refused because it was full or asked to retry later.
--- a/crates/ward-stage/src/lib.rs
+++ b/crates/ward-stage/src/lib.rs
@@ -28,4 +28,5 @@
 pub use proxy::{CutEnd, CutPlace, LinkControl, LinkFault, StageProxy};
 pub use stage::{Stage, StagePlan, stage_folder};
 pub use store::{StageStore, StoreCopy, StoreFault};
+pub use ward_adapter::served::{ServedTenant, key_headers};
 pub use weights::WeightStore;
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use indexmap::IndexMap;
 use ward_adapter::ingress::READINESS_PATH;
-use ward_adapter::served::CALLER_HOST;
+use ward_adapter::served::{CALLER_HOST, ServedTenant};
 use ward_fleet::{
     CallerLimits, CoreShare, EngineBirth, EngineClass, EngineEntry, HeartbeatCount, HeldModel,
     HostCapacity, HostSettings, LinkRate, ManifestVersion, ModelClass, QuotaAmount, RequestRate,
@@ -63,6 +63,10 @@
     pub lease: TimeSpan,
     /// Target latency of all routes.
     pub target_latency: TimeSpan,
+    /// Tenants of the manifest; without any, requests need no API key.
+    pub tenants: Vec<ServedTenant>,
+    /// Amount by which a tenant may exceed its quota in a window.
+    pub quota_slack: QuotaAmount,
 }
 
 impl Default for StagePlan {
@@ -78,6 +82,8 @@
             software: &[PLAIN_SOFTWARE],
             lease: TimeSpan::from_millis(1_000),
             target_latency: TimeSpan::from_millis(500),
+            tenants: Vec::new(),
+            quota_slack: QuotaAmount(0),
         }
     }
 }
@@ -120,7 +126,7 @@
         let store = Arc::new(StageStore::start(stand_ins).await?);
         let store_link = StageProxy::start(stand_ins, store.address()).await?;
         let manifest = manifest(plan)?;
-        store.put_manifest(&manifest);
+        store.put_manifest_of(&manifest, &plan.tenants);
         let mut stage = Self {
             network,
             store,
@@ -371,7 +377,7 @@
             store_writes: RequestRate(400_000),
             max_ttl: TimeSpan::from_secs(5),
             quota_window: TimeSpan::from_secs(8),
-            quota_slack: QuotaAmount(0),
+            quota_slack: plan.quota_slack,
         },
     })
 }
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -12,8 +12,8 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreTopic;
 use ward_adapter::served::{
-    StoreCall, StoredRecord, append_answer, era_headers, manifest_json, newest_answer, parse_call,
-    read_answer, split_keyed, split_records,
+    ServedTenant, StoreCall, StoredRecord, append_answer, era_headers, manifest_json,
+    newest_answer, parse_call, read_answer, split_keyed, split_records,
 };
 use ward_adapter::store::MANIFEST_KEY;
 use ward_fleet::{ServingManifest, StoreEra};
@@ -102,7 +102,12 @@
 
     /// Appends a manifest, as operators do to put it in force.
     pub fn put_manifest(&self, manifest: &ServingManifest) {
-        let value = manifest_json(manifest).into_bytes();
+        self.put_manifest_of(manifest, &[]);
+    }
+
+    /// Writes a manifest with these tenants.
+    pub fn put_manifest_of(&self, manifest: &ServingManifest, tenants: &[ServedTenant]) {
+        let value = manifest_json(manifest, tenants).into_bytes();
         self.state.append(StoreTopic::Manifest, MANIFEST_KEY, value);
     }
 
