Quotas are enforced by what windows allow, within the tolerance of the deployment

Without tolerance and slack the quota stays as it is.

Tests: quota/tolerance, a property test of the bound and of what a tenant is entitled to.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -66,7 +66,7 @@
 pub use queue::QueueRank;
 pub use quota::{
     CreditAnswer, CreditContext, CreditStatus, CreditStore, IssueContext, QuotaBatch, QuotaGrant,
-    QuotaIssuer, QuotaNeed, TenantKey,
+    QuotaIssuer, QuotaNeed, QuotaTolerance, TenantKey,
 };
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
--- a/crates/ward-fleet/src/quota/mod.rs
+++ b/crates/ward-fleet/src/quota/mod.rs
@@ -19,6 +19,7 @@
 mod ledger;
 mod message;
 mod store;
+mod tolerance;
 
 use ward_protocol::TimeSpan;
 
@@ -26,6 +27,7 @@
 pub use self::issuer::{IssueContext, QuotaIssuer};
 pub use self::message::{QuotaBatch, QuotaGrant, QuotaNeed, TenantKey};
 pub use self::store::{CreditContext, CreditStore};
+pub use self::tolerance::QuotaTolerance;
 
 /// Time without a message of the coordinator after which a daemon is alone.
 const ALONE_DELAY: TimeSpan = TimeSpan::from_millis(800);
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -119,6 +119,8 @@
     pub max_ttl: TimeSpan,
     /// Window over which the use of a tenant's quota is counted.
     pub quota_window: TimeSpan,
-    /// Amount by which a tenant may exceed its quota in a window.
+    /// Fraction of its quota by which a tenant may exceed it in a window.
+    pub quota_excess: f64,
+    /// Amount by which a tenant may exceed its quota in a window in addition.
     pub quota_slack: QuotaAmount,
 }
--- a/crates/ward-fleet/tests/quota/main.rs
+++ b/crates/ward-fleet/tests/quota/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod fleet;
+mod tolerance;
 
 use fleet::{STEP, SimFleet, TENANT, at, ratio, requests_quota};
 use googletest::prelude::*;
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -172,6 +172,7 @@
         store_writes: RequestRate(400_000),
         max_ttl: TimeSpan::from_secs(5),
         quota_window: TimeSpan::from_secs(8),
+        quota_excess: 0.0,
         quota_slack: QuotaAmount(0),
     }
 }
--- a/crates/ward-gateway/src/coordinator/quotas.rs
+++ b/crates/ward-gateway/src/coordinator/quotas.rs
@@ -6,7 +6,7 @@
 use super::permits::send_message;
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::quota::manifest_quotas;
+use crate::quota::enforced_quotas;
 
 /// Issues the credit that daemons need and the quotas allow now.
 pub(crate) fn issue_credit(gateway: &Gateway, coordinator: &ActiveCoordinator) {
@@ -20,7 +20,7 @@
     };
     let mut issuer = coordinator.quotas.borrow_mut();
     if coordinator.quota_version.replace(Some(manifest.version)) != Some(manifest.version) {
-        issuer.adopt(&manifest_quotas(&manifest), &context);
+        issuer.adopt(&enforced_quotas(gateway, &manifest), &context);
     }
     let batches = issuer.issue(&context);
     drop(issuer);
--- a/crates/ward-gateway/src/quota.rs
+++ b/crates/ward-gateway/src/quota.rs
@@ -7,8 +7,8 @@
 use slog::info;
 use tokio::sync::Notify;
 use ward_fleet::{
-    CreditContext, CreditStore, QuotaBatch, QuotaNeed, ServingManifest, TenantDirectory, TenantKey,
-    TenantQuota,
+    CreditContext, CreditStore, QuotaBatch, QuotaNeed, QuotaTolerance, ServingManifest,
+    TenantDirectory, TenantKey, TenantQuota,
 };
 use ward_protocol::MonoTime;
 
@@ -40,16 +40,26 @@
     }
 }
 
-/// The quotas of a manifest, by tenant.
-pub(crate) fn manifest_quotas(manifest: &ServingManifest) -> IndexMap<TenantKey, TenantQuota> {
+/// The quotas that a manifest sets, as they are enforced, by tenant.
+pub(crate) fn enforced_quotas(
+    gateway: &Gateway,
+    manifest: &ServingManifest,
+) -> IndexMap<TenantKey, TenantQuota> {
+    let bounds = gateway.settings().bounds;
+    let tolerance = QuotaTolerance {
+        window: bounds.quota_window,
+        excess: bounds.quota_excess,
+        slack: bounds.quota_slack,
+    };
     let tenants = manifest.tenants.iter().flat_map(TenantDirectory::iter);
-    let quotas = tenants.filter_map(|(name, class)| Some((TenantKey::of(name), class.quota?)));
+    let quotas = tenants
+        .filter_map(|(name, class)| Some((TenantKey::of(name), tolerance.enforced(class.quota?))));
     quotas.collect()
 }
 
 /// Puts the quotas of a new manifest in force.
 pub(crate) fn adopt_quotas(gateway: &Gateway, manifest: &ServingManifest) {
-    let quotas = manifest_quotas(manifest);
+    let quotas = enforced_quotas(gateway, manifest);
     if !quotas.is_empty() {
         info!(
             gateway.logger, "quota: in force"; "version" => manifest.version.0,
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -377,6 +377,7 @@
             store_writes: RequestRate(400_000),
             max_ttl: TimeSpan::from_secs(5),
             quota_window: TimeSpan::from_secs(8),
+            quota_excess: 0.0,
             quota_slack: plan.quota_slack,
         },
     })
