Answers without a length: an end with a gone engine is no whole answer

Cause: the kernel closes the connections of a killed process in order, so an answer with neither a length nor chunks that a crash cuts ends like a whole one. Streams asked the engine's address for a connection before they believed such an end; buffered answers took any end for the end.

Change: forward::ending decides for both. A refused connection, or one that fails in another way, means that it was broken off: an idempotent request goes to another engine, others are answered 502.

Ruled out: a reset taken for an end (an error already); a report instead of a connection (priced, and some hundred ms old).

Tests: unframed_answer_whose_engine_was_gone_looked_whole and ..._was_not_sent_again failed before with status 200 and "served ".

--- a/crates/ward-daemon/tests/gateway/unframed.rs
+++ b/crates/ward-daemon/tests/gateway/unframed.rs
@@ -59,13 +59,13 @@
     }
 }
 
-/// Sends a stream and lets the link of its engine refuse connections after the first
+/// Sends a request and lets the link of its engine refuse connections after the first
 /// events; the connection is closed then, not reset.
-async fn send_stream_and_refuse(
+async fn send_and_refuse(
     stage: &Stage,
-    id: &str,
-    path: &str,
+    request: &CallerRequest,
 ) -> std::result::Result<CallerAnswer, CallerError> {
+    let id = &request.id;
     let refusal = async {
         wait_until("a run", || !stage.ledger.runs_of(id).is_empty()).await;
         tokio::time::sleep(EVENTS_TIME).await;
@@ -76,8 +76,7 @@
             .position(|engine| engine.id() == run.engine);
         stage.engine_links[engine.unwrap()].set_fault(LinkFault::Refuse);
     };
-    let request = request(id, path);
-    tokio::join!(send(stage, 0, &request), refusal).0
+    tokio::join!(send(stage, 0, request), refusal).0
 }
 
 #[gtest]
@@ -85,7 +84,7 @@
 async fn unframed_stream_whose_engine_was_gone_looked_complete() {
     let stage = one_model_stage("unframed-gone").await;
     set_fault_on_all(&stage, EngineFault::Unframed);
-    let answer = send_stream_and_refuse(&stage, "r1", "/quick/a").await;
+    let answer = send_and_refuse(&stage, &request("r1", "/quick/a")).await;
     expect_that!(
         answer,
         err(matches_pattern!(CallerError::Broken(
@@ -100,7 +99,42 @@
 async fn unframed_stream_whose_engine_was_gone_was_not_resumed() {
     let stage = one_model_stage("unframed-gone-resumed").await;
     set_fault_on_all(&stage, EngineFault::Unframed);
-    let answer = send_stream_and_refuse(&stage, "r1", "/quote/a").await;
+    let answer = send_and_refuse(&stage, &request("r1", "/quote/a")).await;
     let text = answer.map(|answer| answer.text());
     expect_that!(text, ok(eq(COMPLETE_STREAM)));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_answer_whose_engine_was_gone_looked_whole() {
+    let stage = one_model_stage("unframed-half").await;
+    set_fault_on_all(&stage, EngineFault::UnframedHalf);
+    let plain = CallerRequest::new("r1", "/book/a", None);
+    let answer = send_and_refuse(&stage, &plain).await.unwrap();
+    expect_that!(
+        answer.status,
+        eq(StatusCode::BAD_GATEWAY),
+        "{}",
+        answer.text()
+    );
+    expect_that!(stage.ledger.runs_of("r1").len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_answer_whose_engine_was_gone_was_not_sent_again() {
+    let stage = one_model_stage("unframed-half-safe").await;
+    stage.engines[3].set_fault(EngineFault::UnframedHalf);
+    // Otherwise the other server may get the request first.
+    stage.engines[4].set_fault(EngineFault::Full);
+    let recovery = async {
+        wait_until("a run", || !stage.ledger.runs_of("r1").is_empty()).await;
+        stage.engines[4].set_fault(EngineFault::Unframed);
+    };
+    let plain = CallerRequest::new("r1", "/stock/a", None);
+    let (answer, ()) = tokio::join!(send_and_refuse(&stage, &plain), recovery);
+    let answer = answer.unwrap();
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(answer.text(), eq("served /stock/a"));
+    expect_that!(stage.ledger.runs_of("r1").len(), eq(2));
+}
--- a/crates/ward-gateway/src/crash.rs
+++ b/crates/ward-gateway/src/crash.rs
@@ -79,19 +79,17 @@
 
 /// Opens a connection to the address of an engine whose connection has just ended, to see
 /// whether its process has ended, too.
-pub(crate) async fn probe_address(address: SocketAddr) -> ProbeResult {
+pub(crate) async fn probe_address(address: SocketAddr) -> std::io::Result<()> {
     tokio::time::sleep(PROBE_DELAY).await;
     let connect = TcpStream::connect(address);
-    match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
-        Ok(connected) => ProbeResult::from(connected.map(drop)),
-        Err(_) => ProbeResult::Unknown,
-    }
+    let connected = tokio::time::timeout(PROBE_TIMEOUT, connect).await?;
+    connected.map(drop)
 }
 
 /// Records a crash for the tracked runs of requests on an engine incarnation if
 /// connections to its address are refused.
 async fn probe_engine(gateway: Rc<Gateway>, incarnation: EngineIncarnation, address: SocketAddr) {
-    let result = probe_address(address).await;
+    let result = ProbeResult::from(probe_address(address).await);
     let runs = gateway
         .crash_detector
         .borrow_mut()
--- a/crates/ward-gateway/src/forward/framing.rs
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -12,11 +12,10 @@
 /// Length of a status line up to its status.
 const STATUS_LINE_LENGTH: usize = b"HTTP/1.1 200".len();
 
-/// Whether an answer without body bytes counts as cut off right after its head: a success
-/// whose end shows only in the end of its connection.
-pub(crate) fn is_cut_if_empty(method: &Method, head: &Parts) -> bool {
+/// Whether the end of an answer's body shows only in the end of its connection.
+pub(crate) fn is_unframed(method: &Method, head: &Parts) -> bool {
     let may_have_body = *method != Method::HEAD && has_body(head.status);
-    may_have_body && head.status.is_success() && ends_with_connection(&head.headers)
+    may_have_body && ends_with_connection(&head.headers)
 }
 
 /// Whether an answer has neither a length nor chunks and ends with its connection.
--- a/crates/ward-gateway/src/forward/mod.rs
+++ b/crates/ward-gateway/src/forward/mod.rs
@@ -1,12 +1,14 @@
 //! Forwarding of requests and streams to and from engines.
 
 mod attempt;
+mod ending;
 mod framing;
 mod pool;
 mod relay;
 mod resume;
 
 pub(crate) use attempt::{Attempt, AttemptFailure, AttemptRequest, send_attempt};
-pub(crate) use framing::is_cut_if_empty;
+pub(crate) use ending::unframed_end;
+pub(crate) use framing::is_unframed;
 pub(crate) use pool::{ConnectionNeed, EnginePool};
 pub(crate) use relay::{RelayStart, StreamRelay};
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -13,15 +13,14 @@
 use hyper::body::Incoming;
 use quick_error::quick_error;
 use slog::{info, warn};
-use ward_fleet::ProbeResult;
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal};
+use super::ending::unframed_end;
 use super::framing::StreamFraming;
 use super::pool::EngineConnection;
 use crate::clock;
-use crate::crash::probe_address;
 use crate::events::{EventCursor, EventSplitter};
 use crate::gateway::Gateway;
 use crate::queue::{EngineSlot, RunState, WaitTicket};
@@ -124,7 +123,7 @@
     async fn end_step(&self, cursor: EventCursor) -> RelayStep {
         let mut reason = self.early_end(cursor);
         if reason.is_none() && self.framing.ends_with_connection && !self.is_empty {
-            reason = self.crash_reason().await;
+            reason = unframed_end(&self.slot).await;
         }
         match reason {
             Some(reason) => {
@@ -135,13 +134,6 @@
         }
     }
 
-    /// Why a stream that ended with its connection counts as broken off: the connection of
-    /// an engine that has crashed ends in the same way as a complete stream.
-    async fn crash_reason(&self) -> Option<&'static str> {
-        let result = probe_address(self.slot.engine.address).await;
-        (result == ProbeResult::Ended).then_some("the engine ended with the connection")
-    }
-
     fn early_end(&self, cursor: EventCursor) -> Option<&'static str> {
         if self.is_resumed && !cursor.has_event() {
             // The engine before did not end the stream, so some of it is missing.
--- /dev/null
+++ b/crates/ward-gateway/src/front/collect.rs
@@ -0,0 +1,126 @@
+//! Buffers the answer of an engine until it is known to be whole.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Response;
+use http::response::Parts;
+use hyper::body::Incoming;
+use slog::warn;
+use ward_adapter::header::{closes_connection, keep_alive_timeout};
+use ward_fleet::health::EngineSignal;
+
+use super::answer::{AnswerBody, buffered_answer};
+use crate::buffer::BufferError;
+use crate::clock;
+use crate::forward::{Attempt, AttemptRequest, is_unframed, unframed_end};
+use crate::gateway::Gateway;
+use crate::queue::{EngineSlot, RunState};
+
+/// Maximum length of an answer that is buffered before it is forwarded, in bytes; a
+/// faulty engine may never stop sending.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Why an answer cannot be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CollectFailure {
+    /// It did not end in time.
+    Late,
+    /// It could not be buffered.
+    Unbuffered(BufferError),
+    /// It ended early.
+    Cut(&'static str),
+}
+
+impl CollectFailure {
+    fn reason(self) -> String {
+        match self {
+            Self::Late => "the answer did not end in time".to_owned(),
+            Self::Unbuffered(error) => error.to_string(),
+            Self::Cut(reason) => reason.to_owned(),
+        }
+    }
+}
+
+/// Buffers an answer and forwards it once it is complete; returns `None` if it is
+/// incomplete, too long or does not end in time.
+pub(super) async fn collect_answer(
+    gateway: &Rc<Gateway>,
+    request: &AttemptRequest,
+    attempt: Attempt,
+) -> Option<Response<AnswerBody>> {
+    let Attempt {
+        slot,
+        connection,
+        answer,
+        ..
+    } = attempt;
+    slot.record_answer_began();
+    let (head, body) = answer.into_parts();
+    let body = match whole_body(gateway, request, &slot, &head, body).await {
+        Ok(body) => body,
+        Err(failure) => {
+            record_incomplete(gateway, request, &slot, &head, failure);
+            return None;
+        }
+    };
+    let mut table = gateway.table.borrow_mut();
+    table.record_signal(&slot.engine.id, EngineSignal::Answered, clock::now());
+    drop(table);
+    slot.set_run_state(if head.status.is_success() {
+        RunState::Answered
+    } else {
+        RunState::Failed
+    });
+    let keep_alive = keep_alive_timeout(&head.headers);
+    if head.status.is_success() && !closes_connection(&head.headers) {
+        gateway
+            .pool
+            .put_back(&slot.engine.id, connection, keep_alive);
+    }
+    Some(buffered_answer(head.status, &head.headers, body))
+}
+
+/// Reads a body to its end, and makes sure that it ended where the engine ended it.
+async fn whole_body(
+    gateway: &Gateway,
+    request: &AttemptRequest,
+    slot: &EngineSlot,
+    head: &Parts,
+    body: Incoming,
+) -> Result<Bytes, CollectFailure> {
+    let remaining = request.deadline.since(clock::now());
+    let collected = gateway.buffers.collect(body, MAX_ANSWER_BYTES);
+    let collected = tokio::time::timeout(remaining.duration(), collected).await;
+    let collected = collected.map_err(|_| CollectFailure::Late)?;
+    let body = collected.map_err(CollectFailure::Unbuffered)?;
+    if !is_unframed(&request.method, head) {
+        return Ok(body);
+    }
+    if body.is_empty() && head.status.is_success() {
+        return Err(CollectFailure::Cut("the connection ended after the head"));
+    }
+    // Not bounded by the deadline: a whole answer is forwarded, also if late.
+    let cut = unframed_end(slot).await;
+    cut.map_or(Ok(body), |reason| Err(CollectFailure::Cut(reason)))
+}
+
+fn record_incomplete(
+    gateway: &Gateway,
+    request: &AttemptRequest,
+    slot: &EngineSlot,
+    head: &Parts,
+    failure: CollectFailure,
+) {
+    if failure != CollectFailure::Late {
+        slot.set_run_state(RunState::BrokenOff);
+    }
+    let mut table = gateway.table.borrow_mut();
+    table.record_signal(&slot.engine.id, EngineSignal::Failed, clock::now());
+    drop(table);
+    warn!(
+        gateway.logger, "send: answer incomplete"; "request" => &request.id_text,
+        "engine" => %slot.engine.id, "status" => head.status.as_u16(),
+        "why" => failure.reason(),
+    );
+}
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -6,26 +6,22 @@
 
 use http::Response;
 use slog::{info, warn};
-use ward_adapter::header::{closes_connection, keep_alive_timeout};
-use ward_fleet::health::EngineSignal;
 use ward_fleet::{RouteKind, RunningCount, StreamOrigin};
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
-use super::answer::{AnswerBody, OwnAnswer, buffered_answer, promises_no_run, streamed_answer};
+use super::answer::{AnswerBody, OwnAnswer, promises_no_run, streamed_answer};
+use super::collect::collect_answer;
 use super::route::RoutedRequest;
 use crate::clock;
 use crate::crash::RequestBlock;
 use crate::forward::{
-    Attempt, AttemptFailure, AttemptRequest, RelayStart, StreamRelay, is_cut_if_empty, send_attempt,
+    Attempt, AttemptFailure, AttemptRequest, RelayStart, StreamRelay, send_attempt,
 };
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
-use crate::queue::{RunState, WaitFailure, WaitTicket, acquire_slot};
+use crate::queue::{WaitFailure, WaitTicket, acquire_slot};
 use crate::streams::{StreamTry, record_origin};
 
-/// Maximum length of an answer that is buffered before it is forwarded, in bytes; a
-/// faulty engine may never stop sending.
-const MAX_ANSWER_BYTES: usize = 1 << 20;
 /// Attempts that did not reach an engine after which a request is refused.
 const MAX_UNSENT: u32 = 6;
 /// Refusals by engines after which a request is refused.
@@ -175,7 +171,7 @@
             return Some(streamed_answer(status, &headers, relay));
         }
         let engine = attempt.slot.engine.id.clone();
-        let response = self.collect_answer(gateway, attempt).await?;
+        let response = collect_answer(gateway, &self.request, attempt).await?;
         // Callers would take it for a promise that the engine has not made.
         if promises_no_run(status) {
             warn!(
@@ -215,62 +211,6 @@
         StreamRelay::new(Rc::clone(gateway), start)
     }
 
-    /// Buffers an answer and forwards it once it is complete; returns `None` if it is
-    /// incomplete, too long or does not end in time.
-    async fn collect_answer(
-        &self,
-        gateway: &Rc<Gateway>,
-        attempt: Attempt,
-    ) -> Option<Response<AnswerBody>> {
-        let Attempt {
-            slot,
-            connection,
-            answer,
-            ..
-        } = attempt;
-        slot.record_answer_began();
-        let (head, body) = answer.into_parts();
-        let remaining = self.request.deadline.since(clock::now());
-        let body = gateway.buffers.collect(body, MAX_ANSWER_BYTES);
-        let body = tokio::time::timeout(remaining.duration(), body).await;
-        let is_late = body.is_err();
-        let error = match &body {
-            Ok(Err(error)) => Some(*error),
-            _ => None,
-        };
-        let body = body.ok().and_then(Result::ok);
-        let is_cut_if_empty = is_cut_if_empty(&self.request.method, &head);
-        let body = body.filter(|body| !(body.is_empty() && is_cut_if_empty));
-        let mut table = gateway.table.borrow_mut();
-        let Some(body) = body else {
-            if !is_late {
-                slot.set_run_state(RunState::BrokenOff);
-            }
-            table.record_signal(&slot.engine.id, EngineSignal::Failed, clock::now());
-            drop(table);
-            warn!(
-                gateway.logger, "send: answer incomplete"; "request" => &self.request.id_text,
-                "engine" => %slot.engine.id, "status" => head.status.as_u16(),
-                "why" => error.map(|error| error.to_string()),
-            );
-            return None;
-        };
-        table.record_signal(&slot.engine.id, EngineSignal::Answered, clock::now());
-        drop(table);
-        slot.set_run_state(if head.status.is_success() {
-            RunState::Answered
-        } else {
-            RunState::Failed
-        });
-        let keep_alive = keep_alive_timeout(&head.headers);
-        if head.status.is_success() && !closes_connection(&head.headers) {
-            gateway
-                .pool
-                .put_back(&slot.engine.id, connection, keep_alive);
-        }
-        Some(buffered_answer(head.status, &head.headers, body))
-    }
-
     /// Handles an attempt whose answer was not forwarded; returns `None` when the request
     /// should be retried, otherwise its result.
     async fn handle_failure(
--- a/crates/ward-gateway/src/front/mod.rs
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP servers for callers and for the daemon's own endpoints.
 
 mod answer;
+mod collect;
 mod directory;
 mod handle;
 mod job;
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -20,6 +20,7 @@
 use ward_fleet::RequestRate;
 use ward_protocol::SoftwareVersion;
 
+use super::plain::{breaks_off, is_unframed, plain_answer};
 use super::resume::resumed_answer;
 use super::software::event_text;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
@@ -258,26 +259,10 @@
     if fault == EngineFault::Endless {
         return streamed_response(StatusCode::OK, signed_headers, endless_body());
     }
-    let is_unframed = matches!(fault, EngineFault::Unframed | EngineFault::UnframedCut);
-    let breaks_off = matches!(
-        fault,
-        EngineFault::BreakOff | EngineFault::NoEventIds | EngineFault::Resumed(_)
-    );
+    let is_unframed = is_unframed(fault);
+    let breaks_off = breaks_off(fault);
     if received.model.is_none() {
-        let mut response = full_response(StatusCode::OK, format!("served {path}"));
-        response.headers_mut().extend(signed_headers);
-        if is_unframed {
-            remove_framing(&mut response);
-        }
-        if fault == EngineFault::OtherFraming {
-            response.headers_mut().remove(CONTENT_LENGTH);
-        }
-        if breaks_off {
-            // A content length beyond the body makes the server close the connection.
-            let headers = response.headers_mut();
-            headers.insert(CONTENT_LENGTH, 10_000.into());
-        }
-        return response;
+        return plain_answer(fault, path, signed_headers);
     }
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
     let interval = if path.contains(SLOWEST_PATH) {
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -19,6 +19,9 @@
     /// Like [`Self::Unframed`], but streams end inside their third event; the connection
     /// is closed, not reset.
     UnframedCut,
+    /// Like [`Self::Unframed`], but plain answers stop in the middle of their body; the
+    /// connection stays open.
+    UnframedHalf,
     /// Sends plain answers in chunks, and streams with a content length.
     OtherFraming,
     /// Like [`Self::BreakOff`], but the events of streams have no id.
--- a/crates/ward-stage/src/engine/mod.rs
+++ b/crates/ward-stage/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod fault;
+mod plain;
 mod resume;
 mod software;
 
