Answers: another answer's head in a body is found, also in streams

Cause: a length says how many bytes an answer has, not whose. An engine that breaks off an answer and writes it once more on the same connection completes the first one with the head of the second; only heads were searched for another head. In streams, event ids were compared only after a resumption.

Change: ward_gateway::embedded reads every body, in whatever pieces, for a status line followed by header lines. With the answer's own id or signature among them it is a copy. A foreign id, or a body that ends within what may be a head, may be quoted: then the answer is whole if its connection is idle 50 ms later. Streams are read before their bytes are forwarded, and event ids must come in order throughout. Such an answer is an unknown outcome; its engine gets new connections for 30 s.

Ruled out: bytes after a complete answer as a proof by themselves (a sound answer may be followed by an extra one); any status line in a body (quotations).

Tests: the four tests of second_copies.rs that guard against the fault, and push_events_that_come_again_without_a_resumption, failed with the checks taken out; the other tests of cut, unframed, resumed and endless answers pass.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod repeated_refusals;
 mod restored;
 mod resumed;
+mod second_copies;
 mod soak;
 mod stopping;
 mod stream_keepers;
--- a/crates/ward-gateway/src/events.rs
+++ b/crates/ward-gateway/src/events.rs
@@ -109,14 +109,12 @@
     cursor: EventCursor,
     partial: BytesMut,
     point: ResumePoint,
-    /// Id that the first event of a resumed stream must come after.
-    resumed_after: Option<String>,
     is_repeating: bool,
 }
 
 impl EventSplitter {
-    /// Appends bytes; returns all events that are complete now, none if they repeat events
-    /// of the stream that is resumed.
+    /// Appends bytes; returns all events that are complete now, none if some of them came
+    /// before.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         let buffered = self.partial.len();
         self.partial.extend_from_slice(bytes);
@@ -129,10 +127,7 @@
         let Some(last) = ids.last() else {
             return complete;
         };
-        if let Some(former) = self.resumed_after.take() {
-            let first = ids.iter().flatten().next();
-            self.is_repeating = first.is_some_and(|first| !is_after(first, &former));
-        }
+        self.is_repeating |= holds_repetition(self.last_id(), &ids);
         if self.is_repeating {
             return Bytes::new();
         }
@@ -142,7 +137,7 @@
         complete
     }
 
-    /// Whether a resumed stream began with events that came before.
+    /// Whether events came again, in a stream that is resumed or within one answer.
     #[must_use]
     pub const fn is_repeating(&self) -> bool {
         self.is_repeating
@@ -175,7 +170,6 @@
     pub fn begin_resumed(&mut self) {
         self.partial.clear();
         self.cursor = EventCursor::default();
-        self.resumed_after = self.last_id().map(str::to_owned);
         self.is_repeating = false;
     }
 
@@ -195,6 +189,14 @@
     }
 }
 
+/// Whether one of the events with these ids does not come after the one before it; `former`
+/// is the id of the event before them.
+fn holds_repetition(former: Option<&str>, ids: &[Option<&str>]) -> bool {
+    let known = former.into_iter().chain(ids.iter().copied().flatten());
+    let mut pairs = known.clone().zip(known.skip(1));
+    pairs.any(|(former, id)| !is_after(id, former))
+}
+
 /// The ids of complete events, in order; `None` for an event whose id is missing or cannot
 /// be sent in a header. An event without id and data is none to its reader.
 fn event_ids(events: &[u8]) -> Vec<Option<&str>> {
--- a/crates/ward-gateway/src/forward/framing.rs
+++ b/crates/ward-gateway/src/forward/framing.rs
@@ -6,11 +6,10 @@
 use hyper::ext::ReasonPhrase;
 
 use super::attempt::Attempt;
+use crate::embedded::holds_status_line;
 use crate::events::EventCursor;
 
 const EVENT_STREAM: &str = "text/event-stream";
-/// Length of a status line up to its status.
-const STATUS_LINE_LENGTH: usize = b"HTTP/1.1 200".len();
 
 /// Whether the end of an answer's body shows only in the end of its connection.
 pub(crate) fn is_unframed(method: &Method, head: &Parts) -> bool {
@@ -51,13 +50,7 @@
         .values()
         .map(HeaderValue::as_bytes)
         .chain(reason);
-    texts.any(|text| text.windows(STATUS_LINE_LENGTH).any(begins_status_line))
-}
-
-/// Whether a text of [`STATUS_LINE_LENGTH`] is the beginning of a status line.
-fn begins_status_line(text: &[u8]) -> bool {
-    let is_version = text.starts_with(b"HTTP/1.") && text[7].is_ascii_digit();
-    is_version && text[8] == b' ' && text[9..].iter().all(u8::is_ascii_digit)
+    texts.any(holds_status_line)
 }
 
 /// Content type of a stream.
--- a/crates/ward-gateway/src/forward/mod.rs
+++ b/crates/ward-gateway/src/forward/mod.rs
@@ -8,7 +8,7 @@
 mod resume;
 
 pub(crate) use attempt::{Attempt, AttemptFailure, AttemptRequest, send_attempt};
-pub(crate) use ending::unframed_end;
+pub(crate) use ending::{joined_end, unframed_end};
 pub(crate) use framing::is_unframed;
-pub(crate) use pool::{ConnectionNeed, EnginePool};
+pub(crate) use pool::{ConnectionNeed, EngineConnection, EnginePool};
 pub(crate) use relay::{RelayStart, StreamRelay};
--- a/crates/ward-gateway/src/forward/pool.rs
+++ b/crates/ward-gateway/src/forward/pool.rs
@@ -44,6 +44,8 @@
 /// Minimum idle time before reuse, within which excess bytes after an answer are
 /// detected.
 const MIN_IDLE_TIME: TimeSpan = TimeSpan::from_millis(10);
+/// Time within which bytes that an engine wrote together with an answer arrive after it.
+const EXCESS_BYTES_DELAY: Duration = Duration::from_millis(50);
 /// Time for which no connection is reused to an engine that has answered out of turn.
 const UNRELIABLE_TIME: TimeSpan = TimeSpan::from_secs(30);
 /// Time that one connection works at a stretch from which on it is logged.
@@ -93,6 +95,15 @@
     pub(super) head_limit: HeadLimit,
 }
 
+impl EngineConnection {
+    /// Whether the connection is still open some time after an answer, and has brought
+    /// nothing more.
+    pub(crate) async fn is_idle_after_answer(&self) -> bool {
+        tokio::time::sleep(EXCESS_BYTES_DELAY).await;
+        self.sender.is_ready()
+    }
+}
+
 struct IdleConnection {
     connection: EngineConnection,
     idle_since: MonoTime,
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -13,14 +13,16 @@
 use hyper::body::Incoming;
 use quick_error::quick_error;
 use slog::{info, warn};
+use ward_adapter::AnswerMarks;
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal};
-use super::ending::unframed_end;
+use super::ending::{joined_end, unframed_end};
 use super::framing::StreamFraming;
 use super::pool::EngineConnection;
 use crate::clock;
+use crate::embedded::{HeadFinding, HeadScanner};
 use crate::events::{EventCursor, EventSplitter};
 use crate::gateway::Gateway;
 use crate::queue::{EngineSlot, RunState, WaitTicket};
@@ -71,6 +73,7 @@
     body: Incoming,
     reuse: ConnectionReuse,
     framing: StreamFraming,
+    scanner: HeadScanner,
     /// Whether it continues the stream of another engine.
     is_resumed: bool,
     /// Whether no bytes have come from it.
@@ -101,6 +104,7 @@
         Self {
             reuse: ConnectionReuse::of(&attempt.answer),
             framing: StreamFraming::of(&attempt.answer),
+            scanner: HeadScanner::new(AnswerMarks::of(attempt.answer.headers())),
             slot: attempt.slot,
             connection: attempt.connection,
             body: attempt.answer.into_body(),
@@ -122,6 +126,11 @@
     /// The step at the end of the answer, at this position.
     async fn end_step(&self, cursor: EventCursor) -> RelayStep {
         let mut reason = self.early_end(cursor);
+        let is_unframed = self.framing.ends_with_connection;
+        if reason.is_none() && !is_unframed {
+            let finding = self.scanner.finding_at_end();
+            reason = joined_end(finding, &self.connection, is_unframed).await;
+        }
         if reason.is_none() && self.framing.ends_with_connection && !self.is_empty {
             reason = unframed_end(&self.slot).await;
         }
@@ -251,6 +260,11 @@
                 source.slot.record_progress();
                 let bytes = frame.into_data().unwrap_or_default();
                 source.is_empty &= bytes.is_empty();
+                if source.scanner.advance(&bytes) != HeadFinding::Nothing {
+                    source.slot.set_run_state(RunState::BrokenOff);
+                    self.gateway.pool.record_unreliable(&source.slot.engine.id);
+                    return RelayStep::Broken("the stream holds the head of another answer");
+                }
                 RelayStep::Data(bytes)
             }
             Ok(Some(Err(_))) => {
--- a/crates/ward-gateway/src/front/collect.rs
+++ b/crates/ward-gateway/src/front/collect.rs
@@ -7,13 +7,17 @@
 use http::response::Parts;
 use hyper::body::Incoming;
 use slog::warn;
+use ward_adapter::AnswerMarks;
 use ward_adapter::header::{closes_connection, keep_alive_timeout};
 use ward_fleet::health::EngineSignal;
 
 use super::answer::{AnswerBody, buffered_answer};
 use crate::buffer::BufferError;
 use crate::clock;
-use crate::forward::{Attempt, AttemptRequest, is_unframed, unframed_end};
+use crate::embedded::{HeadFinding, HeadScanner};
+use crate::forward::{
+    Attempt, AttemptRequest, EngineConnection, is_unframed, joined_end, unframed_end,
+};
 use crate::gateway::Gateway;
 use crate::queue::{EngineSlot, RunState};
 
@@ -30,6 +34,8 @@
     Unbuffered(BufferError),
     /// It ended early.
     Cut(&'static str),
+    /// It ended early, and another answer completed it.
+    Joined(&'static str),
 }
 
 impl CollectFailure {
@@ -37,7 +43,7 @@
         match self {
             Self::Late => "the answer did not end in time".to_owned(),
             Self::Unbuffered(error) => error.to_string(),
-            Self::Cut(reason) => reason.to_owned(),
+            Self::Cut(reason) | Self::Joined(reason) => reason.to_owned(),
         }
     }
 }
@@ -57,7 +63,8 @@
     } = attempt;
     slot.record_answer_began();
     let (head, body) = answer.into_parts();
-    let body = match whole_body(gateway, request, &slot, &head, body).await {
+    let collected = whole_body(gateway, request, (&slot, &connection), &head, body).await;
+    let body = match collected {
         Ok(body) => body,
         Err(failure) => {
             record_incomplete(gateway, request, &slot, &head, failure);
@@ -85,7 +92,7 @@
 async fn whole_body(
     gateway: &Gateway,
     request: &AttemptRequest,
-    slot: &EngineSlot,
+    (slot, connection): (&EngineSlot, &EngineConnection),
     head: &Parts,
     body: Incoming,
 ) -> Result<Bytes, CollectFailure> {
@@ -94,7 +101,12 @@
     let collected = tokio::time::timeout(remaining.duration(), collected).await;
     let collected = collected.map_err(|_| CollectFailure::Late)?;
     let body = collected.map_err(CollectFailure::Unbuffered)?;
-    if !is_unframed(&request.method, head) {
+    let is_unframed = is_unframed(&request.method, head);
+    let finding = scan_body(head, &body, is_unframed);
+    if let Some(reason) = joined_end(finding, connection, is_unframed).await {
+        return Err(CollectFailure::Joined(reason));
+    }
+    if !is_unframed {
         return Ok(body);
     }
     if body.is_empty() && head.status.is_success() {
@@ -105,6 +117,18 @@
     cut.map_or(Ok(body), |reason| Err(CollectFailure::Cut(reason)))
 }
 
+/// What a whole body shows of another answer. One without a length can't end within the head
+/// of another: nothing cuts that one.
+fn scan_body(head: &Parts, body: &[u8], is_unframed: bool) -> HeadFinding {
+    let mut scanner = HeadScanner::new(AnswerMarks::of(&head.headers));
+    let finding = scanner.advance(body);
+    if is_unframed {
+        finding
+    } else {
+        scanner.finding_at_end()
+    }
+}
+
 fn record_incomplete(
     gateway: &Gateway,
     request: &AttemptRequest,
@@ -115,6 +139,9 @@
     if failure != CollectFailure::Late {
         slot.set_run_state(RunState::BrokenOff);
     }
+    if matches!(failure, CollectFailure::Joined(_)) {
+        gateway.pool.record_unreliable(&slot.engine.id);
+    }
     let mut table = gateway.table.borrow_mut();
     table.record_signal(&slot.engine.id, EngineSignal::Failed, clock::now());
     drop(table);
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod coordinator;
 mod crash;
+pub mod embedded;
 pub mod events;
 mod forward;
 mod front;
--- a/crates/ward-gateway/tests/events.rs
+++ b/crates/ward-gateway/tests/events.rs
@@ -125,7 +125,25 @@
         let result = resumed(&first, &then);
         expect_that!(result, eq((then.len(), false)), "{next} after {last}");
     }
+    // Later events are held to the same.
+    let then = "id: 3\ndata: x\n\nid: 3\ndata: x\n\n";
+    expect_that!(resumed("id: 2\ndata: x\n\n", then), eq((0, true)));
     // A stream of which no event had come begins anew.
     let then = "id: 1\ndata: x\n\n";
     expect_that!(resumed("id: 1\nda", then), eq((then.len(), false)));
 }
+
+#[gtest]
+fn push_events_that_come_again_without_a_resumption() {
+    for size in 1..60 {
+        let mut splitter = EventSplitter::default();
+        let stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 1\ndata: a\n\n";
+        let mut complete = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            complete.extend_from_slice(&splitter.push(piece));
+        }
+        let text = String::from_utf8_lossy(&complete).into_owned();
+        expect_true!(splitter.is_repeating(), "{size}");
+        expect_false!(text.contains("id: 2\ndata: b\n\nid: 1"), "{size}");
+    }
+}
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -21,7 +21,7 @@
 use ward_protocol::SoftwareVersion;
 
 use super::plain::{breaks_off, is_unframed, plain_answer};
-use super::resume::resumed_answer;
+use super::resume::{repeated_events, resumed_answer, second_copy};
 use super::software::event_text;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
 use crate::ledger::{OrderRecord, RefusalRecord, RunRecord};
@@ -265,6 +265,11 @@
         return plain_answer(fault, path, signed_headers);
     }
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
+    match fault {
+        EngineFault::SecondCopy => return second_copy(first_event, signed_headers),
+        EngineFault::RepeatedEvents => return repeated_events(first_event, signed_headers),
+        _ => {}
+    }
     let interval = if path.contains(SLOWEST_PATH) {
         SLOWEST_EVENT_INTERVAL
     } else if path.contains(SLOW_PATH) {
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -24,6 +24,11 @@
     UnframedHalf,
     /// Sends plain answers in chunks, and streams with a content length.
     OtherFraming,
+    /// Stops after two events of each stream, and writes the answer once more, its head
+    /// included; the stream ends with its connection.
+    SecondCopy,
+    /// Begins again after two events of each stream, which has a content length.
+    RepeatedEvents,
     /// Like [`Self::BreakOff`], but the events of streams have no id.
     NoEventIds,
     /// Like [`Self::BreakOff`], but streams that are resumed have this fault instead.
--- a/crates/ward-stage/src/engine/resume.rs
+++ b/crates/ward-stage/src/engine/resume.rs
@@ -58,6 +58,40 @@
     }
 }
 
+/// A stream that stops after two events and comes once more with its head.
+pub(super) fn second_copy(first: u64, headers: HeaderMap) -> Response<StageBody> {
+    let mut text = two_events(first);
+    text.push_str("HTTP/1.1 200 OK\r\n");
+    let lines = headers.iter().map(|(name, value)| {
+        let value = value.to_str().unwrap_or_default();
+        format!("{name}: {value}\r\n")
+    });
+    text.extend(lines);
+    text.push_str("\r\n");
+    text.push_str(&events_from(first));
+    let mut response = event_response(headers, text);
+    remove_framing(&mut response);
+    response
+}
+
+/// A stream that begins again after two events and ends where its length does.
+pub(super) fn repeated_events(first: u64, headers: HeaderMap) -> Response<StageBody> {
+    let events = events_from(first);
+    let mut text = two_events(first) + &events;
+    text.truncate(events.len());
+    event_response(headers, text)
+}
+
+fn two_events(first: u64) -> String {
+    (first..first + 2).map(plain_event_text).collect()
+}
+
+fn event_response(headers: HeaderMap, text: String) -> Response<StageBody> {
+    let mut response = whole_response(StatusCode::OK, headers, text);
+    response.headers_mut().insert(CONTENT_TYPE, EVENT_STREAM);
+    response
+}
+
 fn events_from(first: u64) -> String {
     (first..=EVENT_COUNT).map(plain_event_text).collect()
 }
--- a/crates/ward-stage/src/proxy/fault.rs
+++ b/crates/ward-stage/src/proxy/fault.rs
@@ -32,6 +32,9 @@
     RepeatOrderAnswers,
     /// The target begins a head with these bytes, and its next answer follows at once.
     JoinAnswers(&'static str),
+    /// The target stops in the middle of the body of each answer that is written in one
+    /// piece, and writes the answer once more on the same connection.
+    SecondCopies,
     /// The target stops within each answer with status 200, and its connection ends.
     CutAnswers(CutPlace, CutEnd),
     /// The same right after the head, with these lines in place of the status line.
@@ -89,6 +92,14 @@
     }
 }
 
+/// Length of the head and half of the body of an answer with status 200; `None` if these
+/// bytes are none, or have no body.
+pub(super) fn half_length(bytes: &[u8]) -> Option<usize> {
+    let head = CutPlace::AfterHead.length(bytes)?;
+    let body = bytes.len() - head;
+    (body > 0).then_some(head + body / 2)
+}
+
 impl LinkFault {
     pub(super) fn resets_connections(self) -> bool {
         matches!(self, Self::Reset | Self::Refuse)
--- a/crates/ward-stage/src/proxy/mod.rs
+++ b/crates/ward-stage/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 use ward_adapter::served::{EnginePath, engine_path};
 
+use self::fault::half_length;
 pub use self::fault::{CutEnd, CutPlace, LinkFault};
 
 const CHUNK_BYTES: usize = 16 << 10;
@@ -25,6 +26,8 @@
 const HEADS_PER_WRITE: usize = 1 << 10;
 /// Time for the bytes before a reset to be read, which would discard them otherwise.
 const RESET_DELAY: Duration = Duration::from_millis(5);
+/// Time after which a target that has stopped within an answer writes it once more.
+const COPY_DELAY: Duration = Duration::from_millis(30);
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Handle that sets the fault of a [`StageProxy`].
@@ -258,6 +261,19 @@
             drop(client_side.writer.write_all(&bytes[..length]).await);
             return end;
         }
+        if fault == LinkFault::SecondCopies
+            && let Some(length) = half_length(bytes)
+        {
+            if client_side
+                .writer
+                .write_all(&bytes[..length])
+                .await
+                .is_err()
+            {
+                break;
+            }
+            tokio::time::sleep(COPY_DELAY).await;
+        }
         if let LinkFault::CutHeads(lines) = fault
             && let Some(length) = CutPlace::AfterHead.length(bytes)
         {
