Silent streams: the engine's report says whether its run has ended

Cause: three pauses without an event made a failure of the engine. Slow engines and preempted runs go on after that, so the stream ran on two engines, or was cut once its attempts were used up.

Change: a resumable stream that is silent for three pauses asks its engine for its report, and again after three more. It goes on elsewhere only if the run is not listed and nothing waits, or the engine has ended, is out of reach, or is silent and no longer known (ward_fleet::RunInquiry decides; forward::silence asks, once for all silent streams of an engine within 300 ms). Otherwise it stays until the timeout of its route. Stand-in engines list their runs.

Ruled out: a longer silence (no length tells slow from lost); the planned stop as the cause of the cut streams (the test has none).

Tests: silent_stream_was_moved_or_cut_while_its_run_went_on and stream_that_stays_silent_ends_with_the_timeout_of_its_route failed before with three runs, the first broken off after two events.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod restored;
 mod resumed;
 mod second_copies;
+mod silent_streams;
 mod soak;
 mod stopping;
 mod stream_keepers;
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod queue;
 pub mod record;
 pub mod settings;
+pub mod silence;
 pub mod stop;
 pub mod streams;
 pub mod table;
@@ -59,6 +60,7 @@
 pub use queue::QueueRank;
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
+pub use silence::{EngineRuns, RunInquiry};
 pub use stop::StopPlan;
 pub use streams::{
     ServedVersions, StreamNews, StreamNote, StreamOrigin, StreamRecord, StreamRegister,
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -21,6 +21,7 @@
 use super::ending::{joined_end, unframed_end};
 use super::framing::StreamFraming;
 use super::pool::EngineConnection;
+use super::silence::SilenceWatch;
 use crate::clock;
 use crate::embedded::{HeadFinding, HeadScanner};
 use crate::events::{EventCursor, EventSplitter};
@@ -30,7 +31,7 @@
 /// Time after the deadline within which an engine may still end the stream itself.
 const END_GRACE: TimeSpan = TimeSpan::from_millis(100);
 /// Time without an event, as a multiple of the route's longest pause between events,
-/// after which a stream is resumed at another engine.
+/// after which a resumable stream's engine is asked for its runs.
 const MAX_SILENT_PAUSES: u64 = 3;
 
 quick_error! {
@@ -74,6 +75,7 @@
     reuse: ConnectionReuse,
     framing: StreamFraming,
     scanner: HeadScanner,
+    silence: SilenceWatch,
     /// Whether it continues the stream of another engine.
     is_resumed: bool,
     /// Whether no bytes have come from it.
@@ -90,7 +92,7 @@
     pub(super) first_framing: StreamFraming,
     pub(super) resume_ticket: Option<WaitTicket>,
     pub(super) attempts_left: u32,
-    event_pause: TimeSpan,
+    pub(super) event_pause: TimeSpan,
     pub(super) caller_timeout: TimeSpan,
     pub(super) splitter: EventSplitter,
     forwarded_bytes: u64,
@@ -99,9 +101,11 @@
     pub(super) last_forwarded: MonoTime,
 }
 
-impl From<Attempt> for StreamSource {
-    fn from(attempt: Attempt) -> Self {
+impl StreamSource {
+    fn new(attempt: Attempt, event_pause: TimeSpan) -> Self {
+        let max_silence = TimeSpan::from_millis(event_pause.millis() * MAX_SILENT_PAUSES);
         Self {
+            silence: SilenceWatch::new(max_silence),
             reuse: ConnectionReuse::of(&attempt.answer),
             framing: StreamFraming::of(&attempt.answer),
             scanner: HeadScanner::new(AnswerMarks::of(attempt.answer.headers())),
@@ -112,14 +116,12 @@
             is_empty: true,
         }
     }
-}
 
-impl StreamSource {
     /// The source of a stream that an attempt continues.
-    pub(super) fn resumed(attempt: Attempt) -> Self {
+    pub(super) fn resumed(attempt: Attempt, event_pause: TimeSpan) -> Self {
         Self {
             is_resumed: true,
-            ..Self::from(attempt)
+            ..Self::new(attempt, event_pause)
         }
     }
 
@@ -162,7 +164,7 @@
 
 impl StreamRelay {
     pub(crate) fn new(gateway: Rc<Gateway>, start: RelayStart) -> Self {
-        let source = StreamSource::from(start.attempt);
+        let source = StreamSource::new(start.attempt, start.event_pause);
         let first_framing = source.framing;
         let resume_ticket = start
             .resume_ticket
@@ -246,17 +248,25 @@
         let Some(source) = &mut self.source else {
             return RelayStep::End;
         };
-        let now = clock::now();
-        let mut deadline = self.request.deadline + END_GRACE;
-        if self.resume_ticket.is_some() {
-            // Bytes that complete no event do not extend the deadline.
-            let max_silence = TimeSpan::from_millis(self.event_pause.millis() * MAX_SILENT_PAUSES);
-            deadline = deadline.min(self.last_forwarded + max_silence);
-        }
-        let timeout = deadline.since(now).duration();
-        let frame = tokio::time::timeout(timeout, source.body.frame()).await;
+        let deadline = self.request.deadline + END_GRACE;
+        let remaining = deadline.since(clock::now()).duration();
+        let is_resumable = self.resume_ticket.is_some();
+        let slot = &source.slot;
+        // Bytes that complete no event don't end a silence.
+        let run_end = source.silence.run_end(
+            &self.gateway,
+            slot,
+            &self.request.id_text,
+            self.last_forwarded,
+        );
+        let frame = tokio::select! {
+            biased;
+            frame = source.body.frame() => frame,
+            reason = run_end, if is_resumable => return RelayStep::Broken(reason),
+            () = tokio::time::sleep(remaining) => return RelayStep::Timeout,
+        };
         match frame {
-            Ok(Some(Ok(frame))) => {
+            Some(Ok(frame)) => {
                 source.slot.record_progress();
                 let bytes = frame.into_data().unwrap_or_default();
                 source.is_empty &= bytes.is_empty();
@@ -267,13 +277,11 @@
                 }
                 RelayStep::Data(bytes)
             }
-            Ok(Some(Err(_))) => {
+            Some(Err(_)) => {
                 source.slot.set_run_state(RunState::BrokenOff);
                 RelayStep::Broken("the engine broke off")
             }
-            Ok(None) => source.end_step(self.splitter.cursor()).await,
-            Err(_) if clock::now() >= self.request.deadline => RelayStep::Timeout,
-            Err(_) => RelayStep::Broken("the engine sent no event in time"),
+            None => source.end_step(self.splitter.cursor()).await,
         }
     }
 
--- a/crates/ward-gateway/src/forward/resume.rs
+++ b/crates/ward-gateway/src/forward/resume.rs
@@ -51,7 +51,7 @@
             let engine = slot.engine.id.clone();
             if let Some(attempt) = self.resend(&ticket, slot).await {
                 self.splitter.begin_resumed();
-                self.source = Some(StreamSource::resumed(attempt));
+                self.source = Some(StreamSource::resumed(attempt, self.event_pause));
                 self.resume_ticket = Some(ticket);
                 self.last_forwarded = clock::now();
                 return true;
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 use crate::clock;
 use crate::coordinator::CoordinatorSlot;
 use crate::crash::{PartClearance, TimedReport};
-use crate::forward::EnginePool;
+use crate::forward::{EnginePool, InquiryDesk};
 use crate::metrics::GatewayMetrics;
 use crate::queue::WaitQueue;
 use crate::streams::StreamState;
@@ -57,6 +57,8 @@
     pub(crate) crash_recorded: Notify,
     /// Notified when a crash is recorded, or a suspect part of prompts is cleared.
     pub(crate) suspects_changed: Notify,
+    /// Questions to engines whose streams are silent.
+    pub(crate) inquiries: InquiryDesk,
     pub(crate) streams: StreamState,
     pub(crate) report_events: RefCell<ReportEvents>,
     pub(crate) members: RefCell<Vec<HostMember>>,
@@ -153,6 +155,7 @@
             unconfirmed_crashes: RefCell::default(),
             crash_recorded: Notify::new(),
             suspects_changed: Notify::new(),
+            inquiries: InquiryDesk::default(),
             streams: StreamState::default(),
             report_events: RefCell::default(),
             members: RefCell::default(),
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -24,7 +24,7 @@
 use super::resume::{repeated_events, resumed_answer, second_copy};
 use super::software::event_text;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
-use crate::ledger::{OrderRecord, RefusalRecord, RunRecord};
+use crate::ledger::{OrderRecord, RefusalRecord, RunGuard, RunRecord};
 use crate::reply::{AbortConnection, StageBody, full_response, streamed_response};
 
 /// One frame of the answer of [`EngineFault::Endless`].
@@ -98,6 +98,7 @@
         models: &state.entry.models,
         busy: state.is_busy(),
         sequence: state.sequence,
+        runs: shared.ledger.active_runs(state.entry.id.as_str()),
     });
     full_response(StatusCode::OK, body)
 }
@@ -180,6 +181,7 @@
         begun_at: Instant::now(),
         resumed: received.last_event_id.is_some(),
     });
+    let run = shared.ledger.begin_run(&engine, id);
     tokio::time::sleep(PROCESSING_TIME).await;
     let crashes = match fault {
         EngineFault::Crash(_) => path.contains(CRASHING_PATH),
@@ -210,7 +212,7 @@
         }
         _ => {
             let software = shared.lock().entry.software.clone();
-            Ok(build_answer(fault, received, &engine, &software, path))
+            Ok(build_answer(fault, received, run, &software, path))
         }
     }
 }
@@ -227,7 +229,7 @@
 fn build_answer(
     fault: EngineFault,
     received: &ReceivedHeaders,
-    engine: &str,
+    run: RunGuard,
     software: &SoftwareVersion,
     path: &str,
 ) -> Response<StageBody> {
@@ -237,7 +239,7 @@
     } else {
         received.id.as_ref()
     };
-    let signed_headers = signed_answer_headers(id, engine);
+    let signed_headers = signed_answer_headers(id, run.engine());
     match fault {
         EngineFault::CrossedRefusal | EngineFault::CrossedPause => {
             return crossed_refusal(&other_id, fault == EngineFault::CrossedPause);
@@ -284,8 +286,10 @@
         } else {
             event_text(number, &event_software)
         };
+        // The run lasts as long as its events.
+        let _ = &run;
         async move {
-            tokio::time::sleep(interval).await;
+            tokio::time::sleep(interval + pause_before(fault, number)).await;
             if breaks_off && number >= first_event + 2 {
                 return Err(AbortConnection);
             }
@@ -318,6 +322,14 @@
     response
 }
 
+/// Time for which a run is preempted before one of its events.
+const fn pause_before(fault: EngineFault, event: u64) -> Duration {
+    match fault {
+        EngineFault::Preempt(span) if event == 3 => span,
+        _ => Duration::ZERO,
+    }
+}
+
 /// A refusal of another request, which may also ask for a pause, announce that the
 /// engine leaves and name a limit.
 fn crossed_refusal(other_id: &HeaderValue, asks_for_pause: bool) -> Response<StageBody> {
--- a/crates/ward-stage/src/ledger.rs
+++ b/crates/ward-stage/src/ledger.rs
@@ -60,9 +60,54 @@
     runs: Vec<RunRecord>,
     orders: Vec<OrderRecord>,
     refusals: Vec<RefusalRecord>,
+    active: Vec<ActiveRun>,
+}
+
+/// A request that an engine is running: the engine's id and the request's.
+type ActiveRun = (String, String);
+
+/// Keeps a run among those that its engine reports.
+#[derive(Debug)]
+pub(crate) struct RunGuard {
+    ledger: RunLedger,
+    run: ActiveRun,
+}
+
+impl RunGuard {
+    /// Id of the engine that runs the request.
+    pub(crate) fn engine(&self) -> &str {
+        &self.run.0
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut records = self.ledger.records();
+        let index = records.active.iter().position(|run| *run == self.run);
+        if let Some(index) = index {
+            records.active.swap_remove(index);
+        }
+    }
 }
 
 impl RunLedger {
+    /// Begins a run that ends when the guard is dropped.
+    pub(crate) fn begin_run(&self, engine: &str, request: &str) -> RunGuard {
+        let run = (engine.to_owned(), request.to_owned());
+        self.records().active.push(run.clone());
+        RunGuard {
+            ledger: self.clone(),
+            run,
+        }
+    }
+
+    /// Ids of the requests that an engine is running.
+    pub(crate) fn active_runs(&self, engine: &str) -> Vec<String> {
+        let records = self.records();
+        let runs = records.active.iter().filter(|run| run.0 == engine);
+        runs.map(|run| run.1.clone()).collect()
+    }
+
     fn records(&self) -> MutexGuard<'_, LedgerRecords> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
