Coordinator link: no retries of an address whose holder may have a successor

Cause: a follower whose wait is over reads the term record; if that is just before the successor writes, it retried the dead address for 0.75 s.

Change: no retry once another daemon may have succeeded the holder (TermObserver::may_be_succeeded); the record is read again after the usual pause. Starts keep their retries.

Ruled out: a slow store (reads of milliseconds in the logs), a late successor.

The decision has a test of its own, new as the function is.

--- a/crates/ward-fleet/src/lease.rs
+++ b/crates/ward-fleet/src/lease.rs
@@ -277,6 +277,14 @@
         self.take_over_in(window, now) == TimeSpan::ZERO
     }
 
+    /// Whether another daemon may have succeeded the holder of the newest record, or may
+    /// `within` this time, so that the holder's address had better be read again; false if
+    /// no record has been seen since the last outage.
+    #[must_use]
+    pub fn may_be_succeeded(&self, window: &LeaseWindow, now: MonoTime, within: TimeSpan) -> bool {
+        self.newest.is_some() && self.take_over_in(window, now) <= within
+    }
+
     /// Time until this daemon may take over, provided that no new record
     /// appears; zero if no record has been seen since the last outage.
     #[must_use]
--- a/crates/ward-fleet/tests/lease.rs
+++ b/crates/ward-fleet/tests/lease.rs
@@ -129,6 +129,22 @@
     expect_that!(observer.take_over_in(&window(), end), eq(TimeSpan::ZERO));
 }
 
+#[gtest]
+fn follower_that_knew_of_a_due_successor_kept_the_former_address() {
+    let delay = TimeSpan::from_millis(150);
+    let mut observer = TermObserver::default();
+    // Without a record, the address is another daemon's news and may be retried.
+    expect_false!(observer.may_be_succeeded(&window(), at(0), delay));
+    observer.record(position(0, 7), false, at(0));
+    let due = at(0) + window().takeover_wait;
+    expect_false!(observer.may_be_succeeded(&window(), at(0), delay));
+    expect_false!(observer.may_be_succeeded(&window(), due - (delay + delay), delay));
+    expect_true!(observer.may_be_succeeded(&window(), due - delay, delay));
+    expect_true!(observer.may_be_succeeded(&window(), due, delay));
+    observer.record(position(0, 8), false, due);
+    expect_false!(observer.may_be_succeeded(&window(), due, delay));
+}
+
 #[gtest]
 fn term_is_held_by_the_same_daemon_at_the_same_address_only() {
     let peers = "10.1.0.1:7280".parse().unwrap();
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -205,7 +205,8 @@
 }
 
 /// Follows a coordinator, and retries the first connection: a coordinator that
-/// started at the same time as this daemon may not be listening yet.
+/// started at the same time as this daemon may not be listening yet. One that has
+/// ended never will, so there are no retries once it may have a successor.
 async fn follow_with_retries(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
@@ -215,7 +216,10 @@
         let start = Instant::now();
         let outcome = follow(gateway, address, observer).await;
         let is_io_error = matches!(outcome, Err(PeerError::Io(_)));
+        let delay = TimeSpan::from(INITIAL_CONNECT_RETRY_DELAY);
+        let window = LeaseWindow::new(gateway.settings().bounds.lease);
         if !is_io_error
+            || observer.may_be_succeeded(&window, clock::now(), delay)
             || start.elapsed() > INITIAL_CONNECT_RETRY_DELAY
             || gateway.view_store_time.get().is_some()
         {
