Version list: a restarted daemon reads its earlier records before it lists

Cause: what a write contains was taken before the daemon read the records of its earlier incarnation, which add versions; so the list was due again at once.

Change: persist_now restores first. A start now costs one write.

Tests: restarted_daemon_wrote_its_version_list_twice failed before (two lists after the restart).

--- a/crates/ward-daemon/tests/gateway/version_history.rs
+++ b/crates/ward-daemon/tests/gateway/version_history.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use ward_adapter::StoreTopic;
 use ward_adapter::served::resume_headers;
+use ward_adapter::store::version_list_key;
 use ward_stage::{CallerRequest, Stage, StagePlan, StoreFault};
 
 use crate::support::{
@@ -66,3 +68,19 @@
         expect_refused(&stage, daemon, &request).await;
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_daemon_wrote_its_version_list_twice() {
+    let mut stage = upgraded_stage("history-list").await;
+    let key = version_list_key(&stage.daemons[0].settings().daemon);
+    let lists = |stage: &Stage| stage.store.count(StoreTopic::Streams, &key);
+    let before = lists(&stage);
+    stage.daemons[0].restart().unwrap();
+    wait_until("the list of the restarted daemon", || {
+        lists(&stage) > before
+    })
+    .await;
+    tokio::time::sleep(2 * RENEWAL_TIME).await;
+    expect_that!(lists(&stage), eq(before + 1));
+}
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -205,8 +205,9 @@
 }
 
 /// Follows a coordinator, and retries the first connection: a coordinator that
-/// started at the same time as this daemon may not be listening yet. One that has
-/// ended never will, so there are no retries once it may have a successor.
+/// started at the same time as this daemon may not be listening yet, and one that has
+/// just begun its term closes connections until it has read the engines. One that has
+/// ended never listens, so there are no retries once it may have a successor.
 async fn follow_with_retries(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
@@ -215,10 +216,10 @@
     for _ in 0..MAX_INITIAL_CONNECT_RETRIES {
         let start = Instant::now();
         let outcome = follow(gateway, address, observer).await;
-        let is_io_error = matches!(outcome, Err(PeerError::Io(_)));
+        let is_not_ready = matches!(outcome, Err(PeerError::Io(_) | PeerError::Unexpected));
         let delay = TimeSpan::from(INITIAL_CONNECT_RETRY_DELAY);
         let window = LeaseWindow::new(gateway.settings().bounds.lease);
-        if !is_io_error
+        if !is_not_ready
             || observer.may_be_succeeded(&window, clock::now(), delay)
             || start.elapsed() > INITIAL_CONNECT_RETRY_DELAY
             || gateway.view_store_time.get().is_some()
--- a/crates/ward-gateway/src/streams/persist.rs
+++ b/crates/ward-gateway/src/streams/persist.rs
@@ -13,7 +13,7 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::StreamState;
-use super::store::{WriteScope, WrittenState, write_records};
+use super::store::{WriteScope, WrittenState, restore_records, write_records};
 use crate::clock;
 use crate::gateway::Gateway;
 
@@ -58,6 +58,11 @@
 /// service has several software versions. Returns false if nothing was due.
 pub(crate) async fn persist_now(gateway: &Gateway) -> bool {
     let state = &gateway.streams;
+    if due_scope(state, current_state(gateway)).is_none() {
+        return false;
+    }
+    // May change what is to be written, so the state that is written is taken after it.
+    restore_records(gateway).await;
     let current = current_state(gateway);
     let Some(scope) = due_scope(state, current) else {
         return false;
--- a/crates/ward-gateway/src/streams/store.rs
+++ b/crates/ward-gateway/src/streams/store.rs
@@ -190,14 +190,19 @@
     Ok(())
 }
 
-/// Writes this daemon's records, after it has read those of its earlier incarnation.
+/// Reads the records of this daemon's earlier incarnation, which its own replace, unless it
+/// has done so.
+pub(super) async fn restore_records(gateway: &Gateway) {
+    if !gateway.streams.store.is_restored.get() {
+        read_streams(gateway, clock::now()).await;
+    }
+}
+
+/// Writes this daemon's records; fails if those of its earlier incarnation are not read.
 pub(super) async fn write_records(
     gateway: &Gateway,
     scope: WriteScope,
 ) -> Result<(), PersistError> {
-    if !gateway.streams.store.is_restored.get() {
-        read_streams(gateway, clock::now()).await;
-    }
     if !gateway.streams.store.is_restored.get() {
         return Err(PersistError::Unrestored);
     }
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -122,6 +122,15 @@
         keys.collect()
     }
 
+    /// Number of records with a key that were appended to a topic.
+    #[must_use]
+    pub fn count(&self, topic: StoreTopic, key: &str) -> usize {
+        let partitions = lock(&self.state.partitions);
+        let partition = partitions.get(topic_name(topic));
+        let records = partition.into_iter().flat_map(|found| &found.records);
+        records.filter(|record| record.key == key).count()
+    }
+
     /// Copies all that the store holds now.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
