Incomplete events come out of the budget of all buffers

Cause: each resumable stream buffers an incomplete event of up to 256 KiB, and nothing bounded all of them together.

Change: the part of an event beyond the uncounted first bytes is taken from BufferBudget and given back as events complete.

--- a/crates/ward-daemon/tests/gateway/memory.rs
+++ b/crates/ward-daemon/tests/gateway/memory.rs
@@ -12,7 +12,7 @@
 use ward_protocol::MemorySize;
 use ward_stage::{CallerRequest, EngineFault, Stage, StagePlan};
 
-use crate::support::{send, stage, wait_until};
+use crate::support::{send, set_fault_on_all, stage, wait_until};
 
 /// Limit on the bodies of requests.
 const BODY_BYTES: usize = 4 << 20;
@@ -110,3 +110,32 @@
     };
     expect_that!(peak_memory(&stage, load).await, lt(host_memory));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn incomplete_events_of_all_streams_came_out_of_no_budget() {
+    let plan = StagePlan {
+        engines: 32,
+        models: 1,
+        ..StagePlan::default()
+    };
+    let stage = stage("memory-events", &plan).await;
+    set_fault_on_all(&stage, EngineFault::LongEvent);
+    let model = Stage::model_name(0);
+    // All together are longer than a quarter of the memory of the host.
+    let requests: Vec<_> = (0..ENDLESS_REQUESTS)
+        .map(|number| CallerRequest::new(format!("e{number}"), "/quote/a", Some(&model)))
+        .collect();
+    let answers = join_all(requests.iter().map(|request| send(&stage, 0, request))).await;
+    for answer in answers {
+        expect_that!(
+            answer.is_ok_and(|answer| answer.status.is_success()),
+            eq(false)
+        );
+    }
+    let log = stage.daemons[0].log().unwrap();
+    expect_that!(
+        log,
+        contains_substring("there is no memory left for an event")
+    );
+}
--- a/crates/ward-gateway/src/buffer.rs
+++ b/crates/ward-gateway/src/buffer.rs
@@ -86,6 +86,11 @@
         Ok(share.into_bytes(bytes.freeze()))
     }
 
+    /// A part of the budget for a buffer that is empty.
+    pub(crate) fn share(&self) -> BufferShare {
+        BufferShare::new(self.clone())
+    }
+
     fn take(&self, bytes: usize) -> bool {
         let subtract = |remaining: usize| remaining.checked_sub(bytes);
         let taken = self
@@ -101,7 +106,7 @@
 
 /// The part of a budget that one buffer has taken; given back when dropped.
 #[derive(Debug)]
-struct BufferShare {
+pub(crate) struct BufferShare {
     budget: BufferBudget,
     taken: usize,
 }
@@ -128,6 +133,16 @@
         is_taken
     }
 
+    /// Takes what a buffer of this length needs, and gives back what it no longer needs;
+    /// returns false if the budget is exhausted.
+    pub(crate) fn resize_to(&mut self, length: usize) -> bool {
+        let needed = length.saturating_sub(UNCOUNTED_BYTES);
+        let excess = self.taken.saturating_sub(needed);
+        self.budget.give_back(excess);
+        self.taken -= excess;
+        self.grow_to(length)
+    }
+
     /// Ties the share to the bytes.
     fn into_bytes(self, bytes: Bytes) -> Bytes {
         if self.taken == 0 {
--- a/crates/ward-gateway/src/events.rs
+++ b/crates/ward-gateway/src/events.rs
@@ -154,6 +154,12 @@
         self.cursor
     }
 
+    /// Length of the incomplete event, which is buffered, in bytes.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether the incomplete event exceeds the maximum length.
     #[must_use]
     pub fn is_too_long(&self) -> bool {
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -22,6 +22,7 @@
 use super::framing::StreamFraming;
 use super::pool::EngineConnection;
 use super::silence::SilenceWatch;
+use crate::buffer::BufferShare;
 use crate::clock;
 use crate::embedded::{HeadFinding, HeadScanner};
 use crate::events::{EventCursor, EventSplitter};
@@ -95,6 +96,9 @@
     pub(super) event_pause: TimeSpan,
     pub(super) caller_timeout: TimeSpan,
     pub(super) splitter: EventSplitter,
+    /// Memory for the incomplete event of a resumable stream.
+    partial_share: BufferShare,
+    has_memory: bool,
     forwarded_bytes: u64,
     start_time: MonoTime,
     /// When bytes were last forwarded, or the stream was last resumed.
@@ -166,6 +170,7 @@
     pub(crate) fn new(gateway: Rc<Gateway>, start: RelayStart) -> Self {
         let source = StreamSource::new(start.attempt, start.event_pause);
         let first_framing = source.framing;
+        let partial_share = gateway.buffers.share();
         let resume_ticket = start
             .resume_ticket
             .filter(|_| first_framing.may_continue_elsewhere());
@@ -179,6 +184,8 @@
             event_pause: start.event_pause,
             caller_timeout: start.caller_timeout,
             splitter: EventSplitter::default(),
+            partial_share,
+            has_memory: true,
             forwarded_bytes: 0,
             start_time: clock::now(),
             last_forwarded: clock::now(),
@@ -228,7 +235,10 @@
     /// The bytes to forward: complete events of a resumable stream, otherwise all.
     fn split_events(&mut self, bytes: Bytes) -> Bytes {
         if self.resume_ticket.is_some() {
-            self.splitter.push(&bytes)
+            let complete = self.splitter.push(&bytes);
+            let partial_bytes = self.splitter.partial_bytes();
+            self.has_memory = self.partial_share.resize_to(partial_bytes);
+            complete
         } else {
             self.splitter.pass(&bytes);
             bytes
@@ -240,6 +250,9 @@
         if self.splitter.is_repeating() {
             return Some("the engine repeats events");
         }
+        if !self.has_memory {
+            return Some("there is no memory left for an event");
+        }
         let is_too_long = self.splitter.is_too_long();
         is_too_long.then_some("an event is too long")
     }
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -21,7 +21,7 @@
 use ward_protocol::SoftwareVersion;
 
 use super::plain::{breaks_off, is_unframed, plain_answer};
-use super::resume::{repeated_events, resumed_answer, second_copy};
+use super::resume::{long_event, repeated_events, resumed_answer, second_copy};
 use super::software::event_text;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
 use crate::ledger::{OrderRecord, RefusalRecord, RunGuard, RunRecord};
@@ -269,6 +269,7 @@
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
     match fault {
         EngineFault::SecondCopy => return second_copy(first_event, signed_headers),
+        EngineFault::LongEvent => return long_event(run, signed_headers),
         EngineFault::RepeatedEvents => return repeated_events(first_event, signed_headers),
         _ => {}
     }
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -69,6 +69,8 @@
     /// Refuses all requests with status 503 as not executed, with a Retry-After of
     /// this time.
     RetryAfter(Duration),
+    /// Sends the beginning of a long event in each stream, and nothing more.
+    LongEvent,
     /// Preempts each stream for this time before its third event.
     Preempt(Duration),
     /// Announces in a header of each answer that the engine is leaving, but not in
--- a/crates/ward-stage/src/engine/resume.rs
+++ b/crates/ward-stage/src/engine/resume.rs
@@ -12,8 +12,11 @@
     CUT_EVENT, EVENT_COUNT, EVENT_STREAM, endless_body, failure_status, remove_framing, trickle,
 };
 use super::software::plain_event_text;
+use crate::ledger::RunGuard;
 use crate::reply::{StageBody, full_response, streamed_response};
 
+const LONG_EVENT_BYTES: usize = 240 << 10;
+
 /// The answer to a request that resumes a stream after the event `last_event`; `headers`
 /// are the id and signature of an answer.
 pub(super) fn resumed_answer(
@@ -82,6 +85,19 @@
     event_response(headers, text)
 }
 
+/// The beginning of an event, within the length that daemons buffer, without end.
+pub(super) fn long_event(run: RunGuard, mut headers: HeaderMap) -> Response<StageBody> {
+    headers.insert(CONTENT_TYPE, EVENT_STREAM);
+    let part = Bytes::from(format!("data: {}", "x".repeat(LONG_EVENT_BYTES)));
+    let part = stream::once(async { Ok(Frame::data(part)) });
+    let rest = stream::once(async move {
+        let _run = run;
+        std::future::pending().await
+    });
+    let body = part.chain(rest).boxed();
+    streamed_response(StatusCode::OK, headers, body)
+}
+
 fn two_events(first: u64) -> String {
     (first..first + 2).map(plain_event_text).collect()
 }
