--- a/crates/ward-daemon/tests/gateway/memory.rs
+++ b/crates/ward-daemon/tests/gateway/memory.rs
@@ -12,7 +12,7 @@
 use ward_protocol::MemorySize;
 use ward_stage::{CallerRequest, EngineFault, Stage, StagePlan};
 
-use crate::support::{send, set_fault_on_all, stage, wait_until};
+use crate::support::{send, set_fault_on_all, stage, wait_until, wait_until_all_joined};
 
 /// Limit on the bodies of requests.
 const BODY_BYTES: usize = 4 << 20;
@@ -20,6 +20,9 @@
 const LONG_REQUESTS: usize = 120;
 /// Requests whose answers never end at the same time; no more than all slots.
 const ENDLESS_REQUESTS: usize = 380;
+/// Streams with an incomplete event of 240 KiB at the same time; together three times as
+/// long as the budget of a host with 8 MiB.
+const LONG_EVENTS: usize = 30;
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Runs `load` against the first daemon, and sends short requests meanwhile, which must
@@ -115,15 +118,17 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn incomplete_events_of_all_streams_came_out_of_no_budget() {
     let plan = StagePlan {
-        engines: 32,
+        // Enough that none is overloaded.
+        engines: 16,
         models: 1,
+        host_memory: MemorySize::from_mib(8),
         ..StagePlan::default()
     };
     let stage = stage("memory-events", &plan).await;
+    wait_until_all_joined(&stage).await;
     set_fault_on_all(&stage, EngineFault::LongEvent);
     let model = Stage::model_name(0);
-    // All together are longer than a quarter of the memory of the host.
-    let requests: Vec<_> = (0..ENDLESS_REQUESTS)
+    let requests: Vec<_> = (0..LONG_EVENTS)
         .map(|number| CallerRequest::new(format!("e{number}"), "/quote/a", Some(&model)))
         .collect();
     let answers = join_all(requests.iter().map(|request| send(&stage, 0, request))).await;
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -63,6 +63,8 @@
     pub lease: TimeSpan,
     /// Target latency of all routes.
     pub target_latency: TimeSpan,
+    /// Memory of each daemon's host.
+    pub host_memory: MemorySize,
 }
 
 impl Default for StagePlan {
@@ -78,6 +80,7 @@
             software: &[PLAIN_SOFTWARE],
             lease: TimeSpan::from_millis(1_000),
             target_latency: TimeSpan::from_millis(500),
+            host_memory: MemorySize::from_mib(260),
         }
     }
 }
@@ -356,7 +359,7 @@
         capacity: HostCapacity {
             cores: CoreShare(500),
             link: LinkRate(1_000_000),
-            memory: MemorySize::from_mib(260),
+            memory: plan.host_memory,
             descriptors: 1_000,
         },
         bounds: ServingBounds {
