Resumable streams: the engine is asked also before a late head counts as silence

Change: head_timeout asks for the engine's runs as a silent stream does, and waits while the run may go on. A request that the report doesn't list has not begun, also if others wait, and goes to another engine as before; so does one whose engine gives no report.

--- a/crates/ward-daemon/tests/gateway/silent_streams.rs
+++ b/crates/ward-daemon/tests/gateway/silent_streams.rs
@@ -27,6 +27,17 @@
     expect_that!(stage.ledger.runs_of("r1").len(), eq(1));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_with_a_late_head_was_moved_while_its_run_went_on() {
+    let stage = one_model_stage("silent-head").await;
+    set_fault_on_all(&stage, EngineFault::SlowHead(SILENCE));
+    let answer = send(&stage, 0, &request("r1")).await;
+    let text = answer.map(|answer| answer.text());
+    expect_that!(text, ok(eq(COMPLETE_STREAM)));
+    expect_that!(stage.ledger.runs_of("r1").len(), eq(1));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_stream_goes_on_elsewhere_once_its_run_has_ended() {
--- a/crates/ward-fleet/src/silence.rs
+++ b/crates/ward-fleet/src/silence.rs
@@ -34,23 +34,27 @@
 
 impl RunInquiry {
     /// Why the run of the request with this id is over for its sender; `None` if it may go
-    /// on. `is_listed` is whether the engine's incarnation is still known.
+    /// on. `may_be_held_up` is whether the run had begun, and its engine is known, so that it
+    /// may have been preempted, or the engine held up.
     #[must_use]
-    pub fn run_end(&self, id: &str, is_listed: bool) -> Option<&'static str> {
+    pub fn run_end(&self, id: &str, may_be_held_up: bool) -> Option<&'static str> {
         match self {
-            Self::Runs(runs) => runs.exclude(id).then_some("its engine no longer runs it"),
+            Self::Runs(runs) => runs
+                .exclude(id, may_be_held_up)
+                .then_some("its engine no longer runs it"),
             Self::Gone => Some("its engine has ended"),
             Self::Unreachable => Some("its engine is out of reach"),
-            Self::NoReport => (!is_listed).then_some("its engine is silent and no longer known"),
+            Self::NoReport => (!may_be_held_up).then_some("its engine gives no report"),
         }
     }
 }
 
 impl EngineRuns {
-    /// Whether a request neither runs nor waits. Reports don't name the requests that wait.
-    fn exclude(&self, id: &str) -> bool {
+    /// Whether a request does not run, and, if it may have been preempted, does not wait
+    /// either. Reports don't name the requests that wait.
+    fn exclude(&self, id: &str, may_be_preempted: bool) -> bool {
         let runs = self.running.as_ref();
         let is_running = runs.is_none_or(|running| running.iter().any(|run| run == id));
-        !is_running && self.waiting == Some(0)
+        !is_running && (!may_be_preempted || self.waiting == Some(0))
     }
 }
--- a/crates/ward-fleet/tests/silence.rs
+++ b/crates/ward-fleet/tests/silence.rs
@@ -34,5 +34,14 @@
     ] {
         expect_that!(inquiry.run_end("r1", true), some(anything()), "{inquiry:?}");
     }
-    expect_that!(RunInquiry::NoReport.run_end("r1", false), some(anything()));
+    for inquiry in [runs(Some(&["r2"]), Some(3)), RunInquiry::NoReport] {
+        expect_that!(
+            inquiry.run_end("r1", false),
+            some(anything()),
+            "{inquiry:?}"
+        );
+    }
+    for inquiry in [runs(Some(&["r1"]), Some(3)), runs(None, Some(0))] {
+        expect_that!(inquiry.run_end("r1", false), none(), "{inquiry:?}");
+    }
 }
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -18,6 +18,7 @@
 
 use super::framing::holds_another_head;
 use super::pool::{ConnectionNeed, EngineConnection};
+use super::silence::{first_of, head_timeout};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::leaving::record_leaving;
@@ -45,6 +46,8 @@
     /// Priority at the engine; `None` for requests that name no model.
     pub(crate) priority: Option<u8>,
     pub(crate) need: ConnectionNeed,
+    /// Whether its engine is asked for its runs before it counts as silent.
+    pub(crate) asks_runs: bool,
 }
 
 /// An attempt whose answer has begun.
@@ -130,10 +133,10 @@
     let sent_at = clock::now();
     connection.head_limit.arm();
     let sent = connection.sender.try_send_request(outgoing);
-    let answer = match tokio::time::timeout(timeout.duration(), sent).await {
-        Err(_) => {
+    let answer = match first_of(sent, head_timeout(gateway, request, &slot, timeout)).await {
+        Err(reason) => {
             let failure = AttemptFailure::Silent;
-            record_attempt_failure(gateway, request, &slot, failure, "no answer in time");
+            record_attempt_failure(gateway, request, &slot, failure, reason);
             return Err(failure);
         }
         Ok(Err(mut error)) => {
--- a/crates/ward-gateway/src/forward/silence.rs
+++ b/crates/ward-gateway/src/forward/silence.rs
@@ -1,4 +1,5 @@
-//! Asks engines whether the runs of silent streams have ended.
+//! Asks engines whether the runs of silent streams have ended, also of streams whose answer
+//! has not begun.
 //!
 //! An engine is asked once for all its silent streams, since its report names all runs and
 //! each report has a price.
@@ -16,6 +17,7 @@
 use ward_http::UnpooledClient;
 use ward_protocol::{MonoTime, TimeSpan};
 
+use super::attempt::AttemptRequest;
 use crate::clock;
 use crate::crash::probe_address;
 use crate::gateway::Gateway;
@@ -82,6 +84,8 @@
     pub(super) max_silence: TimeSpan,
     /// When the stream began at this engine.
     pub(super) begun_at: MonoTime,
+    /// Whether the engine has begun its answer, so that it was running the request.
+    has_begun: bool,
     asked_at: Option<MonoTime>,
 }
 
@@ -89,6 +93,7 @@
     /// Watches a stream that begins at an engine now.
     pub(super) fn new(max_silence: TimeSpan) -> Self {
         Self {
+            has_begun: true,
             max_silence,
             begun_at: clock::now(),
             asked_at: None,
@@ -111,7 +116,8 @@
             let inquiry = gateway.inquiries.newest_inquiry(&slot.engine).await;
             let now = clock::now();
             self.asked_at = Some(now);
-            let end = inquiry.run_end(request_id, is_listed(gateway, &slot.engine));
+            let may_be_held_up = self.has_begun && is_listed(gateway, &slot.engine);
+            let end = inquiry.run_end(request_id, may_be_held_up);
             info!(
                 gateway.logger, "stream: engine asked for its runs"; "request" => request_id,
                 "engine" => %slot.engine.id, "silent" => now.since(last_event).millis(),
@@ -130,3 +136,39 @@
     let known = table.get(&engine.id);
     known.is_some_and(|known| known.info.birth == engine.birth)
 }
+
+/// The result of the first future, or that of the second if it ends before.
+pub(super) async fn first_of<T, E>(
+    future: impl Future<Output = T>,
+    other: impl Future<Output = E>,
+) -> Result<T, E> {
+    tokio::select! {
+        biased;
+        result = future => Ok(result),
+        result = other => Err(result),
+    }
+}
+
+/// Waits until an engine has not begun its answer in time; returns the reason. One that is
+/// asked for its runs has all the time that is left while it may be running the request.
+pub(super) async fn head_timeout(
+    gateway: &Gateway,
+    request: &AttemptRequest,
+    slot: &EngineSlot,
+    timeout: TimeSpan,
+) -> &'static str {
+    let deadline = tokio::time::sleep(request.deadline.since(clock::now()).duration());
+    if !request.asks_runs {
+        tokio::time::sleep(timeout.duration()).await;
+        return "no answer in time";
+    }
+    let mut silence = SilenceWatch {
+        has_begun: false,
+        ..SilenceWatch::new(timeout)
+    };
+    let begun_at = silence.begun_at;
+    tokio::select! {
+        reason = silence.run_end(gateway, slot, &request.id_text, begun_at) => reason,
+        () = deadline => "no answer in time",
+    }
+}
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -191,6 +191,7 @@
             deadline: arrival + routed.timeout,
             priority: engine_priority(&routed),
             need: connection_need(&routed),
+            asks_runs: routed.route.kind == RouteKind::ResumableStream,
         },
         ticket: WaitTicket {
             software,
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -183,6 +183,9 @@
     });
     let run = shared.ledger.begin_run(&engine, id);
     tokio::time::sleep(PROCESSING_TIME).await;
+    if let EngineFault::SlowHead(span) = fault {
+        tokio::time::sleep(span).await;
+    }
     let crashes = match fault {
         EngineFault::Crash(_) => path.contains(CRASHING_PATH),
         EngineFault::CrashOnPart(_) => {
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -71,6 +71,8 @@
     RetryAfter(Duration),
     /// Sends the beginning of a long event in each stream, and nothing more.
     LongEvent,
+    /// Begins each answer after this time.
+    SlowHead(Duration),
     /// Preempts each stream for this time before its third event.
     Preempt(Duration),
     /// Announces in a header of each answer that the engine is leaving, but not in
