--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod quota;
 pub mod record;
 pub mod settings;
+pub mod silence;
 pub mod stop;
 pub mod streams;
 pub mod table;
@@ -70,6 +71,7 @@
 };
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
+pub use silence::{EngineRuns, RunInquiry};
 pub use stop::StopPlan;
 pub use streams::{
     ServedVersions, StreamNews, StreamNote, StreamOrigin, StreamRecord, StreamRegister,
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -13,15 +13,18 @@
 use hyper::body::Incoming;
 use quick_error::quick_error;
 use slog::{info, warn};
-use ward_fleet::ProbeResult;
+use ward_adapter::AnswerMarks;
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal};
+use super::ending::{joined_end, unframed_end};
 use super::framing::StreamFraming;
 use super::pool::EngineConnection;
+use super::silence::SilenceWatch;
+use crate::buffer::BufferShare;
 use crate::clock;
-use crate::crash::probe_address;
+use crate::embedded::{HeadFinding, HeadScanner};
 use crate::events::{EventCursor, EventSplitter};
 use crate::gateway::Gateway;
 use crate::queue::{EngineSlot, RunState, WaitTicket};
@@ -29,7 +32,7 @@
 /// Time after the deadline within which an engine may still end the stream itself.
 const END_GRACE: TimeSpan = TimeSpan::from_millis(100);
 /// Time without an event, as a multiple of the route's longest pause between events,
-/// after which a stream is resumed at another engine.
+/// after which a resumable stream's engine is asked for its runs.
 const MAX_SILENT_PAUSES: u64 = 3;
 
 quick_error! {
@@ -72,6 +75,8 @@
     body: Incoming,
     reuse: ConnectionReuse,
     framing: StreamFraming,
+    scanner: HeadScanner,
+    silence: SilenceWatch,
     /// Whether it continues the stream of another engine.
     is_resumed: bool,
     /// Whether no bytes have come from it.
@@ -88,20 +93,26 @@
     pub(super) first_framing: StreamFraming,
     pub(super) resume_ticket: Option<WaitTicket>,
     pub(super) attempts_left: u32,
-    event_pause: TimeSpan,
+    pub(super) event_pause: TimeSpan,
     pub(super) caller_timeout: TimeSpan,
     pub(super) splitter: EventSplitter,
+    /// Memory for the incomplete event of a resumable stream.
+    partial_share: BufferShare,
+    has_memory: bool,
     forwarded_bytes: u64,
     start_time: MonoTime,
     /// When bytes were last forwarded, or the stream was last resumed.
     pub(super) last_forwarded: MonoTime,
 }
 
-impl From<Attempt> for StreamSource {
-    fn from(attempt: Attempt) -> Self {
+impl StreamSource {
+    fn new(attempt: Attempt, event_pause: TimeSpan) -> Self {
+        let max_silence = TimeSpan::from_millis(event_pause.millis() * MAX_SILENT_PAUSES);
         Self {
+            silence: SilenceWatch::new(max_silence),
             reuse: ConnectionReuse::of(&attempt.answer),
             framing: StreamFraming::of(&attempt.answer),
+            scanner: HeadScanner::new(AnswerMarks::of(attempt.answer.headers())),
             slot: attempt.slot,
             connection: attempt.connection,
             body: attempt.answer.into_body(),
@@ -109,22 +120,25 @@
             is_empty: true,
         }
     }
-}
 
-impl StreamSource {
     /// The source of a stream that an attempt continues.
-    pub(super) fn resumed(attempt: Attempt) -> Self {
+    pub(super) fn resumed(attempt: Attempt, event_pause: TimeSpan) -> Self {
         Self {
             is_resumed: true,
-            ..Self::from(attempt)
+            ..Self::new(attempt, event_pause)
         }
     }
 
     /// The step at the end of the answer, at this position.
     async fn end_step(&self, cursor: EventCursor) -> RelayStep {
         let mut reason = self.early_end(cursor);
+        let is_unframed = self.framing.ends_with_connection;
+        if reason.is_none() && !is_unframed {
+            let finding = self.scanner.finding_at_end();
+            reason = joined_end(finding, &self.connection, is_unframed).await;
+        }
         if reason.is_none() && self.framing.ends_with_connection && !self.is_empty {
-            reason = self.crash_reason().await;
+            reason = unframed_end(&self.slot).await;
         }
         match reason {
             Some(reason) => {
@@ -135,13 +149,6 @@
         }
     }
 
-    /// Why a stream that ended with its connection counts as broken off: the connection of
-    /// an engine that has crashed ends in the same way as a complete stream.
-    async fn crash_reason(&self) -> Option<&'static str> {
-        let result = probe_address(self.slot.engine.address).await;
-        (result == ProbeResult::Ended).then_some("the engine ended with the connection")
-    }
-
     fn early_end(&self, cursor: EventCursor) -> Option<&'static str> {
         if self.is_resumed && !cursor.has_event() {
             // The engine before did not end the stream, so some of it is missing.
@@ -161,8 +168,9 @@
 
 impl StreamRelay {
     pub(crate) fn new(gateway: Rc<Gateway>, start: RelayStart) -> Self {
-        let source = StreamSource::from(start.attempt);
+        let source = StreamSource::new(start.attempt, start.event_pause);
         let first_framing = source.framing;
+        let partial_share = gateway.buffers.share();
         let resume_ticket = start
             .resume_ticket
             .filter(|_| first_framing.may_continue_elsewhere());
@@ -176,6 +184,8 @@
             event_pause: start.event_pause,
             caller_timeout: start.caller_timeout,
             splitter: EventSplitter::default(),
+            partial_share,
+            has_memory: true,
             forwarded_bytes: 0,
             start_time: clock::now(),
             last_forwarded: clock::now(),
@@ -225,7 +235,10 @@
     /// The bytes to forward: complete events of a resumable stream, otherwise all.
     fn split_events(&mut self, bytes: Bytes) -> Bytes {
         if self.resume_ticket.is_some() {
-            self.splitter.push(&bytes)
+            let complete = self.splitter.push(&bytes);
+            let partial_bytes = self.splitter.partial_bytes();
+            self.has_memory = self.partial_share.resize_to(partial_bytes);
+            complete
         } else {
             self.splitter.pass(&bytes);
             bytes
@@ -237,6 +250,9 @@
         if self.splitter.is_repeating() {
             return Some("the engine repeats events");
         }
+        if !self.has_memory {
+            return Some("there is no memory left for an event");
+        }
         let is_too_long = self.splitter.is_too_long();
         is_too_long.then_some("an event is too long")
     }
@@ -245,29 +261,40 @@
         let Some(source) = &mut self.source else {
             return RelayStep::End;
         };
-        let now = clock::now();
-        let mut deadline = self.request.deadline + END_GRACE;
-        if self.resume_ticket.is_some() {
-            // Bytes that complete no event do not extend the deadline.
-            let max_silence = TimeSpan::from_millis(self.event_pause.millis() * MAX_SILENT_PAUSES);
-            deadline = deadline.min(self.last_forwarded + max_silence);
-        }
-        let timeout = deadline.since(now).duration();
-        let frame = tokio::time::timeout(timeout, source.body.frame()).await;
+        let deadline = self.request.deadline + END_GRACE;
+        let remaining = deadline.since(clock::now()).duration();
+        let is_resumable = self.resume_ticket.is_some();
+        let slot = &source.slot;
+        // Bytes that complete no event don't end a silence.
+        let run_end = source.silence.run_end(
+            &self.gateway,
+            slot,
+            &self.request.id_text,
+            self.last_forwarded,
+        );
+        let frame = tokio::select! {
+            biased;
+            frame = source.body.frame() => frame,
+            reason = run_end, if is_resumable => return RelayStep::Broken(reason),
+            () = tokio::time::sleep(remaining) => return RelayStep::Timeout,
+        };
         match frame {
-            Ok(Some(Ok(frame))) => {
+            Some(Ok(frame)) => {
                 source.slot.record_progress();
                 let bytes = frame.into_data().unwrap_or_default();
                 source.is_empty &= bytes.is_empty();
+                if source.scanner.advance(&bytes) != HeadFinding::Nothing {
+                    source.slot.set_run_state(RunState::BrokenOff);
+                    self.gateway.pool.record_unreliable(&source.slot.engine.id);
+                    return RelayStep::Broken("the stream holds the head of another answer");
+                }
                 RelayStep::Data(bytes)
             }
-            Ok(Some(Err(_))) => {
+            Some(Err(_)) => {
                 source.slot.set_run_state(RunState::BrokenOff);
                 RelayStep::Broken("the engine broke off")
             }
-            Ok(None) => source.end_step(self.splitter.cursor()).await,
-            Err(_) if clock::now() >= self.request.deadline => RelayStep::Timeout,
-            Err(_) => RelayStep::Broken("the engine sent no event in time"),
+            None => source.end_step(self.splitter.cursor()).await,
         }
     }
 
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -214,6 +214,7 @@
             tenant: routed.tenant.clone(),
             priority: engine_priority(&routed, manifest.tenants.is_some()),
             need: connection_need(&routed),
+            asks_runs: routed.route.kind == RouteKind::ResumableStream,
         },
         ticket: WaitTicket {
             software,
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 use crate::clock;
 use crate::coordinator::CoordinatorSlot;
 use crate::crash::{PartClearance, TimedReport};
-use crate::forward::EnginePool;
+use crate::forward::{EnginePool, InquiryDesk};
 use crate::metrics::GatewayMetrics;
 use crate::queue::WaitQueue;
 use crate::quota::{QuotaState, adopt_quotas};
@@ -58,6 +58,8 @@
     pub(crate) crash_recorded: Notify,
     /// Notified when a crash is recorded, or a suspect part of prompts is cleared.
     pub(crate) suspects_changed: Notify,
+    /// Questions to engines whose streams are silent.
+    pub(crate) inquiries: InquiryDesk,
     pub(crate) streams: StreamState,
     pub(crate) quota: QuotaState,
     pub(crate) report_events: RefCell<ReportEvents>,
@@ -155,6 +157,7 @@
             unconfirmed_crashes: RefCell::default(),
             crash_recorded: Notify::new(),
             suspects_changed: Notify::new(),
+            inquiries: InquiryDesk::default(),
             streams: StreamState::default(),
             quota: QuotaState::new(clock::now()),
             report_events: RefCell::default(),
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -67,6 +67,8 @@
     pub tenants: Vec<ServedTenant>,
     /// Amount by which a tenant may exceed its quota in a window.
     pub quota_slack: QuotaAmount,
+    /// Memory of each daemon's host.
+    pub host_memory: MemorySize,
 }
 
 impl Default for StagePlan {
@@ -84,6 +86,7 @@
             target_latency: TimeSpan::from_millis(500),
             tenants: Vec::new(),
             quota_slack: QuotaAmount(0),
+            host_memory: MemorySize::from_mib(260),
         }
     }
 }
@@ -364,7 +367,7 @@
         capacity: HostCapacity {
             cores: CoreShare(500),
             link: LinkRate(1_000_000),
-            memory: MemorySize::from_mib(260),
+            memory: plan.host_memory,
             descriptors: 1_000,
         },
         bounds: ServingBounds {
