Requests that cost least to delay give way to those that can be on time

Cause: the queue served the request that had to start first, whatever its urgency and size. With more requests than engines can begin on time nearly all were just too late, refusals came only then, and nearly all said 2.5 s.

Change: `ward_fleet::admission`, pure. Of the requests that the same engines can serve, as many as can be on time at 65% of the measured rate keep the former order; beyond that the least urgent gives way, and of these the one with the most work (tokens not yet read, and ten times those generated). A kind, or its large requests, that is served too seldom keeps one place at a time. What no engine can begin before its deadline at the measured rate is refused at once; Retry-After follows the work before it and is spread. The rate needs four grants since the queue formed: without them, and while all can be on time, everything is as before. `ward-bench emulate overload` plays both orders.

Ruled out: strict priority, fair shares, shortest first, earliest deadline, value density (docs/design/hard-load.md).

Not with real processes.

--- a/crates/ward-bench/src/command/emulate.rs
+++ b/crates/ward-bench/src/command/emulate.rs
@@ -7,6 +7,9 @@
 use ward_protocol::TimeSpan;
 
 use super::CommandError;
+use crate::emulator::overload::{
+    DemandMix, OverloadOrder, draw_calls, overload_table, run_overload,
+};
 use crate::emulator::{
     DayPlan, EmulatedDay, SiteConfig, day_svg, day_table, draw_requests, perfect_outcome, run_day,
 };
@@ -14,6 +17,12 @@
 pub(super) const NAME: &str = "emulate";
 
 const DAYS: &str = "days";
+/// Emulation of one overloaded queue instead of a day.
+const OVERLOAD: &str = "overload";
+/// Multiples of what engines can do at which an overloaded queue is emulated.
+const OVERLOADS: [f64; 5] = [0.8, 1.0, 1.5, 2.0, 3.0];
+const OVERLOAD_LENGTH: TimeSpan = TimeSpan::from_secs(40);
+const URGENT_PERCENT: &str = "urgent-percent";
 const SEED: &str = "seed";
 const ENGINES: &str = "engines";
 const MODELS: &str = "models";
@@ -33,7 +42,7 @@
         .about("Emulates days of engines and the weight store in virtual time")
         .arg(
             Arg::new(DAYS)
-                .help("Days to emulate; all when none is named")
+                .help("Days to emulate, or overload; all days when none is named")
                 .num_args(0..),
         )
         .arg(number(SEED, "Seed of the requests", "1"))
@@ -45,6 +54,11 @@
             "Load time from the weight store, in milliseconds",
             "6000",
         ))
+        .arg(number(
+            URGENT_PERCENT,
+            "Part of small urgent requests, for overload",
+            "30",
+        ))
         .arg(
             Arg::new(OUT)
                 .long(OUT)
@@ -62,6 +76,11 @@
         store_load: TimeSpan::from_millis(number(LOAD_MILLIS).into()),
         ..SiteConfig::default()
     };
+    if is_overload(matches) {
+        let percent = f64::from(number(URGENT_PERCENT).min(96));
+        print_overload(percent / 100.0, number(SEED).into());
+        return Ok(());
+    }
     for day in named_days(matches)? {
         let plan = DayPlan::new(day, &config);
         let requests = draw_requests(&config, &plan, number(SEED).into());
@@ -77,6 +96,32 @@
     Ok(())
 }
 
+fn is_overload(matches: &ArgMatches) -> bool {
+    let names = matches.get_many::<String>(DAYS).into_iter().flatten();
+    let names: Vec<_> = names.collect();
+    names == [OVERLOAD]
+}
+
+/// Prints what becomes of requests at several loads, in either order of the queue.
+fn print_overload(urgent: f64, seed: u64) {
+    let mix = DemandMix { urgent, long: 0.03 };
+    println!(
+        "| load | order | kind | asked | on time | late | refused | lost | refused again \
+         | on time, part | served, part | largest tenth, served |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    );
+    for load in OVERLOADS {
+        let calls = draw_calls(mix, load, OVERLOAD_LENGTH, seed);
+        for (name, order) in [
+            ("latest start", OverloadOrder::LatestStart),
+            ("deferring", OverloadOrder::Deferring),
+        ] {
+            let outcome = run_overload(&calls, order);
+            print!("{}", overload_table(load, name, &outcome));
+        }
+    }
+}
+
 fn named_days(matches: &ArgMatches) -> Result<Vec<EmulatedDay>, CommandError> {
     let names = matches.get_many::<String>(DAYS).into_iter().flatten();
     let days: Result<Vec<EmulatedDay>, _> = names.map(|name| name.parse()).collect();
--- a/crates/ward-bench/src/emulator/mod.rs
+++ b/crates/ward-bench/src/emulator/mod.rs
@@ -9,6 +9,7 @@
 mod bound;
 mod day;
 mod fleet;
+pub mod overload;
 mod report;
 mod run;
 mod traffic;
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! coordinator, the one daemon that gives orders to engines, also keeps a
 //! [`placement::PlacementState`] and plans which engine loads which model.
 
+pub mod admission;
 pub mod budget;
 pub mod choice;
 pub mod crash;
--- a/crates/ward-fleet/src/queue.rs
+++ b/crates/ward-fleet/src/queue.rs
@@ -6,7 +6,7 @@
 //! first, whatever its kind, so that no kind is starved by a more urgent one.
 //! Priority decides between requests that must start at the same time, and
 //! between late requests. Late requests come after all that can still be on
-//! time.
+//! time. When not all can be on time, `admission` defers some of them behind the others.
 //!
 //! How long answers of each kind take decides, too, which requests a daemon still takes
 //! while it shuts down.
@@ -20,6 +20,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueRank {
     late: bool,
+    /// Whether the request gives way to those that can be on time; `false` for a late one.
+    deferred: bool,
     /// Priority of a late request; the most urgent one for others.
     late_priority: RequestPriority,
     /// Deadline of a late request; for others, the latest start to be on time.
@@ -44,6 +46,18 @@
     pub fn latest_start(&self) -> MonoTime {
         self.deadline - self.first_part
     }
+
+    /// Latest time at which an engine can start for the answer to be on time.
+    #[must_use]
+    pub fn latest_start_on_time(&self) -> MonoTime {
+        self.target - self.first_part
+    }
+
+    /// Whether the answer can no longer be on time.
+    #[must_use]
+    pub fn is_late(&self, now: MonoTime) -> bool {
+        now + self.first_part >= self.target
+    }
 }
 
 impl QueueRank {
@@ -53,12 +67,22 @@
         self.late
     }
 
+    /// The rank behind all that can be on time, but before what is late.
+    #[must_use]
+    pub const fn deferred(self) -> Self {
+        Self {
+            deferred: !self.late,
+            ..self
+        }
+    }
+
     /// Ranks a request.
     #[must_use]
     pub fn new(priority: RequestPriority, times: &RequestTimes, now: MonoTime) -> Self {
-        let late = now + times.first_part >= times.target;
+        let late = times.is_late(now);
         Self {
             late,
+            deferred: false,
             late_priority: if late {
                 priority
             } else {
@@ -67,7 +91,7 @@
             sort_time: if late {
                 times.deadline
             } else {
-                times.target - times.first_part
+                times.latest_start_on_time()
             },
             priority,
         }
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -9,6 +9,7 @@
 use slog::{info, warn};
 use ward_adapter::RequestFields;
 use ward_adapter::header::remove_credentials;
+use ward_fleet::admission::RequestWork;
 use ward_fleet::queue::RequestTimes;
 use ward_fleet::{RequestPriority, RouteKind, WaitingCount};
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
@@ -286,6 +287,14 @@
     }
 }
 
+/// Work of a request at an engine that keeps what other requests share of its prompt.
+fn request_work(routed: &RoutedRequest) -> RequestWork {
+    let fields = &routed.fields;
+    fields.tokens.map_or_else(RequestWork::default, |tokens| {
+        RequestWork::from_tokens(tokens.prompt, fields.shared_tokens, tokens.output)
+    })
+}
+
 fn wait_ticket(
     gateway: &Gateway,
     routed: &RoutedRequest,
@@ -293,16 +302,24 @@
     arrival: MonoTime,
     phase: SharedPhase,
 ) -> WaitTicket {
+    let route: Rc<str> = routed.route.name.as_str().into();
+    let work = request_work(routed);
+    let priority = routed.priority;
+    let class = gateway
+        .queue
+        .classify(&routed.service, &route, priority, work);
     WaitTicket {
         identity,
-        route: routed.route.name.as_str().into(),
+        route,
         service: routed.service.clone(),
         model: routed.fields.model.clone(),
         adapter: routed.fields.adapter.clone(),
         software: None,
         arrival,
         shared_tokens: routed.fields.shared_tokens,
-        priority: routed.priority,
+        priority,
+        work,
+        class,
         times: RequestTimes {
             target: arrival + routed.route.target_latency,
             deadline: (arrival + routed.first_byte_timeout) - MIN_SERVICE_TIME,
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub(crate) waited: Histogram,
     /// Number of requests that wait for an engine now.
     pub(crate) waiting: IntGauge,
+    /// Requests refused because no engine could begin them in time at the measured rate.
+    pub(crate) forecast_refusals: IntCounter,
     /// Orders sent to engines by answer.
     pub(crate) orders: IntCounterVec,
     /// Attempts to open connections to engines.
@@ -85,6 +87,10 @@
             )?,
             waited: latency_histogram("ward_waited_seconds", "wait for an engine")?,
             waiting: IntGauge::new("ward_waiting", "requests that wait now")?,
+            forecast_refusals: IntCounter::new(
+                "ward_forecast_refusals_total",
+                "requests refused since no engine could begin them in time",
+            )?,
             orders: counter_vec("ward_orders_total", "orders by answer", "answer")?,
             connections: IntCounter::new("ward_connections_total", "connections to engines")?,
             connection_turns: latency_histogram(
@@ -113,6 +119,7 @@
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.waited.clone()))?;
         registry.register(Box::new(self.waiting.clone()))?;
+        registry.register(Box::new(self.forecast_refusals.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
         registry.register(Box::new(self.connection_turns.clone()))?;
--- a/crates/ward-gateway/src/queue/dispatch.rs
+++ b/crates/ward-gateway/src/queue/dispatch.rs
@@ -4,10 +4,12 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::oneshot;
+use ward_fleet::QueueRank;
 use ward_fleet::choice::{EngineChoice, LimitedEngines};
 use ward_fleet::flow::LateDecision;
 use ward_protocol::BackendId;
 
+use super::admission::refuse_if_hopeless;
 use super::limited::{PermitDemand, permit_wait_if_late, want_spare_permits};
 use super::slot::EngineSlot;
 use super::ticket::{WaitFailure, WaitKey, WaitTicket};
@@ -29,10 +31,11 @@
     let mut waiting_keys: IndexMap<WaitKey, KeyQueue> = IndexMap::new();
     let mut permit_demand = PermitDemand::default();
     let mut unready_keys = IndexSet::new();
-    for number in numbers_by_rank(gateway) {
-        let Some(ticket) = ticket_of(gateway, number) else {
+    for waiter in ranked_waiters(gateway) {
+        let RankedWaiter { number, ticket, .. } = waiter;
+        if !is_waiting(gateway, number) {
             continue;
-        };
+        }
         if let Some(block) = request_block(gateway, &ticket.identity) {
             fail_wait(gateway, number, WaitFailure::Blocked(block));
             continue;
@@ -47,6 +50,7 @@
         {
             queue.ahead += 1;
             keep_or_shed(gateway, number, &ticket, queue, &mut permit_demand);
+            queue.ahead_tokens += ticket.work.tokens();
             continue;
         }
         match choose_engine_for(gateway, &ticket) {
@@ -71,14 +75,16 @@
             }
             EngineChoice::Limited(limited) => {
                 ticket.phase.enter(RequestPhase::Permit);
-                let queue = KeyQueue::new(Some(limited));
+                let mut queue = KeyQueue::new(Some(limited));
                 keep_or_shed(gateway, number, &ticket, &queue, &mut permit_demand);
+                queue.ahead_tokens = ticket.work.tokens();
                 waiting_keys.insert(key, queue);
             }
             EngineChoice::Full => {
                 ticket.phase.enter(RequestPhase::Slot);
-                let queue = KeyQueue::new(None);
+                let mut queue = KeyQueue::new(None);
                 keep_or_shed(gateway, number, &ticket, &queue, &mut permit_demand);
+                queue.ahead_tokens = ticket.work.tokens();
                 waiting_keys.insert(key, queue);
             }
             EngineChoice::Missing => {
@@ -98,13 +104,19 @@
 struct KeyQueue {
     /// Requests before the one that is looked at.
     ahead: usize,
+    /// Work of these, in tokens.
+    ahead_tokens: u64,
     /// Engines with a rate limit that have room; `None` if there are none.
     limited: Option<LimitedEngines>,
 }
 
 impl KeyQueue {
     const fn new(limited: Option<LimitedEngines>) -> Self {
-        Self { ahead: 0, limited }
+        Self {
+            ahead: 0,
+            ahead_tokens: 0,
+            limited,
+        }
     }
 }
 
@@ -118,7 +130,7 @@
     permit_demand: &mut PermitDemand,
 ) {
     let Some(limited) = &queue.limited else {
-        shed_if_late(gateway, number, ticket, queue.ahead);
+        shed(gateway, number, ticket, queue);
         return;
     };
     if let Some(wait) = permit_wait_if_late(gateway, ticket, limited, queue.ahead) {
@@ -128,13 +140,20 @@
     }
     permit_demand.add(limited, queue.ahead);
     if !limited.are_only {
-        shed_if_late(gateway, number, ticket, queue.ahead);
+        shed(gateway, number, ticket, queue);
+    }
+}
+
+/// Refuses a waiting request that has no prospect of an engine in time.
+fn shed(gateway: &Gateway, number: u64, ticket: &WaitTicket, queue: &KeyQueue) {
+    if !refuse_if_hopeless(gateway, number, ticket, queue.ahead_tokens) {
+        shed_if_late(gateway, number, ticket, queue);
     }
 }
 
 /// Refuses a waiting request that can no longer meet its target latency and is
 /// unlikely to get a slot before its deadline.
-fn shed_if_late(gateway: &Gateway, number: u64, ticket: &WaitTicket, ahead: usize) {
+fn shed_if_late(gateway: &Gateway, number: u64, ticket: &WaitTicket, queue: &KeyQueue) {
     let now = clock::now();
     if !ticket.rank(now).is_late() {
         return;
@@ -144,37 +163,60 @@
         return;
     };
     let remaining = ticket.times.deadline.since(now);
-    let LateDecision::Refuse(retry_after) = flow.decide_late(ahead, remaining, now) else {
+    if flow.decide_late(queue.ahead, remaining, now) == LateDecision::Wait {
         return;
-    };
+    }
     drop(flows);
+    let admission = &gateway.queue.admission;
+    let retry_after = admission.retry_delay(&ticket.key(), queue.ahead_tokens);
     fail_wait(gateway, number, WaitFailure::Overload(retry_after));
 }
 
 /// Ends the wait of a request with a failure.
-fn fail_wait(gateway: &Gateway, number: u64, failure: WaitFailure) {
+pub(super) fn fail_wait(gateway: &Gateway, number: u64, failure: WaitFailure) {
     if let Some(grant) = take_grant(gateway, number) {
+        if matches!(failure, WaitFailure::Overload(_)) {
+            record_refusal(gateway, number);
+        }
         // A dropped request needs no answer.
         drop(grant.send(Err(failure)));
     }
 }
 
-/// Numbers of the waiting requests, the one to serve first at the front.
-fn numbers_by_rank(gateway: &Gateway) -> Vec<u64> {
+fn record_refusal(gateway: &Gateway, number: u64) {
+    let waiters = gateway.queue.waiters.borrow();
+    if let Some(waiter) = waiters.get(&number) {
+        gateway.queue.admission.record_refusal(&waiter.ticket);
+    }
+}
+
+/// A waiting request and its rank.
+pub(super) struct RankedWaiter {
+    pub(super) rank: QueueRank,
+    pub(super) number: u64,
+    pub(super) ticket: WaitTicket,
+}
+
+/// The waiting requests, the one to serve first at the front.
+fn ranked_waiters(gateway: &Gateway) -> Vec<RankedWaiter> {
     let now = clock::now();
     let waiters = gateway.queue.waiters.borrow();
-    let mut ranked: Vec<_> = waiters
-        .values()
-        .filter(|waiter| waiter.grant.is_some())
-        .map(|waiter| (waiter.ticket.rank(now), waiter.number))
-        .collect();
-    ranked.sort_unstable();
-    ranked.into_iter().map(|(_, number)| number).collect()
+    let waiting = waiters.values().filter(|waiter| waiter.grant.is_some());
+    let ranked = waiting.map(|waiter| RankedWaiter {
+        rank: waiter.ticket.rank(now),
+        number: waiter.number,
+        ticket: waiter.ticket.clone(),
+    });
+    let mut ranked: Vec<_> = ranked.collect();
+    drop(waiters);
+    gateway.queue.admission.defer(&mut ranked, now);
+    ranked.sort_unstable_by_key(|waiter| (waiter.rank, waiter.number));
+    ranked
 }
 
-fn ticket_of(gateway: &Gateway, number: u64) -> Option<WaitTicket> {
+fn is_waiting(gateway: &Gateway, number: u64) -> bool {
     let waiters = gateway.queue.waiters.borrow();
-    Some(waiters.get(&number)?.ticket.clone())
+    waiters.contains_key(&number)
 }
 
 type GrantSender = oneshot::Sender<Result<EngineSlot, WaitFailure>>;
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -1,5 +1,6 @@
 //! The queue of requests that wait for a slot at an engine.
 
+mod admission;
 mod dispatch;
 mod limited;
 mod slot;
@@ -10,12 +11,17 @@
 
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot};
+use ward_fleet::admission::{RequestWork, ShareClass};
 use ward_fleet::choice::{EngineChoice, spare_engine};
 use ward_fleet::flow::RequestFlow;
 use ward_fleet::queue::{AnswerTime, FirstPartTime};
-use ward_fleet::{ChoiceContext, HostSettings, SlowModel, WaitingCount, choose_engine};
-use ward_protocol::{BackendId, MonoTime, TimeSpan};
+use ward_fleet::{
+    ChoiceContext, HostSettings, RequestPriority, SlowModel, WaitingCount, choose_engine,
+};
+use ward_protocol::{BackendId, MonoTime, ServiceName, TimeSpan};
 
+use self::admission::AdmissionState;
+pub(crate) use self::admission::RequestKind;
 pub(crate) use self::dispatch::dispatch_queue;
 use self::limited::{permit_wait_if_late, want_spare_permits};
 pub(crate) use self::slot::{EngineSlot, RunState};
@@ -48,6 +54,7 @@
     /// Whether the daemon is shutting down, so that no request may wait.
     closed: Cell<bool>,
     flows: RefCell<IndexMap<WaitKey, RequestFlow>>,
+    admission: AdmissionState,
     /// Time to the first part of an answer, by name of the route.
     first_parts: RefCell<IndexMap<String, FirstPartTime>>,
     /// Time to the end of an answer, by name of the route.
@@ -65,9 +72,12 @@
 
 impl Drop for WaiterGuard {
     fn drop(&mut self) {
-        let mut waiters = self.gateway.queue.waiters.borrow_mut();
-        waiters.shift_remove(&self.number);
-        self.gateway.metrics.waiting.set(to_gauge(waiters.len()));
+        let queue = &self.gateway.queue;
+        let removed = queue.waiters.borrow_mut().shift_remove(&self.number);
+        self.gateway.metrics.waiting.set(to_gauge(queue.len()));
+        if let Some(waiter) = removed.filter(|waiter| queue.waiting_like(&waiter.ticket) == 0) {
+            queue.admission.record_empty(&waiter.ticket);
+        }
     }
 }
 
@@ -121,6 +131,19 @@
             .entry(ticket.key())
             .or_default()
             .record_grant(clock::now());
+        drop(flows);
+        self.admission.record_grant(ticket);
+    }
+
+    /// Records the arrival of a request, and returns the class that must not be starved.
+    pub(crate) fn classify(
+        &self,
+        service: &ServiceName,
+        route: &Rc<str>,
+        priority: RequestPriority,
+        work: RequestWork,
+    ) -> ShareClass<RequestKind> {
+        self.admission.classify(service, route, priority, work)
     }
 
     /// Expected time to the first part of an answer on a route.
@@ -271,9 +294,10 @@
     queue.next_number.set(number + 1);
     let (grant, granted) = oneshot::channel();
     let remaining = ticket.times.latest_start().since(clock::now());
+    queue.admission.record_waiting(&ticket);
     let waiter = Waiter {
         number,
-        ticket,
+        ticket: ticket.clone(),
         grant: Some(grant),
     };
     queue.waiters.borrow_mut().insert(number, waiter);
@@ -286,7 +310,10 @@
         Ok(Ok(result)) => result,
         Ok(Err(_)) if queue.closed.get() => Err(WaitFailure::Closed),
         Ok(Err(_)) => Err(WaitFailure::NoEngine),
-        Err(_) => Err(WaitFailure::Timeout),
+        Err(_) => {
+            queue.admission.record_refusal(&ticket);
+            Err(WaitFailure::Timeout)
+        }
     }
 }
 
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use indexmap::IndexSet;
+use ward_fleet::admission::{RequestWork, ShareClass};
 use ward_fleet::queue::RequestTimes;
 use ward_fleet::{EngineRequirement, QueueRank, RequestPriority};
 use ward_protocol::{
@@ -10,6 +11,7 @@
     SoftwareVersion, TimeSpan,
 };
 
+use super::admission::RequestKind;
 use crate::crash::RequestBlock;
 use crate::phase::SharedPhase;
 
@@ -46,6 +48,10 @@
     /// Number of tokens at the start of the prompt that other requests share.
     pub(crate) shared_tokens: u64,
     pub(crate) priority: RequestPriority,
+    /// Work that it needs of an engine.
+    pub(crate) work: RequestWork,
+    /// Its kind and size, which must not be starved.
+    pub(crate) class: ShareClass<RequestKind>,
     pub(crate) times: RequestTimes,
     /// Engines that should not receive the request again.
     pub(crate) avoided: IndexSet<BackendId>,
