--- a/crates/ward-stage/src/daemon.rs
+++ b/crates/ward-stage/src/daemon.rs
@@ -9,7 +9,7 @@
 use quick_error::quick_error;
 use rustix::process::{Pid, Signal, kill_process};
 use ward_adapter::served::settings_json;
-use ward_fleet::HostSettings;
+use ward_fleet::{HostCapacity, HostSettings};
 use ward_protocol::MemorySize;
 
 quick_error! {
@@ -146,20 +146,54 @@
         Ok(())
     }
 
+    /// Like [`Self::restart`], with another capacity of the host in the settings.
+    ///
+    /// # Errors
+    /// When the settings file cannot be written or the program cannot be started.
+    pub fn restart_with_capacity(&mut self, capacity: HostCapacity) -> Result<(), StageError> {
+        self.settings.capacity = capacity;
+        std::fs::write(&self.settings_file, settings_json(&self.settings))?;
+        self.restart()
+    }
+
     /// Resident memory of the process, from `VmRSS` in `/proc`.
     ///
     /// # Errors
     /// When `/proc` does not report it, such as after the end of the process.
     pub fn resident_memory(&self) -> Result<MemorySize, StageError> {
-        let id = self.child.as_ref().map_or(0, Child::id);
-        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        self.memory_in_status("VmRSS:")
+    }
+
+    /// Highest resident memory of the process so far, from `VmHWM` in `/proc`.
+    ///
+    /// # Errors
+    /// When `/proc` does not report it, such as after the end of the process.
+    pub fn peak_memory(&self) -> Result<MemorySize, StageError> {
+        self.memory_in_status("VmHWM:")
+    }
+
+    fn memory_in_status(&self, label: &str) -> Result<MemorySize, StageError> {
+        let status = std::fs::read_to_string(self.proc_path("status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix(label));
         let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        let kibibytes =
-            kibibytes.ok_or_else(|| io::Error::other("no VmRSS line in the process status"))?;
+        let kibibytes = kibibytes
+            .ok_or_else(|| io::Error::other(format!("no {label} line in the process status")))?;
         Ok(MemorySize::from_bytes(kibibytes << 10))
     }
 
+    /// Number of file descriptors that the process has open.
+    ///
+    /// # Errors
+    /// When `/proc` does not list them, such as after the end of the process.
+    pub fn open_descriptors(&self) -> Result<usize, StageError> {
+        Ok(std::fs::read_dir(self.proc_path("fd"))?.count())
+    }
+
+    fn proc_path(&self, name: &str) -> PathBuf {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        PathBuf::from(format!("/proc/{id}/{name}"))
+    }
+
     /// Whether the process has ended or was killed.
     #[must_use]
     pub fn has_ended(&mut self) -> bool {
--- a/crates/ward-stage/src/serve.rs
+++ b/crates/ward-stage/src/serve.rs
@@ -13,6 +13,9 @@
 
 use crate::reply::{AbortConnection, StageBody};
 
+/// Most header fields of a request; engines take all that daemons may forward.
+const MAX_HEADER_FIELDS: usize = 8_192;
+
 /// A running server; dropping it closes its listener and connections.
 pub(crate) struct StageServer {
     pub(crate) address: SocketAddr,
@@ -42,8 +45,9 @@
             let answer = answer.clone();
             connections.spawn(async move {
                 let service = service_fn(answer);
-                let connection =
-                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                let connection = http1::Builder::new()
+                    .max_headers(MAX_HEADER_FIELDS)
+                    .serve_connection(TokioIo::new(stream), service);
                 // Errors are expected: stand-ins close connections on purpose.
                 drop(connection.await);
             });
