Callers that keep to no limits take neither the memory nor the descriptors of a daemon

Connections, heads, header fields, unread answers and the first messages on the port for other daemons had none; heads on the daemon's own endpoints could have 400 KB; nothing kept descriptors back for the daemon's own connections; a legal head of over a hundred fields got 431.

Change: a registry of all accepted connections, bounded by the host's memory and descriptors; idle connections and those furthest behind a link of 64 KB/s give way, fair between addresses, never one that is being served. Decisions in ward_fleet::callers. A request whose body is still to come is refused with 503. Fields of a head up to a quarter of headerBytes, at most 4,096, at both doors. Heads have twice headerTimeoutMs; unread answers the idle timeout; 16 requests in succession may be sent ahead. The future of a request, 18 KB, is only held while there is one. Bodies grow to a known length at once.

--- a/crates/ward-daemon/tests/gateway/stream_loss.rs
+++ b/crates/ward-daemon/tests/gateway/stream_loss.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 use ward_adapter::served::resume_headers;
 use ward_protocol::TimeSpan;
-use ward_stage::{CallerRequest, Stage, StagePlan, StoreFault};
+use ward_stage::{CallerRequest, DaemonProcess, Stage, StagePlan, StoreFault};
 
 use crate::caller_stream::{
     CallerStream, begin_streams, begin_streams_of, expect_taken_up, one_version, slow_request,
@@ -137,7 +137,7 @@
         }));
         tokio::time::sleep(SLOW_BEGIN_INTERVAL).await;
     }
-    stage.daemons.iter_mut().for_each(|daemon| daemon.kill());
+    stage.daemons.iter_mut().for_each(DaemonProcess::kill);
     stage.store.set_fault(StoreFault::None);
     restart_all_at_once(&mut stage).await;
     let mut streams = Vec::new();
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`placement::PlacementState`] and plans which engine loads which model.
 
 pub mod budget;
+pub mod callers;
 pub mod choice;
 pub mod crash;
 pub mod directory;
--- a/crates/ward-gateway/src/buffer.rs
+++ b/crates/ward-gateway/src/buffer.rs
@@ -20,6 +20,10 @@
 /// Percentage of the host's memory that all buffers may take. A buffer may take twice its
 /// length while it grows.
 const BUFFER_PERCENT_OF_MEMORY: u64 = 25;
+/// Percentage of the host's memory for messages of daemons that are not known yet.
+const PEER_PERCENT_OF_MEMORY: u64 = 6;
+/// Minimum of that memory; the longest message fits.
+const MIN_PEER_MEMORY: MemorySize = MemorySize::from_mib(4);
 
 quick_error! {
     /// Why a body was not buffered.
@@ -50,13 +54,28 @@
 impl BufferBudget {
     /// The budget of a process on a host with this memory.
     pub(crate) fn new(memory: MemorySize) -> Self {
-        let bytes = memory.bytes() / 100 * BUFFER_PERCENT_OF_MEMORY;
-        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        Self::of_size(percent_of(memory, BUFFER_PERCENT_OF_MEMORY))
+    }
+
+    /// The budget for messages of daemons that are not known yet.
+    pub(crate) fn for_peers(memory: MemorySize) -> Self {
+        Self::of_size(percent_of(memory, PEER_PERCENT_OF_MEMORY).max(MIN_PEER_MEMORY))
+    }
+
+    fn of_size(memory: MemorySize) -> Self {
+        let bytes = usize::try_from(memory.bytes()).unwrap_or(usize::MAX);
         Self {
             remaining: Arc::new(AtomicUsize::new(bytes)),
         }
     }
 
+    /// Takes what a buffer of this length needs, until the share is dropped; returns `None`
+    /// if the budget is exhausted.
+    pub(crate) fn reserve(&self, length: usize) -> Option<BufferShare> {
+        let mut share = BufferShare::new(self.clone());
+        share.grow_to(length).then_some(share)
+    }
+
     /// Reads a body to its end. The memory of the returned bytes goes back to the budget
     /// when their last clone is dropped.
     pub(crate) async fn collect<B>(
@@ -68,6 +87,11 @@
         B: Body<Data = Bytes> + Unpin,
     {
         let mut share = BufferShare::new(self.clone());
+        let expected = body.size_hint().exact().unwrap_or_default();
+        let expected = usize::try_from(expected).unwrap_or(usize::MAX);
+        if expected > max_bytes {
+            return Err(BufferError::TooLong);
+        }
         let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| BufferError::Cut)?;
@@ -81,6 +105,10 @@
             if !share.grow_to(length) {
                 return Err(BufferError::Full);
             }
+            if length > UNCOUNTED_BYTES {
+                // Growing to a known length at once leaves no smaller buffers behind.
+                bytes.reserve(expected.max(length) - bytes.len());
+            }
             bytes.extend_from_slice(&data);
         }
         Ok(share.into_bytes(bytes.freeze()))
@@ -99,9 +127,13 @@
     }
 }
 
+fn percent_of(memory: MemorySize, percent: u64) -> MemorySize {
+    MemorySize::from_bytes(memory.bytes() / 100 * percent)
+}
+
 /// The part of a budget that one buffer has taken; given back when dropped.
 #[derive(Debug)]
-struct BufferShare {
+pub(crate) struct BufferShare {
     budget: BufferBudget,
     taken: usize,
 }
--- a/crates/ward-gateway/src/front/answer.rs
+++ b/crates/ward-gateway/src/front/answer.rs
@@ -139,7 +139,7 @@
 
 /// Adds `Connection: close`, so that the caller opens a new connection for its next
 /// request.
-pub(crate) fn set_connection_close(response: &mut Response<AnswerBody>) {
+pub(crate) fn set_connection_close<B>(response: &mut Response<B>) {
     response
         .headers_mut()
         .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -159,7 +159,17 @@
     }
     let (head, body) = request.into_parts();
     let max_bytes = manifest.limits.body_bytes;
-    let body = read_body(gateway, body, max_bytes, routed.timeout).await?;
+    let connection = head.extensions.get();
+    let body = tokio::select! {
+        biased;
+        body = read_body(gateway, body, max_bytes, routed.timeout) => body?,
+        () = gateway.connections.body_refused(connection) => {
+            return Err(not_run("there is no memory left for a body that is still to come"));
+        }
+    };
+    if !gateway.connections.record_whole_request(connection) {
+        return Err(not_run("its connection is closed to make room for others"));
+    }
     let identity = RequestIdentity {
         request_id: routed.fields.id_text().into(),
         fingerprint: fingerprint(&head.uri, &body),
--- a/crates/ward-gateway/src/front/mod.rs
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -1,12 +1,17 @@
 //! HTTP servers for callers and for the daemon's own endpoints.
 
 mod answer;
+mod connection;
 mod directory;
 mod handle;
 mod job;
 mod listen;
+mod registry;
 mod resume;
 mod route;
+mod stream;
 
+pub(crate) use connection::TrackedConnection;
 pub(crate) use directory::{serve_directory, serve_metrics, serve_readiness};
-pub(crate) use listen::{ConnectionTracker, accept_callers, serve_endpoint};
+pub(crate) use listen::{ConnectionTracker, DEFAULT_LIMITS, accept_callers, serve_endpoint};
+pub(crate) use registry::{CloseReason, ConnectionRegistry, LOOK_INTERVAL};
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::coordinator::CoordinatorSlot;
 use crate::crash::{PartClearance, TimedReport};
 use crate::forward::EnginePool;
+use crate::front::ConnectionRegistry;
 use crate::metrics::GatewayMetrics;
 use crate::queue::WaitQueue;
 use crate::streams::StreamState;
@@ -45,6 +46,10 @@
     pub(crate) pool: EnginePool,
     /// Memory for buffered bodies.
     pub(crate) buffers: BufferBudget,
+    /// Memory for the first messages of other daemons' connections.
+    pub(crate) peer_buffers: BufferBudget,
+    /// Connections that others have opened to this daemon.
+    pub(crate) connections: Rc<ConnectionRegistry>,
     pub(crate) table: RefCell<EngineTable>,
     pub(crate) queue: WaitQueue,
     pub(crate) crashes: RefCell<CrashLedger>,
@@ -135,6 +140,12 @@
         Self {
             store: StoreClient::new(settings.store, STORE_TIMEOUT),
             buffers: BufferBudget::new(settings.capacity.memory),
+            peer_buffers: BufferBudget::for_peers(settings.capacity.memory),
+            connections: Rc::new(ConnectionRegistry::new(
+                &settings.capacity,
+                metrics.clone(),
+                logger.clone(),
+            )),
             settings: RefCell::new(Rc::new(settings)),
             incarnation: Incarnation(WallTime::now().0),
             pool: EnginePool::new(
--- a/crates/ward-gateway/src/hub/frame.rs
+++ b/crates/ward-gateway/src/hub/frame.rs
@@ -8,6 +8,8 @@
 use ward_protocol::CodecError;
 use ward_protocol::codec::{decode, encode};
 
+use crate::buffer::BufferBudget;
+
 /// Maximum length of a message, so that invalid data on the port does not cause a
 /// large allocation.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -31,6 +33,10 @@
         TooLong(bytes: usize) {
             display("the message is too long: {bytes} bytes")
         }
+        /// All first messages together would exceed their memory.
+        Full {
+            display("there is no memory left for the message")
+        }
         /// The coordinator cannot reach the store, but this daemon can.
         StoreUnavailable {
             display("the coordinator cannot reach the store")
@@ -65,6 +71,28 @@
 pub(crate) async fn read_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
 ) -> Result<Option<T>, PeerError> {
+    match read_length(stream).await? {
+        Some(length) => read_content(stream, length).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Like [`read_frame`], for the first message of a connection, which anyone can open: its
+/// length comes out of a budget while it is read.
+pub(crate) async fn read_first_frame<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    budget: &BufferBudget,
+) -> Result<Option<T>, PeerError> {
+    let Some(length) = read_length(stream).await? else {
+        return Ok(None);
+    };
+    let share = budget.reserve(length).ok_or(PeerError::Full)?;
+    let message = read_content(stream, length).await?;
+    drop(share);
+    Ok(Some(message))
+}
+
+async fn read_length(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<usize>, PeerError> {
     let mut header = [0; 4];
     match stream.read_exact(&mut header).await {
         Ok(_) => {}
@@ -75,7 +103,14 @@
     if length > MAX_FRAME_BYTES {
         return Err(PeerError::TooLong(length));
     }
+    Ok(Some(length))
+}
+
+async fn read_content<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    length: usize,
+) -> Result<T, PeerError> {
     let mut content = vec![0; length];
     stream.read_exact(&mut content).await?;
-    Ok(Some(decode(&content)?))
+    Ok(decode(&content)?)
 }
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -1,5 +1,6 @@
 //! The server for connections of other daemons.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,13 +9,16 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use ward_fleet::callers::EndpointKind;
 use ward_fleet::{CoordinatorMessage, HostMember, MemberMessage};
 
-use super::frame::{PeerError, encode_frame, read_frame};
+use super::frame::{PeerError, encode_frame, read_first_frame, read_frame};
 use super::snapshot::build_snapshot;
 use crate::clock;
 use crate::coordinator::{ActiveCoordinator, MessageFrame, issue_permits};
 use crate::crash::record_news;
+use crate::front::{CloseReason, TrackedConnection};
 use crate::gateway::Gateway;
 use crate::streams::wait_until_listed;
 
@@ -27,8 +31,9 @@
 pub(crate) async fn accept_members(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), stream));
+            Ok((stream, source)) => {
+                accept_member(&gateway, stream, source);
+                tokio::task::yield_now().await;
             }
             Err(cause) => {
                 warn!(gateway.logger, "peers: accept failed"; "cause" => %cause);
@@ -38,9 +43,31 @@
     }
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, mut stream: TcpStream) {
-    let first = read_frame::<MemberMessage>(&mut stream);
-    match tokio::time::timeout(MEMBER_TIMEOUT, first).await {
+fn accept_member(gateway: &Rc<Gateway>, stream: TcpStream, source: SocketAddr) {
+    let registry = &gateway.connections;
+    let Some(connection) = registry.open(EndpointKind::Peers, source.ip(), 0) else {
+        return;
+    };
+    let key = connection.key();
+    let task = spawn_local(serve_connection(Rc::clone(gateway), stream, connection));
+    registry.set_task(key, task.abort_handle());
+}
+
+async fn serve_connection(
+    gateway: Rc<Gateway>,
+    mut stream: TcpStream,
+    connection: TrackedConnection,
+) {
+    let first = read_first_frame::<MemberMessage>(&mut stream, &gateway.peer_buffers);
+    let first = tokio::time::timeout(MEMBER_TIMEOUT, first).await;
+    if let Ok(Err(PeerError::Full)) = &first {
+        gateway.connections.count_close(CloseReason::Memory);
+    }
+    let key = connection.key();
+    if !gateway.connections.record_whole_request(Some(&key)) {
+        return;
+    }
+    match first {
         Ok(Ok(Some(MemberMessage::Hello(member)))) => {
             if let Some(coordinator) = gateway.coordinator.active() {
                 serve_member(gateway, coordinator, member, stream).await;
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -33,6 +33,13 @@
     /// Seconds from a request's arrival until it got a slot at an engine, observed again
     /// for each retry.
     pub(crate) waited: Histogram,
+    /// Connections that this daemon closed because they held too much or made no progress,
+    /// by reason.
+    pub(crate) caller_closes: IntCounterVec,
+    /// Estimate of the bytes that all accepted connections hold now.
+    pub(crate) caller_bytes: IntGauge,
+    /// Number of accepted connections that are open now.
+    pub(crate) caller_connections: IntGauge,
     /// Number of requests that wait for an engine now.
     pub(crate) waiting: IntGauge,
     /// Orders sent to engines by answer.
@@ -84,6 +91,16 @@
                 "until an engine's answer began",
             )?,
             waited: latency_histogram("ward_waited_seconds", "wait for an engine")?,
+            caller_closes: counter_vec(
+                "ward_caller_closes_total",
+                "connections closed for lack of room or progress",
+                "reason",
+            )?,
+            caller_bytes: IntGauge::new("ward_caller_bytes", "held by accepted connections")?,
+            caller_connections: IntGauge::new(
+                "ward_caller_connections",
+                "accepted connections that are open",
+            )?,
             waiting: IntGauge::new("ward_waiting", "requests that wait now")?,
             orders: counter_vec("ward_orders_total", "orders by answer", "answer")?,
             connections: IntCounter::new("ward_connections_total", "connections to engines")?,
@@ -112,6 +129,9 @@
         registry.register(Box::new(self.permits.clone()))?;
         registry.register(Box::new(self.first_byte.clone()))?;
         registry.register(Box::new(self.waited.clone()))?;
+        registry.register(Box::new(self.caller_closes.clone()))?;
+        registry.register(Box::new(self.caller_bytes.clone()))?;
+        registry.register(Box::new(self.caller_connections.clone()))?;
         registry.register(Box::new(self.waiting.clone()))?;
         registry.register(Box::new(self.orders.clone()))?;
         registry.register(Box::new(self.connections.clone()))?;
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -10,11 +10,12 @@
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use ward_fleet::HostSettings;
+use ward_fleet::callers::EndpointKind;
 
 use crate::crash::{check_unfinished_runs, watch_blocked_parts};
 use crate::front::{
-    ConnectionTracker, accept_callers, serve_directory, serve_endpoint, serve_metrics,
-    serve_readiness,
+    ConnectionTracker, DEFAULT_LIMITS, LOOK_INTERVAL, accept_callers, serve_directory,
+    serve_endpoint, serve_metrics, serve_readiness,
 };
 use crate::gateway::Gateway;
 use crate::hub::{accept_members, broadcast_crashes, follow_coordinator};
@@ -85,15 +86,22 @@
     ));
     spawn_local(serve_endpoint(
         Rc::clone(&gateway),
+        EndpointKind::Readiness,
         readiness,
         serve_readiness,
     ));
     spawn_local(serve_endpoint(
         Rc::clone(&gateway),
+        EndpointKind::Directory,
         directory,
         serve_directory,
     ));
-    spawn_local(serve_endpoint(Rc::clone(&gateway), metrics, serve_metrics));
+    spawn_local(serve_endpoint(
+        Rc::clone(&gateway),
+        EndpointKind::Metrics,
+        metrics,
+        serve_metrics,
+    ));
     spawn_local(accept_members(Rc::clone(&gateway), peers));
     spawn_local(sync_manifest(Rc::clone(&gateway)));
     spawn_local(sync_engines(Rc::clone(&gateway)));
@@ -105,6 +113,7 @@
     spawn_local(watch_blocked_parts(Rc::clone(&gateway)));
     spawn_local(dispatch_queue(Rc::clone(&gateway)));
     spawn_local(sweep(Rc::clone(&gateway)));
+    spawn_local(look_at_callers(Rc::clone(&gateway)));
     spawn_local(reload_on_signal(Rc::clone(&gateway)));
     stop_on_signal(gateway, tracker).await?;
     Ok(())
@@ -132,3 +141,14 @@
         gateway.queue.notify_change();
     }
 }
+
+/// Periodically closes the connections of callers that are overdue; never returns.
+async fn look_at_callers(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL.duration()).await;
+        let limits = gateway
+            .manifest()
+            .map_or(DEFAULT_LIMITS, |manifest| manifest.limits);
+        gateway.connections.look(&limits);
+    }
+}
--- a/crates/ward-traffic/src/server/connection.rs
+++ b/crates/ward-traffic/src/server/connection.rs
@@ -19,6 +19,11 @@
 use crate::core::{ServerPhase, TrafficCore};
 use crate::problem::ProblemReport;
 
+/// Shortest header field: one letter, a colon and the end of its line.
+const MIN_FIELD_BYTES: usize = 4;
+/// Most fields of a head. The parser makes a table of this length for each request.
+const MAX_HEADER_FIELDS: usize = 4 << 10;
+
 /// Serves a connection until the caller closes it, or until it is idle after the
 /// server has entered the closing phase.
 pub(super) async fn serve_connection(stream: TcpStream, tree: Arc<Tree>, core: &Arc<TrafficCore>) {
@@ -62,10 +67,12 @@
 }
 
 fn connection_builder(core: &TrafficCore) -> Builder {
+    let header_bytes = core.limits.header_bytes as usize;
     let mut builder = Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(core.limits.header_time.duration())
-        .max_header_size(core.limits.header_bytes as usize);
+        .max_headers((header_bytes / MIN_FIELD_BYTES).min(MAX_HEADER_FIELDS))
+        .max_header_size(header_bytes);
     builder
 }
