--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod callers;
 pub mod choice;
 pub mod compact;
 pub mod crash;
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -70,6 +70,8 @@
     pub engine_heartbeat: TimeSpan,
     /// Capacity of the host.
     pub capacity: HostCapacity,
+    /// Whether requests that cost least to delay or refuse give way under overload.
+    pub defers_by_cost: bool,
     /// Bounds that the deployment guarantees.
     pub bounds: ServingBounds,
 }
--- a/crates/ward-gateway/src/front/mod.rs
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -2,15 +2,20 @@
 
 mod answer;
 mod collect;
+mod connection;
 mod directory;
 mod handle;
 mod job;
 mod listen;
 mod quota;
 mod refusal;
+mod registry;
 mod resume;
 mod route;
+mod stream;
 mod tenant;
 
+pub(crate) use connection::TrackedConnection;
 pub(crate) use directory::{serve_directory, serve_metrics, serve_readiness};
-pub(crate) use listen::{ConnectionTracker, accept_callers, serve_endpoint};
+pub(crate) use listen::{ConnectionTracker, DEFAULT_LIMITS, accept_callers, serve_endpoint};
+pub(crate) use registry::{CloseReason, ConnectionRegistry, LOOK_INTERVAL};
--- a/crates/ward-gateway/src/hub/frame.rs
+++ b/crates/ward-gateway/src/hub/frame.rs
@@ -12,7 +12,10 @@
 use ward_protocol::codec::{decode, encode};
 
 use super::traffic::MessageKind;
+use crate::buffer::BufferBudget;
 
+/// Length of the number before each message that gives its length, in bytes.
+const LENGTH_BYTES: usize = 4;
 /// Maximum length of a message, so that invalid data on the port does not cause a
 /// large allocation.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -45,6 +48,10 @@
             from()
             display("{cause}")
         }
+        /// All first messages together would exceed their memory.
+        Full {
+            display("there is no memory left for the message")
+        }
         /// The coordinator cannot reach the store, but this daemon can.
         StoreUnavailable {
             display("the coordinator cannot reach the store")
@@ -107,12 +114,34 @@
     Ok(sized.map(|(message, _)| message))
 }
 
-/// Reads the next message, with its size on the connection; returns `None` if the stream ends before the message's
-/// length is complete.
+/// Reads the next message, with its size on the connection; returns `None` if the stream
+/// ends before the message's length is complete.
 pub(crate) async fn read_sized_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
 ) -> Result<Option<(T, FrameSize)>, PeerError> {
-    let mut header = [0; 4];
+    match read_length(stream).await? {
+        Some(length) => read_content(stream, length).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Like [`read_sized_frame`], for the first message of a connection, which anyone can open:
+/// its length comes out of a budget while it is read.
+pub(crate) async fn read_first_frame<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    budget: &BufferBudget,
+) -> Result<Option<(T, FrameSize)>, PeerError> {
+    let Some(length) = read_length(stream).await? else {
+        return Ok(None);
+    };
+    let share = budget.reserve(length).ok_or(PeerError::Full)?;
+    let message = read_content(stream, length).await?;
+    drop(share);
+    Ok(Some(message))
+}
+
+async fn read_length(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<usize>, PeerError> {
+    let mut header = [0; LENGTH_BYTES];
     match stream.read_exact(&mut header).await {
         Ok(_) => {}
         Err(cause) if cause.kind() == std::io::ErrorKind::UnexpectedEof => return Ok(None),
@@ -122,8 +151,15 @@
     if length > MAX_FRAME_BYTES {
         return Err(PeerError::TooLong(length));
     }
+    Ok(Some(length))
+}
+
+async fn read_content<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    length: usize,
+) -> Result<(T, FrameSize), PeerError> {
     let mut content = vec![0; length];
     stream.read_exact(&mut content).await?;
-    let size = FrameSize(header.len() + length);
-    Ok(Some((decode(&content)?, size)))
+    let size = FrameSize(LENGTH_BYTES + length);
+    Ok((decode(&content)?, size))
 }
--- a/crates/ward-gateway/src/queue/dispatch.rs
+++ b/crates/ward-gateway/src/queue/dispatch.rs
@@ -146,7 +146,9 @@
 
 /// Refuses a waiting request that has no prospect of an engine in time.
 fn shed(gateway: &Gateway, number: u64, ticket: &WaitTicket, queue: &KeyQueue) {
-    if !refuse_if_hopeless(gateway, number, ticket, queue.ahead_tokens) {
+    let is_refused = gateway.settings().defers_by_cost
+        && refuse_if_hopeless(gateway, number, ticket, queue.ahead_tokens);
+    if !is_refused {
         shed_if_late(gateway, number, ticket, queue);
     }
 }
@@ -163,12 +165,15 @@
         return;
     };
     let remaining = ticket.times.deadline.since(now);
-    if flow.decide_late(queue.ahead, remaining, now) == LateDecision::Wait {
+    let LateDecision::Refuse(mut retry_after) = flow.decide_late(queue.ahead, remaining, now)
+    else {
         return;
-    }
+    };
     drop(flows);
-    let admission = &gateway.queue.admission;
-    let retry_after = admission.retry_delay(&ticket.key(), queue.ahead_tokens);
+    if gateway.settings().defers_by_cost {
+        let admission = &gateway.queue.admission;
+        retry_after = admission.retry_delay(&ticket.key(), queue.ahead_tokens);
+    }
     fail_wait(gateway, number, WaitFailure::Overload(retry_after));
 }
 
@@ -209,7 +214,9 @@
     });
     let mut ranked: Vec<_> = ranked.collect();
     drop(waiters);
-    gateway.queue.admission.defer(&mut ranked, now);
+    if gateway.settings().defers_by_cost {
+        gateway.queue.admission.defer(&mut ranked, now);
+    }
     ranked.sort_unstable_by_key(|waiter| (waiter.rank, waiter.number));
     ranked
 }
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -370,6 +370,7 @@
             memory: plan.host_memory,
             descriptors: 1_000,
         },
+        defers_by_cost: true,
         bounds: ServingBounds {
             stop_grace: TimeSpan::from_secs(4),
             lease: plan.lease,
