Quota credit held for the loss of a coordinator

Change: daemons hold credit for at least two typical requests, up to three quarters of what may be held; a daemon that becomes alone gets its share of a quarter of the slack at once, at most once in a window; requests wait for a quarter of the target latency instead of an eighth. Ruled out: a share of the bucket for each daemon that becomes alone, which exceeds the quota after a flood at a few daemons.

--- a/crates/ward-fleet/src/quota/demand.rs
+++ b/crates/ward-fleet/src/quota/demand.rs
@@ -9,6 +9,9 @@
 const HORIZON: TimeSpan = TimeSpan::from_millis(1_500);
 /// Time after its last request for which a tenant is expected to send another.
 const INTEREST: TimeSpan = TimeSpan::from_secs(6);
+/// Requests of typical cost that credit is held for at least, so that one is left if the
+/// coordinator is lost.
+const MIN_REQUESTS: f64 = 2.0;
 /// Weight of the latest request in the typical cost.
 const TYPICAL_WEIGHT: f64 = 0.1;
 
@@ -37,12 +40,12 @@
         self.recent * (-age.seconds() / AVERAGING_TIME.seconds()).exp()
     }
 
-    /// Credit to hold: for the expected requests, and for at least one.
+    /// Credit to hold: for the expected requests, and for at least a few.
     pub(super) fn wanted(&self, now: MonoTime) -> f64 {
         if self.last_at.is_none_or(|at| now.since(at) > INTEREST) {
             return 0.0;
         }
         let expected = self.recent_at(now) * HORIZON.seconds() / AVERAGING_TIME.seconds();
-        expected.max(self.typical)
+        expected.max(self.typical * MIN_REQUESTS)
     }
 }
--- a/crates/ward-fleet/src/quota/ledger.rs
+++ b/crates/ward-fleet/src/quota/ledger.rs
@@ -15,9 +15,11 @@
 const LOST_RETENTION: TimeSpan = TimeSpan::from_millis(2_000);
 /// Time for which a reported need is served; daemons report it again while it lasts.
 const NEED_LIFETIME: TimeSpan = TimeSpan::from_millis(400);
-/// Part of the bucket, and of all that daemons may hold, that is handed out for requests
-/// which have not arrived yet. The rest is kept for those that wait.
+/// Part of the bucket that is handed out at once for requests which have not arrived yet.
 const PREFETCH_FRACTION: f64 = 0.5;
+/// Part of all that daemons may hold that is handed out ahead of requests. The rest is
+/// kept for those that wait.
+const MAX_PREFETCHED: f64 = 0.75;
 
 /// The bucket of one tenant, and the credit that daemons hold.
 #[derive(Debug, Clone)]
@@ -219,7 +221,7 @@
         let unmet = members.map(|(member, credit)| (*member, credit.unmet(context.now)));
         let mut lacking: Vec<_> = unmet.filter(|(_, unmet)| *unmet > 0).collect();
         lacking.sort_unstable_by_key(|(member, _)| (Some(*member) <= last, *member));
-        let prefetched = self.quota.capacity(context.slack) * PREFETCH_FRACTION - self.held();
+        let prefetched = self.quota.capacity(context.slack) * MAX_PREFETCHED - self.held();
         let budget = prefetched.min(self.bucket.tokens() * PREFETCH_FRACTION);
         let mut budget = floor_to_u64(budget);
         for (member, unmet) in lacking {
--- a/crates/ward-fleet/src/quota/store.rs
+++ b/crates/ward-fleet/src/quota/store.rs
@@ -19,6 +19,8 @@
 /// Fraction of the slack that daemons save up in sum while they are alone, in addition to
 /// what the coordinator may hand out.
 const ALONE_SLACK_FRACTION: f64 = 0.25;
+/// Fraction of the slack that they get in sum when they become alone, once in a window.
+const START_SLACK_FRACTION: f64 = 0.25;
 
 /// What credit depends on besides the messages of the coordinator.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -27,6 +29,8 @@
     pub daemons: usize,
     /// Amount by which a tenant may exceed its quota in a window.
     pub slack: QuotaAmount,
+    /// Window over which the use of a quota is counted.
+    pub window: TimeSpan,
     /// Current time by the daemon's clock.
     pub now: MonoTime,
 }
@@ -43,6 +47,11 @@
         (quota.capacity(self.slack) + saved) / usize_to_f64(self.daemons.max(1))
     }
 
+    /// Credit that this daemon gets at once when it becomes alone.
+    fn start_credit(&self) -> f64 {
+        self.slack.to_f64() * START_SLACK_FRACTION / usize_to_f64(self.daemons.max(1))
+    }
+
     /// Refills the credit of a daemon that is alone. Until its credit is handed out again,
     /// it keeps what it holds.
     fn refill(&self, credit: &mut TenantCredit, last_contact: Option<MonoTime>) {
@@ -65,6 +74,8 @@
     last_contact: Option<MonoTime>,
     /// Since when the daemon has been alone; `None` while it hears of a coordinator.
     alone_since: Option<MonoTime>,
+    /// When the daemon last got credit for becoming alone.
+    started_at: MonoTime,
     next_ticket: u64,
 }
 
@@ -76,6 +87,8 @@
             credits: IndexMap::new(),
             last_contact: None,
             alone_since: Some(now),
+            // A former run of the daemon may have got it until just now.
+            started_at: now,
             next_ticket: 0,
         }
     }
@@ -92,8 +105,18 @@
 
     fn be_alone(&mut self, context: &CreditContext) {
         self.alone_since = Some(context.now);
+        let may_start = context.now.since(self.started_at) >= context.window;
+        let start_credit = if may_start {
+            context.start_credit()
+        } else {
+            0.0
+        };
+        if may_start {
+            self.started_at = context.now;
+        }
         for credit in self.credits.values_mut() {
             credit.bucket.skip_until(context.now);
+            credit.bucket.put(start_credit);
             context.refill(credit, self.last_contact);
         }
     }
--- a/crates/ward-fleet/tests/quota/fleet.rs
+++ b/crates/ward-fleet/tests/quota/fleet.rs
@@ -12,6 +12,8 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 pub(crate) const STEP: u64 = 10;
+/// Window over which use is counted, in milliseconds.
+pub(crate) const WINDOW: u64 = 8_000;
 const PLAN_INTERVAL: u64 = 50;
 const REPORT_INTERVAL: u64 = 200;
 const DELAY: u64 = 5;
@@ -114,6 +116,7 @@
         CreditContext {
             daemons: self.daemons.len(),
             slack: self.slack,
+            window: TimeSpan::from_millis(WINDOW),
             now: at(self.now),
         }
     }
--- a/crates/ward-fleet/tests/quota/main.rs
+++ b/crates/ward-fleet/tests/quota/main.rs
@@ -4,7 +4,7 @@
 
 mod fleet;
 
-use fleet::{STEP, SimFleet, TENANT, at, ratio, requests_quota};
+use fleet::{STEP, SimFleet, TENANT, WINDOW, at, ratio, requests_quota};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use ward_fleet::{
@@ -14,8 +14,6 @@
 use ward_protocol::TimeSpan;
 
 const OTHER: TenantKey = TenantKey(2);
-/// Window over which use is counted, in milliseconds.
-const WINDOW: u64 = 8_000;
 
 /// What a quota and its slack allow in a window.
 fn allowed(quota: TenantQuota, slack: u64) -> u64 {
@@ -231,6 +229,7 @@
     CreditContext {
         daemons,
         slack: QuotaAmount(0),
+        window: TimeSpan::from_millis(WINDOW),
         now: at(millis),
     }
 }
--- a/crates/ward-gateway/src/front/quota.rs
+++ b/crates/ward-gateway/src/front/quota.rs
@@ -19,7 +19,7 @@
 use crate::quota::credit_context;
 
 /// Fraction of a route's target latency for which a request waits for credit.
-const WAIT_FRACTION: u64 = 8;
+const WAIT_FRACTION: u64 = 4;
 /// Minimum time for which a request waits: a report, its answer and their ways.
 const MIN_WAIT: TimeSpan = TimeSpan::from_millis(100);
 
--- a/crates/ward-gateway/src/quota.rs
+++ b/crates/ward-gateway/src/quota.rs
@@ -33,9 +33,11 @@
 
 /// What the credit of this daemon depends on now.
 pub(crate) fn credit_context(gateway: &Gateway) -> CreditContext {
+    let bounds = gateway.settings().bounds;
     CreditContext {
         daemons: gateway.budget_daemons(),
-        slack: gateway.settings().bounds.quota_slack,
+        slack: bounds.quota_slack,
+        window: bounds.quota_window,
         now: clock::now(),
     }
 }
