--- a/crates/ward-fleet/src/quota/tolerance.rs
+++ b/crates/ward-fleet/src/quota/tolerance.rs
@@ -10,9 +10,9 @@
 use crate::number::floor_to_u64;
 use crate::tenant::{QuotaAmount, QuotaRate, TenantQuota};
 
-/// Fraction of the tolerance that is used. The rest covers daemons that lost sight of each
-/// other.
-const USED_TOLERANCE: f64 = 0.75;
+/// Fraction of the allowed excess that is used. The rest covers messages under way when
+/// daemons lose sight of each other.
+const USED_EXCESS: f64 = 0.75;
 /// Minimum fraction of the burst that the bucket of an enforced quota holds.
 const MIN_BURST_FRACTION: f64 = 0.5;
 
@@ -38,10 +38,10 @@
             return quota;
         }
         let burst = quota.burst.to_f64();
-        let limit = quota.rate.within(self.window) + burst;
-        let slack = self.slack.to_f64();
-        let usable = limit + USED_TOLERANCE * (self.excess * limit + slack);
         let held_slack = quota.capacity(self.slack) - burst;
+        let limit = quota.rate.within(self.window) + burst;
+        // The rest of the slack is what daemons that follow no coordinator save up.
+        let usable = limit + USED_EXCESS * self.excess * limit + held_slack;
         // Daemons may hold the slack, too, so together they still hold the burst.
         let held_burst = (burst - held_slack).max(MIN_BURST_FRACTION * burst);
         let per_second = (usable - held_burst - held_slack) / seconds;
--- a/crates/ward-fleet/tests/quota/tolerance.rs
+++ b/crates/ward-fleet/tests/quota/tolerance.rs
@@ -51,8 +51,8 @@
         let held = enforced.capacity(tolerance.slack);
         let used = enforced.rate.within(WINDOW) + held;
         let limit = quota.rate.within(WINDOW) + quota.burst.to_f64();
-        // What daemons without a coordinator save up takes a quarter of the slack.
-        let allowed = limit * (1.0 + excess) + tolerance.slack.to_f64() * 0.75;
+        // What daemons without a coordinator save up takes half of the slack.
+        let allowed = limit * (1.0 + excess) + tolerance.slack.to_f64() * 0.5;
         prop_assert!(used <= allowed + 1.0, "{used} of {allowed}");
         prop_assert!(used >= limit - 1.0, "{used} of {limit}");
         prop_assert!(held >= quota.burst.to_f64() * 0.5);
