--- a/crates/ward-fleet/src/quota/credit.rs
+++ b/crates/ward-fleet/src/quota/credit.rs
@@ -9,7 +9,7 @@
 use super::message::{QuotaNeed, TenantKey};
 use crate::limit::TokenBucket;
 use crate::number::{floor_to_u64, secs_to_span};
-use crate::tenant::{QuotaAmount, TenantQuota};
+use crate::tenant::{QuotaAmount, RequestPriority, TenantQuota};
 
 /// Requests of one tenant that wait for credit at most; further ones are refused.
 const MAX_WAITING: usize = 64;
@@ -31,6 +31,22 @@
     Refused(TimeSpan),
 }
 
+/// A request as its tenant's quota sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CreditRequest {
+    /// What it counts.
+    pub cost: QuotaAmount,
+    /// How urgent it is among the tenant's requests.
+    pub priority: RequestPriority,
+}
+
+/// A request that waits for credit.
+#[derive(Debug, Clone, Copy)]
+struct CreditWaiter {
+    ticket: u64,
+    request: CreditRequest,
+}
+
 /// The credit of one tenant at a daemon, for logs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CreditStatus {
@@ -49,8 +65,8 @@
     pub(super) bucket: TokenBucket,
     pub(super) granted_at: Option<MonoTime>,
     demand: TenantDemand,
-    /// Numbers and costs of waiting requests, in order of arrival.
-    queue: VecDeque<(u64, f64)>,
+    /// Waiting requests: the most urgent first, those of one priority in order of arrival.
+    queue: VecDeque<CreditWaiter>,
     /// Whole credit received on the current connection to the coordinator.
     received: u64,
     /// Whole credit given back on that connection.
@@ -114,9 +130,10 @@
         self.demand.record(cost, now);
     }
 
-    /// Takes a request's cost, unless others wait or there is too little credit.
-    pub(super) fn take(&mut self, cost: f64) -> bool {
-        let may_take = self.queue.is_empty() && self.bucket.holds(cost);
+    /// Takes a request's cost, unless others as urgent wait or there is too little credit.
+    pub(super) fn take(&mut self, request: CreditRequest) -> bool {
+        let cost = request.cost.to_f64();
+        let may_take = !self.has_queue(request.priority) && self.bucket.holds(cost);
         if may_take {
             self.bucket.take(cost);
         }
@@ -126,9 +143,10 @@
     /// Takes the cost of a waiting request if it is the next one; returns whether it was.
     pub(super) fn take_waiting(&mut self, ticket: u64) -> bool {
         let next = self.queue.front().copied();
-        let Some((_, cost)) = next.filter(|(number, _)| *number == ticket) else {
+        let Some(waiter) = next.filter(|waiter| waiter.ticket == ticket) else {
             return false;
         };
+        let cost = waiter.request.cost.to_f64();
         let may_take = self.bucket.holds(cost);
         if may_take {
             self.queue.pop_front();
@@ -137,32 +155,33 @@
         may_take
     }
 
-    /// Whether another request than the next one waits, or would.
-    pub(super) fn has_queue(&self) -> bool {
-        !self.queue.is_empty()
+    /// Whether another request waits that is as urgent or more.
+    pub(super) fn has_queue(&self, priority: RequestPriority) -> bool {
+        let first = self.queue.front();
+        first.is_some_and(|waiter| waiter.request.priority <= priority)
     }
 
     /// Adds a waiting request; returns whether there was room.
-    pub(super) fn enqueue(&mut self, ticket: u64, cost: f64) -> bool {
+    pub(super) fn enqueue(&mut self, ticket: u64, request: CreditRequest) -> bool {
         let has_room = self.queue.len() < MAX_WAITING;
         if has_room {
-            self.queue.push_back((ticket, cost));
+            let is_before = |waiter: &CreditWaiter| waiter.request.priority <= request.priority;
+            let place = self.queue.partition_point(is_before);
+            self.queue.insert(place, CreditWaiter { ticket, request });
         }
         has_room
     }
 
-    /// Removes a waiting request; returns its cost.
-    pub(super) fn dequeue(&mut self, ticket: u64) -> Option<f64> {
-        let place = self
-            .queue
-            .iter()
-            .position(|(number, _)| *number == ticket)?;
-        self.queue.remove(place).map(|(_, cost)| cost)
+    /// Removes a waiting request, and returns it.
+    pub(super) fn dequeue(&mut self, ticket: u64) -> Option<CreditRequest> {
+        let mut waiters = self.queue.iter();
+        let place = waiters.position(|waiter| waiter.ticket == ticket)?;
+        self.queue.remove(place).map(|waiter| waiter.request)
     }
 
     /// Counts a request that is refused.
-    pub(super) fn record_refusal(&mut self, cost: f64) {
-        self.refused += cost;
+    pub(super) fn record_refusal(&mut self, cost: QuotaAmount) {
+        self.refused += cost.to_f64();
     }
 
     /// Whether the coordinator that the daemon follows has estimated a wait.
@@ -188,7 +207,8 @@
     /// What the next report tells the coordinator; `None` if there is no news.
     pub(super) fn need(&mut self, tenant: TenantKey, now: MonoTime) -> Option<QuotaNeed> {
         let wanted = self.demand.wanted(now);
-        let waiting: f64 = self.queue.iter().map(|(_, cost)| cost).sum();
+        let costs = self.queue.iter().map(|waiter| waiter.request.cost.to_f64());
+        let waiting: f64 = costs.sum();
         let is_returned = self.give_back(wanted + waiting);
         let is_short = self.bucket.tokens() < wanted * REFILL_FRACTION;
         let is_news = self.is_unreported || is_returned || is_short;
--- a/crates/ward-fleet/src/quota/mod.rs
+++ b/crates/ward-fleet/src/quota/mod.rs
@@ -23,7 +23,7 @@
 
 use ward_protocol::TimeSpan;
 
-pub use self::credit::{CreditAnswer, CreditStatus};
+pub use self::credit::{CreditAnswer, CreditRequest, CreditStatus};
 pub use self::issuer::{IssueContext, QuotaIssuer};
 pub use self::message::{QuotaBatch, QuotaGrant, QuotaNeed, TenantKey};
 pub use self::store::{CreditContext, CreditStore};
--- a/crates/ward-fleet/src/quota/store.rs
+++ b/crates/ward-fleet/src/quota/store.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use ward_protocol::{MonoTime, TimeSpan};
 
-use super::credit::{CreditAnswer, CreditStatus, TenantCredit};
+use super::credit::{CreditAnswer, CreditRequest, CreditStatus, TenantCredit};
 use super::message::{QuotaBatch, QuotaNeed, TenantKey};
 use super::{ALONE_DELAY, CREDIT_LIFETIME};
 use crate::limit::TokenBucket;
@@ -170,7 +170,7 @@
         &mut self,
         tenant: TenantKey,
         quota: TenantQuota,
-        cost: QuotaAmount,
+        request: CreditRequest,
         patience: TimeSpan,
         context: &CreditContext,
     ) -> CreditAnswer {
@@ -180,20 +180,20 @@
             .credits
             .entry(tenant)
             .or_insert_with(|| TenantCredit::new(quota, TokenBucket::since(start)));
-        let cost = cost.to_f64();
-        credit.record_demand(cost, context.now);
+        credit.record_demand(request.cost.to_f64(), context.now);
         if self.alone_since.is_some() {
-            return answer_alone(credit, cost, self.last_contact, context);
+            return answer_alone(credit, request, self.last_contact, context);
         }
-        if credit.take(cost) {
+        if credit.take(request) {
             return CreditAnswer::Granted;
         }
         let ticket = self.next_ticket;
         let wait = credit.expected_wait(context.now);
         // One request waits in any case, so that the daemon gets its turn.
-        let is_too_long = credit.has_queue() && credit.has_estimate() && wait > patience;
-        if is_too_long || !credit.enqueue(ticket, cost) {
-            credit.record_refusal(cost);
+        let has_queue = credit.has_queue(request.priority);
+        let is_too_long = has_queue && credit.has_estimate() && wait > patience;
+        if is_too_long || !credit.enqueue(ticket, request) {
+            credit.record_refusal(request.cost);
             return CreditAnswer::Refused(wait);
         }
         self.next_ticket += 1;
@@ -222,13 +222,13 @@
         if !is_alone && patience > TimeSpan::ZERO {
             return CreditAnswer::Waits(ticket);
         }
-        let Some(cost) = credit.dequeue(ticket) else {
+        let Some(request) = credit.dequeue(ticket) else {
             return CreditAnswer::Granted;
         };
         if is_alone {
-            return answer_alone(credit, cost, self.last_contact, context);
+            return answer_alone(credit, request, self.last_contact, context);
         }
-        credit.record_refusal(cost);
+        credit.record_refusal(request.cost);
         CreditAnswer::Refused(wait)
     }
 
@@ -302,15 +302,15 @@
 /// Takes a request's cost out of the equal share of a daemon that is alone.
 fn answer_alone(
     credit: &mut TenantCredit,
-    cost: f64,
+    request: CreditRequest,
     last_contact: Option<MonoTime>,
     context: &CreditContext,
 ) -> CreditAnswer {
     context.refill(credit, last_contact);
-    if credit.take(cost) {
+    if credit.take(request) {
         return CreditAnswer::Granted;
     }
-    credit.record_refusal(cost);
+    credit.record_refusal(request.cost);
     let per_second = context.share_per_second(&credit.quota);
-    CreditAnswer::Refused(credit.share_wait(cost, per_second))
+    CreditAnswer::Refused(credit.share_wait(request.cost.to_f64(), per_second))
 }
--- a/crates/ward-fleet/tests/quota/fleet.rs
+++ b/crates/ward-fleet/tests/quota/fleet.rs
@@ -6,8 +6,8 @@
 use indexmap::IndexMap;
 use ward_fleet::placement::MemberKey;
 use ward_fleet::{
-    CreditAnswer, CreditContext, CreditStore, IssueContext, QuotaAmount, QuotaBatch, QuotaIssuer,
-    QuotaNeed, QuotaRate, QuotaUnit, TenantKey, TenantQuota,
+    CreditAnswer, CreditContext, CreditRequest, CreditStore, IssueContext, QuotaAmount, QuotaBatch,
+    QuotaIssuer, QuotaNeed, QuotaRate, QuotaUnit, RequestPriority, TenantKey, TenantQuota,
 };
 use ward_protocol::{MonoTime, TimeSpan};
 
@@ -192,10 +192,13 @@
         if daemon.frozen_until > self.now {
             return CreditAnswer::Refused(TimeSpan::ZERO);
         }
-        let amount = QuotaAmount(cost);
+        let request = CreditRequest {
+            cost: QuotaAmount(cost),
+            priority: RequestPriority::default(),
+        };
         let answer = daemon
             .store
-            .request(tenant, quota, amount, patience, &context);
+            .request(tenant, quota, request, patience, &context);
         match answer {
             CreditAnswer::Granted => self.spent.push(Spending {
                 tenant,
--- a/crates/ward-gateway/src/front/quota.rs
+++ b/crates/ward-gateway/src/front/quota.rs
@@ -7,7 +7,10 @@
 use std::rc::Rc;
 
 use slog::info;
-use ward_fleet::{CreditAnswer, QuotaAmount, ServingManifest, TenantKey, TenantQuota};
+use ward_fleet::{
+    CreditAnswer, CreditRequest, QuotaAmount, RequestPriority, ServingManifest, TenantKey,
+    TenantQuota,
+};
 use ward_protocol::{MonoTime, TenantName, TimeSpan};
 
 use super::answer::OwnAnswer;
@@ -64,6 +67,7 @@
     tenant: TenantKey,
     quota: TenantQuota,
     cost: QuotaAmount,
+    priority: RequestPriority,
     /// When it is refused if it has got no credit.
     wait_until: MonoTime,
 }
@@ -93,6 +97,7 @@
         tenant: TenantKey::of(name),
         quota,
         cost: quota.unit.cost(routed.fields.tokens),
+        priority: routed.priority,
         wait_until: arrival + patience.max(MIN_WAIT).min(routed.timeout),
     };
     let result = request.charge().await;
@@ -124,7 +129,10 @@
         let answer = credits.borrow_mut().request(
             self.tenant,
             self.quota,
-            self.cost,
+            CreditRequest {
+                cost: self.cost,
+                priority: self.priority,
+            },
             self.wait_until.since(context.now),
             &context,
         );
