Test: metrics count the bytes of views and reports at both ends

peer_bytes_of_views_and_reports_are_counted_at_both_ends waits for the counters by direction, kind and zone; it fails without the metric, which has no such line.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod logging;
 mod memory;
 mod path;
+mod peer_bytes;
 mod repeated_orders;
 mod repeated_refusals;
 mod restored;
