--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod placement;
 pub mod position;
 pub mod queue;
+pub mod quota;
 pub mod record;
 pub mod settings;
 pub mod stop;
@@ -63,6 +64,10 @@
 pub use outage::{OutageDetector, ProbeNumber, WitnessCandidate, choose_witnesses};
 pub use position::{StoreEra, StorePosition};
 pub use queue::QueueRank;
+pub use quota::{
+    CreditAnswer, CreditContext, CreditStatus, CreditStore, IssueContext, QuotaBatch, QuotaGrant,
+    QuotaIssuer, QuotaNeed, TenantKey,
+};
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
 pub use stop::StopPlan;
--- a/crates/ward-gateway/src/coordinator/mod.rs
+++ b/crates/ward-gateway/src/coordinator/mod.rs
@@ -4,6 +4,7 @@
 mod outage;
 mod permits;
 mod publish;
+mod quotas;
 mod record;
 mod slot;
 mod term;
@@ -11,6 +12,7 @@
 
 pub(crate) use active::ActiveCoordinator;
 pub(crate) use permits::issue_permits;
+pub(crate) use quotas::issue_credit;
 pub(crate) use record::{StoredTerm, newest_term, stored_fleet};
 pub(crate) use slot::CoordinatorSlot;
 pub(crate) use term::{release_term, take_over};
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -26,6 +26,7 @@
 use crate::crash::{current_reports, record_news};
 use crate::gateway::Gateway;
 use crate::limit::{limit_sightings, receive_permits};
+use crate::quota::{begin_quota_link, end_quota_link, quota_needs, receive_grants};
 
 /// Time between two reports unless one is requested.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -79,6 +80,7 @@
             let outcome = follow_with_retries(&gateway, address, &mut observer).await;
             let was_followed = gateway.view_store_time.take().is_some();
             gateway.followed_since.set(None);
+            end_quota_link(&gateway);
             if was_followed {
                 gateway.unfollowed_since.set(Some(clock::now()));
             }
@@ -240,6 +242,7 @@
     let hello = MemberMessage::Hello(own_member(&gateway.settings()));
     send(gateway, address, &mut writer, &hello).await?;
     gateway.table.borrow_mut().permits.begin_link();
+    begin_quota_link(gateway);
     let mut encoder = ReportEncoder::default();
     send_report(gateway, address, &mut writer, &mut encoder).await?;
     info!(gateway.logger, "coordinator: connected"; "address" => %address);
@@ -277,6 +280,7 @@
                     }
                 }
                 CoordinatorMessage::Permits(batch) => receive_permits(gateway, &batch),
+                CoordinatorMessage::QuotaGrants(batch) => receive_grants(gateway, &batch),
                 CoordinatorMessage::Snapshot(_)
                 | CoordinatorMessage::Crashes(_)
                 | CoordinatorMessage::StreamsRecorded
@@ -394,6 +398,7 @@
         failed_probe: events.failed_probe,
         limits: limit_sightings(gateway, &events.limits),
         permit_needs: gateway.table.borrow().permits.needs(now),
+        quota_needs: quota_needs(gateway),
         sent_at: now,
     }
 }
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -15,7 +15,7 @@
 use super::snapshot::build_snapshot;
 use super::traffic::{MessageKind, ZoneRelation, count_received, count_sent};
 use crate::clock;
-use crate::coordinator::{ActiveCoordinator, issue_permits};
+use crate::coordinator::{ActiveCoordinator, issue_credit, issue_permits};
 use crate::crash::record_news;
 use crate::gateway::Gateway;
 use crate::streams::wait_until_listed;
@@ -159,12 +159,17 @@
             MemberMessage::Report(report) => {
                 let report = decoder.decode(*report)?;
                 gateway.record_manifest_version(report.manifest);
-                // Spare permits are issued with the next plan.
+                // Spare permits, and credit for later requests, are issued with the next
+                // plan.
                 let waits_for_permits = report.permit_needs.iter().any(|need| need.waiting > 0);
+                let waits_for_credit = report.quota_needs.iter().any(|need| need.waiting.0 > 0);
                 coordinator.apply_report(key, report, clock::now());
                 if waits_for_permits {
                     issue_permits(gateway, coordinator);
                 }
+                if waits_for_credit {
+                    issue_credit(gateway, coordinator);
+                }
             }
             MemberMessage::Leaving => coordinator.mark_leaving(key),
             MemberMessage::Hello(_)
