Complete views name what engines share once

Changes are small by now; a complete view goes to each daemon at each start and after each change of the coordinator, and names service, zone and software version of each engine.

Change: engines that are sent in full refer to a group of the same view for these and their slots.

Ruled out for now: a complete view only in what a daemon lacks (docs/design/fan-out.md).

--- a/crates/ward-fleet/src/compact/engine.rs
+++ b/crates/ward-fleet/src/compact/engine.rs
@@ -1,9 +1,13 @@
 //! Engines by number, and what changed of them.
 
+use std::net::SocketAddr;
+
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
-use ward_protocol::{AdapterName, ModelName};
+use ward_protocol::{AdapterName, BackendId, ModelName, ServiceName, SoftwareVersion, ZoneName};
 
-use crate::entry::HeldModel;
+use super::CompactError;
+use crate::entry::{EngineBirth, HeldModel};
 use crate::message::EngineInfo;
 
 /// Stands for an engine in the views of one term; never given to another engine of it.
@@ -21,12 +25,94 @@
 }
 
 /// An engine with the number that stands for it from now on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct NumberedEngine {
+    pub(super) number: EngineNumber,
+    pub(super) info: EngineInfo,
+}
+
+/// What many engines have in common.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct EngineGroup {
+    /// Service that the engines belong to.
+    pub service: ServiceName,
+    /// Availability zone that they run in.
+    pub zone: ZoneName,
+    /// Version of their software.
+    pub software: SoftwareVersion,
+    /// Number of requests that each can run concurrently.
+    pub slots: u32,
+}
+
+/// An engine in full, except for what its group tells.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NumberedEngine {
-    /// The number.
+pub struct GroupedEngine {
+    /// The number that stands for the engine from now on.
     pub number: EngineNumber,
-    /// The engine.
-    pub info: EngineInfo,
+    /// Index of its group in the view.
+    pub group: u32,
+    /// Identifier of the engine.
+    pub id: BackendId,
+    /// Address on which it accepts requests.
+    pub address: SocketAddr,
+    /// Whether it takes no new requests.
+    pub draining: bool,
+    /// Whether the store dropped its entry during an outage.
+    pub lapsed: bool,
+    /// Whether it ended under requests.
+    pub ended: bool,
+    /// Start time of its incarnation.
+    pub birth: Option<EngineBirth>,
+    /// Models and adapters that it serves.
+    pub holding: Vec<HeldModel>,
+}
+
+impl GroupedEngine {
+    /// Splits an engine from its group, which is added to `groups` if it is not there.
+    pub(super) fn split(engine: NumberedEngine, groups: &mut IndexSet<EngineGroup>) -> Self {
+        let NumberedEngine { number, info } = engine;
+        let (index, _) = groups.insert_full(EngineGroup {
+            service: info.service,
+            zone: info.zone,
+            software: info.software,
+            slots: info.slots,
+        });
+        Self {
+            number,
+            group: u32::try_from(index).unwrap_or(u32::MAX),
+            id: info.id,
+            address: info.address,
+            draining: info.draining,
+            lapsed: info.lapsed,
+            ended: info.ended,
+            birth: info.birth,
+            holding: info.holding,
+        }
+    }
+
+    /// Joins an engine with its group.
+    pub(super) fn join(self, groups: &[EngineGroup]) -> Result<NumberedEngine, CompactError> {
+        let index = usize::try_from(self.group).unwrap_or(usize::MAX);
+        let group = groups.get(index);
+        let group = group.ok_or(CompactError::UnknownNumber(self.group))?;
+        let info = EngineInfo {
+            id: self.id,
+            service: group.service.clone(),
+            address: self.address,
+            zone: group.zone.clone(),
+            software: group.software.clone(),
+            slots: group.slots,
+            draining: self.draining,
+            lapsed: self.lapsed,
+            ended: self.ended,
+            birth: self.birth,
+            holding: self.holding,
+        };
+        Ok(NumberedEngine {
+            number: self.number,
+            info,
+        })
+    }
 }
 
 /// What changed of an engine whose incarnation stayed the same.
--- a/crates/ward-fleet/src/compact/mod.rs
+++ b/crates/ward-fleet/src/compact/mod.rs
@@ -5,7 +5,8 @@
 //! each view to all daemons and receives the reports of all of them, so what stands in
 //! them twice grows with hosts times engines. Engines, and the models and adapters that
 //! a daemon has requests for, get numbers with their first mention; after it, a number
-//! and a count are sent, and only if the count changed.
+//! and a count are sent, and only if the count changed. A complete view is long, too, and a
+//! new coordinator sends one to each daemon: what many engines share stands in it once.
 //!
 //! Each end of a connection keeps what the other end knows. Decoding gives back the
 //! [`FleetView`](crate::FleetView) or [`LoadReport`](crate::LoadReport) that was
@@ -19,7 +20,7 @@
 
 use quick_error::quick_error;
 
-pub use engine::{EngineNumber, EngineUpdate, HeldChange, NumberedEngine};
+pub use engine::{EngineGroup, EngineNumber, EngineUpdate, GroupedEngine, HeldChange};
 pub use keys::{KeyNumber, KeyedCount, RunningKey, WaitingKey};
 pub use report::{CompactReport, ReportDecoder, ReportEncoder};
 pub use view::{CompactLoads, CompactView, NumberedLoad, ViewDecoder, ViewEncoder};
--- a/crates/ward-fleet/src/compact/view.rs
+++ b/crates/ward-fleet/src/compact/view.rs
@@ -9,7 +9,7 @@
 use ward_protocol::{BackendId, FenceNumber};
 
 use super::CompactError;
-use super::engine::{EngineNumber, EngineUpdate, NumberedEngine};
+use super::engine::{EngineGroup, EngineNumber, EngineUpdate, GroupedEngine, NumberedEngine};
 use crate::message::{EngineInfo, EngineLoad, FleetView};
 
 /// A view in which engines have numbers, and only changed counts are sent.
@@ -17,8 +17,10 @@
 pub struct CompactView {
     /// The view without engines and their loads.
     pub rest: FleetView,
+    /// What the engines that are sent in full have in common.
+    pub groups: Vec<EngineGroup>,
     /// Engines that are sent in full.
-    pub engines: Vec<NumberedEngine>,
+    pub engines: Vec<GroupedEngine>,
     /// Changes to the other engines.
     pub updates: Vec<EngineUpdate>,
     /// Engines that were removed.
@@ -85,8 +87,10 @@
                 .insert(info.id.clone(), NumberedEngine { number, info });
         }
         let loads = view.loads.take();
+        let (groups, engines) = split_groups(engines);
         CompactView {
             rest: view,
+            groups,
             engines,
             updates,
             gone,
@@ -104,9 +108,11 @@
         let diverged: Vec<_> = diverged.copied().collect();
         self.diverged.extend(diverged);
         view.engines.clear();
+        let (groups, engines) = split_groups(self.engines.values().cloned());
         CompactView {
             rest: view,
-            engines: self.engines.values().cloned().collect(),
+            groups,
+            engines,
             updates: Vec::new(),
             gone: Vec::new(),
             loads: Some(CompactLoads {
@@ -165,6 +171,18 @@
     }
 }
 
+/// Splits engines from what they have in common.
+fn split_groups(
+    engines: impl IntoIterator<Item = NumberedEngine>,
+) -> (Vec<EngineGroup>, Vec<GroupedEngine>) {
+    let mut groups = IndexSet::new();
+    let engines = engines.into_iter();
+    let engines = engines
+        .map(|engine| GroupedEngine::split(engine, &mut groups))
+        .collect();
+    (groups.into_iter().collect(), engines)
+}
+
 fn numbered_loads(counts: IndexMap<EngineNumber, u32>) -> Vec<NumberedLoad> {
     let loads = counts.into_iter();
     loads
@@ -202,6 +220,7 @@
             decoded.gone.push(engine.id);
         }
         for engine in view.engines {
+            let engine = engine.join(&view.groups)?;
             decoded.engines.push(engine.info.clone());
             self.engines.insert(engine.number, engine.info);
         }
--- a/crates/ward-fleet/tests/compact.rs
+++ b/crates/ward-fleet/tests/compact.rs
@@ -279,3 +279,27 @@
     let numbered = encode(&encoder.encode_changes(view)).unwrap().len();
     expect_that!(5 * numbered, le(named), "{numbered} of {named} bytes");
 }
+
+/// Load pattern: a new coordinator sends a complete view with 3,000 engines, most of them
+/// alike, to each daemon.
+#[gtest]
+fn complete_view_repeated_what_engines_share() {
+    let engines = (0..3_000).map(|number| {
+        let mut engine = info(&format!("i-{number:010}"), &[]);
+        engine.birth = Some(EngineBirth(1_780_000_000_000 + number));
+        engine.service = support::name("reservations");
+        engine.zone = support::name("central-north-1");
+        (engine.id.clone(), engine)
+    });
+    let fleet: IndexMap<_, _> = engines.collect();
+    let mut encoder = ViewEncoder::default();
+    let infos = fleet.values().cloned().collect();
+    encoder.encode_changes(changes(infos, Vec::new(), None));
+    let view = complete(&fleet, Vec::new());
+    let named = encode(&view).unwrap().len();
+    let message = encoder.encode_complete(view.clone());
+    let compact = encode(&message).unwrap().len();
+    expect_that!(3 * compact, le(2 * named), "{compact} of {named} bytes");
+    let decoded = ViewDecoder::default().decode(message).unwrap();
+    expect_that!(decoded.engines, eq(&view.engines));
+}
