--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! coordinator, the one daemon that gives orders to engines, also keeps a
 //! [`placement::PlacementState`] and plans which engine loads which model.
 
+pub mod admission;
 pub mod budget;
 pub mod choice;
 pub mod compact;
@@ -28,6 +29,7 @@
 pub mod quota;
 pub mod record;
 pub mod settings;
+pub mod silence;
 pub mod stop;
 pub mod streams;
 pub mod table;
@@ -66,10 +68,11 @@
 pub use queue::QueueRank;
 pub use quota::{
     CreditAnswer, CreditContext, CreditStatus, CreditStore, IssueContext, QuotaBatch, QuotaGrant,
-    QuotaIssuer, QuotaNeed, TenantKey,
+    QuotaIssuer, QuotaNeed, QuotaTolerance, TenantKey,
 };
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
+pub use silence::{EngineRuns, RunInquiry};
 pub use stop::StopPlan;
 pub use streams::{
     ServedVersions, StreamNews, StreamNote, StreamOrigin, StreamRecord, StreamRegister,
--- a/crates/ward-stage/src/engine/answer.rs
+++ b/crates/ward-stage/src/engine/answer.rs
@@ -20,10 +20,11 @@
 use ward_fleet::RequestRate;
 use ward_protocol::SoftwareVersion;
 
-use super::resume::resumed_answer;
+use super::plain::{breaks_off, is_unframed, plain_answer};
+use super::resume::{long_event, repeated_events, resumed_answer, second_copy};
 use super::software::event_text;
 use super::{CRASHING_PART, CRASHING_PATH, CrashKind, EngineFault, SharedEngine};
-use crate::ledger::{OrderRecord, RefusalRecord, RunRecord};
+use crate::ledger::{OrderRecord, RefusalRecord, RunGuard, RunRecord};
 use crate::reply::{AbortConnection, StageBody, full_response, streamed_response};
 
 /// One frame of the answer of [`EngineFault::Endless`].
@@ -97,6 +98,7 @@
         models: &state.entry.models,
         busy: state.is_busy(),
         sequence: state.sequence,
+        runs: shared.ledger.active_runs(state.entry.id.as_str()),
     });
     full_response(StatusCode::OK, body)
 }
@@ -178,8 +180,14 @@
         shared_parts: received.shared_parts.clone(),
         begun_at: Instant::now(),
         resumed: received.last_event_id.is_some(),
+        tenants: received.tenants.clone(),
+        has_key: received.has_key,
     });
+    let run = shared.ledger.begin_run(&engine, id);
     tokio::time::sleep(PROCESSING_TIME).await;
+    if let EngineFault::SlowHead(span) = fault {
+        tokio::time::sleep(span).await;
+    }
     let crashes = match fault {
         EngineFault::Crash(_) => path.contains(CRASHING_PATH),
         EngineFault::CrashOnPart(_) => {
@@ -209,7 +217,7 @@
         }
         _ => {
             let software = shared.lock().entry.software.clone();
-            Ok(build_answer(fault, received, &engine, &software, path))
+            Ok(build_answer(fault, received, run, &software, path))
         }
     }
 }
@@ -226,7 +234,7 @@
 fn build_answer(
     fault: EngineFault,
     received: &ReceivedHeaders,
-    engine: &str,
+    run: RunGuard,
     software: &SoftwareVersion,
     path: &str,
 ) -> Response<StageBody> {
@@ -236,7 +244,7 @@
     } else {
         received.id.as_ref()
     };
-    let signed_headers = signed_answer_headers(id, engine);
+    let signed_headers = signed_answer_headers(id, run.engine());
     match fault {
         EngineFault::CrossedRefusal | EngineFault::CrossedPause => {
             return crossed_refusal(&other_id, fault == EngineFault::CrossedPause);
@@ -258,28 +266,18 @@
     if fault == EngineFault::Endless {
         return streamed_response(StatusCode::OK, signed_headers, endless_body());
     }
-    let is_unframed = matches!(fault, EngineFault::Unframed | EngineFault::UnframedCut);
-    let breaks_off = matches!(
-        fault,
-        EngineFault::BreakOff | EngineFault::NoEventIds | EngineFault::Resumed(_)
-    );
+    let is_unframed = is_unframed(fault);
+    let breaks_off = breaks_off(fault);
     if received.model.is_none() {
-        let mut response = full_response(StatusCode::OK, format!("served {path}"));
-        response.headers_mut().extend(signed_headers);
-        if is_unframed {
-            remove_framing(&mut response);
-        }
-        if fault == EngineFault::OtherFraming {
-            response.headers_mut().remove(CONTENT_LENGTH);
-        }
-        if breaks_off {
-            // A content length beyond the body makes the server close the connection.
-            let headers = response.headers_mut();
-            headers.insert(CONTENT_LENGTH, 10_000.into());
-        }
-        return response;
+        return plain_answer(fault, path, signed_headers);
     }
     let first_event = received.last_event_id.map_or(1, |event| event + 1);
+    match fault {
+        EngineFault::SecondCopy => return second_copy(first_event, signed_headers),
+        EngineFault::LongEvent => return long_event(run, signed_headers),
+        EngineFault::RepeatedEvents => return repeated_events(first_event, signed_headers),
+        _ => {}
+    }
     let interval = if path.contains(SLOWEST_PATH) {
         SLOWEST_EVENT_INTERVAL
     } else if path.contains(SLOW_PATH) {
@@ -294,8 +292,10 @@
         } else {
             event_text(number, &event_software)
         };
+        // The run lasts as long as its events.
+        let _ = &run;
         async move {
-            tokio::time::sleep(interval).await;
+            tokio::time::sleep(interval + pause_before(fault, number)).await;
             if breaks_off && number >= first_event + 2 {
                 return Err(AbortConnection);
             }
@@ -328,6 +328,14 @@
     response
 }
 
+/// Time for which a run is preempted before one of its events.
+const fn pause_before(fault: EngineFault, event: u64) -> Duration {
+    match fault {
+        EngineFault::Preempt(span) if event == 3 => span,
+        _ => Duration::ZERO,
+    }
+}
+
 /// A refusal of another request, which may also ask for a pause, announce that the
 /// engine leaves and name a limit.
 fn crossed_refusal(other_id: &HeaderValue, asks_for_pause: bool) -> Response<StageBody> {
--- a/crates/ward-stage/src/engine/fault.rs
+++ b/crates/ward-stage/src/engine/fault.rs
@@ -19,8 +19,16 @@
     /// Like [`Self::Unframed`], but streams end inside their third event; the connection
     /// is closed, not reset.
     UnframedCut,
+    /// Like [`Self::Unframed`], but plain answers stop in the middle of their body; the
+    /// connection stays open.
+    UnframedHalf,
     /// Sends plain answers in chunks, and streams with a content length.
     OtherFraming,
+    /// Stops after two events of each stream, and writes the answer once more, its head
+    /// included; the stream ends with its connection.
+    SecondCopy,
+    /// Begins again after two events of each stream, which has a content length.
+    RepeatedEvents,
     /// Like [`Self::BreakOff`], but the events of streams have no id.
     NoEventIds,
     /// Like [`Self::BreakOff`], but streams that are resumed have this fault instead.
@@ -61,6 +69,12 @@
     /// Refuses all requests with status 503 as not executed, with a Retry-After of
     /// this time.
     RetryAfter(Duration),
+    /// Sends the beginning of a long event in each stream, and nothing more.
+    LongEvent,
+    /// Begins each answer after this time.
+    SlowHead(Duration),
+    /// Preempts each stream for this time before its third event.
+    Preempt(Duration),
     /// Announces in a header of each answer that the engine is leaving, but not in
     /// heartbeats.
     Leaving,
--- a/crates/ward-stage/src/engine/resume.rs
+++ b/crates/ward-stage/src/engine/resume.rs
@@ -12,8 +12,11 @@
     CUT_EVENT, EVENT_COUNT, EVENT_STREAM, endless_body, failure_status, remove_framing, trickle,
 };
 use super::software::plain_event_text;
+use crate::ledger::RunGuard;
 use crate::reply::{StageBody, full_response, streamed_response};
 
+const LONG_EVENT_BYTES: usize = 240 << 10;
+
 /// The answer to a request that resumes a stream after the event `last_event`; `headers`
 /// are the id and signature of an answer.
 pub(super) fn resumed_answer(
@@ -58,6 +61,53 @@
     }
 }
 
+/// A stream that stops after two events and comes once more with its head.
+pub(super) fn second_copy(first: u64, headers: HeaderMap) -> Response<StageBody> {
+    let mut text = two_events(first);
+    text.push_str("HTTP/1.1 200 OK\r\n");
+    let lines = headers.iter().map(|(name, value)| {
+        let value = value.to_str().unwrap_or_default();
+        format!("{name}: {value}\r\n")
+    });
+    text.extend(lines);
+    text.push_str("\r\n");
+    text.push_str(&events_from(first));
+    let mut response = event_response(headers, text);
+    remove_framing(&mut response);
+    response
+}
+
+/// A stream that begins again after two events and ends where its length does.
+pub(super) fn repeated_events(first: u64, headers: HeaderMap) -> Response<StageBody> {
+    let events = events_from(first);
+    let mut text = two_events(first) + &events;
+    text.truncate(events.len());
+    event_response(headers, text)
+}
+
+/// The beginning of an event, within the length that daemons buffer, without end.
+pub(super) fn long_event(run: RunGuard, mut headers: HeaderMap) -> Response<StageBody> {
+    headers.insert(CONTENT_TYPE, EVENT_STREAM);
+    let part = Bytes::from(format!("data: {}", "x".repeat(LONG_EVENT_BYTES)));
+    let part = stream::once(async { Ok(Frame::data(part)) });
+    let rest = stream::once(async move {
+        let _run = run;
+        std::future::pending().await
+    });
+    let body = part.chain(rest).boxed();
+    streamed_response(StatusCode::OK, headers, body)
+}
+
+fn two_events(first: u64) -> String {
+    (first..first + 2).map(plain_event_text).collect()
+}
+
+fn event_response(headers: HeaderMap, text: String) -> Response<StageBody> {
+    let mut response = whole_response(StatusCode::OK, headers, text);
+    response.headers_mut().insert(CONTENT_TYPE, EVENT_STREAM);
+    response
+}
+
 fn events_from(first: u64) -> String {
     (first..=EVENT_COUNT).map(plain_event_text).collect()
 }
