Daemons without a coordinator use the quotas by the size of their hosts

Cause: callers are sent to the large hosts of their zone, 6 of 86 on the shifted site, while each daemon's share without a coordinator was 1/86: 7% of each quota.

Change: the large hosts share nine tenths of each quota, the others the rest. Which hosts are large is judged by those known in ten minutes, so that a part that is cut off doesn't take over the others' shares; the coordinator hands out what the connected daemons' shares amount to.

--- a/crates/ward-fleet/src/directory.rs
+++ b/crates/ward-fleet/src/directory.rs
@@ -17,7 +17,7 @@
 const MIN_HOSTS: usize = 2;
 /// A host is left out when the largest one is more than this many times its
 /// size.
-const MAX_SIZE_RATIO: u64 = 3;
+pub(crate) const MAX_SIZE_RATIO: u64 = 3;
 
 /// Addresses for callers in a zone, largest hosts first, at most `limit`. For a
 /// caller without a known zone (`None`), hosts of all zones are listed.
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -68,8 +68,8 @@
 pub use position::{StoreEra, StorePosition};
 pub use queue::QueueRank;
 pub use quota::{
-    CreditAnswer, CreditContext, CreditRequest, CreditStatus, CreditStore, IssueContext,
-    QuotaBatch, QuotaGrant, QuotaIssuer, QuotaNeed, QuotaTolerance, TenantKey,
+    CreditAnswer, CreditContext, CreditRequest, CreditStatus, CreditStore, HostShares,
+    IssueContext, QuotaBatch, QuotaGrant, QuotaIssuer, QuotaNeed, QuotaTolerance, TenantKey,
 };
 pub use record::{FleetRecord, StoredFleet};
 pub use settings::{CoreShare, HostCapacity, HostSettings, LinkRate, ServingBounds};
--- a/crates/ward-fleet/src/quota/issuer.rs
+++ b/crates/ward-fleet/src/quota/issuer.rs
@@ -33,6 +33,8 @@
     tenants: IndexMap<TenantKey, TenantLedger>,
     /// When each daemon sent its latest report, by its own clock, and when it arrived.
     reports: IndexMap<MemberKey, (MonoTime, MonoTime)>,
+    /// Shares of daemons in the quotas while they are alone, where they aren't equal.
+    shares: IndexMap<MemberKey, f64>,
     /// Tenants of which some daemon may lack credit.
     pending: IndexSet<TenantKey>,
     issued_at: Option<MonoTime>,
@@ -57,12 +59,15 @@
     /// alone already.
     fn fill_share(&self, context: &IssueContext) -> FillShare {
         let now = context.now;
-        let reports = self.reports.values();
+        let reports = self.reports.iter();
         let is_heard = |at: MonoTime| now.since(at) < SILENCE;
-        let heard = reports.filter(|(_, at)| is_heard(*at)).count();
-        let all = context.daemons.max(heard).max(1);
+        let heard = reports.filter(|(_, (_, at))| is_heard(*at));
+        let heard: Vec<_> = heard.map(|(member, _)| *member).collect();
+        let all = context.daemons.max(heard.len()).max(1);
+        let equal_share = 1.0 / usize_to_f64(all);
+        let share_of = |member| self.shares.get(member).copied().unwrap_or(equal_share);
         FillShare {
-            share: usize_to_f64(heard) / usize_to_f64(all),
+            share: heard.iter().map(share_of).sum::<f64>().min(1.0),
             slack: context.slack,
             active_since: self.active_since,
             now,
@@ -86,9 +91,15 @@
         }
     }
 
+    /// Records the share of a daemon in the quotas while it is alone.
+    pub fn record_share(&mut self, member: MemberKey, share: f64) {
+        self.shares.insert(member, share);
+    }
+
     /// Removes a daemon that disconnected.
     pub fn remove_member(&mut self, member: MemberKey, now: MonoTime) {
         self.reports.shift_remove(&member);
+        self.shares.shift_remove(&member);
         for ledger in self.tenants.values_mut() {
             ledger.remove_member(member, now);
         }
--- a/crates/ward-fleet/src/quota/ledger.rs
+++ b/crates/ward-fleet/src/quota/ledger.rs
@@ -83,7 +83,7 @@
 /// What buckets fill with.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct FillShare {
-    /// Fraction of the daemons that get credit. The others go on with equal shares.
+    /// Share in the quotas of the daemons that get credit. The others go on with theirs.
     pub(super) share: f64,
     /// Amount by which a tenant may exceed its quota in a window.
     pub(super) slack: QuotaAmount,
--- a/crates/ward-fleet/src/quota/mod.rs
+++ b/crates/ward-fleet/src/quota/mod.rs
@@ -18,6 +18,7 @@
 mod issuer;
 mod ledger;
 mod message;
+mod shares;
 mod store;
 mod tolerance;
 
@@ -26,6 +27,7 @@
 pub use self::credit::{CreditAnswer, CreditRequest, CreditStatus};
 pub use self::issuer::{IssueContext, QuotaIssuer};
 pub use self::message::{QuotaBatch, QuotaGrant, QuotaNeed, TenantKey};
+pub use self::shares::HostShares;
 pub use self::store::{CreditContext, CreditStore};
 pub use self::tolerance::QuotaTolerance;
 
--- a/crates/ward-fleet/src/quota/store.rs
+++ b/crates/ward-fleet/src/quota/store.rs
@@ -1,8 +1,8 @@
 //! The credit that one daemon holds of all tenants.
 //!
 //! While messages of a coordinator arrive, credit comes only with its grants. Otherwise
-//! the daemon is alone: it refills its credit with an equal share of the rate, and soon
-//! keeps no more than an equal share of all credit. A daemon that was frozen finds that it
+//! the daemon is alone: it refills its credit with its share of the rate, and soon keeps
+//! no more than its share of all credit. A daemon that was frozen finds that it
 //! has been alone before it reads any message, so it never uses credit that was handed out
 //! again.
 
@@ -13,7 +13,6 @@
 use super::message::{QuotaBatch, QuotaNeed, TenantKey};
 use super::{ALONE_DELAY, CREDIT_LIFETIME};
 use crate::limit::TokenBucket;
-use crate::number::usize_to_f64;
 use crate::tenant::{QuotaAmount, TenantQuota};
 
 /// Fraction of the slack that daemons save up in sum while they are alone, in addition to
@@ -25,8 +24,8 @@
 /// What credit depends on besides the messages of the coordinator.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CreditContext {
-    /// Number of daemons that share the quotas.
-    pub daemons: usize,
+    /// Share of this daemon in each quota while it is alone.
+    pub share: f64,
     /// Amount by which a tenant may exceed its quota in a window.
     pub slack: QuotaAmount,
     /// Window over which the use of a quota is counted.
@@ -38,18 +37,18 @@
 impl CreditContext {
     /// This daemon's share of the rate of a quota, per second.
     fn share_per_second(&self, quota: &TenantQuota) -> f64 {
-        quota.rate.per_second() / usize_to_f64(self.daemons.max(1))
+        quota.rate.per_second() * self.share
     }
 
     /// Credit that this daemon holds at most while it is alone.
     fn share_capacity(&self, quota: &TenantQuota) -> f64 {
         let saved = self.slack.to_f64() * ALONE_SLACK_FRACTION;
-        (quota.capacity(self.slack) + saved) / usize_to_f64(self.daemons.max(1))
+        (quota.capacity(self.slack) + saved) * self.share
     }
 
     /// Credit that this daemon gets at once when it becomes alone.
     fn start_credit(&self) -> f64 {
-        self.slack.to_f64() * START_SLACK_FRACTION / usize_to_f64(self.daemons.max(1))
+        self.slack.to_f64() * START_SLACK_FRACTION * self.share
     }
 
     /// Refills the credit of a daemon that is alone. Until its credit is handed out again,
--- a/crates/ward-gateway/src/coordinator/quotas.rs
+++ b/crates/ward-gateway/src/coordinator/quotas.rs
@@ -22,6 +22,13 @@
     if coordinator.quota_version.replace(Some(manifest.version)) != Some(manifest.version) {
         issuer.adopt(&enforced_quotas(gateway, &manifest), &context);
     }
+    let shares = gateway.quota.shares.borrow();
+    for (key, link) in coordinator.links.borrow().iter() {
+        let member = link.member.as_ref();
+        if let Some(share) = member.and_then(|member| shares.share(&member.daemon)) {
+            issuer.record_share(*key, share);
+        }
+    }
     let batches = issuer.issue(&context);
     drop(issuer);
     let links = coordinator.links.borrow();
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -11,7 +11,7 @@
 use crate::gateway::Gateway;
 use crate::leaving::report_missed_leaving;
 use crate::limit::record_told_limits;
-use crate::quota::record_quota_contact;
+use crate::quota::{record_quota_contact, record_sharing_hosts};
 
 /// Applies a view; returns whether its engines are outdated, because this daemon has read
 /// the store more recently than the coordinator, which is another daemon.
@@ -33,6 +33,7 @@
     gateway.streams.record_sightings(&view.versions);
     view.apply_members(&mut gateway.members.borrow_mut());
     gateway.record_daemon_count(gateway.members.borrow().len());
+    record_sharing_hosts(gateway);
     report_missed_leaving(gateway, view);
     record_told_limits(gateway, &view.limits, view.complete);
     gateway.view_engines_position.set(view.engines_position);
--- a/crates/ward-gateway/src/quota.rs
+++ b/crates/ward-gateway/src/quota.rs
@@ -1,13 +1,14 @@
 //! The credit that this daemon holds of the tenants' quotas, and its exchange with the
 //! coordinator.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use indexmap::IndexMap;
 use slog::info;
 use tokio::sync::Notify;
+use ward_fleet::number::usize_to_f64;
 use ward_fleet::{
-    CreditContext, CreditStore, QuotaBatch, QuotaNeed, QuotaTolerance, ServingManifest,
+    CreditContext, CreditStore, HostShares, QuotaBatch, QuotaNeed, QuotaTolerance, ServingManifest,
     TenantDirectory, TenantKey, TenantQuota,
 };
 use ward_protocol::MonoTime;
@@ -20,6 +21,10 @@
     pub(crate) credits: RefCell<CreditStore>,
     /// Notified when waiting requests may get credit, or be refused.
     pub(crate) changed: Notify,
+    /// Shares of all daemons in the quotas while they follow no coordinator.
+    pub(crate) shares: RefCell<HostShares>,
+    /// The share of this daemon; `None` until it is known.
+    own_share: Cell<Option<f64>>,
 }
 
 impl QuotaState {
@@ -27,15 +32,31 @@
         Self {
             credits: RefCell::new(CreditStore::new(now)),
             changed: Notify::new(),
+            shares: RefCell::default(),
+            own_share: Cell::default(),
         }
     }
 }
 
+/// Share of this daemon in each quota while it follows no coordinator.
+fn own_share(gateway: &Gateway) -> f64 {
+    let equal_share = || 1.0 / usize_to_f64(gateway.budget_daemons().max(1));
+    gateway.quota.own_share.get().unwrap_or_else(equal_share)
+}
+
+/// Records the daemons that are known now.
+pub(crate) fn record_sharing_hosts(gateway: &Gateway) {
+    let mut shares = gateway.quota.shares.borrow_mut();
+    shares.record(&gateway.members.borrow(), clock::now());
+    let own = shares.share(&gateway.settings().daemon);
+    gateway.quota.own_share.set(own);
+}
+
 /// What the credit of this daemon depends on now.
 pub(crate) fn credit_context(gateway: &Gateway) -> CreditContext {
     let bounds = gateway.settings().bounds;
     CreditContext {
-        daemons: gateway.budget_daemons(),
+        share: own_share(gateway),
         slack: bounds.quota_slack,
         window: bounds.quota_window,
         now: clock::now(),
