--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -20,6 +20,7 @@
 use super::refusal::{Refusal, blocked_refusal, not_run, refuse};
 use super::resume::{required_software, stream_try};
 use super::route::{RoutedRequest, origin_target, requested_host, route_request};
+use super::tenant::required_key;
 use crate::buffer::BufferError;
 use crate::clock;
 use crate::crash::request_block;
@@ -354,6 +355,7 @@
             deadline: (arrival + routed.first_byte_timeout) - MIN_SERVICE_TIME,
             first_part: gateway.queue.expected_first_part(&routed.route.name),
         },
+        api_key: required_key(routed),
         avoided: IndexSet::new(),
         phase,
     }
--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -13,7 +13,6 @@
 use super::collect::collect_answer;
 use super::refusal::{Refusal, blocked_refusal, not_run, refuse};
 use super::route::RoutedRequest;
-use super::tenant::check_withdrawal;
 use crate::clock;
 use crate::forward::{
     Attempt, AttemptFailure, AttemptRequest, RelayStart, StreamRelay, send_attempt,
@@ -67,9 +66,6 @@
                 Ok(slot) => slot,
                 Err(failure) => return self.wait_failure_result(progress, failure),
             };
-            if let Err(refusal) = check_withdrawal(gateway, &self.routed) {
-                return self.withdrawn_result(progress, refusal);
-            }
             let waited = clock::now().since(self.arrival);
             gateway.metrics.waited.observe(waited.seconds());
             let engine = slot.engine.id.clone();
@@ -248,18 +244,6 @@
         Err(refuse(OwnAnswer::BadEngine, "the engine broke off"))
     }
 
-    /// The result for a request whose API key was withdrawn while it waited.
-    fn withdrawn_result(
-        &self,
-        mut progress: Progress,
-        refusal: Refusal,
-    ) -> Result<Response<AnswerBody>, Refusal> {
-        if progress.runs > 0 {
-            return self.final_result(&mut progress, AttemptFailure::Unknown);
-        }
-        Err(refusal)
-    }
-
     /// The result for a request that got no slot at an engine.
     fn wait_failure_result(
         &self,
@@ -286,6 +270,10 @@
                 refuse(OwnAnswer::NotRun(wait), "its engines take too few requests")
             }
             WaitFailure::Blocked(block) => blocked_refusal(block),
+            WaitFailure::KeyWithdrawn => refuse(
+                OwnAnswer::UnknownKey,
+                "its API key was withdrawn while it waited",
+            ),
             WaitFailure::NoEngine if self.ticket.software.is_some() => {
                 not_run("the service has no engine of the stream's software version")
             }
--- a/crates/ward-gateway/src/front/tenant.rs
+++ b/crates/ward-gateway/src/front/tenant.rs
@@ -1,10 +1,10 @@
 //! Tells the tenant of a request from its API key.
 //!
 //! A key is checked against the manifest in force when the request arrives, also on a
-//! connection that is kept open, and again when a waiting request gets an engine.
+//! connection that is kept open. The queue checks it again while the request waits.
 
 use ward_adapter::header::CallerKey;
-use ward_fleet::{RequestPriority, ServingManifest, ServingRoute};
+use ward_fleet::{ApiKeyDigest, RequestPriority, ServingManifest, ServingRoute};
 use ward_protocol::TenantName;
 
 use super::answer::OwnAnswer;
@@ -57,27 +57,8 @@
     }
 }
 
-/// Checks that no newer manifest has withdrawn the key of a request that has waited.
-///
-/// # Errors
-/// A refusal if it has.
-pub(super) fn check_withdrawal(gateway: &Gateway, routed: &RoutedRequest) -> Result<(), Refusal> {
-    let Some(tenant) = &routed.tenant else {
-        return Ok(());
-    };
-    let manifest = gateway.manifest();
-    let tenants = manifest
-        .as_ref()
-        .and_then(|manifest| manifest.tenants.as_ref());
-    let Some(tenants) = tenants.filter(|_| !routed.route.is_public) else {
-        return Ok(());
-    };
-    let key = routed.fields.key.digest();
-    if key.and_then(|digest| tenants.holder(digest)) == Some(tenant) {
-        return Ok(());
-    }
-    Err(refuse(
-        OwnAnswer::UnknownKey,
-        "its API key was withdrawn while it waited",
-    ))
+/// The key that a request keeps needing while it waits; `None` if it needs none.
+pub(super) fn required_key(routed: &RoutedRequest) -> Option<ApiKeyDigest> {
+    let needs_key = routed.tenant.is_some() && !routed.route.is_public;
+    routed.fields.key.digest().filter(|_| needs_key).copied()
 }
--- a/crates/ward-gateway/src/queue/dispatch.rs
+++ b/crates/ward-gateway/src/queue/dispatch.rs
@@ -13,9 +13,8 @@
 use super::limited::{PermitDemand, permit_wait_if_late, want_spare_permits};
 use super::slot::EngineSlot;
 use super::ticket::{WaitFailure, WaitKey, WaitTicket};
-use super::{choose_engine_for, occupy_slot, pause_if_late};
+use super::{check_allowed, choose_engine_for, occupy_slot, pause_if_late};
 use crate::clock;
-use crate::crash::request_block;
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
 
@@ -36,8 +35,8 @@
         if !is_waiting(gateway, number) {
             continue;
         }
-        if let Some(block) = request_block(gateway, &ticket.identity) {
-            fail_wait(gateway, number, WaitFailure::Blocked(block));
+        if let Err(failure) = check_allowed(gateway, &ticket) {
+            fail_wait(gateway, number, failure);
             continue;
         }
         let key = ticket.key();
--- a/crates/ward-gateway/src/queue/mod.rs
+++ b/crates/ward-gateway/src/queue/mod.rs
@@ -235,9 +235,7 @@
     gateway: &Rc<Gateway>,
     ticket: WaitTicket,
 ) -> Result<EngineSlot, WaitFailure> {
-    if let Some(block) = request_block(gateway, &ticket.identity) {
-        return Err(WaitFailure::Blocked(block));
-    }
+    check_allowed(gateway, &ticket)?;
     gateway.queue.record_arrival(&ticket);
     match choose_engine_for(gateway, &ticket) {
         EngineChoice::Engine(id) => {
@@ -285,6 +283,26 @@
     wait_for_slot(gateway, ticket).await
 }
 
+/// Checks that a request may still be sent to engines: it has not crashed any, and its API
+/// key is in force.
+fn check_allowed(gateway: &Gateway, ticket: &WaitTicket) -> Result<(), WaitFailure> {
+    if let Some(block) = request_block(gateway, &ticket.identity) {
+        return Err(WaitFailure::Blocked(block));
+    }
+    let manifest = gateway.manifest();
+    let tenants = manifest
+        .as_ref()
+        .and_then(|manifest| manifest.tenants.as_ref());
+    let is_withdrawn = match (&ticket.api_key, tenants) {
+        (Some(key), Some(tenants)) => tenants.holder(key).is_none(),
+        _ => false,
+    };
+    if is_withdrawn {
+        return Err(WaitFailure::KeyWithdrawn);
+    }
+    Ok(())
+}
+
 async fn wait_for_slot(
     gateway: &Rc<Gateway>,
     ticket: WaitTicket,
--- a/crates/ward-gateway/src/queue/ticket.rs
+++ b/crates/ward-gateway/src/queue/ticket.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexSet;
 use ward_fleet::admission::{RequestWork, ShareClass};
 use ward_fleet::queue::RequestTimes;
-use ward_fleet::{EngineRequirement, QueueRank, RequestPriority};
+use ward_fleet::{ApiKeyDigest, EngineRequirement, QueueRank, RequestPriority};
 use ward_protocol::{
     AdapterName, BackendId, ModelName, MonoTime, PartId, RequestFingerprint, ServiceName,
     SoftwareVersion, TimeSpan,
@@ -53,6 +53,8 @@
     /// Its kind and size, which must not be starved.
     pub(crate) class: ShareClass<RequestKind>,
     pub(crate) times: RequestTimes,
+    /// API key that the request needs; `None` if it needs none.
+    pub(crate) api_key: Option<ApiKeyDigest>,
     /// Engines that should not receive the request again.
     pub(crate) avoided: IndexSet<BackendId>,
     pub(crate) phase: SharedPhase,
@@ -124,6 +126,8 @@
     /// Only engines with a rate limit can serve the request, and not within its time; the
     /// caller may retry after this time.
     Limited(TimeSpan),
+    /// The API key of the request was withdrawn.
+    KeyWithdrawn,
     /// The request, or a part of its prompt, has crashed engines.
     Blocked(RequestBlock),
     /// The daemon is shutting down, so another one must serve the request.
