--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod position;
 pub mod queue;
 pub mod quota;
+mod rate;
 pub mod record;
 pub mod settings;
 pub mod silence;
--- a/crates/ward-fleet/src/tenant/quota.rs
+++ b/crates/ward-fleet/src/tenant/quota.rs
@@ -1,14 +1,9 @@
 //! Quotas of tenants: rates and amounts of requests or of tokens.
 
-use std::fmt;
-use std::str::FromStr;
+use ward_protocol::number_id;
 
-use serde::{Deserialize, Serialize};
-use ward_protocol::{IdError, TimeSpan, number_id};
-
-use crate::number::{floor_to_u64, u64_to_f64};
-
-const MILLIS_PER_UNIT: f64 = 1_000.0;
+use crate::number::u64_to_f64;
+use crate::rate::rate_type;
 
 number_id!(
     /// An amount of what a quota limits: requests or tokens.
@@ -23,55 +18,10 @@
     }
 }
 
-/// A rate of what a quota limits, in thousandths per second; written as `2.8/s`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct QuotaRate(pub u64);
-
-impl QuotaRate {
-    /// Units per second.
-    #[must_use]
-    pub const fn per_second(self) -> f64 {
-        u64_to_f64(self.0) / MILLIS_PER_UNIT
-    }
-
-    /// Units within a time span.
-    #[must_use]
-    pub fn within(self, span: TimeSpan) -> f64 {
-        self.per_second() * span.seconds()
-    }
-}
-
-/// From units per second, rounded down.
-impl TryFrom<f64> for QuotaRate {
-    type Error = IdError;
-
-    fn try_from(per_second: f64) -> Result<Self, IdError> {
-        if !per_second.is_finite() || per_second < 0.0 {
-            return Err(IdError::Number("quota rate"));
-        }
-        Ok(Self(floor_to_u64(per_second * MILLIS_PER_UNIT)))
-    }
-}
-
-impl fmt::Display for QuotaRate {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}/s", self.per_second())
-    }
-}
-
-impl FromStr for QuotaRate {
-    type Err = IdError;
-
-    fn from_str(text: &str) -> Result<Self, IdError> {
-        let digits = text.strip_suffix("/s").unwrap_or(text);
-        let per_second: f64 = digits
-            .trim()
-            .parse()
-            .map_err(|_| IdError::Number("quota rate"))?;
-        Self::try_from(per_second)
-    }
-}
+rate_type!(
+    /// A rate of what a quota limits, in thousandths per second; written as `2.8/s`.
+    QuotaRate, "quota rate"
+);
 
 /// The tokens that a request names.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/ward-gateway/src/forward/attempt.rs
+++ b/crates/ward-gateway/src/forward/attempt.rs
@@ -7,10 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::{info, warn};
-use ward_adapter::header::{
-    RetryAfter, answer_id, closes_connection, has_leaving_header, keep_alive_timeout,
-    parse_retry_after,
-};
+use ward_adapter::header::{RetryAfter, answer_id, has_leaving_header, parse_retry_after};
 use ward_adapter::{AnswerFields, ForwardFields};
 use ward_fleet::EngineIncarnation;
 use ward_fleet::health::EngineSignal;
@@ -349,35 +346,6 @@
     });
 }
 
-/// Whether a connection may be reused after an answer, and for how long.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ConnectionReuse {
-    closes: bool,
-    keep_alive: Option<TimeSpan>,
-}
-
-impl ConnectionReuse {
-    pub(super) fn of(answer: &Response<Incoming>) -> Self {
-        Self {
-            closes: closes_connection(answer.headers()),
-            keep_alive: keep_alive_timeout(answer.headers()),
-        }
-    }
-
-    pub(super) fn put_back(
-        self,
-        gateway: &Gateway,
-        slot: &EngineSlot,
-        connection: EngineConnection,
-    ) {
-        if !self.closes {
-            gateway
-                .pool
-                .put_back(&slot.engine.id, connection, self.keep_alive);
-        }
-    }
-}
-
 pub(super) fn record_signal(gateway: &Gateway, slot: &EngineSlot, signal: EngineSignal) {
     let mut table = gateway.table.borrow_mut();
     table.record_signal(&slot.engine.id, signal, clock::now());
--- a/crates/ward-gateway/src/forward/mod.rs
+++ b/crates/ward-gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod pool;
 mod relay;
 mod resume;
+mod reuse;
 mod silence;
 
 pub(crate) use attempt::{Attempt, AttemptFailure, AttemptRequest, send_attempt};
--- a/crates/ward-gateway/src/forward/relay.rs
+++ b/crates/ward-gateway/src/forward/relay.rs
@@ -17,10 +17,11 @@
 use ward_fleet::health::EngineSignal;
 use ward_protocol::{MonoTime, TimeSpan};
 
-use super::attempt::{Attempt, AttemptRequest, ConnectionReuse, record_signal};
+use super::attempt::{Attempt, AttemptRequest, record_signal};
 use super::ending::{joined_end, unframed_end};
 use super::framing::StreamFraming;
 use super::pool::EngineConnection;
+use super::reuse::ConnectionReuse;
 use super::silence::SilenceWatch;
 use crate::buffer::BufferShare;
 use crate::clock;
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -6,34 +6,30 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::io::BufReader;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::Instant;
 use ward_adapter::StoreTopic;
 use ward_fleet::{
-    CoordinatorMessage, FleetRecord, FleetView, HostMember, HostSettings, LeaseWindow, LoadReport,
-    MemberMessage, ProbeNumber, ReportEncoder, TermObserver, ViewDecoder,
+    CoordinatorMessage, FleetRecord, FleetView, LeaseWindow, MemberMessage, ProbeNumber,
+    ReportEncoder, TermObserver, ViewDecoder,
 };
 use ward_protocol::{MonoTime, TimeSpan, WallTime};
 
 use super::check::drop_unreachable_members;
-use super::frame::{FrameSize, PeerError, encode_frame, read_sized_frame};
-use super::traffic::{MessageKind, ZoneRelation, count_received, count_sent};
+use super::frame::{PeerError, read_sized_frame};
+use super::report::{own_member, send, send_report, send_reports};
+use super::traffic::{MessageKind, ZoneRelation, count_received};
 use super::view::apply_view;
 use crate::clock;
 use crate::coordinator::{StoredTerm, newest_term, stored_fleet, take_over};
-use crate::crash::{current_reports, record_news};
+use crate::crash::record_news;
 use crate::gateway::Gateway;
-use crate::limit::{limit_sightings, receive_permits};
-use crate::quota::{begin_quota_link, end_quota_link, quota_needs, receive_grants};
+use crate::limit::receive_permits;
+use crate::quota::{begin_quota_link, end_quota_link, receive_grants};
 
-/// Time between two reports unless one is requested.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// Minimum time between two reports.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(4);
 /// Time after which the coordinator counts as lost if it sends or reads no message.
-const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub(super) const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(1_200);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between searches for a coordinator on a host that is not among the largest;
 /// each search reads the store.
@@ -315,95 +311,7 @@
     }
 }
 
-async fn send_reports(
-    gateway: &Gateway,
-    address: SocketAddr,
-    mut writer: OwnedWriteHalf,
-    mut encoder: ReportEncoder,
-) -> Result<(), PeerError> {
-    let mut leaving_sent = false;
-    loop {
-        let earliest = Instant::now() + MIN_REPORT_INTERVAL;
-        // Waits for the interval or until a report is requested.
-        let requested = gateway.report_requested.notified();
-        drop(tokio::time::timeout(REPORT_INTERVAL, requested).await);
-        tokio::time::sleep_until(earliest).await;
-        if gateway.is_stopping() && !leaving_sent {
-            send(gateway, address, &mut writer, &MemberMessage::Leaving).await?;
-            leaving_sent = true;
-        }
-        send_report(gateway, address, &mut writer, &mut encoder).await?;
-    }
-}
-
-/// Sends a report with what changed since the last one.
-async fn send_report(
-    gateway: &Gateway,
-    address: SocketAddr,
-    writer: &mut OwnedWriteHalf,
-    encoder: &mut ReportEncoder,
-) -> Result<(), PeerError> {
-    let report = Box::new(encoder.encode(build_report(gateway)));
-    send(gateway, address, writer, &MemberMessage::Report(report)).await
-}
-
-async fn send(
-    gateway: &Gateway,
-    address: SocketAddr,
-    writer: &mut OwnedWriteHalf,
-    message: &MemberMessage,
-) -> Result<(), PeerError> {
-    let frame = encode_frame(message)?;
-    match tokio::time::timeout(COORDINATOR_TIMEOUT, writer.write_all(&frame)).await {
-        Ok(result) => result?,
-        Err(_) => return Err(PeerError::Timeout),
-    }
-    let relation = ZoneRelation::to_address(gateway, address.ip());
-    let size = FrameSize(frame.len());
-    count_sent(gateway, MessageKind::from(message), relation, size);
-    Ok(())
-}
-
 /// Whether the coordinator cannot reach the store although this daemon can.
 fn is_coordinator_isolated(gateway: &Gateway, view: &FleetView) -> bool {
     view.store_age > MAX_STORE_AGE && gateway.consecutive_reads.get() >= MIN_CONSECUTIVE_READS
 }
-
-/// The description of this daemon that it sends to the coordinator.
-pub(super) fn own_member(settings: &HostSettings) -> HostMember {
-    HostMember {
-        daemon: settings.daemon.clone(),
-        zone: settings.zone.clone(),
-        callers: settings.callers,
-        peers: settings.peers,
-        capacity: settings.capacity,
-    }
-}
-
-fn build_report(gateway: &Gateway) -> LoadReport {
-    let events = gateway.take_report_events();
-    let now = clock::now();
-    LoadReport {
-        running: gateway.table.borrow().running_counts(),
-        manifest: gateway
-            .manifest()
-            .map(|manifest| manifest.version)
-            .unwrap_or_default(),
-        waiting: gateway.queue.waiting_counts(),
-        arrivals: events.arrivals,
-        crashes: current_reports(&events.crashes, now),
-        leaving: events.leaving,
-        cleared: events.cleared,
-        cleared_parts: events
-            .cleared_parts
-            .iter()
-            .map(|clearance| clearance.cleared_part(now))
-            .collect(),
-        misplaced: events.misplaced,
-        failed_probe: events.failed_probe,
-        limits: limit_sightings(gateway, &events.limits),
-        permit_needs: gateway.table.borrow().permits.needs(now),
-        quota_needs: quota_needs(gateway),
-        sent_at: now,
-    }
-}
--- a/crates/ward-gateway/src/hub/mod.rs
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -6,6 +6,7 @@
 mod check;
 mod frame;
 mod member;
+mod report;
 mod server;
 mod snapshot;
 mod traffic;
