--- a/crates/ward-fleet/src/quota/mod.rs
+++ b/crates/ward-fleet/src/quota/mod.rs
@@ -10,8 +10,10 @@
 //! ([`CreditStore`]). All credit and the bucket together stay within the burst and a part
 //! of the slack that the deployment allows, so that in any window no more than the rate,
 //! the burst and the slack are spent, whichever messages are lost. A daemon that hears
-//! nothing from a coordinator goes on with an equal share, and the coordinator hands out
-//! only the shares of connected daemons.
+//! nothing from a coordinator goes on with its share by the size of its host
+//! ([`HostShares`]), and the coordinator hands out only the shares of connected daemons.
+//! What is enforced of a quota follows from the tolerance of the deployment
+//! ([`QuotaTolerance`]).
 
 mod credit;
 mod demand;
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use indexmap::IndexSet;
@@ -183,17 +184,7 @@
     let (mut head, body) = request.into_parts();
     remove_credentials(&mut head.headers);
     let max_bytes = manifest.limits.body_bytes;
-    let connection = head.extensions.get();
-    let body = tokio::select! {
-        biased;
-        body = read_body(gateway, body, max_bytes, routed.timeout) => body?,
-        () = gateway.connections.body_refused(connection) => {
-            return Err(not_run("there is no memory left for a body that is still to come"));
-        }
-    };
-    if !gateway.connections.record_whole_request(connection) {
-        return Err(not_run("its connection is closed to make room for others"));
-    }
+    let body = receive_body(gateway, &head, body, max_bytes, routed.timeout).await?;
     let identity = RequestIdentity {
         request_id: routed.fields.id_text().into(),
         fingerprint: fingerprint(&head.uri, &body),
@@ -214,20 +205,21 @@
     let software = required_software(gateway, &mut routed).await?;
     gateway.record_request(&routed.service);
     record_arrival(gateway, &routed);
+    let request = AttemptRequest {
+        id: routed.fields.id.clone(),
+        id_text: routed.fields.id_text().to_owned(),
+        method: head.method,
+        target: origin_target(&head.uri),
+        headers: head.headers,
+        body,
+        deadline: arrival + routed.timeout,
+        tenant: routed.tenant.clone(),
+        priority: engine_priority(&routed, manifest.tenants.is_some()),
+        need: connection_need(&routed),
+        asks_runs: routed.route.kind == RouteKind::ResumableStream,
+    };
     let job = ServeJob {
-        request: AttemptRequest {
-            id: routed.fields.id.clone(),
-            id_text: routed.fields.id_text().to_owned(),
-            method: head.method,
-            target: origin_target(&head.uri),
-            headers: head.headers,
-            body,
-            deadline: arrival + routed.timeout,
-            tenant: routed.tenant.clone(),
-            priority: engine_priority(&routed, manifest.tenants.is_some()),
-            need: connection_need(&routed),
-            asks_runs: routed.route.kind == RouteKind::ResumableStream,
-        },
+        request,
         ticket: WaitTicket {
             software,
             ..wait_ticket(gateway, &routed, identity, arrival, phase)
@@ -239,6 +231,28 @@
     job.run(gateway).await
 }
 
+/// Reads the body of a request, unless its connection must give way to others first.
+async fn receive_body(
+    gateway: &Gateway,
+    head: &Parts,
+    body: Incoming,
+    max_bytes: usize,
+    timeout: TimeSpan,
+) -> Result<Bytes, Refusal> {
+    let connection = head.extensions.get();
+    let body = tokio::select! {
+        biased;
+        body = read_body(gateway, body, max_bytes, timeout) => body?,
+        () = gateway.connections.body_refused(connection) => {
+            return Err(not_run("there is no memory left for a body that is still to come"));
+        }
+    };
+    if !gateway.connections.record_whole_request(connection) {
+        return Err(not_run("its connection is closed to make room for others"));
+    }
+    Ok(body)
+}
+
 /// Whether the answer to a request can end before the process does; always true unless the
 /// daemon is shutting down.
 fn can_end_in_time(gateway: &Gateway, routed: &RoutedRequest) -> bool {
