Configuration: log and count what a late manifest waited for

The logs couldn't tell the hypotheses apart: they named neither the time since a newer version was first heard of, nor the size and source of a manifest, nor requests decided meanwhile, nor a late thread.

manifest: in force now has behind_ms, bytes, from; request: own answer has behind_ms; new metrics ward_manifest_delay_seconds, ward_manifest_reads_total, ward_outdated_routing_seconds, ward_thread_delay_seconds. The manifest's state moves out of Gateway into a module of its own; VersionTracker keeps the versions heard of with their times.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod streams;
 pub mod table;
 pub mod tenant;
+mod version_tracker;
 
 pub use budget::{DaemonCount, RetryBudget};
 pub use choice::{ChoiceContext, EngineRequirement, choose_engine};
@@ -85,3 +86,4 @@
     ApiKeyDigest, QuotaAmount, QuotaRate, QuotaUnit, RequestPriority, TenantClass, TenantDirectory,
     TenantQuota, TokenCount,
 };
+pub use version_tracker::VersionTracker;
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -284,7 +284,7 @@
             slow_models(&coordinator.state.borrow(), &manifest, now)
         });
         let inputs = ViewInputs {
-            manifest: gateway.newest_manifest.get(),
+            manifest: gateway.manifests.newest_version(),
             slow,
             versions: gateway.streams.sightings(),
             store_era: gateway.store.era(),
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -89,6 +89,7 @@
                 gateway.logger, "request: own answer"; "request" => id_text, "path" => path,
                 "wanted" => requested, "outcome" => refusal.answer.label(), "why" => refusal.reason, "millis" => millis,
                 "manifest" => gateway.manifest().map(|manifest| manifest.version.0),
+                "behind_ms" => gateway.manifests.behind_for().map(TimeSpan::millis),
                 "waiting" => gateway.queue.len(),
             );
             refusal.answer.response(id.as_ref())
--- a/crates/ward-gateway/src/front/route.rs
+++ b/crates/ward-gateway/src/front/route.rs
@@ -38,6 +38,7 @@
     host: &str,
     path: &str,
 ) -> Result<RoutedRequest, Refusal> {
+    record_outdated_routing(gateway);
     let route = manifest
         .find_route(host, path)
         .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest matches"))?
@@ -60,6 +61,14 @@
     })
 }
 
+/// Records for how long the manifest that routes a request has been known to be outdated.
+fn record_outdated_routing(gateway: &Gateway) {
+    if let Some(behind) = gateway.manifests.behind_for() {
+        let seconds = behind.duration().as_secs_f64();
+        gateway.metrics.outdated_routings.observe(seconds);
+    }
+}
+
 /// The lowercase host name that a request is addressed to, without a port.
 pub(super) fn requested_host<B>(request: &Request<B>) -> String {
     let header = host_header(request.headers());
--- a/crates/ward-gateway/src/front/tenant.rs
+++ b/crates/ward-gateway/src/front/tenant.rs
@@ -33,7 +33,7 @@
     if route.is_public {
         return Ok(None);
     }
-    if gateway.newest_manifest.get() > manifest.version {
+    if gateway.manifests.newest_version() > manifest.version {
         return Err(not_run("its key may be in a manifest not read yet"));
     }
     let reason = match key {
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use slog::{Logger, info};
+use slog::Logger;
 use tokio::sync::{Notify, watch};
 use ward_adapter::StoreClient;
 use ward_fleet::{
     AnsweredParts, AnsweredRequests, CrashDetector, CrashLedger, DaemonCount, EngineIncarnation,
-    EngineTable, HostMember, HostSettings, ManifestVersion, ProbeNumber, RetryBudget, RunningCount,
-    ServingManifest, StopPlan, StorePosition, WaitingCount,
+    EngineTable, HostMember, HostSettings, ProbeNumber, RetryBudget, RunningCount, ServingManifest,
+    StopPlan, StorePosition, WaitingCount,
 };
 use ward_protocol::{
     BackendId, Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime,
@@ -24,9 +24,10 @@
 use crate::crash::{PartClearance, TimedReport};
 use crate::forward::{EnginePool, InquiryDesk};
 use crate::front::ConnectionRegistry;
+use crate::manifest::ManifestState;
 use crate::metrics::GatewayMetrics;
 use crate::queue::WaitQueue;
-use crate::quota::{QuotaState, adopt_quotas};
+use crate::quota::QuotaState;
 use crate::streams::StreamState;
 
 const STORE_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
@@ -70,10 +71,7 @@
     pub(crate) report_events: RefCell<ReportEvents>,
     pub(crate) members: RefCell<Vec<HostMember>>,
     pub(crate) coordinator: CoordinatorSlot,
-    /// Newest manifest version that any daemon is known to have.
-    pub(crate) newest_manifest: Cell<ManifestVersion>,
-    /// Wakes the manifest reader when `newest_manifest` rises.
-    pub(crate) manifest_outdated: Notify,
+    pub(crate) manifests: ManifestState,
     /// Position up to which the coordinator had read the engines topic, from its last
     /// view; taken by the next read of this daemon.
     pub(crate) view_engines_position: Cell<Option<StorePosition>>,
@@ -110,9 +108,6 @@
     /// Address of the last coordinator that this daemon connected to, or that a
     /// snapshot named.
     pub(crate) coordinator_address: Cell<Option<SocketAddr>>,
-    manifest: RefCell<Option<Rc<ServingManifest>>>,
-    /// The manifest in force, byte for byte as the operator wrote it.
-    manifest_text: RefCell<Vec<u8>>,
     budgets: RefCell<IndexMap<ServiceName, RetryBudget>>,
     daemons: Cell<DaemonCount>,
 }
@@ -174,8 +169,7 @@
             report_events: RefCell::default(),
             members: RefCell::default(),
             coordinator: CoordinatorSlot::default(),
-            newest_manifest: Cell::default(),
-            manifest_outdated: Notify::new(),
+            manifests: ManifestState::default(),
             view_engines_position: Cell::default(),
             store_recovered: Notify::new(),
             load_limit: Cell::default(),
@@ -190,8 +184,6 @@
             stop_plan: Cell::default(),
             final_answers_due: watch::Sender::default(),
             coordinator_address: Cell::default(),
-            manifest: RefCell::default(),
-            manifest_text: RefCell::default(),
             budgets: RefCell::default(),
             daemons: Cell::default(),
         }
@@ -204,46 +196,7 @@
 
     /// The manifest in force; `None` until a first one is known.
     pub(crate) fn manifest(&self) -> Option<Rc<ServingManifest>> {
-        self.manifest.borrow().clone()
-    }
-
-    /// The manifest in force, byte for byte as the operator wrote it.
-    pub(crate) fn manifest_text(&self) -> Option<Vec<u8>> {
-        self.manifest()?;
-        Some(self.manifest_text.borrow().clone())
-    }
-
-    /// Puts a manifest in force, unless the same or a newer version already is.
-    pub(crate) fn adopt_manifest(&self, manifest: ServingManifest, text: &[u8]) {
-        let version = manifest.version;
-        let current = self.manifest().map(|current| current.version);
-        if current.is_some_and(|current| current >= version) {
-            return;
-        }
-        info!(
-            self.logger, "manifest: in force";
-            "version" => version.0, "former" => current.map(|current| current.0),
-            "routes" => manifest.routes.len(), "services" => manifest.services.len(),
-        );
-        self.metrics
-            .manifest
-            .set(i64::try_from(version.0).unwrap_or(i64::MAX));
-        self.newest_manifest
-            .set(self.newest_manifest.get().max(version));
-        adopt_quotas(self, &manifest);
-        text.clone_into(&mut self.manifest_text.borrow_mut());
-        *self.manifest.borrow_mut() = Some(Rc::new(manifest));
-        self.queue.notify_change();
-    }
-
-    /// Records a manifest version that another daemon has, and wakes the manifest
-    /// reader if it is newer than all known ones.
-    pub(crate) fn record_manifest_version(&self, version: ManifestVersion) {
-        if version <= self.newest_manifest.get() {
-            return;
-        }
-        self.newest_manifest.set(version);
-        self.manifest_outdated.notify_one();
+        self.manifests.current()
     }
 
     /// Sleeps until the store is available again, at most for `max_delay`.
@@ -287,7 +240,7 @@
     /// Whether requests can be routed: a manifest and engines are known, and the
     /// daemon is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.manifest.borrow().is_some() && self.engines_known.get()
+        !self.is_stopping() && self.manifests.is_known() && self.engines_known.get()
     }
 
     /// Records how many daemons are known now.
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -184,7 +184,7 @@
         match message {
             MemberMessage::Report(report) => {
                 let report = decoder.decode(*report)?;
-                gateway.record_manifest_version(report.manifest);
+                gateway.manifests.record_version(report.manifest);
                 // Spare permits, and credit for later requests, are issued with the next
                 // plan.
                 let waits_for_permits = report.permit_needs.iter().any(|need| need.waiting > 0);
--- a/crates/ward-gateway/src/hub/snapshot.rs
+++ b/crates/ward-gateway/src/hub/snapshot.rs
@@ -22,6 +22,7 @@
 use crate::crash::record_news;
 use crate::gateway::Gateway;
 use crate::limit::record_told_limits;
+use crate::manifest::{ManifestOrigin, adopt_manifest};
 
 const SNAPSHOT_FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum number of daemons queried in one round, one after another.
@@ -31,7 +32,7 @@
 pub(super) fn build_snapshot(gateway: &Gateway) -> FleetSnapshot {
     let table = gateway.table.borrow();
     FleetSnapshot {
-        manifest: gateway.manifest_text(),
+        manifest: gateway.manifests.text(),
         engines: table.iter().map(|engine| engine.info.clone()).collect(),
         members: gateway.members.borrow().clone(),
         crashes: gateway.crashes.borrow().news(clock::now()),
@@ -90,7 +91,7 @@
     );
     let text = snapshot.manifest.unwrap_or_default();
     match decode_manifest(&text) {
-        Ok(manifest) => gateway.adopt_manifest(manifest, &text),
+        Ok(manifest) => adopt_manifest(gateway, manifest, &text, ManifestOrigin::Peer),
         Err(cause) => warn!(gateway.logger, "manifest: invalid in the snapshot"; "cause" => %cause),
     }
     record_news(
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -42,7 +42,7 @@
     if view.loads.is_some() {
         gateway.queue.set_slow_models(&view.slow, now);
     }
-    gateway.record_manifest_version(view.manifest);
+    gateway.manifests.record_version(view.manifest);
     for fingerprint in &view.cleared {
         clear_crashes(gateway, fingerprint);
     }
--- a/crates/ward-gateway/src/lib.rs
+++ b/crates/ward-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod hub;
 mod leaving;
 mod limit;
+mod manifest;
 mod metrics;
 mod phase;
 mod queue;
--- a/crates/ward-gateway/src/sync/manifest.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -20,6 +20,8 @@
 use crate::gateway::Gateway;
 use crate::hub::request_snapshot;
 
+use super::state::{ManifestOrigin, adopt_manifest};
+
 /// Duration of a long poll while views would announce a new manifest.
 const LONG_POLL_WAIT: TimeSpan = TimeSpan::from_millis(25_000);
 /// Duration of a long poll otherwise; bounds how long a dead connection goes
@@ -53,9 +55,10 @@
                 continue;
             }
             () = wait_until_outdated(&gateway) => {
+                gateway.metrics.count_manifest_read("abandoned");
                 info!(
                     gateway.logger, "manifest: read restarted";
-                    "heard_of" => gateway.newest_manifest.get().0,
+                    "heard_of" => gateway.manifests.newest_version().0,
                 );
                 next_position = None;
                 continue;
@@ -64,6 +67,7 @@
         match result {
             Ok(tail) => {
                 gateway.metrics.count_store_call(true);
+                gateway.metrics.count_manifest_read("whole");
                 if std::mem::replace(&mut backoff, MIN_BACKOFF) != MIN_BACKOFF {
                     gateway.store_recovered.notify_waiters();
                 }
@@ -76,11 +80,12 @@
             }
             Err(cause) => {
                 gateway.metrics.count_store_call(false);
+                gateway.metrics.count_manifest_read("failed");
                 warn!(gateway.logger, "manifest: read failed"; "cause" => %cause);
                 if cause.is_position_lost() {
                     next_position = None;
                 }
-                if is_outdated(&gateway) {
+                if gateway.manifests.is_outdated() {
                     request_snapshot(&gateway).await;
                 }
                 tokio::time::sleep(backoff).await;
@@ -120,9 +125,9 @@
 /// to return but did not.
 async fn wait_until_outdated(gateway: &Gateway) {
     loop {
-        gateway.manifest_outdated.notified().await;
+        gateway.manifests.outdated.notified().await;
         tokio::time::sleep(OWN_READ_GRACE).await;
-        if is_outdated(gateway) {
+        if gateway.manifests.is_outdated() {
             return;
         }
     }
@@ -135,23 +140,18 @@
     while gateway.has_current_view()
         && gateway.store_outage.get()
         && !gateway.coordinator.is_active()
-        && !is_outdated(gateway)
+        && !gateway.manifests.is_outdated()
         && clock::now().since(start) < MAX_OUTAGE_WAIT
     {
         tokio::time::sleep(VIEW_POLL_INTERVAL).await;
     }
 }
 
-/// Whether this daemon has no manifest, or another daemon has a newer one.
-fn is_outdated(gateway: &Gateway) -> bool {
-    let own = gateway.manifest().map(|manifest| manifest.version);
-    own.is_none_or(|own| own < gateway.newest_manifest.get())
-}
-
 /// Whether the store has just given an older manifest than another daemon has: it came back
 /// from a copy, and the operator has not written again yet.
 fn is_store_outdated(gateway: &Gateway) -> bool {
-    gateway.newest_manifest.get() > ManifestVersion::default() && is_outdated(gateway)
+    gateway.manifests.newest_version() > ManifestVersion::default()
+        && gateway.manifests.is_outdated()
 }
 
 /// Whether the store has come back from a copy at some time, and no coordinator tells
@@ -180,7 +180,7 @@
         return;
     };
     match decode_manifest(&record.value) {
-        Ok(manifest) => gateway.adopt_manifest(manifest, &record.value),
+        Ok(manifest) => adopt_manifest(gateway, manifest, &record.value, ManifestOrigin::Store),
         Err(cause) => {
             warn!(
                 gateway.logger, "manifest: invalid record ignored";
--- /dev/null
+++ b/crates/ward-gateway/src/manifest/state.rs
@@ -0,0 +1,120 @@
+//! The manifest in force, and what is known of newer ones.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use slog::info;
+use tokio::sync::Notify;
+use ward_fleet::{ManifestVersion, ServingManifest, VersionTracker};
+use ward_protocol::TimeSpan;
+
+use crate::clock;
+use crate::gateway::Gateway;
+use crate::quota::adopt_quotas;
+
+/// The manifest of one daemon.
+#[derive(Default)]
+pub(crate) struct ManifestState {
+    current: RefCell<Option<Rc<ServingManifest>>>,
+    /// The manifest in force, byte for byte as the operator wrote it.
+    text: RefCell<Vec<u8>>,
+    versions: RefCell<VersionTracker>,
+    /// Wakes the reader when a newer version becomes known.
+    pub(super) outdated: Notify,
+}
+
+/// Where a manifest was read.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum ManifestOrigin {
+    Store,
+    Peer,
+}
+
+impl ManifestOrigin {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+impl ManifestState {
+    /// The manifest in force; `None` until a first one is known.
+    pub(crate) fn current(&self) -> Option<Rc<ServingManifest>> {
+        self.current.borrow().clone()
+    }
+
+    /// Whether a manifest is in force.
+    pub(crate) fn is_known(&self) -> bool {
+        self.current.borrow().is_some()
+    }
+
+    /// The manifest in force, byte for byte as the operator wrote it.
+    pub(crate) fn text(&self) -> Option<Vec<u8>> {
+        self.is_known().then(|| self.text.borrow().clone())
+    }
+
+    /// The newest version that any daemon is known to have.
+    pub(crate) fn newest_version(&self) -> ManifestVersion {
+        self.versions.borrow().newest()
+    }
+
+    /// Whether there is no manifest, or another daemon has a newer one.
+    pub(crate) fn is_outdated(&self) -> bool {
+        !self.is_known() || self.behind_for().is_some()
+    }
+
+    /// Time for which a newer version than the one in force has been known; `None` if none
+    /// is.
+    pub(crate) fn behind_for(&self) -> Option<TimeSpan> {
+        let since = self.versions.borrow().behind_since()?;
+        Some(clock::now().since(since))
+    }
+
+    /// Records a version that another daemon has, and wakes the reader if it is newer than
+    /// all known ones.
+    pub(crate) fn record_version(&self, version: ManifestVersion) {
+        let is_newer = self.versions.borrow_mut().record(version, clock::now());
+        if is_newer {
+            self.outdated.notify_one();
+        }
+    }
+}
+
+/// Puts a manifest in force, unless the same or a newer version already is.
+pub(crate) fn adopt_manifest(
+    gateway: &Gateway,
+    manifest: ServingManifest,
+    text: &[u8],
+    origin: ManifestOrigin,
+) {
+    let state = &gateway.manifests;
+    let version = manifest.version;
+    let current = state.current().map(|current| current.version);
+    if current.is_some_and(|current| current >= version) {
+        return;
+    }
+    let delay = state.behind_for();
+    info!(
+        gateway.logger, "manifest: in force";
+        "version" => version.0, "former" => current.map(|current| current.0),
+        "routes" => manifest.routes.len(), "services" => manifest.services.len(),
+        "bytes" => text.len(), "from" => origin.label(),
+        "behind_ms" => delay.map(TimeSpan::millis),
+    );
+    let metrics = &gateway.metrics;
+    metrics
+        .manifest
+        .set(i64::try_from(version.0).unwrap_or(i64::MAX));
+    if let Some(delay) = delay {
+        metrics
+            .manifest_delay
+            .observe(delay.duration().as_secs_f64());
+    }
+    adopt_quotas(gateway, &manifest);
+    text.clone_into(&mut state.text.borrow_mut());
+    *state.current.borrow_mut() = Some(Rc::new(manifest));
+    state.versions.borrow_mut().adopt(version);
+    gateway.queue.notify_change();
+}
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -75,6 +75,15 @@
     /// Bytes of messages between daemons by direction, kind of message, and whether the
     /// other daemon runs in another availability zone.
     pub(crate) peer_bytes: IntCounterVec,
+    /// Seconds from when a newer manifest became known until one was in force.
+    pub(crate) manifest_delay: Histogram,
+    /// Reads of the manifest by end: whole, failed, or abandoned for a newer version.
+    manifest_reads: IntCounterVec,
+    /// Seconds for which a newer manifest had been known when a request was routed; only
+    /// requests that were routed by an older one are counted.
+    pub(crate) outdated_routings: Histogram,
+    /// Seconds by which a timer of the daemon's thread was late.
+    pub(crate) thread_delay: Histogram,
     /// Version of the manifest in force.
     pub(crate) manifest: IntGauge,
     /// 1 while this daemon is the coordinator, otherwise 0.
@@ -88,6 +97,11 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
+    /// Counts a read of the manifest by its end.
+    pub(crate) fn count_manifest_read(&self, end: &str) {
+        self.manifest_reads.with_label_values(&[end]).inc();
+    }
+
     /// Counts a request of a tenant with a quota.
     pub(crate) fn count_charge(&self, tenant: &str, admitted: bool) {
         let result = if admitted { "admitted" } else { "refused" };
@@ -164,6 +178,20 @@
                 Opts::new("ward_peer_bytes_total", "bytes between daemons"),
                 &["direction", "kind", "zone"],
             )?,
+            manifest_delay: latency_histogram(
+                "ward_manifest_delay_seconds",
+                "from hearing of a newer manifest until in force",
+            )?,
+            manifest_reads: counter_vec(
+                "ward_manifest_reads_total",
+                "reads of the manifest by end",
+                "end",
+            )?,
+            outdated_routings: latency_histogram(
+                "ward_outdated_routing_seconds",
+                "age of the knowledge that the manifest used for routing is outdated",
+            )?,
+            thread_delay: latency_histogram("ward_thread_delay_seconds", "lateness of a timer")?,
             manifest: IntGauge::new("ward_manifest_version", "manifest in force")?,
             coordinates: IntGauge::new("ward_coordinates", "1 on the coordinator")?,
             registry,
@@ -198,6 +226,10 @@
         registry.register(Box::new(self.connection_turns.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
+        registry.register(Box::new(self.manifest_delay.clone()))?;
+        registry.register(Box::new(self.manifest_reads.clone()))?;
+        registry.register(Box::new(self.outdated_routings.clone()))?;
+        registry.register(Box::new(self.thread_delay.clone()))?;
         registry.register(Box::new(self.manifest.clone()))?;
         registry.register(Box::new(self.coordinates.clone()))
     }
--- a/crates/ward-gateway/src/start.rs
+++ b/crates/ward-gateway/src/start.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
-use slog::{Logger, info, o};
+use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
 use ward_fleet::HostSettings;
 use ward_fleet::callers::EndpointKind;
 
@@ -19,12 +20,17 @@
 };
 use crate::gateway::Gateway;
 use crate::hub::{accept_members, broadcast_crashes, follow_coordinator};
+use crate::manifest::sync_manifest;
 use crate::metrics::GatewayMetrics;
 use crate::queue::dispatch_queue;
 use crate::stop::{reload_on_signal, stop_on_signal};
 use crate::streams::{persist_streams, spread_streams};
-use crate::sync::{sync_engines, sync_manifest, watch_store_era};
+use crate::sync::{sync_engines, watch_store_era};
 
+/// Time between two looks at how late timers are.
+const DELAY_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Lateness of a timer that is logged.
+const LOGGED_DELAY: Duration = Duration::from_millis(250);
 /// Time between sweeps of idle connections, the queue and unfinished runs.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -114,6 +120,7 @@
     spawn_local(dispatch_queue(Rc::clone(&gateway)));
     spawn_local(sweep(Rc::clone(&gateway)));
     spawn_local(look_at_callers(Rc::clone(&gateway)));
+    spawn_local(measure_delays(Rc::clone(&gateway)));
     spawn_local(reload_on_signal(Rc::clone(&gateway)));
     stop_on_signal(gateway, tracker).await?;
     Ok(())
@@ -152,3 +159,18 @@
         gateway.connections.look(&limits);
     }
 }
+
+/// Periodically measures how late the thread comes to a timer that is due, which is how long
+/// other work keeps a task waiting; never returns.
+async fn measure_delays(gateway: Rc<Gateway>) {
+    loop {
+        let due = Instant::now() + DELAY_PROBE_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        let delay = due.elapsed();
+        gateway.metrics.thread_delay.observe(delay.as_secs_f64());
+        if delay >= LOGGED_DELAY {
+            let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+            warn!(gateway.logger, "daemon: thread was late"; "delay_ms" => millis);
+        }
+    }
+}
