--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod cut_answers;
 mod endless;
 mod faults;
+mod late_manifests;
 mod leaving;
 mod limits;
 mod logging;
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -69,6 +69,8 @@
     pub quota_slack: QuotaAmount,
     /// Memory of each daemon's host.
     pub host_memory: MemorySize,
+    /// Number of daemons, from the first on, that reach the store without its proxy.
+    pub direct_daemons: usize,
 }
 
 impl Default for StagePlan {
@@ -87,6 +89,7 @@
             tenants: Vec::new(),
             quota_slack: QuotaAmount(0),
             host_memory: MemorySize::from_mib(260),
+            direct_daemons: 0,
         }
     }
 }
@@ -96,7 +99,7 @@
     network: StageNetwork,
     /// The platform's store.
     pub store: Arc<StageStore>,
-    /// Proxy through which daemons reach the store.
+    /// Proxy through which daemons reach the store, but for [`StagePlan::direct_daemons`].
     pub store_link: StageProxy,
     /// Model engines, then backend servers of the plain service, then the engines that
     /// [`Self::replace_engine`] added.
@@ -155,7 +158,12 @@
             let seeds: Vec<_> = (0..plan.daemons.min(3))
                 .map(|number| network.daemon(number))
                 .collect();
-            let settings = settings(plan, number, ip, &seeds, stage.store_link.address())?;
+            let store = if number < plan.direct_daemons {
+                stage.store.address()
+            } else {
+                stage.store_link.address()
+            };
+            let settings = settings(plan, number, ip, &seeds, store)?;
             stage
                 .daemons
                 .push(DaemonProcess::start(program, folder, settings)?);
