Configuration: a read that goes on is not given up

Cause: the reader threw away transfers that made progress. A read was abandoned when a newer version had been known for 250 ms, and cut when it wasn't complete within 1 s. Once a transfer takes longer than that (a manifest of 570 kB, a link of 10 Mbit/s, a store whose bandwidth 91 hosts share) each one is useless, and the repeats take the bandwidth that the next needs. Class: a retry or a timeout that discards progress.

Change: a daemon that knows of a newer version reads the newest one, and no announcement ends that read; only a poll whose answer hasn't begun is given up. That holds for the engines' list too (same cause).

--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -1,12 +1,19 @@
 //! Reads the manifest as soon as it changes.
 //!
-//! A read is a long poll: the store holds it until there is a next record. It is
-//! abandoned early when another daemon has a newer manifest and the read does not
-//! return it, since the connection may be dead; and when there is no current view any
-//! more, so that a shorter read follows. While views announce new manifests and report
-//! a store outage, a daemon whose read failed waits for the end of the outage before it
-//! reads again: hundreds of daemons would otherwise make thousands of calls during one
-//! outage.
+//! A daemon that is up to date polls: the store holds the read until there is a next
+//! record. A poll whose answer has not begun is given up when another daemon has a newer
+//! manifest, since the connection may be dead; when the store came back from a copy; and
+//! when there is no current view any more, so that a shorter poll follows. While views
+//! announce new manifests and report a store outage, a daemon whose read failed waits for
+//! the end of the outage before it reads again: hundreds of daemons would otherwise make
+//! thousands of calls during one outage.
+//!
+//! A daemon that knows of a newer manifest reads the newest one. Such a read is never given
+//! up for one that is newer still.
+//!
+//! Load pattern: a large manifest, a narrow link or many hosts make a read take longer than
+//! the time between two changes. A read that ends a little late is then in force sooner
+//! than one that begins anew, and leaves the bandwidth to others.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,93 +21,162 @@
 use slog::{info, warn};
 use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic, decode_manifest};
 use ward_fleet::{ManifestVersion, StoreEra, StorePosition};
+use ward_http::AnswerProgress;
 use ward_protocol::TimeSpan;
 
+use super::state::{ManifestOrigin, adopt_manifest};
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::request_snapshot;
 
-use super::state::{ManifestOrigin, adopt_manifest};
-
-/// Duration of a long poll while views would announce a new manifest.
+/// Duration of a poll while views would announce a new manifest.
 const LONG_POLL_WAIT: TimeSpan = TimeSpan::from_millis(25_000);
-/// Duration of a long poll otherwise; bounds how long a dead connection goes
-/// unnoticed.
+/// Duration of a poll otherwise; bounds how long a dead connection goes unnoticed.
 const SHORT_POLL_WAIT: TimeSpan = TimeSpan::from_millis(1_200);
 /// Time between checks whether the view is still current.
 const VIEW_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Time for the running read to return a manifest that another daemon announced.
+/// Time for the running poll to return a manifest that another daemon announced.
 const OWN_READ_GRACE: Duration = Duration::from_millis(250);
 /// Maximum wait after a failed read during a store outage.
 const MAX_OUTAGE_WAIT: TimeSpan = TimeSpan::from_secs(5);
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
-/// Keeps the manifest in force up to date.
+/// Keeps the manifest in force up to date; never returns.
 pub(crate) async fn sync_manifest(gateway: Rc<Gateway>) {
-    let mut next_position = None;
-    let mut backoff = MIN_BACKOFF;
+    let mut reader = ManifestReader {
+        gateway,
+        next_position: None,
+        known_version: ManifestVersion::default(),
+        backoff: MIN_BACKOFF,
+    };
     loop {
+        match reader.read_next().await {
+            ReadEnd::Whole(tail) => reader.apply(&tail).await,
+            ReadEnd::Failed(cause) => reader.recover(&cause).await,
+            ReadEnd::Abandoned(reason) => reader.begin_anew(reason),
+        }
+    }
+}
+
+/// How a read of the manifest ended.
+enum ReadEnd {
+    Whole(StoreTail),
+    Failed(StoreError),
+    Abandoned(AbandonReason),
+}
+
+/// Why a poll was given up before its answer began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AbandonReason {
+    ViewLost,
+    LaterEra,
+    Outdated,
+}
+
+struct ManifestReader {
+    gateway: Rc<Gateway>,
+    /// Position to poll from; `None` if the newest manifest must be read.
+    next_position: Option<StorePosition>,
+    /// Newest version that was known when the running read began.
+    known_version: ManifestVersion,
+    /// Time until the next read after one that failed.
+    backoff: Duration,
+}
+
+impl ManifestReader {
+    async fn read_next(&mut self) -> ReadEnd {
+        self.known_version = self.gateway.manifests.newest_version();
+        let Some(position) = self.next_position else {
+            let newest = self.gateway.store.newest(StoreTopic::Manifest).await;
+            return newest.map_or_else(ReadEnd::Failed, ReadEnd::Whole);
+        };
+        self.poll(position).await
+    }
+
+    /// Waits for the next record.
+    async fn poll(&self, position: StorePosition) -> ReadEnd {
+        let gateway = &*self.gateway;
         let has_view = gateway.has_current_view() && !gateway.coordinator.is_active();
         let wait = if has_view {
             LONG_POLL_WAIT
         } else {
             SHORT_POLL_WAIT
         };
-        let result = tokio::select! {
-            result = read_manifest(&gateway, next_position, wait) => result,
-            () = wait_until_view_lost(&gateway, has_view) => continue,
-            () = wait_until_later_era(&gateway, next_position) => {
-                next_position = None;
-                continue;
-            }
-            () = wait_until_outdated(&gateway) => {
-                gateway.metrics.count_manifest_read("abandoned");
-                info!(
-                    gateway.logger, "manifest: read restarted";
-                    "heard_of" => gateway.manifests.newest_version().0,
-                );
-                next_position = None;
-                continue;
+        let progress = AnswerProgress::default();
+        let store = &gateway.store;
+        let poll = store.poll(StoreTopic::Manifest, position, wait, &progress);
+        let useless = async {
+            let reason = tokio::select! {
+                () = wait_until_view_lost(gateway, has_view) => AbandonReason::ViewLost,
+                () = wait_until_later_era(gateway, position) => AbandonReason::LaterEra,
+                () = wait_until_outdated(gateway) => AbandonReason::Outdated,
+            };
+            if progress.has_begun() {
+                std::future::pending::<()>().await;
             }
+            reason
         };
-        match result {
-            Ok(tail) => {
-                gateway.metrics.count_store_call(true);
-                gateway.metrics.count_manifest_read("whole");
-                if std::mem::replace(&mut backoff, MIN_BACKOFF) != MIN_BACKOFF {
-                    gateway.store_recovered.notify_waiters();
-                }
-                next_position = Some(tail.end);
-                let is_first = gateway.manifest().is_none();
-                adopt_newest(&gateway, &tail);
-                if is_store_outdated(&gateway) || (is_first && may_store_be_outdated(&gateway)) {
-                    request_snapshot(&gateway).await;
-                }
-            }
-            Err(cause) => {
-                gateway.metrics.count_store_call(false);
-                gateway.metrics.count_manifest_read("failed");
-                warn!(gateway.logger, "manifest: read failed"; "cause" => %cause);
-                if cause.is_position_lost() {
-                    next_position = None;
-                }
-                if gateway.manifests.is_outdated() {
-                    request_snapshot(&gateway).await;
-                }
-                tokio::time::sleep(backoff).await;
-                wait_out_store_outage(&gateway).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
-            }
+        tokio::select! {
+            biased;
+            result = poll => result.map_or_else(ReadEnd::Failed, ReadEnd::Whole),
+            reason = useless => ReadEnd::Abandoned(reason),
+        }
+    }
+
+    fn begin_anew(&mut self, reason: AbandonReason) {
+        let gateway = &self.gateway;
+        gateway.metrics.count_manifest_read("abandoned");
+        if reason == AbandonReason::ViewLost {
+            return;
         }
-        if next_position.is_some_and(|position| position.offset == 0) {
+        info!(
+            gateway.logger, "manifest: read restarted"; "why" => ?reason,
+            "heard_of" => gateway.manifests.newest_version().0,
+        );
+        self.next_position = None;
+    }
+
+    async fn apply(&mut self, tail: &StoreTail) {
+        let gateway = Rc::clone(&self.gateway);
+        gateway.metrics.count_store_call(true);
+        gateway.metrics.count_manifest_read("whole");
+        if std::mem::replace(&mut self.backoff, MIN_BACKOFF) != MIN_BACKOFF {
+            gateway.store_recovered.notify_waiters();
+        }
+        let is_first = !gateway.manifests.is_known();
+        adopt_newest(&gateway, tail);
+        let is_behind = gateway.manifests.behind_for().is_some();
+        self.next_position = (!is_behind).then_some(tail.end);
+        // The store came back from a copy, and the operator has not written again yet.
+        let is_store_older = gateway.manifests.version() < self.known_version;
+        if is_store_older || (is_first && may_store_be_outdated(&gateway)) {
+            request_snapshot(&gateway).await;
+        }
+        if is_store_older || tail.end.offset == 0 {
             tokio::time::sleep(MIN_BACKOFF).await;
         }
     }
+
+    async fn recover(&mut self, cause: &StoreError) {
+        let gateway = Rc::clone(&self.gateway);
+        gateway.metrics.count_store_call(false);
+        gateway.metrics.count_manifest_read("failed");
+        warn!(gateway.logger, "manifest: read failed"; "cause" => %cause);
+        if cause.is_position_lost() {
+            self.next_position = None;
+        }
+        if gateway.manifests.is_outdated() {
+            request_snapshot(&gateway).await;
+        }
+        tokio::time::sleep(self.backoff).await;
+        wait_out_store_outage(&gateway).await;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+    }
 }
 
 /// Waits until there is no current view any more; never returns if `has_view` is false,
-/// since the read is short then.
+/// since the poll is short then.
 async fn wait_until_view_lost(gateway: &Gateway, has_view: bool) {
     while !has_view || gateway.has_current_view() {
         tokio::time::sleep(VIEW_POLL_INTERVAL).await;
@@ -109,10 +185,7 @@
 
 /// Waits until the store is known to have come back from a copy since a position was
 /// read, so that a read from there may wait for a record that has another offset now.
-async fn wait_until_later_era(gateway: &Gateway, position: Option<StorePosition>) {
-    let Some(position) = position else {
-        return std::future::pending().await;
-    };
+async fn wait_until_later_era(gateway: &Gateway, position: StorePosition) {
     let mut eras = gateway.store.era_changes();
     let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > position.era);
     // It fails only once the store client is gone, when there are no more eras to wait for.
@@ -121,7 +194,7 @@
     }
 }
 
-/// Waits until another daemon has a newer manifest that the running read has had time
+/// Waits until another daemon has a newer manifest that the running poll has had time
 /// to return but did not.
 async fn wait_until_outdated(gateway: &Gateway) {
     loop {
@@ -147,30 +220,12 @@
     }
 }
 
-/// Whether the store has just given an older manifest than another daemon has: it came back
-/// from a copy, and the operator has not written again yet.
-fn is_store_outdated(gateway: &Gateway) -> bool {
-    gateway.manifests.newest_version() > ManifestVersion::default()
-        && gateway.manifests.is_outdated()
-}
-
 /// Whether the store has come back from a copy at some time, and no coordinator tells
 /// whether other daemons have a newer manifest.
 fn may_store_be_outdated(gateway: &Gateway) -> bool {
     gateway.store.era() > StoreEra::default() && !gateway.has_current_view()
 }
 
-async fn read_manifest(
-    gateway: &Gateway,
-    next_position: Option<StorePosition>,
-    wait: TimeSpan,
-) -> Result<StoreTail, StoreError> {
-    match next_position {
-        Some(from) => gateway.store.read(StoreTopic::Manifest, from, wait).await,
-        None => gateway.store.newest(StoreTopic::Manifest).await,
-    }
-}
-
 fn adopt_newest(gateway: &Gateway, tail: &StoreTail) {
     let newest = tail
         .records
--- a/crates/ward-gateway/src/manifest/state.rs
+++ b/crates/ward-gateway/src/manifest/state.rs
@@ -55,6 +55,14 @@
         self.is_known().then(|| self.text.borrow().clone())
     }
 
+    /// The version in force, zero if there is none.
+    pub(crate) fn version(&self) -> ManifestVersion {
+        let current = self.current.borrow();
+        current
+            .as_ref()
+            .map_or_else(ManifestVersion::default, |current| current.version)
+    }
+
     /// The newest version that any daemon is known to have.
     pub(crate) fn newest_version(&self) -> ManifestVersion {
         self.versions.borrow().newest()
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -254,9 +254,7 @@
 /// Reads the changes from a position on.
 async fn read_changes(gateway: &Gateway, from: StorePosition) -> Result<EngineRead, StoreError> {
     let store = &gateway.store;
-    let tail = store
-        .read(StoreTopic::Engines, from, TimeSpan::ZERO)
-        .await?;
+    let tail = store.read(StoreTopic::Engines, from).await?;
     Ok(EngineRead {
         tail,
         scope: ReadScope::Changes,
--- a/crates/ward-http/src/call.rs
+++ b/crates/ward-http/src/call.rs
@@ -1,11 +1,13 @@
 //! HTTP calls with limits on their time and the size of the answer.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Method, Request, header};
+use bytes::{Bytes, BytesMut};
+use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use ward_protocol::TimeSpan;
@@ -29,6 +31,31 @@
     pub answer_bytes: usize,
 }
 
+/// Limits of an answer that may take as long as it makes progress.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerPace {
+    /// Maximum time between two parts of the body.
+    pub part_timeout: TimeSpan,
+    /// Maximum time from the end of the answer's head until its body is complete.
+    pub body_timeout: TimeSpan,
+}
+
+/// Tells whether the answer to a call has begun.
+#[derive(Debug, Default)]
+pub struct AnswerProgress(AtomicBool);
+
+impl AnswerProgress {
+    /// Whether the head of the answer has arrived.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn record_begin(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// HTTP client with a connection pool; clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -68,20 +95,33 @@
         request: Request<Full<Bytes>>,
         bounds: CallBounds,
     ) -> Result<HttpReply, CallError> {
-        let exchange = self.exchange(request, bounds.answer_bytes);
-        match tokio::time::timeout(bounds.timeout.duration(), exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(CallError::Timeout(bounds.timeout)),
-        }
+        within(bounds.timeout, async {
+            let answer = self.begin(request).await?;
+            read_answer(answer, bounds.answer_bytes, bounds.timeout).await
+        })
+        .await
     }
 
-    /// Sends a request and reads an answer whose body has at most `limit` bytes,
-    /// without a timeout.
-    async fn exchange(
+    /// Like [`Self::call`], but the timeout ends with the head of the answer; the body may
+    /// take longer, as long as it arrives at the pace.
+    ///
+    /// # Errors
+    /// The same as of [`Self::call`].
+    pub async fn call_paced(
         &self,
         request: Request<Full<Bytes>>,
-        limit: usize,
+        bounds: CallBounds,
+        pace: AnswerPace,
+        progress: &AnswerProgress,
     ) -> Result<HttpReply, CallError> {
+        let answer = within(bounds.timeout, self.begin(request)).await?;
+        progress.record_begin();
+        let reply = read_answer(answer, bounds.answer_bytes, pace.part_timeout);
+        within(pace.body_timeout, reply).await
+    }
+
+    /// Sends a request and waits for the head of its answer, without a timeout.
+    async fn begin(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
         let answer = self.client.request(request).await.map_err(|cause| {
             if cause.is_connect() {
                 CallError::NotSent(Box::new(cause))
@@ -89,29 +129,56 @@
                 CallError::Lost(Box::new(cause))
             }
         })?;
-        let (head, body) = answer.into_parts();
-        let head_limit = head.extensions.get::<HeadLimit>();
-        if let Some(head_limit) = head_limit {
+        if let Some(head_limit) = answer.extensions().get::<HeadLimit>() {
             head_limit.lift();
         }
-        let body = Limited::new(body, limit).collect().await.map_err(|cause| {
+        Ok(answer)
+    }
+}
+
+/// Bounds the time of a part of a call.
+async fn within<T>(
+    timeout: TimeSpan,
+    part: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    match tokio::time::timeout(timeout.duration(), part).await {
+        Ok(result) => result,
+        Err(_) => Err(CallError::Timeout(timeout)),
+    }
+}
+
+/// Reads an answer whose body has at most `limit` bytes, with at most `part_timeout` between
+/// two parts.
+async fn read_answer(
+    answer: Response<Incoming>,
+    limit: usize,
+    part_timeout: TimeSpan,
+) -> Result<HttpReply, CallError> {
+    let (head, body) = answer.into_parts();
+    let mut body = Limited::new(body, limit);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = within(part_timeout, async { Ok(body.frame().await) }).await? {
+        let frame = frame.map_err(|cause| {
             if cause.is::<LengthLimitError>() {
                 CallError::TooLong(limit)
             } else {
                 CallError::Lost(cause)
             }
         })?;
-        // Another call may have taken the connection already; its limit is then in force
-        // from its next write on.
-        if let Some(head_limit) = head_limit {
-            head_limit.arm();
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
         }
-        Ok(HttpReply {
-            status: head.status,
-            headers: head.headers,
-            body: body.to_bytes(),
-        })
     }
+    // Another call may have taken the connection already; its limit is then in force
+    // from its next write on.
+    if let Some(head_limit) = head.extensions.get::<HeadLimit>() {
+        head_limit.arm();
+    }
+    Ok(HttpReply {
+        status: head.status,
+        headers: head.headers,
+        body: bytes.freeze(),
+    })
 }
 
 /// HTTP client that sends each call on a connection of its own, for servers whose answers
--- a/crates/ward-http/src/lib.rs
+++ b/crates/ward-http/src/lib.rs
@@ -26,7 +26,7 @@
 mod fair;
 mod reply;
 
-pub use call::{CallBounds, HttpClient, UnpooledClient, json_request};
+pub use call::{AnswerPace, AnswerProgress, CallBounds, HttpClient, UnpooledClient, json_request};
 pub use error::{CallCause, CallError};
 pub use fair::{FairStream, HeadLimit};
 pub use reply::{HttpReply, ReplyError};
--- a/crates/ward-http/tests/call.rs
+++ b/crates/ward-http/tests/call.rs
@@ -4,12 +4,16 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use http::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use ward_http::{CallBounds, CallError, HttpClient, HttpReply, ReplyError, json_request};
+use ward_http::{
+    AnswerPace, AnswerProgress, CallBounds, CallError, HttpClient, HttpReply, ReplyError,
+    json_request,
+};
 use ward_protocol::TimeSpan;
 
 const BOUNDS: CallBounds = CallBounds {
@@ -109,3 +113,54 @@
     expect_that!(error, pat!(CallError::Timeout(eq(&BOUNDS.timeout))));
     expect_that!(error.is_unsent(), eq(false));
 }
+
+/// Answers with these parts, each after this delay, and keeps the connection open.
+async fn slow_server(parts: &'static [&'static str], delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 1024];
+        let _count = stream.read(&mut request).await.unwrap();
+        for part in parts {
+            tokio::time::sleep(delay).await;
+            if stream.write_all(part.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+async fn call_paced(address: SocketAddr) -> std::result::Result<HttpReply, CallError> {
+    let request = json_request(Method::GET, address, "/", "").unwrap();
+    let pace = AnswerPace {
+        part_timeout: BOUNDS.timeout,
+        body_timeout: TimeSpan::from_secs(2),
+    };
+    let progress = AnswerProgress::default();
+    let client = HttpClient::new();
+    let result = client.call_paced(request, BOUNDS, pace, &progress).await;
+    expect_true!(progress.has_begun());
+    result
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n";
+
+#[googletest::test]
+#[tokio::test]
+async fn paced_call_longer_than_its_timeout_was_cut() {
+    let parts = &[HEAD, "a", "b", "c", "d"];
+    let address = slow_server(parts, Duration::from_millis(150)).await;
+    let reply = call_paced(address).await.unwrap();
+    expect_that!(reply.body.as_ref(), eq(b"abcd"));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn paced_call_stalled() {
+    let address = slow_server(&[HEAD, "a"], Duration::from_millis(10)).await;
+    let error = call_paced(address).await.unwrap_err();
+    expect_that!(error, pat!(CallError::Timeout(eq(&BOUNDS.timeout))));
+}
