Configuration: a silent store doesn't keep away a manifest that peers have

Cause: only a failed read asked peers, after 1.25 s and more; then it asked up to four, one after another, for all that they know, and gave each up after 0.6 s, however much had arrived; senders gave up after 1.5 s.

Change: while the store doesn't begin to answer for 500 ms, other daemons are asked beside it, those of the own zone first, for the manifest alone and only if it is newer. Transfers between daemons are timed by progress on both sides. A poll has 500 ms (250) to return an announced version: a store that is busy begins its answers late, and a poll given up is sent all the same.

Test: silent_store_kept_a_manifest_away_that_other_daemons_had failed 3 of 3 before (2.4 s to more than 3 s where 1.5 s are allowed), passes 5 of 5.

--- a/crates/ward-daemon/tests/gateway/late_manifests.rs
+++ b/crates/ward-daemon/tests/gateway/late_manifests.rs
@@ -106,3 +106,22 @@
         expect_that!(status, some(eq(StatusCode::OK)), "at {daemon}");
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_store_kept_a_manifest_away_that_other_daemons_had() {
+    let plan = StagePlan {
+        direct_daemons: 1,
+        ..StagePlan::default()
+    };
+    let mut stage = large_stage("late-silent", &plan).await;
+    stage.store_link.set_fault(LinkFault::HoldAll);
+    add_route(&mut stage, "late");
+    write_manifest(&mut stage);
+    let written = Instant::now();
+    for daemon in 0..stage.daemons.len() {
+        let is_served = is_served_in_time(&stage, daemon, "/late/a", written).await;
+        expect_true!(is_served, "at {daemon}");
+        expect_that!(written.elapsed(), lt(CHANGE_TIME / 2), "at {daemon}");
+    }
+}
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -53,6 +53,9 @@
     /// Requests a [`FleetSnapshot`]; the only message on its connection. Any
     /// daemon answers.
     SnapshotRequest,
+    /// Requests the manifest if it is newer than this version; the only message on its
+    /// connection. Any daemon answers.
+    ManifestRequest(ManifestVersion),
     /// Reports crashes; the only message on its connection. Any daemon answers
     /// with what it knows of crashes.
     Crashes(CrashNews),
@@ -144,6 +147,9 @@
     ProbeStore(ProbeNumber),
     /// The answer of any daemon to [`MemberMessage::SnapshotRequest`].
     Snapshot(FleetSnapshot),
+    /// The answer of any daemon to [`MemberMessage::ManifestRequest`], in the operators'
+    /// format; `None` if the sender has none that is newer.
+    Manifest(Option<Vec<u8>>),
     /// The answer of any daemon to [`MemberMessage::Crashes`].
     Crashes(CrashNews),
     /// The answer of any daemon to [`MemberMessage::RecordStreams`].
--- a/crates/ward-gateway/src/hub/frame.rs
+++ b/crates/ward-gateway/src/hub/frame.rs
@@ -2,11 +2,12 @@
 //! then the encoded message.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use quick_error::quick_error;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use ward_fleet::{CompactError, CoordinatorMessage};
 use ward_protocol::CodecError;
 use ward_protocol::codec::{decode, encode};
@@ -140,6 +141,49 @@
     Ok(Some(message))
 }
 
+/// Reads the only message on a connection, which may take long, as long as it goes on: each
+/// part comes within `part_timeout`.
+pub(super) async fn read_paced<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    part_timeout: Duration,
+) -> Result<T, PeerError> {
+    let length = within(part_timeout, read_length(stream)).await?;
+    let mut content = vec![0; length.ok_or(PeerError::Unexpected)?];
+    let mut filled = 0;
+    while filled < content.len() {
+        let part = async { Ok(stream.read(&mut content[filled..]).await?) };
+        match within(part_timeout, part).await? {
+            0 => return Err(PeerError::Unexpected),
+            count => filled += count,
+        }
+    }
+    Ok(decode(&content)?)
+}
+
+/// Writes bytes, which may take long, as long as the other side takes some within
+/// `part_timeout`.
+pub(super) async fn write_paced(
+    stream: &mut (impl AsyncWrite + Unpin),
+    bytes: &[u8],
+    part_timeout: Duration,
+) -> Result<(), PeerError> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let part = async { Ok(stream.write(rest).await?) };
+        let count = within(part_timeout, part).await?;
+        rest = &rest[count..];
+    }
+    Ok(())
+}
+
+async fn within<T>(
+    timeout: Duration,
+    part: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    let result = tokio::time::timeout(timeout, part).await;
+    result.unwrap_or(Err(PeerError::Timeout))
+}
+
 async fn read_length(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<usize>, PeerError> {
     let mut header = [0; LENGTH_BYTES];
     match stream.read_exact(&mut header).await {
--- /dev/null
+++ b/crates/ward-gateway/src/hub/manifest.rs
@@ -0,0 +1,91 @@
+//! Manifests from other daemons, for a daemon that knows of a newer one and gets no answer
+//! from the store.
+//!
+//! It asks a few daemons, one after another: those of its availability zone first, since
+//! bytes between zones cost more. One that has nothing newer says so at once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use slog::{info, warn};
+use tokio::net::TcpStream;
+use ward_adapter::decode_manifest;
+use ward_fleet::{CoordinatorMessage, ManifestVersion, MemberMessage};
+
+use super::broadcast::peer_addresses;
+use super::frame::{PeerError, encode_frame, read_paced, write_paced};
+use super::traffic::ZoneRelation;
+use crate::gateway::Gateway;
+use crate::manifest::{ManifestOrigin, adopt_manifest};
+
+/// Maximum time until a daemon has accepted the connection, and between two parts of its
+/// answer.
+const PART_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum number of daemons queried in one round.
+const MAX_QUERIED_DAEMONS: usize = 4;
+
+/// The manifest in force, in the operators' format, if it is newer than a version.
+pub(super) fn newer_manifest(gateway: &Gateway, version: ManifestVersion) -> Option<Vec<u8>> {
+    let state = &gateway.manifests;
+    state.text().filter(|_| state.version() > version)
+}
+
+/// Asks other daemons for a manifest newer than the one in force, until one has it and it is
+/// in force; returns whether it is.
+pub(crate) async fn fetch_manifest(gateway: &Gateway) -> bool {
+    let version = gateway.manifests.version();
+    for address in nearest_addresses(gateway) {
+        match request_manifest(address, version).await {
+            Ok(Some(text)) => apply_manifest(gateway, address, &text),
+            Ok(None) => {
+                info!(gateway.logger, "peers: no newer manifest"; "address" => %address);
+            }
+            Err(cause) => {
+                warn!(gateway.logger, "peers: no manifest"; "address" => %address, "cause" => %cause);
+            }
+        }
+        if gateway.manifests.version() > version {
+            return true;
+        }
+    }
+    false
+}
+
+/// Addresses of some daemons in random order, those of the own availability zone first.
+fn nearest_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+    let mut addresses: Vec<_> = peer_addresses(gateway).into_iter().collect();
+    addresses.shuffle(&mut rand::rng());
+    let is_far = |address: &SocketAddr| {
+        ZoneRelation::to_address(gateway, address.ip()) != ZoneRelation::Same
+    };
+    addresses.sort_by_key(is_far);
+    addresses.truncate(MAX_QUERIED_DAEMONS);
+    addresses
+}
+
+async fn request_manifest(
+    address: SocketAddr,
+    version: ManifestVersion,
+) -> Result<Option<Vec<u8>>, PeerError> {
+    let connect = tokio::time::timeout(PART_TIMEOUT, TcpStream::connect(address));
+    let mut stream = connect.await.map_err(|_| PeerError::Timeout)??;
+    let request = encode_frame(&MemberMessage::ManifestRequest(version))?;
+    write_paced(&mut stream, &request, PART_TIMEOUT).await?;
+    match read_paced(&mut stream, PART_TIMEOUT).await? {
+        CoordinatorMessage::Manifest(text) => Ok(text),
+        _ => Err(PeerError::Unexpected),
+    }
+}
+
+fn apply_manifest(gateway: &Gateway, address: SocketAddr, text: &[u8]) {
+    match decode_manifest(text) {
+        Ok(manifest) => adopt_manifest(gateway, manifest, text, ManifestOrigin::Peer),
+        Err(cause) => {
+            warn!(
+                gateway.logger, "manifest: invalid from a peer";
+                "address" => %address, "cause" => %cause,
+            );
+        }
+    }
+}
--- a/crates/ward-gateway/src/hub/member.rs
+++ b/crates/ward-gateway/src/hub/member.rs
@@ -283,6 +283,7 @@
                 CoordinatorMessage::Permits(batch) => receive_permits(gateway, &batch),
                 CoordinatorMessage::QuotaGrants(batch) => receive_grants(gateway, &batch),
                 CoordinatorMessage::Snapshot(_)
+                | CoordinatorMessage::Manifest(_)
                 | CoordinatorMessage::Crashes(_)
                 | CoordinatorMessage::StreamsRecorded
                 | CoordinatorMessage::FoundStream(_) => return Err(PeerError::Unexpected),
--- a/crates/ward-gateway/src/hub/server.rs
+++ b/crates/ward-gateway/src/hub/server.rs
@@ -14,7 +14,10 @@
 use ward_fleet::placement::MemberKey;
 use ward_fleet::{CoordinatorMessage, HostMember, MemberMessage, ReportDecoder};
 
-use super::frame::{MessageFrame, PeerError, encode_message, read_first_frame, read_sized_frame};
+use super::frame::{
+    MessageFrame, PeerError, encode_message, read_first_frame, read_sized_frame, write_paced,
+};
+use super::manifest::newer_manifest;
 use super::snapshot::build_snapshot;
 use super::traffic::{MessageKind, ZoneRelation, count_received, count_sent};
 use crate::clock;
@@ -85,6 +88,10 @@
             let message = CoordinatorMessage::Snapshot(build_snapshot(&gateway));
             send_reply(&gateway, &message, relation, stream).await;
         }
+        MemberMessage::ManifestRequest(version) => {
+            let message = CoordinatorMessage::Manifest(newer_manifest(&gateway, version));
+            send_reply(&gateway, &message, relation, stream).await;
+        }
         MemberMessage::Crashes(news) => {
             record_news(&gateway, &news.crashes, &news.cleared_parts);
             let known = gateway.crashes.borrow().news(clock::now());
@@ -131,9 +138,8 @@
             return;
         }
     };
-    let sent = tokio::time::timeout(MEMBER_TIMEOUT, stream.write_all(&frame.bytes)).await;
-    if !matches!(sent, Ok(Ok(()))) {
-        warn!(gateway.logger, "peers: reply failed");
+    if let Err(cause) = write_paced(&mut stream, &frame.bytes, MEMBER_TIMEOUT).await {
+        warn!(gateway.logger, "peers: reply failed"; "cause" => %cause, "bytes" => frame.size().0);
         return;
     }
     count_sent(gateway, frame.kind, relation, frame.size());
@@ -200,6 +206,7 @@
             MemberMessage::Leaving => coordinator.mark_leaving(key),
             MemberMessage::Hello(_)
             | MemberMessage::SnapshotRequest
+            | MemberMessage::ManifestRequest(_)
             | MemberMessage::Crashes(_)
             | MemberMessage::RecordStreams(_)
             | MemberMessage::FindStream(_) => return Err(PeerError::Unexpected),
--- a/crates/ward-gateway/src/hub/snapshot.rs
+++ b/crates/ward-gateway/src/hub/snapshot.rs
@@ -11,20 +11,21 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use ward_adapter::decode_manifest;
 use ward_fleet::{CoordinatorMessage, FleetSnapshot, MemberMessage};
 
 use super::broadcast::peer_addresses;
-use super::frame::{PeerError, encode_frame, read_frame};
+use super::frame::{PeerError, encode_frame, read_paced, write_paced};
 use crate::clock;
 use crate::crash::record_news;
 use crate::gateway::Gateway;
 use crate::limit::record_told_limits;
 use crate::manifest::{ManifestOrigin, adopt_manifest};
 
-const SNAPSHOT_FETCH_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum time until a daemon has accepted the connection, and between two parts of its
+/// answer.
+const PART_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum number of daemons queried in one round, one after another.
 const MAX_QUERIED_DAEMONS: usize = 4;
 
@@ -46,18 +47,15 @@
 /// that contains a manifest.
 pub(crate) async fn request_snapshot(gateway: &Rc<Gateway>) {
     for address in pick_addresses(gateway) {
-        match tokio::time::timeout(SNAPSHOT_FETCH_TIMEOUT, fetch_snapshot(address)).await {
-            Ok(Ok(snapshot)) if snapshot.manifest.is_some() => {
+        match fetch_snapshot(address).await {
+            Ok(snapshot) if snapshot.manifest.is_some() => {
                 apply_snapshot(gateway, address, snapshot);
                 return;
             }
-            Ok(Ok(_)) => {}
-            Ok(Err(cause)) => {
+            Ok(_) => {}
+            Err(cause) => {
                 warn!(gateway.logger, "peers: no briefing"; "address" => %address, "cause" => %cause);
             }
-            Err(_) => {
-                warn!(gateway.logger, "peers: no briefing in time"; "address" => %address);
-            }
         }
     }
 }
@@ -74,12 +72,12 @@
 }
 
 async fn fetch_snapshot(address: SocketAddr) -> Result<FleetSnapshot, PeerError> {
-    let mut stream = TcpStream::connect(address).await?;
-    stream
-        .write_all(&encode_frame(&MemberMessage::SnapshotRequest)?)
-        .await?;
-    match read_frame(&mut stream).await? {
-        Some(CoordinatorMessage::Snapshot(snapshot)) => Ok(snapshot),
+    let connect = tokio::time::timeout(PART_TIMEOUT, TcpStream::connect(address));
+    let mut stream = connect.await.map_err(|_| PeerError::Timeout)??;
+    let request = encode_frame(&MemberMessage::SnapshotRequest)?;
+    write_paced(&mut stream, &request, PART_TIMEOUT).await?;
+    match read_paced(&mut stream, PART_TIMEOUT).await? {
+        CoordinatorMessage::Snapshot(snapshot) => Ok(snapshot),
         _ => Err(PeerError::Unexpected),
     }
 }
--- a/crates/ward-gateway/src/hub/traffic.rs
+++ b/crates/ward-gateway/src/hub/traffic.rs
@@ -20,6 +20,7 @@
     Quotas,
     Probe,
     Snapshot,
+    Manifest,
     Crashes,
     Streams,
 }
@@ -36,6 +37,7 @@
             Self::Quotas => "quotas",
             Self::Probe => "probe",
             Self::Snapshot => "snapshot",
+            Self::Manifest => "manifest",
             Self::Crashes => "crashes",
             Self::Streams => "streams",
         }
@@ -48,6 +50,7 @@
             MemberMessage::Hello(_) | MemberMessage::Leaving => Self::Membership,
             MemberMessage::Report(_) => Self::Report,
             MemberMessage::SnapshotRequest => Self::Snapshot,
+            MemberMessage::ManifestRequest(_) => Self::Manifest,
             MemberMessage::Crashes(_) => Self::Crashes,
             MemberMessage::RecordStreams(_) | MemberMessage::FindStream(_) => Self::Streams,
         }
@@ -63,6 +66,7 @@
             CoordinatorMessage::QuotaGrants(_) => Self::Quotas,
             CoordinatorMessage::ProbeStore(_) => Self::Probe,
             CoordinatorMessage::Snapshot(_) => Self::Snapshot,
+            CoordinatorMessage::Manifest(_) => Self::Manifest,
             CoordinatorMessage::Crashes(_) => Self::Crashes,
             CoordinatorMessage::StreamsRecorded | CoordinatorMessage::FoundStream(_) => {
                 Self::Streams
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -15,6 +15,7 @@
 //! the time between two changes. A read that ends a little late is then in force sooner
 //! than one that begins anew, and leaves the bandwidth to others.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,7 +28,7 @@
 use super::state::{ManifestOrigin, adopt_manifest};
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::hub::request_snapshot;
+use crate::hub::{fetch_manifest, request_snapshot};
 
 /// Duration of a poll while views would announce a new manifest.
 const LONG_POLL_WAIT: TimeSpan = TimeSpan::from_millis(25_000);
@@ -36,7 +37,9 @@
 /// Time between checks whether the view is still current.
 const VIEW_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for the running poll to return a manifest that another daemon announced.
-const OWN_READ_GRACE: Duration = Duration::from_millis(250);
+const OWN_READ_GRACE: Duration = Duration::from_millis(500);
+/// Time for the store to begin its answer before other daemons are asked as well.
+const STORE_GRACE: Duration = Duration::from_millis(500);
 /// Maximum wait after a failed read during a store outage.
 const MAX_OUTAGE_WAIT: TimeSpan = TimeSpan::from_secs(5);
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -87,11 +90,42 @@
 impl ManifestReader {
     async fn read_next(&mut self) -> ReadEnd {
         self.known_version = self.gateway.manifests.newest_version();
-        let Some(position) = self.next_position else {
-            let newest = self.gateway.store.newest(StoreTopic::Manifest).await;
-            return newest.map_or_else(ReadEnd::Failed, ReadEnd::Whole);
+        match self.next_position {
+            Some(position) => self.poll(position).await,
+            None => match self.read_newest().await {
+                Ok(tail) => ReadEnd::Whole(tail),
+                Err(cause) => ReadEnd::Failed(cause),
+            },
+        }
+    }
+
+    /// Reads the newest manifest. While the store doesn't begin to answer, other daemons are
+    /// asked for one that is known to exist.
+    async fn read_newest(&self) -> Result<StoreTail, StoreError> {
+        let gateway = &*self.gateway;
+        let progress = AnswerProgress::default();
+        let read = gateway
+            .store
+            .newest_watched(StoreTopic::Manifest, &progress);
+        let has_asked = Cell::new(false);
+        let from_peers = async {
+            tokio::time::sleep(STORE_GRACE).await;
+            if !progress.has_begun() && gateway.manifests.behind_for().is_some() {
+                has_asked.set(true);
+                fetch_manifest(gateway).await;
+            }
         };
-        self.poll(position).await
+        tokio::pin!(read, from_peers);
+        tokio::select! {
+            biased;
+            result = &mut read => {
+                if result.is_err() && has_asked.get() {
+                    from_peers.await;
+                }
+                result
+            }
+            () = &mut from_peers => read.await,
+        }
     }
 
     /// Waits for the next record.
@@ -150,8 +184,10 @@
         self.next_position = (!is_behind).then_some(tail.end);
         // The store came back from a copy, and the operator has not written again yet.
         let is_store_older = gateway.manifests.version() < self.known_version;
-        if is_store_older || (is_first && may_store_be_outdated(&gateway)) {
+        if is_first && (is_store_older || may_store_be_outdated(&gateway)) {
             request_snapshot(&gateway).await;
+        } else if is_store_older {
+            fetch_manifest(&gateway).await;
         }
         if is_store_older || tail.end.offset == 0 {
             tokio::time::sleep(MIN_BACKOFF).await;
@@ -167,7 +203,7 @@
             self.next_position = None;
         }
         if gateway.manifests.is_outdated() {
-            request_snapshot(&gateway).await;
+            catch_up(&gateway).await;
         }
         tokio::time::sleep(self.backoff).await;
         wait_out_store_outage(&gateway).await;
@@ -175,6 +211,16 @@
     }
 }
 
+/// Asks other daemons for a newer manifest, or for all that they know if this daemon has
+/// none.
+async fn catch_up(gateway: &Rc<Gateway>) {
+    if gateway.manifests.is_known() {
+        fetch_manifest(gateway).await;
+    } else {
+        request_snapshot(gateway).await;
+    }
+}
+
 /// Waits until there is no current view any more; never returns if `has_view` is false,
 /// since the poll is short then.
 async fn wait_until_view_lost(gateway: &Gateway, has_view: bool) {
