Configuration: one rule for requests while a newer manifest is known

Cause: a daemon that knew that it was behind decided all the same: 404 for a route that the newer version has, the former service, the former time limit; only an unknown key was refused with 503. Class: a decision by knowledge that is known to be outdated.

Change: front/newest.rs decides it in one place, for all that a manifest says. A version that neither the store nor peers have had for 5 s lapses, and doesn't count when announced again, so that a version lost with a store's copy and its only reader doesn't close the door.

--- a/crates/ward-daemon/tests/gateway/late_manifests.rs
+++ b/crates/ward-daemon/tests/gateway/late_manifests.rs
@@ -4,7 +4,10 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
-use ward_fleet::ManifestVersion;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use ward_fleet::{HostMember, LoadReport, ManifestVersion, MemberMessage, ReportEncoder};
+use ward_protocol::codec::encode;
 use ward_stage::{CallerRequest, LinkFault, Stage, StagePlan};
 
 use crate::support::{send, stage, wait_until_all_joined};
@@ -16,6 +19,10 @@
 /// Routes of a large manifest, some 300 kB.
 const ROUTE_COUNT: usize = 1_600;
 const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Time within which daemons hear of a version.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(700);
+/// Time after which a version that nobody has counts as lost.
+const LOST_VERSION_TIME: Duration = Duration::from_secs(8);
 
 /// Adds a route that leads to the plain service, without writing the manifest.
 fn add_route(stage: &mut Stage, name: &str) {
@@ -39,6 +46,20 @@
         .map(|answer| answer.status)
 }
 
+/// The newest version that a daemon's log says is in force.
+fn newest_in_force(stage: &Stage, daemon: usize) -> ManifestVersion {
+    let log = stage.daemons[daemon].log().unwrap();
+    let lines = log
+        .lines()
+        .filter(|line| line.contains("manifest: in force"));
+    let versions = lines.filter_map(|line| {
+        let (_, rest) = line.split_once("\"version\":")?;
+        let digits = rest.split(|other: char| !other.is_ascii_digit()).next()?;
+        digits.parse().ok()
+    });
+    ManifestVersion(versions.max().unwrap_or(0))
+}
+
 /// Whether a daemon serves a path within `CHANGE_TIME` after `begun`.
 async fn is_served_in_time(stage: &Stage, daemon: usize, path: &str, begun: Instant) -> bool {
     while begun.elapsed() < CHANGE_TIME {
@@ -125,3 +146,90 @@
         expect_that!(written.elapsed(), lt(CHANGE_TIME / 2), "at {daemon}");
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_knew_of_a_newer_manifest_denied_what_only_that_one_allows() {
+    let plan = StagePlan {
+        direct_daemons: 1,
+        ..StagePlan::default()
+    };
+    let mut stage = large_stage("late-denied", &plan).await;
+    stage
+        .store_link
+        .set_fault(LinkFault::Delay(Duration::from_millis(40)));
+    add_route(&mut stage, "late");
+    write_manifest(&mut stage);
+    // In that time the others hear of the version, and are still reading it.
+    tokio::time::sleep(ANNOUNCE_TIME).await;
+    let is_late = |daemon| newest_in_force(&stage, daemon) < stage.manifest.version;
+    expect_true!(is_late(1) && is_late(2), "both in force too early to test");
+    for daemon in 1..stage.daemons.len() {
+        let status = status_of(&stage, daemon, "/late/a").await;
+        let allowed = any![eq(StatusCode::OK), eq(StatusCode::SERVICE_UNAVAILABLE)];
+        expect_that!(status, some(allowed), "at {daemon}");
+    }
+    tokio::time::sleep(CHANGE_TIME).await;
+    for daemon in 1..stage.daemons.len() {
+        let status = status_of(&stage, daemon, "/late/b").await;
+        expect_that!(status, some(eq(StatusCode::OK)), "at {daemon}");
+        let unknown = status_of(&stage, daemon, "/never/a").await;
+        expect_that!(unknown, some(eq(StatusCode::NOT_FOUND)), "at {daemon}");
+    }
+}
+
+/// Tells the coordinator, as another daemon would, of a version that nobody else has.
+async fn announce(stage: &Stage, coordinator: usize, version: ManifestVersion) {
+    let settings = stage.daemons[coordinator].settings().clone();
+    let member = HostMember {
+        daemon: "host-9".parse().unwrap(),
+        zone: settings.zone.clone(),
+        callers: "127.0.0.9:9".parse().unwrap(),
+        peers: "127.0.0.9:10".parse().unwrap(),
+        capacity: settings.capacity,
+    };
+    let report = LoadReport {
+        manifest: version,
+        ..LoadReport::default()
+    };
+    let report = Box::new(ReportEncoder::default().encode(report));
+    let mut stream = TcpStream::connect(settings.peers).await.unwrap();
+    for message in [MemberMessage::Hello(member), MemberMessage::Report(report)] {
+        let content = encode(&message).unwrap();
+        let length = u32::try_from(content.len()).unwrap();
+        stream.write_all(&length.to_be_bytes()).await.unwrap();
+        stream.write_all(&content).await.unwrap();
+    }
+    // The views until the connection ends are not of interest.
+    let mut views = Vec::new();
+    let read = stream.read_to_end(&mut views);
+    drop(tokio::time::timeout(Duration::from_millis(500), read).await);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn version_that_nobody_could_give_was_ignored_or_refused_all_for_ever() {
+    let stage = stage("late-lost", &StagePlan::default()).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    let newer = ManifestVersion(stage.manifest.version.0 + 1);
+    announce(&stage, coordinator, newer).await;
+    let announced = Instant::now();
+    // A newer one is due, so the one in force must not be used.
+    tokio::time::sleep(CHANGE_TIME / 2).await;
+    for daemon in 0..stage.daemons.len() {
+        let status = status_of(&stage, daemon, "/stock/a").await;
+        expect_that!(
+            status,
+            some(eq(StatusCode::SERVICE_UNAVAILABLE)),
+            "at {daemon}"
+        );
+    }
+    // The store has answered with the one in force for long enough.
+    while announced.elapsed() < LOST_VERSION_TIME {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+    for daemon in 0..stage.daemons.len() {
+        let status = status_of(&stage, daemon, "/stock/b").await;
+        expect_that!(status, some(eq(StatusCode::OK)), "at {daemon}");
+    }
+}
--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -86,4 +86,4 @@
     ApiKeyDigest, QuotaAmount, QuotaRate, QuotaUnit, RequestPriority, TenantClass, TenantDirectory,
     TenantQuota, TokenCount,
 };
-pub use version_tracker::VersionTracker;
+pub use version_tracker::{ManifestStanding, VersionTracker};
--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -117,6 +117,9 @@
     pub load_window: TimeSpan,
     /// Write calls that the platform's store takes from all daemons together.
     pub store_writes: RequestRate,
+    /// Time from the store's acknowledgement of a manifest until it must be in force at all
+    /// daemons.
+    pub manifest_change: TimeSpan,
     /// Maximum time for which callers may cache a directory answer.
     pub max_ttl: TimeSpan,
     /// Window over which the use of a tenant's quota is counted.
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -17,10 +17,11 @@
 
 use super::answer::{AnswerBody, OwnAnswer};
 use super::job::ServeJob;
+use super::newest::route_by_newest;
 use super::quota::charge_quota;
 use super::refusal::{Refusal, blocked_refusal, not_run, refuse};
 use super::resume::{required_software, stream_try};
-use super::route::{RoutedRequest, origin_target, requested_host, route_request};
+use super::route::{RoutedRequest, origin_target, requested_host};
 use super::tenant::required_key;
 use crate::buffer::BufferError;
 use crate::clock;
@@ -156,11 +157,8 @@
     arrival: MonoTime,
     phase: SharedPhase,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let manifest = gateway
-        .manifest()
-        .ok_or_else(|| not_run("no manifest is known yet"))?;
     let path = request.uri().path();
-    let routed = route_request(gateway, &manifest, fields, host, path)?;
+    let (manifest, routed) = route_by_newest(gateway, fields, host, path).await?;
     if routed.fields.is_model_malformed {
         let reason = "the name of the model or adapter is invalid";
         return Err(refuse(OwnAnswer::BadModel, reason));
--- a/crates/ward-gateway/src/front/mod.rs
+++ b/crates/ward-gateway/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod handle;
 mod job;
 mod listen;
+mod newest;
 mod quota;
 mod refusal;
 mod registry;
--- a/crates/ward-gateway/src/front/route.rs
+++ b/crates/ward-gateway/src/front/route.rs
@@ -8,7 +8,6 @@
 use super::answer::OwnAnswer;
 use super::refusal::{Refusal, refuse};
 use super::tenant::{identify_tenant, request_priority};
-use crate::gateway::Gateway;
 
 /// A request with its route and the service chosen for it.
 pub(super) struct RoutedRequest {
@@ -32,18 +31,13 @@
 /// A refusal if no route matches, or the request needs an API key and has none that is
 /// known.
 pub(super) fn route_request(
-    gateway: &Gateway,
     manifest: &ServingManifest,
     fields: RequestFields,
     host: &str,
     path: &str,
 ) -> Result<RoutedRequest, Refusal> {
-    record_outdated_routing(gateway);
-    let route = manifest
-        .find_route(host, path)
-        .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest matches"))?
-        .clone();
-    let tenant = identify_tenant(gateway, manifest, &route, &fields.key)?;
+    let (route, tenant) = find_tenant(manifest, &fields, host, path)?;
+    let route = route.clone();
     let priority = request_priority(manifest, &route, tenant.as_ref());
     let service = route.pick_service(rand::random::<f64>()).clone();
     let timeout = fields
@@ -61,12 +55,21 @@
     })
 }
 
-/// Records for how long the manifest that routes a request has been known to be outdated.
-fn record_outdated_routing(gateway: &Gateway) {
-    if let Some(behind) = gateway.manifests.behind_for() {
-        let seconds = behind.duration().as_secs_f64();
-        gateway.metrics.outdated_routings.observe(seconds);
-    }
+/// Finds the route of a request, and the tenant whose API key it carries.
+///
+/// # Errors
+/// The same as of [`route_request`].
+pub(super) fn find_tenant<'a>(
+    manifest: &'a ServingManifest,
+    fields: &RequestFields,
+    host: &str,
+    path: &str,
+) -> Result<(&'a ServingRoute, Option<TenantName>), Refusal> {
+    let route = manifest
+        .find_route(host, path)
+        .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest matches"))?;
+    let tenant = identify_tenant(manifest, route, &fields.key)?;
+    Ok((route, tenant))
 }
 
 /// The lowercase host name that a request is addressed to, without a port.
--- a/crates/ward-gateway/src/front/tenant.rs
+++ b/crates/ward-gateway/src/front/tenant.rs
@@ -8,9 +8,8 @@
 use ward_protocol::TenantName;
 
 use super::answer::OwnAnswer;
-use super::refusal::{Refusal, not_run, refuse};
+use super::refusal::{Refusal, refuse};
 use super::route::RoutedRequest;
-use crate::gateway::Gateway;
 
 /// The tenant whose key a request carries; `None` if the request needs no key and has
 /// none that is known.
@@ -18,7 +17,6 @@
 /// # Errors
 /// A refusal if the request needs a key and has none that is known.
 pub(super) fn identify_tenant(
-    gateway: &Gateway,
     manifest: &ServingManifest,
     route: &ServingRoute,
     key: &CallerKey,
@@ -33,9 +31,6 @@
     if route.is_public {
         return Ok(None);
     }
-    if gateway.manifests.newest_version() > manifest.version {
-        return Err(not_run("its key may be in a manifest not read yet"));
-    }
     let reason = match key {
         CallerKey::Absent => "it has no API key",
         CallerKey::Garbled => "its API key is empty or not the only one",
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -23,7 +23,7 @@
 use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic, decode_manifest};
 use ward_fleet::{ManifestVersion, StoreEra, StorePosition};
 use ward_http::AnswerProgress;
-use ward_protocol::TimeSpan;
+use ward_protocol::{MonoTime, TimeSpan};
 
 use super::state::{ManifestOrigin, adopt_manifest};
 use crate::clock;
@@ -40,6 +40,8 @@
 const OWN_READ_GRACE: Duration = Duration::from_millis(500);
 /// Time for the store to begin its answer before other daemons are asked as well.
 const STORE_GRACE: Duration = Duration::from_millis(500);
+/// Maximum time for which the store may answer reads with what it held before.
+const MAX_STORE_LAG: TimeSpan = TimeSpan::from_secs(5);
 /// Maximum wait after a failed read during a store outage.
 const MAX_OUTAGE_WAIT: TimeSpan = TimeSpan::from_secs(5);
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -50,6 +52,7 @@
     let mut reader = ManifestReader {
         gateway,
         next_position: None,
+        read_begun: clock::now(),
         known_version: ManifestVersion::default(),
         backoff: MIN_BACKOFF,
     };
@@ -81,7 +84,9 @@
     gateway: Rc<Gateway>,
     /// Position to poll from; `None` if the newest manifest must be read.
     next_position: Option<StorePosition>,
-    /// Newest version that was known when the running read began.
+    /// When the running read began.
+    read_begun: MonoTime,
+    /// Newest version that was known then.
     known_version: ManifestVersion,
     /// Time until the next read after one that failed.
     backoff: Duration,
@@ -89,6 +94,7 @@
 
 impl ManifestReader {
     async fn read_next(&mut self) -> ReadEnd {
+        self.read_begun = clock::now();
         self.known_version = self.gateway.manifests.newest_version();
         match self.next_position {
             Some(position) => self.poll(position).await,
@@ -188,12 +194,24 @@
             request_snapshot(&gateway).await;
         } else if is_store_older {
             fetch_manifest(&gateway).await;
+            self.drop_lost_versions();
         }
         if is_store_older || tail.end.offset == 0 {
             tokio::time::sleep(MIN_BACKOFF).await;
         }
     }
 
+    /// Forgets versions that neither the store nor a peer has had for `MAX_STORE_LAG`.
+    fn drop_lost_versions(&self) {
+        let until = self.read_begun - MAX_STORE_LAG;
+        if let Some(version) = self.gateway.manifests.lapse(until) {
+            warn!(
+                self.gateway.logger, "manifest: announced version is not to be had";
+                "version" => version.0, "in_force" => self.gateway.manifests.version().0,
+            );
+        }
+    }
+
     async fn recover(&mut self, cause: &StoreError) {
         let gateway = Rc::clone(&self.gateway);
         gateway.metrics.count_store_call(false);
--- a/crates/ward-gateway/src/manifest/state.rs
+++ b/crates/ward-gateway/src/manifest/state.rs
@@ -5,8 +5,8 @@
 
 use slog::info;
 use tokio::sync::Notify;
-use ward_fleet::{ManifestVersion, ServingManifest, VersionTracker};
-use ward_protocol::TimeSpan;
+use ward_fleet::{ManifestStanding, ManifestVersion, ServingManifest, VersionTracker};
+use ward_protocol::{MonoTime, TimeSpan};
 
 use crate::clock;
 use crate::gateway::Gateway;
@@ -21,6 +21,8 @@
     versions: RefCell<VersionTracker>,
     /// Wakes the reader when a newer version becomes known.
     pub(super) outdated: Notify,
+    /// Notified when a manifest comes into force.
+    adopted: Notify,
 }
 
 /// Where a manifest was read.
@@ -80,6 +82,23 @@
         Some(clock::now().since(since))
     }
 
+    /// How the manifest in force relates to the newest known one, if a newer one must be in
+    /// force `bound` after it became known.
+    pub(crate) fn standing(&self, bound: TimeSpan) -> ManifestStanding {
+        self.versions.borrow().standing(clock::now(), bound)
+    }
+
+    /// Forgets versions that became known by a time and that nobody can give; returns the
+    /// newest of them.
+    pub(super) fn lapse(&self, until: MonoTime) -> Option<ManifestVersion> {
+        self.versions.borrow_mut().lapse(until)
+    }
+
+    /// Waits until another manifest comes into force.
+    pub(crate) async fn changed(&self) {
+        self.adopted.notified().await;
+    }
+
     /// Records a version that another daemon has, and wakes the reader if it is newer than
     /// all known ones.
     pub(crate) fn record_version(&self, version: ManifestVersion) {
@@ -124,5 +143,6 @@
     text.clone_into(&mut state.text.borrow_mut());
     *state.current.borrow_mut() = Some(Rc::new(manifest));
     state.versions.borrow_mut().adopt(version);
+    state.adopted.notify_waiters();
     gateway.queue.notify_change();
 }
--- a/crates/ward-stage/src/stage.rs
+++ b/crates/ward-stage/src/stage.rs
@@ -387,6 +387,7 @@
             retry_window: TimeSpan::from_secs(10),
             load_window: TimeSpan::from_secs(5),
             store_writes: RequestRate(400_000),
+            manifest_change: TimeSpan::from_secs(2),
             max_ttl: TimeSpan::from_secs(5),
             quota_window: TimeSpan::from_secs(8),
             quota_excess: 0.0,
