--- a/crates/ward-gateway/src/hub/manifest.rs
+++ b/crates/ward-gateway/src/hub/manifest.rs
@@ -10,7 +10,6 @@
 use rand::seq::SliceRandom;
 use slog::{info, warn};
 use tokio::net::TcpStream;
-use ward_adapter::decode_manifest;
 use ward_fleet::{CoordinatorMessage, ManifestVersion, MemberMessage};
 
 use super::broadcast::peer_addresses;
@@ -37,7 +36,7 @@
     let version = gateway.manifests.version();
     for address in nearest_addresses(gateway) {
         match request_manifest(address, version).await {
-            Ok(Some(text)) => apply_manifest(gateway, address, &text),
+            Ok(Some(text)) => adopt_manifest(gateway, &text, ManifestOrigin::Peer),
             Ok(None) => {
                 info!(gateway.logger, "peers: no newer manifest"; "address" => %address);
             }
@@ -77,15 +76,3 @@
         _ => Err(PeerError::Unexpected),
     }
 }
-
-fn apply_manifest(gateway: &Gateway, address: SocketAddr, text: &[u8]) {
-    match decode_manifest(text) {
-        Ok(manifest) => adopt_manifest(gateway, manifest, text, ManifestOrigin::Peer),
-        Err(cause) => {
-            warn!(
-                gateway.logger, "manifest: invalid from a peer";
-                "address" => %address, "cause" => %cause,
-            );
-        }
-    }
-}
--- a/crates/ward-gateway/src/hub/snapshot.rs
+++ b/crates/ward-gateway/src/hub/snapshot.rs
@@ -12,7 +12,6 @@
 
 use slog::{info, warn};
 use tokio::net::TcpStream;
-use ward_adapter::decode_manifest;
 use ward_fleet::{CoordinatorMessage, FleetSnapshot, MemberMessage};
 
 use super::broadcast::peer_addresses;
@@ -88,10 +87,7 @@
         "engines" => snapshot.engines.len(), "members" => snapshot.members.len(),
     );
     let text = snapshot.manifest.unwrap_or_default();
-    match decode_manifest(&text) {
-        Ok(manifest) => adopt_manifest(gateway, manifest, &text, ManifestOrigin::Peer),
-        Err(cause) => warn!(gateway.logger, "manifest: invalid in the snapshot"; "cause" => %cause),
-    }
+    adopt_manifest(gateway, &text, ManifestOrigin::Peer);
     record_news(
         gateway,
         &snapshot.crashes.crashes,
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic, decode_manifest};
+use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic};
 use ward_fleet::{ManifestVersion, StoreEra, StorePosition};
 use ward_http::AnswerProgress;
 use ward_protocol::{MonoTime, TimeSpan};
@@ -295,16 +295,7 @@
         .records
         .iter()
         .rfind(|record| StoreClient::is_manifest(record) && !record.value.is_empty());
-    let Some(record) = newest else {
-        return;
-    };
-    match decode_manifest(&record.value) {
-        Ok(manifest) => adopt_manifest(gateway, manifest, &record.value, ManifestOrigin::Store),
-        Err(cause) => {
-            warn!(
-                gateway.logger, "manifest: invalid record ignored";
-                "cause" => %cause, "offset" => record.offset,
-            );
-        }
+    if let Some(record) = newest {
+        adopt_manifest(gateway, &record.value, ManifestOrigin::Store);
     }
 }
--- a/crates/ward-gateway/src/manifest/state.rs
+++ b/crates/ward-gateway/src/manifest/state.rs
@@ -3,8 +3,9 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use slog::info;
+use slog::{info, warn};
 use tokio::sync::Notify;
+use ward_adapter::decode_manifest;
 use ward_fleet::{ManifestStanding, ManifestVersion, ServingManifest, VersionTracker};
 use ward_protocol::{MonoTime, TimeSpan};
 
@@ -109,8 +110,21 @@
     }
 }
 
-/// Puts a manifest in force, unless the same or a newer version already is.
-pub(crate) fn adopt_manifest(
+/// Puts the manifest with a text in force, unless it is invalid, or the same or a newer
+/// version already is.
+pub(crate) fn adopt_manifest(gateway: &Gateway, text: &[u8], origin: ManifestOrigin) {
+    match decode_manifest(text) {
+        Ok(manifest) => adopt_decoded(gateway, manifest, text, origin),
+        Err(cause) => {
+            warn!(
+                gateway.logger, "manifest: invalid record ignored";
+                "cause" => %cause, "from" => origin.label(),
+            );
+        }
+    }
+}
+
+fn adopt_decoded(
     gateway: &Gateway,
     manifest: ServingManifest,
     text: &[u8],
