Configuration: a daemon whose reads fail asks any peers for a newer manifest

Cause: a daemon cut off from the store asked peers only if it knew that it was behind, and learned that from its coordinator alone. If the store is away for a share of the hosts and for their coordinator (platform_down nodes), the coordinator keeps them, and they hear of no change although others have it. Class: a fact taken from one source only.

What isn't newer is one short message.

It has no test of its own: in a trial on a stage of three daemons the followers left their coordinator before it mattered, with and without the change.

--- a/crates/ward-gateway/src/hub/manifest.rs
+++ b/crates/ward-gateway/src/hub/manifest.rs
@@ -1,8 +1,6 @@
-//! Manifests from other daemons, for a daemon that knows of a newer one and gets no answer
-//! from the store.
+//! Manifests from other daemons, for a daemon that gets no answer from the store.
 //!
-//! It asks a few daemons, one after another: those of its availability zone first, since
-//! bytes between zones cost more. One that has nothing newer says so at once.
+//! It asks a few daemons, one after another. One that has nothing newer says so at once.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,11 +28,20 @@
     state.text().filter(|_| state.version() > version)
 }
 
+/// Which daemons are asked first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PeerOrder {
+    /// Those of the own availability zone, since bytes between zones cost more.
+    Nearest,
+    /// Any, since all of a zone may have lost the store together.
+    Random,
+}
+
 /// Asks other daemons for a manifest newer than the one in force, until one has it and it is
-/// in force; returns whether it is.
-pub(crate) async fn fetch_manifest(gateway: &Gateway) -> bool {
+/// in force.
+pub(crate) async fn fetch_manifest(gateway: &Gateway, order: PeerOrder) {
     let version = gateway.manifests.version();
-    for address in nearest_addresses(gateway) {
+    for address in pick_addresses(gateway, order) {
         match request_manifest(address, version).await {
             Ok(Some(text)) => adopt_manifest(gateway, &text, ManifestOrigin::Peer),
             Ok(None) => {
@@ -45,20 +52,20 @@
             }
         }
         if gateway.manifests.version() > version {
-            return true;
+            return;
         }
     }
-    false
 }
 
-/// Addresses of some daemons in random order, those of the own availability zone first.
-fn nearest_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+/// Addresses of some daemons.
+fn pick_addresses(gateway: &Gateway, order: PeerOrder) -> Vec<SocketAddr> {
     let mut addresses: Vec<_> = peer_addresses(gateway).into_iter().collect();
     addresses.shuffle(&mut rand::rng());
-    let is_far = |address: &SocketAddr| {
-        ZoneRelation::to_address(gateway, address.ip()) != ZoneRelation::Same
-    };
-    addresses.sort_by_key(is_far);
+    if order == PeerOrder::Nearest {
+        addresses.sort_by_key(|address| {
+            ZoneRelation::to_address(gateway, address.ip()) != ZoneRelation::Same
+        });
+    }
     addresses.truncate(MAX_QUERIED_DAEMONS);
     addresses
 }
--- a/crates/ward-gateway/src/hub/mod.rs
+++ b/crates/ward-gateway/src/hub/mod.rs
@@ -16,7 +16,7 @@
 pub(crate) use broadcast::{broadcast_crashes, peer_addresses};
 pub(crate) use call::call_daemon;
 pub(crate) use frame::{MessageFrame, PeerError, encode_frame, encode_message};
-pub(crate) use manifest::fetch_manifest;
+pub(crate) use manifest::{PeerOrder, fetch_manifest};
 pub(crate) use member::follow_coordinator;
 pub(crate) use server::accept_members;
 pub(crate) use snapshot::request_snapshot;
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -28,7 +28,7 @@
 use super::state::{ManifestOrigin, adopt_manifest};
 use crate::clock;
 use crate::gateway::Gateway;
-use crate::hub::{fetch_manifest, request_snapshot};
+use crate::hub::{PeerOrder, fetch_manifest, request_snapshot};
 
 /// Duration of a poll while views would announce a new manifest.
 const LONG_POLL_WAIT: TimeSpan = TimeSpan::from_millis(25_000);
@@ -118,7 +118,7 @@
             tokio::time::sleep(STORE_GRACE).await;
             if !progress.has_begun() && gateway.manifests.behind_for().is_some() {
                 has_asked.set(true);
-                fetch_manifest(gateway).await;
+                fetch_manifest(gateway, PeerOrder::Nearest).await;
             }
         };
         tokio::pin!(read, from_peers);
@@ -193,7 +193,7 @@
         if is_first && (is_store_older || may_store_be_outdated(&gateway)) {
             request_snapshot(&gateway).await;
         } else if is_store_older {
-            fetch_manifest(&gateway).await;
+            fetch_manifest(&gateway, PeerOrder::Random).await;
             self.drop_lost_versions();
         }
         if is_store_older || tail.end.offset == 0 {
@@ -220,9 +220,8 @@
         if cause.is_position_lost() {
             self.next_position = None;
         }
-        if gateway.manifests.is_outdated() {
-            catch_up(&gateway).await;
-        }
+        // Another daemon may reach the store, also if no coordinator tells so.
+        catch_up(&gateway).await;
         tokio::time::sleep(self.backoff).await;
         wait_out_store_outage(&gateway).await;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
@@ -233,7 +232,7 @@
 /// none.
 async fn catch_up(gateway: &Rc<Gateway>) {
     if gateway.manifests.is_known() {
-        fetch_manifest(gateway).await;
+        fetch_manifest(gateway, PeerOrder::Random).await;
     } else {
         request_snapshot(gateway).await;
     }
