--- a/crates/ward-gateway/src/front/job.rs
+++ b/crates/ward-gateway/src/front/job.rs
@@ -20,7 +20,7 @@
 use crate::gateway::Gateway;
 use crate::phase::RequestPhase;
 use crate::queue::{WaitFailure, WaitTicket, acquire_slot};
-use crate::streams::{StreamTry, record_origin};
+use crate::streams::{OriginCopies, StreamTry, record_origin};
 
 /// Attempts that did not reach an engine after which a request is refused.
 const MAX_UNSENT: u32 = 6;
@@ -163,7 +163,15 @@
             service: engine.service.clone(),
             software: engine.software.clone(),
         };
-        record_origin(gateway, &self.stream, origin, &self.request.id_text).await;
+        let copies = record_origin(gateway, &self.stream, &origin).await;
+        if let Some(OriginCopies { told, stored }) = copies {
+            info!(
+                gateway.logger, "stream: origin recorded"; "request" => &self.request.id_text,
+                "service" => %origin.service, "software" => %origin.software,
+                "engine" => %engine.id, "birth" => engine.birth.map(|birth| birth.0),
+                "told" => told, "stored" => stored,
+            );
+        }
     }
 
     fn relay(&self, gateway: &Rc<Gateway>, attempt: Attempt, runs: u32) -> StreamRelay {
--- a/crates/ward-gateway/src/streams/mod.rs
+++ b/crates/ward-gateway/src/streams/mod.rs
@@ -26,7 +26,7 @@
 
 pub(crate) use self::find::find_origin;
 pub(crate) use self::persist::{persist_now, persist_streams, wait_until_listed};
-pub(crate) use self::record::{StreamTry, record_origin, spread_streams};
+pub(crate) use self::record::{OriginCopies, StreamTry, record_origin, spread_streams};
 use self::store::StreamStore;
 use crate::clock;
 use crate::gateway::Gateway;
--- a/crates/ward-gateway/src/streams/record.rs
+++ b/crates/ward-gateway/src/streams/record.rs
@@ -41,16 +41,25 @@
     pub(crate) on_time_until: MonoTime,
 }
 
+/// Who knows where a stream comes from, besides the daemon that forwards it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OriginCopies {
+    /// Whether a keeper does.
+    pub(crate) told: bool,
+    /// Whether the store does.
+    pub(crate) stored: bool,
+}
+
 /// Records that a stream comes from engines of this origin, before the caller gets the
 /// first bytes. The store must list its version; while the service has several versions,
 /// a keeper and the store must know the stream itself. Keepers serve while the store is
-/// away, and the store once all daemons have lost power.
+/// away, and the store once all daemons have lost power. Returns who knows the stream, or
+/// `None` if only its version matters.
 pub(crate) async fn record_origin(
     gateway: &Rc<Gateway>,
     stream: &StreamTry,
-    origin: StreamOrigin,
-    request: &str,
-) {
+    origin: &StreamOrigin,
+) -> Option<OriginCopies> {
     let lifetime = stream.keep_until.since(clock::now());
     let keys = stream.first_try.into_iter().chain(stream.own);
     let notes = keys.map(|key| StreamNote {
@@ -63,15 +72,11 @@
     state.record_notes(notes.iter().cloned(), NoteSource::Own);
     if !state.has_several_versions(&origin.service) {
         wait_until_stored(gateway, WaitScope::Versions, stream.on_time_until).await;
-        return;
+        return None;
     }
     let stored = wait_until_stored(gateway, WaitScope::Streams, stream.on_time_until);
     let (told, stored) = tokio::join!(tell_any_keeper(gateway, notes), stored);
-    info!(
-        gateway.logger, "stream: origin recorded"; "request" => request,
-        "service" => %origin.service, "software" => %origin.software, "told" => told,
-        "stored" => stored,
-    );
+    Some(OriginCopies { told, stored })
 }
 
 /// Tells the keepers of all own streams of a service when it gets a further version;
