Callers: a refusal reaches a caller that still sends its body

Cause: the connection was closed with the refusal, and the bytes that still came reset it, which discards what the caller hasn't read. Class: a close with unread input.

The connection counts as nearly empty meanwhile, in a phase of its own, and is closed last. Reading of bodies and the entries of the registry move into files of their own.

--- a/crates/ward-daemon/tests/gateway/memory.rs
+++ b/crates/ward-daemon/tests/gateway/memory.rs
@@ -16,6 +16,9 @@
 
 /// Limit on the bodies of requests.
 const BODY_BYTES: usize = 4 << 20;
+/// Bytes of a body that are sent at once, and the time between.
+const PIECE_BYTES: usize = 64 << 10;
+const PIECE_INTERVAL: Duration = Duration::from_millis(5);
 /// Requests with long bodies at the same time; twice the memory of the host.
 const LONG_REQUESTS: usize = 120;
 /// Requests whose answers never end at the same time; no more than all slots.
@@ -62,6 +65,55 @@
     text.lines().next().unwrap_or_default().to_owned()
 }
 
+/// Sends a request with a long body in pieces, and reads the answer after the last; returns
+/// the first line of the answer.
+async fn send_in_pieces(address: SocketAddr) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let head = format!(
+        "POST /book/a HTTP/1.1\r\nHost: {CALLER_HOST}\r\nX-Persimmonward-Request-Id: slow\r\n\
+         Content-Length: {BODY_BYTES}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let piece = vec![b'x'; PIECE_BYTES];
+    for _ in 0..BODY_BYTES / PIECE_BYTES {
+        stream.write_all(&piece).await?;
+        tokio::time::sleep(PIECE_INTERVAL).await;
+    }
+    let mut answer = vec![0; 1 << 10];
+    let count = stream.read(&mut answer).await?;
+    let text = String::from_utf8_lossy(&answer[..count]).into_owned();
+    Ok(text.lines().next().unwrap_or_default().to_owned())
+}
+
+/// Allows bodies of `BODY_BYTES` at the first daemon.
+async fn allow_long_bodies(stage: &mut Stage) {
+    stage.manifest.limits.body_bytes = BODY_BYTES;
+    stage.manifest.version.0 += 1;
+    stage.store.put_manifest(&stage.manifest);
+    wait_until("the longer limit", || {
+        let log = stage.daemons[0].log().unwrap();
+        log.matches("manifest: in force").count() > 1
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_body_that_was_still_sent_was_lost_with_a_reset() {
+    let plan = StagePlan {
+        // A body that may be sent is longer than all buffers of the daemon.
+        host_memory: MemorySize::from_mib(12),
+        ..StagePlan::default()
+    };
+    let mut stage = stage("memory-refusal", &plan).await;
+    allow_long_bodies(&mut stage).await;
+    let address = stage.daemons[0].callers();
+    for _ in 0..5 {
+        let answer = send_in_pieces(address).await;
+        expect_that!(answer, ok(contains_substring("503")));
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_answers_took_more_memory_than_the_host_has() {
@@ -93,14 +145,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn long_bodies_took_more_memory_than_the_host_has() {
     let mut stage = stage("memory-bodies", &StagePlan::default()).await;
-    stage.manifest.limits.body_bytes = BODY_BYTES;
-    stage.manifest.version.0 += 1;
-    stage.store.put_manifest(&stage.manifest);
-    wait_until("the longer limit", || {
-        let log = stage.daemons[0].log().unwrap();
-        log.matches("manifest: in force").count() > 1
-    })
-    .await;
+    allow_long_bodies(&mut stage).await;
     for server in &stage.engines[3..] {
         server.set_fault(EngineFault::Hang);
     }
--- a/crates/ward-fleet/src/callers/load.rs
+++ b/crates/ward-fleet/src/callers/load.rs
@@ -31,6 +31,8 @@
     Head,
     /// The rest of a request's body.
     Body,
+    /// The rest of a body whose request was refused, which is dropped as it comes.
+    Refused,
     /// The answer to a complete request.
     Serving,
     /// The caller, who is to read what was answered.
@@ -111,6 +113,7 @@
     pub fn held_bytes(&self) -> usize {
         let phase_bytes = match self.phase {
             CallerPhase::Idle | CallerPhase::Head => 0,
+            CallerPhase::Refused => REQUEST_BYTES,
             CallerPhase::Body => REQUEST_BYTES + self.body_bytes(),
             CallerPhase::Serving => REQUEST_BYTES + self.bytes.min(COUNTED_BODY_BYTES),
             CallerPhase::Unread => REQUEST_BYTES + UNREAD_BYTES,
--- a/crates/ward-fleet/src/callers/yielding.rs
+++ b/crates/ward-fleet/src/callers/yielding.rs
@@ -34,7 +34,11 @@
     candidates.sort_by_cached_key(|(key, load)| {
         let held = holdings.get(&load.source).copied().unwrap_or_default();
         let is_idle = load.phase == CallerPhase::Idle;
-        (held <= fair_share, !is_idle, Reverse(load.lag(now)), *key)
+        // It holds little, and not for long; its caller would lose the refusal.
+        let is_refused = load.phase == CallerPhase::Refused;
+        let lag = Reverse(load.lag(now));
+        let is_fair = held <= fair_share;
+        (is_refused, is_fair, !is_idle, lag, *key)
     });
     let mut freed_bytes = 0;
     let mut chosen = Vec::new();
--- a/crates/ward-gateway/src/front/connection.rs
+++ b/crates/ward-gateway/src/front/connection.rs
@@ -4,7 +4,8 @@
 
 use ward_fleet::callers::{BodyLength, CallerPhase};
 
-use super::registry::{CloseReason, ConnectionKey, ConnectionRegistry};
+use super::entry::{CloseReason, ConnectionKey};
+use super::registry::ConnectionRegistry;
 
 /// Most requests in succession that a caller may send before it got the answer to the one
 /// before.
@@ -27,6 +28,11 @@
         Self { registry, key }
     }
 
+    /// The registry that has the connection.
+    pub(super) const fn registry(&self) -> &Rc<ConnectionRegistry> {
+        &self.registry
+    }
+
     /// Identifies the connection.
     pub(crate) const fn key(&self) -> ConnectionKey {
         self.key
@@ -42,6 +48,10 @@
         let is_open = self.registry.change(self.key, |entry, now| {
             match entry.load.phase {
                 CallerPhase::Unread => return,
+                CallerPhase::Refused => {
+                    entry.load = entry.load.moved(bytes, now);
+                    return;
+                }
                 CallerPhase::Idle => entry.load = entry.load.entered(CallerPhase::Head, now),
                 _ => {}
             }
@@ -87,7 +97,8 @@
         self.registry.change(self.key, |entry, now| {
             entry.is_answering = false;
             entry.load.fields = 0;
-            if entry.load.phase != CallerPhase::Unread {
+            let phase = entry.load.phase;
+            if phase != CallerPhase::Unread && phase != CallerPhase::Refused {
                 entry.load = entry.load.entered(CallerPhase::Idle, now);
             }
         });
--- a/crates/ward-gateway/src/front/handle.rs
+++ b/crates/ward-gateway/src/front/handle.rs
@@ -2,8 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use indexmap::IndexSet;
@@ -16,14 +14,14 @@
 use ward_protocol::{MonoTime, RequestFingerprint, TimeSpan};
 
 use super::answer::{AnswerBody, OwnAnswer};
+use super::body::receive_body;
 use super::job::ServeJob;
 use super::newest::route_by_newest;
 use super::quota::charge_quota;
-use super::refusal::{Refusal, blocked_refusal, not_run, refuse};
+use super::refusal::{Refusal, blocked_refusal, refuse};
 use super::resume::{required_software, stream_try};
 use super::route::{RoutedRequest, origin_target, requested_host};
 use super::tenant::required_key;
-use crate::buffer::BufferError;
 use crate::clock;
 use crate::crash::request_block;
 use crate::forward::{AttemptRequest, ConnectionNeed};
@@ -230,28 +228,6 @@
     job.run(gateway).await
 }
 
-/// Reads the body of a request, unless its connection must give way to others first.
-async fn receive_body(
-    gateway: &Gateway,
-    head: &Parts,
-    body: Incoming,
-    max_bytes: usize,
-    timeout: TimeSpan,
-) -> Result<Bytes, Refusal> {
-    let connection = head.extensions.get();
-    let body = tokio::select! {
-        biased;
-        body = read_body(gateway, body, max_bytes, timeout) => body?,
-        () = gateway.connections.body_refused(connection) => {
-            return Err(not_run("there is no memory left for a body that is still to come"));
-        }
-    };
-    if !gateway.connections.record_whole_request(connection) {
-        return Err(not_run("its connection is closed to make room for others"));
-    }
-    Ok(body)
-}
-
 /// Whether the answer to a request can end before the process does; always true unless the
 /// daemon is shutting down.
 fn can_end_in_time(gateway: &Gateway, routed: &RoutedRequest) -> bool {
@@ -261,25 +237,6 @@
     })
 }
 
-async fn read_body(
-    gateway: &Gateway,
-    body: Incoming,
-    max_bytes: usize,
-    timeout: TimeSpan,
-) -> Result<Bytes, Refusal> {
-    let collected = gateway.buffers.collect(body, max_bytes);
-    match tokio::time::timeout(timeout.duration(), collected).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BufferError::TooLong)) => Err(refuse(
-            OwnAnswer::TooLong,
-            "the body is longer than the manifest allows",
-        )),
-        Ok(Err(BufferError::Full)) => Err(not_run("there is no memory left for its body")),
-        Ok(Err(BufferError::Cut)) => Err(refuse(OwnAnswer::NoBody, "the body broke off")),
-        Err(_) => Err(refuse(OwnAnswer::NoBody, "the body did not arrive in time")),
-    }
-}
-
 fn fingerprint(uri: &http::Uri, body: &[u8]) -> RequestFingerprint {
     let target = uri.path_and_query().map_or("", |target| target.as_str());
     RequestFingerprint::of(target, body)
--- a/crates/ward-gateway/src/front/listen.rs
+++ b/crates/ward-gateway/src/front/listen.rs
@@ -25,6 +25,7 @@
 use ward_protocol::TimeSpan;
 
 use super::answer::{AnswerBody, OwnAnswer, set_connection_close};
+use super::body::discard_rest;
 use super::connection::TrackedConnection;
 use super::handle::handle_request;
 use super::stream::{TrackedAnswer, TrackedStream};
@@ -249,6 +250,8 @@
         Ok(Box::pin(handling(request)))
     } else {
         let id = RequestFields::read(request.headers()).id;
+        let registry = connection.registry();
+        discard_rest(registry, connection.key(), request.into_body());
         Err(OwnAnswer::NotRun(NO_ROOM_RETRY_AFTER).response(id.as_ref()))
     };
     async move {
--- a/crates/ward-gateway/src/front/registry.rs
+++ b/crates/ward-gateway/src/front/registry.rs
@@ -18,6 +18,7 @@
 use ward_protocol::{MonoTime, TimeSpan};
 
 use super::connection::TrackedConnection;
+use super::entry::{CloseReason, ConnectionEntry, ConnectionKey};
 use crate::metrics::GatewayMetrics;
 
 /// Time between two looks for callers that are overdue.
@@ -31,57 +32,6 @@
 /// gone; what comes beyond that is refused.
 const EXCESS_PART: usize = 4;
 
-/// Why a connection was closed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CloseReason {
-    /// All connections together held too much memory.
-    Memory,
-    /// The endpoint had too many connections.
-    Connections,
-    /// The head did not arrive in time.
-    SlowHead,
-    /// The caller did not read its answer.
-    Unread,
-    /// The caller sent too many requests ahead.
-    SentAhead,
-}
-
-impl CloseReason {
-    const fn label(self) -> &'static str {
-        match self {
-            Self::Memory => "memory",
-            Self::Connections => "connections",
-            Self::SlowHead => "slow_head",
-            Self::Unread => "unread",
-            Self::SentAhead => "sent_ahead",
-        }
-    }
-}
-
-/// Identifies a connection; later ones have higher keys.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct ConnectionKey(u64);
-
-/// One connection.
-pub(super) struct ConnectionEntry {
-    pub(super) load: ConnectionLoad,
-    endpoint: EndpointKind,
-    /// Most bytes that its buffer takes.
-    pub(super) buffer_bytes: usize,
-    /// Whether the answer to its request is not complete.
-    pub(super) is_answering: bool,
-    /// Whether bytes arrived after the last answer was complete.
-    pub(super) has_waited: bool,
-    /// Requests in succession that were sent before the answer to the one before.
-    pub(super) sent_ahead: u32,
-    /// Whether it is to be closed, and still holds what it has until its task ends.
-    is_closing: bool,
-    /// Refuses a request whose body has not arrived, which its caller is then told.
-    refusal: Option<oneshot::Sender<()>>,
-    /// Ends its task; none until that has begun.
-    task: Option<AbortHandle>,
-}
-
 /// Connections of all endpoints.
 pub(crate) struct ConnectionRegistry {
     bounds: CallerBounds,
@@ -192,6 +142,31 @@
         }
     }
 
+    /// Records that the request on a connection is refused while its body still comes. The
+    /// connection stays open until the caller has read the refusal, since it holds little.
+    pub(super) fn record_refused(&self, key: ConnectionKey) {
+        let mut reopened = None;
+        self.change(key, |entry, now| {
+            entry.load = entry.load.entered(CallerPhase::Refused, now);
+            entry.refusal = None;
+            if std::mem::take(&mut entry.is_closing) {
+                reopened = Some(entry.endpoint);
+            }
+        });
+        if let Some(endpoint) = reopened {
+            self.count_open(endpoint, 1);
+        }
+    }
+
+    /// Records that the rest of a refused body has been dropped.
+    pub(super) fn record_discarded(&self, key: ConnectionKey) {
+        self.change(key, |entry, now| {
+            if entry.load.phase == CallerPhase::Refused {
+                entry.load = entry.load.entered(CallerPhase::Idle, now);
+            }
+        });
+    }
+
     /// Moves the time on, and closes the connections whose callers are overdue. Called
     /// once per `LOOK_INTERVAL`.
     pub(crate) fn look(&self, limits: &CallerLimits) {
@@ -377,15 +352,14 @@
         let Some(entry) = entries.get_mut(&key) else {
             return false;
         };
-        let before = entry.load.held_bytes();
+        let before = entry.held_by_state();
         change(entry, self.now.get());
-        let after = entry.load.held_bytes();
-        let held = self.held_bytes.get() + after;
-        self.held_bytes.set(held.saturating_sub(before));
-        if entry.is_closing {
-            let closing = self.closing_bytes.get() + after;
-            self.closing_bytes.set(closing.saturating_sub(before));
-        }
+        let after = entry.held_by_state();
+        let held = self.held_bytes.get() + after.all;
+        self.held_bytes.set(held.saturating_sub(before.all));
+        let closing = self.closing_bytes.get() + after.closing;
+        self.closing_bytes
+            .set(closing.saturating_sub(before.closing));
         true
     }
 }
