Callers: memory is not freed by closing connections that hold none

Cause, traced by a line per close in a trial: with 120 bodies of 4 MiB under way, 69 connections that hadn't sent a byte were closed for lack of memory, 12 KiB each, and 30 with bodies. Connections of one address with the same lag were chosen by age alone, and the clock of lags moves each 0.5 s, so new ones are as far behind as any.

Change: where memory is short, connections that hold nothing come after those of the same address and state that hold something. Where there are too many connections, nothing changes.

--- a/crates/ward-fleet/src/callers/load.rs
+++ b/crates/ward-fleet/src/callers/load.rs
@@ -122,6 +122,13 @@
         CONNECTION_BYTES + 2 * self.buffered + self.fields * FIELD_BYTES + phase_bytes
     }
 
+    /// Whether the connection holds no more than any open one does, so that closing it
+    /// frees next to nothing.
+    #[must_use]
+    pub fn is_bare(&self) -> bool {
+        self.held_bytes() <= CONNECTION_BYTES
+    }
+
     /// Memory of a body that has not arrived in full. The buffer for a long one has its
     /// whole length once enough has arrived; one without a known length grows by doubling.
     fn body_bytes(&self) -> usize {
--- a/crates/ward-fleet/src/callers/yielding.rs
+++ b/crates/ward-fleet/src/callers/yielding.rs
@@ -27,6 +27,8 @@
     let loads: Vec<_> = loads.into_iter().collect();
     let holdings = source_holdings(&loads);
     let fair_share = loads.len().div_ceil(holdings.len().max(1));
+    // Where memory is short, one that has just been opened is no help.
+    let frees_nothing = |load: &ConnectionLoad| need.connections == 0 && load.is_bare();
     let mut candidates: Vec<_> = loads
         .iter()
         .filter(|(_, load)| load.phase != CallerPhase::Serving)
@@ -38,7 +40,14 @@
         let is_refused = load.phase == CallerPhase::Refused;
         let lag = Reverse(load.lag(now));
         let is_fair = held <= fair_share;
-        (is_refused, is_fair, !is_idle, lag, *key)
+        (
+            is_refused,
+            is_fair,
+            !is_idle,
+            frees_nothing(load),
+            lag,
+            *key,
+        )
     });
     let mut freed_bytes = 0;
     let mut chosen = Vec::new();
--- a/crates/ward-fleet/tests/callers.rs
+++ b/crates/ward-fleet/tests/callers.rs
@@ -88,6 +88,23 @@
     expect_that!(chosen(&[idle; 5], need).len(), eq(2));
 }
 
+#[gtest]
+fn choose_yielding_closed_many_new_connections_in_place_of_a_long_body() {
+    let new = load(1, CallerPhase::Head, 19);
+    let body = load(1, CallerPhase::Body, 19).moved(1 << 20, time(20));
+    let mut loads = vec![new; 60];
+    loads.push(body);
+    let need = YieldNeed {
+        bytes: 512 << 10,
+        connections: 0,
+    };
+    expect_that!(chosen(&loads, need), elements_are![eq(&60)]);
+    // A refusal that its caller can still read is kept, too.
+    let refused = load(1, CallerPhase::Refused, 1);
+    let need = YieldNeed { bytes: 1, ..need };
+    expect_that!(chosen(&[refused, body], need), elements_are![eq(&1)]);
+}
+
 #[gtest]
 fn held_bytes_grow_with_fields_and_body() {
     let plain = load(1, CallerPhase::Body, 1);
