--- a/crates/ward-fleet/src/version_tracker.rs
+++ b/crates/ward-fleet/src/version_tracker.rs
@@ -99,7 +99,7 @@
     /// # use ward_protocol::{MonoTime, TimeSpan};
     /// let mut tracker = VersionTracker::default();
     /// tracker.record(ManifestVersion(2), MonoTime(0));
-    /// let standing = |millis| tracker.standing(MonoTime(millis * 1_000), TimeSpan::from_secs(1));
+    /// let standing = |millis: u64| tracker.standing(MonoTime(millis * 1_000), TimeSpan::from_secs(1));
     /// assert_eq!(standing(900), ManifestStanding::Outdated);
     /// assert_eq!(standing(1_000), ManifestStanding::Replaced);
     /// ```
