Coordinator: one that can't read the engines keeps those that it knows

Cause: the failed read left its state empty, and its first, complete view took the engines from all daemons that knew them. Class: a belief replaced by nothing because a read failed.

Change: it begins with the engines of its own table, whose copies count as not known, and gives no orders until it has read the engines.

--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod support;
 mod tenants;
 mod unframed;
+mod unread_engines;
 mod version_history;
 mod versions;
 mod weights;
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -16,7 +16,7 @@
 
 use crate::compact::{CompactReport, CompactView};
 use crate::crash::{ClearedPart, CrashNews, CrashReport, EngineIncarnation};
-use crate::entry::{EngineBirth, EngineEntry, HeldModel};
+use crate::entry::{EngineBirth, EngineEntry, HeartbeatCount, HeldModel};
 use crate::limit::{LimitSighting, PermitBatch, PermitNeed};
 use crate::manifest::ManifestVersion;
 use crate::outage::ProbeNumber;
@@ -313,6 +313,27 @@
     }
 }
 
+impl From<&EngineInfo> for EngineEntry {
+    /// An entry older than any heartbeat, in which the engine's copies are not known.
+    fn from(info: &EngineInfo) -> Self {
+        Self {
+            id: info.id.clone(),
+            service: info.service.clone(),
+            address: info.address,
+            zone: info.zone.clone(),
+            software: info.software.clone(),
+            slots: info.slots,
+            draining: info.draining,
+            leaves_in: None,
+            birth: info.birth,
+            heartbeat: HeartbeatCount(0),
+            models: info.holding.clone(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        }
+    }
+}
+
 impl EngineInfo {
     /// Whether new requests may be sent to the engine.
     #[must_use]
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -118,10 +118,13 @@
         self.lease.borrow().fence
     }
 
-    /// Whether orders may be sent: the term is neither being released nor has it ended,
-    /// and its lease allows them.
+    /// Whether orders may be sent: the engines were read, the term is neither being
+    /// released nor has it ended, and its lease allows them.
     pub(super) fn may_order(&self) -> bool {
-        !self.resigned.get() && self.lease.borrow().may_order(&self.window, clock::now())
+        let has_read = self.engines_position.get().is_some();
+        has_read
+            && !self.resigned.get()
+            && self.lease.borrow().may_order(&self.window, clock::now())
     }
 
     /// Stops sending orders and renewals.
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -9,7 +9,8 @@
 use ward_adapter::{NewRecord, StoreClient, StoreError, StoreTopic, decode_entry};
 use ward_fleet::placement::{plan_tasks, slow_models};
 use ward_fleet::{
-    CoordinatorLease, FleetRecord, LeaseWindow, StoreEra, StorePosition, StoredFleet, TermRecord,
+    CoordinatorLease, EngineEntry, FleetRecord, LeaseWindow, StoreEra, StorePosition, StoredFleet,
+    TermRecord,
 };
 use ward_protocol::codec::encode;
 use ward_protocol::{DaemonId, FenceNumber, WallTime};
@@ -77,11 +78,16 @@
     let tail = match gateway.store.newest(StoreTopic::Engines).await {
         Ok(tail) => tail,
         Err(cause) => {
-            warn!(gateway.logger, "coordinator: engines cannot be read"; "cause" => %cause);
+            let known = keep_known_engines(gateway, coordinator);
+            warn!(
+                gateway.logger, "coordinator: engines cannot be read";
+                "cause" => %cause, "known" => known,
+            );
             return;
         }
     };
     let now = clock::now();
+    coordinator.record_store_read(tail.end, now);
     for record in tail
         .records
         .iter()
@@ -111,6 +117,22 @@
     }
 }
 
+/// Takes the engines that this daemon knows for those of the fleet, until they are read:
+/// a view without them would take them from all daemons. Returns their number.
+fn keep_known_engines(gateway: &Gateway, coordinator: &ActiveCoordinator) -> usize {
+    let now = clock::now();
+    let table = gateway.table.borrow();
+    let known = table.iter().filter(|engine| !engine.info.ended);
+    let entries: Vec<_> = known
+        .map(|engine| EngineEntry::from(&engine.info))
+        .collect();
+    let mut state = coordinator.state.borrow_mut();
+    for entry in &entries {
+        state.apply_entry(entry, now);
+    }
+    entries.len()
+}
+
 async fn run_term(gateway: Rc<Gateway>, coordinator: Rc<ActiveCoordinator>) {
     tokio::select! {
         () = renew_lease(&gateway, &coordinator) => {}
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -36,6 +36,8 @@
     Reset,
     /// Calls neither take effect nor get an answer; connections stay open.
     Hang,
+    /// The same for reads of the engines only.
+    HangEngines,
     /// Each call takes effect and is answered after this delay.
     Slow(Duration),
     /// Appends take effect, but the connection is closed without an answer.
@@ -331,7 +333,7 @@
         StoreFault::Reset => return Err(AbortConnection),
         StoreFault::Hang => std::future::pending().await,
         StoreFault::Slow(span) => tokio::time::sleep(span).await,
-        StoreFault::None | StoreFault::LoseAppendAnswers => {}
+        StoreFault::None | StoreFault::LoseAppendAnswers | StoreFault::HangEngines => {}
     }
     let query = request.uri().query().unwrap_or_default();
     let call = parse_call(request.uri().path(), query);
@@ -340,6 +342,13 @@
         .collect()
         .await
         .map_err(|_| AbortConnection)?;
+    let reads_engines = matches!(
+        call,
+        Some(StoreCall::Read(StoreTopic::Engines, ..) | StoreCall::Newest(StoreTopic::Engines, _))
+    );
+    if fault == StoreFault::HangEngines && reads_engines {
+        std::future::pending::<()>().await;
+    }
     match call {
         Some(StoreCall::Append(topic, expected_end)) => {
             let response = state.append_records(topic, expected_end, &body.to_bytes());
