--- a/crates/ward-daemon/tests/gateway/late_manifests.rs
+++ b/crates/ward-daemon/tests/gateway/late_manifests.rs
@@ -10,7 +10,7 @@
 use ward_protocol::codec::encode;
 use ward_stage::{CallerRequest, LinkFault, Stage, StagePlan};
 
-use crate::support::{send, stage, wait_until_all_joined};
+use crate::support::{add_route, send, stage, wait_until_all_joined, write_manifest};
 
 /// Time within which a change must be in force everywhere.
 const CHANGE_TIME: Duration = Duration::from_secs(3);
@@ -24,20 +24,6 @@
 /// Time after which a version that nobody has counts as lost.
 const LOST_VERSION_TIME: Duration = Duration::from_secs(8);
 
-/// Adds a route that leads to the plain service, without writing the manifest.
-fn add_route(stage: &mut Stage, name: &str) {
-    let mut route = stage.manifest.routes.last().unwrap().clone();
-    name.clone_into(&mut route.name);
-    route.prefix = format!("/{name}/");
-    stage.manifest.routes.push(route);
-}
-
-/// Writes the manifest with the next version.
-fn write_manifest(stage: &mut Stage) {
-    stage.manifest.version = ManifestVersion(stage.manifest.version.0 + 1);
-    stage.store.put_manifest(&stage.manifest);
-}
-
 async fn status_of(stage: &Stage, daemon: usize, path: &str) -> Option<StatusCode> {
     let request = CallerRequest::new(format!("{path}-{daemon}"), path, None);
     send(stage, daemon, &request)
--- a/crates/ward-daemon/tests/gateway/memory.rs
+++ b/crates/ward-daemon/tests/gateway/memory.rs
@@ -12,7 +12,9 @@
 use ward_protocol::MemorySize;
 use ward_stage::{CallerRequest, EngineFault, Stage, StagePlan};
 
-use crate::support::{send, set_fault_on_all, stage, wait_until, wait_until_all_joined};
+use crate::support::{
+    send, set_fault_on_all, stage, wait_until, wait_until_all_joined, write_manifest,
+};
 
 /// Limit on the bodies of requests.
 const BODY_BYTES: usize = 4 << 20;
@@ -88,8 +90,7 @@
 /// Allows bodies of `BODY_BYTES` at the first daemon.
 async fn allow_long_bodies(stage: &mut Stage) {
     stage.manifest.limits.body_bytes = BODY_BYTES;
-    stage.manifest.version.0 += 1;
-    stage.store.put_manifest(&stage.manifest);
+    write_manifest(stage);
     wait_until("the longer limit", || {
         let log = stage.daemons[0].log().unwrap();
         log.matches("manifest: in force").count() > 1
--- a/crates/ward-daemon/tests/gateway/restored.rs
+++ b/crates/ward-daemon/tests/gateway/restored.rs
@@ -6,14 +6,13 @@
 use http::StatusCode;
 use rustix::process::Signal;
 use ward_adapter::StoreTopic;
-use ward_fleet::ManifestVersion;
 use ward_stage::{
     CallerRequest, CrashKind, EngineFault, Stage, StageCaller, StagePlan, StoreCopy, StoreFault,
 };
 
 use crate::support::{
-    expect_refused, one_model_stage, restart_all_at_once, send, set_fault_on_all, stage, terms,
-    wait_until, wait_until_all_joined,
+    add_route, expect_refused, one_model_stage, restart_all_at_once, send, set_fault_on_all, stage,
+    terms, wait_until, wait_until_all_joined, write_manifest,
 };
 
 /// Time for which the store is away before it comes back from the copy.
@@ -23,14 +22,10 @@
 /// Time in which the coordinator renews its lease many times.
 const MANY_RENEWALS: Duration = Duration::from_secs(3);
 
-/// Adds a route that leads to the plain service, with the next version.
-fn add_route(stage: &mut Stage, name: &str) {
-    let mut route = stage.manifest.routes.last().unwrap().clone();
-    name.clone_into(&mut route.name);
-    route.prefix = format!("/{name}/");
-    stage.manifest.routes.push(route);
-    stage.manifest.version = ManifestVersion(stage.manifest.version.0 + 1);
-    stage.store.put_manifest(&stage.manifest);
+/// Puts a manifest in force that has one more route.
+fn put_route(stage: &mut Stage, name: &str) {
+    add_route(stage, name);
+    write_manifest(stage);
 }
 
 async fn serves(stage: &Stage, daemon: usize, path: &str) -> bool {
@@ -88,18 +83,18 @@
     let mut stage = stage("restored-route", &StagePlan::default()).await;
     wait_until_all_joined(&stage).await;
     let copy = stage.store.copy();
-    add_route(&mut stage, "first");
-    add_route(&mut stage, "second");
+    put_route(&mut stage, "first");
+    put_route(&mut stage, "second");
     expect_served_soon(&stage, "/second/a").await;
     // The operator writes only the newest version again, and then another one: the
     // offsets end where the daemons had read to.
     restore(&mut stage, copy, |stage| {
         stage.store.put_manifest(&stage.manifest);
-        add_route(stage, "third");
+        put_route(stage, "third");
     })
     .await;
     expect_served_soon(&stage, "/third/a").await;
-    add_route(&mut stage, "fourth");
+    put_route(&mut stage, "fourth");
     expect_served_soon(&stage, "/fourth/a").await;
 }
 
@@ -110,7 +105,7 @@
     let mut stage = stage(test, &StagePlan::default()).await;
     let coordinator = wait_until_all_joined(&stage).await;
     let copy = stage.store.copy();
-    add_route(&mut stage, "late");
+    put_route(&mut stage, "late");
     expect_served_soon(&stage, "/late/a").await;
     restore(&mut stage, copy, |_| ()).await;
     stage.daemons[pick(coordinator)].restart().unwrap();
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -43,6 +43,20 @@
     stage
 }
 
+/// Adds a route that leads to the plain service to the stage's manifest, without writing it.
+pub(crate) fn add_route(stage: &mut Stage, name: &str) {
+    let mut route = stage.manifest.routes.last().unwrap().clone();
+    name.clone_into(&mut route.name);
+    route.prefix = format!("/{name}/");
+    stage.manifest.routes.push(route);
+}
+
+/// Writes the stage's manifest with the next version.
+pub(crate) fn write_manifest(stage: &mut Stage) {
+    stage.manifest.version.0 += 1;
+    stage.store.put_manifest(&stage.manifest);
+}
+
 /// Sends one request to a daemon on a new connection.
 pub(crate) async fn send(
     stage: &Stage,
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -88,7 +88,7 @@
     read_begun: MonoTime,
     /// Newest version that was known then.
     known_version: ManifestVersion,
-    /// Time until the next read after one that failed.
+    /// Time until the next read after one that failed or was of no use.
     backoff: Duration,
 }
 
@@ -181,9 +181,6 @@
         let gateway = Rc::clone(&self.gateway);
         gateway.metrics.count_store_call(true);
         gateway.metrics.count_manifest_read("whole");
-        if std::mem::replace(&mut self.backoff, MIN_BACKOFF) != MIN_BACKOFF {
-            gateway.store_recovered.notify_waiters();
-        }
         let is_first = !gateway.manifests.is_known();
         adopt_newest(&gateway, tail);
         let is_behind = gateway.manifests.behind_for().is_some();
@@ -196,7 +193,14 @@
             fetch_manifest(&gateway, PeerOrder::Random).await;
             self.drop_lost_versions();
         }
-        if is_store_older || tail.end.offset == 0 {
+        if is_store_older {
+            self.pause().await;
+            return;
+        }
+        if std::mem::replace(&mut self.backoff, MIN_BACKOFF) != MIN_BACKOFF {
+            gateway.store_recovered.notify_waiters();
+        }
+        if tail.end.offset == 0 {
             tokio::time::sleep(MIN_BACKOFF).await;
         }
     }
@@ -222,16 +226,21 @@
         }
         // Another daemon may reach the store, also if no coordinator tells so.
         catch_up(&gateway).await;
-        tokio::time::sleep(self.backoff).await;
+        self.pause().await;
         wait_out_store_outage(&gateway).await;
+    }
+
+    /// Waits after a read that failed or was of no use, longer each time.
+    async fn pause(&mut self) {
+        tokio::time::sleep(self.backoff).await;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 }
 
-/// Asks other daemons for a newer manifest, or for all that they know if this daemon has
-/// none.
+/// Asks other daemons for a newer manifest, or for all that they know if this daemon can't
+/// serve yet.
 async fn catch_up(gateway: &Rc<Gateway>) {
-    if gateway.manifests.is_known() {
+    if gateway.manifests.is_known() && gateway.engines_known.get() {
         fetch_manifest(gateway, PeerOrder::Random).await;
     } else {
         request_snapshot(gateway).await;
