Engines: reads that fail back off, so that hundreds of daemons don't keep the store busy

The store can't send it to all within the 1 s that they wait, so every read fails, and each begins anew 0.8 s later; what the store sends comes too late all the same. The coordinator's own reads fail with them, so no view ever becomes current, which would end the reads; polls of the manifest fail as well (6,978 of them). Ruled out: the length of the list after the first page (a trial that only read long lists less often changed nothing, since no first page arrived).

Change: the interval doubles up to 6.4 s while reads fail, and is 8 to 16 s once the list is known to have several pages; a daemon that becomes coordinator reads at once. The wait for a view before the other pages are read is 3 to 6 s (1 to 2).

The decision and its test (300 daemons, 80 MB/s) are standalone_read_interval_kept_a_busy_store_busy in ward-fleet/pace.

--- a/crates/ward-fleet/src/pace.rs
+++ b/crates/ward-fleet/src/pace.rs
@@ -1,13 +1,22 @@
 //! How often the coordinator broadcasts the number of requests at each engine
-//! (the engine's load) to all daemons.
+//! (the engine's load) to all daemons, and how often daemons without a coordinator read
+//! the engines from the store.
 //!
 //! Load pattern: as hosts and engines are added, each broadcast gets longer and
 //! goes to more daemons, all over the link of one host. The interval grows, up
 //! to a maximum, so that broadcasts use only a small part of that link. The
 //! loads are then older, which matters less when many engines hold each model.
 
+//!
+//! Load pattern of the reads: hundreds of daemons start at once, and the first page of a long
+//! list of engines takes the store longer for all of them than they wait for it. What the
+//! store has begun to send comes too late all the same, so that the coordinator, whose
+//! views would end the reads, can't read either. So failed reads back off, and long lists
+//! are read seldom.
+
 use ward_protocol::TimeSpan;
 
+use crate::number::secs_to_span;
 use crate::settings::LinkRate;
 
 /// Minimum time between two broadcasts.
@@ -27,3 +36,22 @@
     let rate = (link.0 * MAX_PERCENT_OF_LINK / 100).max(1);
     TimeSpan::from_millis(bits / rate).clamp(MIN_INTERVAL, MAX_INTERVAL)
 }
+
+/// Time between reads of the engines on a daemon without a current view.
+const STANDALONE_READ_INTERVAL: TimeSpan = TimeSpan::from_millis(800);
+/// Maximum number of times that this interval doubles while reads fail.
+const MAX_DOUBLINGS: u32 = 3;
+/// Minimum of the same interval if the list of engines has several pages; each daemon waits
+/// up to twice as long.
+const MIN_LONG_LIST_INTERVAL: TimeSpan = TimeSpan::from_secs(8);
+
+/// Time until the next read of the engines on a daemon without a current view, after so many
+/// failed reads in succession; `draw` is a random number in [0, 1).
+#[must_use]
+pub fn standalone_read_interval(failed_reads: u32, has_long_list: bool, draw: f64) -> TimeSpan {
+    if has_long_list {
+        return secs_to_span(MIN_LONG_LIST_INTERVAL.seconds() * (1.0 + draw));
+    }
+    let doublings = failed_reads.min(MAX_DOUBLINGS);
+    TimeSpan::from_millis(STANDALONE_READ_INTERVAL.millis() << doublings)
+}
--- a/crates/ward-fleet/tests/pace.rs
+++ b/crates/ward-fleet/tests/pace.rs
@@ -1,8 +1,8 @@
-//! Interval between broadcasts of engine loads.
+//! Intervals between broadcasts of engine loads, and between reads of the engines.
 
 use googletest::prelude::*;
 use ward_fleet::LinkRate;
-use ward_fleet::pace::load_broadcast_interval;
+use ward_fleet::pace::{load_broadcast_interval, standalone_read_interval};
 use ward_protocol::TimeSpan;
 
 const GIGABIT: LinkRate = LinkRate(1_000_000);
@@ -27,3 +27,22 @@
     let interval = load_broadcast_interval(8_000, 300, LinkRate(10_000));
     expect_that!(interval, eq(TimeSpan::from_millis(600)));
 }
+
+/// Bytes a second that the store sends to 300 daemons which read one after another, each
+/// for a second.
+fn store_rate(bytes: f64, interval: TimeSpan) -> f64 {
+    300.0 * bytes / (interval.seconds() + 1.0)
+}
+
+/// Load pattern: 300 daemons start at once before 3,000 engines; a page of the list has 700 kB
+/// and the whole 4 MB, and all reads share 80 MB/s.
+#[gtest]
+fn standalone_read_interval_kept_a_busy_store_busy() {
+    let first = standalone_read_interval(0, false, 0.0);
+    expect_that!(first, eq(TimeSpan::from_millis(800)));
+    expect_that!(store_rate(0.7e6, first), gt(80e6));
+    let later = standalone_read_interval(9, false, 0.0);
+    expect_that!(store_rate(0.7e6, later), lt(40e6));
+    let long = standalone_read_interval(0, true, 0.5);
+    expect_that!(store_rate(0.7e6, long), lt(40e6));
+}
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -11,6 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{debug, info, warn};
 use ward_adapter::{StoreError, StoreRecord, StoreTail, StoreTopic, decode_entry};
+use ward_fleet::pace::standalone_read_interval;
 use ward_fleet::{
     EngineBirth, EngineEntry, EngineIncarnation, EngineInfo, HeartbeatCount, StorePosition,
 };
@@ -21,14 +22,12 @@
 
 /// Time between reads on the coordinator.
 const COORDINATOR_READ_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between reads on a daemon without a current view.
-const STANDALONE_READ_INTERVAL: Duration = Duration::from_millis(800);
 /// Time between checks whether the view is still current.
 const VIEW_POLL_INTERVAL: Duration = Duration::from_millis(150);
 /// Minimum time that a daemon waits for the coordinator's view instead of reading a
 /// long list of engines itself; each waits a random time of up to twice as long, so
 /// that not all read at once.
-const MIN_VIEW_WAIT: Duration = Duration::from_secs(1);
+const MIN_VIEW_WAIT: Duration = Duration::from_secs(3);
 /// Time between two reads after which the newest records are read instead of all
 /// changes since.
 const MAX_HISTORY_GAP: TimeSpan = TimeSpan::from_secs(3);
@@ -45,6 +44,10 @@
     lapsed: IndexMap<BackendId, MonoTime>,
     /// The newest heartbeat of each engine, including engines that have left.
     newest_heartbeats: IndexMap<BackendId, HeartbeatPosition>,
+    /// Whether the list of engines has several pages.
+    has_long_list: bool,
+    /// Failed reads in succession.
+    failed_reads: u32,
 }
 
 /// Position of a heartbeat in the order of all heartbeats of its engine.
@@ -61,6 +64,8 @@
         last_failure: None,
         lapsed: IndexMap::new(),
         newest_heartbeats: IndexMap::new(),
+        has_long_list: false,
+        failed_reads: 0,
     };
     loop {
         if gateway.coordinator.is_active() || !gateway.has_current_view() {
@@ -69,18 +74,33 @@
             gateway.consecutive_reads.set(0);
         }
         reader.expire_outage(&gateway);
-        let interval = if gateway.coordinator.is_active() {
-            COORDINATOR_READ_INTERVAL
-        } else if gateway.has_current_view() {
-            VIEW_POLL_INTERVAL
-        } else {
-            STANDALONE_READ_INTERVAL
-        };
-        gateway.sleep_or_store_recovery(interval).await;
+        reader.wait(&gateway).await;
     }
 }
 
 impl EngineReader {
+    /// Waits until the next look whether the engines must be read.
+    async fn wait(&self, gateway: &Gateway) {
+        if gateway.coordinator.is_active() {
+            gateway
+                .sleep_or_store_recovery(COORDINATOR_READ_INTERVAL)
+                .await;
+        } else if gateway.has_current_view() {
+            gateway.sleep_or_store_recovery(VIEW_POLL_INTERVAL).await;
+        } else {
+            let interval = standalone_read_interval(
+                self.failed_reads,
+                self.has_long_list,
+                rand::random_range(0.0..1.0),
+            );
+            tokio::select! {
+                () = tokio::time::sleep(interval.duration()) => {}
+                () = gateway.store_recovered.notified(), if !self.has_long_list => {}
+                () = wait_until_coordinator(gateway) => {}
+            }
+        }
+    }
+
     /// Reads the engines once, and applies what was read or records the failure.
     async fn read_once(&mut self, gateway: &Gateway) {
         let now = clock::now();
@@ -95,12 +115,13 @@
         }
         let result = match self.next_position {
             Some(from) => read_changes(gateway, from).await,
-            None => read_all(gateway).await,
+            None => self.read_all(gateway).await,
         };
         match result {
             Ok(read) => {
                 let EngineRead { tail, scope } = read;
                 gateway.metrics.count_store_call(true);
+                self.failed_reads = 0;
                 self.next_position = Some(tail.end);
                 self.apply_tail(gateway, &tail, scope);
                 gateway.last_read.set(Some(now));
@@ -116,6 +137,7 @@
             Err(cause) => {
                 gateway.metrics.count_store_call(false);
                 gateway.consecutive_reads.set(0);
+                self.failed_reads = self.failed_reads.saturating_add(1);
                 if self.last_failure.replace(clock::now()).is_none() {
                     warn!(gateway.logger, "engines: store lost"; "cause" => %cause);
                 }
@@ -126,6 +148,30 @@
         }
     }
 
+    /// Reads all engines. If there are many, and all daemons start at the same time,
+    /// reading the complete list on each would keep the store busy for seconds. So the
+    /// daemon first waits for the coordinator's view, which takes a few bytes per
+    /// engine; if it arrives, only the first page is returned.
+    async fn read_all(&mut self, gateway: &Gateway) -> Result<EngineRead, StoreError> {
+        let store = &gateway.store;
+        let first = store.newest_page(StoreTopic::Engines, None).await?;
+        self.has_long_list = !first.is_last;
+        if self.has_long_list && !gateway.coordinator.is_active() {
+            let timeout = MIN_VIEW_WAIT.mul_f64(rand::random_range(1.0..2.0));
+            if gateway.receives_view_within(timeout).await {
+                return Ok(EngineRead {
+                    tail: first.tail,
+                    scope: ReadScope::FirstPage,
+                });
+            }
+        }
+        let tail = store.newest_from_page(StoreTopic::Engines, first).await?;
+        Ok(EngineRead {
+            tail,
+            scope: ReadScope::All,
+        })
+    }
+
     fn apply_tail(&mut self, gateway: &Gateway, tail: &StoreTail, scope: ReadScope) {
         let mut listed = IndexSet::new();
         for record in &tail.records {
@@ -261,27 +307,11 @@
     })
 }
 
-/// Reads all engines. If there are many, and all daemons start at the same time,
-/// reading the complete list on each would keep the store busy for seconds. So the
-/// daemon first waits for the coordinator's view, which takes a few bytes per
-/// engine; if it arrives, only the first page is returned.
-async fn read_all(gateway: &Gateway) -> Result<EngineRead, StoreError> {
-    let store = &gateway.store;
-    let first = store.newest_page(StoreTopic::Engines, None).await?;
-    if !first.is_last && !gateway.coordinator.is_active() {
-        let timeout = MIN_VIEW_WAIT.mul_f64(rand::random_range(1.0..2.0));
-        if gateway.receives_view_within(timeout).await {
-            return Ok(EngineRead {
-                tail: first.tail,
-                scope: ReadScope::FirstPage,
-            });
-        }
+/// Waits until this daemon is the coordinator, which must read the engines often.
+async fn wait_until_coordinator(gateway: &Gateway) {
+    while !gateway.coordinator.is_active() {
+        tokio::time::sleep(VIEW_POLL_INTERVAL).await;
     }
-    let tail = store.newest_from_page(StoreTopic::Engines, first).await?;
-    Ok(EngineRead {
-        tail,
-        scope: ReadScope::All,
-    })
 }
 
 fn apply_entry(gateway: &Gateway, entry: &EngineEntry) {
