Late manifests: the test of announced versions samples throughout, not once

Cause, from the daemons' logs: no read was given up. Beside load each took 1.15 s instead of 0.7 s, so a daemon was at times behind for longer than the 1.2 s after which it must refuse (configMs of the stage is 2 s, less 0.8 s), and the single sample at the end fell into such a time. The refusal is what the rule asks for.

Change: the test samples every daemon each 0.3 s while changes go on, and asks besides that the first change is in force after 3 s and the last one within 3 s.

--- a/crates/ward-daemon/tests/gateway/late_manifests.rs
+++ b/crates/ward-daemon/tests/gateway/late_manifests.rs
@@ -1,7 +1,9 @@
 //! Manifests that take long to read, and daemons that know of a newer one.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use googletest::prelude::*;
 use http::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -103,14 +105,37 @@
         .set_fault(LinkFault::Delay(Duration::from_millis(25)));
     add_route(&mut stage, "late");
     write_manifest(&mut stage);
-    let written = Instant::now();
-    while written.elapsed() < CHANGE_TIME {
-        tokio::time::sleep(CHANGE_INTERVAL).await;
+    let first = (stage.manifest.version, Instant::now());
+    let mut served = BTreeSet::new();
+    while first.1.elapsed() < CHANGE_TIME {
+        let next_change = tokio::time::Instant::now() + CHANGE_INTERVAL;
+        let statuses = join_all((0..stage.daemons.len()).map(|daemon| {
+            let status = status_of(&stage, daemon, "/late/a");
+            tokio::time::timeout_at(next_change, status)
+        }));
+        for (daemon, status) in statuses.await.into_iter().enumerate() {
+            if status == Ok(Some(StatusCode::OK)) {
+                served.insert(daemon);
+            }
+        }
+        tokio::time::sleep_until(next_change).await;
         write_manifest(&mut stage);
     }
+    expect_that!(served.len(), eq(stage.daemons.len()), "{served:?}");
     for daemon in 0..stage.daemons.len() {
-        let status = status_of(&stage, daemon, "/late/a").await;
-        expect_that!(status, some(eq(StatusCode::OK)), "at {daemon}");
+        let in_force = newest_in_force(&stage, daemon);
+        expect_that!(in_force, ge(first.0), "at {daemon}");
+    }
+    // The last one as well, though reads of former ones may still be under way.
+    let last = (stage.manifest.version, Instant::now());
+    for daemon in 0..stage.daemons.len() {
+        let is_served = is_served_in_time(&stage, daemon, "/late/b", last.1).await;
+        expect_true!(is_served, "at {daemon}");
+        while newest_in_force(&stage, daemon) < last.0 && last.1.elapsed() < CHANGE_TIME {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+        let in_force = newest_in_force(&stage, daemon);
+        expect_that!(in_force, eq(last.0), "at {daemon}");
     }
 }
 
