Messages between daemons: long ones are packed

At 300 hosts complete views kept the coordinator's link busy after each start and each change of coordinator: 137 kB for 3,000 engines, to each daemon.

Change: a message of at least 2 KiB is packed with deflate where that makes it shorter; the unpacked length is bounded as before, and comes out of the budget of first messages. A write of zero bytes ends a connection.

--- a/crates/ward-gateway/src/hub/frame.rs
+++ b/crates/ward-gateway/src/hub/frame.rs
@@ -1,5 +1,5 @@
 //! Framing of messages between daemons: a length of four bytes in big-endian order,
-//! then the encoded message.
+//! then the encoded message. The highest bit of the length tells that the message is packed.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use ward_fleet::{CompactError, CoordinatorMessage};
 use ward_protocol::CodecError;
 use ward_protocol::codec::{decode, encode};
+use ward_protocol::packing::{PackingError, pack, unpack, unpacked_len};
 
 use super::traffic::MessageKind;
 use crate::buffer::BufferBudget;
@@ -20,6 +21,10 @@
 /// Maximum length of a message, so that invalid data on the port does not cause a
 /// large allocation.
 const MAX_FRAME_BYTES: usize = 4 << 20;
+/// Length from which messages are packed.
+const MIN_PACKED_BYTES: usize = 2 << 10;
+/// Set in the length before a message that is packed.
+const PACKED_BIT: u32 = 1 << 31;
 
 /// Size of a message on a connection, in bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +45,11 @@
             from()
             display("{cause}")
         }
+        /// The message cannot be unpacked.
+        Packing(cause: PackingError) {
+            from()
+            display("{cause}")
+        }
         /// The message is longer than allowed.
         TooLong(bytes: usize) {
             display("the message is too long: {bytes} bytes")
@@ -97,15 +107,58 @@
     })
 }
 
-/// Encodes a message, preceded by its length.
+/// Encodes a message, preceded by its length, and packs it if it is long.
 pub(crate) fn encode_frame(message: &impl Serialize) -> Result<Vec<u8>, PeerError> {
-    let content = encode(message)?;
+    let plain = encode(message)?;
+    let packed = (plain.len() >= MIN_PACKED_BYTES).then(|| pack(&plain));
+    let (content, flag) = match packed.flatten() {
+        Some(packed) => (packed, PACKED_BIT),
+        None => (plain, 0),
+    };
+    if content.len() > MAX_FRAME_BYTES {
+        return Err(PeerError::TooLong(content.len()));
+    }
     let length = u32::try_from(content.len()).map_err(|_| PeerError::TooLong(content.len()))?;
-    let mut frame = length.to_be_bytes().to_vec();
+    let mut frame = (length | flag).to_be_bytes().to_vec();
     frame.extend_from_slice(&content);
     Ok(frame)
 }
 
+/// What the bytes before a message tell of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FrameHead {
+    /// Length of the message as it is sent, in bytes.
+    length: usize,
+    is_packed: bool,
+}
+
+impl FrameHead {
+    /// Size of the frame on a connection.
+    const fn size(self) -> FrameSize {
+        FrameSize(LENGTH_BYTES + self.length)
+    }
+
+    /// Memory for the message once it is unpacked, in bytes; none if it is not packed.
+    fn unpacked_length(self, content: &[u8]) -> Result<usize, PeerError> {
+        if !self.is_packed {
+            return Ok(0);
+        }
+        let length = unpacked_len(content)?;
+        if length > MAX_FRAME_BYTES {
+            return Err(PeerError::TooLong(length));
+        }
+        Ok(length)
+    }
+
+    fn decode<T: DeserializeOwned>(self, content: &[u8]) -> Result<T, PeerError> {
+        if !self.is_packed {
+            return Ok(decode(content)?);
+        }
+        self.unpacked_length(content)?;
+        Ok(decode(&unpack(content)?)?)
+    }
+}
+
 /// Reads the next message; returns `None` if the stream ends before the message's
 /// length is complete.
 pub(crate) async fn read_frame<T: DeserializeOwned>(
@@ -120,25 +173,29 @@
 pub(crate) async fn read_sized_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
 ) -> Result<Option<(T, FrameSize)>, PeerError> {
-    match read_length(stream).await? {
-        Some(length) => read_content(stream, length).await.map(Some),
-        None => Ok(None),
-    }
+    let Some(head) = read_head(stream).await? else {
+        return Ok(None);
+    };
+    let content = read_content(stream, head).await?;
+    Ok(Some((head.decode(&content)?, head.size())))
 }
 
 /// Like [`read_sized_frame`], for the first message of a connection, which anyone can open:
-/// its length comes out of a budget while it is read.
+/// its length comes out of a budget while it is read and decoded.
 pub(crate) async fn read_first_frame<T: DeserializeOwned>(
     stream: &mut (impl AsyncRead + Unpin),
     budget: &BufferBudget,
 ) -> Result<Option<(T, FrameSize)>, PeerError> {
-    let Some(length) = read_length(stream).await? else {
+    let Some(head) = read_head(stream).await? else {
         return Ok(None);
     };
-    let share = budget.reserve(length).ok_or(PeerError::Full)?;
-    let message = read_content(stream, length).await?;
-    drop(share);
-    Ok(Some(message))
+    let sent = budget.reserve(head.length).ok_or(PeerError::Full)?;
+    let content = read_content(stream, head).await?;
+    let unpacked_length = head.unpacked_length(&content)?;
+    let unpacked = budget.reserve(unpacked_length).ok_or(PeerError::Full)?;
+    let message = head.decode(&content)?;
+    drop((sent, unpacked));
+    Ok(Some((message, head.size())))
 }
 
 /// Reads the only message on a connection, which may take long, as long as it goes on: each
@@ -147,8 +204,9 @@
     stream: &mut (impl AsyncRead + Unpin),
     part_timeout: Duration,
 ) -> Result<T, PeerError> {
-    let length = within(part_timeout, read_length(stream)).await?;
-    let mut content = vec![0; length.ok_or(PeerError::Unexpected)?];
+    let head = within(part_timeout, read_head(stream)).await?;
+    let head = head.ok_or(PeerError::Unexpected)?;
+    let mut content = vec![0; head.length];
     let mut filled = 0;
     while filled < content.len() {
         let part = async { Ok(stream.read(&mut content[filled..]).await?) };
@@ -157,7 +215,7 @@
             count => filled += count,
         }
     }
-    Ok(decode(&content)?)
+    head.decode(&content)
 }
 
 /// Writes bytes, which may take long, as long as the other side takes some within
@@ -170,8 +228,10 @@
     let mut rest = bytes;
     while !rest.is_empty() {
         let part = async { Ok(stream.write(rest).await?) };
-        let count = within(part_timeout, part).await?;
-        rest = &rest[count..];
+        match within(part_timeout, part).await? {
+            0 => return Err(PeerError::Unexpected),
+            count => rest = &rest[count..],
+        }
     }
     Ok(())
 }
@@ -184,26 +244,29 @@
     result.unwrap_or(Err(PeerError::Timeout))
 }
 
-async fn read_length(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<usize>, PeerError> {
-    let mut header = [0; LENGTH_BYTES];
-    match stream.read_exact(&mut header).await {
+async fn read_head(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<FrameHead>, PeerError> {
+    let mut bytes = [0; LENGTH_BYTES];
+    match stream.read_exact(&mut bytes).await {
         Ok(_) => {}
         Err(cause) if cause.kind() == std::io::ErrorKind::UnexpectedEof => return Ok(None),
         Err(cause) => return Err(cause.into()),
     }
-    let length = u32::from_be_bytes(header) as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(PeerError::TooLong(length));
+    let number = u32::from_be_bytes(bytes);
+    let head = FrameHead {
+        length: (number & !PACKED_BIT) as usize,
+        is_packed: number & PACKED_BIT != 0,
+    };
+    if head.length > MAX_FRAME_BYTES {
+        return Err(PeerError::TooLong(head.length));
     }
-    Ok(Some(length))
+    Ok(Some(head))
 }
 
-async fn read_content<T: DeserializeOwned>(
+async fn read_content(
     stream: &mut (impl AsyncRead + Unpin),
-    length: usize,
-) -> Result<(T, FrameSize), PeerError> {
-    let mut content = vec![0; length];
+    head: FrameHead,
+) -> Result<Vec<u8>, PeerError> {
+    let mut content = vec![0; head.length];
     stream.read_exact(&mut content).await?;
-    let size = FrameSize(LENGTH_BYTES + length);
-    Ok((decode(&content)?, size))
+    Ok(content)
 }
--- a/crates/ward-protocol/src/lib.rs
+++ b/crates/ward-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod limits;
 pub mod message;
+pub mod packing;
 pub mod plan;
 pub mod record;
 pub mod time;
