Quotas: a request waits for its daemon's own share while there is no coordinator

The daemon's own share is some requests a second, they come in lumps, and each one that came a moment too early was refused; so were all that waited when the daemon found itself alone, though the next coordinator was 2 s away.

Change: without a coordinator a request waits for as long as its share, after those that wait before it, comes within the route's target latency. What is spent is bounded as before.

--- a/crates/ward-fleet/src/quota/credit.rs
+++ b/crates/ward-fleet/src/quota/credit.rs
@@ -195,13 +195,28 @@
             .map_or(DEFAULT_WAIT, |credit_from| credit_from.since(now))
     }
 
-    /// Time until an equal share brings what a request costs.
-    pub(super) fn share_wait(&self, cost: f64, per_second: f64) -> TimeSpan {
-        let missing = (cost - self.bucket.tokens()).max(0.0);
+    /// Time until a share of so much per second brings what a request costs, and those
+    /// that wait before it.
+    pub(super) fn share_wait(&self, request: CreditRequest, per_second: f64) -> TimeSpan {
+        let is_before = |waiter: &&CreditWaiter| waiter.request.priority <= request.priority;
+        let before = self.queue.iter().filter(is_before);
+        let cost: f64 = before.map(|waiter| waiter.request.cost.to_f64()).sum();
+        self.time_to_hold(cost + request.cost.to_f64(), per_second)
+    }
+
+    /// The same for the first request that waits; `None` if none does.
+    pub(super) fn first_share_wait(&self, per_second: f64) -> Option<TimeSpan> {
+        let first = self.queue.front()?;
+        Some(self.time_to_hold(first.request.cost.to_f64(), per_second))
+    }
+
+    /// Time until the credit held is at least `amount`.
+    fn time_to_hold(&self, amount: f64, per_second: f64) -> TimeSpan {
+        let missing = (amount - self.bucket.tokens()).max(0.0);
         if per_second <= 0.0 {
             return MAX_WAIT;
         }
-        secs_to_span(missing / per_second).clamp(DEFAULT_WAIT, MAX_WAIT)
+        secs_to_span(missing / per_second).min(MAX_WAIT)
     }
 
     /// What the next report tells the coordinator; `None` if there is no news.
--- a/crates/ward-fleet/src/quota/store.rs
+++ b/crates/ward-fleet/src/quota/store.rs
@@ -21,6 +21,9 @@
 /// Fraction of the slack that they get in sum when they become alone, once in a window.
 const START_SLACK_FRACTION: f64 = 0.25;
 
+/// Minimum Retry-After at a daemon that is alone.
+const MIN_SHARE_WAIT: TimeSpan = TimeSpan::from_millis(500);
+
 /// What credit depends on besides the messages of the coordinator.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CreditContext {
@@ -180,17 +183,24 @@
             .entry(tenant)
             .or_insert_with(|| TenantCredit::new(quota, TokenBucket::since(start)));
         credit.record_demand(request.cost.to_f64(), context.now);
-        if self.alone_since.is_some() {
-            return answer_alone(credit, request, self.last_contact, context);
+        let is_alone = self.alone_since.is_some();
+        if is_alone {
+            context.refill(credit, self.last_contact);
         }
         if credit.take(request) {
             return CreditAnswer::Granted;
         }
         let ticket = self.next_ticket;
-        let wait = credit.expected_wait(context.now);
-        // One request waits in any case, so that the daemon gets its turn.
-        let has_queue = credit.has_queue(request.priority);
-        let is_too_long = has_queue && credit.has_estimate() && wait > patience;
+        let (wait, is_too_long) = if is_alone {
+            let per_second = context.share_per_second(&credit.quota);
+            let wait = credit.share_wait(request, per_second);
+            (wait.max(MIN_SHARE_WAIT), wait > patience)
+        } else {
+            let wait = credit.expected_wait(context.now);
+            // One request waits in any case, so that the daemon gets its turn.
+            let has_queue = credit.has_queue(request.priority);
+            (wait, has_queue && credit.has_estimate() && wait > patience)
+        };
         if is_too_long || !credit.enqueue(ticket, request) {
             credit.record_refusal(request.cost);
             return CreditAnswer::Refused(wait);
@@ -214,21 +224,35 @@
             // A newer manifest has no quota for the tenant.
             return CreditAnswer::Granted;
         };
+        if is_alone {
+            context.refill(credit, self.last_contact);
+        }
         if credit.take_waiting(ticket) {
             return CreditAnswer::Granted;
         }
-        let wait = credit.expected_wait(context.now);
-        if !is_alone && patience > TimeSpan::ZERO {
+        if patience > TimeSpan::ZERO {
             return CreditAnswer::Waits(ticket);
         }
         let Some(request) = credit.dequeue(ticket) else {
             return CreditAnswer::Granted;
         };
-        if is_alone {
-            return answer_alone(credit, request, self.last_contact, context);
-        }
         credit.record_refusal(request.cost);
-        CreditAnswer::Refused(wait)
+        CreditAnswer::Refused(if is_alone {
+            let per_second = context.share_per_second(&credit.quota);
+            let wait = credit.share_wait(request, per_second);
+            wait.max(MIN_SHARE_WAIT)
+        } else {
+            credit.expected_wait(context.now)
+        })
+    }
+
+    /// Time until the daemon's own share brings credit for the first waiting request of a
+    /// tenant; `None` while credit comes from a coordinator, or if nothing waits.
+    #[must_use]
+    pub fn next_share(&self, tenant: TenantKey, context: &CreditContext) -> Option<TimeSpan> {
+        self.alone_since?;
+        let credit = self.credits.get(&tenant)?;
+        credit.first_share_wait(context.share_per_second(&credit.quota))
     }
 
     /// Removes a waiting request whose caller has left.
@@ -285,6 +309,12 @@
         }
     }
 
+    /// Whether the daemon goes on with its own share, since it hears of no coordinator.
+    #[must_use]
+    pub const fn is_alone(&self) -> bool {
+        self.alone_since.is_some()
+    }
+
     /// The credit of a tenant, for logs.
     #[must_use]
     pub fn status(&self, tenant: TenantKey, now: MonoTime) -> CreditStatus {
@@ -297,19 +327,3 @@
         }
     }
 }
-
-/// Takes a request's cost out of the equal share of a daemon that is alone.
-fn answer_alone(
-    credit: &mut TenantCredit,
-    request: CreditRequest,
-    last_contact: Option<MonoTime>,
-    context: &CreditContext,
-) -> CreditAnswer {
-    context.refill(credit, last_contact);
-    if credit.take(request) {
-        return CreditAnswer::Granted;
-    }
-    credit.record_refusal(request.cost);
-    let per_second = context.share_per_second(&credit.quota);
-    CreditAnswer::Refused(credit.share_wait(request.cost.to_f64(), per_second))
-}
--- a/crates/ward-fleet/tests/quota/main.rs
+++ b/crates/ward-fleet/tests/quota/main.rs
@@ -325,6 +325,34 @@
     );
 }
 
+#[gtest]
+fn request_without_a_coordinator_was_refused_though_its_share_came_in_time() {
+    let mut store = CreditStore::new(at(0));
+    let quota = requests_quota(10, 100);
+    let request = CreditRequest {
+        cost: QuotaAmount(1),
+        priority: RequestPriority::default(),
+    };
+    // The share is one request a second.
+    let patience = TimeSpan::from_millis(1_200);
+    let now = context(10, 10);
+    let answer = store.request(TENANT, quota, request, patience, &now);
+    let CreditAnswer::Waits(ticket) = answer else {
+        panic!("{answer:?}");
+    };
+    let next = store.next_share(TENANT, &now).unwrap();
+    expect_that!(next, all![gt(TimeSpan::ZERO), lt(patience)]);
+    // The share of the time until then is that of the first request.
+    let second = store.request(TENANT, quota, request, patience, &now);
+    expect_that!(second, pat!(CreditAnswer::Refused(_)));
+    let early = context(10, 500);
+    let answer = store.request_again(TENANT, ticket, patience, &early);
+    expect_that!(answer, eq(CreditAnswer::Waits(ticket)));
+    let due = context(10, 1_011);
+    let answer = store.request_again(TENANT, ticket, patience, &due);
+    expect_that!(answer, eq(CreditAnswer::Granted));
+}
+
 #[gtest]
 fn refusal_names_a_wait_that_comes_true() {
     let mut store = CreditStore::new(at(0));
--- a/crates/ward-gateway/src/front/quota.rs
+++ b/crates/ward-gateway/src/front/quota.rs
@@ -2,7 +2,8 @@
 //!
 //! A request is charged as soon as its tenant is known, before its body is read. If this
 //! daemon holds too little credit, the request waits for the coordinator's answer, for a
-//! small part of the route's target latency.
+//! small part of the route's target latency. Without a coordinator it waits longer, until the
+//! daemon's own share brings enough or a coordinator is there.
 
 use std::rc::Rc;
 
@@ -21,10 +22,13 @@
 use crate::phase::SharedPhase;
 use crate::quota::credit_context;
 
-/// Fraction of a route's target latency for which a request waits for credit.
+/// Fraction of a route's target latency for which a request waits for the coordinator's
+/// credit. Without a coordinator it waits for up to all of the target latency.
 const WAIT_FRACTION: u64 = 4;
 /// Minimum time for which a request waits: a report, its answer and their ways.
 const MIN_WAIT: TimeSpan = TimeSpan::from_millis(100);
+/// Minimum time between two looks at this daemon's own share.
+const MIN_SHARE_PAUSE: TimeSpan = TimeSpan::from_millis(5);
 
 /// The charge of one request. What no engine has run is given back when the charge is
 /// dropped.
@@ -90,7 +94,13 @@
     let Some((name, quota)) = class.and_then(|(name, class)| Some((name, class.quota?))) else {
         return Ok(None);
     };
-    let patience = TimeSpan::from_millis(routed.route.target_latency.millis() / WAIT_FRACTION);
+    let is_alone = gateway.quota.credits.borrow().is_alone();
+    let target = routed.route.target_latency;
+    let patience = if is_alone {
+        target
+    } else {
+        TimeSpan::from_millis(target.millis() / WAIT_FRACTION)
+    };
     let request = ChargeRequest {
         gateway,
         name,
@@ -164,7 +174,10 @@
                 CreditAnswer::Waits(_) => {}
             }
             // Whether it has changed or not, it is looked at again.
-            drop(tokio::time::timeout(time_left.duration(), changed).await);
+            let pause = self
+                .next_share()
+                .map_or(time_left, |next| next.min(time_left));
+            drop(tokio::time::timeout(pause.duration(), changed).await);
         }
     }
 
@@ -174,6 +187,14 @@
         credits.request_again(self.tenant, ticket, time_left, &context)
     }
 
+    /// Time until this daemon's own share may bring credit, while it is alone.
+    fn next_share(&self) -> Option<TimeSpan> {
+        let context = credit_context(self.gateway);
+        let credits = self.gateway.quota.credits.borrow();
+        let next = credits.next_share(self.tenant, &context)?;
+        Some(next.max(MIN_SHARE_PAUSE))
+    }
+
     fn log_refusal(&self, id: &str, wait: TimeSpan) {
         let credits = self.gateway.quota.credits.borrow();
         let status = credits.status(self.tenant, clock::now());
