Routing: a request is matched once by a manifest that is not outdated

Cause: the check whether the manifest in force allows a request matched route and key, and the routing after it did so again, for each request. Change: the match is kept and a service drawn from it; same decisions. Measured: the tests of late manifests, tenants, paths and a restored store pass.

--- a/crates/ward-gateway/src/front/newest.rs
+++ b/crates/ward-gateway/src/front/newest.rs
@@ -16,7 +16,7 @@
 use ward_protocol::TimeSpan;
 
 use super::refusal::{Refusal, not_run};
-use super::route::{RoutedRequest, find_tenant, route_request};
+use super::route::{RoutedRequest, match_route};
 use crate::clock;
 use crate::gateway::Gateway;
 
@@ -39,23 +39,28 @@
     host: &str,
     path: &str,
 ) -> Result<(Rc<ServingManifest>, RoutedRequest), Refusal> {
-    let mut manifest = current(gateway)?;
-    let is_allowed = find_tenant(&manifest, &fields, host, path).is_ok();
-    if !is_allowed || is_replaced(gateway) {
-        await_newer(gateway).await;
-        manifest = current(gateway)?;
-        if is_replaced(gateway) {
-            return Err(not_run("its manifest was replaced by one not read yet"));
-        }
+    let manifest = current(gateway)?;
+    if !is_replaced(gateway)
+        && let Ok(matched) = match_route(&manifest, &fields, host, path)
+    {
+        record_outdated_routing(gateway);
+        let routed = matched.assign(&manifest, fields);
+        return Ok((manifest, routed));
+    }
+    await_newer(gateway).await;
+    let manifest = current(gateway)?;
+    if is_replaced(gateway) {
+        return Err(not_run("its manifest was replaced by one not read yet"));
     }
     record_outdated_routing(gateway);
-    match route_request(&manifest, fields, host, path) {
-        Ok(routed) => Ok((manifest, routed)),
+    let routed = match match_route(&manifest, &fields, host, path) {
+        Ok(matched) => matched.assign(&manifest, fields),
         Err(_) if gateway.manifests.behind_for().is_some() => {
-            Err(not_run("a newer manifest, not read yet, may allow it"))
+            return Err(not_run("a newer manifest, not read yet, may allow it"));
         }
-        Err(refusal) => Err(refusal),
-    }
+        Err(refusal) => return Err(refusal),
+    };
+    Ok((manifest, routed))
 }
 
 /// Records for how long the manifest that routes a request has been known to be outdated.
--- a/crates/ward-gateway/src/front/route.rs
+++ b/crates/ward-gateway/src/front/route.rs
@@ -24,52 +24,49 @@
     pub(super) first_byte_timeout: TimeSpan,
 }
 
-/// Finds the route and the tenant of a request, and draws one of the route's services by
-/// weight.
-///
-/// # Errors
-/// A refusal if no route matches, or the request needs an API key and has none that is
-/// known.
-pub(super) fn route_request(
-    manifest: &ServingManifest,
-    fields: RequestFields,
-    host: &str,
-    path: &str,
-) -> Result<RoutedRequest, Refusal> {
-    let (route, tenant) = find_tenant(manifest, &fields, host, path)?;
-    let route = route.clone();
-    let priority = request_priority(manifest, &route, tenant.as_ref());
-    let service = route.pick_service(rand::random::<f64>()).clone();
-    let timeout = fields
-        .time_left
-        .map_or(route.timeout, |time_left| time_left.min(route.timeout));
-    let stream_timeout = route.stream_idle_timeout();
-    Ok(RoutedRequest {
-        route,
-        service,
-        fields,
-        tenant,
-        priority,
-        timeout,
-        first_byte_timeout: stream_timeout.map_or(timeout, |stream| stream.min(timeout)),
-    })
+/// The route of a request, and the tenant whose API key it carries.
+pub(super) struct MatchedRoute<'a> {
+    route: &'a ServingRoute,
+    tenant: Option<TenantName>,
+}
+
+impl MatchedRoute<'_> {
+    /// Draws one of the route's services by weight.
+    pub(super) fn assign(self, manifest: &ServingManifest, fields: RequestFields) -> RoutedRequest {
+        let Self { route, tenant } = self;
+        let service = route.pick_service(rand::random::<f64>()).clone();
+        let timeout = fields
+            .time_left
+            .map_or(route.timeout, |time_left| time_left.min(route.timeout));
+        let stream_timeout = route.stream_idle_timeout();
+        RoutedRequest {
+            route: route.clone(),
+            service,
+            fields,
+            priority: request_priority(manifest, route, tenant.as_ref()),
+            tenant,
+            timeout,
+            first_byte_timeout: stream_timeout.map_or(timeout, |stream| stream.min(timeout)),
+        }
+    }
 }
 
 /// Finds the route of a request, and the tenant whose API key it carries.
 ///
 /// # Errors
-/// The same as of [`route_request`].
-pub(super) fn find_tenant<'a>(
+/// A refusal if no route matches, or the request needs an API key and has none that is
+/// known.
+pub(super) fn match_route<'a>(
     manifest: &'a ServingManifest,
     fields: &RequestFields,
     host: &str,
     path: &str,
-) -> Result<(&'a ServingRoute, Option<TenantName>), Refusal> {
+) -> Result<MatchedRoute<'a>, Refusal> {
     let route = manifest
         .find_route(host, path)
         .ok_or_else(|| refuse(OwnAnswer::NoRoute, "no route of the manifest matches"))?;
     let tenant = identify_tenant(manifest, route, &fields.key)?;
-    Ok((route, tenant))
+    Ok(MatchedRoute { route, tenant })
 }
 
 /// The lowercase host name that a request is addressed to, without a port.
