--- a/crates/ward-gateway/src/hub/manifest.rs
+++ b/crates/ward-gateway/src/hub/manifest.rs
@@ -3,29 +3,23 @@
 //! It asks a few daemons, one after another. One that has nothing newer says so at once.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use rand::seq::SliceRandom;
 use slog::{info, warn};
-use tokio::net::TcpStream;
 use ward_fleet::{CoordinatorMessage, ManifestVersion, MemberMessage};
 
 use super::broadcast::peer_addresses;
-use super::frame::{PeerError, encode_frame, read_paced, write_paced};
+use super::call::{MAX_QUERIED_DAEMONS, query_daemon};
+use super::frame::PeerError;
 use super::traffic::ZoneRelation;
 use crate::gateway::Gateway;
 use crate::manifest::{ManifestOrigin, adopt_manifest};
 
-/// Maximum time until a daemon has accepted the connection, and between two parts of its
-/// answer.
-const PART_TIMEOUT: Duration = Duration::from_millis(600);
-/// Maximum number of daemons queried in one round.
-const MAX_QUERIED_DAEMONS: usize = 4;
-
 /// The manifest in force, in the operators' format, if it is newer than a version.
 pub(super) fn newer_manifest(gateway: &Gateway, version: ManifestVersion) -> Option<Vec<u8>> {
     let state = &gateway.manifests;
-    state.text().filter(|_| state.version() > version)
+    let is_newer = state.version() > version;
+    is_newer.then(|| state.text()).flatten()
 }
 
 /// Which daemons are asked first.
@@ -74,11 +68,7 @@
     address: SocketAddr,
     version: ManifestVersion,
 ) -> Result<Option<Vec<u8>>, PeerError> {
-    let connect = tokio::time::timeout(PART_TIMEOUT, TcpStream::connect(address));
-    let mut stream = connect.await.map_err(|_| PeerError::Timeout)??;
-    let request = encode_frame(&MemberMessage::ManifestRequest(version))?;
-    write_paced(&mut stream, &request, PART_TIMEOUT).await?;
-    match read_paced(&mut stream, PART_TIMEOUT).await? {
+    match query_daemon(address, &MemberMessage::ManifestRequest(version)).await? {
         CoordinatorMessage::Manifest(text) => Ok(text),
         _ => Err(PeerError::Unexpected),
     }
--- a/crates/ward-gateway/src/hub/snapshot.rs
+++ b/crates/ward-gateway/src/hub/snapshot.rs
@@ -8,26 +8,19 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::net::TcpStream;
 use ward_fleet::{CoordinatorMessage, FleetSnapshot, MemberMessage};
 
 use super::broadcast::peer_addresses;
-use super::frame::{PeerError, encode_frame, read_paced, write_paced};
+use super::call::{MAX_QUERIED_DAEMONS, query_daemon};
+use super::frame::PeerError;
 use crate::clock;
 use crate::crash::record_news;
 use crate::gateway::Gateway;
 use crate::limit::record_told_limits;
 use crate::manifest::{ManifestOrigin, adopt_manifest};
 
-/// Maximum time until a daemon has accepted the connection, and between two parts of its
-/// answer.
-const PART_TIMEOUT: Duration = Duration::from_millis(600);
-/// Maximum number of daemons queried in one round, one after another.
-const MAX_QUERIED_DAEMONS: usize = 4;
-
 /// The state that this daemon sends to a peer on request.
 pub(super) fn build_snapshot(gateway: &Gateway) -> FleetSnapshot {
     let table = gateway.table.borrow();
@@ -71,11 +64,7 @@
 }
 
 async fn fetch_snapshot(address: SocketAddr) -> Result<FleetSnapshot, PeerError> {
-    let connect = tokio::time::timeout(PART_TIMEOUT, TcpStream::connect(address));
-    let mut stream = connect.await.map_err(|_| PeerError::Timeout)??;
-    let request = encode_frame(&MemberMessage::SnapshotRequest)?;
-    write_paced(&mut stream, &request, PART_TIMEOUT).await?;
-    match read_paced(&mut stream, PART_TIMEOUT).await? {
+    match query_daemon(address, &MemberMessage::SnapshotRequest).await? {
         CoordinatorMessage::Snapshot(snapshot) => Ok(snapshot),
         _ => Err(PeerError::Unexpected),
     }
