Quotas: a request beyond what a share can hold doesn't wait for it

It is refused at once, as before. The test request_beyond_what_a_share_can_hold_blocked_those_behind_it fails without the check (Waits instead of Refused).

--- a/crates/ward-fleet/src/quota/store.rs
+++ b/crates/ward-fleet/src/quota/store.rs
@@ -20,7 +20,6 @@
 const ALONE_SLACK_FRACTION: f64 = 0.25;
 /// Fraction of the slack that they get in sum when they become alone, once in a window.
 const START_SLACK_FRACTION: f64 = 0.25;
-
 /// Minimum Retry-After at a daemon that is alone.
 const MIN_SHARE_WAIT: TimeSpan = TimeSpan::from_millis(500);
 
@@ -49,6 +48,12 @@
         (quota.capacity(self.slack) + saved) * self.share
     }
 
+    /// Time until this daemon's share brings what a request costs, and those that wait
+    /// before it.
+    fn share_wait(&self, credit: &TenantCredit, request: CreditRequest) -> TimeSpan {
+        credit.share_wait(request, self.share_per_second(&credit.quota))
+    }
+
     /// Credit that this daemon gets at once when it becomes alone.
     fn start_credit(&self) -> f64 {
         self.slack.to_f64() * START_SLACK_FRACTION * self.share
@@ -192,9 +197,11 @@
         }
         let ticket = self.next_ticket;
         let (wait, is_too_long) = if is_alone {
-            let per_second = context.share_per_second(&credit.quota);
-            let wait = credit.share_wait(request, per_second);
-            (wait.max(MIN_SHARE_WAIT), wait > patience)
+            // More than the share can hold would block those behind it.
+            let capacity = context.share_capacity(&credit.quota);
+            let never_comes = request.cost.to_f64() > capacity;
+            let wait = context.share_wait(credit, request);
+            (wait.max(MIN_SHARE_WAIT), never_comes || wait > patience)
         } else {
             let wait = credit.expected_wait(context.now);
             // One request waits in any case, so that the daemon gets its turn.
@@ -238,9 +245,7 @@
         };
         credit.record_refusal(request.cost);
         CreditAnswer::Refused(if is_alone {
-            let per_second = context.share_per_second(&credit.quota);
-            let wait = credit.share_wait(request, per_second);
-            wait.max(MIN_SHARE_WAIT)
+            context.share_wait(credit, request).max(MIN_SHARE_WAIT)
         } else {
             credit.expected_wait(context.now)
         })
--- a/crates/ward-fleet/tests/quota/main.rs
+++ b/crates/ward-fleet/tests/quota/main.rs
@@ -353,6 +353,22 @@
     expect_that!(answer, eq(CreditAnswer::Granted));
 }
 
+#[gtest]
+fn request_beyond_what_a_share_can_hold_blocked_those_behind_it() {
+    let mut store = CreditStore::new(at(0));
+    // Of the burst, a tenth of a request; of the rate, ten a second.
+    let quota = requests_quota(100, 1);
+    let patience = TimeSpan::from_millis(1_200);
+    let mut request = |cost| {
+        let request = CreditRequest {
+            cost: QuotaAmount(cost),
+            priority: RequestPriority::default(),
+        };
+        store.request(TENANT, quota, request, patience, &context(10, 10))
+    };
+    expect_that!(request(5), pat!(CreditAnswer::Refused(_)));
+}
+
 #[gtest]
 fn refusal_names_a_wait_that_comes_true() {
     let mut store = CreditStore::new(at(0));
--- a/crates/ward-gateway/src/front/quota.rs
+++ b/crates/ward-gateway/src/front/quota.rs
@@ -94,13 +94,6 @@
     let Some((name, quota)) = class.and_then(|(name, class)| Some((name, class.quota?))) else {
         return Ok(None);
     };
-    let is_alone = gateway.quota.credits.borrow().is_alone();
-    let target = routed.route.target_latency;
-    let patience = if is_alone {
-        target
-    } else {
-        TimeSpan::from_millis(target.millis() / WAIT_FRACTION)
-    };
     let request = ChargeRequest {
         gateway,
         name,
@@ -108,7 +101,7 @@
         quota,
         cost: quota.unit.cost(routed.fields.tokens),
         priority: routed.priority,
-        wait_until: arrival + patience.max(MIN_WAIT).min(routed.timeout),
+        wait_until: arrival + patience(gateway, routed),
     };
     let result = request.charge().await;
     gateway.metrics.count_charge(name.as_str(), result.is_ok());
@@ -128,6 +121,17 @@
     }))
 }
 
+/// Time for which a request waits for credit.
+fn patience(gateway: &Gateway, routed: &RoutedRequest) -> TimeSpan {
+    let target = routed.route.target_latency;
+    let patience = if gateway.quota.credits.borrow().is_alone() {
+        target
+    } else {
+        TimeSpan::from_millis(target.millis() / WAIT_FRACTION)
+    };
+    patience.max(MIN_WAIT).min(routed.timeout)
+}
+
 impl ChargeRequest<'_> {
     /// Takes the cost out of the credit, and waits for credit if there is too little.
     ///
