--- a/review/stand_in_2/stale_notes.rs
+++ b/review/stand_in_2/stale_notes.rs
@@ -1,9 +1,10 @@
-//! Case: the store does one write of a daemon late and doesn't answer it, and all daemons are
-//! killed soon after. The late write replaces what the daemon has written since, so that nobody
-//! knows any more which software version began its streams.
+//! Two cases in which all daemons are killed, and nobody knows any more which software version
+//! began their streams. In the first, `late`, the store does one write of a daemon late and
+//! doesn't answer it, and that write replaces what the daemon has written since. In the second,
+//! `away`, the streams begin while the store is away.
 //!
-//! Arguments: the folder for settings and logs, and the file of the record. With `TROUBLE=0`
-//! nothing fails, with `TROUBLE=kill` the daemons are killed and no write is late.
+//! Arguments: the folder for settings and logs, the file of the record, and the case. With
+//! `TROUBLE=0` nothing fails, with `TROUBLE=kill` the daemons are killed and the store is sound.
 
 mod engine;
 mod http;
@@ -13,6 +14,7 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -42,11 +44,11 @@
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
-    let (Some(folder), Some(file)) = (arguments.next(), arguments.next()) else {
+    let (Some(folder), Some(file), Some(case)) = (arguments.next(), arguments.next(), arguments.next()) else {
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").unwrap_or_default();
-    match run(&folder, &file, &trouble) {
+    match run(&folder, &file, &case, &trouble) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(cause) => {
@@ -56,7 +58,7 @@
     }
 }
 
-fn run(folder: &str, file: &str, trouble: &str) -> Result<bool, String> {
+fn run(folder: &str, file: &str, case: &str, trouble: &str) -> Result<bool, String> {
     let text = |cause: std::io::Error| cause.to_string();
     let record = Record::create(file).map_err(text)?;
     let network = free_network().map_err(text)?;
@@ -86,7 +88,12 @@
         thread::spawn(move || caller.run())
     };
     let mut callers = Vec::new();
-    if trouble.is_empty() {
+    let set_away = |is_away| entrances.iter().for_each(|entrance| entrance.is_busy.store(is_away, Ordering::SeqCst));
+    let has_outage = trouble.is_empty() && case == "away";
+    if has_outage {
+        record.line("the store answers 503 to all");
+        set_away(true);
+    } else if trouble.is_empty() {
         record.line("the store will do the next write of front-be-central-a-1 late, without an answer");
         *entrances[0].late_topic.lock().unwrap() = Some(STREAMS_TOPIC.to_owned());
     }
@@ -103,6 +110,10 @@
         record.line("all daemons are killed");
         drop(daemons);
         thread::sleep(Duration::from_secs(1));
+        if has_outage {
+            record.line("the store answers again");
+            set_away(false);
+        }
         record.line("all daemons start again");
         daemons = start_all(network, folder, &entrances)?;
         calm_from = record.elapsed() + TOUCH;
