--- a/review/stand_in_3/adapters.rs
+++ b/review/stand_in_3/adapters.rs
@@ -2,7 +2,7 @@
 //! them makes room for an adapter by unloading one that other daemons' requests are using.
 
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::client::{self, Outcome, Request};
 use crate::daemon::{Daemon, Deployment, Ports};
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -7,6 +7,8 @@
 mod daemon;
 mod engine;
 mod http;
+mod manifests;
+mod plain;
 mod record;
 mod store;
 
@@ -46,6 +48,7 @@
     stage.journal.line(&format!("case {name}, disruption: {}", stage.has_trouble));
     let verdict = match name.as_str() {
         "adapters" => adapters::play(&stage),
+        "manifests" => manifests::play(&stage),
         _ => Verdict::NotRun,
     };
     stage.journal.line(&format!("verdict: {verdict:?}"));
--- a/review/stand_in_3/store.rs
+++ b/review/stand_in_3/store.rs
@@ -88,7 +88,9 @@
         }
         if target.starts_with("/-/log-read") {
             let number = |name| http::query(&target, name).and_then(|text| text.parse().ok());
-            let bytes = self.read(&topic, number("from").unwrap_or(0), number("waitMs").unwrap_or(0));
+            let max_bytes = number("maxKb").unwrap_or(1_024) << 10;
+            let (from, wait_ms) = (number("from").unwrap_or(0), number("waitMs").unwrap_or(0));
+            let bytes = self.read(&topic, from, wait_ms, max_bytes);
             return ("200 OK", "application/octet-stream", bytes);
         }
         ("404 Not Found", json, b"{}".to_vec())
@@ -137,7 +139,9 @@
         format!("{{\"items\":[{}],\"truncated\":false,\"end\":{end}}}", items.join(","))
     }
 
-    fn read(&self, topic: &str, from: u64, wait_ms: u64) -> Vec<u8> {
+    /// The end of the partition, its first offset, and records from an offset on, of which
+    /// there is at least one if there is any, and no more than the bytes allowed.
+    fn read(&self, topic: &str, from: u64, wait_ms: u64, max_bytes: u64) -> Vec<u8> {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut topics = self.lock();
         loop {
@@ -152,8 +156,13 @@
         let records = topics.0.get(topic).unwrap_or(&none);
         let mut bytes = (records.len() as u64).to_be_bytes().to_vec();
         bytes.extend_from_slice(&0_u64.to_be_bytes());
+        let mut given = 0;
         for record in records.iter().filter(|record| record.offset >= from) {
             let length = u32::try_from(record.content.len()).expect("a short record");
+            given += u64::from(length) + 4;
+            if given > max_bytes && given > u64::from(length) + 4 {
+                break;
+            }
             bytes.extend_from_slice(&length.to_be_bytes());
             bytes.extend_from_slice(&record.content);
         }
