--- a/review/stand_in_3/store.rs
+++ b/review/stand_in_3/store.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::{self, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,6 +23,7 @@
 #[derive(Clone)]
 pub struct Store {
     topics: Arc<(Mutex<Topics>, Condvar)>,
+    is_down: Arc<AtomicBool>,
     pub address: SocketAddr,
 }
 
@@ -32,6 +34,7 @@
         let address = listener.local_addr().expect("an address");
         let store = Self {
             topics: Arc::default(),
+            is_down: Arc::default(),
             address,
         };
         let served = store.clone();
@@ -44,6 +47,16 @@
         store
     }
 
+    /// Begins or ends an outage, in which every call is answered with 503.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::Relaxed);
+    }
+
+    /// Whether there is an outage.
+    pub fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::Relaxed)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Topics> {
         self.topics.0.lock().expect("no panic holds it")
     }
@@ -68,7 +81,11 @@
         while let Some(head) = http::read_head(&mut reader)? {
             let body = http::read_body(&mut reader, &head)?;
             thread::sleep(Duration::from_millis(2));
-            let (status, kind, answer) = self.answer(&head, &body);
+            let (status, kind, answer) = if self.is_down() {
+                ("503 Service Unavailable", "application/json", b"{}".to_vec())
+            } else {
+                self.answer(&head, &body)
+            };
             let headers = [("Content-Type", kind.to_owned())];
             http::write_answer(&mut writer, status, &headers, &answer)?;
         }
