Store: reads that were cut are logged and counted, cursors and ends have types of their own

The line "store: read was cut" and ward_cut_reads_total name what was left out, "manifest: read" how many records came and where the next read begins. Behaviour is unchanged: readers still go on at `end`, which both now say in so many words.

--- a/crates/ward-fleet/src/lib.rs
+++ b/crates/ward-fleet/src/lib.rs
@@ -68,7 +68,7 @@
 };
 pub use order::EngineOrder;
 pub use outage::{OutageDetector, ProbeNumber, SupportRequest, WitnessCandidate, choose_witnesses};
-pub use position::{StoreEra, StorePosition};
+pub use position::{ReadCursor, StoreEra, StorePosition};
 pub use queue::QueueRank;
 pub use quota::{
     CreditAnswer, CreditContext, CreditRequest, CreditStatus, CreditStore, HostShares,
--- a/crates/ward-fleet/src/message.rs
+++ b/crates/ward-fleet/src/message.rs
@@ -20,7 +20,7 @@
 use crate::limit::{LimitSighting, PermitBatch, PermitNeed};
 use crate::manifest::ManifestVersion;
 use crate::outage::{ProbeNumber, SupportRequest};
-use crate::position::{StoreEra, StorePosition};
+use crate::position::{ReadCursor, StoreEra, StorePosition};
 use crate::quota::{QuotaBatch, QuotaNeed};
 use crate::settings::HostCapacity;
 use crate::streams::{StreamNews, VersionSighting};
@@ -219,9 +219,9 @@
     pub joined: Vec<HostMember>,
     /// Daemons that no longer accept requests.
     pub left: Vec<DaemonId>,
-    /// Position up to which the coordinator has read the store's engine entries;
-    /// `None` before its first read.
-    pub engines_position: Option<StorePosition>,
+    /// Where the coordinator's next read of the store's engine entries begins; `None`
+    /// before its first read.
+    pub engines_cursor: Option<ReadCursor>,
     /// Newest era of the store that the coordinator knows.
     pub store_era: StoreEra,
     /// Latest manifest version that the coordinator knows.
--- a/crates/ward-fleet/src/position.rs
+++ b/crates/ward-fleet/src/position.rs
@@ -19,3 +19,11 @@
     /// Offset of a record, or of the next one.
     pub offset: u64,
 }
+
+/// Position at which the next read of a partition begins. Its holder has got all earlier
+/// records, or newer ones with the same keys.
+///
+/// That is the partition's end only if no record was left out: an answer to a read holds no
+/// more than the store allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ReadCursor(pub StorePosition);
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -60,7 +60,7 @@
         load_concurrency_limit: 1,
         joined: Vec::new(),
         left: Vec::new(),
-        engines_position: None,
+        engines_cursor: None,
         store_era: StoreEra(0),
         manifest: ManifestVersion(1),
         store_age: TimeSpan::ZERO,
--- a/crates/ward-gateway/src/coordinator/active.rs
+++ b/crates/ward-gateway/src/coordinator/active.rs
@@ -8,7 +8,7 @@
 use ward_fleet::placement::{MemberKey, PlacementState};
 use ward_fleet::{
     CoordinatorLease, CrashLedger, CrashReport, EngineEntry, HostMember, LeaseWindow, LimitLedger,
-    LoadReport, ManifestVersion, OutageDetector, PermitIssuer, QuotaIssuer, StorePosition,
+    LoadReport, ManifestVersion, OutageDetector, PermitIssuer, QuotaIssuer, ReadCursor,
     StoredFleet, TermQuorum, VoterRoll,
 };
 use ward_protocol::{BackendId, FenceNumber, MonoTime};
@@ -44,7 +44,7 @@
     pub(super) store_read_time: Cell<MonoTime>,
     /// Position up to which the store's engines topic has been read; `None` before the
     /// first read of the term.
-    pub(super) engines_position: Cell<Option<StorePosition>>,
+    pub(super) engines_cursor: Cell<Option<ReadCursor>>,
     pub(super) outage_detector: RefCell<OutageDetector>,
     /// Daemons that accepted requests at the last renewal of the lease, or before the
     /// term if there was none yet, except those that have since announced that they are
@@ -107,7 +107,7 @@
             quota_version: Cell::default(),
             stored_fleet: RefCell::default(),
             store_read_time: Cell::new(clock::now()),
-            engines_position: Cell::default(),
+            engines_cursor: Cell::default(),
             outage_detector: RefCell::default(),
             members_at_renewal: RefCell::new(inherited),
             voter_roll: RefCell::default(),
@@ -131,7 +131,7 @@
     /// Whether orders may be sent: the engines were read, the term is neither being
     /// released nor has it ended, and its lease allows them.
     pub(super) fn may_order(&self) -> bool {
-        let has_read = self.engines_position.get().is_some();
+        let has_read = self.engines_cursor.get().is_some();
         has_read
             && !self.resigned.get()
             && self.lease.borrow().may_order(&self.window, clock::now())
@@ -312,10 +312,10 @@
         }
     }
 
-    /// Records that the store's engines topic has been read up to a position.
-    pub(super) fn record_store_read(&self, position: StorePosition, now: MonoTime) {
+    /// Records that the store's engines topic has been read up to a cursor.
+    pub(super) fn record_store_read(&self, cursor: ReadCursor, now: MonoTime) {
         self.store_read_time.set(now);
-        self.engines_position.set(Some(position));
+        self.engines_cursor.set(Some(cursor));
     }
 
     /// Applies an engine's store entry, which is written again with each heartbeat.
--- a/crates/ward-gateway/src/coordinator/publish.rs
+++ b/crates/ward-gateway/src/coordinator/publish.rs
@@ -168,7 +168,7 @@
         load_concurrency_limit: coordinator.state.borrow().load_limiter.concurrency_limit(),
         joined: member_changes.joined,
         left: member_changes.left,
-        engines_position: coordinator.engines_position.get(),
+        engines_cursor: coordinator.engines_cursor.get(),
         store_era: inputs.store_era,
         manifest: inputs.manifest,
         store_age: now.since(coordinator.store_read_time.get()),
--- a/crates/ward-gateway/src/coordinator/record.rs
+++ b/crates/ward-gateway/src/coordinator/record.rs
@@ -3,7 +3,7 @@
 //! takes it over, writes them.
 
 use slog::{Logger, warn};
-use ward_adapter::{StoreClient, StoreTail};
+use ward_adapter::{StoreClient, StoreSnapshot};
 use ward_fleet::{FleetRecord, StorePosition, TermRecord};
 use ward_protocol::codec::decode;
 
@@ -29,15 +29,15 @@
 }
 
 /// The newest term record, if there is one.
-pub(crate) fn newest_term(tail: &StoreTail, logger: &Logger) -> Option<StoredTerm> {
+pub(crate) fn newest_term(snapshot: &StoreSnapshot, logger: &Logger) -> Option<StoredTerm> {
     let key = StoreClient::coordinator_key();
-    let record = tail.records.iter().rfind(|record| record.key == key)?;
+    let record = snapshot.records.iter().rfind(|record| record.key == key)?;
     let term = decode::<TermRecord>(&record.value);
     if let Err(cause) = &term {
         warn!(logger, "coordinator: term record cannot be decoded"; "cause" => %cause);
     }
     let position = StorePosition {
-        era: tail.end.era,
+        era: snapshot.end.era,
         offset: record.offset,
     };
     Some(StoredTerm {
@@ -47,9 +47,9 @@
 }
 
 /// The newest fleet record, if there is one and it can be decoded.
-pub(crate) fn stored_fleet(tail: &StoreTail, logger: &Logger) -> Option<FleetRecord> {
+pub(crate) fn stored_fleet(snapshot: &StoreSnapshot, logger: &Logger) -> Option<FleetRecord> {
     let key = StoreClient::fleet_key();
-    let record = tail.records.iter().rfind(|record| record.key == key)?;
+    let record = snapshot.records.iter().rfind(|record| record.key == key)?;
     match decode(&record.value) {
         Ok(fleet) => Some(fleet),
         Err(cause) => {
--- a/crates/ward-gateway/src/coordinator/slot.rs
+++ b/crates/ward-gateway/src/coordinator/slot.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use ward_fleet::{EngineEntry, StorePosition};
+use ward_fleet::{EngineEntry, ReadCursor};
 use ward_protocol::{BackendId, MonoTime};
 
 use super::active::ActiveCoordinator;
@@ -30,10 +30,10 @@
         *self.active.borrow_mut() = coordinator;
     }
 
-    /// Records that the store's engines topic has been read up to a position.
-    pub(crate) fn record_store_read(&self, position: StorePosition, now: MonoTime) {
+    /// Records that the store's engines topic has been read up to a cursor.
+    pub(crate) fn record_store_read(&self, cursor: ReadCursor, now: MonoTime) {
         if let Some(coordinator) = self.active() {
-            coordinator.record_store_read(position, now);
+            coordinator.record_store_read(cursor, now);
         }
     }
 
--- a/crates/ward-gateway/src/coordinator/term.rs
+++ b/crates/ward-gateway/src/coordinator/term.rs
@@ -77,8 +77,8 @@
 /// Reads all engines from the store, and adds the adapters that this daemon knew
 /// the same incarnations to hold.
 async fn read_engines(gateway: &Gateway, coordinator: &ActiveCoordinator) {
-    let tail = match gateway.store.newest(StoreTopic::Engines).await {
-        Ok(tail) => tail,
+    let snapshot = match gateway.store.newest(StoreTopic::Engines).await {
+        Ok(snapshot) => snapshot,
         Err(cause) => {
             let known = keep_known_engines(gateway, coordinator);
             warn!(
@@ -89,8 +89,8 @@
         }
     };
     let now = clock::now();
-    coordinator.record_store_read(tail.end, now);
-    for record in tail
+    coordinator.record_store_read(snapshot.cursor(), now);
+    for record in snapshot
         .records
         .iter()
         .filter(|record| !record.value.is_empty())
@@ -274,8 +274,8 @@
     coordinator: &ActiveCoordinator,
     lease: &CoordinatorLease,
 ) -> bool {
-    let tail = match gateway.store.newest(StoreTopic::Coordinator).await {
-        Ok(tail) => tail,
+    let snapshot = match gateway.store.newest(StoreTopic::Coordinator).await {
+        Ok(snapshot) => snapshot,
         Err(cause) => {
             // Another daemon may have taken over; the lease window bounds how long orders
             // are sent.
@@ -283,11 +283,11 @@
             return true;
         }
     };
-    let newest = newest_term(&tail, &gateway.logger).and_then(|stored| stored.term);
+    let newest = newest_term(&snapshot, &gateway.logger).and_then(|stored| stored.term);
     let is_own = newest.as_ref().is_some_and(|term| {
         term.incarnation == gateway.incarnation && term.daemon == gateway.settings().daemon
     });
-    let era = tail.end.era;
+    let era = snapshot.end.era;
     let window = &coordinator.window;
     if lease.is_held(newest.as_ref(), is_own, era, window, clock::now()) {
         if era != lease.next.era {
@@ -299,7 +299,7 @@
             coordinator.stored_fleet.replace(None);
             coordinator.quorum.borrow_mut().forget();
         }
-        coordinator.lease.borrow_mut().next = tail.end;
+        coordinator.lease.borrow_mut().next = snapshot.end;
         return true;
     }
     coordinator.end("another daemon took over");
--- a/crates/ward-gateway/src/gateway.rs
+++ b/crates/ward-gateway/src/gateway.rs
@@ -11,8 +11,8 @@
 use ward_adapter::StoreClient;
 use ward_fleet::{
     AnsweredParts, AnsweredRequests, CrashDetector, CrashLedger, DaemonCount, EngineIncarnation,
-    EngineTable, HostMember, HostSettings, ProbeNumber, RetryBudget, RunningCount, ServingManifest,
-    StopPlan, StorePosition, TermVoter, WaitingCount,
+    EngineTable, HostMember, HostSettings, ProbeNumber, ReadCursor, RetryBudget, RunningCount,
+    ServingManifest, StopPlan, TermVoter, WaitingCount,
 };
 use ward_protocol::{
     BackendId, Incarnation, MonoTime, RequestFingerprint, ServiceName, TimeSpan, WallTime,
@@ -72,9 +72,9 @@
     pub(crate) members: RefCell<Vec<HostMember>>,
     pub(crate) coordinator: CoordinatorSlot,
     pub(crate) manifests: ManifestState,
-    /// Position up to which the coordinator had read the engines topic, from its last
+    /// Where the coordinator would have gone on reading the engines topic, from its last
     /// view; taken by the next read of this daemon.
-    pub(crate) view_engines_position: Cell<Option<StorePosition>>,
+    pub(crate) view_engines_cursor: Cell<Option<ReadCursor>>,
     /// Notified when the store answers a read of the manifest after a failed one.
     pub(crate) store_recovered: Notify,
     /// Concurrent loads that the weight store sustains, from the coordinator's last
@@ -174,7 +174,7 @@
             members: RefCell::default(),
             coordinator: CoordinatorSlot::default(),
             manifests: ManifestState::default(),
-            view_engines_position: Cell::default(),
+            view_engines_cursor: Cell::default(),
             store_recovered: Notify::new(),
             load_limit: Cell::default(),
             view_store_time: Cell::default(),
--- a/crates/ward-gateway/src/hub/search.rs
+++ b/crates/ward-gateway/src/hub/search.rs
@@ -118,23 +118,23 @@
     observer: &mut TermObserver,
     started: MonoTime,
 ) -> SearchOutcome {
-    let tail = match gateway.store.newest(StoreTopic::Coordinator).await {
-        Ok(tail) => tail,
+    let snapshot = match gateway.store.newest(StoreTopic::Coordinator).await {
+        Ok(snapshot) => snapshot,
         Err(cause) => {
             observer.record_outage();
             warn!(gateway.logger, "coordinator: term record cannot be read"; "cause" => %cause);
             return SearchOutcome::found(gateway.coordinator_address.get());
         }
     };
-    gateway.term_voter.borrow_mut().record_log_end(tail.end);
-    let fleet = stored_fleet(&tail, &gateway.logger);
+    gateway.term_voter.borrow_mut().record_log_end(snapshot.end);
+    let fleet = stored_fleet(&snapshot, &gateway.logger);
     let mut voters = VoterSet::default();
     if let Some(fleet) = fleet {
         voters = fleet.voters.clone();
         apply_fleet_record(gateway, fleet);
     }
     gateway.streams.complete_history();
-    let stored = newest_term(&tail, &gateway.logger);
+    let stored = newest_term(&snapshot, &gateway.logger);
     let now = clock::now();
     if let Some(stored) = &stored {
         observer.record(stored.position, stored.is_released(), now);
@@ -151,7 +151,7 @@
     if is_candidate && (holds_term || has_won) {
         let former = stored.as_ref().and_then(|stored| stored.term.as_ref());
         let former = former.map(|term| &term.daemon);
-        return SearchOutcome::found(take_over(gateway, former, tail.end).await);
+        return SearchOutcome::found(take_over(gateway, former, snapshot.end).await);
     }
     let term = stored.and_then(|stored| stored.term);
     SearchOutcome {
--- a/crates/ward-gateway/src/hub/view.rs
+++ b/crates/ward-gateway/src/hub/view.rs
@@ -36,7 +36,7 @@
     record_sharing_hosts(gateway);
     report_missed_leaving(gateway, view);
     record_told_limits(gateway, &view.limits, view.complete);
-    gateway.view_engines_position.set(view.engines_position);
+    gateway.view_engines_cursor.set(view.engines_cursor);
     gateway.store.record_era(view.store_era);
     gateway.load_limit.set(Some(view.load_concurrency_limit));
     if view.loads.is_some() {
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -20,8 +20,8 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use ward_adapter::{StoreClient, StoreError, StoreTail, StoreTopic};
-use ward_fleet::{ManifestVersion, StoreEra, StorePosition};
+use ward_adapter::{StoreChanges, StoreClient, StoreError, StoreRecord, StoreSnapshot, StoreTopic};
+use ward_fleet::{ManifestVersion, ReadCursor, StoreEra};
 use ward_http::AnswerProgress;
 use ward_protocol::{MonoTime, TimeSpan};
 
@@ -29,6 +29,7 @@
 use crate::clock;
 use crate::gateway::Gateway;
 use crate::hub::{PeerOrder, fetch_manifest, request_snapshot};
+use crate::sync::record_cut_read;
 
 /// Duration of a poll while views would announce a new manifest.
 const LONG_POLL_WAIT: TimeSpan = TimeSpan::from_millis(25_000);
@@ -53,14 +54,15 @@
 pub(crate) async fn sync_manifest(gateway: Rc<Gateway>) {
     let mut reader = ManifestReader {
         gateway,
-        next_position: None,
+        cursor: None,
         read_begun: clock::now(),
         known_version: ManifestVersion::default(),
         backoff: MIN_BACKOFF,
     };
     loop {
         match reader.read_next().await {
-            ReadEnd::Whole(tail) => reader.apply(&tail).await,
+            ReadEnd::Newest(newest) => reader.apply(&newest.records, newest.cursor()).await,
+            ReadEnd::Changes(changes) => reader.apply_changes(&changes).await,
             ReadEnd::Failed(cause) => reader.recover(&cause).await,
             ReadEnd::Abandoned(reason) => reader.begin_anew(reason),
         }
@@ -69,7 +71,8 @@
 
 /// How a read of the manifest ended.
 enum ReadEnd {
-    Whole(StoreTail),
+    Newest(StoreSnapshot),
+    Changes(StoreChanges),
     Failed(StoreError),
     Abandoned(AbandonReason),
 }
@@ -84,8 +87,8 @@
 
 struct ManifestReader {
     gateway: Rc<Gateway>,
-    /// Position to poll from; `None` if the newest manifest must be read.
-    next_position: Option<StorePosition>,
+    /// Where to poll from; `None` if the newest manifest must be read.
+    cursor: Option<ReadCursor>,
     /// When the running read began.
     read_begun: MonoTime,
     /// Newest version that was known then.
@@ -98,10 +101,10 @@
     async fn read_next(&mut self) -> ReadEnd {
         self.read_begun = clock::now();
         self.known_version = self.gateway.manifests.newest_version();
-        match self.next_position {
-            Some(position) => self.poll(position).await,
+        match self.cursor {
+            Some(cursor) => self.poll(cursor).await,
             None => match self.read_newest().await {
-                Ok(tail) => ReadEnd::Whole(tail),
+                Ok(newest) => ReadEnd::Newest(newest),
                 Err(cause) => ReadEnd::Failed(cause),
             },
         }
@@ -109,7 +112,7 @@
 
     /// Reads the newest manifest. While the store doesn't begin to answer, other daemons are
     /// asked for one that is known to exist.
-    async fn read_newest(&self) -> Result<StoreTail, StoreError> {
+    async fn read_newest(&self) -> Result<StoreSnapshot, StoreError> {
         let gateway = &*self.gateway;
         let progress = AnswerProgress::default();
         let read = gateway
@@ -137,7 +140,7 @@
     }
 
     /// Waits for the next record.
-    async fn poll(&self, position: StorePosition) -> ReadEnd {
+    async fn poll(&self, cursor: ReadCursor) -> ReadEnd {
         let gateway = &*self.gateway;
         let has_view = gateway.has_current_view() && !gateway.coordinator.is_active();
         let wait = if has_view {
@@ -147,11 +150,11 @@
         };
         let progress = AnswerProgress::default();
         let store = &gateway.store;
-        let poll = store.poll(StoreTopic::Manifest, position, wait, &progress);
+        let poll = store.poll(StoreTopic::Manifest, cursor, wait, &progress);
         let useless = async {
             let reason = tokio::select! {
                 () = wait_until_view_lost(gateway, has_view) => AbandonReason::ViewLost,
-                () = wait_until_later_era(gateway, position) => AbandonReason::LaterEra,
+                () = wait_until_later_era(gateway, cursor) => AbandonReason::LaterEra,
                 () = wait_until_outdated(gateway) => AbandonReason::Outdated,
             };
             if progress.has_begun() {
@@ -169,7 +172,7 @@
         };
         tokio::select! {
             biased;
-            result = poll => result.map_or_else(ReadEnd::Failed, ReadEnd::Whole),
+            result = poll => result.map_or_else(ReadEnd::Failed, ReadEnd::Changes),
             reason = useless => ReadEnd::Abandoned(reason),
             end = from_peers => end,
         }
@@ -185,17 +188,29 @@
             gateway.logger, "manifest: read restarted"; "why" => ?reason,
             "heard_of" => gateway.manifests.newest_version().0,
         );
-        self.next_position = None;
+        self.cursor = None;
     }
 
-    async fn apply(&mut self, tail: &StoreTail) {
+    async fn apply_changes(&mut self, changes: &StoreChanges) {
+        record_cut_read(&self.gateway, StoreTopic::Manifest, changes);
+        self.apply(&changes.records, ReadCursor(changes.end)).await;
+    }
+
+    /// Puts the newest manifest among `records` in force, and goes on reading at `next`.
+    async fn apply(&mut self, records: &[StoreRecord], next: ReadCursor) {
         let gateway = Rc::clone(&self.gateway);
         gateway.metrics.count_store_call(true);
         gateway.metrics.count_manifest_read("whole");
+        if !records.is_empty() {
+            info!(
+                gateway.logger, "manifest: read"; "records" => records.len(),
+                "next" => next.0.offset,
+            );
+        }
         let is_first = !gateway.manifests.is_known();
-        adopt_newest(&gateway, tail);
+        adopt_newest(&gateway, records);
         let is_behind = gateway.manifests.behind_for().is_some();
-        self.next_position = (!is_behind).then_some(tail.end);
+        self.cursor = (!is_behind).then_some(next);
         // The store came back from a copy, and the operator has not written again yet.
         let is_store_older = gateway.manifests.version() < self.known_version;
         if is_first && (is_store_older || may_store_be_outdated(&gateway)) {
@@ -211,7 +226,7 @@
         if std::mem::replace(&mut self.backoff, MIN_BACKOFF) != MIN_BACKOFF {
             gateway.store_recovered.notify_waiters();
         }
-        if tail.end.offset == 0 {
+        if next.0.offset == 0 {
             tokio::time::sleep(MIN_BACKOFF).await;
         }
     }
@@ -233,7 +248,7 @@
         gateway.metrics.count_manifest_read("failed");
         warn!(gateway.logger, "manifest: read failed"; "cause" => %cause);
         if cause.is_position_lost() {
-            self.next_position = None;
+            self.cursor = None;
         }
         // Another daemon may reach the store, also if no coordinator tells so.
         catch_up(&gateway).await;
@@ -266,11 +281,11 @@
     }
 }
 
-/// Waits until the store is known to have come back from a copy since a position was
+/// Waits until the store is known to have come back from a copy since a cursor was
 /// read, so that a read from there may wait for a record that has another offset now.
-async fn wait_until_later_era(gateway: &Gateway, position: StorePosition) {
+async fn wait_until_later_era(gateway: &Gateway, cursor: ReadCursor) {
     let mut eras = gateway.store.era_changes();
-    let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > position.era);
+    let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > cursor.0.era);
     // It fails only once the store client is gone, when there are no more eras to wait for.
     if eras.wait_for(is_later).await.is_err() {
         std::future::pending::<()>().await;
@@ -309,9 +324,8 @@
     gateway.store.era() > StoreEra::default() && !gateway.has_current_view()
 }
 
-fn adopt_newest(gateway: &Gateway, tail: &StoreTail) {
-    let newest = tail
-        .records
+fn adopt_newest(gateway: &Gateway, records: &[StoreRecord]) {
+    let newest = records
         .iter()
         .rfind(|record| StoreClient::is_manifest(record) && !record.value.is_empty());
     if let Some(record) = newest {
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     pub(crate) connection_turns: Histogram,
     /// Reads of engines and manifests from the store by result.
     store_calls: IntCounterVec,
+    /// Reads of the store that left records out of their answers, by topic.
+    cut_reads: IntCounterVec,
     /// Bytes of messages between daemons by direction, kind of message, and whether the
     /// other daemon runs in another availability zone.
     pub(crate) peer_bytes: IntCounterVec,
@@ -97,6 +99,11 @@
         self.store_calls.with_label_values(&[result]).inc();
     }
 
+    /// Counts a read that left records of a topic out of its answer.
+    pub(crate) fn count_cut_read(&self, topic: &str) {
+        self.cut_reads.with_label_values(&[topic]).inc();
+    }
+
     /// Counts a read of the manifest by its end.
     pub(crate) fn count_manifest_read(&self, end: &str) {
         self.manifest_reads.with_label_values(&[end]).inc();
@@ -174,6 +181,7 @@
                 "work of one connection at a stretch",
             )?,
             store_calls: counter_vec("ward_store_calls_total", "calls to the store", "result")?,
+            cut_reads: counter_vec("ward_cut_reads_total", "reads that were cut", "topic")?,
             peer_bytes: IntCounterVec::new(
                 Opts::new("ward_peer_bytes_total", "bytes between daemons"),
                 &["direction", "kind", "zone"],
@@ -225,6 +233,7 @@
         registry.register(Box::new(self.connections.clone()))?;
         registry.register(Box::new(self.connection_turns.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
+        registry.register(Box::new(self.cut_reads.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.manifest_delay.clone()))?;
         registry.register(Box::new(self.manifest_reads.clone()))?;
--- a/crates/ward-gateway/src/streams/store.rs
+++ b/crates/ward-gateway/src/streams/store.rs
@@ -173,10 +173,10 @@
     }
     let begun = clock::now();
     let is_complete = match gateway.store.newest(StoreTopic::Streams).await {
-        Ok(tail) => {
+        Ok(snapshot) => {
             gateway.metrics.count_store_call(true);
             store.is_restored.set(true);
-            apply_records(gateway, &tail.records)
+            apply_records(gateway, &snapshot.records)
         }
         Err(cause) => {
             gateway.metrics.count_store_call(false);
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -10,13 +10,14 @@
 
 use indexmap::{IndexMap, IndexSet};
 use slog::{debug, info, warn};
-use ward_adapter::{StoreError, StoreRecord, StoreTail, StoreTopic, decode_entry};
+use ward_adapter::{StoreError, StoreRecord, StoreSnapshot, StoreTopic, decode_entry};
 use ward_fleet::pace::standalone_read_interval;
 use ward_fleet::{
-    EngineBirth, EngineEntry, EngineIncarnation, EngineInfo, HeartbeatCount, StorePosition,
+    EngineBirth, EngineEntry, EngineIncarnation, EngineInfo, HeartbeatCount, ReadCursor,
 };
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
+use super::cut::record_cut_read;
 use crate::clock;
 use crate::gateway::Gateway;
 
@@ -35,8 +36,8 @@
 const REREGISTER_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
 struct EngineReader {
-    /// Position of the next read; `None` when the newest records must be read.
-    next_position: Option<StorePosition>,
+    /// Where the next read begins; `None` when the newest records must be read.
+    cursor: Option<ReadCursor>,
     /// When a read last failed; `None` if none has failed, or once the time for engines to
     /// register again has passed.
     last_failure: Option<MonoTime>,
@@ -60,7 +61,7 @@
 /// Keeps the table of engines up to date.
 pub(crate) async fn sync_engines(gateway: Rc<Gateway>) {
     let mut reader = EngineReader {
-        next_position: None,
+        cursor: None,
         last_failure: None,
         lapsed: IndexMap::new(),
         newest_heartbeats: IndexMap::new(),
@@ -105,33 +106,35 @@
     async fn read_once(&mut self, gateway: &Gateway) {
         let now = clock::now();
         let last_read = gateway.last_read.get();
-        // On the coordinator, the position is this reader's own earlier one, whose
+        // On the coordinator, the cursor is this reader's own earlier one, whose
         // records may have been deleted since.
-        let view_position = gateway.view_engines_position.take();
-        if let Some(end) = view_position.filter(|_| !gateway.coordinator.is_active()) {
-            self.next_position = self.next_position.max(Some(end));
+        let view_cursor = gateway.view_engines_cursor.take();
+        if let Some(cursor) = view_cursor.filter(|_| !gateway.coordinator.is_active()) {
+            self.cursor = self.cursor.max(Some(cursor));
         } else if last_read.is_some_and(|time| now.since(time) > MAX_HISTORY_GAP) {
-            self.next_position = None;
+            self.cursor = None;
         }
-        let result = match self.next_position {
+        let result = match self.cursor {
             Some(from) => read_changes(gateway, from).await,
             None => self.read_all(gateway).await,
         };
         match result {
             Ok(read) => {
-                let EngineRead { tail, scope } = read;
+                let EngineRead {
+                    records,
+                    next,
+                    scope,
+                } = read;
                 gateway.metrics.count_store_call(true);
                 self.failed_reads = 0;
-                self.next_position = Some(tail.end);
-                self.apply_tail(gateway, &tail, scope);
+                self.cursor = Some(next);
+                self.apply_records(gateway, &records, scope);
                 gateway.last_read.set(Some(now));
                 let streak = gateway.consecutive_reads.get().saturating_add(1);
                 gateway.consecutive_reads.set(streak);
-                gateway
-                    .coordinator
-                    .record_store_read(tail.end, clock::now());
+                gateway.coordinator.record_store_read(next, clock::now());
                 if !gateway.engines_known.replace(true) {
-                    info!(gateway.logger, "engines: first read from the store"; "count" => tail.records.len());
+                    info!(gateway.logger, "engines: first read from the store"; "count" => records.len());
                 }
             }
             Err(cause) => {
@@ -142,7 +145,7 @@
                     warn!(gateway.logger, "engines: store lost"; "cause" => %cause);
                 }
                 if cause.is_position_lost() {
-                    self.next_position = None;
+                    self.cursor = None;
                 }
             }
         }
@@ -159,22 +162,16 @@
         if self.has_long_list && !gateway.coordinator.is_active() {
             let timeout = MIN_VIEW_WAIT.mul_f64(rand::random_range(1.0..2.0));
             if gateway.receives_view_within(timeout).await {
-                return Ok(EngineRead {
-                    tail: first.tail,
-                    scope: ReadScope::FirstPage,
-                });
+                return Ok(EngineRead::new(first.snapshot, ReadScope::FirstPage));
             }
         }
-        let tail = store.newest_from_page(StoreTopic::Engines, first).await?;
-        Ok(EngineRead {
-            tail,
-            scope: ReadScope::All,
-        })
+        let newest = store.newest_from_page(StoreTopic::Engines, first).await?;
+        Ok(EngineRead::new(newest, ReadScope::All))
     }
 
-    fn apply_tail(&mut self, gateway: &Gateway, tail: &StoreTail, scope: ReadScope) {
+    fn apply_records(&mut self, gateway: &Gateway, records: &[StoreRecord], scope: ReadScope) {
         let mut listed = IndexSet::new();
-        for record in &tail.records {
+        for record in records {
             listed.insert(record.key.as_str());
             if record.value.is_empty() {
                 self.handle_missing(gateway, &record.key);
@@ -274,10 +271,22 @@
 
 /// Result of one read of engines.
 struct EngineRead {
-    tail: StoreTail,
+    records: Vec<StoreRecord>,
+    /// Where the next read begins.
+    next: ReadCursor,
     scope: ReadScope,
 }
 
+impl EngineRead {
+    fn new(newest: StoreSnapshot, scope: ReadScope) -> Self {
+        Self {
+            next: newest.cursor(),
+            records: newest.records,
+            scope,
+        }
+    }
+}
+
 /// What a read of engines contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReadScope {
@@ -297,12 +306,14 @@
     gateway.table.borrow().has_departed(&incarnation)
 }
 
-/// Reads the changes from a position on.
-async fn read_changes(gateway: &Gateway, from: StorePosition) -> Result<EngineRead, StoreError> {
+/// Reads the changes from a cursor on.
+async fn read_changes(gateway: &Gateway, from: ReadCursor) -> Result<EngineRead, StoreError> {
     let store = &gateway.store;
-    let tail = store.read(StoreTopic::Engines, from).await?;
+    let changes = store.read(StoreTopic::Engines, from).await?;
+    record_cut_read(gateway, StoreTopic::Engines, &changes);
     Ok(EngineRead {
-        tail,
+        records: changes.records,
+        next: ReadCursor(changes.end),
         scope: ReadScope::Changes,
     })
 }
--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store.rs
@@ -131,7 +131,7 @@
     #[must_use]
     pub fn keys(&self, topic: StoreTopic) -> Vec<String> {
         let partitions = lock(&self.state.partitions);
-        let partition = partitions.get(topic_name(topic));
+        let partition = partitions.get(topic.label());
         let records = partition.map(Partition::newest_records);
         let keys = records.into_iter().flatten().map(|record| record.key);
         keys.collect()
@@ -141,7 +141,7 @@
     #[must_use]
     pub fn count(&self, topic: StoreTopic, has_key: impl Fn(&str) -> bool) -> usize {
         let partitions = lock(&self.state.partitions);
-        let partition = partitions.get(topic_name(topic));
+        let partition = partitions.get(topic.label());
         let records = partition.into_iter().flat_map(|found| &found.records);
         records.filter(|record| has_key(&record.key)).count()
     }
@@ -215,7 +215,7 @@
     /// Appends one record.
     fn append(&self, topic: StoreTopic, key: &str, value: Vec<u8>) {
         let mut partitions = lock(&self.partitions);
-        let partition = partitions.entry(topic_name(topic)).or_default();
+        let partition = partitions.entry(topic.label()).or_default();
         partition.append(key.to_owned(), value);
         drop(partitions);
         self.appended.notify_waiters();
@@ -223,7 +223,7 @@
 
     fn end(&self, topic: StoreTopic) -> u64 {
         lock(&self.partitions)
-            .get(topic_name(topic))
+            .get(topic.label())
             .map_or(0, |partition| partition.end)
     }
 
@@ -237,7 +237,7 @@
         body: &[u8],
     ) -> Response<StageBody> {
         let mut partitions = lock(&self.partitions);
-        let partition = partitions.entry(topic_name(topic)).or_default();
+        let partition = partitions.entry(topic.label()).or_default();
         let end = partition.end;
         if expected_end.is_some_and(|expected_end| expected_end != end) {
             return full_response(StatusCode::PRECONDITION_FAILED, append_answer(None, end));
@@ -276,7 +276,7 @@
             return Err(AbortConnection);
         }
         let empty = Partition::default();
-        let partition = partitions.get(topic_name(topic)).unwrap_or(&empty);
+        let partition = partitions.get(topic.label()).unwrap_or(&empty);
         let first_offset = partition.first_offset();
         if from < first_offset || from > partition.end {
             let body = append_answer(None, partition.end);
@@ -297,7 +297,7 @@
     fn read_newest(&self, topic: StoreTopic, after: Option<&str>) -> Response<StageBody> {
         let partitions = lock(&self.partitions);
         let empty = Partition::default();
-        let partition = partitions.get(topic_name(topic)).unwrap_or(&empty);
+        let partition = partitions.get(topic.label()).unwrap_or(&empty);
         let records = partition.newest_records();
         let former = after.and_then(|key| records.iter().position(|record| record.key == key));
         let rest = &records[former.map_or(0, |position| position + 1)..];
@@ -310,15 +310,6 @@
     }
 }
 
-const fn topic_name(topic: StoreTopic) -> &'static str {
-    match topic {
-        StoreTopic::Manifest => "manifest",
-        StoreTopic::Engines => "engines",
-        StoreTopic::Coordinator => "coordinator",
-        StoreTopic::Streams => "streams",
-    }
-}
-
 async fn answer(
     state: Arc<StoreState>,
     request: Request<Incoming>,
