Stand-in store: its answers hold no more than the platform's

Change: log-read parses maxKb (1,024 KiB unless named) and cuts there, with one record at least; pages of log-newest end at 500 records or 1 MiB; a read waits 30 s at most; 410 names `first`, as the page says, not `end`; an append refuses records over 256 KiB and calls over 2 MiB. Bounds of answers that it still doesn't keep: readMbPerS, the expiry of old records (keep_s, partMb), and the number of topics, none of which changes what one answer holds.

--- a/crates/ward-stage/src/store.rs
+++ b/crates/ward-stage/src/store/mod.rs
@@ -1,4 +1,8 @@
 //! Stand-in for the platform's store, which keeps all topics in memory.
+//!
+//! Its answers to calls hold no more than the platform's do.
+
+mod partition;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +16,7 @@
 use tokio::sync::Notify;
 use ward_adapter::StoreTopic;
 use ward_adapter::served::{
-    ServedTenant, StoreCall, StoredRecord, append_answer, era_headers, manifest_json,
+    ReadCall, ServedTenant, StoreCall, append_answer, era_headers, gone_answer, manifest_json,
     newest_answer, parse_call, read_answer, split_keyed, split_records,
 };
 use ward_adapter::store::MANIFEST_KEY;
@@ -22,8 +26,14 @@
 use crate::reply::{AbortConnection, StageBody, full_response};
 use crate::serve::{StageServer, serve};
 
-/// Maximum number of records in a page of the newest ones.
-const PAGE_RECORDS: usize = 500;
+use partition::Partition;
+
+/// Maximum time for which a read waits for a record.
+const MAX_READ_WAIT: TimeSpan = TimeSpan::from_secs(30);
+/// Maximum length of a record that is appended.
+const MAX_RECORD_BYTES: usize = 256 << 10;
+/// Maximum length of all records that one call appends.
+const MAX_CALL_BYTES: usize = 2 << 20;
 
 /// Fault of the store, for all its calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,12 +59,6 @@
     partitions: IndexMap<&'static str, Partition>,
 }
 
-#[derive(Clone, Default)]
-struct Partition {
-    records: Vec<StoredRecord>,
-    end: u64,
-}
-
 struct StoreState {
     /// Topic whose next append gets no answer, and the time after which it takes effect.
     late_append: Mutex<Option<(StoreTopic, Duration)>>,
@@ -174,43 +178,6 @@
     }
 }
 
-impl Partition {
-    /// Appends one record.
-    fn append(&mut self, key: String, value: Vec<u8>) {
-        let offset = self.end;
-        self.records.push(StoredRecord { key, value, offset });
-        self.end += 1;
-    }
-
-    /// The newest record of each key, without removed keys, whose newest value is
-    /// empty.
-    fn newest_records(&self) -> Vec<StoredRecord> {
-        let mut newest: IndexMap<&str, &StoredRecord> = IndexMap::new();
-        for record in &self.records {
-            newest.insert(&record.key, record);
-        }
-        let live = newest
-            .into_values()
-            .filter(|record| !record.value.is_empty());
-        live.cloned().collect()
-    }
-
-    /// Offset from which on no record is missing: that of the first record, or
-    /// the end if compaction has left gaps.
-    fn first_offset(&self) -> u64 {
-        let record_count = self.records.len() as u64;
-        let is_contiguous = self
-            .records
-            .first()
-            .is_some_and(|record| record.offset + record_count == self.end);
-        if is_contiguous {
-            self.end - record_count
-        } else {
-            self.end
-        }
-    }
-}
-
 impl StoreState {
     /// Appends one record.
     fn append(&self, topic: StoreTopic, key: &str, value: Vec<u8>) {
@@ -243,6 +210,12 @@
             return full_response(StatusCode::PRECONDITION_FAILED, append_answer(None, end));
         }
         let contents = split_records(body);
+        let is_too_long = contents
+            .iter()
+            .any(|content| content.len() > MAX_RECORD_BYTES);
+        if is_too_long || body.len() > MAX_CALL_BYTES {
+            return full_response(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
+        }
         let records: Option<Vec<_>> = contents
             .iter()
             .map(|content| split_keyed(content))
@@ -260,16 +233,13 @@
         full_response(StatusCode::OK, append_answer(first_offset, end))
     }
 
-    async fn read(
-        &self,
-        topic: StoreTopic,
-        from: u64,
-        wait: TimeSpan,
-    ) -> Result<Response<StageBody>, AbortConnection> {
+    async fn read(&self, call: ReadCall) -> Result<Response<StageBody>, AbortConnection> {
+        let ReadCall { topic, from, .. } = call;
         let era = *lock(&self.era);
         let appended = self.appended.notified();
         if self.end(topic) <= from {
-            drop(tokio::time::timeout(wait.duration(), appended).await);
+            let wait = call.wait.min(MAX_READ_WAIT).duration();
+            drop(tokio::time::timeout(wait, appended).await);
         }
         let partitions = lock(&self.partitions);
         if *lock(&self.era) != era {
@@ -279,18 +249,12 @@
         let partition = partitions.get(topic.label()).unwrap_or(&empty);
         let first_offset = partition.first_offset();
         if from < first_offset || from > partition.end {
-            let body = append_answer(None, partition.end);
-            return Ok(full_response(StatusCode::GONE, body));
+            return Ok(full_response(StatusCode::GONE, gone_answer(first_offset)));
         }
-        let records: Vec<_> = partition
-            .records
-            .iter()
-            .filter(|record| record.offset >= from)
-            .cloned()
-            .collect();
+        let records = partition.records_from(from, call.max_bytes);
         Ok(full_response(
             StatusCode::OK,
-            read_answer(partition.end, first_offset, &records),
+            read_answer(partition.end, first_offset, records),
         ))
     }
 
@@ -298,14 +262,10 @@
         let partitions = lock(&self.partitions);
         let empty = Partition::default();
         let partition = partitions.get(topic.label()).unwrap_or(&empty);
-        let records = partition.newest_records();
-        let former = after.and_then(|key| records.iter().position(|record| record.key == key));
-        let rest = &records[former.map_or(0, |position| position + 1)..];
-        let page = &rest[..rest.len().min(PAGE_RECORDS)];
-        let truncated = page.len() < rest.len();
+        let (page, truncated) = partition.newest_page(after);
         full_response(
             StatusCode::OK,
-            newest_answer(page, truncated, partition.end),
+            newest_answer(&page, truncated, partition.end),
         )
     }
 }
@@ -343,7 +303,12 @@
         .map_err(|_| AbortConnection)?;
     let reads_engines = matches!(
         call,
-        Some(StoreCall::Read(StoreTopic::Engines, ..) | StoreCall::Newest(StoreTopic::Engines, _))
+        Some(
+            StoreCall::Read(ReadCall {
+                topic: StoreTopic::Engines,
+                ..
+            }) | StoreCall::Newest(StoreTopic::Engines, _)
+        )
     );
     if fault == StoreFault::HangEngines && reads_engines {
         std::future::pending::<()>().await;
@@ -365,7 +330,7 @@
             }
             Ok(response)
         }
-        Some(StoreCall::Read(topic, from, wait)) => state.read(topic, from, wait).await,
+        Some(StoreCall::Read(call)) => state.read(call).await,
         Some(StoreCall::Newest(topic, after)) => Ok(state.read_newest(topic, after.as_deref())),
         None => Ok(full_response(StatusCode::NOT_FOUND, Bytes::new())),
     }
--- a/crates/ward-stage/tests/store.rs
+++ b/crates/ward-stage/tests/store.rs
@@ -1,13 +1,14 @@
-//! Conditional appends to the stand-in store.
+//! Conditional appends to the stand-in store, and how much its answers hold.
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use std::net::{IpAddr, Ipv4Addr};
 
 use googletest::prelude::*;
+use http::StatusCode;
 use tokio::task::JoinSet;
-use ward_adapter::{NewRecord, StoreClient, StoreTopic};
-use ward_fleet::{StoreEra, StorePosition};
+use ward_adapter::{NewRecord, StoreClient, StoreError, StoreTopic};
+use ward_fleet::{ReadCursor, StoreEra, StorePosition};
 use ward_protocol::TimeSpan;
 use ward_stage::StageStore;
 
@@ -74,3 +75,80 @@
         expect_that!(last.map(|record| record.key), some(eq("i-last")), "{odd}");
     }
 }
+
+/// Length of a value of which four fit into an answer, whether read or listed.
+const LONG_VALUE_BYTES: usize = 250_000;
+
+fn cursor(offset: u64) -> ReadCursor {
+    ReadCursor(StorePosition {
+        era: StoreEra(0),
+        offset,
+    })
+}
+
+async fn long_store(records: usize) -> (StageStore, StoreClient) {
+    let store = StageStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST))
+        .await
+        .unwrap();
+    for number in 0..records {
+        store.put_entry(&format!("i-{number}"), Some("x".repeat(LONG_VALUE_BYTES)));
+    }
+    let client = StoreClient::new(store.address(), CALL_TIMEOUT);
+    (store, client)
+}
+
+/// Guards against a store of tests that gives more than the platform's: readers that take
+/// what they were given for all there is then pass.
+#[gtest]
+#[tokio::test]
+async fn read_of_the_stand_in_held_more_than_the_platforms() {
+    let (_store, client) = long_store(6).await;
+    let changes = client.read(StoreTopic::Engines, cursor(0)).await.unwrap();
+    expect_that!(changes.records.len(), eq(4));
+    expect_that!(changes.next, eq(cursor(4)));
+    expect_that!(changes.end, eq(cursor(6).0));
+    expect_that!(changes.left_out(), eq(2));
+    let rest = client.read(StoreTopic::Engines, changes.next).await;
+    let rest = rest.unwrap();
+    expect_that!(rest.records.len(), eq(2));
+    expect_that!(rest.next, eq(cursor(6)));
+    expect_that!(rest.left_out(), eq(0));
+}
+
+/// The same for pages of the newest records.
+#[gtest]
+#[tokio::test]
+async fn newest_page_of_the_stand_in_held_more_than_the_platforms() {
+    let (_store, client) = long_store(6).await;
+    let topic = StoreTopic::Engines;
+    let page = client.newest_page(topic, None).await.unwrap();
+    expect_that!(page.snapshot.records.len(), eq(4));
+    expect_false!(page.is_last);
+    let all = client.newest(topic).await.unwrap();
+    expect_that!(all.records.len(), eq(6));
+    expect_that!(all.cursor(), eq(cursor(6)));
+}
+
+/// The same for appends.
+#[gtest]
+#[tokio::test]
+async fn append_of_the_stand_in_took_more_than_the_platforms() {
+    let (_store, client) = long_store(0).await;
+    let record = |bytes: usize| NewRecord {
+        key: "k".into(),
+        value: vec![b'x'; bytes],
+    };
+    let too_large = StatusCode::PAYLOAD_TOO_LARGE;
+    for (records, is_accepted) in [
+        (vec![record(200_000)], true),
+        (vec![record(300_000)], false),
+        (vec![record(200_000); 11], false),
+    ] {
+        let result = client.append(StoreTopic::Streams, &records).await;
+        match result {
+            Ok(_) => expect_true!(is_accepted),
+            Err(StoreError::Refused(status)) => expect_that!(status, eq(too_large)),
+            Err(cause) => panic!("{cause}"),
+        }
+    }
+}
