--- a/crates/ward-daemon/tests/gateway/late_manifests.rs
+++ b/crates/ward-daemon/tests/gateway/late_manifests.rs
@@ -12,7 +12,9 @@
 use ward_protocol::codec::encode;
 use ward_stage::{CallerRequest, LinkFault, Stage, StagePlan};
 
-use crate::support::{add_route, send, stage, wait_until_all_joined, write_manifest};
+use crate::support::{
+    add_route, newest_in_force, send, stage, wait_until_all_joined, write_manifest,
+};
 
 /// Time within which a change must be in force everywhere.
 const CHANGE_TIME: Duration = Duration::from_secs(3);
@@ -34,20 +36,6 @@
         .map(|answer| answer.status)
 }
 
-/// The newest version that a daemon's log says is in force.
-fn newest_in_force(stage: &Stage, daemon: usize) -> ManifestVersion {
-    let log = stage.daemons[daemon].log().unwrap();
-    let lines = log
-        .lines()
-        .filter(|line| line.contains("manifest: in force"));
-    let versions = lines.filter_map(|line| {
-        let (_, rest) = line.split_once("\"version\":")?;
-        let digits = rest.split(|other: char| !other.is_ascii_digit()).next()?;
-        digits.parse().ok()
-    });
-    ManifestVersion(versions.max().unwrap_or(0))
-}
-
 /// Whether a daemon serves a path within `CHANGE_TIME` after `begun`.
 async fn is_served_in_time(stage: &Stage, daemon: usize, path: &str, begun: Instant) -> bool {
     while begun.elapsed() < CHANGE_TIME {
--- a/crates/ward-daemon/tests/gateway/main.rs
+++ b/crates/ward-daemon/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod crashing_parts;
 mod cut_answers;
+mod cut_reads;
 mod early_answers;
 mod endless;
 mod faults;
--- a/crates/ward-daemon/tests/gateway/support.rs
+++ b/crates/ward-daemon/tests/gateway/support.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use http::StatusCode;
+use ward_fleet::ManifestVersion;
 use ward_stage::{
     CallerAnswer, CallerError, CallerRequest, EngineFault, Stage, StageCaller, StageEngine,
     StagePlan, stage_folder,
@@ -57,6 +58,20 @@
     stage.store.put_manifest(&stage.manifest);
 }
 
+/// The newest version that a daemon's log says is in force.
+pub(crate) fn newest_in_force(stage: &Stage, daemon: usize) -> ManifestVersion {
+    let log = stage.daemons[daemon].log().unwrap();
+    let lines = log
+        .lines()
+        .filter(|line| line.contains("manifest: in force"));
+    let versions = lines.filter_map(|line| {
+        let (_, rest) = line.split_once("\"version\":")?;
+        let digits = rest.split(|other: char| !other.is_ascii_digit()).next()?;
+        digits.parse().ok()
+    });
+    ManifestVersion(versions.max().unwrap_or(0))
+}
+
 /// Sends one request to a daemon on a new connection.
 pub(crate) async fn send(
     stage: &Stage,
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -9,7 +9,8 @@
 //! thousands of calls during one outage.
 //!
 //! A daemon that knows of a newer manifest reads the newest one. Such a read is never given
-//! up for one that is newer still.
+//! up for one that is newer still. The same goes for a daemon whose poll the store has cut:
+//! of the manifests that have come, only the newest is of use, which the answer leaves out.
 //!
 //! Load pattern: a large manifest, a narrow link or many hosts make a read take longer than
 //! the time between two changes. A read that ends a little late is then in force sooner
@@ -191,9 +192,19 @@
         self.cursor = None;
     }
 
+    /// Applies what a poll returned. If records were left out, the newest manifest is one of
+    /// those, so it is read next.
     async fn apply_changes(&mut self, changes: &StoreChanges) {
-        record_cut_read(&self.gateway, StoreTopic::Manifest, changes);
-        self.apply(&changes.records, ReadCursor(changes.end)).await;
+        if changes.left_out() == 0 {
+            self.apply(&changes.records, changes.next).await;
+            return;
+        }
+        let gateway = &*self.gateway;
+        record_cut_read(gateway, StoreTopic::Manifest, changes);
+        gateway.metrics.count_store_call(true);
+        gateway.metrics.count_manifest_read("cut");
+        adopt_newest(gateway, &changes.records);
+        self.cursor = None;
     }
 
     /// Puts the newest manifest among `records` in force, and goes on reading at `next`.
--- a/crates/ward-gateway/src/metrics.rs
+++ b/crates/ward-gateway/src/metrics.rs
@@ -79,7 +79,7 @@
     pub(crate) peer_bytes: IntCounterVec,
     /// Seconds from when a newer manifest became known until one was in force.
     pub(crate) manifest_delay: Histogram,
-    /// Reads of the manifest by end: whole, failed, or abandoned for a newer version.
+    /// Reads of the manifest by end: whole, cut, failed, or abandoned for a newer version.
     manifest_reads: IntCounterVec,
     /// Seconds for which a newer manifest had been known when a request was routed; only
     /// requests that were routed by an older one are counted.
