--- a/crates/ward-daemon/tests/gateway/cut_reads.rs
+++ b/crates/ward-daemon/tests/gateway/cut_reads.rs
@@ -6,7 +6,9 @@
 use http::StatusCode;
 use ward_stage::{CallerRequest, Stage, StagePlan, StoreFault};
 
-use crate::support::{add_route, newest_in_force, send, stage, wait_until, write_manifest};
+use crate::support::{
+    add_route, newest_in_force, send, stage, wait_until, wait_until_all_joined, write_manifest,
+};
 
 /// Routes of a manifest of some 200 kB, of which five fit into an answer.
 const ROUTE_COUNT: usize = 1_000;
@@ -14,6 +16,10 @@
 const VERSION_COUNT: usize = 8;
 /// Time within which a change must be in force.
 const CHANGE_TIME: Duration = Duration::from_secs(2);
+/// Length of an entry of which four fit into an answer.
+const LONG_ENTRY_BYTES: usize = 250_000;
+/// Number of entries that fill more than one answer.
+const LONG_ENTRY_COUNT: usize = 5;
 
 fn has_logged(stage: &Stage, daemon: usize, parts: &[&str]) -> bool {
     let log = stage.daemons[daemon].log().unwrap();
@@ -54,3 +60,29 @@
     expect_that!(answer.unwrap().status, eq(StatusCode::OK));
     expect_that!(newest_in_force(&stage, 0), eq(stage.manifest.version));
 }
+
+/// Guards against the same cause in the reader of the engines: the removal of an engine was
+/// never seen, since other records between two reads filled the answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn removal_of_an_engine_was_passed_over_after_a_read_that_the_store_cut() {
+    let plan = StagePlan {
+        backend_servers: 3,
+        ..StagePlan::default()
+    };
+    let mut stage = stage("cut-engines", &plan).await;
+    let coordinator = wait_until_all_joined(&stage).await;
+    let engine = stage.engines.pop().unwrap();
+    let gone = engine.id();
+    drop(engine);
+    for number in 0..LONG_ENTRY_COUNT {
+        let value = "x".repeat(LONG_ENTRY_BYTES);
+        stage.store.put_entry(&format!("odd-{number}"), Some(value));
+    }
+    stage.store.put_entry(&gone, None);
+    let engine = format!("\"engine\":\"{gone}\"");
+    wait_until("the removal", || {
+        has_logged(&stage, coordinator, &["engines: gone", &engine])
+    })
+    .await;
+}
--- a/crates/ward-fleet/src/pace.rs
+++ b/crates/ward-fleet/src/pace.rs
@@ -1,18 +1,22 @@
 //! How often the coordinator broadcasts the number of requests at each engine
-//! (the engine's load) to all daemons, and how often daemons without a coordinator read
-//! the engines from the store.
+//! (the engine's load) to all daemons, how often daemons without a coordinator read the
+//! engines from the store, and how a reader catches up.
 //!
 //! Load pattern: as hosts and engines are added, each broadcast gets longer and
 //! goes to more daemons, all over the link of one host. The interval grows, up
 //! to a maximum, so that broadcasts use only a small part of that link. The
 //! loads are then older, which matters less when many engines hold each model.
-
 //!
 //! Load pattern of the reads: hundreds of daemons start at once, and the first page of a long
 //! list of engines takes the store longer for all of them than they wait for it. What the
 //! store has begun to send comes too late all the same, so that the coordinator, whose
 //! views would end the reads, can't read either. So failed reads back off, and long lists
 //! are read seldom.
+//!
+//! Load pattern of catching up: thousands of engines write a heartbeat each second, or
+//! another writer's entries are long, so that an answer holds only some of what has come
+//! since the last read. A reader that is slower than the writers gets further behind with
+//! each read of the changes, until the newest entries alone are less to read.
 
 use ward_protocol::TimeSpan;
 
@@ -55,3 +59,22 @@
     let doublings = failed_reads.min(MAX_DOUBLINGS);
     TimeSpan::from_millis(STANDALONE_READ_INTERVAL.millis() << doublings)
 }
+
+/// What a reader of the engines reads next if records were left out of its last read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CatchUp {
+    /// The changes that follow.
+    Changes,
+    /// The newest entries of all engines.
+    Newest,
+}
+
+/// Chooses what is less to read: the records that were `left_out`, or one for each engine.
+#[must_use]
+pub const fn catch_up(left_out: u64, engines: usize) -> CatchUp {
+    if left_out > engines as u64 {
+        CatchUp::Newest
+    } else {
+        CatchUp::Changes
+    }
+}
--- a/crates/ward-fleet/tests/pace.rs
+++ b/crates/ward-fleet/tests/pace.rs
@@ -1,8 +1,10 @@
-//! Intervals between broadcasts of engine loads, and between reads of the engines.
+//! Intervals between broadcasts of engine loads and between reads of the engines, and how a
+//! reader catches up.
 
 use googletest::prelude::*;
 use ward_fleet::LinkRate;
-use ward_fleet::pace::{load_broadcast_interval, standalone_read_interval};
+use ward_fleet::number::floor_to_u64;
+use ward_fleet::pace::{CatchUp, catch_up, load_broadcast_interval, standalone_read_interval};
 use ward_protocol::TimeSpan;
 
 const GIGABIT: LinkRate = LinkRate(1_000_000);
@@ -46,3 +48,33 @@
     let long = standalone_read_interval(0, true, 0.5);
     expect_that!(store_rate(0.7e6, long), lt(40e6));
 }
+
+/// Load pattern: 12,000 engines write 10,000 heartbeats a second of 400 bytes, and a reader
+/// takes up to a megabyte a read. Returns how many records it is behind after each of its
+/// reads, of which one takes `seconds`.
+fn backlogs(seconds: f64) -> Vec<u64> {
+    const ENGINES: usize = 12_000;
+    const READ_RECORDS: u64 = 2_500;
+    const WRITTEN_PER_SECOND: f64 = 10_000.0;
+    let written = floor_to_u64(seconds * WRITTEN_PER_SECOND);
+    let mut left_out = written;
+    let mut backlogs = Vec::new();
+    for _ in 0..200 {
+        left_out = match catch_up(left_out, ENGINES) {
+            CatchUp::Changes => (left_out + written).saturating_sub(READ_RECORDS),
+            CatchUp::Newest => written,
+        };
+        backlogs.push(left_out);
+    }
+    backlogs
+}
+
+#[gtest]
+fn reader_that_was_slower_than_the_writers_got_ever_further_behind() {
+    for seconds in [0.1, 0.25, 0.4, 1.0] {
+        let greatest = backlogs(seconds).into_iter().max();
+        expect_that!(greatest, some(le(24_000)), "{seconds} s");
+    }
+    let fast = backlogs(0.1).into_iter().next_back();
+    expect_that!(fast, some(eq(0)));
+}
--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -4,6 +4,9 @@
 //! read only while they have no current view. An engine whose entry expires during
 //! a store outage, or shortly after, stays in use until it has had time to register
 //! again.
+//!
+//! A reader whose answer the store has cut is behind. It reads again without a pause, and
+//! what it knows counts as of its last read that reached the end of the log.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +14,7 @@
 use indexmap::{IndexMap, IndexSet};
 use slog::{debug, info, warn};
 use ward_adapter::{StoreError, StoreRecord, StoreSnapshot, StoreTopic, decode_entry};
-use ward_fleet::pace::standalone_read_interval;
+use ward_fleet::pace::{CatchUp, catch_up, standalone_read_interval};
 use ward_fleet::{
     EngineBirth, EngineEntry, EngineIncarnation, EngineInfo, HeartbeatCount, ReadCursor,
 };
@@ -49,6 +52,8 @@
     has_long_list: bool,
     /// Failed reads in succession.
     failed_reads: u32,
+    /// Whether records were left out of the last read.
+    is_behind: bool,
 }
 
 /// Position of a heartbeat in the order of all heartbeats of its engine.
@@ -67,6 +72,7 @@
         newest_heartbeats: IndexMap::new(),
         has_long_list: false,
         failed_reads: 0,
+        is_behind: false,
     };
     loop {
         if gateway.coordinator.is_active() || !gateway.has_current_view() {
@@ -82,6 +88,9 @@
 impl EngineReader {
     /// Waits until the next look whether the engines must be read.
     async fn wait(&self, gateway: &Gateway) {
+        if self.is_behind {
+            return;
+        }
         if gateway.coordinator.is_active() {
             gateway
                 .sleep_or_store_recovery(COORDINATOR_READ_INTERVAL)
@@ -118,36 +127,48 @@
             Some(from) => read_changes(gateway, from).await,
             None => self.read_all(gateway).await,
         };
+        self.is_behind = false;
         match result {
-            Ok(read) => {
-                let EngineRead {
-                    records,
-                    next,
-                    scope,
-                } = read;
-                gateway.metrics.count_store_call(true);
-                self.failed_reads = 0;
-                self.cursor = Some(next);
-                self.apply_records(gateway, &records, scope);
-                gateway.last_read.set(Some(now));
-                let streak = gateway.consecutive_reads.get().saturating_add(1);
-                gateway.consecutive_reads.set(streak);
-                gateway.coordinator.record_store_read(next, clock::now());
-                if !gateway.engines_known.replace(true) {
-                    info!(gateway.logger, "engines: first read from the store"; "count" => records.len());
-                }
-            }
-            Err(cause) => {
-                gateway.metrics.count_store_call(false);
-                gateway.consecutive_reads.set(0);
-                self.failed_reads = self.failed_reads.saturating_add(1);
-                if self.last_failure.replace(clock::now()).is_none() {
-                    warn!(gateway.logger, "engines: store lost"; "cause" => %cause);
-                }
-                if cause.is_position_lost() {
-                    self.cursor = None;
-                }
+            Ok(read) => self.apply_read(gateway, &read, now),
+            Err(cause) => self.record_failure(gateway, &cause),
+        }
+    }
+
+    /// Applies a read that began at `begun`.
+    fn apply_read(&mut self, gateway: &Gateway, read: &EngineRead, begun: MonoTime) {
+        gateway.metrics.count_store_call(true);
+        self.failed_reads = 0;
+        let streak = gateway.consecutive_reads.get().saturating_add(1);
+        gateway.consecutive_reads.set(streak);
+        self.apply_records(gateway, &read.records, read.scope);
+        let former = self.cursor.replace(read.next);
+        if let ReadScope::FirstChanges { left_out } = read.scope {
+            self.is_behind = true;
+            let engines = gateway.table.borrow().iter().count();
+            let is_stuck = former == self.cursor;
+            if is_stuck || catch_up(left_out, engines) == CatchUp::Newest {
+                self.cursor = None;
             }
+            return;
+        }
+        gateway.last_read.set(Some(begun));
+        gateway
+            .coordinator
+            .record_store_read(read.next, clock::now());
+        if !gateway.engines_known.replace(true) {
+            info!(gateway.logger, "engines: first read from the store"; "count" => read.records.len());
+        }
+    }
+
+    fn record_failure(&mut self, gateway: &Gateway, cause: &StoreError) {
+        gateway.metrics.count_store_call(false);
+        gateway.consecutive_reads.set(0);
+        self.failed_reads = self.failed_reads.saturating_add(1);
+        if self.last_failure.replace(clock::now()).is_none() {
+            warn!(gateway.logger, "engines: store lost"; "cause" => %cause);
+        }
+        if cause.is_position_lost() {
+            self.cursor = None;
         }
     }
 
@@ -222,7 +243,7 @@
             return;
         }
         self.newest_heartbeats.insert(entry.id.clone(), position);
-        if scope != ReadScope::Changes && has_departed(gateway, &entry) {
+        if scope.is_snapshot() && has_departed(gateway, &entry) {
             info!(
                 gateway.logger, "engines: entry of one that is gone ignored";
                 "engine" => %entry.id, "heartbeat" => entry.heartbeat.0,
@@ -292,12 +313,21 @@
 enum ReadScope {
     /// What was written since the last read.
     Changes,
+    /// The first part of that; the store left this number of records out.
+    FirstChanges { left_out: u64 },
     /// The newest entries of some engines.
     FirstPage,
     /// The newest entries of all engines, so that missing ones are gone.
     All,
 }
 
+impl ReadScope {
+    /// Whether the records are the newest entries, however old, rather than changes.
+    const fn is_snapshot(self) -> bool {
+        matches!(self, Self::FirstPage | Self::All)
+    }
+}
+
 /// Whether an entry is one of an engine incarnation that is known to be gone. The list of a
 /// store that came back from an older copy may name it; if the engine does live, it soon
 /// writes another heartbeat.
@@ -311,10 +341,14 @@
     let store = &gateway.store;
     let changes = store.read(StoreTopic::Engines, from).await?;
     record_cut_read(gateway, StoreTopic::Engines, &changes);
+    let scope = match changes.left_out() {
+        0 => ReadScope::Changes,
+        left_out => ReadScope::FirstChanges { left_out },
+    };
     Ok(EngineRead {
         records: changes.records,
-        next: ReadCursor(changes.end),
-        scope: ReadScope::Changes,
+        next: changes.next,
+        scope,
     })
 }
 
