Engines: after the first page of a long list, the next read doesn't begin at that page's end

Cause (by reading; no test shows it): a daemon that starts reads the first page of a long list and, once the coordinator's view has come, leaves the other pages unread; the end of that page was kept as its cursor all the same. If the view is lost before one from behind that end has come, the entries of the other pages that changed in between were passed over until the list is read anew, 3 s later at most where this daemon becomes the coordinator. Change: such a read leaves no cursor; the next one begins at the view's, or reads all.

--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -13,7 +13,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use slog::{debug, info, warn};
-use ward_adapter::{StoreError, StoreRecord, StoreSnapshot, StoreTopic, decode_entry};
+use ward_adapter::{StoreError, StoreRecord, StoreTopic, decode_entry};
 use ward_fleet::pace::{CatchUp, catch_up, standalone_read_interval};
 use ward_fleet::{
     EngineBirth, EngineEntry, EngineIncarnation, EngineInfo, HeartbeatCount, ReadCursor,
@@ -141,7 +141,7 @@
         let streak = gateway.consecutive_reads.get().saturating_add(1);
         gateway.consecutive_reads.set(streak);
         self.apply_records(gateway, &read.records, read.scope);
-        let former = self.cursor.replace(read.next);
+        let former = std::mem::replace(&mut self.cursor, read.next);
         if let ReadScope::FirstChanges { left_out } = read.scope {
             self.is_behind = true;
             let engines = gateway.table.borrow().iter().count();
@@ -152,9 +152,10 @@
             return;
         }
         gateway.last_read.set(Some(begun));
-        gateway
-            .coordinator
-            .record_store_read(read.next, clock::now());
+        if let Some(cursor) = read.next {
+            let now = clock::now();
+            gateway.coordinator.record_store_read(cursor, now);
+        }
         if !gateway.engines_known.replace(true) {
             info!(gateway.logger, "engines: first read from the store"; "count" => read.records.len());
         }
@@ -183,11 +184,19 @@
         if self.has_long_list && !gateway.coordinator.is_active() {
             let timeout = MIN_VIEW_WAIT.mul_f64(rand::random_range(1.0..2.0));
             if gateway.receives_view_within(timeout).await {
-                return Ok(EngineRead::new(first.snapshot, ReadScope::FirstPage));
+                return Ok(EngineRead {
+                    records: first.snapshot.records,
+                    next: None,
+                    scope: ReadScope::FirstPage,
+                });
             }
         }
         let newest = store.newest_from_page(StoreTopic::Engines, first).await?;
-        Ok(EngineRead::new(newest, ReadScope::All))
+        Ok(EngineRead {
+            next: Some(newest.cursor()),
+            records: newest.records,
+            scope: ReadScope::All,
+        })
     }
 
     fn apply_records(&mut self, gateway: &Gateway, records: &[StoreRecord], scope: ReadScope) {
@@ -293,21 +302,11 @@
 /// Result of one read of engines.
 struct EngineRead {
     records: Vec<StoreRecord>,
-    /// Where the next read begins.
-    next: ReadCursor,
+    /// Where the next read begins; `None` if some records before that are unread.
+    next: Option<ReadCursor>,
     scope: ReadScope,
 }
 
-impl EngineRead {
-    fn new(newest: StoreSnapshot, scope: ReadScope) -> Self {
-        Self {
-            next: newest.cursor(),
-            records: newest.records,
-            scope,
-        }
-    }
-}
-
 /// What a read of engines contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReadScope {
@@ -347,7 +346,7 @@
     };
     Ok(EngineRead {
         records: changes.records,
-        next: changes.next,
+        next: Some(changes.next),
         scope,
     })
 }
