Manifests: a poll asks for one manifest, not for a megabyte of replaced ones

Cause: a daemon that was frozen or refused reads from where it was, and the store fills the answer with up to 1,024 KB of manifests that are replaced already; only then, since the answer is cut, it reads the newest. At 370 daemons that were refused together that is 370 MB over the 80 MB/s that all share, while configMs runs. The store gives one record at least. Tests: poll_for_one_record_fetched_all_that_had_come.

--- a/crates/ward-fleet/src/settings.rs
+++ b/crates/ward-fleet/src/settings.rs
@@ -117,6 +117,8 @@
     pub load_window: TimeSpan,
     /// Write calls that the platform's store takes from all daemons together.
     pub store_writes: RequestRate,
+    /// Maximum length of a record in the platform's store.
+    pub store_record: MemorySize,
     /// Time from the store's acknowledgement of a manifest until it must be in force at all
     /// daemons.
     pub manifest_change: TimeSpan,
--- a/crates/ward-fleet/tests/support/mod.rs
+++ b/crates/ward-fleet/tests/support/mod.rs
@@ -170,6 +170,7 @@
         retry_window: TimeSpan::from_secs(10),
         load_window: TimeSpan::from_secs(5),
         store_writes: RequestRate(400_000),
+        store_record: MemorySize::from_bytes(256 << 10),
         manifest_change: TimeSpan::from_secs(2),
         max_ttl: TimeSpan::from_secs(5),
         quota_window: TimeSpan::from_secs(8),
--- a/crates/ward-gateway/src/manifest/reader.rs
+++ b/crates/ward-gateway/src/manifest/reader.rs
@@ -11,6 +11,7 @@
 //! A daemon that knows of a newer manifest reads the newest one. Such a read is never given
 //! up for one that is newer still. The same goes for a daemon whose poll the store has cut:
 //! of the manifests that have come, only the newest is of use, which the answer leaves out.
+//! So a poll asks for no more than a manifest of maximum length.
 //!
 //! Load pattern: a large manifest, a narrow link or many hosts make a read take longer than
 //! the time between two changes. A read that ends a little late is then in force sooner
@@ -21,7 +22,9 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use ward_adapter::{StoreChanges, StoreClient, StoreError, StoreRecord, StoreSnapshot, StoreTopic};
+use ward_adapter::{
+    PollBounds, StoreChanges, StoreClient, StoreError, StoreRecord, StoreSnapshot, StoreTopic,
+};
 use ward_fleet::{ManifestVersion, ReadCursor, StoreEra};
 use ward_http::AnswerProgress;
 use ward_protocol::{MonoTime, TimeSpan};
@@ -151,7 +154,11 @@
         };
         let progress = AnswerProgress::default();
         let store = &gateway.store;
-        let poll = store.poll(StoreTopic::Manifest, cursor, wait, &progress);
+        let bounds = PollBounds {
+            wait,
+            records: gateway.settings().bounds.store_record,
+        };
+        let poll = store.poll(StoreTopic::Manifest, cursor, bounds, &progress);
         let useless = async {
             let reason = tokio::select! {
                 () = wait_until_view_lost(gateway, has_view) => AbandonReason::ViewLost,
--- a/crates/ward-stage/src/deployment.rs
+++ b/crates/ward-stage/src/deployment.rs
@@ -14,6 +14,7 @@
 use crate::daemon::StageError;
 use crate::engine::{HEARTBEAT_INTERVAL, PLAIN_SOFTWARE};
 use crate::stage::{Stage, StagePlan};
+use crate::store::STORE_RECORD;
 
 /// Ports of every daemon; the daemons differ in their loopback addresses.
 const CALLERS_PORT: u16 = 8101;
@@ -175,6 +176,7 @@
             retry_window: TimeSpan::from_secs(10),
             load_window: TimeSpan::from_secs(5),
             store_writes: RequestRate(400_000),
+            store_record: STORE_RECORD,
             manifest_change: TimeSpan::from_secs(2),
             max_ttl: TimeSpan::from_secs(5),
             quota_window: TimeSpan::from_secs(8),
--- a/crates/ward-stage/src/store/mod.rs
+++ b/crates/ward-stage/src/store/mod.rs
@@ -21,7 +21,7 @@
 };
 use ward_adapter::store::MANIFEST_KEY;
 use ward_fleet::{ServingManifest, StoreEra};
-use ward_protocol::TimeSpan;
+use ward_protocol::{MemorySize, TimeSpan};
 
 use crate::reply::{AbortConnection, StageBody, full_response};
 use crate::serve::{StageServer, serve};
@@ -31,7 +31,7 @@
 /// Maximum time for which a read waits for a record.
 const MAX_READ_WAIT: TimeSpan = TimeSpan::from_secs(30);
 /// Maximum length of a record that is appended.
-const MAX_RECORD_BYTES: usize = 256 << 10;
+pub(crate) const STORE_RECORD: MemorySize = MemorySize::from_bytes(256 << 10);
 /// Maximum length of all records that one call appends.
 const MAX_CALL_BYTES: usize = 2 << 20;
 
@@ -212,7 +212,7 @@
         let contents = split_records(body);
         let is_too_long = contents
             .iter()
-            .any(|content| content.len() > MAX_RECORD_BYTES);
+            .any(|content| content.len() as u64 > STORE_RECORD.bytes());
         if is_too_long || body.len() > MAX_CALL_BYTES {
             return full_response(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
         }
--- a/crates/ward-stage/tests/store.rs
+++ b/crates/ward-stage/tests/store.rs
@@ -7,9 +7,10 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use tokio::task::JoinSet;
-use ward_adapter::{NewRecord, StoreClient, StoreError, StoreTopic};
+use ward_adapter::{NewRecord, PollBounds, StoreClient, StoreError, StoreTopic};
 use ward_fleet::{ReadCursor, StoreEra, StorePosition};
-use ward_protocol::TimeSpan;
+use ward_http::AnswerProgress;
+use ward_protocol::{MemorySize, TimeSpan};
 use ward_stage::StageStore;
 
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_secs(5);
@@ -115,7 +116,24 @@
     expect_that!(rest.left_out(), eq(0));
 }
 
-/// The same for pages of the newest records.
+/// Guards against polls that fetch a megabyte of replaced manifests before the newest one.
+#[gtest]
+#[tokio::test]
+async fn poll_for_one_record_fetched_all_that_had_come() {
+    let (_store, client) = long_store(6).await;
+    let bounds = PollBounds {
+        wait: TimeSpan::ZERO,
+        records: MemorySize::from_bytes(256 << 10),
+    };
+    let progress = AnswerProgress::default();
+    let poll = client.poll(StoreTopic::Engines, cursor(0), bounds, &progress);
+    let changes = poll.await.unwrap();
+    expect_that!(changes.records.len(), eq(1));
+    expect_that!(changes.next, eq(cursor(1)));
+    expect_that!(changes.left_out(), eq(5));
+}
+
+/// Guards against the same store of tests, with pages of the newest records.
 #[gtest]
 #[tokio::test]
 async fn newest_page_of_the_stand_in_held_more_than_the_platforms() {
@@ -129,7 +147,7 @@
     expect_that!(all.cursor(), eq(cursor(6)));
 }
 
-/// The same for appends.
+/// The same with appends.
 #[gtest]
 #[tokio::test]
 async fn append_of_the_stand_in_took_more_than_the_platforms() {
