--- a/crates/ward-daemon/tests/gateway/version_history.rs
+++ b/crates/ward-daemon/tests/gateway/version_history.rs
@@ -18,6 +18,9 @@
 /// Time in which an engine that restarts gets its model again.
 const RELOAD_TIME: Duration = Duration::from_secs(3);
 
+/// Time in which an engine that restarts is back.
+const RESTART_TIME: Duration = Duration::from_millis(1_500);
+
 /// A request that takes up a stream and doesn't name it.
 fn unnamed_resumption(id: &str) -> CallerRequest {
     let mut request = CallerRequest::new(id, "/quote/a", Some(&Stage::model_name(0)));
@@ -121,3 +124,39 @@
     }
     expect_that!(stage.engines[1].models().len(), eq(0));
 }
+
+/// Case review/11: an idle engine restarted with another version, and its count of orders was
+/// what the coordinator expected, so that it got a model and streams of the former version.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_went_on_at_an_idle_engine_that_had_restarted_with_another_version() {
+    let plan = StagePlan {
+        engines: 2,
+        models: 2,
+        ..one_version()
+    };
+    let stage = stage("history-idle", &plan).await;
+    wait_until_all_joined(&stage).await;
+    tokio::time::sleep(RENEWAL_TIME).await;
+    stage.store.set_fault(StoreFault::Busy);
+    stage.engines[1].restart_with_software(OTHER_SOFTWARE.parse().unwrap());
+    tokio::time::sleep(RESTART_TIME).await;
+    // More than one engine can run at a time, so that the model is ordered at the other.
+    let begun = begin_streams(&stage, &[0, 1, 2, 3], 24);
+    tokio::time::sleep(RELOAD_TIME).await;
+    stage.engines[0].set_fault(EngineFault::BreakOff);
+    for number in 0..24 {
+        let request = CallerRequest::new(
+            format!("r{number}"),
+            "/quote/a",
+            Some(&Stage::model_name(0)),
+        );
+        let mut stream = CallerStream {
+            first_try: request.id.clone(),
+            events: String::new(),
+        };
+        stream.add(send(&stage, number % 4, &request).await);
+        expect_true!(stream.is_of_one_version(), "mixed: {:?}", stream.events);
+    }
+    drop(begun.broken_streams().await);
+}
--- a/crates/ward-fleet/src/placement/engine.rs
+++ b/crates/ward-fleet/src/placement/engine.rs
@@ -142,8 +142,9 @@
     pub joined_empty: Option<MonoTime>,
     /// Time of the latest heartbeat.
     last_heartbeat: MonoTime,
-    /// Time from which a heartbeat shows that an engine taken for ended is running.
-    heard_since: MonoTime,
+    /// Time from which a heartbeat shows that an engine taken for ended is running; `None`
+    /// if a later incarnation runs.
+    heard_since: Option<MonoTime>,
 }
 
 impl PlacedEngine {
@@ -166,7 +167,7 @@
             last_audit: MonoTime::default(),
             joined_empty: empty.then_some(now),
             last_heartbeat: now,
-            heard_since: now,
+            heard_since: Some(now),
         };
         engine.replace_held(&entry.models);
         engine
@@ -190,7 +191,7 @@
         self.info = EngineInfo::from(entry);
         self.info.holding = holding;
         self.info.draining |= draining;
-        self.info.ended = ended && now < self.heard_since;
+        self.info.ended = ended && self.heard_since.is_none_or(|since| now < since);
         self.last_heartbeat = now;
         self.in_memory.clone_from(&entry.in_memory);
         self.on_disk.clone_from(&entry.on_disk);
@@ -207,10 +208,16 @@
             return false;
         }
         self.info.ended = true;
-        self.heard_since = heard_since;
+        self.heard_since = Some(heard_since);
         true
     }
 
+    /// Records that a later incarnation of the engine runs; returns whether this is news.
+    pub(super) fn mark_restarted(&mut self) -> bool {
+        self.info.ended = true;
+        self.heard_since.take().is_some()
+    }
+
     /// Whether the models in a heartbeat, apart from their adapters, are not
     /// those held.
     fn models_differ(&self, models: &[HeldModel]) -> bool {
--- a/crates/ward-fleet/src/placement/state.rs
+++ b/crates/ward-fleet/src/placement/state.rs
@@ -82,6 +82,15 @@
             .is_some_and(|engine| engine.mark_ended(ended_at))
     }
 
+    /// Records that a later incarnation of an engine runs under the same id. Nothing is sent
+    /// to the engine before its own heartbeat is known. Returns whether it is news.
+    pub fn mark_restarted(&mut self, incarnation: &EngineIncarnation) -> bool {
+        let engine = self.engines.get_mut(&incarnation.engine);
+        engine
+            .filter(|engine| engine.info.birth == incarnation.birth)
+            .is_some_and(PlacedEngine::mark_restarted)
+    }
+
     /// Whether an engine takes only a limited rate of requests.
     #[must_use]
     pub fn is_limited(&self, engine: &PlacedEngine) -> bool {
--- a/crates/ward-gateway/src/coordinator/audit.rs
+++ b/crates/ward-gateway/src/coordinator/audit.rs
@@ -43,6 +43,12 @@
         Ok(())
     }
 
+    /// Fails unless the engine reports that it is the known incarnation.
+    pub(super) async fn confirm_incarnation(&self) -> Result<(), TaskFailure> {
+        let report = self.query_report().await;
+        report.map(drop).ok_or(TaskFailure::Unconfirmed)
+    }
+
     /// Replaces the known models of the engine with those that it reports, unless it is
     /// busy or does not answer.
     pub(super) async fn run_audit(&self) {
@@ -65,7 +71,7 @@
     fn record_restart(&self) {
         let incarnation = self.incarnation();
         let mut state = self.coordinator.state.borrow_mut();
-        if state.mark_ended(&incarnation, clock::now()) {
+        if state.mark_restarted(&incarnation) {
             info!(
                 self.gateway.logger, "coordinator: engine has restarted";
                 "engine" => %incarnation.engine,
--- a/crates/ward-gateway/src/coordinator/worker.rs
+++ b/crates/ward-gateway/src/coordinator/worker.rs
@@ -4,6 +4,10 @@
 //! Each order names the sequence number at which the engine may carry it out. An
 //! order whose answer was lost can therefore be sent again: at most one of the two
 //! takes effect, however late the first one arrives.
+//!
+//! Before the first order of an incarnation that number is zero, as it is after a restart
+//! under the same id. So the first order counts only once the engine has reported that it
+//! is the incarnation that the order was meant for.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +17,7 @@
 use ward_fleet::placement::{
     AdapterLoadTask, LoadSource, ModelLoadTask, PlacedEngine, PlannedTask, TaskTarget,
 };
-use ward_fleet::{EngineOrder, HeldModel};
+use ward_fleet::{EngineOrder, HeldModel, OrderSequence};
 use ward_http::UnpooledClient;
 use ward_protocol::{ModelName, TimeSpan};
 
@@ -53,6 +57,9 @@
     /// The engine's sequence number is unknown, or higher than expected because it
     /// accepted an order whose answer was lost.
     Changed,
+    /// The engine took its first order, but did not report that it is the incarnation that
+    /// the order was meant for.
+    Unconfirmed,
 }
 
 /// Time between queries whether a load has completed.
@@ -242,8 +249,8 @@
         for attempt in 1..=MAX_ORDER_ATTEMPTS {
             let answer = self.send_order_once(&order).await?;
             match answer {
-                Some(OrderAnswer::Accepted | OrderAnswer::AlreadyDone) => {
-                    return Ok(answer.unwrap_or(OrderAnswer::AlreadyDone));
+                Some(answer @ (OrderAnswer::Accepted | OrderAnswer::AlreadyDone)) => {
+                    return Ok(answer);
                 }
                 Some(OrderAnswer::Fenced) => {
                     self.coordinator
@@ -293,7 +300,11 @@
         }
         let answer = reply.map(|reply| reply.answer);
         self.record_answer(order, &answer);
-        Ok(answer.ok())
+        let answer = answer.ok();
+        if expect == OrderSequence::default() && answer.is_some_and(OrderAnswer::is_success) {
+            self.confirm_incarnation().await?;
+        }
+        Ok(answer)
     }
 
     fn record_answer(&self, order: &EngineOrder, answer: &Result<OrderAnswer, OrderFailure>) {
