--- a/crates/ward-daemon/tests/gateway/version_history.rs
+++ b/crates/ward-daemon/tests/gateway/version_history.rs
@@ -92,6 +92,24 @@
     expect_that!(lists(&stage), eq(before + 1));
 }
 
+/// Sends requests for streams to all daemons in turn, and expects that no stream holds events
+/// of two versions.
+async fn expect_unmixed_streams(stage: &Stage) {
+    for number in 0..24 {
+        let request = CallerRequest::new(
+            format!("r{number}"),
+            "/quote/a",
+            Some(&Stage::model_name(0)),
+        );
+        let mut stream = CallerStream {
+            first_try: request.id.clone(),
+            events: String::new(),
+        };
+        stream.add(send(stage, number % 4, &request).await);
+        expect_true!(stream.is_of_one_version(), "mixed: {:?}", stream.events);
+    }
+}
+
 /// Case review/6: the report of a later incarnation was taken for one of the known, so that the
 /// engine got its model again and streams of the former version.
 #[gtest]
@@ -109,19 +127,7 @@
     for number in [0, 2, 3] {
         stage.engines[number].set_fault(EngineFault::BreakOff);
     }
-    for number in 0..24 {
-        let request = CallerRequest::new(
-            format!("r{number}"),
-            "/quote/a",
-            Some(&Stage::model_name(0)),
-        );
-        let mut stream = CallerStream {
-            first_try: request.id.clone(),
-            events: String::new(),
-        };
-        stream.add(send(&stage, number % 4, &request).await);
-        expect_true!(stream.is_of_one_version(), "mixed: {:?}", stream.events);
-    }
+    expect_unmixed_streams(&stage).await;
     expect_that!(stage.engines[1].models().len(), eq(0));
 }
 
@@ -145,18 +151,6 @@
     let begun = begin_streams(&stage, &[0, 1, 2, 3], 24);
     tokio::time::sleep(RELOAD_TIME).await;
     stage.engines[0].set_fault(EngineFault::BreakOff);
-    for number in 0..24 {
-        let request = CallerRequest::new(
-            format!("r{number}"),
-            "/quote/a",
-            Some(&Stage::model_name(0)),
-        );
-        let mut stream = CallerStream {
-            first_try: request.id.clone(),
-            events: String::new(),
-        };
-        stream.add(send(&stage, number % 4, &request).await);
-        expect_true!(stream.is_of_one_version(), "mixed: {:?}", stream.events);
-    }
+    expect_unmixed_streams(&stage).await;
     drop(begun.broken_streams().await);
 }
