Engines: a reader that was behind when a view came no longer spins

Change: reading on is a loop around the reads themselves, and each read says how far it came. What a read contains has a module of its own. No test shows the fault: a view has to come within the few milliseconds of a reader that catches up.

--- a/crates/ward-gateway/src/sync/engines.rs
+++ b/crates/ward-gateway/src/sync/engines.rs
@@ -20,7 +20,7 @@
 };
 use ward_protocol::{BackendId, MonoTime, TimeSpan};
 
-use super::cut::record_cut_read;
+use super::read::{EngineRead, ReadScope, read_changes};
 use crate::clock;
 use crate::gateway::Gateway;
 
@@ -52,8 +52,6 @@
     has_long_list: bool,
     /// Failed reads in succession.
     failed_reads: u32,
-    /// Whether records were left out of the last read.
-    is_behind: bool,
 }
 
 /// Position of a heartbeat in the order of all heartbeats of its engine.
@@ -72,11 +70,10 @@
         newest_heartbeats: IndexMap::new(),
         has_long_list: false,
         failed_reads: 0,
-        is_behind: false,
     };
     loop {
         if gateway.coordinator.is_active() || !gateway.has_current_view() {
-            reader.read_once(&gateway).await;
+            while reader.read_once(&gateway).await == ReadProgress::Behind {}
         } else {
             gateway.consecutive_reads.set(0);
         }
@@ -88,9 +85,6 @@
 impl EngineReader {
     /// Waits until the next look whether the engines must be read.
     async fn wait(&self, gateway: &Gateway) {
-        if self.is_behind {
-            return;
-        }
         if gateway.coordinator.is_active() {
             gateway
                 .sleep_or_store_recovery(COORDINATOR_READ_INTERVAL)
@@ -112,7 +106,7 @@
     }
 
     /// Reads the engines once, and applies what was read or records the failure.
-    async fn read_once(&mut self, gateway: &Gateway) {
+    async fn read_once(&mut self, gateway: &Gateway) -> ReadProgress {
         let now = clock::now();
         let last_read = gateway.last_read.get();
         // On the coordinator, the cursor is this reader's own earlier one, whose
@@ -127,15 +121,22 @@
             Some(from) => read_changes(gateway, from).await,
             None => self.read_all(gateway).await,
         };
-        self.is_behind = false;
         match result {
             Ok(read) => self.apply_read(gateway, &read, now),
-            Err(cause) => self.record_failure(gateway, &cause),
+            Err(cause) => {
+                self.record_failure(gateway, &cause);
+                ReadProgress::Failed
+            }
         }
     }
 
     /// Applies a read that began at `begun`.
-    fn apply_read(&mut self, gateway: &Gateway, read: &EngineRead, begun: MonoTime) {
+    fn apply_read(
+        &mut self,
+        gateway: &Gateway,
+        read: &EngineRead,
+        begun: MonoTime,
+    ) -> ReadProgress {
         gateway.metrics.count_store_call(true);
         self.failed_reads = 0;
         let streak = gateway.consecutive_reads.get().saturating_add(1);
@@ -143,13 +144,12 @@
         self.apply_records(gateway, &read.records, read.scope);
         let former = std::mem::replace(&mut self.cursor, read.next);
         if let ReadScope::FirstChanges { left_out } = read.scope {
-            self.is_behind = true;
             let engines = gateway.table.borrow().iter().count();
             let is_stuck = former == self.cursor;
             if is_stuck || catch_up(left_out, engines) == CatchUp::Newest {
                 self.cursor = None;
             }
-            return;
+            return ReadProgress::Behind;
         }
         gateway.last_read.set(Some(begun));
         if let Some(cursor) = read.next {
@@ -159,6 +159,7 @@
         if !gateway.engines_known.replace(true) {
             info!(gateway.logger, "engines: first read from the store"; "count" => read.records.len());
         }
+        ReadProgress::UpToDate
     }
 
     fn record_failure(&mut self, gateway: &Gateway, cause: &StoreError) {
@@ -299,32 +300,13 @@
     }
 }
 
-/// Result of one read of engines.
-struct EngineRead {
-    records: Vec<StoreRecord>,
-    /// Where the next read begins; `None` if some records before that are unread.
-    next: Option<ReadCursor>,
-    scope: ReadScope,
-}
-
-/// What a read of engines contains.
+/// How far a read of engines came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ReadScope {
-    /// What was written since the last read.
-    Changes,
-    /// The first part of that; the store left this number of records out.
-    FirstChanges { left_out: u64 },
-    /// The newest entries of some engines.
-    FirstPage,
-    /// The newest entries of all engines, so that missing ones are gone.
-    All,
-}
-
-impl ReadScope {
-    /// Whether the records are the newest entries, however old, rather than changes.
-    const fn is_snapshot(self) -> bool {
-        matches!(self, Self::FirstPage | Self::All)
-    }
+enum ReadProgress {
+    UpToDate,
+    /// Records were left out, so that the next read follows at once.
+    Behind,
+    Failed,
 }
 
 /// Whether an entry is one of an engine incarnation that is known to be gone. The list of a
@@ -335,22 +317,6 @@
     gateway.table.borrow().has_departed(&incarnation)
 }
 
-/// Reads the changes from a cursor on.
-async fn read_changes(gateway: &Gateway, from: ReadCursor) -> Result<EngineRead, StoreError> {
-    let store = &gateway.store;
-    let changes = store.read(StoreTopic::Engines, from).await?;
-    record_cut_read(gateway, StoreTopic::Engines, &changes);
-    let scope = match changes.left_out() {
-        0 => ReadScope::Changes,
-        left_out => ReadScope::FirstChanges { left_out },
-    };
-    Ok(EngineRead {
-        records: changes.records,
-        next: Some(changes.next),
-        scope,
-    })
-}
-
 /// Waits until this daemon is the coordinator, which must read the engines often.
 async fn wait_until_coordinator(gateway: &Gateway) {
     while !gateway.coordinator.is_active() {
--- a/crates/ward-gateway/src/sync/mod.rs
+++ b/crates/ward-gateway/src/sync/mod.rs
@@ -3,6 +3,7 @@
 mod cut;
 mod engines;
 mod era;
+mod read;
 
 pub(crate) use cut::record_cut_read;
 pub(crate) use engines::{has_departed, sync_engines};
