Coordinator: the pauses between plans are bounded, so that a freeze or a long plan doesn't silence the views

A host that freezes for 7 s in the middle of one would have paused for a minute, and been left by all daemons after 1.2 s. Change: both pauses are 0.2 s at most.

--- a/crates/ward-fleet/src/pace.rs
+++ b/crates/ward-fleet/src/pace.rs
@@ -84,11 +84,14 @@
     }
 }
 
-/// Minimum time between two plans.
-const MIN_PLAN_PAUSE: Duration = Duration::from_millis(3);
-/// Time between two plans unless one is requested.
-const PLAN_INTERVAL: Duration = Duration::from_millis(50);
-/// A plan that is not requested follows after this many times the duration of the last one.
+/// Minimum delay of a plan.
+const MIN_PLAN_DELAY: Duration = Duration::from_millis(3);
+/// Minimum time until a plan that nothing requests.
+const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum of both. Each plan publishes a view, without which daemons regard the coordinator as
+/// lost; a plan may seem to take long because the host was frozen.
+const MAX_PLAN_PAUSE: Duration = Duration::from_millis(200);
+/// A plan that nothing requests follows after this many times the duration of the last one.
 const REGULAR_PLAN_FACTOR: u32 = 9;
 
 /// Pauses between two plans.
@@ -100,12 +103,13 @@
     pub requested: Duration,
 }
 
-/// The pauses after a plan that took the time `spent`. Plans take up to half of the thread while
-/// they are requested all the time, and a tenth of it otherwise.
+/// The pauses after a plan that took the time `spent`. Within the maximum of the pauses, plans
+/// take up to half of the thread while they are requested all the time, and a tenth otherwise.
 #[must_use]
 pub fn plan_pause(spent: Duration) -> PlanPause {
+    let regular = spent.saturating_mul(REGULAR_PLAN_FACTOR);
     PlanPause {
-        regular: (spent * REGULAR_PLAN_FACTOR).max(PLAN_INTERVAL),
-        requested: spent.max(MIN_PLAN_PAUSE),
+        regular: regular.clamp(MIN_PLAN_INTERVAL, MAX_PLAN_PAUSE),
+        requested: spent.clamp(MIN_PLAN_DELAY, MAX_PLAN_PAUSE),
     }
 }
