--- a/crates/ward-gateway/src/coordinator/worker.rs
+++ b/crates/ward-gateway/src/coordinator/worker.rs
@@ -300,6 +300,7 @@
         }
         let answer = reply.map(|reply| reply.answer);
         self.record_answer(order, &answer);
+        // `record_answer` has logged the cause of a failure.
         let answer = answer.ok();
         if expect == OrderSequence::default() && answer.is_some_and(OrderAnswer::is_success) {
             self.confirm_incarnation().await?;
